--- /dev/null
+++ b/pkg/clock/clock.go
@@ -0,0 +1,9 @@
+package clock
+
+// Clock tells the time and wakes its callers.
+type Clock interface {
+	// Now returns the current time.
+	Now() Millis
+	// After returns a channel that receives once when the span has passed.
+	After(span Millis) <-chan Millis
+}
--- /dev/null
+++ b/pkg/clock/millis.go
@@ -0,0 +1,24 @@
+// Package clock provides time in milliseconds, from the system or set by hand.
+package clock
+
+import "time"
+
+// Millis is a point in time (milliseconds since the Unix epoch) or a span of time.
+type Millis int64
+
+// Common spans.
+const (
+	Second Millis = 1000
+	Minute        = 60 * Second
+	Hour          = 60 * Minute
+)
+
+// Duration converts a span for use with the standard library.
+func (m Millis) Duration() time.Duration {
+	return time.Duration(m) * time.Millisecond
+}
+
+// FromDuration converts a standard-library duration, rounded down.
+func FromDuration(d time.Duration) Millis {
+	return Millis(d / time.Millisecond)
+}
--- /dev/null
+++ b/pkg/contract/submission_id.go
@@ -0,0 +1,92 @@
+package contract
+
+import (
+	"encoding/hex"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// Sequence numbers the ids of one issuer.
+type Sequence uint64
+
+// MAC is the part of an id that proves that the issuer reserved it for an owner.
+type MAC [16]byte
+
+// SubmissionID names a submission, the only VM that may start its tasks (the issuer)
+// and the VM that keeps the issuer's records (the witness).
+type SubmissionID struct {
+	DataCentre datacentre.ID
+	Issuer     vm.Incarnation
+	Witness    vm.Incarnation
+	IssuedAt   clock.Millis
+	Sequence   Sequence
+	MAC        MAC
+}
+
+const (
+	idFields = 6
+	idBase   = 36
+)
+
+var dataCentreFormat = regexp.MustCompile(`^[a-z0-9]+$`)
+
+// String returns the text form
+// "<dataCentre>.<issuer>.<witness>.<issuedAt>.<sequence>.<mac>".
+func (s SubmissionID) String() string {
+	return s.prefix() + "." + hex.EncodeToString(s.MAC[:])
+}
+
+func (s SubmissionID) prefix() string {
+	return strings.Join([]string{
+		string(s.DataCentre),
+		string(s.Issuer),
+		string(s.Witness),
+		strconv.FormatInt(int64(s.IssuedAt), idBase),
+		strconv.FormatUint(uint64(s.Sequence), idBase),
+	}, ".")
+}
+
+// ParseSubmissionID reads the text form.
+func ParseSubmissionID(text string) (SubmissionID, error) {
+	fields := strings.Split(text, ".")
+	if len(fields) != idFields {
+		return SubmissionID{}, errors.NotValidf("parse submission id: %d fields instead of %d; use an id from POST /v1/ids: id", len(fields), idFields)
+	}
+	id := SubmissionID{
+		DataCentre: datacentre.ID(fields[0]),
+		Issuer:     vm.Incarnation(fields[1]),
+		Witness:    vm.Incarnation(fields[2]),
+	}
+	if !dataCentreFormat.MatchString(fields[0]) || !id.Issuer.Valid() || !validWitness(id.Witness) {
+		return SubmissionID{}, errors.NotValidf("parse submission id: data centre, issuer or witness; use an id from POST /v1/ids: id")
+	}
+	issuedAt, err := strconv.ParseInt(fields[3], idBase, 64)
+	if err != nil || issuedAt < 0 {
+		return SubmissionID{}, errors.NotValidf("parse submission id: time of issue; use an id from POST /v1/ids: id")
+	}
+	sequence, err := strconv.ParseUint(fields[4], idBase, 64)
+	if err != nil {
+		return SubmissionID{}, errors.NotValidf("parse submission id: sequence; use an id from POST /v1/ids: id")
+	}
+	mac, err := hex.DecodeString(fields[5])
+	if err != nil || len(mac) != len(id.MAC) {
+		return SubmissionID{}, errors.NotValidf("parse submission id: code; use an id from POST /v1/ids: id")
+	}
+	id.IssuedAt, id.Sequence = clock.Millis(issuedAt), Sequence(sequence)
+	copy(id.MAC[:], mac)
+	if id.String() != text {
+		return SubmissionID{}, errors.NotValidf("parse submission id: spelling; use an id from POST /v1/ids: id")
+	}
+	return id, nil
+}
+
+func validWitness(i vm.Incarnation) bool {
+	return i == vm.None || i.Valid()
+}
--- /dev/null
+++ b/pkg/vm/roster.go
@@ -0,0 +1,102 @@
+package vm
+
+import (
+	"math"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+)
+
+// RosterVersion counts the changes of a roster at the VM that keeps it.
+type RosterVersion uint64
+
+// Roster is an immutable list of the entry VMs that one VM knows of.
+type Roster struct {
+	Version RosterVersion
+	Self    Incarnation
+	vms     []VM
+	index   map[Incarnation]int
+}
+
+// RosterConfig holds what a roster is made of.
+type RosterConfig struct {
+	Version RosterVersion
+	Self    Incarnation
+	VMs     []VM
+}
+
+// NewRoster copies the list and orders it by incarnation.
+func NewRoster(c RosterConfig) *Roster {
+	vms := slices.Clone(c.VMs)
+	slices.SortFunc(vms, func(a, b VM) int {
+		return strings.Compare(string(a.Incarnation), string(b.Incarnation))
+	})
+	index := make(map[Incarnation]int, len(vms))
+	for i, v := range vms {
+		index[v.Incarnation] = i
+	}
+	return &Roster{Version: c.Version, Self: c.Self, vms: vms, index: index}
+}
+
+// VMs returns all VMs in order of their incarnations. The caller must not change the slice.
+func (r *Roster) VMs() []VM {
+	return r.vms
+}
+
+// Find returns the VM of an incarnation.
+func (r *Roster) Find(i Incarnation) (VM, bool) {
+	n, ok := r.index[i]
+	if !ok {
+		return VM{}, false
+	}
+	return r.vms[n], true
+}
+
+// Home returns the VM that owns the slots of an endpoint: the highest score by
+// rendezvous hashing, weighted by size, among the VMs of the endpoint's data centre
+// that are not leaving.
+func (r *Roster) Home(e datacentre.EndpointID, dc datacentre.ID) (VM, bool) {
+	return r.pick(string(e), func(v VM) bool { return v.DataCentre == dc && !v.Leaving })
+}
+
+// Witness returns the peer that keeps the records of self: one of the same data centre
+// where there is one, else of another.
+func (r *Roster) Witness() Incarnation {
+	self, ok := r.Find(r.Self)
+	if !ok {
+		return None
+	}
+	eligible := func(v VM) bool { return v.Incarnation != r.Self && !v.Leaving }
+	local := func(v VM) bool { return eligible(v) && v.DataCentre == self.DataCentre }
+	if v, ok := r.pick(string(r.Self), local); ok {
+		return v.Incarnation
+	}
+	if v, ok := r.pick(string(r.Self), eligible); ok {
+		return v.Incarnation
+	}
+	return None
+}
+
+func (r *Roster) pick(key string, eligible func(VM) bool) (VM, bool) {
+	best, bestScore, found := VM{}, math.Inf(-1), false
+	for _, v := range r.vms {
+		if !eligible(v) {
+			continue
+		}
+		score := rendezvousScore(key, v)
+		if !found || score > bestScore {
+			best, bestScore, found = v, score, true
+		}
+	}
+	return best, found
+}
+
+// rendezvousScore weights the hash so that a VM wins in proportion to its size.
+func rendezvousScore(key string, v VM) float64 {
+	hash := xxhash.Sum64String(key + "/" + string(v.Incarnation))
+	unit := (float64(hash>>11) + 0.5) / (1 << 53)
+	return -float64(max(v.Size, 1)) / math.Log(unit)
+}
--- /dev/null
+++ b/pkg/vm/vm.go
@@ -0,0 +1,17 @@
+// Package vm describes entry VMs, their incarnations and the roster of them.
+package vm
+
+import "github.com/sequoiacart/sequoiacart/pkg/datacentre"
+
+// Size is the relative capacity of an entry VM, for example its core count.
+type Size int
+
+// VM is one incarnation of an entry VM.
+type VM struct {
+	Incarnation Incarnation
+	DataCentre  datacentre.ID
+	// PeerAddress is where the VM accepts calls of other entry VMs.
+	PeerAddress string
+	Size        Size
+	Leaving     bool
+}
