Serve a job from caller to endpoint over two entry VMs

Cause: every later change needs a running path to measure and break. Starts are recorded at the witness, fencing is not done yet, and bundles are not yet signed.

--- /dev/null
+++ b/pkg/app/standin_command.go
@@ -0,0 +1,128 @@
+package app
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"io"
+	"net"
+	"net/http"
+	"os"
+
+	"github.com/juju/errors"
+	"github.com/oklog/run"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/platform"
+	"github.com/sequoiacart/sequoiacart/pkg/standin"
+)
+
+const standinTimeout = 5 * clock.Second
+
+func newStandinCommand(stderr io.Writer) *ffcli.Command {
+	return &ffcli.Command{
+		Name:        "standin",
+		ShortUsage:  "sequoiacart standin platform|endpoint [flags]",
+		ShortHelp:   "Runs a stand-in of an outside system, for trying and testing.",
+		Subcommands: []*ffcli.Command{newStandinPlatformCommand(stderr), newStandinEndpointCommand(stderr)},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+}
+
+func newStandinPlatformCommand(stderr io.Writer) *ffcli.Command {
+	flags := flag.NewFlagSet("platform", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	address := flags.String("address", "127.0.0.1:7002", "host:port to listen on")
+	bundleFile := flags.String("bundle", "", "TOML file to offer as the bundle")
+	return &ffcli.Command{
+		Name:       "platform",
+		ShortUsage: "sequoiacart standin platform --address 127.0.0.1:7002",
+		ShortHelp:  "Runs a table service, an object store and a VM list in memory.",
+		FlagSet:    flags,
+		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
+		Exec: func(ctx context.Context, _ []string) error {
+			p := standin.NewPlatform()
+			if *bundleFile != "" {
+				body, err := os.ReadFile(*bundleFile)
+				if err != nil {
+					return errors.Annotate(err, "read bundle")
+				}
+				p.SetObject("bundle", body)
+			}
+			return serveHTTP(ctx, *address, p.Handler(), func(context.Context, string) error { return nil })
+		},
+	}
+}
+
+func newStandinEndpointCommand(stderr io.Writer) *ffcli.Command {
+	flags := flag.NewFlagSet("endpoint", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	address := flags.String("address", "127.0.0.1:0", "host:port to listen on")
+	name := flags.String("name", "endpoint1", "name of the endpoint")
+	dc := flags.String("data-centre", "", "data centre of the endpoint")
+	slots := flags.Int("slots", 8, "tasks to run at the same time")
+	platformAddress := flags.String("platform-address", "127.0.0.1:7002", "host:port of the platform stand-in")
+	return &ffcli.Command{
+		Name:       "endpoint",
+		ShortUsage: "sequoiacart standin endpoint --name e1 --data-centre centro",
+		ShortHelp:  "Runs an endpoint that sleeps for each task.",
+		FlagSet:    flags,
+		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
+		Exec: func(ctx context.Context, _ []string) error {
+			e := standin.NewEndpoint(standin.EndpointConfig{Slots: datacentre.Slots(*slots)})
+			return serveHTTP(ctx, *address, e.Handler(), func(ctx context.Context, bound string) error {
+				return listEndpoint(ctx, *platformAddress, datacentre.Endpoint{
+					ID:          datacentre.EndpointID(*name),
+					DataCentre:  datacentre.ID(*dc),
+					Address:     bound,
+					Slots:       datacentre.Slots(*slots),
+					Connections: 64,
+				})
+			})
+		},
+	}
+}
+
+// listEndpoint puts the endpoint into the VM list of the platform stand-in.
+func listEndpoint(ctx context.Context, platformAddress string, e datacentre.Endpoint) error {
+	body, err := json.Marshal(platform.EncodeVM(platform.ListedVM{Endpoint: e}))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	url := "http://" + platformAddress + "/v1/vms/" + string(e.ID)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Annotate(err, "list endpoint at the platform")
+	}
+	return response.Body.Close()
+}
+
+func serveHTTP(ctx context.Context, address string, handler http.Handler, ready func(context.Context, string) error) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Annotate(err, "listen")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: standinTimeout.Duration()}
+	var g run.Group
+	addContext(ctx, &g, func(ctx context.Context) error {
+		if err := ready(ctx, listener.Addr().String()); err != nil {
+			return err
+		}
+		<-ctx.Done()
+		return nil
+	})
+	g.Add(func() error { return server.Serve(listener) }, func(error) { _ = server.Close() })
+	err = g.Run()
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/pkg/dispatch/scheduler.go
@@ -0,0 +1,106 @@
+// Package dispatch decides which task runs where and when. It does no I/O and knows no
+// encoding; the control goroutine calls it with the time of the event at hand.
+package dispatch
+
+import (
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+)
+
+// Config bounds a scheduler.
+type Config struct {
+	// QueuedTasks bounds the tasks of all owners that wait.
+	QueuedTasks int
+}
+
+// Scheduler holds the queue and the free slots of one entry VM.
+type Scheduler struct {
+	config Config
+	queue  []contract.TaskRef
+	order  []datacentre.EndpointID
+	slots  map[datacentre.EndpointID]*slotCount
+}
+
+type slotCount struct {
+	capacity datacentre.Slots
+	used     datacentre.Slots
+}
+
+// New returns a scheduler without endpoints.
+func New(c Config) *Scheduler {
+	return &Scheduler{config: c, slots: make(map[datacentre.EndpointID]*slotCount)}
+}
+
+// SetOwners takes over the shares and classes of a new bundle.
+func (s *Scheduler) SetOwners(_ clock.Millis, _ []owner.Owner) {}
+
+// SetSlots sets how many slots of an endpoint this VM may use; 0 takes the endpoint away.
+func (s *Scheduler) SetSlots(_ clock.Millis, e datacentre.EndpointID, capacity datacentre.Slots) {
+	c, ok := s.slots[e]
+	if !ok {
+		c = &slotCount{}
+		s.slots[e] = c
+		s.order = append(s.order, e)
+	}
+	c.capacity = capacity
+}
+
+// Admit queues the whole job or rejects the whole job.
+func (s *Scheduler) Admit(_ clock.Millis, j Job) Verdict {
+	if len(s.queue)+j.Tasks > s.config.QueuedTasks {
+		return Rejected{Reason: "the queue is full", RetryAfter: clock.Second}
+	}
+	for i := range j.Tasks {
+		s.queue = append(s.queue, contract.TaskRef{Job: j.Ref, Index: contract.TaskIndex(i)})
+	}
+	return Admitted{}
+}
+
+// Next takes the next task to start, as long as there is one and a slot for it. The
+// slot is held until Finish.
+func (s *Scheduler) Next(_ clock.Millis) (Start, bool) {
+	if len(s.queue) == 0 {
+		return Start{}, false
+	}
+	for _, e := range s.order {
+		c := s.slots[e]
+		if c.used >= c.capacity {
+			continue
+		}
+		c.used++
+		task := s.queue[0]
+		s.queue = s.queue[1:]
+		return Start{Task: task, Endpoint: e}, true
+	}
+	return Start{}, false
+}
+
+// Finish frees the slot of a start. A task that was not started is queued again; it
+// returns whether that is so.
+func (s *Scheduler) Finish(_ clock.Millis, st Start, result contract.AttemptResult) (requeued bool) {
+	if c, ok := s.slots[st.Endpoint]; ok {
+		c.used--
+	}
+	if _, ok := result.(contract.NotStarted); ok {
+		s.queue = append(s.queue, st.Task)
+		return true
+	}
+	return false
+}
+
+// Cancel drops the tasks of a job that wait, and returns them.
+func (s *Scheduler) Cancel(_ clock.Millis, job contract.JobRef) []contract.TaskIndex {
+	var dropped []contract.TaskIndex
+	kept := s.queue[:0]
+	for _, t := range s.queue {
+		if t.Job == job {
+			dropped = append(dropped, t.Index)
+			continue
+		}
+		kept = append(kept, t)
+	}
+	s.queue = kept
+	return dropped
+}
--- /dev/null
+++ b/pkg/entry/action.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// Action is what the control goroutine wants done by traffic goroutines.
+type Action interface{ isAction() }
+
+// ReplyTo answers a waiting traffic goroutine.
+type ReplyTo struct {
+	Waiter WaiterID
+	Reply  Reply
+}
+
+// RunAttempt sends a task to an endpoint. Ends with AttemptEnded.
+type RunAttempt struct {
+	Attempt  contract.AttemptID
+	Start    dispatch.Start
+	Endpoint datacentre.Endpoint
+	Payload  []byte
+	Deadline clock.Millis
+}
+
+// SendRecords sends a batch to the witness. Ends with RecordsAnswered.
+type SendRecords struct {
+	Witness vm.VM
+	Records []contract.Record
+}
+
+func (ReplyTo) isAction()     {}
+func (RunAttempt) isAction()  {}
+func (SendRecords) isAction() {}
+
+// Reply is what a waiting traffic goroutine hears: IDs, AnswerReply or RecordsReply.
+type Reply interface{ isReply() }
+
+// IDs carries reserved ids.
+type IDs struct{ IDs []contract.SubmissionID }
+
+// AnswerReply carries the answer of a submission.
+type AnswerReply struct{ Answer contract.Answer }
+
+// RecordsReply carries the status of each record of a batch.
+type RecordsReply struct{ Statuses []contract.RecordStatus }
+
+func (IDs) isReply()          {}
+func (AnswerReply) isReply()  {}
+func (RecordsReply) isReply() {}
--- /dev/null
+++ b/pkg/entry/event.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// WaiterID names a traffic goroutine that waits for a reply of the control goroutine.
+type WaiterID uint64
+
+// Event is what traffic goroutines and timers report to the control goroutine.
+type Event interface{ isEvent() }
+
+// ReserveIDs asks for new submission ids. Reply: IDs.
+type ReserveIDs struct {
+	Waiter WaiterID
+	Owner  owner.ID
+	Count  int
+}
+
+// Submitted brings a submission whose id this VM issued. Reply: AnswerReply.
+type Submitted struct {
+	Waiter     WaiterID
+	Submission contract.Submission
+	// Wait asks for the final answer instead of Running.
+	Wait bool
+}
+
+// Asked asks for the answer of an id that this VM issued. Reply: AnswerReply.
+type Asked struct {
+	Waiter WaiterID
+	ID     contract.SubmissionID
+	Owner  owner.ID
+	Wait   bool
+}
+
+// Cancelled asks to drop the tasks that have not started. Reply: AnswerReply.
+type Cancelled struct {
+	Waiter WaiterID
+	ID     contract.SubmissionID
+	Owner  owner.ID
+}
+
+// WaiterGone says that a traffic goroutine no longer waits.
+type WaiterGone struct{ Waiter WaiterID }
+
+// AttemptEnded reports how a send to an endpoint ended.
+type AttemptEnded struct {
+	Attempt contract.AttemptID
+	Start   dispatch.Start
+	Result  contract.AttemptResult
+}
+
+// RecordsAnswered reports the witness's reply to a batch, in the order of the batch.
+// Without a reply, Statuses is nil.
+type RecordsAnswered struct {
+	Witness  vm.Incarnation
+	Statuses []contract.RecordStatus
+}
+
+// RecordsReceived brings records of a peer that has chosen this VM as its witness.
+// Reply: RecordsReply.
+type RecordsReceived struct {
+	Waiter  WaiterID
+	Issuer  vm.Incarnation
+	Records []contract.Record
+}
+
+// WitnessAsked asks this VM as the witness about an id whose issuer cannot be reached.
+// Reply: AnswerReply.
+type WitnessAsked struct {
+	Waiter WaiterID
+	ID     contract.SubmissionID
+	Owner  owner.ID
+}
+
+// RosterChanged brings a new roster.
+type RosterChanged struct{ Roster *vm.Roster }
+
+// EndpointsListed brings the endpoints of this VM's data centre.
+type EndpointsListed struct{ Endpoints []datacentre.Endpoint }
+
+// OwnersChanged brings the owners of a bundle that came into force.
+type OwnersChanged struct{ Owners []owner.Owner }
+
+// Tick says that time has passed.
+type Tick struct{}
+
+func (ReserveIDs) isEvent()      {}
+func (Submitted) isEvent()       {}
+func (Asked) isEvent()           {}
+func (Cancelled) isEvent()       {}
+func (WaiterGone) isEvent()      {}
+func (AttemptEnded) isEvent()    {}
+func (RecordsAnswered) isEvent() {}
+func (RecordsReceived) isEvent() {}
+func (WitnessAsked) isEvent()    {}
+func (RosterChanged) isEvent()   {}
+func (EndpointsListed) isEvent() {}
+func (OwnersChanged) isEvent()   {}
+func (Tick) isEvent()            {}
--- /dev/null
+++ b/pkg/entry/router.go
@@ -0,0 +1,187 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/juju/errors"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// Peers forwards calls to the VMs that may answer for an id.
+type Peers interface {
+	Submit(ctx context.Context, issuer vm.VM, s contract.Submission, wait clock.Millis) (contract.Answer, error)
+	Ask(ctx context.Context, issuer vm.VM, id contract.SubmissionID, o owner.ID, wait clock.Millis) (contract.Answer, error)
+	Cancel(ctx context.Context, issuer vm.VM, id contract.SubmissionID, o owner.ID) (contract.Answer, error)
+	AskWitness(ctx context.Context, witness vm.VM, id contract.SubmissionID, o owner.ID) (contract.Answer, error)
+}
+
+// RouterConfig holds what a router is made of.
+type RouterConfig struct {
+	Self  vm.Incarnation
+	Loop  *Loop
+	Peers Peers
+	// PeerTimeout bounds a call to a peer beyond the span the caller waits.
+	PeerTimeout clock.Millis
+}
+
+// Router finds the VM that may answer for an id: this one, the issuer or the witness.
+type Router struct {
+	config RouterConfig
+	roster atomic.Pointer[vm.Roster]
+}
+
+// NewRouter returns a router that knows no peers.
+func NewRouter(c RouterConfig) *Router {
+	r := &Router{config: c}
+	r.roster.Store(vm.NewRoster(vm.RosterConfig{Self: c.Self}))
+	return r
+}
+
+// SetRoster publishes a new roster to the traffic goroutines.
+func (r *Router) SetRoster(roster *vm.Roster) {
+	r.roster.Store(roster)
+}
+
+// Reserve returns new ids issued by this VM.
+func (r *Router) Reserve(ctx context.Context, o owner.ID, count int) ([]contract.SubmissionID, error) {
+	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event { return ReserveIDs{Waiter: w, Owner: o, Count: count} })
+	if err != nil {
+		return nil, errors.Annotate(err, "reserve ids")
+	}
+	return reply.(IDs).IDs, nil
+}
+
+// Submit runs a submission at its issuer, waiting up to the span for its end.
+func (r *Router) Submit(ctx context.Context, s contract.Submission, wait clock.Millis) contract.Answer {
+	if s.ID.Issuer == r.config.Self {
+		return r.SubmitHere(ctx, s, wait)
+	}
+	return r.forward(ctx, s.ID, s.Owner, wait, func(ctx context.Context, issuer vm.VM) (contract.Answer, error) {
+		return r.config.Peers.Submit(ctx, issuer, s, wait)
+	})
+}
+
+// SubmitHere runs a submission that this VM issued.
+func (r *Router) SubmitHere(ctx context.Context, s contract.Submission, wait clock.Millis) contract.Answer {
+	a, err := r.callWithin(ctx, wait, func(w WaiterID) Event {
+		return Submitted{Waiter: w, Submission: s, Wait: wait > 0}
+	})
+	if errors.Is(err, ErrMailboxFull) {
+		return contract.CannotTellYet{Reason: "this VM is overloaded", RetryAfter: unavailableRetry}
+	}
+	return a
+}
+
+// Ask returns the answer of an id, waiting up to the span for it.
+func (r *Router) Ask(ctx context.Context, id contract.SubmissionID, o owner.ID, wait clock.Millis) contract.Answer {
+	if id.Issuer == r.config.Self {
+		return r.AskHere(ctx, id, o, wait)
+	}
+	return r.forward(ctx, id, o, wait, func(ctx context.Context, issuer vm.VM) (contract.Answer, error) {
+		return r.config.Peers.Ask(ctx, issuer, id, o, wait)
+	})
+}
+
+// AskHere returns the answer of an id that this VM issued.
+func (r *Router) AskHere(ctx context.Context, id contract.SubmissionID, o owner.ID, wait clock.Millis) contract.Answer {
+	a, err := r.callWithin(ctx, wait, func(w WaiterID) Event {
+		return Asked{Waiter: w, ID: id, Owner: o, Wait: wait > 0}
+	})
+	if err != nil {
+		return contract.CannotTellYet{Reason: err.Error(), RetryAfter: unavailableRetry}
+	}
+	return a
+}
+
+// Cancel drops the tasks of an id that have not started.
+func (r *Router) Cancel(ctx context.Context, id contract.SubmissionID, o owner.ID) contract.Answer {
+	if id.Issuer == r.config.Self {
+		return r.CancelHere(ctx, id, o)
+	}
+	return r.forward(ctx, id, o, 0, func(ctx context.Context, issuer vm.VM) (contract.Answer, error) {
+		return r.config.Peers.Cancel(ctx, issuer, id, o)
+	})
+}
+
+// CancelHere drops the tasks of an id that this VM issued.
+func (r *Router) CancelHere(ctx context.Context, id contract.SubmissionID, o owner.ID) contract.Answer {
+	a, err := r.callWithin(ctx, 0, func(w WaiterID) Event { return Cancelled{Waiter: w, ID: id, Owner: o} })
+	if err != nil {
+		return contract.CannotTellYet{Reason: err.Error(), RetryAfter: unavailableRetry}
+	}
+	return a
+}
+
+// WitnessHere answers as the witness of an id.
+func (r *Router) WitnessHere(ctx context.Context, id contract.SubmissionID, o owner.ID) contract.Answer {
+	a, err := r.callWithin(ctx, 0, func(w WaiterID) Event { return WitnessAsked{Waiter: w, ID: id, Owner: o} })
+	if err != nil {
+		return contract.CannotTellYet{Reason: err.Error(), RetryAfter: unavailableRetry}
+	}
+	return a
+}
+
+// RecordHere keeps records as the witness of a peer.
+func (r *Router) RecordHere(ctx context.Context, issuer vm.Incarnation, records []contract.Record) ([]contract.RecordStatus, error) {
+	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event {
+		return RecordsReceived{Waiter: w, Issuer: issuer, Records: records}
+	})
+	if err != nil {
+		return nil, errors.Annotatef(err, "keep records of %s", issuer)
+	}
+	return reply.(RecordsReply).Statuses, nil
+}
+
+// callWithin hands an event to control and waits for the answer. A span that passes
+// without an end gives Running, since the event was handled.
+func (r *Router) callWithin(ctx context.Context, wait clock.Millis, makeEvent func(WaiterID) Event) (contract.Answer, error) {
+	if wait > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, wait.Duration())
+		defer cancel()
+	}
+	reply, err := r.config.Loop.Call(ctx, makeEvent)
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		return contract.Running{}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return reply.(AnswerReply).Answer, nil
+}
+
+type peerCall func(ctx context.Context, issuer vm.VM) (contract.Answer, error)
+
+// forward asks the issuer and, if it cannot be reached, the witness.
+func (r *Router) forward(ctx context.Context, id contract.SubmissionID, o owner.ID, wait clock.Millis, call peerCall) contract.Answer {
+	roster := r.roster.Load()
+	if issuer, ok := roster.Find(id.Issuer); ok {
+		a, err := r.callPeer(ctx, issuer, wait, call)
+		if err == nil {
+			return a
+		}
+	}
+	if id.Witness == r.config.Self {
+		return r.WitnessHere(ctx, id, o)
+	}
+	if witness, ok := roster.Find(id.Witness); ok {
+		a, err := r.callPeer(ctx, witness, 0, func(ctx context.Context, witness vm.VM) (contract.Answer, error) {
+			return r.config.Peers.AskWitness(ctx, witness, id, o)
+		})
+		if err == nil {
+			return a
+		}
+	}
+	return contract.CannotTellYet{Reason: "neither the issuer nor the witness of the id can be reached", RetryAfter: unavailableRetry}
+}
+
+func (r *Router) callPeer(ctx context.Context, to vm.VM, wait clock.Millis, call peerCall) (contract.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, (wait + r.config.PeerTimeout).Duration())
+	defer cancel()
+	return call(ctx, to)
+}
--- /dev/null
+++ b/pkg/peer/client.go
@@ -0,0 +1,169 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/juju/errors"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// Dialer opens connections to peers. Tests replace it to cut links.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// ClientConfig holds what a client is made of.
+type ClientConfig struct {
+	Dialer Dialer
+	// TLS turns on mutual TLS; nil speaks plain TCP.
+	TLS *tls.Config
+}
+
+// Client calls other entry VMs, over one connection for each.
+type Client struct {
+	config ClientConfig
+
+	mu    sync.Mutex
+	peers map[string]*rpc.Client
+}
+
+// NewClient returns a client without connections.
+func NewClient(c ClientConfig) *Client {
+	return &Client{config: c, peers: make(map[string]*rpc.Client)}
+}
+
+// Submit forwards a submission to its issuer.
+func (c *Client) Submit(ctx context.Context, issuer vm.VM, s contract.Submission, wait clock.Millis) (contract.Answer, error) {
+	return c.answer(ctx, issuer, "Contract.Submit", SubmitRequest{Submission: encodeSubmission(s), WaitMs: int64(wait)})
+}
+
+// Ask asks the issuer of an id for its answer.
+func (c *Client) Ask(ctx context.Context, issuer vm.VM, id contract.SubmissionID, o owner.ID, wait clock.Millis) (contract.Answer, error) {
+	return c.answer(ctx, issuer, "Contract.Ask", AskRequest{ID: id.String(), Owner: string(o), WaitMs: int64(wait)})
+}
+
+// Cancel asks the issuer of an id to cancel it.
+func (c *Client) Cancel(ctx context.Context, issuer vm.VM, id contract.SubmissionID, o owner.ID) (contract.Answer, error) {
+	return c.answer(ctx, issuer, "Contract.Cancel", AskRequest{ID: id.String(), Owner: string(o)})
+}
+
+// AskWitness asks the witness of an id for its answer.
+func (c *Client) AskWitness(ctx context.Context, witness vm.VM, id contract.SubmissionID, o owner.ID) (contract.Answer, error) {
+	return c.answer(ctx, witness, "Witness.Ask", AskRequest{ID: id.String(), Owner: string(o)})
+}
+
+// Record sends records to a witness.
+func (c *Client) Record(ctx context.Context, witness vm.VM, issuer vm.Incarnation, records []contract.Record) ([]contract.RecordStatus, error) {
+	request := RecordRequest{Issuer: string(issuer), Records: make([]WireRecord, len(records))}
+	for i, r := range records {
+		request.Records[i] = encodeRecord(r)
+	}
+	var reply RecordReply
+	if err := c.call(ctx, witness, "Witness.Record", request, &reply); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if len(reply.Statuses) != len(records) {
+		return nil, errors.NotValidf("record at %s: %d statuses for %d records: reply", witness.Incarnation, len(reply.Statuses), len(records))
+	}
+	statuses := make([]contract.RecordStatus, len(records))
+	for i, s := range reply.Statuses {
+		statuses[i] = contract.RecordStatus(s)
+	}
+	return statuses, nil
+}
+
+// Close drops all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, p := range c.peers {
+		_ = p.Close()
+		delete(c.peers, address)
+	}
+}
+
+func (c *Client) answer(ctx context.Context, to vm.VM, method string, request any) (contract.Answer, error) {
+	var reply WireAnswer
+	if err := c.call(ctx, to, method, request, &reply); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return decodeAnswer(reply)
+}
+
+func (c *Client) call(ctx context.Context, to vm.VM, method string, request, reply any) error {
+	p, err := c.connect(ctx, to.PeerAddress)
+	if err != nil {
+		return errors.Annotatef(err, "connect to peer %s", to.Incarnation)
+	}
+	call := p.Go(method, request, reply, make(chan *rpc.Call, 1))
+	select {
+	case done := <-call.Done:
+		if done.Error != nil {
+			c.drop(to.PeerAddress, p, done.Error)
+			return errors.Annotatef(done.Error, "%s at peer %s", method, to.Incarnation)
+		}
+		return nil
+	case <-ctx.Done():
+		return errors.Annotatef(ctx.Err(), "%s at peer %s", method, to.Incarnation)
+	}
+}
+
+func (c *Client) connect(ctx context.Context, address string) (*rpc.Client, error) {
+	c.mu.Lock()
+	p, ok := c.peers[address]
+	c.mu.Unlock()
+	if ok {
+		return p, nil
+	}
+	conn, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if other, ok := c.peers[address]; ok {
+		_ = conn.Close()
+		return other, nil
+	}
+	p = rpc.NewClient(conn)
+	c.peers[address] = p
+	return p, nil
+}
+
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := c.config.Dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if c.config.TLS == nil {
+		return conn, nil
+	}
+	secure := tls.Client(conn, c.config.TLS)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return secure, nil
+}
+
+// drop forgets a broken connection. An error that the peer itself returned leaves the
+// connection usable.
+func (c *Client) drop(address string, p *rpc.Client, err error) {
+	if _, ok := err.(rpc.ServerError); ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.peers[address] == p {
+		delete(c.peers, address)
+	}
+	_ = p.Close()
+}
--- /dev/null
+++ b/pkg/peer/codec.go
@@ -0,0 +1,160 @@
+package peer
+
+import (
+	"github.com/juju/errors"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+)
+
+func encodeSubmission(s contract.Submission) WireSubmission {
+	payloads := make([][]byte, len(s.Tasks))
+	for i, t := range s.Tasks {
+		payloads[i] = t.Payload
+	}
+	return WireSubmission{
+		ID:         s.ID.String(),
+		Owner:      string(s.Owner),
+		Kind:       string(s.Kind),
+		Class:      string(s.Class),
+		DeadlineMs: int64(s.Deadline),
+		Repeatable: s.Repeatable,
+		Payloads:   payloads,
+	}
+}
+
+func decodeSubmission(w WireSubmission) (contract.Submission, error) {
+	id, err := contract.ParseSubmissionID(w.ID)
+	if err != nil {
+		return contract.Submission{}, errors.Trace(err)
+	}
+	tasks := make([]contract.Task, len(w.Payloads))
+	for i, p := range w.Payloads {
+		tasks[i] = contract.Task{Payload: p}
+	}
+	return contract.Submission{
+		ID:         id,
+		Owner:      owner.ID(w.Owner),
+		Kind:       contract.Kind(w.Kind),
+		Class:      owner.ClassName(w.Class),
+		Deadline:   clock.Millis(w.DeadlineMs),
+		Repeatable: w.Repeatable,
+		Tasks:      tasks,
+	}, nil
+}
+
+func encodeAnswer(a contract.Answer) WireAnswer {
+	switch a := a.(type) {
+	case contract.Complete:
+		return WireAnswer{Kind: kindComplete, Results: a.Results}
+	case contract.Failed:
+		return WireAnswer{Kind: kindFailed, Reason: a.Reason, States: encodeStates(a.Tasks)}
+	case contract.Refused:
+		return WireAnswer{Kind: kindRefused, Cause: int(a.Cause), Reason: a.Reason, RetryAfterMs: int64(a.RetryAfter)}
+	case contract.Running:
+		return WireAnswer{Kind: kindRunning}
+	case contract.CannotTellYet:
+		return WireAnswer{Kind: kindCannotTellYet, Reason: a.Reason, RetryAfterMs: int64(a.RetryAfter)}
+	case contract.Conflict:
+		return WireAnswer{Kind: kindConflict}
+	case contract.Expired:
+		return WireAnswer{Kind: kindExpired}
+	default:
+		return WireAnswer{Kind: kindNotFound}
+	}
+}
+
+func decodeAnswer(w WireAnswer) (contract.Answer, error) {
+	switch w.Kind {
+	case kindComplete:
+		return contract.Complete{Results: restoreEmpty(w.Results)}, nil
+	case kindFailed:
+		return contract.Failed{Reason: w.Reason, Tasks: decodeStates(w.States)}, nil
+	case kindRefused:
+		return contract.Refused{Cause: contract.RefusalCause(w.Cause), Reason: w.Reason, RetryAfter: clock.Millis(w.RetryAfterMs)}, nil
+	case kindRunning:
+		return contract.Running{}, nil
+	case kindCannotTellYet:
+		return contract.CannotTellYet{Reason: w.Reason, RetryAfter: clock.Millis(w.RetryAfterMs)}, nil
+	case kindConflict:
+		return contract.Conflict{}, nil
+	case kindExpired:
+		return contract.Expired{}, nil
+	case kindNotFound:
+		return contract.NotFound{}, nil
+	}
+	return nil, errors.NotValidf("decode answer of peer: kind %d: answer", w.Kind)
+}
+
+// restoreEmpty undoes that gob sends empty results as absent ones.
+func restoreEmpty(results [][]byte) [][]byte {
+	for i, r := range results {
+		if r == nil {
+			results[i] = []byte{}
+		}
+	}
+	return results
+}
+
+func encodeStates(states []contract.TaskState) []int {
+	coded := make([]int, len(states))
+	for i, s := range states {
+		coded[i] = int(s)
+	}
+	return coded
+}
+
+func decodeStates(coded []int) []contract.TaskState {
+	states := make([]contract.TaskState, len(coded))
+	for i, s := range coded {
+		states[i] = contract.TaskState(s)
+	}
+	return states
+}
+
+func encodeRecord(r contract.Record) WireRecord {
+	switch r := r.(type) {
+	case contract.StartRecord:
+		tasks := make([]int, len(r.Tasks))
+		for i, t := range r.Tasks {
+			tasks[i] = int(t)
+		}
+		return WireRecord{Kind: kindStart, ID: r.ID.String(), Owner: string(r.Owner), TaskCount: r.TaskCount, Tasks: tasks}
+	case contract.SettleRecord:
+		return WireRecord{Kind: kindSettle, ID: r.ID.String(), Owner: string(r.Owner), Digest: r.Digest[:], Answer: encodeAnswer(r.Answer)}
+	default:
+		return WireRecord{}
+	}
+}
+
+func decodeRecord(w WireRecord) (contract.Record, error) {
+	id, err := contract.ParseSubmissionID(w.ID)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	switch w.Kind {
+	case kindStart:
+		return decodeStart(id, w)
+	case kindSettle:
+		answer, err := decodeAnswer(w.Answer)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		r := contract.SettleRecord{ID: id, Owner: owner.ID(w.Owner), Answer: answer}
+		copy(r.Digest[:], w.Digest)
+		return r, nil
+	}
+	return nil, errors.NotValidf("decode record of peer: kind %d: record", w.Kind)
+}
+
+func decodeStart(id contract.SubmissionID, w WireRecord) (contract.Record, error) {
+	tasks := make([]contract.TaskIndex, len(w.Tasks))
+	for i, t := range w.Tasks {
+		if t < 0 || t >= w.TaskCount {
+			return nil, errors.NotValidf("decode record of peer: task %d of %d: record", t, w.TaskCount)
+		}
+		tasks[i] = contract.TaskIndex(t)
+	}
+	return contract.StartRecord{ID: id, Owner: owner.ID(w.Owner), TaskCount: w.TaskCount, Tasks: tasks}, nil
+}
--- /dev/null
+++ b/pkg/peer/contract_service.go
@@ -0,0 +1,46 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+)
+
+// contractService receives what peers forward to the issuer.
+type contractService struct {
+	handler Handler
+}
+
+// Submit runs a forwarded submission.
+func (c *contractService) Submit(request SubmitRequest, reply *WireAnswer) error {
+	s, err := decodeSubmission(request.Submission)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	*reply = encodeAnswer(c.handler.SubmitHere(context.Background(), s, clock.Millis(request.WaitMs)))
+	return nil
+}
+
+// Ask answers a forwarded question.
+func (c *contractService) Ask(request AskRequest, reply *WireAnswer) error {
+	id, err := contract.ParseSubmissionID(request.ID)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	*reply = encodeAnswer(c.handler.AskHere(context.Background(), id, owner.ID(request.Owner), clock.Millis(request.WaitMs)))
+	return nil
+}
+
+// Cancel cancels on behalf of a peer's caller.
+func (c *contractService) Cancel(request AskRequest, reply *WireAnswer) error {
+	id, err := contract.ParseSubmissionID(request.ID)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	*reply = encodeAnswer(c.handler.CancelHere(context.Background(), id, owner.ID(request.Owner)))
+	return nil
+}
--- /dev/null
+++ b/pkg/peer/witness_service.go
@@ -0,0 +1,47 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// witnessService receives the records of issuers and the questions about them.
+type witnessService struct {
+	handler Handler
+}
+
+// Record keeps a batch of records.
+func (w *witnessService) Record(request RecordRequest, reply *RecordReply) error {
+	records := make([]contract.Record, len(request.Records))
+	for i, coded := range request.Records {
+		r, err := decodeRecord(coded)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		records[i] = r
+	}
+	statuses, err := w.handler.RecordHere(context.Background(), vm.Incarnation(request.Issuer), records)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	reply.Statuses = make([]int, len(statuses))
+	for i, s := range statuses {
+		reply.Statuses[i] = int(s)
+	}
+	return nil
+}
+
+// Ask answers for an issuer that cannot be reached.
+func (w *witnessService) Ask(request AskRequest, reply *WireAnswer) error {
+	id, err := contract.ParseSubmissionID(request.ID)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	*reply = encodeAnswer(w.handler.WitnessHere(context.Background(), id, owner.ID(request.Owner)))
+	return nil
+}
--- /dev/null
+++ b/pkg/platform/listed_vm.go
@@ -0,0 +1,28 @@
+package platform
+
+import (
+	"context"
+
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+)
+
+// VMState is what the platform's list says of a VM.
+type VMState int
+
+// The states.
+const (
+	Live VMState = iota
+	Leaving
+)
+
+// ListedVM is an endpoint VM in the platform's lagging list.
+type ListedVM struct {
+	Endpoint datacentre.Endpoint
+	State    VMState
+}
+
+// VMList is the platform's lagging list of endpoint VMs. Entry VMs have rows in the
+// table service instead.
+type VMList interface {
+	ListVMs(ctx context.Context) ([]ListedVM, error)
+}
--- /dev/null
+++ b/pkg/settings/settings.go
@@ -0,0 +1,75 @@
+// Package settings holds the settings of the daemon, their defaults and their checks.
+package settings
+
+import (
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// Settings are the settings of an entry VM.
+type Settings struct {
+	VM         vm.ID
+	DataCentre datacentre.ID
+	Size       vm.Size
+	// CallerAddress is where callers connect.
+	CallerAddress string
+	// PeerAddress is where other entry VMs connect.
+	PeerAddress string
+	// PlatformAddress is where the platform listens.
+	PlatformAddress string
+	Limits          Limits
+	Timeouts        Timeouts
+}
+
+// Limits bound what the daemon holds.
+type Limits struct {
+	BodyBytes           int64
+	ResultBytes         int64
+	TasksPerJob         int
+	QueuedTasks         int
+	ReservedIDs         int
+	Mailbox             int
+	EndpointConnections datacentre.Connections
+}
+
+// Timeouts bound how long the daemon waits.
+type Timeouts struct {
+	Attempt  clock.Millis
+	Peer     clock.Millis
+	Dial     clock.Millis
+	Platform clock.Millis
+	MaxWait  clock.Millis
+	Poll     clock.Millis
+	Tick     clock.Millis
+	Shutdown clock.Millis
+}
+
+// Default returns the settings that hold where nothing else is set.
+func Default() Settings {
+	return Settings{
+		Size:            1,
+		CallerAddress:   "127.0.0.1:7000",
+		PeerAddress:     "127.0.0.1:7001",
+		PlatformAddress: "127.0.0.1:7002",
+		Limits: Limits{
+			BodyBytes:           4 << 20,
+			ResultBytes:         1 << 20,
+			TasksPerJob:         1000,
+			QueuedTasks:         20000,
+			ReservedIDs:         1000,
+			Mailbox:             4096,
+			EndpointConnections: 64,
+		},
+		Timeouts: Timeouts{
+			Attempt:  30 * clock.Second,
+			Peer:     clock.Second,
+			Dial:     clock.Second,
+			Platform: 2 * clock.Second,
+			MaxWait:  clock.Minute,
+			Poll:     clock.Second,
+			Tick:     50,
+			Shutdown: 30 * clock.Second,
+		},
+	}
+}
