Add the submit load client, endpoint behaviours and the demo

Cause: the path needs a load that repeats calls whose answer is unknown, endpoints that misbehave on command, and one command for a newcomer. Change: pkg/submit (mixes, job files, open-loop load, summary), behaviours and start counts in pkg/standin, pkg/demo with two data centres, four entry VMs and eight endpoints in one process, and Daemon.Kill.

--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -44,6 +44,9 @@
 	peers   *peer.Server
 	client  *peer.Client
 	poller  *poller
+	address string
+	killed  context.Context
+	kill    context.CancelFunc
 }
 
 const (
@@ -63,18 +66,20 @@
 		_ = callerListener.Close()
 		return nil, errors.Annotate(err, "listen for peers")
 	}
-	d := &Daemon{deps: deps, self: vm.VM{
+	d := &Daemon{deps: deps, address: callerListener.Addr().String(), self: vm.VM{
 		Incarnation: vm.NewIncarnation(s.VM, hex.EncodeToString(randomBytes(nonceBytes))),
 		DataCentre:  s.DataCentre,
 		PeerAddress: peerListener.Addr().String(),
 		Size:        s.Size,
 	}}
+	d.killed, d.kill = context.WithCancel(context.Background())
 	d.client = peer.NewClient(peer.ClientConfig{Dialer: &net.Dialer{Timeout: s.Timeouts.Dial.Duration()}})
 	d.wireControl()
 	d.callers = caller.NewServer(caller.Config{
 		Listener:  callerListener,
 		Service:   d.router,
 		Owners:    d,
+		Readiness: d,
 		BodyBytes: s.Limits.BodyBytes,
 		MaxWait:   s.Timeouts.MaxWait,
 		MaxIDs:    s.Limits.ReservedIDs,
@@ -141,13 +146,32 @@
 	return b.OwnerOf(token)
 }
 
+// Ready implements caller.Readiness: without a bundle no work is taken.
+func (d *Daemon) Ready() bool {
+	return d.bundle.Load() != nil
+}
+
+// CallerAddress returns the address on which callers are served.
+func (d *Daemon) CallerAddress() string {
+	return d.address
+}
+
+// Kill ends the daemon at once, as a crash of its VM would.
+func (d *Daemon) Kill() {
+	d.kill()
+}
+
 // Run serves until the context ends.
 func (d *Daemon) Run(ctx context.Context) error {
 	var g run.Group
 	addContext(ctx, &g, func(ctx context.Context) error { <-ctx.Done(); return nil })
-	addContext(context.Background(), &g, d.loop.Run)
+	addContext(d.killed, &g, d.loop.Run)
 	addContext(context.Background(), &g, d.poller.Run)
 	g.Add(d.callers.Serve, func(error) {
+		if d.killed.Err() != nil {
+			d.callers.Close()
+			return
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), d.deps.Settings.Timeouts.Shutdown.Duration())
 		defer cancel()
 		_ = d.callers.Shutdown(ctx)
@@ -158,7 +182,7 @@
 	})
 	d.deps.Log.Info(event.DaemonStarted, "daemon started", logrus.Fields{
 		"incarnation": d.self.Incarnation, "dataCentre": d.self.DataCentre,
-		"callerAddress": d.deps.Settings.CallerAddress, "peerAddress": d.self.PeerAddress,
+		"callerAddress": d.address, "peerAddress": d.self.PeerAddress,
 	})
 	err := g.Run()
 	d.deps.Log.Info(event.DaemonStopped, "daemon stopped", logrus.Fields{"incarnation": d.self.Incarnation})
--- a/pkg/app/submit_command.go
+++ b/pkg/app/submit_command.go
@@ -5,8 +5,9 @@
 	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
+	"os"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -17,56 +18,160 @@
 	"github.com/sequoiacart/sequoiacart/pkg/submit"
 )
 
+const (
+	submitReserve  = 10
+	submitProgress = clock.Second
+)
+
+type submitFlags struct {
+	addresses string
+	token     string
+	file      string
+	workload  string
+	jobs      int
+	rate      float64
+	inFlight  int
+	seed      uint64
+	waitMs    int64
+	giveUpMs  int64
+}
+
 func newSubmitCommand(stdout, stderr io.Writer) *ffcli.Command {
+	var f submitFlags
 	flags := flag.NewFlagSet("submit", flag.ContinueOnError)
 	flags.SetOutput(stderr)
-	addresses := flags.String("addresses", "127.0.0.1:7000", "entry VMs, host:port, separated by commas")
-	token := flags.String("token", "", "bearer token of the owner")
-	jobs := flags.Int("jobs", 10, "number of jobs to send")
-	tasks := flags.Int("tasks", 4, "tasks for each job")
-	runMs := flags.Int("run-ms", 50, "run time of each task, in milliseconds")
+	flags.StringVar(&f.addresses, "addresses", "127.0.0.1:7000", "entry VMs, host:port, separated by commas")
+	flags.StringVar(&f.token, "token", "", "bearer token of the owner")
+	flags.StringVar(&f.file, "file", "", "job file, one JSON object a line; empty generates jobs")
+	flags.StringVar(&f.workload, "workload", "consorcio", "generated jobs: consorcio or trust")
+	flags.IntVar(&f.jobs, "jobs", 100, "number of generated jobs")
+	flags.Float64Var(&f.rate, "rate", 0, "jobs a second, with random gaps; 0 sends as fast as --in-flight allows")
+	flags.IntVar(&f.inFlight, "in-flight", 64, "jobs that have not ended, at the most")
+	flags.Uint64Var(&f.seed, "seed", 1, "seed of the generated jobs")
+	flags.Int64Var(&f.waitMs, "wait-ms", 10_000, "how long one call waits for the end of a job, in milliseconds")
+	flags.Int64Var(&f.giveUpMs, "give-up-ms", 60_000, "how long a job is followed, in milliseconds")
 	return &ffcli.Command{
 		Name:       "submit",
-		ShortUsage: "sequoiacart submit --token TOKEN --jobs 100 --tasks 8",
-		ShortHelp:  "Sends generated jobs and prints how they ended.",
-		FlagSet:    flags,
-		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
+		ShortUsage: "sequoiacart submit --token TOKEN [flags]",
+		ShortHelp:  "Sends jobs, repeats calls whose answer is not known, and prints how the jobs ended.",
+		LongHelp: "Example:\n  sequoiacart submit --addresses 127.0.0.1:7000,127.0.0.1:7010 --token TOKEN --workload trust --jobs 500 --rate 50\n" +
+			"Exits with 1 when the end of a job is not known.",
+		FlagSet: flags,
+		Options: []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
 		Exec: func(ctx context.Context, _ []string) error {
-			c := submit.NewClient(submit.ClientConfig{
-				Addresses: strings.Split(*addresses, ","),
-				Token:     *token,
-				Wait:      clock.Minute,
-			})
-			return sendJobs(ctx, stdout, c, *jobs, *tasks, *runMs)
+			return runSubmit(ctx, stdout, stderr, f)
 		},
 	}
 }
 
-func sendJobs(ctx context.Context, stdout io.Writer, c *submit.Client, jobs, tasks, runMs int) error {
-	ids, err := c.Reserve(ctx, 0, jobs)
+func runSubmit(ctx context.Context, stdout, stderr io.Writer, f submitFlags) error {
+	next, err := jobSource(f)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	payloads := make([]string, tasks)
-	for i := range payloads {
-		payloads[i] = fmt.Sprintf(`{"runMs":%d}`, runMs)
+	summary := submit.NewSummary()
+	load := submit.NewLoad(submit.LoadConfig{
+		Client: submit.NewClient(submit.ClientConfig{
+			Addresses: strings.Split(f.addresses, ","),
+			Token:     f.token,
+			Wait:      clock.Millis(f.waitMs),
+		}),
+		Summary:       summary,
+		Next:          next,
+		Pause:         randomGaps(f.rate, f.seed),
+		InFlight:      f.inFlight,
+		GiveUp:        clock.Millis(f.giveUpMs),
+		ReserveAtOnce: submitReserve,
+	})
+	stop := showProgress(stderr, summary)
+	err = load.Run(ctx)
+	stop()
+	if printErr := summary.Print(stdout); printErr != nil {
+		return errors.Trace(printErr)
+	}
+	if err == nil && summary.Undecided() > 0 {
+		err = errors.Errorf("the end of %d jobs is not known", summary.Undecided())
+	}
+	return errors.Annotate(err, "submit jobs")
+}
+
+func jobSource(f submitFlags) (func() (submit.Job, bool), error) {
+	if f.file != "" {
+		return fileSource(f.file)
+	}
+	mix, ok := mixNamed(f.workload)
+	if !ok {
+		return nil, errors.NotValidf("choose workload: use consorcio or trust: workload %q", f.workload)
+	}
+	r := newRand(f.seed)
+	left := f.jobs
+	return func() (submit.Job, bool) {
+		left--
+		return mix.Draw(r), left >= 0
+	}, nil
+}
+
+func fileSource(path string) (func() (submit.Job, bool), error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Annotate(err, "open job file")
+	}
+	defer func() { _ = file.Close() }()
+	jobs, err := submit.ReadJobs(file)
+	if err != nil {
+		return nil, errors.Trace(err)
 	}
-	var mu sync.Mutex
-	ends := make(map[submit.Status]int)
-	began := time.Now()
-	var wg sync.WaitGroup
-	for i, id := range ids {
-		wg.Go(func() {
-			status, _, err := c.Put(ctx, i, id, submit.Job{Kind: "sleep", Payloads: payloads})
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				status = 0
+	return func() (submit.Job, bool) {
+		if len(jobs) == 0 {
+			return submit.Job{}, false
+		}
+		j := jobs[0]
+		jobs = jobs[1:]
+		return j, true
+	}, nil
+}
+
+func mixNamed(name string) (submit.Mix, bool) {
+	switch name {
+	case "consorcio":
+		return submit.ConsorcioMix(), true
+	case "trust":
+		return submit.TrustMix(), true
+	}
+	return nil, false
+}
+
+// randomGaps returns exponentially distributed gaps for a Poisson arrival process.
+func randomGaps(rate float64, seed uint64) func() time.Duration {
+	if rate <= 0 {
+		return nil
+	}
+	r := newRand(seed + 1)
+	return func() time.Duration {
+		return time.Duration(r.ExpFloat64() / rate * float64(time.Second))
+	}
+}
+
+func newRand(seed uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, seed))
+}
+
+// showProgress prints the counts at intervals until the returned function is called.
+func showProgress(w io.Writer, s *submit.Summary) (stop func()) {
+	done := make(chan struct{})
+	ticker := time.NewTicker(submitProgress.Duration())
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+				_, _ = fmt.Fprintln(w, s.Line())
 			}
-			ends[status]++
-		})
+		}
+	}()
+	return func() {
+		ticker.Stop()
+		close(done)
 	}
-	wg.Wait()
-	_, err = fmt.Fprintf(stdout, "%d jobs of %d tasks in %v; answers by status: %v\n", jobs, tasks, time.Since(began).Round(time.Millisecond), ends)
-	return err
 }
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -29,11 +29,17 @@
 	OwnerOf(token string) (owner.Owner, bool)
 }
 
+// Readiness tells whether this VM takes new work.
+type Readiness interface {
+	Ready() bool
+}
+
 // Config holds what a server is made of.
 type Config struct {
 	Listener  net.Listener
 	Service   Service
 	Owners    Authenticator
+	Readiness Readiness
 	BodyBytes int64
 	MaxWait   clock.Millis
 	MaxIDs    int
@@ -51,6 +57,7 @@
 	s.echo.HideBanner, s.echo.HidePort = true, true
 	s.echo.Listener = c.Listener
 	s.echo.GET("/healthz", func(ec echo.Context) error { return ec.NoContent(http.StatusOK) })
+	s.echo.GET("/readyz", s.ready)
 	v1 := s.echo.Group("/v1", s.authenticate)
 	v1.POST("/ids", s.reserve)
 	v1.PUT("/jobs/:id", s.submitJob)
@@ -70,6 +77,11 @@
 	return s.echo.Shutdown(ctx)
 }
 
+// Close drops all connections at once.
+func (s *Server) Close() {
+	_ = s.echo.Close()
+}
+
 const ownerKey = "owner"
 
 func (s *Server) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
@@ -87,6 +99,13 @@
 	}
 }
 
+func (s *Server) ready(c echo.Context) error {
+	if !s.config.Readiness.Ready() {
+		return c.NoContent(http.StatusServiceUnavailable)
+	}
+	return c.NoContent(http.StatusOK)
+}
+
 func (s *Server) reserve(c echo.Context) error {
 	var body wireReserve
 	if err := s.decode(c, &body); err != nil {
--- /dev/null
+++ b/pkg/demo/demo.go
@@ -0,0 +1,188 @@
+// Package demo runs the whole system in one process on loopback.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/submit"
+)
+
+// Deps holds what a demo is made of.
+type Deps struct {
+	Out      io.Writer
+	Progress io.Writer
+	NewVM    VMFactory
+	// Span is how long each workload is under load.
+	Span clock.Millis
+	Seed uint64
+}
+
+// Demo runs workloads against sites of its own.
+type Demo struct {
+	deps Deps
+}
+
+// New returns a demo.
+func New(deps Deps) *Demo {
+	return &Demo{deps: deps}
+}
+
+const (
+	demoToken   = "demo"
+	readyPoll   = 50 * time.Millisecond
+	readyWithin = 8 * time.Second
+	// loadPercent is the load in percent of the capacity of the endpoints.
+	loadPercent  = 60
+	demoInFlight = 512
+	demoWait     = 5 * clock.Second
+	demoGiveUp   = 12 * clock.Second
+	demoReserve  = 5
+)
+
+// Run runs the workloads one after the other and prints a table.
+func (d *Demo) Run(ctx context.Context, workloads []Workload) error {
+	table := tabwriter.NewWriter(d.deps.Out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "workload\tjobs\tcomplete\tfailed, refused, unknown\ttasks started\tstarted twice\twaste / start\tp50 / ideal\tp99 / ideal")
+	for _, w := range workloads {
+		row, err := d.runWorkload(ctx, w)
+		if err != nil {
+			return errors.Annotatef(err, "run workload %s", w.Name)
+		}
+		_, _ = fmt.Fprintln(table, row)
+	}
+	return errors.Trace(table.Flush())
+}
+
+func (d *Demo) runWorkload(ctx context.Context, w Workload) (string, error) {
+	s, err := newSite(w, demoBundle(), d.deps.NewVM)
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	defer s.close()
+	d.progress("%s: %d entry VMs and %d endpoints in %v", w.Name, len(s.vms), len(s.endpoints), w.DataCentres)
+	if err := waitReady(ctx, s.callerAddresses()); err != nil {
+		return "", errors.Trace(err)
+	}
+	summary := submit.NewSummary()
+	if err := d.load(ctx, w, s, summary); err != nil {
+		return "", errors.Trace(err)
+	}
+	started := s.starts.Total()
+	return fmt.Sprintf("%s\t%d\t%d\t%s\t%d\t%d\t%.4f\t%.2f\t%.2f",
+		w.Name, summary.Sent(), summary.Completed(), summary.Others(), started, len(s.starts.Repeated()),
+		float64(s.refused())/float64(max(started, 1)), summary.Ratio(50), summary.Ratio(99)), nil
+}
+
+// load sends jobs for the span of the demo and kills one entry VM in the middle.
+func (d *Demo) load(ctx context.Context, w Workload, s *site, summary *submit.Summary) error {
+	ctx, cancel := context.WithTimeout(ctx, d.deps.Span.Duration())
+	defer cancel()
+	r := rand.New(rand.NewPCG(d.deps.Seed, 1))
+	gap := meanGap(w, len(s.endpoints))
+	l := submit.NewLoad(submit.LoadConfig{
+		Client:        submit.NewClient(submit.ClientConfig{Addresses: s.callerAddresses(), Token: demoToken, Wait: demoWait}),
+		Summary:       summary,
+		Next:          func() (submit.Job, bool) { return w.Mix.Draw(r), true },
+		Pause:         func() time.Duration { return time.Duration(r.ExpFloat64() * float64(gap)) },
+		InFlight:      demoInFlight,
+		GiveUp:        demoGiveUp,
+		ReserveAtOnce: demoReserve,
+	})
+	kill := time.AfterFunc(d.deps.Span.Duration()/2, func() {
+		d.progress("%s: one entry VM is killed", w.Name)
+		s.killOne()
+	})
+	defer kill.Stop()
+	stop := d.showProgress(w, summary)
+	defer stop()
+	return l.Run(ctx)
+}
+
+func (d *Demo) showProgress(w Workload, summary *submit.Summary) (stop func()) {
+	done := make(chan struct{})
+	ticker := time.NewTicker(time.Second)
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+				d.progress("%s: %s", w.Name, summary.Line())
+			}
+		}
+	}()
+	return func() {
+		ticker.Stop()
+		close(done)
+	}
+}
+
+func (d *Demo) progress(format string, args ...any) {
+	_, _ = fmt.Fprintf(d.deps.Progress, format+"\n", args...)
+}
+
+// meanGap returns the mean gap between jobs at the load of the demo.
+func meanGap(w Workload, endpoints int) time.Duration {
+	slowest := 0.0
+	for _, percent := range slowdowns {
+		slowest += 100 / float64(percent)
+	}
+	slots := float64(endpoints*slotsOfEndpoint) * slowest / float64(len(slowdowns))
+	work := w.Mix.MeanWork().Duration()
+	return time.Duration(float64(work) * 100 / (slots * loadPercent))
+}
+
+func waitReady(ctx context.Context, addresses []string) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	for _, a := range addresses {
+		for !ready(ctx, a) {
+			select {
+			case <-ctx.Done():
+				return errors.Annotatef(ctx.Err(), "wait for entry VM %s", a)
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+func ready(ctx context.Context, address string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func demoBundle() []byte {
+	return fmt.Appendf(nil, `version = 1
+[[owners]]
+id = "demo"
+share = 1
+tokens = [%q]
+[[owners.classes]]
+name = "urgent"
+rank = 0
+deadlineMs = 5000
+[[owners.classes]]
+name = "normal"
+rank = 1
+deadlineMs = 30000
+`, bundle.DigestOf([]byte(demoToken)))
+}
--- /dev/null
+++ b/pkg/demo/workload.go
@@ -0,0 +1,21 @@
+package demo
+
+import (
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/submit"
+)
+
+// Workload names a user's data centres and jobs.
+type Workload struct {
+	Name        string
+	DataCentres []datacentre.ID
+	Mix         submit.Mix
+}
+
+// Workloads returns the workloads of the project's users, cut down to two data centres.
+func Workloads() []Workload {
+	return []Workload{
+		{Name: "consorcio", DataCentres: []datacentre.ID{"centro", "norte"}, Mix: submit.ConsorcioMix()},
+		{Name: "trust", DataCentres: []datacentre.ID{"kingston", "portland"}, Mix: submit.TrustMix()},
+	}
+}
--- /dev/null
+++ b/pkg/standin/behaviour.go
@@ -0,0 +1,57 @@
+package standin
+
+import "github.com/sequoiacart/sequoiacart/pkg/clock"
+
+// Behaviour is how a stand-in endpoint treats its tasks: Healthy, FailFast,
+// DropAnswer, DelayAnswer, SwapAttempt, TruncateAnswer or Oversize.
+type Behaviour interface{ isBehaviour() }
+
+// Healthy runs each task for its run time.
+type Healthy struct{}
+
+// FailFast fails each task at once.
+type FailFast struct{}
+
+// DropAnswer runs the task and closes the connection without an answer.
+type DropAnswer struct{}
+
+// DelayAnswer runs the task and answers late.
+type DelayAnswer struct{ By clock.Millis }
+
+// SwapAttempt runs the task and answers under another attempt id.
+type SwapAttempt struct{}
+
+// TruncateAnswer runs the task and breaks off in the middle of the answer.
+type TruncateAnswer struct{}
+
+// Oversize runs the task and answers with more bytes than any client accepts.
+type Oversize struct{}
+
+func (Healthy) isBehaviour()        {}
+func (FailFast) isBehaviour()       {}
+func (DropAnswer) isBehaviour()     {}
+func (DelayAnswer) isBehaviour()    {}
+func (SwapAttempt) isBehaviour()    {}
+func (TruncateAnswer) isBehaviour() {}
+func (Oversize) isBehaviour()       {}
+
+// BehaviourNamed returns the behaviour of a name as it stands in PUT /behaviour/{name}.
+func BehaviourNamed(name string) (Behaviour, bool) {
+	switch name {
+	case "healthy":
+		return Healthy{}, true
+	case "failFast":
+		return FailFast{}, true
+	case "dropAnswer":
+		return DropAnswer{}, true
+	case "delayAnswer":
+		return DelayAnswer{By: clock.Second}, true
+	case "swapAttempt":
+		return SwapAttempt{}, true
+	case "truncateAnswer":
+		return TruncateAnswer{}, true
+	case "oversize":
+		return Oversize{}, true
+	}
+	return nil, false
+}
--- a/pkg/standin/endpoint.go
+++ b/pkg/standin/endpoint.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -16,22 +17,34 @@
 // EndpointConfig holds what a stand-in endpoint is made of.
 type EndpointConfig struct {
 	Slots datacentre.Slots
+	// Slowdown stretches run times, in percent; 0 stands for 100.
+	Slowdown int
+	// Starts counts the starts. Nil gives the endpoint its own counts.
+	Starts *StartCounts
 }
 
-// Endpoint runs tasks whose payload is {"runMs": n, "fail": bool} and counts the starts
-// of each attempt.
+// Endpoint runs tasks whose payload is {"runMs": n, "fail": bool} by waiting.
 type Endpoint struct {
 	config EndpointConfig
 
-	mu      sync.Mutex
-	running datacentre.Slots
-	leaving bool
-	starts  map[string]int
+	mu        sync.Mutex
+	running   datacentre.Slots
+	leaving   bool
+	behaviour Behaviour
+	refused   int
 }
 
-// NewEndpoint returns an endpoint that has started nothing.
+const oversizeBytes = 8 << 20
+
+// NewEndpoint returns a healthy endpoint.
 func NewEndpoint(c EndpointConfig) *Endpoint {
-	return &Endpoint{config: c, starts: make(map[string]int)}
+	if c.Starts == nil {
+		c.Starts = NewStartCounts()
+	}
+	if c.Slowdown == 0 {
+		c.Slowdown = 100
+	}
+	return &Endpoint{config: c, behaviour: Healthy{}}
 }
 
 type taskPayload struct {
@@ -39,11 +52,15 @@
 	Fail  bool         `json:"fail"`
 }
 
-// Handler serves POST /run and GET /starts.
+// Handler serves POST /run, and for tests GET /starts, GET /refused, PUT /leave and
+// PUT /behaviour/{name}.
 func (e *Endpoint) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run", e.run)
 	mux.HandleFunc("GET /starts", e.serveStarts)
+	mux.HandleFunc("GET /refused", e.serveRefused)
+	mux.HandleFunc("PUT /leave", func(http.ResponseWriter, *http.Request) { e.Leave() })
+	mux.HandleFunc("PUT /behaviour/{name}", e.serveBehaviour)
 	return mux
 }
 
@@ -54,15 +71,23 @@
 	e.leaving = true
 }
 
-// Starts returns how often each attempt was started.
-func (e *Endpoint) Starts() map[string]int {
+// Behave sets the behaviour for tasks that arrive from now on.
+func (e *Endpoint) Behave(b Behaviour) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	starts := make(map[string]int, len(e.starts))
-	for k, v := range e.starts {
-		starts[k] = v
-	}
-	return starts
+	e.behaviour = b
+}
+
+// Starts returns the counts of starts.
+func (e *Endpoint) Starts() *StartCounts {
+	return e.config.Starts
+}
+
+// Refused returns how many tasks were answered "not run".
+func (e *Endpoint) Refused() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.refused
 }
 
 func (e *Endpoint) run(w http.ResponseWriter, r *http.Request) {
@@ -72,35 +97,64 @@
 	if err != nil {
 		return
 	}
-	if reason := e.begin(attempt); reason != "" {
-		w.Header().Set(endpoint.NotRunHeader, reason)
+	behaviour, notRun := e.begin(attempt)
+	if notRun != "" {
+		w.Header().Set(endpoint.NotRunHeader, notRun)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	defer e.end()
+	e.answer(w, body, behaviour)
+}
+
+func (e *Endpoint) answer(w http.ResponseWriter, body []byte, behaviour Behaviour) {
 	var p taskPayload
 	_ = json.Unmarshal(body, &p)
-	time.Sleep(p.RunMs.Duration())
+	if _, ok := behaviour.(FailFast); !ok {
+		time.Sleep(p.RunMs.Duration() * time.Duration(e.config.Slowdown) / 100)
+	}
+	switch b := behaviour.(type) {
+	case FailFast:
+		fail(w)
+		return
+	case DropAnswer:
+		panic(http.ErrAbortHandler)
+	case DelayAnswer:
+		time.Sleep(b.By.Duration())
+	case SwapAttempt:
+		w.Header().Set(endpoint.AttemptHeader, "another attempt")
+	case TruncateAnswer:
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)+1))
+	case Oversize:
+		body = make([]byte, oversizeBytes)
+	case Healthy:
+	}
 	if p.Fail {
-		w.WriteHeader(http.StatusInternalServerError)
-		_, _ = w.Write([]byte("the task failed"))
+		fail(w)
 		return
 	}
 	_, _ = w.Write(body)
 }
 
-func (e *Endpoint) begin(attempt string) (notRun string) {
+func fail(w http.ResponseWriter) {
+	w.WriteHeader(http.StatusInternalServerError)
+	_, _ = w.Write([]byte("the task failed"))
+}
+
+func (e *Endpoint) begin(attempt string) (b Behaviour, notRun string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.leaving {
-		return endpoint.NotRunLeaving
+		e.refused++
+		return nil, endpoint.NotRunLeaving
 	}
 	if e.running >= e.config.Slots {
-		return endpoint.NotRunBusy
+		e.refused++
+		return nil, endpoint.NotRunBusy
 	}
 	e.running++
-	e.starts[attempt]++
-	return ""
+	e.config.Starts.add(attempt)
+	return e.behaviour, ""
 }
 
 func (e *Endpoint) end() {
@@ -110,5 +164,18 @@
 }
 
 func (e *Endpoint) serveStarts(w http.ResponseWriter, _ *http.Request) {
-	_ = json.NewEncoder(w).Encode(e.Starts())
+	_ = json.NewEncoder(w).Encode(e.config.Starts.All())
+}
+
+func (e *Endpoint) serveRefused(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(e.Refused())
+}
+
+func (e *Endpoint) serveBehaviour(w http.ResponseWriter, r *http.Request) {
+	b, ok := BehaviourNamed(r.PathValue("name"))
+	if !ok {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.Behave(b)
 }
--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -155,3 +155,10 @@
 	defer p.mu.Unlock()
 	p.objects[string(name)] = body
 }
+
+// SetVM puts an endpoint VM into the list without going over HTTP.
+func (p *Platform) SetVM(v platform.ListedVM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.vms[string(v.Endpoint.ID)] = platform.EncodeVM(v)
+}
--- a/pkg/submit/client.go
+++ b/pkg/submit/client.go
@@ -1,4 +1,5 @@
-// Package submit is a client of the callers' interface that sends jobs and sums up the answers.
+// Package submit is a client of the callers' interface: it sends jobs, sends them again
+// where the answer is not known, and sums up how they ended.
 package submit
 
 import (
@@ -8,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -19,7 +21,8 @@
 	// Addresses are the entry VMs, taken in turn.
 	Addresses []string
 	Token     string
-	Wait      clock.Millis
+	// Wait is how long one call waits for the end of a job.
+	Wait clock.Millis
 }
 
 // Client speaks to entry VMs.
@@ -28,55 +31,72 @@
 	http   *http.Client
 }
 
+const (
+	idleConnections = 256
+	// callMargin is what a call may take beyond the span that the entry VM waits.
+	callMargin = 5 * clock.Second
+)
+
 // NewClient returns a client with its own connections.
 func NewClient(c ClientConfig) *Client {
-	return &Client{config: c, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
-}
-
-// Job is a job to send.
-type Job struct {
-	Kind     string
-	Class    string
-	Payloads []string
+	return &Client{config: c, http: &http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections},
+		Timeout:   (c.Wait + callMargin).Duration(),
+	}}
 }
 
-// Status is the HTTP status of an answer.
-type Status int
-
 // Reserve reserves ids at the entry VM of the given turn.
 func (c *Client) Reserve(ctx context.Context, turn, count int) ([]string, error) {
-	var reply struct {
-		IDs []string `json:"ids"`
-	}
-	status, body, err := c.call(ctx, http.MethodPost, c.address(turn)+"/v1/ids", map[string]int{"count": count})
+	status, body, err := c.call(ctx, http.MethodPost, c.address(turn)+"/v1/ids", wireCount{Count: count})
 	if err != nil {
-		return nil, errors.Annotate(err, "reserve ids")
+		return nil, errors.Annotatef(err, "reserve ids at %s", c.address(turn))
 	}
 	if status != http.StatusOK {
 		return nil, errors.Errorf("reserve ids at %s: status %d: %s", c.address(turn), status, body)
 	}
-	return reply.IDs, errors.Annotate(json.Unmarshal(body, &reply), "decode ids")
+	var w wireIDs
+	return w.IDs, errors.Annotate(json.Unmarshal(body, &w), "decode ids")
 }
 
 // Put submits a job under an id at the entry VM of the given turn.
-func (c *Client) Put(ctx context.Context, turn int, id string, j Job) (Status, []byte, error) {
-	type wireTask struct {
-		Payload string `json:"payload"`
+func (c *Client) Put(ctx context.Context, turn int, id string, j Job) (Reply, error) {
+	url := c.address(turn) + "/v1/jobs/" + id + "?waitMs=" + strconv.FormatInt(int64(c.config.Wait), 10)
+	status, body, err := c.call(ctx, http.MethodPut, url, encodeJob(j))
+	if err != nil {
+		return nil, errors.Annotatef(err, "submit job at %s", c.address(turn))
 	}
-	tasks := make([]wireTask, len(j.Payloads))
-	for i, p := range j.Payloads {
-		tasks[i] = wireTask{Payload: p}
+	return decodeReply(status, body)
+}
+
+// Finish submits a job and repeats the call at the next entry VM until the job has
+// ended or the context ends. It returns how often it had to repeat.
+func (c *Client) Finish(ctx context.Context, turn int, id string, j Job) (Reply, int, error) {
+	for repeats := 0; ; repeats++ {
+		reply, err := c.Put(ctx, turn+repeats, id, j)
+		pause := retryPause
+		if err == nil {
+			pending, ok := reply.(Pending)
+			if !ok {
+				return reply, repeats, nil
+			}
+			pause = max(pause, pending.RetryAfter)
+		}
+		select {
+		case <-ctx.Done():
+			return Pending{}, repeats, errors.Annotate(ctx.Err(), "wait for the end of a job")
+		case <-time.After(pause.Duration()):
+		}
 	}
-	body := map[string]any{"kind": j.Kind, "class": j.Class, "tasks": tasks}
-	url := c.address(turn) + "/v1/jobs/" + id + "?waitMs=" + strconv.FormatInt(int64(c.config.Wait), 10)
-	return c.call(ctx, http.MethodPut, url, body)
 }
 
+// retryPause keeps a client from repeating calls at once when a VM refuses connections.
+const retryPause clock.Millis = 100
+
 func (c *Client) address(turn int) string {
 	return "http://" + c.config.Addresses[turn%len(c.config.Addresses)]
 }
 
-func (c *Client) call(ctx context.Context, method, url string, content any) (Status, []byte, error) {
+func (c *Client) call(ctx context.Context, method, url string, content any) (int, []byte, error) {
 	body, err := json.Marshal(content)
 	if err != nil {
 		return 0, nil, errors.Trace(err)
@@ -93,5 +113,5 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	answer, err := io.ReadAll(response.Body)
-	return Status(response.StatusCode), answer, errors.Trace(err)
+	return response.StatusCode, answer, errors.Trace(err)
 }
--- /dev/null
+++ b/pkg/submit/summary.go
@@ -0,0 +1,140 @@
+package submit
+
+import (
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+const (
+	maxResponse      = 10 * clock.Minute
+	significantDigit = 3
+	// ratioScale keeps two decimals of response / ideal in an integer histogram.
+	ratioScale = 100
+	maxRatio   = 1_000_000
+)
+
+// Summary counts how jobs ended. It is safe for use by several goroutines.
+type Summary struct {
+	mu        sync.Mutex
+	sent      int
+	completed int
+	failed    int
+	refused   int
+	undecided int
+	rejected  int
+	repeats   int
+	responses *hdrhistogram.Histogram
+	ratios    *hdrhistogram.Histogram
+	firstNote string
+}
+
+// NewSummary returns an empty summary.
+func NewSummary() *Summary {
+	return &Summary{
+		responses: hdrhistogram.New(1, int64(maxResponse), significantDigit),
+		ratios:    hdrhistogram.New(1, maxRatio, significantDigit),
+	}
+}
+
+// Add counts the end of one job. A nil reply stands for a job whose end is not known.
+func (s *Summary) Add(j Job, reply Reply, repeats int, took clock.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent++
+	s.repeats += repeats
+	switch r := reply.(type) {
+	case Completed:
+		s.completed++
+		s.addTimes(j, took)
+	case FailedJob:
+		s.failed++
+		s.note(r.Detail)
+	case RefusedJob:
+		s.refused++
+		s.note(r.Detail)
+	case Rejected:
+		s.rejected++
+		s.note(r.Detail)
+	default:
+		s.undecided++
+	}
+}
+
+func (s *Summary) addTimes(j Job, took clock.Millis) {
+	_ = s.responses.RecordValue(int64(max(took, 1)))
+	if j.Ideal > 0 {
+		_ = s.ratios.RecordValue(min(int64(took)*ratioScale/int64(j.Ideal), maxRatio))
+	}
+}
+
+func (s *Summary) note(detail string) {
+	if s.firstNote == "" {
+		s.firstNote = detail
+	}
+}
+
+// Sent returns the number of jobs that ended or were given up.
+func (s *Summary) Sent() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sent
+}
+
+// Undecided returns the number of jobs whose end is not known.
+func (s *Summary) Undecided() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.undecided
+}
+
+// Completed returns the number of jobs that ended complete.
+func (s *Summary) Completed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.completed
+}
+
+// Others returns the failed, refused and undecided jobs, for a table.
+func (s *Summary) Others() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprintf("%d, %d, %d", s.failed, s.refused, s.undecided)
+}
+
+// Ratio returns a quantile, in percent, of response / ideal.
+func (s *Summary) Ratio(quantile float64) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ratio(quantile)
+}
+
+// Line returns the counts in one line, for progress.
+func (s *Summary) Line() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprintf("%d jobs: %d complete, %d failed, %d refused, %d not known yet, %d rejected, %d repeated calls",
+		s.sent, s.completed, s.failed, s.refused, s.undecided, s.rejected, s.repeats)
+}
+
+// Print writes the counts and the response times.
+func (s *Summary) Print(w io.Writer) error {
+	line := s.Line()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, err := fmt.Fprintf(w, "%s\nresponse p50 %d ms, p99 %d ms; response / ideal p50 %.2f, p99 %.2f\n",
+		line, s.responses.ValueAtQuantile(50), s.responses.ValueAtQuantile(99), s.ratio(50), s.ratio(99))
+	if err != nil || s.firstNote == "" {
+		return err
+	}
+	_, err = fmt.Fprintf(w, "first problem: %s\n", s.firstNote)
+	return err
+}
+
+func (s *Summary) ratio(quantile float64) float64 {
+	return float64(s.ratios.ValueAtQuantile(quantile)) / ratioScale
+}
