--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -69,7 +69,7 @@
 	d := &Daemon{deps: deps, address: callerListener.Addr().String(), self: vm.VM{
 		Incarnation: vm.NewIncarnation(s.VM, hex.EncodeToString(randomBytes(nonceBytes))),
 		DataCentre:  s.DataCentre,
-		PeerAddress: peerListener.Addr().String(),
+		PeerAddress: advertisedAddress(s, peerListener),
 		Size:        s.Size,
 	}}
 	d.killed, d.kill = context.WithCancel(context.Background())
@@ -88,6 +88,13 @@
 	return d, errors.Trace(err)
 }
 
+func advertisedAddress(s settings.Settings, l net.Listener) string {
+	if s.AdvertisedPeerAddress != "" {
+		return s.AdvertisedPeerAddress
+	}
+	return l.Addr().String()
+}
+
 func (d *Daemon) wireControl() {
 	s := d.deps.Settings
 	control := entry.NewControl(entry.ControlConfig{
--- /dev/null
+++ b/pkg/app/site_test.go
@@ -0,0 +1,275 @@
+package app
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/platform"
+	"github.com/sequoiacart/sequoiacart/pkg/standin"
+	"github.com/sequoiacart/sequoiacart/pkg/submit"
+)
+
+const (
+	runMainVariable = "SEQUOIACART_TEST_RUN_MAIN"
+	testToken       = "secret"
+	// hangAfter ends a test that waits for something that never comes.
+	hangAfter = 60 * time.Second
+	pollEvery = 20 * time.Millisecond
+)
+
+// TestMain runs the command line instead of the tests in child processes.
+func TestMain(m *testing.M) {
+	if os.Getenv(runMainVariable) != "" {
+		os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// site is a platform and endpoints in the test process, and entry VMs as child processes.
+type site struct {
+	t         *testing.T
+	platform  *standin.Platform
+	server    *httptest.Server
+	endpoints []*standin.Endpoint
+	starts    *standin.StartCounts
+}
+
+// process is an entry VM in a child process.
+type process struct {
+	command *exec.Cmd
+	address string
+	exited  chan error
+}
+
+func newSite(t *testing.T, endpoints int) *site {
+	t.Helper()
+	s := &site{t: t, platform: standin.NewPlatform(), starts: standin.NewStartCounts()}
+	s.server = httptest.NewServer(s.platform.Handler())
+	t.Cleanup(s.server.Close)
+	s.platform.SetObject("bundle", testBundle())
+	for i := range endpoints {
+		e := standin.NewEndpoint(standin.EndpointConfig{Slots: 8, Starts: s.starts})
+		server := httptest.NewServer(e.Handler())
+		t.Cleanup(server.Close)
+		s.endpoints = append(s.endpoints, e)
+		s.platform.SetVM(platform.ListedVM{Endpoint: datacentre.Endpoint{
+			ID:          datacentre.EndpointID(fmt.Sprintf("e%d", i)),
+			DataCentre:  "centro",
+			Address:     hostPort(server),
+			Slots:       8,
+			Connections: 64,
+		}})
+	}
+	return s
+}
+
+func hostPort(s *httptest.Server) string {
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func testBundle() []byte {
+	return fmt.Appendf(nil, `version = 1
+[[owners]]
+id = "norte"
+share = 1
+tokens = [%q]
+[[owners.classes]]
+name = "urgent"
+rank = 0
+deadlineMs = 60000
+`, bundle.DigestOf([]byte(testToken)))
+}
+
+var boundAddress = regexp.MustCompile(`callerAddress="([^"]+)".*peerAddress="([^"]+)"`)
+
+// start starts an entry VM and waits until it takes work.
+func (s *site) start(name string, r *relay) *process {
+	s.t.Helper()
+	p := s.launch(name, r)
+	s.waitFor("readiness of "+name, p.ready)
+	return p
+}
+
+// launch starts an entry VM. With a relay, peers reach it through the relay only.
+func (s *site) launch(name string, r *relay) *process {
+	s.t.Helper()
+	peerAddress, advertised := "127.0.0.1:0", ""
+	if r != nil {
+		peerAddress = freeAddress(s.t)
+		advertised = fmt.Sprintf("advertisedPeerAddress = %q\n", r.address())
+		r.setTarget(peerAddress)
+	}
+	file := filepath.Join(s.t.TempDir(), name+".toml")
+	content := fmt.Sprintf("vm = %q\ndataCentre = \"centro\"\ncallerAddress = \"127.0.0.1:0\"\npeerAddress = %q\n%splatformAddress = %q\n[timeouts]\npollMs = 200\n",
+		name, peerAddress, advertised, hostPort(s.server))
+	if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	p := &process{command: exec.Command(os.Args[0], "entry", "--settings", file), exited: make(chan error, 1)}
+	p.command.Env = append(os.Environ(), runMainVariable+"=1")
+	stderr, err := p.command.StderrPipe()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if err := p.command.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = p.command.Process.Kill() })
+	lines := make(chan string, 1)
+	go p.readLog(bufio.NewScanner(stderr), lines)
+	select {
+	case p.address = <-lines:
+	case <-time.After(hangAfter):
+		s.t.Fatalf("start of %s: no address in its log", name)
+	}
+	return p
+}
+
+// readLog reports the bound address of the first line that has one, and then drains the
+// log so that the process never blocks on it.
+func (p *process) readLog(scanner *bufio.Scanner, address chan<- string) {
+	for scanner.Scan() {
+		if m := boundAddress.FindStringSubmatch(scanner.Text()); m != nil {
+			address <- m[1]
+		}
+	}
+	p.exited <- p.command.Wait()
+}
+
+func (p *process) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := p.command.Process.Signal(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (p *process) ready() bool {
+	response, err := http.Get("http://" + p.address + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (s *site) waitFor(what string, done func() bool) {
+	s.t.Helper()
+	deadline := time.Now().Add(hangAfter)
+	for !done() {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("waiting for %s took more than %v", what, hangAfter)
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
+func (s *site) client(ps ...*process) *submit.Client {
+	addresses := make([]string, len(ps))
+	for i, p := range ps {
+		addresses[i] = p.address
+	}
+	return submit.NewClient(submit.ClientConfig{Addresses: addresses, Token: testToken, Wait: 2 * clock.Second})
+}
+
+// outcome is how one job ended.
+type outcome struct {
+	id    string
+	reply submit.Reply
+	err   error
+}
+
+// submitJobs sends jobs with ids of the first VM at the second one, and reports their ends.
+func (s *site) submitJobs(c *submit.Client, count int, j submit.Job) <-chan outcome {
+	s.t.Helper()
+	ids, err := c.Reserve(context.Background(), 0, count)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	outcomes := make(chan outcome, count)
+	ctx, cancel := context.WithTimeout(context.Background(), hangAfter)
+	s.t.Cleanup(cancel)
+	for _, id := range ids {
+		go func() {
+			reply, _, err := c.Finish(ctx, 1, id, j)
+			outcomes <- outcome{id: id, reply: reply, err: err}
+		}()
+	}
+	return outcomes
+}
+
+// checkOutcomes holds each end against the starts that the endpoints counted.
+func (s *site) checkOutcomes(c *submit.Client, outcomes <-chan outcome, count int, j submit.Job) map[string]int {
+	s.t.Helper()
+	ends := make(map[string]int)
+	for range count {
+		o := <-outcomes
+		if o.err != nil {
+			s.t.Errorf("job %s: got %v, want an end", o.id, o.err)
+			continue
+		}
+		s.checkOutcome(o, j, ends)
+		again, _, err := c.Finish(context.Background(), 1, o.id, j)
+		if got, want := fmt.Sprintf("%#v", again), fmt.Sprintf("%#v", o.reply); err != nil || got != want {
+			s.t.Errorf("job %s asked again: got %s (%v), want %s", o.id, got, err, want)
+		}
+	}
+	if got := s.starts.Repeated(); len(got) != 0 {
+		s.t.Errorf("tasks started twice: got %v, want none", got)
+	}
+	return ends
+}
+
+func (s *site) checkOutcome(o outcome, j submit.Job, ends map[string]int) {
+	s.t.Helper()
+	started := 0
+	all := s.starts.All()
+	for i := range j.Payloads {
+		started += all[standin.TaskName(fmt.Sprintf("%s/%d", o.id, i))]
+	}
+	switch r := o.reply.(type) {
+	case submit.Completed:
+		ends["complete"]++
+		if got, want := len(r.Results), len(j.Payloads); got != want {
+			s.t.Errorf("job %s: got %d results, want %d", o.id, got, want)
+		}
+	case submit.FailedJob:
+		ends["failed"]++
+		if got, want := len(r.Tasks), len(j.Payloads); got != want {
+			s.t.Errorf("job %s: got %d task states, want %d", o.id, got, want)
+		}
+		for i, state := range r.Tasks {
+			ran := all[standin.TaskName(fmt.Sprintf("%s/%d", o.id, i))] > 0
+			if state == "notRun" && ran {
+				s.t.Errorf("job %s: task %d was started and is called not run", o.id, i)
+			}
+		}
+	case submit.RefusedJob:
+		ends["refused"]++
+		if started != 0 {
+			s.t.Errorf("job %s: got %d starts of a refused job, want 0", o.id, started)
+		}
+	default:
+		s.t.Errorf("job %s: got %#v, want an end", o.id, o.reply)
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	return hostPort(server)
+}
--- a/pkg/settings/codec.go
+++ b/pkg/settings/codec.go
@@ -13,14 +13,15 @@
 )
 
 type wireSettings struct {
-	VM              string       `toml:"vm"`
-	DataCentre      string       `toml:"dataCentre"`
-	Size            int          `toml:"size"`
-	CallerAddress   string       `toml:"callerAddress"`
-	PeerAddress     string       `toml:"peerAddress"`
-	PlatformAddress string       `toml:"platformAddress"`
-	Limits          wireLimits   `toml:"limits"`
-	Timeouts        wireTimeouts `toml:"timeouts"`
+	VM                    string       `toml:"vm"`
+	DataCentre            string       `toml:"dataCentre"`
+	Size                  int          `toml:"size"`
+	CallerAddress         string       `toml:"callerAddress"`
+	PeerAddress           string       `toml:"peerAddress"`
+	AdvertisedPeerAddress string       `toml:"advertisedPeerAddress"`
+	PlatformAddress       string       `toml:"platformAddress"`
+	Limits                wireLimits   `toml:"limits"`
+	Timeouts              wireTimeouts `toml:"timeouts"`
 }
 
 type wireLimits struct {
@@ -69,12 +70,13 @@
 
 func encode(s Settings) wireSettings {
 	return wireSettings{
-		VM:              string(s.VM),
-		DataCentre:      string(s.DataCentre),
-		Size:            int(s.Size),
-		CallerAddress:   s.CallerAddress,
-		PeerAddress:     s.PeerAddress,
-		PlatformAddress: s.PlatformAddress,
+		VM:                    string(s.VM),
+		DataCentre:            string(s.DataCentre),
+		Size:                  int(s.Size),
+		CallerAddress:         s.CallerAddress,
+		PeerAddress:           s.PeerAddress,
+		AdvertisedPeerAddress: s.AdvertisedPeerAddress,
+		PlatformAddress:       s.PlatformAddress,
 		Limits: wireLimits{
 			BodyBytes:           s.Limits.BodyBytes,
 			ResultBytes:         s.Limits.ResultBytes,
@@ -99,12 +101,13 @@
 
 func decode(w wireSettings) Settings {
 	return Settings{
-		VM:              vm.ID(w.VM),
-		DataCentre:      datacentre.ID(w.DataCentre),
-		Size:            vm.Size(w.Size),
-		CallerAddress:   w.CallerAddress,
-		PeerAddress:     w.PeerAddress,
-		PlatformAddress: w.PlatformAddress,
+		VM:                    vm.ID(w.VM),
+		DataCentre:            datacentre.ID(w.DataCentre),
+		Size:                  vm.Size(w.Size),
+		CallerAddress:         w.CallerAddress,
+		PeerAddress:           w.PeerAddress,
+		AdvertisedPeerAddress: w.AdvertisedPeerAddress,
+		PlatformAddress:       w.PlatformAddress,
 		Limits: Limits{
 			BodyBytes:           w.Limits.BodyBytes,
 			ResultBytes:         w.Limits.ResultBytes,
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -16,6 +16,9 @@
 	CallerAddress string
 	// PeerAddress is where other entry VMs connect.
 	PeerAddress string
+	// AdvertisedPeerAddress is what other entry VMs dial, where it differs from
+	// PeerAddress, for example behind address translation.
+	AdvertisedPeerAddress string
 	// PlatformAddress is where the platform listens.
 	PlatformAddress string
 	Limits          Limits
--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -20,6 +20,7 @@
 	last    platform.Revision
 	objects map[string][]byte
 	vms     map[string]platform.WireVM
+	down    bool
 }
 
 // NewPlatform returns an empty platform.
@@ -42,7 +43,7 @@
 	mux.HandleFunc("PUT /v1/objects/{name}", p.putObject)
 	mux.HandleFunc("GET /v1/vms", p.listVMs)
 	mux.HandleFunc("PUT /v1/vms/{name}", p.putVM)
-	return mux
+	return p.refuseWhileDown(mux)
 }
 
 func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
@@ -162,3 +163,36 @@
 	defer p.mu.Unlock()
 	p.vms[string(v.Endpoint.ID)] = platform.EncodeVM(v)
 }
+
+// RowCount returns the number of rows under a prefix.
+func (p *Platform) RowCount(prefix string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := 0
+	for key := range p.rows {
+		if strings.HasPrefix(key, prefix) {
+			count++
+		}
+	}
+	return count
+}
+
+// SetDown makes every service refuse its calls, or serve again.
+func (p *Platform) SetDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+}
+
+func (p *Platform) refuseWhileDown(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		down := p.down
+		p.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
