Add the messages for fencing, hand-over and shutdown

Cause: the state machine had no way to write the row of a pair, to hand over answers or to hear of contact with a peer. Change: events, actions, the net/rpc call Witness.HandOver, the compare-and-set with read-back of the pair row, batch numbers, and bounds on decoded records. Control does not act on them yet. Conclusion: tests can be written against these types.

--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -97,11 +97,14 @@
 		ResultBytes: s.Limits.ResultBytes,
 		DialTimeout: s.Timeouts.Dial,
 	})
+	client := platform.NewClient(platform.ClientConfig{Address: s.PlatformAddress, Timeout: s.Timeouts.Platform})
 	traffic := entry.NewTraffic(entry.TrafficConfig{
-		Self:        d.self.Incarnation,
-		Endpoints:   endpoints,
-		Witnesses:   d.client,
-		PeerTimeout: s.Timeouts.Peer,
+		Self:            d.self.Incarnation,
+		Endpoints:       endpoints,
+		Witnesses:       d.client,
+		Table:           client.Table(),
+		PeerTimeout:     s.Timeouts.Peer,
+		PlatformTimeout: s.Timeouts.Platform,
 	})
 	d.loop = entry.NewLoop(entry.LoopConfig{
 		Control:   control,
@@ -117,7 +120,6 @@
 		Peers:       d.client,
 		PeerTimeout: s.Timeouts.Peer,
 	})
-	client := platform.NewClient(platform.ClientConfig{Address: s.PlatformAddress, Timeout: s.Timeouts.Platform})
 	d.poller = newPoller(pollerDeps{
 		Self:   d.self,
 		Client: client,
--- a/pkg/contract/record.go
+++ b/pkg/contract/record.go
@@ -38,4 +38,6 @@
 	RecordExpired
 	// RecordFull means that the witness has no room for a new id.
 	RecordFull
+	// RecordStale means that the batch is a late copy of one that was overtaken.
+	RecordStale
 )
--- a/pkg/entry/action.go
+++ b/pkg/entry/action.go
@@ -29,14 +29,33 @@
 // SendRecords sends a batch to the witness. Ends with RecordsAnswered.
 type SendRecords struct {
 	Witness vm.VM
+	Batch   contract.BatchNumber
 	Records []contract.Record
 }
 
-func (ReplyTo) isAction()     {}
-func (RunAttempt) isAction()  {}
-func (SendRecords) isAction() {}
+// SendHandOver sends a part of the answers to the witness at shutdown. Ends with
+// HandOverAnswered.
+type SendHandOver struct {
+	Witness vm.VM
+	Records []contract.Record
+	Last    bool
+}
 
-// Reply is what a waiting traffic goroutine hears: IDs, AnswerReply or RecordsReply.
+// WritePairRow writes the row of a pair unless it exists, and reads it back where the
+// outcome is open. Ends with PairRowDecided.
+type WritePairRow struct {
+	Pair contract.Pair
+	Row  contract.PairRow
+}
+
+func (ReplyTo) isAction()      {}
+func (RunAttempt) isAction()   {}
+func (SendRecords) isAction()  {}
+func (SendHandOver) isAction() {}
+func (WritePairRow) isAction() {}
+
+// Reply is what a waiting traffic goroutine hears: IDs, AnswerReply,
+// RecordsReply or ShutdownReply.
 type Reply interface{ isReply() }
 
 // IDs carries reserved ids.
@@ -48,6 +67,10 @@
 // RecordsReply carries the status of each record of a batch.
 type RecordsReply struct{ Statuses []contract.RecordStatus }
 
-func (IDs) isReply()          {}
-func (AnswerReply) isReply()  {}
-func (RecordsReply) isReply() {}
+// ShutdownReply says that the VM may stop.
+type ShutdownReply struct{}
+
+func (ShutdownReply) isReply() {}
+func (IDs) isReply()           {}
+func (AnswerReply) isReply()   {}
+func (RecordsReply) isReply()  {}
--- a/pkg/entry/control_records.go
+++ b/pkg/entry/control_records.go
@@ -22,7 +22,8 @@
 			continue
 		}
 		if records := o.nextBatch(); records != nil {
-			c.do(SendRecords{Witness: witness, Records: records})
+			o.batch++
+			c.do(SendRecords{Witness: witness, Batch: o.batch, Records: records})
 		}
 	}
 }
--- a/pkg/entry/event.go
+++ b/pkg/entry/event.go
@@ -44,7 +44,8 @@
 	Owner  owner.ID
 }
 
-// WaiterGone says that a traffic goroutine no longer waits.
+// WaiterGone says that a traffic goroutine no longer waits for the end of a submission.
+// If it still has no reply it hears Running. Reply: AnswerReply.
 type WaiterGone struct{ Waiter WaiterID }
 
 // AttemptEnded reports how a send to an endpoint ended.
@@ -58,6 +59,7 @@
 // Without a reply, Statuses is nil.
 type RecordsAnswered struct {
 	Witness  vm.Incarnation
+	Batch    contract.BatchNumber
 	Statuses []contract.RecordStatus
 }
 
@@ -66,9 +68,46 @@
 type RecordsReceived struct {
 	Waiter  WaiterID
 	Issuer  vm.Incarnation
+	Batch   contract.BatchNumber
 	Records []contract.Record
 }
 
+// PeerHeard says that another entry VM made contact.
+type PeerHeard struct{ Incarnation vm.Incarnation }
+
+// PairRowDecided reports the content of the row of a pair; PairRowUnknown asks for
+// another try.
+type PairRowDecided struct {
+	Pair contract.Pair
+	Row  contract.PairRow
+}
+
+// OrphanAsked asks for an id when neither its issuer nor its witness can be reached.
+// Reply: AnswerReply.
+type OrphanAsked struct {
+	Waiter WaiterID
+	ID     contract.SubmissionID
+}
+
+// ShutdownBegun stops new submissions. The reply, ShutdownReply, comes when nothing
+// runs any more and the witnesses have all answers.
+type ShutdownBegun struct{ Waiter WaiterID }
+
+// HandOverAnswered reports the witness's reply to a part of the hand-over.
+type HandOverAnswered struct {
+	Witness  vm.Incarnation
+	Accepted bool
+}
+
+// HandOverReceived brings the answers of an issuer that shuts down. Reply: RecordsReply.
+type HandOverReceived struct {
+	Waiter  WaiterID
+	Issuer  vm.Incarnation
+	Records []contract.Record
+	// Last says that the issuer starts nothing more.
+	Last bool
+}
+
 // WitnessAsked asks this VM as the witness about an id whose issuer cannot be reached.
 // Reply: AnswerReply.
 type WitnessAsked struct {
@@ -89,16 +128,22 @@
 // Tick says that time has passed.
 type Tick struct{}
 
-func (ReserveIDs) isEvent()      {}
-func (Submitted) isEvent()       {}
-func (Asked) isEvent()           {}
-func (Cancelled) isEvent()       {}
-func (WaiterGone) isEvent()      {}
-func (AttemptEnded) isEvent()    {}
-func (RecordsAnswered) isEvent() {}
-func (RecordsReceived) isEvent() {}
-func (WitnessAsked) isEvent()    {}
-func (RosterChanged) isEvent()   {}
-func (EndpointsListed) isEvent() {}
-func (OwnersChanged) isEvent()   {}
-func (Tick) isEvent()            {}
+func (ReserveIDs) isEvent()       {}
+func (Submitted) isEvent()        {}
+func (Asked) isEvent()            {}
+func (Cancelled) isEvent()        {}
+func (WaiterGone) isEvent()       {}
+func (AttemptEnded) isEvent()     {}
+func (RecordsAnswered) isEvent()  {}
+func (RecordsReceived) isEvent()  {}
+func (WitnessAsked) isEvent()     {}
+func (RosterChanged) isEvent()    {}
+func (EndpointsListed) isEvent()  {}
+func (OwnersChanged) isEvent()    {}
+func (Tick) isEvent()             {}
+func (PeerHeard) isEvent()        {}
+func (PairRowDecided) isEvent()   {}
+func (OrphanAsked) isEvent()      {}
+func (ShutdownBegun) isEvent()    {}
+func (HandOverAnswered) isEvent() {}
+func (HandOverReceived) isEvent() {}
--- a/pkg/entry/outbox.go
+++ b/pkg/entry/outbox.go
@@ -10,6 +10,7 @@
 type outbox struct {
 	waiting  []outgoing
 	underWay []outgoing
+	batch    contract.BatchNumber
 }
 
 // outgoing is a record and what it holds up: a start, or the end of the submission.
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -127,9 +127,9 @@
 }
 
 // RecordHere keeps records as the witness of a peer.
-func (r *Router) RecordHere(ctx context.Context, issuer vm.Incarnation, records []contract.Record) ([]contract.RecordStatus, error) {
+func (r *Router) RecordHere(ctx context.Context, issuer vm.Incarnation, batch contract.BatchNumber, records []contract.Record) ([]contract.RecordStatus, error) {
 	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event {
-		return RecordsReceived{Waiter: w, Issuer: issuer, Records: records}
+		return RecordsReceived{Waiter: w, Issuer: issuer, Batch: batch, Records: records}
 	})
 	if err != nil {
 		return nil, errors.Annotatef(err, "keep records of %s", issuer)
@@ -137,6 +137,14 @@
 	return reply.(RecordsReply).Statuses, nil
 }
 
+// HandOverHere keeps the answers of an issuer that shuts down.
+func (r *Router) HandOverHere(ctx context.Context, issuer vm.Incarnation, records []contract.Record, last bool) error {
+	_, err := r.config.Loop.Call(ctx, func(w WaiterID) Event {
+		return HandOverReceived{Waiter: w, Issuer: issuer, Records: records, Last: last}
+	})
+	return errors.Annotatef(err, "keep answers of %s", issuer)
+}
+
 // callWithin hands an event to control and waits for the answer. A span that passes
 // without an end gives Running, since the event was handled.
 func (r *Router) callWithin(ctx context.Context, wait clock.Millis, makeEvent func(WaiterID) Event) (contract.Answer, error) {
--- a/pkg/entry/traffic.go
+++ b/pkg/entry/traffic.go
@@ -6,6 +6,7 @@
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/platform"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
@@ -16,7 +17,8 @@
 
 // RecordSender sends records to a witness.
 type RecordSender interface {
-	Record(ctx context.Context, witness vm.VM, issuer vm.Incarnation, records []contract.Record) ([]contract.RecordStatus, error)
+	Record(ctx context.Context, witness vm.VM, issuer vm.Incarnation, batch contract.BatchNumber, records []contract.Record) ([]contract.RecordStatus, error)
+	HandOver(ctx context.Context, witness vm.VM, issuer vm.Incarnation, records []contract.Record, last bool) error
 }
 
 // TrafficConfig holds what traffic is made of.
@@ -24,8 +26,11 @@
 	Self      vm.Incarnation
 	Endpoints EndpointRunner
 	Witnesses RecordSender
+	Table     platform.Table
 	// PeerTimeout bounds one call to a peer.
 	PeerTimeout clock.Millis
+	// PlatformTimeout bounds the write and the read of a pair row together.
+	PlatformTimeout clock.Millis
 }
 
 // Traffic carries out actions, each on a goroutine of its own. The number of attempts is
@@ -52,6 +57,10 @@
 		go t.runAttempt(a)
 	case SendRecords:
 		go t.sendRecords(a)
+	case SendHandOver:
+		go t.sendHandOver(a)
+	case WritePairRow:
+		go t.writePairRow(a)
 	}
 }
 
@@ -65,9 +74,23 @@
 func (t *Traffic) sendRecords(a SendRecords) {
 	ctx, cancel := context.WithTimeout(context.Background(), t.config.PeerTimeout.Duration())
 	defer cancel()
-	statuses, err := t.config.Witnesses.Record(ctx, a.Witness, t.config.Self, a.Records)
+	statuses, err := t.config.Witnesses.Record(ctx, a.Witness, t.config.Self, a.Batch, a.Records)
 	if err != nil {
 		statuses = nil
 	}
-	t.loop.Post(context.Background(), RecordsAnswered{Witness: a.Witness.Incarnation, Statuses: statuses})
+	t.loop.Post(context.Background(), RecordsAnswered{Witness: a.Witness.Incarnation, Batch: a.Batch, Statuses: statuses})
+}
+
+func (t *Traffic) sendHandOver(a SendHandOver) {
+	ctx, cancel := context.WithTimeout(context.Background(), t.config.PeerTimeout.Duration())
+	defer cancel()
+	err := t.config.Witnesses.HandOver(ctx, a.Witness, t.config.Self, a.Records, a.Last)
+	t.loop.Post(context.Background(), HandOverAnswered{Witness: a.Witness.Incarnation, Accepted: err == nil})
+}
+
+func (t *Traffic) writePairRow(a WritePairRow) {
+	ctx, cancel := context.WithTimeout(context.Background(), t.config.PlatformTimeout.Duration())
+	defer cancel()
+	row := decidePairRow(ctx, t.config.Table, a.Pair, a.Row)
+	t.loop.Post(context.Background(), PairRowDecided{Pair: a.Pair, Row: row})
 }
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -61,8 +61,8 @@
 }
 
 // Record sends records to a witness.
-func (c *Client) Record(ctx context.Context, witness vm.VM, issuer vm.Incarnation, records []contract.Record) ([]contract.RecordStatus, error) {
-	request := RecordRequest{Issuer: string(issuer), Records: make([]WireRecord, len(records))}
+func (c *Client) Record(ctx context.Context, witness vm.VM, issuer vm.Incarnation, batch contract.BatchNumber, records []contract.Record) ([]contract.RecordStatus, error) {
+	request := RecordRequest{Issuer: string(issuer), Batch: uint64(batch), Records: make([]WireRecord, len(records))}
 	for i, r := range records {
 		request.Records[i] = encodeRecord(r)
 	}
@@ -80,6 +80,16 @@
 	return statuses, nil
 }
 
+// HandOver sends the answers of an issuer that shuts down to a witness.
+func (c *Client) HandOver(ctx context.Context, witness vm.VM, issuer vm.Incarnation, records []contract.Record, last bool) error {
+	request := HandOverRequest{Issuer: string(issuer), Records: make([]WireRecord, len(records)), Last: last}
+	for i, r := range records {
+		request.Records[i] = encodeRecord(r)
+	}
+	var reply RecordReply
+	return errors.Trace(c.call(ctx, witness, "Witness.HandOver", request, &reply))
+}
+
 // Close drops all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/pkg/peer/codec.go
+++ b/pkg/peer/codec.go
@@ -6,6 +6,7 @@
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
 func encodeSubmission(s contract.Submission) WireSubmission {
@@ -128,11 +129,39 @@
 	}
 }
 
+// Bounds on what a peer may send, against allocations without limit.
+const (
+	maxRecords   = 10000
+	maxTaskCount = 100000
+	maxOwner     = 256
+)
+
+func decodeRecords(issuer string, coded []WireRecord) ([]contract.Record, error) {
+	if !vm.Incarnation(issuer).Valid() {
+		return nil, errors.NotValidf("decode records of peer: issuer")
+	}
+	if len(coded) > maxRecords {
+		return nil, errors.NotValidf("decode records of peer %s: %d records, allowed %d: batch", issuer, len(coded), maxRecords)
+	}
+	records := make([]contract.Record, len(coded))
+	for i, c := range coded {
+		r, err := decodeRecord(c)
+		if err != nil {
+			return nil, errors.Annotatef(err, "decode records of peer %s", issuer)
+		}
+		records[i] = r
+	}
+	return records, nil
+}
+
 func decodeRecord(w WireRecord) (contract.Record, error) {
 	id, err := contract.ParseSubmissionID(w.ID)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	if len(w.Owner) > maxOwner || w.TaskCount < 0 || w.TaskCount > maxTaskCount || len(w.Tasks) > w.TaskCount {
+		return nil, errors.NotValidf("decode record of peer: owner of %d bytes, %d of %d tasks: record", len(w.Owner), len(w.Tasks), w.TaskCount)
+	}
 	switch w.Kind {
 	case kindStart:
 		return decodeStart(id, w)
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -22,7 +22,8 @@
 	AskHere(ctx context.Context, id contract.SubmissionID, o owner.ID, wait clock.Millis) contract.Answer
 	CancelHere(ctx context.Context, id contract.SubmissionID, o owner.ID) contract.Answer
 	WitnessHere(ctx context.Context, id contract.SubmissionID, o owner.ID) contract.Answer
-	RecordHere(ctx context.Context, issuer vm.Incarnation, records []contract.Record) ([]contract.RecordStatus, error)
+	RecordHere(ctx context.Context, issuer vm.Incarnation, batch contract.BatchNumber, records []contract.Record) ([]contract.RecordStatus, error)
+	HandOverHere(ctx context.Context, issuer vm.Incarnation, records []contract.Record, last bool) error
 }
 
 // ServerConfig holds what a server is made of.
--- a/pkg/peer/wire.go
+++ b/pkg/peer/wire.go
@@ -71,9 +71,17 @@
 // RecordRequest brings a batch of records to a witness.
 type RecordRequest struct {
 	Issuer  string
+	Batch   uint64
 	Records []WireRecord
 }
 
+// HandOverRequest brings answers of an issuer that shuts down.
+type HandOverRequest struct {
+	Issuer  string
+	Records []WireRecord
+	Last    bool
+}
+
 // RecordReply carries one status for each record.
 type RecordReply struct {
 	Statuses []int
--- a/pkg/peer/witness_service.go
+++ b/pkg/peer/witness_service.go
@@ -17,15 +17,11 @@
 
 // Record keeps a batch of records.
 func (w *witnessService) Record(request RecordRequest, reply *RecordReply) error {
-	records := make([]contract.Record, len(request.Records))
-	for i, coded := range request.Records {
-		r, err := decodeRecord(coded)
-		if err != nil {
-			return errors.Trace(err)
-		}
-		records[i] = r
+	records, err := decodeRecords(request.Issuer, request.Records)
+	if err != nil {
+		return errors.Trace(err)
 	}
-	statuses, err := w.handler.RecordHere(context.Background(), vm.Incarnation(request.Issuer), records)
+	statuses, err := w.handler.RecordHere(context.Background(), vm.Incarnation(request.Issuer), contract.BatchNumber(request.Batch), records)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -36,6 +32,16 @@
 	return nil
 }
 
+// HandOver keeps the answers of an issuer that shuts down.
+func (w *witnessService) HandOver(request HandOverRequest, reply *RecordReply) error {
+	records, err := decodeRecords(request.Issuer, request.Records)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	reply.Statuses = []int{}
+	return errors.Trace(w.handler.HandOverHere(context.Background(), vm.Incarnation(request.Issuer), records, request.Last))
+}
+
 // Ask answers for an issuer that cannot be reached.
 func (w *witnessService) Ask(request AskRequest, reply *WireAnswer) error {
 	id, err := contract.ParseSubmissionID(request.ID)
