--- /dev/null
+++ b/pkg/entry/world_test.go
@@ -0,0 +1,408 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"strconv"
+	"testing"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+const (
+	testOwner  = owner.ID("pantallas")
+	callLimit  = clock.Second
+	worldStart = 1000 * clock.Minute
+)
+
+// world connects several Controls by a fake network, endpoint and platform, all on one
+// manual clock. Deliveries happen in the order of their times.
+type world struct {
+	t      *testing.T
+	now    clock.Millis
+	rng    *rand.Rand
+	nodes  []*node
+	queue  []delivery
+	serial int
+
+	rows         map[contract.Pair]contract.PairRow
+	platformDown bool
+	loseAnswers  bool
+	cuts         map[[2]vm.Incarnation]bool
+	// faults is the share of peer messages that are dropped, delayed or duplicated.
+	faults float64
+
+	starts   map[string]int
+	runTime  func() clock.Millis
+	result   func() contract.AttemptResult
+	endings  map[contract.SubmissionID][]contract.Answer
+	taskSize map[contract.SubmissionID]int
+}
+
+type delivery struct {
+	at     clock.Millis
+	serial int
+	run    func()
+}
+
+// node is one entry VM of the world.
+type node struct {
+	world   *world
+	vm      vm.VM
+	control *Control
+	crashed bool
+	paused  bool
+	// sending is false while the VM is stopped between a decision and its action.
+	sending bool
+	events  []Event
+	actions []Action
+	waiters map[WaiterID]func(Reply)
+	lastID  WaiterID
+}
+
+func newWorld(t *testing.T, names ...vm.ID) *world {
+	w := &world{
+		t: t, now: worldStart, rng: rand.New(rand.NewPCG(1, 1)),
+		rows: map[contract.Pair]contract.PairRow{}, cuts: map[[2]vm.Incarnation]bool{},
+		starts: map[string]int{}, endings: map[contract.SubmissionID][]contract.Answer{},
+		taskSize: map[contract.SubmissionID]int{},
+		runTime:  func() clock.Millis { return 100 },
+		result:   func() contract.AttemptResult { return contract.Succeeded{Result: []byte("r")} },
+	}
+	for i, name := range names {
+		n := &node{world: w, sending: true, waiters: map[WaiterID]func(Reply){}}
+		n.vm = vm.VM{Incarnation: vm.NewIncarnation(name, "1"), DataCentre: "dc" + datacentre.ID(strconv.Itoa(i/2)), Size: 1}
+		n.control = NewControl(ControlConfig{
+			DataCentre: n.vm.DataCentre, Self: n.vm.Incarnation, Key: []byte(name),
+			Dispatch: dispatch.Config{QueuedTasks: 1000}, AttemptTimeout: 30 * clock.Second,
+		})
+		w.nodes = append(w.nodes, n)
+	}
+	w.publishRoster()
+	for _, n := range w.nodes {
+		n.handle(OwnersChanged{Owners: []owner.Owner{{ID: testOwner, Share: 1, Classes: []owner.Class{{Name: "any", Deadline: clock.Minute}}}}})
+		n.handle(EndpointsListed{Endpoints: []datacentre.Endpoint{{ID: "e-" + datacentre.EndpointID(n.vm.Incarnation), DataCentre: n.vm.DataCentre, Slots: 4}}})
+		// The endpoint belongs to this node alone, whatever the rendezvous hash says.
+		n.control.scheduler.SetSlots(w.now, "e-"+datacentre.EndpointID(n.vm.Incarnation), 4)
+	}
+	return w
+}
+
+func (w *world) publishRoster() {
+	var vms []vm.VM
+	for _, n := range w.nodes {
+		if !n.crashed {
+			vms = append(vms, n.vm)
+		}
+	}
+	for _, n := range w.nodes {
+		n.handle(RosterChanged{Roster: vm.NewRoster(vm.RosterConfig{Self: n.vm.Incarnation, VMs: vms})})
+		n.control.scheduler.SetSlots(w.now, "e-"+datacentre.EndpointID(n.vm.Incarnation), 4)
+	}
+}
+
+func (w *world) after(span clock.Millis, run func()) {
+	w.serial++
+	d := delivery{at: w.now + span, serial: w.serial, run: run}
+	i, _ := slices.BinarySearchFunc(w.queue, d, func(a, b delivery) int {
+		if a.at != b.at {
+			return int(a.at - b.at)
+		}
+		return a.serial - b.serial
+	})
+	w.queue = slices.Insert(w.queue, i, d)
+}
+
+// advance lets time pass, with a tick on each VM every 50 ms.
+func (w *world) advance(span clock.Millis) {
+	end := w.now + span
+	for w.now < end {
+		next := min(end, w.now+50)
+		for len(w.queue) > 0 && w.queue[0].at <= next {
+			d := w.queue[0]
+			w.queue = w.queue[1:]
+			w.now = max(w.now, d.at)
+			d.run()
+		}
+		w.now = next
+		for _, n := range w.nodes {
+			n.handle(Tick{})
+		}
+	}
+}
+
+func (w *world) node(i vm.Incarnation) *node {
+	for _, n := range w.nodes {
+		if n.vm.Incarnation == i {
+			return n
+		}
+	}
+	return nil
+}
+
+func (w *world) cut(a, b *node, on bool) {
+	w.cuts[[2]vm.Incarnation{a.vm.Incarnation, b.vm.Incarnation}] = on
+	w.cuts[[2]vm.Incarnation{b.vm.Incarnation, a.vm.Incarnation}] = on
+}
+
+// carry takes a message over the network, or loses it.
+func (w *world) carry(from, to vm.Incarnation, deliver func()) {
+	copies, delay := 1, clock.Millis(1)
+	if w.faults > 0 && w.rng.Float64() < w.faults {
+		copies, delay = w.rng.IntN(3), clock.Millis(w.rng.IntN(5000))
+	}
+	for range copies {
+		w.after(delay, func() {
+			if !w.cuts[[2]vm.Incarnation{from, to}] {
+				deliver()
+			}
+		})
+		delay = clock.Millis(1 + w.rng.IntN(5000))
+	}
+}
+
+// call sends an event to a peer and hands over its reply, or nil after the time limit.
+func (w *world) call(from *node, to vm.Incarnation, limit clock.Millis, makeEvent func(WaiterID) Event, done func(Reply)) {
+	answered := false
+	once := func(r Reply) {
+		if !answered {
+			answered = true
+			done(r)
+		}
+	}
+	if peer := w.node(to); peer != nil {
+		w.carry(from.vm.Incarnation, to, func() {
+			peer.ask(makeEvent, func(r Reply) {
+				w.carry(to, from.vm.Incarnation, func() { once(r) })
+			})
+		})
+	}
+	w.after(limit, func() { once(nil) })
+}
+
+func (n *node) ask(makeEvent func(WaiterID) Event, done func(Reply)) {
+	n.lastID++
+	n.waiters[n.lastID] = done
+	n.handle(makeEvent(n.lastID))
+}
+
+func (n *node) handle(e Event) {
+	if n.crashed {
+		return
+	}
+	if n.paused {
+		n.events = append(n.events, e)
+		return
+	}
+	n.execute(slices.Clone(n.control.Handle(n.world.now, e)))
+}
+
+func (n *node) resume() {
+	n.paused, n.sending = false, true
+	actions, events := n.actions, n.events
+	n.actions, n.events = nil, nil
+	n.execute(actions)
+	for _, e := range events {
+		n.handle(e)
+	}
+}
+
+func (n *node) execute(actions []Action) {
+	for _, a := range actions {
+		if !n.sending {
+			n.actions = append(n.actions, a)
+			continue
+		}
+		n.perform(a)
+	}
+}
+
+func (n *node) perform(a Action) {
+	w, self := n.world, n.vm.Incarnation
+	switch a := a.(type) {
+	case ReplyTo:
+		if done, ok := n.waiters[a.Waiter]; ok {
+			delete(n.waiters, a.Waiter)
+			done(a.Reply)
+		}
+	case RunAttempt:
+		n.runAttempt(a)
+	case SendRecords:
+		w.call(n, a.Witness.Incarnation, callLimit, func(id WaiterID) Event {
+			return RecordsReceived{Waiter: id, Issuer: self, Batch: a.Batch, Records: a.Records}
+		}, func(r Reply) {
+			e := RecordsAnswered{Witness: a.Witness.Incarnation, Batch: a.Batch}
+			if r, ok := r.(RecordsReply); ok {
+				e.Statuses = r.Statuses
+			}
+			n.handle(e)
+		})
+	case SendHandOver:
+		w.call(n, a.Witness.Incarnation, callLimit, func(id WaiterID) Event {
+			return HandOverReceived{Waiter: id, Issuer: self, Records: a.Records, Last: a.Last}
+		}, func(r Reply) { n.handle(HandOverAnswered{Witness: a.Witness.Incarnation, Accepted: r != nil}) })
+	case WritePairRow:
+		w.after(5, func() { n.writeRow(a) })
+	}
+}
+
+func (n *node) writeRow(a WritePairRow) {
+	w := n.world
+	if w.platformDown {
+		n.handle(PairRowDecided{Pair: a.Pair})
+		return
+	}
+	if w.rows[a.Pair] == contract.PairRowUnknown {
+		w.rows[a.Pair] = a.Row
+	}
+	if w.loseAnswers {
+		n.handle(PairRowDecided{Pair: a.Pair})
+		return
+	}
+	n.handle(PairRowDecided{Pair: a.Pair, Row: w.rows[a.Pair]})
+}
+
+func (n *node) runAttempt(a RunAttempt) {
+	w := n.world
+	w.after(1, func() {
+		result := w.result()
+		if _, ok := result.(contract.NotStarted); !ok {
+			w.starts[startKey(a.Attempt.Submission, a.Attempt.Task)]++
+		}
+		w.after(w.runTime(), func() { n.handle(AttemptEnded{Attempt: a.Attempt, Start: a.Start, Result: result}) })
+	})
+}
+
+func startKey(id contract.SubmissionID, task contract.TaskIndex) string {
+	return id.String() + "/" + strconv.Itoa(int(task))
+}
+
+func (n *node) reserve() contract.SubmissionID {
+	var id contract.SubmissionID
+	n.ask(func(w WaiterID) Event { return ReserveIDs{Waiter: w, Owner: testOwner, Count: 1} }, func(r Reply) { id = r.(IDs).IDs[0] })
+	return id
+}
+
+func job(id contract.SubmissionID, tasks int) contract.Submission {
+	s := contract.Submission{ID: id, Owner: testOwner, Class: "any", Tasks: make([]contract.Task, tasks)}
+	for i := range s.Tasks {
+		s.Tasks[i].Payload = []byte("p")
+	}
+	return s
+}
+
+// submit submits through a VM the way the router does.
+func (w *world) submit(via *node, s contract.Submission) *contract.Answer {
+	w.taskSize[s.ID] = len(s.Tasks)
+	return w.question(via, s.ID, func(id WaiterID) Event { return Submitted{Waiter: id, Submission: s} })
+}
+
+func (w *world) ask(via *node, id contract.SubmissionID) *contract.Answer {
+	return w.question(via, id, func(waiter WaiterID) Event { return Asked{Waiter: waiter, ID: id, Owner: testOwner} })
+}
+
+func (w *world) cancel(via *node, id contract.SubmissionID) *contract.Answer {
+	return w.question(via, id, func(waiter WaiterID) Event { return Cancelled{Waiter: waiter, ID: id, Owner: testOwner} })
+}
+
+// question asks the issuer, then the witness, then the VM itself, as Router does.
+func (w *world) question(via *node, id contract.SubmissionID, makeEvent func(WaiterID) Event) *contract.Answer {
+	heard := new(contract.Answer)
+	keep := func(r Reply) {
+		if r, ok := r.(AnswerReply); ok {
+			*heard = r.Answer
+			w.endings[id] = append(w.endings[id], r.Answer)
+		}
+	}
+	orphan := func() {
+		via.ask(func(waiter WaiterID) Event { return OrphanAsked{Waiter: waiter, ID: id} }, keep)
+	}
+	witness := func() {
+		w.call(via, id.Witness, callLimit, func(waiter WaiterID) Event { return WitnessAsked{Waiter: waiter, ID: id, Owner: testOwner} }, func(r Reply) {
+			if r == nil {
+				orphan()
+				return
+			}
+			keep(r)
+		})
+	}
+	w.call(via, id.Issuer, callLimit, makeEvent, func(r Reply) {
+		reply, ok := r.(AnswerReply)
+		if _, unsure := reply.Answer.(contract.CannotTellYet); !ok || unsure {
+			witness()
+			return
+		}
+		keep(r)
+	})
+	return heard
+}
+
+// check asserts what holds whatever happened: no second start, no partial answer, no
+// false refusal, and one ending for all who asked.
+func (w *world) check() {
+	w.t.Helper()
+	for key, n := range w.starts {
+		if n > 1 {
+			w.t.Errorf("starts of %s: got %d, want at most 1", key, n)
+		}
+	}
+	for id, answers := range w.endings {
+		var first contract.Answer
+		for _, a := range answers {
+			if !ending(a) {
+				continue
+			}
+			w.checkEnding(id, a)
+			if first == nil {
+				first = a
+			}
+			if !sameEnding(first, a) {
+				w.t.Errorf("endings of %s: got %#v and %#v, want one ending", id, first, a)
+			}
+		}
+	}
+}
+
+func (w *world) checkEnding(id contract.SubmissionID, a contract.Answer) {
+	w.t.Helper()
+	switch a := a.(type) {
+	case contract.Complete:
+		if len(a.Results) != w.taskSize[id] {
+			w.t.Errorf("results of %s: got %d, want %d", id, len(a.Results), w.taskSize[id])
+		}
+	case contract.Refused:
+		for i := range w.taskSize[id] {
+			if n := w.starts[startKey(id, contract.TaskIndex(i))]; n > 0 {
+				w.t.Errorf("starts of refused %s/%d: got %d, want 0 (%s)", id, i, n, a.Reason)
+			}
+		}
+	case contract.Failed:
+		for i, s := range a.Tasks {
+			if n := w.starts[startKey(id, contract.TaskIndex(i))]; n > 0 && s == contract.NotRun {
+				w.t.Errorf("starts of %s/%d, answered as not run: got %d, want 0", id, i, n)
+			}
+		}
+	}
+}
+
+func ending(a contract.Answer) bool {
+	switch a.(type) {
+	case contract.Complete, contract.Failed, contract.Refused:
+		return true
+	}
+	return false
+}
+
+func sameEnding(a, b contract.Answer) bool {
+	if _, ok := a.(contract.Refused); ok {
+		_, ok = b.(contract.Refused)
+		return ok
+	}
+	return reflect.DeepEqual(a, b)
+}
