--- a/pkg/contract/ledger.go
+++ b/pkg/contract/ledger.go
@@ -7,29 +7,94 @@
 // Ledger keeps the issuer's records: each accepted submission, the state of its tasks
 // and its final answer. It belongs to the control goroutine.
 type Ledger struct {
+	limits  Limits
 	entries map[SubmissionID]*LedgerEntry
 	refs    map[JobRef]*LedgerEntry
+	order   expiryQueue
 	lastRef JobRef
+	open    int
+	refused int
+	bytes   int
 }
 
 // NewLedger returns an empty ledger.
-func NewLedger() *Ledger {
+func NewLedger(l Limits) *Ledger {
 	return &Ledger{
+		limits:  l,
 		entries: make(map[SubmissionID]*LedgerEntry),
 		refs:    make(map[JobRef]*LedgerEntry),
 	}
 }
 
+// Room reports whether another submission may be accepted.
+func (l *Ledger) Room(s Submission) bool {
+	return len(l.entries)-l.refused < l.limits.IDs && l.bytes+submissionBytes(s) <= l.limits.Bytes
+}
+
 // Open accepts a submission and returns its entry. The caller has checked that the id
-// is new to the ledger.
+// is new to the ledger and that there is room.
 func (l *Ledger) Open(now clock.Millis, s Submission) *LedgerEntry {
-	l.lastRef++
-	e := newLedgerEntry(l.lastRef, now, s)
-	l.entries[s.ID] = e
-	l.refs[e.Ref] = e
+	e := newLedgerEntry(now, s)
+	l.open++
+	l.keep(now, e)
+	l.Readmit(e, nil)
 	return e
 }
 
+// Refuse keeps the refusal of a submission, so that a later copy is not run. Refusals
+// have room of their own, since they come when the ledger is full.
+func (l *Ledger) Refuse(now clock.Millis, s Submission, r Refused) bool {
+	if l.refused >= l.limits.IDs {
+		return false
+	}
+	e := newLedgerEntry(now, s)
+	e.refusedOnly = true
+	l.refused++
+	e.conclude(r)
+	l.keep(now, e)
+	return true
+}
+
+// Readmit gives the entry another job reference, under which the scheduler queues the
+// listed tasks; nil stands for all.
+func (l *Ledger) Readmit(e *LedgerEntry, tasks []TaskIndex) JobRef {
+	l.lastRef++
+	e.admissions = append(e.admissions, admission{ref: l.lastRef, tasks: tasks})
+	l.refs[l.lastRef] = e
+	return l.lastRef
+}
+
+// Conclude sets the final answer and frees what only a running submission needs.
+func (l *Ledger) Conclude(e *LedgerEntry, final Answer) {
+	if e.Final != nil {
+		return
+	}
+	l.close(e)
+	e.conclude(final)
+	l.Resize(e)
+}
+
+// Lose gives an entry up to its witness, which answers from now on.
+func (l *Ledger) Lose(e *LedgerEntry) {
+	if e.Final != nil || e.Lost {
+		return
+	}
+	l.close(e)
+	e.Lost = true
+	e.free()
+	l.Resize(e)
+}
+
+// Resize counts the entry's memory anew.
+func (l *Ledger) Resize(e *LedgerEntry) {
+	size := e.bytes()
+	l.bytes += size - e.size
+	e.size = size
+}
+
+// Idle reports whether every submission has a final answer or was lost to its witness.
+func (l *Ledger) Idle() bool { return l.open == 0 }
+
 // Find returns the entry of an id.
 func (l *Ledger) Find(id SubmissionID) (*LedgerEntry, bool) {
 	e, ok := l.entries[id]
@@ -41,3 +106,42 @@
 	e, ok := l.refs[ref]
 	return e, ok
 }
+
+// Evict drops entries that are older than the memory span, a bounded number at a time.
+// An entry that still runs is looked at again after another span.
+func (l *Ledger) Evict(now clock.Millis) {
+	for range evictionBatch {
+		id, ok := l.order.pop(now - Memory)
+		if !ok {
+			return
+		}
+		e := l.entries[id]
+		if e.Final == nil && !e.Lost {
+			l.order.push(id, now)
+			continue
+		}
+		l.drop(e)
+	}
+}
+
+func (l *Ledger) keep(now clock.Millis, e *LedgerEntry) {
+	l.entries[e.Submission.ID] = e
+	l.order.push(e.Submission.ID, now)
+	l.Resize(e)
+}
+
+func (l *Ledger) close(e *LedgerEntry) {
+	l.open--
+	// Late ends of attempts find the entry no more; the refs would outlive it otherwise.
+	for _, a := range e.admissions {
+		delete(l.refs, a.ref)
+	}
+}
+
+func (l *Ledger) drop(e *LedgerEntry) {
+	if e.refusedOnly {
+		l.refused--
+	}
+	l.bytes -= e.size
+	delete(l.entries, e.Submission.ID)
+}
--- a/pkg/contract/ledger_entry.go
+++ b/pkg/contract/ledger_entry.go
@@ -4,32 +4,76 @@
 
 // LedgerEntry is the issuer's record of one submission.
 type LedgerEntry struct {
-	Ref        JobRef
 	Submission Submission
 	Digest     Digest
 	AcceptedAt clock.Millis
 	// Final is the settled answer, nil until the submission is settled.
 	Final Answer
+	// Lost means that the witness answers for the submission.
+	Lost bool
+	// Cancelled means that no further task is to start.
+	Cancelled bool
+	// RecordSent means that the witness may hold a record of the submission.
+	RecordSent bool
+	// Acknowledged means that the witness holds a record of at least one start.
+	Acknowledged bool
+	// Withdrawn are the tasks taken from the queue while the pair row is undecided.
+	Withdrawn []TaskIndex
+	// Settled means that the witness holds the final answer.
+	Settled bool
 
-	tasks   []taskProgress
-	pending int
-	reason  string
+	tasks       []taskProgress
+	admissions  []admission
+	pending     int
+	reason      string
+	refusal     Refused
+	outcome     Answer
+	refusedOnly bool
+	size        int
 }
 
 type taskProgress struct {
 	attempts AttemptNumber
-	result   AttemptResult
+	recorded bool
+	// ambiguous means that an earlier attempt may have run.
+	ambiguous bool
+	result    AttemptResult
 }
 
-func newLedgerEntry(ref JobRef, now clock.Millis, s Submission) *LedgerEntry {
+// admission is one entry of the submission into the scheduler's queue.
+type admission struct {
+	ref   JobRef
+	tasks []TaskIndex
+}
+
+func newLedgerEntry(now clock.Millis, s Submission) *LedgerEntry {
 	return &LedgerEntry{
-		Ref:        ref,
 		Submission: s,
 		Digest:     s.Digest(),
 		AcceptedAt: now,
 		tasks:      make([]taskProgress, len(s.Tasks)),
 		pending:    len(s.Tasks),
+		refusal:    Refused{Cause: RefusedUnavailable, Reason: "no task was started"},
+	}
+}
+
+// Refs returns the job references under which tasks may be queued.
+func (e *LedgerEntry) Refs() []JobRef {
+	refs := make([]JobRef, len(e.admissions))
+	for i, a := range e.admissions {
+		refs[i] = a.ref
 	}
+	return refs
+}
+
+// Task returns which task of the submission the scheduler means.
+func (e *LedgerEntry) Task(t TaskRef) TaskIndex {
+	for _, a := range e.admissions {
+		if a.ref == t.Job && a.tasks != nil {
+			return a.tasks[t.Index]
+		}
+	}
+	return t.Index
 }
 
 // NextAttempt numbers the next send of a task.
@@ -38,11 +82,40 @@
 	return AttemptID{Submission: e.Submission.ID, Task: task, Number: e.tasks[task].attempts}
 }
 
+// Attempts returns how often a task was sent.
+func (e *LedgerEntry) Attempts(task TaskIndex) AttemptNumber {
+	return e.tasks[task].attempts
+}
+
+// Acknowledge notes that the witness holds the record of a task's start.
+func (e *LedgerEntry) Acknowledge(task TaskIndex) {
+	e.Acknowledged = true
+	e.tasks[task].recorded = true
+}
+
+// Recorded reports whether the witness holds the record of a task's start.
+func (e *LedgerEntry) Recorded(task TaskIndex) bool {
+	return e.tasks[task].recorded
+}
+
+// RefuseWith sets the refusal that is the answer if no task runs.
+func (e *LedgerEntry) RefuseWith(r Refused) {
+	e.refusal = r
+}
+
+// NoteAmbiguous keeps that an attempt may have run, although the task is tried again.
+func (e *LedgerEntry) NoteAmbiguous(task TaskIndex) {
+	e.tasks[task].ambiguous = true
+}
+
 // End notes how the task ended. Only the first end counts.
 func (e *LedgerEntry) End(task TaskIndex, result AttemptResult) {
-	if e.tasks[task].result != nil {
+	if e.outcome != nil || len(e.tasks) == 0 || e.tasks[task].result != nil {
 		return
 	}
+	if _, ok := result.(NotStarted); ok && e.tasks[task].ambiguous {
+		result = Ambiguous{Reason: "an earlier attempt may have run"}
+	}
 	e.tasks[task].result = result
 	e.pending--
 	switch r := result.(type) {
@@ -51,7 +124,7 @@
 	case Ambiguous:
 		e.noteReason(r.Reason)
 	case NotStarted:
-		e.noteReason("not started: endpoint " + r.Cause.String())
+		e.noteReason("not every task was started")
 	case Succeeded:
 	}
 }
@@ -61,32 +134,79 @@
 	return e.pending == 0
 }
 
-// Outcome derives the answer from the ends of the tasks.
+// Outcome derives the answer from the ends of the tasks. It stays the same from the
+// first call on, since the witness may have heard of it.
 func (e *LedgerEntry) Outcome() Answer {
+	if e.outcome == nil {
+		e.outcome = e.derive()
+	}
+	return e.outcome
+}
+
+// HasOutcome reports whether the answer is fixed.
+func (e *LedgerEntry) HasOutcome() bool {
+	return e.outcome != nil
+}
+
+func (e *LedgerEntry) derive() Answer {
 	results := make([][]byte, len(e.tasks))
 	states := make([]TaskState, len(e.tasks))
-	complete := true
+	succeeded, notRun := 0, 0
 	for i, t := range e.tasks {
 		switch r := t.result.(type) {
 		case Succeeded:
-			results[i] = r.Result
-			states[i] = MayHaveRun
+			results[i], states[i] = r.Result, MayHaveRun
+			succeeded++
 		case RanAndFailed:
-			complete, states[i] = false, FailedRun
+			states[i] = FailedRun
 		case Ambiguous:
-			complete, states[i] = false, MayHaveRun
+			states[i] = MayHaveRun
 		default:
-			complete, states[i] = false, NotRun
+			states[i] = NotRun
+			notRun++
 		}
 	}
-	if complete {
+	switch len(e.tasks) {
+	case succeeded:
 		return Complete{Results: results}
+	case notRun:
+		return e.refusal
 	}
 	return Failed{Reason: e.reason, Tasks: states}
 }
 
+func (e *LedgerEntry) conclude(final Answer) {
+	e.Final = final
+	e.free()
+}
+
+// free drops what only a running submission needs.
+func (e *LedgerEntry) free() {
+	e.Submission.Tasks, e.tasks, e.admissions, e.Withdrawn = nil, nil, nil, nil
+}
+
 func (e *LedgerEntry) noteReason(reason string) {
 	if e.reason == "" {
 		e.reason = reason
 	}
 }
+
+// bytes estimates the memory of the entry, with its places in the maps and the queue.
+func (e *LedgerEntry) bytes() int {
+	n := submissionBytes(e.Submission) + answerBytes(e.Final)
+	for _, t := range e.tasks {
+		if r, ok := t.result.(Succeeded); ok {
+			n += len(r.Result)
+		}
+	}
+	return n
+}
+
+func submissionBytes(s Submission) int {
+	const overhead, perTask = 850, 72
+	n := overhead
+	for _, t := range s.Tasks {
+		n += perTask + len(t.Payload)
+	}
+	return n
+}
--- a/pkg/contract/witness.go
+++ b/pkg/contract/witness.go
@@ -1,64 +1,235 @@
 package contract
 
-import "github.com/sequoiacart/sequoiacart/pkg/vm"
+import (
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+const (
+	// Unreachable is the silence after which a peer counts as unreachable.
+	Unreachable = 3 * clock.Second
+	// Gone is the silence after which a VM that is out of the roster counts as lost.
+	Gone = clock.Minute
+	// maxIssuers bounds the issuers a witness knows. Their fences and floors cannot be
+	// forgotten, and a witness serves far fewer issuers during its life.
+	maxIssuers = 10_000
+
+	askAgainAfter = clock.Second
+)
+
+// WitnessConfig holds what a witness is made of.
+type WitnessConfig struct {
+	Self   vm.Incarnation
+	Limits Limits
+}
 
 // Witness keeps the records that other VMs report of their ids, to answer for them
 // when they are lost. It belongs to the control goroutine.
 type Witness struct {
+	config  WitnessConfig
 	issuers map[vm.Incarnation]*witnessedIssuer
+	order   expiryQueue
+	count   int
+	bytes   int
 }
 
-type witnessedIssuer struct {
-	entries map[SubmissionID]*witnessEntry
+// NewWitness returns a witness with no records.
+func NewWitness(c WitnessConfig) *Witness {
+	return &Witness{config: c, issuers: make(map[vm.Incarnation]*witnessedIssuer)}
 }
 
-type witnessEntry struct {
-	started []bool
-	final   Answer
+// Heard notes that an issuer made contact. Only issuers with records matter.
+func (w *Witness) Heard(now clock.Millis, issuer vm.Incarnation) {
+	if s, ok := w.issuers[issuer]; ok {
+		s.heardAt = now
+	}
 }
 
-// NewWitness returns a witness with no records.
-func NewWitness() *Witness {
-	return &Witness{issuers: make(map[vm.Incarnation]*witnessedIssuer)}
+// Record keeps a batch of records of an issuer, in the order of the batch.
+func (w *Witness) Record(now clock.Millis, issuer vm.Incarnation, batch BatchNumber, records []Record) []RecordStatus {
+	statuses := make([]RecordStatus, len(records))
+	s, ok := w.issuer(now, issuer)
+	for i, r := range records {
+		switch {
+		case !ok:
+			statuses[i] = RecordFull
+		case batch <= s.lastBatch:
+			statuses[i] = RecordStale
+		case s.fenced:
+			statuses[i] = RecordFenced
+		default:
+			statuses[i] = w.keep(now, issuer, s, r)
+		}
+	}
+	if ok {
+		s.heardAt = now
+		s.lastBatch = max(s.lastBatch, batch)
+	}
+	return statuses
+}
+
+// HandOver keeps answers that the issuer gave without this witness. The last part says
+// that the issuer starts nothing more.
+func (w *Witness) HandOver(now clock.Millis, issuer vm.Incarnation, records []Record, last bool) {
+	s, ok := w.issuer(now, issuer)
+	if !ok || s.row == PairFencedByWitness {
+		return
+	}
+	for _, r := range records {
+		if settled, ok := r.(SettleRecord); ok {
+			w.keep(now, issuer, s, settled)
+		}
+	}
+	s.heardAt = now
+	if last {
+		s.fenced, s.handedOver = true, true
+	}
+}
+
+// Question is what somebody asks a witness.
+type Question struct {
+	ID    SubmissionID
+	Owner owner.ID
+	// IssuerGone says that the issuer is out of the roster.
+	IssuerGone bool
+}
+
+// Ask answers for an issuer that cannot be reached. Where the pair row has to decide
+// first, needsRow is set and the answer is CannotTellYet.
+func (w *Witness) Ask(now clock.Millis, q Question) (a Answer, needsRow bool) {
+	if q.ID.Witness != w.config.Self {
+		return cannotTell("this VM is not the witness of the id"), false
+	}
+	s, ok := w.issuer(now, q.ID.Issuer)
+	if !ok {
+		return cannotTell("the witness knows too many issuers"), false
+	}
+	e, known := s.entries[q.ID]
+	switch {
+	case known && e.owner != q.Owner:
+		return NotFound{}, false
+	case known && e.final != nil:
+		return e.final, false
+	case !known && q.ID.IssuedAt <= s.floor:
+		return Expired{}, false
+	case !s.handedOver && now-s.heardAt < Unreachable:
+		return cannotTell("the issuer of the id was heard from shortly before"), false
+	}
+	s.fenced = true
+	if !known {
+		return Refused{Cause: RefusedUnavailable, Reason: "the VM that issued the id was lost before it started anything", RetryAfter: askAgainAfter}, false
+	}
+	return w.askUnsettled(now, s, e, q)
+}
+
+func (w *Witness) askUnsettled(now clock.Millis, s *witnessedIssuer, e *witnessEntry, q Question) (a Answer, needsRow bool) {
+	switch s.row {
+	case PairFencedByWitness:
+		w.settle(e, e.lost(true))
+		return e.final, false
+	case PairReleasedByIssuer:
+		// The issuer went on alone, so its record of starts is the only one. Once it
+		// is gone too, nobody can tell which tasks ran.
+		if q.IssuerGone && now-s.heardAt >= Gone {
+			w.settle(e, e.lost(false))
+			return e.final, false
+		}
+		return cannotTell("the issuer of the id answers for it and cannot be reached"), false
+	default:
+		return cannotTell("the platform has not yet confirmed that the issuer is lost"), true
+	}
+}
+
+// Decide notes the content of the pair row of an issuer.
+func (w *Witness) Decide(issuer vm.Incarnation, row PairRow) {
+	if s, ok := w.issuers[issuer]; ok && row != PairRowUnknown {
+		s.row = row
+	}
+}
+
+// Evict drops records that are older than the memory span, a bounded number at a time.
+func (w *Witness) Evict(now clock.Millis) {
+	for range evictionBatch {
+		id, ok := w.order.pop(now - Memory)
+		if !ok {
+			return
+		}
+		s := w.issuers[id.Issuer]
+		s.floor = max(s.floor, id.IssuedAt)
+		w.bytes -= s.entries[id].bytes()
+		w.count--
+		delete(s.entries, id)
+	}
 }
 
-// Record keeps one record of an issuer.
-func (w *Witness) Record(r Record) RecordStatus {
+func (w *Witness) issuer(now clock.Millis, i vm.Incarnation) (*witnessedIssuer, bool) {
+	s, ok := w.issuers[i]
+	if !ok && len(w.issuers) >= maxIssuers {
+		return nil, false
+	}
+	if !ok {
+		s = &witnessedIssuer{entries: make(map[SubmissionID]*witnessEntry), heardAt: now, floor: -1}
+		w.issuers[i] = s
+	}
+	return s, true
+}
+
+func (w *Witness) keep(now clock.Millis, issuer vm.Incarnation, s *witnessedIssuer, r Record) RecordStatus {
 	switch r := r.(type) {
 	case StartRecord:
-		e := w.entry(r.ID, r.TaskCount)
+		e, status := w.entry(now, issuer, s, r.ID, r.Owner)
+		if status != RecordAccepted {
+			return status
+		}
+		before := e.bytes()
+		e.taskCount = max(e.taskCount, r.TaskCount)
 		for _, t := range r.Tasks {
-			e.started[t] = true
+			e.start(t)
 		}
+		w.bytes += e.bytes() - before
 	case SettleRecord:
-		w.entry(r.ID, 0).final = r.Answer
+		e, status := w.entry(now, issuer, s, r.ID, r.Owner)
+		if status != RecordAccepted {
+			return status
+		}
+		w.settle(e, r.Answer)
 	}
 	return RecordAccepted
 }
 
-// Settled returns the final answer of an id, if the issuer settled it.
-func (w *Witness) Settled(id SubmissionID) (Answer, bool) {
-	issuer, ok := w.issuers[id.Issuer]
-	if !ok {
-		return nil, false
-	}
-	e, ok := issuer.entries[id]
-	if !ok || e.final == nil {
-		return nil, false
+// settle keeps the first final answer; later ones are copies of it.
+func (w *Witness) settle(e *witnessEntry, final Answer) {
+	if e.final != nil {
+		return
 	}
-	return e.final, true
+	before := e.bytes()
+	e.final, e.started = final, nil
+	w.bytes += e.bytes() - before
 }
 
-func (w *Witness) entry(id SubmissionID, taskCount int) *witnessEntry {
-	issuer, ok := w.issuers[id.Issuer]
-	if !ok {
-		issuer = &witnessedIssuer{entries: make(map[SubmissionID]*witnessEntry)}
-		w.issuers[id.Issuer] = issuer
+// entry finds the entry of an id, or makes one where there is room.
+func (w *Witness) entry(now clock.Millis, issuer vm.Incarnation, s *witnessedIssuer, id SubmissionID, o owner.ID) (*witnessEntry, RecordStatus) {
+	if id.Issuer != issuer || id.Witness != w.config.Self {
+		return nil, RecordFenced
 	}
-	e, ok := issuer.entries[id]
-	if !ok {
-		e = &witnessEntry{started: make([]bool, taskCount)}
-		issuer.entries[id] = e
+	if e, ok := s.entries[id]; ok {
+		return e, RecordAccepted
+	}
+	if id.IssuedAt <= s.floor {
+		return nil, RecordExpired
 	}
-	return e
+	if w.count >= w.config.Limits.IDs || w.bytes >= w.config.Limits.Bytes {
+		return nil, RecordFull
+	}
+	e := &witnessEntry{owner: o}
+	s.entries[id] = e
+	w.order.push(id, now)
+	w.count++
+	w.bytes += e.bytes()
+	return e, RecordAccepted
+}
+
+func cannotTell(reason string) Answer {
+	return CannotTellYet{Reason: reason, RetryAfter: askAgainAfter}
 }
--- /dev/null
+++ b/pkg/contract/witnessed_issuer.go
@@ -0,0 +1,61 @@
+package contract
+
+import (
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+)
+
+// witnessedIssuer is what a witness knows of one issuer.
+type witnessedIssuer struct {
+	entries   map[SubmissionID]*witnessEntry
+	heardAt   clock.Millis
+	lastBatch BatchNumber
+	// fenced means that records are no longer accepted, since questions have been or
+	// may be answered on their absence.
+	fenced bool
+	// handedOver means that the issuer said that it starts nothing more.
+	handedOver bool
+	// floor is the latest time of issue among the dropped records.
+	floor clock.Millis
+	row   PairRow
+}
+
+// witnessEntry is what a witness knows of one id.
+type witnessEntry struct {
+	owner     owner.ID
+	taskCount int
+	started   []uint64
+	final     Answer
+}
+
+const wordBits = 64
+
+func (e *witnessEntry) start(t TaskIndex) {
+	for int(t)/wordBits >= len(e.started) {
+		e.started = append(e.started, 0)
+	}
+	e.taskCount = max(e.taskCount, int(t)+1)
+	e.started[int(t)/wordBits] |= 1 << (int(t) % wordBits)
+}
+
+func (e *witnessEntry) hasStarted(t int) bool {
+	return t/wordBits < len(e.started) && e.started[t/wordBits]&(1<<(t%wordBits)) != 0
+}
+
+// lost is the answer for an issuer that no longer may answer: recorded tasks may have
+// run, the others cannot run any more.
+func (e *witnessEntry) lost(recordedOnly bool) Answer {
+	states := make([]TaskState, e.taskCount)
+	for i := range states {
+		if !recordedOnly || e.hasStarted(i) {
+			states[i] = MayHaveRun
+		}
+	}
+	return Failed{Reason: "the VM that ran the submission was lost", Tasks: states}
+}
+
+// bytes estimates the memory of the entry, with its places in the map and the queue.
+func (e *witnessEntry) bytes() int {
+	const overhead = 420
+	return overhead + len(e.owner) + 8*len(e.started) + answerBytes(e.final)
+}
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -3,6 +3,10 @@
 package entry
 
 import (
+	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
@@ -19,6 +23,8 @@
 	Dispatch   dispatch.Config
 	// AttemptTimeout bounds one send to an endpoint.
 	AttemptTimeout clock.Millis
+	// Limits bound the ledger and the witness's records, each on its own.
+	Limits contract.Limits
 }
 
 // Control holds all control state of an entry VM. Handle is its only entry point and
@@ -33,23 +39,47 @@
 	owners    map[owner.ID]owner.Owner
 	endpoints map[datacentre.EndpointID]datacentre.Endpoint
 	outboxes  map[vm.Incarnation]*outbox
-	waiters   map[contract.JobRef][]WaiterID
-	actions   []Action
+	// witnesses are the keys of outboxes in order.
+	witnesses []vm.Incarnation
+	// witnessForIDs is the witness of the ids reserved now.
+	witnessForIDs vm.Incarnation
+	// fences are the issuers whose pair row this VM, as the witness, is writing.
+	fences      map[vm.Incarnation]*backoff
+	retryFences []vm.Incarnation
+	// lastSeen tells when VMs that are out of the roster left it or made contact.
+	lastSeen     map[vm.Incarnation]clock.Millis
+	forgetAt     clock.Millis
+	startedAt    clock.Millis
+	started      bool
+	retries      retryBudget
+	draining     bool
+	drainWaiters []WaiterID
+	waiters      *waiting
+	rng          *rand.Rand
+	actions      []Action
 }
 
 // NewControl returns a control state machine without bundle, roster or endpoints.
 func NewControl(c ControlConfig) *Control {
+	if c.Limits == (contract.Limits{}) {
+		c.Limits = contract.DefaultLimits()
+	}
 	return &Control{
-		config:    c,
-		mint:      contract.NewMint(contract.MintConfig{DataCentre: c.DataCentre, Issuer: c.Self, Key: c.Key}),
-		ledger:    contract.NewLedger(),
-		witness:   contract.NewWitness(),
-		scheduler: dispatch.New(c.Dispatch),
-		roster:    vm.NewRoster(vm.RosterConfig{Self: c.Self}),
-		owners:    make(map[owner.ID]owner.Owner),
-		endpoints: make(map[datacentre.EndpointID]datacentre.Endpoint),
-		outboxes:  make(map[vm.Incarnation]*outbox),
-		waiters:   make(map[contract.JobRef][]WaiterID),
+		config:        c,
+		mint:          contract.NewMint(contract.MintConfig{DataCentre: c.DataCentre, Issuer: c.Self, Key: c.Key}),
+		ledger:        contract.NewLedger(c.Limits),
+		witness:       contract.NewWitness(contract.WitnessConfig{Self: c.Self, Limits: c.Limits}),
+		scheduler:     dispatch.New(c.Dispatch),
+		roster:        vm.NewRoster(vm.RosterConfig{Self: c.Self}),
+		owners:        make(map[owner.ID]owner.Owner),
+		endpoints:     make(map[datacentre.EndpointID]datacentre.Endpoint),
+		outboxes:      make(map[vm.Incarnation]*outbox),
+		witnessForIDs: vm.None,
+		fences:        make(map[vm.Incarnation]*backoff),
+		lastSeen:      make(map[vm.Incarnation]clock.Millis),
+		waiters:       newWaiting(),
+		// The generator only spreads retries; its seed differs between VMs.
+		rng: rand.New(rand.NewPCG(xxhash.Sum64String(string(c.Self)), 0)),
 	}
 }
 
@@ -57,39 +87,64 @@
 // next call.
 func (c *Control) Handle(now clock.Millis, event Event) []Action {
 	c.actions = c.actions[:0]
+	if !c.started {
+		c.started, c.startedAt = true, now
+	}
 	switch e := event.(type) {
 	case ReserveIDs:
 		c.reserveIDs(now, e)
 	case Submitted:
 		c.submitted(now, e)
 	case Asked:
-		c.asked(e)
+		c.asked(now, e)
 	case Cancelled:
 		c.cancelled(now, e)
 	case WaiterGone:
-		c.forgetWaiter(e.Waiter)
+		c.waiterGone(e.Waiter)
 	case AttemptEnded:
 		c.attemptEnded(now, e)
 	case RecordsAnswered:
 		c.recordsAnswered(now, e)
 	case RecordsReceived:
-		c.recordsReceived(e)
+		c.recordsReceived(now, e)
 	case WitnessAsked:
-		c.witnessAsked(e)
+		c.witnessAsked(now, e)
 	case RosterChanged:
-		c.roster = e.Roster
-		c.assignHomes(now)
+		c.rosterChanged(now, e)
 	case EndpointsListed:
 		c.endpointsListed(now, e)
 	case OwnersChanged:
 		c.ownersChanged(now, e)
+	case PeerHeard:
+		c.peerHeard(now, e)
+	case PairRowDecided:
+		c.pairRowDecided(now, e)
+	case OrphanAsked:
+		c.orphanAsked(now, e)
+	case ShutdownBegun:
+		c.shutdownBegun(e)
+	case HandOverAnswered:
+		c.handOverAnswered(now, e)
+	case HandOverReceived:
+		c.witness.HandOver(now, e.Issuer, e.Records, e.Last)
+		c.do(ReplyTo{Waiter: e.Waiter, Reply: RecordsReply{}})
 	case Tick:
+		c.tick(now)
 	}
 	c.startTasks(now)
-	c.flushOutboxes()
+	c.flushOutboxes(now)
+	c.reportDrained()
 	return c.actions
 }
 
+// tick does what is due by time alone, at a bounded cost.
+func (c *Control) tick(now clock.Millis) {
+	c.ledger.Evict(now)
+	c.witness.Evict(now)
+	c.retryRows(now)
+	c.forgetGone(now)
+}
+
 func (c *Control) do(a Action) {
 	c.actions = append(c.actions, a)
 }
@@ -100,9 +155,8 @@
 
 func (c *Control) reserveIDs(now clock.Millis, e ReserveIDs) {
 	ids := make([]contract.SubmissionID, e.Count)
-	witness := c.roster.Witness()
 	for i := range ids {
-		ids[i] = c.mint.Reserve(now, e.Owner, witness)
+		ids[i] = c.mint.Reserve(now, e.Owner, c.witnessForIDs)
 	}
 	c.do(ReplyTo{Waiter: e.Waiter, Reply: IDs{IDs: ids}})
 }
--- a/pkg/entry/control_records.go
+++ b/pkg/entry/control_records.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"slices"
+
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
@@ -9,29 +11,65 @@
 func (c *Control) outbox(witness vm.Incarnation) *outbox {
 	o, ok := c.outboxes[witness]
 	if !ok {
-		o = &outbox{}
+		o = newOutbox(witness)
 		c.outboxes[witness] = o
+		i, _ := slices.BinarySearch(c.witnesses, witness)
+		c.witnesses = slices.Insert(c.witnesses, i, witness)
 	}
 	return o
 }
 
-func (c *Control) flushOutboxes() {
-	for incarnation, o := range c.outboxes {
+// flushOutboxes sends what is due, in the order of the witnesses' names, so that the
+// same events always give the same actions.
+func (c *Control) flushOutboxes(now clock.Millis) {
+	for _, incarnation := range c.witnesses {
+		o := c.outboxes[incarnation]
 		witness, ok := c.roster.Find(incarnation)
 		if !ok {
+			c.missWitness(now, o)
 			continue
 		}
-		if records := o.nextBatch(); records != nil {
-			o.batch++
+		records, dropped := o.nextBatch(now)
+		for _, out := range dropped {
+			c.dropStart(now, out)
+		}
+		if len(records) > 0 {
 			c.do(SendRecords{Witness: witness, Batch: o.batch, Records: records})
 		}
+		c.flushHandOver(now, o, witness)
+	}
+}
+
+// missWitness counts a witness out of the roster as one that does not answer.
+func (c *Control) missWitness(now clock.Millis, o *outbox) {
+	if len(o.waiting) > 0 && o.state == pairOpen && o.calls.due(now) {
+		c.callFailed(now, o)
+	}
+}
+
+func (c *Control) callFailed(now clock.Millis, o *outbox) {
+	if o.calls.failures == 0 {
+		o.failingSince = now
+	}
+	o.calls.failed(now, c.rng)
+	if now-o.failingSince >= contract.Unreachable {
+		c.beginRelease(now, o)
 	}
 }
 
 func (c *Control) recordsAnswered(now clock.Millis, e RecordsAnswered) {
-	o := c.outbox(e.Witness)
-	if e.Statuses == nil {
+	o, ok := c.outboxes[e.Witness]
+	if !ok || e.Batch != o.batch || len(o.underWay) == 0 {
+		return
+	}
+	if len(e.Statuses) != len(o.underWay) || slices.Contains(e.Statuses, contract.RecordStale) {
 		o.retry()
+		c.callFailed(now, o)
+		return
+	}
+	o.calls.succeeded()
+	if slices.Contains(e.Statuses, contract.RecordFenced) {
+		c.beginRelease(now, o)
 		return
 	}
 	for i, out := range o.answered() {
@@ -42,32 +80,48 @@
 func (c *Control) recordAnswered(now clock.Millis, out outgoing, status contract.RecordStatus) {
 	switch r := out.record.(type) {
 	case contract.StartRecord:
-		if status != contract.RecordAccepted {
-			c.scheduler.Finish(now, out.start, contract.Ambiguous{})
-			out.entry.End(out.start.Task.Index, contract.NotStarted{})
-			c.settleIfEnded(out.entry)
-			return
-		}
-		c.send(out.entry, out.start)
+		c.startAnswered(now, out, status)
 	case contract.SettleRecord:
-		if status == contract.RecordAccepted {
-			c.conclude(out.entry, r.Answer)
-		}
+		// A witness that has no place for the id, or calls it expired, never gives
+		// another answer for it.
+		out.entry.Settled = status == contract.RecordAccepted
+		c.conclude(out.entry, r.Answer)
 	}
 }
 
-func (c *Control) recordsReceived(e RecordsReceived) {
-	statuses := make([]contract.RecordStatus, len(e.Records))
-	for i, r := range e.Records {
-		statuses[i] = c.witness.Record(r)
+func (c *Control) startAnswered(now clock.Millis, out outgoing, status contract.RecordStatus) {
+	e := out.entry
+	if status == contract.RecordAccepted && e.Final == nil {
+		e.Acknowledge(out.task)
+	}
+	switch {
+	case e.Final != nil || e.Cancelled:
+		c.dropStart(now, out)
+	case status == contract.RecordAccepted:
+		c.send(e, out.start, out.task)
+	case e.Acknowledged:
+		c.requeue(now, out.start)
+		c.stop(now, e, contract.Refused{})
+		c.settleIfEnded(e)
+	default:
+		c.refuseUnrecorded(now, out, status)
 	}
-	c.do(ReplyTo{Waiter: e.Waiter, Reply: RecordsReply{Statuses: statuses}})
 }
 
-func (c *Control) witnessAsked(e WitnessAsked) {
-	if final, ok := c.witness.Settled(e.ID); ok {
-		c.answer(e.Waiter, final)
-		return
+// refuseUnrecorded ends a submission of which the witness holds nothing and will hold
+// nothing: older copies of its records are recognised as stale.
+func (c *Control) refuseUnrecorded(now clock.Millis, out outgoing, status contract.RecordStatus) {
+	refusal := contract.Refused{Cause: contract.RefusedOverload, Reason: "the witness has no room for another id", RetryAfter: unavailableRetry}
+	if status == contract.RecordExpired {
+		refusal = contract.Refused{Cause: contract.RefusedUnavailable, Reason: "the witness no longer accepts an id of this age"}
 	}
-	c.answer(e.Waiter, contract.CannotTellYet{Reason: "the issuer cannot be reached", RetryAfter: unavailableRetry})
+	e := out.entry
+	e.RecordSent = false
+	c.abort(now, e, refusal)
+	c.dropStart(now, out)
+}
+
+func (c *Control) recordsReceived(now clock.Millis, e RecordsReceived) {
+	statuses := c.witness.Record(now, e.Issuer, e.Batch, e.Records)
+	c.do(ReplyTo{Waiter: e.Waiter, Reply: RecordsReply{Statuses: statuses}})
 }
--- /dev/null
+++ b/pkg/entry/control_shutdown.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// handOver is the state of the answers that go to a witness outside the usual records.
+type handOver struct {
+	underWay []*contract.LedgerEntry
+	calling  bool
+	last     bool
+	done     bool
+	calls    backoff
+}
+
+// shutdownBegun stops new submissions. Running ones go on to their ends.
+func (c *Control) shutdownBegun(e ShutdownBegun) {
+	c.draining = true
+	c.drainWaiters = append(c.drainWaiters, e.Waiter)
+}
+
+// flushHandOver sends the answers a witness has not heard, which are those given after
+// a release. At shutdown the last part tells the witness to answer from now on; it has
+// all other answers, and what it holds no record of was not run.
+func (c *Control) flushHandOver(now clock.Millis, o *outbox, witness vm.VM) {
+	last := c.draining && c.ledger.Idle()
+	h := &o.handOver
+	if h.calling || h.done || !h.calls.due(now) || o.state == pairFenced || o.state == pairReleasing {
+		return
+	}
+	if !last && (o.state != pairReleased || len(o.owed) == 0) {
+		return
+	}
+	records, size := []contract.Record{}, 0
+	for len(o.owed) > 0 && len(records) < maxBatch && size <= maxBatchBytes {
+		e := o.owed[0]
+		o.owed = o.owed[1:]
+		if _, ok := c.ledger.Find(e.Submission.ID); !ok {
+			continue
+		}
+		r := settleRecord(e, e.Final)
+		records, size = append(records, r), size+recordBytes(r)
+		h.underWay = append(h.underWay, e)
+	}
+	h.calling, h.last = true, last && len(o.owed) == 0
+	c.do(SendHandOver{Witness: witness, Records: records, Last: h.last})
+}
+
+func (c *Control) handOverAnswered(now clock.Millis, e HandOverAnswered) {
+	o, ok := c.outboxes[e.Witness]
+	if !ok || !o.handOver.calling {
+		return
+	}
+	h := &o.handOver
+	h.calling = false
+	if !e.Accepted {
+		o.owed = append(h.underWay, o.owed...)
+		h.underWay = nil
+		h.calls.failed(now, c.rng)
+		return
+	}
+	h.underWay = nil
+	h.calls.succeeded()
+	h.done = h.last
+}
+
+// reportDrained tells the waiting shutdown once nothing is left to do. A witness that
+// is out of the roster, or that answers for this VM already, is not waited for.
+func (c *Control) reportDrained() {
+	if !c.draining || !c.ledger.Idle() {
+		return
+	}
+	for _, w := range c.witnesses {
+		o := c.outboxes[w]
+		_, listed := c.roster.Find(w)
+		if listed && o.state != pairFenced && !o.handOver.done {
+			return
+		}
+	}
+	for _, w := range c.drainWaiters {
+		c.do(ReplyTo{Waiter: w, Reply: ShutdownReply{}})
+	}
+	c.drainWaiters = nil
+}
--- a/pkg/entry/control_submissions.go
+++ b/pkg/entry/control_submissions.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"slices"
-
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
@@ -21,20 +19,39 @@
 		c.join(e, entry)
 		return
 	}
-	if refusal, ok := c.admit(now, s); !ok {
-		c.answer(e.Waiter, refusal)
+	if now-s.ID.IssuedAt > contract.StartWindow {
+		c.answer(e.Waiter, contract.Expired{})
+		return
+	}
+	if refusal, ok := c.admit(s); !ok {
+		c.refuse(now, e.Waiter, s, refusal)
 		return
 	}
 	entry := c.ledger.Open(now, s)
-	verdict := c.scheduler.Admit(now, c.job(now, entry))
+	if s.ID.Witness != vm.None {
+		c.outbox(s.ID.Witness).entries[entry] = struct{}{}
+	}
+	verdict := c.scheduler.Admit(now, c.job(now, entry, entry.Refs()[0], len(s.Tasks)))
 	if r, ok := verdict.(dispatch.Rejected); ok {
-		entry.Final = contract.Refused{Cause: contract.RefusedOverload, Reason: r.Reason, RetryAfter: r.RetryAfter}
+		c.conclude(entry, contract.Refused{Cause: contract.RefusedOverload, Reason: r.Reason, RetryAfter: r.RetryAfter})
 	}
 	c.reportOrWait(e.Waiter, entry, e.Wait)
 }
 
+// refuse keeps the refusal, so that another copy of the submission is not run later.
+func (c *Control) refuse(now clock.Millis, w WaiterID, s contract.Submission, r contract.Refused) {
+	if !c.ledger.Refuse(now, s, r) {
+		c.answer(w, contract.CannotTellYet{Reason: r.Reason, RetryAfter: unavailableRetry})
+		return
+	}
+	c.answer(w, r)
+}
+
 // admit checks what can be checked before anything is recorded.
-func (c *Control) admit(_ clock.Millis, s contract.Submission) (contract.Refused, bool) {
+func (c *Control) admit(s contract.Submission) (contract.Refused, bool) {
+	if c.draining {
+		return contract.Refused{Cause: contract.RefusedUnavailable, Reason: "this VM is shutting down", RetryAfter: unavailableRetry}, false
+	}
 	o, ok := c.owners[s.Owner]
 	if !ok {
 		return contract.Refused{Cause: contract.RefusedUnavailable, Reason: "no bundle with this owner is in force", RetryAfter: unavailableRetry}, false
@@ -42,10 +59,16 @@
 	if _, ok := o.Class(s.Class); !ok {
 		return contract.Refused{Cause: contract.RefusedInvalid, Reason: "the owner has no urgency class " + string(s.Class)}, false
 	}
+	if pair, ok := c.outboxes[s.ID.Witness]; ok && pair.state != pairOpen {
+		return witnessLost(), false
+	}
+	if !c.ledger.Room(s) {
+		return contract.Refused{Cause: contract.RefusedOverload, Reason: "this VM remembers too many submissions", RetryAfter: unavailableRetry}, false
+	}
 	return contract.Refused{}, true
 }
 
-func (c *Control) job(now clock.Millis, entry *contract.LedgerEntry) dispatch.Job {
+func (c *Control) job(now clock.Millis, entry *contract.LedgerEntry, ref contract.JobRef, tasks int) dispatch.Job {
 	s := entry.Submission
 	class, _ := c.owners[s.Owner].Class(s.Class)
 	span := s.Deadline
@@ -53,12 +76,12 @@
 		span = class.Deadline
 	}
 	return dispatch.Job{
-		Ref:      entry.Ref,
+		Ref:      ref,
 		Owner:    s.Owner,
 		Rank:     class.Rank,
 		Kind:     s.Kind,
-		Deadline: now + span,
-		Tasks:    len(s.Tasks),
+		Deadline: max(now, entry.AcceptedAt+span),
+		Tasks:    tasks,
 	}
 }
 
@@ -70,49 +93,116 @@
 	c.reportOrWait(e.Waiter, entry, e.Wait)
 }
 
-func (c *Control) asked(e Asked) {
-	if !c.mint.Reserved(e.ID, e.Owner) {
-		c.answer(e.Waiter, contract.NotFound{})
-		return
+func (c *Control) asked(now clock.Millis, e Asked) {
+	entry, ok := c.find(now, e.Waiter, e.ID, e)
+	if ok {
+		c.reportOrWait(e.Waiter, entry, e.Wait)
+	}
+}
+
+// find answers the waiter itself if the id has no entry.
+func (c *Control) find(now clock.Millis, w WaiterID, id contract.SubmissionID, e Asked) (*contract.LedgerEntry, bool) {
+	if !c.mint.Reserved(id, e.Owner) {
+		c.answer(w, contract.NotFound{})
+		return nil, false
 	}
-	entry, ok := c.ledger.Find(e.ID)
+	entry, ok := c.ledger.Find(id)
+	switch {
+	case ok:
+		return entry, true
+	case now-id.IssuedAt > contract.StartWindow:
+		c.answer(w, contract.Expired{})
+	default:
+		c.answer(w, contract.NotFound{})
+	}
+	return nil, false
+}
+
+// cancelled drops what has not started. A start whose record is under way is dropped
+// when the witness has answered.
+func (c *Control) cancelled(now clock.Millis, e Cancelled) {
+	entry, ok := c.find(now, e.Waiter, e.ID, Asked{Owner: e.Owner})
 	if !ok {
-		c.answer(e.Waiter, contract.NotFound{})
 		return
 	}
-	c.reportOrWait(e.Waiter, entry, e.Wait)
+	if entry.Final == nil && !entry.Lost && !entry.HasOutcome() {
+		c.stop(now, entry, contract.Refused{Cause: contract.RefusedCancelled, Reason: "the caller cancelled"})
+		c.settleIfEnded(entry)
+	}
+	c.reportOrWait(e.Waiter, entry, false)
 }
 
-func (c *Control) cancelled(now clock.Millis, e Cancelled) {
-	entry, ok := c.ledger.Find(e.ID)
-	if !ok || !c.mint.Reserved(e.ID, e.Owner) {
-		c.answer(e.Waiter, contract.NotFound{})
+// stop ends every task that waits in the queue or was withdrawn from it.
+func (c *Control) stop(now clock.Millis, entry *contract.LedgerEntry, r contract.Refused) {
+	entry.Cancelled = true
+	entry.RefuseWith(r)
+	c.withdraw(now, entry)
+	for _, t := range entry.Withdrawn {
+		entry.End(t, contract.NotStarted{})
+	}
+	entry.Withdrawn = nil
+}
+
+// abort ends a submission of which nothing was started.
+func (c *Control) abort(now clock.Millis, entry *contract.LedgerEntry, r contract.Refused) {
+	c.stop(now, entry, r)
+	c.conclude(entry, r)
+}
+
+// withdraw takes the tasks of a submission out of the queue.
+func (c *Control) withdraw(now clock.Millis, entry *contract.LedgerEntry) {
+	for _, ref := range entry.Refs() {
+		for _, t := range c.scheduler.Cancel(now, ref) {
+			entry.Withdrawn = append(entry.Withdrawn, entry.Task(contract.TaskRef{Job: ref, Index: t}))
+		}
+	}
+}
+
+// requeue frees the slot of a start that was not sent.
+func (c *Control) requeue(now clock.Millis, start dispatch.Start) {
+	c.scheduler.Finish(now, start, contract.NotStarted{})
+}
+
+// dropStart ends a task of a submission that was stopped before the start was sent.
+func (c *Control) dropStart(now clock.Millis, out outgoing) {
+	c.requeue(now, out.start)
+	c.scheduler.Cancel(now, out.start.Task.Job)
+	out.entry.End(out.task, contract.NotStarted{})
+	c.settleIfEnded(out.entry)
+}
+
+// readmit queues the listed tasks again. Where there is no room they are not run.
+func (c *Control) readmit(now clock.Millis, entry *contract.LedgerEntry, tasks []contract.TaskIndex) {
+	entry.Withdrawn = nil
+	if len(tasks) == 0 {
+		return
+	}
+	ref := c.ledger.Readmit(entry, tasks)
+	if _, ok := c.scheduler.Admit(now, c.job(now, entry, ref, len(tasks))).(dispatch.Admitted); ok {
 		return
 	}
-	for _, t := range c.scheduler.Cancel(now, entry.Ref) {
+	for _, t := range tasks {
 		entry.End(t, contract.NotStarted{})
 	}
-	c.settleIfEnded(entry)
-	c.reportOrWait(e.Waiter, entry, false)
 }
 
 func (c *Control) reportOrWait(w WaiterID, entry *contract.LedgerEntry, wait bool) {
 	switch {
 	case entry.Final != nil:
 		c.answer(w, entry.Final)
+	case entry.Lost:
+		c.answer(w, answeredByWitness())
 	case wait:
-		c.waiters[entry.Ref] = append(c.waiters[entry.Ref], w)
+		c.waiters.add(w, entry)
 	default:
 		c.answer(w, contract.Running{})
 	}
 }
 
-func (c *Control) forgetWaiter(w WaiterID) {
-	for ref, waiters := range c.waiters {
-		if i := slices.Index(waiters, w); i >= 0 {
-			c.waiters[ref] = slices.Delete(waiters, i, i+1)
-			return
-		}
+// waiterGone answers a waiter that no longer waits for the end.
+func (c *Control) waiterGone(w WaiterID) {
+	if c.waiters.remove(w) {
+		c.answer(w, contract.Running{})
 	}
 }
 
@@ -124,26 +214,42 @@
 		if !ok {
 			return
 		}
-		entry, _ := c.ledger.ByRef(start.Task.Job)
-		if entry.Submission.ID.Witness == vm.None {
-			c.send(entry, start)
-			continue
-		}
-		c.outbox(entry.Submission.ID.Witness).add(outgoing{
+		c.start(now, start)
+	}
+}
+
+func (c *Control) start(now clock.Millis, start dispatch.Start) {
+	entry, ok := c.ledger.ByRef(start.Task.Job)
+	if !ok {
+		c.requeue(now, start)
+		c.scheduler.Cancel(now, start.Task.Job)
+		return
+	}
+	id, task := entry.Submission.ID, entry.Task(start.Task)
+	switch {
+	case now-id.IssuedAt > contract.StartWindow:
+		c.requeue(now, start)
+		c.stop(now, entry, contract.Refused{Cause: contract.RefusedOverload, Reason: "no task could start in time"})
+		c.settleIfEnded(entry)
+	case id.Witness == vm.None || entry.Recorded(task) || c.outbox(id.Witness).state == pairReleased:
+		c.send(entry, start, task)
+	default:
+		c.outbox(id.Witness).add(outgoing{
 			record: contract.StartRecord{
-				ID:        entry.Submission.ID,
+				ID:        id,
 				Owner:     entry.Submission.Owner,
 				TaskCount: len(entry.Submission.Tasks),
-				Tasks:     []contract.TaskIndex{start.Task.Index},
+				Tasks:     []contract.TaskIndex{task},
 			},
 			entry: entry,
 			start: start,
+			task:  task,
 		})
 	}
 }
 
-func (c *Control) send(entry *contract.LedgerEntry, start dispatch.Start) {
-	task := start.Task.Index
+func (c *Control) send(entry *contract.LedgerEntry, start dispatch.Start, task contract.TaskIndex) {
+	c.retries.started()
 	c.do(RunAttempt{
 		Attempt:  entry.NextAttempt(task),
 		Start:    start,
@@ -156,33 +262,89 @@
 func (c *Control) attemptEnded(now clock.Millis, e AttemptEnded) {
 	requeued := c.scheduler.Finish(now, e.Start, e.Result)
 	entry, ok := c.ledger.ByRef(e.Start.Task.Job)
-	if !ok || requeued {
+	if !ok {
+		c.scheduler.Cancel(now, e.Start.Task.Job)
 		return
 	}
-	entry.End(e.Start.Task.Index, e.Result)
+	switch {
+	case requeued && entry.Cancelled:
+		c.stopAgain(now, entry)
+	case requeued && c.releasing(entry):
+		c.withdraw(now, entry)
+	case requeued:
+	case c.mayRetry(entry, e):
+		entry.NoteAmbiguous(e.Attempt.Task)
+		c.readmit(now, entry, []contract.TaskIndex{e.Attempt.Task})
+		c.settleIfEnded(entry)
+	default:
+		entry.End(e.Attempt.Task, e.Result)
+		c.ledger.Resize(entry)
+		c.settleIfEnded(entry)
+	}
+}
+
+// stopAgain drops a task that came back to the queue after its submission was stopped.
+func (c *Control) stopAgain(now clock.Millis, entry *contract.LedgerEntry) {
+	c.withdraw(now, entry)
+	for _, t := range entry.Withdrawn {
+		entry.End(t, contract.NotStarted{})
+	}
+	entry.Withdrawn = nil
 	c.settleIfEnded(entry)
 }
 
+func (c *Control) releasing(entry *contract.LedgerEntry) bool {
+	o, ok := c.outboxes[entry.Submission.ID.Witness]
+	return ok && o.state == pairReleasing
+}
+
+// mayRetry reports whether an attempt with an unknown end may be made again: only for a
+// single request that its caller marked as repeatable, and within the budget.
+func (c *Control) mayRetry(entry *contract.LedgerEntry, e AttemptEnded) bool {
+	if _, ambiguous := e.Result.(contract.Ambiguous); !ambiguous {
+		return false
+	}
+	s := entry.Submission
+	return s.Repeatable && len(s.Tasks) == 1 && !entry.Cancelled && !c.draining && !c.releasing(entry) &&
+		c.retries.take(entry)
+}
+
 // settleIfEnded gives the whole answer to the witness before any caller hears it.
 func (c *Control) settleIfEnded(entry *contract.LedgerEntry) {
-	if !entry.Ended() || entry.Final != nil {
+	if entry.Final != nil || entry.Lost || entry.HasOutcome() || !entry.Ended() {
 		return
 	}
 	final := entry.Outcome()
-	if entry.Submission.ID.Witness == vm.None {
+	if entry.Submission.ID.Witness == vm.None || !entry.RecordSent {
 		c.conclude(entry, final)
 		return
 	}
-	c.outbox(entry.Submission.ID.Witness).add(outgoing{
-		record: contract.SettleRecord{ID: entry.Submission.ID, Owner: entry.Submission.Owner, Digest: entry.Digest, Answer: final},
-		entry:  entry,
-	})
+	switch o := c.outbox(entry.Submission.ID.Witness); o.state {
+	case pairOpen:
+		o.add(outgoing{record: settleRecord(entry, final), entry: entry})
+	case pairReleased:
+		c.conclude(entry, final)
+	case pairReleasing, pairFenced:
+	}
+}
+
+func settleRecord(e *contract.LedgerEntry, final contract.Answer) contract.Record {
+	return contract.SettleRecord{ID: e.Submission.ID, Owner: e.Submission.Owner, Digest: e.Digest, Answer: final}
 }
 
 func (c *Control) conclude(entry *contract.LedgerEntry, final contract.Answer) {
-	entry.Final = final
-	for _, w := range c.waiters[entry.Ref] {
-		c.answer(w, final)
+	c.ledger.Conclude(entry, final)
+	if o, ok := c.outboxes[entry.Submission.ID.Witness]; ok {
+		delete(o.entries, entry)
+		if o.state == pairReleased && entry.RecordSent {
+			o.owed = append(o.owed, entry)
+		}
+	}
+	c.answerWaiters(entry, entry.Final)
+}
+
+func (c *Control) answerWaiters(entry *contract.LedgerEntry, a contract.Answer) {
+	for _, w := range c.waiters.take(entry) {
+		c.answer(w, a)
 	}
-	delete(c.waiters, entry.Ref)
 }
--- a/pkg/entry/faults_test.go
+++ b/pkg/entry/faults_test.go
@@ -127,7 +127,7 @@
 			w.advance(5 * clock.Second)
 			submitAndRun(w, b, id, clock.Second)
 		}, refused, 0},
-		{"both the issuer and the witness are gone", func(w *world, a, b, c *node, id contract.SubmissionID) {
+		{"both the issuer and the witness are gone", func(w *world, a, b, _ *node, id contract.SubmissionID) {
 			submitAndRun(w, a, id, 50)
 			a.crashed, b.crashed = true, true
 			w.publishRoster()
--- a/pkg/entry/outbox.go
+++ b/pkg/entry/outbox.go
@@ -1,16 +1,52 @@
 package entry
 
 import (
+	"slices"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// pairState is how the issuer stands with one of its witnesses.
+type pairState int
+
+const (
+	// pairOpen means that starts and answers are recorded at the witness.
+	pairOpen pairState = iota
+	// pairReleasing means that the issuer waits for the platform to decide.
+	pairReleasing
+	// pairReleased means that the issuer goes on without the witness.
+	pairReleased
+	// pairFenced means that the witness answers for the issuer.
+	pairFenced
+)
+
+const (
+	// maxBatch and maxBatchBytes bound one call to a witness.
+	maxBatch      = 1000
+	maxBatchBytes = 1 << 20
 )
 
 // outbox gathers the records for one witness. One batch is under way at a time; what
 // arrives meanwhile forms the next batch.
 type outbox struct {
+	witness  vm.Incarnation
+	state    pairState
 	waiting  []outgoing
 	underWay []outgoing
 	batch    contract.BatchNumber
+	calls    backoff
+	// failingSince is the time of the first of the failures in a row.
+	failingSince clock.Millis
+	rowAsked     bool
+	row          backoff
+	// entries are the submissions without an ending.
+	entries map[*contract.LedgerEntry]struct{}
+	// owed are endings that the witness has not heard.
+	owed     []*contract.LedgerEntry
+	handOver handOver
 }
 
 // outgoing is a record and what it holds up: a start, or the end of the submission.
@@ -18,23 +54,50 @@
 	record contract.Record
 	entry  *contract.LedgerEntry
 	start  dispatch.Start
+	task   contract.TaskIndex
+	sent   bool
+}
+
+func newOutbox(witness vm.Incarnation) *outbox {
+	return &outbox{witness: witness, entries: make(map[*contract.LedgerEntry]struct{})}
 }
 
 func (o *outbox) add(out outgoing) {
 	o.waiting = append(o.waiting, out)
 }
 
-// nextBatch returns the next batch, or nothing while one is under way.
-func (o *outbox) nextBatch() []contract.Record {
-	if len(o.underWay) > 0 || len(o.waiting) == 0 {
-		return nil
+// nextBatch returns the next batch, or nothing while one is under way. Starts that
+// became void before they were sent are dropped and returned apart.
+func (o *outbox) nextBatch(now clock.Millis) (batch []contract.Record, dropped []outgoing) {
+	if len(o.underWay) > 0 || len(o.waiting) == 0 || o.state != pairOpen || !o.calls.due(now) {
+		return nil, nil
 	}
-	o.underWay, o.waiting = o.waiting, o.underWay[:0]
-	records := make([]contract.Record, len(o.underWay))
-	for i, out := range o.underWay {
-		records[i] = out.record
+	size, taken := 0, 0
+	for _, out := range o.waiting {
+		if len(batch) == maxBatch || size > maxBatchBytes {
+			break
+		}
+		taken++
+		if out.void() {
+			dropped = append(dropped, out)
+			continue
+		}
+		out.sent, out.entry.RecordSent = true, true
+		o.underWay = append(o.underWay, out)
+		batch = append(batch, out.record)
+		size += recordBytes(out.record)
 	}
-	return records
+	o.waiting = slices.Delete(o.waiting, 0, taken)
+	if len(batch) > 0 {
+		o.batch++
+	}
+	return batch, dropped
+}
+
+// void reports whether a start is no longer wanted and the witness cannot know of it.
+func (o outgoing) void() bool {
+	_, start := o.record.(contract.StartRecord)
+	return start && !o.sent && (o.entry.Cancelled || o.entry.Final != nil)
 }
 
 // answered takes the batch that was under way.
@@ -49,3 +112,39 @@
 	o.waiting = append(o.underWay, o.waiting...)
 	o.underWay = nil
 }
+
+// abandon takes everything that was to be recorded. A late answer to the batch under
+// way no longer counts.
+func (o *outbox) abandon() []outgoing {
+	all := append(o.underWay, o.waiting...)
+	o.underWay, o.waiting = nil, nil
+	o.batch++
+	return all
+}
+
+// open returns the submissions without an ending, in the order of their ids.
+func (o *outbox) open() []*contract.LedgerEntry {
+	entries := make([]*contract.LedgerEntry, 0, len(o.entries))
+	for e := range o.entries {
+		entries = append(entries, e)
+	}
+	slices.SortFunc(entries, func(a, b *contract.LedgerEntry) int {
+		return int(a.Submission.ID.Sequence) - int(b.Submission.ID.Sequence)
+	})
+	return entries
+}
+
+func recordBytes(r contract.Record) int {
+	const overhead = 200
+	settled, ok := r.(contract.SettleRecord)
+	if !ok {
+		return overhead
+	}
+	n := overhead
+	if c, ok := settled.Answer.(contract.Complete); ok {
+		for _, result := range c.Results {
+			n += len(result)
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/entry/waiting.go
@@ -0,0 +1,58 @@
+package entry
+
+import "github.com/sequoiacart/sequoiacart/pkg/contract"
+
+// waiting holds who waits for the end of which submission. Adding and removing cost
+// O(1), since callers leave in waves.
+type waiting struct {
+	byEntry  map[*contract.LedgerEntry][]WaiterID
+	position map[WaiterID]waiterPosition
+}
+
+type waiterPosition struct {
+	entry *contract.LedgerEntry
+	index int
+}
+
+func newWaiting() *waiting {
+	return &waiting{
+		byEntry:  make(map[*contract.LedgerEntry][]WaiterID),
+		position: make(map[WaiterID]waiterPosition),
+	}
+}
+
+func (w *waiting) add(id WaiterID, e *contract.LedgerEntry) {
+	w.position[id] = waiterPosition{entry: e, index: len(w.byEntry[e])}
+	w.byEntry[e] = append(w.byEntry[e], id)
+}
+
+// remove reports whether the waiter was still waiting.
+func (w *waiting) remove(id WaiterID) bool {
+	p, ok := w.position[id]
+	if !ok {
+		return false
+	}
+	delete(w.position, id)
+	ids := w.byEntry[p.entry]
+	last := len(ids) - 1
+	if p.index != last {
+		ids[p.index] = ids[last]
+		w.position[ids[last]] = p
+	}
+	if last == 0 {
+		delete(w.byEntry, p.entry)
+		return true
+	}
+	w.byEntry[p.entry] = ids[:last]
+	return true
+}
+
+// take removes and returns all who wait for a submission.
+func (w *waiting) take(e *contract.LedgerEntry) []WaiterID {
+	ids := w.byEntry[e]
+	delete(w.byEntry, e)
+	for _, id := range ids {
+		delete(w.position, id)
+	}
+	return ids
+}
