Answer exactly when a wait ends, and drain before the listeners close

Change: a call whose context ends waits for control's reply to WaiterGone; the router asks the witness when the issuer cannot tell and control when neither answers. Daemon.Run withdraws readiness (Router.Ready), drains, hands over, and closes listeners before control, within Timeouts.Shutdown. Conclusion: running is said only of accepted submissions.

--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"github.com/juju/errors"
@@ -146,18 +147,33 @@
 // Run serves until the context ends.
 func (d *Daemon) Run(ctx context.Context) error {
 	var g run.Group
-	addContext(ctx, &g, func(ctx context.Context) error { <-ctx.Done(); return nil })
-	addContext(context.Background(), &g, d.loop.Run)
-	addContext(context.Background(), &g, d.poller.Run)
+	// One limit holds for the drain and the requests in flight after it.
+	stopping := sync.OnceValues(func() (context.Context, context.CancelFunc) {
+		return context.WithTimeout(context.Background(), d.deps.Settings.Timeouts.Shutdown.Duration())
+	})
+	addContext(ctx, &g, func(run context.Context) error {
+		<-run.Done()
+		// Only a shutdown that was asked for drains; after a failed part there may be
+		// nobody to drain.
+		if ctx.Err() != nil {
+			limit, _ := stopping()
+			d.drain(limit)
+		}
+		return nil
+	})
+	// The group stops its parts in this order: control outlives the listeners, whose
+	// requests wait for its replies.
 	g.Add(d.callers.Serve, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), d.deps.Settings.Timeouts.Shutdown.Duration())
+		limit, cancel := stopping()
 		defer cancel()
-		_ = d.callers.Shutdown(ctx)
+		_ = d.callers.Shutdown(limit)
 	})
 	g.Add(d.peers.Serve, func(error) {
 		d.peers.Close()
 		d.client.Close()
 	})
+	addContext(context.Background(), &g, d.poller.Run)
+	addContext(context.Background(), &g, d.loop.Run)
 	d.deps.Log.Info(event.DaemonStarted, "daemon started", logrus.Fields{
 		"incarnation": d.self.Incarnation, "dataCentre": d.self.DataCentre,
 		"callerAddress": d.deps.Settings.CallerAddress, "peerAddress": d.self.PeerAddress,
@@ -170,6 +186,13 @@
 	return err
 }
 
+// drain ends the work in flight and hands it over, while the listeners still serve.
+func (d *Daemon) drain(limit context.Context) {
+	if err := d.router.Drain(limit); err != nil {
+		d.deps.Log.Warn(event.DrainFailed, "drain", logrus.Fields{"error": err})
+	}
+}
+
 // addContext adds an actor that ends when the group cancels its context.
 func addContext(parent context.Context, g *run.Group, actor func(context.Context) error) {
 	ctx, cancel := context.WithCancel(parent)
--- a/pkg/entry/action.go
+++ b/pkg/entry/action.go
@@ -67,8 +67,8 @@
 // RecordsReply carries the status of each record of a batch.
 type RecordsReply struct{ Statuses []contract.RecordStatus }
 
-// ShutdownReply says that the VM may stop.
-type ShutdownReply struct{}
+// ShutdownReply says whether all work ended and was handed over.
+type ShutdownReply struct{ Drained bool }
 
 func (ShutdownReply) isReply() {}
 func (IDs) isReply()           {}
--- a/pkg/entry/control_shutdown.go
+++ b/pkg/entry/control_shutdown.go
@@ -80,7 +80,7 @@
 		}
 	}
 	for _, w := range c.drainWaiters {
-		c.do(ReplyTo{Waiter: w, Reply: ShutdownReply{}})
+		c.do(ReplyTo{Waiter: w, Reply: ShutdownReply{Drained: true}})
 	}
 	c.drainWaiters = nil
 }
--- a/pkg/entry/control_submissions.go
+++ b/pkg/entry/control_submissions.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"slices"
+
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
@@ -206,6 +208,11 @@
 func (c *Control) waiterGone(w WaiterID) {
 	if c.waiters.remove(w) {
 		c.answer(w, contract.Running{})
+		return
+	}
+	if i := slices.Index(c.drainWaiters, w); i >= 0 {
+		c.drainWaiters = slices.Delete(c.drainWaiters, i, i+1)
+		c.do(ReplyTo{Waiter: w, Reply: ShutdownReply{}})
 	}
 }
 
--- a/pkg/entry/loop.go
+++ b/pkg/entry/loop.go
@@ -12,6 +12,9 @@
 // ErrMailboxFull says that the control goroutine has no room for new work.
 const ErrMailboxFull = errors.ConstError("mailbox is full")
 
+// ErrStopped says that the control goroutine has ended.
+const ErrStopped = errors.ConstError("control has stopped")
+
 // Executor carries out actions on traffic goroutines. Execute must not block.
 type Executor interface {
 	Execute(Action)
@@ -34,6 +37,7 @@
 	mailbox chan envelope
 	waiters map[WaiterID]chan<- Reply
 	lastID  atomic.Uint64
+	stopped chan struct{}
 }
 
 type envelope struct {
@@ -48,11 +52,13 @@
 		config:  c,
 		mailbox: make(chan envelope, c.Mailbox),
 		waiters: make(map[WaiterID]chan<- Reply),
+		stopped: make(chan struct{}),
 	}
 }
 
-// Run handles events until the context ends.
+// Run handles events until the context ends. It runs once.
 func (l *Loop) Run(ctx context.Context) error {
+	defer close(l.stopped)
 	tick := l.config.Clock.After(l.config.TickEvery)
 	for {
 		select {
@@ -67,30 +73,63 @@
 	}
 }
 
-// Post hands over an event that must not be lost; it waits for room.
+// Post hands over an event that must not be lost; it waits for room, as long as the
+// loop runs.
 func (l *Loop) Post(ctx context.Context, e Event) {
 	select {
 	case l.mailbox <- envelope{event: e}:
 	case <-ctx.Done():
+	case <-l.stopped:
 	}
 }
 
 // Call hands over an event and waits for its reply. It fails with ErrMailboxFull when
-// there is no room; the event is then not handled at all.
+// there is no room; the event is then not handled at all. When the context ends it
+// sends WaiterGone and waits for control to reply to that, so that the reply tells what
+// became of the event. With ErrStopped the event may or may not have been handled.
 func (l *Loop) Call(ctx context.Context, makeEvent func(WaiterID) Event) (Reply, error) {
-	id := WaiterID(l.lastID.Add(1))
-	reply := make(chan Reply, 1)
+	e, reply := l.envelope(makeEvent)
 	select {
-	case l.mailbox <- envelope{event: makeEvent(id), waiter: id, reply: reply}:
+	case l.mailbox <- e:
+		return l.await(ctx, e.waiter, reply)
 	default:
 		return nil, errors.Annotate(ErrMailboxFull, "hand event to control")
 	}
+}
+
+// CallWithRoom is Call for the few events that wait for room instead of failing.
+func (l *Loop) CallWithRoom(ctx context.Context, makeEvent func(WaiterID) Event) (Reply, error) {
+	e, reply := l.envelope(makeEvent)
+	select {
+	case l.mailbox <- e:
+		return l.await(ctx, e.waiter, reply)
+	case <-ctx.Done():
+		return nil, errors.Annotate(ErrMailboxFull, "hand event to control")
+	case <-l.stopped:
+		return nil, errors.Annotate(ErrStopped, "hand event to control")
+	}
+}
+
+func (l *Loop) envelope(makeEvent func(WaiterID) Event) (envelope, <-chan Reply) {
+	id := WaiterID(l.lastID.Add(1))
+	reply := make(chan Reply, 1)
+	return envelope{event: makeEvent(id), waiter: id, reply: reply}, reply
+}
+
+func (l *Loop) await(ctx context.Context, id WaiterID, reply <-chan Reply) (Reply, error) {
 	select {
 	case r := <-reply:
 		return r, nil
+	case <-l.stopped:
+		return nil, errors.Annotate(ErrStopped, "wait for control")
 	case <-ctx.Done():
-		l.Post(context.WithoutCancel(ctx), WaiterGone{Waiter: id})
-		return nil, ctx.Err()
+	}
+	l.Post(context.WithoutCancel(ctx), WaiterGone{Waiter: id})
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-l.stopped:
+		return nil, errors.Annotate(ErrStopped, "wait for control")
 	}
 }
 
@@ -98,9 +137,6 @@
 	if e.reply != nil {
 		l.waiters[e.waiter] = e.reply
 	}
-	if gone, ok := e.event.(WaiterGone); ok {
-		delete(l.waiters, gone.Waiter)
-	}
 	for _, a := range l.config.Control.Handle(l.config.Clock.Now(), e.event) {
 		l.execute(a)
 	}
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -31,8 +31,9 @@
 
 // Router finds the VM that may answer for an id: this one, the issuer or the witness.
 type Router struct {
-	config RouterConfig
-	roster atomic.Pointer[vm.Roster]
+	config   RouterConfig
+	roster   atomic.Pointer[vm.Roster]
+	draining atomic.Bool
 }
 
 // NewRouter returns a router that knows no peers.
@@ -47,6 +48,25 @@
 	r.roster.Store(roster)
 }
 
+// Ready reports whether the load balancer may send callers here.
+func (r *Router) Ready() bool {
+	return !r.draining.Load()
+}
+
+// Drain withdraws readiness, stops new submissions and returns when the running ones
+// have ended and the witnesses have the answers. It fails when the context ends first.
+func (r *Router) Drain(ctx context.Context) error {
+	r.draining.Store(true)
+	reply, err := r.config.Loop.CallWithRoom(ctx, func(w WaiterID) Event { return ShutdownBegun{Waiter: w} })
+	if err != nil {
+		return errors.Annotate(err, "drain this VM")
+	}
+	if !reply.(ShutdownReply).Drained {
+		return errors.Annotate(ctx.Err(), "drain this VM: submissions still run or a witness does not answer")
+	}
+	return nil
+}
+
 // Reserve returns new ids issued by this VM.
 func (r *Router) Reserve(ctx context.Context, o owner.ID, count int) ([]contract.SubmissionID, error) {
 	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event { return ReserveIDs{Waiter: w, Owner: o, Count: count} })
@@ -59,7 +79,7 @@
 // Submit runs a submission at its issuer, waiting up to the span for its end.
 func (r *Router) Submit(ctx context.Context, s contract.Submission, wait clock.Millis) contract.Answer {
 	if s.ID.Issuer == r.config.Self {
-		return r.SubmitHere(ctx, s, wait)
+		return r.orWitness(ctx, s.ID, s.Owner, r.SubmitHere(ctx, s, wait))
 	}
 	return r.forward(ctx, s.ID, s.Owner, wait, func(ctx context.Context, issuer vm.VM) (contract.Answer, error) {
 		return r.config.Peers.Submit(ctx, issuer, s, wait)
@@ -71,8 +91,9 @@
 	a, err := r.callWithin(ctx, wait, func(w WaiterID) Event {
 		return Submitted{Waiter: w, Submission: s, Wait: wait > 0}
 	})
-	if errors.Is(err, ErrMailboxFull) {
-		return contract.CannotTellYet{Reason: "this VM is overloaded", RetryAfter: unavailableRetry}
+	if err != nil {
+		// Not a refusal, since an earlier copy of the submission may be running.
+		return contract.CannotTellYet{Reason: err.Error(), RetryAfter: unavailableRetry}
 	}
 	return a
 }
@@ -80,7 +101,7 @@
 // Ask returns the answer of an id, waiting up to the span for it.
 func (r *Router) Ask(ctx context.Context, id contract.SubmissionID, o owner.ID, wait clock.Millis) contract.Answer {
 	if id.Issuer == r.config.Self {
-		return r.AskHere(ctx, id, o, wait)
+		return r.orWitness(ctx, id, o, r.AskHere(ctx, id, o, wait))
 	}
 	return r.forward(ctx, id, o, wait, func(ctx context.Context, issuer vm.VM) (contract.Answer, error) {
 		return r.config.Peers.Ask(ctx, issuer, id, o, wait)
@@ -101,7 +122,7 @@
 // Cancel drops the tasks of an id that have not started.
 func (r *Router) Cancel(ctx context.Context, id contract.SubmissionID, o owner.ID) contract.Answer {
 	if id.Issuer == r.config.Self {
-		return r.CancelHere(ctx, id, o)
+		return r.orWitness(ctx, id, o, r.CancelHere(ctx, id, o))
 	}
 	return r.forward(ctx, id, o, 0, func(ctx context.Context, issuer vm.VM) (contract.Answer, error) {
 		return r.config.Peers.Cancel(ctx, issuer, id, o)
@@ -145,8 +166,7 @@
 	return errors.Annotatef(err, "keep answers of %s", issuer)
 }
 
-// callWithin hands an event to control and waits for the answer. A span that passes
-// without an end gives Running, since the event was handled.
+// callWithin hands an event to control and waits for the answer, up to the span.
 func (r *Router) callWithin(ctx context.Context, wait clock.Millis, makeEvent func(WaiterID) Event) (contract.Answer, error) {
 	if wait > 0 {
 		var cancel context.CancelFunc
@@ -154,9 +174,6 @@
 		defer cancel()
 	}
 	reply, err := r.config.Loop.Call(ctx, makeEvent)
-	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
-		return contract.Running{}, nil
-	}
 	if err != nil {
 		return nil, err
 	}
@@ -165,27 +182,47 @@
 
 type peerCall func(ctx context.Context, issuer vm.VM) (contract.Answer, error)
 
-// forward asks the issuer and, if it cannot be reached, the witness.
+// forward asks the issuer and, if it cannot be reached or cannot tell, the witness.
 func (r *Router) forward(ctx context.Context, id contract.SubmissionID, o owner.ID, wait clock.Millis, call peerCall) contract.Answer {
-	roster := r.roster.Load()
-	if issuer, ok := roster.Find(id.Issuer); ok {
+	if issuer, ok := r.roster.Load().Find(id.Issuer); ok {
 		a, err := r.callPeer(ctx, issuer, wait, call)
 		if err == nil {
-			return a
+			return r.orWitness(ctx, id, o, a)
 		}
 	}
+	if a, ok := r.askWitness(ctx, id, o); ok {
+		return a
+	}
+	a, err := r.callWithin(ctx, 0, func(w WaiterID) Event { return OrphanAsked{Waiter: w, ID: id} })
+	if err != nil {
+		return contract.CannotTellYet{Reason: err.Error(), RetryAfter: unavailableRetry}
+	}
+	return a
+}
+
+// orWitness keeps the issuer's answer, unless the issuer cannot tell and the witness can.
+func (r *Router) orWitness(ctx context.Context, id contract.SubmissionID, o owner.ID, a contract.Answer) contract.Answer {
+	if _, unsure := a.(contract.CannotTellYet); !unsure {
+		return a
+	}
+	if told, ok := r.askWitness(ctx, id, o); ok {
+		return told
+	}
+	return a
+}
+
+func (r *Router) askWitness(ctx context.Context, id contract.SubmissionID, o owner.ID) (contract.Answer, bool) {
 	if id.Witness == r.config.Self {
-		return r.WitnessHere(ctx, id, o)
+		return r.WitnessHere(ctx, id, o), true
 	}
-	if witness, ok := roster.Find(id.Witness); ok {
-		a, err := r.callPeer(ctx, witness, 0, func(ctx context.Context, witness vm.VM) (contract.Answer, error) {
-			return r.config.Peers.AskWitness(ctx, witness, id, o)
-		})
-		if err == nil {
-			return a
-		}
+	witness, ok := r.roster.Load().Find(id.Witness)
+	if !ok {
+		return nil, false
 	}
-	return contract.CannotTellYet{Reason: "neither the issuer nor the witness of the id can be reached", RetryAfter: unavailableRetry}
+	a, err := r.callPeer(ctx, witness, 0, func(ctx context.Context, witness vm.VM) (contract.Answer, error) {
+		return r.config.Peers.AskWitness(ctx, witness, id, o)
+	})
+	return a, err == nil
 }
 
 func (r *Router) callPeer(ctx context.Context, to vm.VM, wait clock.Millis, call peerCall) (contract.Answer, error) {
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -14,6 +14,7 @@
 	BundleInForce   Number = "SQ-3001"
 	BundleRejected  Number = "SQ-3002"
 	ListenersFailed Number = "SQ-1003"
+	DrainFailed     Number = "SQ-1004"
 )
 
 // Log writes events to a logger.
