Test each step of a submission, retries and shutdown

Cause: cancellation, retention, full records, copies of answers, the retry budget and the drain had no tests.

--- a/pkg/entry/world_test.go
+++ b/pkg/entry/world_test.go
@@ -39,6 +39,7 @@
 	faults float64
 
 	starts   map[string]int
+	running  int
 	runTime  func() clock.Millis
 	result   func() contract.AttemptResult
 	endings  map[contract.SubmissionID][]contract.Answer
@@ -64,6 +65,8 @@
 	actions []Action
 	waiters map[WaiterID]func(Reply)
 	lastID  WaiterID
+	// attempts are the reports of all attempts, to be sent again by tests.
+	attempts []AttemptEnded
 }
 
 func newWorld(t *testing.T, names ...vm.ID) *world {
@@ -275,7 +278,13 @@
 		if _, ok := result.(contract.NotStarted); !ok {
 			w.starts[startKey(a.Attempt.Submission, a.Attempt.Task)]++
 		}
-		w.after(w.runTime(), func() { n.handle(AttemptEnded{Attempt: a.Attempt, Start: a.Start, Result: result}) })
+		w.running++
+		ended := AttemptEnded{Attempt: a.Attempt, Start: a.Start, Result: result}
+		n.attempts = append(n.attempts, ended)
+		w.after(w.runTime(), func() {
+			w.running--
+			n.handle(ended)
+		})
 	})
 }
 
