Drop copies of attempt ends and ends under a wrong id

Cause: control took any report of an attempt's end, so that a copy freed the slot of another task. Change: control keeps the running attempts and counts what does not match. Conclusion: late, misrouted and duplicate reports change nothing.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -47,11 +47,16 @@
 	fences      map[vm.Incarnation]*backoff
 	retryFences []vm.Incarnation
 	// lastSeen tells when VMs that are out of the roster left it or made contact.
-	lastSeen     map[vm.Incarnation]clock.Millis
-	forgetAt     clock.Millis
-	startedAt    clock.Millis
-	started      bool
-	retries      retryBudget
+	lastSeen  map[vm.Incarnation]clock.Millis
+	forgetAt  clock.Millis
+	startedAt clock.Millis
+	started   bool
+	retries   retryBudget
+	// running are the attempts whose end has not been reported.
+	running map[dispatch.Start]contract.AttemptID
+	// strayAnswers counts ends of attempts that are not running: copies, and answers
+	// under a wrong id.
+	strayAnswers int
 	draining     bool
 	drainWaiters []WaiterID
 	waiters      *waiting
@@ -77,6 +82,7 @@
 		witnessForIDs: vm.None,
 		fences:        make(map[vm.Incarnation]*backoff),
 		lastSeen:      make(map[vm.Incarnation]clock.Millis),
+		running:       make(map[dispatch.Start]contract.AttemptID),
 		waiters:       newWaiting(),
 		// The generator only spreads retries; its seed differs between VMs.
 		rng: rand.New(rand.NewPCG(xxhash.Sum64String(string(c.Self)), 0)),
--- a/pkg/entry/control_submissions.go
+++ b/pkg/entry/control_submissions.go
@@ -260,8 +260,10 @@
 
 func (c *Control) send(entry *contract.LedgerEntry, start dispatch.Start, task contract.TaskIndex) {
 	c.retries.started()
+	attempt := entry.NextAttempt(task)
+	c.running[start] = attempt
 	c.do(RunAttempt{
-		Attempt:  entry.NextAttempt(task),
+		Attempt:  attempt,
 		Start:    start,
 		Endpoint: c.endpoints[start.Endpoint],
 		Payload:  entry.Submission.Tasks[task].Payload,
@@ -270,6 +272,11 @@
 }
 
 func (c *Control) attemptEnded(now clock.Millis, e AttemptEnded) {
+	if attempt, ok := c.running[e.Start]; !ok || attempt != e.Attempt {
+		c.strayAnswers++
+		return
+	}
+	delete(c.running, e.Start)
 	requeued := c.scheduler.Finish(now, e.Start, e.Result)
 	entry, ok := c.ledger.ByRef(e.Start.Task.Job)
 	if !ok {
