--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"github.com/juju/errors"
@@ -102,11 +103,14 @@
 		ResultBytes: s.Limits.ResultBytes,
 		DialTimeout: s.Timeouts.Dial,
 	})
+	client := platform.NewClient(platform.ClientConfig{Address: s.PlatformAddress, Timeout: s.Timeouts.Platform})
 	traffic := entry.NewTraffic(entry.TrafficConfig{
-		Self:        d.self.Incarnation,
-		Endpoints:   endpoints,
-		Witnesses:   d.client,
-		PeerTimeout: s.Timeouts.Peer,
+		Self:            d.self.Incarnation,
+		Endpoints:       endpoints,
+		Witnesses:       d.client,
+		Table:           client.Table(),
+		PeerTimeout:     s.Timeouts.Peer,
+		PlatformTimeout: s.Timeouts.Platform,
 	})
 	d.loop = entry.NewLoop(entry.LoopConfig{
 		Control:   control,
@@ -122,7 +126,6 @@
 		Peers:       d.client,
 		PeerTimeout: s.Timeouts.Peer,
 	})
-	client := platform.NewClient(platform.ClientConfig{Address: s.PlatformAddress, Timeout: s.Timeouts.Platform})
 	d.poller = newPoller(pollerDeps{
 		Self:   d.self,
 		Client: client,
@@ -146,9 +149,10 @@
 	return b.OwnerOf(token)
 }
 
-// Ready implements caller.Readiness: without a bundle no work is taken.
+// Ready implements caller.Readiness: without a bundle, or while
+// draining, no work is taken.
 func (d *Daemon) Ready() bool {
-	return d.bundle.Load() != nil
+	return d.bundle.Load() != nil && d.router.Ready()
 }
 
 // CallerAddress returns the address on which callers are served.
@@ -164,22 +168,37 @@
 // Run serves until the context ends.
 func (d *Daemon) Run(ctx context.Context) error {
 	var g run.Group
-	addContext(ctx, &g, func(ctx context.Context) error { <-ctx.Done(); return nil })
-	addContext(d.killed, &g, d.loop.Run)
-	addContext(context.Background(), &g, d.poller.Run)
+	// One limit holds for the drain and the requests in flight after it.
+	stopping := sync.OnceValues(func() (context.Context, context.CancelFunc) {
+		return context.WithTimeout(context.Background(), d.deps.Settings.Timeouts.Shutdown.Duration())
+	})
+	addContext(ctx, &g, func(run context.Context) error {
+		<-run.Done()
+		// Only a shutdown that was asked for drains; after a failed part there may be
+		// nobody to drain.
+		if ctx.Err() != nil {
+			limit, _ := stopping()
+			d.drain(limit)
+		}
+		return nil
+	})
+	// The group stops its parts in this order: control outlives the listeners, whose
+	// requests wait for its replies.
 	g.Add(d.callers.Serve, func(error) {
 		if d.killed.Err() != nil {
 			d.callers.Close()
 			return
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), d.deps.Settings.Timeouts.Shutdown.Duration())
+		limit, cancel := stopping()
 		defer cancel()
-		_ = d.callers.Shutdown(ctx)
+		_ = d.callers.Shutdown(limit)
 	})
 	g.Add(d.peers.Serve, func(error) {
 		d.peers.Close()
 		d.client.Close()
 	})
+	addContext(context.Background(), &g, d.poller.Run)
+	addContext(d.killed, &g, d.loop.Run)
 	d.deps.Log.Info(event.DaemonStarted, "daemon started", logrus.Fields{
 		"incarnation": d.self.Incarnation, "dataCentre": d.self.DataCentre,
 		"callerAddress": d.address, "peerAddress": d.self.PeerAddress,
@@ -192,6 +211,13 @@
 	return err
 }
 
+// drain ends the work in flight and hands it over, while the listeners still serve.
+func (d *Daemon) drain(limit context.Context) {
+	if err := d.router.Drain(limit); err != nil {
+		d.deps.Log.Warn(event.DrainFailed, "drain", logrus.Fields{"error": err})
+	}
+}
+
 // addContext adds an actor that ends when the group cancels its context.
 func addContext(parent context.Context, g *run.Group, actor func(context.Context) error) {
 	ctx, cancel := context.WithCancel(parent)
