--- a/pkg/endpoint/client.go
+++ b/pkg/endpoint/client.go
@@ -34,6 +34,8 @@
 	Connections datacentre.Connections
 	ResultBytes int64
 	DialTimeout clock.Millis
+	// Dial opens connections; nil dials TCP with DialTimeout.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Client sends tasks to endpoints.
@@ -44,9 +46,11 @@
 
 // NewClient returns a client with its own connections.
 func NewClient(c ClientConfig) *Client {
-	dialer := &net.Dialer{Timeout: c.DialTimeout.Duration()}
+	if c.Dial == nil {
+		c.Dial = (&net.Dialer{Timeout: c.DialTimeout.Duration()}).DialContext
+	}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         c.Dial,
 		MaxConnsPerHost:     int(c.Connections),
 		MaxIdleConnsPerHost: int(c.Connections),
 	}
