Correct the test of a connection that is one answer behind

Change: the second send has another attempt number. Output (go test -run OutOfStep ./pkg/endpoint): client_test.go:225: got contract.Ambiguous{Reason:"read answer of endpoint e1: it belongs to another attempt"}, want a result over a new connection --- FAIL: TestConnectionOutOfStepIsDropped (0.00s) FAIL FAIL github.com/sequoiacart/sequoiacart/pkg/endpoint 0.005s FAIL Conclusion: the client does use such a connection again.

--- a/pkg/endpoint/client_test.go
+++ b/pkg/endpoint/client_test.go
@@ -219,7 +219,9 @@
 	if got := c.Run(t.Context(), ep, testAttempt, nil, clock.Second); !sameResult(got, contract.Ambiguous{}) {
 		t.Errorf("got %#v, want ambiguous", got)
 	}
-	if got := c.Run(t.Context(), ep, testAttempt, nil, clock.Second); !sameResult(got, contract.Succeeded{Result: []byte{}}) {
+	next := testAttempt
+	next.Number++
+	if got := c.Run(t.Context(), ep, next, nil, clock.Second); !sameResult(got, contract.Succeeded{Result: []byte{}}) {
 		t.Errorf("got %#v, want a result over a new connection", got)
 	}
 }
