Decide by bytes written whether an endpoint may have run a task

Cause: the client called a task ambiguous as soon as it had a connection, followed redirects, and kept connections whose answers were out of step. Change: a counted connection tells whether a byte went out; it is sealed before the client says 'not started', since net/http can return before its writing goroutine ends. Redirects are answers. Connections with unusable answers are dropped. Unusable answers are counted by reason (pkg/metrics). Submissions carry a traceparent outside the digest (pkg/trace). Conclusion: 'not started' now rests on exact knowledge.

--- a/pkg/contract/submission.go
+++ b/pkg/contract/submission.go
@@ -19,6 +19,10 @@
 // Digest is the SHA-256 digest of a submission's content.
 type Digest [sha256.Size]byte
 
+// TraceParent is the W3C traceparent of the span that a submission belongs to. It is not
+// part of the Digest: a resubmission under another trace has the same content.
+type TraceParent string
+
 // Task is one piece of work.
 type Task struct {
 	Payload []byte
@@ -37,6 +41,7 @@
 	// ambiguous failure.
 	Repeatable bool
 	Tasks      []Task
+	Trace      TraceParent
 }
 
 // Digest covers all that the caller sent, so that other content under the same id is
--- a/pkg/endpoint/client.go
+++ b/pkg/endpoint/client.go
@@ -9,11 +9,15 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
+
+	"github.com/juju/errors"
+	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/metrics"
+	"github.com/sequoiacart/sequoiacart/pkg/trace"
 )
 
 // Headers of the endpoint protocol.
@@ -36,6 +40,8 @@
 	DialTimeout clock.Millis
 	// Dial opens connections; nil dials TCP with DialTimeout.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Metrics counts unusable answers; nil counts them nowhere.
+	Metrics *metrics.Metrics
 }
 
 // Client sends tasks to endpoints.
@@ -49,52 +55,76 @@
 	if c.Dial == nil {
 		c.Dial = (&net.Dialer{Timeout: c.DialTimeout.Duration()}).DialContext
 	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.New(gometrics.NewRegistry())
+	}
 	transport := &http.Transport{
-		DialContext:         c.Dial,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := c.Dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: conn}, nil
+		},
 		MaxConnsPerHost:     int(c.Connections),
 		MaxIdleConnsPerHost: int(c.Connections),
+		DisableCompression:  true,
 	}
-	return &Client{config: c, http: &http.Client{Transport: transport}}
+	return &Client{config: c, http: &http.Client{Transport: transport, CheckRedirect: refuseRedirect}}
+}
+
+// refuseRedirect hands the redirect back as the answer: following it would send the
+// task a second time.
+func refuseRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
 }
 
 // Run sends one attempt and tells how it ended. It never sends an attempt twice.
 func (c *Client) Run(ctx context.Context, to datacentre.Endpoint, attempt contract.AttemptID, payload []byte, deadline clock.Millis) contract.AttemptResult {
-	var written atomic.Bool
-	trace := &httptrace.ClientTrace{
-		// GotConn comes before the first byte is written, so a failure without it
-		// proves that the endpoint saw nothing.
-		GotConn: func(httptrace.GotConnInfo) { written.Store(true) },
-	}
-	// http.NewRequest sets GetBody, with which the transport would send the request
-	// again on a broken idle connection.
-	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, "http://"+to.Address+"/run", bytes.NewReader(payload))
+	g := &guard{}
+	request, err := c.request(httptrace.WithClientTrace(ctx, g.trace()), to, attempt, payload, deadline)
 	if err != nil {
 		return contract.NotStarted{Cause: contract.EndpointUnreachable}
 	}
-	request.GetBody = nil
-	request.Header.Set(AttemptHeader, attempt.String())
-	request.Header.Set(DeadlineHeader, strconv.FormatInt(int64(deadline), 10))
 	response, err := c.http.Do(request)
 	if err != nil {
-		if !written.Load() {
+		if g.proveUnsent() {
 			return contract.NotStarted{Cause: contract.EndpointUnreachable}
 		}
-		return contract.Ambiguous{Reason: "call endpoint " + string(to.ID) + ": " + err.Error()}
+		return c.unusable(to, failureOf(ctx), err.Error())
 	}
 	defer func() { _ = response.Body.Close() }()
-	return c.read(to, attempt, response)
+	result := c.read(to, attempt, response)
+	if _, ok := result.(contract.Ambiguous); ok {
+		g.drop()
+	}
+	return result
+}
+
+func (c *Client) request(ctx context.Context, to datacentre.Endpoint, attempt contract.AttemptID, payload []byte, deadline clock.Millis) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.Address+"/run", bytes.NewReader(payload))
+	if err != nil {
+		return nil, errors.Annotatef(err, "make request for endpoint %s", to.ID)
+	}
+	// http.NewRequest sets GetBody, with which the transport would send the request
+	// again on a broken idle connection.
+	request.GetBody = nil
+	request.Header.Set(AttemptHeader, attempt.String())
+	request.Header.Set(DeadlineHeader, strconv.FormatInt(int64(deadline), 10))
+	trace.Inject(ctx, request.Header)
+	return request, nil
 }
 
 func (c *Client) read(to datacentre.Endpoint, attempt contract.AttemptID, response *http.Response) contract.AttemptResult {
 	if response.Header.Get(AttemptHeader) != attempt.String() {
-		return contract.Ambiguous{Reason: "read answer of endpoint " + string(to.ID) + ": it belongs to another attempt"}
+		return c.unusable(to, metrics.Misrouted, "it belongs to another attempt")
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, c.config.ResultBytes+1))
 	if err != nil {
-		return contract.Ambiguous{Reason: "read answer of endpoint " + string(to.ID) + ": " + err.Error()}
+		return c.unusable(to, metrics.Truncated, err.Error())
 	}
 	if int64(len(body)) > c.config.ResultBytes {
-		return contract.Ambiguous{Reason: "read answer of endpoint " + string(to.ID) + ": it is too large"}
+		return c.unusable(to, metrics.TooLarge, "it is too large")
 	}
 	switch {
 	case response.StatusCode == http.StatusOK:
@@ -106,5 +136,18 @@
 	case response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(NotRunHeader) == NotRunLeaving:
 		return contract.NotStarted{Cause: contract.EndpointLeaving}
 	}
-	return contract.Ambiguous{Reason: "read answer of endpoint " + string(to.ID) + ": unexpected status " + response.Status}
+	return c.unusable(to, metrics.UnexpectedStatus, "unexpected status "+response.Status)
+}
+
+// unusable counts an answer from which it cannot be told whether the task ran.
+func (c *Client) unusable(to datacentre.Endpoint, kind metrics.Unusable, detail string) contract.Ambiguous {
+	c.config.Metrics.UnusableAnswer(kind)
+	return contract.Ambiguous{Reason: "read answer of endpoint " + string(to.ID) + ": " + detail}
+}
+
+func failureOf(ctx context.Context) metrics.Unusable {
+	if ctx.Err() != nil {
+		return metrics.Late
+	}
+	return metrics.Broken
 }
--- a/pkg/endpoint/client_test.go
+++ b/pkg/endpoint/client_test.go
@@ -14,9 +14,12 @@
 	"sync/atomic"
 	"testing"
 
+	gometrics "github.com/rcrowley/go-metrics"
+
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/metrics"
 )
 
 const testResultBytes = 64
@@ -272,3 +275,39 @@
 		t.Errorf("got a peak of %d connections and %d results, want at most %d and %d", peak.Load(), succeeded.Load(), limit, calls)
 	}
 }
+
+// Guards against answers that are dropped without a trace, and against "not run" for a
+// task whose endpoint is merely late.
+func TestUnusableAnswersAreCountedByReason(t *testing.T) {
+	id := testAttempt.String()
+	cases := map[metrics.Unusable]string{
+		metrics.Misrouted:        reply("200 OK", "other", "", ""),
+		metrics.Truncated:        reply("200 OK", id, "", "done")[:len(reply("200 OK", id, "", "done"))-1],
+		metrics.TooLarge:         reply("200 OK", id, "", strings.Repeat("x", testResultBytes+1)),
+		metrics.UnexpectedStatus: reply("418 T", id, "", ""),
+		metrics.Broken:           "",
+		metrics.Late:             "late",
+	}
+	for reason, answer := range cases {
+		t.Run(string(reason), func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			ep, _ := rawEndpoint(t, func(conn net.Conn, _ int, read func() (string, bool)) {
+				read()
+				if answer == "late" {
+					cancel()
+					read()
+					return
+				}
+				_, _ = io.WriteString(conn, answer)
+			})
+			registry := gometrics.NewRegistry()
+			c := NewClient(ClientConfig{Connections: 1, ResultBytes: testResultBytes, DialTimeout: clock.Second, Metrics: metrics.New(registry)})
+			if got := c.Run(ctx, ep, testAttempt, []byte("p"), clock.Second); !sameResult(got, contract.Ambiguous{}) {
+				t.Errorf("got %#v, want ambiguous", got)
+			}
+			if got := gometrics.GetOrRegisterCounter("unusableAnswers."+string(reason), registry).Count(); got != 1 {
+				t.Errorf("got %d answers counted as %s, want 1", got, reason)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/metrics/metrics.go
@@ -0,0 +1,105 @@
+// Package metrics names the counters, gauges and histograms of the daemon. The registry
+// is handed down, so that two daemons in one process do not share figures.
+package metrics
+
+import (
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+)
+
+// Unusable tells why an endpoint's answer could not be used.
+type Unusable string
+
+// The reasons.
+const (
+	Misrouted        Unusable = "misrouted"
+	Truncated        Unusable = "truncated"
+	TooLarge         Unusable = "tooLarge"
+	UnexpectedStatus Unusable = "unexpectedStatus"
+	Late             Unusable = "late"
+	Broken           Unusable = "broken"
+)
+
+// sampleSize and sampleAlpha are go-metrics' own recommendation: 99.9 % confidence with
+// a margin of 5 %, weighted to the last five minutes.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// Metrics writes to a registry. It is safe for concurrent use.
+type Metrics struct {
+	registry gometrics.Registry
+	starts   gometrics.Counter
+	requeues gometrics.Counter
+	wait     gometrics.Histogram
+	run      gometrics.Histogram
+}
+
+// New returns metrics that write to the registry.
+func New(r gometrics.Registry) *Metrics {
+	return &Metrics{
+		registry: r,
+		starts:   gometrics.GetOrRegisterCounter("starts", r),
+		requeues: gometrics.GetOrRegisterCounter("requeues", r),
+		wait:     gometrics.GetOrRegisterHistogram("waitMs", r, gometrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+		run:      gometrics.GetOrRegisterHistogram("runMs", r, gometrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+	}
+}
+
+// Registry returns the registry, for serving it.
+func (m *Metrics) Registry() gometrics.Registry { return m.registry }
+
+// RequestAnswered counts a caller's request by the HTTP status or state of its answer.
+func (m *Metrics) RequestAnswered(answer string) { m.count("requests." + answer) }
+
+// AttemptStarted counts a send to an endpoint and the span that the task waited.
+func (m *Metrics) AttemptStarted(wait clock.Millis) {
+	m.starts.Inc(1)
+	m.wait.Update(int64(wait))
+}
+
+// AttemptEnded counts an attempt by its result. A result that proves that the endpoint
+// did not start the task also counts as a requeue.
+func (m *Metrics) AttemptEnded(result contract.AttemptResult, run clock.Millis) {
+	switch r := result.(type) {
+	case contract.Succeeded:
+		m.count("attempts.succeeded")
+		m.run.Update(int64(run))
+	case contract.RanAndFailed:
+		m.count("attempts.ranAndFailed")
+		m.run.Update(int64(run))
+	case contract.Ambiguous:
+		m.count("attempts.ambiguous")
+	case contract.NotStarted:
+		m.count("attempts.notStarted." + r.Cause.String())
+		m.requeues.Inc(1)
+	}
+}
+
+// UnusableAnswer counts an endpoint's answer that could not be used.
+func (m *Metrics) UnusableAnswer(u Unusable) { m.count("unusableAnswers." + string(u)) }
+
+// PeerCalled counts a call to a peer and whether it failed.
+func (m *Metrics) PeerCalled(method string, err error) {
+	m.count("peerCalls." + method)
+	if err != nil {
+		m.count("peerFailures." + method)
+	}
+}
+
+// MailboxLength makes the length readable as a gauge.
+func (m *Metrics) MailboxLength(length func() int) { m.gauge("mailboxLength", length) }
+
+// QueueLength makes the number of waiting tasks readable as a gauge.
+func (m *Metrics) QueueLength(length func() int) { m.gauge("queueLength", length) }
+
+func (m *Metrics) gauge(name string, length func() int) {
+	_ = m.registry.Register(name, gometrics.NewFunctionalGauge(func() int64 { return int64(length()) }))
+}
+
+func (m *Metrics) count(name string) {
+	gometrics.GetOrRegisterCounter(name, m.registry).Inc(1)
+}
--- /dev/null
+++ b/pkg/trace/propagation.go
@@ -0,0 +1,37 @@
+package trace
+
+import (
+	"context"
+	"net/http"
+
+	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+)
+
+const parentHeader = "traceparent"
+
+// ParentOf returns the W3C traceparent of the span in the context; empty without one.
+func ParentOf(ctx context.Context) contract.TraceParent {
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, carrier)
+	return contract.TraceParent(carrier.Get(parentHeader))
+}
+
+// WithParent returns a context whose next span joins the trace. A malformed traceparent
+// is ignored, as W3C Trace Context wants it.
+func WithParent(ctx context.Context, p contract.TraceParent) context.Context {
+	return propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier{parentHeader: string(p)})
+}
+
+// Inject writes the traceparent of the context's span into the headers.
+func Inject(ctx context.Context, h http.Header) {
+	if p := ParentOf(ctx); p != "" {
+		h.Set(parentHeader, string(p))
+	}
+}
+
+// FromHeader returns the traceparent of the headers.
+func FromHeader(h http.Header) contract.TraceParent {
+	return contract.TraceParent(h.Get(parentHeader))
+}
--- /dev/null
+++ b/pkg/trace/tracer.go
@@ -0,0 +1,135 @@
+// Package trace records a span for each hop of a submission and joins the spans over the
+// wire by W3C traceparent.
+package trace
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/juju/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdk "go.opentelemetry.io/otel/sdk/trace"
+	oteltrace "go.opentelemetry.io/otel/trace"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// Hop names what a span covers.
+type Hop string
+
+// The hops.
+const (
+	// CallerHop covers a caller's request, PeerHop a call to a peer, ServedHop its
+	// service at the peer, QueueHop the wait of a task, EndpointHop a send to an endpoint.
+	CallerHop   Hop = "caller"
+	PeerHop     Hop = "peer"
+	ServedHop   Hop = "served"
+	QueueHop    Hop = "queue"
+	EndpointHop Hop = "endpoint"
+)
+
+// Exporter tells where spans go: None, Stdout, OTLP or To.
+type Exporter interface{ isExporter() }
+
+// None records no spans; traceparents still pass through.
+type None struct{}
+
+// Stdout writes spans as JSON.
+type Stdout struct{ Writer io.Writer }
+
+// OTLP sends spans over HTTP to a collector at host:port.
+type OTLP struct{ Address string }
+
+// To sends spans to an exporter of the SDK at once, for tests.
+type To struct{ Exporter sdk.SpanExporter }
+
+func (None) isExporter()   {}
+func (Stdout) isExporter() {}
+func (OTLP) isExporter()   {}
+func (To) isExporter()     {}
+
+// Config holds what a tracer is made of.
+type Config struct {
+	Exporter Exporter
+	Self     vm.Incarnation
+}
+
+// Tracer records spans. A nil tracer records none.
+type Tracer struct {
+	provider *sdk.TracerProvider
+	tracer   oteltrace.Tracer
+}
+
+// New returns a tracer. The exporter sends in the background and drops spans that it
+// cannot send, so tracing never holds up a task.
+func New(c Config) (*Tracer, error) {
+	option, err := export(c.Exporter)
+	if err != nil {
+		return nil, errors.Annotate(err, "start trace exporter")
+	}
+	if option == nil {
+		return nil, nil
+	}
+	r := resource.NewSchemaless(attribute.String("service.name", "sequoiacart"), attribute.String("service.instance.id", string(c.Self)))
+	p := sdk.NewTracerProvider(option, sdk.WithResource(r))
+	return &Tracer{provider: p, tracer: p.Tracer("sequoiacart")}, nil
+}
+
+func export(e Exporter) (sdk.TracerProviderOption, error) {
+	switch e := e.(type) {
+	case Stdout:
+		exporter, err := stdouttrace.New(stdouttrace.WithWriter(e.Writer))
+		return sdk.WithBatcher(exporter), err
+	case OTLP:
+		exporter, err := otlptracehttp.New(context.Background(), otlptracehttp.WithEndpoint(e.Address), otlptracehttp.WithInsecure())
+		return sdk.WithBatcher(exporter), err
+	case To:
+		return sdk.WithSyncer(e.Exporter), nil
+	default:
+		return nil, nil
+	}
+}
+
+// Start begins the span of a hop. The returned context carries it; End ends it.
+func (t *Tracer) Start(ctx context.Context, hop Hop, id contract.SubmissionID) (context.Context, Span) {
+	if t == nil {
+		return ctx, Span{}
+	}
+	ctx, span := t.tracer.Start(ctx, string(hop), oteltrace.WithSpanKind(kindOf(hop)), oteltrace.WithAttributes(attribute.String("submission", id.String())))
+	return ctx, Span{span: span}
+}
+
+// Record adds the span of a hop that has already ended.
+func (t *Tracer) Record(ctx context.Context, hop Hop, id contract.SubmissionID, began, ended clock.Millis) {
+	if t == nil {
+		return
+	}
+	_, span := t.tracer.Start(ctx, string(hop), oteltrace.WithSpanKind(kindOf(hop)),
+		oteltrace.WithAttributes(attribute.String("submission", id.String())), oteltrace.WithTimestamp(time.UnixMilli(int64(began))))
+	span.End(oteltrace.WithTimestamp(time.UnixMilli(int64(ended))))
+}
+
+// Shutdown sends the spans that wait.
+func (t *Tracer) Shutdown(ctx context.Context) error {
+	if t == nil {
+		return nil
+	}
+	return errors.Annotate(t.provider.Shutdown(ctx), "stop trace exporter")
+}
+
+func kindOf(h Hop) oteltrace.SpanKind {
+	switch h {
+	case CallerHop, ServedHop:
+		return oteltrace.SpanKindServer
+	case PeerHop, EndpointHop:
+		return oteltrace.SpanKindClient
+	default:
+		return oteltrace.SpanKindInternal
+	}
+}
