--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -38,6 +38,7 @@
 	deps    DaemonDeps
 	self    vm.VM
 	bundle  atomic.Pointer[bundle.Bundle]
+	leaving atomic.Bool
 	router  *entry.Router
 	loop    *entry.Loop
 	callers *caller.Server
@@ -75,9 +76,12 @@
 		Listener:  callerListener,
 		Service:   d.router,
 		Owners:    d,
-		BodyBytes: s.Limits.BodyBytes,
-		MaxWait:   s.Timeouts.MaxWait,
-		MaxIDs:    s.Limits.ReservedIDs,
+		Readiness: d,
+		Limits: caller.Limits{
+			BodyBytes: s.Limits.BodyBytes,
+			Wait:      s.Timeouts.MaxWait,
+			IDs:       s.Limits.ReservedIDs,
+		},
 	})
 	d.peers, err = peer.NewServer(peer.ServerConfig{Listener: peerListener, Handler: d.router})
 	return d, errors.Trace(err)
@@ -141,10 +145,20 @@
 	return b.OwnerOf(token)
 }
 
+// BundleInForce implements caller.Readiness.
+func (d *Daemon) BundleInForce() bool { return d.bundle.Load() != nil }
+
+// ShuttingDown implements caller.Readiness.
+func (d *Daemon) ShuttingDown() bool { return d.leaving.Load() }
+
 // Run serves until the context ends.
 func (d *Daemon) Run(ctx context.Context) error {
 	var g run.Group
-	addContext(ctx, &g, func(ctx context.Context) error { <-ctx.Done(); return nil })
+	addContext(ctx, &g, func(ctx context.Context) error {
+		<-ctx.Done()
+		d.leaving.Store(true)
+		return nil
+	})
 	addContext(context.Background(), &g, d.loop.Run)
 	addContext(context.Background(), &g, d.poller.Run)
 	g.Add(d.callers.Serve, func(error) {
--- a/pkg/caller/codec.go
+++ b/pkg/caller/codec.go
@@ -40,7 +40,7 @@
 }
 
 func (s *Server) decode(c echo.Context, into any) error {
-	body := http.MaxBytesReader(c.Response(), c.Request().Body, s.config.BodyBytes)
+	body := http.MaxBytesReader(c.Response(), c.Request().Body, s.config.Limits.BodyBytes)
 	decoder := json.NewDecoder(body)
 	decoder.DisallowUnknownFields()
 	return errors.Annotate(decoder.Decode(into), "decode body")
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -13,7 +13,9 @@
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/metrics"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/trace"
 )
 
 // Service answers callers.
@@ -29,14 +31,41 @@
 	OwnerOf(token string) (owner.Owner, bool)
 }
 
+// Readiness tells whether this VM may be sent new work.
+type Readiness interface {
+	// BundleInForce is false until the first bundle; without one no caller is known.
+	BundleInForce() bool
+	// ShuttingDown is true once this VM is on its way out.
+	ShuttingDown() bool
+}
+
+// Limits bound what one caller can ask for.
+type Limits struct {
+	BodyBytes   int64
+	AnswerBytes int64
+	TasksPerJob int
+	// IDs bounds the ids of one call.
+	IDs int
+	// Connections bounds the open connections of all callers; further ones wait in
+	// the listener's backlog.
+	Connections int
+	Wait        clock.Millis
+	Deadline    clock.Millis
+	// Idle bounds how long a connection may stay unused or take to send its request.
+	Idle clock.Millis
+}
+
 // Config holds what a server is made of.
 type Config struct {
 	Listener  net.Listener
 	Service   Service
 	Owners    Authenticator
-	BodyBytes int64
-	MaxWait   clock.Millis
-	MaxIDs    int
+	Readiness Readiness
+	Limits    Limits
+	// Metrics is served and counts the answers; nil stands for a registry of its own.
+	Metrics *metrics.Metrics
+	// Tracer records the caller hop; nil records nothing.
+	Tracer *trace.Tracer
 }
 
 // Server is the HTTP server for callers.
@@ -92,8 +121,8 @@
 	if err := s.decode(c, &body); err != nil {
 		return badRequest(c, err)
 	}
-	if body.Count < 1 || body.Count > s.config.MaxIDs {
-		return badRequest(c, errors.NotValidf("reserve ids: count %d, allowed 1 to %d: count", body.Count, s.config.MaxIDs))
+	if body.Count < 1 || body.Count > s.config.Limits.IDs {
+		return badRequest(c, errors.NotValidf("reserve ids: count %d, allowed 1 to %d: count", body.Count, s.config.Limits.IDs))
 	}
 	ids, err := s.config.Service.Reserve(c.Request().Context(), ownerOf(c), body.Count)
 	if err != nil {
@@ -159,7 +188,7 @@
 	if err != nil || wait < 0 {
 		return id, 0, errors.NotValidf("read waitMs %q: give milliseconds from 0: waitMs", text)
 	}
-	return id, min(clock.Millis(wait), s.config.MaxWait), nil
+	return id, min(clock.Millis(wait), s.config.Limits.Wait), nil
 }
 
 func ownerOf(c echo.Context) owner.ID {
