Bound and name what callers send and hear

Cause: limits beyond the body were missing, problems did not name step, peer and remedy, results that are no text were changed by JSON, and a VM without a bundle answered every id with 401. Change: limits on tasks, ids, connections, wait, deadline, names and answer bytes; problem bodies with step, peer, detail and action; base64 results where needed; /readyz and /metrics. Without a bundle only new ids are refused; for existing ids the answer is 'cannot tell yet', since they may run at their issuer. The owner's task limit is checked at the issuer after the ledger, so that a lower limit does not change answers that exist. Conclusion: bad input changes nothing and tells the caller what to do.

--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -78,9 +78,14 @@
 		Owners:    d,
 		Readiness: d,
 		Limits: caller.Limits{
-			BodyBytes: s.Limits.BodyBytes,
-			Wait:      s.Timeouts.MaxWait,
-			IDs:       s.Limits.ReservedIDs,
+			BodyBytes:   s.Limits.BodyBytes,
+			AnswerBytes: s.Limits.AnswerBytes,
+			TasksPerJob: s.Limits.TasksPerJob,
+			IDs:         s.Limits.ReservedIDs,
+			Connections: s.Limits.CallerConnections,
+			Wait:        s.Timeouts.MaxWait,
+			Deadline:    s.Timeouts.MaxDeadline,
+			Idle:        s.Timeouts.CallerIdle,
 		},
 	})
 	d.peers, err = peer.NewServer(peer.ServerConfig{Listener: peerListener, Handler: d.router})
--- a/pkg/caller/answer.go
+++ b/pkg/caller/answer.go
@@ -1,67 +1,111 @@
 package caller
 
 import (
-	"encoding/json"
+	"encoding/base64"
+	"fmt"
 	"net/http"
-	"strconv"
+	"unicode/utf8"
 
-	"github.com/juju/errors"
 	"github.com/labstack/echo/v4"
 
-	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 )
 
+const (
+	stateComplete = "complete"
+	stateRunning  = "running"
+)
+
+const (
+	encodingText   = "text"
+	encodingBase64 = "base64"
+)
+
 type wireComplete struct {
-	State   string   `json:"state"`
-	Results []string `json:"results"`
+	State string `json:"state"`
+	// Encoding tells how all results are written: text, or base64 when one of them
+	// is not UTF-8.
+	Encoding string   `json:"encoding"`
+	Results  []string `json:"results"`
 }
 
-// problem is the body of every answer that is not a result, after RFC 9457.
-type problem struct {
-	Type         string   `json:"type"`
-	Detail       string   `json:"detail"`
-	Tasks        []string `json:"tasks,omitempty"`
-	RetryAfterMs int64    `json:"retryAfterMs,omitempty"`
+type wireRunning struct {
+	State string `json:"state"`
 }
 
-const problemContentType = "application/problem+json"
-
-func writeAnswer(c echo.Context, a contract.Answer) error {
+func (s *Server) writeAnswer(c echo.Context, step string, a contract.Answer) error {
 	switch a := a.(type) {
 	case contract.Complete:
-		return c.JSON(http.StatusOK, encodeComplete(a))
+		return s.writeComplete(c, step, a)
 	case contract.Running:
-		return c.JSON(http.StatusAccepted, wireComplete{State: "running"})
+		c.Set(answerKey, stateRunning)
+		return c.JSON(http.StatusAccepted, wireRunning{State: stateRunning})
+	default:
+		status, p := problemOf(a)
+		p.Step = step
+		return writeProblem(c, status, p)
+	}
+}
+
+func (s *Server) writeComplete(c echo.Context, step string, a contract.Complete) error {
+	size := int64(0)
+	for _, r := range a.Results {
+		size += int64(len(r))
+	}
+	if size > s.config.Limits.AnswerBytes {
+		return writeProblem(c, http.StatusInternalServerError, problem{
+			Type: typeAnswerTooLarge, Step: step,
+			Detail: fmt.Sprintf("every task ran, but the results have %d bytes and the limit is %d", size, s.config.Limits.AnswerBytes),
+			Action: "send smaller jobs, or ask the operators to raise limits.answerBytes",
+		})
+	}
+	c.Set(answerKey, stateComplete)
+	return c.JSON(http.StatusOK, encodeComplete(a))
+}
+
+func problemOf(a contract.Answer) (int, problem) {
+	switch a := a.(type) {
 	case contract.Failed:
-		return writeProblem(c, http.StatusBadGateway, problem{Type: "failed", Detail: a.Reason, Tasks: encodeStates(a.Tasks)})
+		return http.StatusBadGateway, problem{Type: typeFailed, Detail: a.Reason, Tasks: encodeStates(a.Tasks), Action: "read the state of each task; a new id starts all tasks anew"}
 	case contract.Refused:
-		return writeProblem(c, refusalStatus(a.Cause), problem{Type: "refused", Detail: "not run: " + a.Reason, RetryAfterMs: int64(a.RetryAfter)})
+		status, action := refusal(a.Cause)
+		return status, problem{Type: typeRefused, Detail: "not run: " + a.Reason, Action: action, RetryAfterMs: int64(a.RetryAfter)}
 	case contract.CannotTellYet:
-		return writeProblem(c, http.StatusGatewayTimeout, problem{Type: "cannotTellYet", Detail: a.Reason, RetryAfterMs: int64(a.RetryAfter)})
+		return http.StatusGatewayTimeout, problem{Type: typeCannotTellYet, Detail: a.Reason, Action: "ask again with the same id", RetryAfterMs: int64(a.RetryAfter)}
 	case contract.Conflict:
-		return writeProblem(c, http.StatusConflict, problem{Type: "conflict", Detail: "the id belongs to a submission with other content; reserve a new id"})
+		return http.StatusConflict, problem{Type: typeConflict, Detail: "the id belongs to a submission with other content", Action: "reserve a new id"}
 	case contract.Expired:
-		return writeProblem(c, http.StatusGone, problem{Type: "expired", Detail: "the id is older than the retention window; it will not be run"})
+		return http.StatusGone, problem{Type: typeExpired, Detail: "the id is older than the retention window; it will not be run from now on", Action: "reserve a new id"}
 	default:
-		return writeProblem(c, http.StatusNotFound, problem{Type: "notFound", Detail: "nothing was submitted under this id"})
+		return http.StatusNotFound, problem{Type: typeNotFound, Detail: "nothing was submitted under this id", Action: "submit with an id from POST /v1/ids"}
 	}
 }
 
-func refusalStatus(cause contract.RefusalCause) int {
+func refusal(cause contract.RefusalCause) (status int, action string) {
 	switch cause {
 	case contract.RefusedOverload:
-		return http.StatusTooManyRequests
+		return http.StatusTooManyRequests, "submit again with a new id after the time in Retry-After"
 	case contract.RefusedInvalid:
-		return http.StatusUnprocessableEntity
+		return http.StatusUnprocessableEntity, "correct the submission and use a new id"
+	case contract.RefusedCancelled:
+		return http.StatusServiceUnavailable, "none; the submission was cancelled"
 	default:
-		return http.StatusServiceUnavailable
+		return http.StatusServiceUnavailable, "submit again with a new id at another entry VM"
 	}
 }
 
 func encodeComplete(a contract.Complete) wireComplete {
-	w := wireComplete{State: "complete", Results: make([]string, len(a.Results))}
+	w := wireComplete{State: stateComplete, Encoding: encodingText, Results: make([]string, len(a.Results))}
+	for _, r := range a.Results {
+		if !utf8.Valid(r) {
+			w.Encoding = encodingBase64
+		}
+	}
 	for i, r := range a.Results {
+		if w.Encoding == encodingBase64 {
+			w.Results[i] = base64.StdEncoding.EncodeToString(r)
+			continue
+		}
 		w.Results[i] = string(r)
 	}
 	return w
@@ -81,23 +125,3 @@
 	}
 	return names
 }
-
-func badRequest(c echo.Context, err error) error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return writeProblem(c, http.StatusRequestEntityTooLarge, problem{Type: "invalid", Detail: err.Error()})
-	}
-	return writeProblem(c, http.StatusBadRequest, problem{Type: "invalid", Detail: err.Error()})
-}
-
-func writeProblem(c echo.Context, status int, p problem) error {
-	if p.RetryAfterMs > 0 {
-		seconds := (p.RetryAfterMs + int64(clock.Second) - 1) / int64(clock.Second)
-		c.Response().Header().Set(echo.HeaderRetryAfter, strconv.FormatInt(seconds, 10))
-	}
-	body, err := json.Marshal(p)
-	if err != nil {
-		return errors.Annotate(err, "encode problem")
-	}
-	return c.Blob(status, problemContentType, body)
-}
--- /dev/null
+++ b/pkg/caller/problem.go
@@ -0,0 +1,92 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/juju/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// The types of problems.
+const (
+	typeInvalid        = "invalid"
+	typeUnauthorized   = "unauthorized"
+	typeRefused        = "refused"
+	typeFailed         = "failed"
+	typeCannotTellYet  = "cannotTellYet"
+	typeConflict       = "conflict"
+	typeExpired        = "expired"
+	typeNotFound       = "notFound"
+	typeAnswerTooLarge = "answerTooLarge"
+)
+
+const problemContentType = "application/problem+json"
+
+// problem is the body of every answer that is not a result, after RFC 9457.
+type problem struct {
+	Type   string `json:"type"`
+	Status int    `json:"status"`
+	// Step is what was being done, Peer for whom, Action what the caller can do.
+	Step         string   `json:"step"`
+	Peer         string   `json:"peer"`
+	Detail       string   `json:"detail"`
+	Action       string   `json:"action"`
+	Tasks        []string `json:"tasks,omitempty"`
+	RetryAfterMs int64    `json:"retryAfterMs,omitempty"`
+}
+
+func writeProblem(c echo.Context, status int, p problem) error {
+	if p.RetryAfterMs > 0 {
+		seconds := (p.RetryAfterMs + int64(clock.Second) - 1) / int64(clock.Second)
+		c.Response().Header().Set(echo.HeaderRetryAfter, strconv.FormatInt(seconds, 10))
+	}
+	p.Status, p.Peer = status, peerOf(c)
+	c.Set(answerKey, p.Type)
+	body, err := json.Marshal(p)
+	if err != nil {
+		return errors.Annotate(err, "encode problem")
+	}
+	return c.Blob(status, problemContentType, body)
+}
+
+func peerOf(c echo.Context) string {
+	peer := "caller " + c.Request().RemoteAddr
+	if o := ownerOf(c); o != "" {
+		peer += " of owner " + string(o)
+	}
+	return peer
+}
+
+func writeBadInput(c echo.Context, step string, err error) error {
+	p := problem{Type: typeInvalid, Step: step, Detail: err.Error(), Action: "correct the request"}
+	status := http.StatusBadRequest
+	var bad badInput
+	if errors.As(err, &bad) {
+		p.Detail, p.Action = bad.detail, bad.action
+		if bad.tooLarge {
+			status = http.StatusRequestEntityTooLarge
+		}
+	}
+	return writeProblem(c, status, p)
+}
+
+// writeRoutingError answers for paths and methods that do not exist.
+func writeRoutingError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	status := http.StatusInternalServerError
+	var routing *echo.HTTPError
+	if errors.As(err, &routing) {
+		status = routing.Code
+	}
+	p := problem{Type: typeInvalid, Step: "route request", Detail: err.Error(), Action: "use a call that docs/api.md lists"}
+	if status == http.StatusNotFound {
+		p.Type = typeNotFound
+	}
+	_ = writeProblem(c, status, p)
+}
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -3,13 +3,15 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 
-	"github.com/juju/errors"
 	"github.com/labstack/echo/v4"
+	gometrics "github.com/rcrowley/go-metrics"
+	"golang.org/x/net/netutil"
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
@@ -76,19 +78,34 @@
 
 // NewServer returns a server that does not yet accept connections.
 func NewServer(c Config) *Server {
+	if c.Metrics == nil {
+		c.Metrics = metrics.New(gometrics.NewRegistry())
+	}
 	s := &Server{config: c, echo: echo.New()}
 	s.echo.HideBanner, s.echo.HidePort = true, true
-	s.echo.Listener = c.Listener
-	s.echo.GET("/healthz", func(ec echo.Context) error { return ec.NoContent(http.StatusOK) })
-	v1 := s.echo.Group("/v1", s.authenticate)
-	v1.POST("/ids", s.reserve)
-	v1.PUT("/jobs/:id", s.submitJob)
-	v1.PUT("/requests/:id", s.submitRequest)
-	v1.GET("/jobs/:id", s.ask)
-	v1.DELETE("/jobs/:id", s.cancel)
+	s.echo.HTTPErrorHandler = writeRoutingError
+	if c.Listener != nil {
+		s.echo.Listener = netutil.LimitListener(c.Listener, c.Limits.Connections)
+	}
+	s.echo.Server.ReadHeaderTimeout = c.Limits.Idle.Duration()
+	s.echo.Server.ReadTimeout = c.Limits.Idle.Duration()
+	s.echo.Server.IdleTimeout = c.Limits.Idle.Duration()
+	s.routes()
 	return s
 }
 
+func (s *Server) routes() {
+	s.echo.GET("/healthz", func(ec echo.Context) error { return ec.NoContent(http.StatusOK) })
+	s.echo.GET("/readyz", s.ready)
+	s.echo.GET("/metrics", s.serveMetrics)
+	// A group's middleware would turn a wrong method into "not found".
+	s.echo.POST("/v1/ids", s.reserve, s.count, s.authenticate)
+	s.echo.PUT("/v1/jobs/:id", s.submitJob, s.count, s.authenticate)
+	s.echo.PUT("/v1/requests/:id", s.submitRequest, s.count, s.authenticate)
+	s.echo.GET("/v1/jobs/:id", s.ask, s.count, s.authenticate)
+	s.echo.DELETE("/v1/jobs/:id", s.cancel, s.count, s.authenticate)
+}
+
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve() error {
 	return s.echo.Start("")
@@ -101,32 +118,68 @@
 
 const ownerKey = "owner"
 
+// noBundleRetry is the poll interval of the bundle, after which another try makes sense.
+const noBundleRetry = clock.Second
+
 func (s *Server) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
+		if !s.config.Readiness.BundleInForce() {
+			return writeNoBundle(c)
+		}
 		token, ok := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")
 		if !ok {
-			return writeProblem(c, http.StatusUnauthorized, problem{Type: "unauthorized", Detail: "authenticate caller: send a bearer token"})
+			return writeUnauthorized(c, "the request has no bearer token")
 		}
 		o, ok := s.config.Owners.OwnerOf(token)
 		if !ok {
-			return writeProblem(c, http.StatusUnauthorized, problem{Type: "unauthorized", Detail: "authenticate caller: no owner has this token"})
+			return writeUnauthorized(c, "no owner has this token")
 		}
 		c.Set(ownerKey, o.ID)
 		return next(c)
 	}
 }
 
+// writeNoBundle refuses only new ids: an id that exists may run at its issuer, of which
+// this VM knows nothing yet.
+func writeNoBundle(c echo.Context) error {
+	p := problem{
+		Type: typeCannotTellYet, Step: "authenticate caller", Detail: "this VM has no bundle in force and knows no owners",
+		Action: "ask again, or ask another entry VM", RetryAfterMs: int64(noBundleRetry),
+	}
+	if c.Param("id") != "" {
+		return writeProblem(c, http.StatusGatewayTimeout, p)
+	}
+	p.Type = typeRefused
+	return writeProblem(c, http.StatusServiceUnavailable, p)
+}
+
+func writeUnauthorized(c echo.Context, detail string) error {
+	c.Response().Header().Set(echo.HeaderWWWAuthenticate, "Bearer")
+	return writeProblem(c, http.StatusUnauthorized, problem{
+		Type: typeUnauthorized, Step: "authenticate caller", Detail: detail, Action: "send 'Authorization: Bearer' with a token of the owner",
+	})
+}
+
 func (s *Server) reserve(c echo.Context) error {
+	if s.config.Readiness.ShuttingDown() {
+		return writeProblem(c, http.StatusServiceUnavailable, problem{
+			Type: typeRefused, Step: "reserve ids", Detail: "this VM is shutting down",
+			Action: "reserve ids at another entry VM", RetryAfterMs: int64(noBundleRetry),
+		})
+	}
 	var body wireReserve
 	if err := s.decode(c, &body); err != nil {
-		return badRequest(c, err)
+		return writeBadInput(c, "reserve ids", err)
 	}
 	if body.Count < 1 || body.Count > s.config.Limits.IDs {
-		return badRequest(c, errors.NotValidf("reserve ids: count %d, allowed 1 to %d: count", body.Count, s.config.Limits.IDs))
+		return writeBadInput(c, "reserve ids", badInput{detail: fmt.Sprintf("count is %d", body.Count), action: fmt.Sprintf("give a count from 1 to %d", s.config.Limits.IDs)})
 	}
 	ids, err := s.config.Service.Reserve(c.Request().Context(), ownerOf(c), body.Count)
 	if err != nil {
-		return writeProblem(c, http.StatusServiceUnavailable, problem{Type: "refused", Detail: err.Error()})
+		return writeProblem(c, http.StatusServiceUnavailable, problem{
+			Type: typeRefused, Step: "reserve ids", Detail: err.Error(),
+			Action: "try again, or at another entry VM", RetryAfterMs: int64(noBundleRetry),
+		})
 	}
 	return c.JSON(http.StatusOK, encodeIDs(ids))
 }
@@ -134,51 +187,70 @@
 func (s *Server) submitJob(c echo.Context) error {
 	var body wireJob
 	if err := s.decode(c, &body); err != nil {
-		return badRequest(c, err)
+		return writeBadInput(c, "submit job", err)
+	}
+	submission, err := decodeJob(body, s.config.Limits)
+	if err != nil {
+		return writeBadInput(c, "submit job", err)
 	}
-	return s.submit(c, decodeJob(body))
+	return s.submit(c, "submit job", submission)
 }
 
 func (s *Server) submitRequest(c echo.Context) error {
 	var body wireRequest
 	if err := s.decode(c, &body); err != nil {
-		return badRequest(c, err)
+		return writeBadInput(c, "submit request", err)
 	}
-	return s.submit(c, decodeRequest(body))
+	submission, err := decodeRequest(body, s.config.Limits)
+	if err != nil {
+		return writeBadInput(c, "submit request", err)
+	}
+	return s.submit(c, "submit request", submission)
 }
 
-func (s *Server) submit(c echo.Context, submission contract.Submission) error {
+func (s *Server) submit(c echo.Context, step string, submission contract.Submission) error {
 	id, wait, err := s.idAndWait(c)
 	if err != nil {
-		return badRequest(c, err)
-	}
-	if len(submission.Tasks) == 0 {
-		return badRequest(c, errors.NotValidf("submit %s: a job needs a task: job", id))
+		return writeBadInput(c, step, err)
 	}
-	submission.ID, submission.Owner = id, ownerOf(c)
-	return writeAnswer(c, s.config.Service.Submit(c.Request().Context(), submission, wait))
+	ctx, span := s.span(c, id)
+	defer span.End()
+	submission.ID, submission.Owner, submission.Trace = id, ownerOf(c), trace.ParentOf(ctx)
+	return s.writeAnswer(c, step, s.config.Service.Submit(ctx, submission, wait))
 }
 
 func (s *Server) ask(c echo.Context) error {
+	const step = "ask for a job"
 	id, wait, err := s.idAndWait(c)
 	if err != nil {
-		return badRequest(c, err)
+		return writeBadInput(c, step, err)
 	}
-	return writeAnswer(c, s.config.Service.Ask(c.Request().Context(), id, ownerOf(c), wait))
+	ctx, span := s.span(c, id)
+	defer span.End()
+	return s.writeAnswer(c, step, s.config.Service.Ask(ctx, id, ownerOf(c), wait))
 }
 
 func (s *Server) cancel(c echo.Context) error {
+	const step = "cancel a job"
 	id, _, err := s.idAndWait(c)
 	if err != nil {
-		return badRequest(c, err)
+		return writeBadInput(c, step, err)
 	}
-	return writeAnswer(c, s.config.Service.Cancel(c.Request().Context(), id, ownerOf(c)))
+	ctx, span := s.span(c, id)
+	defer span.End()
+	return s.writeAnswer(c, step, s.config.Service.Cancel(ctx, id, ownerOf(c)))
+}
+
+// span begins the caller hop, as part of the caller's own trace if there is one.
+func (s *Server) span(c echo.Context, id contract.SubmissionID) (context.Context, trace.Span) {
+	r := c.Request()
+	return s.config.Tracer.Start(trace.WithParent(r.Context(), trace.FromHeader(r.Header)), trace.CallerHop, id)
 }
 
 func (s *Server) idAndWait(c echo.Context) (contract.SubmissionID, clock.Millis, error) {
 	id, err := contract.ParseSubmissionID(c.Param("id"))
 	if err != nil {
-		return contract.SubmissionID{}, 0, err
+		return contract.SubmissionID{}, 0, badInput{detail: err.Error(), action: "use an id from POST /v1/ids"}
 	}
 	text := c.QueryParam("waitMs")
 	if text == "" {
@@ -186,7 +258,7 @@
 	}
 	wait, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || wait < 0 {
-		return id, 0, errors.NotValidf("read waitMs %q: give milliseconds from 0: waitMs", text)
+		return id, 0, badInput{detail: fmt.Sprintf("waitMs is %q", text), action: "give waitMs as a number of milliseconds from 0"}
 	}
 	return id, min(clock.Millis(wait), s.config.Limits.Wait), nil
 }
--- a/pkg/entry/control_submissions.go
+++ b/pkg/entry/control_submissions.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"slices"
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -42,6 +43,9 @@
 	if _, ok := o.Class(s.Class); !ok {
 		return contract.Refused{Cause: contract.RefusedInvalid, Reason: "the owner has no urgency class " + string(s.Class)}, false
 	}
+	if most := o.Limits.TasksPerJob; most > 0 && len(s.Tasks) > most {
+		return contract.Refused{Cause: contract.RefusedInvalid, Reason: fmt.Sprintf("the job has %d tasks and the owner's limit is %d", len(s.Tasks), most)}, false
+	}
 	return contract.Refused{}, true
 }
 
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -25,8 +25,10 @@
 // Limits bound what the daemon holds.
 type Limits struct {
 	BodyBytes           int64
+	AnswerBytes         int64
 	ResultBytes         int64
 	TasksPerJob         int
+	CallerConnections   int
 	QueuedTasks         int
 	ReservedIDs         int
 	Mailbox             int
@@ -43,6 +45,12 @@
 	Poll     clock.Millis
 	Tick     clock.Millis
 	Shutdown clock.Millis
+	// MaxDeadline bounds the deadline that a caller may name.
+	MaxDeadline clock.Millis
+	// CallerIdle bounds how long a caller's connection may stay unused.
+	CallerIdle clock.Millis
+	// Handshake bounds a TLS handshake between entry VMs.
+	Handshake clock.Millis
 }
 
 // Default returns the settings that hold where nothing else is set.
@@ -54,8 +62,10 @@
 		PlatformAddress: "127.0.0.1:7002",
 		Limits: Limits{
 			BodyBytes:           4 << 20,
+			AnswerBytes:         64 << 20,
 			ResultBytes:         1 << 20,
 			TasksPerJob:         1000,
+			CallerConnections:   10000,
 			QueuedTasks:         20000,
 			ReservedIDs:         1000,
 			Mailbox:             4096,
@@ -70,6 +80,10 @@
 			Poll:     clock.Second,
 			Tick:     50,
 			Shutdown: 30 * clock.Second,
+			// Ids are remembered for 15 min, so a later answer could not be fetched.
+			MaxDeadline: 15 * clock.Minute,
+			CallerIdle:  2 * clock.Minute,
+			Handshake:   2 * clock.Second,
 		},
 	}
 }
