--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -45,6 +45,9 @@
 	peers   *peer.Server
 	client  *peer.Client
 	poller  *poller
+	address string
+	killed  context.Context
+	kill    context.CancelFunc
 }
 
 const (
@@ -64,12 +67,13 @@
 		_ = callerListener.Close()
 		return nil, errors.Annotate(err, "listen for peers")
 	}
-	d := &Daemon{deps: deps, self: vm.VM{
+	d := &Daemon{deps: deps, address: callerListener.Addr().String(), self: vm.VM{
 		Incarnation: vm.NewIncarnation(s.VM, hex.EncodeToString(randomBytes(nonceBytes))),
 		DataCentre:  s.DataCentre,
 		PeerAddress: peerListener.Addr().String(),
 		Size:        s.Size,
 	}}
+	d.killed, d.kill = context.WithCancel(context.Background())
 	d.client = peer.NewClient(peer.ClientConfig{Dialer: &net.Dialer{Timeout: s.Timeouts.Dial.Duration()}})
 	d.wireControl()
 	d.callers = caller.NewServer(caller.Config{
@@ -156,6 +160,16 @@
 // ShuttingDown implements caller.Readiness.
 func (d *Daemon) ShuttingDown() bool { return d.leaving.Load() }
 
+// CallerAddress returns the address on which callers are served.
+func (d *Daemon) CallerAddress() string {
+	return d.address
+}
+
+// Kill ends the daemon at once, as a crash of its VM would.
+func (d *Daemon) Kill() {
+	d.kill()
+}
+
 // Run serves until the context ends.
 func (d *Daemon) Run(ctx context.Context) error {
 	var g run.Group
@@ -164,9 +178,13 @@
 		d.leaving.Store(true)
 		return nil
 	})
-	addContext(context.Background(), &g, d.loop.Run)
+	addContext(d.killed, &g, d.loop.Run)
 	addContext(context.Background(), &g, d.poller.Run)
 	g.Add(d.callers.Serve, func(error) {
+		if d.killed.Err() != nil {
+			d.callers.Close()
+			return
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), d.deps.Settings.Timeouts.Shutdown.Duration())
 		defer cancel()
 		_ = d.callers.Shutdown(ctx)
@@ -177,7 +195,7 @@
 	})
 	d.deps.Log.Info(event.DaemonStarted, "daemon started", logrus.Fields{
 		"incarnation": d.self.Incarnation, "dataCentre": d.self.DataCentre,
-		"callerAddress": d.deps.Settings.CallerAddress, "peerAddress": d.self.PeerAddress,
+		"callerAddress": d.address, "peerAddress": d.self.PeerAddress,
 	})
 	err := g.Run()
 	d.deps.Log.Info(event.DaemonStopped, "daemon stopped", logrus.Fields{"incarnation": d.self.Incarnation})
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -116,6 +116,11 @@
 	return s.echo.Shutdown(ctx)
 }
 
+// Close drops all connections at once.
+func (s *Server) Close() {
+	_ = s.echo.Close()
+}
+
 const ownerKey = "owner"
 
 // noBundleRetry is the poll interval of the bundle, after which another try makes sense.
