--- a/pkg/entry/traffic.go
+++ b/pkg/entry/traffic.go
@@ -6,6 +6,8 @@
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/metrics"
+	"github.com/sequoiacart/sequoiacart/pkg/trace"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
@@ -26,6 +28,11 @@
 	Witnesses RecordSender
 	// PeerTimeout bounds one call to a peer.
 	PeerTimeout clock.Millis
+	Clock       clock.Clock
+	// Tracer records the queue and endpoint hops; nil records nothing.
+	Tracer *trace.Tracer
+	// Metrics counts attempts; nil counts them nowhere.
+	Metrics *metrics.Metrics
 }
 
 // Traffic carries out actions, each on a goroutine of its own. The number of attempts is
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -11,7 +11,9 @@
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/metrics"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/trace"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
@@ -25,6 +27,10 @@
 	Dialer Dialer
 	// TLS turns on mutual TLS; nil speaks plain TCP.
 	TLS *tls.Config
+	// Tracer records the peer hop; nil records nothing.
+	Tracer *trace.Tracer
+	// Metrics counts calls and failures; nil counts them nowhere.
+	Metrics *metrics.Metrics
 }
 
 // Client calls other entry VMs, over one connection for each.
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -13,6 +13,7 @@
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/trace"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
@@ -31,6 +32,10 @@
 	Handler  Handler
 	// TLS turns on mutual TLS; nil speaks plain TCP.
 	TLS *tls.Config
+	// Tracer records the served hop; nil records nothing.
+	Tracer *trace.Tracer
+	// Handshake bounds a TLS handshake.
+	Handshake clock.Millis
 }
 
 // Server accepts the calls of peers.
