Read every setting from flags, variables and the file

Cause: only five settings had a flag, none but these a variable, and errors of the file did not say what to do. Change: one table of keys gives the flags, the SEQUOIACART_ variables, the names in the file, the checks and docs/settings.md; ff gives the order flag, variable, file. Conclusion: a key added to the table works in all three ways.

--- a/pkg/settings/codec.go
+++ b/pkg/settings/codec.go
@@ -1,128 +1,120 @@
 package settings
 
 import (
-	"bytes"
+	"flag"
+	"fmt"
+	"io"
 	"os"
+	"slices"
 
 	"github.com/juju/errors"
 	"github.com/pelletier/go-toml/v2"
-
-	"github.com/sequoiacart/sequoiacart/pkg/clock"
-	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
-	"github.com/sequoiacart/sequoiacart/pkg/vm"
+	"github.com/peterbourgon/ff/v3"
 )
 
-type wireSettings struct {
-	VM              string       `toml:"vm"`
-	DataCentre      string       `toml:"dataCentre"`
-	Size            int          `toml:"size"`
-	CallerAddress   string       `toml:"callerAddress"`
-	PeerAddress     string       `toml:"peerAddress"`
-	PlatformAddress string       `toml:"platformAddress"`
-	Limits          wireLimits   `toml:"limits"`
-	Timeouts        wireTimeouts `toml:"timeouts"`
-}
+// FileFlag is the flag that names the file.
+const FileFlag = "settings"
 
-type wireLimits struct {
-	BodyBytes           int64 `toml:"bodyBytes"`
-	ResultBytes         int64 `toml:"resultBytes"`
-	TasksPerJob         int   `toml:"tasksPerJob"`
-	QueuedTasks         int   `toml:"queuedTasks"`
-	ReservedIDs         int   `toml:"reservedIds"`
-	Mailbox             int   `toml:"mailbox"`
-	EndpointConnections int   `toml:"endpointConnections"`
+// Register defines a flag for every key of s and one for the file.
+func Register(flags *flag.FlagSet, s *Settings) {
+	flags.String(FileFlag, "", "TOML `file` with settings")
+	for _, k := range s.Keys() {
+		flags.Var(k.value, k.Flag(), k.Use+" (`"+k.Unit+"`)")
+	}
 }
 
-type wireTimeouts struct {
-	AttemptMs  int64 `toml:"attemptMs"`
-	PeerMs     int64 `toml:"peerMs"`
-	DialMs     int64 `toml:"dialMs"`
-	PlatformMs int64 `toml:"platformMs"`
-	MaxWaitMs  int64 `toml:"maxWaitMs"`
-	PollMs     int64 `toml:"pollMs"`
-	TickMs     int64 `toml:"tickMs"`
-	ShutdownMs int64 `toml:"shutdownMs"`
+// Options make ff read flags first, then variables, then the file.
+func Options() []ff.Option {
+	return []ff.Option{ff.WithEnvVarPrefix(EnvPrefix), ff.WithConfigFileFlag(FileFlag), ff.WithConfigFileParser(parseFile)}
 }
 
-// Load reads a TOML file over the defaults. Unknown keys are refused by name.
+// Load reads a file over the defaults. Unknown keys are refused by name.
 func Load(path string) (Settings, error) {
-	body, err := os.ReadFile(path)
+	s := Default()
+	file, err := os.Open(path)
 	if err != nil {
-		return Settings{}, errors.Annotate(err, "read settings")
+		return s, errors.Annotate(err, "read settings: give a readable file")
+	}
+	defer func() { _ = file.Close() }()
+	flags := flag.NewFlagSet("settings", flag.ContinueOnError)
+	flags.SetOutput(io.Discard)
+	Register(flags, &s)
+	return s, errors.Annotatef(parseFile(file, flags.Set), "read settings %s", path)
+}
+
+// parseFile hands the keys of a TOML file to ff by the names of their flags.
+func parseFile(r io.Reader, set func(name, value string) error) error {
+	var root map[string]any
+	if err := toml.NewDecoder(r).Decode(&root); err != nil {
+		return errors.Errorf("the settings file is not TOML: %s: correct the line", explain(err))
 	}
-	w := encode(Default())
-	decoder := toml.NewDecoder(bytes.NewReader(body)).DisallowUnknownFields()
-	if err := decoder.Decode(&w); err != nil {
-		return Settings{}, errors.Annotatef(explain(err), "decode settings %s", path)
+	found := make(map[string]any)
+	flatten("", root, found)
+	var s Settings
+	for _, k := range s.Keys() {
+		value, ok := found[k.Name]
+		if !ok {
+			continue
+		}
+		delete(found, k.Name)
+		text, err := k.read(value)
+		if err != nil {
+			return err
+		}
+		if err := set(k.Flag(), text); err != nil {
+			return errors.Annotatef(err, "key %s", k.Name)
+		}
 	}
-	return decode(w), nil
+	return refuseUnknown(found)
 }
 
-// explain names the unknown keys, which the library's own message leaves out.
-func explain(err error) error {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) {
-		return errors.New("unknown key:\n" + strict.String())
+// explain adds the position that the library keeps apart from its message.
+func explain(err error) string {
+	var wrong *toml.DecodeError
+	if errors.As(err, &wrong) {
+		line, column := wrong.Position()
+		return fmt.Sprintf("line %d, column %d: %v", line, column, err)
 	}
-	return err
+	return err.Error()
 }
 
-func encode(s Settings) wireSettings {
-	return wireSettings{
-		VM:              string(s.VM),
-		DataCentre:      string(s.DataCentre),
-		Size:            int(s.Size),
-		CallerAddress:   s.CallerAddress,
-		PeerAddress:     s.PeerAddress,
-		PlatformAddress: s.PlatformAddress,
-		Limits: wireLimits{
-			BodyBytes:           s.Limits.BodyBytes,
-			ResultBytes:         s.Limits.ResultBytes,
-			TasksPerJob:         s.Limits.TasksPerJob,
-			QueuedTasks:         s.Limits.QueuedTasks,
-			ReservedIDs:         s.Limits.ReservedIDs,
-			Mailbox:             s.Limits.Mailbox,
-			EndpointConnections: int(s.Limits.EndpointConnections),
-		},
-		Timeouts: wireTimeouts{
-			AttemptMs:  int64(s.Timeouts.Attempt),
-			PeerMs:     int64(s.Timeouts.Peer),
-			DialMs:     int64(s.Timeouts.Dial),
-			PlatformMs: int64(s.Timeouts.Platform),
-			MaxWaitMs:  int64(s.Timeouts.MaxWait),
-			PollMs:     int64(s.Timeouts.Poll),
-			TickMs:     int64(s.Timeouts.Tick),
-			ShutdownMs: int64(s.Timeouts.Shutdown),
-		},
+func flatten(prefix string, table map[string]any, into map[string]any) {
+	for name, value := range table {
+		if inner, ok := value.(map[string]any); ok {
+			flatten(prefix+name+".", inner, into)
+			continue
+		}
+		into[prefix+name] = value
 	}
 }
 
-func decode(w wireSettings) Settings {
-	return Settings{
-		VM:              vm.ID(w.VM),
-		DataCentre:      datacentre.ID(w.DataCentre),
-		Size:            vm.Size(w.Size),
-		CallerAddress:   w.CallerAddress,
-		PeerAddress:     w.PeerAddress,
-		PlatformAddress: w.PlatformAddress,
-		Limits: Limits{
-			BodyBytes:           w.Limits.BodyBytes,
-			ResultBytes:         w.Limits.ResultBytes,
-			TasksPerJob:         w.Limits.TasksPerJob,
-			QueuedTasks:         w.Limits.QueuedTasks,
-			ReservedIDs:         w.Limits.ReservedIDs,
-			Mailbox:             w.Limits.Mailbox,
-			EndpointConnections: datacentre.Connections(w.Limits.EndpointConnections),
-		},
-		Timeouts: Timeouts{
-			Attempt:  clock.Millis(w.Timeouts.AttemptMs),
-			Peer:     clock.Millis(w.Timeouts.PeerMs),
-			Dial:     clock.Millis(w.Timeouts.DialMs),
-			Platform: clock.Millis(w.Timeouts.PlatformMs),
-			MaxWait:  clock.Millis(w.Timeouts.MaxWaitMs),
-			Poll:     clock.Millis(w.Timeouts.PollMs),
-			Tick:     clock.Millis(w.Timeouts.TickMs),
-			Shutdown: clock.Millis(w.Timeouts.ShutdownMs),
-		},
+// read refuses values of another type, such as a number in quotes.
+func (k Key) read(value any) (string, error) {
+	switch v := value.(type) {
+	case string:
+		if !k.number {
+			return v, nil
+		}
+	case int64:
+		if k.number {
+			return fmt.Sprint(v), nil
+		}
+	}
+	want := "text in quotes"
+	if k.number {
+		want = "a whole number"
+	}
+	return "", errors.Errorf("key %s: %v is no value for it: use %s (%s)", k.Name, value, want, k.Unit)
+}
+
+func refuseUnknown(left map[string]any) error {
+	if len(left) == 0 {
+		return nil
+	}
+	names := make([]string, 0, len(left))
+	for name := range left {
+		names = append(names, name)
 	}
+	slices.Sort(names)
+	return errors.Errorf("unknown key %s: remove it or correct its name; docs/settings.md lists all keys", names[0])
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -20,8 +20,37 @@
 	PlatformAddress string
 	Limits          Limits
 	Timeouts        Timeouts
+	Trace           Trace
+	TLS             TLS
 }
 
+// TraceExporter names where spans go.
+type TraceExporter string
+
+// The exporters.
+const (
+	TraceNone     TraceExporter = "none"
+	TraceStdout   TraceExporter = "stdout"
+	TraceOTLPHTTP TraceExporter = "otlphttp"
+)
+
+// Trace tells where spans go.
+type Trace struct {
+	Exporter TraceExporter
+	// Address is host:port of the collector, for otlphttp.
+	Address string
+}
+
+// TLS names the PEM files for mutual TLS between entry VMs; all are empty for plain TCP.
+type TLS struct {
+	CertificateFile string
+	KeyFile         string
+	CAFile          string
+}
+
+// On reports whether entry VMs speak mutual TLS.
+func (t TLS) On() bool { return t.CertificateFile != "" }
+
 // Limits bound what the daemon holds.
 type Limits struct {
 	BodyBytes           int64
@@ -60,6 +89,7 @@
 		CallerAddress:   "127.0.0.1:7000",
 		PeerAddress:     "127.0.0.1:7001",
 		PlatformAddress: "127.0.0.1:7002",
+		Trace:           Trace{Exporter: TraceNone},
 		Limits: Limits{
 			BodyBytes:           4 << 20,
 			AnswerBytes:         64 << 20,
--- a/pkg/settings/validate.go
+++ b/pkg/settings/validate.go
@@ -3,54 +3,103 @@
 import (
 	"net"
 	"regexp"
+	"strconv"
 
 	"github.com/juju/errors"
 )
 
 var nameFormat = regexp.MustCompile(`^[a-z0-9]+$`)
 
-// Validate checks the settings and names the first key that is wrong.
+const largestPort = 65535
+
+// Validate checks the settings and names the first key that is wrong, the reason and what
+// to do.
 func (s Settings) Validate() error {
-	if !nameFormat.MatchString(string(s.VM)) {
-		return errors.NotValidf("check settings: vm %q; use lower-case letters and digits: vm", s.VM)
+	for _, check := range []func() error{s.checkNames, s.checkAddresses, s.checkNumbers, s.checkTrace, s.checkTLS} {
+		if err := check(); err != nil {
+			return errors.Annotate(err, "check settings")
+		}
 	}
-	if !nameFormat.MatchString(string(s.DataCentre)) {
-		return errors.NotValidf("check settings: dataCentre %q; use lower-case letters and digits: dataCentre", s.DataCentre)
+	return nil
+}
+
+func wrong(key, reason, action string) error {
+	return errors.Errorf("key %s %s: %s", key, reason, action)
+}
+
+func (s Settings) checkNames() error {
+	for _, n := range []struct{ key, value string }{{"vm", string(s.VM)}, {"dataCentre", string(s.DataCentre)}} {
+		if !nameFormat.MatchString(n.value) {
+			return wrong(n.key, strconv.Quote(n.value)+" is no name", "use lower-case letters and digits")
+		}
 	}
-	addresses := []struct{ key, value string }{
+	return nil
+}
+
+func (s Settings) checkAddresses() error {
+	for _, a := range []struct{ key, value string }{
 		{"callerAddress", s.CallerAddress},
 		{"peerAddress", s.PeerAddress},
 		{"platformAddress", s.PlatformAddress},
+	} {
+		if err := checkAddress(a.key, a.value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkAddress(key, value string) error {
+	_, port, err := net.SplitHostPort(value)
+	if err != nil {
+		return wrong(key, strconv.Quote(value)+" is no address", "use host:port")
+	}
+	if n, err := strconv.Atoi(port); err != nil || n < 0 || n > largestPort {
+		return wrong(key, strconv.Quote(value)+" has no valid port", "use a port from 0 to 65535")
+	}
+	return nil
+}
+
+func (s Settings) checkNumbers() error {
+	for _, k := range s.Keys() {
+		if !k.number {
+			continue
+		}
+		if n, err := strconv.ParseInt(k.Value(), 10, 64); err != nil || n <= 0 {
+			return wrong(k.Name, "is "+k.Value(), "use a positive number ("+k.Unit+")")
+		}
+	}
+	if s.Timeouts.CallerIdle <= s.Timeouts.MaxWait {
+		return wrong("timeouts.callerIdleMs", "is not above timeouts.maxWaitMs", "raise it, or connections end while callers wait")
+	}
+	return nil
+}
+
+func (s Settings) checkTrace() error {
+	switch s.Trace.Exporter {
+	case TraceNone, TraceStdout:
+		return nil
+	case TraceOTLPHTTP:
+		return checkAddress("trace.address", s.Trace.Address)
+	}
+	return wrong("trace.exporter", strconv.Quote(string(s.Trace.Exporter))+" is unknown", "use none, stdout or otlphttp")
+}
+
+func (s Settings) checkTLS() error {
+	files := []struct{ key, value string }{
+		{"tls.certificateFile", s.TLS.CertificateFile},
+		{"tls.keyFile", s.TLS.KeyFile},
+		{"tls.caFile", s.TLS.CAFile},
 	}
-	for _, a := range addresses {
-		if _, _, err := net.SplitHostPort(a.value); err != nil {
-			return errors.NotValidf("check settings: %s %q; use host:port: %s", a.key, a.value, a.key)
+	given := 0
+	for _, f := range files {
+		if f.value != "" {
+			given++
 		}
 	}
-	positives := []struct {
-		key   string
-		value int64
-	}{
-		{"size", int64(s.Size)},
-		{"limits.bodyBytes", s.Limits.BodyBytes},
-		{"limits.resultBytes", s.Limits.ResultBytes},
-		{"limits.tasksPerJob", int64(s.Limits.TasksPerJob)},
-		{"limits.queuedTasks", int64(s.Limits.QueuedTasks)},
-		{"limits.reservedIds", int64(s.Limits.ReservedIDs)},
-		{"limits.mailbox", int64(s.Limits.Mailbox)},
-		{"limits.endpointConnections", int64(s.Limits.EndpointConnections)},
-		{"timeouts.attemptMs", int64(s.Timeouts.Attempt)},
-		{"timeouts.peerMs", int64(s.Timeouts.Peer)},
-		{"timeouts.dialMs", int64(s.Timeouts.Dial)},
-		{"timeouts.platformMs", int64(s.Timeouts.Platform)},
-		{"timeouts.maxWaitMs", int64(s.Timeouts.MaxWait)},
-		{"timeouts.pollMs", int64(s.Timeouts.Poll)},
-		{"timeouts.tickMs", int64(s.Timeouts.Tick)},
-		{"timeouts.shutdownMs", int64(s.Timeouts.Shutdown)},
-	}
-	for _, p := range positives {
-		if p.value <= 0 {
-			return errors.NotValidf("check settings: %s is %d; use a positive number: %s", p.key, p.value, p.key)
+	for _, f := range files {
+		if given > 0 && f.value == "" {
+			return wrong(f.key, "is empty", "give all three tls keys, or none for plain TCP")
 		}
 	}
 	return nil
