Carry the traceparent over each hop and count what passes

Cause: the spans of a job were not joined, and nothing counted attempts. Change: submissions and questions carry the traceparent through net/rpc; the caller, peer, served, queue and endpoint hops have spans; the exporter comes from the settings. go-metrics in a registry that is handed down count answers, attempts, starts, requeues, unusable answers, peer calls and failures; gauges for queue and mailbox, histograms for wait and run time.

--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -6,10 +6,12 @@
 	"encoding/hex"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 
 	"github.com/juju/errors"
 	"github.com/oklog/run"
+	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/sequoiacart/sequoiacart/pkg/bundle"
@@ -19,10 +21,12 @@
 	"github.com/sequoiacart/sequoiacart/pkg/endpoint"
 	"github.com/sequoiacart/sequoiacart/pkg/entry"
 	"github.com/sequoiacart/sequoiacart/pkg/event"
+	"github.com/sequoiacart/sequoiacart/pkg/metrics"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
 	"github.com/sequoiacart/sequoiacart/pkg/peer"
 	"github.com/sequoiacart/sequoiacart/pkg/platform"
 	"github.com/sequoiacart/sequoiacart/pkg/settings"
+	"github.com/sequoiacart/sequoiacart/pkg/trace"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
@@ -31,6 +35,8 @@
 	Settings settings.Settings
 	Clock    clock.Clock
 	Log      *event.Log
+	// Registry receives the metrics; nil stands for a registry of its own.
+	Registry gometrics.Registry
 }
 
 // Daemon is an entry VM at work.
@@ -39,6 +45,8 @@
 	self    vm.VM
 	bundle  atomic.Pointer[bundle.Bundle]
 	leaving atomic.Bool
+	metrics *metrics.Metrics
+	tracer  *trace.Tracer
 	router  *entry.Router
 	loop    *entry.Loop
 	callers *caller.Server
@@ -74,13 +82,25 @@
 		Size:        s.Size,
 	}}
 	d.killed, d.kill = context.WithCancel(context.Background())
-	d.client = peer.NewClient(peer.ClientConfig{Dialer: &net.Dialer{Timeout: s.Timeouts.Dial.Duration()}})
+	if err := d.wireObservation(); err != nil {
+		_, _ = callerListener.Close(), peerListener.Close()
+		return nil, errors.Trace(err)
+	}
+	d.client = peer.NewClient(peer.ClientConfig{
+		Dialer:  &net.Dialer{Timeout: s.Timeouts.Dial.Duration()},
+		Tracer:  d.tracer,
+		Metrics: d.metrics,
+	})
 	d.wireControl()
+	d.metrics.MailboxLength(d.loop.MailboxLength)
+	d.metrics.QueueLength(d.loop.QueuedTasks)
 	d.callers = caller.NewServer(caller.Config{
 		Listener:  callerListener,
 		Service:   d.router,
 		Owners:    d,
 		Readiness: d,
+		Metrics:   d.metrics,
+		Tracer:    d.tracer,
 		Limits: caller.Limits{
 			BodyBytes:   s.Limits.BodyBytes,
 			AnswerBytes: s.Limits.AnswerBytes,
@@ -92,10 +112,37 @@
 			Idle:        s.Timeouts.CallerIdle,
 		},
 	})
-	d.peers, err = peer.NewServer(peer.ServerConfig{Listener: peerListener, Handler: d.router})
+	d.peers, err = peer.NewServer(peer.ServerConfig{
+		Listener:  peerListener,
+		Handler:   d.router,
+		Tracer:    d.tracer,
+		Handshake: s.Timeouts.Handshake,
+	})
 	return d, errors.Trace(err)
 }
 
+// wireObservation makes what the other parts report to.
+func (d *Daemon) wireObservation() error {
+	if d.deps.Registry == nil {
+		d.deps.Registry = gometrics.NewRegistry()
+	}
+	d.metrics = metrics.New(d.deps.Registry)
+	var err error
+	d.tracer, err = trace.New(trace.Config{Exporter: exporterOf(d.deps.Settings.Trace), Self: d.self.Incarnation})
+	return errors.Trace(err)
+}
+
+func exporterOf(s settings.Trace) trace.Exporter {
+	switch s.Exporter {
+	case settings.TraceStdout:
+		return trace.Stdout{Writer: os.Stdout}
+	case settings.TraceOTLPHTTP:
+		return trace.OTLP{Address: s.Address}
+	default:
+		return trace.None{}
+	}
+}
+
 func (d *Daemon) wireControl() {
 	s := d.deps.Settings
 	control := entry.NewControl(entry.ControlConfig{
@@ -109,12 +156,16 @@
 		Connections: s.Limits.EndpointConnections,
 		ResultBytes: s.Limits.ResultBytes,
 		DialTimeout: s.Timeouts.Dial,
+		Metrics:     d.metrics,
 	})
 	traffic := entry.NewTraffic(entry.TrafficConfig{
 		Self:        d.self.Incarnation,
 		Endpoints:   endpoints,
 		Witnesses:   d.client,
 		PeerTimeout: s.Timeouts.Peer,
+		Clock:       d.deps.Clock,
+		Tracer:      d.tracer,
+		Metrics:     d.metrics,
 	})
 	d.loop = entry.NewLoop(entry.LoopConfig{
 		Control:   control,
@@ -198,6 +249,7 @@
 		"callerAddress": d.address, "peerAddress": d.self.PeerAddress,
 	})
 	err := g.Run()
+	d.flushSpans()
 	d.deps.Log.Info(event.DaemonStopped, "daemon stopped", logrus.Fields{"incarnation": d.self.Incarnation})
 	if errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -205,6 +257,14 @@
 	return err
 }
 
+// flushSpans gives the exporter a last chance, so that a collector that hangs cannot hold
+// up the exit for longer than a peer could.
+func (d *Daemon) flushSpans() {
+	ctx, cancel := context.WithTimeout(context.Background(), d.deps.Settings.Timeouts.Peer.Duration())
+	defer cancel()
+	_ = d.tracer.Shutdown(ctx)
+}
+
 // addContext adds an actor that ends when the group cancels its context.
 func addContext(parent context.Context, g *run.Group, actor func(context.Context) error) {
 	ctx, cancel := context.WithCancel(parent)
--- /dev/null
+++ b/pkg/dispatch/queued.go
@@ -0,0 +1,4 @@
+package dispatch
+
+// Queued returns how many tasks wait.
+func (s *Scheduler) Queued() int { return len(s.queue) }
--- a/pkg/entry/action.go
+++ b/pkg/entry/action.go
@@ -24,6 +24,9 @@
 	Endpoint datacentre.Endpoint
 	Payload  []byte
 	Deadline clock.Millis
+	// Accepted is when the submission was accepted, Trace the span it belongs to.
+	Accepted clock.Millis
+	Trace    contract.TraceParent
 }
 
 // SendRecords sends a batch to the witness. Ends with RecordsAnswered.
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -90,6 +90,9 @@
 	return c.actions
 }
 
+// QueuedTasks returns how many tasks wait for a slot.
+func (c *Control) QueuedTasks() int { return c.scheduler.Queued() }
+
 func (c *Control) do(a Action) {
 	c.actions = append(c.actions, a)
 }
--- a/pkg/entry/control_submissions.go
+++ b/pkg/entry/control_submissions.go
@@ -154,6 +154,8 @@
 		Endpoint: c.endpoints[start.Endpoint],
 		Payload:  entry.Submission.Tasks[task].Payload,
 		Deadline: c.config.AttemptTimeout,
+		Accepted: entry.AcceptedAt,
+		Trace:    entry.Submission.Trace,
 	})
 }
 
--- a/pkg/entry/loop.go
+++ b/pkg/entry/loop.go
@@ -34,6 +34,8 @@
 	mailbox chan envelope
 	waiters map[WaiterID]chan<- Reply
 	lastID  atomic.Uint64
+	// queued mirrors the length of the queue for readers on other goroutines.
+	queued atomic.Int64
 }
 
 type envelope struct {
@@ -67,6 +69,12 @@
 	}
 }
 
+// MailboxLength returns how many events wait.
+func (l *Loop) MailboxLength() int { return len(l.mailbox) }
+
+// QueuedTasks returns how many tasks wait for a slot.
+func (l *Loop) QueuedTasks() int { return int(l.queued.Load()) }
+
 // Post hands over an event that must not be lost; it waits for room.
 func (l *Loop) Post(ctx context.Context, e Event) {
 	select {
@@ -104,6 +112,7 @@
 	for _, a := range l.config.Control.Handle(l.config.Clock.Now(), e.event) {
 		l.execute(a)
 	}
+	l.queued.Store(int64(l.config.Control.QueuedTasks()))
 }
 
 func (l *Loop) execute(a Action) {
--- a/pkg/entry/traffic.go
+++ b/pkg/entry/traffic.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	gometrics "github.com/rcrowley/go-metrics"
+
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
@@ -44,6 +46,12 @@
 
 // NewTraffic returns traffic that is not yet attached to a loop.
 func NewTraffic(c TrafficConfig) *Traffic {
+	if c.Metrics == nil {
+		c.Metrics = metrics.New(gometrics.NewRegistry())
+	}
+	if c.Clock == nil {
+		c.Clock = clock.NewSystem()
+	}
 	return &Traffic{config: c}
 }
 
@@ -63,12 +71,24 @@
 }
 
 func (t *Traffic) runAttempt(a RunAttempt) {
-	ctx, cancel := context.WithTimeout(context.Background(), a.Deadline.Duration())
+	ctx, cancel := context.WithTimeout(trace.WithParent(context.Background(), a.Trace), a.Deadline.Duration())
 	defer cancel()
-	result := t.config.Endpoints.Run(ctx, a.Endpoint, a.Attempt, a.Payload, a.Deadline)
+	result := t.observeAttempt(ctx, a)
 	t.loop.Post(context.Background(), AttemptEnded{Attempt: a.Attempt, Start: a.Start, Result: result})
 }
 
+// observeAttempt runs an attempt and records its spans and figures.
+func (t *Traffic) observeAttempt(ctx context.Context, a RunAttempt) contract.AttemptResult {
+	id := a.Attempt.Submission
+	began := t.config.Clock.Now()
+	t.config.Tracer.Record(ctx, trace.QueueHop, id, a.Accepted, began)
+	ctx, span := t.config.Tracer.Start(ctx, trace.EndpointHop, id)
+	defer span.End()
+	result := t.config.Endpoints.Run(ctx, a.Endpoint, a.Attempt, a.Payload, a.Deadline)
+	t.config.Metrics.AttemptEnded(result, began-a.Accepted, t.config.Clock.Now()-began)
+	return result
+}
+
 func (t *Traffic) sendRecords(a SendRecords) {
 	ctx, cancel := context.WithTimeout(context.Background(), t.config.PeerTimeout.Duration())
 	defer cancel()
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -55,16 +55,18 @@
 // RequestAnswered counts a caller's request by the HTTP status or state of its answer.
 func (m *Metrics) RequestAnswered(answer string) { m.count("requests." + answer) }
 
-// AttemptStarted counts a send to an endpoint and the span that the task waited.
-func (m *Metrics) AttemptStarted(wait clock.Millis) {
+// AttemptEnded counts a send to an endpoint by its result, with the span that the task
+// waited and the span that the send took. A result that proves that the endpoint did not
+// start the task counts as a requeue; every other result counts as a start.
+func (m *Metrics) AttemptEnded(result contract.AttemptResult, wait, run clock.Millis) {
+	if r, ok := result.(contract.NotStarted); ok {
+		m.count("attempts.notStarted." + r.Cause.String())
+		m.requeues.Inc(1)
+		return
+	}
 	m.starts.Inc(1)
 	m.wait.Update(int64(wait))
-}
-
-// AttemptEnded counts an attempt by its result. A result that proves that the endpoint
-// did not start the task also counts as a requeue.
-func (m *Metrics) AttemptEnded(result contract.AttemptResult, run clock.Millis) {
-	switch r := result.(type) {
+	switch result.(type) {
 	case contract.Succeeded:
 		m.count("attempts.succeeded")
 		m.run.Update(int64(run))
@@ -73,9 +75,6 @@
 		m.run.Update(int64(run))
 	case contract.Ambiguous:
 		m.count("attempts.ambiguous")
-	case contract.NotStarted:
-		m.count("attempts.notStarted." + r.Cause.String())
-		m.requeues.Inc(1)
 	}
 }
 
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -48,22 +48,31 @@
 
 // Submit forwards a submission to its issuer.
 func (c *Client) Submit(ctx context.Context, issuer vm.VM, s contract.Submission, wait clock.Millis) (contract.Answer, error) {
+	ctx, span := c.config.Tracer.Start(ctx, trace.PeerHop, s.ID)
+	defer span.End()
+	s.Trace = trace.ParentOf(ctx)
 	return c.answer(ctx, issuer, "Contract.Submit", SubmitRequest{Submission: encodeSubmission(s), WaitMs: int64(wait)})
 }
 
 // Ask asks the issuer of an id for its answer.
 func (c *Client) Ask(ctx context.Context, issuer vm.VM, id contract.SubmissionID, o owner.ID, wait clock.Millis) (contract.Answer, error) {
-	return c.answer(ctx, issuer, "Contract.Ask", AskRequest{ID: id.String(), Owner: string(o), WaitMs: int64(wait)})
+	return c.ask(ctx, issuer, "Contract.Ask", id, o, wait)
 }
 
 // Cancel asks the issuer of an id to cancel it.
 func (c *Client) Cancel(ctx context.Context, issuer vm.VM, id contract.SubmissionID, o owner.ID) (contract.Answer, error) {
-	return c.answer(ctx, issuer, "Contract.Cancel", AskRequest{ID: id.String(), Owner: string(o)})
+	return c.ask(ctx, issuer, "Contract.Cancel", id, o, 0)
 }
 
 // AskWitness asks the witness of an id for its answer.
 func (c *Client) AskWitness(ctx context.Context, witness vm.VM, id contract.SubmissionID, o owner.ID) (contract.Answer, error) {
-	return c.answer(ctx, witness, "Witness.Ask", AskRequest{ID: id.String(), Owner: string(o)})
+	return c.ask(ctx, witness, "Witness.Ask", id, o, 0)
+}
+
+func (c *Client) ask(ctx context.Context, to vm.VM, method string, id contract.SubmissionID, o owner.ID, wait clock.Millis) (contract.Answer, error) {
+	ctx, span := c.config.Tracer.Start(ctx, trace.PeerHop, id)
+	defer span.End()
+	return c.answer(ctx, to, method, AskRequest{ID: id.String(), Owner: string(o), WaitMs: int64(wait), TraceParent: string(trace.ParentOf(ctx))})
 }
 
 // Record sends records to a witness.
@@ -105,6 +114,14 @@
 }
 
 func (c *Client) call(ctx context.Context, to vm.VM, method string, request, reply any) error {
+	err := c.send(ctx, to, method, request, reply)
+	if c.config.Metrics != nil {
+		c.config.Metrics.PeerCalled(method, err)
+	}
+	return err
+}
+
+func (c *Client) send(ctx context.Context, to vm.VM, method string, request, reply any) error {
 	p, err := c.connect(ctx, to.PeerAddress)
 	if err != nil {
 		return errors.Annotatef(err, "connect to peer %s", to.Incarnation)
--- a/pkg/peer/codec.go
+++ b/pkg/peer/codec.go
@@ -21,6 +21,8 @@
 		DeadlineMs: int64(s.Deadline),
 		Repeatable: s.Repeatable,
 		Payloads:   payloads,
+
+		TraceParent: string(s.Trace),
 	}
 }
 
@@ -41,6 +43,7 @@
 		Deadline:   clock.Millis(w.DeadlineMs),
 		Repeatable: w.Repeatable,
 		Tasks:      tasks,
+		Trace:      contract.TraceParent(w.TraceParent),
 	}, nil
 }
 
--- a/pkg/peer/contract_service.go
+++ b/pkg/peer/contract_service.go
@@ -8,11 +8,13 @@
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/trace"
 )
 
 // contractService receives what peers forward to the issuer.
 type contractService struct {
 	handler Handler
+	tracer  *trace.Tracer
 }
 
 // Submit runs a forwarded submission.
@@ -21,7 +23,10 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	*reply = encodeAnswer(c.handler.SubmitHere(context.Background(), s, clock.Millis(request.WaitMs)))
+	ctx, span := serve(c.tracer, request.Submission.TraceParent, s.ID)
+	defer span.End()
+	s.Trace = trace.ParentOf(ctx)
+	*reply = encodeAnswer(c.handler.SubmitHere(ctx, s, clock.Millis(request.WaitMs)))
 	return nil
 }
 
@@ -31,7 +36,9 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	*reply = encodeAnswer(c.handler.AskHere(context.Background(), id, owner.ID(request.Owner), clock.Millis(request.WaitMs)))
+	ctx, span := serve(c.tracer, request.TraceParent, id)
+	defer span.End()
+	*reply = encodeAnswer(c.handler.AskHere(ctx, id, owner.ID(request.Owner), clock.Millis(request.WaitMs)))
 	return nil
 }
 
@@ -41,6 +48,13 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	*reply = encodeAnswer(c.handler.CancelHere(context.Background(), id, owner.ID(request.Owner)))
+	ctx, span := serve(c.tracer, request.TraceParent, id)
+	defer span.End()
+	*reply = encodeAnswer(c.handler.CancelHere(ctx, id, owner.ID(request.Owner)))
 	return nil
 }
+
+// serve begins the served hop as part of the trace of the peer hop.
+func serve(t *trace.Tracer, parent string, id contract.SubmissionID) (context.Context, trace.Span) {
+	return t.Start(trace.WithParent(context.Background(), contract.TraceParent(parent)), trace.ServedHop, id)
+}
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -50,10 +50,10 @@
 // NewServer returns a server that does not yet accept connections.
 func NewServer(c ServerConfig) (*Server, error) {
 	s := &Server{config: c, rpc: rpc.NewServer(), conns: make(map[net.Conn]struct{})}
-	if err := s.rpc.RegisterName("Contract", &contractService{handler: c.Handler}); err != nil {
+	if err := s.rpc.RegisterName("Contract", &contractService{handler: c.Handler, tracer: c.Tracer}); err != nil {
 		return nil, errors.Annotate(err, "register contract service")
 	}
-	if err := s.rpc.RegisterName("Witness", &witnessService{handler: c.Handler}); err != nil {
+	if err := s.rpc.RegisterName("Witness", &witnessService{handler: c.Handler, tracer: c.Tracer}); err != nil {
 		return nil, errors.Annotate(err, "register witness service")
 	}
 	return s, nil
--- a/pkg/peer/wire.go
+++ b/pkg/peer/wire.go
@@ -12,6 +12,8 @@
 	DeadlineMs int64
 	Repeatable bool
 	Payloads   [][]byte
+	// TraceParent is the W3C traceparent of the peer hop.
+	TraceParent string
 }
 
 type answerKind int
@@ -66,6 +68,8 @@
 	ID     string
 	Owner  string
 	WaitMs int64
+	// TraceParent is the W3C traceparent of the peer hop.
+	TraceParent string
 }
 
 // RecordRequest brings a batch of records to a witness.
--- a/pkg/peer/witness_service.go
+++ b/pkg/peer/witness_service.go
@@ -7,12 +7,14 @@
 
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/trace"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
 // witnessService receives the records of issuers and the questions about them.
 type witnessService struct {
 	handler Handler
+	tracer  *trace.Tracer
 }
 
 // Record keeps a batch of records.
@@ -42,6 +44,8 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	*reply = encodeAnswer(w.handler.WitnessHere(context.Background(), id, owner.ID(request.Owner)))
+	ctx, span := serve(w.tracer, request.TraceParent, id)
+	defer span.End()
+	*reply = encodeAnswer(w.handler.WitnessHere(ctx, id, owner.ID(request.Owner)))
 	return nil
 }
