Test mutual TLS between entry VMs

Cause: nothing showed who gets in, and handshakes had no deadline. Change: an authority in memory issues identities; tests over loopback. Output (go test ./pkg/peer): tls_test.go:99: got accepted true (<nil>), want false tls_test.go:102: got 1 questions at the handler, want accepted false tls_test.go:99: got accepted true (<nil>), want false tls_test.go:102: got 1 questions at the handler, want accepted false tls_test.go:99: got accepted true (<nil>), want false tls_test.go:102: got 1 questions at the handler, want accepted false --- FAIL: TestPeersNeedACertificateOfTheAuthority (0.02s) --- FAIL: TestPeersNeedACertificateOfTheAuthority/no_client_certificate (0.00s) --- FAIL: TestPeersNeedACertificateOfTheAuthority/client_of_another_authority (0.00s) --- FAIL: TestPeersNeedACertificateOfTheAuthority/client_of_another_service (0.00s) panic: test timed out after 8s FAIL github.com/sequoiacart/sequoiacart/pkg/peer 8.031s FAIL The panic is TestSilentHandshakeEndsAndBlocksNobody: silent connections never end. Conclusion: the server has to ask for certificates and bound handshakes.

--- /dev/null
+++ b/pkg/peer/identity.go
@@ -0,0 +1,55 @@
+package peer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/juju/errors"
+)
+
+// ServiceName is the DNS name that the certificate of every entry VM carries. Peers are
+// known by address only, and the addresses change with each replacement, so the name
+// stands for the service and not for one VM.
+const ServiceName = "entry.sequoiacart"
+
+// Identity is what an entry VM proves itself with, and whom it believes.
+type Identity struct {
+	Certificate tls.Certificate
+	Authorities *x509.CertPool
+}
+
+// LoadIdentity reads PEM files: a certificate, its key, and the authorities.
+func LoadIdentity(certificateFile, keyFile, caFile string) (Identity, error) {
+	certificate, err := tls.LoadX509KeyPair(certificateFile, keyFile)
+	if err != nil {
+		return Identity{}, errors.Annotatef(err, "load certificate %s and key %s: give PEM files that belong together", certificateFile, keyFile)
+	}
+	body, err := os.ReadFile(caFile)
+	if err != nil {
+		return Identity{}, errors.Annotate(err, "load authorities: give a readable PEM file")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(body) {
+		return Identity{}, errors.Errorf("load authorities: %s has no certificate: give a PEM file", caFile)
+	}
+	return Identity{Certificate: certificate, Authorities: pool}, nil
+}
+
+// Client returns the configuration for calling peers.
+func (i Identity) Client() *tls.Config {
+	return &tls.Config{
+		Certificates: []tls.Certificate{i.Certificate},
+		RootCAs:      i.Authorities,
+		ServerName:   ServiceName,
+		MinVersion:   tls.VersionTLS13,
+	}
+}
+
+// Server returns the configuration for accepting peers.
+func (i Identity) Server() *tls.Config {
+	return &tls.Config{
+		Certificates: []tls.Certificate{i.Certificate},
+		MinVersion:   tls.VersionTLS13,
+	}
+}
--- /dev/null
+++ b/pkg/peer/tls_test.go
@@ -0,0 +1,134 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// fakeHandler answers every question with Running and counts them.
+type fakeHandler struct {
+	Handler
+	asked atomic.Int32
+}
+
+func (f *fakeHandler) AskHere(context.Context, contract.SubmissionID, owner.ID, clock.Millis) contract.Answer {
+	f.asked.Add(1)
+	return contract.Running{}
+}
+
+func newAuthority(t *testing.T) *Authority {
+	t.Helper()
+	a, err := NewAuthority(AuthorityConfig{Name: "test", ValidFor: clock.Hour})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func identity(t *testing.T, a *Authority, name vm.ID) Identity {
+	t.Helper()
+	i, err := a.Issue(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return i
+}
+
+func serveTLS(t *testing.T, h Handler, config *tls.Config, handshake clock.Millis) vm.VM {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := NewServer(ServerConfig{Listener: listener, Handler: h, TLS: config, Handshake: handshake})
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() { _ = s.Serve(); close(done) }()
+	t.Cleanup(func() { s.Close(); <-done })
+	return vm.VM{Incarnation: "server-1", PeerAddress: listener.Addr().String()}
+}
+
+// Guards against peers that get in, or that are believed, without a certificate of this
+// service.
+func TestPeersNeedACertificateOfTheAuthority(t *testing.T) {
+	ours, other := newAuthority(t), newAuthority(t)
+	good, foreign := identity(t, ours, "a"), identity(t, other, "a")
+	server := identity(t, ours, "b").Server()
+	noCertificate := good.Client()
+	noCertificate.Certificates = nil
+	wrongName, err := ours.issue("a", "other.service")
+	if err != nil {
+		t.Fatal(err)
+	}
+	foreignCertificate := good.Client()
+	foreignCertificate.Certificates = foreign.Client().Certificates
+	otherName := good.Client()
+	otherName.Certificates = []tls.Certificate{wrongName}
+	cases := map[string]struct {
+		client *tls.Config
+		server *tls.Config
+		want   bool
+	}{
+		"both good":                    {good.Client(), server, true},
+		"plain TCP":                    {nil, server, false},
+		"no client certificate":        {noCertificate, server, false},
+		"client of another authority":  {foreignCertificate, server, false},
+		"client of another service":    {otherName, server, false},
+		"server of another authority":  {good.Client(), foreign.Server(), false},
+		"plain server, client of ours": {good.Client(), nil, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := &fakeHandler{}
+			to := serveTLS(t, h, c.server, 5*clock.Second)
+			client := NewClient(ClientConfig{Dialer: &net.Dialer{}, TLS: c.client})
+			defer client.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), (5 * clock.Second).Duration())
+			defer cancel()
+			_, err := client.Ask(ctx, to, contract.SubmissionID{DataCentre: "centro", Issuer: "server-1", Witness: vm.None}, "o", 0)
+			if got := err == nil; got != c.want {
+				t.Errorf("got accepted %t (%v), want %t", got, err, c.want)
+			}
+			if got := h.asked.Load() == 1; got != c.want {
+				t.Errorf("got %d questions at the handler, want accepted %t", h.asked.Load(), c.want)
+			}
+		})
+	}
+}
+
+// Guards against connections that never finish their handshake: they must end by
+// themselves and must not keep others from being accepted.
+func TestSilentHandshakeEndsAndBlocksNobody(t *testing.T) {
+	ours := newAuthority(t)
+	to := serveTLS(t, &fakeHandler{}, identity(t, ours, "b").Server(), 50)
+	var silent []net.Conn
+	for range 20 {
+		conn, err := net.Dial("tcp", to.PeerAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		silent = append(silent, conn)
+	}
+	client := NewClient(ClientConfig{Dialer: &net.Dialer{}, TLS: identity(t, ours, "a").Client()})
+	defer client.Close()
+	if _, err := client.Ask(t.Context(), to, contract.SubmissionID{DataCentre: "centro", Issuer: "server-1", Witness: vm.None}, "o", 0); err != nil {
+		t.Errorf("got %v beside silent connections, want an answer", err)
+	}
+	for _, conn := range silent {
+		// Ends only when the server gives up.
+		if n, err := conn.Read(make([]byte, 1)); n != 0 || err == nil {
+			t.Errorf("got %d bytes and error %v, want the connection closed", n, err)
+		}
+	}
+}
