Demand certificates from peers and bound their handshakes

Cause: the server asked for no certificate and waited for ever for a handshake. Change: both sides verify the other against the authority and the service's name; the handshake runs on the connection's own goroutine with a deadline; a connection accepted while the server closes is closed too.

--- a/pkg/peer/identity.go
+++ b/pkg/peer/identity.go
@@ -46,10 +46,21 @@
 	}
 }
 
-// Server returns the configuration for accepting peers.
+// Server returns the configuration for accepting peers, which have to prove themselves.
 func (i Identity) Server() *tls.Config {
 	return &tls.Config{
-		Certificates: []tls.Certificate{i.Certificate},
-		MinVersion:   tls.VersionTLS13,
+		Certificates:     []tls.Certificate{i.Certificate},
+		ClientCAs:        i.Authorities,
+		ClientAuth:       tls.RequireAndVerifyClientCert,
+		MinVersion:       tls.VersionTLS13,
+		VerifyConnection: verifyPeer,
+	}
+}
+
+// verifyPeer refuses certificates that the authority issued for another purpose.
+func verifyPeer(state tls.ConnectionState) error {
+	if len(state.PeerCertificates) == 0 {
+		return errors.New("accept peer: it has no certificate")
 	}
+	return errors.Annotate(state.PeerCertificates[0].VerifyHostname(ServiceName), "accept peer")
 }
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -36,6 +36,8 @@
 	Tracer *trace.Tracer
 	// Handshake bounds a TLS handshake.
 	Handshake clock.Millis
+	// Refused hears of peers whose handshake failed; nil hears nothing.
+	Refused func(peer net.Addr, err error)
 }
 
 // Server accepts the calls of peers.
@@ -45,6 +47,8 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
+	// closed makes connections end that were accepted while Close ran.
+	closed bool
 }
 
 // NewServer returns a server that does not yet accept connections.
@@ -66,9 +70,6 @@
 		if err != nil {
 			return errors.Annotate(err, "accept connection of a peer")
 		}
-		if s.config.TLS != nil {
-			conn = tls.Server(conn, s.config.TLS)
-		}
 		s.track(conn)
 		go s.serve(conn)
 	}
@@ -79,13 +80,42 @@
 	_ = s.config.Listener.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closed = true
 	for conn := range s.conns {
 		_ = conn.Close()
 	}
 }
 
 func (s *Server) serve(conn net.Conn) {
-	s.rpc.ServeConn(conn)
+	defer s.forget(conn)
+	if s.config.TLS == nil {
+		s.rpc.ServeConn(conn)
+		return
+	}
+	secure := tls.Server(conn, s.config.TLS)
+	if err := s.handshake(secure); err != nil {
+		s.refuse(conn, err)
+		return
+	}
+	s.rpc.ServeConn(secure)
+}
+
+// handshake runs on the goroutine of its connection, so a silent peer keeps nobody from
+// being accepted, and ends by itself, so it holds no connection either.
+func (s *Server) handshake(conn *tls.Conn) error {
+	ctx, cancel := context.WithTimeout(context.Background(), s.config.Handshake.Duration())
+	defer cancel()
+	return conn.HandshakeContext(ctx)
+}
+
+func (s *Server) refuse(conn net.Conn, err error) {
+	if s.config.Refused != nil {
+		s.config.Refused(conn.RemoteAddr(), err)
+	}
+}
+
+func (s *Server) forget(conn net.Conn) {
+	_ = conn.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
@@ -94,5 +124,8 @@
 func (s *Server) track(conn net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closed {
+		_ = conn.Close()
+	}
 	s.conns[conn] = struct{}{}
 }
