--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -37,6 +37,8 @@
 	Log      *event.Log
 	// Registry receives the metrics; nil stands for a registry of its own.
 	Registry gometrics.Registry
+	// Identity turns on mutual TLS in place of the files in the settings.
+	Identity *peer.Identity
 }
 
 // Daemon is an entry VM at work.
@@ -66,14 +68,17 @@
 // NewDaemon opens the listeners and wires the parts.
 func NewDaemon(deps DaemonDeps) (*Daemon, error) {
 	s := deps.Settings
-	callerListener, err := net.Listen("tcp", s.CallerAddress)
+	if err := loadIdentity(&deps); err != nil {
+		return nil, errors.Trace(err)
+	}
+	callerListener, err := listen("callers", "callerAddress", s.CallerAddress)
 	if err != nil {
-		return nil, errors.Annotate(err, "listen for callers")
+		return nil, errors.Trace(err)
 	}
-	peerListener, err := net.Listen("tcp", s.PeerAddress)
+	peerListener, err := listen("peers", "peerAddress", s.PeerAddress)
 	if err != nil {
 		_ = callerListener.Close()
-		return nil, errors.Annotate(err, "listen for peers")
+		return nil, errors.Trace(err)
 	}
 	d := &Daemon{deps: deps, address: callerListener.Addr().String(), self: vm.VM{
 		Incarnation: vm.NewIncarnation(s.VM, hex.EncodeToString(randomBytes(nonceBytes))),
@@ -88,6 +93,7 @@
 	}
 	d.client = peer.NewClient(peer.ClientConfig{
 		Dialer:  &net.Dialer{Timeout: s.Timeouts.Dial.Duration()},
+		TLS:     d.clientTLS(),
 		Tracer:  d.tracer,
 		Metrics: d.metrics,
 	})
@@ -101,6 +107,7 @@
 		Readiness: d,
 		Metrics:   d.metrics,
 		Tracer:    d.tracer,
+		Log:       d.deps.Log,
 		Limits: caller.Limits{
 			BodyBytes:   s.Limits.BodyBytes,
 			AnswerBytes: s.Limits.AnswerBytes,
@@ -117,6 +124,11 @@
 		Handler:   d.router,
 		Tracer:    d.tracer,
 		Handshake: s.Timeouts.Handshake,
+		TLS:       d.serverTLS(),
+		Refused: func(from net.Addr, err error) {
+			host, _, _ := net.SplitHostPort(from.String())
+			deps.Log.Warn(event.PeerRefused, "peer refused", logrus.Fields{"peer": host, "error": err})
+		},
 	})
 	return d, errors.Trace(err)
 }
@@ -157,6 +169,7 @@
 		ResultBytes: s.Limits.ResultBytes,
 		DialTimeout: s.Timeouts.Dial,
 		Metrics:     d.metrics,
+		Log:         d.deps.Log,
 	})
 	traffic := entry.NewTraffic(entry.TrafficConfig{
 		Self:        d.self.Incarnation,
@@ -251,9 +264,10 @@
 	err := g.Run()
 	d.flushSpans()
 	d.deps.Log.Info(event.DaemonStopped, "daemon stopped", logrus.Fields{"incarnation": d.self.Incarnation})
-	if errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed) {
+	if err == nil || errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
+	d.deps.Log.Warn(event.ListenersFailed, "serving ended with an error", logrus.Fields{"error": err})
 	return err
 }
 
--- /dev/null
+++ b/pkg/app/identity.go
@@ -0,0 +1,46 @@
+package app
+
+import (
+	"crypto/tls"
+	"net"
+
+	"github.com/juju/errors"
+
+	"github.com/sequoiacart/sequoiacart/pkg/peer"
+)
+
+// loadIdentity reads the files of the settings unless an identity is given.
+func loadIdentity(deps *DaemonDeps) error {
+	files := deps.Settings.TLS
+	if deps.Identity != nil || !files.On() {
+		return nil
+	}
+	identity, err := peer.LoadIdentity(files.CertificateFile, files.KeyFile, files.CAFile)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	deps.Identity = &identity
+	return nil
+}
+
+func (d *Daemon) clientTLS() *tls.Config {
+	if d.deps.Identity == nil {
+		return nil
+	}
+	return d.deps.Identity.Client()
+}
+
+func (d *Daemon) serverTLS() *tls.Config {
+	if d.deps.Identity == nil {
+		return nil
+	}
+	return d.deps.Identity.Server()
+}
+
+func listen(peers, key, address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Errorf("listen for %s at %s: %v: end the program that uses the address or set %s to another", peers, address, err, key)
+	}
+	return listener, nil
+}
--- a/pkg/app/poller.go
+++ b/pkg/app/poller.go
@@ -146,7 +146,8 @@
 	}
 	b, err := bundle.Decode(body)
 	if err != nil {
-		return errors.Trace(err)
+		p.deps.Log.Warn(event.BundleRejected, "bundle rejected", logrus.Fields{"error": err})
+		return nil
 	}
 	if p.current != nil && b.Version <= p.current.Version {
 		return nil
--- a/pkg/caller/operations.go
+++ b/pkg/caller/operations.go
@@ -1,13 +1,20 @@
 package caller
 
 import (
+	"net"
 	"net/http"
 
 	"github.com/labstack/echo/v4"
 	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/sequoiacart/sequoiacart/pkg/event"
 )
 
-const answerKey = "answer"
+const (
+	answerKey = "answer"
+	detailKey = "detail"
+)
 
 // count counts a request by the state or problem type of its answer.
 func (s *Server) count(next echo.HandlerFunc) echo.HandlerFunc {
@@ -18,10 +25,22 @@
 			answer = "ok"
 		}
 		s.config.Metrics.RequestAnswered(answer)
+		s.warn(c, answer)
 		return err
 	}
 }
 
+func (s *Server) warn(c echo.Context, answer string) {
+	host, _, _ := net.SplitHostPort(c.Request().RemoteAddr)
+	fields := logrus.Fields{"peer": host, "owner": ownerOf(c), "detail": c.Get(detailKey)}
+	switch answer {
+	case typeUnauthorized:
+		s.config.Log.Warn(event.CallerUnauthorized, "caller not authorised", fields)
+	case typeInvalid:
+		s.config.Log.Warn(event.CallerBadInput, "caller's request refused as invalid", fields)
+	}
+}
+
 // ready tells a load balancer whether to send new work here.
 func (s *Server) ready(c echo.Context) error {
 	detail := ""
--- a/pkg/caller/problem.go
+++ b/pkg/caller/problem.go
@@ -46,6 +46,7 @@
 	}
 	p.Status, p.Peer = status, peerOf(c)
 	c.Set(answerKey, p.Type)
+	c.Set(detailKey, p.Detail)
 	body, err := json.Marshal(p)
 	if err != nil {
 		return errors.Annotate(err, "encode problem")
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/event"
 	"github.com/sequoiacart/sequoiacart/pkg/metrics"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
 	"github.com/sequoiacart/sequoiacart/pkg/trace"
@@ -68,6 +69,8 @@
 	Metrics *metrics.Metrics
 	// Tracer records the caller hop; nil records nothing.
 	Tracer *trace.Tracer
+	// Log hears of bad tokens and bad input; nil writes nothing.
+	Log *event.Log
 }
 
 // Server is the HTTP server for callers.
--- a/pkg/endpoint/client.go
+++ b/pkg/endpoint/client.go
@@ -12,10 +12,12 @@
 
 	"github.com/juju/errors"
 	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/event"
 	"github.com/sequoiacart/sequoiacart/pkg/metrics"
 	"github.com/sequoiacart/sequoiacart/pkg/trace"
 )
@@ -42,6 +44,8 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Metrics counts unusable answers; nil counts them nowhere.
 	Metrics *metrics.Metrics
+	// Log hears of unusable answers; nil writes nothing.
+	Log *event.Log
 }
 
 // Client sends tasks to endpoints.
@@ -142,6 +146,7 @@
 // unusable counts an answer from which it cannot be told whether the task ran.
 func (c *Client) unusable(to datacentre.Endpoint, kind metrics.Unusable, detail string) contract.Ambiguous {
 	c.config.Metrics.UnusableAnswer(kind)
+	c.config.Log.Warn(event.EndpointUnusable, "endpoint's answer not usable", logrus.Fields{"endpoint": to.ID, "reason": kind, "detail": detail})
 	return contract.Ambiguous{Reason: "read answer of endpoint " + string(to.ID) + ": " + detail}
 }
 
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -1,9 +1,17 @@
 // Package event writes numbered log events. docs/events.md is their catalogue.
 package event
 
-import "github.com/sirupsen/logrus"
+import (
+	"fmt"
+	"sync"
 
-// Number identifies a log event.
+	"github.com/sirupsen/logrus"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// Number identifies a log event. The first digit tells its area: 1 daemon, 2 platform,
+// 3 bundles, 4 peers and membership, 5 callers, 6 endpoints.
 type Number string
 
 // The events.
@@ -16,22 +24,91 @@
 	ListenersFailed Number = "SQ-1003"
 )
 
-// Log writes events to a logger.
+// Config holds what a log is made of.
+type Config struct {
+	Logger *logrus.Logger
+	Clock  clock.Clock
+	// RepeatEvery is the span in which the same warning is written once.
+	RepeatEvery clock.Millis
+}
+
+// DefaultRepeatEvery keeps a fault that repeats with each poll or task at one line a
+// minute.
+const DefaultRepeatEvery = clock.Minute
+
+// Log writes events to a logger. A nil log writes nothing.
 type Log struct {
-	logger *logrus.Logger
+	config Config
+
+	mu     sync.Mutex
+	repeat map[string]*repeated
 }
 
-// NewLog returns a log that writes to the logger.
+// repeated counts a warning that was held back.
+type repeated struct {
+	writtenAt clock.Millis
+	heldBack  int
+}
+
+// repeatLimit bounds the warnings that are told apart; when it is passed the oldest
+// knowledge is given up, and at worst a warning comes early.
+const repeatLimit = 1024
+
+// NewLog returns a log that writes to the logger with the system's clock.
 func NewLog(l *logrus.Logger) *Log {
-	return &Log{logger: l}
+	return New(Config{Logger: l, Clock: clock.NewSystem(), RepeatEvery: DefaultRepeatEvery})
+}
+
+// New returns a log.
+func New(c Config) *Log {
+	return &Log{config: c, repeat: make(map[string]*repeated)}
 }
 
 // Info writes an event of normal operation.
 func (l *Log) Info(n Number, message string, fields logrus.Fields) {
-	l.logger.WithFields(fields).WithField("event", n).Info(message)
+	if l == nil {
+		return
+	}
+	l.config.Logger.WithFields(fields).WithField("event", n).Info(message)
 }
 
-// Warn writes an event that an operator may want to look at.
+// Warn writes an event that an operator may want to look at. The same event about the
+// same peer, endpoint or owner is held back for RepeatEvery; the next one that is
+// written carries their number in the field "heldBack".
 func (l *Log) Warn(n Number, message string, fields logrus.Fields) {
-	l.logger.WithFields(fields).WithField("event", n).Warn(message)
+	if l == nil {
+		return
+	}
+	heldBack, ok := l.due(n, fields)
+	if !ok {
+		return
+	}
+	e := l.config.Logger.WithFields(fields).WithField("event", n)
+	if heldBack > 0 {
+		e = e.WithField("heldBack", heldBack)
+	}
+	e.Warn(message)
+}
+
+// due reports whether a warning may be written, and how many were not since the last.
+func (l *Log) due(n Number, fields logrus.Fields) (heldBack int, ok bool) {
+	key := fmt.Sprint(n, fields["peer"], fields["endpoint"], fields["owner"])
+	now := l.config.Clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, known := l.repeat[key]
+	if known && now-r.writtenAt < l.config.RepeatEvery {
+		r.heldBack++
+		return 0, false
+	}
+	if !known {
+		if len(l.repeat) >= repeatLimit {
+			clear(l.repeat)
+		}
+		r = &repeated{}
+		l.repeat[key] = r
+	}
+	heldBack = r.heldBack
+	r.writtenAt, r.heldBack = now, 0
+	return heldBack, true
 }
