--- a/pkg/app/main.go
+++ b/pkg/app/main.go
@@ -24,6 +24,10 @@
 func Main(args []string, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	return execute(ctx, args, stdout, stderr)
+}
+
+func execute(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	root := newRootCommand(stdout, stderr)
 	if err := root.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
