--- a/pkg/app/entry_command.go
+++ b/pkg/app/entry_command.go
@@ -36,7 +36,10 @@
 		LongHelp:   entryHelp,
 		FlagSet:    flags,
 		Options:    settings.Options(),
-		Exec: func(ctx context.Context, _ []string) error {
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments("entry", args); err != nil {
+				return errors.Trace(err)
+			}
 			if err := s.Validate(); err != nil {
 				return errors.Trace(err)
 			}
--- a/pkg/app/main.go
+++ b/pkg/app/main.go
@@ -47,6 +47,14 @@
 	return exitFailed
 }
 
+// noArguments refuses words that no flag takes, which would otherwise be ignored.
+func noArguments(command string, args []string) error {
+	if len(args) == 0 {
+		return nil
+	}
+	return errors.Errorf("read command line: %s takes no arguments, but got %q: give settings as flags", command, args[0])
+}
+
 func newRootCommand(stdout, stderr io.Writer) *ffcli.Command {
 	flags := flag.NewFlagSet("sequoiacart", flag.ContinueOnError)
 	flags.SetOutput(stderr)
@@ -54,6 +62,7 @@
 		Name:       "sequoiacart",
 		ShortUsage: "sequoiacart <command> [flags]",
 		ShortHelp:  "Dispatches short tasks of several owners to endpoints.",
+		LongHelp:   "Start with the demo, which needs nothing else:\nExample:\n  sequoiacart demo\nEach command has --help of its own.",
 		FlagSet:    flags,
 		Subcommands: []*ffcli.Command{
 			newDemoCommand(stdout, stderr),
--- a/pkg/app/standin_command.go
+++ b/pkg/app/standin_command.go
@@ -24,10 +24,14 @@
 const standinTimeout = 5 * clock.Second
 
 func newStandinCommand(stderr io.Writer) *ffcli.Command {
+	flags := flag.NewFlagSet("standin", flag.ContinueOnError)
+	flags.SetOutput(stderr)
 	return &ffcli.Command{
 		Name:        "standin",
 		ShortUsage:  "sequoiacart standin platform|endpoint [flags]",
 		ShortHelp:   "Runs a stand-in of an outside system, for trying and testing.",
+		LongHelp:    "Example:\n  sequoiacart standin platform --address 127.0.0.1:7002",
+		FlagSet:     flags,
 		Subcommands: []*ffcli.Command{newStandinPlatformCommand(stderr), newStandinEndpointCommand(stderr)},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
@@ -42,6 +46,7 @@
 		Name:       "platform",
 		ShortUsage: "sequoiacart standin platform --address 127.0.0.1:7002",
 		ShortHelp:  "Runs a table service, an object store and a VM list in memory.",
+		LongHelp:   "Example:\n  sequoiacart standin platform --address 127.0.0.1:7002",
 		FlagSet:    flags,
 		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
 		Exec: func(ctx context.Context, _ []string) error {
@@ -70,6 +75,7 @@
 		Name:       "endpoint",
 		ShortUsage: "sequoiacart standin endpoint --name e1 --data-centre centro",
 		ShortHelp:  "Runs an endpoint that sleeps for each task.",
+		LongHelp:   "Puts itself into the VM list of the platform stand-in.\nExample:\n  sequoiacart standin endpoint --name e1 --data-centre centro --platform-address 127.0.0.1:7002",
 		FlagSet:    flags,
 		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
 		Exec: func(ctx context.Context, _ []string) error {
