--- a/pkg/caller/server_test.go
+++ b/pkg/caller/server_test.go
@@ -170,6 +170,7 @@
 		"conflict":        {contract.Conflict{}, 409, "conflict", ""},
 		"expired":         {contract.Expired{}, 410, "expired", ""},
 		"not found":       {contract.NotFound{}, 404, "notFound", ""},
+		"no answer":       {nil, 504, "cannotTellYet", "1"},
 		"too large":       {contract.Complete{Results: [][]byte{make([]byte, 17)}}, 500, "answerTooLarge", ""},
 	}
 	for name, c := range cases {
