Answer 'cannot tell yet' where the service gave no answer

Cause: 404 for a call that ended without an answer would let the caller submit again under a new id although the tasks may run. Change: a missing answer is 'cannot tell yet' with a retry hint. Conclusion: only contract.NotFound is answered as not found.

--- a/pkg/caller/answer.go
+++ b/pkg/caller/answer.go
@@ -40,6 +40,9 @@
 	case contract.Running:
 		c.Set(answerKey, stateRunning)
 		return c.JSON(http.StatusAccepted, wireRunning{State: stateRunning})
+	case nil:
+		// A call that ended without an answer proves nothing about the submission.
+		return s.writeAnswer(c, step, contract.CannotTellYet{Reason: "the call ended without an answer", RetryAfter: unavailableRetry})
 	default:
 		status, p := problemOf(a)
 		p.Step = step
@@ -76,7 +79,7 @@
 		return http.StatusConflict, problem{Type: typeConflict, Detail: "the id belongs to a submission with other content", Action: "reserve a new id"}
 	case contract.Expired:
 		return http.StatusGone, problem{Type: typeExpired, Detail: "the id is older than the retention window; it will not be run from now on", Action: "reserve a new id"}
-	default:
+	default: // contract.NotFound
 		return http.StatusNotFound, problem{Type: typeNotFound, Detail: "nothing was submitted under this id", Action: "submit with an id from POST /v1/ids"}
 	}
 }
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -126,8 +126,8 @@
 
 const ownerKey = "owner"
 
-// noBundleRetry is the poll interval of the bundle, after which another try makes sense.
-const noBundleRetry = clock.Second
+// unavailableRetry is the interval at which roster and bundle are polled.
+const unavailableRetry = clock.Second
 
 func (s *Server) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
@@ -152,7 +152,7 @@
 func writeNoBundle(c echo.Context) error {
 	p := problem{
 		Type: typeCannotTellYet, Step: "authenticate caller", Detail: "this VM has no bundle in force and knows no owners",
-		Action: "ask again, or ask another entry VM", RetryAfterMs: int64(noBundleRetry),
+		Action: "ask again, or ask another entry VM", RetryAfterMs: int64(unavailableRetry),
 	}
 	if c.Param("id") != "" {
 		return writeProblem(c, http.StatusGatewayTimeout, p)
@@ -172,7 +172,7 @@
 	if s.config.Readiness.ShuttingDown() {
 		return writeProblem(c, http.StatusServiceUnavailable, problem{
 			Type: typeRefused, Step: "reserve ids", Detail: "this VM is shutting down",
-			Action: "reserve ids at another entry VM", RetryAfterMs: int64(noBundleRetry),
+			Action: "reserve ids at another entry VM", RetryAfterMs: int64(unavailableRetry),
 		})
 	}
 	var body wireReserve
@@ -186,7 +186,7 @@
 	if err != nil {
 		return writeProblem(c, http.StatusServiceUnavailable, problem{
 			Type: typeRefused, Step: "reserve ids", Detail: err.Error(),
-			Action: "try again, or at another entry VM", RetryAfterMs: int64(noBundleRetry),
+			Action: "try again, or at another entry VM", RetryAfterMs: int64(unavailableRetry),
 		})
 	}
 	return c.JSON(http.StatusOK, encodeIDs(ids))
