--- /dev/null
+++ b/pkg/caller/connections_test.go
@@ -0,0 +1,103 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+)
+
+// slowService holds requests until it is released and notes how many it held at once.
+type slowService struct {
+	fakeService
+	arrived chan struct{}
+	release chan struct{}
+
+	mu         sync.Mutex
+	held, peak int
+}
+
+func (s *slowService) Ask(context.Context, contract.SubmissionID, owner.ID, clock.Millis) contract.Answer {
+	s.hold(1)
+	defer s.hold(-1)
+	s.arrived <- struct{}{}
+	<-s.release
+	return contract.Running{}
+}
+
+func (s *slowService) hold(change int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held += change
+	s.peak = max(s.peak, s.held)
+}
+
+// Guards against callers that take more connections than the VM has room for, and
+// against a shutdown that cuts off a request in flight.
+func TestConnectionsAreBoundedAndShutdownWaits(t *testing.T) {
+	const limit, calls = 4, 20
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &slowService{arrived: make(chan struct{}, calls), release: make(chan struct{})}
+	limits := testLimits
+	limits.Connections = limit
+	s := NewServer(Config{Listener: listener, Service: f, Owners: fakeVM{}, Readiness: fakeVM{}, Limits: limits})
+	served := make(chan error, 1)
+	go func() { served <- s.Serve() }()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	var wg sync.WaitGroup
+	var answered atomic.Int32
+	for range calls {
+		wg.Go(func() {
+			r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+listener.Addr().String()+"/v1/jobs/"+testID.String(), nil)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			r.Header.Set("Authorization", "Bearer right")
+			response, err := client.Do(r)
+			if err != nil {
+				t.Errorf("got %v, want an answer", err)
+				return
+			}
+			_ = response.Body.Close()
+			answered.Add(1)
+		})
+	}
+	for range calls {
+		<-f.arrived
+		f.release <- struct{}{}
+	}
+	wg.Wait()
+	if f.peak > limit || answered.Load() != calls {
+		t.Errorf("got %d requests at once and %d answers, want at most %d and %d", f.peak, answered.Load(), limit, calls)
+	}
+
+	wg.Go(func() {
+		r, _ := http.NewRequest(http.MethodGet, "http://"+listener.Addr().String()+"/v1/jobs/"+testID.String(), nil)
+		r.Header.Set("Authorization", "Bearer right")
+		response, err := client.Do(r)
+		if err != nil {
+			t.Errorf("got %v during the shutdown, want the answer", err)
+			return
+		}
+		_ = response.Body.Close()
+	})
+	<-f.arrived
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(t.Context()) }()
+	<-served
+	close(f.release)
+	if err := <-stopped; err != nil {
+		t.Errorf("got %v, want a clean shutdown", err)
+	}
+	wg.Wait()
+}
