Make the test of callers' connections notice a missing bound

Change: all connections wait before the server starts, and one request is released for each that arrives.

--- a/pkg/caller/connections_test.go
+++ b/pkg/caller/connections_test.go
@@ -50,9 +50,13 @@
 	limits := testLimits
 	limits.Connections = limit
 	s := NewServer(Config{Listener: listener, Service: f, Owners: fakeVM{}, Readiness: fakeVM{}, Limits: limits})
-	served := make(chan error, 1)
-	go func() { served <- s.Serve() }()
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	var dials sync.WaitGroup
+	dials.Add(calls)
+	dialer := &net.Dialer{}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		defer dials.Done()
+		return dialer.DialContext(ctx, network, address)
+	}}}
 	var wg sync.WaitGroup
 	var answered atomic.Int32
 	for range calls {
@@ -72,9 +76,20 @@
 			answered.Add(1)
 		})
 	}
-	for range calls {
+	// All connections wait in the backlog, so that a server without a bound takes them
+	// all at once.
+	dials.Wait()
+	dials.Add(1)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve() }()
+	for range limit {
 		<-f.arrived
+	}
+	for i := range calls {
 		f.release <- struct{}{}
+		if i < calls-limit {
+			<-f.arrived
+		}
 	}
 	wg.Wait()
 	if f.peak > limit || answered.Load() != calls {
