--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -151,6 +151,9 @@
 	c.forgetGone(now)
 }
 
+// QueuedTasks returns how many tasks wait for a slot.
+func (c *Control) QueuedTasks() int { return c.scheduler.Queued() }
+
 func (c *Control) do(a Action) {
 	c.actions = append(c.actions, a)
 }
--- a/pkg/entry/control_submissions.go
+++ b/pkg/entry/control_submissions.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"slices"
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -67,6 +68,9 @@
 	if !c.ledger.Room(s) {
 		return contract.Refused{Cause: contract.RefusedOverload, Reason: "this VM remembers too many submissions", RetryAfter: unavailableRetry}, false
 	}
+	if most := o.Limits.TasksPerJob; most > 0 && len(s.Tasks) > most {
+		return contract.Refused{Cause: contract.RefusedInvalid, Reason: fmt.Sprintf("the job has %d tasks and the owner's limit is %d", len(s.Tasks), most)}, false
+	}
 	return contract.Refused{}, true
 }
 
@@ -268,6 +272,8 @@
 		Endpoint: c.endpoints[start.Endpoint],
 		Payload:  entry.Submission.Tasks[task].Payload,
 		Deadline: c.config.AttemptTimeout,
+		Accepted: entry.AcceptedAt,
+		Trace:    entry.Submission.Trace,
 	})
 }
 
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -13,6 +13,7 @@
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/trace"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
@@ -32,6 +33,12 @@
 	Handler  Handler
 	// TLS turns on mutual TLS; nil speaks plain TCP.
 	TLS *tls.Config
+	// Tracer records the served hop; nil records nothing.
+	Tracer *trace.Tracer
+	// Handshake bounds a TLS handshake.
+	Handshake clock.Millis
+	// Refused hears of peers whose handshake failed; nil hears nothing.
+	Refused func(peer net.Addr, err error)
 }
 
 // Server accepts the calls of peers.
@@ -41,15 +48,17 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
+	// closed makes connections end that were accepted while Close ran.
+	closed bool
 }
 
 // NewServer returns a server that does not yet accept connections.
 func NewServer(c ServerConfig) (*Server, error) {
 	s := &Server{config: c, rpc: rpc.NewServer(), conns: make(map[net.Conn]struct{})}
-	if err := s.rpc.RegisterName("Contract", &contractService{handler: c.Handler}); err != nil {
+	if err := s.rpc.RegisterName("Contract", &contractService{handler: c.Handler, tracer: c.Tracer}); err != nil {
 		return nil, errors.Annotate(err, "register contract service")
 	}
-	if err := s.rpc.RegisterName("Witness", &witnessService{handler: c.Handler}); err != nil {
+	if err := s.rpc.RegisterName("Witness", &witnessService{handler: c.Handler, tracer: c.Tracer}); err != nil {
 		return nil, errors.Annotate(err, "register witness service")
 	}
 	return s, nil
@@ -62,9 +71,6 @@
 		if err != nil {
 			return errors.Annotate(err, "accept connection of a peer")
 		}
-		if s.config.TLS != nil {
-			conn = tls.Server(conn, s.config.TLS)
-		}
 		s.track(conn)
 		go s.serve(conn)
 	}
@@ -75,13 +81,42 @@
 	_ = s.config.Listener.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closed = true
 	for conn := range s.conns {
 		_ = conn.Close()
 	}
 }
 
 func (s *Server) serve(conn net.Conn) {
-	s.rpc.ServeConn(conn)
+	defer s.forget(conn)
+	if s.config.TLS == nil {
+		s.rpc.ServeConn(conn)
+		return
+	}
+	secure := tls.Server(conn, s.config.TLS)
+	if err := s.handshake(secure); err != nil {
+		s.refuse(conn, err)
+		return
+	}
+	s.rpc.ServeConn(secure)
+}
+
+// handshake runs on the goroutine of its connection, so a silent peer keeps nobody from
+// being accepted, and ends by itself, so it holds no connection either.
+func (s *Server) handshake(conn *tls.Conn) error {
+	ctx, cancel := context.WithTimeout(context.Background(), s.config.Handshake.Duration())
+	defer cancel()
+	return conn.HandshakeContext(ctx)
+}
+
+func (s *Server) refuse(conn net.Conn, err error) {
+	if s.config.Refused != nil {
+		s.config.Refused(conn.RemoteAddr(), err)
+	}
+}
+
+func (s *Server) forget(conn net.Conn) {
+	_ = conn.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
@@ -90,5 +125,8 @@
 func (s *Server) track(conn net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closed {
+		_ = conn.Close()
+	}
 	s.conns[conn] = struct{}{}
 }
