--- /dev/null
+++ b/pkg/contract/witness_test.go
@@ -0,0 +1,155 @@
+package contract
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+const testStart = 100 * clock.Minute
+
+func testID(issuer vm.Incarnation, issuedAt clock.Millis) SubmissionID {
+	return SubmissionID{DataCentre: "dc", Issuer: issuer, Witness: "w-1", IssuedAt: issuedAt, Sequence: Sequence(issuedAt)}
+}
+
+func startOf(id SubmissionID, tasks ...TaskIndex) Record {
+	return StartRecord{ID: id, Owner: "o", TaskCount: 3, Tasks: tasks}
+}
+
+func settleOf(id SubmissionID, a Answer) Record {
+	return SettleRecord{ID: id, Owner: "o", Answer: a}
+}
+
+// TestWitness guards against records that are kept after questions were answered on
+// their absence, and against answers that contradict earlier ones.
+func TestWitness(t *testing.T) {
+	id, other := testID("i-1", testStart), testID("i-1", testStart+1)
+	// Each step is done at its time after the start; its outcome is given as text.
+	type step struct {
+		at   clock.Millis
+		do   func(w *Witness, now clock.Millis) any
+		want string
+	}
+	record := func(batch BatchNumber, records ...Record) func(*Witness, clock.Millis) any {
+		return func(w *Witness, now clock.Millis) any { return w.Record(now, "i-1", batch, records) }
+	}
+	ask := func(id SubmissionID, o owner.ID, gone bool) func(*Witness, clock.Millis) any {
+		return func(w *Witness, now clock.Millis) any {
+			a, needsRow := w.Ask(now, Question{ID: id, Owner: o, IssuerGone: gone})
+			if f, ok := a.(Failed); ok {
+				return fmt.Sprint("failed ", f.Tasks)
+			}
+			return fmt.Sprintf("%T %t", a, needsRow)
+		}
+	}
+	decide := func(row PairRow) func(*Witness, clock.Millis) any {
+		return func(w *Witness, _ clock.Millis) any { w.Decide("i-1", row); return "" }
+	}
+	handOver := func(last bool, records ...Record) func(*Witness, clock.Millis) any {
+		return func(w *Witness, now clock.Millis) any { w.HandOver(now, "i-1", records, last); return "" }
+	}
+	evict := func(w *Witness, now clock.Millis) any { w.Evict(now); return fmt.Sprint(w.count, w.bytes) }
+	heard := func(w *Witness, now clock.Millis) any { w.Heard(now, "i-1"); return "" }
+	statuses := func(s ...RecordStatus) string { return fmt.Sprint(s) }
+	const unsure, needsRow = "contract.CannotTellYet false", "contract.CannotTellYet true"
+	cases := []struct {
+		name   string
+		limits Limits
+		steps  []step
+	}{
+		{"late copy of an overtaken batch", DefaultLimits(), []step{
+			{0, record(2, startOf(id, 0)), statuses(RecordAccepted)},
+			{1, record(1, startOf(other, 0)), statuses(RecordStale)},
+			{2, record(2, startOf(other, 0)), statuses(RecordStale)},
+			{3, record(3, startOf(id, 0, 1)), statuses(RecordAccepted)},
+		}},
+		{"issuer silent for less and more than 3 s", DefaultLimits(), []step{
+			{0, record(1, startOf(id, 1)), statuses(RecordAccepted)},
+			{Unreachable - 1, ask(id, "o", false), unsure},
+			{Unreachable - 1, heard, ""},
+			{2*Unreachable - 2, ask(id, "o", false), unsure},
+			{2*Unreachable - 1, ask(other, "o", false), "contract.Refused false"},
+			{2 * Unreachable, record(2, startOf(other, 0)), statuses(RecordFenced)},
+			{2 * Unreachable, ask(id, "o", false), needsRow},
+			{2 * Unreachable, decide(PairRowUnknown), ""},
+			{2 * Unreachable, ask(id, "o", false), needsRow},
+			{2 * Unreachable, decide(PairFencedByWitness), ""},
+			{2 * Unreachable, ask(id, "o", false), "failed [0 2 0]"},
+			{2 * Unreachable, handOver(true, settleOf(id, Complete{})), ""},
+			{2 * Unreachable, ask(id, "o", false), "failed [0 2 0]"},
+		}},
+		{"issuer released the pair", DefaultLimits(), []step{
+			{0, record(1, startOf(id, 1), startOf(other, 2)), statuses(RecordAccepted, RecordAccepted)},
+			{Unreachable, ask(id, "o", false), needsRow},
+			{Unreachable, decide(PairReleasedByIssuer), ""},
+			{Gone, ask(id, "o", false), unsure},
+			{Gone, handOver(false, settleOf(id, Complete{})), ""},
+			{Gone, ask(id, "o", false), "contract.Complete false"},
+			{2*Gone - 1, ask(other, "o", true), unsure},
+			{2 * Gone, ask(other, "o", false), unsure},
+			{2 * Gone, ask(other, "o", true), "failed [2 2 2]"},
+			{2 * Gone, handOver(false, settleOf(other, Complete{})), ""},
+			{2 * Gone, ask(other, "o", true), "failed [2 2 2]"},
+		}},
+		{"issuer shut down", DefaultLimits(), []step{
+			{0, record(1, startOf(id, 0), settleOf(id, Complete{})), statuses(RecordAccepted, RecordAccepted)},
+			{1, handOver(true), ""},
+			{2, ask(id, "o", false), "contract.Complete false"},
+			{2, ask(other, "o", false), "contract.Refused false"},
+			{2, ask(id, "p", false), "contract.NotFound false"},
+		}},
+		{"full", Limits{IDs: 1, Bytes: 1 << 20}, []step{
+			{0, record(1, startOf(id, 0), startOf(other, 0)), statuses(RecordAccepted, RecordFull)},
+			{1, record(2, startOf(id, 1), settleOf(id, Complete{})), statuses(RecordAccepted, RecordAccepted)},
+			{Memory, evict, "1 " + fmt.Sprint((&witnessEntry{owner: "o", final: Complete{}}).bytes())},
+			{Memory + 1, evict, "0 0"},
+			{Memory + 1, record(3, startOf(id, 0), startOf(other, 0)), statuses(RecordExpired, RecordAccepted)},
+			{Memory + 1, ask(id, "o", false), "contract.Expired false"},
+		}},
+		{"full in bytes", Limits{IDs: 10, Bytes: 100}, []step{
+			{0, record(1, startOf(id, 0), startOf(other, 0)), statuses(RecordAccepted, RecordFull)},
+		}},
+		{"records of another issuer or for another witness", DefaultLimits(), []step{
+			{0, record(1, startOf(testID("j-1", testStart), 0)), statuses(RecordFenced)},
+			{1, record(2, startOf(SubmissionID{Issuer: "i-1", Witness: "x-1"}, 0)), statuses(RecordFenced)},
+			{2, ask(SubmissionID{Issuer: "i-1", Witness: "x-1"}, "o", false), unsure},
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			w := NewWitness(WitnessConfig{Self: "w-1", Limits: tc.limits})
+			for i, s := range tc.steps {
+				if got := fmt.Sprint(s.do(w, testStart+s.at)); got != s.want {
+					t.Errorf("step %d: got %s, want %s", i+1, got, s.want)
+				}
+			}
+		})
+	}
+}
+
+// TestLedgerBounds guards against a ledger that grows without bound or forgets early.
+func TestLedgerBounds(t *testing.T) {
+	l := NewLedger(Limits{IDs: 2, Bytes: 64 << 20})
+	submission := func(n clock.Millis) Submission {
+		return Submission{ID: testID("i-1", testStart+n), Owner: "o", Tasks: make([]Task, 1)}
+	}
+	ended, running := l.Open(testStart, submission(1)), l.Open(testStart, submission(2))
+	l.Conclude(ended, Complete{Results: [][]byte{{1}}})
+	got := []any{l.Room(submission(3)), l.Refuse(testStart, submission(3), Refused{}), l.Refuse(testStart, submission(4), Refused{}), l.Refuse(testStart, submission(5), Refused{})}
+	l.Evict(testStart + Memory)
+	got = append(got, len(l.entries))
+	l.Evict(testStart + Memory + 1)
+	got = append(got, len(l.entries), l.refused, l.bytes == running.size, l.Room(submission(6)))
+	want := "[false true true false 4 1 0 true true]"
+	if fmt.Sprint(got) != want {
+		t.Errorf("ledger: got %v, want %v", got, want)
+	}
+	l.Conclude(running, Failed{})
+	l.Evict(testStart + 2*Memory + 2)
+	if got := fmt.Sprint(len(l.entries), len(l.refs), l.bytes, l.Idle()); got != "0 0 0 true" {
+		t.Errorf("empty ledger: got %s, want 0 0 0 true", got)
+	}
+}
