Keep a fence although the issuer makes contact again

Cause: the witness went by the last contact also after it had fenced the issuer, so that a fenced issuer that came back left its ids without an answer. Change: a fence is final; contact counts only before it. Conclusion: what a fenced witness answers does not depend on later contact.

--- a/pkg/contract/witness.go
+++ b/pkg/contract/witness.go
@@ -83,7 +83,7 @@
 	}
 	s.heardAt = now
 	if last {
-		s.fenced, s.handedOver = true, true
+		s.fenced = true
 	}
 }
 
@@ -113,7 +113,7 @@
 		return e.final, false
 	case !known && q.ID.IssuedAt <= s.floor:
 		return Expired{}, false
-	case !s.handedOver && now-s.heardAt < Unreachable:
+	case !s.fenced && now-s.heardAt < Unreachable:
 		return cannotTell("the issuer of the id was heard from shortly before"), false
 	}
 	s.fenced = true
--- a/pkg/contract/witnessed_issuer.go
+++ b/pkg/contract/witnessed_issuer.go
@@ -11,10 +11,9 @@
 	heardAt   clock.Millis
 	lastBatch BatchNumber
 	// fenced means that records are no longer accepted, since questions have been or
-	// may be answered on their absence.
+	// may be answered on their absence, or since the issuer shut down. A fence is final:
+	// contact with the issuer does not lift it.
 	fenced bool
-	// handedOver means that the issuer said that it starts nothing more.
-	handedOver bool
 	// floor is the latest time of issue among the dropped records.
 	floor clock.Millis
 	row   PairRow
