--- /dev/null
+++ b/pkg/peer/limit.go
@@ -0,0 +1,3 @@
+package peer
+
+const maxMessageBytes = 32 << 20
