Bound messages between entry VMs

Change: codecs with 32 MiB for a message and 64 KiB for a header; results of one submission above 16 MiB together end as failed, since they could not be settled; waits asked for by peers are bounded. Conclusion: a peer cannot make this VM read a message beyond the bound.

--- a/pkg/contract/answer.go
+++ b/pkg/contract/answer.go
@@ -50,6 +50,19 @@
 func (Expired) isAnswer()       {}
 func (NotFound) isAnswer()      {}
 
+// IsEnding reports whether an answer is final: Complete, Failed or Refused.
+func IsEnding(a Answer) bool {
+	switch a.(type) {
+	case Complete, Failed, Refused:
+		return true
+	}
+	return false
+}
+
+// MaxAnswerBytes bounds the results of one submission together. Larger ones would not
+// fit into a message to the witness.
+const MaxAnswerBytes = 16 << 20
+
 // RefusalCause tells what to do about a refusal.
 type RefusalCause int
 
--- a/pkg/contract/ledger_entry.go
+++ b/pkg/contract/ledger_entry.go
@@ -170,7 +170,10 @@
 	}
 	switch len(e.tasks) {
 	case succeeded:
-		return Complete{Results: results}
+		if a := (Complete{Results: results}); answerBytes(a) <= MaxAnswerBytes {
+			return a
+		}
+		return Failed{Reason: "the results are too large together", Tasks: states}
 	case notRun:
 		return e.refusal
 	}
--- a/pkg/entry/world_test.go
+++ b/pkg/entry/world_test.go
@@ -364,7 +364,7 @@
 	for id, answers := range w.endings {
 		var first contract.Answer
 		for _, a := range answers {
-			if !ending(a) {
+			if !contract.IsEnding(a) {
 				continue
 			}
 			w.checkEnding(id, a)
@@ -423,14 +423,6 @@
 	}
 }
 
-func ending(a contract.Answer) bool {
-	switch a.(type) {
-	case contract.Complete, contract.Failed, contract.Refused:
-		return true
-	}
-	return false
-}
-
 func sameEnding(a, b contract.Answer) bool {
 	if _, ok := a.(contract.Refused); ok {
 		_, ok = b.(contract.Refused)
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -143,7 +143,7 @@
 		_ = conn.Close()
 		return other, nil
 	}
-	p = rpc.NewClient(conn)
+	p = rpc.NewClientWithCodec(clientCodec{newGobStream(conn)})
 	c.peers[address] = p
 	return p, nil
 }
--- a/pkg/peer/contract_service.go
+++ b/pkg/peer/contract_service.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	*reply = encodeAnswer(c.handler.SubmitHere(context.Background(), s, clock.Millis(request.WaitMs)))
+	*reply = encodeAnswer(c.handler.SubmitHere(context.Background(), s, waitOf(request.WaitMs)))
 	return nil
 }
 
@@ -31,7 +31,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	*reply = encodeAnswer(c.handler.AskHere(context.Background(), id, owner.ID(request.Owner), clock.Millis(request.WaitMs)))
+	*reply = encodeAnswer(c.handler.AskHere(context.Background(), id, owner.ID(request.Owner), waitOf(request.WaitMs)))
 	return nil
 }
 
@@ -44,3 +44,10 @@
 	*reply = encodeAnswer(c.handler.CancelHere(context.Background(), id, owner.ID(request.Owner)))
 	return nil
 }
+
+// maxWait bounds how long a call of a peer may hold a goroutine here.
+const maxWait = 10 * clock.Minute
+
+func waitOf(ms int64) clock.Millis {
+	return max(0, min(clock.Millis(ms), maxWait))
+}
--- /dev/null
+++ b/pkg/peer/gob_stream.go
@@ -0,0 +1,55 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/gob"
+	"io"
+
+	"github.com/juju/errors"
+)
+
+// gobStream reads and writes gob messages on a connection, with bounds on what it reads.
+type gobStream struct {
+	conn    io.ReadWriteCloser
+	limit   *limitedReader
+	decoder *gob.Decoder
+	encoder *gob.Encoder
+	buffer  *bufio.Writer
+}
+
+func newGobStream(conn io.ReadWriteCloser) *gobStream {
+	limit, buffer := newLimitedReader(conn), bufio.NewWriter(conn)
+	return &gobStream{
+		conn:    conn,
+		limit:   limit,
+		decoder: gob.NewDecoder(limit),
+		encoder: gob.NewEncoder(buffer),
+		buffer:  buffer,
+	}
+}
+
+func (g *gobStream) read(into any, bytes int) error {
+	g.limit.allow(bytes)
+	return g.decoder.Decode(into)
+}
+
+// write sends a header and a body. After a failure the stream is out of step, so the
+// connection is closed.
+func (g *gobStream) write(header, body any) error {
+	err := g.encoder.Encode(header)
+	if err == nil {
+		err = g.encoder.Encode(body)
+	}
+	if err == nil {
+		err = g.buffer.Flush()
+	}
+	if err != nil {
+		_ = g.conn.Close()
+	}
+	return errors.Annotate(err, "write message to peer")
+}
+
+// Close closes the connection.
+func (g *gobStream) Close() error {
+	return g.conn.Close()
+}
--- a/pkg/peer/limit.go
+++ b/pkg/peer/limit.go
@@ -1,3 +1,54 @@
 package peer
 
-const maxMessageBytes = 32 << 20
+import (
+	"bufio"
+	"io"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// maxMessageBytes bounds one message between entry VMs. It leaves room for the
+	// largest answer (contract.MaxAnswerBytes) and the records beside it.
+	maxMessageBytes = 32 << 20
+	// maxHeaderBytes bounds the header of a call: a method name and a number.
+	maxHeaderBytes = 64 << 10
+)
+
+// errMessageTooLarge ends the connection, since the rest of the message is not read.
+const errMessageTooLarge = errors.ConstError("message of peer is too large")
+
+// limitedReader fails once a message takes more than it is allowed. It implements
+// io.ByteReader, so that gob reads no further than the message.
+type limitedReader struct {
+	source *bufio.Reader
+	left   int
+}
+
+func newLimitedReader(r io.Reader) *limitedReader {
+	return &limitedReader{source: bufio.NewReader(r)}
+}
+
+// allow sets what the next message may take.
+func (l *limitedReader) allow(n int) {
+	l.left = n
+}
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errMessageTooLarge
+	}
+	n, err := l.source.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
+// ReadByte implements io.ByteReader.
+func (l *limitedReader) ReadByte() (byte, error) {
+	if l.left <= 0 {
+		return 0, errMessageTooLarge
+	}
+	l.left--
+	return l.source.ReadByte()
+}
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -81,7 +81,7 @@
 }
 
 func (s *Server) serve(conn net.Conn) {
-	s.rpc.ServeConn(conn)
+	s.rpc.ServeCodec(serverCodec{newGobStream(conn)})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
