--- /dev/null
+++ b/pkg/entry/control_bench_test.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// BenchmarkControl reports the cost of the issuer's control for one task, from the
+// reservation of the id to the settled answer. The witness's answers are made up here.
+func BenchmarkControl(b *testing.B) {
+	for _, tasks := range []int{1, 370} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			c := NewControl(ControlConfig{DataCentre: "dc", Self: "a-1", Key: []byte("k"), Dispatch: dispatch.Config{QueuedTasks: 1000}})
+			now := clock.Millis(worldStart)
+			c.Handle(now, RosterChanged{Roster: vm.NewRoster(vm.RosterConfig{Self: "a-1", VMs: []vm.VM{{Incarnation: "a-1", DataCentre: "dc"}, {Incarnation: "b-1", DataCentre: "dc"}}})})
+			c.Handle(now, OwnersChanged{Owners: []owner.Owner{{ID: testOwner, Classes: []owner.Class{{Name: "any", Deadline: clock.Minute}}}}})
+			c.Handle(now, EndpointsListed{Endpoints: []datacentre.Endpoint{{ID: "e", DataCentre: "dc", Slots: 400}}})
+			c.scheduler.SetSlots(now, "e", 400)
+			b.ReportAllocs()
+			started := 0
+			for started < b.N {
+				now++
+				if started%(1000*tasks) == 0 {
+					now += contract.Memory
+					c.Handle(now, Tick{})
+				}
+				id := c.mint.Reserve(now, testOwner, "b-1")
+				started += play(c, now, Submitted{Waiter: 1, Submission: job(id, tasks)})
+			}
+		})
+	}
+}
+
+// play hands over an event and then the ends of all actions that follow from it.
+func play(c *Control, now clock.Millis, e Event) (started int) {
+	events := []Event{e}
+	for len(events) > 0 {
+		next := events[0]
+		events = events[1:]
+		for _, a := range c.Handle(now, next) {
+			switch a := a.(type) {
+			case RunAttempt:
+				started++
+				events = append(events, AttemptEnded{Attempt: a.Attempt, Start: a.Start, Result: contract.Succeeded{}})
+			case SendRecords:
+				events = append(events, RecordsAnswered{Witness: a.Witness.Incarnation, Batch: a.Batch, Statuses: make([]contract.RecordStatus, len(a.Records))})
+			}
+		}
+	}
+	return started
+}
