Cut the cost of control per task

Cause: each id made a new HMAC, and each end of a task measured the whole job. Change: the mint keeps its HMAC and buffer; the ledger adds up results. Figures (go test ./pkg/entry -run xxx -bench Control -benchtime 200000x): before 15525 ns, 3173 B, 52 allocations a task with 1 task a job, and 4306 ns, 1015 B, 5 with 370; after 6057 ns, 1997 B, 28, and 1431 ns, 1012 B, 5. Conclusion: less than half the time for both.

--- a/pkg/contract/ledger.go
+++ b/pkg/contract/ledger.go
@@ -71,7 +71,7 @@
 	}
 	l.close(e)
 	e.conclude(final)
-	l.Resize(e)
+	l.resize(e)
 }
 
 // Lose gives an entry up to its witness, which answers from now on.
@@ -82,7 +82,7 @@
 	l.close(e)
 	e.Lost = true
 	e.free()
-	l.Resize(e)
+	l.resize(e)
 }
 
 // ConcludeLost ends an entry whose witness is gone too: nobody knows any more what the
@@ -96,11 +96,20 @@
 		states[i] = MayHaveRun
 	}
 	e.conclude(Failed{Reason: "the witness that answered for the submission was lost", Tasks: states})
-	l.Resize(e)
+	l.resize(e)
 }
 
-// Resize counts the entry's memory anew.
-func (l *Ledger) Resize(e *LedgerEntry) {
+// End notes how a task of the entry ended.
+func (l *Ledger) End(e *LedgerEntry, task TaskIndex, result AttemptResult) {
+	e.End(task, result)
+	if r, ok := result.(Succeeded); ok {
+		l.bytes += len(r.Result)
+		e.size += len(r.Result)
+	}
+}
+
+// resize counts the entry's memory anew.
+func (l *Ledger) resize(e *LedgerEntry) {
 	size := e.bytes()
 	l.bytes += size - e.size
 	e.size = size
@@ -141,7 +150,7 @@
 func (l *Ledger) keep(now clock.Millis, e *LedgerEntry) {
 	l.entries[e.Submission.ID] = e
 	l.order.push(e.Submission.ID, now)
-	l.Resize(e)
+	l.resize(e)
 }
 
 func (l *Ledger) close(e *LedgerEntry) {
--- a/pkg/contract/ledger_entry.go
+++ b/pkg/contract/ledger_entry.go
@@ -198,13 +198,7 @@
 
 // bytes estimates the memory of the entry, with its places in the maps and the queue.
 func (e *LedgerEntry) bytes() int {
-	n := submissionBytes(e.Submission) + answerBytes(e.Final)
-	for _, t := range e.tasks {
-		if r, ok := t.result.(Succeeded); ok {
-			n += len(r.Result)
-		}
-	}
-	return n
+	return submissionBytes(e.Submission) + answerBytes(e.Final)
 }
 
 func submissionBytes(s Submission) int {
--- a/pkg/contract/mint.go
+++ b/pkg/contract/mint.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/hmac"
 	"crypto/sha256"
+	"hash"
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
@@ -23,11 +24,14 @@
 type Mint struct {
 	config MintConfig
 	next   Sequence
+	// hash and buffer are kept, since making an HMAC costs more than using it.
+	hash   hash.Hash
+	buffer []byte
 }
 
 // NewMint returns a mint that has reserved nothing.
 func NewMint(c MintConfig) *Mint {
-	return &Mint{config: c}
+	return &Mint{config: c, hash: hmac.New(sha256.New, c.Key)}
 }
 
 // Reserve returns a new id for the owner.
@@ -51,11 +55,12 @@
 }
 
 func (m *Mint) code(id SubmissionID, o owner.ID) MAC {
-	h := hmac.New(sha256.New, m.config.Key)
-	h.Write([]byte(id.prefix()))
-	h.Write([]byte{0})
-	h.Write([]byte(o))
+	m.buffer = append(id.appendPrefix(m.buffer[:0]), 0)
+	m.buffer = append(m.buffer, o...)
+	m.hash.Reset()
+	m.hash.Write(m.buffer)
+	m.buffer = m.hash.Sum(m.buffer[:0])
 	var code MAC
-	copy(code[:], h.Sum(nil))
+	copy(code[:], m.buffer)
 	return code
 }
--- a/pkg/contract/submission_id.go
+++ b/pkg/contract/submission_id.go
@@ -40,17 +40,17 @@
 // String returns the text form
 // "<dataCentre>.<issuer>.<witness>.<issuedAt>.<sequence>.<mac>".
 func (s SubmissionID) String() string {
-	return s.prefix() + "." + hex.EncodeToString(s.MAC[:])
+	text := append(s.appendPrefix(make([]byte, 0, 128)), '.')
+	return string(hex.AppendEncode(text, s.MAC[:]))
 }
 
-func (s SubmissionID) prefix() string {
-	return strings.Join([]string{
-		string(s.DataCentre),
-		string(s.Issuer),
-		string(s.Witness),
-		strconv.FormatInt(int64(s.IssuedAt), idBase),
-		strconv.FormatUint(uint64(s.Sequence), idBase),
-	}, ".")
+// appendPrefix appends all fields but the code.
+func (s SubmissionID) appendPrefix(text []byte) []byte {
+	text = append(append(text, s.DataCentre...), '.')
+	text = append(append(text, s.Issuer...), '.')
+	text = append(append(text, s.Witness...), '.')
+	text = append(strconv.AppendInt(text, int64(s.IssuedAt), idBase), '.')
+	return strconv.AppendUint(text, uint64(s.Sequence), idBase)
 }
 
 // ParseSubmissionID reads the text form.
--- a/pkg/entry/control_submissions.go
+++ b/pkg/entry/control_submissions.go
@@ -294,8 +294,7 @@
 		c.readmit(now, entry, []contract.TaskIndex{e.Attempt.Task})
 		c.settleIfEnded(entry)
 	default:
-		entry.End(e.Attempt.Task, e.Result)
-		c.ledger.Resize(entry)
+		c.ledger.End(entry, e.Attempt.Task, e.Result)
 		c.settleIfEnded(entry)
 	}
 }
