--- a/pkg/peer/contract_service.go
+++ b/pkg/peer/contract_service.go
@@ -26,7 +26,7 @@
 	ctx, span := serve(c.tracer, request.Submission.TraceParent, s.ID)
 	defer span.End()
 	s.Trace = trace.ParentOf(ctx)
-	*reply = encodeAnswer(c.handler.SubmitHere(ctx, s, clock.Millis(request.WaitMs)))
+	*reply = encodeAnswer(c.handler.SubmitHere(ctx, s, waitOf(request.WaitMs)))
 	return nil
 }
 
@@ -38,7 +38,7 @@
 	}
 	ctx, span := serve(c.tracer, request.TraceParent, id)
 	defer span.End()
-	*reply = encodeAnswer(c.handler.AskHere(ctx, id, owner.ID(request.Owner), clock.Millis(request.WaitMs)))
+	*reply = encodeAnswer(c.handler.AskHere(ctx, id, owner.ID(request.Owner), waitOf(request.WaitMs)))
 	return nil
 }
 
@@ -58,3 +58,10 @@
 func serve(t *trace.Tracer, parent string, id contract.SubmissionID) (context.Context, trace.Span) {
 	return t.Start(trace.WithParent(context.Background(), contract.TraceParent(parent)), trace.ServedHop, id)
 }
+
+// maxWait bounds how long a call of a peer may hold a goroutine here.
+const maxWait = 10 * clock.Minute
+
+func waitOf(ms int64) clock.Millis {
+	return max(0, min(clock.Millis(ms), maxWait))
+}
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -90,7 +90,7 @@
 func (s *Server) serve(conn net.Conn) {
 	defer s.forget(conn)
 	if s.config.TLS == nil {
-		s.rpc.ServeConn(conn)
+		s.rpc.ServeCodec(serverCodec{newGobStream(conn)})
 		return
 	}
 	secure := tls.Server(conn, s.config.TLS)
@@ -98,7 +98,7 @@
 		s.refuse(conn, err)
 		return
 	}
-	s.rpc.ServeConn(secure)
+	s.rpc.ServeCodec(serverCodec{newGobStream(secure)})
 }
 
 // handshake runs on the goroutine of its connection, so a silent peer keeps nobody from
--- a/pkg/peer/tls_test.go
+++ b/pkg/peer/tls_test.go
@@ -13,13 +13,13 @@
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
-// fakeHandler answers every question with Running and counts them.
-type fakeHandler struct {
+// countingHandler answers every question with Running and counts them.
+type countingHandler struct {
 	Handler
 	asked atomic.Int32
 }
 
-func (f *fakeHandler) AskHere(context.Context, contract.SubmissionID, owner.ID, clock.Millis) contract.Answer {
+func (f *countingHandler) AskHere(context.Context, contract.SubmissionID, owner.ID, clock.Millis) contract.Answer {
 	f.asked.Add(1)
 	return contract.Running{}
 }
@@ -89,7 +89,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			h := &fakeHandler{}
+			h := &countingHandler{}
 			to := serveTLS(t, h, c.server, 5*clock.Second)
 			client := NewClient(ClientConfig{Dialer: &net.Dialer{}, TLS: c.client})
 			defer client.Close()
@@ -110,7 +110,7 @@
 // themselves and must not keep others from being accepted.
 func TestSilentHandshakeEndsAndBlocksNobody(t *testing.T) {
 	ours := newAuthority(t)
-	to := serveTLS(t, &fakeHandler{}, identity(t, ours, "b").Server(), 50)
+	to := serveTLS(t, &countingHandler{}, identity(t, ours, "b").Server(), 50)
 	var silent []net.Conn
 	for range 20 {
 		conn, err := net.Dial("tcp", to.PeerAddress)
