Declare usage digests, drains and slot loans of the scheduler

Cause: membership, accounting and the loan messages build on these calls. The bodies are empty; the scheduler is still FIFO. Conclusion: compiles and is lint clean; no behaviour yet.

--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -7,6 +7,7 @@
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
 // Config bounds a scheduler.
@@ -104,3 +105,44 @@
 	s.queue = kept
 	return dropped
 }
+
+// Check does what is due by the passing of time. Call it every 10 to 100 ms.
+func (s *Scheduler) Check(_ clock.Millis) {}
+
+// NextDropped returns the next job that was dropped since the last call.
+func (s *Scheduler) NextDropped() (Dropped, bool) { return nil, false }
+
+// Usage returns the figures of every owner at this VM, in the order of the bundle.
+func (s *Scheduler) Usage() []OwnerUsage { return nil }
+
+// SetPeerUsage takes a peer's figures, so that shares hold over all VMs together.
+func (s *Scheduler) SetPeerUsage(_ clock.Millis, _ vm.Incarnation, _ []OwnerUsage) {}
+
+// Drain stops new work to a leaving endpoint.
+func (s *Scheduler) Drain(_ clock.Millis, _ datacentre.EndpointID) {}
+
+// Readmit lifts a drain if the evidence that the endpoint serves was observed after it.
+// It returns whether the endpoint takes new work now.
+func (s *Scheduler) Readmit(_ clock.Millis, _ datacentre.EndpointID, _ clock.Millis) bool {
+	return true
+}
+
+// LoanNeed returns what this VM would borrow from peers.
+func (s *Scheduler) LoanNeed(_ clock.Millis) LoanNeed { return LoanNeed{} }
+
+// Lend decides on a peer's request and takes the granted slots away from this VM until
+// Reclaim.
+func (s *Scheduler) Lend(_ clock.Millis, _ LoanNeed, _ clock.Millis) []SlotLoan { return nil }
+
+// Reclaim takes lent slots back, when the peer returns them or the lease has expired.
+func (s *Scheduler) Reclaim(_ clock.Millis, _ SlotLoan) {}
+
+// Borrow adds slots that a peer has lent.
+func (s *Scheduler) Borrow(_ clock.Millis, _ SlotLoan) {}
+
+// GiveBack takes borrowed slots away when the lease has expired. Tasks that run there
+// are not affected.
+func (s *Scheduler) GiveBack(_ clock.Millis, _ SlotLoan) {}
+
+// ReturnIdle takes away the borrowed slots that are idle, and returns them.
+func (s *Scheduler) ReturnIdle(_ clock.Millis) []SlotLoan { return nil }
