--- /dev/null
+++ b/pkg/dispatch/health_test.go
@@ -0,0 +1,191 @@
+package dispatch
+
+import (
+	"testing"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+)
+
+// Guards against endpoints that draw work by failing at once, against ejecting too many,
+// and against ejecting endpoints for the fault of a kind of task.
+func TestFailingEndpoints(t *testing.T) {
+	tests := []struct {
+		name string
+		// faulty endpoints fail everything for the first 10 s.
+		faulty int
+		span   clock.Millis
+		// badKind fails on every endpoint.
+		badKind contract.Kind
+		// mostLost is the accepted part of the tasks lost to faults of endpoints.
+		mostLost float64
+		mostOut  int
+		doomed   bool
+	}{
+		{name: "one of 12 fails at once", faulty: 1, span: 1, mostLost: 0.01, mostOut: 1},
+		{name: "one of 12 fails slowly", faulty: 1, span: 100, mostLost: 0.01, mostOut: 1},
+		{name: "five of 12 fail at once", faulty: 5, span: 1, mostLost: 0.1, mostOut: 3},
+		{name: "a kind fails everywhere", badKind: "bad", span: 5, mostOut: 0, doomed: true},
+		{name: "a kind fails everywhere and one endpoint too", badKind: "bad", faulty: 1, span: 5, mostLost: 0.01, mostOut: 1, doomed: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t, 12, 8, ownerOf("a", 1))
+			begin := w.clock.Now()
+			lost, served := 0, 0
+			w.run = func(j Job, e datacentre.EndpointID) (clock.Millis, contract.AttemptResult) {
+				if j.Kind == tt.badKind {
+					return tt.span, contract.RanAndFailed{Reason: "cannot run"}
+				}
+				served++
+				if e < endpointName(tt.faulty) && w.clock.Now()-begin < 10*clock.Second {
+					lost++
+					return tt.span, contract.RanAndFailed{Reason: "broken"}
+				}
+				return 100, contract.Succeeded{}
+			}
+			mostOut := 0
+			for range 100 {
+				w.mustAdmit(Job{Owner: "a", Tasks: 60})
+				if tt.badKind != "" {
+					w.mustAdmit(Job{Owner: "a", Kind: tt.badKind, Tasks: 100})
+				}
+				w.advance(100)
+				mostOut = max(mostOut, len(w.scheduler.Ejected()))
+			}
+			if got := float64(lost) / float64(served); got > tt.mostLost {
+				t.Errorf("got %d of %d tasks lost, want at most %.1f %%", lost, served, 100*tt.mostLost)
+			}
+			if mostOut > tt.mostOut {
+				t.Errorf("got %d endpoints ejected at a time, want at most %d", mostOut, tt.mostOut)
+			}
+			if got := len(w.doomed) > 0; got != tt.doomed {
+				t.Errorf("got jobs failed early %v, want %v", got, tt.doomed)
+			}
+			w.advance(2 * clock.Minute)
+			before := len(w.starts)
+			w.mustAdmit(Job{Owner: "a", Tasks: 96})
+			w.advance(10)
+			w.mustAdmit(Job{Owner: "a", Tasks: 300})
+			w.advance(2000)
+			used := make(map[datacentre.EndpointID]bool)
+			for _, st := range w.starts[before:] {
+				used[st.Endpoint] = true
+			}
+			if got := len(used); got != 12 {
+				t.Errorf("got %d endpoints in use after the recovery, want 12", got)
+			}
+		})
+	}
+}
+
+// Guards against work for a leaving endpoint, and against readmission on evidence that
+// is older than the drain.
+func TestDrain(t *testing.T) {
+	tests := []struct {
+		name string
+		// observed is the age of the evidence relative to the drain.
+		observed clock.Millis
+		want     bool
+	}{
+		{name: "evidence from before the drain", observed: -50},
+		{name: "evidence of the same moment", observed: 0},
+		{name: "fresh evidence", observed: 50, want: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t, 1, 8, ownerOf("a", 1))
+			drained := w.clock.Now()
+			w.scheduler.Drain(drained, endpointName(0))
+			w.mustAdmit(Job{Owner: "a", Tasks: 8})
+			w.scheduler.SetSlots(drained, endpointName(0), 0)
+			w.scheduler.SetSlots(drained, endpointName(0), 8)
+			w.advance(100)
+			if got := len(w.starts); got != 0 {
+				t.Fatalf("got %d starts on a leaving endpoint, want none", got)
+			}
+			if got := w.scheduler.Readmit(w.clock.Now(), endpointName(0), drained+tt.observed); got != tt.want {
+				t.Errorf("got readmitted %v, want %v", got, tt.want)
+			}
+			w.advance(100)
+			if got := len(w.starts) > 0; got != tt.want {
+				t.Errorf("got starts %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against tasks on slow endpoints while fast ones are free.
+func TestSpeedDecidesPlacement(t *testing.T) {
+	w := newWorld(t, 4, 8, ownerOf("a", 1))
+	w.run = func(_ Job, e datacentre.EndpointID) (clock.Millis, contract.AttemptResult) {
+		if e == endpointName(3) {
+			return 50, contract.Succeeded{}
+		}
+		return 200, contract.Succeeded{}
+	}
+	for range 20 {
+		w.mustAdmit(Job{Owner: "a", Tasks: 32})
+		w.advance(500)
+	}
+	before := len(w.starts)
+	w.mustAdmit(Job{Owner: "a", Tasks: 6})
+	w.advance(500)
+	for _, st := range w.starts[before:] {
+		if st.Endpoint != endpointName(3) {
+			t.Errorf("got a task on %s, want all on the fast endpoint", st.Endpoint)
+		}
+	}
+}
+
+// Guards against slots that are used twice or lost when they are lent, and against loans
+// that cost more than they save.
+func TestLoans(t *testing.T) {
+	tests := []struct {
+		name   string
+		need   LoanNeed
+		oneWay clock.Millis
+		want   datacentre.Slots
+	}{
+		{name: "idle slots but the reserve", need: LoanNeed{Tasks: 100, Wait: 200}, oneWay: 1, want: 14},
+		{name: "no more than needed", need: LoanNeed{Tasks: 5, Wait: 200}, oneWay: 1, want: 5},
+		{name: "link slower than the wait", need: LoanNeed{Tasks: 100, Wait: 200}, oneWay: 100},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			lender := newWorld(t, 2, 8, ownerOf("a", 1))
+			borrower := newWorld(t, 1, 1, ownerOf("a", 1))
+			lender.learnKind()
+			borrower.learnKind()
+			borrower.scheduler.SetSlots(borrower.clock.Now(), endpointName(0), 0)
+			loans := lender.scheduler.Lend(lender.clock.Now(), tt.need, tt.oneWay)
+			got := datacentre.Slots(0)
+			for _, l := range loans {
+				got += l.Slots
+				borrower.scheduler.Borrow(borrower.clock.Now(), l)
+			}
+			if got != tt.want {
+				t.Fatalf("got %d slots lent, want %d", got, tt.want)
+			}
+			lender.mustAdmit(Job{Owner: "a", Tasks: 100})
+			borrower.mustAdmit(Job{Owner: "a", Tasks: 100})
+			lender.advance(1)
+			borrower.advance(1)
+			if got, want := len(lender.starts), int(16-tt.want); got != want {
+				t.Errorf("got %d starts at the lender, want %d", got, want)
+			}
+			if got, want := len(borrower.starts), int(tt.want); got != want {
+				t.Errorf("got %d starts at the borrower, want %d", got, want)
+			}
+			borrower.advance(5000)
+			for _, l := range borrower.scheduler.ReturnIdle(borrower.clock.Now()) {
+				got -= l.Slots
+				lender.scheduler.Reclaim(lender.clock.Now(), l)
+			}
+			if got > 0 && tt.want > 0 {
+				t.Errorf("got %d slots not returned, want none", got)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/order_test.go
@@ -0,0 +1,179 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"testing"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+)
+
+// Guards against an owner that gets more than its share by longer queues, longer tasks
+// or the use of other entry VMs.
+func TestSlotTimeFollowsShares(t *testing.T) {
+	tests := []struct {
+		name       string
+		a, b       owner.Share
+		backlogA   int
+		spanA      clock.Millis
+		usedAtPeer float64
+		want       float64
+	}{
+		{name: "equal shares, longer queue", a: 1, b: 1, backlogA: 400, spanA: 100, want: 0.5},
+		{name: "three to one", a: 3, b: 1, backlogA: 100, spanA: 100, want: 0.75},
+		{name: "equal shares, tasks four times longer", a: 1, b: 1, backlogA: 100, spanA: 400, want: 0.5},
+		{name: "half of the slots used at a peer", a: 1, b: 1, backlogA: 100, spanA: 100, usedAtPeer: 0.5, want: 0.25},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t, 2, 8, ownerOf("a", tt.a), ownerOf("b", tt.b))
+			w.run = func(j Job, _ datacentre.EndpointID) (clock.Millis, contract.AttemptResult) {
+				if j.Owner == "a" {
+					return tt.spanA, contract.Succeeded{}
+				}
+				return 100, contract.Succeeded{}
+			}
+			peer := clock.Millis(0)
+			w.scheduler.SetPeerUsage(w.clock.Now(), "p-1", []OwnerUsage{{Owner: "a"}})
+			for range 200 {
+				w.keepBacklog(tt.backlogA, Job{Owner: "a", Tasks: 20})
+				w.keepBacklog(50, Job{Owner: "b", Tasks: 10})
+				w.advance(50)
+				peer += clock.Millis(50 * 16 * tt.usedAtPeer)
+				w.scheduler.SetPeerUsage(w.clock.Now(), "p-1", []OwnerUsage{{Owner: "a", SlotTime: peer}})
+			}
+			got := float64(w.slotTime["a"]) / float64(w.slotTime["a"]+w.slotTime["b"])
+			if math.Abs(got-tt.want) > 0.05*tt.want {
+				t.Errorf("got %.3f of the slot time for a, want %.3f within 5 %%", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against starts in the order of arrival where urgency or deadlines say otherwise.
+func TestOrderWithinOwner(t *testing.T) {
+	tests := []struct {
+		name string
+		jobs []Job
+		want []contract.JobRef
+	}{
+		{
+			name: "more urgent class first",
+			jobs: []Job{{Rank: 2}, {Rank: 1}, {Rank: 0}},
+			want: []contract.JobRef{3, 2, 1},
+		},
+		{
+			name: "earlier deadline first within a class",
+			jobs: []Job{{Deadline: 30000}, {Deadline: 10000}, {Deadline: 20000}},
+			want: []contract.JobRef{2, 3, 1},
+		},
+		{
+			name: "arrival decides between equals",
+			jobs: []Job{{}, {}, {}},
+			want: []contract.JobRef{1, 2, 3},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t, 1, 1, ownerOf("a", 1))
+			for _, j := range tt.jobs {
+				j.Owner, j.Tasks = "a", 1
+				w.mustAdmit(j)
+			}
+			w.advance(1000)
+			var got []contract.JobRef
+			for _, st := range w.starts {
+				got = append(got, st.Task.Job)
+			}
+			if !slices.Equal(got, tt.want) {
+				t.Errorf("got order %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against starvation of the lowest class, and of an owner that arrives while
+// another has used all slots for long. The bound for a class is 1 s and the time for
+// a slot; the bound for an owner is 2 s and the time for a slot.
+func TestWaitIsBounded(t *testing.T) {
+	tests := []struct {
+		name  string
+		flood Job
+		late  Job
+		bound clock.Millis
+	}{
+		{
+			name:  "lowest class under a flood of the most urgent",
+			flood: Job{Owner: "a", Rank: 0, Tasks: 10},
+			late:  Job{Owner: "a", Rank: 3, Tasks: 1},
+			bound: clock.Second + 100,
+		},
+		{
+			name:  "owner with a small share against a long backlog",
+			flood: Job{Owner: "a", Tasks: 10},
+			late:  Job{Owner: "b", Tasks: 1},
+			bound: 2*clock.Second + 100,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t, 1, 8, ownerOf("a", 50), ownerOf("b", 1))
+			for range 40 {
+				w.keepBacklog(300, tt.flood)
+				w.advance(50)
+			}
+			late := w.mustAdmit(tt.late)
+			for range 100 {
+				w.keepBacklog(300, tt.flood)
+				w.advance(50)
+			}
+			got, started := w.waits[late]
+			if !started || got > tt.bound {
+				t.Errorf("got started %v after %d ms, want at most %d ms", started, got, tt.bound)
+			}
+		})
+	}
+}
+
+// Guards against long work and stragglers that take all slots from short work. Nothing
+// is known of the kinds at the start.
+func TestLongWorkIsConfined(t *testing.T) {
+	const long, short = contract.Kind("long"), contract.Kind("short")
+	tests := []struct {
+		name  string
+		spans map[contract.Kind]clock.Millis
+		// tasks of the long kind that wait from the start.
+		tasks int
+	}{
+		{name: "kind 50 times longer", spans: map[contract.Kind]clock.Millis{long: 5000, short: 100}, tasks: 400},
+		{name: "kind of stragglers", spans: map[contract.Kind]clock.Millis{long: clock.Minute, short: 100}, tasks: 400},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t, 2, 8, ownerOf("a", 1))
+			w.run = func(j Job, _ datacentre.EndpointID) (clock.Millis, contract.AttemptResult) {
+				return tt.spans[j.Kind], contract.Succeeded{}
+			}
+			for range 20 {
+				w.keepBacklog(20, Job{Owner: "a", Kind: short, Tasks: 10})
+				w.advance(50)
+			}
+			w.mustAdmit(Job{Owner: "a", Kind: long, Rank: 1, Tasks: tt.tasks})
+			most := 0
+			for range 600 {
+				w.keepBacklog(4, Job{Owner: "a", Kind: short, Tasks: 2})
+				w.advance(20)
+				most = max(most, w.heldBy(long))
+			}
+			if most > 12 {
+				t.Errorf("got %d of 16 slots held by long tasks at most, want at most 12 while the kind is learnt", most)
+			}
+			if got := w.heldBy(long); got > 8 {
+				t.Errorf("got %d of 16 slots held by long tasks at the end, want at most 8", got)
+			}
+		})
+	}
+}
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -14,6 +14,8 @@
 type Config struct {
 	// QueuedTasks bounds the tasks of all owners that wait.
 	QueuedTasks int
+	// Seed spreads retry hints; VMs with different seeds give different hints.
+	Seed uint64
 }
 
 // Scheduler holds the queue and the free slots of one entry VM.
@@ -146,3 +148,6 @@
 
 // ReturnIdle takes away the borrowed slots that are idle, and returns them.
 func (s *Scheduler) ReturnIdle(_ clock.Millis) []SlotLoan { return nil }
+
+// Ejected returns the endpoints that are out of service because of failures.
+func (s *Scheduler) Ejected() []datacentre.EndpointID { return nil }
