Decide order, admission, placement and health in the scheduler

Change: virtual time per owner charged with measured slot time, urgency classes and earliest deadline first within an owner, lanes for short work, long work and new kinds, run times learnt per kind, whole-job admission by projected wait, shedding by urgency and share, placement by learnt speed, ejection with a cap and trials, drains, and loans from idle slots. The control state machine answers for jobs that the scheduler drops, and gives back the slot of a start that was never sent (Abandon) instead of blaming the endpoint. Not yet measured under load.

--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/binary"
 	"encoding/hex"
 	"net"
 	"net/http"
@@ -49,6 +50,7 @@
 const (
 	nonceBytes = 6
 	keyBytes   = 32
+	seedBytes  = 8
 )
 
 // NewDaemon opens the listeners and wires the parts.
@@ -89,7 +91,7 @@
 		DataCentre:     s.DataCentre,
 		Self:           d.self.Incarnation,
 		Key:            randomBytes(keyBytes),
-		Dispatch:       dispatch.Config{QueuedTasks: s.Limits.QueuedTasks},
+		Dispatch:       dispatch.Config{QueuedTasks: s.Limits.QueuedTasks, Seed: binary.BigEndian.Uint64(randomBytes(seedBytes))},
 		AttemptTimeout: s.Timeouts.Attempt,
 	})
 	endpoints := endpoint.NewClient(endpoint.ClientConfig{
--- /dev/null
+++ b/pkg/dispatch/account.go
@@ -0,0 +1,52 @@
+package dispatch
+
+import (
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// account is what the scheduler keeps for one owner.
+type account struct {
+	owner    owner.Owner
+	sequence int
+	virtual  virtualTime
+	lanes    [laneCount]lane
+	waiting  int
+	// work is the estimated slot time of waiting tasks for each class.
+	work     [rankCount]slotMillis
+	slotTime slotMillis
+	usage    OwnerUsage
+	peers    map[vm.Incarnation]clock.Millis
+}
+
+func newAccount(o owner.Owner, sequence int) *account {
+	a := &account{owner: o, sequence: sequence, peers: make(map[vm.Incarnation]clock.Millis)}
+	for i := range a.lanes {
+		a.lanes[i] = lane{account: a, index: laneIndex(i), pos: absent}
+	}
+	return a
+}
+
+func (a *account) share() slotMillis {
+	return slotMillis(max(a.owner.Share, 1))
+}
+
+func (a *account) virtualOf(work slotMillis) virtualTime {
+	return virtualTime(work / a.share())
+}
+
+// workAhead is the waiting work that goes before a new job of the rank.
+func (a *account) workAhead(rank int) slotMillis {
+	ahead := slotMillis(0)
+	for r := 0; r <= rank; r++ {
+		ahead += a.work[r]
+	}
+	return ahead
+}
+
+func (a *account) started(wait clock.Millis) {
+	a.usage.Started++
+	a.usage.Waited += wait
+	a.usage.LongestWait = max(a.usage.LongestWait, wait)
+}
--- /dev/null
+++ b/pkg/dispatch/histogram.go
@@ -0,0 +1,47 @@
+package dispatch
+
+import (
+	"math"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+const (
+	// Four buckets to an octave tell run times apart to within 19 %, from 1 ms to 65 s.
+	bucketsPerOctave = 4
+	histogramBuckets = 64
+	// The counts are halved at this total, so that old run times fade out.
+	histogramTotal = 512
+)
+
+// histogram counts run times on a logarithmic scale.
+type histogram struct {
+	counts [histogramBuckets]uint16
+	total  int
+}
+
+func (h *histogram) add(span clock.Millis) {
+	i := int(bucketsPerOctave * math.Log2(float64(max(span, 1))))
+	h.counts[min(i, histogramBuckets-1)]++
+	h.total++
+	if h.total < histogramTotal {
+		return
+	}
+	h.total = 0
+	for i := range h.counts {
+		h.counts[i] /= 2
+		h.total += int(h.counts[i])
+	}
+}
+
+// quantile returns the upper bound of the bucket that holds the quantile q.
+func (h *histogram) quantile(q float64) clock.Millis {
+	left := int(math.Ceil(q * float64(h.total)))
+	for i, n := range h.counts {
+		left -= int(n)
+		if left <= 0 {
+			return clock.Millis(math.Ceil(math.Exp2(float64(i+1) / bucketsPerOctave)))
+		}
+	}
+	return 0
+}
--- a/pkg/dispatch/job.go
+++ b/pkg/dispatch/job.go
@@ -13,7 +13,7 @@
 	Owner owner.ID
 	Rank  owner.Rank
 	Kind  contract.Kind
-	// Deadline is the point in time by which the answer is wanted.
+	// Deadline is the point in time by which the answer is wanted; 0 is none.
 	Deadline clock.Millis
 	Tasks    int
 }
@@ -37,4 +37,6 @@
 type Start struct {
 	Task     contract.TaskRef
 	Endpoint datacentre.EndpointID
+
+	run runHandle
 }
--- /dev/null
+++ b/pkg/dispatch/kind.go
@@ -0,0 +1,108 @@
+package dispatch
+
+import (
+	"math"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+)
+
+// kindKey names a kind of task. Two owners may use the same name for different work.
+type kindKey struct {
+	owner owner.ID
+	kind  contract.Kind
+}
+
+const (
+	// unknownMean stands in for the run time of a kind of which no task has ended, until
+	// tasks of other kinds have.
+	unknownMean slotMillis = 200
+	// The step of the moving averages falls as 1/n to this floor; at 0.05 the error of a
+	// mean of run times spread over a factor of 20 is about 15 %.
+	learningFloor = 0.05
+	// quantileEvery is the number of run times between two computations of a quantile.
+	quantileEvery = 16
+	// failedOnLimit bounds the endpoints on which a kind has to fail to count as failing
+	// everywhere.
+	failedOnLimit = 8
+)
+
+// kind is what has been learnt of a kind of task.
+type kind struct {
+	times   histogram
+	samples int
+	mean    slotMillis
+	// logMean is the mean logarithm of run times, corrected for the speed of endpoints.
+	logMean float64
+	upper   clock.Millis
+	long    bool
+	jobs    int
+	used    clock.Millis
+
+	failRate    float64
+	failures    int
+	lastSuccess clock.Millis
+	failedOn    []*machine
+	broken      bool
+}
+
+func (k *kind) known() bool {
+	return k.samples > 0
+}
+
+// observe takes the run time of a successful task. It returns by how much the endpoint
+// was slower than expected, as a logarithm to base 2.
+func (k *kind) observe(span clock.Millis, m *machine) float64 {
+	k.times.add(span)
+	k.samples++
+	step := max(1/float64(k.samples), learningFloor)
+	k.mean += slotMillis(step) * (slotMillis(span) - k.mean)
+	log := math.Log2(float64(max(span, 1)))
+	surprise := log - m.logSlowness - k.logMean
+	if k.samples == 1 {
+		surprise = 0
+		k.logMean = log - m.logSlowness
+	}
+	k.logMean += step * surprise
+	if k.samples <= quantileEvery || k.samples%quantileEvery == 0 {
+		k.upper = k.times.quantile(0.9)
+	}
+	return surprise
+}
+
+// outran notes that a task of the kind has run for span and has not ended. It matters
+// only while few tasks have ended: those that end first are the short ones.
+func (k *kind) outran(span clock.Millis) {
+	if k.samples >= quantileEvery {
+		return
+	}
+	k.mean = max(k.mean, slotMillis(span))
+	k.upper = max(k.upper, span)
+	k.samples = max(k.samples, 1)
+	if k.logMean == 0 {
+		k.logMean = math.Log2(float64(max(span, 1)))
+	}
+}
+
+// classify sorts the kind into short or long work. The gap between the two limits keeps
+// a kind in between from changing sides with every task.
+func (k *kind) classify(longFrom clock.Millis) {
+	switch {
+	case k.mean > slotMillis(longFrom):
+		k.long = true
+	case k.mean < slotMillis(longFrom)/2:
+		k.long = false
+	}
+}
+
+func (k *kind) lane() laneIndex {
+	switch {
+	case !k.known():
+		return newLane
+	case k.long:
+		return longLane
+	default:
+		return shortLane
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/lane.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import (
+	"math/bits"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// lane holds an owner's waiting jobs of short work, of long work or of new kinds.
+type lane struct {
+	account *account
+	index   laneIndex
+	classes [rankCount]classQueue
+	// filled has a bit for each class with waiting jobs.
+	filled uint8
+	pos    int
+}
+
+func (l *lane) before(o *lane) bool {
+	if l.account.virtual != o.account.virtual {
+		return l.account.virtual < o.account.virtual
+	}
+	return l.account.sequence < o.account.sequence
+}
+
+// goesBefore compares lanes of different sorts. Within an owner, the more urgent class
+// decides, and then the shorter work.
+func (l *lane) goesBefore(o *lane) bool {
+	if l.account == o.account {
+		return l.mostUrgent() < o.mostUrgent()
+	}
+	return l.before(o)
+}
+
+func (l *lane) position() *int {
+	return &l.pos
+}
+
+func (l *lane) mostUrgent() int {
+	return bits.TrailingZeros8(l.filled)
+}
+
+// add queues a job and returns whether the lane was empty.
+func (l *lane) add(now clock.Millis, j *queuedJob) bool {
+	c := &l.classes[j.rank]
+	if c.jobs.empty() {
+		c.passed, c.servedAt = 0, now
+	}
+	c.jobs.push(j)
+	wasEmpty := l.filled == 0
+	l.filled |= 1 << j.rank
+	return wasEmpty
+}
+
+// remove takes a job out and returns whether the lane is empty now.
+func (l *lane) remove(j *queuedJob) bool {
+	c := &l.classes[j.rank]
+	c.jobs.remove(j)
+	if c.jobs.empty() {
+		l.filled &^= 1 << j.rank
+	}
+	return l.filled == 0
+}
+
+// choose returns the class whose turn it is: an overdue one, else the most urgent.
+func (l *lane) choose(now clock.Millis) int {
+	first := l.mostUrgent()
+	for rest := l.filled &^ (1 << first); rest != 0; rest &= rest - 1 {
+		r := bits.TrailingZeros8(rest)
+		if l.classes[r].overdue(now) {
+			return r
+		}
+	}
+	return first
+}
+
+// served notes a start of the class of rank r.
+func (l *lane) served(now clock.Millis, r int) {
+	for rest := l.filled &^ (1 << r) &^ (1<<r - 1); rest != 0; rest &= rest - 1 {
+		l.classes[bits.TrailingZeros8(rest)].passed++
+	}
+	l.classes[r].passed, l.classes[r].servedAt = 0, now
+}
--- a/pkg/dispatch/loan.go
+++ b/pkg/dispatch/loan.go
@@ -30,3 +30,89 @@
 func loanable(idle, total datacentre.Slots) datacentre.Slots {
 	return max(idle-(total+7)/8, 0)
 }
+
+// LoanNeed returns what this VM would borrow from peers.
+func (s *Scheduler) LoanNeed(_ clock.Millis) LoanNeed {
+	tasks := s.waiting - int(s.placement.free)
+	if tasks <= 0 {
+		return LoanNeed{}
+	}
+	work := slotMillis(0)
+	for _, a := range s.order {
+		work += a.workAhead(rankCount - 1)
+	}
+	return LoanNeed{Tasks: tasks, Wait: clock.Millis(work / slotMillis(max(s.placement.total, 1)))}
+}
+
+// Lend decides on a peer's request and takes the granted slots away from this VM until
+// Reclaim. Only own slots are lent, never borrowed ones.
+func (s *Scheduler) Lend(_ clock.Millis, need LoanNeed, oneWay clock.Millis) []SlotLoan {
+	if !need.WorthLending(oneWay) || s.waiting > 0 {
+		return nil
+	}
+	left := min(loanable(s.placement.free, s.placement.total), datacentre.Slots(need.Tasks))
+	var loans []SlotLoan
+	for _, m := range s.all {
+		if left <= 0 {
+			break
+		}
+		if m.standing != trusted {
+			continue
+		}
+		n := min(m.free(), m.owned-m.lent, left)
+		if n <= 0 {
+			continue
+		}
+		s.placement.before(m)
+		m.lent += n
+		s.placement.after(m)
+		left -= n
+		loans = append(loans, SlotLoan{Endpoint: m.id, Slots: n})
+	}
+	return loans
+}
+
+// Reclaim takes lent slots back, when the peer returns them or the lease has expired.
+func (s *Scheduler) Reclaim(_ clock.Millis, l SlotLoan) {
+	m := s.machine(l.Endpoint)
+	s.placement.before(m)
+	m.lent = max(m.lent-l.Slots, 0)
+	s.placement.after(m)
+}
+
+// Borrow adds slots that a peer has lent.
+func (s *Scheduler) Borrow(_ clock.Millis, l SlotLoan) {
+	m := s.machine(l.Endpoint)
+	s.placement.before(m)
+	m.borrowed += l.Slots
+	s.placement.after(m)
+}
+
+// GiveBack takes borrowed slots away when the lease has expired. Tasks that run there
+// are not affected.
+func (s *Scheduler) GiveBack(_ clock.Millis, l SlotLoan) {
+	m := s.machine(l.Endpoint)
+	s.placement.before(m)
+	m.borrowed = max(m.borrowed-l.Slots, 0)
+	s.placement.after(m)
+}
+
+// ReturnIdle takes away the borrowed slots that are idle, and returns them. While tasks
+// wait it returns none.
+func (s *Scheduler) ReturnIdle(_ clock.Millis) []SlotLoan {
+	if s.waiting > 0 {
+		return nil
+	}
+	var loans []SlotLoan
+	for _, m := range s.all {
+		n := min(m.borrowed, m.capacity()-m.used)
+		if n <= 0 {
+			continue
+		}
+		s.placement.before(m)
+		m.borrowed -= n
+		s.placement.after(m)
+		loans = append(loans, SlotLoan{Endpoint: m.id, Slots: n})
+	}
+	return loans
+}
--- /dev/null
+++ b/pkg/dispatch/machine.go
@@ -0,0 +1,70 @@
+package dispatch
+
+import (
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+)
+
+// standing is what the failures of an endpoint have led to.
+type standing int
+
+const (
+	trusted standing = iota
+	// suspect endpoints get one task at a time, and only when no other slot is free.
+	suspect
+	// ejected endpoints get no work until retryAt.
+	ejected
+	// onTrial endpoints get one task at a time; successes bring them back.
+	onTrial
+)
+
+// machine is what the scheduler knows of one endpoint.
+type machine struct {
+	id datacentre.EndpointID
+	// The slots that this VM may use are owned - lent + borrowed.
+	owned, lent, borrowed, used datacentre.Slots
+
+	// logSlowness is the logarithm to base 2 of the run time against the mean endpoint.
+	logSlowness float64
+	samples     int
+
+	standing    standing
+	streak      int
+	streakStart clock.Millis
+	blamed      *kind
+	ejections   int
+	successes   int
+	retryAt     clock.Millis
+	pausedUntil clock.Millis
+	held        bool
+	draining    bool
+	drainedAt   clock.Millis
+
+	bucket     int
+	prev, next *machine
+}
+
+func (m *machine) capacity() datacentre.Slots {
+	return max(m.owned-m.lent+m.borrowed, 0)
+}
+
+func (m *machine) free() datacentre.Slots {
+	limit := m.capacity()
+	switch m.standing {
+	case trusted:
+	case suspect, onTrial:
+		limit = min(limit, 1)
+	case ejected:
+		return 0
+	}
+	if m.draining || m.pausedUntil > 0 {
+		return 0
+	}
+	return max(limit-m.used, 0)
+}
+
+// observe learns the speed from a run that took 2^surprise times as long as expected.
+func (m *machine) observe(surprise float64) {
+	m.samples++
+	m.logSlowness += max(1/float64(m.samples+1), learningFloor) * surprise
+}
--- /dev/null
+++ b/pkg/dispatch/queue.go
@@ -0,0 +1,104 @@
+package dispatch
+
+import (
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+)
+
+// lead bounds how far an owner may be ahead of or behind the others, in slot time of the
+// whole VM. An owner that used the slots of a peer alone is held back for no longer, and
+// an owner that could not run for a while catches up on no more.
+const lead = 2 * clock.Second
+
+func (s *Scheduler) leadTime() virtualTime {
+	return virtualTime(slotMillis(lead) * slotMillis(max(s.placement.total, 1)) / max(s.shares, 1))
+}
+
+// enqueue puts a job with waiting tasks into its lane.
+func (s *Scheduler) enqueue(now clock.Millis, j *queuedJob) {
+	a := j.account
+	if a.waiting == 0 {
+		a.virtual = min(max(a.virtual, s.virtual), s.virtual+s.leadTime())
+	}
+	n := j.waiting()
+	s.waiting += n
+	a.waiting += n
+	a.work[j.rank] += slotMillis(n) * j.estimate
+	l := &a.lanes[j.lane]
+	if l.add(now, j) {
+		a.virtual = max(a.virtual, s.virtual-s.leadTime())
+		s.lanes[j.lane].push(l)
+	}
+}
+
+// dequeue takes a job with all its waiting tasks out of its lane.
+func (s *Scheduler) dequeue(j *queuedJob) {
+	a, n := j.account, j.waiting()
+	s.waiting -= n
+	a.waiting -= n
+	a.work[j.rank] -= slotMillis(n) * j.estimate
+	s.unlink(j)
+}
+
+func (s *Scheduler) unlink(j *queuedJob) {
+	l := &j.account.lanes[j.lane]
+	if l.remove(j) {
+		s.lanes[j.lane].remove(l)
+	}
+	if j.account.waiting == 0 {
+		// Rounding errors of the sums must not outlive the tasks.
+		clear(j.account.work[:])
+	}
+}
+
+// requeue queues a task again that an endpoint did not run.
+func (s *Scheduler) requeue(now clock.Millis, j *queuedJob, t contract.TaskIndex) bool {
+	if j.ended {
+		return false
+	}
+	if j.waiting() > 0 {
+		s.dequeue(j)
+	}
+	j.requeued = append(j.requeued, t)
+	s.enqueue(now, j)
+	return true
+}
+
+func (s *Scheduler) newJob() *queuedJob {
+	n := len(s.spare)
+	if n == 0 {
+		return &queuedJob{pos: absent}
+	}
+	j := s.spare[n-1]
+	s.spare = s.spare[:n-1]
+	return j
+}
+
+// forgetIfEnded drops a job of which nothing waits or runs.
+func (s *Scheduler) forgetIfEnded(j *queuedJob) {
+	if j.running > 0 || j.waiting() > 0 {
+		return
+	}
+	delete(s.jobs, j.ref)
+	j.kind.jobs--
+	requeued := j.requeued[:0]
+	*j = queuedJob{pos: absent, requeued: requeued}
+	s.spare = append(s.spare, j)
+}
+
+func (s *Scheduler) newRun() *runningTask {
+	r := s.idleRuns
+	if r == nil {
+		return &runningTask{}
+	}
+	s.idleRuns = r.next
+	r.next = nil
+	return r
+}
+
+func (s *Scheduler) freeRun(r *runningTask) {
+	r.generation++
+	r.job, r.machine, r.prev = nil, nil, nil
+	r.next = s.idleRuns
+	s.idleRuns = r
+}
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -3,11 +3,12 @@
 package dispatch
 
 import (
+	"math/rand/v2"
+
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
-	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
 // Config bounds a scheduler.
@@ -21,133 +22,247 @@
 // Scheduler holds the queue and the free slots of one entry VM.
 type Scheduler struct {
 	config Config
-	queue  []contract.TaskRef
-	order  []datacentre.EndpointID
-	slots  map[datacentre.EndpointID]*slotCount
-}
+	random *rand.Rand
+
+	accounts map[owner.ID]*account
+	// order lists the accounts in the order of the bundle.
+	order   []*account
+	lanes   [laneCount]indexedHeap[*lane]
+	virtual virtualTime
+	shares  slotMillis
+
+	jobs     map[contract.JobRef]*queuedJob
+	spare    []*queuedJob
+	sequence uint64
+	waiting  int
+	dropped  []Dropped
 
-type slotCount struct {
-	capacity datacentre.Slots
-	used     datacentre.Slots
+	kinds    map[kindKey]*kind
+	times    histogram
+	longFrom clock.Millis
+
+	machines  map[datacentre.EndpointID]*machine
+	all       []*machine
+	held      []*machine
+	placement placement
+
+	// running has a list for each lane; a task that outruns short work moves to long.
+	running  [laneCount]runningList
+	idleRuns *runningTask
 }
 
 // New returns a scheduler without endpoints.
 func New(c Config) *Scheduler {
-	return &Scheduler{config: c, slots: make(map[datacentre.EndpointID]*slotCount)}
+	return &Scheduler{
+		config:   c,
+		random:   rand.New(rand.NewPCG(c.Seed, c.Seed)),
+		accounts: make(map[owner.ID]*account),
+		jobs:     make(map[contract.JobRef]*queuedJob),
+		kinds:    make(map[kindKey]*kind),
+		longFrom: initialLongFrom,
+		machines: make(map[datacentre.EndpointID]*machine),
+	}
 }
 
-// SetOwners takes over the shares and classes of a new bundle.
-func (s *Scheduler) SetOwners(_ clock.Millis, _ []owner.Owner) {}
+// SetOwners takes over the shares and classes of a new bundle. The jobs of an owner that
+// is no longer in it end as they would have.
+func (s *Scheduler) SetOwners(_ clock.Millis, owners []owner.Owner) {
+	s.order = s.order[:0]
+	s.shares = 0
+	listed := make(map[owner.ID]bool, len(owners))
+	for _, o := range owners {
+		a, ok := s.accounts[o.ID]
+		if !ok {
+			a = newAccount(o, len(s.accounts))
+			a.usage.Owner = o.ID
+			s.accounts[o.ID] = a
+		}
+		a.owner = o
+		listed[o.ID] = true
+		s.order = append(s.order, a)
+		s.shares += a.share()
+	}
+	for id, a := range s.accounts {
+		if !listed[id] && a.waiting == 0 {
+			delete(s.accounts, id)
+		}
+	}
+}
 
-// SetSlots sets how many slots of an endpoint this VM may use; 0 takes the endpoint away.
+// SetSlots sets how many slots of an endpoint are this VM's own; 0 takes the endpoint
+// away. What has been learnt of the endpoint stays.
 func (s *Scheduler) SetSlots(_ clock.Millis, e datacentre.EndpointID, capacity datacentre.Slots) {
-	c, ok := s.slots[e]
-	if !ok {
-		c = &slotCount{}
-		s.slots[e] = c
-		s.order = append(s.order, e)
+	m := s.machine(e)
+	if m.owned == capacity {
+		return
 	}
-	c.capacity = capacity
+	s.placement.before(m)
+	m.owned = capacity
+	s.placement.after(m)
 }
 
-// Admit queues the whole job or rejects the whole job.
-func (s *Scheduler) Admit(_ clock.Millis, j Job) Verdict {
-	if len(s.queue)+j.Tasks > s.config.QueuedTasks {
-		return Rejected{Reason: "the queue is full", RetryAfter: clock.Second}
-	}
-	for i := range j.Tasks {
-		s.queue = append(s.queue, contract.TaskRef{Job: j.Ref, Index: contract.TaskIndex(i)})
+func (s *Scheduler) machine(e datacentre.EndpointID) *machine {
+	m, ok := s.machines[e]
+	if !ok {
+		m = &machine{id: e, bucket: absent}
+		s.machines[e] = m
+		s.all = append(s.all, m)
 	}
-	return Admitted{}
+	return m
 }
 
 // Next takes the next task to start, as long as there is one and a slot for it. The
 // slot is held until Finish.
-func (s *Scheduler) Next(_ clock.Millis) (Start, bool) {
-	if len(s.queue) == 0 {
-		return Start{}, false
-	}
-	for _, e := range s.order {
-		c := s.slots[e]
-		if c.used >= c.capacity {
-			continue
+func (s *Scheduler) Next(now clock.Millis) (Start, bool) {
+	for s.placement.free > 0 && s.waiting > 0 {
+		l := s.pickLane()
+		if l == nil {
+			return Start{}, false
+		}
+		if j := s.pickJob(now, l); j != nil {
+			return s.start(now, l, j), true
 		}
-		c.used++
-		task := s.queue[0]
-		s.queue = s.queue[1:]
-		return Start{Task: task, Endpoint: e}, true
 	}
 	return Start{}, false
 }
 
-// Finish frees the slot of a start. A task that was not started is queued again; it
-// returns whether that is so.
-func (s *Scheduler) Finish(_ clock.Millis, st Start, result contract.AttemptResult) (requeued bool) {
-	if c, ok := s.slots[st.Endpoint]; ok {
-		c.used--
-	}
-	if _, ok := result.(contract.NotStarted); ok {
-		s.queue = append(s.queue, st.Task)
-		return true
-	}
-	return false
-}
-
-// Cancel drops the tasks of a job that wait, and returns them.
-func (s *Scheduler) Cancel(_ clock.Millis, job contract.JobRef) []contract.TaskIndex {
-	var dropped []contract.TaskIndex
-	kept := s.queue[:0]
-	for _, t := range s.queue {
-		if t.Job == job {
-			dropped = append(dropped, t.Index)
+// pickLane returns the lane of the owner with the least virtual time, among the lanes
+// that may hold more slots.
+func (s *Scheduler) pickLane() *lane {
+	var best *lane
+	for i := range s.lanes {
+		if s.lanes[i].empty() || !s.mayStart(laneIndex(i)) {
 			continue
 		}
-		kept = append(kept, t)
+		if l := s.lanes[i].top(); best == nil || l.goesBefore(best) {
+			best = l
+		}
 	}
-	s.queue = kept
-	return dropped
+	return best
 }
 
-// Check does what is due by the passing of time. Call it every 10 to 100 ms.
-func (s *Scheduler) Check(_ clock.Millis) {}
-
-// NextDropped returns the next job that was dropped since the last call.
-func (s *Scheduler) NextDropped() (Dropped, bool) { return nil, false }
-
-// Usage returns the figures of every owner at this VM, in the order of the bundle.
-func (s *Scheduler) Usage() []OwnerUsage { return nil }
-
-// SetPeerUsage takes a peer's figures, so that shares hold over all VMs together.
-func (s *Scheduler) SetPeerUsage(_ clock.Millis, _ vm.Incarnation, _ []OwnerUsage) {}
+// pickJob returns the job of the lane whose turn it is, or nothing if it moved the job
+// elsewhere first: to the lane that its kind has turned out to belong to, out of the
+// queue if it can no longer end in time and nothing of it has started, or behind the
+// others if it is late. Late jobs in front would make those behind them late too.
+func (s *Scheduler) pickJob(now clock.Millis, l *lane) *queuedJob {
+	j := l.classes[l.choose(now)].jobs.top()
+	if j.kind.lane() != j.lane {
+		s.dequeue(j)
+		j.lane = j.kind.lane()
+		s.enqueue(now, j)
+		return nil
+	}
+	if j.late || now+clock.Millis(j.kind.mean/2) <= j.deadline {
+		return j
+	}
+	if !j.started {
+		s.shed(j, "the deadline can no longer be met")
+		return nil
+	}
+	j.late = true
+	l.classes[j.rank].jobs.fix(j)
+	return nil
+}
 
-// Drain stops new work to a leaving endpoint.
-func (s *Scheduler) Drain(_ clock.Millis, _ datacentre.EndpointID) {}
+func (s *Scheduler) start(now clock.Millis, l *lane, j *queuedJob) Start {
+	a := j.account
+	l.served(now, j.rank)
+	s.virtual = max(s.virtual, a.virtual)
+	task := contract.TaskRef{Job: j.ref, Index: j.take()}
+	s.waiting--
+	a.waiting--
+	a.work[j.rank] -= j.estimate
+	if j.waiting() == 0 {
+		s.unlink(j)
+	}
+	j.started = true
+	j.running++
+	a.started(now - j.admitted)
 
-// Readmit lifts a drain if the evidence that the endpoint serves was observed after it.
-// It returns whether the endpoint takes new work now.
-func (s *Scheduler) Readmit(_ clock.Millis, _ datacentre.EndpointID, _ clock.Millis) bool {
-	return true
+	r := s.newRun()
+	r.task, r.job, r.startedAt = task, j, now
+	r.machine = s.hold(s.placement.fastest())
+	s.running[j.lane].push(r)
+	r.charged = s.estimate(j.kind)
+	s.charge(a, r.charged)
+	return Start{Task: task, Endpoint: r.machine.id, run: runHandle{task: r, generation: r.generation}}
 }
 
-// LoanNeed returns what this VM would borrow from peers.
-func (s *Scheduler) LoanNeed(_ clock.Millis) LoanNeed { return LoanNeed{} }
-
-// Lend decides on a peer's request and takes the granted slots away from this VM until
-// Reclaim.
-func (s *Scheduler) Lend(_ clock.Millis, _ LoanNeed, _ clock.Millis) []SlotLoan { return nil }
+func (s *Scheduler) hold(m *machine) *machine {
+	s.placement.before(m)
+	m.used++
+	s.placement.after(m)
+	s.placement.rotate(m)
+	return m
+}
 
-// Reclaim takes lent slots back, when the peer returns them or the lease has expired.
-func (s *Scheduler) Reclaim(_ clock.Millis, _ SlotLoan) {}
+// charge moves the owner on in virtual time and restores the order between owners.
+func (s *Scheduler) charge(a *account, work slotMillis) {
+	a.virtual += a.virtualOf(work)
+	for i := range a.lanes {
+		if a.lanes[i].pos != absent {
+			s.lanes[i].fix(&a.lanes[i])
+		}
+	}
+}
 
-// Borrow adds slots that a peer has lent.
-func (s *Scheduler) Borrow(_ clock.Millis, _ SlotLoan) {}
+// Finish frees the slot of a start. A task that was not started is queued again; it
+// returns whether that is so. A second Finish of the same start changes nothing.
+func (s *Scheduler) Finish(now clock.Millis, st Start, result contract.AttemptResult) (requeued bool) {
+	r := st.run.task
+	if r == nil || r.generation != st.run.generation {
+		return false
+	}
+	j, m := r.job, r.machine
+	span := now - r.startedAt
+	s.release(r)
+	j.running--
+	_, notStarted := result.(contract.NotStarted)
+	if notStarted {
+		s.charge(j.account, -r.charged)
+		requeued = s.requeue(now, j, r.task.Index)
+	} else {
+		s.charge(j.account, slotMillis(span)-r.charged)
+		j.account.slotTime += slotMillis(span)
+	}
+	s.learn(now, j, m, span, result)
+	s.forgetIfEnded(j)
+	s.freeRun(r)
+	return requeued
+}
 
-// GiveBack takes borrowed slots away when the lease has expired. Tasks that run there
-// are not affected.
-func (s *Scheduler) GiveBack(_ clock.Millis, _ SlotLoan) {}
+// Abandon frees the slot of a start that was never sent. The task is not queued again,
+// and the endpoint is not blamed.
+func (s *Scheduler) Abandon(_ clock.Millis, st Start) {
+	r := st.run.task
+	if r == nil || r.generation != st.run.generation {
+		return
+	}
+	s.release(r)
+	r.job.running--
+	s.charge(r.job.account, -r.charged)
+	s.forgetIfEnded(r.job)
+	s.freeRun(r)
+}
 
-// ReturnIdle takes away the borrowed slots that are idle, and returns them.
-func (s *Scheduler) ReturnIdle(_ clock.Millis) []SlotLoan { return nil }
+func (s *Scheduler) release(r *runningTask) {
+	r.list.remove(r)
+	s.placement.before(r.machine)
+	r.machine.used--
+	s.placement.after(r.machine)
+}
 
-// Ejected returns the endpoints that are out of service because of failures.
-func (s *Scheduler) Ejected() []datacentre.EndpointID { return nil }
+// Cancel drops the tasks of a job that wait, and returns them.
+func (s *Scheduler) Cancel(_ clock.Millis, job contract.JobRef) []contract.TaskIndex {
+	j, ok := s.jobs[job]
+	if !ok {
+		return nil
+	}
+	if j.waiting() > 0 {
+		s.dequeue(j)
+	}
+	dropped := j.drop()
+	s.forgetIfEnded(j)
+	return dropped
+}
--- a/pkg/dispatch/usage.go
+++ b/pkg/dispatch/usage.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
 // OwnerUsage is what one owner has had of one entry VM since the VM started. The totals
@@ -22,3 +23,34 @@
 	// LongestWait is the longest wait of a started task.
 	LongestWait clock.Millis
 }
+
+// Usage returns the figures of every owner at this VM, in the order of the bundle.
+func (s *Scheduler) Usage() []OwnerUsage {
+	all := make([]OwnerUsage, len(s.order))
+	for i, a := range s.order {
+		all[i] = a.usage
+		all[i].SlotTime = clock.Millis(a.slotTime)
+		all[i].Backlog = a.waiting
+	}
+	return all
+}
+
+// SetPeerUsage takes a peer's figures, so that shares hold over all VMs together. What
+// an owner used at the peer since the last figures counts here as if used here, up to a
+// bound; see lead. The first figures of a peer are only noted: they are of the past.
+func (s *Scheduler) SetPeerUsage(_ clock.Millis, peer vm.Incarnation, usage []OwnerUsage) {
+	for _, u := range usage {
+		a, ok := s.accounts[u.Owner]
+		if !ok {
+			continue
+		}
+		before, seen := a.peers[peer]
+		a.peers[peer] = u.SlotTime
+		if !seen || u.SlotTime <= before {
+			continue
+		}
+		room := s.virtual + s.leadTime() - a.virtual
+		used := a.virtualOf(slotMillis(u.SlotTime - before))
+		s.charge(a, slotMillis(max(min(used, room), 0))*a.share())
+	}
+}
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -84,8 +84,10 @@
 	case OwnersChanged:
 		c.ownersChanged(now, e)
 	case Tick:
+		c.scheduler.Check(now)
 	}
 	c.startTasks(now)
+	c.answerDropped()
 	c.flushOutboxes()
 	return c.actions
 }
--- a/pkg/entry/control_records.go
+++ b/pkg/entry/control_records.go
@@ -42,7 +42,7 @@
 	switch r := out.record.(type) {
 	case contract.StartRecord:
 		if status != contract.RecordAccepted {
-			c.scheduler.Finish(now, out.start, contract.Ambiguous{})
+			c.scheduler.Abandon(now, out.start)
 			out.entry.End(out.start.Task.Index, contract.NotStarted{})
 			c.settleIfEnded(out.entry)
 			return
