Keep the sums of the queue instead of adding them up at Admit

Cause: the projection of the wait went through all owners at each Admit; the highest costs were all at 120 owners. Change: total waiting work and the shares of the owners with backlog are kept as tasks come and go. Conclusion: kept; the cost no longer depends on the number of owners except for the depth of the heap.

--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -65,13 +65,10 @@
 	own := slotMillis(j.Tasks-1) * s.estimate(k)
 	free := slotMillis(s.placement.free) * s.estimate(k)
 	ahead := a.workAhead(rank) + own
-	others, shares := slotMillis(0), a.share()
-	for _, o := range s.order {
-		if o == a || o.waiting == 0 {
-			continue
-		}
-		shares += o.share()
-		others += o.workAhead(rankCount - 1)
+	others := max(s.work-a.workAhead(rankCount-1), 0)
+	shares := s.activeShares
+	if a.waiting == 0 {
+		shares += a.share()
 	}
 	wait := min(ahead*shares/a.share(), ahead+others) - free
 	end := now + clock.Millis(max(wait, 0)/slots) + s.upperEstimate(k)
--- a/pkg/dispatch/loan.go
+++ b/pkg/dispatch/loan.go
@@ -37,11 +37,7 @@
 	if tasks <= 0 {
 		return LoanNeed{}
 	}
-	work := slotMillis(0)
-	for _, a := range s.order {
-		work += a.workAhead(rankCount - 1)
-	}
-	return LoanNeed{Tasks: tasks, Wait: clock.Millis(work / slotMillis(max(s.placement.total, 1)))}
+	return LoanNeed{Tasks: tasks, Wait: clock.Millis(s.work / slotMillis(max(s.placement.total, 1)))}
 }
 
 // Lend decides on a peer's request and takes the granted slots away from this VM until
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -20,10 +20,7 @@
 	if a.waiting == 0 {
 		a.virtual = min(max(a.virtual, s.virtual), s.virtual+s.leadTime())
 	}
-	n := j.waiting()
-	s.waiting += n
-	a.waiting += n
-	a.work[j.rank] += slotMillis(n) * j.estimate
+	s.addWaiting(j, j.waiting())
 	l := &a.lanes[j.lane]
 	if l.add(now, j) {
 		a.virtual = max(a.virtual, s.virtual-s.leadTime())
@@ -33,22 +30,36 @@
 
 // dequeue takes a job with all its waiting tasks out of its lane.
 func (s *Scheduler) dequeue(j *queuedJob) {
-	a, n := j.account, j.waiting()
-	s.waiting -= n
-	a.waiting -= n
-	a.work[j.rank] -= slotMillis(n) * j.estimate
+	s.addWaiting(j, -j.waiting())
 	s.unlink(j)
 }
 
+// addWaiting counts tasks of a job into the sums of the queue, or out of them.
+func (s *Scheduler) addWaiting(j *queuedJob, tasks int) {
+	a, work := j.account, slotMillis(tasks)*j.estimate
+	if a.waiting == 0 {
+		s.activeShares += a.share()
+	}
+	s.waiting += tasks
+	a.waiting += tasks
+	s.work += work
+	a.work[j.rank] += work
+	if a.waiting > 0 {
+		return
+	}
+	// Rounding errors of the sums must not outlive the tasks.
+	s.activeShares -= a.share()
+	clear(a.work[:])
+	if s.waiting == 0 {
+		s.work, s.activeShares = 0, 0
+	}
+}
+
 func (s *Scheduler) unlink(j *queuedJob) {
 	l := &j.account.lanes[j.lane]
 	if l.remove(j) {
 		s.lanes[j.lane].remove(l)
 	}
-	if j.account.waiting == 0 {
-		// Rounding errors of the sums must not outlive the tasks.
-		clear(j.account.work[:])
-	}
 }
 
 // requeue queues a task again that an endpoint did not run.
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -35,7 +35,11 @@
 	spare    []*queuedJob
 	sequence uint64
 	waiting  int
-	dropped  []Dropped
+	// work is the estimated slot time of all waiting tasks, and activeShares the sum of
+	// the shares of the owners that they belong to.
+	work         slotMillis
+	activeShares slotMillis
+	dropped      []Dropped
 
 	kinds    map[kindKey]*kind
 	times    histogram
@@ -68,7 +72,7 @@
 // is no longer in it end as they would have.
 func (s *Scheduler) SetOwners(_ clock.Millis, owners []owner.Owner) {
 	s.order = s.order[:0]
-	s.shares = 0
+	s.shares, s.activeShares = 0, 0
 	listed := make(map[owner.ID]bool, len(owners))
 	for _, o := range owners {
 		a, ok := s.accounts[o.ID]
@@ -86,6 +90,9 @@
 		if !listed[id] && a.waiting == 0 {
 			delete(s.accounts, id)
 		}
+		if a.waiting > 0 {
+			s.activeShares += a.share()
+		}
 	}
 }
 
@@ -170,9 +177,7 @@
 	l.served(now, j.rank)
 	s.virtual = max(s.virtual, a.virtual)
 	task := contract.TaskRef{Job: j.ref, Index: j.take()}
-	s.waiting--
-	a.waiting--
-	a.work[j.rank] -= j.estimate
+	s.addWaiting(j, -1)
 	if j.waiting() == 0 {
 		s.unlink(j)
 	}
