Measure the decisions against two baselines

Cause: section 1.3 of the design page states targets beside two baselines, and nothing measured them. Change: pkg/measure, an event-driven driver that feeds the same arrivals to the real schedulers, to random placement with FIFO and to two choices on stale load with FIFO; LoanRequests decides which peers to ask for slots.

--- a/pkg/dispatch/loan.go
+++ b/pkg/dispatch/loan.go
@@ -84,13 +84,18 @@
 	s.placement.after(m)
 }
 
-// GiveBack takes borrowed slots away when the lease has expired. Tasks that run there
-// are not affected.
-func (s *Scheduler) GiveBack(_ clock.Millis, l SlotLoan) {
+// GiveBack takes borrowed slots away when the lease has expired, as far as they are still
+// borrowed. Tasks that run there are not affected: inUse of the slots can go back to the
+// lender only as tasks end, the returned ones now.
+func (s *Scheduler) GiveBack(_ clock.Millis, l SlotLoan) (returned, inUse datacentre.Slots) {
 	m := s.machine(l.Endpoint)
+	taken := min(l.Slots, m.borrowed)
+	idle := max(m.capacity()-m.used, 0)
 	s.placement.before(m)
-	m.borrowed = max(m.borrowed-l.Slots, 0)
+	m.borrowed -= taken
 	s.placement.after(m)
+	returned = min(taken, idle)
+	return returned, taken - returned
 }
 
 // ReturnIdle takes away the borrowed slots that are idle, and returns them. While tasks
--- /dev/null
+++ b/pkg/measure/arrivals.go
@@ -0,0 +1,161 @@
+package measure
+
+import (
+	"math"
+	"math/rand/v2"
+
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+)
+
+const (
+	// Job sizes follow a bounded Pareto distribution: most jobs are small, one in a hundred
+	// has more than 60 tasks.
+	largestJob = 370
+	sizeShape  = 1.1
+	// stragglerPart of the tasks run stragglerFactor times longer than their kind.
+	stragglerPart   = 0.0002
+	stragglerFactor = 20
+	// largestLongJob bounds the jobs whose tasks take several seconds. One job of 370 such
+	// tasks would be several seconds of the whole capacity.
+	largestLongJob = 16
+	// loadError is the accepted error of the load of a phase.
+	loadError = 0.01
+)
+
+// phase is a span of time with a load, as a multiple of the capacity.
+type phase struct {
+	span micros
+	load float64
+}
+
+// arrivals draws the jobs of a run. The same seed draws the same jobs for every policy.
+type arrivals struct {
+	workload Workload
+	random   *rand.Rand
+	vms      int
+	capacity float64
+	// longPart of the tasks run longFactor times longer: jobs of a kind of their own, or
+	// single tasks of any kind.
+	longPart   float64
+	longJobs   float64
+	longFactor float64
+	longInKind bool
+	lastRef    contract.JobRef
+	longKinds  []KindProfile
+	// gaps holds the arrivals of a phase before they are scaled.
+	gaps []float64
+}
+
+func newArrivals(s scenario, vms int, capacity float64) *arrivals {
+	a := &arrivals{
+		workload:   s.workload,
+		random:     rand.New(rand.NewPCG(s.seed, 1)),
+		vms:        vms,
+		capacity:   capacity,
+		longPart:   s.longPart,
+		longFactor: s.longFactor,
+		longInKind: s.longInKind,
+	}
+	for _, k := range s.workload.Kinds {
+		long := k
+		long.Kind += "long"
+		long.Shortest *= longFactor
+		long.Longest *= longFactor
+		a.longKinds = append(a.longKinds, long)
+	}
+	// The part is one of tasks, and long jobs are smaller.
+	few, many := meanSize(largestLongJob), meanSize(largestJob)
+	a.longJobs = a.longPart * many / ((1-a.longPart)*few + a.longPart*many)
+	return a
+}
+
+// meanSize is the mean number of tasks of a job with at most so many.
+func meanSize(most int) float64 {
+	sum := 0.0
+	bound := 1 - math.Pow(largestJob, -sizeShape)
+	for n := 2; n <= most; n++ {
+		sum += (math.Pow(float64(n), -sizeShape) - 1 + bound) / bound
+	}
+	return 1 + sum
+}
+
+// draw returns the jobs of the phases in the order of their arrivals. Jobs are drawn until
+// they carry the work of the phase, and their Poisson arrivals are then scaled to its
+// span: sizes are so uneven that the load of a drawn count would vary by a fifth.
+func (a *arrivals) draw(phases []phase) []*job {
+	var jobs []*job
+	begin := micros(0)
+	for _, p := range phases {
+		first, at, work := len(jobs), 0.0, 0.0
+		target := p.load * a.capacity * float64(p.span)
+		for work < (1-loadError)*target {
+			j := a.job()
+			if work+float64(j.work()) > (1+loadError)*target {
+				continue
+			}
+			work += float64(j.work())
+			at += a.random.ExpFloat64()
+			jobs = append(jobs, j)
+			a.gaps = append(a.gaps, at)
+		}
+		scale := float64(p.span) / (at + a.random.ExpFloat64())
+		for i, j := range jobs[first:] {
+			j.arrived = begin + micros(a.gaps[i]*scale)
+		}
+		a.gaps = a.gaps[:0]
+		begin += p.span
+	}
+	return jobs
+}
+
+func (a *arrivals) job() *job {
+	a.lastRef++
+	long, k := a.kind()
+	j := &job{
+		ref:     a.lastRef,
+		owner:   a.workload.Owners[a.random.IntN(len(a.workload.Owners))].ID,
+		profile: k,
+		vm:      a.random.IntN(a.vms),
+		long:    long,
+	}
+	j.left = min(a.size(), k.largestJob())
+	for range j.left {
+		t := &task{job: j, base: a.base(k)}
+		j.tasks = append(j.tasks, t)
+		j.ideal = max(j.ideal, t.base)
+	}
+	return j
+}
+
+func (a *arrivals) kind() (long bool, k *KindProfile) {
+	draw := a.random.Float64()
+	chosen := len(a.workload.Kinds) - 1
+	for i, k := range a.workload.Kinds {
+		if draw < k.Weight {
+			chosen = i
+			break
+		}
+		draw -= k.Weight
+	}
+	if !a.longInKind && a.random.Float64() < a.longJobs {
+		return true, &a.longKinds[chosen]
+	}
+	return false, &a.workload.Kinds[chosen]
+}
+
+func (a *arrivals) size() int {
+	bound := 1 - math.Pow(largestJob, -sizeShape)
+	return int(math.Pow(1-a.random.Float64()*bound, -1/sizeShape))
+}
+
+func (a *arrivals) base(k *KindProfile) micros {
+	least, most := math.Log(float64(k.Shortest)), math.Log(float64(k.Longest))
+	span := 1000 * math.Exp(least+a.random.Float64()*(most-least))
+	if a.longInKind && a.random.Float64() < a.longPart {
+		span *= a.longFactor
+	}
+	if a.random.Float64() < stragglerPart {
+		span *= stragglerFactor
+	}
+	return micros(span)
+}
--- /dev/null
+++ b/pkg/measure/cluster.go
@@ -0,0 +1,186 @@
+package measure
+
+import (
+	"math/rand/v2"
+
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+const (
+	tickEvery = 10_000 * micros(1)
+	// A digest goes out every digestTicks ticks, as with the heartbeats of the roster.
+	digestTicks = 10
+	loanLease   = 2 * second
+	queuedTasks = 20000
+)
+
+// cluster is the set of entry VMs that run the scheduler of pkg/dispatch.
+type cluster struct {
+	simulation *simulation
+	vms        []*entryVM
+	byName     map[vm.Incarnation]*entryVM
+	byID       map[datacentre.EndpointID]*endpoint
+}
+
+func newCluster(m *simulation, vms []vm.VM, random *rand.Rand) *cluster {
+	c := &cluster{simulation: m, byID: make(map[datacentre.EndpointID]*endpoint), byName: make(map[vm.Incarnation]*entryVM)}
+	now := m.agenda.now.millis()
+	for _, v := range vms {
+		e := &entryVM{
+			vm:        v,
+			scheduler: dispatch.New(dispatch.Config{QueuedTasks: queuedTasks, Seed: random.Uint64()}),
+			jobs:      make(map[contract.JobRef]*job),
+			loans:     dispatch.NewLoanRequests(),
+			lenders:   make(map[datacentre.EndpointID]*entryVM),
+			owed:      make(map[datacentre.EndpointID]datacentre.Slots),
+		}
+		e.scheduler.SetOwners(now, m.scenario.workload.Owners)
+		c.vms = append(c.vms, e)
+		c.byName[v.Incarnation] = e
+	}
+	c.listPeers()
+	roster := vm.NewRoster(vm.RosterConfig{VMs: vms})
+	for _, e := range m.endpoints {
+		c.byID[e.id] = e
+		if v, ok := roster.Home(e.id, e.dataCentre); ok {
+			c.byName[v.Incarnation].scheduler.SetSlots(now, e.id, slotsPerEndpoint)
+		}
+	}
+	return c
+}
+
+func (c *cluster) listPeers() {
+	for _, v := range c.vms {
+		var far []vm.Incarnation
+		for _, peer := range c.vms {
+			switch {
+			case peer == v:
+			case peer.vm.DataCentre == v.vm.DataCentre:
+				v.peers = append(v.peers, peer.vm.Incarnation)
+			default:
+				far = append(far, peer.vm.Incarnation)
+			}
+		}
+		v.peers = append(v.peers, far...)
+	}
+}
+
+func (c *cluster) begin() {
+	for i, v := range c.vms {
+		c.simulation.agenda.after(tickEvery*micros(i)/micros(len(c.vms)), vmTicks{vm: v})
+	}
+}
+
+func (c *cluster) submit(j *job) {
+	v := c.vms[j.vm]
+	now := c.simulation.agenda.now.millis()
+	verdict := v.scheduler.Admit(now, dispatch.Job{
+		Ref:      j.ref,
+		Owner:    j.owner,
+		Rank:     j.profile.Rank,
+		Kind:     j.profile.Kind,
+		Deadline: now + j.profile.Deadline,
+		Tasks:    len(j.tasks),
+	})
+	if _, ok := verdict.(dispatch.Rejected); ok {
+		j.refused = true
+	} else {
+		v.jobs[j.ref] = j
+	}
+	c.startTasks(v)
+}
+
+// startTasks sends what may start, and asks for slots for what may not.
+func (c *cluster) startTasks(v *entryVM) {
+	m := c.simulation
+	now := m.agenda.now.millis()
+	for {
+		st, ok := v.scheduler.Next(now)
+		if !ok {
+			break
+		}
+		t := v.jobs[st.Task.Job].tasks[st.Task.Index]
+		t.start, t.sender, t.endpoint = st, v, c.byID[st.Endpoint]
+		// The start is recorded at a witness of the data centre before it goes out.
+		m.agenda.after(2*localDelay+m.delay(v.vm.DataCentre, t.endpoint.dataCentre), taskArrives{task: t})
+	}
+	c.collectDropped(v)
+	c.askForLoans(v)
+}
+
+func (c *cluster) collectDropped(v *entryVM) {
+	for {
+		dropped, ok := v.scheduler.NextDropped()
+		if !ok {
+			return
+		}
+		switch d := dropped.(type) {
+		case dispatch.Shed:
+			v.jobs[d.Job].refused = true
+		case dispatch.Doomed:
+			v.jobs[d.Job].failed = true
+		}
+	}
+}
+
+func (c *cluster) answered(t *task, result outcome) {
+	v, now := t.sender, c.simulation.agenda.now.millis()
+	switch result {
+	case done:
+		v.scheduler.Finish(now, t.start, contract.Succeeded{})
+	case failed:
+		v.scheduler.Finish(now, t.start, contract.RanAndFailed{Reason: "black hole"})
+	case busy:
+		v.scheduler.Finish(now, t.start, contract.NotStarted{Cause: contract.EndpointBusy})
+	}
+	if v.owed[t.endpoint.id] > 0 {
+		v.owed[t.endpoint.id]--
+		c.sendBack(v, dispatch.SlotLoan{Endpoint: t.endpoint.id, Slots: 1})
+	}
+	c.startTasks(v)
+}
+
+func (c *cluster) handle(e event) {
+	now := c.simulation.agenda.now.millis()
+	switch e := e.(type) {
+	case vmTicks:
+		c.tick(e.vm)
+	case digestArrives:
+		e.to.scheduler.SetPeerUsage(now, e.from.vm.Incarnation, e.usage)
+	case loanAsked:
+		c.lend(e)
+	case loanGranted:
+		c.borrow(e)
+	case loanExpires:
+		c.expire(e)
+	case loanReturned:
+		e.to.scheduler.Reclaim(now, e.loan)
+		c.startTasks(e.to)
+	}
+}
+
+func (c *cluster) tick(v *entryVM) {
+	now := c.simulation.agenda.now.millis()
+	v.scheduler.Check(now)
+	for _, l := range v.scheduler.ReturnIdle(now) {
+		c.sendBack(v, l)
+	}
+	v.ticks++
+	if v.ticks%digestTicks == 0 {
+		usage := v.scheduler.Usage()
+		for _, peer := range c.vms {
+			if peer != v {
+				c.simulation.agenda.after(c.delay(v, peer), digestArrives{from: v, to: peer, usage: usage})
+			}
+		}
+	}
+	c.startTasks(v)
+	c.simulation.agenda.after(tickEvery, vmTicks{vm: v})
+}
+
+func (c *cluster) delay(a, b *entryVM) micros {
+	return c.simulation.delay(a.vm.DataCentre, b.vm.DataCentre)
+}
--- /dev/null
+++ b/pkg/measure/cluster_loans.go
@@ -0,0 +1,51 @@
+package measure
+
+import (
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
+)
+
+func (c *cluster) askForLoans(v *entryVM) {
+	now := c.simulation.agenda.now.millis()
+	for _, r := range v.loans.Plan(now, v.scheduler.LoanNeed(now), v.peers) {
+		peer := c.byName[r.Peer]
+		c.simulation.agenda.after(c.delay(v, peer), loanAsked{from: v, to: peer, need: r.Need})
+	}
+}
+
+func (c *cluster) lend(e loanAsked) {
+	now := c.simulation.agenda.now.millis()
+	delay := c.delay(e.from, e.to)
+	oneWay := (delay + 999) / 1000
+	loans := e.to.scheduler.Lend(now, e.need, clock.Millis(oneWay))
+	if len(loans) == 0 {
+		c.simulation.wasted++
+	}
+	c.simulation.agenda.after(delay, loanGranted{from: e.to, to: e.from, loans: loans})
+}
+
+func (c *cluster) borrow(e loanGranted) {
+	now := c.simulation.agenda.now.millis()
+	e.to.loans.Answered(now, e.from.vm.Incarnation, e.loans)
+	for _, l := range e.loans {
+		e.to.lenders[l.Endpoint] = e.from
+		e.to.scheduler.Borrow(now, l)
+		c.simulation.agenda.after(loanLease, loanExpires{lender: e.from, borrower: e.to, loan: l})
+	}
+	c.startTasks(e.to)
+}
+
+// expire takes back what is left of a loan. Slots that run tasks go back one by one as
+// the tasks end.
+func (c *cluster) expire(e loanExpires) {
+	returned, inUse := e.borrower.scheduler.GiveBack(c.simulation.agenda.now.millis(), e.loan)
+	e.borrower.owed[e.loan.Endpoint] += inUse
+	if returned > 0 {
+		c.sendBack(e.borrower, dispatch.SlotLoan{Endpoint: e.loan.Endpoint, Slots: returned})
+	}
+}
+
+func (c *cluster) sendBack(from *entryVM, l dispatch.SlotLoan) {
+	to := from.lenders[l.Endpoint]
+	c.simulation.agenda.after(c.delay(from, to), loanReturned{to: to, loan: l})
+}
--- /dev/null
+++ b/pkg/measure/endpoint.go
@@ -0,0 +1,49 @@
+package measure
+
+import (
+	"math"
+	"math/rand/v2"
+
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+)
+
+// speedRange is the factor between the slowest and the fastest endpoint.
+const speedRange = 4
+
+// blackHoleSpan is the time in which a black-hole endpoint fails a task.
+const blackHoleSpan micros = 1000
+
+// endpoint runs tasks.
+type endpoint struct {
+	id         datacentre.EndpointID
+	dataCentre datacentre.ID
+	index      int
+	slowness   float64
+	black      bool
+	running    int
+	// waiting is used by the baselines, which queue tasks at endpoints.
+	waiting []*task
+}
+
+func (e *endpoint) load() int {
+	return e.running + len(e.waiting)
+}
+
+// assignSpeeds spreads the speeds evenly on a logarithmic scale, so that the median is 1.
+func assignSpeeds(endpoints []*endpoint, random *rand.Rand) {
+	for i, n := range random.Perm(len(endpoints)) {
+		position := (float64(n)+0.5)/float64(len(endpoints)) - 0.5
+		endpoints[i].slowness = math.Pow(speedRange, position)
+	}
+}
+
+// capacity is the work per time that the endpoints can do.
+func capacity(endpoints []*endpoint) float64 {
+	sum := 0.0
+	for _, e := range endpoints {
+		if !e.black {
+			sum += float64(slotsPerEndpoint) / e.slowness
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/pkg/measure/response.go
@@ -0,0 +1,44 @@
+package measure
+
+const (
+	warmUp       = 5 * second
+	responseSpan = 20 * second
+	usualLoad    = 0.6
+)
+
+// steady is a run at a constant load, measured after a warm-up.
+func steady(load float64) scenario {
+	return scenario{
+		phases:     []phase{{span: warmUp + responseSpan, load: load}},
+		windowFrom: warmUp,
+		windowTo:   warmUp + responseSpan,
+		drain:      60 * second,
+	}
+}
+
+// measureResponse compares the response of jobs with the ideal: the longest task on a
+// free endpoint of median speed, without wait.
+func measureResponse(c Config, p Policy) []Row {
+	var ratios []float64
+	started, wasted, unfinished := 0, 0, 0
+	for _, m := range runSeeds(c, p, steady(usualLoad)) {
+		started += m.started
+		wasted += m.wasted
+		for _, j := range m.jobs {
+			if !m.inWindow(j.arrived) {
+				continue
+			}
+			if !j.complete() {
+				unfinished++
+				continue
+			}
+			ratios = append(ratios, float64(j.ended-j.arrived)/float64(j.ideal))
+		}
+	}
+	return []Row{
+		{Metric: "response / ideal at 60 % load, p50", Target: "<= 1.05, below baselines", Limit: 1.05, BelowBaselines: true, Values: []float64{quantile(ratios, 0.5)}},
+		{Metric: "response / ideal at 60 % load, p99", Target: "<= 2.0, below baselines", Limit: 2, BelowBaselines: true, Values: []float64{quantile(ratios, 0.99)}},
+		{Metric: "jobs refused or unfinished at 60 % load", Target: "0", Limit: 0, Values: []float64{float64(unfinished)}},
+		{Metric: "wasted messages per started task", Target: "<= 0.02", Limit: 0.02, Values: []float64{float64(wasted) / float64(started)}},
+	}
+}
--- /dev/null
+++ b/pkg/measure/workload.go
@@ -0,0 +1,102 @@
+package measure
+
+import (
+	"fmt"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// Workload is a user of the service with its sizes, as in section 1.6 of the design page.
+type Workload struct {
+	Name string
+	// Sites holds the data centres with the sizes of their entry VMs.
+	Sites     []Site
+	Owners    []owner.Owner
+	Kinds     []KindProfile
+	LinkDelay micros
+}
+
+// Site is a data centre of a workload.
+type Site struct {
+	DataCentre datacentre.ID
+	VMSizes    []vm.Size
+	Endpoints  int
+}
+
+// KindProfile says how the tasks of a kind arrive and run.
+type KindProfile struct {
+	Kind     contract.Kind
+	Rank     owner.Rank
+	Deadline clock.Millis
+	// Weight is the part of the jobs that are of this kind.
+	Weight float64
+	// Run times on an endpoint of median speed are spread evenly on a logarithmic scale.
+	Shortest, Longest clock.Millis
+}
+
+// largestJob bounds the tasks of a job of the kind.
+func (k *KindProfile) largestJob() int {
+	if k.Longest > 2*clock.Second {
+		return largestLongJob
+	}
+	return largestJob
+}
+
+// slotsPerEndpoint is the limit of an endpoint over all entry VMs.
+const slotsPerEndpoint datacentre.Slots = 8
+
+// Consorcio is the workload of the Consorcio Pantallas del Plata.
+func Consorcio() Workload {
+	return Workload{
+		Name:      "consorcio",
+		Sites:     sites([]datacentre.ID{"centro", "norte", "sur", "oeste"}, []vm.Size{2, 1}, 12),
+		Owners:    []owner.Owner{{ID: "subte", Share: 3}, {ID: "avenida", Share: 2}, {ID: "rio", Share: 1}},
+		LinkDelay: 500,
+		Kinds: []KindProfile{
+			{Kind: "notice", Rank: 0, Deadline: 2 * clock.Second, Weight: 0.08, Shortest: 50, Longest: 150},
+			{Kind: "swap", Rank: 1, Deadline: 5 * clock.Second, Weight: 0.52, Shortest: 50, Longest: 600},
+			{Kind: "stamp", Rank: 2, Deadline: 30 * clock.Second, Weight: 0.38, Shortest: 100, Longest: 1000},
+			{Kind: "audit", Rank: 2, Deadline: 60 * clock.Second, Weight: 0.02, Shortest: 2000, Longest: 6000},
+		},
+	}
+}
+
+// Trust is the workload of the Blue Mahoe Bedside Trust.
+func Trust() Workload {
+	return Workload{
+		Name:      "trust",
+		Sites:     sites([]datacentre.ID{"kingston", "stthomas", "portland"}, []vm.Size{2, 1, 1}, 16),
+		Owners:    []owner.Owner{{ID: "coordinators", Share: 2}, {ID: "carers", Share: 1}, {ID: "nurses", Share: 1}},
+		LinkDelay: 900,
+		Kinds: []KindProfile{
+			{Kind: "confirm", Rank: 0, Deadline: 2 * clock.Second, Weight: 0.10, Shortest: 50, Longest: 200},
+			{Kind: "reassign", Rank: 1, Deadline: 8 * clock.Second, Weight: 0.40, Shortest: 100, Longest: 800},
+			{Kind: "book", Rank: 2, Deadline: 30 * clock.Second, Weight: 0.48, Shortest: 100, Longest: 1000},
+			{Kind: "roster", Rank: 2, Deadline: 60 * clock.Second, Weight: 0.02, Shortest: 3000, Longest: 8000},
+		},
+	}
+}
+
+func sites(ids []datacentre.ID, sizes []vm.Size, endpoints int) []Site {
+	all := make([]Site, len(ids))
+	for i, id := range ids {
+		all[i] = Site{DataCentre: id, VMSizes: sizes, Endpoints: endpoints}
+	}
+	return all
+}
+
+// roster lists the entry VMs of all sites.
+func (w Workload) roster() []vm.VM {
+	var all []vm.VM
+	for _, s := range w.Sites {
+		for i, size := range s.VMSizes {
+			id := vm.ID(fmt.Sprintf("%s%d", s.DataCentre, i))
+			all = append(all, vm.VM{Incarnation: vm.NewIncarnation(id, "1"), DataCentre: s.DataCentre, Size: size})
+		}
+	}
+	return all
+}
