Promise slots to peers whose wait is longer

Cause: under overload every VM has backlog, so nothing was lent; a VM with 0 or 8 own slots refused its urgent jobs while others with 64 had room. Change: Promise and NextGrant hand freed slots to a peer whose projected wait is half longer, as many as level both waits.

--- a/pkg/dispatch/loan.go
+++ b/pkg/dispatch/loan.go
@@ -17,6 +17,10 @@
 	Tasks int
 	// Wait is the projected wait of the last of them without a loan.
 	Wait clock.Millis
+	// Slots counts the slots that the VM may use already.
+	Slots datacentre.Slots
+	// Asked counts the peers that were asked at the same time.
+	Asked int
 }
 
 // WorthLending reports whether the wait saved exceeds the cost of the loan: the request
@@ -37,7 +41,11 @@
 	if tasks <= 0 {
 		return LoanNeed{}
 	}
-	return LoanNeed{Tasks: tasks, Wait: clock.Millis(s.work / slotMillis(max(s.placement.total, 1)))}
+	return LoanNeed{
+		Tasks: tasks,
+		Wait:  clock.Millis(s.work / slotMillis(max(s.placement.total, 1))),
+		Slots: s.placement.total,
+	}
 }
 
 // Lend decides on a peer's request and takes the granted slots away from this VM until
@@ -48,10 +56,20 @@
 	}
 	left := min(loanable(s.placement.free, s.placement.total), datacentre.Slots(need.Tasks))
 	var loans []SlotLoan
-	for _, m := range s.all {
-		if left <= 0 {
+	for left > 0 {
+		more := s.lendFree(left)
+		if len(more) == 0 {
 			break
 		}
+		left -= more[0].Slots
+		loans = append(loans, more...)
+	}
+	return loans
+}
+
+// lendFree lends free own slots of one endpoint, up to left.
+func (s *Scheduler) lendFree(left datacentre.Slots) []SlotLoan {
+	for _, m := range s.all {
 		if m.standing != trusted {
 			continue
 		}
@@ -62,10 +80,9 @@
 		s.placement.before(m)
 		m.lent += n
 		s.placement.after(m)
-		left -= n
-		loans = append(loans, SlotLoan{Endpoint: m.id, Slots: n})
+		return []SlotLoan{{Endpoint: m.id, Slots: n}}
 	}
-	return loans
+	return nil
 }
 
 // Reclaim takes lent slots back, when the peer returns them or the lease has expired.
@@ -117,3 +134,8 @@
 	}
 	return loans
 }
+
+// Slots returns the number of slots that this VM may use now.
+func (s *Scheduler) Slots() datacentre.Slots {
+	return s.placement.total
+}
--- a/pkg/dispatch/loan_requests.go
+++ b/pkg/dispatch/loan_requests.go
@@ -55,7 +55,9 @@
 	}
 	for i, p := range asked {
 		p.notBefore = now + loanRequestTimeout
-		requests[i].Need = LoanNeed{Tasks: (need.Tasks + len(asked) - 1) / len(asked), Wait: need.Wait}
+		requests[i].Need = need
+		requests[i].Need.Tasks = (need.Tasks + len(asked) - 1) / len(asked)
+		requests[i].Need.Asked = len(asked)
 	}
 	return requests
 }
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -50,6 +50,8 @@
 	held      []*machine
 	placement placement
 
+	promises []promise
+
 	// running has a list for each lane; a task that outruns short work moves to long.
 	running  [laneCount]runningList
 	idleRuns *runningTask
--- a/pkg/measure/cluster.go
+++ b/pkg/measure/cluster.go
@@ -97,6 +97,7 @@
 func (c *cluster) startTasks(v *entryVM) {
 	m := c.simulation
 	now := m.agenda.now.millis()
+	c.grantPromised(v)
 	for {
 		st, ok := v.scheduler.Next(now)
 		if !ok {
--- a/pkg/measure/cluster_loans.go
+++ b/pkg/measure/cluster_loans.go
@@ -18,12 +18,24 @@
 	delay := c.delay(e.from, e.to)
 	oneWay := (delay + 999) / 1000
 	loans := e.to.scheduler.Lend(now, e.need, clock.Millis(oneWay))
-	if len(loans) == 0 {
+	if len(loans) == 0 && e.to.scheduler.Promise(now, e.from.vm.Incarnation, e.need, clock.Millis(oneWay)) == 0 {
 		c.simulation.wasted++
 	}
 	c.simulation.agenda.after(delay, loanGranted{from: e.to, to: e.from, loans: loans})
 }
 
+// grantPromised sends the loans that were promised and for which slots are free now.
+func (c *cluster) grantPromised(v *entryVM) {
+	for {
+		peer, loan, ok := v.scheduler.NextGrant(c.simulation.agenda.now.millis())
+		if !ok {
+			return
+		}
+		to := c.byName[peer]
+		c.simulation.agenda.after(c.delay(v, to), loanGranted{from: v, to: to, loans: []dispatch.SlotLoan{loan}})
+	}
+}
+
 func (c *cluster) borrow(e loanGranted) {
 	now := c.simulation.agenda.now.millis()
 	e.to.loans.Answered(now, e.from.vm.Incarnation, e.loans)
