Test that a wrong estimate is corrected

Cause: a kind whose first task was a straggler stayed refused: its estimate was above every deadline, and the tasks that would correct it were never admitted. Change: scenario with one task of 20 s and then jobs of 50 ms with a deadline of 1 s.

--- a/pkg/dispatch/health_test.go
+++ b/pkg/dispatch/health_test.go
@@ -189,3 +189,26 @@
 		})
 	}
 }
+
+// Guards against a kind that stays refused because of a first run time far above the
+// usual: the tasks that would correct the estimate were never admitted.
+func TestWrongEstimateIsCorrected(t *testing.T) {
+	w := newWorld(t, 1, 8, ownerOf("a", 1))
+	span := 20 * clock.Second
+	w.run = func(Job, datacentre.EndpointID) (clock.Millis, contract.AttemptResult) {
+		return span, contract.Succeeded{}
+	}
+	w.mustAdmit(Job{Owner: "a", Tasks: 1})
+	w.advance(30 * clock.Second)
+	span = 50
+	admitted := 0
+	for range 200 {
+		if _, v := w.admit(Job{Owner: "a", Tasks: 1, Deadline: clock.Second}); v == (Admitted{}) {
+			admitted++
+		}
+		w.advance(100)
+	}
+	if admitted < 100 {
+		t.Errorf("got %d of 200 jobs admitted after a straggler, want at least 100", admitted)
+	}
+}
