Bound the weight of outliers and admit probes

Change: a run time counts with at most 4 times the median of its kind; the mean is taken over all run times while there are few; a kind without a success for 1 s gets one job of up to 4 tasks admitted and not shed.

--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -9,7 +9,10 @@
 
 const (
 	leastRetry = 50 * clock.Millis(1)
-	mostRetry  = 30 * clock.Second
+	mostRetry  = 10 * clock.Second
+	// A probe has at most this many tasks, and a kind has one in this span.
+	probeTasks = 4
+	probeSpan  = clock.Second
 	// never is the deadline of a job that names none.
 	never = clock.Millis(math.MaxInt64)
 )
@@ -25,7 +28,9 @@
 	if j.Deadline == 0 {
 		j.Deadline = never
 	}
-	if late := s.lateness(now, a, k, rank, j); late > 0 {
+	late := s.lateness(now, a, k, rank, j)
+	probe := late > 0 && s.probes(now, k, j)
+	if late > 0 && !probe {
 		return s.reject(a, "the deadline cannot be met", late)
 	}
 	if reason := s.makeRoom(a, rank, j.Tasks); reason != "" {
@@ -35,6 +40,7 @@
 	q := s.newJob()
 	q.ref, q.account, q.kind, q.rank, q.lane = j.Ref, a, k, rank, k.lane()
 	q.deadline, q.admitted, q.sequence = j.Deadline, now, s.sequence
+	q.probe = probe
 	q.tasks, q.estimate = contract.TaskIndex(j.Tasks), s.estimate(k)
 	k.jobs++
 	s.jobs[j.Ref] = q
@@ -75,6 +81,17 @@
 	return end - j.Deadline
 }
 
+// probes admits one small job of a kind a second although the projection is late, if no
+// task of the kind has succeeded for that long. Without that, an estimate that is too
+// high refuses the tasks that would correct it.
+func (s *Scheduler) probes(now clock.Millis, k *kind, j Job) bool {
+	if j.Tasks > probeTasks || j.Deadline <= now || now-max(k.lastSuccess, k.probedAt) < probeSpan {
+		return false
+	}
+	k.probedAt = now
+	return true
+}
+
 // drainTime is the time until the owner's backlog has halved at the rate of its share.
 func (s *Scheduler) drainTime(a *account) clock.Millis {
 	slots := slotMillis(max(s.placement.total, 1)) * a.share() / max(s.shares, 1)
--- a/pkg/dispatch/histogram.go
+++ b/pkg/dispatch/histogram.go
@@ -45,3 +45,15 @@
 	}
 	return 0
 }
+
+// meanUpTo returns the mean, in which no run time counts more than most.
+func (h *histogram) meanUpTo(most clock.Millis) slotMillis {
+	sum := 0.0
+	for i, n := range h.counts {
+		if n > 0 {
+			middle := math.Exp2((float64(i) + 0.5) / bucketsPerOctave)
+			sum += float64(n) * min(middle, float64(most))
+		}
+	}
+	return slotMillis(sum / float64(max(h.total, 1)))
+}
--- a/pkg/dispatch/kind.go
+++ b/pkg/dispatch/kind.go
@@ -21,6 +21,8 @@
 	// The step of the moving averages falls as 1/n to this floor; at 0.05 the error of a
 	// mean of run times spread over a factor of 20 is about 15 %.
 	learningFloor = 0.05
+	// outlierFactor times the median is the most that one run time counts in the mean.
+	outlierFactor = 4
 	// quantileEvery is the number of run times between two computations of a quantile.
 	quantileEvery = 16
 	// failedOnLimit bounds the endpoints on which a kind has to fail to count as failing
@@ -36,15 +38,19 @@
 	// logMean is the mean logarithm of run times, corrected for the speed of endpoints.
 	logMean float64
 	upper   clock.Millis
-	long    bool
-	jobs    int
-	used    clock.Millis
+	// most is what one run time counts at most.
+	most clock.Millis
+	long bool
+	jobs int
+	used clock.Millis
 
 	failRate    float64
 	failures    int
 	lastSuccess clock.Millis
-	failedOn    []*machine
-	broken      bool
+	// probedAt is the last time that a job was admitted against the projection.
+	probedAt clock.Millis
+	failedOn []*machine
+	broken   bool
 }
 
 func (k *kind) known() bool {
@@ -57,7 +63,6 @@
 	k.times.add(span)
 	k.samples++
 	step := max(1/float64(k.samples), learningFloor)
-	k.mean += slotMillis(step) * (slotMillis(span) - k.mean)
 	log := math.Log2(float64(max(span, 1)))
 	surprise := log - m.logSlowness - k.logMean
 	if k.samples == 1 {
@@ -65,24 +70,35 @@
 		k.logMean = log - m.logSlowness
 	}
 	k.logMean += step * surprise
-	if k.samples <= quantileEvery || k.samples%quantileEvery == 0 {
-		k.upper = k.times.quantile(0.9)
-	}
+	k.estimate(span, step)
 	return surprise
 }
 
+// estimate updates the mean and the upper quantile. A run time counts with at most
+// outlierFactor times the median: a straggler is no sign that its kind is long, and a
+// mean that it has spoilt would refuse the whole kind. While there are few run times, the
+// median still moves, so the mean is taken again over all of them.
+func (k *kind) estimate(span clock.Millis, step float64) {
+	few := k.samples <= quantileEvery
+	if few || k.samples%quantileEvery == 0 {
+		k.most = outlierFactor * k.times.quantile(0.5)
+		k.upper = min(k.times.quantile(0.9), k.most)
+	}
+	if few {
+		k.mean = k.times.meanUpTo(k.most)
+		return
+	}
+	k.mean += slotMillis(step) * (slotMillis(min(span, k.most)) - k.mean)
+}
+
 // outran notes that a task of the kind has run for span and has not ended. It matters
-// only while few tasks have ended: those that end first are the short ones.
+// only while no task has ended: those that end first are the short ones.
 func (k *kind) outran(span clock.Millis) {
-	if k.samples >= quantileEvery {
+	if k.samples > 0 && k.mean >= slotMillis(span) || k.times.total > 0 {
 		return
 	}
-	k.mean = max(k.mean, slotMillis(span))
-	k.upper = max(k.upper, span)
-	k.samples = max(k.samples, 1)
-	if k.logMean == 0 {
-		k.logMean = math.Log2(float64(max(span, 1)))
-	}
+	k.mean, k.upper, k.samples = slotMillis(span), span, 1
+	k.logMean = math.Log2(float64(max(span, 1)))
 }
 
 // classify sorts the kind into short or long work. The gap between the two limits keeps
--- a/pkg/dispatch/queued_job.go
+++ b/pkg/dispatch/queued_job.go
@@ -14,7 +14,9 @@
 	lane     laneIndex
 	deadline clock.Millis
 	// late jobs come after all others of their class; see Scheduler.pickJob.
-	late     bool
+	late bool
+	// probe jobs are not shed for the projection that they are to correct.
+	probe    bool
 	sequence uint64
 	admitted clock.Millis
 	// estimate is the slot time of one task, as it was at admission. The work of the
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -162,7 +162,7 @@
 		s.enqueue(now, j)
 		return nil
 	}
-	if j.late || now+clock.Millis(j.kind.mean/2) <= j.deadline {
+	if j.late || j.probe || now+clock.Millis(j.kind.mean/2) <= j.deadline {
 		return j
 	}
 	if !j.started {
