Count running work in usage digests

Cause: the owners' parts went up and down by 20 % from second to second: digests counted ended tasks only, so every VM corrected again what was under way. Change: OwnerUsage.Charged, slot time with the estimates of running tasks; peers use it.

--- a/pkg/dispatch/account.go
+++ b/pkg/dispatch/account.go
@@ -16,6 +16,7 @@
 	// work is the estimated slot time of waiting tasks for each class.
 	work     [rankCount]slotMillis
 	slotTime slotMillis
+	charged  slotMillis
 	usage    OwnerUsage
 	peers    map[vm.Incarnation]clock.Millis
 }
--- a/pkg/dispatch/order_test.go
+++ b/pkg/dispatch/order_test.go
@@ -43,7 +43,7 @@
 				w.keepBacklog(50, Job{Owner: "b", Tasks: 10})
 				w.advance(50)
 				peer += clock.Millis(50 * 16 * tt.usedAtPeer)
-				w.scheduler.SetPeerUsage(w.clock.Now(), "p-1", []OwnerUsage{{Owner: "a", SlotTime: peer}})
+				w.scheduler.SetPeerUsage(w.clock.Now(), "p-1", []OwnerUsage{{Owner: "a", SlotTime: peer, Charged: peer}})
 			}
 			got := float64(w.slotTime["a"]) / float64(w.slotTime["a"]+w.slotTime["b"])
 			if math.Abs(got-tt.want) > 0.05*tt.want {
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -204,9 +204,15 @@
 	return m
 }
 
-// charge moves the owner on in virtual time and restores the order between owners.
+// charge books slot time of this VM to the owner; a negative charge corrects an estimate.
 func (s *Scheduler) charge(a *account, work slotMillis) {
-	a.virtual += a.virtualOf(work)
+	a.charged += work
+	s.advance(a, a.virtualOf(work))
+}
+
+// advance moves the owner on in virtual time and restores the order between owners.
+func (s *Scheduler) advance(a *account, by virtualTime) {
+	a.virtual += by
 	for i := range a.lanes {
 		if a.lanes[i].pos != absent {
 			s.lanes[i].fix(&a.lanes[i])
--- a/pkg/dispatch/usage.go
+++ b/pkg/dispatch/usage.go
@@ -12,6 +12,9 @@
 	Owner owner.ID
 	// SlotTime is the measured time that tasks of the owner held slots.
 	SlotTime clock.Millis
+	// Charged is SlotTime with the estimates of the tasks that run now. Peers use it: they
+	// would otherwise correct what is under way already.
+	Charged clock.Millis
 	// Backlog counts the tasks that wait now.
 	Backlog int
 	// Started counts tasks; a task that was not run and is started again counts once more.
@@ -30,6 +33,7 @@
 	for i, a := range s.order {
 		all[i] = a.usage
 		all[i].SlotTime = clock.Millis(a.slotTime)
+		all[i].Charged = clock.Millis(a.charged)
 		all[i].Backlog = a.waiting
 	}
 	return all
@@ -45,12 +49,12 @@
 			continue
 		}
 		before, seen := a.peers[peer]
-		a.peers[peer] = u.SlotTime
-		if !seen || u.SlotTime <= before {
+		a.peers[peer] = max(before, u.Charged)
+		if !seen || u.Charged <= before {
 			continue
 		}
 		room := s.virtual + s.leadTime() - a.virtual
-		used := a.virtualOf(slotMillis(u.SlotTime - before))
-		s.charge(a, slotMillis(max(min(used, room), 0))*a.share())
+		used := a.virtualOf(slotMillis(u.Charged - before))
+		s.advance(a, max(min(used, room), 0))
 	}
 }
