Test the wait of urgent tasks of an owner in debt

Change: scenario in which an owner uses twice its share on a peer and then submits an urgent task every 100 ms. It fails: order_test.go:200: got urgent job 28 started true after 901 ms, want at most 200 ms Conclusion: the correction over VMs must not hold back urgent work.

--- a/pkg/dispatch/order_test.go
+++ b/pkg/dispatch/order_test.go
@@ -177,3 +177,27 @@
 		})
 	}
 }
+
+// Guards against urgent tasks that miss their deadlines because their owner used slots of
+// another VM, while the owner's urgent work is far inside its share.
+func TestUrgentTasksOfAnOwnerInDebt(t *testing.T) {
+	w := newWorld(t, 1, 8, ownerOf("a", 1), ownerOf("b", 1))
+	w.learnKind()
+	w.scheduler.SetPeerUsage(w.clock.Now(), "p-1", []OwnerUsage{{Owner: "a"}})
+	for round := range clock.Millis(40) {
+		w.keepBacklog(100, Job{Owner: "b", Rank: 1, Tasks: 10})
+		w.scheduler.SetPeerUsage(w.clock.Now(), "p-1", []OwnerUsage{{Owner: "a", Charged: round * 50 * 16}})
+		w.advance(50)
+	}
+	var urgent []contract.JobRef
+	for range 10 {
+		w.keepBacklog(100, Job{Owner: "b", Rank: 1, Tasks: 10})
+		urgent = append(urgent, w.mustAdmit(Job{Owner: "a", Tasks: 1}))
+		w.advance(100)
+	}
+	for _, ref := range urgent {
+		if got, started := w.waits[ref]; !started || got > 200 {
+			t.Errorf("got urgent job %d started %v after %d ms, want at most 200 ms", ref, started, got)
+		}
+	}
+}
