Let urgent tasks go ahead of their owner's turn within a quarter of its share

Change: tasks of rank 0 are picked by a virtual time of their own, as long as the owner's urgent work stays within a quarter of its share; it is charged to the owner as usual.

--- a/pkg/dispatch/account.go
+++ b/pkg/dispatch/account.go
@@ -11,8 +11,10 @@
 	owner    owner.Owner
 	sequence int
 	virtual  virtualTime
-	lanes    [laneCount]lane
-	waiting  int
+	// urgentVirtual is the virtual time of urgent work alone.
+	urgentVirtual virtualTime
+	lanes         [laneCount]lane
+	waiting       int
 	// work is the estimated slot time of waiting tasks for each class.
 	work     [rankCount]slotMillis
 	slotTime slotMillis
@@ -24,7 +26,9 @@
 func newAccount(o owner.Owner, sequence int) *account {
 	a := &account{owner: o, sequence: sequence, peers: make(map[vm.Incarnation]clock.Millis)}
 	for i := range a.lanes {
-		a.lanes[i] = lane{account: a, index: laneIndex(i), pos: absent}
+		l := &a.lanes[i]
+		*l = lane{account: a, index: laneIndex(i), pos: absent}
+		l.urgent = urgentLane{lane: l, pos: absent}
 	}
 	return a
 }
--- a/pkg/dispatch/lane.go
+++ b/pkg/dispatch/lane.go
@@ -13,6 +13,7 @@
 	classes [rankCount]classQueue
 	// filled has a bit for each class with waiting jobs.
 	filled uint8
+	urgent urgentLane
 	pos    int
 }
 
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -26,6 +26,7 @@
 		a.virtual = max(a.virtual, s.virtual-s.leadTime())
 		s.lanes[j.lane].push(l)
 	}
+	s.trackUrgent(l)
 }
 
 // dequeue takes a job with all its waiting tasks out of its lane.
@@ -60,6 +61,7 @@
 	if l.remove(j) {
 		s.lanes[j.lane].remove(l)
 	}
+	s.trackUrgent(l)
 }
 
 // requeue queues a task again that an endpoint did not run.
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -30,6 +30,9 @@
 	lanes   [laneCount]indexedHeap[*lane]
 	virtual virtualTime
 	shares  slotMillis
+	urgent  indexedHeap[*urgentLane]
+	fair    virtualTime
+	fairAt  clock.Millis
 
 	jobs     map[contract.JobRef]*queuedJob
 	spare    []*queuedJob
@@ -124,7 +127,10 @@
 // slot is held until Finish.
 func (s *Scheduler) Next(now clock.Millis) (Start, bool) {
 	for s.placement.free > 0 && s.waiting > 0 {
-		l := s.pickLane()
+		l := s.pickUrgent(now)
+		if l == nil {
+			l = s.pickLane()
+		}
 		if l == nil {
 			return Start{}, false
 		}
@@ -193,6 +199,9 @@
 	s.running[j.lane].push(r)
 	r.charged = s.estimate(j.kind)
 	s.charge(a, r.charged)
+	if j.rank == 0 {
+		s.chargeUrgent(now, a, r.charged)
+	}
 	return Start{Task: task, Endpoint: r.machine.id, run: runHandle{task: r, generation: r.generation}}
 }
 
