--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -63,13 +63,13 @@
 // lateness projects the end of the job and returns by how much it misses the deadline.
 // The owner gets at least the slots of its share, and all slots where nobody else waits.
 func (s *Scheduler) lateness(now clock.Millis, a *account, k *kind, rank int, j Job) clock.Millis {
-	slots := slotMillis(s.placement.total)
+	slots := slotMillis(s.placement.total + s.borrowable)
 	if slots == 0 {
 		// Without endpoints there is no projection; the bounds of the queue hold.
 		return 0
 	}
 	own := slotMillis(j.Tasks-1) * s.estimate(k)
-	free := slotMillis(s.placement.free) * s.estimate(k)
+	free := slotMillis(s.placement.free+s.borrowable) * s.estimate(k)
 	ahead := a.workAhead(rank) + own
 	others := max(s.work-a.workAhead(rankCount-1), 0)
 	shares := s.activeShares
--- a/pkg/dispatch/loan.go
+++ b/pkg/dispatch/loan.go
@@ -135,6 +135,20 @@
 	return loans
 }
 
+// PeerSlots returns what to tell peers about loans.
+func (s *Scheduler) PeerSlots() PeerSlots {
+	p := PeerSlots{Wait: clock.Millis(s.work / slotMillis(max(s.placement.total, 1)))}
+	if s.waiting == 0 {
+		p.Lendable = loanable(s.placement.free, s.placement.total)
+	}
+	return p
+}
+
+// SetBorrowable sets how many slots peers would lend, for the projection at Admit.
+func (s *Scheduler) SetBorrowable(slots datacentre.Slots) {
+	s.borrowable = slots
+}
+
 // Slots returns the number of slots that this VM may use now.
 func (s *Scheduler) Slots() datacentre.Slots {
 	return s.placement.total
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -53,7 +53,8 @@
 	held      []*machine
 	placement placement
 
-	promises []promise
+	promises   []promise
+	borrowable datacentre.Slots
 
 	// running has a list for each lane; a task that outruns short work moves to long.
 	running  [laneCount]runningList
--- a/pkg/measure/cluster.go
+++ b/pkg/measure/cluster.go
@@ -151,6 +151,8 @@
 		c.tick(e.vm)
 	case digestArrives:
 		e.to.scheduler.SetPeerUsage(now, e.from.vm.Incarnation, e.usage)
+		e.to.loans.Learn(e.from.vm.Incarnation, e.slots)
+		e.to.scheduler.SetBorrowable(e.to.loans.Borrowable())
 	case loanAsked:
 		c.lend(e)
 	case loanGranted:
@@ -171,10 +173,10 @@
 	}
 	v.ticks++
 	if v.ticks%digestTicks == 0 {
-		usage := v.scheduler.Usage()
+		usage, slots := v.scheduler.Usage(), v.scheduler.PeerSlots()
 		for _, peer := range c.vms {
 			if peer != v {
-				c.simulation.agenda.after(c.delay(v, peer), digestArrives{from: v, to: peer, usage: usage})
+				c.simulation.agenda.after(c.delay(v, peer), digestArrives{from: v, to: peer, usage: usage, slots: slots})
 			}
 		}
 	}
--- a/pkg/measure/cluster_loans.go
+++ b/pkg/measure/cluster_loans.go
@@ -16,12 +16,17 @@
 func (c *cluster) lend(e loanAsked) {
 	now := c.simulation.agenda.now.millis()
 	delay := c.delay(e.from, e.to)
-	oneWay := (delay + 999) / 1000
-	loans := e.to.scheduler.Lend(now, e.need, clock.Millis(oneWay))
-	if len(loans) == 0 && e.to.scheduler.Promise(now, e.from.vm.Incarnation, e.need, clock.Millis(oneWay)) == 0 {
+	oneWay := clock.Millis((delay + 999) / 1000)
+	granted := loanGranted{from: e.to, to: e.from, answer: true}
+	granted.loans = e.to.scheduler.Lend(now, e.need, oneWay)
+	if len(granted.loans) == 0 {
+		granted.promised = e.to.scheduler.Promise(now, e.from.vm.Incarnation, e.need, oneWay)
+	}
+	if len(granted.loans) == 0 && granted.promised == 0 {
 		c.simulation.wasted++
 	}
-	c.simulation.agenda.after(delay, loanGranted{from: e.to, to: e.from, loans: loans})
+	granted.left = e.to.scheduler.PeerSlots()
+	c.simulation.agenda.after(delay, granted)
 }
 
 // grantPromised sends the loans that were promised and for which slots are free now.
@@ -38,12 +43,17 @@
 
 func (c *cluster) borrow(e loanGranted) {
 	now := c.simulation.agenda.now.millis()
-	e.to.loans.Answered(now, e.from.vm.Incarnation, e.loans)
+	granted := e.promised
 	for _, l := range e.loans {
+		granted += l.Slots
 		e.to.lenders[l.Endpoint] = e.from
 		e.to.scheduler.Borrow(now, l)
 		c.simulation.agenda.after(loanLease, loanExpires{lender: e.from, borrower: e.to, loan: l})
 	}
+	if e.answer {
+		e.to.loans.Answered(now, e.from.vm.Incarnation, granted, e.left)
+	}
+	e.to.scheduler.SetBorrowable(e.to.loans.Borrowable())
 	c.startTasks(e.to)
 }
 
--- a/pkg/measure/event.go
+++ b/pkg/measure/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
 )
 
@@ -43,6 +44,7 @@
 	digestArrives struct {
 		from, to *entryVM
 		usage    []dispatch.OwnerUsage
+		slots    dispatch.PeerSlots
 	}
 	// loanAsked brings a peer's need of slots.
 	loanAsked struct {
@@ -53,6 +55,10 @@
 	loanGranted struct {
 		from, to *entryVM
 		loans    []dispatch.SlotLoan
+		promised datacentre.Slots
+		left     dispatch.PeerSlots
+		// answer marks the answer to a request; promised slots follow without one.
+		answer bool
 	}
 	// loanExpires ends a loan at the borrower.
 	loanExpires struct {
