--- a/pkg/entry/control_submissions.go
+++ b/pkg/entry/control_submissions.go
@@ -166,7 +166,7 @@
 
 // requeue frees the slot of a start that was not sent.
 func (c *Control) requeue(now clock.Millis, start dispatch.Start) {
-	c.scheduler.Finish(now, start, contract.NotStarted{})
+	c.scheduler.Finish(now, start, contract.NotStarted{Cause: contract.NotSent})
 }
 
 // dropStart ends a task of a submission that was stopped before the start was sent.
