--- a/pkg/vm/roster.go
+++ b/pkg/vm/roster.go
@@ -57,25 +57,26 @@
 
 // Home returns the VM that owns the slots of an endpoint: the highest score by
 // rendezvous hashing, weighted by size, among the VMs of the endpoint's data centre
-// that are not leaving.
+// that are neither leaving nor removed.
 func (r *Roster) Home(e datacentre.EndpointID, dc datacentre.ID) (VM, bool) {
-	return r.pick(string(e), func(v VM) bool { return v.DataCentre == dc && !v.Leaving })
+	return r.pick(string(e), func(v VM) bool { return v.DataCentre == dc && v.usable() })
 }
 
 // Witness returns the peer that keeps the records of self: one of the same data centre
-// where there is one, else of another.
+// where there is one, else of another. A suspected peer is taken only where no other is
+// left, since its acknowledgements would hold up every start.
 func (r *Roster) Witness() Incarnation {
 	self, ok := r.Find(r.Self)
 	if !ok {
 		return None
 	}
-	eligible := func(v VM) bool { return v.Incarnation != r.Self && !v.Leaving }
-	local := func(v VM) bool { return eligible(v) && v.DataCentre == self.DataCentre }
-	if v, ok := r.pick(string(r.Self), local); ok {
-		return v.Incarnation
-	}
-	if v, ok := r.pick(string(r.Self), eligible); ok {
-		return v.Incarnation
+	peer := func(v VM) bool { return v.Incarnation != r.Self && v.usable() }
+	alive := func(v VM) bool { return peer(v) && v.Status == Alive }
+	local := func(v VM) bool { return alive(v) && v.DataCentre == self.DataCentre }
+	for _, eligible := range []func(VM) bool{local, alive, peer} {
+		if v, ok := r.pick(string(r.Self), eligible); ok {
+			return v.Incarnation
+		}
 	}
 	return None
 }
--- a/pkg/vm/vm.go
+++ b/pkg/vm/vm.go
@@ -1,7 +1,10 @@
 // Package vm describes entry VMs, their incarnations and the roster of them.
 package vm
 
-import "github.com/sequoiacart/sequoiacart/pkg/datacentre"
+import (
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+)
 
 // Size is the relative capacity of an entry VM, for example its core count.
 type Size int
@@ -13,5 +16,12 @@
 	// PeerAddress is where the VM accepts calls of other entry VMs.
 	PeerAddress string
 	Size        Size
-	Leaving     bool
+	// Started is when the process started, by its own clock. It orders the incarnations
+	// of one VM.
+	Started clock.Millis
+	Leaving bool
+	// Status is what the keeper of the roster has heard of the VM.
+	Status Status
+	// Listed says that the platform's table has a row of the incarnation.
+	Listed bool
 }
