--- /dev/null
+++ b/pkg/vm/bench_test.go
@@ -0,0 +1,34 @@
+package vm_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// BenchmarkMembership measures one heartbeat and one tick over the number of VMs known.
+func BenchmarkMembership(b *testing.B) {
+	for _, size := range []int{12, 48, 352} {
+		m := vm.NewMembership(0, vm.VM{Incarnation: "v0-1", DataCentre: "dc0", Size: 1})
+		var vms []vm.VM
+		for i := range size {
+			v := vm.VM{Incarnation: vm.Incarnation(fmt.Sprintf("v%d-1", i)), DataCentre: datacentre.ID(fmt.Sprint("dc", i/16)), PeerAddress: fmt.Sprint(i), Size: 1}
+			vms = append(vms, v)
+			m.Reported(1, v)
+		}
+		now := clock.Millis(1)
+		b.Run(fmt.Sprint("heard/", size), func(b *testing.B) {
+			for i := range b.N {
+				m.Heard(now, vms[i%len(vms)])
+			}
+		})
+		b.Run(fmt.Sprint("judge/", size), func(b *testing.B) {
+			for range b.N {
+				m.Judge(now)
+			}
+		})
+	}
+}
--- a/pkg/vm/membership.go
+++ b/pkg/vm/membership.go
@@ -54,7 +54,7 @@
 	self     VM
 	members  map[Incarnation]*member
 	roster   *Roster
-	judgedAt clock.Millis
+	passedAt clock.Millis
 	rowsAt   clock.Millis
 	cleanAt  clock.Millis
 }
@@ -82,7 +82,7 @@
 
 // NewMembership returns a membership that knows only its own VM.
 func NewMembership(now clock.Millis, self VM) *Membership {
-	m := &Membership{self: self, members: make(map[Incarnation]*member), judgedAt: now, rowsAt: never, cleanAt: never}
+	m := &Membership{self: self, members: make(map[Incarnation]*member), passedAt: now, rowsAt: never, cleanAt: never}
 	m.members[self.Incarnation] = &member{vm: self, knownAt: now, refreshedAt: now}
 	m.publish(now)
 	return m
@@ -103,6 +103,7 @@
 // RowsRead takes over the rows of the platform's table. A row that has gone leaves its VM
 // known: it may be alive though unlisted.
 func (m *Membership) RowsRead(now clock.Millis, rows []Row) *Roster {
+	m.pass(now)
 	outage := m.rowsAt != never && now-m.rowsAt > rowReadGap
 	m.rowsAt = now
 	for _, e := range m.members {
@@ -128,6 +129,7 @@
 // ListRead takes over the platform's list, which lags: it can only tell that a VM is
 // leaving, and a VM it omits or still lists is judged by its heartbeats.
 func (m *Membership) ListRead(now clock.Millis, listings []Listing) *Roster {
+	m.pass(now)
 	leaving := make(map[ID]bool, len(listings))
 	for _, l := range listings {
 		leaving[l.VM] = l.Leaving
@@ -140,6 +142,7 @@
 
 // Heard takes over a heartbeat that arrived.
 func (m *Membership) Heard(now clock.Millis, v VM) *Roster {
+	m.pass(now)
 	e := m.know(now, v)
 	if e == nil || v.Incarnation == m.self.Incarnation {
 		return m.roster
@@ -154,6 +157,7 @@
 
 // Answered notes that a VM answered a heartbeat of this VM.
 func (m *Membership) Answered(now clock.Millis, i Incarnation) *Roster {
+	m.pass(now)
 	e, ok := m.members[i]
 	if !ok {
 		return m.roster
@@ -164,6 +168,7 @@
 
 // Reported takes over a delegate's word on a VM: that it hears the VM, or that it does not.
 func (m *Membership) Reported(now clock.Millis, v VM) *Roster {
+	m.pass(now)
 	e := m.know(now, v)
 	if e == nil || v.Incarnation == m.self.Incarnation {
 		return m.roster
@@ -183,6 +188,7 @@
 // Vouched takes over a delegate's word that it still hears all VMs of a data centre that
 // it reported alive.
 func (m *Membership) Vouched(now clock.Millis, dc datacentre.ID) *Roster {
+	m.pass(now)
 	for _, e := range m.members {
 		if e.vouched && e.vm.DataCentre == dc {
 			e.heardAt, e.answeredAt = now, now
@@ -191,16 +197,11 @@
 	return m.Judge(now)
 }
 
-// Judge lets silence take effect. After a pause of this VM the silence of the others is
-// not held against them, since their heartbeats could not be handled.
+// Judge lets silence take effect.
 func (m *Membership) Judge(now clock.Millis) *Roster {
-	pause := now - m.judgedAt
-	m.judgedAt = now
+	m.pass(now)
 	changed := false
 	for i, e := range m.members {
-		if pause > SuspectAfter {
-			e.excuse(pause)
-		}
 		if i != m.self.Incarnation && !e.vm.Listed && now-max(e.heardAt, e.knownAt, e.refreshedAt) > forgetAfter {
 			delete(m.members, i)
 			changed = true
@@ -213,6 +214,19 @@
 	return m.publish(now)
 }
 
+// pass notices that this VM was paused. The silence of the others over a pause is not
+// held against them, since their heartbeats could not be handled.
+func (m *Membership) pass(now clock.Millis) {
+	pause := now - m.passedAt
+	m.passedAt = now
+	if pause <= SuspectAfter {
+		return
+	}
+	for _, e := range m.members {
+		e.excuse(pause)
+	}
+}
+
 // StaleRows returns the rows to delete at the platform now, at most one: those of
 // incarnations that are silent and have not refreshed them. Each VM waits for a span of
 // its own, so that usually one of them deletes the row. Fencing rows are not concerned.
