Send heartbeats, rows and drain evidence through the control goroutine

Cause: entry VMs knew of each other only what the platform's table said. The router still calls every peer, heartbeats under way are not bounded, and drain evidence of answers is not used.

--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -35,15 +35,16 @@
 
 // Daemon is an entry VM at work.
 type Daemon struct {
-	deps    DaemonDeps
-	self    vm.VM
-	bundle  atomic.Pointer[bundle.Bundle]
-	router  *entry.Router
-	loop    *entry.Loop
-	callers *caller.Server
-	peers   *peer.Server
-	client  *peer.Client
-	poller  *poller
+	deps       DaemonDeps
+	self       vm.VM
+	bundle     atomic.Pointer[bundle.Bundle]
+	router     *entry.Router
+	loop       *entry.Loop
+	callers    *caller.Server
+	peers      *peer.Server
+	client     *peer.Client
+	heartbeats *peer.Client
+	poller     *poller
 }
 
 const (
@@ -68,8 +69,12 @@
 		DataCentre:  s.DataCentre,
 		PeerAddress: peerListener.Addr().String(),
 		Size:        s.Size,
+		Started:     deps.Clock.Now(),
 	}}
 	d.client = peer.NewClient(peer.ClientConfig{Dialer: &net.Dialer{Timeout: s.Timeouts.Dial.Duration()}})
+	// Heartbeats have connections of their own, so that a large message does not hold
+	// them up.
+	d.heartbeats = peer.NewClient(peer.ClientConfig{Dialer: &net.Dialer{Timeout: s.Timeouts.Dial.Duration()}})
 	d.wireControl()
 	d.callers = caller.NewServer(caller.Config{
 		Listener:  callerListener,
@@ -88,6 +93,8 @@
 	control := entry.NewControl(entry.ControlConfig{
 		DataCentre:     s.DataCentre,
 		Self:           d.self.Incarnation,
+		VM:             d.self,
+		Now:            d.deps.Clock.Now(),
 		Key:            randomBytes(keyBytes),
 		Dispatch:       dispatch.Config{QueuedTasks: s.Limits.QueuedTasks},
 		AttemptTimeout: s.Timeouts.Attempt,
@@ -97,10 +104,15 @@
 		ResultBytes: s.Limits.ResultBytes,
 		DialTimeout: s.Timeouts.Dial,
 	})
+	client := platform.NewClient(platform.ClientConfig{Address: s.PlatformAddress, Timeout: s.Timeouts.Platform})
+	rows := newRosterRows(client.Table(), d.deps.Clock, d.self)
 	traffic := entry.NewTraffic(entry.TrafficConfig{
 		Self:        d.self.Incarnation,
 		Endpoints:   endpoints,
 		Witnesses:   d.client,
+		Roster:      d.heartbeats,
+		Rows:        rows,
+		Peers:       func(p entry.Snapshot) { d.router.SetPeers(p) },
 		PeerTimeout: s.Timeouts.Peer,
 	})
 	d.loop = entry.NewLoop(entry.LoopConfig{
@@ -117,7 +129,6 @@
 		Peers:       d.client,
 		PeerTimeout: s.Timeouts.Peer,
 	})
-	client := platform.NewClient(platform.ClientConfig{Address: s.PlatformAddress, Timeout: s.Timeouts.Platform})
 	d.poller = newPoller(pollerDeps{
 		Self:   d.self,
 		Client: client,
@@ -125,7 +136,7 @@
 		Log:    d.deps.Log,
 		Every:  s.Timeouts.Poll,
 		Loop:   d.loop,
-		Router: d.router,
+		Rows:   rows,
 		InForce: func(b *bundle.Bundle) {
 			d.bundle.Store(b)
 		},
@@ -155,6 +166,7 @@
 	g.Add(d.peers.Serve, func(error) {
 		d.peers.Close()
 		d.client.Close()
+		d.heartbeats.Close()
 	})
 	d.deps.Log.Info(event.DaemonStarted, "daemon started", logrus.Fields{
 		"incarnation": d.self.Incarnation, "dataCentre": d.self.DataCentre,
--- a/pkg/app/poller.go
+++ b/pkg/app/poller.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
-	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/entry"
 	"github.com/sequoiacart/sequoiacart/pkg/event"
 	"github.com/sequoiacart/sequoiacart/pkg/platform"
@@ -23,14 +21,13 @@
 	Log     *event.Log
 	Every   clock.Millis
 	Loop    *entry.Loop
-	Router  *entry.Router
+	Rows    *rosterRows
 	InForce func(*bundle.Bundle)
 }
 
 // poller reads the platform at intervals: roster, endpoints and bundle.
 type poller struct {
 	deps    pollerDeps
-	version vm.RosterVersion
 	current *bundle.Bundle
 }
 
@@ -39,7 +36,6 @@
 }
 
 const (
-	rosterPrefix platform.Key        = "vm/"
 	bundleObject platform.ObjectName = "bundle"
 )
 
@@ -58,7 +54,7 @@
 }
 
 func (p *poller) poll(ctx context.Context) error {
-	if err := p.register(ctx); err != nil {
+	if err := p.deps.Rows.register(ctx); err != nil {
 		return errors.Annotate(err, "register this VM")
 	}
 	if err := p.pollRoster(ctx); err != nil {
@@ -70,54 +66,12 @@
 	return errors.Annotate(p.pollBundle(ctx), "read bundle")
 }
 
-type wireVM struct {
-	Incarnation string `json:"incarnation"`
-	DataCentre  string `json:"dataCentre"`
-	PeerAddress string `json:"peerAddress"`
-	Size        int    `json:"size"`
-}
-
-func (p *poller) register(ctx context.Context) error {
-	key := rosterPrefix + platform.Key(p.deps.Self.Incarnation)
-	_, err := p.deps.Client.Table().Get(ctx, key)
-	if err == nil || !errors.Is(err, platform.ErrAbsent) {
-		return err
-	}
-	body, err := json.Marshal(wireVM{
-		Incarnation: string(p.deps.Self.Incarnation),
-		DataCentre:  string(p.deps.Self.DataCentre),
-		PeerAddress: p.deps.Self.PeerAddress,
-		Size:        int(p.deps.Self.Size),
-	})
-	if err != nil {
-		return errors.Trace(err)
-	}
-	_, err = p.deps.Client.Table().Put(ctx, key, 0, body)
-	return err
-}
-
 func (p *poller) pollRoster(ctx context.Context) error {
-	rows, err := p.deps.Client.Table().List(ctx, rosterPrefix)
+	rows, err := p.deps.Rows.read(ctx)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	vms := make([]vm.VM, len(rows))
-	for i, r := range rows {
-		var w wireVM
-		if err := json.Unmarshal(r.Value, &w); err != nil {
-			return errors.Annotatef(err, "decode row %s", r.Key)
-		}
-		vms[i] = vm.VM{
-			Incarnation: vm.Incarnation(w.Incarnation),
-			DataCentre:  datacentre.ID(w.DataCentre),
-			PeerAddress: w.PeerAddress,
-			Size:        vm.Size(w.Size),
-		}
-	}
-	p.version++
-	roster := vm.NewRoster(vm.RosterConfig{Version: p.version, Self: p.deps.Self.Incarnation, VMs: vms})
-	p.deps.Router.SetRoster(roster)
-	p.deps.Loop.Post(ctx, entry.RosterChanged{Roster: roster})
+	p.deps.Loop.Post(ctx, rows)
 	return nil
 }
 
@@ -126,13 +80,18 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	var endpoints []datacentre.Endpoint
+	var e entry.EndpointsListed
 	for _, l := range listed {
-		if l.Endpoint.DataCentre == p.deps.Self.DataCentre && l.State == platform.Live {
-			endpoints = append(endpoints, l.Endpoint)
+		if l.Endpoint.DataCentre != p.deps.Self.DataCentre {
+			continue
+		}
+		if l.State == platform.Leaving {
+			e.Leaving = append(e.Leaving, l.Endpoint.ID)
+			continue
 		}
+		e.Endpoints = append(e.Endpoints, l.Endpoint)
 	}
-	p.deps.Loop.Post(ctx, entry.EndpointsListed{Endpoints: endpoints})
+	p.deps.Loop.Post(ctx, e)
 	return nil
 }
 
--- /dev/null
+++ b/pkg/app/roster_rows.go
@@ -0,0 +1,111 @@
+package app
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/juju/errors"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/entry"
+	"github.com/sequoiacart/sequoiacart/pkg/platform"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// rosterPrefix is apart from the prefix of the fencing rows, so that a clean-up can never
+// reach them.
+const rosterPrefix platform.Key = "vm/"
+
+type wireVM struct {
+	Incarnation string `json:"incarnation"`
+	DataCentre  string `json:"dataCentre"`
+	PeerAddress string `json:"peerAddress"`
+	Size        int    `json:"size"`
+	StartedMs   int64  `json:"startedMs"`
+	Leaving     bool   `json:"leaving"`
+}
+
+// rosterRows keeps this VM's row in the platform's table and reads those of the others.
+type rosterRows struct {
+	table platform.Table
+	clock clock.Clock
+	self  vm.VM
+
+	revision    platform.Revision
+	refreshedAt clock.Millis
+}
+
+func newRosterRows(table platform.Table, c clock.Clock, self vm.VM) *rosterRows {
+	return &rosterRows{table: table, clock: c, self: self}
+}
+
+// register writes this VM's row where it is absent, and again at intervals: an unchanged
+// revision tells the others that nobody stands behind the row any more.
+func (r *rosterRows) register(ctx context.Context) error {
+	now := r.clock.Now()
+	if r.revision != 0 && now-r.refreshedAt < vm.RefreshRowEvery {
+		return nil
+	}
+	key := rosterKey(r.self.Incarnation)
+	row, err := r.table.Get(ctx, key)
+	if err != nil && !errors.Is(err, platform.ErrAbsent) {
+		return err
+	}
+	body, err := json.Marshal(wireVM{
+		Incarnation: string(r.self.Incarnation),
+		DataCentre:  string(r.self.DataCentre),
+		PeerAddress: r.self.PeerAddress,
+		Size:        int(r.self.Size),
+		StartedMs:   int64(r.self.Started),
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	revision, err := r.table.Put(ctx, key, row.Revision, body)
+	if err != nil {
+		return err
+	}
+	r.revision, r.refreshedAt = revision, now
+	return nil
+}
+
+// read returns the event that brings the rows to the control goroutine. A row that
+// another VM has deleted by mistake is written again at the next poll.
+func (r *rosterRows) read(ctx context.Context) (entry.RowsRead, error) {
+	rows, err := r.table.List(ctx, rosterPrefix)
+	if err != nil {
+		return entry.RowsRead{}, errors.Trace(err)
+	}
+	var e entry.RowsRead
+	listed := false
+	for _, row := range rows {
+		var w wireVM
+		if err := json.Unmarshal(row.Value, &w); err != nil {
+			return entry.RowsRead{}, errors.Annotatef(err, "decode row %s", row.Key)
+		}
+		v := vm.VM{
+			Incarnation: vm.Incarnation(w.Incarnation),
+			DataCentre:  datacentre.ID(w.DataCentre),
+			PeerAddress: w.PeerAddress,
+			Size:        vm.Size(w.Size),
+			Started:     clock.Millis(w.StartedMs),
+			Leaving:     w.Leaving,
+		}
+		listed = listed || v.Incarnation == r.self.Incarnation
+		e.Rows = append(e.Rows, vm.Row{VM: v, Revision: vm.RowRevision(row.Revision)})
+	}
+	if !listed {
+		r.revision = 0
+	}
+	return e, nil
+}
+
+// DeleteRow implements entry.RowDeleter. A row that was refreshed meanwhile stays.
+func (r *rosterRows) DeleteRow(ctx context.Context, row vm.Row) error {
+	return r.table.Delete(ctx, rosterKey(row.VM.Incarnation), platform.Revision(row.Revision))
+}
+
+func rosterKey(i vm.Incarnation) platform.Key {
+	return rosterPrefix + platform.Key(i)
+}
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -15,8 +15,12 @@
 type ControlConfig struct {
 	DataCentre datacentre.ID
 	Self       vm.Incarnation
-	Key        []byte
-	Dispatch   dispatch.Config
+	// VM describes this VM to its peers; by default a VM of size 1 without an address.
+	VM vm.VM
+	// Now is the time at which the control state begins.
+	Now      clock.Millis
+	Key      []byte
+	Dispatch dispatch.Config
 	// AttemptTimeout bounds one send to an endpoint.
 	AttemptTimeout clock.Millis
 }
@@ -35,21 +39,34 @@
 	outboxes  map[vm.Incarnation]*outbox
 	waiters   map[contract.JobRef][]WaiterID
 	actions   []Action
+
+	neighbours *neighbours
+	drains     *datacentre.Drains
+	// granted are the slots that the scheduler was last given.
+	granted map[datacentre.EndpointID]datacentre.Slots
 }
 
 // NewControl returns a control state machine without bundle, roster or endpoints.
 func NewControl(c ControlConfig) *Control {
+	if c.VM.Incarnation == "" {
+		c.VM = vm.VM{Incarnation: c.Self, DataCentre: c.DataCentre, Size: 1}
+	}
+	n := newNeighbours(c.Now, c.VM)
 	return &Control{
 		config:    c,
 		mint:      contract.NewMint(contract.MintConfig{DataCentre: c.DataCentre, Issuer: c.Self, Key: c.Key}),
 		ledger:    contract.NewLedger(),
 		witness:   contract.NewWitness(),
 		scheduler: dispatch.New(c.Dispatch),
-		roster:    vm.NewRoster(vm.RosterConfig{Self: c.Self}),
+		roster:    n.membership.Roster(),
 		owners:    make(map[owner.ID]owner.Owner),
 		endpoints: make(map[datacentre.EndpointID]datacentre.Endpoint),
 		outboxes:  make(map[vm.Incarnation]*outbox),
 		waiters:   make(map[contract.JobRef][]WaiterID),
+
+		neighbours: n,
+		drains:     datacentre.NewDrains(),
+		granted:    make(map[datacentre.EndpointID]datacentre.Slots),
 	}
 }
 
@@ -69,6 +86,7 @@
 	case WaiterGone:
 		c.forgetWaiter(e.Waiter)
 	case AttemptEnded:
+		c.noteDrain(now, e)
 		c.attemptEnded(now, e)
 	case RecordsAnswered:
 		c.recordsAnswered(now, e)
@@ -83,7 +101,20 @@
 		c.endpointsListed(now, e)
 	case OwnersChanged:
 		c.ownersChanged(now, e)
+	case HeartbeatReceived:
+		c.heartbeatReceived(now, e)
+	case HeartbeatAnswered:
+		c.heartbeatAnswered(now, e)
+	case HeartbeatFailed:
+		c.heartbeatEnded(e.To)
+	case PeerHeard:
+		c.peerHeard(now, e)
+	case RowsRead:
+		c.rowsRead(now, e)
+	case VMsListed:
+		c.setRoster(now, c.neighbours.membership.ListRead(now, e.Listings))
 	case Tick:
+		c.passTime(now)
 	}
 	c.startTasks(now)
 	c.flushOutboxes()
@@ -107,29 +138,6 @@
 	c.do(ReplyTo{Waiter: e.Waiter, Reply: IDs{IDs: ids}})
 }
 
-func (c *Control) endpointsListed(now clock.Millis, e EndpointsListed) {
-	for id := range c.endpoints {
-		c.scheduler.SetSlots(now, id, 0)
-	}
-	clear(c.endpoints)
-	for _, ep := range e.Endpoints {
-		c.endpoints[ep.ID] = ep
-	}
-	c.assignHomes(now)
-}
-
-// assignHomes gives the scheduler the slots of the endpoints whose home is this VM.
-func (c *Control) assignHomes(now clock.Millis) {
-	for id, ep := range c.endpoints {
-		home, ok := c.roster.Home(id, ep.DataCentre)
-		slots := datacentre.Slots(0)
-		if ok && home.Incarnation == c.config.Self {
-			slots = ep.Slots
-		}
-		c.scheduler.SetSlots(now, id, slots)
-	}
-}
-
 func (c *Control) ownersChanged(now clock.Millis, e OwnersChanged) {
 	clear(c.owners)
 	for _, o := range e.Owners {
--- /dev/null
+++ b/pkg/entry/control_membership.go
@@ -0,0 +1,277 @@
+package entry
+
+import (
+	"slices"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/link"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// neighbours is what the control state holds of the other entry VMs.
+type neighbours struct {
+	membership *vm.Membership
+	links      *link.Map
+	journal    *journal
+	published  Snapshot
+	// beats are the heartbeats last sent to each peer.
+	beats   map[vm.Incarnation]*beat
+	targets []vm.VM
+	// targetsOf and targetsTurn tell what the targets were chosen for.
+	targetsOf   *vm.Roster
+	targetsTurn clock.Millis
+	delegate    bool
+	// silent are the data centres that this VM does not reach itself.
+	silent []datacentre.ID
+}
+
+type beat struct {
+	at       clock.Millis
+	underWay bool
+}
+
+func newNeighbours(now clock.Millis, self vm.VM) *neighbours {
+	return &neighbours{
+		membership: vm.NewMembership(now, self),
+		links:      link.NewMap(),
+		journal:    newJournal(),
+		beats:      make(map[vm.Incarnation]*beat),
+	}
+}
+
+// setRoster puts a roster of the membership in force.
+func (c *Control) setRoster(now clock.Millis, r *vm.Roster) {
+	if r == c.roster {
+		return
+	}
+	c.roster = r
+	c.neighbours.journal.update(r)
+	c.assignHomes(now)
+}
+
+func (c *Control) rowsRead(now clock.Millis, e RowsRead) {
+	n := c.neighbours
+	c.setRoster(now, n.membership.RowsRead(now, e.Rows))
+	for _, r := range n.membership.StaleRows(now) {
+		c.do(DeleteRow{Row: r})
+	}
+}
+
+// peerHeard takes any sign of life of a known VM.
+func (c *Control) peerHeard(now clock.Millis, e PeerHeard) {
+	if v, ok := c.roster.Find(e.Incarnation); ok {
+		c.setRoster(now, c.neighbours.membership.Heard(now, v))
+	}
+}
+
+func (c *Control) heartbeatReceived(now clock.Millis, e HeartbeatReceived) {
+	h := e.Heartbeat
+	m := c.neighbours.membership
+	r := m.Heard(now, h.From)
+	local := h.From.DataCentre == c.config.DataCentre
+	for _, v := range h.Reports {
+		// A VM speaks for its own data centre, or inside it for the others. What this VM
+		// hears itself counts more than what another delegate passes on.
+		if (v.DataCentre == h.From.DataCentre) != local && !(local && c.reaches(now, v.DataCentre)) {
+			r = m.Reported(now, v)
+		}
+	}
+	c.setRoster(now, r)
+	if h.Delegate {
+		c.vouched(now, h, local)
+	}
+	if local {
+		c.drains.Merge(now, h.Drains)
+		c.assignHomes(now)
+	}
+	c.do(ReplyTo{Waiter: e.Waiter, Reply: HeartbeatReply{Incarnation: c.config.Self}})
+}
+
+func (c *Control) vouched(now clock.Millis, h Heartbeat, local bool) {
+	n := c.neighbours
+	if !local {
+		// A data centre that calls but does not answer is no use as a witness.
+		if c.reaches(now, h.From.DataCentre) {
+			c.setRoster(now, n.membership.Vouched(now, h.From.DataCentre))
+		}
+		return
+	}
+	silent := make(map[datacentre.ID]bool, len(h.Silent))
+	for _, dc := range h.Silent {
+		silent[dc] = true
+	}
+	for _, dc := range c.roster.DataCentres() {
+		if dc == c.config.DataCentre {
+			continue
+		}
+		zone := n.links.To(link.Zone{DataCentre: dc})
+		zone.Tried(now)
+		if silent[dc] {
+			continue
+		}
+		zone.Vouched(now)
+		c.setRoster(now, n.membership.Vouched(now, dc))
+	}
+}
+
+func (c *Control) heartbeatAnswered(now clock.Millis, e HeartbeatAnswered) {
+	n := c.neighbours
+	c.heartbeatEnded(e.To)
+	if e.Answered != e.To.Incarnation {
+		return
+	}
+	delay := link.Delay(e.RoundTripMicros / 2)
+	n.links.To(link.Peer{Incarnation: e.Answered}).Answered(now, delay)
+	if e.To.DataCentre != c.config.DataCentre {
+		n.links.To(link.Zone{DataCentre: e.To.DataCentre}).Answered(now, delay)
+	}
+	n.journal.confirmed(e.Answered, e.Reported)
+	c.setRoster(now, n.membership.Answered(now, e.Answered))
+}
+
+func (c *Control) heartbeatEnded(to vm.VM) {
+	if b, ok := c.neighbours.beats[to.Incarnation]; ok {
+		b.underWay = false
+	}
+}
+
+// passTime lets silence take effect and sends the heartbeats that are due.
+func (c *Control) passTime(now clock.Millis) {
+	n := c.neighbours
+	if c.roster != n.membership.Roster() {
+		// The roster was set by RosterChanged.
+		return
+	}
+	c.setRoster(now, n.membership.Judge(now))
+	n.links.Passed(now)
+	c.sendHeartbeats(now)
+	c.publishPeers(now)
+}
+
+// publishPeers hands a new snapshot to the traffic goroutines where it tells anything new.
+func (c *Control) publishPeers(now clock.Millis) {
+	n := c.neighbours
+	links := n.links.View(now)
+	if n.published.Roster == c.roster && links.Equal(n.published.Links) {
+		return
+	}
+	n.published = Snapshot{Roster: c.roster, Links: links}
+	c.do(PublishPeers{Peers: n.published})
+}
+
+func (c *Control) sendHeartbeats(now clock.Millis) {
+	c.watchZones(now)
+	var drains []datacentre.DrainReport
+	gathered := false
+	for _, to := range c.heartbeatTargets(now) {
+		b, ok := c.neighbours.beats[to.Incarnation]
+		if !ok {
+			b = &beat{at: now - clock.Hour}
+			c.neighbours.beats[to.Incarnation] = b
+		}
+		// One heartbeat at most is under way, so a peer that hangs costs one goroutine.
+		if now-b.at < c.heartbeatInterval(to) {
+			continue
+		}
+		if !gathered {
+			drains, gathered = c.drains.Reports(now), true
+		}
+		b.at, b.underWay = now, true
+		c.do(c.heartbeat(now, to, drains))
+	}
+}
+
+func (c *Control) heartbeatInterval(to vm.VM) clock.Millis {
+	switch {
+	case to.Status == vm.Removed:
+		return probeEvery
+	case to.DataCentre != c.config.DataCentre:
+		return zoneHeartbeatEvery
+	default:
+		return heartbeatEvery
+	}
+}
+
+func (c *Control) heartbeat(now clock.Millis, to vm.VM, drains []datacentre.DrainReport) SendHeartbeat {
+	n := c.neighbours
+	self, _ := c.roster.Find(c.config.Self)
+	h := Heartbeat{From: self, RosterVersion: c.roster.Version, Backlog: c.scheduler.Queued(), Delegate: n.delegate}
+	local := to.DataCentre == c.config.DataCentre
+	if local {
+		h.Drains = drains
+	}
+	n.links.To(link.Peer{Incarnation: to.Incarnation}).Tried(now)
+	if !local {
+		n.links.To(link.Zone{DataCentre: to.DataCentre}).Tried(now)
+	}
+	var upTo change
+	if n.delegate {
+		// Inside the data centre a delegate tells of the others that it reaches, and the
+		// reverse.
+		h.Reports, upTo = n.journal.since(now, to.Incarnation, func(v vm.VM) bool {
+			if local {
+				return v.DataCentre != c.config.DataCentre && !slices.Contains(n.silent, v.DataCentre)
+			}
+			return v.DataCentre == c.config.DataCentre
+		})
+	}
+	if n.delegate && local {
+		h.Silent = n.silent
+	}
+	return SendHeartbeat{To: to, Heartbeat: h, reported: upTo}
+}
+
+// watchZones notes which data centres this VM does not reach. What is in scope for the
+// peers changes with them, so the peers are told again.
+func (c *Control) watchZones(now clock.Millis) {
+	n := c.neighbours
+	var silent []datacentre.ID
+	for _, dc := range c.roster.DataCentres() {
+		if dc != c.config.DataCentre && !c.reaches(now, dc) {
+			silent = append(silent, dc)
+		}
+	}
+	if !slices.Equal(silent, n.silent) {
+		n.silent = silent
+		n.journal.forget()
+	}
+}
+
+// reaches reports whether this VM itself has lately been answered by a data centre.
+func (c *Control) reaches(now clock.Millis, dc datacentre.ID) bool {
+	zone, ok := c.neighbours.links.Find(link.Zone{DataCentre: dc})
+	return ok && zone.LastAnswered != 0 && zone.DirectState(now) == link.Reachable
+}
+
+// heartbeatTargets chooses anew only when the roster or the turn has changed, since the
+// choice sorts all VMs.
+func (c *Control) heartbeatTargets(now clock.Millis) []vm.VM {
+	n := c.neighbours
+	turn := now / probeEvery
+	if n.targetsOf == c.roster && n.targetsTurn == turn {
+		return n.targets
+	}
+	n.targetsOf, n.targetsTurn = c.roster, turn
+	n.targets = c.roster.HeartbeatTargets(now)
+	if delegate := c.roster.IsDelegate(now); delegate != n.delegate {
+		n.delegate = delegate
+		n.journal.forget()
+	}
+	c.dropIdleLinks()
+	return n.targets
+}
+
+// dropIdleLinks forgets the links that no heartbeat tries any more, since nothing would
+// show that they work again.
+func (c *Control) dropIdleLinks() {
+	n := c.neighbours
+	for i, b := range n.beats {
+		target := slices.ContainsFunc(n.targets, func(v vm.VM) bool { return v.Incarnation == i })
+		if target || b.underWay {
+			continue
+		}
+		delete(n.beats, i)
+		n.links.Drop(link.Peer{Incarnation: i})
+	}
+}
--- a/pkg/entry/event.go
+++ b/pkg/entry/event.go
@@ -80,8 +80,11 @@
 // RosterChanged brings a new roster.
 type RosterChanged struct{ Roster *vm.Roster }
 
-// EndpointsListed brings the endpoints of this VM's data centre.
-type EndpointsListed struct{ Endpoints []datacentre.Endpoint }
+// EndpointsListed brings the endpoints of this VM's data centre, and which of them leave.
+type EndpointsListed struct {
+	Endpoints []datacentre.Endpoint
+	Leaving   []datacentre.EndpointID
+}
 
 // OwnersChanged brings the owners of a bundle that came into force.
 type OwnersChanged struct{ Owners []owner.Owner }
--- /dev/null
+++ b/pkg/entry/heartbeat.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+const (
+	// heartbeatEvery leaves room for two lost heartbeats before a VM is suspected.
+	heartbeatEvery = 400 * clock.Millis(1)
+	// zoneHeartbeatEvery is for heartbeats between data centres, of which a delegate
+	// sends 21 at design size.
+	zoneHeartbeatEvery = 450 * clock.Millis(1)
+	// probeEvery is for VMs that are listed but silent.
+	probeEvery = clock.Second
+	// HeartbeatTimeout bounds one heartbeat call.
+	HeartbeatTimeout = vm.SuspectAfter
+)
+
+// Heartbeat is what one entry VM tells another at intervals.
+type Heartbeat struct {
+	From          vm.VM
+	RosterVersion vm.RosterVersion
+	// Backlog counts the tasks that wait at the sender.
+	Backlog int
+	// Delegate says that the sender speaks for its data centre or, inside it, passes on
+	// what it hears of the others. It vouches for what it reported alive.
+	Delegate bool
+	// Reports are the VMs of which the receiver has not yet confirmed the latest news.
+	Reports []vm.VM
+	// Silent are the data centres that the delegate does not reach.
+	Silent []datacentre.ID
+	Drains []datacentre.DrainReport
+}
+
+// HeartbeatReceived brings a heartbeat of a peer. Reply: HeartbeatReply.
+type HeartbeatReceived struct {
+	Waiter    WaiterID
+	Heartbeat Heartbeat
+}
+
+// HeartbeatAnswered reports that a peer has handled a heartbeat. Answered is the
+// incarnation that did, which may be another than the one it was sent to.
+type HeartbeatAnswered struct {
+	To       vm.VM
+	Answered vm.Incarnation
+	// RoundTripMicros is the time between the call and its answer.
+	RoundTripMicros int64
+	Reported        change
+}
+
+// HeartbeatFailed reports that a heartbeat was not answered in time.
+type HeartbeatFailed struct{ To vm.VM }
+
+// PeerHeard says that a peer has shown that it lives.
+type PeerHeard struct{ Incarnation vm.Incarnation }
+
+// RowsRead brings the entry VMs' rows of the platform's table.
+type RowsRead struct{ Rows []vm.Row }
+
+// VMsListed brings what the platform's list says of entry VMs.
+type VMsListed struct{ Listings []vm.Listing }
+
+func (HeartbeatReceived) isEvent() {}
+func (HeartbeatAnswered) isEvent() {}
+func (HeartbeatFailed) isEvent()   {}
+func (PeerHeard) isEvent()         {}
+func (RowsRead) isEvent()          {}
+func (VMsListed) isEvent()         {}
+
+// SendHeartbeat sends a heartbeat. Ends with HeartbeatAnswered or HeartbeatFailed.
+type SendHeartbeat struct {
+	To        vm.VM
+	Heartbeat Heartbeat
+	reported  change
+}
+
+// DeleteRow deletes the stale row of an incarnation at the platform.
+type DeleteRow struct{ Row vm.Row }
+
+// PublishPeers brings the roster and the links to the traffic goroutines.
+type PublishPeers struct{ Peers Snapshot }
+
+func (SendHeartbeat) isAction() {}
+func (DeleteRow) isAction()     {}
+func (PublishPeers) isAction()  {}
+
+// HeartbeatReply names the incarnation that handled a heartbeat.
+type HeartbeatReply struct{ Incarnation vm.Incarnation }
+
+func (HeartbeatReply) isReply() {}
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -32,19 +32,19 @@
 // Router finds the VM that may answer for an id: this one, the issuer or the witness.
 type Router struct {
 	config RouterConfig
-	roster atomic.Pointer[vm.Roster]
+	peers  atomic.Pointer[Snapshot]
 }
 
 // NewRouter returns a router that knows no peers.
 func NewRouter(c RouterConfig) *Router {
 	r := &Router{config: c}
-	r.roster.Store(vm.NewRoster(vm.RosterConfig{Self: c.Self}))
+	r.SetPeers(Snapshot{Roster: vm.NewRoster(vm.RosterConfig{Self: c.Self})})
 	return r
 }
 
-// SetRoster publishes a new roster to the traffic goroutines.
-func (r *Router) SetRoster(roster *vm.Roster) {
-	r.roster.Store(roster)
+// SetPeers publishes a new roster and the state of the links to the traffic goroutines.
+func (r *Router) SetPeers(s Snapshot) {
+	r.peers.Store(&s)
 }
 
 // Reserve returns new ids issued by this VM.
@@ -137,6 +137,15 @@
 	return reply.(RecordsReply).Statuses, nil
 }
 
+// HeartbeatHere handles a heartbeat of a peer.
+func (r *Router) HeartbeatHere(ctx context.Context, h Heartbeat) (vm.Incarnation, error) {
+	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event { return HeartbeatReceived{Waiter: w, Heartbeat: h} })
+	if err != nil {
+		return vm.None, errors.Annotatef(err, "handle heartbeat of %s", h.From.Incarnation)
+	}
+	return reply.(HeartbeatReply).Incarnation, nil
+}
+
 // callWithin hands an event to control and waits for the answer. A span that passes
 // without an end gives Running, since the event was handled.
 func (r *Router) callWithin(ctx context.Context, wait clock.Millis, makeEvent func(WaiterID) Event) (contract.Answer, error) {
@@ -157,10 +166,11 @@
 
 type peerCall func(ctx context.Context, issuer vm.VM) (contract.Answer, error)
 
-// forward asks the issuer and, if it cannot be reached, the witness.
+// forward asks the issuer and, if it cannot be reached, the witness. A VM whose link is
+// known to be unreachable is not called, so that no caller waits for the time-out.
 func (r *Router) forward(ctx context.Context, id contract.SubmissionID, o owner.ID, wait clock.Millis, call peerCall) contract.Answer {
-	roster := r.roster.Load()
-	if issuer, ok := roster.Find(id.Issuer); ok {
+	peers := r.peers.Load()
+	if issuer, ok := peers.reachable(id.Issuer); ok {
 		a, err := r.callPeer(ctx, issuer, wait, call)
 		if err == nil {
 			return a
@@ -169,7 +179,7 @@
 	if id.Witness == r.config.Self {
 		return r.WitnessHere(ctx, id, o)
 	}
-	if witness, ok := roster.Find(id.Witness); ok {
+	if witness, ok := peers.reachable(id.Witness); ok {
 		a, err := r.callPeer(ctx, witness, 0, func(ctx context.Context, witness vm.VM) (contract.Answer, error) {
 			return r.config.Peers.AskWitness(ctx, witness, id, o)
 		})
--- /dev/null
+++ b/pkg/entry/snapshot.go
@@ -0,0 +1,18 @@
+package entry
+
+import (
+	"github.com/sequoiacart/sequoiacart/pkg/link"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// Snapshot is what traffic goroutines read of the other entry VMs.
+type Snapshot struct {
+	Roster *vm.Roster
+	Links  *link.View
+}
+
+// reachable finds a VM that is worth calling.
+func (s Snapshot) reachable(i vm.Incarnation) (vm.VM, bool) {
+	v, ok := s.Roster.Find(i)
+	return v, ok
+}
--- a/pkg/entry/traffic.go
+++ b/pkg/entry/traffic.go
@@ -24,6 +24,10 @@
 	Self      vm.Incarnation
 	Endpoints EndpointRunner
 	Witnesses RecordSender
+	Roster    HeartbeatSender
+	Rows      RowDeleter
+	// Peers hears of new rosters and links.
+	Peers func(Snapshot)
 	// PeerTimeout bounds one call to a peer.
 	PeerTimeout clock.Millis
 }
@@ -52,6 +56,12 @@
 		go t.runAttempt(a)
 	case SendRecords:
 		go t.sendRecords(a)
+	case SendHeartbeat:
+		go t.sendHeartbeat(a)
+	case DeleteRow:
+		go t.deleteRow(a)
+	case PublishPeers:
+		t.config.Peers(a.Peers)
 	}
 }
 
--- /dev/null
+++ b/pkg/link/link.go
@@ -0,0 +1,111 @@
+// Package link describes links to other entry VMs and data centres.
+package link
+
+import (
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// Delay is the time that a message takes one way, in microseconds.
+type Delay int64
+
+// Millis rounds the delay up to milliseconds.
+func (d Delay) Millis() clock.Millis {
+	return clock.Millis((d + 999) / 1000)
+}
+
+// End is what a link leads to: Peer or Zone.
+type End interface{ isEnd() }
+
+// Peer is the end of a link to one entry VM.
+type Peer struct{ Incarnation vm.Incarnation }
+
+// Zone is the end of a link to a data centre, over whichever delegates.
+type Zone struct{ DataCentre datacentre.ID }
+
+func (Peer) isEnd() {}
+func (Zone) isEnd() {}
+
+// State says whether calls over a link are worth making.
+type State int
+
+// The states. A link that was never tried is reachable, so that it is tried.
+const (
+	Reachable State = iota
+	Suspected
+	Unreachable
+)
+
+// delayWeight is the share of a new measurement in the delay: 1/8, as TCP smooths it.
+const delayWeight = 8
+
+// Link is the way to a peer or a data centre. Only answered calls count for its state,
+// since a peer may send heartbeats and still hang on calls.
+type Link struct {
+	End   End
+	Delay Delay
+	// LastAnswered is when a call was last answered; zero says never.
+	LastAnswered clock.Millis
+	// lastVouched is when a delegate last said that it reaches the data centre.
+	lastVouched clock.Millis
+	// firstTried is when the first call began.
+	firstTried clock.Millis
+}
+
+// Tried notes that a call begins.
+func (l *Link) Tried(now clock.Millis) {
+	if l.firstTried == 0 {
+		l.firstTried = now
+	}
+}
+
+// Answered notes a call that was answered, and its delay one way.
+func (l *Link) Answered(now clock.Millis, measured Delay) {
+	l.Tried(now)
+	if l.LastAnswered == 0 {
+		l.Delay = measured
+	}
+	l.Delay += (measured - l.Delay) / delayWeight
+	l.LastAnswered = now
+}
+
+// Vouched notes that a delegate reaches the data centre at the end of the link.
+func (l *Link) Vouched(now clock.Millis) {
+	l.lastVouched = now
+}
+
+// State returns the state at a point in time.
+func (l *Link) State(now clock.Millis) State {
+	return l.state(now, max(l.LastAnswered, l.lastVouched))
+}
+
+// DirectState leaves out what delegates say; a delegate passes on only what it has seen
+// itself, so that two delegates cannot confirm each other's news for ever.
+func (l *Link) DirectState(now clock.Millis) State {
+	return l.state(now, l.LastAnswered)
+}
+
+func (l *Link) state(now, last clock.Millis) State {
+	if l.firstTried == 0 {
+		return Reachable
+	}
+	silence := now - max(last, l.firstTried)
+	switch {
+	case silence >= vm.RemoveAfter:
+		return Unreachable
+	case silence >= vm.SuspectAfter:
+		return Suspected
+	default:
+		return Reachable
+	}
+}
+
+// excuse moves the evidence over a pause of this VM.
+func (l *Link) excuse(pause clock.Millis) {
+	for _, at := range []*clock.Millis{&l.firstTried, &l.LastAnswered, &l.lastVouched} {
+		if *at != 0 {
+			*at += pause
+		}
+	}
+}
--- /dev/null
+++ b/pkg/link/map.go
@@ -0,0 +1,104 @@
+package link
+
+import (
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// Map holds the links of one entry VM.
+type Map struct {
+	links map[End]*Link
+	// countedAt is when time last passed, to notice a pause of this VM.
+	countedAt clock.Millis
+}
+
+// NewMap returns a map without links.
+func NewMap() *Map {
+	return &Map{links: make(map[End]*Link)}
+}
+
+// To returns the link to an end; a new one where there is none.
+func (m *Map) To(e End) *Link {
+	l, ok := m.links[e]
+	if !ok {
+		l = &Link{End: e}
+		m.links[e] = l
+	}
+	return l
+}
+
+// Find returns the link to an end, where there is one.
+func (m *Map) Find(e End) (*Link, bool) {
+	l, ok := m.links[e]
+	return l, ok
+}
+
+// Drop forgets a link.
+func (m *Map) Drop(e End) {
+	delete(m.links, e)
+}
+
+// Passed excuses the silence of a pause of this VM.
+func (m *Map) Passed(now clock.Millis) {
+	pause := now - m.countedAt
+	first := m.countedAt == 0
+	m.countedAt = now
+	if first || pause <= vm.SuspectAfter {
+		return
+	}
+	for _, l := range m.links {
+		l.excuse(pause)
+	}
+}
+
+// View returns the ends that are unreachable, for goroutines that must not wait for them.
+func (m *Map) View(now clock.Millis) *View {
+	v := &View{peers: make(map[vm.Incarnation]struct{}), zones: make(map[datacentre.ID]struct{})}
+	for e, l := range m.links {
+		if l.State(now) != Unreachable {
+			continue
+		}
+		switch e := e.(type) {
+		case Peer:
+			v.peers[e.Incarnation] = struct{}{}
+		case Zone:
+			v.zones[e.DataCentre] = struct{}{}
+		}
+	}
+	return v
+}
+
+// View is an immutable list of the unreachable ends.
+type View struct {
+	peers map[vm.Incarnation]struct{}
+	zones map[datacentre.ID]struct{}
+}
+
+// Unreachable reports whether a call to the VM would only run into its time-out.
+func (v *View) Unreachable(to vm.VM) bool {
+	if v == nil {
+		return false
+	}
+	_, peer := v.peers[to.Incarnation]
+	_, zone := v.zones[to.DataCentre]
+	return peer || zone
+}
+
+// Equal reports whether two views tell the same.
+func (v *View) Equal(other *View) bool {
+	if v == nil || other == nil || len(v.peers) != len(other.peers) || len(v.zones) != len(other.zones) {
+		return v == other
+	}
+	for p := range v.peers {
+		if _, ok := other.peers[p]; !ok {
+			return false
+		}
+	}
+	for z := range v.zones {
+		if _, ok := other.zones[z]; !ok {
+			return false
+		}
+	}
+	return true
+}
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/entry"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
@@ -23,6 +24,7 @@
 	CancelHere(ctx context.Context, id contract.SubmissionID, o owner.ID) contract.Answer
 	WitnessHere(ctx context.Context, id contract.SubmissionID, o owner.ID) contract.Answer
 	RecordHere(ctx context.Context, issuer vm.Incarnation, records []contract.Record) ([]contract.RecordStatus, error)
+	HeartbeatHere(ctx context.Context, h entry.Heartbeat) (vm.Incarnation, error)
 }
 
 // ServerConfig holds what a server is made of.
@@ -51,6 +53,9 @@
 	if err := s.rpc.RegisterName("Witness", &witnessService{handler: c.Handler}); err != nil {
 		return nil, errors.Annotate(err, "register witness service")
 	}
+	if err := s.rpc.RegisterName("Roster", &rosterService{handler: c.Handler}); err != nil {
+		return nil, errors.Annotate(err, "register roster service")
+	}
 	return s, nil
 }
 
