Test partitions, a hanging peer, a leaving endpoint and restarts

Cause: callers wait for the time-out of peers known to be unreachable, heartbeats pile up at a peer that hangs, and endpoints that answer "leaving" still get work. Change: a simulation of entry VMs on the manual clock with cut links, platform and endpoints; tables for partitions, a hanging peer, a leaving endpoint and restarts.

--- /dev/null
+++ b/pkg/entry/partition_test.go
@@ -0,0 +1,184 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// Guards against a data centre that stops serving when it is cut off, and against views
+// that do not heal at the join. The cases are the rows of docs/operations.md.
+func TestPartitions(t *testing.T) {
+	size := map[datacentre.ID]int{"centro": 3, "norte": 3, "sur": 3}
+	cutOff := func(from, to vm.VM) bool { return (from.DataCentre == "sur") != (to.DataCentre == "sur") }
+	oneWay := func(from, to vm.VM) bool { return from.DataCentre == "sur" && to.DataCentre != "sur" }
+	whole := func(_, _ vm.VM) bool { return false }
+	off := func(dc datacentre.ID) bool { return dc == "sur" }
+	on := func(datacentre.ID) bool { return false }
+	cases := []struct {
+		name        string
+		cut         func(from, to vm.VM) bool
+		offPlatform func(datacentre.ID) bool
+		// wantOthers is how many VMs of centro a VM of sur takes for alive during the cut.
+		wantOthers int
+		wantSkip   bool
+	}{
+		{"cut from the other data centres", cutOff, on, 0, true},
+		{"cut from the platform", whole, off, 3, false},
+		{"cut from both", cutOff, off, 0, true},
+		{"cannot call the others, is called by them", oneWay, on, 0, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSimulation(t, size, 12)
+			s.run(5 * clock.Second)
+			s.cut, s.offPlatform = c.cut, c.offPlatform
+			s.run(5 * clock.Second)
+			for _, id := range []vm.ID{"sur0", "sur1", "sur2"} {
+				n := s.node(id)
+				if got := n.alive("sur"); got != 3 {
+					t.Errorf("during the cut: got %d VMs of its own alive at %s, want 3", got, id)
+				}
+				if got := n.alive("centro"); got != c.wantOthers {
+					t.Errorf("during the cut: got %d VMs of centro alive at %s, want %d", got, id, c.wantOthers)
+				}
+				_, calls := n.peers.reachable(s.node("centro1").vm.Incarnation)
+				if calls == c.wantSkip {
+					t.Errorf("during the cut: got calls to centro %v at %s, want %v", calls, id, !c.wantSkip)
+				}
+			}
+			inside, outside := s.submit(s.node("sur0"), 16), s.submit(s.node("centro0"), 16)
+			s.run(4 * clock.Second)
+			for _, answer := range []*contract.Answer{inside, outside} {
+				if _, ok := (*answer).(contract.Complete); !ok {
+					t.Errorf("during the cut: got answer %#v, want complete", *answer)
+				}
+			}
+			s.run(clock.Minute)
+			s.cut, s.offPlatform = whole, on
+			s.run(4 * clock.Second)
+			for _, n := range s.nodes {
+				for dc := range size {
+					if got := n.alive(dc); got != 3 {
+						t.Errorf("after the join: got %d VMs of %s alive at %s, want 3", got, dc, n.vm.Incarnation)
+					}
+				}
+			}
+			if s.overcommits != 0 || s.maxInUse > 8 {
+				t.Errorf("got %d refusals as busy and %d slots in use, want 0 and at most 8", s.overcommits, s.maxInUse)
+			}
+		})
+	}
+}
+
+// Guards against a peer that holds up others because it takes calls and never answers.
+func TestHangingPeerHoldsUpNobody(t *testing.T) {
+	s := newSimulation(t, map[datacentre.ID]int{"centro": 4}, 12)
+	s.run(5 * clock.Second)
+	hanging := s.node("centro3")
+	hanging.hangs = true
+	s.run(2 * clock.Second)
+	status := func(n *node) vm.Status { v, _ := n.control.roster.Find(hanging.vm.Incarnation); return v.Status }
+	for _, n := range s.nodes[:3] {
+		if got := n.control.roster.Witness(); got == hanging.vm.Incarnation || status(n) == vm.Alive {
+			t.Errorf("got witness %s, status %v at %s; want another witness, not alive", got, status(n), n.vm.Incarnation)
+		}
+		if n.alive("centro") != 3 || n.maxBeats != 1 {
+			t.Errorf("got %d alive, %d heartbeats under way at a time; want 3 and 1", n.alive("centro"), n.maxBeats)
+		}
+	}
+	s.run(2 * clock.Second)
+	for _, n := range s.nodes[:3] {
+		if _, calls := n.peers.reachable(hanging.vm.Incarnation); calls {
+			t.Errorf("got calls to the hanging peer at %s, want none", n.vm.Incarnation)
+		}
+		answer := s.submit(n, 8)
+		s.run(clock.Second)
+		if _, ok := (*answer).(contract.Complete); !ok {
+			t.Errorf("got answer %#v at %s, want complete", *answer, n.vm.Incarnation)
+		}
+	}
+	hanging.hangs = false
+	s.run(2 * clock.Second)
+	if got := status(s.nodes[0]); got != vm.Alive {
+		t.Errorf("got %v after the peer came back, want alive", got)
+	}
+}
+
+// Guards against new work for an endpoint that leaves, and against its return on the
+// word of a list that lags.
+func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
+	s := newSimulation(t, map[datacentre.ID]int{"centro": 3}, 1)
+	s.run(5 * clock.Second)
+	e := s.endpoints[0]
+	drained := func() int {
+		count := 0
+		for _, n := range s.nodes {
+			if n.control.drains.Draining(e.ID) {
+				count++
+			}
+		}
+		return count
+	}
+	steps := []struct {
+		name  string
+		do    func()
+		after clock.Millis
+		want  int
+	}{
+		{"the endpoint answers that it leaves", func() {
+			e.leaving = true
+			for _, n := range s.nodes {
+				s.submit(n, 4)
+			}
+		}, 3 * clock.Second, 3},
+		{"the list still shows it live", func() {}, 30 * clock.Second, 3},
+		{"the list shows the leaving", func() { e.listed = listedLeaving }, 2 * clock.Second, 3},
+		{"the list omits it", func() { e.listed = unlisted }, 2 * clock.Second, 3},
+		{"the list shows it anew", func() { e.listed, e.leaving = listedLive, false }, 3 * clock.Second, 0},
+		{"the list alone shows that it leaves", func() { e.listed = listedLeaving }, 3 * clock.Second, 3},
+	}
+	for _, st := range steps {
+		st.do()
+		s.run(st.after)
+		if got := drained(); got != st.want {
+			t.Fatalf("%s: got %d VMs that send it nothing, want %d", st.name, got, st.want)
+		}
+	}
+	if e.refused > 8 {
+		t.Errorf("got %d refusals as leaving, want at most one for each slot", e.refused)
+	}
+}
+
+// Guards against a restart, a crash or a shutdown that leaves endpoints without a home
+// or rows at the platform for ever.
+func TestRosterFollowsRestarts(t *testing.T) {
+	s := newSimulation(t, map[datacentre.ID]int{"centro": 3}, 6)
+	s.run(5 * clock.Second)
+	old := s.node("centro1").vm.Incarnation
+	s.boot("centro1", "centro")
+	s.node("centro2").down = true
+	s.run(5 * clock.Second)
+	n := s.node("centro0")
+	if _, known := n.control.roster.Find(old); !known || n.alive("centro") != 2 {
+		t.Errorf("got known %v, %d alive; want the old incarnation known and 2 alive", known, n.alive("centro"))
+	}
+	for _, e := range s.endpoints {
+		homes := 0
+		for _, n := range s.nodes {
+			if !n.down && n.control.granted[e.ID] > 0 {
+				homes++
+			}
+		}
+		if homes != 1 {
+			t.Errorf("got %d homes of %s, want 1", homes, e.ID)
+		}
+	}
+	s.run(4 * clock.Minute)
+	if got := len(s.rows); got != 2 {
+		t.Errorf("got %d rows at the platform, want those of the 2 VMs alive", got)
+	}
+}
--- /dev/null
+++ b/pkg/entry/simulation_test.go
@@ -0,0 +1,295 @@
+package entry
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// simulation runs the control state machines of several VMs on one manual clock, with
+// links, a platform and endpoints that can be cut.
+type simulation struct {
+	t         *testing.T
+	now       clock.Millis
+	nodes     []*node
+	due       []delivery
+	waiter    WaiterID
+	replies   map[WaiterID]func(Reply)
+	rows      map[vm.Incarnation]vm.Row
+	revision  vm.RowRevision
+	endpoints []*simEndpoint
+	// cut tells whether calls from one VM to another are lost.
+	cut func(from, to vm.VM) bool
+	// offPlatform tells whether a data centre cannot reach the platform.
+	offPlatform func(datacentre.ID) bool
+	overcommits int
+	maxInUse    datacentre.Slots
+}
+
+type delivery struct {
+	at clock.Millis
+	do func()
+}
+
+type node struct {
+	vm       vm.VM
+	control  *Control
+	peers    Snapshot
+	down     bool
+	hangs    bool
+	underWay map[vm.Incarnation]int
+	maxBeats int
+	sent     int
+}
+
+type simEndpoint struct {
+	datacentre.Endpoint
+	leaving bool
+	listed  platformState
+	running datacentre.Slots
+	runs    clock.Millis
+	started int
+	// lastStart is when a task last started.
+	lastStart clock.Millis
+	refused   int
+}
+
+type platformState int
+
+const (
+	listedLive platformState = iota
+	listedLeaving
+	unlisted
+)
+
+func newSimulation(t *testing.T, vmsIn map[datacentre.ID]int, endpointsEach int) *simulation {
+	s := &simulation{
+		t:           t,
+		replies:     make(map[WaiterID]func(Reply)),
+		rows:        make(map[vm.Incarnation]vm.Row),
+		cut:         func(_, _ vm.VM) bool { return false },
+		offPlatform: func(datacentre.ID) bool { return false },
+	}
+	for _, dc := range []datacentre.ID{"centro", "norte", "sur", "oeste"} {
+		for i := range vmsIn[dc] {
+			s.boot(vm.ID(fmt.Sprintf("%s%d", dc, i)), dc)
+		}
+		for i := range endpointsEach * min(1, vmsIn[dc]) {
+			s.endpoints = append(s.endpoints, &simEndpoint{runs: 200, Endpoint: datacentre.Endpoint{
+				ID: datacentre.EndpointID(fmt.Sprintf("e-%s-%d", dc, i)), DataCentre: dc, Address: fmt.Sprintf("%s:%d", dc, i), Slots: 8, Connections: 64,
+			}})
+		}
+	}
+	return s
+}
+
+// boot starts an incarnation of a VM; an earlier one under the same name ends.
+func (s *simulation) boot(id vm.ID, dc datacentre.ID) *node {
+	nonce := 0
+	for _, n := range s.nodes {
+		if n.vm.Incarnation.VM() == id {
+			n.down = true
+			nonce++
+		}
+	}
+	v := vm.VM{Incarnation: vm.NewIncarnation(id, fmt.Sprint(nonce)), DataCentre: dc, PeerAddress: string(id) + ":7001", Size: 1, Started: s.now}
+	n := &node{vm: v, underWay: make(map[vm.Incarnation]int)}
+	n.control = NewControl(ControlConfig{
+		DataCentre: dc, Self: v.Incarnation, VM: v, Now: s.now, Key: []byte(v.Incarnation),
+		Dispatch: dispatch.Config{QueuedTasks: 10000}, AttemptTimeout: 30 * clock.Second,
+	})
+	s.nodes = append(s.nodes, n)
+	s.handle(n, OwnersChanged{Owners: []owner.Owner{{ID: "ads", Share: 1, Classes: []owner.Class{{Name: "swap", Deadline: clock.Minute}}, Limits: owner.Limits{TasksPerJob: 1000, QueuedTasks: 10000}}}})
+	return n
+}
+
+func (s *simulation) node(id vm.ID) *node {
+	i := slices.IndexFunc(s.nodes, func(n *node) bool { return n.vm.Incarnation.VM() == id && !n.down })
+	if i < 0 {
+		s.t.Fatalf("no VM %s is up", id)
+	}
+	return s.nodes[i]
+}
+
+// run lets time pass in steps of the tick.
+func (s *simulation) run(span clock.Millis) {
+	for end := s.now + span; s.now < end; s.now++ {
+		for i := 0; i < len(s.due); {
+			if s.due[i].at > s.now {
+				i++
+				continue
+			}
+			d := s.due[i]
+			s.due = slices.Delete(s.due, i, i+1)
+			d.do()
+		}
+		for i, n := range s.nodes {
+			if n.down {
+				continue
+			}
+			if s.now%50 == 0 {
+				s.handle(n, Tick{})
+			}
+			if (s.now+clock.Millis(i)*37)%clock.Second == 0 && !s.offPlatform(n.vm.DataCentre) {
+				s.poll(n)
+			}
+		}
+	}
+}
+
+func (s *simulation) after(span clock.Millis, do func()) {
+	s.due = append(s.due, delivery{at: s.now + span, do: do})
+}
+
+func (s *simulation) poll(n *node) {
+	old, ok := s.rows[n.vm.Incarnation]
+	if !ok || s.now/vm.RefreshRowEvery != (s.now-clock.Second)/vm.RefreshRowEvery || old.Revision == 0 {
+		s.revision++
+		s.rows[n.vm.Incarnation] = vm.Row{VM: n.vm, Revision: s.revision}
+	}
+	var rows []vm.Row
+	for _, r := range s.rows {
+		rows = append(rows, r)
+	}
+	s.handle(n, RowsRead{Rows: rows})
+	var listed EndpointsListed
+	for _, e := range s.endpoints {
+		switch {
+		case e.DataCentre != n.vm.DataCentre || e.listed == unlisted:
+		case e.listed == listedLeaving:
+			listed.Leaving = append(listed.Leaving, e.ID)
+		default:
+			listed.Endpoints = append(listed.Endpoints, e.Endpoint)
+		}
+	}
+	s.handle(n, listed)
+}
+
+func (s *simulation) handle(n *node, e Event) {
+	if n.down {
+		return
+	}
+	for _, a := range slices.Clone(n.control.Handle(s.now, e)) {
+		s.execute(n, a)
+	}
+}
+
+func (s *simulation) execute(n *node, a Action) {
+	switch a := a.(type) {
+	case ReplyTo:
+		if reply, ok := s.replies[a.Waiter]; ok {
+			delete(s.replies, a.Waiter)
+			reply(a.Reply)
+		}
+	case PublishPeers:
+		n.peers = a.Peers
+	case DeleteRow:
+		if s.rows[a.Row.VM.Incarnation].Revision == a.Row.Revision {
+			delete(s.rows, a.Row.VM.Incarnation)
+		}
+	case SendHeartbeat:
+		n.sent++
+		n.underWay[a.To.Incarnation]++
+		n.maxBeats = max(n.maxBeats, n.underWay[a.To.Incarnation])
+		s.call(n, a.To, func(w WaiterID) Event { return HeartbeatReceived{Waiter: w, Heartbeat: a.Heartbeat} }, func(r Reply) {
+			n.underWay[a.To.Incarnation]--
+			reply, ok := r.(HeartbeatReply)
+			if !ok {
+				s.handle(n, HeartbeatFailed{To: a.To})
+				return
+			}
+			s.handle(n, HeartbeatAnswered{To: a.To, Answered: reply.Incarnation, RoundTripMicros: 2000, Reported: a.reported})
+		})
+	case SendRecords:
+		s.call(n, a.Witness, func(w WaiterID) Event {
+			return RecordsReceived{Waiter: w, Issuer: n.vm.Incarnation, Records: a.Records}
+		}, func(r Reply) {
+			reply, _ := r.(RecordsReply)
+			s.handle(n, RecordsAnswered{Witness: a.Witness.Incarnation, Statuses: reply.Statuses})
+		})
+	case RunAttempt:
+		s.attempt(n, a)
+	}
+}
+
+// call carries a call to the VM at an address and its reply back, 1 ms each way. Without
+// a reply the call ends after its deadline of 1 s with nil.
+func (s *simulation) call(from *node, to vm.VM, event func(WaiterID) Event, done func(Reply)) {
+	s.waiter++
+	w := s.waiter
+	ended := false
+	end := func(r Reply) {
+		if !ended {
+			ended = true
+			done(r)
+		}
+	}
+	s.after(clock.Second, func() { end(nil) })
+	s.after(1, func() {
+		i := slices.IndexFunc(s.nodes, func(n *node) bool { return n.vm.PeerAddress == to.PeerAddress && !n.down })
+		if i < 0 || s.nodes[i].hangs || s.cut(from.vm, s.nodes[i].vm) {
+			return
+		}
+		s.replies[w] = func(r Reply) { s.after(1, func() { end(r) }) }
+		s.handle(s.nodes[i], event(w))
+	})
+}
+
+func (s *simulation) attempt(n *node, a RunAttempt) {
+	end := func(span clock.Millis, r contract.AttemptResult) {
+		s.after(span, func() { s.handle(n, AttemptEnded{Attempt: a.Attempt, Start: a.Start, Result: r}) })
+	}
+	i := slices.IndexFunc(s.endpoints, func(e *simEndpoint) bool { return e.ID == a.Endpoint.ID })
+	if i < 0 {
+		end(1, contract.NotStarted{Cause: contract.EndpointUnreachable})
+		return
+	}
+	e := s.endpoints[i]
+	switch {
+	case e.leaving:
+		e.refused++
+		end(2, contract.NotStarted{Cause: contract.EndpointLeaving})
+	case e.running >= e.Slots:
+		s.overcommits++
+		end(2, contract.NotStarted{Cause: contract.EndpointBusy})
+	default:
+		e.running++
+		e.started++
+		e.lastStart = s.now
+		s.maxInUse = max(s.maxInUse, e.running)
+		s.after(e.runs, func() { e.running-- })
+		end(e.runs, contract.Succeeded{Result: []byte("ok")})
+	}
+}
+
+// submit runs a job at a VM and returns where its answer will be.
+func (s *simulation) submit(n *node, tasks int) *contract.Answer {
+	var answer contract.Answer
+	s.waiter++
+	s.replies[s.waiter] = func(r Reply) {
+		sub := contract.Submission{ID: r.(IDs).IDs[0], Owner: "ads", Kind: "swap", Class: "swap", Deadline: clock.Minute, Tasks: make([]contract.Task, tasks)}
+		s.waiter++
+		s.replies[s.waiter] = func(r Reply) { answer = r.(AnswerReply).Answer }
+		s.handle(n, Submitted{Waiter: s.waiter, Submission: sub, Wait: true})
+	}
+	s.handle(n, ReserveIDs{Waiter: s.waiter, Owner: "ads", Count: 1})
+	return &answer
+}
+
+// alive lists the VMs of a data centre that a VM takes for alive.
+func (n *node) alive(dc datacentre.ID) int {
+	count := 0
+	for _, v := range n.control.roster.VMs() {
+		if v.DataCentre == dc && v.Status == vm.Alive {
+			count++
+		}
+	}
+	return count
+}
