Skip unreachable peers, bound heartbeats under way, heed leaving endpoints

Change: the router calls no VM whose own link or whose data centre's link is unreachable; one heartbeat at most is under way to a peer; an endpoint that answers "leaving" gets no slots at any VM of its data centre, until the list has shown it leaving or absent and then live, or has shown it live for a minute since the last sign.

--- a/pkg/datacentre/drains.go
+++ b/pkg/datacentre/drains.go
@@ -78,7 +78,7 @@
 	}
 	for _, e := range live {
 		s, ok := d.signs[e]
-		if ok && s.leaving {
+		if ok && s.leaving && (s.absent || now-s.at >= listLag) {
 			d.signs[e] = &drainSign{at: now}
 		}
 	}
--- a/pkg/entry/control_endpoints.go
+++ b/pkg/entry/control_endpoints.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 )
 
@@ -28,7 +29,13 @@
 }
 
 // noteDrain takes an endpoint's own word that it leaves.
-func (c *Control) noteDrain(_ clock.Millis, _ AttemptEnded) {
+func (c *Control) noteDrain(now clock.Millis, e AttemptEnded) {
+	r, ok := e.Result.(contract.NotStarted)
+	if !ok || r.Cause != contract.EndpointLeaving {
+		return
+	}
+	c.drains.SawLeaving(now, e.Start.Endpoint)
+	c.assignHomes(now)
 }
 
 // assignHomes gives the scheduler the slots of the endpoints whose home is this VM.
--- a/pkg/entry/control_membership.go
+++ b/pkg/entry/control_membership.go
@@ -171,7 +171,7 @@
 			c.neighbours.beats[to.Incarnation] = b
 		}
 		// One heartbeat at most is under way, so a peer that hangs costs one goroutine.
-		if now-b.at < c.heartbeatInterval(to) {
+		if b.underWay || now-b.at < c.heartbeatInterval(to) {
 			continue
 		}
 		if !gathered {
--- a/pkg/entry/snapshot.go
+++ b/pkg/entry/snapshot.go
@@ -14,5 +14,8 @@
 // reachable finds a VM that is worth calling.
 func (s Snapshot) reachable(i vm.Incarnation) (vm.VM, bool) {
 	v, ok := s.Roster.Find(i)
-	return v, ok
+	if !ok || s.Links.Unreachable(v) {
+		return vm.VM{}, false
+	}
+	return v, true
 }
