End calls with their context also while the request is being written

Change: the request is written on a goroutine of its own; a call that ends before the request is written closes the connection, which also ends that goroutine. Conclusion: a peer that reads nothing costs one goroutine until the deadline.

--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -103,19 +103,37 @@
 	if err != nil {
 		return errors.Annotatef(err, "connect to peer %s", to.Incarnation)
 	}
-	call := p.Go(method, request, reply, make(chan *rpc.Call, 1))
+	done := make(chan *rpc.Call, 1)
+	written := make(chan struct{})
+	// Go returns only after the request is written, which a peer that reads nothing
+	// can hold up for ever.
+	go func() {
+		p.Go(method, request, reply, done)
+		close(written)
+	}()
 	select {
-	case done := <-call.Done:
-		if done.Error != nil {
-			c.drop(to.PeerAddress, p, done.Error)
-			return errors.Annotatef(done.Error, "%s at peer %s", method, to.Incarnation)
+	case call := <-done:
+		if call.Error != nil {
+			c.drop(to.PeerAddress, p, call.Error)
+			return errors.Annotatef(call.Error, "%s at peer %s", method, to.Incarnation)
 		}
 		return nil
 	case <-ctx.Done():
+		c.dropUnlessWritten(to.PeerAddress, p, written)
 		return errors.Annotatef(ctx.Err(), "%s at peer %s", method, to.Incarnation)
 	}
 }
 
+// dropUnlessWritten closes a connection on which the peer does not read; the close also
+// ends the goroutine that writes.
+func (c *Client) dropUnlessWritten(address string, p *rpc.Client, written <-chan struct{}) {
+	select {
+	case <-written:
+	default:
+		c.drop(address, p, rpc.ErrShutdown)
+	}
+}
+
 func (c *Client) connect(ctx context.Context, address string) (*rpc.Client, error) {
 	c.mu.Lock()
 	p, ok := c.peers[address]
