Spread the delegates over all VMs and keep each delegate's word apart

Cause: with the same two delegates toward all others, a delegate at 22 data centres of 16 VMs sent and received 23.7 KB/s of heartbeats, over the budget of 19 KB/s. When delegates changed, the old one's last word could stand against the new one's for a minute: TestPartitions failed 9 times of 9 shown with "got 1 VMs of centro alive at sur0, want 3". Change: delegates are chosen for each pair of data centres; a VM counts as heard while any delegate vouches for it, and a delegate's no withdraws only its own word.

--- a/pkg/entry/control_membership.go
+++ b/pkg/entry/control_membership.go
@@ -21,9 +21,8 @@
 	// targetsOf and targetsTurn tell what the targets were chosen for.
 	targetsOf   *vm.Roster
 	targetsTurn clock.Millis
-	delegate    bool
-	// silent are the data centres that this VM does not reach itself.
-	silent []datacentre.ID
+	// reached are the other data centres that answer this VM itself.
+	reached []datacentre.ID
 }
 
 type beat struct {
@@ -71,16 +70,13 @@
 	r := m.Heard(now, h.From)
 	local := h.From.DataCentre == c.config.DataCentre
 	for _, v := range h.Reports {
-		// A VM speaks for its own data centre, or inside it for the others. What this VM
-		// hears itself counts more than what another delegate passes on.
-		if (v.DataCentre == h.From.DataCentre) != local && !(local && c.reaches(now, v.DataCentre)) {
-			r = m.Reported(now, v)
+		// A VM speaks for its own data centre, or inside it for the others.
+		if (v.DataCentre == h.From.DataCentre) != local {
+			r = m.Reported(now, h.From.Incarnation, v)
 		}
 	}
 	c.setRoster(now, r)
-	if h.Delegate {
-		c.vouched(now, h, local)
-	}
+	c.vouched(now, h, local)
 	if local {
 		c.drains.Merge(now, h.Drains)
 		c.assignHomes(now)
@@ -91,27 +87,19 @@
 func (c *Control) vouched(now clock.Millis, h Heartbeat, local bool) {
 	n := c.neighbours
 	if !local {
+		n.links.To(link.Zone{DataCentre: h.From.DataCentre}).Heard(now)
 		// A data centre that calls but does not answer is no use as a witness.
 		if c.reaches(now, h.From.DataCentre) {
-			c.setRoster(now, n.membership.Vouched(now, h.From.DataCentre))
+			c.setRoster(now, n.membership.Vouched(now, h.From.Incarnation, h.From.DataCentre))
 		}
 		return
 	}
-	silent := make(map[datacentre.ID]bool, len(h.Silent))
-	for _, dc := range h.Silent {
-		silent[dc] = true
-	}
-	for _, dc := range c.roster.DataCentres() {
+	for _, dc := range h.Reaches {
 		if dc == c.config.DataCentre {
 			continue
 		}
-		zone := n.links.To(link.Zone{DataCentre: dc})
-		zone.Tried(now)
-		if silent[dc] {
-			continue
-		}
-		zone.Vouched(now)
-		c.setRoster(now, n.membership.Vouched(now, dc))
+		n.links.To(link.Zone{DataCentre: dc}).Vouched(now)
+		c.setRoster(now, n.membership.Vouched(now, h.From.Incarnation, dc))
 	}
 }
 
@@ -187,61 +175,59 @@
 	case to.Status == vm.Removed:
 		return probeEvery
 	case to.DataCentre != c.config.DataCentre:
-		return zoneHeartbeatEvery
+		return ZoneHeartbeatEvery
 	default:
-		return heartbeatEvery
+		return HeartbeatEvery
 	}
 }
 
 func (c *Control) heartbeat(now clock.Millis, to vm.VM, drains []datacentre.DrainReport) SendHeartbeat {
 	n := c.neighbours
 	self, _ := c.roster.Find(c.config.Self)
-	h := Heartbeat{From: self, RosterVersion: c.roster.Version, Backlog: c.scheduler.Queued(), Delegate: n.delegate}
+	h := Heartbeat{From: self, RosterVersion: c.roster.Version, Backlog: c.scheduler.Queued()}
 	local := to.DataCentre == c.config.DataCentre
 	if local {
 		h.Drains = drains
 	}
 	n.links.To(link.Peer{Incarnation: to.Incarnation}).Tried(now)
-	if !local {
-		n.links.To(link.Zone{DataCentre: to.DataCentre}).Tried(now)
+	if local {
+		h.Reaches = n.reached
 	}
 	var upTo change
-	if n.delegate {
-		// Inside the data centre a delegate tells of the others that it reaches, and the
-		// reverse.
-		h.Reports, upTo = n.journal.since(now, to.Incarnation, func(v vm.VM) bool {
-			if local {
-				return v.DataCentre != c.config.DataCentre && !slices.Contains(n.silent, v.DataCentre)
-			}
-			return v.DataCentre == c.config.DataCentre
-		})
-	}
-	if n.delegate && local {
-		h.Silent = n.silent
-	}
+	h.Reports, upTo = n.journal.since(now, to.Incarnation, func(v vm.VM) bool {
+		if local {
+			return slices.Contains(n.reached, v.DataCentre)
+		}
+		return v.DataCentre == c.config.DataCentre
+	})
 	return SendHeartbeat{To: to, Heartbeat: h, reported: upTo}
 }
 
-// watchZones notes which data centres this VM does not reach. What is in scope for the
-// peers changes with them, so the peers are told again.
+// watchZones notes which data centres this VM reaches. What it tells its peers changes
+// with them, so the peers are told again.
 func (c *Control) watchZones(now clock.Millis) {
 	n := c.neighbours
-	var silent []datacentre.ID
+	var reached []datacentre.ID
 	for _, dc := range c.roster.DataCentres() {
-		if dc != c.config.DataCentre && !c.reaches(now, dc) {
-			silent = append(silent, dc)
+		if dc == c.config.DataCentre {
+			continue
+		}
+		// Somebody of this data centre tries it, so silence from now on counts.
+		n.links.To(link.Zone{DataCentre: dc}).Tried(now)
+		if c.reaches(now, dc) {
+			reached = append(reached, dc)
 		}
 	}
-	if !slices.Equal(silent, n.silent) {
-		n.silent = silent
+	if !slices.Equal(reached, n.reached) {
+		n.reached = reached
 		n.journal.forget()
 	}
 }
 
-// reaches reports whether this VM itself has lately been answered by a data centre.
+// reaches reports whether this VM itself lately heard a data centre and was answered by it.
 func (c *Control) reaches(now clock.Millis, dc datacentre.ID) bool {
 	zone, ok := c.neighbours.links.Find(link.Zone{DataCentre: dc})
-	return ok && zone.LastAnswered != 0 && zone.DirectState(now) == link.Reachable
+	return ok && zone.BothWays(now)
 }
 
 // heartbeatTargets chooses anew only when the roster or the turn has changed, since the
@@ -254,10 +240,6 @@
 	}
 	n.targetsOf, n.targetsTurn = c.roster, turn
 	n.targets = c.roster.HeartbeatTargets(now)
-	if delegate := c.roster.IsDelegate(now); delegate != n.delegate {
-		n.delegate = delegate
-		n.journal.forget()
-	}
 	c.dropIdleLinks()
 	return n.targets
 }
--- a/pkg/entry/heartbeat.go
+++ b/pkg/entry/heartbeat.go
@@ -7,11 +7,10 @@
 )
 
 const (
-	// heartbeatEvery leaves room for two lost heartbeats before a VM is suspected.
-	heartbeatEvery = 400 * clock.Millis(1)
-	// zoneHeartbeatEvery is for heartbeats between data centres, of which a delegate
-	// sends 21 at design size.
-	zoneHeartbeatEvery = 450 * clock.Millis(1)
+	// HeartbeatEvery leaves room for two lost heartbeats before a VM is suspected.
+	HeartbeatEvery = 400 * clock.Millis(1)
+	// ZoneHeartbeatEvery is for heartbeats between data centres.
+	ZoneHeartbeatEvery = 450 * clock.Millis(1)
 	// probeEvery is for VMs that are listed but silent.
 	probeEvery = clock.Second
 	// HeartbeatTimeout bounds one heartbeat call.
@@ -24,14 +23,13 @@
 	RosterVersion vm.RosterVersion
 	// Backlog counts the tasks that wait at the sender.
 	Backlog int
-	// Delegate says that the sender speaks for its data centre or, inside it, passes on
-	// what it hears of the others. It vouches for what it reported alive.
-	Delegate bool
-	// Reports are the VMs of which the receiver has not yet confirmed the latest news.
+	// Reports are the VMs of which the receiver has not yet confirmed the latest news:
+	// those of the sender's data centre for another one, those of others inside it.
 	Reports []vm.VM
-	// Silent are the data centres that the delegate does not reach.
-	Silent []datacentre.ID
-	Drains []datacentre.DrainReport
+	// Reaches are the other data centres that answer the sender. Inside its data centre
+	// the sender vouches for what it reported alive of them.
+	Reaches []datacentre.ID
+	Drains  []datacentre.DrainReport
 }
 
 // HeartbeatReceived brings a heartbeat of a peer. Reply: HeartbeatReply.
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -49,6 +49,8 @@
 	LastAnswered clock.Millis
 	// lastVouched is when a delegate last said that it reaches the data centre.
 	lastVouched clock.Millis
+	// lastHeard is when a heartbeat last came the other way.
+	lastHeard clock.Millis
 	// firstTried is when the first call began.
 	firstTried clock.Millis
 }
@@ -77,20 +79,10 @@
 
 // State returns the state at a point in time.
 func (l *Link) State(now clock.Millis) State {
-	return l.state(now, max(l.LastAnswered, l.lastVouched))
-}
-
-// DirectState leaves out what delegates say; a delegate passes on only what it has seen
-// itself, so that two delegates cannot confirm each other's news for ever.
-func (l *Link) DirectState(now clock.Millis) State {
-	return l.state(now, l.LastAnswered)
-}
-
-func (l *Link) state(now, last clock.Millis) State {
 	if l.firstTried == 0 {
 		return Reachable
 	}
-	silence := now - max(last, l.firstTried)
+	silence := now - max(l.LastAnswered, l.lastVouched, l.firstTried)
 	switch {
 	case silence >= vm.RemoveAfter:
 		return Unreachable
@@ -101,9 +93,22 @@
 	}
 }
 
+// Heard notes a heartbeat that came the other way.
+func (l *Link) Heard(now clock.Millis) {
+	l.lastHeard = now
+}
+
+// BothWays reports whether this VM itself is answered over the link and hears from its
+// end. A delegate passes on only what it has so, or else two delegates would confirm each
+// other's old news.
+func (l *Link) BothWays(now clock.Millis) bool {
+	last := min(l.LastAnswered, l.lastHeard)
+	return last != 0 && now-last < vm.SuspectAfter
+}
+
 // excuse moves the evidence over a pause of this VM.
 func (l *Link) excuse(pause clock.Millis) {
-	for _, at := range []*clock.Millis{&l.firstTried, &l.LastAnswered, &l.lastVouched} {
+	for _, at := range []*clock.Millis{&l.firstTried, &l.LastAnswered, &l.lastVouched, &l.lastHeard} {
 		if *at != 0 {
 			*at += pause
 		}
--- /dev/null
+++ b/pkg/peer/traffic_bench_test.go
@@ -0,0 +1,132 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/entry"
+	"github.com/sequoiacart/sequoiacart/pkg/peer"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// quietHandler answers heartbeats and nothing else.
+type quietHandler struct{ peer.Handler }
+
+func (quietHandler) HeartbeatHere(context.Context, entry.Heartbeat) (vm.Incarnation, error) {
+	return "sur12-0123456789ab", nil
+}
+
+// pipeListener hands out the one connection of a test.
+type pipeListener struct{ conns chan net.Conn }
+
+func (l pipeListener) Accept() (net.Conn, error) {
+	c, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+func (l pipeListener) Close() error   { close(l.conns); return nil }
+func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	c.bytes.Add(int64(len(b)))
+	return c.Conn.Write(b)
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkControlTraffic counts the messages of one node from the heartbeat targets of a
+// roster in a steady state, and the bytes from calls over a counted connection, requests
+// and replies, without the headers of TCP and IP. It counts what a node sends as a caller
+// and, since every call has its like the other way round, as much again as a callee.
+func BenchmarkControlTraffic(b *testing.B) {
+	perCall := measureHeartbeat(b)
+	for _, zones := range []int{3, 7, 22} {
+		for _, each := range []int{4, 8, 16} {
+			mean, most := heartbeatsPerSecond(zones, each)
+			b.Run(fmt.Sprintf("zones=%d/vms=%d", zones, each), func(b *testing.B) {
+				for range b.N {
+					heartbeatsPerSecond(zones, each)
+				}
+				b.ReportMetric(2*mean, "mean-calls/s")
+				b.ReportMetric(2*most, "most-calls/s")
+				b.ReportMetric(2*mean*perCall/1000, "mean-KB/s")
+				b.ReportMetric(2*most*perCall/1000, "most-KB/s")
+			})
+		}
+	}
+}
+
+// heartbeatsPerSecond counts what the VMs of the first data centre send: the mean, and
+// the VM that is a delegate toward most others.
+func heartbeatsPerSecond(zones, each int) (mean, most float64) {
+	var vms []vm.VM
+	for z := range zones {
+		for i := range each {
+			vms = append(vms, vm.VM{Incarnation: vm.Incarnation(fmt.Sprintf("z%dv%d-1", z, i)), DataCentre: datacentre.ID(fmt.Sprint("z", z)), Size: 1})
+		}
+	}
+	for _, v := range vms[:each] {
+		r := vm.NewRoster(vm.RosterConfig{Self: v.Incarnation, VMs: vms})
+		rate := 0.0
+		for _, to := range r.HeartbeatTargets(1) {
+			span := entry.HeartbeatEvery
+			if to.DataCentre != v.DataCentre {
+				span = entry.ZoneHeartbeatEvery
+			}
+			rate += float64(clock.Second) / float64(span)
+		}
+		mean += rate / float64(each)
+		most = max(most, rate)
+	}
+	return mean, most
+}
+
+func measureHeartbeat(b *testing.B) float64 {
+	b.Helper()
+	conns := make(chan net.Conn, 1)
+	server, err := peer.NewServer(peer.ServerConfig{Listener: pipeListener{conns}, Handler: quietHandler{}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	go func() { _ = server.Serve() }()
+	defer server.Close()
+	var bytes atomic.Int64
+	near, far := net.Pipe()
+	conns <- far
+	c := peer.NewClient(peer.ClientConfig{Dialer: fixedDialer{countingConn{near, &bytes}}})
+	defer c.Close()
+	self := vm.VM{Incarnation: "sur11-0123456789ab", DataCentre: "sur", PeerAddress: "10.11.12.13:7001", Size: 16, Started: 1_765_000_000_000}
+	const calls = 100
+	for i := range calls + 1 {
+		if i == 1 {
+			// The first call carries the descriptions of the types.
+			bytes.Store(0)
+		}
+		if _, err := c.Heartbeat(context.Background(), self, entry.Heartbeat{From: self, RosterVersion: 1000, Backlog: 1000, Reaches: []datacentre.ID{"sur", "oeste", "norte"}}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return float64(bytes.Load()) / calls
+}
+
+type fixedDialer struct{ conn net.Conn }
+
+func (d fixedDialer) DialContext(context.Context, string, string) (net.Conn, error) {
+	return d.conn, nil
+}
--- a/pkg/peer/wire_roster.go
+++ b/pkg/peer/wire_roster.go
@@ -30,9 +30,8 @@
 	From          WireVM
 	RosterVersion uint64
 	Backlog       int
-	Delegate      bool
 	Reports       []WireVM
-	Silent        []string
+	Reaches       []string
 	Drains        []WireDrain
 }
 
@@ -46,13 +45,12 @@
 		From:          encodeVM(h.From),
 		RosterVersion: uint64(h.RosterVersion),
 		Backlog:       h.Backlog,
-		Delegate:      h.Delegate,
 	}
 	for _, v := range h.Reports {
 		w.Reports = append(w.Reports, encodeVM(v))
 	}
-	for _, dc := range h.Silent {
-		w.Silent = append(w.Silent, string(dc))
+	for _, dc := range h.Reaches {
+		w.Reaches = append(w.Reaches, string(dc))
 	}
 	for _, d := range h.Drains {
 		w.Drains = append(w.Drains, WireDrain{Endpoint: string(d.Endpoint), Leaving: d.Leaving, AgeMs: int64(d.Age)})
@@ -65,13 +63,12 @@
 		From:          decodeVM(w.From),
 		RosterVersion: vm.RosterVersion(w.RosterVersion),
 		Backlog:       w.Backlog,
-		Delegate:      w.Delegate,
 	}
 	for _, v := range w.Reports {
 		h.Reports = append(h.Reports, decodeVM(v))
 	}
-	for _, dc := range w.Silent {
-		h.Silent = append(h.Silent, datacentre.ID(dc))
+	for _, dc := range w.Reaches {
+		h.Reaches = append(h.Reaches, datacentre.ID(dc))
 	}
 	for _, d := range w.Drains {
 		h.Drains = append(h.Drains, datacentre.DrainReport{
--- a/pkg/vm/delegates.go
+++ b/pkg/vm/delegates.go
@@ -17,31 +17,24 @@
 	delegateRotation = 5 * clock.Second
 )
 
-// Delegates returns the VMs that speak for a data centre: the highest scores by
-// rendezvous hashing among those alive. Where too few are known to be alive, listed ones
-// are tried in turns, since any of them may have come back.
-func (r *Roster) Delegates(now clock.Millis, dc datacentre.ID) []VM {
-	chosen := r.top("delegate", func(v VM) bool { return v.DataCentre == dc && v.usable() && v.Status == Alive })
+// Delegates returns the VMs of a data centre that speak for it to another one: the
+// highest scores by rendezvous hashing among those alive, so that the other data centres
+// are spread over all VMs. Where too few are known to be alive, listed ones are tried in
+// turns, since any of them may have come back.
+func (r *Roster) Delegates(now clock.Millis, dc, toward datacentre.ID) []VM {
+	key := "delegate/" + string(toward)
+	chosen := r.top(key, func(v VM) bool { return v.DataCentre == dc && v.usable() && v.Status == Alive })
 	if len(chosen) >= DelegatesPerDataCentre {
 		return chosen[:DelegatesPerDataCentre]
 	}
-	turn := "delegate" + strconv.FormatInt(int64(now/delegateRotation), 10)
+	turn := key + "/" + strconv.FormatInt(int64(now/delegateRotation), 10)
 	silent := r.top(turn, func(v VM) bool { return v.DataCentre == dc && v.Listed && v.Status != Alive })
 	chosen = append(chosen, silent...)
 	return chosen[:min(len(chosen), DelegatesPerDataCentre)]
 }
 
-// IsDelegate reports whether this VM speaks for its data centre.
-func (r *Roster) IsDelegate(now clock.Millis) bool {
-	self, ok := r.Find(r.Self)
-	if !ok {
-		return false
-	}
-	return r.delegateRank(now, self) >= 0
-}
-
 // HeartbeatTargets returns whom this VM sends heartbeats: every listed or live VM of its
-// data centre, and as a delegate one delegate of each other data centre. Delegates of
+// data centre, and one VM of each data centre toward which it is a delegate. Delegates of
 // equal rank pair up, which halves the traffic against all pairs.
 func (r *Roster) HeartbeatTargets(now clock.Millis) []VM {
 	self, ok := r.Find(r.Self)
@@ -54,16 +47,14 @@
 			targets = append(targets, v)
 		}
 	}
-	rank := r.delegateRank(now, self)
-	if rank < 0 {
-		return targets
-	}
 	for _, dc := range r.DataCentres() {
 		if dc == self.DataCentre {
 			continue
 		}
-		if delegates := r.Delegates(now, dc); len(delegates) > 0 {
-			targets = append(targets, delegates[rank%len(delegates)])
+		rank := slices.IndexFunc(r.Delegates(now, self.DataCentre, dc), func(v VM) bool { return v.Incarnation == r.Self })
+		others := r.Delegates(now, dc, self.DataCentre)
+		if rank >= 0 && len(others) > 0 {
+			targets = append(targets, others[rank%len(others)])
 		}
 	}
 	return targets
@@ -79,10 +70,6 @@
 	return slices.Compact(all)
 }
 
-func (r *Roster) delegateRank(now clock.Millis, self VM) int {
-	return slices.IndexFunc(r.Delegates(now, self.DataCentre), func(v VM) bool { return v.Incarnation == self.Incarnation })
-}
-
 func (r *Roster) top(key string, eligible func(VM) bool) []VM {
 	var chosen []VM
 	for _, v := range r.vms {
--- a/pkg/vm/membership.go
+++ b/pkg/vm/membership.go
@@ -71,8 +71,8 @@
 	answeredAt clock.Millis
 	// replaced says that a later incarnation has taken the name or the address.
 	replaced bool
-	// vouched says that a delegate counts the VM among those it hears.
-	vouched bool
+	// vouchers are the delegates that count the VM among those they hear.
+	vouchers map[Incarnation]struct{}
 	// shown is the VM as the roster in force tells it.
 	shown VM
 }
@@ -166,31 +166,33 @@
 	return m.publishIfChanged(now, e)
 }
 
-// Reported takes over a delegate's word on a VM: that it hears the VM, or that it does not.
-func (m *Membership) Reported(now clock.Millis, v VM) *Roster {
+// Reported takes over a delegate's word on a VM. A delegate that no longer hears the VM
+// only withdraws its own word: another may hear it, and otherwise silence takes effect.
+func (m *Membership) Reported(now clock.Millis, from Incarnation, v VM) *Roster {
 	m.pass(now)
 	e := m.know(now, v)
 	if e == nil || v.Incarnation == m.self.Incarnation {
 		return m.roster
 	}
 	e.vm.Leaving = v.Leaving
-	e.vouched = v.Status == Alive
-	switch v.Status {
-	case Alive:
-		e.heardAt, e.answeredAt = now, now
-	case Suspected:
-	case Removed:
-		e.heardAt, e.answeredAt = never, never
+	if v.Status != Alive {
+		delete(e.vouchers, from)
+		return m.publishIfChanged(now, e)
 	}
+	if e.vouchers == nil {
+		e.vouchers = make(map[Incarnation]struct{})
+	}
+	e.vouchers[from] = struct{}{}
+	e.heardAt, e.answeredAt = now, now
 	return m.publishIfChanged(now, e)
 }
 
 // Vouched takes over a delegate's word that it still hears all VMs of a data centre that
 // it reported alive.
-func (m *Membership) Vouched(now clock.Millis, dc datacentre.ID) *Roster {
+func (m *Membership) Vouched(now clock.Millis, from Incarnation, dc datacentre.ID) *Roster {
 	m.pass(now)
 	for _, e := range m.members {
-		if e.vouched && e.vm.DataCentre == dc {
+		if _, ok := e.vouchers[from]; ok && e.vm.DataCentre == dc {
 			e.heardAt, e.answeredAt = now, now
 		}
 	}
@@ -203,7 +205,7 @@
 	changed := false
 	for i, e := range m.members {
 		if i != m.self.Incarnation && !e.vm.Listed && now-max(e.heardAt, e.knownAt, e.refreshedAt) > forgetAfter {
-			delete(m.members, i)
+			m.forget(i)
 			changed = true
 		}
 		changed = changed || m.view(now, e) != e.shown
@@ -214,6 +216,13 @@
 	return m.publish(now)
 }
 
+func (m *Membership) forget(i Incarnation) {
+	delete(m.members, i)
+	for _, e := range m.members {
+		delete(e.vouchers, i)
+	}
+}
+
 // pass notices that this VM was paused. The silence of the others over a pause is not
 // held against them, since their heartbeats could not be handled.
 func (m *Membership) pass(now clock.Millis) {
