Lend idle slots to peers with backlog

Cause: tasks waited at one VM beside idle slots at another; a VM that is home of no endpoint started nothing. The borrower names its requests, so it can disclaim one whose answer was lost; returns say what is still held, so they may come twice and in any order. Conclusion: not safe yet for tasks that outlast the term.

--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -112,6 +112,7 @@
 		Witnesses:   d.client,
 		Roster:      d.heartbeats,
 		Rows:        rows,
+		Loans:       d.client,
 		Peers:       func(p entry.Snapshot) { d.router.SetPeers(p) },
 		PeerTimeout: s.Timeouts.Peer,
 	})
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -42,8 +42,12 @@
 
 	neighbours *neighbours
 	drains     *datacentre.Drains
+	lending    *lending
 	// granted are the slots that the scheduler was last given.
 	granted map[datacentre.EndpointID]datacentre.Slots
+	// homes tells of which endpoints this VM is the home by the roster homesOf.
+	homes   map[datacentre.EndpointID]bool
+	homesOf *vm.Roster
 }
 
 // NewControl returns a control state machine without bundle, roster or endpoints.
@@ -66,7 +70,9 @@
 
 		neighbours: n,
 		drains:     datacentre.NewDrains(),
+		lending:    newLending(c.Self, c.AttemptTimeout),
 		granted:    make(map[datacentre.EndpointID]datacentre.Slots),
+		homes:      make(map[datacentre.EndpointID]bool),
 	}
 }
 
@@ -113,10 +119,21 @@
 		c.rowsRead(now, e)
 	case VMsListed:
 		c.setRoster(now, c.neighbours.membership.ListRead(now, e.Listings))
+	case LoanRequested:
+		c.loanRequested(now, e)
+	case LoanAnswered:
+		c.loanAnswered(now, e)
+	case LoanFailed:
+		c.loanFailed(now, e)
+	case LoansReturned:
+		c.loansReturned(now, e)
+	case LoansAcknowledged:
+		c.lending.borrowings.Acknowledged(e.Returns)
 	case Tick:
 		c.passTime(now)
 	}
 	c.startTasks(now)
+	c.askForLoans(now)
 	c.flushOutboxes()
 	return c.actions
 }
--- a/pkg/entry/control_endpoints.go
+++ b/pkg/entry/control_endpoints.go
@@ -16,9 +16,10 @@
 		live = append(live, ep.ID)
 	}
 	c.drains.Listed(now, live, e.Leaving)
-	for id := range c.endpoints {
-		if _, ok := listed[id]; !ok {
+	for id, ep := range c.endpoints {
+		if _, ok := listed[id]; !ok && ep.DataCentre == c.config.DataCentre {
 			delete(c.endpoints, id)
+			delete(c.homes, id)
 			c.grant(now, id, 0)
 		}
 	}
@@ -38,19 +39,36 @@
 	c.assignHomes(now)
 }
 
-// assignHomes gives the scheduler the slots of the endpoints whose home is this VM.
+// assignHomes gives the scheduler the slots that this VM may use: of the endpoints whose
+// home it is, less what it lent, and what it borrowed.
 func (c *Control) assignHomes(now clock.Millis) {
 	for id, ep := range c.endpoints {
-		c.grant(now, id, c.slotsOf(ep))
+		c.grant(now, id, c.slotsOf(now, ep))
 	}
 }
 
-func (c *Control) slotsOf(ep datacentre.Endpoint) datacentre.Slots {
+func (c *Control) slotsOf(now clock.Millis, ep datacentre.Endpoint) datacentre.Slots {
 	if c.drains.Draining(ep.ID) {
 		return 0
 	}
-	home, ok := c.roster.Home(ep.ID, ep.DataCentre)
-	if !ok || home.Incarnation != c.config.Self {
+	own := max(0, c.homeSlots(ep)-c.lending.book.Out(ep.ID))
+	return min(ep.Slots, own+c.lending.borrowings.Usable(now, ep.ID))
+}
+
+// homeSlots returns the slots of an endpoint that this VM has as its home. It remembers
+// them for the roster in force, since the choice of a home goes over all VMs.
+func (c *Control) homeSlots(ep datacentre.Endpoint) datacentre.Slots {
+	if c.homesOf != c.roster {
+		clear(c.homes)
+		c.homesOf = c.roster
+	}
+	isHome, ok := c.homes[ep.ID]
+	if !ok {
+		home, found := c.roster.Home(ep.ID, ep.DataCentre)
+		isHome = found && home.Incarnation == c.config.Self
+		c.homes[ep.ID] = isHome
+	}
+	if !isHome {
 		return 0
 	}
 	return ep.Slots
--- a/pkg/entry/control_membership.go
+++ b/pkg/entry/control_membership.go
@@ -68,6 +68,7 @@
 	h := e.Heartbeat
 	m := c.neighbours.membership
 	r := m.Heard(now, h.From)
+	c.lending.idle[h.From.Incarnation] = idleReport{slots: h.Idle, at: now}
 	local := h.From.DataCentre == c.config.DataCentre
 	for _, v := range h.Reports {
 		// A VM speaks for its own data centre, or inside it for the others.
@@ -133,6 +134,7 @@
 	}
 	c.setRoster(now, n.membership.Judge(now))
 	n.links.Passed(now)
+	c.passLoans(now)
 	c.sendHeartbeats(now)
 	c.publishPeers(now)
 }
@@ -184,7 +186,7 @@
 func (c *Control) heartbeat(now clock.Millis, to vm.VM, drains []datacentre.DrainReport) SendHeartbeat {
 	n := c.neighbours
 	self, _ := c.roster.Find(c.config.Self)
-	h := Heartbeat{From: self, RosterVersion: c.roster.Version, Backlog: c.scheduler.Queued()}
+	h := Heartbeat{From: self, RosterVersion: c.roster.Version, Backlog: c.scheduler.Queued(), Idle: c.idleTotal(now)}
 	local := to.DataCentre == c.config.DataCentre
 	if local {
 		h.Drains = drains
--- a/pkg/entry/heartbeat.go
+++ b/pkg/entry/heartbeat.go
@@ -23,6 +23,8 @@
 	RosterVersion vm.RosterVersion
 	// Backlog counts the tasks that wait at the sender.
 	Backlog int
+	// Idle counts the slots that the sender could lend.
+	Idle datacentre.Slots
 	// Reports are the VMs of which the receiver has not yet confirmed the latest news:
 	// those of the sender's data centre for another one, those of others inside it.
 	Reports []vm.VM
--- /dev/null
+++ b/pkg/entry/loans.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/loan"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// LoanRequested brings a peer's request for slots. Reply: LoansGranted.
+type LoanRequested struct {
+	Waiter  WaiterID
+	Request loan.Request
+}
+
+// LoanAnswered reports a lender's answer to a request.
+type LoanAnswered struct {
+	Lender  vm.Incarnation
+	Request loan.RequestID
+	AskedAt clock.Millis
+	Loans   []loan.Loan
+}
+
+// LoanFailed reports that a request was not answered; it may have been granted.
+type LoanFailed struct {
+	Lender  vm.Incarnation
+	Request loan.RequestID
+}
+
+// LoansReturned brings slots back from a peer. Reply: LoansTakenBack.
+type LoansReturned struct {
+	Waiter   WaiterID
+	Borrower vm.Incarnation
+	Returns  []loan.Return
+}
+
+// LoansAcknowledged reports that a lender has heard of returns.
+type LoansAcknowledged struct{ Returns []loan.Return }
+
+func (LoanRequested) isEvent()     {}
+func (LoanAnswered) isEvent()      {}
+func (LoanFailed) isEvent()        {}
+func (LoansReturned) isEvent()     {}
+func (LoansAcknowledged) isEvent() {}
+
+// RequestLoan asks a peer for slots. Ends with LoanAnswered or LoanFailed.
+type RequestLoan struct {
+	To      vm.VM
+	Request loan.Request
+	AskedAt clock.Millis
+}
+
+// ReturnLoans tells a lender which slots are free again. Ends with LoansAcknowledged, or
+// with nothing, and is then tried again.
+type ReturnLoans struct {
+	To      vm.VM
+	Returns []loan.Return
+}
+
+func (RequestLoan) isAction() {}
+func (ReturnLoans) isAction() {}
+
+// LoansGranted carries the loans that a request was granted.
+type LoansGranted struct{ Loans []loan.Loan }
+
+// LoansTakenBack says that returns were handled.
+type LoansTakenBack struct{}
+
+func (LoansGranted) isReply()   {}
+func (LoansTakenBack) isReply() {}
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -8,6 +8,7 @@
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/loan"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
@@ -146,6 +147,23 @@
 	return reply.(HeartbeatReply).Incarnation, nil
 }
 
+// LendHere handles a peer's request for slots.
+func (r *Router) LendHere(ctx context.Context, request loan.Request) ([]loan.Loan, error) {
+	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event { return LoanRequested{Waiter: w, Request: request} })
+	if err != nil {
+		return nil, errors.Annotatef(err, "lend slots to %s", request.ID.Borrower)
+	}
+	return reply.(LoansGranted).Loans, nil
+}
+
+// TakeBackHere handles the return of slots by a peer.
+func (r *Router) TakeBackHere(ctx context.Context, borrower vm.Incarnation, returns []loan.Return) error {
+	_, err := r.config.Loop.Call(ctx, func(w WaiterID) Event {
+		return LoansReturned{Waiter: w, Borrower: borrower, Returns: returns}
+	})
+	return errors.Annotatef(err, "take back slots of %s", borrower)
+}
+
 // callWithin hands an event to control and waits for the answer. A span that passes
 // without an end gives Running, since the event was handled.
 func (r *Router) callWithin(ctx context.Context, wait clock.Millis, makeEvent func(WaiterID) Event) (contract.Answer, error) {
--- a/pkg/entry/traffic.go
+++ b/pkg/entry/traffic.go
@@ -26,6 +26,7 @@
 	Witnesses RecordSender
 	Roster    HeartbeatSender
 	Rows      RowDeleter
+	Loans     LoanCaller
 	// Peers hears of new rosters and links.
 	Peers func(Snapshot)
 	// PeerTimeout bounds one call to a peer.
@@ -60,6 +61,10 @@
 		go t.sendHeartbeat(a)
 	case DeleteRow:
 		go t.deleteRow(a)
+	case RequestLoan:
+		go t.requestLoan(a)
+	case ReturnLoans:
+		go t.returnLoans(a)
 	case PublishPeers:
 		t.config.Peers(a.Peers)
 	}
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -13,6 +13,7 @@
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/entry"
+	"github.com/sequoiacart/sequoiacart/pkg/loan"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
@@ -25,6 +26,8 @@
 	WitnessHere(ctx context.Context, id contract.SubmissionID, o owner.ID) contract.Answer
 	RecordHere(ctx context.Context, issuer vm.Incarnation, records []contract.Record) ([]contract.RecordStatus, error)
 	HeartbeatHere(ctx context.Context, h entry.Heartbeat) (vm.Incarnation, error)
+	LendHere(ctx context.Context, r loan.Request) ([]loan.Loan, error)
+	TakeBackHere(ctx context.Context, borrower vm.Incarnation, returns []loan.Return) error
 }
 
 // ServerConfig holds what a server is made of.
@@ -56,6 +59,9 @@
 	if err := s.rpc.RegisterName("Roster", &rosterService{handler: c.Handler}); err != nil {
 		return nil, errors.Annotate(err, "register roster service")
 	}
+	if err := s.rpc.RegisterName("Loan", &loanService{handler: c.Handler}); err != nil {
+		return nil, errors.Annotate(err, "register loan service")
+	}
 	return s, nil
 }
 
--- /dev/null
+++ b/pkg/peer/wire_loan.go
@@ -0,0 +1,108 @@
+package peer
+
+import (
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/loan"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// WireLoanID is the id of a loan on the wire.
+type WireLoanID struct {
+	Borrower string
+	Sequence uint64
+	Endpoint string
+}
+
+// WireLoan is a loan on the wire.
+type WireLoan struct {
+	ID          WireLoanID
+	DataCentre  string
+	Rack        string
+	Address     string
+	Capacity    int
+	Connections int
+	Slots       int
+}
+
+// LoanRequest asks for slots.
+type LoanRequest struct {
+	Borrower string
+	Sequence uint64
+	Wanted   int
+	Keep     []WireLoanID
+}
+
+// LoanReply carries the loans granted.
+type LoanReply struct{ Loans []WireLoan }
+
+// WireReturn tells how many slots of a loan are still held.
+type WireReturn struct {
+	Loan WireLoanID
+	Held int
+}
+
+// ReturnRequest gives slots back.
+type ReturnRequest struct {
+	Borrower string
+	Returns  []WireReturn
+}
+
+// ReturnReply says that returns were handled.
+type ReturnReply struct{ Handled bool }
+
+func encodeLoanID(id loan.ID) WireLoanID {
+	return WireLoanID{Borrower: string(id.Request.Borrower), Sequence: uint64(id.Request.Sequence), Endpoint: string(id.Endpoint)}
+}
+
+func decodeLoanID(w WireLoanID) loan.ID {
+	return loan.ID{
+		Request:  loan.RequestID{Borrower: vm.Incarnation(w.Borrower), Sequence: loan.Sequence(w.Sequence)},
+		Endpoint: datacentre.EndpointID(w.Endpoint),
+	}
+}
+
+func encodeLoanRequest(r loan.Request) LoanRequest {
+	w := LoanRequest{Borrower: string(r.ID.Borrower), Sequence: uint64(r.ID.Sequence), Wanted: int(r.Wanted)}
+	for _, id := range r.Keep {
+		w.Keep = append(w.Keep, encodeLoanID(id))
+	}
+	return w
+}
+
+func decodeLoanRequest(w LoanRequest) loan.Request {
+	r := loan.Request{
+		ID:     loan.RequestID{Borrower: vm.Incarnation(w.Borrower), Sequence: loan.Sequence(w.Sequence)},
+		Wanted: datacentre.Slots(w.Wanted),
+	}
+	for _, id := range w.Keep {
+		r.Keep = append(r.Keep, decodeLoanID(id))
+	}
+	return r
+}
+
+func encodeLoan(l loan.Loan) WireLoan {
+	return WireLoan{
+		ID:          encodeLoanID(l.ID),
+		DataCentre:  string(l.Endpoint.DataCentre),
+		Rack:        string(l.Endpoint.Rack),
+		Address:     l.Endpoint.Address,
+		Capacity:    int(l.Endpoint.Slots),
+		Connections: int(l.Endpoint.Connections),
+		Slots:       int(l.Slots),
+	}
+}
+
+func decodeLoan(w WireLoan) loan.Loan {
+	return loan.Loan{
+		ID: decodeLoanID(w.ID),
+		Endpoint: datacentre.Endpoint{
+			ID:          datacentre.EndpointID(w.ID.Endpoint),
+			DataCentre:  datacentre.ID(w.DataCentre),
+			Rack:        datacentre.RackID(w.Rack),
+			Address:     w.Address,
+			Slots:       datacentre.Slots(w.Capacity),
+			Connections: datacentre.Connections(w.Connections),
+		},
+		Slots: datacentre.Slots(w.Slots),
+	}
+}
--- a/pkg/peer/wire_roster.go
+++ b/pkg/peer/wire_roster.go
@@ -30,6 +30,7 @@
 	From          WireVM
 	RosterVersion uint64
 	Backlog       int
+	Idle          int
 	Reports       []WireVM
 	Reaches       []string
 	Drains        []WireDrain
@@ -45,6 +46,7 @@
 		From:          encodeVM(h.From),
 		RosterVersion: uint64(h.RosterVersion),
 		Backlog:       h.Backlog,
+		Idle:          int(h.Idle),
 	}
 	for _, v := range h.Reports {
 		w.Reports = append(w.Reports, encodeVM(v))
@@ -63,6 +65,7 @@
 		From:          decodeVM(w.From),
 		RosterVersion: vm.RosterVersion(w.RosterVersion),
 		Backlog:       w.Backlog,
+		Idle:          datacentre.Slots(w.Idle),
 	}
 	for _, v := range w.Reports {
 		h.Reports = append(h.Reports, decodeVM(v))
--- a/pkg/vm/delegates.go
+++ b/pkg/vm/delegates.go
@@ -60,16 +60,6 @@
 	return targets
 }
 
-// DataCentres returns the data centres of the known VMs in order.
-func (r *Roster) DataCentres() []datacentre.ID {
-	var all []datacentre.ID
-	for _, v := range r.vms {
-		all = append(all, v.DataCentre)
-	}
-	slices.Sort(all)
-	return slices.Compact(all)
-}
-
 func (r *Roster) top(key string, eligible func(VM) bool) []VM {
 	var chosen []VM
 	for _, v := range r.vms {
--- a/pkg/vm/roster.go
+++ b/pkg/vm/roster.go
@@ -19,6 +19,7 @@
 	Self    Incarnation
 	vms     []VM
 	index   map[Incarnation]int
+	zones   []datacentre.ID
 }
 
 // RosterConfig holds what a roster is made of.
@@ -35,10 +36,13 @@
 		return strings.Compare(string(a.Incarnation), string(b.Incarnation))
 	})
 	index := make(map[Incarnation]int, len(vms))
+	zones := make([]datacentre.ID, len(vms))
 	for i, v := range vms {
 		index[v.Incarnation] = i
+		zones[i] = v.DataCentre
 	}
-	return &Roster{Version: c.Version, Self: c.Self, vms: vms, index: index}
+	slices.Sort(zones)
+	return &Roster{Version: c.Version, Self: c.Self, vms: vms, index: index, zones: slices.Compact(zones)}
 }
 
 // VMs returns all VMs in order of their incarnations. The caller must not change the slice.
@@ -46,6 +50,12 @@
 	return r.vms
 }
 
+// DataCentres returns the data centres of the known VMs in order. The caller must not
+// change the slice.
+func (r *Roster) DataCentres() []datacentre.ID {
+	return r.zones
+}
+
 // Find returns the VM of an incarnation.
 func (r *Roster) Find(i Incarnation) (VM, bool) {
 	n, ok := r.index[i]
