Test slot loans under cuts, lost answers, roster changes and double homes

Cause: a lender that takes slots back while the borrower's tasks still run, a start that a slow witness delays past the term, and two VMs that both take themselves for home put more tasks on an endpoint than it has slots, and each refusal as busy is tried again at once. Change: the tests alone.

--- /dev/null
+++ b/pkg/entry/loan_test.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+func started(s *simulation) int {
+	total := 0
+	for _, e := range s.endpoints {
+		total += e.started
+	}
+	return total
+}
+
+// Guards against a VM whose tasks wait beside idle slots, against more tasks at an
+// endpoint than it has slots, and against tasks that start twice or never.
+func TestLoans(t *testing.T) {
+	between := func(a, b vm.ID) func(from, to vm.VM) bool {
+		return func(from, to vm.VM) bool {
+			f, t := from.Incarnation.VM(), to.Incarnation.VM()
+			return f == a && t == b || f == b && t == a
+		}
+	}
+	three := map[datacentre.ID]int{"centro": 3}
+	cases := []struct {
+		name      string
+		vms       map[datacentre.ID]int
+		endpoints int
+		runs      clock.Millis
+		tasks     int
+		// during happens 300 ms after the job was submitted at centro0.
+		during func(s *simulation)
+		within clock.Millis
+		// wantBusy allows refusals as busy, where two VMs take themselves for home.
+		wantBusy bool
+	}{
+		{"one VM gets all load", three, 6, 200, 600, func(*simulation) {}, 6 * clock.Second, false},
+		{"a VM that is home of nothing", map[datacentre.ID]int{"centro": 8}, 2, 200, 60, func(*simulation) {}, 4 * clock.Second, false},
+		{"the other data centre is idle", map[datacentre.ID]int{"centro": 1, "sur": 3}, 3, 200, 300, func(*simulation) {}, 6 * clock.Second, false},
+		{"tasks outlast the term", three, 6, 5000, 96, func(*simulation) {}, 20 * clock.Second, false},
+		{"borrower and one lender are cut", three, 6, 5000, 96, func(s *simulation) {
+			s.cut = between("centro0", "centro1")
+			s.submit(s.node("centro1"), 96)
+		}, 60 * clock.Second, false},
+		{"answers of one lender are lost", three, 6, 200, 600, func(s *simulation) {
+			s.loseReply = func(from, _ vm.VM) bool { return from.Incarnation.VM() == "centro1" && s.now < 10*clock.Second }
+		}, 30 * clock.Second, false},
+		{"the data centres are cut", map[datacentre.ID]int{"centro": 2, "sur": 3}, 3, 5000, 96, func(s *simulation) {
+			s.cut = func(from, to vm.VM) bool { return from.DataCentre != to.DataCentre }
+		}, 60 * clock.Second, false},
+		{"a VM joins", three, 12, 200, 1200, func(s *simulation) { s.boot("centro9", "centro") }, 30 * clock.Second, true},
+		{"a lender dies", three, 6, 200, 600, func(s *simulation) { s.node("centro1").down = true }, 30 * clock.Second, true},
+		{"two VMs take themselves for home", three, 12, 200, 3000, func(s *simulation) {
+			n, other := s.node("centro0"), vm.ID("centro1")
+			if n.control.roster.Witness().VM() == other {
+				other = "centro2"
+			}
+			cut := between("centro0", other)
+			s.cut = func(from, to vm.VM) bool { return cut(from, to) && s.now < 15*clock.Second }
+			s.submit(s.node(other), 3000)
+		}, 60 * clock.Second, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSimulation(t, c.vms, c.endpoints)
+			for _, e := range s.endpoints {
+				e.runs = c.runs
+			}
+			s.run(5 * clock.Second)
+			answer := s.submit(s.node("centro0"), c.tasks)
+			s.run(300)
+			c.during(s)
+			for *answer == nil && s.now < 5*clock.Second+c.within {
+				s.run(100)
+			}
+			if _, ok := (*answer).(contract.Complete); !ok {
+				t.Errorf("got answer %T within %d ms, want complete; %d starts", *answer, c.within, started(s))
+			}
+			// Two homes may waste messages until they notice, but not one for each start.
+			allowed := 0
+			if c.wantBusy {
+				allowed = s.submitted / 10
+			}
+			if s.maxInUse > 8 || s.overcommits > allowed {
+				t.Errorf("got %d slots in use and %d refusals as busy, want at most 8 and %d", s.maxInUse, s.overcommits, allowed)
+			}
+			s.cut = func(_, _ vm.VM) bool { return false }
+			s.run(40 * clock.Second)
+			if got := started(s); got != s.submitted {
+				t.Errorf("got %d starts of %d tasks", got, s.submitted)
+			}
+			for _, n := range s.nodes {
+				for _, e := range s.endpoints {
+					if out := n.control.lending.book.Out(e.ID); out != 0 && !n.down {
+						t.Errorf("got %d slots of %s lent by %s at the end, want none", out, e.ID, n.vm.Incarnation)
+					}
+				}
+				if owed := n.control.lending.borrowings.Endpoints(); len(owed) != 0 && !n.down {
+					t.Errorf("got %d loans open at %s at the end, want none", len(owed), n.vm.Incarnation)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a start on a borrowed slot that the lender has taken back, when the
+// witness was slow to record it.
+func TestNoStartAfterTheTermOfALoan(t *testing.T) {
+	s := newSimulation(t, map[datacentre.ID]int{"centro": 3}, 6)
+	for _, e := range s.endpoints {
+		e.runs = 5 * clock.Second
+	}
+	s.run(5 * clock.Second)
+	n := s.node("centro0")
+	witness := n.control.roster.Witness()
+	s.cut = func(from, to vm.VM) bool { return to.Incarnation == witness && from.Incarnation == n.vm.Incarnation }
+	answer := s.submit(n, 40)
+	s.run(20)
+	for _, other := range s.nodes[1:] {
+		s.submit(other, 400)
+	}
+	s.run(50 * clock.Second)
+	s.cut = func(_, _ vm.VM) bool { return false }
+	s.run(90 * clock.Second)
+	if _, ok := (*answer).(contract.Complete); !ok {
+		t.Errorf("got answer %T, want complete", *answer)
+	}
+	if s.overcommits != 0 {
+		t.Errorf("got %d refusals as busy, want 0", s.overcommits)
+	}
+}
--- a/pkg/entry/simulation_test.go
+++ b/pkg/entry/simulation_test.go
@@ -27,10 +27,13 @@
 	endpoints []*simEndpoint
 	// cut tells whether calls from one VM to another are lost.
 	cut func(from, to vm.VM) bool
+	// loseReply tells whether the replies of one VM to another are lost.
+	loseReply func(from, to vm.VM) bool
 	// offPlatform tells whether a data centre cannot reach the platform.
 	offPlatform func(datacentre.ID) bool
 	overcommits int
 	maxInUse    datacentre.Slots
+	submitted   int
 }
 
 type delivery struct {
@@ -74,6 +77,7 @@
 		t:           t,
 		replies:     make(map[WaiterID]func(Reply)),
 		rows:        make(map[vm.Incarnation]vm.Row),
+		loseReply:   func(_, _ vm.VM) bool { return false },
 		cut:         func(_, _ vm.VM) bool { return false },
 		offPlatform: func(datacentre.ID) bool { return false },
 	}
@@ -214,6 +218,23 @@
 			reply, _ := r.(RecordsReply)
 			s.handle(n, RecordsAnswered{Witness: a.Witness.Incarnation, Statuses: reply.Statuses})
 		})
+	case RequestLoan:
+		s.call(n, a.To, func(w WaiterID) Event { return LoanRequested{Waiter: w, Request: a.Request} }, func(r Reply) {
+			reply, ok := r.(LoansGranted)
+			if !ok {
+				s.handle(n, LoanFailed{Lender: a.To.Incarnation, Request: a.Request.ID})
+				return
+			}
+			s.handle(n, LoanAnswered{Lender: a.To.Incarnation, Request: a.Request.ID, AskedAt: a.AskedAt, Loans: reply.Loans})
+		})
+	case ReturnLoans:
+		s.call(n, a.To, func(w WaiterID) Event {
+			return LoansReturned{Waiter: w, Borrower: n.vm.Incarnation, Returns: a.Returns}
+		}, func(r Reply) {
+			if _, ok := r.(LoansTakenBack); ok {
+				s.handle(n, LoansAcknowledged{Returns: a.Returns})
+			}
+		})
 	case RunAttempt:
 		s.attempt(n, a)
 	}
@@ -234,10 +255,17 @@
 	s.after(clock.Second, func() { end(nil) })
 	s.after(1, func() {
 		i := slices.IndexFunc(s.nodes, func(n *node) bool { return n.vm.PeerAddress == to.PeerAddress && !n.down })
-		if i < 0 || s.nodes[i].hangs || s.cut(from.vm, s.nodes[i].vm) {
+		if i < 0 || s.nodes[i].hangs || from.hangs || s.cut(from.vm, s.nodes[i].vm) {
 			return
 		}
-		s.replies[w] = func(r Reply) { s.after(1, func() { end(r) }) }
+		target := s.nodes[i]
+		s.replies[w] = func(r Reply) {
+			s.after(1, func() {
+				if !s.loseReply(target.vm, from.vm) {
+					end(r)
+				}
+			})
+		}
 		s.handle(s.nodes[i], event(w))
 	})
 }
@@ -272,6 +300,7 @@
 // submit runs a job at a VM and returns where its answer will be.
 func (s *simulation) submit(n *node, tasks int) *contract.Answer {
 	var answer contract.Answer
+	s.submitted += tasks
 	s.waiter++
 	s.replies[s.waiter] = func(r Reply) {
 		sub := contract.Submission{ID: r.(IDs).IDs[0], Owner: "ads", Kind: "swap", Class: "swap", Deadline: clock.Minute, Tasks: make([]contract.Task, tasks)}
