Hold lent slots while the borrower's tasks may run, and back off busy endpoints

Change: the lender takes unreturned slots back only after the term, the longest attempt and a margin; a start whose slot was lost while the witness recorded it is not sent; an endpoint that answers "busy" is used with one slot more each second from what it ran.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -43,6 +43,7 @@
 	neighbours *neighbours
 	drains     *datacentre.Drains
 	lending    *lending
+	ceilings   *datacentre.Ceilings
 	// granted are the slots that the scheduler was last given.
 	granted map[datacentre.EndpointID]datacentre.Slots
 	// homes tells of which endpoints this VM is the home by the roster homesOf.
@@ -70,6 +71,7 @@
 
 		neighbours: n,
 		drains:     datacentre.NewDrains(),
+		ceilings:   datacentre.NewCeilings(),
 		lending:    newLending(c.Self, c.AttemptTimeout),
 		granted:    make(map[datacentre.EndpointID]datacentre.Slots),
 		homes:      make(map[datacentre.EndpointID]bool),
@@ -92,7 +94,7 @@
 	case WaiterGone:
 		c.forgetWaiter(e.Waiter)
 	case AttemptEnded:
-		c.noteDrain(now, e)
+		c.noteNotRun(now, e)
 		c.attemptEnded(now, e)
 	case RecordsAnswered:
 		c.recordsAnswered(now, e)
@@ -134,6 +136,7 @@
 	}
 	c.startTasks(now)
 	c.askForLoans(now)
+	c.stopLateStarts(now)
 	c.flushOutboxes()
 	return c.actions
 }
--- a/pkg/entry/control_endpoints.go
+++ b/pkg/entry/control_endpoints.go
@@ -29,14 +29,24 @@
 	c.assignHomes(now)
 }
 
-// noteDrain takes an endpoint's own word that it leaves.
-func (c *Control) noteDrain(now clock.Millis, e AttemptEnded) {
+// noteNotRun takes an endpoint's own word that it leaves or is busy.
+func (c *Control) noteNotRun(now clock.Millis, e AttemptEnded) {
 	r, ok := e.Result.(contract.NotStarted)
-	if !ok || r.Cause != contract.EndpointLeaving {
+	if !ok {
 		return
 	}
-	c.drains.SawLeaving(now, e.Start.Endpoint)
-	c.assignHomes(now)
+	id := e.Start.Endpoint
+	switch r.Cause {
+	case contract.EndpointLeaving:
+		c.drains.SawLeaving(now, id)
+	case contract.EndpointBusy:
+		c.ceilings.Refused(now, id, c.scheduler.InUse(id)-1)
+	case contract.EndpointUnreachable:
+		return
+	}
+	if ep, ok := c.endpoints[id]; ok {
+		c.grant(now, id, c.slotsOf(now, ep))
+	}
 }
 
 // assignHomes gives the scheduler the slots that this VM may use: of the endpoints whose
@@ -52,7 +62,8 @@
 		return 0
 	}
 	own := max(0, c.homeSlots(ep)-c.lending.book.Out(ep.ID))
-	return min(ep.Slots, own+c.lending.borrowings.Usable(now, ep.ID))
+	slots := min(ep.Slots, own+c.lending.borrowings.Usable(now, ep.ID))
+	return c.ceilings.Limit(now, ep.ID, slots)
 }
 
 // homeSlots returns the slots of an endpoint that this VM has as its home. It remembers
--- a/pkg/entry/control_loans.go
+++ b/pkg/entry/control_loans.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/link"
 	"github.com/sequoiacart/sequoiacart/pkg/loan"
@@ -247,3 +248,25 @@
 		}
 	}
 }
+
+// stopLateStarts takes back the sends to endpoints that this VM lost while the witness
+// was recording the start: a lender counts on no start after the term of its loan.
+func (c *Control) stopLateStarts(now clock.Millis) {
+	var late []RunAttempt
+	c.actions = slices.DeleteFunc(c.actions, func(a Action) bool {
+		run, ok := a.(RunAttempt)
+		if !ok || c.mayStart(now, run.Start.Endpoint) {
+			return false
+		}
+		late = append(late, run)
+		return true
+	})
+	for _, run := range late {
+		c.attemptEnded(now, AttemptEnded{Attempt: run.Attempt, Start: run.Start, Result: contract.NotStarted{Cause: contract.EndpointUnreachable}})
+	}
+}
+
+func (c *Control) mayStart(now clock.Millis, e datacentre.EndpointID) bool {
+	ep, ok := c.endpoints[e]
+	return ok && (c.homeSlots(ep) > 0 || c.lending.borrowings.Usable(now, e) > 0)
+}
--- a/pkg/loan/book.go
+++ b/pkg/loan/book.go
@@ -55,7 +55,7 @@
 	var granted []Loan
 	for _, id := range r.Keep {
 		l, ok := b.lent[id]
-		if !ok || !renew || id.Request.Borrower != r.ID.Borrower || now >= l.takeBackAt {
+		if !ok || !renew || id.Request.Borrower != r.ID.Borrower || now >= l.takeBackAt-b.config.TaskSpan {
 			continue
 		}
 		l.takeBackAt = b.takeBackAt(now)
@@ -136,5 +136,5 @@
 }
 
 func (b *Book) takeBackAt(now clock.Millis) clock.Millis {
-	return now + Term + takeBackMargin
+	return now + Term + b.config.TaskSpan + takeBackMargin
 }
