Pass every sign of life and every roster through one place

Cause: the contract's witness also needs to hear of peers and of rosters. Change: heartbeats and their answers go through peerHeard, rosters of the membership through rosterChanged.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -103,8 +103,7 @@
 	case WitnessAsked:
 		c.witnessAsked(e)
 	case RosterChanged:
-		c.roster = e.Roster
-		c.assignHomes(now)
+		c.rosterChanged(now, e)
 	case EndpointsListed:
 		c.endpointsListed(now, e)
 	case OwnersChanged:
--- a/pkg/entry/control_membership.go
+++ b/pkg/entry/control_membership.go
@@ -44,8 +44,12 @@
 	if r == c.roster {
 		return
 	}
-	c.roster = r
 	c.neighbours.journal.update(r)
+	c.rosterChanged(now, RosterChanged{Roster: r})
+}
+
+func (c *Control) rosterChanged(now clock.Millis, e RosterChanged) {
+	c.roster = e.Roster
 	c.assignHomes(now)
 }
 
@@ -68,6 +72,7 @@
 	h := e.Heartbeat
 	m := c.neighbours.membership
 	r := m.Heard(now, h.From)
+	c.peerHeard(now, PeerHeard{Incarnation: h.From.Incarnation})
 	c.lending.idle[h.From.Incarnation] = idleReport{slots: h.Idle, at: now}
 	local := h.From.DataCentre == c.config.DataCentre
 	for _, v := range h.Reports {
@@ -117,6 +122,7 @@
 	}
 	n.journal.confirmed(e.Answered, e.Reported)
 	c.setRoster(now, n.membership.Answered(now, e.Answered))
+	c.peerHeard(now, PeerHeard{Incarnation: e.Answered})
 }
 
 func (c *Control) heartbeatEnded(to vm.VM) {
