Cut the cost of membership in the control goroutine

Change: the roster groups VMs by data centre; homes are remembered until the VMs of the data centre change; slots are looked at again where something has changed; connections to endpoints close when idle for the term of a loan.

--- a/pkg/datacentre/ceilings.go
+++ b/pkg/datacentre/ceilings.go
@@ -1,6 +1,11 @@
 package datacentre
 
-import "github.com/sequoiacart/sequoiacart/pkg/clock"
+import (
+	"maps"
+	"slices"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
 
 // raiseEvery is how long a VM waits before it tries one more slot of an endpoint that was
 // busy. With two homes of 12 endpoints it costs 24 refusals a second.
@@ -40,3 +45,13 @@
 	}
 	return min(limit, slots)
 }
+
+// Endpoints returns the endpoints that are bounded.
+func (c *Ceilings) Endpoints() []EndpointID {
+	return slices.Sorted(maps.Keys(c.ceilings))
+}
+
+// Forget drops the ceiling of an endpoint that is no longer known.
+func (c *Ceilings) Forget(e EndpointID) {
+	delete(c.ceilings, e)
+}
--- a/pkg/datacentre/drains.go
+++ b/pkg/datacentre/drains.go
@@ -84,17 +84,21 @@
 	}
 }
 
-// Merge takes over the signs that a peer saw; the later sign of an endpoint holds. The
+// Merge takes over the signs that a peer saw and reports whether they change which
+// endpoints get work; the later sign of an endpoint holds. The
 // same news again does not renew a sign, or else two VMs would renew it by turns.
-func (d *Drains) Merge(now clock.Millis, reports []DrainReport) {
+func (d *Drains) Merge(now clock.Millis, reports []DrainReport) bool {
+	changed := false
 	for _, r := range reports {
 		at := now - r.Age
 		s, ok := d.signs[r.Endpoint]
 		if ok && (s.at >= at || s.leaving == r.Leaving) {
 			continue
 		}
+		changed = changed || r.Leaving || ok
 		d.signs[r.Endpoint] = &drainSign{leaving: r.Leaving, at: at}
 	}
+	return changed
 }
 
 // Reports returns what to tell peers now: fresh signs always, all that drain from time to
--- a/pkg/endpoint/client.go
+++ b/pkg/endpoint/client.go
@@ -14,6 +14,7 @@
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/loan"
 )
 
 // Headers of the endpoint protocol.
@@ -49,6 +50,9 @@
 		DialContext:         dialer.DialContext,
 		MaxConnsPerHost:     int(c.Connections),
 		MaxIdleConnsPerHost: int(c.Connections),
+		// Slots move between VMs, so connections that are idle for the term of a loan make
+		// room for those of the next user.
+		IdleConnTimeout: loan.Term.Duration(),
 	}
 	return &Client{config: c, http: &http.Client{Transport: transport}}
 }
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -46,9 +46,8 @@
 	ceilings   *datacentre.Ceilings
 	// granted are the slots that the scheduler was last given.
 	granted map[datacentre.EndpointID]datacentre.Slots
-	// homes tells of which endpoints this VM is the home by the roster homesOf.
-	homes   map[datacentre.EndpointID]bool
-	homesOf *vm.Roster
+	// homes tells of which endpoints this VM is the home by the roster in force.
+	homes map[datacentre.EndpointID]bool
 }
 
 // NewControl returns a control state machine without bundle, roster or endpoints.
--- a/pkg/entry/control_endpoints.go
+++ b/pkg/entry/control_endpoints.go
@@ -69,10 +69,6 @@
 // homeSlots returns the slots of an endpoint that this VM has as its home. It remembers
 // them for the roster in force, since the choice of a home goes over all VMs.
 func (c *Control) homeSlots(ep datacentre.Endpoint) datacentre.Slots {
-	if c.homesOf != c.roster {
-		clear(c.homes)
-		c.homesOf = c.roster
-	}
 	isHome, ok := c.homes[ep.ID]
 	if !ok {
 		home, found := c.roster.Home(ep.ID, ep.DataCentre)
--- a/pkg/entry/control_loans.go
+++ b/pkg/entry/control_loans.go
@@ -34,7 +34,9 @@
 	borrowings *loan.Borrowings
 	// idle is what peers say that they could lend.
 	idle map[vm.Incarnation]idleReport
-	// asked are the requests under way, and when a peer may be asked again.
+	// foreign are the endpoints of other data centres that are or were borrowed.
+	foreign map[datacentre.EndpointID]struct{}
+	// underWay are the requests under way, and when a peer may be asked again.
 	underWay map[vm.Incarnation]bool
 	askAfter map[vm.Incarnation]clock.Millis
 	// backlogAt is when tasks began to wait; zero says that none wait.
@@ -53,6 +55,7 @@
 		book:       loan.NewBook(config),
 		borrowings: loan.NewBorrowings(self, config),
 		idle:       make(map[vm.Incarnation]idleReport),
+		foreign:    make(map[datacentre.EndpointID]struct{}),
 		underWay:   make(map[vm.Incarnation]bool),
 		askAfter:   make(map[vm.Incarnation]clock.Millis),
 	}
@@ -89,7 +92,7 @@
 	return idle
 }
 
-func (c *Control) idleTotal(_ clock.Millis) datacentre.Slots {
+func (c *Control) idleTotal() datacentre.Slots {
 	total := datacentre.Slots(0)
 	for _, i := range c.idleSlots() {
 		total += i.Free
@@ -189,9 +192,11 @@
 	}
 	l.borrowings.Granted(now, e.AskedAt, e.Lender, e.Request, e.Loans)
 	for _, borrowed := range l.borrowings.Endpoints() {
-		if _, ok := c.endpoints[borrowed.ID]; !ok && borrowed.ID != "" {
-			c.endpoints[borrowed.ID] = borrowed
+		if borrowed.ID == "" || borrowed.DataCentre == c.config.DataCentre {
+			continue
 		}
+		c.endpoints[borrowed.ID] = borrowed
+		l.foreign[borrowed.ID] = struct{}{}
 	}
 	c.assignHomes(now)
 }
@@ -213,7 +218,9 @@
 // passLoans ends terms and returns slots.
 func (c *Control) passLoans(now clock.Millis) {
 	l := c.lending
-	l.book.Pass(now)
+	if l.book.Pass(now) {
+		c.assignHomes(now)
+	}
 	due := l.borrowings.Returns(now, func(e datacentre.EndpointID) datacentre.Slots {
 		own := max(0, c.homeSlots(c.endpoints[e])-l.book.Out(e))
 		return max(0, c.scheduler.InUse(e)-own)
@@ -223,7 +230,7 @@
 			c.do(ReturnLoans{To: to, Returns: returns})
 		}
 	}
-	c.assignHomes(now)
+	c.assignChanging(now)
 	c.dropForeignEndpoints(now)
 	for i := range l.idle {
 		if _, ok := c.roster.Find(i); !ok {
@@ -233,19 +240,39 @@
 	}
 }
 
+// assignChanging looks again at the endpoints whose slots change with time alone.
+func (c *Control) assignChanging(now clock.Millis) {
+	for _, borrowed := range c.lending.borrowings.Endpoints() {
+		if ep, ok := c.endpoints[borrowed.ID]; ok {
+			c.grant(now, ep.ID, c.slotsOf(now, ep))
+		}
+	}
+	for _, id := range c.ceilings.Endpoints() {
+		ep, ok := c.endpoints[id]
+		if !ok {
+			c.ceilings.Forget(id)
+			continue
+		}
+		c.grant(now, id, c.slotsOf(now, ep))
+	}
+}
+
 // dropForeignEndpoints forgets the endpoints of other data centres that are no longer
 // borrowed.
 func (c *Control) dropForeignEndpoints(now clock.Millis) {
+	if len(c.lending.foreign) == 0 {
+		return
+	}
 	borrowed := c.lending.borrowings.Endpoints()
-	for id, ep := range c.endpoints {
-		if ep.DataCentre == c.config.DataCentre || c.scheduler.InUse(id) > 0 {
+	for id := range c.lending.foreign {
+		open := slices.ContainsFunc(borrowed, func(b datacentre.Endpoint) bool { return b.ID == id })
+		if open || c.scheduler.InUse(id) > 0 {
 			continue
 		}
-		if !slices.ContainsFunc(borrowed, func(b datacentre.Endpoint) bool { return b.ID == id }) {
-			delete(c.endpoints, id)
-			c.grant(now, id, 0)
-			delete(c.granted, id)
-		}
+		delete(c.lending.foreign, id)
+		delete(c.endpoints, id)
+		c.grant(now, id, 0)
+		delete(c.granted, id)
 	}
 }
 
--- a/pkg/entry/control_membership.go
+++ b/pkg/entry/control_membership.go
@@ -49,8 +49,13 @@
 }
 
 func (c *Control) rosterChanged(now clock.Millis, e RosterChanged) {
+	same := e.Roster.SameIn(c.config.DataCentre, c.roster)
 	c.roster = e.Roster
-	c.assignHomes(now)
+	if !same {
+		// The homes depend on the VMs of the data centre alone.
+		clear(c.homes)
+		c.assignHomes(now)
+	}
 }
 
 func (c *Control) rowsRead(now clock.Millis, e RowsRead) {
@@ -83,8 +88,7 @@
 	}
 	c.setRoster(now, r)
 	c.vouched(now, h, local)
-	if local {
-		c.drains.Merge(now, h.Drains)
+	if local && c.drains.Merge(now, h.Drains) {
 		c.assignHomes(now)
 	}
 	c.do(ReplyTo{Waiter: e.Waiter, Reply: HeartbeatReply{Incarnation: c.config.Self}})
@@ -159,6 +163,7 @@
 func (c *Control) sendHeartbeats(now clock.Millis) {
 	c.watchZones(now)
 	var drains []datacentre.DrainReport
+	var idle datacentre.Slots
 	gathered := false
 	for _, to := range c.heartbeatTargets(now) {
 		b, ok := c.neighbours.beats[to.Incarnation]
@@ -171,10 +176,10 @@
 			continue
 		}
 		if !gathered {
-			drains, gathered = c.drains.Reports(now), true
+			drains, idle, gathered = c.drains.Reports(now), c.idleTotal(), true
 		}
 		b.at, b.underWay = now, true
-		c.do(c.heartbeat(now, to, drains))
+		c.do(c.heartbeat(now, to, drains, idle))
 	}
 }
 
@@ -189,10 +194,10 @@
 	}
 }
 
-func (c *Control) heartbeat(now clock.Millis, to vm.VM, drains []datacentre.DrainReport) SendHeartbeat {
+func (c *Control) heartbeat(now clock.Millis, to vm.VM, drains []datacentre.DrainReport, idle datacentre.Slots) SendHeartbeat {
 	n := c.neighbours
 	self, _ := c.roster.Find(c.config.Self)
-	h := Heartbeat{From: self, RosterVersion: c.roster.Version, Backlog: c.scheduler.Queued(), Idle: c.idleTotal(now)}
+	h := Heartbeat{From: self, RosterVersion: c.roster.Version, Backlog: c.scheduler.Queued(), Idle: idle}
 	local := to.DataCentre == c.config.DataCentre
 	if local {
 		h.Drains = drains
--- a/pkg/vm/delegates.go
+++ b/pkg/vm/delegates.go
@@ -23,12 +23,12 @@
 // turns, since any of them may have come back.
 func (r *Roster) Delegates(now clock.Millis, dc, toward datacentre.ID) []VM {
 	key := "delegate/" + string(toward)
-	chosen := r.top(key, func(v VM) bool { return v.DataCentre == dc && v.usable() && v.Status == Alive })
+	chosen := top(r.byZone[dc], key, func(v VM) bool { return v.usable() && v.Status == Alive })
 	if len(chosen) >= DelegatesPerDataCentre {
 		return chosen[:DelegatesPerDataCentre]
 	}
 	turn := key + "/" + strconv.FormatInt(int64(now/delegateRotation), 10)
-	silent := r.top(turn, func(v VM) bool { return v.DataCentre == dc && v.Listed && v.Status != Alive })
+	silent := top(r.byZone[dc], turn, func(v VM) bool { return v.Listed && v.Status != Alive })
 	chosen = append(chosen, silent...)
 	return chosen[:min(len(chosen), DelegatesPerDataCentre)]
 }
@@ -42,8 +42,8 @@
 		return nil
 	}
 	var targets []VM
-	for _, v := range r.vms {
-		if v.DataCentre == self.DataCentre && v.Incarnation != r.Self && (v.Listed || v.Status != Removed) {
+	for _, v := range r.byZone[self.DataCentre] {
+		if v.Incarnation != r.Self && (v.Listed || v.Status != Removed) {
 			targets = append(targets, v)
 		}
 	}
@@ -60,9 +60,9 @@
 	return targets
 }
 
-func (r *Roster) top(key string, eligible func(VM) bool) []VM {
+func top(vms []VM, key string, eligible func(VM) bool) []VM {
 	var chosen []VM
-	for _, v := range r.vms {
+	for _, v := range vms {
 		if eligible(v) {
 			chosen = append(chosen, v)
 		}
--- a/pkg/vm/roster.go
+++ b/pkg/vm/roster.go
@@ -1,6 +1,7 @@
 package vm
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -20,6 +21,7 @@
 	vms     []VM
 	index   map[Incarnation]int
 	zones   []datacentre.ID
+	byZone  map[datacentre.ID][]VM
 }
 
 // RosterConfig holds what a roster is made of.
@@ -36,13 +38,13 @@
 		return strings.Compare(string(a.Incarnation), string(b.Incarnation))
 	})
 	index := make(map[Incarnation]int, len(vms))
-	zones := make([]datacentre.ID, len(vms))
+	byZone := make(map[datacentre.ID][]VM)
 	for i, v := range vms {
 		index[v.Incarnation] = i
-		zones[i] = v.DataCentre
+		byZone[v.DataCentre] = append(byZone[v.DataCentre], v)
 	}
-	slices.Sort(zones)
-	return &Roster{Version: c.Version, Self: c.Self, vms: vms, index: index, zones: slices.Compact(zones)}
+	zones := slices.Sorted(maps.Keys(byZone))
+	return &Roster{Version: c.Version, Self: c.Self, vms: vms, index: index, zones: zones, byZone: byZone}
 }
 
 // VMs returns all VMs in order of their incarnations. The caller must not change the slice.
@@ -56,6 +58,11 @@
 	return r.zones
 }
 
+// SameIn reports whether another roster tells the same of the VMs of a data centre.
+func (r *Roster) SameIn(dc datacentre.ID, other *Roster) bool {
+	return other != nil && slices.Equal(r.byZone[dc], other.byZone[dc])
+}
+
 // Find returns the VM of an incarnation.
 func (r *Roster) Find(i Incarnation) (VM, bool) {
 	n, ok := r.index[i]
@@ -69,7 +76,7 @@
 // rendezvous hashing, weighted by size, among the VMs of the endpoint's data centre
 // that are neither leaving nor removed.
 func (r *Roster) Home(e datacentre.EndpointID, dc datacentre.ID) (VM, bool) {
-	return r.pick(string(e), func(v VM) bool { return v.DataCentre == dc && v.usable() })
+	return pick(r.byZone[dc], string(e), VM.usable)
 }
 
 // Witness returns the peer that keeps the records of self: one of the same data centre
@@ -84,16 +91,16 @@
 	alive := func(v VM) bool { return peer(v) && v.Status == Alive }
 	local := func(v VM) bool { return alive(v) && v.DataCentre == self.DataCentre }
 	for _, eligible := range []func(VM) bool{local, alive, peer} {
-		if v, ok := r.pick(string(r.Self), eligible); ok {
+		if v, ok := pick(r.vms, string(r.Self), eligible); ok {
 			return v.Incarnation
 		}
 	}
 	return None
 }
 
-func (r *Roster) pick(key string, eligible func(VM) bool) (VM, bool) {
+func pick(vms []VM, key string, eligible func(VM) bool) (VM, bool) {
 	best, bestScore, found := VM{}, math.Inf(-1), false
-	for _, v := range r.vms {
+	for _, v := range vms {
 		if !eligible(v) {
 			continue
 		}
