--- a/pkg/entry/control_membership.go
+++ b/pkg/entry/control_membership.go
@@ -48,14 +48,11 @@
 	c.rosterChanged(now, RosterChanged{Roster: r})
 }
 
-func (c *Control) rosterChanged(now clock.Millis, e RosterChanged) {
-	same := e.Roster.SameIn(c.config.DataCentre, c.roster)
-	c.roster = e.Roster
-	if !same {
-		// The homes depend on the VMs of the data centre alone.
-		clear(c.homes)
-		c.assignHomes(now)
-	}
+// present finds a VM that counts for the contract: one with a row at the platform, or
+// one alive without. The roster also knows VMs that are neither, for old ids.
+func (c *Control) present(i vm.Incarnation) (vm.VM, bool) {
+	v, ok := c.roster.Find(i)
+	return v, ok && (v.Listed || v.Status != vm.Removed)
 }
 
 func (c *Control) rowsRead(now clock.Millis, e RowsRead) {
@@ -66,13 +63,6 @@
 	}
 }
 
-// peerHeard takes any sign of life of a known VM.
-func (c *Control) peerHeard(now clock.Millis, e PeerHeard) {
-	if v, ok := c.roster.Find(e.Incarnation); ok {
-		c.setRoster(now, c.neighbours.membership.Heard(now, v))
-	}
-}
-
 func (c *Control) heartbeatReceived(now clock.Millis, e HeartbeatReceived) {
 	h := e.Heartbeat
 	m := c.neighbours.membership
@@ -137,6 +127,7 @@
 
 // passTime lets silence take effect and sends the heartbeats that are due.
 func (c *Control) passTime(now clock.Millis) {
+	c.passLoans(now)
 	n := c.neighbours
 	if c.roster != n.membership.Roster() {
 		// The roster was set by RosterChanged.
@@ -144,7 +135,6 @@
 	}
 	c.setRoster(now, n.membership.Judge(now))
 	n.links.Passed(now)
-	c.passLoans(now)
 	c.sendHeartbeats(now)
 	c.publishPeers(now)
 }
--- a/pkg/entry/heartbeat.go
+++ b/pkg/entry/heartbeat.go
@@ -53,9 +53,6 @@
 // HeartbeatFailed reports that a heartbeat was not answered in time.
 type HeartbeatFailed struct{ To vm.VM }
 
-// PeerHeard says that a peer has shown that it lives.
-type PeerHeard struct{ Incarnation vm.Incarnation }
-
 // RowsRead brings the entry VMs' rows of the platform's table.
 type RowsRead struct{ Rows []vm.Row }
 
@@ -65,7 +62,6 @@
 func (HeartbeatReceived) isEvent() {}
 func (HeartbeatAnswered) isEvent() {}
 func (HeartbeatFailed) isEvent()   {}
-func (PeerHeard) isEvent()         {}
 func (RowsRead) isEvent()          {}
 func (VMsListed) isEvent()         {}
 
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -24,7 +24,8 @@
 	AskHere(ctx context.Context, id contract.SubmissionID, o owner.ID, wait clock.Millis) contract.Answer
 	CancelHere(ctx context.Context, id contract.SubmissionID, o owner.ID) contract.Answer
 	WitnessHere(ctx context.Context, id contract.SubmissionID, o owner.ID) contract.Answer
-	RecordHere(ctx context.Context, issuer vm.Incarnation, records []contract.Record) ([]contract.RecordStatus, error)
+	RecordHere(ctx context.Context, issuer vm.Incarnation, batch contract.BatchNumber, records []contract.Record) ([]contract.RecordStatus, error)
+	HandOverHere(ctx context.Context, issuer vm.Incarnation, records []contract.Record, last bool) error
 	HeartbeatHere(ctx context.Context, h entry.Heartbeat) (vm.Incarnation, error)
 	LendHere(ctx context.Context, r loan.Request) ([]loan.Loan, error)
 	TakeBackHere(ctx context.Context, borrower vm.Incarnation, returns []loan.Return) error
