--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -45,20 +45,21 @@
 
 // Daemon is an entry VM at work.
 type Daemon struct {
-	deps    DaemonDeps
-	self    vm.VM
-	bundle  atomic.Pointer[bundle.Bundle]
-	metrics *metrics.Metrics
-	tracer  *trace.Tracer
-	router  *entry.Router
-	loop    *entry.Loop
-	callers *caller.Server
-	peers   *peer.Server
-	client  *peer.Client
-	poller  *poller
-	address string
-	killed  context.Context
-	kill    context.CancelFunc
+	deps       DaemonDeps
+	self       vm.VM
+	bundle     atomic.Pointer[bundle.Bundle]
+	metrics    *metrics.Metrics
+	tracer     *trace.Tracer
+	router     *entry.Router
+	loop       *entry.Loop
+	callers    *caller.Server
+	peers      *peer.Server
+	client     *peer.Client
+	heartbeats *peer.Client
+	poller     *poller
+	address    string
+	killed     context.Context
+	kill       context.CancelFunc
 }
 
 const (
@@ -87,18 +88,17 @@
 		DataCentre:  s.DataCentre,
 		PeerAddress: peerListener.Addr().String(),
 		Size:        s.Size,
+		Started:     deps.Clock.Now(),
 	}}
 	d.killed, d.kill = context.WithCancel(context.Background())
 	if err := d.wireObservation(); err != nil {
 		_, _ = callerListener.Close(), peerListener.Close()
 		return nil, errors.Trace(err)
 	}
-	d.client = peer.NewClient(peer.ClientConfig{
-		Dialer:  &net.Dialer{Timeout: s.Timeouts.Dial.Duration()},
-		TLS:     d.clientTLS(),
-		Tracer:  d.tracer,
-		Metrics: d.metrics,
-	})
+	d.client = d.newPeerClient()
+	// Heartbeats have connections of their own, so that a large message does not hold
+	// them up.
+	d.heartbeats = d.newPeerClient()
 	d.wireControl()
 	d.metrics.MailboxLength(d.loop.MailboxLength)
 	d.metrics.QueueLength(d.loop.QueuedTasks)
@@ -157,11 +157,22 @@
 	}
 }
 
+func (d *Daemon) newPeerClient() *peer.Client {
+	return peer.NewClient(peer.ClientConfig{
+		Dialer:  &net.Dialer{Timeout: d.deps.Settings.Timeouts.Dial.Duration()},
+		TLS:     d.clientTLS(),
+		Tracer:  d.tracer,
+		Metrics: d.metrics,
+	})
+}
+
 func (d *Daemon) wireControl() {
 	s := d.deps.Settings
 	control := entry.NewControl(entry.ControlConfig{
 		DataCentre:     s.DataCentre,
 		Self:           d.self.Incarnation,
+		VM:             d.self,
+		Now:            d.deps.Clock.Now(),
 		Key:            randomBytes(keyBytes),
 		Dispatch:       dispatch.Config{QueuedTasks: s.Limits.QueuedTasks, Seed: binary.BigEndian.Uint64(randomBytes(seedBytes))},
 		AttemptTimeout: s.Timeouts.Attempt,
@@ -174,10 +185,15 @@
 		Log:         d.deps.Log,
 	})
 	client := platform.NewClient(platform.ClientConfig{Address: s.PlatformAddress, Timeout: s.Timeouts.Platform})
+	rows := newRosterRows(client.Table(), d.deps.Clock, d.self)
 	traffic := entry.NewTraffic(entry.TrafficConfig{
 		Self:            d.self.Incarnation,
 		Endpoints:       endpoints,
 		Witnesses:       d.client,
+		Roster:          d.heartbeats,
+		Rows:            rows,
+		Loans:           d.client,
+		Peers:           func(p entry.Snapshot) { d.router.SetPeers(p) },
 		Table:           client.Table(),
 		PeerTimeout:     s.Timeouts.Peer,
 		PlatformTimeout: s.Timeouts.Platform,
@@ -206,7 +222,7 @@
 		Log:    d.deps.Log,
 		Every:  s.Timeouts.Poll,
 		Loop:   d.loop,
-		Router: d.router,
+		Rows:   rows,
 		InForce: func(b *bundle.Bundle) {
 			d.bundle.Store(b)
 		},
@@ -269,6 +285,7 @@
 	g.Add(d.peers.Serve, func(error) {
 		d.peers.Close()
 		d.client.Close()
+		d.heartbeats.Close()
 	})
 	addContext(context.Background(), &g, d.poller.Run)
 	addContext(d.killed, &g, d.loop.Run)
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -19,8 +19,12 @@
 type ControlConfig struct {
 	DataCentre datacentre.ID
 	Self       vm.Incarnation
-	Key        []byte
-	Dispatch   dispatch.Config
+	// VM describes this VM to its peers; by default a VM of size 1 without an address.
+	VM vm.VM
+	// Now is the time at which the control state begins.
+	Now      clock.Millis
+	Key      []byte
+	Dispatch dispatch.Config
 	// AttemptTimeout bounds one send to an endpoint.
 	AttemptTimeout clock.Millis
 	// Limits bound the ledger and the witness's records, each on its own.
@@ -62,10 +66,23 @@
 	waiters      *waiting
 	rng          *rand.Rand
 	actions      []Action
+
+	neighbours *neighbours
+	drains     *datacentre.Drains
+	lending    *lending
+	ceilings   *datacentre.Ceilings
+	// granted are the slots that the scheduler was last given.
+	granted map[datacentre.EndpointID]datacentre.Slots
+	// homes tells of which endpoints this VM is the home by the roster in force.
+	homes map[datacentre.EndpointID]bool
 }
 
 // NewControl returns a control state machine without bundle, roster or endpoints.
 func NewControl(c ControlConfig) *Control {
+	if c.VM.Incarnation == "" {
+		c.VM = vm.VM{Incarnation: c.Self, DataCentre: c.DataCentre, Size: 1}
+	}
+	n := newNeighbours(c.Now, c.VM)
 	if c.Limits == (contract.Limits{}) {
 		c.Limits = contract.DefaultLimits()
 	}
@@ -75,7 +92,7 @@
 		ledger:        contract.NewLedger(c.Limits),
 		witness:       contract.NewWitness(contract.WitnessConfig{Self: c.Self, Limits: c.Limits}),
 		scheduler:     dispatch.New(c.Dispatch),
-		roster:        vm.NewRoster(vm.RosterConfig{Self: c.Self}),
+		roster:        n.membership.Roster(),
 		owners:        make(map[owner.ID]owner.Owner),
 		endpoints:     make(map[datacentre.EndpointID]datacentre.Endpoint),
 		outboxes:      make(map[vm.Incarnation]*outbox),
@@ -86,6 +103,13 @@
 		waiters:       newWaiting(),
 		// The generator only spreads retries; its seed differs between VMs.
 		rng: rand.New(rand.NewPCG(xxhash.Sum64String(string(c.Self)), 0)),
+
+		neighbours: n,
+		drains:     datacentre.NewDrains(),
+		ceilings:   datacentre.NewCeilings(),
+		lending:    newLending(c.Self, c.AttemptTimeout),
+		granted:    make(map[datacentre.EndpointID]datacentre.Slots),
+		homes:      make(map[datacentre.EndpointID]bool),
 	}
 }
 
@@ -108,6 +132,7 @@
 	case WaiterGone:
 		c.waiterGone(e.Waiter)
 	case AttemptEnded:
+		c.noteNotRun(now, e)
 		c.attemptEnded(now, e)
 	case RecordsAnswered:
 		c.recordsAnswered(now, e)
@@ -134,11 +159,34 @@
 	case HandOverReceived:
 		c.witness.HandOver(now, e.Issuer, e.Records, e.Last)
 		c.do(ReplyTo{Waiter: e.Waiter, Reply: RecordsReply{}})
+	case HeartbeatReceived:
+		c.heartbeatReceived(now, e)
+	case HeartbeatAnswered:
+		c.heartbeatAnswered(now, e)
+	case HeartbeatFailed:
+		c.heartbeatEnded(e.To)
+	case RowsRead:
+		c.rowsRead(now, e)
+	case VMsListed:
+		c.setRoster(now, c.neighbours.membership.ListRead(now, e.Listings))
+	case LoanRequested:
+		c.loanRequested(now, e)
+	case LoanAnswered:
+		c.loanAnswered(now, e)
+	case LoanFailed:
+		c.loanFailed(now, e)
+	case LoansReturned:
+		c.loansReturned(now, e)
+	case LoansAcknowledged:
+		c.lending.borrowings.Acknowledged(e.Returns)
 	case Tick:
+		c.passTime(now)
 		c.tick(now)
 	}
 	c.startTasks(now)
 	c.answerDropped(now)
+	c.askForLoans(now)
+	c.stopLateStarts(now)
 	c.flushOutboxes(now)
 	c.reportDrained()
 	return c.actions
@@ -172,29 +220,6 @@
 	c.do(ReplyTo{Waiter: e.Waiter, Reply: IDs{IDs: ids}})
 }
 
-func (c *Control) endpointsListed(now clock.Millis, e EndpointsListed) {
-	for id := range c.endpoints {
-		c.scheduler.SetSlots(now, id, 0)
-	}
-	clear(c.endpoints)
-	for _, ep := range e.Endpoints {
-		c.endpoints[ep.ID] = ep
-	}
-	c.assignHomes(now)
-}
-
-// assignHomes gives the scheduler the slots of the endpoints whose home is this VM.
-func (c *Control) assignHomes(now clock.Millis) {
-	for id, ep := range c.endpoints {
-		home, ok := c.roster.Home(id, ep.DataCentre)
-		slots := datacentre.Slots(0)
-		if ok && home.Incarnation == c.config.Self {
-			slots = ep.Slots
-		}
-		c.scheduler.SetSlots(now, id, slots)
-	}
-}
-
 func (c *Control) ownersChanged(now clock.Millis, e OwnersChanged) {
 	clear(c.owners)
 	for _, o := range e.Owners {
--- a/pkg/entry/control_fencing.go
+++ b/pkg/entry/control_fencing.go
@@ -92,7 +92,7 @@
 }
 
 func (c *Control) witnessAsked(now clock.Millis, e WitnessAsked) {
-	_, listed := c.roster.Find(e.ID.Issuer)
+	_, listed := c.present(e.ID.Issuer)
 	a, needsRow := c.witness.Ask(now, contract.Question{ID: e.ID, Owner: e.Owner, IssuerGone: !listed})
 	c.answer(e.Waiter, a)
 	if !needsRow {
@@ -156,7 +156,7 @@
 
 // gone reports whether a VM has been out of the roster and silent for long enough.
 func (c *Control) gone(now clock.Millis, i vm.Incarnation) bool {
-	if _, listed := c.roster.Find(i); listed || i == c.config.Self {
+	if _, listed := c.present(i); listed || i == c.config.Self {
 		return false
 	}
 	since, ok := c.lastSeen[i]
@@ -171,21 +171,37 @@
 	if _, ok := c.lastSeen[e.Incarnation]; ok {
 		c.lastSeen[e.Incarnation] = now
 	}
+	if v, ok := c.roster.Find(e.Incarnation); ok && c.roster == c.neighbours.membership.Roster() {
+		c.setRoster(now, c.neighbours.membership.Heard(now, v))
+	}
 }
 
-// rosterChanged notes when VMs left the roster, to tell those that are gone for good.
+// rosterChanged notes when VMs left, to tell those that are gone for good.
 func (c *Control) rosterChanged(now clock.Millis, e RosterChanged) {
-	for _, v := range c.roster.VMs() {
-		if _, ok := e.Roster.Find(v.Incarnation); !ok {
-			c.lastSeen[v.Incarnation] = now
-		}
+	before := c.roster
+	c.roster = e.Roster
+	for _, v := range before.VMs() {
+		c.noteAbsence(now, v.Incarnation)
 	}
 	for _, v := range e.Roster.VMs() {
-		delete(c.lastSeen, v.Incarnation)
+		c.noteAbsence(now, v.Incarnation)
 	}
-	c.roster = e.Roster
 	c.witnessForIDs = c.chooseWitness()
-	c.assignHomes(now)
+	if !e.Roster.SameIn(c.config.DataCentre, before) {
+		// The homes depend on the VMs of the data centre alone.
+		clear(c.homes)
+		c.assignHomes(now)
+	}
+}
+
+func (c *Control) noteAbsence(now clock.Millis, i vm.Incarnation) {
+	if _, ok := c.present(i); ok {
+		delete(c.lastSeen, i)
+		return
+	}
+	if _, noted := c.lastSeen[i]; !noted {
+		c.lastSeen[i] = now
+	}
 }
 
 // forgetGone drops VMs that left so long ago that no id of theirs is remembered.
--- a/pkg/entry/control_shutdown.go
+++ b/pkg/entry/control_shutdown.go
@@ -74,7 +74,7 @@
 	}
 	for _, w := range c.witnesses {
 		o := c.outboxes[w]
-		_, listed := c.roster.Find(w)
+		_, listed := c.present(w)
 		if listed && o.state != pairFenced && !o.handOver.done {
 			return
 		}
--- a/pkg/entry/traffic.go
+++ b/pkg/entry/traffic.go
@@ -30,7 +30,12 @@
 	Self      vm.Incarnation
 	Endpoints EndpointRunner
 	Witnesses RecordSender
-	Table     platform.Table
+	Roster    HeartbeatSender
+	Rows      RowDeleter
+	Loans     LoanCaller
+	// Peers hears of new rosters and links.
+	Peers func(Snapshot)
+	Table platform.Table
 	// PeerTimeout bounds one call to a peer.
 	PeerTimeout clock.Millis
 	// PlatformTimeout bounds the write and the read of a pair row together.
@@ -72,6 +77,16 @@
 		go t.runAttempt(a)
 	case SendRecords:
 		go t.sendRecords(a)
+	case SendHeartbeat:
+		go t.sendHeartbeat(a)
+	case DeleteRow:
+		go t.deleteRow(a)
+	case RequestLoan:
+		go t.requestLoan(a)
+	case ReturnLoans:
+		go t.returnLoans(a)
+	case PublishPeers:
+		t.config.Peers(a.Peers)
 	case SendHandOver:
 		go t.sendHandOver(a)
 	case WritePairRow:
--- a/pkg/vm/roster.go
+++ b/pkg/vm/roster.go
@@ -1,6 +1,7 @@
 package vm
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -19,6 +20,8 @@
 	Self    Incarnation
 	vms     []VM
 	index   map[Incarnation]int
+	zones   []datacentre.ID
+	byZone  map[datacentre.ID][]VM
 }
 
 // RosterConfig holds what a roster is made of.
@@ -35,10 +38,13 @@
 		return strings.Compare(string(a.Incarnation), string(b.Incarnation))
 	})
 	index := make(map[Incarnation]int, len(vms))
+	byZone := make(map[datacentre.ID][]VM)
 	for i, v := range vms {
 		index[v.Incarnation] = i
+		byZone[v.DataCentre] = append(byZone[v.DataCentre], v)
 	}
-	return &Roster{Version: c.Version, Self: c.Self, vms: vms, index: index}
+	zones := slices.Sorted(maps.Keys(byZone))
+	return &Roster{Version: c.Version, Self: c.Self, vms: vms, index: index, zones: zones, byZone: byZone}
 }
 
 // VMs returns all VMs in order of their incarnations. The caller must not change the slice.
@@ -46,6 +52,17 @@
 	return r.vms
 }
 
+// DataCentres returns the data centres of the known VMs in order. The caller must not
+// change the slice.
+func (r *Roster) DataCentres() []datacentre.ID {
+	return r.zones
+}
+
+// SameIn reports whether another roster tells the same of the VMs of a data centre.
+func (r *Roster) SameIn(dc datacentre.ID, other *Roster) bool {
+	return other != nil && slices.Equal(r.byZone[dc], other.byZone[dc])
+}
+
 // Find returns the VM of an incarnation.
 func (r *Roster) Find(i Incarnation) (VM, bool) {
 	n, ok := r.index[i]
@@ -57,32 +74,33 @@
 
 // Home returns the VM that owns the slots of an endpoint: the highest score by
 // rendezvous hashing, weighted by size, among the VMs of the endpoint's data centre
-// that are not leaving.
+// that are neither leaving nor removed.
 func (r *Roster) Home(e datacentre.EndpointID, dc datacentre.ID) (VM, bool) {
-	return r.pick(string(e), func(v VM) bool { return v.DataCentre == dc && !v.Leaving })
+	return pick(r.byZone[dc], string(e), VM.usable)
 }
 
 // Witness returns the peer that keeps the records of self: one of the same data centre
-// where there is one, else of another.
+// where there is one, else of another. A suspected peer is taken only where no other is
+// left, since its acknowledgements would hold up every start.
 func (r *Roster) Witness() Incarnation {
 	self, ok := r.Find(r.Self)
 	if !ok {
 		return None
 	}
-	eligible := func(v VM) bool { return v.Incarnation != r.Self && !v.Leaving }
-	local := func(v VM) bool { return eligible(v) && v.DataCentre == self.DataCentre }
-	if v, ok := r.pick(string(r.Self), local); ok {
-		return v.Incarnation
-	}
-	if v, ok := r.pick(string(r.Self), eligible); ok {
-		return v.Incarnation
+	peer := func(v VM) bool { return v.Incarnation != r.Self && v.usable() }
+	alive := func(v VM) bool { return peer(v) && v.Status == Alive }
+	local := func(v VM) bool { return alive(v) && v.DataCentre == self.DataCentre }
+	for _, eligible := range []func(VM) bool{local, alive, peer} {
+		if v, ok := pick(r.vms, string(r.Self), eligible); ok {
+			return v.Incarnation
+		}
 	}
 	return None
 }
 
-func (r *Roster) pick(key string, eligible func(VM) bool) (VM, bool) {
+func pick(vms []VM, key string, eligible func(VM) bool) (VM, bool) {
 	best, bestScore, found := VM{}, math.Inf(-1), false
-	for _, v := range r.vms {
+	for _, v := range vms {
 		if !eligible(v) {
 			continue
 		}
