--- a/pkg/app/poller.go
+++ b/pkg/app/poller.go
@@ -144,10 +144,11 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	b, err := bundle.Decode(body)
+	b, err := bundle.DecodeFile(string(bundleObject), body)
 	if err != nil {
 		return errors.Trace(err)
 	}
+	b.Version = 1
 	if p.current != nil && b.Version <= p.current.Version {
 		return nil
 	}
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -1,9 +1,9 @@
-// Package bundle holds the versioned configuration that owners sign off.
+// Package bundle holds the versioned configuration that owners sign off: its sections,
+// the head that names them, the sign-off, and the rules by which a head comes into force.
 package bundle
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
+	"strconv"
 
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
 )
@@ -11,19 +11,16 @@
 // Version orders bundles; a higher one replaces a lower one.
 type Version uint64
 
-// Digest is the hex SHA-256 digest of a bundle's bytes.
-type Digest string
-
-// DigestOf returns the digest of bytes.
-func DigestOf(body []byte) Digest {
-	sum := sha256.Sum256(body)
-	return Digest(hex.EncodeToString(sum[:]))
+// String returns the version in decimal.
+func (v Version) String() string {
+	return strconv.FormatUint(uint64(v), 10)
 }
 
 // Bundle is a version of the configuration. It is immutable.
 type Bundle struct {
-	Version Version
-	Owners  []owner.Owner
+	Version    Version
+	Governance Governance
+	Owners     []owner.Owner
 }
 
 // OwnerOf returns the owner whose callers may use the token.
--- a/pkg/bundle/codec.go
+++ b/pkg/bundle/codec.go
@@ -2,50 +2,184 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"io"
+	"slices"
+	"strings"
 
 	"github.com/juju/errors"
-	"github.com/pelletier/go-toml/v2"
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
 )
 
-type wireBundle struct {
-	Version uint64      `toml:"version"`
-	Owners  []wireOwner `toml:"owners"`
+// The canonical bytes of sections and heads are JSON with fixed order of fields, sorted
+// map keys and no white space, as encoding/json writes it. The tags for TOML serve the
+// file that people write.
+
+type wireGovernance struct {
+	Calendar map[string]string `json:"calendar" toml:"calendar"`
+	Keys     map[string]string `json:"keys" toml:"keys"`
 }
 
 type wireOwner struct {
-	ID      string      `toml:"id"`
-	Share   int         `toml:"share"`
-	Tokens  []string    `toml:"tokens"`
-	Classes []wireClass `toml:"classes"`
-	Limits  wireLimits  `toml:"limits"`
+	ID      string      `json:"id" toml:"id"`
+	Share   int         `json:"share" toml:"share"`
+	Tokens  []string    `json:"tokens" toml:"tokens"`
+	Classes []wireClass `json:"classes" toml:"classes"`
+	Limits  wireLimits  `json:"limits" toml:"limits"`
 }
 
 type wireClass struct {
-	Name       string `toml:"name"`
-	Rank       int    `toml:"rank"`
-	DeadlineMs int64  `toml:"deadlineMs"`
+	Name       string `json:"name" toml:"name"`
+	Rank       int    `json:"rank" toml:"rank"`
+	DeadlineMs int64  `json:"deadlineMs" toml:"deadlineMs"`
 }
 
 type wireLimits struct {
-	TasksPerJob int `toml:"tasksPerJob"`
-	QueuedTasks int `toml:"queuedTasks"`
+	TasksPerJob int `json:"tasksPerJob" toml:"tasksPerJob"`
+	QueuedTasks int `json:"queuedTasks" toml:"queuedTasks"`
+}
+
+type wireSignOff struct {
+	Month     string `json:"month,omitempty"`
+	Signer    string `json:"signer,omitempty"`
+	Signature string `json:"signature,omitempty"`
+}
+
+type wireLink struct {
+	Version uint64      `json:"version"`
+	Section string      `json:"section"`
+	SignOff wireSignOff `json:"signOff"`
+}
+
+type wireOwnerSection struct {
+	Owner   string `json:"owner"`
+	Section string `json:"section"`
+}
+
+type wireHead struct {
+	Version      uint64             `json:"version"`
+	Parent       uint64             `json:"parent"`
+	ParentDigest string             `json:"parentDigest"`
+	Governance   []wireLink         `json:"governance"`
+	Owners       []wireOwnerSection `json:"owners"`
+	SignOff      wireSignOff        `json:"signOff"`
+}
+
+// EncodeGovernance returns the canonical bytes of a governance section.
+func EncodeGovernance(g Governance) []byte {
+	w := wireGovernance{Calendar: make(map[string]string), Keys: make(map[string]string)}
+	for m, o := range g.Calendar {
+		w.Calendar[string(m)] = string(o)
+	}
+	for o, k := range g.Keys {
+		w.Keys[string(o)] = string(k)
+	}
+	return encodeJSON(w)
+}
+
+// DecodeGovernance reads the canonical bytes of a governance section.
+func DecodeGovernance(body []byte) (Governance, error) {
+	var w wireGovernance
+	if err := decodeJSON(body, &w); err != nil {
+		return Governance{}, errors.Annotate(err, "decode governance section")
+	}
+	return decodeGovernance(w), nil
+}
+
+// EncodeOwner returns the canonical bytes of an owner's section.
+func EncodeOwner(o owner.Owner) []byte {
+	return encodeJSON(encodeOwner(o))
 }
 
-// Decode reads the TOML form of a bundle. Unknown keys are refused.
-func Decode(body []byte) (*Bundle, error) {
-	var w wireBundle
-	decoder := toml.NewDecoder(bytes.NewReader(body)).DisallowUnknownFields()
-	if err := decoder.Decode(&w); err != nil {
-		return nil, errors.Annotate(err, "decode bundle")
+// DecodeOwner reads the canonical bytes of an owner's section.
+func DecodeOwner(body []byte) (owner.Owner, error) {
+	var w wireOwner
+	if err := decodeJSON(body, &w); err != nil {
+		return owner.Owner{}, errors.Annotate(err, "decode owner section")
+	}
+	return decodeOwner(w), nil
+}
+
+// EncodeHead returns the canonical bytes of a head.
+func EncodeHead(h Head) []byte {
+	w := wireHead{
+		Version:      uint64(h.Version),
+		Parent:       uint64(h.Parent),
+		ParentDigest: string(h.ParentDigest),
+		Governance:   make([]wireLink, len(h.Governance)),
+		Owners:       make([]wireOwnerSection, len(h.Owners)),
+		SignOff:      encodeSignOff(h.SignOff),
+	}
+	for i, l := range h.Governance {
+		w.Governance[i] = wireLink{Version: uint64(l.Version), Section: string(l.Section), SignOff: encodeSignOff(l.SignOff)}
+	}
+	for i, o := range h.Owners {
+		w.Owners[i] = wireOwnerSection{Owner: string(o.Owner), Section: string(o.Section)}
+	}
+	return encodeJSON(w)
+}
+
+// DecodeHead reads the canonical bytes of a head.
+func DecodeHead(body []byte) (Head, error) {
+	var w wireHead
+	if err := decodeJSON(body, &w); err != nil {
+		return Head{}, errors.Annotate(err, "decode bundle head")
+	}
+	h := Head{
+		Version:      Version(w.Version),
+		Parent:       Version(w.Parent),
+		ParentDigest: Digest(w.ParentDigest),
+		Governance:   make([]GovernanceLink, len(w.Governance)),
+		Owners:       make([]OwnerSection, len(w.Owners)),
+		SignOff:      decodeSignOff(w.SignOff),
+	}
+	for i, l := range w.Governance {
+		h.Governance[i] = GovernanceLink{Version: Version(l.Version), Section: Digest(l.Section), SignOff: decodeSignOff(l.SignOff)}
 	}
-	b := &Bundle{Version: Version(w.Version), Owners: make([]owner.Owner, len(w.Owners))}
 	for i, o := range w.Owners {
-		b.Owners[i] = decodeOwner(o)
+		h.Owners[i] = OwnerSection{Owner: owner.ID(o.Owner), Section: Digest(o.Section)}
+	}
+	return h, nil
+}
+
+func encodeSignOff(s SignOff) wireSignOff {
+	return wireSignOff{Month: string(s.Month), Signer: string(s.Signer), Signature: string(s.Signature)}
+}
+
+func decodeSignOff(w wireSignOff) SignOff {
+	return SignOff{Month: Month(w.Month), Signer: owner.ID(w.Signer), Signature: Signature(w.Signature)}
+}
+
+func decodeGovernance(w wireGovernance) Governance {
+	g := Governance{Calendar: make(Calendar), Keys: make(map[owner.ID]PublicKey)}
+	for m, o := range w.Calendar {
+		g.Calendar[Month(m)] = owner.ID(o)
+	}
+	for o, k := range w.Keys {
+		g.Keys[owner.ID(o)] = PublicKey(k)
 	}
-	return b, nil
+	return g
+}
+
+func encodeOwner(o owner.Owner) wireOwner {
+	w := wireOwner{
+		ID:      string(o.ID),
+		Share:   int(o.Share),
+		Tokens:  make([]string, len(o.Tokens)),
+		Classes: make([]wireClass, len(o.Classes)),
+		Limits:  wireLimits{TasksPerJob: o.Limits.TasksPerJob, QueuedTasks: o.Limits.QueuedTasks},
+	}
+	for i, t := range o.Tokens {
+		w.Tokens[i] = string(t)
+	}
+	for i, c := range o.Classes {
+		w.Classes[i] = wireClass{Name: string(c.Name), Rank: int(c.Rank), DeadlineMs: int64(c.Deadline)}
+	}
+	slices.Sort(w.Tokens)
+	slices.SortFunc(w.Classes, func(a, b wireClass) int { return strings.Compare(a.Name, b.Name) })
+	return w
 }
 
 func decodeOwner(w wireOwner) owner.Owner {
@@ -62,3 +196,21 @@
 	}
 	return o
 }
+
+// encodeJSON cannot fail: the wire types hold only strings, numbers, lists and maps.
+func encodeJSON(w any) []byte {
+	body, _ := json.Marshal(w)
+	return body
+}
+
+func decodeJSON(body []byte, w any) error {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(w); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("more bytes after the end")
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/bundle/digest.go
@@ -0,0 +1,23 @@
+package bundle
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"regexp"
+)
+
+// Digest is the hex SHA-256 digest of the bytes of a section or a head.
+type Digest string
+
+var digestFormat = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+// DigestOf returns the digest of bytes.
+func DigestOf(body []byte) Digest {
+	sum := sha256.Sum256(body)
+	return Digest(hex.EncodeToString(sum[:]))
+}
+
+// Valid reports whether the text has the form of a digest.
+func (d Digest) Valid() bool {
+	return digestFormat.MatchString(string(d))
+}
--- /dev/null
+++ b/pkg/bundle/head.go
@@ -0,0 +1,84 @@
+package bundle
+
+import (
+	"slices"
+
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+)
+
+// Signature is a hex Ed25519 signature.
+type Signature string
+
+// SignOff is the consent of the owner whose month it is.
+type SignOff struct {
+	Month     Month
+	Signer    owner.ID
+	Signature Signature
+}
+
+// OwnerSection names the section of one owner.
+type OwnerSection struct {
+	Owner   owner.ID
+	Section Digest
+}
+
+// GovernanceLink is a governance section and the version that brought it. The first link
+// of a chain is pinned by the settings; each later one is signed under the one before.
+type GovernanceLink struct {
+	Version Version
+	Section Digest
+	SignOff SignOff
+}
+
+// Head names all that belongs to a version. Owners are ordered by id.
+type Head struct {
+	Version      Version
+	Parent       Version
+	ParentDigest Digest
+	Governance   []GovernanceLink
+	Owners       []OwnerSection
+	SignOff      SignOff
+}
+
+// Digest returns the digest of the head's canonical bytes.
+func (h Head) Digest() Digest {
+	return DigestOf(EncodeHead(h))
+}
+
+// Unsigned returns the head as it was prepared, before any sign-off of its version.
+func (h Head) Unsigned() Head {
+	h.SignOff = SignOff{}
+	if h.changesGovernance() {
+		h.Governance = slices.Clone(h.Governance)
+		h.Governance[len(h.Governance)-1].SignOff = SignOff{}
+	}
+	return h
+}
+
+// Sections returns the digests of all sections that are needed to verify the head.
+func (h Head) Sections() []Digest {
+	digests := make([]Digest, 0, len(h.Governance)+len(h.Owners))
+	for _, l := range h.Governance {
+		digests = append(digests, l.Section)
+	}
+	for _, o := range h.Owners {
+		digests = append(digests, o.Section)
+	}
+	return digests
+}
+
+// changesGovernance reports whether this version brings a governance section of its own
+// in place of an earlier one.
+func (h Head) changesGovernance() bool {
+	last := len(h.Governance) - 1
+	return last > 0 && h.Governance[last].Version == h.Version
+}
+
+// governing returns the index of the link under which the head is signed: the governance
+// before it.
+func (h Head) governing() int {
+	if h.changesGovernance() {
+		return len(h.Governance) - 2
+	}
+	return len(h.Governance) - 1
+}
--- /dev/null
+++ b/pkg/bundle/month.go
@@ -0,0 +1,34 @@
+package bundle
+
+import (
+	"regexp"
+	"time"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// Month is a calendar month in UTC, in the form 2026-12. Months order as their texts do.
+type Month string
+
+const monthLayout = "2006-01"
+
+var monthFormat = regexp.MustCompile(`^[0-9]{4}-(0[1-9]|1[0-2])$`)
+
+// MonthOf returns the month of a point in time.
+func MonthOf(now clock.Millis) Month {
+	return Month(time.UnixMilli(int64(now)).UTC().Format(monthLayout))
+}
+
+// Valid reports whether the text has the form of a month.
+func (m Month) Valid() bool {
+	return monthFormat.MatchString(string(m))
+}
+
+// Next returns the month after.
+func (m Month) Next() Month {
+	t, err := time.Parse(monthLayout, string(m))
+	if err != nil {
+		return ""
+	}
+	return Month(t.AddDate(0, 1, 0).Format(monthLayout))
+}
--- /dev/null
+++ b/pkg/bundle/verdict.go
@@ -0,0 +1,42 @@
+package bundle
+
+// Verdict is what a holder says to a candidate: InForce or Rejected.
+type Verdict interface{ isVerdict() }
+
+// InForce says that the candidate is now the bundle in force.
+type InForce struct{ Candidate Candidate }
+
+// Cause says which rule a head breaks.
+type Cause string
+
+// The causes.
+const (
+	Malformed       Cause = "malformed"
+	Unsigned        Cause = "unsigned"
+	WrongOwner      Cause = "wrong owner"
+	WrongMonth      Cause = "wrong month"
+	WrongSignature  Cause = "wrong signature"
+	ChangedBytes    Cause = "changed bytes"
+	MissingSection  Cause = "missing section"
+	OldParent       Cause = "old parent"
+	OtherGovernance Cause = "other governance"
+	OldVersion      Cause = "old version"
+	Replayed        Cause = "replayed"
+	OtherBytes      Cause = "other bytes under the version in force"
+)
+
+// Rejected says why a head does not come into force. It is an error too, so that
+// commands can print it.
+type Rejected struct {
+	Version Version
+	Cause   Cause
+	Reason  string
+}
+
+func (InForce) isVerdict()  {}
+func (Rejected) isVerdict() {}
+
+// Error implements error.
+func (r Rejected) Error() string {
+	return "bundle version " + r.Version.String() + " rejected: " + string(r.Cause) + ": " + r.Reason
+}
