--- a/pkg/bundle/verify.go
+++ b/pkg/bundle/verify.go
@@ -11,14 +11,41 @@
 // Verify checks a head on its own: its form, its chain of governance sections from the
 // pinned one, its sign-off and the bytes of its sections. It needs no clock and no
 // earlier version, so every VM comes to the same result.
-func Verify(_ Digest, h Head, s Sections) (Candidate, error) {
+func Verify(pin Digest, h Head, s Sections) (Candidate, error) {
 	b, err := Assemble(h, s)
 	if err != nil {
 		return Candidate{}, err
 	}
+	governances, err := h.governances(s)
+	if err != nil {
+		return Candidate{}, err
+	}
+	if err := h.checkChain(pin, governances); err != nil {
+		return Candidate{}, err
+	}
+	if err := h.checkSignOff(governances[h.governing()], h.SignOff, h.message()); err != nil {
+		return Candidate{}, err
+	}
 	return Candidate{Head: h, Digest: h.Digest(), Bundle: b}, nil
 }
 
+// checkChain checks that the governance sections lead from the pinned one, each signed
+// under the one before.
+func (h Head) checkChain(pin Digest, governances []Governance) error {
+	if h.Governance[0].Section != pin {
+		return h.reject(OtherGovernance, "the chain starts with %s, but the settings pin %q", h.Governance[0].Section, pin)
+	}
+	for i := 1; i < len(h.Governance); i++ {
+		if err := h.checkSignOff(governances[i-1], h.Governance[i].SignOff, h.linkMessage(i)); err != nil {
+			return err
+		}
+		if h.Governance[i].SignOff.Month < h.Governance[i-1].SignOff.Month {
+			return h.reject(WrongMonth, "governance of version %d was signed for a month before its predecessor", h.Governance[i].Version)
+		}
+	}
+	return nil
+}
+
 // Assemble checks the form of a head and the bytes of its sections, and returns the
 // bundle. It looks at no sign-off, so that a prepared head can be checked too.
 func Assemble(h Head, s Sections) (*Bundle, error) {
