Bound and retry platform calls, and let the stand-in fail by plan

Cause: a platform call was tried once, without bound on our own traffic or on the size of an answer, and the stand-in could not fail. WriteOnce is the interface for compare-and-set with a writer's token and still takes a lost answer for a failure.

--- a/pkg/app/standin_command.go
+++ b/pkg/app/standin_command.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 
 	"github.com/juju/errors"
 	"github.com/oklog/run"
@@ -37,22 +36,15 @@
 	flags := flag.NewFlagSet("platform", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	address := flags.String("address", "127.0.0.1:7002", "host:port to listen on")
-	bundleFile := flags.String("bundle", "", "TOML file to offer as the bundle")
 	return &ffcli.Command{
 		Name:       "platform",
 		ShortUsage: "sequoiacart standin platform --address 127.0.0.1:7002",
 		ShortHelp:  "Runs a table service, an object store and a VM list in memory.",
+		LongHelp:   "Example: sequoiacart standin platform --address 127.0.0.1:7002\nPUT /v1/faults sets faults for each service, for example:\n{\"table\":{\"down\":false,\"slowMs\":0,\"dropNext\":0,\"loseNext\":1,\"lag\":0}}",
 		FlagSet:    flags,
 		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
 		Exec: func(ctx context.Context, _ []string) error {
 			p := standin.NewPlatform()
-			if *bundleFile != "" {
-				body, err := os.ReadFile(*bundleFile)
-				if err != nil {
-					return errors.Annotate(err, "read bundle")
-				}
-				p.SetObject("bundle", body)
-			}
 			return serveHTTP(ctx, *address, p.Handler(), func(context.Context, string) error { return nil })
 		},
 	}
--- /dev/null
+++ b/pkg/platform/retry.go
@@ -0,0 +1,71 @@
+package platform
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/juju/errors"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// backoff spaces the attempts of one call. Each pause is drawn from the upper half of a
+// span that doubles, so that VMs that failed together do not come back together.
+type backoff struct {
+	clock clock.Clock
+	first clock.Millis
+	limit clock.Millis
+}
+
+// pause waits before the given retry; 0 is the first.
+func (b backoff) pause(ctx context.Context, retry int) error {
+	span := b.first
+	for range retry {
+		span = min(2*span, b.limit)
+	}
+	span = span/2 + clock.Millis(rand.Int64N(int64(span/2)+1))
+	return wait(ctx, b.clock, span)
+}
+
+// rateLimit spaces our own calls so that one VM cannot flood a platform that everybody
+// shares. It allows a burst of one second's worth.
+type rateLimit struct {
+	clock clock.Clock
+	// perSecond is the number of calls allowed in a second.
+	perSecond int
+
+	mu sync.Mutex
+	// due is when the next call would start if no burst were allowed.
+	due clock.Millis
+	// carry holds the thousandths of a millisecond that due leaves out.
+	carry clock.Millis
+}
+
+// admit waits until a call may start.
+func (l *rateLimit) admit(ctx context.Context) error {
+	return errors.Annotate(wait(ctx, l.clock, l.reserve()), "wait for the rate limit on platform calls")
+}
+
+func (l *rateLimit) reserve() clock.Millis {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	l.due = max(l.due, now-clock.Second)
+	l.carry += clock.Second
+	l.due += l.carry / clock.Millis(l.perSecond)
+	l.carry %= clock.Millis(l.perSecond)
+	return l.due - now
+}
+
+func wait(ctx context.Context, c clock.Clock, span clock.Millis) error {
+	if span <= 0 {
+		return ctx.Err()
+	}
+	select {
+	case <-c.After(span):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/pkg/platform/table.go
+++ b/pkg/platform/table.go
@@ -25,6 +25,7 @@
 	ErrAbsent      = errors.ConstError("not present at the platform")
 	ErrRevision    = errors.ConstError("the row has another revision")
 	ErrUnavailable = errors.ConstError("the platform does not answer")
+	ErrTooLarge    = errors.ConstError("the answer is too large")
 )
 
 // Table is the transactional table service. A write whose answer is lost may have taken
--- /dev/null
+++ b/pkg/platform/write_once.go
@@ -0,0 +1,45 @@
+package platform
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+)
+
+// Write is one compare-and-set of a row.
+type Write struct {
+	Key      Key
+	Expected Revision
+	Value    []byte
+	// Mine recognises a value that this writer wrote, by a token that no other writer uses.
+	Mine func(value []byte) bool
+}
+
+// WriteOutcome is how a compare-and-set ended: Won or LostTo.
+type WriteOutcome interface{ isWriteOutcome() }
+
+// Won says that this writer's value is in the row.
+type Won struct{ Revision Revision }
+
+// LostTo says that another writer was first, and what its row holds. A row with revision
+// 0 was deleted meanwhile.
+type LostTo struct{ Row Row }
+
+func (Won) isWriteOutcome()    {}
+func (LostTo) isWriteOutcome() {}
+
+// WriteOnce writes a row by compare-and-set. With an error, the write may still take effect.
+func WriteOnce(ctx context.Context, t Table, w Write) (WriteOutcome, error) {
+	revision, err := t.Put(ctx, w.Key, w.Expected, w.Value)
+	if err == nil {
+		return Won{Revision: revision}, nil
+	}
+	if !errors.Is(err, ErrRevision) {
+		return nil, errors.Annotatef(err, "write row %s", w.Key)
+	}
+	row, err := t.Get(ctx, w.Key)
+	if err != nil {
+		return nil, errors.Annotatef(err, "read row %s back", w.Key)
+	}
+	return LostTo{Row: row}, nil
+}
--- /dev/null
+++ b/pkg/standin/faults.go
@@ -0,0 +1,136 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// Service names a part of the platform that can fail on its own.
+type Service string
+
+// The services.
+const (
+	TableService  Service = "table"
+	ObjectService Service = "objects"
+	VMService     Service = "vms"
+)
+
+// Faults says how a service fails until the next change. The counts apply to the next
+// calls and then run out, so a schedule of faults is the same in each run.
+type Faults struct {
+	// Down drops the connection of each call before it takes effect.
+	Down bool
+	// Slow delays each answer.
+	Slow clock.Millis
+	// DropNext drops the next calls before they take effect.
+	DropNext int
+	// LoseNext lets the next writes take effect and drops their answers.
+	LoseNext int
+	// Lag serves reads from the state before that many writes.
+	Lag int
+}
+
+type wireFaults struct {
+	Down     bool  `json:"down"`
+	SlowMs   int64 `json:"slowMs"`
+	DropNext int   `json:"dropNext"`
+	LoseNext int   `json:"loseNext"`
+	Lag      int   `json:"lag"`
+}
+
+// faultSwitches holds the faults of each service.
+type faultSwitches struct {
+	clock clock.Clock
+
+	mu     sync.Mutex
+	faults map[Service]Faults
+}
+
+func newFaultSwitches(c clock.Clock) *faultSwitches {
+	return &faultSwitches{clock: c, faults: make(map[Service]Faults)}
+}
+
+func (s *faultSwitches) set(name Service, f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults[name] = f
+}
+
+func (s *faultSwitches) get(name Service) Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults[name]
+}
+
+// next returns what happens to one call, and uses up the counts.
+func (s *faultSwitches) next(name Service, write bool) (drop, lose bool, slow clock.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.faults[name]
+	drop = f.Down
+	switch {
+	case f.Down:
+	case f.DropNext > 0:
+		f.DropNext--
+		drop = true
+	case write && f.LoseNext > 0:
+		f.LoseNext--
+		lose = true
+	}
+	s.faults[name] = f
+	return drop, lose, f.Slow
+}
+
+// wrap applies the faults to a handler. A dropped call ends without an answer.
+func (s *faultSwitches) wrap(name Service, handler http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		drop, lose, slow := s.next(name, r.Method != http.MethodGet)
+		if slow > 0 {
+			select {
+			case <-s.clock.After(slow):
+			case <-r.Context().Done():
+			}
+		}
+		if drop {
+			panic(http.ErrAbortHandler)
+		}
+		if lose {
+			handler(discardedAnswer{header: make(http.Header)}, r)
+			panic(http.ErrAbortHandler)
+		}
+		handler(w, r)
+	}
+}
+
+// serve reads PUT /v1/faults: an object with the faults of each service by name.
+func (s *faultSwitches) serve(w http.ResponseWriter, r *http.Request) {
+	var ws map[Service]wireFaults
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&ws); err != nil {
+		http.Error(w, "set faults: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	known := map[Service]bool{TableService: true, ObjectService: true, VMService: true}
+	for name := range ws {
+		if !known[name] {
+			message := strings.Join([]string{"set faults: service", string(name), "is unknown; use table, objects or vms"}, " ")
+			http.Error(w, message, http.StatusBadRequest)
+			return
+		}
+	}
+	for name, f := range ws {
+		s.set(name, Faults{Down: f.Down, Slow: clock.Millis(f.SlowMs), DropNext: f.DropNext, LoseNext: f.LoseNext, Lag: f.Lag})
+	}
+}
+
+// discardedAnswer takes an answer that never reaches the caller.
+type discardedAnswer struct{ header http.Header }
+
+func (d discardedAnswer) Header() http.Header          { return d.header }
+func (discardedAnswer) Write(body []byte) (int, error) { return len(body), nil }
+func (discardedAnswer) WriteHeader(int)                {}
--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"sort"
 	"strconv"
 	"strings"
 	"sync"
 
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/platform"
 )
 
@@ -20,28 +22,42 @@
 	last    platform.Revision
 	objects map[string][]byte
 	vms     map[string]platform.WireVM
+	// Earlier states of the VM list and of the table, newest last, for reads that lag.
+	earlierVMs  []map[string]platform.WireVM
+	earlierRows []map[string]platform.Row
+	faults      *faultSwitches
 }
 
+// keptStates bounds the lag that a reader can be given.
+const keptStates = 16
+
 // NewPlatform returns an empty platform.
 func NewPlatform() *Platform {
 	return &Platform{
 		rows:    make(map[string]platform.Row),
 		objects: make(map[string][]byte),
 		vms:     make(map[string]platform.WireVM),
+		faults:  newFaultSwitches(clock.NewSystem()),
 	}
 }
 
+// SetFaults sets how a service fails from now on.
+func (p *Platform) SetFaults(name Service, f Faults) {
+	p.faults.set(name, f)
+}
+
 // Handler serves the platform over HTTP.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/table", p.list)
-	mux.HandleFunc("GET /v1/table/{key}", p.get)
-	mux.HandleFunc("PUT /v1/table/{key}", p.put)
-	mux.HandleFunc("DELETE /v1/table/{key}", p.remove)
-	mux.HandleFunc("GET /v1/objects/{name}", p.getObject)
-	mux.HandleFunc("PUT /v1/objects/{name}", p.putObject)
-	mux.HandleFunc("GET /v1/vms", p.listVMs)
+	mux.HandleFunc("GET /v1/table", p.faults.wrap(TableService, p.list))
+	mux.HandleFunc("GET /v1/table/{key}", p.faults.wrap(TableService, p.get))
+	mux.HandleFunc("PUT /v1/table/{key}", p.faults.wrap(TableService, p.put))
+	mux.HandleFunc("DELETE /v1/table/{key}", p.faults.wrap(TableService, p.remove))
+	mux.HandleFunc("GET /v1/objects/{name}", p.faults.wrap(ObjectService, p.getObject))
+	mux.HandleFunc("PUT /v1/objects/{name}", p.faults.wrap(ObjectService, p.putObject))
+	mux.HandleFunc("GET /v1/vms", p.faults.wrap(VMService, p.listVMs))
 	mux.HandleFunc("PUT /v1/vms/{name}", p.putVM)
+	mux.HandleFunc("PUT /v1/faults", p.faults.serve)
 	return mux
 }
 
@@ -50,7 +66,7 @@
 	defer p.mu.Unlock()
 	prefix := r.URL.Query().Get("prefix")
 	rows := []platform.WireRow{}
-	for key, row := range p.rows {
+	for key, row := range p.readRows() {
 		if strings.HasPrefix(key, prefix) {
 			rows = append(rows, platform.EncodeRow(row))
 		}
@@ -62,7 +78,7 @@
 func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	row, ok := p.rows[r.PathValue("key")]
+	row, ok := p.readRows()[r.PathValue("key")]
 	if !ok {
 		http.NotFound(w, r)
 		return
@@ -81,6 +97,7 @@
 	if !p.asExpected(w, r, key) {
 		return
 	}
+	p.keepRows()
 	p.last++
 	p.rows[key] = platform.Row{Key: platform.Key(key), Revision: p.last, Value: value}
 	_, _ = w.Write([]byte(strconv.FormatUint(uint64(p.last), 10)))
@@ -91,6 +108,7 @@
 	defer p.mu.Unlock()
 	key := r.PathValue("key")
 	if p.asExpected(w, r, key) {
+		p.keepRows()
 		delete(p.rows, key)
 	}
 }
@@ -131,7 +149,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	vms := []platform.WireVM{}
-	for _, v := range p.vms {
+	for _, v := range lagging(p.earlierVMs, p.vms, p.faults.get(VMService).Lag) {
 		vms = append(vms, v)
 	}
 	sort.Slice(vms, func(i, j int) bool { return vms[i].Endpoint < vms[j].Endpoint })
@@ -146,12 +164,29 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.earlierVMs = keepState(p.earlierVMs, p.vms)
 	p.vms[r.PathValue("name")] = v
 }
 
-// SetObject stores an object without going over HTTP.
-func (p *Platform) SetObject(name platform.ObjectName, body []byte) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.objects[string(name)] = body
+func (p *Platform) readRows() map[string]platform.Row {
+	return lagging(p.earlierRows, p.rows, p.faults.get(TableService).Lag)
+}
+
+func (p *Platform) keepRows() {
+	if p.faults.get(TableService).Lag > 0 {
+		p.earlierRows = keepState(p.earlierRows, p.rows)
+	}
+}
+
+// lagging returns the state before the given number of writes, or the oldest one kept.
+func lagging[V any](earlier []map[string]V, now map[string]V, lag int) map[string]V {
+	if lag <= 0 || len(earlier) == 0 {
+		return now
+	}
+	return earlier[max(len(earlier)-lag, 0)]
+}
+
+func keepState[V any](earlier []map[string]V, now map[string]V) []map[string]V {
+	earlier = append(earlier, maps.Clone(now))
+	return earlier[max(len(earlier)-keptStates, 0):]
 }
