--- /dev/null
+++ b/pkg/platform/client_test.go
@@ -0,0 +1,156 @@
+package platform_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/juju/errors"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/platform"
+	"github.com/sequoiacart/sequoiacart/pkg/standin"
+)
+
+const epoch = clock.Hour
+
+// skipClock passes every span at once and adds up what was waited.
+type skipClock struct{ now atomic.Int64 }
+
+func (c *skipClock) Now() clock.Millis { return clock.Millis(c.now.Load()) }
+
+func (c *skipClock) After(span clock.Millis) <-chan clock.Millis {
+	ch := make(chan clock.Millis, 1)
+	ch <- clock.Millis(c.now.Add(int64(span)))
+	return ch
+}
+
+func newPlatform(t *testing.T, c platform.ClientConfig) (*standin.Platform, *platform.Client, *skipClock) {
+	t.Helper()
+	p := standin.NewPlatform()
+	server := httptest.NewServer(p.Handler())
+	skip := &skipClock{}
+	skip.now.Store(int64(epoch))
+	c.Address, c.Timeout, c.Clock = strings.TrimPrefix(server.URL, "http://"), 10*clock.Second, skip
+	client := platform.NewClient(c)
+	t.Cleanup(func() { client.Close(); server.Close() })
+	return p, client, skip
+}
+
+// Guards against a write that is believed lost although it took effect, against one that
+// is believed done although another writer was first, and against a second write.
+func TestWriteOnce(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults standin.Faults
+		// rival is written to the row before, under the revision that the writer expects.
+		rival   string
+		want    string
+		wantRow string
+	}{
+		{"no fault", standin.Faults{}, "", "won", "mine"},
+		{"answer lost after the write", standin.Faults{LoseNext: 1}, "", "won", "mine"},
+		{"call lost before the write", standin.Faults{DropNext: 1}, "", "won", "mine"},
+		{"call lost, then answer lost", standin.Faults{DropNext: 1, LoseNext: 1}, "", "won", "mine"},
+		{"rival was first", standin.Faults{}, "rival", "lost to rival", "rival"},
+		{"rival was first, call lost", standin.Faults{DropNext: 1}, "rival", "lost to rival", "rival"},
+		{"platform down", standin.Faults{Down: true}, "", "cannot tell", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p, client, _ := newPlatform(t, platform.ClientConfig{})
+			ctx := context.Background()
+			if tt.rival != "" {
+				if _, err := client.Table().Put(ctx, "row", 0, []byte(tt.rival)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			p.SetFaults(standin.TableService, tt.faults)
+			outcome, err := platform.WriteOnce(ctx, client.Table(), platform.Write{
+				Key:   "row",
+				Value: []byte("mine"),
+				Mine:  func(value []byte) bool { return string(value) == "mine" },
+			})
+			got := "cannot tell"
+			switch o := outcome.(type) {
+			case platform.Won:
+				got = "won"
+			case platform.LostTo:
+				got = "lost to " + string(o.Row.Value)
+			}
+			if got != tt.want || (err == nil) != (tt.want != "cannot tell") {
+				t.Errorf("got %s, %v, want %s", got, err, tt.want)
+			}
+			p.SetFaults(standin.TableService, standin.Faults{})
+			if row, _ := client.Table().Get(ctx, "row"); string(row.Value) != tt.wantRow {
+				t.Errorf("row: got %q, want %q", row.Value, tt.wantRow)
+			}
+		})
+	}
+}
+
+// Guards against reads that give up at the first fault, against writes that are repeated
+// blindly, and against answers that fill the memory.
+func TestClientFaults(t *testing.T) {
+	ctx := context.Background()
+	tests := []struct {
+		name   string
+		faults standin.Faults
+		call   func(c *platform.Client) error
+		want   error
+	}{
+		{"read, fault once", standin.Faults{DropNext: 1}, func(c *platform.Client) error {
+			_, err := c.Objects().Get(ctx, "there")
+			return err
+		}, nil},
+		{"read, fault for longer", standin.Faults{DropNext: 99}, func(c *platform.Client) error {
+			_, err := c.Objects().Get(ctx, "there")
+			return err
+		}, platform.ErrUnavailable},
+		{"object written, answer lost", standin.Faults{LoseNext: 1}, func(c *platform.Client) error {
+			return c.Objects().Put(ctx, "new", []byte("x"))
+		}, nil},
+		{"absent", standin.Faults{}, func(c *platform.Client) error {
+			_, err := c.Objects().Get(ctx, "nowhere")
+			return err
+		}, platform.ErrAbsent},
+		{"answer too large", standin.Faults{}, func(c *platform.Client) error {
+			_, err := c.Objects().Get(ctx, "large")
+			return err
+		}, platform.ErrTooLarge},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p, client, _ := newPlatform(t, platform.ClientConfig{AnswerBytes: 100})
+			for name, size := range map[platform.ObjectName]int{"there": 1, "large": 101} {
+				if err := client.Objects().Put(ctx, name, make([]byte, size)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			p.SetFaults(standin.ObjectService, tt.faults)
+			err := tt.call(client)
+			if !errors.Is(err, tt.want) && (tt.want != nil || err != nil) {
+				t.Errorf("got %v, want %v", err, tt.want)
+			}
+			if err != nil && !strings.Contains(err.Error(), "platform 127.0.0.1:") {
+				t.Errorf("got %q, want an error that names the peer", err)
+			}
+		})
+	}
+}
+
+// Guards against one VM that floods the platform: after a burst of one second's worth,
+// calls are spaced to the limit.
+func TestClientKeepsToItsRate(t *testing.T) {
+	_, client, skip := newPlatform(t, platform.ClientConfig{CallsPerSecond: 30})
+	for range 330 {
+		if _, err := client.ListVMs(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got, want := skip.Now()-epoch, 10*clock.Second; got != want {
+		t.Errorf("330 calls at 30/s with a burst of 30: got %d ms, want %d ms", got, want)
+	}
+}
