Prepare, sign and roll bundles at the platform

Cause: there was no way from a file to an accepted bundle. Operator prepares (uploads what the parent lacks), signs (only what VMs would take) and rolls by one compare-and-set. The signed month may lie 36 h from the operator's clock; VMs compare none.

--- /dev/null
+++ b/pkg/operator/operator.go
@@ -0,0 +1,97 @@
+// Package operator carries out the steps that bring a bundle from a file into force:
+// prepare, sign and roll.
+package operator
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+
+	"github.com/juju/errors"
+
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
+	"github.com/sequoiacart/sequoiacart/pkg/bundlestore"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/platform"
+)
+
+// Deps holds what an operator is made of.
+type Deps struct {
+	Name  bundlestore.OperatorName
+	Store *bundlestore.Store
+	Clock clock.Clock
+}
+
+// Operator carries out the steps under one operator's name.
+type Operator struct {
+	deps Deps
+}
+
+// New returns an operator.
+func New(d Deps) *Operator {
+	return &Operator{deps: d}
+}
+
+// ErrRaced says that another operator was first.
+const ErrRaced = errors.ConstError("another operator was first")
+
+// MonthSlack is how far a signed month may lie from the operator's clock. It covers a
+// clock that is wrong by a day and a month that ends between sign and roll. VMs compare
+// no clock at all, since a bundle that was accepted must hold at each of them.
+const MonthSlack = 36 * clock.Hour
+
+// months returns the months that may be signed or rolled now.
+func (o *Operator) months() []bundle.Month {
+	now := o.deps.Clock.Now()
+	return []bundle.Month{bundle.MonthOf(now), bundle.MonthOf(now - MonthSlack), bundle.MonthOf(now + MonthSlack)}
+}
+
+func (o *Operator) checkMonth(m bundle.Month) error {
+	for _, allowed := range o.months() {
+		if m == allowed {
+			return nil
+		}
+	}
+	return errors.NotValidf("check month: %s is signed, but it is %s here; have the owner of the present month sign, or correct the clock: sign-off", m, o.months()[0])
+}
+
+// parent is the head in force, from which the next version is made.
+type parent struct {
+	row      bundlestore.HeadRow
+	revision platform.Revision
+	// head is nil before the first roll.
+	head *bundle.Head
+}
+
+func (o *Operator) parent(ctx context.Context) (parent, error) {
+	row, revision, err := o.deps.Store.HeadRow(ctx)
+	if errors.Is(err, platform.ErrAbsent) {
+		return parent{}, nil
+	}
+	if err != nil {
+		return parent{}, errors.Trace(err)
+	}
+	head, err := o.deps.Store.Head(ctx, row.Head.Digest)
+	return parent{row: row, revision: revision, head: &head}, errors.Trace(err)
+}
+
+// follows checks that the head is a child of the one in force.
+func (p parent) follows(h bundle.Head) error {
+	if h.Parent == p.row.Head.Version && h.ParentDigest == p.row.Head.Digest {
+		return nil
+	}
+	return raced(p.row, h)
+}
+
+func raced(winner bundlestore.HeadRow, h bundle.Head) error {
+	return errors.Annotatef(ErrRaced, "version %d was prepared on version %d, but %q has rolled version %d (head %s); read it with diff and prepare again",
+		h.Version, h.Parent, winner.Operator, winner.Head.Version, winner.Head.Digest)
+}
+
+const tokenBytes = 16
+
+func newToken() bundlestore.WriterToken {
+	b := make([]byte, tokenBytes)
+	_, _ = rand.Read(b)
+	return bundlestore.WriterToken(hex.EncodeToString(b))
+}
--- /dev/null
+++ b/pkg/operator/publish.go
@@ -0,0 +1,30 @@
+package operator
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
+)
+
+// Publish prepares, signs and rolls a bundle in one go, and returns the governance digest
+// that settings pin. Tests and the demo use it; operators take the steps one by one.
+func (o *Operator) Publish(ctx context.Context, b *bundle.Bundle, s SignOff) (bundle.Digest, error) {
+	prepared, err := o.Prepare(ctx, b)
+	if err != nil {
+		return "", errors.Annotate(err, "prepare")
+	}
+	s.Candidate = prepared.ID
+	if _, err := o.Sign(ctx, s); err != nil {
+		return "", errors.Annotate(err, "sign")
+	}
+	if _, err := o.Roll(ctx, prepared.ID); err != nil {
+		return "", errors.Annotate(err, "roll")
+	}
+	c, err := o.InForce(ctx)
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	return c.Head.Governance[0].Section, nil
+}
--- /dev/null
+++ b/pkg/operator/roll.go
@@ -0,0 +1,99 @@
+package operator
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
+	"github.com/sequoiacart/sequoiacart/pkg/bundlestore"
+	"github.com/sequoiacart/sequoiacart/pkg/platform"
+)
+
+// Roll puts a signed candidate into force by one compare-and-set of the head row. It
+// returns the row that put the candidate into force, which another operator may have
+// written.
+func (o *Operator) Roll(ctx context.Context, id bundle.Digest) (bundlestore.HeadRow, error) {
+	row, _, err := o.deps.Store.Candidate(ctx, id)
+	if errors.Is(err, platform.ErrAbsent) {
+		return o.rolledBefore(ctx, id)
+	}
+	if err != nil {
+		return bundlestore.HeadRow{}, errors.Trace(err)
+	}
+	head, err := o.deps.Store.Head(ctx, row.Head.Digest)
+	if err != nil {
+		return bundlestore.HeadRow{}, errors.Trace(err)
+	}
+	p, err := o.parent(ctx)
+	if err != nil {
+		return bundlestore.HeadRow{}, errors.Trace(err)
+	}
+	if p.row.Head == row.Head {
+		return p.row, nil
+	}
+	if _, err := o.verify(ctx, p, head); err != nil {
+		return bundlestore.HeadRow{}, errors.Annotate(err, "check candidate")
+	}
+	if err := o.checkMonth(head.SignOff.Month); err != nil {
+		return bundlestore.HeadRow{}, errors.Trace(err)
+	}
+	mine := bundlestore.HeadRow{Head: row.Head, Operator: o.deps.Name, Token: newToken()}
+	written, err := o.deps.Store.WriteHeadRow(ctx, p.revision, mine)
+	if err != nil {
+		return bundlestore.HeadRow{}, errors.Annotatef(err, "roll version %d: cannot tell whether it took effect; run status, then roll again", head.Version)
+	}
+	if err := o.settle(ctx, head, written); err != nil {
+		return written, errors.Trace(err)
+	}
+	o.removeCandidates(ctx, head.Version)
+	return written, nil
+}
+
+// rolledBefore settles a candidate whose row is gone: it was rolled, or cleared because
+// another one was rolled under its version.
+func (o *Operator) rolledBefore(ctx context.Context, id bundle.Digest) (bundlestore.HeadRow, error) {
+	prepared, err := o.deps.Store.Head(ctx, id)
+	if err != nil {
+		return bundlestore.HeadRow{}, errors.Annotatef(err, "roll: no candidate %s is prepared", id)
+	}
+	heads, err := o.History(ctx, recentVersions)
+	if err != nil {
+		return bundlestore.HeadRow{}, errors.Trace(err)
+	}
+	for _, h := range heads {
+		if h.Unsigned().Digest() == id {
+			return bundlestore.HeadRow{Head: bundle.Ref{Version: h.Version, Digest: h.Digest()}}, nil
+		}
+	}
+	p, err := o.parent(ctx)
+	if err != nil {
+		return bundlestore.HeadRow{}, errors.Trace(err)
+	}
+	return p.row, raced(p.row, prepared)
+}
+
+// recentVersions bounds the search for a version that was rolled before.
+const recentVersions = 50
+
+// settle says whether the head is in force, given the row that stands now.
+func (o *Operator) settle(_ context.Context, h bundle.Head, written bundlestore.HeadRow) error {
+	if written.Head.Digest == h.Digest() {
+		return nil
+	}
+	return raced(written, h)
+}
+
+// removeCandidates clears candidates that can no longer be rolled. Nothing depends on it,
+// so failures are left to the next roll.
+func (o *Operator) removeCandidates(ctx context.Context, rolled bundle.Version) {
+	candidates, err := o.deps.Store.Candidates(ctx)
+	if err != nil {
+		return
+	}
+	for _, c := range candidates {
+		if c.Head.Version <= rolled {
+			_ = o.deps.Store.DeleteCandidate(ctx, c.ID)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/operator/sign.go
@@ -0,0 +1,92 @@
+package operator
+
+import (
+	"context"
+	"crypto/ed25519"
+
+	"github.com/juju/errors"
+
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
+	"github.com/sequoiacart/sequoiacart/pkg/bundlestore"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+)
+
+// SignOff is an owner's consent to a candidate.
+type SignOff struct {
+	Candidate bundle.Digest
+	Signer    owner.ID
+	Key       ed25519.PrivateKey
+	// Month is the month to sign for; empty means the present one.
+	Month bundle.Month
+}
+
+// Sign writes the sign-off of an owner. It changes nothing unless VMs would take it.
+func (o *Operator) Sign(ctx context.Context, s SignOff) (bundlestore.CandidateRow, error) {
+	if s.Month == "" {
+		s.Month = o.months()[0]
+	}
+	if err := o.checkMonth(s.Month); err != nil {
+		return bundlestore.CandidateRow{}, errors.Trace(err)
+	}
+	row, revision, err := o.deps.Store.Candidate(ctx, s.Candidate)
+	if err != nil {
+		return bundlestore.CandidateRow{}, errors.Trace(err)
+	}
+	head, err := o.deps.Store.Head(ctx, row.ID)
+	if err != nil {
+		return bundlestore.CandidateRow{}, errors.Trace(err)
+	}
+	signed := head.Sign(s.Key, s.Signer, s.Month)
+	p, err := o.parent(ctx)
+	if err != nil {
+		return bundlestore.CandidateRow{}, errors.Trace(err)
+	}
+	if _, err := o.verify(ctx, p, signed); err != nil {
+		return bundlestore.CandidateRow{}, errors.Annotate(err, "check sign-off")
+	}
+	if _, err := o.deps.Store.PutObject(ctx, bundle.EncodeHead(signed)); err != nil {
+		return bundlestore.CandidateRow{}, errors.Annotate(err, "upload signed head")
+	}
+	next := bundlestore.CandidateRow{ID: row.ID, Head: bundle.Ref{Version: signed.Version, Digest: signed.Digest()}, Operator: o.deps.Name, Token: newToken()}
+	written, err := o.deps.Store.WriteCandidate(ctx, revision, next)
+	if err != nil {
+		return bundlestore.CandidateRow{}, errors.Trace(err)
+	}
+	if written.Head != next.Head {
+		return written, errors.Annotatef(ErrRaced, "sign: %q has changed candidate %s meanwhile; sign again", written.Operator, row.ID)
+	}
+	return written, nil
+}
+
+// verify makes the checks that every VM makes, at a VM where the parent is in force.
+func (o *Operator) verify(ctx context.Context, p parent, h bundle.Head) (bundle.Candidate, error) {
+	if err := p.follows(h); err != nil {
+		return bundle.Candidate{}, err
+	}
+	var holder bundle.Holder
+	pin := h.Governance[0].Section
+	if p.head != nil {
+		pin = p.head.Governance[0].Section
+		held, err := o.verifyAlone(ctx, pin, *p.head)
+		if err != nil {
+			return bundle.Candidate{}, errors.Annotate(err, "head in force")
+		}
+		holder.Take(held)
+	}
+	c, err := o.verifyAlone(ctx, pin, h)
+	if err != nil {
+		return bundle.Candidate{}, errors.Trace(err)
+	}
+	if r, ok := holder.Take(c).(bundle.Rejected); ok {
+		return bundle.Candidate{}, r
+	}
+	return c, nil
+}
+
+func (o *Operator) verifyAlone(ctx context.Context, pin bundle.Digest, h bundle.Head) (bundle.Candidate, error) {
+	sections, err := o.deps.Store.Sections(ctx, h)
+	if err != nil {
+		return bundle.Candidate{}, errors.Trace(err)
+	}
+	return bundle.Verify(pin, h, sections)
+}
--- a/pkg/standin/faults.go
+++ b/pkg/standin/faults.go
@@ -26,6 +26,8 @@
 	Down bool
 	// Slow delays each answer.
 	Slow clock.Millis
+	// Pass lets that many calls through before the counts below apply.
+	Pass int
 	// DropNext drops the next calls before they take effect.
 	DropNext int
 	// LoseNext lets the next writes take effect and drops their answers.
@@ -37,6 +39,7 @@
 type wireFaults struct {
 	Down     bool  `json:"down"`
 	SlowMs   int64 `json:"slowMs"`
+	Pass     int   `json:"pass"`
 	DropNext int   `json:"dropNext"`
 	LoseNext int   `json:"loseNext"`
 	Lag      int   `json:"lag"`
@@ -74,6 +77,8 @@
 	drop = f.Down
 	switch {
 	case f.Down:
+	case f.Pass > 0:
+		f.Pass--
 	case f.DropNext > 0:
 		f.DropNext--
 		drop = true
@@ -124,7 +129,7 @@
 		}
 	}
 	for name, f := range ws {
-		s.set(name, Faults{Down: f.Down, Slow: clock.Millis(f.SlowMs), DropNext: f.DropNext, LoseNext: f.LoseNext, Lag: f.Lag})
+		s.set(name, Faults{Down: f.Down, Slow: clock.Millis(f.SlowMs), Pass: f.Pass, DropNext: f.DropNext, LoseNext: f.LoseNext, Lag: f.Lag})
 	}
 }
 
