Test operators' races, lost answers and month ends (failing)

Cause: an operator whose answer was lost must learn how the race ended. Change: tests alone: two operators, one fault at each step of a first bundle (144 cases), sign-offs around the end of a month.

--- /dev/null
+++ b/pkg/operator/operator_test.go
@@ -0,0 +1,272 @@
+package operator
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/hex"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
+	"github.com/sequoiacart/sequoiacart/pkg/bundlestore"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/platform"
+	"github.com/sequoiacart/sequoiacart/pkg/standin"
+)
+
+func keyOf(o owner.ID) ed25519.PrivateKey {
+	seed := make([]byte, ed25519.SeedSize)
+	copy(seed, o)
+	return ed25519.NewKeyFromSeed(seed)
+}
+
+func testBundle(share owner.Share) *bundle.Bundle {
+	b := &bundle.Bundle{Governance: bundle.Governance{
+		Calendar: bundle.Calendar{"2026-11": "norte", "2026-12": "sur", "2027-01": "norte"},
+		Keys:     make(map[owner.ID]bundle.PublicKey),
+	}}
+	for _, id := range []owner.ID{"norte", "sur"} {
+		b.Governance.Keys[id] = bundle.PublicKey(hex.EncodeToString(keyOf(id).Public().(ed25519.PublicKey)))
+		b.Owners = append(b.Owners, owner.Owner{
+			ID: id, Share: share,
+			Classes: []owner.Class{{Name: "normal", Deadline: clock.Second}},
+			Limits:  owner.Limits{TasksPerJob: 1, QueuedTasks: 1},
+		})
+	}
+	return b
+}
+
+func at(text string) clock.Millis {
+	t, _ := time.Parse("2006-01-02 15", text)
+	return clock.Millis(t.UnixMilli())
+}
+
+// room is a platform with a clock for operators.
+type room struct {
+	platform *standin.Platform
+	client   *platform.Client
+	clock    *clock.Manual
+}
+
+func newRoom(t *testing.T) *room {
+	t.Helper()
+	r := &room{platform: standin.NewPlatform(), clock: clock.NewManual(at("2026-11-30 12"))}
+	server := httptest.NewServer(r.platform.Handler())
+	r.client = platform.NewClient(platform.ClientConfig{
+		Address: strings.TrimPrefix(server.URL, "http://"), Timeout: 10 * clock.Second,
+		FirstPause: 1, LongestPause: 1, CallsPerSecond: 100000,
+	})
+	t.Cleanup(func() { r.client.Close(); server.Close() })
+	return r
+}
+
+func (r *room) operator(name bundlestore.OperatorName) *Operator {
+	return r.operatorOn(name, r.client.Table())
+}
+
+func (r *room) operatorOn(name bundlestore.OperatorName, t platform.Table) *Operator {
+	return New(Deps{Name: name, Store: bundlestore.New(t, r.client.Objects()), Clock: r.clock})
+}
+
+func (r *room) ready(t *testing.T, o *Operator, share owner.Share) bundle.Digest {
+	t.Helper()
+	c, err := o.Prepare(context.Background(), testBundle(share))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := o.Sign(context.Background(), SignOff{Candidate: c.ID, Signer: "norte", Key: keyOf("norte"), Month: "2026-11"}); err != nil {
+		t.Fatal(err)
+	}
+	return c.ID
+}
+
+func (r *room) publish(t *testing.T, o *Operator, share owner.Share) {
+	t.Helper()
+	if _, err := o.Roll(context.Background(), r.ready(t, o, share)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func versionInForce(t *testing.T, o *Operator) (bundle.Version, owner.Share) {
+	t.Helper()
+	c, err := o.InForce(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c.Head.Version, c.Bundle.Owners[0].Share
+}
+
+// hookedTable runs a function after a write to the head row, and loses the answer.
+type hookedTable struct {
+	platform.Table
+	after func()
+}
+
+func (h *hookedTable) Put(ctx context.Context, key platform.Key, expected platform.Revision, value []byte) (platform.Revision, error) {
+	revision, err := h.Table.Put(ctx, key, expected, value)
+	if key != "bundle/head" || h.after == nil {
+		return revision, err
+	}
+	after := h.after
+	h.after = nil
+	after()
+	return 0, errors.Annotate(platform.ErrUnavailable, "answer lost")
+}
+
+// Guards against an operator who is told the wrong end of a race: who was first, with
+// which version, and whether the own version was accepted.
+func TestRace(t *testing.T) {
+	tests := []struct {
+		name string
+		// lose lets ana's roll take effect and loses the answer; meanwhile, bruno acts.
+		lose        bool
+		bruno       func(t *testing.T, r *room, bruno *Operator, rival bundle.Digest) error
+		wantAna     error
+		wantBruno   error
+		wantVersion bundle.Version
+		wantShare   owner.Share
+	}{
+		{"bruno rolls another child after ana", false, func(_ *testing.T, _ *room, bruno *Operator, rival bundle.Digest) error {
+			_, err := bruno.Roll(context.Background(), rival)
+			return err
+		}, nil, ErrRaced, 2, 2},
+		{"the same while ana's answer is lost", true, func(_ *testing.T, _ *room, bruno *Operator, rival bundle.Digest) error {
+			_, err := bruno.Roll(context.Background(), rival)
+			return err
+		}, nil, ErrRaced, 2, 2},
+		{"bruno rolls on top of ana's version while her answer is lost", true, func(t *testing.T, r *room, bruno *Operator, _ bundle.Digest) error {
+			r.publish(t, bruno, 4)
+			return nil
+		}, nil, nil, 3, 4},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRoom(t)
+			table := &hookedTable{Table: r.client.Table()}
+			ana, bruno := r.operatorOn("ana", table), r.operator("bruno")
+			r.publish(t, bruno, 1)
+			mine, rival := r.ready(t, ana, 2), r.ready(t, bruno, 3)
+			var gotBruno error
+			act := func() { gotBruno = tt.bruno(t, r, bruno, rival) }
+			if tt.lose {
+				table.after = act
+			}
+			_, gotAna := ana.Roll(context.Background(), mine)
+			if !tt.lose {
+				act()
+			}
+			if !errors.Is(gotAna, tt.wantAna) && gotAna != tt.wantAna {
+				t.Errorf("ana: got %v, want %v", gotAna, tt.wantAna)
+			}
+			if !errors.Is(gotBruno, tt.wantBruno) && gotBruno != tt.wantBruno {
+				t.Errorf("bruno: got %v, want %v", gotBruno, tt.wantBruno)
+			}
+			if gotBruno != nil && !strings.Contains(gotBruno.Error(), `"ana" has rolled version 2`) {
+				t.Errorf("bruno: got %q, want who was first and with which version", gotBruno)
+			}
+			if v, s := versionInForce(t, bruno); v != tt.wantVersion || s != tt.wantShare {
+				t.Errorf("in force: got version %d with share %d, want %d with %d", v, s, tt.wantVersion, tt.wantShare)
+			}
+		})
+	}
+}
+
+// Guards against a roll that loses its way when the platform fails at any one step: each
+// step, repeated where it says so, ends with the one version in force.
+func TestFaultAtEachStep(t *testing.T) {
+	faults := map[string]standin.Faults{"answer lost": {LoseNext: 1}, "call lost": {DropNext: 1}, "platform out for a while": {DropNext: 12}}
+	for name, f := range faults {
+		for _, service := range []standin.Service{standin.TableService, standin.ObjectService} {
+			for step := range 24 {
+				t.Run(fmt.Sprintf("%s/%s/%d", name, service, step), func(t *testing.T) {
+					r := newRoom(t)
+					o := r.operator("ana")
+					f.Pass = step
+					r.platform.SetFaults(service, f)
+					ctx := context.Background()
+					var id bundle.Digest
+					again(t, func() error {
+						c, err := o.Prepare(ctx, testBundle(1))
+						id = c.ID
+						return err
+					})
+					again(t, func() error {
+						_, err := o.Sign(ctx, SignOff{Candidate: id, Signer: "norte", Key: keyOf("norte")})
+						return err
+					})
+					again(t, func() error {
+						_, err := o.Roll(ctx, id)
+						return err
+					})
+					r.platform.SetFaults(service, standin.Faults{})
+					if v, _ := versionInForce(t, o); v != 1 {
+						t.Errorf("got version %d, want 1", v)
+					}
+				})
+			}
+		}
+	}
+}
+
+// again repeats a step while the platform does not answer.
+func again(t *testing.T, step func() error) {
+	t.Helper()
+	for range 10 {
+		err := step()
+		if err == nil {
+			return
+		}
+		if !errors.Is(err, platform.ErrUnavailable) {
+			t.Fatalf("got %v, want success or an error that says the platform is out", err)
+		}
+	}
+	t.Fatal("no success in 10 tries")
+}
+
+// Guards against a sign-off that outlives its month, and against a bundle that is held up
+// by a month that ends between sign and roll or by a clock that is wrong by a day.
+func TestMonthRollover(t *testing.T) {
+	tests := []struct {
+		name         string
+		signer       owner.ID
+		month        bundle.Month
+		signAt       string
+		rollAt       string
+		signs, rolls bool
+	}{
+		{"within the month", "norte", "2026-11", "2026-11-15 00", "2026-11-15 01", true, true},
+		{"month ends between sign and roll", "norte", "2026-11", "2026-11-30 23", "2026-12-01 01", true, true},
+		{"roll a day and a half late", "norte", "2026-11", "2026-11-30 23", "2026-12-02 13", true, false},
+		{"signer's clock a day ahead", "sur", "2026-12", "2026-11-30 12", "2026-11-30 13", true, true},
+		{"signer's clock a day behind", "norte", "2026-11", "2026-12-01 11", "2026-12-01 12", true, true},
+		{"owner of the month before, days later", "norte", "2026-11", "2026-12-05 00", "2026-12-05 00", false, false},
+		{"owner of another month", "sur", "2026-11", "2026-11-15 00", "2026-11-15 00", false, false},
+		{"month far ahead", "norte", "2027-01", "2026-11-15 00", "2026-11-15 00", false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRoom(t)
+			r.clock = clock.NewManual(at(tt.signAt))
+			o := r.operator("ana")
+			ctx := context.Background()
+			c, err := o.Prepare(ctx, testBundle(1))
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = o.Sign(ctx, SignOff{Candidate: c.ID, Signer: tt.signer, Key: keyOf(tt.signer), Month: tt.month})
+			if (err == nil) != tt.signs {
+				t.Fatalf("sign: got %v, want success %t", err, tt.signs)
+			}
+			r.clock.Advance(at(tt.rollAt) - at(tt.signAt))
+			if _, err = o.Roll(ctx, c.ID); (err == nil) != tt.rolls {
+				t.Errorf("roll: got %v, want success %t", err, tt.rolls)
+			}
+		})
+	}
+}
