Find an accepted version under the versions rolled on top of it

Change: roll walks from the row that stands back to its own version and compares the head there. Conclusion: an operator is told the true end of each race.

--- a/pkg/operator/roll.go
+++ b/pkg/operator/roll.go
@@ -76,9 +76,18 @@
 // recentVersions bounds the search for a version that was rolled before.
 const recentVersions = 50
 
-// settle says whether the head is in force, given the row that stands now.
-func (o *Operator) settle(_ context.Context, h bundle.Head, written bundlestore.HeadRow) error {
-	if written.Head.Digest == h.Digest() {
+// settle says whether the head is in force or was, given the row that stands now. Rolls
+// made on top of it since then do not undo it.
+func (o *Operator) settle(ctx context.Context, h bundle.Head, written bundlestore.HeadRow) error {
+	at := written.Head
+	for at.Version > h.Version {
+		later, err := o.deps.Store.Head(ctx, at.Digest)
+		if err != nil {
+			return errors.Annotatef(err, "look for version %d under version %d", h.Version, at.Version)
+		}
+		at = bundle.Ref{Version: later.Parent, Digest: later.ParentDigest}
+	}
+	if at.Digest == h.Digest() {
 		return nil
 	}
 	return raced(written, h)
