Follow the head row and peers, and offer heads to control

Cause: VMs read one unsigned object and took it without a decision of control. Change: replica polls the head row with jitter, fetches only what it lacks from the platform or peers, verifies, offers to control, tells up to 8 peers, checks candidates and reports. An announcement is confirmed at the head row; while that cannot be read, a peer that has the head in force is believed. The peers' service Bundle has Announce, Fetch and Status.

--- a/pkg/entry/action.go
+++ b/pkg/entry/action.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
@@ -32,11 +33,17 @@
 	Records []contract.Record
 }
 
-func (ReplyTo) isAction()     {}
-func (RunAttempt) isAction()  {}
-func (SendRecords) isAction() {}
+// PublishBundle hands the bundle in force to traffic. Executors carry it out at once, so
+// that traffic sees bundles in the order of the decisions.
+type PublishBundle struct{ Bundle *bundle.Bundle }
 
-// Reply is what a waiting traffic goroutine hears: IDs, AnswerReply or RecordsReply.
+func (ReplyTo) isAction()       {}
+func (RunAttempt) isAction()    {}
+func (SendRecords) isAction()   {}
+func (PublishBundle) isAction() {}
+
+// Reply is what a waiting traffic goroutine hears: IDs, AnswerReply, RecordsReply
+// or BundleVerdict.
 type Reply interface{ isReply() }
 
 // IDs carries reserved ids.
@@ -48,6 +55,10 @@
 // RecordsReply carries the status of each record of a batch.
 type RecordsReply struct{ Statuses []contract.RecordStatus }
 
-func (IDs) isReply()          {}
-func (AnswerReply) isReply()  {}
-func (RecordsReply) isReply() {}
+// BundleVerdict carries what became of an offered bundle.
+type BundleVerdict struct{ Verdict bundle.Verdict }
+
+func (IDs) isReply()           {}
+func (AnswerReply) isReply()   {}
+func (RecordsReply) isReply()  {}
+func (BundleVerdict) isReply() {}
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
@@ -30,6 +31,7 @@
 	witness   *contract.Witness
 	scheduler *dispatch.Scheduler
 	roster    *vm.Roster
+	bundles   bundle.Holder
 	owners    map[owner.ID]owner.Owner
 	endpoints map[datacentre.EndpointID]datacentre.Endpoint
 	outboxes  map[vm.Incarnation]*outbox
@@ -83,6 +85,8 @@
 		c.endpointsListed(now, e)
 	case OwnersChanged:
 		c.ownersChanged(now, e)
+	case BundleOffered:
+		c.bundleOffered(now, e)
 	case Tick:
 	}
 	c.startTasks(now)
--- a/pkg/entry/event.go
+++ b/pkg/entry/event.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
@@ -86,6 +87,12 @@
 // OwnersChanged brings the owners of a bundle that came into force.
 type OwnersChanged struct{ Owners []owner.Owner }
 
+// BundleOffered brings a verified bundle. Reply: BundleVerdict.
+type BundleOffered struct {
+	Waiter    WaiterID
+	Candidate bundle.Candidate
+}
+
 // Tick says that time has passed.
 type Tick struct{}
 
@@ -101,4 +108,5 @@
 func (RosterChanged) isEvent()   {}
 func (EndpointsListed) isEvent() {}
 func (OwnersChanged) isEvent()   {}
+func (BundleOffered) isEvent()   {}
 func (Tick) isEvent()            {}
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
@@ -137,6 +138,16 @@
 	return reply.(RecordsReply).Statuses, nil
 }
 
+// OfferBundle hands a verified bundle to control, which decides whether it follows the one
+// in force.
+func (r *Router) OfferBundle(ctx context.Context, c bundle.Candidate) (bundle.Verdict, error) {
+	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event { return BundleOffered{Waiter: w, Candidate: c} })
+	if err != nil {
+		return nil, errors.Annotatef(err, "offer bundle version %d", c.Head.Version)
+	}
+	return reply.(BundleVerdict).Verdict, nil
+}
+
 // callWithin hands an event to control and waits for the answer. A span that passes
 // without an end gives Running, since the event was handled.
 func (r *Router) callWithin(ctx context.Context, wait clock.Millis, makeEvent func(WaiterID) Event) (contract.Answer, error) {
--- a/pkg/entry/traffic.go
+++ b/pkg/entry/traffic.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
@@ -24,6 +25,9 @@
 	Self      vm.Incarnation
 	Endpoints EndpointRunner
 	Witnesses RecordSender
+	// Publish hands a bundle that came into force to the other traffic goroutines. It
+	// does not wait.
+	Publish func(*bundle.Bundle)
 	// PeerTimeout bounds one call to a peer.
 	PeerTimeout clock.Millis
 }
@@ -52,6 +56,10 @@
 		go t.runAttempt(a)
 	case SendRecords:
 		go t.sendRecords(a)
+	case PublishBundle:
+		if t.config.Publish != nil {
+			t.config.Publish(a.Bundle)
+		}
 	}
 }
 
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -8,12 +8,17 @@
 
 // The events.
 const (
-	DaemonStarted   Number = "SQ-1001"
-	DaemonStopped   Number = "SQ-1002"
-	PlatformFailed  Number = "SQ-2001"
-	BundleInForce   Number = "SQ-3001"
-	BundleRejected  Number = "SQ-3002"
-	ListenersFailed Number = "SQ-1003"
+	DaemonStarted  Number = "SQ-1001"
+	DaemonStopped  Number = "SQ-1002"
+	PlatformFailed Number = "SQ-2001"
+	BundleInForce  Number = "SQ-3001"
+	BundleRejected Number = "SQ-3002"
+	// PlatformOutOfReach and PlatformBack come once for each outage.
+	PlatformOutOfReach Number = "SQ-3003"
+	PlatformBack       Number = "SQ-3004"
+	BundleIncomplete   Number = "SQ-3005"
+	BundleAheadOfClock Number = "SQ-3006"
+	ListenersFailed    Number = "SQ-1003"
 )
 
 // Log writes events to a logger.
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -29,6 +29,8 @@
 type ServerConfig struct {
 	Listener net.Listener
 	Handler  Handler
+	// Bundles serves calls about bundles; nil leaves the service out.
+	Bundles BundleHandler
 	// TLS turns on mutual TLS; nil speaks plain TCP.
 	TLS *tls.Config
 }
@@ -51,6 +53,12 @@
 	if err := s.rpc.RegisterName("Witness", &witnessService{handler: c.Handler}); err != nil {
 		return nil, errors.Annotate(err, "register witness service")
 	}
+	if c.Bundles == nil {
+		return s, nil
+	}
+	if err := s.rpc.RegisterName("Bundle", &bundleService{handler: c.Bundles}); err != nil {
+		return nil, errors.Annotate(err, "register bundle service")
+	}
 	return s, nil
 }
 
--- /dev/null
+++ b/pkg/replica/fetch.go
@@ -0,0 +1,82 @@
+package replica
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// fetchHead returns a head and all its sections: what is at hand, and the rest from the
+// peer that named the head, the platform or other peers.
+func (r *Replica) fetchHead(ctx context.Context, ref bundle.Ref, from *vm.VM) (bundle.Head, bundle.Sections, error) {
+	got, err := r.fetch(ctx, []bundle.Digest{ref.Digest}, from)
+	if err != nil {
+		return bundle.Head{}, nil, errors.Annotate(err, "fetch head")
+	}
+	head, err := bundle.DecodeHead(got[ref.Digest])
+	if err != nil {
+		return bundle.Head{}, nil, errors.Trace(err)
+	}
+	sections, err := r.fetch(ctx, head.Sections(), from)
+	return head, sections, errors.Annotate(err, "fetch sections")
+}
+
+// fetch returns the bytes of all digests or an error. The peer that named the head is
+// asked first, since it has them.
+func (r *Replica) fetch(ctx context.Context, digests []bundle.Digest, from *vm.VM) (bundle.Sections, error) {
+	found := r.FetchHere(digests)
+	if from != nil {
+		r.fetchFromPeer(ctx, *from, digests, found)
+	}
+	err := r.fetchFromStore(ctx, digests, found)
+	for _, p := range r.somePeers(sources) {
+		r.fetchFromPeer(ctx, p, digests, found)
+	}
+	if missing := lacking(digests, found); len(missing) > 0 {
+		return nil, errors.Annotatef(err, "%d of %d objects, first %s, neither at the platform nor at peers", len(missing), len(digests), missing[0])
+	}
+	return found, nil
+}
+
+// fetchFromStore adds what the platform has. It stops at the first failure.
+func (r *Replica) fetchFromStore(ctx context.Context, digests []bundle.Digest, found bundle.Sections) error {
+	for _, d := range lacking(digests, found) {
+		body, err := r.deps.Store.Object(ctx, d)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		found[d] = body
+	}
+	return nil
+}
+
+func (r *Replica) fetchFromPeer(ctx context.Context, p vm.VM, digests []bundle.Digest, found bundle.Sections) {
+	missing := lacking(digests, found)
+	if len(missing) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.deps.PeerTimeout.Duration())
+	defer cancel()
+	bodies, err := r.deps.Peers.FetchBundle(ctx, p, missing)
+	if err != nil {
+		return
+	}
+	for _, d := range missing {
+		if body, ok := bodies[d]; ok && bundle.DigestOf(body) == d {
+			found[d] = body
+		}
+	}
+}
+
+func lacking(digests []bundle.Digest, found bundle.Sections) []bundle.Digest {
+	var missing []bundle.Digest
+	for _, d := range digests {
+		if _, ok := found[d]; !ok {
+			missing = append(missing, d)
+		}
+	}
+	return missing
+}
--- /dev/null
+++ b/pkg/replica/replica.go
@@ -0,0 +1,291 @@
+// Package replica keeps a VM's copy of the bundle up to date: it polls the platform, hears
+// of new heads from peers, fetches what it lacks from either, and reports.
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
+	"github.com/sequoiacart/sequoiacart/pkg/bundlestore"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/event"
+	"github.com/sequoiacart/sequoiacart/pkg/platform"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// Peers calls other entry VMs about bundles.
+type Peers interface {
+	Announce(ctx context.Context, to, from vm.VM, r bundle.Ref) error
+	FetchBundle(ctx context.Context, to vm.VM, digests []bundle.Digest) (bundle.Sections, error)
+	BundleStatus(ctx context.Context, of vm.VM) (bundle.Status, error)
+}
+
+// Control decides which verified candidate comes into force.
+type Control interface {
+	OfferBundle(ctx context.Context, c bundle.Candidate) (bundle.Verdict, error)
+}
+
+// Deps holds what a replica is made of.
+type Deps struct {
+	Self vm.VM
+	// Pin is the digest of the first governance section.
+	Pin     bundle.Digest
+	Store   *bundlestore.Store
+	Peers   Peers
+	Control Control
+	// Known returns the peers that this VM knows of, without itself.
+	Known func() []vm.VM
+	Clock clock.Clock
+	Log   *event.Log
+	// Every is the mean span between polls.
+	Every clock.Millis
+	// PeerTimeout bounds a call to a peer, and the look at the platform that confirms a
+	// peer's announcement.
+	PeerTimeout clock.Millis
+	Random      *rand.Rand
+}
+
+// Replica is a VM's copy of the bundle. One goroutine runs it; peers read its cache.
+type Replica struct {
+	deps      Deps
+	announced chan announcement
+	// inForce, candidates and what follows belong to the goroutine that runs the replica.
+	inForce   bundle.Ref
+	prepared  map[bundle.Digest]bundle.Readiness
+	rejected  map[bundle.Digest]bool
+	outage    bool
+	reported  *bundle.Status
+	announces sync.WaitGroup
+
+	mu     sync.Mutex
+	cache  bundle.Sections
+	status bundle.Status
+}
+
+type announcement struct {
+	from vm.VM
+	ref  bundle.Ref
+}
+
+const (
+	// pendingAnnouncements bounds what peers can queue; what is dropped comes with the next poll.
+	pendingAnnouncements = 16
+	// fanOut is the number of peers that a VM tells of a new head. Each of them tells as
+	// many, so 8 reach a few hundred VMs in three steps.
+	fanOut = 8
+	// sources bounds the peers that are asked for what the platform does not give.
+	sources = 3
+	// rememberedRejections bounds the memory of heads that were logged as rejected.
+	rememberedRejections = 64
+)
+
+// New returns a replica without a bundle.
+func New(d Deps) *Replica {
+	return &Replica{
+		deps:      d,
+		announced: make(chan announcement, pendingAnnouncements),
+		prepared:  make(map[bundle.Digest]bundle.Readiness),
+		rejected:  make(map[bundle.Digest]bool),
+		cache:     make(bundle.Sections),
+	}
+}
+
+// Run polls and heeds announcements until the context ends.
+func (r *Replica) Run(ctx context.Context) error {
+	defer r.announces.Wait()
+	r.Poll(ctx)
+	next := r.deps.Clock.After(r.jitter())
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case a := <-r.announced:
+			r.heed(ctx, a)
+		case <-next:
+			r.Poll(ctx)
+			next = r.deps.Clock.After(r.jitter())
+		}
+	}
+}
+
+// jitter spreads the polls of VMs that started together over half to one and a half times
+// the mean span.
+func (r *Replica) jitter() clock.Millis {
+	return r.deps.Every/2 + clock.Millis(r.deps.Random.Int64N(int64(r.deps.Every)+1))
+}
+
+// Poll looks for a new head at the platform, or at peers while the platform is out of
+// reach, checks the prepared candidates and reports.
+func (r *Replica) Poll(ctx context.Context) {
+	row, _, err := r.deps.Store.HeadRow(ctx)
+	switch {
+	case err == nil:
+		r.platformAnswers()
+		r.adopt(ctx, row.Head, nil)
+	case errors.Is(err, platform.ErrAbsent):
+		r.platformAnswers()
+	default:
+		r.platformFails(err)
+		r.askPeers(ctx)
+		return
+	}
+	if err := r.prepare(ctx); err != nil {
+		r.platformFails(err)
+		return
+	}
+	if err := r.report(ctx); err != nil {
+		r.platformFails(err)
+	}
+}
+
+// heed follows an announcement. The head row says whether the head was accepted; while it
+// cannot be read, a peer that has the head in force is believed, and an operator is not.
+func (r *Replica) heed(ctx context.Context, a announcement) {
+	if a.ref.Version <= r.inForce.Version {
+		return
+	}
+	confirm, cancel := context.WithTimeout(ctx, r.deps.PeerTimeout.Duration())
+	row, _, err := r.deps.Store.HeadRow(confirm)
+	cancel()
+	switch {
+	case err == nil:
+		r.adopt(ctx, row.Head, source(a.from))
+	case errors.Is(err, platform.ErrAbsent):
+	case a.from.PeerAddress != "":
+		r.adopt(ctx, a.ref, source(a.from))
+	}
+}
+
+func source(v vm.VM) *vm.VM {
+	if v.PeerAddress == "" {
+		return nil
+	}
+	return &v
+}
+
+// askPeers looks for a newer head at a few peers.
+func (r *Replica) askPeers(ctx context.Context) {
+	for _, p := range r.somePeers(sources) {
+		s, err := r.statusOf(ctx, p)
+		if err == nil && s.InForce.Version > r.inForce.Version {
+			r.adopt(ctx, s.InForce, &p)
+		}
+	}
+}
+
+func (r *Replica) statusOf(ctx context.Context, p vm.VM) (bundle.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.deps.PeerTimeout.Duration())
+	defer cancel()
+	return r.deps.Peers.BundleStatus(ctx, p)
+}
+
+// somePeers returns up to count peers in random order.
+func (r *Replica) somePeers(count int) []vm.VM {
+	known := append([]vm.VM(nil), r.deps.Known()...)
+	r.deps.Random.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+	return known[:min(count, len(known))]
+}
+
+// adopt fetches and verifies a head and offers it to control.
+func (r *Replica) adopt(ctx context.Context, ref bundle.Ref, from *vm.VM) {
+	if ref == r.inForce || r.rejected[ref.Digest] {
+		return
+	}
+	if ref.Version <= r.inForce.Version {
+		r.reject(ref, bundle.Rejected{Version: ref.Version, Cause: bundle.OldVersion, Reason: "version " + r.inForce.Version.String() + " is in force"})
+		return
+	}
+	head, sections, err := r.fetchHead(ctx, ref, from)
+	if err != nil {
+		r.deps.Log.Warn(event.BundleIncomplete, "bundle cannot be fetched yet", logrus.Fields{"version": ref.Version, "head": ref.Digest, "error": err})
+		return
+	}
+	c, err := bundle.Verify(r.deps.Pin, head, sections)
+	if err != nil {
+		r.reject(ref, err)
+		return
+	}
+	verdict, err := r.deps.Control.OfferBundle(ctx, c)
+	if err != nil {
+		// The mailbox was full or the daemon stops; the next poll offers it again.
+		return
+	}
+	switch v := verdict.(type) {
+	case bundle.InForce:
+		r.tookForce(ctx, v.Candidate, sections)
+	case bundle.Rejected:
+		r.reject(ref, v)
+	}
+}
+
+// reject logs a head once.
+func (r *Replica) reject(ref bundle.Ref, err error) {
+	if r.rejected[ref.Digest] {
+		return
+	}
+	if len(r.rejected) >= rememberedRejections {
+		clear(r.rejected)
+	}
+	r.rejected[ref.Digest] = true
+	r.deps.Log.Warn(event.BundleRejected, "bundle rejected", logrus.Fields{"version": ref.Version, "head": ref.Digest, "error": err})
+}
+
+func (r *Replica) tookForce(ctx context.Context, c bundle.Candidate, sections bundle.Sections) {
+	r.inForce = c.Ref()
+	r.deps.Log.Info(event.BundleInForce, "bundle in force", logrus.Fields{"version": c.Head.Version, "head": c.Digest, "month": c.Head.SignOff.Month, "signer": c.Head.SignOff.Signer})
+	if latest := bundle.MonthOf(r.deps.Clock.Now() + clockSlack); c.Head.SignOff.Month > latest {
+		r.deps.Log.Warn(event.BundleAheadOfClock, "bundle is signed for a month ahead of this VM's clock", logrus.Fields{"month": c.Head.SignOff.Month})
+	}
+	for id, p := range r.prepared {
+		if p.Version <= c.Head.Version {
+			delete(r.prepared, id)
+		}
+	}
+	r.mu.Lock()
+	kept := make(bundle.Sections, len(sections)+1)
+	for _, d := range c.Head.Sections() {
+		kept[d] = sections[d]
+	}
+	kept[c.Digest] = bundle.EncodeHead(c.Head)
+	r.cache = kept
+	r.mu.Unlock()
+	r.publishStatus()
+	r.announce(ctx)
+}
+
+// clockSlack is how far the clock may be behind before a warning.
+const clockSlack = 36 * clock.Hour
+
+// announce tells peers of the head in force, each on a goroutine of its own, so that a
+// peer that hangs holds up nobody.
+func (r *Replica) announce(ctx context.Context) {
+	ref := r.inForce
+	for _, p := range r.somePeers(fanOut) {
+		r.announces.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, r.deps.PeerTimeout.Duration())
+			defer cancel()
+			// A peer that misses it polls, so a failure needs no answer.
+			_ = r.deps.Peers.Announce(ctx, p, r.deps.Self, ref)
+		})
+	}
+}
+
+func (r *Replica) platformAnswers() {
+	if r.outage {
+		r.outage = false
+		r.deps.Log.Info(event.PlatformBack, "platform answers again", logrus.Fields{})
+	}
+}
+
+func (r *Replica) platformFails(err error) {
+	if r.outage || errors.Is(err, context.Canceled) {
+		return
+	}
+	r.outage = true
+	r.deps.Log.Warn(event.PlatformOutOfReach, "platform out of reach; the bundle in force stays", logrus.Fields{"version": r.inForce.Version, "error": err})
+}
