--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -190,3 +190,10 @@
 	earlier = append(earlier, maps.Clone(now))
 	return earlier[max(len(earlier)-keptStates, 0):]
 }
+
+// SetVM puts an endpoint VM into the list without going over HTTP.
+func (p *Platform) SetVM(v platform.ListedVM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.vms[string(v.Endpoint.ID)] = platform.EncodeVM(v)
+}
