Wire signed bundles into the daemon and the demo

Cause: the daemon read an unsigned object in its roster poller. Change: the replica runs on its own; the poller keeps roster and endpoints. Settings gain governanceDigest and seedPeers. The demo publishes its bundle by Genesis: prepare, sign, roll. Conclusion: no unsigned bundle comes into force on any path.

--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
-	"crypto/rand"
+	crand "crypto/rand"
+	"encoding/binary"
 	"encoding/hex"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -13,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sequoiacart/sequoiacart/pkg/bundle"
+	"github.com/sequoiacart/sequoiacart/pkg/bundlestore"
 	"github.com/sequoiacart/sequoiacart/pkg/caller"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
@@ -22,6 +25,7 @@
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
 	"github.com/sequoiacart/sequoiacart/pkg/peer"
 	"github.com/sequoiacart/sequoiacart/pkg/platform"
+	"github.com/sequoiacart/sequoiacart/pkg/replica"
 	"github.com/sequoiacart/sequoiacart/pkg/settings"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
@@ -44,6 +48,7 @@
 	peers   *peer.Server
 	client  *peer.Client
 	poller  *poller
+	replica *replica.Replica
 	address string
 	killed  context.Context
 	kill    context.CancelFunc
@@ -52,6 +57,7 @@
 const (
 	nonceBytes = 6
 	keyBytes   = 32
+	seedBytes  = 8
 )
 
 // NewDaemon opens the listeners and wires the parts.
@@ -84,7 +90,7 @@
 		MaxWait:   s.Timeouts.MaxWait,
 		MaxIDs:    s.Limits.ReservedIDs,
 	})
-	d.peers, err = peer.NewServer(peer.ServerConfig{Listener: peerListener, Handler: d.router})
+	d.peers, err = peer.NewServer(peer.ServerConfig{Listener: peerListener, Handler: d.router, Bundles: d.replica})
 	return d, errors.Trace(err)
 }
 
@@ -106,6 +112,7 @@
 		Self:        d.self.Incarnation,
 		Endpoints:   endpoints,
 		Witnesses:   d.client,
+		Publish:     d.bundle.Store,
 		PeerTimeout: s.Timeouts.Peer,
 	})
 	d.loop = entry.NewLoop(entry.LoopConfig{
@@ -131,12 +138,44 @@
 		Every:  s.Timeouts.Poll,
 		Loop:   d.loop,
 		Router: d.router,
-		InForce: func(b *bundle.Bundle) {
-			d.bundle.Store(b)
-		},
 	})
+	d.replica = replica.New(replica.Deps{
+		Self:        d.self,
+		Pin:         s.GovernanceDigest,
+		Store:       bundlestore.New(client.Table(), client.Objects()),
+		Peers:       d.client,
+		Control:     d.router,
+		Known:       d.knownPeers,
+		Clock:       d.deps.Clock,
+		Log:         d.deps.Log,
+		Every:       s.Timeouts.Poll,
+		PeerTimeout: s.Timeouts.Peer,
+		Random:      rand.New(rand.NewPCG(randomSeed(), randomSeed())),
+	})
+}
+
+// knownPeers returns the peers of the roster, and those that the settings name for the
+// time before there is a roster.
+func (d *Daemon) knownPeers() []vm.VM {
+	var known []vm.VM
+	listed := map[string]bool{d.self.PeerAddress: true}
+	for _, v := range d.router.Roster().VMs() {
+		if !listed[v.PeerAddress] {
+			known = append(known, v)
+		}
+		listed[v.PeerAddress] = true
+	}
+	for _, address := range d.deps.Settings.SeedPeers {
+		if !listed[address] {
+			known = append(known, vm.VM{Incarnation: seedIncarnation, PeerAddress: address})
+		}
+	}
+	return known
 }
 
+// seedIncarnation stands in errors for a peer of which only the address is known.
+const seedIncarnation vm.Incarnation = "seed"
+
 // OwnerOf implements caller.Authenticator with the bundle in force.
 func (d *Daemon) OwnerOf(token string) (owner.Owner, bool) {
 	b := d.bundle.Load()
@@ -167,6 +206,7 @@
 	addContext(ctx, &g, func(ctx context.Context) error { <-ctx.Done(); return nil })
 	addContext(d.killed, &g, d.loop.Run)
 	addContext(context.Background(), &g, d.poller.Run)
+	addContext(context.Background(), &g, d.runReplica)
 	g.Add(d.callers.Serve, func(error) {
 		if d.killed.Err() != nil {
 			d.callers.Close()
@@ -192,14 +232,31 @@
 	return err
 }
 
+// runReplica withdraws the report of this VM at graceful shutdown.
+func (d *Daemon) runReplica(ctx context.Context) error {
+	err := d.replica.Run(ctx)
+	if d.killed.Err() != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.deps.Settings.Timeouts.Peer.Duration())
+	defer cancel()
+	// A report that stays says no more than that the VM is out of reach.
+	_ = d.replica.Withdraw(ctx)
+	return err
+}
+
 // addContext adds an actor that ends when the group cancels its context.
 func addContext(parent context.Context, g *run.Group, actor func(context.Context) error) {
 	ctx, cancel := context.WithCancel(parent)
 	g.Add(func() error { return actor(ctx) }, func(error) { cancel() })
 }
 
+func randomSeed() uint64 {
+	return binary.LittleEndian.Uint64(randomBytes(seedBytes))
+}
+
 func randomBytes(n int) []byte {
 	b := make([]byte, n)
-	_, _ = rand.Read(b)
+	_, _ = crand.Read(b)
 	return b
 }
--- a/pkg/app/poller.go
+++ b/pkg/app/poller.go
@@ -7,7 +7,6 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/entry"
@@ -17,31 +16,26 @@
 )
 
 type pollerDeps struct {
-	Self    vm.VM
-	Client  *platform.Client
-	Clock   clock.Clock
-	Log     *event.Log
-	Every   clock.Millis
-	Loop    *entry.Loop
-	Router  *entry.Router
-	InForce func(*bundle.Bundle)
+	Self   vm.VM
+	Client *platform.Client
+	Clock  clock.Clock
+	Log    *event.Log
+	Every  clock.Millis
+	Loop   *entry.Loop
+	Router *entry.Router
 }
 
-// poller reads the platform at intervals: roster, endpoints and bundle.
+// poller reads the platform at intervals: roster and endpoints.
 type poller struct {
 	deps    pollerDeps
 	version vm.RosterVersion
-	current *bundle.Bundle
 }
 
 func newPoller(deps pollerDeps) *poller {
 	return &poller{deps: deps}
 }
 
-const (
-	rosterPrefix platform.Key        = "vm/"
-	bundleObject platform.ObjectName = "bundle"
-)
+const rosterPrefix platform.Key = "vm/"
 
 // Run polls until the context ends.
 func (p *poller) Run(ctx context.Context) error {
@@ -64,10 +58,7 @@
 	if err := p.pollRoster(ctx); err != nil {
 		return errors.Annotate(err, "read roster")
 	}
-	if err := p.pollEndpoints(ctx); err != nil {
-		return errors.Annotate(err, "read endpoints")
-	}
-	return errors.Annotate(p.pollBundle(ctx), "read bundle")
+	return errors.Annotate(p.pollEndpoints(ctx), "read endpoints")
 }
 
 type wireVM struct {
@@ -135,26 +126,3 @@
 	p.deps.Loop.Post(ctx, entry.EndpointsListed{Endpoints: endpoints})
 	return nil
 }
-
-func (p *poller) pollBundle(ctx context.Context) error {
-	body, err := p.deps.Client.Objects().Get(ctx, bundleObject)
-	if errors.Is(err, platform.ErrAbsent) {
-		return nil
-	}
-	if err != nil {
-		return errors.Trace(err)
-	}
-	b, err := bundle.DecodeFile(string(bundleObject), body)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	b.Version = 1
-	if p.current != nil && b.Version <= p.current.Version {
-		return nil
-	}
-	p.current = b
-	p.deps.InForce(b)
-	p.deps.Loop.Post(ctx, entry.OwnersChanged{Owners: b.Owners})
-	p.deps.Log.Info(event.BundleInForce, "bundle in force", logrus.Fields{"version": b.Version})
-	return nil
-}
--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -13,7 +13,11 @@
 	"github.com/juju/errors"
 
 	"github.com/sequoiacart/sequoiacart/pkg/bundle"
+	"github.com/sequoiacart/sequoiacart/pkg/bundlestore"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/operator"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/platform"
 	"github.com/sequoiacart/sequoiacart/pkg/submit"
 )
 
@@ -47,6 +51,10 @@
 	demoWait     = 5 * clock.Second
 	demoGiveUp   = 12 * clock.Second
 	demoReserve  = 5
+	// The demo's jobs are far below these limits.
+	demoTasksPerJob = 1000
+	demoQueuedTasks = 20000
+	publishTimeout  = 5 * clock.Second
 )
 
 // Run runs the workloads one after the other and prints a table.
@@ -64,7 +72,7 @@
 }
 
 func (d *Demo) runWorkload(ctx context.Context, w Workload) (string, error) {
-	s, err := newSite(w, demoBundle(), d.deps.NewVM)
+	s, err := newSite(ctx, w, d.deps.NewVM)
 	if err != nil {
 		return "", errors.Trace(err)
 	}
@@ -170,19 +178,21 @@
 	return response.StatusCode == http.StatusOK
 }
 
-func demoBundle() []byte {
-	return fmt.Appendf(nil, `version = 1
-[[owners]]
-id = "demo"
-share = 1
-tokens = [%q]
-[[owners.classes]]
-name = "urgent"
-rank = 0
-deadlineMs = 5000
-[[owners.classes]]
-name = "normal"
-rank = 1
-deadlineMs = 30000
-`, bundle.DigestOf([]byte(demoToken)))
+// publishBundle puts a bundle with one owner into force and returns the governance digest.
+func publishBundle(ctx context.Context, platformAddress string) (bundle.Digest, error) {
+	client := platform.NewClient(platform.ClientConfig{Address: platformAddress, Timeout: publishTimeout})
+	defer client.Close()
+	o := operator.New(operator.Deps{
+		Name:  demoToken,
+		Store: bundlestore.New(client.Table(), client.Objects()),
+		Clock: clock.NewSystem(),
+	})
+	pin, _, err := o.Genesis(ctx, []owner.Owner{{
+		ID:      demoToken,
+		Share:   1,
+		Tokens:  []owner.TokenDigest{owner.TokenDigest(bundle.DigestOf([]byte(demoToken)))},
+		Classes: []owner.Class{{Name: "urgent", Rank: 0, Deadline: 5 * clock.Second}, {Name: "normal", Rank: 1, Deadline: 30 * clock.Second}},
+		Limits:  owner.Limits{TasksPerJob: demoTasksPerJob, QueuedTasks: demoQueuedTasks},
+	}})
+	return pin, errors.Annotate(err, "publish demo bundle")
 }
--- a/pkg/demo/site.go
+++ b/pkg/demo/site.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/platform"
@@ -29,12 +30,13 @@
 
 // site is a platform, its endpoints and its entry VMs, all on loopback.
 type site struct {
-	platform  *standin.Platform
-	address   string
-	endpoints []*standin.Endpoint
-	starts    *standin.StartCounts
-	vms       []runningVM
-	servers   []*http.Server
+	platform   *standin.Platform
+	address    string
+	governance bundle.Digest
+	endpoints  []*standin.Endpoint
+	starts     *standin.StartCounts
+	vms        []runningVM
+	servers    []*http.Server
 }
 
 type runningVM struct {
@@ -43,13 +45,15 @@
 	done   chan error
 }
 
-func newSite(w Workload, bundle []byte, newVM VMFactory) (*site, error) {
+func newSite(ctx context.Context, w Workload, newVM VMFactory) (*site, error) {
 	s := &site{platform: standin.NewPlatform(), starts: standin.NewStartCounts()}
 	var err error
 	if s.address, err = s.serve(s.platform.Handler()); err != nil {
 		return nil, errors.Trace(err)
 	}
-	s.platform.SetObject("bundle", bundle)
+	if s.governance, err = publishBundle(ctx, s.address); err != nil {
+		return nil, errors.Trace(err)
+	}
 	for _, dc := range w.DataCentres {
 		if err := s.addEndpoints(dc); err != nil {
 			return nil, errors.Trace(err)
@@ -91,6 +95,7 @@
 		config.CallerAddress = "127.0.0.1:0"
 		config.PeerAddress = "127.0.0.1:0"
 		config.PlatformAddress = s.address
+		config.GovernanceDigest = s.governance
 		entryVM, err := newVM(config)
 		if err != nil {
 			return errors.Annotatef(err, "start entry VM %s", config.VM)
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -48,6 +48,11 @@
 	r.roster.Store(roster)
 }
 
+// Roster returns the roster in use.
+func (r *Router) Roster() *vm.Roster {
+	return r.roster.Load()
+}
+
 // Reserve returns new ids issued by this VM.
 func (r *Router) Reserve(ctx context.Context, o owner.ID, count int) ([]contract.SubmissionID, error) {
 	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event { return ReserveIDs{Waiter: w, Owner: o, Count: count} })
--- a/pkg/settings/codec.go
+++ b/pkg/settings/codec.go
@@ -7,20 +7,23 @@
 	"github.com/juju/errors"
 	"github.com/pelletier/go-toml/v2"
 
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
 type wireSettings struct {
-	VM              string       `toml:"vm"`
-	DataCentre      string       `toml:"dataCentre"`
-	Size            int          `toml:"size"`
-	CallerAddress   string       `toml:"callerAddress"`
-	PeerAddress     string       `toml:"peerAddress"`
-	PlatformAddress string       `toml:"platformAddress"`
-	Limits          wireLimits   `toml:"limits"`
-	Timeouts        wireTimeouts `toml:"timeouts"`
+	VM               string       `toml:"vm"`
+	DataCentre       string       `toml:"dataCentre"`
+	Size             int          `toml:"size"`
+	CallerAddress    string       `toml:"callerAddress"`
+	PeerAddress      string       `toml:"peerAddress"`
+	PlatformAddress  string       `toml:"platformAddress"`
+	GovernanceDigest string       `toml:"governanceDigest"`
+	SeedPeers        []string     `toml:"seedPeers"`
+	Limits           wireLimits   `toml:"limits"`
+	Timeouts         wireTimeouts `toml:"timeouts"`
 }
 
 type wireLimits struct {
@@ -69,12 +72,14 @@
 
 func encode(s Settings) wireSettings {
 	return wireSettings{
-		VM:              string(s.VM),
-		DataCentre:      string(s.DataCentre),
-		Size:            int(s.Size),
-		CallerAddress:   s.CallerAddress,
-		PeerAddress:     s.PeerAddress,
-		PlatformAddress: s.PlatformAddress,
+		VM:               string(s.VM),
+		DataCentre:       string(s.DataCentre),
+		Size:             int(s.Size),
+		CallerAddress:    s.CallerAddress,
+		PeerAddress:      s.PeerAddress,
+		PlatformAddress:  s.PlatformAddress,
+		GovernanceDigest: string(s.GovernanceDigest),
+		SeedPeers:        s.SeedPeers,
 		Limits: wireLimits{
 			BodyBytes:           s.Limits.BodyBytes,
 			ResultBytes:         s.Limits.ResultBytes,
@@ -99,12 +104,14 @@
 
 func decode(w wireSettings) Settings {
 	return Settings{
-		VM:              vm.ID(w.VM),
-		DataCentre:      datacentre.ID(w.DataCentre),
-		Size:            vm.Size(w.Size),
-		CallerAddress:   w.CallerAddress,
-		PeerAddress:     w.PeerAddress,
-		PlatformAddress: w.PlatformAddress,
+		VM:               vm.ID(w.VM),
+		DataCentre:       datacentre.ID(w.DataCentre),
+		Size:             vm.Size(w.Size),
+		CallerAddress:    w.CallerAddress,
+		PeerAddress:      w.PeerAddress,
+		PlatformAddress:  w.PlatformAddress,
+		GovernanceDigest: bundle.Digest(w.GovernanceDigest),
+		SeedPeers:        w.SeedPeers,
 		Limits: Limits{
 			BodyBytes:           w.Limits.BodyBytes,
 			ResultBytes:         w.Limits.ResultBytes,
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -2,6 +2,7 @@
 package settings
 
 import (
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
@@ -18,8 +19,13 @@
 	PeerAddress string
 	// PlatformAddress is where the platform listens.
 	PlatformAddress string
-	Limits          Limits
-	Timeouts        Timeouts
+	// GovernanceDigest pins the first governance section of the bundles. Without it, no
+	// bundle is taken.
+	GovernanceDigest bundle.Digest
+	// SeedPeers are peer addresses to ask for the bundle while the platform gives no roster.
+	SeedPeers []string
+	Limits    Limits
+	Timeouts  Timeouts
 }
 
 // Limits bound what the daemon holds.
--- a/pkg/settings/validate.go
+++ b/pkg/settings/validate.go
@@ -27,6 +27,14 @@
 			return errors.NotValidf("check settings: %s %q; use host:port: %s", a.key, a.value, a.key)
 		}
 	}
+	for _, a := range s.SeedPeers {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			return errors.NotValidf("check settings: seedPeers %q; use host:port: seedPeers", a)
+		}
+	}
+	if s.GovernanceDigest != "" && !s.GovernanceDigest.Valid() {
+		return errors.NotValidf("check settings: governanceDigest %q; use the 64 hex digits that bundle check prints: governanceDigest", s.GovernanceDigest)
+	}
 	positives := []struct {
 		key   string
 		value int64
