Test replicas under faults and random schedules (failing)

Cause: force must survive outages, restarts, old peers and wrong clocks. Conclusion: a VM without a bundle must begin with the highest version.

--- /dev/null
+++ b/pkg/replica/replica_test.go
@@ -0,0 +1,296 @@
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/event"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/platform"
+	"github.com/sequoiacart/sequoiacart/pkg/standin"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// Guards against a bundle that is lost, lowered, or in force before it was accepted, while
+// the platform, peers or clocks fail. Versions 1 and 2 are rolled, and all VMs hold 2.
+func TestReplicaUnderFaults(t *testing.T) {
+	tests := []struct {
+		name string
+		act  func(t *testing.T, w *world, n *node)
+		want bundle.Version
+		// logged is the number of lines of an event.
+		event  event.Number
+		logged int
+	}{
+		{"restarted while the platform is down, with a peer", func(_ *testing.T, w *world, n *node) {
+			w.platformDown(true)
+			n.start(w.clock)
+			n.poll()
+		}, 2, event.BundleInForce, 1},
+		{"restarted while the platform is down, without a peer", func(_ *testing.T, w *world, n *node) {
+			w.platformDown(true)
+			n.cut = true
+			n.start(w.clock)
+			n.poll()
+		}, 0, event.PlatformOutOfReach, 1},
+		{"restarted in an outage next to a peer that is behind and one that is not", func(t *testing.T, w *world, n *node) {
+			w.nodes[1].cut = true
+			w.publish(t, 9)
+			w.nodes[2].poll()
+			w.platformDown(true)
+			w.nodes[1].cut = false
+			for w.seed = range uint64(8) {
+				n.start(w.clock)
+				n.poll()
+				if got := n.events(event.BundleInForce); got != 1 {
+					t.Errorf("seed %d: got %d versions in force one after the other, want 1", w.seed, got)
+				}
+			}
+		}, 3, event.BundleInForce, 1},
+		{"restarted next to an old peer, platform up", func(t *testing.T, w *world, n *node) {
+			w.publish(t, 9)
+			n.start(w.clock)
+			n.replica.AnnounceHere(w.nodes[1].self, w.nodes[1].replica.inForce)
+			n.heedAll()
+		}, 3, event.BundleInForce, 1},
+		{"old peer pushes an old version", func(t *testing.T, w *world, n *node) {
+			w.publish(t, 9)
+			n.poll()
+			n.replica.AnnounceHere(w.nodes[1].self, w.nodes[1].replica.inForce)
+			n.heedAll()
+		}, 3, event.BundleRejected, 0},
+		{"old peer pushes an old version in an outage", func(t *testing.T, w *world, n *node) {
+			w.publish(t, 9)
+			w.nodes[1].cut = true
+			n.poll()
+			w.platformDown(true)
+			w.nodes[1].cut = false
+			n.replica.AnnounceHere(w.nodes[1].self, w.nodes[1].replica.inForce)
+			n.heedAll()
+			n.poll()
+		}, 3, event.BundleRejected, 0},
+		{"new head heard from a peer, platform down since", func(t *testing.T, w *world, n *node) {
+			w.publish(t, 9)
+			w.nodes[1].poll()
+			w.platformDown(true)
+			n.heedAll()
+		}, 3, event.BundleInForce, 2},
+		{"signed but not rolled, announced by an operator", func(t *testing.T, w *world, n *node) {
+			n.replica.AnnounceHere(vm.VM{}, w.prepare(t, 9, true).Head)
+			n.heedAll()
+		}, 2, event.BundleRejected, 0},
+		{"signed but not rolled, announced by a peer", func(t *testing.T, w *world, n *node) {
+			n.replica.AnnounceHere(w.nodes[1].self, w.prepare(t, 9, true).Head)
+			n.heedAll()
+		}, 2, event.BundleRejected, 0},
+		{"signed but not rolled, announced by an operator in an outage", func(t *testing.T, w *world, n *node) {
+			ref := w.prepare(t, 9, true).Head
+			n.poll()
+			w.platformDown(true)
+			n.replica.AnnounceHere(vm.VM{}, ref)
+			n.heedAll()
+		}, 2, event.BundleRejected, 0},
+		{"unsigned, announced by a peer in an outage", func(t *testing.T, w *world, n *node) {
+			row := w.prepare(t, 9, false)
+			head, err := w.store.Head(context.Background(), row.ID)
+			if err != nil {
+				t.Fatal(err)
+			}
+			w.nodes[1].poll()
+			w.nodes[1].replica.cache[row.ID] = bundle.EncodeHead(head)
+			w.platformDown(true)
+			n.replica.AnnounceHere(w.nodes[1].self, row.Head)
+			n.heedAll()
+		}, 2, event.BundleRejected, 1},
+		{"head row names an unsigned head, polled twice", func(t *testing.T, w *world, n *node) {
+			row := w.prepare(t, 9, false)
+			forged, revision, err := w.store.HeadRow(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+			forged.Head, forged.Token = row.Head, "forged"
+			if _, err := w.store.WriteHeadRow(context.Background(), revision, forged); err != nil {
+				t.Fatal(err)
+			}
+			n.poll()
+			n.poll()
+		}, 2, event.BundleRejected, 1},
+		{"another governance is pinned", func(_ *testing.T, w *world, n *node) {
+			w.pin = bundle.DigestOf(nil)
+			n.start(w.clock)
+			n.poll()
+		}, 0, event.BundleRejected, 1},
+		{"section with changed bytes at the platform, a peer has it", func(t *testing.T, w *world, n *node) {
+			w.publish(t, 9)
+			w.nodes[1].poll()
+			c, _ := w.nodes[1].holder.InForce()
+			name := platform.ObjectName("bundle-" + c.Head.Owners[0].Section)
+			if err := w.client.Objects().Put(context.Background(), name, []byte("{}")); err != nil {
+				t.Fatal(err)
+			}
+			n.poll()
+		}, 3, event.BundleInForce, 2},
+		{"object store down, table up, a peer has it", func(t *testing.T, w *world, n *node) {
+			w.publish(t, 9)
+			w.nodes[1].poll()
+			w.platform.SetFaults(standin.ObjectService, standin.Faults{Down: true})
+			n.poll()
+		}, 3, event.BundleInForce, 2},
+		{"three polls in one outage", func(_ *testing.T, w *world, n *node) {
+			w.platformDown(true)
+			n.poll()
+			n.poll()
+			n.poll()
+		}, 2, event.PlatformOutOfReach, 1},
+		{"clock a day behind when the month begins", func(t *testing.T, w *world, n *node) {
+			w.clock.Advance(13 * clock.Hour) // It is December at the operator.
+			w.publish(t, 9)
+			n.start(clock.NewManual(w.clock.Now() - 24*clock.Hour))
+			n.poll()
+		}, 3, event.BundleAheadOfClock, 0},
+		{"clock two months behind", func(_ *testing.T, w *world, n *node) {
+			n.start(clock.NewManual(w.clock.Now() - 60*24*clock.Hour))
+			n.poll()
+		}, 2, event.BundleAheadOfClock, 1},
+		{"clock two months ahead", func(_ *testing.T, w *world, n *node) {
+			n.start(clock.NewManual(w.clock.Now() + 60*24*clock.Hour))
+			n.poll()
+		}, 2, event.BundleRejected, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t, 3, 2)
+			w.publish(t, 2)
+			for _, n := range w.nodes {
+				n.poll()
+			}
+			for _, n := range w.nodes {
+				n.heedAll()
+			}
+			n := w.nodes[0]
+			tt.act(t, w, n)
+			if got := n.version(); got != tt.want {
+				t.Errorf("in force: got version %d, want %d; log:\n%s", got, tt.want, n.log)
+			}
+			if got := n.events(tt.event); got != tt.logged {
+				t.Errorf("%s: got %d lines, want %d; log:\n%s", tt.event, got, tt.logged, n.log)
+			}
+		})
+	}
+}
+
+// Guards against operators who roll what VMs could not fetch or read.
+func TestReplicaReportsCandidates(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	good := w.prepare(t, 2, false)
+	bad := w.prepare(t, 3, false)
+	head, err := w.store.Head(context.Background(), bad.ID)
+	if err != nil {
+		t.Fatal(err)
+	}
+	name := platform.ObjectName("bundle-" + head.Owners[0].Section)
+	if err := w.client.Objects().Put(context.Background(), name, []byte("{}")); err != nil {
+		t.Fatal(err)
+	}
+	w.nodes[0].poll()
+	reports, err := w.store.Reports(context.Background())
+	if err != nil || len(reports) != 1 {
+		t.Fatalf("got %d reports, %v, want 1", len(reports), err)
+	}
+	if got := reports[0].Status.InForce.Version; got != 1 {
+		t.Errorf("got version %d in force, want 1", got)
+	}
+	for _, r := range reports[0].Status.Prepared {
+		want := r.Candidate == good.ID
+		if r.Ready != want || (!want && !strings.Contains(r.Reason, "another digest")) {
+			t.Errorf("candidate %s: got ready %t, reason %q, want ready %t", r.Candidate, r.Ready, r.Reason, want)
+		}
+	}
+	if got := len(reports[0].Status.Prepared); got != 2 {
+		t.Errorf("got %d candidates, want 2", got)
+	}
+}
+
+// Guards against a version that goes down and against force without acceptance, under
+// random orders of rolls with lost answers, outages, cuts, restarts, clock jumps, pushes
+// of prepared, forged and old heads, polls and announcements. At the end, all VMs agree.
+func TestReplicaRandomSchedule(t *testing.T) {
+	for seed := range uint64(40) {
+		random := rand.New(rand.NewPCG(seed, 7))
+		w := newWorld(t, 4, 2)
+		rolled := make(map[bundle.Digest]bool)
+		var heads []bundle.Ref
+		share := owner.Share(1)
+		down := false
+		highest := make([]bundle.Version, len(w.nodes))
+		for step := range 150 {
+			i := random.IntN(len(w.nodes))
+			n := w.nodes[i]
+			switch random.IntN(10) {
+			case 0:
+				if down {
+					break
+				}
+				share++
+				row := w.prepare(t, share, true)
+				heads = append(heads, bundle.Ref{Version: row.Head.Version, Digest: row.ID})
+				if random.IntN(3) == 0 {
+					heads = append(heads, row.Head)
+					break
+				}
+				w.platform.SetFaults(standin.TableService, standin.Faults{LoseNext: random.IntN(3)})
+				if _, err := w.operator.Roll(context.Background(), row.ID); err != nil {
+					t.Fatalf("seed %d step %d: roll: %v", seed, step, err)
+				}
+				w.platform.SetFaults(standin.TableService, standin.Faults{})
+				heads = append(heads, row.Head)
+				rolled[row.Head.Digest] = true
+			case 1:
+				down = !down
+				w.platformDown(down)
+			case 2:
+				n.cut = random.IntN(4) == 0
+			case 3:
+				n.start(clock.NewManual(w.clock.Now() + clock.Millis(random.IntN(97)-48)*clock.Hour))
+				highest[i] = 0
+			case 4:
+				// An operator may announce anything, also what was never rolled.
+				if len(heads) > 0 {
+					n.replica.AnnounceHere(vm.VM{}, heads[random.IntN(len(heads))])
+				}
+			case 5:
+				peer := w.nodes[random.IntN(len(w.nodes))]
+				n.replica.AnnounceHere(peer.self, peer.replica.inForce)
+			case 6, 7:
+				n.heedAll()
+			default:
+				n.poll()
+			}
+			for j, n := range w.nodes {
+				c, held := n.holder.InForce()
+				if c.Head.Version < highest[j] {
+					t.Fatalf("seed %d step %d: VM %d: got version %d, want at least %d", seed, step, j, c.Head.Version, highest[j])
+				}
+				highest[j] = c.Head.Version
+				if held && c.Head.Version > 1 && !rolled[c.Digest] {
+					t.Fatalf("seed %d step %d: VM %d: version %d is in force, but was not accepted", seed, step, j, c.Head.Version)
+				}
+			}
+		}
+		w.platformDown(false)
+		row, _, err := w.store.HeadRow(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for j, n := range w.nodes {
+			n.poll()
+			if got := n.replica.inForce; got != row.Head {
+				t.Errorf("seed %d: VM %d: got %v, want %v", seed, j, got, row.Head)
+			}
+		}
+	}
+}
