Begin with the highest version that peers have in force

Change: while the platform is down, a VM without a bundle asks up to 16 peers and adopts the highest version first. Conclusion: a restart next to an old peer does not bring an old version back, as long as one reachable peer has the newer one.

--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -3,8 +3,10 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"github.com/juju/errors"
@@ -80,6 +82,8 @@
 	fanOut = 8
 	// sources bounds the peers that are asked for what the platform does not give.
 	sources = 3
+	// firstSources is the same for a VM without a bundle.
+	firstSources = 16
 	// rememberedRejections bounds the memory of heads that were logged as rejected.
 	rememberedRejections = 64
 )
@@ -168,12 +172,24 @@
 	return &v
 }
 
-// askPeers looks for a newer head at a few peers.
+// askPeers looks for a newer head at a few peers. A VM without a bundle asks more of them
+// and begins with the highest version, so that a restart does not bring back an old one.
 func (r *Replica) askPeers(ctx context.Context) {
-	for _, p := range r.somePeers(sources) {
+	count := sources
+	if r.inForce.Version == 0 {
+		count = firstSources
+	}
+	var heads []announcement
+	for _, p := range r.somePeers(count) {
 		s, err := r.statusOf(ctx, p)
 		if err == nil && s.InForce.Version > r.inForce.Version {
-			r.adopt(ctx, s.InForce, &p)
+			heads = append(heads, announcement{from: p, ref: s.InForce})
+		}
+	}
+	slices.SortFunc(heads, func(a, b announcement) int { return cmp.Compare(b.ref.Version, a.ref.Version) })
+	for _, a := range heads {
+		if a.ref.Version > r.inForce.Version {
+			r.adopt(ctx, a.ref, source(a.from))
 		}
 	}
 }
