Add the operators' bundle commands

Cause: operators had no way to prepare, sign, roll and look at bundles. A test takes a newcomer's way to a running daemon and each operator's error. Conclusion: the steps work over real sockets against a daemon.

--- /dev/null
+++ b/pkg/app/bundle_command.go
@@ -0,0 +1,153 @@
+package app
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"os"
+
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
+	"github.com/sequoiacart/sequoiacart/pkg/bundlestore"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/operator"
+	"github.com/sequoiacart/sequoiacart/pkg/peer"
+	"github.com/sequoiacart/sequoiacart/pkg/platform"
+)
+
+func newBundleCommand(stdout, stderr io.Writer) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "bundle",
+		ShortUsage: "sequoiacart bundle keygen|check|diff|prepare|sign|roll|status|history [flags]",
+		ShortHelp:  "Brings configuration bundles from a file into force.",
+		LongHelp:   "docs/bundles.md describes the file, the steps and the errors.",
+		Subcommands: []*ffcli.Command{
+			newBundleKeygenCommand(stdout, stderr),
+			newBundleCheckCommand(stdout, stderr),
+			newBundleDiffCommand(stdout, stderr),
+			newBundlePrepareCommand(stdout, stderr),
+			newBundleSignCommand(stdout, stderr),
+			newBundleRollCommand(stdout, stderr),
+			newBundleStatusCommand(stdout, stderr),
+			newBundleHistoryCommand(stdout, stderr),
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+	}
+}
+
+// bundleFlags are the flags that several bundle commands share.
+type bundleFlags struct {
+	set      *flag.FlagSet
+	output   *string
+	platform *string
+	operator *string
+	timeout  *int64
+}
+
+const (
+	bundleTimeout  = 5 * clock.Second
+	operatorCalls  = 500
+	outputText     = "text"
+	outputJSON     = "json"
+	digestsInTable = 16
+)
+
+func newBundleFlags(name string, stderr io.Writer) *bundleFlags {
+	set := flag.NewFlagSet(name, flag.ContinueOnError)
+	set.SetOutput(stderr)
+	return &bundleFlags{
+		set:    set,
+		output: set.String("output", outputText, "text, or json for scripts"),
+	}
+}
+
+// online adds the flags of commands that speak to the platform.
+func (f *bundleFlags) online() *bundleFlags {
+	f.platform = f.set.String("platform-address", "127.0.0.1:7002", "host:port of the platform")
+	f.operator = f.set.String("operator", os.Getenv("USER"), "name that other operators see")
+	f.timeout = f.set.Int64("timeout-ms", int64(bundleTimeout), "span for one call, in milliseconds")
+	return f
+}
+
+// command makes a command whose last help lines are an example.
+func (f *bundleFlags) command(usage, help, example string, exec func(context.Context) error) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       f.set.Name(),
+		ShortUsage: "sequoiacart bundle " + usage,
+		ShortHelp:  help,
+		LongHelp:   help + "\n\nExample:\n  sequoiacart bundle " + example,
+		FlagSet:    f.set,
+		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 0 {
+				return errors.NotValidf("run bundle %s: argument %q; use flags only: command line", f.set.Name(), args[0])
+			}
+			if *f.output != outputText && *f.output != outputJSON {
+				return errors.NotValidf("run bundle %s: --output %q; use text or json: command line", f.set.Name(), *f.output)
+			}
+			return exec(ctx)
+		},
+	}
+}
+
+// desk is what an operator's command works with.
+type desk struct {
+	client   *platform.Client
+	peers    *peer.Client
+	operator *operator.Operator
+	fleet    *operator.Fleet
+}
+
+func (f *bundleFlags) open() *desk {
+	timeout := clock.Millis(*f.timeout)
+	client := platform.NewClient(platform.ClientConfig{Address: *f.platform, Timeout: timeout, CallsPerSecond: operatorCalls})
+	peers := peer.NewClient(peer.ClientConfig{Dialer: &net.Dialer{Timeout: timeout.Duration()}})
+	store := bundlestore.New(client.Table(), client.Objects())
+	return &desk{
+		client:   client,
+		peers:    peers,
+		operator: operator.New(operator.Deps{Name: bundlestore.OperatorName(*f.operator), Store: store, Clock: clock.NewSystem()}),
+		fleet:    &operator.Fleet{Store: store, Peers: peers, Timeout: timeout},
+	}
+}
+
+func (d *desk) close() {
+	d.client.Close()
+	d.peers.Close()
+}
+
+// print writes the text, or the JSON form where scripts asked for it.
+func (f *bundleFlags) print(w io.Writer, asJSON any, text string, args ...any) error {
+	if *f.output == outputJSON {
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "  ")
+		return errors.Trace(encoder.Encode(asJSON))
+	}
+	_, err := fmt.Fprintf(w, text, args...)
+	return errors.Trace(err)
+}
+
+func readBundleFile(path string) (*bundle.Bundle, error) {
+	if path == "" {
+		return nil, errors.NotValidf("read bundle file: --file is missing; name a TOML file: command line")
+	}
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Annotate(err, "read bundle file")
+	}
+	return bundle.DecodeFile(path, body)
+}
+
+func candidateDigest(text string) (bundle.Digest, error) {
+	d := bundle.Digest(text)
+	if !d.Valid() {
+		return "", errors.NotValidf("read --candidate %q: use the 64 hex digits that prepare printed: candidate", text)
+	}
+	return d, nil
+}
--- /dev/null
+++ b/pkg/app/bundle_command_test.go
@@ -0,0 +1,168 @@
+package app
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/event"
+	"github.com/sequoiacart/sequoiacart/pkg/settings"
+	"github.com/sequoiacart/sequoiacart/pkg/standin"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// runMain runs a command line that has to succeed, and returns its output.
+func runMain(t testing.TB, args ...string) string {
+	t.Helper()
+	var stdout, stderr bytes.Buffer
+	if code := Main(args, &stdout, &stderr); code != exitOK {
+		t.Fatalf("%v: got exit code %d, %s", args, code, stderr.String())
+	}
+	return stdout.String()
+}
+
+// field returns a field of a JSON object that a command printed.
+func field[T any](t testing.TB, output, name string) T {
+	t.Helper()
+	var object map[string]any
+	if err := json.Unmarshal([]byte(output), &object); err != nil {
+		t.Fatalf("%v: %s", err, output)
+	}
+	value, ok := object[name].(T)
+	if !ok {
+		t.Fatalf("field %s: got %v in %s", name, object[name], output)
+	}
+	return value
+}
+
+func writeBundleFile(t testing.TB, path, key string, share int) {
+	t.Helper()
+	m := bundle.MonthOf(clock.Millis(time.Now().UnixMilli()))
+	text := fmt.Sprintf(`[governance.calendar]
+%s = "norte"
+%s = "norte"
+%s = "norte"
+[governance.keys]
+norte = %q
+[[owners]]
+id = "norte"
+share = %d
+tokens = [%q]
+limits = {tasksPerJob = 370, queuedTasks = 10000}
+classes = [{name = "alert", rank = 0, deadlineMs = 2000}]
+`, m, m.Next(), m.Next().Next(), key, share, bundle.DigestOf([]byte("token")))
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func startDaemon(t testing.TB, id vm.ID, platformAddress, pin string) *Daemon {
+	t.Helper()
+	s := settings.Default()
+	s.VM, s.DataCentre, s.PlatformAddress = id, "centro", platformAddress
+	s.CallerAddress, s.PeerAddress = "127.0.0.1:0", "127.0.0.1:0"
+	s.GovernanceDigest = bundle.Digest(pin)
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	d, err := NewDaemon(DaemonDeps{Settings: s, Clock: clock.NewSystem(), Log: event.NewLog(logger)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Errorf("daemon: %v", err)
+		}
+	})
+	return d
+}
+
+// Guards against steps of the operators' command line that do not fit together, and
+// against errors that do not tell an operator what happened.
+func TestBundleCommands(t *testing.T) {
+	server := httptest.NewServer(standin.NewPlatform().Handler())
+	t.Cleanup(server.Close)
+	address := strings.TrimPrefix(server.URL, "http://")
+	at := "--platform-address=" + address
+	dir := t.TempDir()
+	keyFile, first, second, third := filepath.Join(dir, "norte.key"), filepath.Join(dir, "1.toml"), filepath.Join(dir, "2.toml"), filepath.Join(dir, "3.toml")
+	key := strings.TrimSpace(runMain(t, "bundle", "keygen", "--key-file", keyFile))
+	writeBundleFile(t, first, key, 1)
+	writeBundleFile(t, second, key, 2)
+	writeBundleFile(t, third, key, 3)
+	pin := field[string](t, runMain(t, "bundle", "check", "--file", first, "--output", "json"), "governanceDigest")
+	prepare := func(operator, file string) string {
+		return field[string](t, runMain(t, "bundle", "prepare", at, "--operator", operator, "--file", file, "--output", "json"), "candidate")
+	}
+	sign := func(candidate string) {
+		runMain(t, "bundle", "sign", at, "--candidate", candidate, "--owner", "norte", "--key-file", keyFile)
+	}
+	roll := func(operator, candidate string) float64 {
+		return field[float64](t, runMain(t, "bundle", "roll", at, "--operator", operator, "--candidate", candidate, "--output", "json"), "version")
+	}
+	candidate := prepare("ana", first)
+	sign(candidate)
+	if got := roll("ana", candidate); got != 1 {
+		t.Fatalf("roll: got version %v, want 1", got)
+	}
+	d := startDaemon(t, "centro1", address, pin)
+	// The daemon polls by itself; each status is a call, so the loop does not spin.
+	for !d.Ready() {
+		runMain(t, "bundle", "status", at)
+	}
+	if o, ok := d.OwnerOf("token"); !ok || o.ID != "norte" {
+		t.Errorf("owner of token: got %v, %t, want norte", o.ID, ok)
+	}
+	mine, rival := prepare("ana", second), prepare("bruno", third)
+	sign(mine)
+	sign(rival)
+	roll("ana", mine)
+	for step := 1; d.bundle.Load().Version != 2; step++ {
+		runMain(t, "bundle", "status", at)
+	}
+	if got := runMain(t, "bundle", "history", at); !strings.Contains(got, "version 2, signed by norte") || !strings.Contains(got, "version 1, signed by norte") {
+		t.Errorf("history: got %q", got)
+	}
+	if got := runMain(t, "bundle", "diff", at, "--file", third); !strings.Contains(got, `owners.norte.share: "2" -> "3"`) {
+		t.Errorf("diff: got %q", got)
+	}
+	failures := []struct {
+		name string
+		args []string
+		want string
+	}{
+		{"rolled after another operator", []string{"roll", at, "--candidate", rival}, `"ana" has rolled version 2`},
+		{"nothing changed", []string{"prepare", at, "--file", second}, "nothing differs from version 2"},
+		{"no such candidate", []string{"roll", at, "--candidate", strings.Repeat("0", 64)}, "no candidate 0000"},
+		{"half a digest", []string{"sign", at, "--candidate", "3f0c", "--key-file", keyFile}, "64 hex digits"},
+		{"no key file", []string{"sign", at, "--candidate", rival, "--key-file", first}, "bundle keygen"},
+		{"key file there already", []string{"keygen", "--key-file", keyFile}, "file exists"},
+		{"no file", []string{"check"}, "--file is missing"},
+		{"unknown output", []string{"status", at, "--output", "xml"}, "text or json"},
+		{"platform out of reach", []string{"status", "--platform-address=127.0.0.1:1"}, "platform 127.0.0.1:1"},
+	}
+	for _, tt := range failures {
+		t.Run(tt.name, func(t *testing.T) {
+			var stdout, stderr bytes.Buffer
+			code := Main(append([]string{"bundle"}, tt.args...), &stdout, &stderr)
+			if code != exitFailed || !strings.Contains(stderr.String(), tt.want) {
+				t.Errorf("got exit code %d, %q, want %d and %q", code, stderr.String(), exitFailed, tt.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/app/bundle_roll_commands.go
@@ -0,0 +1,100 @@
+package app
+
+import (
+	"context"
+	"io"
+
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
+	"github.com/sequoiacart/sequoiacart/pkg/bundlestore"
+	"github.com/sequoiacart/sequoiacart/pkg/operator"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+)
+
+type wireCandidate struct {
+	Candidate string `json:"candidate"`
+	Version   uint64 `json:"version"`
+	Signed    bool   `json:"signed"`
+	Operator  string `json:"operator"`
+}
+
+func encodeCandidate(c bundlestore.CandidateRow) wireCandidate {
+	return wireCandidate{Candidate: string(c.ID), Version: uint64(c.Head.Version), Signed: c.Signed(), Operator: string(c.Operator)}
+}
+
+func newBundlePrepareCommand(stdout, stderr io.Writer) *ffcli.Command {
+	f := newBundleFlags("prepare", stderr).online()
+	file := f.set.String("file", "", "TOML file of the bundle")
+	return f.command("prepare --file FILE", "Uploads a bundle as the next version; every VM fetches and checks it.",
+		"prepare --file bundle.toml --operator ana", func(ctx context.Context) error {
+			b, err := readBundleFile(*file)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			d := f.open()
+			defer d.close()
+			c, err := d.operator.Prepare(ctx, b)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			return f.print(stdout, encodeCandidate(c), "version %d is prepared by %s\ncandidate %s\n", c.Head.Version, c.Operator, c.ID)
+		})
+}
+
+func newBundleSignCommand(stdout, stderr io.Writer) *ffcli.Command {
+	f := newBundleFlags("sign", stderr).online()
+	candidate := f.set.String("candidate", "", "digest that prepare printed")
+	signer := f.set.String("owner", "", "owner whose month it is")
+	keyFile := f.set.String("key-file", "", "file that keygen wrote")
+	month := f.set.String("month", "", "month to sign for, such as 2026-12; default: the present one in UTC")
+	return f.command("sign --candidate DIGEST --owner OWNER --key-file FILE", "Signs off a candidate for the owner of the month. Read it with diff first.",
+		"sign --candidate 3f0c... --owner norte --key-file norte.key", func(ctx context.Context) error {
+			id, err := candidateDigest(*candidate)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			key, err := operator.ReadKeyFile(*keyFile)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			d := f.open()
+			defer d.close()
+			c, err := d.operator.Sign(ctx, operator.SignOff{Candidate: id, Signer: owner.ID(*signer), Key: key, Month: bundle.Month(*month)})
+			if err != nil {
+				return errors.Trace(err)
+			}
+			return f.print(stdout, encodeCandidate(c), "version %d is signed by %s\ncandidate %s\n", c.Head.Version, *signer, c.ID)
+		})
+}
+
+type wireRoll struct {
+	Version  uint64 `json:"version"`
+	Head     string `json:"head"`
+	Operator string `json:"operator"`
+	Told     int    `json:"toldVMs"`
+	VMs      int    `json:"vms"`
+}
+
+func newBundleRollCommand(stdout, stderr io.Writer) *ffcli.Command {
+	f := newBundleFlags("roll", stderr).online()
+	candidate := f.set.String("candidate", "", "digest that prepare printed")
+	return f.command("roll --candidate DIGEST", "Puts a signed candidate into force. It may be run again after a failure.",
+		"roll --candidate 3f0c... --operator ana", func(ctx context.Context) error {
+			id, err := candidateDigest(*candidate)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			d := f.open()
+			defer d.close()
+			row, err := d.operator.Roll(ctx, id)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			// The bundle is accepted; VMs that are not told find it by their polls.
+			told, all, _ := d.fleet.Announce(ctx, row.Head)
+			w := wireRoll{Version: uint64(row.Head.Version), Head: string(row.Head.Digest), Operator: string(row.Operator), Told: told, VMs: all}
+			return f.print(stdout, w, "version %d is accepted, rolled by %s; %d of %d VMs told\nhead %s\n", w.Version, w.Operator, told, all, w.Head)
+		})
+}
--- a/pkg/app/main.go
+++ b/pkg/app/main.go
@@ -52,6 +52,7 @@
 		ShortHelp:  "Dispatches short tasks of several owners to endpoints.",
 		FlagSet:    flags,
 		Subcommands: []*ffcli.Command{
+			newBundleCommand(stdout, stderr),
 			newDemoCommand(stdout, stderr),
 			newEntryCommand(stderr),
 			newSubmitCommand(stdout, stderr),
