--- /dev/null
+++ b/pkg/app/bundle_bench_test.go
@@ -0,0 +1,108 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sequoiacart/sequoiacart/pkg/bundlestore"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/operator"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/peer"
+	"github.com/sequoiacart/sequoiacart/pkg/platform"
+	"github.com/sequoiacart/sequoiacart/pkg/standin"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+const benchVMs = 9
+
+// BenchmarkForce measures the span from the acceptance of a version to its force on the
+// last of 9 VMs in this process, over real sockets: pushed by the operator and between
+// peers, and without the operator's push.
+func BenchmarkForce(b *testing.B) {
+	for _, owners := range []int{12, 120} {
+		for _, pushed := range []bool{true, false} {
+			b.Run(fmt.Sprintf("owners=%d/pushed=%t", owners, pushed), func(b *testing.B) {
+				benchmarkForce(b, owners, pushed)
+			})
+		}
+	}
+}
+
+func benchmarkForce(b *testing.B, count int, pushed bool) {
+	server := httptest.NewServer(standin.NewPlatform().Handler())
+	b.Cleanup(server.Close)
+	address := strings.TrimPrefix(server.URL, "http://")
+	client := platform.NewClient(platform.ClientConfig{Address: address, Timeout: 5 * clock.Second, CallsPerSecond: 10000})
+	peers := peer.NewClient(peer.ClientConfig{Dialer: &net.Dialer{}})
+	b.Cleanup(func() { client.Close(); peers.Close() })
+	store := bundlestore.New(client.Table(), client.Objects())
+	fleet := &operator.Fleet{Store: store, Peers: peers, Timeout: 5 * clock.Second}
+	o := operator.New(operator.Deps{Name: "bench", Store: store, Clock: clock.NewSystem()})
+	ctx := context.Background()
+	var owners []owner.Owner
+	for i := range count {
+		owners = append(owners, owner.Owner{
+			ID: owner.ID(fmt.Sprintf("owner%03d", i)), Share: 1,
+			Classes: []owner.Class{{Name: "alert", Deadline: clock.Second}, {Name: "normal", Rank: 1, Deadline: clock.Minute}},
+			Limits:  owner.Limits{TasksPerJob: 370, QueuedTasks: 10000},
+		})
+	}
+	pin, signOff, err := o.Genesis(ctx, owners)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var daemons []*Daemon
+	for i := range benchVMs {
+		daemons = append(daemons, startDaemon(b, vm.ID(fmt.Sprintf("vm%d", i)), address, string(pin)))
+	}
+	waitForShare(daemons, 1)
+	var slowest time.Duration
+	share := owner.Share(1)
+	for b.Loop() {
+		b.StopTimer()
+		share++
+		inForce, err := o.InForce(ctx)
+		if err != nil {
+			b.Fatal(err)
+		}
+		next := *inForce.Bundle
+		next.Owners = append([]owner.Owner(nil), next.Owners...)
+		next.Owners[0].Share = share
+		row, err := o.Prepare(ctx, &next)
+		if err != nil {
+			b.Fatal(err)
+		}
+		signOff.Candidate = row.ID
+		if _, err := o.Sign(ctx, signOff); err != nil {
+			b.Fatal(err)
+		}
+		rolled, err := o.Roll(ctx, row.ID)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.StartTimer()
+		began := time.Now()
+		if pushed {
+			if _, _, err := fleet.Announce(ctx, rolled.Head); err != nil {
+				b.Fatal(err)
+			}
+		}
+		waitForShare(daemons, share)
+		slowest = max(slowest, time.Since(began))
+	}
+	b.ReportMetric(float64(slowest.Milliseconds()), "slowest-ms")
+}
+
+func waitForShare(daemons []*Daemon, s owner.Share) {
+	for _, d := range daemons {
+		for d.bundle.Load() == nil || d.bundle.Load().Owners[0].Share != s {
+			time.Sleep(200 * time.Microsecond)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/bundle/verify_bench_test.go
@@ -0,0 +1,34 @@
+package bundle
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkVerify measures what one change costs a VM that holds the version before: the
+// time to verify the new one, and the bytes that it fetches (head and changed sections).
+func BenchmarkVerify(b *testing.B) {
+	for _, owners := range []int{12, 120} {
+		b.Run(fmt.Sprintf("owners=%d", owners), func(b *testing.B) {
+			h := &history{}
+			base := testBundle(owners)
+			first := h.add(base, "norte", "2026-11")
+			held := make(Sections)
+			for _, d := range first.Sections() {
+				held[d] = h.sections[d]
+			}
+			changed := h.add(withShare(base, 2), "norte", "2026-11")
+			bytes := len(EncodeHead(changed))
+			for _, d := range held.Missing(changed) {
+				bytes += len(h.sections[d])
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := Verify(h.pin(), changed, h.sections); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(bytes), "bytes/change")
+		})
+	}
+}
