--- /dev/null
+++ b/pkg/peer/bundle_service_test.go
@@ -0,0 +1,79 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// fakeBundles has the sections of the map, and claims to have bytes under a wrong digest.
+type fakeBundles struct {
+	sections bundle.Sections
+	status   bundle.Status
+	heard    chan bundle.Ref
+	from     chan vm.VM
+}
+
+func (f *fakeBundles) AnnounceHere(from vm.VM, r bundle.Ref) {
+	f.heard <- r
+	f.from <- from
+}
+func (f *fakeBundles) FetchHere([]bundle.Digest) bundle.Sections { return f.sections }
+func (f *fakeBundles) BundleStatusHere() bundle.Status           { return f.status }
+
+// Guards against news, sections and states of bundles that change on the wire, and
+// against peers that send bad digests or other bytes.
+func TestBundleService(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	good, bad := bundle.DigestOf([]byte("good")), bundle.DigestOf([]byte("bad"))
+	f := &fakeBundles{
+		sections: bundle.Sections{good: []byte("good"), bad: []byte("other")},
+		status: bundle.Status{InForce: bundle.Ref{Version: 7, Digest: good}, Prepared: []bundle.Readiness{
+			{Candidate: bad, Version: 8, Reason: "why"}, {Candidate: good, Version: 8, Ready: true},
+		}},
+		heard: make(chan bundle.Ref, 1), from: make(chan vm.VM, 1),
+	}
+	server, err := NewServer(ServerConfig{Listener: listener, Bundles: f})
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- server.Serve() }()
+	client := NewClient(ClientConfig{Dialer: &net.Dialer{}})
+	t.Cleanup(func() { client.Close(); server.Close(); <-done })
+	ctx := context.Background()
+	to := vm.VM{Incarnation: "b-1", PeerAddress: listener.Addr().String()}
+	from := vm.VM{Incarnation: "a-1", PeerAddress: "a:1"}
+
+	if err := client.Announce(ctx, to, from, f.status.InForce); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := <-f.heard, f.status.InForce; got != want {
+		t.Errorf("announce: got %v, want %v", got, want)
+	}
+	if got := <-f.from; got.Incarnation != from.Incarnation || got.PeerAddress != from.PeerAddress {
+		t.Errorf("announce: got from %v, want %v", got, from)
+	}
+	got, err := client.FetchBundle(ctx, to, []bundle.Digest{good, bad})
+	if err != nil || len(got) != 1 || string(got[good]) != "good" {
+		t.Errorf("fetch: got %v, %v, want the good section alone", got, err)
+	}
+	status, err := client.BundleStatus(ctx, to)
+	if err != nil || status.InForce != f.status.InForce || len(status.Prepared) != 2 || status.Prepared[0] != f.status.Prepared[0] || status.Prepared[1] != f.status.Prepared[1] {
+		t.Errorf("status: got %v, %v, want %v", status, err, f.status)
+	}
+	if err := client.Announce(ctx, to, from, bundle.Ref{Version: 9, Digest: "no digest"}); err == nil || !strings.Contains(err.Error(), "peer b-1") {
+		t.Errorf("bad digest: got %v, want an error that names the peer", err)
+	}
+	many := FetchRequest{Digests: make([]string, MaxFetch+1)}
+	if err := client.call(ctx, to, "Bundle.Fetch", many, &FetchReply{}); err == nil || !strings.Contains(err.Error(), "more than 256") {
+		t.Errorf("too many digests: got %v, want an error", err)
+	}
+}
