Test a governance section slipped in under a past version (failing)

Cause: review of the chain rule. Change: test alone. The owner of a past month signs a governance section under a version that is past, which gives it the present month, and signs the next head under it.

--- a/pkg/bundle/holder_test.go
+++ b/pkg/bundle/holder_test.go
@@ -102,6 +102,19 @@
 			maps.Copy(h.sections, sections)
 			return head.Sign(keyOf("thief"), "sur", "2026-12")
 		}, WrongSignature},
+		{"governance slipped in under a version that is past", func(h *history) Head {
+			// norte, whose month is over, gives itself December too.
+			grab := withKeyOf(base, "norte", publicKeyOf("norte"))
+			grab.Governance.Calendar = maps.Clone(grab.Governance.Calendar)
+			grab.Governance.Calendar["2026-12"] = "norte"
+			head, sections := Compose(h.last(), grab)
+			maps.Copy(h.sections, sections)
+			last := len(head.Governance) - 1
+			head.Governance[last].Version = 2
+			head.Governance[last].SignOff = SignOff{Month: "2026-11", Signer: "norte"}
+			head.Governance[last].SignOff.Signature = sign(keyOf("norte"), head.linkMessage(last))
+			return head.Sign(keyOf("norte"), "norte", "2026-12")
+		}, OtherGovernance},
 		{"governance before it left out of the chain", func(h *history) Head {
 			h.add(withKeyOf(base, "extra", publicKeyOf("extra")), "sur", "2026-12")
 			head := next(h)
