Let governance sections follow only versions and months in force

Change: a chain may go on only with sections of versions after the one in force, signed for its month or a later one, and none later than the head's. Conclusion: VMs with a bundle refuse it; a VM without one cannot tell, which docs/proofs.md says.

--- a/pkg/bundle/holder.go
+++ b/pkg/bundle/holder.go
@@ -45,7 +45,9 @@
 	return "", ""
 }
 
-// extends reports whether the governance chain of h begins with that of an earlier head.
+// extends reports whether the governance chain of h begins with that of an earlier head
+// and goes on with links that came after it. A link under a past version, or signed for a
+// past month, would let the owner of that month change who has the say now.
 func (h Head) extends(earlier Head) bool {
 	if len(h.Governance) < len(earlier.Governance) {
 		return false
@@ -55,5 +57,10 @@
 			return false
 		}
 	}
+	for _, l := range h.Governance[len(earlier.Governance):] {
+		if l.Version <= earlier.Version || l.SignOff.Month < earlier.SignOff.Month {
+			return false
+		}
+	}
 	return true
 }
--- a/pkg/bundle/verify.go
+++ b/pkg/bundle/verify.go
@@ -22,6 +22,9 @@
 	if err := h.checkSignOff(governances[h.governing()], h.SignOff, h.message()); err != nil {
 		return Candidate{}, err
 	}
+	if last := h.Governance[len(h.Governance)-1]; last.SignOff.Month > h.SignOff.Month {
+		return Candidate{}, h.reject(WrongMonth, "governance of version %d was signed for %s, but the head for %s", last.Version, last.SignOff.Month, h.SignOff.Month)
+	}
 	return Candidate{Head: h, Digest: h.Digest(), Bundle: b}, nil
 }
 
