Load many sections from a peer first, in parallel from the platform

Cause: a VM that starts read each section of 120 owners one after the other from the platform, on the client that the roster uses too. Change: a VM that lacks more than 16 objects asks a peer first, in one call; reads of the platform run 8 at once, on a client of their own. Commands refuse an empty operator name. Test: a VM starts in an outage after the governance changed twice. Conclusion: a restart costs the platform a row in place of 120 objects, where a peer is in reach.

--- a/pkg/app/bundle_command.go
+++ b/pkg/app/bundle_command.go
@@ -91,6 +91,9 @@
 			if *f.output != outputText && *f.output != outputJSON {
 				return errors.NotValidf("run bundle %s: --output %q; use text or json: command line", f.set.Name(), *f.output)
 			}
+			if f.operator != nil && *f.operator == "" {
+				return errors.NotValidf("run bundle %s: --operator is empty; give the name that other operators should see: command line", f.set.Name())
+			}
 			return exec(ctx)
 		},
 	}
--- a/pkg/app/bundle_command_test.go
+++ b/pkg/app/bundle_command_test.go
@@ -99,6 +99,7 @@
 	t.Cleanup(server.Close)
 	address := strings.TrimPrefix(server.URL, "http://")
 	at := "--platform-address=" + address
+	t.Setenv("SEQUOIACART_OPERATOR", "tester")
 	dir := t.TempDir()
 	keyFile, first, second, third := filepath.Join(dir, "norte.key"), filepath.Join(dir, "1.toml"), filepath.Join(dir, "2.toml"), filepath.Join(dir, "3.toml")
 	key := strings.TrimSpace(runMain(t, "bundle", "keygen", "--key-file", keyFile))
@@ -152,6 +153,7 @@
 		{"half a digest", []string{"sign", at, "--candidate", "3f0c", "--key-file", keyFile}, "64 hex digits"},
 		{"no key file", []string{"sign", at, "--candidate", rival, "--key-file", first}, "bundle keygen"},
 		{"key file there already", []string{"keygen", "--key-file", keyFile}, "file exists"},
+		{"no operator", []string{"roll", at, "--operator", "", "--candidate", rival}, "--operator is empty"},
 		{"no file", []string{"check"}, "--file is missing"},
 		{"unknown output", []string{"status", at, "--output", "xml"}, "text or json"},
 		{"platform out of reach", []string{"status", "--platform-address=127.0.0.1:1"}, "platform 127.0.0.1:1"},
--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -49,6 +49,7 @@
 	client  *peer.Client
 	poller  *poller
 	replica *replica.Replica
+	bundles *platform.Client
 	address string
 	killed  context.Context
 	kill    context.CancelFunc
@@ -139,10 +140,13 @@
 		Loop:   d.loop,
 		Router: d.router,
 	})
+	// An own client, so that a VM that loads its first bundle does not use up the rate of
+	// the other platform calls.
+	d.bundles = platform.NewClient(platform.ClientConfig{Address: s.PlatformAddress, Timeout: s.Timeouts.Platform, Clock: d.deps.Clock})
 	d.replica = replica.New(replica.Deps{
 		Self:        d.self,
 		Pin:         s.GovernanceDigest,
-		Store:       bundlestore.New(client.Table(), client.Objects()),
+		Store:       bundlestore.New(d.bundles.Table(), d.bundles.Objects()),
 		Peers:       d.client,
 		Control:     d.router,
 		Known:       d.knownPeers,
@@ -234,6 +238,7 @@
 
 // runReplica withdraws the report of this VM at graceful shutdown.
 func (d *Daemon) runReplica(ctx context.Context) error {
+	defer d.bundles.Close()
 	err := d.replica.Run(ctx)
 	if d.killed.Err() != nil {
 		return err
--- a/pkg/replica/fetch.go
+++ b/pkg/replica/fetch.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
@@ -25,11 +26,17 @@
 }
 
 // fetch returns the bytes of all digests or an error. The peer that named the head is
-// asked first, since it has them.
+// asked first, since it has them. A VM that lacks much asks a peer first too: one call
+// there stands for many reads of a platform that everybody shares.
 func (r *Replica) fetch(ctx context.Context, digests []bundle.Digest, from *vm.VM) (bundle.Sections, error) {
 	found := r.FetchHere(digests)
-	if from != nil {
+	switch {
+	case from != nil:
 		r.fetchFromPeer(ctx, *from, digests, found)
+	case len(lacking(digests, found)) > manyObjects:
+		for _, p := range r.somePeers(1) {
+			r.fetchFromPeer(ctx, p, digests, found)
+		}
 	}
 	err := r.fetchFromStore(ctx, digests, found)
 	for _, p := range r.somePeers(sources) {
@@ -41,16 +48,33 @@
 	return found, nil
 }
 
+const (
+	// manyObjects is the number of missing objects from which a peer is asked first.
+	manyObjects = 16
+	// readsAtOnce bounds the reads of objects that are under way.
+	readsAtOnce = 8
+)
+
 // fetchFromStore adds what the platform has. It stops at the first failure.
 func (r *Replica) fetchFromStore(ctx context.Context, digests []bundle.Digest, found bundle.Sections) error {
-	for _, d := range lacking(digests, found) {
-		body, err := r.deps.Store.Object(ctx, d)
-		if err != nil {
+	missing := lacking(digests, found)
+	bodies := make([][]byte, len(missing))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(readsAtOnce)
+	for i, d := range missing {
+		g.Go(func() error {
+			body, err := r.deps.Store.Object(ctx, d)
+			bodies[i] = body
 			return errors.Trace(err)
+		})
+	}
+	err := g.Wait()
+	for i, d := range missing {
+		if bodies[i] != nil {
+			found[d] = bodies[i]
 		}
-		found[d] = body
 	}
-	return nil
+	return err
 }
 
 func (r *Replica) fetchFromPeer(ctx context.Context, p vm.VM, digests []bundle.Digest, found bundle.Sections) {
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"math/rand/v2"
 	"strings"
 	"testing"
@@ -140,6 +142,20 @@
 			w.platform.SetFaults(standin.ObjectService, standin.Faults{Down: true})
 			n.poll()
 		}, 3, event.BundleInForce, 2},
+		{"started after the governance changed twice, from a peer in an outage", func(t *testing.T, w *world, n *node) {
+			for i := range 2 {
+				b := w.changed(t, owner.Share(8+i))
+				b.Governance.Keys = maps.Clone(b.Governance.Keys)
+				b.Governance.Keys[owner.ID(fmt.Sprintf("extra%d", i))] = b.Governance.Keys["owner000"]
+				if _, err := w.operator.Publish(context.Background(), b, w.signOff); err != nil {
+					t.Fatal(err)
+				}
+			}
+			w.nodes[1].poll()
+			w.platformDown(true)
+			n.start(w.clock)
+			n.poll()
+		}, 4, event.BundleInForce, 1},
 		{"three polls in one outage", func(_ *testing.T, w *world, n *node) {
 			w.platformDown(true)
 			n.poll()
