Tell who was first when a candidate's row is gone

Change: a write that meets a deleted row says so; sign and roll then look at the history and name the winner. roll settles against any later head row. Conclusion: each operator hears of success, of a lost race with its winner, or of an outage.

--- a/pkg/bundlestore/store.go
+++ b/pkg/bundlestore/store.go
@@ -99,6 +99,9 @@
 		return HeadRow{}, errors.Annotate(err, "write bundle head row")
 	}
 	if lost, ok := outcome.(platform.LostTo); ok {
+		if lost.Row.Revision == 0 {
+			return HeadRow{}, errors.Annotate(platform.ErrAbsent, "write bundle head row: the row was deleted")
+		}
 		return decodeHeadRow(lost.Row.Value)
 	}
 	return h, nil
@@ -145,6 +148,9 @@
 		return CandidateRow{}, errors.Annotatef(err, "write bundle candidate %s", c.ID)
 	}
 	if lost, ok := outcome.(platform.LostTo); ok {
+		if lost.Row.Revision == 0 {
+			return CandidateRow{}, errors.Annotatef(platform.ErrAbsent, "write bundle candidate %s: the row was deleted", c.ID)
+		}
 		return decodeCandidateRow(lost.Row.Value)
 	}
 	return c, nil
--- a/pkg/operator/roll.go
+++ b/pkg/operator/roll.go
@@ -29,8 +29,8 @@
 	if err != nil {
 		return bundlestore.HeadRow{}, errors.Trace(err)
 	}
-	if p.row.Head == row.Head {
-		return p.row, nil
+	if p.row.Head.Version >= head.Version {
+		return p.row, errors.Trace(o.settle(ctx, head, p.row))
 	}
 	if _, err := o.verify(ctx, p, head); err != nil {
 		return bundlestore.HeadRow{}, errors.Annotate(err, "check candidate")
@@ -55,7 +55,7 @@
 func (o *Operator) rolledBefore(ctx context.Context, id bundle.Digest) (bundlestore.HeadRow, error) {
 	prepared, err := o.deps.Store.Head(ctx, id)
 	if err != nil {
-		return bundlestore.HeadRow{}, errors.Annotatef(err, "roll: no candidate %s is prepared", id)
+		return bundlestore.HeadRow{}, errors.Annotatef(err, "no candidate %s is prepared", id)
 	}
 	heads, err := o.History(ctx, recentVersions)
 	if err != nil {
--- a/pkg/operator/sign.go
+++ b/pkg/operator/sign.go
@@ -9,6 +9,7 @@
 	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/bundlestore"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/platform"
 )
 
 // SignOff is an owner's consent to a candidate.
@@ -29,6 +30,9 @@
 		return bundlestore.CandidateRow{}, errors.Trace(err)
 	}
 	row, revision, err := o.deps.Store.Candidate(ctx, s.Candidate)
+	if errors.Is(err, platform.ErrAbsent) {
+		return bundlestore.CandidateRow{}, o.signTooLate(ctx, s.Candidate)
+	}
 	if err != nil {
 		return bundlestore.CandidateRow{}, errors.Trace(err)
 	}
@@ -49,6 +53,9 @@
 	}
 	next := bundlestore.CandidateRow{ID: row.ID, Head: bundle.Ref{Version: signed.Version, Digest: signed.Digest()}, Operator: o.deps.Name, Token: newToken()}
 	written, err := o.deps.Store.WriteCandidate(ctx, revision, next)
+	if errors.Is(err, platform.ErrAbsent) {
+		return bundlestore.CandidateRow{}, o.signTooLate(ctx, s.Candidate)
+	}
 	if err != nil {
 		return bundlestore.CandidateRow{}, errors.Trace(err)
 	}
@@ -58,6 +65,15 @@
 	return written, nil
 }
 
+// signTooLate says what became of a candidate whose row is gone.
+func (o *Operator) signTooLate(ctx context.Context, id bundle.Digest) error {
+	row, err := o.rolledBefore(ctx, id)
+	if err != nil {
+		return errors.Annotate(err, "sign")
+	}
+	return errors.Annotatef(ErrRaced, "sign: candidate %s was rolled as version %d already", id, row.Head.Version)
+}
+
 // verify makes the checks that every VM makes, at a VM where the parent is in force.
 func (o *Operator) verify(ctx context.Context, p parent, h bundle.Head) (bundle.Candidate, error) {
 	if err := p.follows(h); err != nil {
