--- a/pkg/app/bundle_command_test.go
+++ b/pkg/app/bundle_command_test.go
@@ -68,12 +68,12 @@
 	}
 }
 
-func startDaemon(t testing.TB, id vm.ID, platformAddress, pin string) *Daemon {
+func startDaemon(t testing.TB, id vm.ID, platformAddress, pin string, seedPeers ...string) *Daemon {
 	t.Helper()
 	s := settings.Default()
 	s.VM, s.DataCentre, s.PlatformAddress = id, "centro", platformAddress
 	s.CallerAddress, s.PeerAddress = "127.0.0.1:0", "127.0.0.1:0"
-	s.GovernanceDigest = bundle.Digest(pin)
+	s.GovernanceDigest, s.SeedPeers = bundle.Digest(pin), seedPeers
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	d, err := NewDaemon(DaemonDeps{Settings: s, Clock: clock.NewSystem(), Log: event.NewLog(logger)})
