Bound the span of a poll and measure force under a slow platform

Cause: a slow platform held a VM's poll for up to three attempts per call, and announcements wait behind polls. Change: the head row is read within one platform timeout, checks and report within two; an operator's announcement waits for a slow head row. Test: a platform that was restored from an older state lowers nothing.

--- a/pkg/app/bundle_bench_test.go
+++ b/pkg/app/bundle_bench_test.go
@@ -19,23 +19,30 @@
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
-const benchVMs = 9
+const (
+	benchVMs               = 9
+	benchSlow clock.Millis = 1500
+)
 
 // BenchmarkForce measures the span from the acceptance of a version to its force on the
 // last of 9 VMs in this process, over real sockets: pushed by the operator and between
-// peers, and without the operator's push.
+// peers, without the operator's push, and with a platform that takes 1.5 s for each answer
+// from the acceptance on.
 func BenchmarkForce(b *testing.B) {
 	for _, owners := range []int{12, 120} {
-		for _, pushed := range []bool{true, false} {
-			b.Run(fmt.Sprintf("owners=%d/pushed=%t", owners, pushed), func(b *testing.B) {
-				benchmarkForce(b, owners, pushed)
-			})
-		}
+		b.Run(fmt.Sprintf("owners=%d/pushed", owners), func(b *testing.B) { benchmarkForce(b, owners, true, 0) })
+		b.Run(fmt.Sprintf("owners=%d/polled", owners), func(b *testing.B) { benchmarkForce(b, owners, false, 0) })
+		b.Run(fmt.Sprintf("owners=%d/slow", owners), func(b *testing.B) { benchmarkForce(b, owners, true, benchSlow) })
 	}
 }
 
-func benchmarkForce(b *testing.B, count int, pushed bool) {
-	server := httptest.NewServer(standin.NewPlatform().Handler())
+func benchmarkForce(b *testing.B, count int, pushed bool, slow clock.Millis) {
+	stand := standin.NewPlatform()
+	setSlow := func(span clock.Millis) {
+		stand.SetFaults(standin.TableService, standin.Faults{Slow: span})
+		stand.SetFaults(standin.ObjectService, standin.Faults{Slow: span})
+	}
+	server := httptest.NewServer(stand.Handler())
 	b.Cleanup(server.Close)
 	address := strings.TrimPrefix(server.URL, "http://")
 	client := platform.NewClient(platform.ClientConfig{Address: address, Timeout: 5 * clock.Second, CallsPerSecond: 10000})
@@ -86,6 +93,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
+		setSlow(slow)
 		b.StartTimer()
 		began := time.Now()
 		if pushed {
@@ -95,6 +103,7 @@
 		}
 		waitForShare(daemons, share)
 		slowest = max(slowest, time.Since(began))
+		setSlow(0)
 	}
 	b.ReportMetric(float64(slowest.Milliseconds()), "slowest-ms")
 }
--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -144,17 +144,18 @@
 	// the other platform calls.
 	d.bundles = platform.NewClient(platform.ClientConfig{Address: s.PlatformAddress, Timeout: s.Timeouts.Platform, Clock: d.deps.Clock})
 	d.replica = replica.New(replica.Deps{
-		Self:        d.self,
-		Pin:         s.GovernanceDigest,
-		Store:       bundlestore.New(d.bundles.Table(), d.bundles.Objects()),
-		Peers:       d.client,
-		Control:     d.router,
-		Known:       d.knownPeers,
-		Clock:       d.deps.Clock,
-		Log:         d.deps.Log,
-		Every:       s.Timeouts.Poll,
-		PeerTimeout: s.Timeouts.Peer,
-		Random:      rand.New(rand.NewPCG(randomSeed(), randomSeed())),
+		Self:            d.self,
+		Pin:             s.GovernanceDigest,
+		Store:           bundlestore.New(d.bundles.Table(), d.bundles.Objects()),
+		Peers:           d.client,
+		Control:         d.router,
+		Known:           d.knownPeers,
+		Clock:           d.deps.Clock,
+		Log:             d.deps.Log,
+		Every:           s.Timeouts.Poll,
+		PeerTimeout:     s.Timeouts.Peer,
+		PlatformTimeout: s.Timeouts.Platform,
+		Random:          rand.New(rand.NewPCG(randomSeed(), randomSeed())),
 	})
 }
 
--- a/pkg/replica/fixture_test.go
+++ b/pkg/replica/fixture_test.go
@@ -98,7 +98,7 @@
 	n.holder = &bundle.Holder{}
 	n.replica = New(Deps{
 		Self: n.self, Pin: n.world.pin, Store: n.world.store, Peers: n, Control: n, Clock: c, Log: event.NewLog(logger),
-		Every: clock.Second, PeerTimeout: 10 * clock.Second, Random: rand.New(rand.NewPCG(n.world.seed, 1)),
+		Every: clock.Second, PeerTimeout: 10 * clock.Second, PlatformTimeout: 10 * clock.Second, Random: rand.New(rand.NewPCG(n.world.seed, 1)),
 		Known: func() []vm.VM {
 			var known []vm.VM
 			for _, other := range n.world.nodes {
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -49,7 +49,10 @@
 	// PeerTimeout bounds a call to a peer, and the look at the platform that confirms a
 	// peer's announcement.
 	PeerTimeout clock.Millis
-	Random      *rand.Rand
+	// PlatformTimeout bounds a read of the head row with its retries. Twice as much bounds
+	// the checks and the report of one poll, so that announcements are not held up long.
+	PlatformTimeout clock.Millis
+	Random          *rand.Rand
 }
 
 // Replica is a VM's copy of the bundle. One goroutine runs it; peers read its cache.
@@ -126,7 +129,7 @@
 // Poll looks for a new head at the platform, or at peers while the platform is out of
 // reach, checks the prepared candidates and reports.
 func (r *Replica) Poll(ctx context.Context) {
-	row, _, err := r.deps.Store.HeadRow(ctx)
+	row, err := r.headRow(ctx, r.deps.PlatformTimeout)
 	switch {
 	case err == nil:
 		r.platformAnswers()
@@ -138,6 +141,8 @@
 		r.askPeers(ctx)
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, (2 * r.deps.PlatformTimeout).Duration())
+	defer cancel()
 	if err := r.prepare(ctx); err != nil {
 		r.platformFails(err)
 		return
@@ -147,20 +152,30 @@
 	}
 }
 
+func (r *Replica) headRow(ctx context.Context, limit clock.Millis) (bundlestore.HeadRow, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit.Duration())
+	defer cancel()
+	row, _, err := r.deps.Store.HeadRow(ctx)
+	return row, err
+}
+
 // heed follows an announcement. The head row says whether the head was accepted; while it
 // cannot be read, a peer that has the head in force is believed, and an operator is not.
 func (r *Replica) heed(ctx context.Context, a announcement) {
 	if a.ref.Version <= r.inForce.Version {
 		return
 	}
-	confirm, cancel := context.WithTimeout(ctx, r.deps.PeerTimeout.Duration())
-	row, _, err := r.deps.Store.HeadRow(confirm)
-	cancel()
+	limit := r.deps.PeerTimeout
+	if source(a.from) == nil {
+		// Nobody else can confirm it, so a slow platform is waited for.
+		limit = r.deps.PlatformTimeout
+	}
+	row, err := r.headRow(ctx, limit)
 	switch {
 	case err == nil:
 		r.adopt(ctx, row.Head, source(a.from))
 	case errors.Is(err, platform.ErrAbsent):
-	case a.from.PeerAddress != "":
+	case source(a.from) != nil:
 		r.adopt(ctx, a.ref, source(a.from))
 	}
 }
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -121,6 +121,24 @@
 			n.poll()
 			n.poll()
 		}, 2, event.BundleRejected, 1},
+		{"platform restored from an older state, polled twice", func(t *testing.T, w *world, n *node) {
+			older, _, err := w.store.HeadRow(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+			w.publish(t, 9)
+			n.poll()
+			_, revision, err := w.store.HeadRow(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+			older.Token = "restored"
+			if _, err := w.store.WriteHeadRow(context.Background(), revision, older); err != nil {
+				t.Fatal(err)
+			}
+			n.poll()
+			n.poll()
+		}, 3, event.BundleRejected, 1},
 		{"another governance is pinned", func(_ *testing.T, w *world, n *node) {
 			w.pin = bundle.DigestOf(nil)
 			n.start(w.clock)
