--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"crypto/rand"
+	crand "crypto/rand"
 	"encoding/binary"
 	"encoding/hex"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sequoiacart/sequoiacart/pkg/bundle"
+	"github.com/sequoiacart/sequoiacart/pkg/bundlestore"
 	"github.com/sequoiacart/sequoiacart/pkg/caller"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
@@ -27,6 +29,7 @@
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
 	"github.com/sequoiacart/sequoiacart/pkg/peer"
 	"github.com/sequoiacart/sequoiacart/pkg/platform"
+	"github.com/sequoiacart/sequoiacart/pkg/replica"
 	"github.com/sequoiacart/sequoiacart/pkg/settings"
 	"github.com/sequoiacart/sequoiacart/pkg/trace"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
@@ -57,6 +60,8 @@
 	client     *peer.Client
 	heartbeats *peer.Client
 	poller     *poller
+	replica    *replica.Replica
+	bundles    *platform.Client
 	address    string
 	killed     context.Context
 	kill       context.CancelFunc
@@ -124,6 +129,7 @@
 	d.peers, err = peer.NewServer(peer.ServerConfig{
 		Listener:  peerListener,
 		Handler:   d.router,
+		Bundles:   d.replica,
 		Tracer:    d.tracer,
 		Handshake: s.Timeouts.Handshake,
 		TLS:       d.serverTLS(),
@@ -200,6 +206,7 @@
 		Clock:           d.deps.Clock,
 		Tracer:          d.tracer,
 		Metrics:         d.metrics,
+		Publish:         d.bundle.Store,
 	})
 	d.loop = entry.NewLoop(entry.LoopConfig{
 		Control:   control,
@@ -223,12 +230,48 @@
 		Every:  s.Timeouts.Poll,
 		Loop:   d.loop,
 		Rows:   rows,
-		InForce: func(b *bundle.Bundle) {
-			d.bundle.Store(b)
-		},
 	})
+	// An own client, so that a VM that loads its first bundle does not use up the rate of
+	// the other platform calls.
+	d.bundles = platform.NewClient(platform.ClientConfig{Address: s.PlatformAddress, Timeout: s.Timeouts.Platform, Clock: d.deps.Clock})
+	d.replica = replica.New(replica.Deps{
+		Self:            d.self,
+		Pin:             s.GovernanceDigest,
+		Store:           bundlestore.New(d.bundles.Table(), d.bundles.Objects()),
+		Peers:           d.client,
+		Control:         d.router,
+		Known:           d.knownPeers,
+		Clock:           d.deps.Clock,
+		Log:             d.deps.Log,
+		Every:           s.Timeouts.Poll,
+		PeerTimeout:     s.Timeouts.Peer,
+		PlatformTimeout: s.Timeouts.Platform,
+		Random:          rand.New(rand.NewPCG(randomSeed(), randomSeed())),
+	})
+}
+
+// knownPeers returns the peers of the roster, and those that the settings name for the
+// time before there is a roster.
+func (d *Daemon) knownPeers() []vm.VM {
+	var known []vm.VM
+	listed := map[string]bool{d.self.PeerAddress: true}
+	for _, v := range d.router.Roster().VMs() {
+		if !listed[v.PeerAddress] {
+			known = append(known, v)
+		}
+		listed[v.PeerAddress] = true
+	}
+	for _, address := range d.deps.Settings.SeedPeers.List() {
+		if !listed[address] {
+			known = append(known, vm.VM{Incarnation: seedIncarnation, PeerAddress: address})
+		}
+	}
+	return known
 }
 
+// seedIncarnation stands in errors for a peer of which only the address is known.
+const seedIncarnation vm.Incarnation = "seed"
+
 // OwnerOf implements caller.Authenticator with the bundle in force.
 func (d *Daemon) OwnerOf(token string) (owner.Owner, bool) {
 	b := d.bundle.Load()
@@ -244,6 +287,11 @@
 // ShuttingDown implements caller.Readiness.
 func (d *Daemon) ShuttingDown() bool { return !d.router.Ready() }
 
+// Ready reports whether this VM takes new work.
+func (d *Daemon) Ready() bool {
+	return d.BundleInForce() && !d.ShuttingDown()
+}
+
 // CallerAddress returns the address on which callers are served.
 func (d *Daemon) CallerAddress() string {
 	return d.address
@@ -288,6 +336,7 @@
 		d.heartbeats.Close()
 	})
 	addContext(context.Background(), &g, d.poller.Run)
+	addContext(context.Background(), &g, d.runReplica)
 	addContext(d.killed, &g, d.loop.Run)
 	d.deps.Log.Info(event.DaemonStarted, "daemon started", logrus.Fields{
 		"incarnation": d.self.Incarnation, "dataCentre": d.self.DataCentre,
@@ -318,14 +367,32 @@
 	_ = d.tracer.Shutdown(ctx)
 }
 
+// runReplica withdraws the report of this VM at graceful shutdown.
+func (d *Daemon) runReplica(ctx context.Context) error {
+	defer d.bundles.Close()
+	err := d.replica.Run(ctx)
+	if d.killed.Err() != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.deps.Settings.Timeouts.Peer.Duration())
+	defer cancel()
+	// A report that stays says no more than that the VM is out of reach.
+	_ = d.replica.Withdraw(ctx)
+	return err
+}
+
 // addContext adds an actor that ends when the group cancels its context.
 func addContext(parent context.Context, g *run.Group, actor func(context.Context) error) {
 	ctx, cancel := context.WithCancel(parent)
 	g.Add(func() error { return actor(ctx) }, func(error) { cancel() })
 }
 
+func randomSeed() uint64 {
+	return binary.LittleEndian.Uint64(randomBytes(seedBytes))
+}
+
 func randomBytes(n int) []byte {
 	b := make([]byte, n)
-	_, _ = rand.Read(b)
+	_, _ = crand.Read(b)
 	return b
 }
--- a/pkg/app/main.go
+++ b/pkg/app/main.go
@@ -65,6 +65,7 @@
 		LongHelp:   "Start with the demo, which needs nothing else:\nExample:\n  sequoiacart demo\nEach command has --help of its own.",
 		FlagSet:    flags,
 		Subcommands: []*ffcli.Command{
+			newBundleCommand(stdout, stderr),
 			newDemoCommand(stdout, stderr),
 			newEntryCommand(stderr),
 			newSubmitCommand(stdout, stderr),
--- a/pkg/entry/event.go
+++ b/pkg/entry/event.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
@@ -128,6 +129,12 @@
 // OwnersChanged brings the owners of a bundle that came into force.
 type OwnersChanged struct{ Owners []owner.Owner }
 
+// BundleOffered brings a verified bundle. Reply: BundleVerdict.
+type BundleOffered struct {
+	Waiter    WaiterID
+	Candidate bundle.Candidate
+}
+
 // Tick says that time has passed.
 type Tick struct{}
 
@@ -150,3 +157,4 @@
 func (ShutdownBegun) isEvent()    {}
 func (HandOverAnswered) isEvent() {}
 func (HandOverReceived) isEvent() {}
+func (BundleOffered) isEvent()    {}
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -36,6 +36,8 @@
 type ServerConfig struct {
 	Listener net.Listener
 	Handler  Handler
+	// Bundles serves calls about bundles; nil leaves the service out.
+	Bundles BundleHandler
 	// TLS turns on mutual TLS; nil speaks plain TCP.
 	TLS *tls.Config
 	// Tracer records the served hop; nil records nothing.
@@ -72,6 +74,12 @@
 	if err := s.rpc.RegisterName("Loan", &loanService{handler: c.Handler}); err != nil {
 		return nil, errors.Annotate(err, "register loan service")
 	}
+	if c.Bundles == nil {
+		return s, nil
+	}
+	if err := s.rpc.RegisterName("Bundle", &bundleService{handler: c.Bundles}); err != nil {
+		return nil, errors.Annotate(err, "register bundle service")
+	}
 	return s, nil
 }
 
--- a/pkg/settings/keys.go
+++ b/pkg/settings/keys.go
@@ -11,6 +11,8 @@
 		text("callerAddress", "host:port", "where callers connect", &s.CallerAddress),
 		text("peerAddress", "host:port", "where other entry VMs connect", &s.PeerAddress),
 		text("platformAddress", "host:port", "where the platform listens", &s.PlatformAddress),
+		text("governanceDigest", "64 hex digits", "digest of the first governance section of the bundles; without it no bundle is taken", &s.GovernanceDigest),
+		text("seedPeers", "host:port, separated by commas", "peers to ask for the bundle while the platform gives no roster", &s.SeedPeers),
 		number("limits.bodyBytes", "bytes", "largest body of a caller's request", &l.BodyBytes),
 		number("limits.answerBytes", "bytes", "largest sum of the results of one job", &l.AnswerBytes),
 		number("limits.resultBytes", "bytes", "largest result of one task", &l.ResultBytes),
