--- a/pkg/app/site_test.go
+++ b/pkg/app/site_test.go
@@ -16,8 +16,11 @@
 	"time"
 
 	"github.com/sequoiacart/sequoiacart/pkg/bundle"
+	"github.com/sequoiacart/sequoiacart/pkg/bundlestore"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/operator"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
 	"github.com/sequoiacart/sequoiacart/pkg/platform"
 	"github.com/sequoiacart/sequoiacart/pkg/standin"
 	"github.com/sequoiacart/sequoiacart/pkg/submit"
@@ -46,6 +49,8 @@
 	server    *httptest.Server
 	endpoints []*standin.Endpoint
 	starts    *standin.StartCounts
+	// governance is the digest that the entry VMs pin.
+	governance bundle.Digest
 }
 
 // process is an entry VM in a child process.
@@ -60,7 +65,7 @@
 	s := &site{t: t, platform: standin.NewPlatform(), starts: standin.NewStartCounts()}
 	s.server = httptest.NewServer(s.platform.Handler())
 	t.Cleanup(s.server.Close)
-	s.platform.SetObject("bundle", testBundle())
+	s.governance = s.publish()
 	for i := range endpoints {
 		e := standin.NewEndpoint(standin.EndpointConfig{Slots: 8, Starts: s.starts})
 		server := httptest.NewServer(e.Handler())
@@ -81,17 +86,23 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
-func testBundle() []byte {
-	return fmt.Appendf(nil, `version = 1
-[[owners]]
-id = "norte"
-share = 1
-tokens = [%q]
-[[owners.classes]]
-name = "urgent"
-rank = 0
-deadlineMs = 60000
-`, bundle.DigestOf([]byte(testToken)))
+// publish brings a first bundle into force and returns the digest to pin.
+func (s *site) publish() bundle.Digest {
+	s.t.Helper()
+	client := platform.NewClient(platform.ClientConfig{Address: hostPort(s.server), Timeout: 10 * clock.Second})
+	defer client.Close()
+	o := operator.New(operator.Deps{Name: "test", Store: bundlestore.New(client.Table(), client.Objects()), Clock: clock.NewSystem()})
+	pin, _, err := o.Genesis(context.Background(), []owner.Owner{{
+		ID:      "norte",
+		Share:   1,
+		Tokens:  []owner.TokenDigest{owner.TokenDigest(bundle.DigestOf([]byte(testToken)))},
+		Classes: []owner.Class{{Name: "urgent", Deadline: clock.Minute}},
+		Limits:  owner.Limits{TasksPerJob: 1000, QueuedTasks: 10000},
+	}})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return pin
 }
 
 var boundAddress = regexp.MustCompile(`callerAddress="([^"]+)".*peerAddress="([^"]+)"`)
@@ -114,8 +125,8 @@
 		r.setTarget(peerAddress)
 	}
 	file := filepath.Join(s.t.TempDir(), name+".toml")
-	content := fmt.Sprintf("vm = %q\ndataCentre = \"centro\"\ncallerAddress = \"127.0.0.1:0\"\npeerAddress = %q\n%splatformAddress = %q\n[timeouts]\npollMs = 200\n",
-		name, peerAddress, advertised, hostPort(s.server))
+	content := fmt.Sprintf("vm = %q\ndataCentre = \"centro\"\ncallerAddress = \"127.0.0.1:0\"\npeerAddress = %q\n%splatformAddress = %q\ngovernanceDigest = %q\n[timeouts]\npollMs = 200\n",
+		name, peerAddress, advertised, hostPort(s.server), s.governance)
 	if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
--- /dev/null
+++ b/pkg/entry/control_dropped.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
+)
+
+// answerDropped answers for the jobs that the scheduler took out of the queue by itself.
+func (c *Control) answerDropped(now clock.Millis) {
+	for {
+		dropped, ok := c.scheduler.NextDropped()
+		if !ok {
+			return
+		}
+		switch d := dropped.(type) {
+		case dispatch.Shed:
+			c.refuseShed(d)
+		case dispatch.Doomed:
+			c.failDoomed(now, d)
+		}
+	}
+}
+
+// refuseShed ends the tasks of an admission of which nothing has started. The refusal is
+// the answer only if no task of the whole submission ran.
+func (c *Control) refuseShed(d dispatch.Shed) {
+	entry, ok := c.ledger.ByRef(d.Job)
+	if !ok {
+		return
+	}
+	entry.RefuseWith(contract.Refused{Cause: contract.RefusedOverload, Reason: d.Reason, RetryAfter: d.RetryAfter})
+	entry.GiveUp(entry.Admitted(d.Job), d.Reason)
+	c.settleIfEnded(entry)
+}
+
+// failDoomed ends a submission whose kind of task fails wherever it runs.
+func (c *Control) failDoomed(now clock.Millis, d dispatch.Doomed) {
+	entry, ok := c.ledger.ByRef(d.Job)
+	if !ok {
+		return
+	}
+	tasks := make([]contract.TaskIndex, len(d.Tasks))
+	for i, t := range d.Tasks {
+		tasks[i] = entry.Task(contract.TaskRef{Job: d.Job, Index: t})
+	}
+	entry.GiveUp(tasks, d.Reason)
+	c.stop(now, entry, contract.Refused{Cause: contract.RefusedInvalid, Reason: d.Reason})
+	c.settleIfEnded(entry)
+}
--- /dev/null
+++ b/pkg/entry/control_endpoints.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+)
+
+// endpointsListed takes over the platform's list as a difference, so that a poll that
+// tells nothing new does not touch the scheduler.
+func (c *Control) endpointsListed(now clock.Millis, e EndpointsListed) {
+	listed := make(map[datacentre.EndpointID]datacentre.Endpoint, len(e.Endpoints))
+	live := make([]datacentre.EndpointID, 0, len(e.Endpoints))
+	for _, ep := range e.Endpoints {
+		listed[ep.ID] = ep
+		live = append(live, ep.ID)
+	}
+	c.drains.Listed(now, live, e.Leaving)
+	for id, ep := range c.endpoints {
+		if _, ok := listed[id]; !ok && ep.DataCentre == c.config.DataCentre {
+			delete(c.endpoints, id)
+			delete(c.homes, id)
+			c.grant(now, id, 0)
+		}
+	}
+	for id, ep := range listed {
+		c.endpoints[id] = ep
+	}
+	c.assignHomes(now)
+}
+
+// noteNotRun takes an endpoint's own word that it leaves or is busy.
+func (c *Control) noteNotRun(now clock.Millis, e AttemptEnded) {
+	r, ok := e.Result.(contract.NotStarted)
+	if !ok {
+		return
+	}
+	id := e.Start.Endpoint
+	switch r.Cause {
+	case contract.EndpointLeaving:
+		c.drains.SawLeaving(now, id)
+	case contract.EndpointBusy:
+		c.ceilings.Refused(now, id, c.scheduler.InUse(id)-1)
+	case contract.EndpointUnreachable:
+		return
+	}
+	if ep, ok := c.endpoints[id]; ok {
+		c.grant(now, id, c.slotsOf(now, ep))
+	}
+}
+
+// assignHomes gives the scheduler the slots that this VM may use: of the endpoints whose
+// home it is, less what it lent, and what it borrowed.
+func (c *Control) assignHomes(now clock.Millis) {
+	for id, ep := range c.endpoints {
+		c.grant(now, id, c.slotsOf(now, ep))
+	}
+}
+
+func (c *Control) slotsOf(now clock.Millis, ep datacentre.Endpoint) datacentre.Slots {
+	if c.drains.Draining(ep.ID) {
+		return 0
+	}
+	own := max(0, c.homeSlots(ep)-c.lending.book.Out(ep.ID))
+	slots := min(ep.Slots, own+c.lending.borrowings.Usable(now, ep.ID))
+	return c.ceilings.Limit(now, ep.ID, slots)
+}
+
+// homeSlots returns the slots of an endpoint that this VM has as its home. It remembers
+// them for the roster in force, since the choice of a home goes over all VMs.
+func (c *Control) homeSlots(ep datacentre.Endpoint) datacentre.Slots {
+	isHome, ok := c.homes[ep.ID]
+	if !ok {
+		home, found := c.roster.Home(ep.ID, ep.DataCentre)
+		isHome = found && home.Incarnation == c.config.Self
+		c.homes[ep.ID] = isHome
+	}
+	if !isHome {
+		return 0
+	}
+	return ep.Slots
+}
+
+// grant tells the scheduler of an endpoint's slots where they have changed.
+func (c *Control) grant(now clock.Millis, id datacentre.EndpointID, slots datacentre.Slots) {
+	if old, ok := c.granted[id]; ok && old == slots {
+		return
+	}
+	if slots > 0 && c.granted[id] == 0 {
+		// The drain evidence that the scheduler keeps by itself is out of date now.
+		c.scheduler.Readmit(now, id, now)
+	}
+	c.granted[id] = slots
+	c.scheduler.SetSlots(now, id, slots)
+}
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -6,8 +6,10 @@
 
 	"github.com/juju/errors"
 
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/loan"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
@@ -31,20 +33,45 @@
 
 // Router finds the VM that may answer for an id: this one, the issuer or the witness.
 type Router struct {
-	config RouterConfig
-	roster atomic.Pointer[vm.Roster]
+	config   RouterConfig
+	peers    atomic.Pointer[Snapshot]
+	draining atomic.Bool
 }
 
 // NewRouter returns a router that knows no peers.
 func NewRouter(c RouterConfig) *Router {
 	r := &Router{config: c}
-	r.roster.Store(vm.NewRoster(vm.RosterConfig{Self: c.Self}))
+	r.SetPeers(Snapshot{Roster: vm.NewRoster(vm.RosterConfig{Self: c.Self})})
 	return r
 }
 
-// SetRoster publishes a new roster to the traffic goroutines.
-func (r *Router) SetRoster(roster *vm.Roster) {
-	r.roster.Store(roster)
+// SetPeers publishes a new roster and the state of the links to the traffic goroutines.
+func (r *Router) SetPeers(s Snapshot) {
+	r.peers.Store(&s)
+}
+
+// Ready reports whether the load balancer may send callers here.
+func (r *Router) Ready() bool {
+	return !r.draining.Load()
+}
+
+// Drain withdraws readiness, stops new submissions and returns when the running ones
+// have ended and the witnesses have the answers. It fails when the context ends first.
+func (r *Router) Drain(ctx context.Context) error {
+	r.draining.Store(true)
+	reply, err := r.config.Loop.CallWithRoom(ctx, func(w WaiterID) Event { return ShutdownBegun{Waiter: w} })
+	if err != nil {
+		return errors.Annotate(err, "drain this VM")
+	}
+	if !reply.(ShutdownReply).Drained {
+		return errors.Annotate(ctx.Err(), "drain this VM: submissions still run or a witness does not answer")
+	}
+	return nil
+}
+
+// Roster returns the roster in use.
+func (r *Router) Roster() *vm.Roster {
+	return r.peers.Load().Roster
 }
 
 // Reserve returns new ids issued by this VM.
@@ -59,7 +86,7 @@
 // Submit runs a submission at its issuer, waiting up to the span for its end.
 func (r *Router) Submit(ctx context.Context, s contract.Submission, wait clock.Millis) contract.Answer {
 	if s.ID.Issuer == r.config.Self {
-		return r.SubmitHere(ctx, s, wait)
+		return r.orWitness(ctx, s.ID, s.Owner, r.SubmitHere(ctx, s, wait))
 	}
 	return r.forward(ctx, s.ID, s.Owner, wait, func(ctx context.Context, issuer vm.VM) (contract.Answer, error) {
 		return r.config.Peers.Submit(ctx, issuer, s, wait)
@@ -71,8 +98,9 @@
 	a, err := r.callWithin(ctx, wait, func(w WaiterID) Event {
 		return Submitted{Waiter: w, Submission: s, Wait: wait > 0}
 	})
-	if errors.Is(err, ErrMailboxFull) {
-		return contract.CannotTellYet{Reason: "this VM is overloaded", RetryAfter: unavailableRetry}
+	if err != nil {
+		// Not a refusal, since an earlier copy of the submission may be running.
+		return contract.CannotTellYet{Reason: err.Error(), RetryAfter: unavailableRetry}
 	}
 	return a
 }
@@ -80,7 +108,7 @@
 // Ask returns the answer of an id, waiting up to the span for it.
 func (r *Router) Ask(ctx context.Context, id contract.SubmissionID, o owner.ID, wait clock.Millis) contract.Answer {
 	if id.Issuer == r.config.Self {
-		return r.AskHere(ctx, id, o, wait)
+		return r.orWitness(ctx, id, o, r.AskHere(ctx, id, o, wait))
 	}
 	return r.forward(ctx, id, o, wait, func(ctx context.Context, issuer vm.VM) (contract.Answer, error) {
 		return r.config.Peers.Ask(ctx, issuer, id, o, wait)
@@ -101,7 +129,7 @@
 // Cancel drops the tasks of an id that have not started.
 func (r *Router) Cancel(ctx context.Context, id contract.SubmissionID, o owner.ID) contract.Answer {
 	if id.Issuer == r.config.Self {
-		return r.CancelHere(ctx, id, o)
+		return r.orWitness(ctx, id, o, r.CancelHere(ctx, id, o))
 	}
 	return r.forward(ctx, id, o, 0, func(ctx context.Context, issuer vm.VM) (contract.Answer, error) {
 		return r.config.Peers.Cancel(ctx, issuer, id, o)
@@ -127,9 +155,9 @@
 }
 
 // RecordHere keeps records as the witness of a peer.
-func (r *Router) RecordHere(ctx context.Context, issuer vm.Incarnation, records []contract.Record) ([]contract.RecordStatus, error) {
+func (r *Router) RecordHere(ctx context.Context, issuer vm.Incarnation, batch contract.BatchNumber, records []contract.Record) ([]contract.RecordStatus, error) {
 	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event {
-		return RecordsReceived{Waiter: w, Issuer: issuer, Records: records}
+		return RecordsReceived{Waiter: w, Issuer: issuer, Batch: batch, Records: records}
 	})
 	if err != nil {
 		return nil, errors.Annotatef(err, "keep records of %s", issuer)
@@ -137,8 +165,51 @@
 	return reply.(RecordsReply).Statuses, nil
 }
 
-// callWithin hands an event to control and waits for the answer. A span that passes
-// without an end gives Running, since the event was handled.
+// HeartbeatHere handles a heartbeat of a peer.
+func (r *Router) HeartbeatHere(ctx context.Context, h Heartbeat) (vm.Incarnation, error) {
+	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event { return HeartbeatReceived{Waiter: w, Heartbeat: h} })
+	if err != nil {
+		return vm.None, errors.Annotatef(err, "handle heartbeat of %s", h.From.Incarnation)
+	}
+	return reply.(HeartbeatReply).Incarnation, nil
+}
+
+// LendHere handles a peer's request for slots.
+func (r *Router) LendHere(ctx context.Context, request loan.Request) ([]loan.Loan, error) {
+	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event { return LoanRequested{Waiter: w, Request: request} })
+	if err != nil {
+		return nil, errors.Annotatef(err, "lend slots to %s", request.ID.Borrower)
+	}
+	return reply.(LoansGranted).Loans, nil
+}
+
+// TakeBackHere handles the return of slots by a peer.
+func (r *Router) TakeBackHere(ctx context.Context, borrower vm.Incarnation, returns []loan.Return) error {
+	_, err := r.config.Loop.Call(ctx, func(w WaiterID) Event {
+		return LoansReturned{Waiter: w, Borrower: borrower, Returns: returns}
+	})
+	return errors.Annotatef(err, "take back slots of %s", borrower)
+}
+
+// HandOverHere keeps the answers of an issuer that shuts down.
+func (r *Router) HandOverHere(ctx context.Context, issuer vm.Incarnation, records []contract.Record, last bool) error {
+	_, err := r.config.Loop.Call(ctx, func(w WaiterID) Event {
+		return HandOverReceived{Waiter: w, Issuer: issuer, Records: records, Last: last}
+	})
+	return errors.Annotatef(err, "keep answers of %s", issuer)
+}
+
+// OfferBundle hands a verified bundle to control, which decides whether it follows the one
+// in force.
+func (r *Router) OfferBundle(ctx context.Context, c bundle.Candidate) (bundle.Verdict, error) {
+	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event { return BundleOffered{Waiter: w, Candidate: c} })
+	if err != nil {
+		return nil, errors.Annotatef(err, "offer bundle version %d", c.Head.Version)
+	}
+	return reply.(BundleVerdict).Verdict, nil
+}
+
+// callWithin hands an event to control and waits for the answer, up to the span.
 func (r *Router) callWithin(ctx context.Context, wait clock.Millis, makeEvent func(WaiterID) Event) (contract.Answer, error) {
 	if wait > 0 {
 		var cancel context.CancelFunc
@@ -146,9 +217,6 @@
 		defer cancel()
 	}
 	reply, err := r.config.Loop.Call(ctx, makeEvent)
-	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
-		return contract.Running{}, nil
-	}
 	if err != nil {
 		return nil, err
 	}
@@ -157,27 +225,49 @@
 
 type peerCall func(ctx context.Context, issuer vm.VM) (contract.Answer, error)
 
-// forward asks the issuer and, if it cannot be reached, the witness.
+// forward asks the issuer and, if it cannot be reached or cannot tell, the witness. A VM
+// whose link is known to be unreachable is not called, so that no caller waits for the
+// time-out.
 func (r *Router) forward(ctx context.Context, id contract.SubmissionID, o owner.ID, wait clock.Millis, call peerCall) contract.Answer {
-	roster := r.roster.Load()
-	if issuer, ok := roster.Find(id.Issuer); ok {
+	if issuer, ok := r.peers.Load().reachable(id.Issuer); ok {
 		a, err := r.callPeer(ctx, issuer, wait, call)
 		if err == nil {
-			return a
+			return r.orWitness(ctx, id, o, a)
 		}
 	}
+	if a, ok := r.askWitness(ctx, id, o); ok {
+		return a
+	}
+	a, err := r.callWithin(ctx, 0, func(w WaiterID) Event { return OrphanAsked{Waiter: w, ID: id} })
+	if err != nil {
+		return contract.CannotTellYet{Reason: err.Error(), RetryAfter: unavailableRetry}
+	}
+	return a
+}
+
+// orWitness keeps the issuer's answer, unless the issuer cannot tell and the witness can.
+func (r *Router) orWitness(ctx context.Context, id contract.SubmissionID, o owner.ID, a contract.Answer) contract.Answer {
+	if _, unsure := a.(contract.CannotTellYet); !unsure {
+		return a
+	}
+	if told, ok := r.askWitness(ctx, id, o); ok {
+		return told
+	}
+	return a
+}
+
+func (r *Router) askWitness(ctx context.Context, id contract.SubmissionID, o owner.ID) (contract.Answer, bool) {
 	if id.Witness == r.config.Self {
-		return r.WitnessHere(ctx, id, o)
+		return r.WitnessHere(ctx, id, o), true
 	}
-	if witness, ok := roster.Find(id.Witness); ok {
-		a, err := r.callPeer(ctx, witness, 0, func(ctx context.Context, witness vm.VM) (contract.Answer, error) {
-			return r.config.Peers.AskWitness(ctx, witness, id, o)
-		})
-		if err == nil {
-			return a
-		}
+	witness, ok := r.peers.Load().reachable(id.Witness)
+	if !ok {
+		return nil, false
 	}
-	return contract.CannotTellYet{Reason: "neither the issuer nor the witness of the id can be reached", RetryAfter: unavailableRetry}
+	a, err := r.callPeer(ctx, witness, 0, func(ctx context.Context, witness vm.VM) (contract.Answer, error) {
+		return r.config.Peers.AskWitness(ctx, witness, id, o)
+	})
+	return a, err == nil
 }
 
 func (r *Router) callPeer(ctx context.Context, to vm.VM, wait clock.Millis, call peerCall) (contract.Answer, error) {
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -12,7 +12,10 @@
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/entry"
+	"github.com/sequoiacart/sequoiacart/pkg/loan"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/trace"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
@@ -22,15 +25,27 @@
 	AskHere(ctx context.Context, id contract.SubmissionID, o owner.ID, wait clock.Millis) contract.Answer
 	CancelHere(ctx context.Context, id contract.SubmissionID, o owner.ID) contract.Answer
 	WitnessHere(ctx context.Context, id contract.SubmissionID, o owner.ID) contract.Answer
-	RecordHere(ctx context.Context, issuer vm.Incarnation, records []contract.Record) ([]contract.RecordStatus, error)
+	RecordHere(ctx context.Context, issuer vm.Incarnation, batch contract.BatchNumber, records []contract.Record) ([]contract.RecordStatus, error)
+	HandOverHere(ctx context.Context, issuer vm.Incarnation, records []contract.Record, last bool) error
+	HeartbeatHere(ctx context.Context, h entry.Heartbeat) (vm.Incarnation, error)
+	LendHere(ctx context.Context, r loan.Request) ([]loan.Loan, error)
+	TakeBackHere(ctx context.Context, borrower vm.Incarnation, returns []loan.Return) error
 }
 
 // ServerConfig holds what a server is made of.
 type ServerConfig struct {
 	Listener net.Listener
 	Handler  Handler
+	// Bundles serves calls about bundles; nil leaves the service out.
+	Bundles BundleHandler
 	// TLS turns on mutual TLS; nil speaks plain TCP.
 	TLS *tls.Config
+	// Tracer records the served hop; nil records nothing.
+	Tracer *trace.Tracer
+	// Handshake bounds a TLS handshake.
+	Handshake clock.Millis
+	// Refused hears of peers whose handshake failed; nil hears nothing.
+	Refused func(peer net.Addr, err error)
 }
 
 // Server accepts the calls of peers.
@@ -40,17 +55,31 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
+	// closed makes connections end that were accepted while Close ran.
+	closed bool
 }
 
 // NewServer returns a server that does not yet accept connections.
 func NewServer(c ServerConfig) (*Server, error) {
 	s := &Server{config: c, rpc: rpc.NewServer(), conns: make(map[net.Conn]struct{})}
-	if err := s.rpc.RegisterName("Contract", &contractService{handler: c.Handler}); err != nil {
+	if err := s.rpc.RegisterName("Contract", &contractService{handler: c.Handler, tracer: c.Tracer}); err != nil {
 		return nil, errors.Annotate(err, "register contract service")
 	}
-	if err := s.rpc.RegisterName("Witness", &witnessService{handler: c.Handler}); err != nil {
+	if err := s.rpc.RegisterName("Witness", &witnessService{handler: c.Handler, tracer: c.Tracer}); err != nil {
 		return nil, errors.Annotate(err, "register witness service")
 	}
+	if err := s.rpc.RegisterName("Roster", &rosterService{handler: c.Handler}); err != nil {
+		return nil, errors.Annotate(err, "register roster service")
+	}
+	if err := s.rpc.RegisterName("Loan", &loanService{handler: c.Handler}); err != nil {
+		return nil, errors.Annotate(err, "register loan service")
+	}
+	if c.Bundles == nil {
+		return s, nil
+	}
+	if err := s.rpc.RegisterName("Bundle", &bundleService{handler: c.Bundles}); err != nil {
+		return nil, errors.Annotate(err, "register bundle service")
+	}
 	return s, nil
 }
 
@@ -61,9 +90,6 @@
 		if err != nil {
 			return errors.Annotate(err, "accept connection of a peer")
 		}
-		if s.config.TLS != nil {
-			conn = tls.Server(conn, s.config.TLS)
-		}
 		s.track(conn)
 		go s.serve(conn)
 	}
@@ -74,13 +100,42 @@
 	_ = s.config.Listener.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closed = true
 	for conn := range s.conns {
 		_ = conn.Close()
 	}
 }
 
 func (s *Server) serve(conn net.Conn) {
-	s.rpc.ServeConn(conn)
+	defer s.forget(conn)
+	if s.config.TLS == nil {
+		s.rpc.ServeCodec(serverCodec{newGobStream(conn)})
+		return
+	}
+	secure := tls.Server(conn, s.config.TLS)
+	if err := s.handshake(secure); err != nil {
+		s.refuse(conn, err)
+		return
+	}
+	s.rpc.ServeCodec(serverCodec{newGobStream(secure)})
+}
+
+// handshake runs on the goroutine of its connection, so a silent peer keeps nobody from
+// being accepted, and ends by itself, so it holds no connection either.
+func (s *Server) handshake(conn *tls.Conn) error {
+	ctx, cancel := context.WithTimeout(context.Background(), s.config.Handshake.Duration())
+	defer cancel()
+	return conn.HandshakeContext(ctx)
+}
+
+func (s *Server) refuse(conn net.Conn, err error) {
+	if s.config.Refused != nil {
+		s.config.Refused(conn.RemoteAddr(), err)
+	}
+}
+
+func (s *Server) forget(conn net.Conn) {
+	_ = conn.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
@@ -89,5 +144,8 @@
 func (s *Server) track(conn net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closed {
+		_ = conn.Close()
+	}
 	s.conns[conn] = struct{}{}
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -2,6 +2,7 @@
 package settings
 
 import (
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
@@ -21,15 +22,51 @@
 	AdvertisedPeerAddress string
 	// PlatformAddress is where the platform listens.
 	PlatformAddress string
-	Limits          Limits
-	Timeouts        Timeouts
+	// GovernanceDigest pins the first governance section of the bundles. Without it, no
+	// bundle is taken.
+	GovernanceDigest bundle.Digest
+	// SeedPeers are peer addresses to ask for the bundle while the platform gives no roster.
+	SeedPeers Addresses
+	Limits    Limits
+	Timeouts  Timeouts
+	Trace     Trace
+	TLS       TLS
 }
 
+// TraceExporter names where spans go.
+type TraceExporter string
+
+// The exporters.
+const (
+	TraceNone     TraceExporter = "none"
+	TraceStdout   TraceExporter = "stdout"
+	TraceOTLPHTTP TraceExporter = "otlphttp"
+)
+
+// Trace tells where spans go.
+type Trace struct {
+	Exporter TraceExporter
+	// Address is host:port of the collector, for otlphttp.
+	Address string
+}
+
+// TLS names the PEM files for mutual TLS between entry VMs; all are empty for plain TCP.
+type TLS struct {
+	CertificateFile string
+	KeyFile         string
+	CAFile          string
+}
+
+// On reports whether entry VMs speak mutual TLS.
+func (t TLS) On() bool { return t.CertificateFile != "" }
+
 // Limits bound what the daemon holds.
 type Limits struct {
 	BodyBytes           int64
+	AnswerBytes         int64
 	ResultBytes         int64
 	TasksPerJob         int
+	CallerConnections   int
 	QueuedTasks         int
 	ReservedIDs         int
 	Mailbox             int
@@ -46,6 +83,12 @@
 	Poll     clock.Millis
 	Tick     clock.Millis
 	Shutdown clock.Millis
+	// MaxDeadline bounds the deadline that a caller may name.
+	MaxDeadline clock.Millis
+	// CallerIdle bounds how long a caller's connection may stay unused.
+	CallerIdle clock.Millis
+	// Handshake bounds a TLS handshake between entry VMs.
+	Handshake clock.Millis
 }
 
 // Default returns the settings that hold where nothing else is set.
@@ -55,10 +98,13 @@
 		CallerAddress:   "127.0.0.1:7000",
 		PeerAddress:     "127.0.0.1:7001",
 		PlatformAddress: "127.0.0.1:7002",
+		Trace:           Trace{Exporter: TraceNone},
 		Limits: Limits{
 			BodyBytes:           4 << 20,
+			AnswerBytes:         64 << 20,
 			ResultBytes:         1 << 20,
 			TasksPerJob:         1000,
+			CallerConnections:   10000,
 			QueuedTasks:         20000,
 			ReservedIDs:         1000,
 			Mailbox:             4096,
@@ -73,6 +119,10 @@
 			Poll:     clock.Second,
 			Tick:     50,
 			Shutdown: 30 * clock.Second,
+			// Ids are remembered for 15 min, so a later answer could not be fetched.
+			MaxDeadline: 15 * clock.Minute,
+			CallerIdle:  2 * clock.Minute,
+			Handshake:   2 * clock.Second,
 		},
 	}
 }
