--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -91,7 +91,7 @@
 	d := &Daemon{deps: deps, address: callerListener.Addr().String(), self: vm.VM{
 		Incarnation: vm.NewIncarnation(s.VM, hex.EncodeToString(randomBytes(nonceBytes))),
 		DataCentre:  s.DataCentre,
-		PeerAddress: peerListener.Addr().String(),
+		PeerAddress: advertisedAddress(s, peerListener),
 		Size:        s.Size,
 		Started:     deps.Clock.Now(),
 	}}
@@ -141,6 +141,13 @@
 	return d, errors.Trace(err)
 }
 
+func advertisedAddress(s settings.Settings, l net.Listener) string {
+	if s.AdvertisedPeerAddress != "" {
+		return s.AdvertisedPeerAddress
+	}
+	return l.Addr().String()
+}
+
 // wireObservation makes what the other parts report to.
 func (d *Daemon) wireObservation() error {
 	if d.deps.Registry == nil {
--- a/pkg/settings/keys.go
+++ b/pkg/settings/keys.go
@@ -10,6 +10,7 @@
 		number("size", "relative capacity", "capacity against the other entry VMs, for example the core count", &s.Size),
 		text("callerAddress", "host:port", "where callers connect", &s.CallerAddress),
 		text("peerAddress", "host:port", "where other entry VMs connect", &s.PeerAddress),
+		text("advertisedPeerAddress", "host:port", "where other entry VMs dial, if it is not peerAddress", &s.AdvertisedPeerAddress),
 		text("platformAddress", "host:port", "where the platform listens", &s.PlatformAddress),
 		text("governanceDigest", "64 hex digits", "digest of the first governance section of the bundles; without it no bundle is taken", &s.GovernanceDigest),
 		text("seedPeers", "host:port, separated by commas", "peers to ask for the bundle while the platform gives no roster", &s.SeedPeers),
--- a/pkg/settings/validate.go
+++ b/pkg/settings/validate.go
@@ -46,6 +46,11 @@
 			return err
 		}
 	}
+	if s.AdvertisedPeerAddress != "" {
+		if err := checkAddress("advertisedPeerAddress", s.AdvertisedPeerAddress); err != nil {
+			return err
+		}
+	}
 	for _, a := range s.SeedPeers.List() {
 		if err := checkAddress("seedPeers", a); err != nil {
 			return err
