Let test VMs listen on a free port of the system's choice

Cause: TestIssuerInTrouble/killed once failed after 60 s (1 of 6 runs): the port that the test picked in advance for the peer listener can be taken before the VM opens it. That is the likely cause; the failing run's message was not kept. Change: the VM listens on port 0, its log line names the bound peer address, and the relay takes it from there.

--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -48,23 +48,24 @@
 
 // Daemon is an entry VM at work.
 type Daemon struct {
-	deps       DaemonDeps
-	self       vm.VM
-	bundle     atomic.Pointer[bundle.Bundle]
-	metrics    *metrics.Metrics
-	tracer     *trace.Tracer
-	router     *entry.Router
-	loop       *entry.Loop
-	callers    *caller.Server
-	peers      *peer.Server
-	client     *peer.Client
-	heartbeats *peer.Client
-	poller     *poller
-	replica    *replica.Replica
-	bundles    *platform.Client
-	address    string
-	killed     context.Context
-	kill       context.CancelFunc
+	deps        DaemonDeps
+	self        vm.VM
+	bundle      atomic.Pointer[bundle.Bundle]
+	metrics     *metrics.Metrics
+	tracer      *trace.Tracer
+	router      *entry.Router
+	loop        *entry.Loop
+	callers     *caller.Server
+	peers       *peer.Server
+	client      *peer.Client
+	heartbeats  *peer.Client
+	poller      *poller
+	replica     *replica.Replica
+	bundles     *platform.Client
+	address     string
+	peerAddress string
+	killed      context.Context
+	kill        context.CancelFunc
 }
 
 const (
@@ -88,7 +89,7 @@
 		_ = callerListener.Close()
 		return nil, errors.Trace(err)
 	}
-	d := &Daemon{deps: deps, address: callerListener.Addr().String(), self: vm.VM{
+	d := &Daemon{deps: deps, address: callerListener.Addr().String(), peerAddress: peerListener.Addr().String(), self: vm.VM{
 		Incarnation: vm.NewIncarnation(s.VM, hex.EncodeToString(randomBytes(nonceBytes))),
 		DataCentre:  s.DataCentre,
 		PeerAddress: advertisedAddress(s, peerListener),
@@ -347,7 +348,7 @@
 	addContext(d.killed, &g, d.loop.Run)
 	d.deps.Log.Info(event.DaemonStarted, "daemon started", logrus.Fields{
 		"incarnation": d.self.Incarnation, "dataCentre": d.self.DataCentre,
-		"callerAddress": d.address, "peerAddress": d.self.PeerAddress,
+		"callerAddress": d.address, "peerAddress": d.peerAddress, "advertisedPeerAddress": d.self.PeerAddress,
 	})
 	err := g.Run()
 	d.flushSpans()
--- a/pkg/app/site_test.go
+++ b/pkg/app/site_test.go
@@ -118,15 +118,13 @@
 // launch starts an entry VM. With a relay, peers reach it through the relay only.
 func (s *site) launch(name string, r *relay) *process {
 	s.t.Helper()
-	peerAddress, advertised := "127.0.0.1:0", ""
+	advertised := ""
 	if r != nil {
-		peerAddress = freeAddress(s.t)
 		advertised = fmt.Sprintf("advertisedPeerAddress = %q\n", r.address())
-		r.setTarget(peerAddress)
 	}
 	file := filepath.Join(s.t.TempDir(), name+".toml")
-	content := fmt.Sprintf("vm = %q\ndataCentre = \"centro\"\ncallerAddress = \"127.0.0.1:0\"\npeerAddress = %q\n%splatformAddress = %q\ngovernanceDigest = %q\n[timeouts]\npollMs = 200\n",
-		name, peerAddress, advertised, hostPort(s.server), s.governance)
+	content := fmt.Sprintf("vm = %q\ndataCentre = \"centro\"\ncallerAddress = \"127.0.0.1:0\"\npeerAddress = \"127.0.0.1:0\"\n%splatformAddress = %q\ngovernanceDigest = %q\n[timeouts]\npollMs = 200\n",
+		name, advertised, hostPort(s.server), s.governance)
 	if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -140,22 +138,26 @@
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(func() { _ = p.command.Process.Kill() })
-	lines := make(chan string, 1)
+	lines := make(chan []string, 1)
 	go p.readLog(bufio.NewScanner(stderr), lines)
 	select {
-	case p.address = <-lines:
+	case bound := <-lines:
+		p.address = bound[1]
+		if r != nil {
+			r.setTarget(bound[2])
+		}
 	case <-time.After(hangAfter):
 		s.t.Fatalf("start of %s: no address in its log", name)
 	}
 	return p
 }
 
-// readLog reports the bound address of the first line that has one, and then drains the
+// readLog reports the bound addresses of the line that has them, and then drains the
 // log so that the process never blocks on it.
-func (p *process) readLog(scanner *bufio.Scanner, address chan<- string) {
+func (p *process) readLog(scanner *bufio.Scanner, bound chan<- []string) {
 	for scanner.Scan() {
 		if m := boundAddress.FindStringSubmatch(scanner.Text()); m != nil {
-			address <- m[1]
+			bound <- m
 		}
 	}
 	p.exited <- p.command.Wait()
@@ -277,10 +279,3 @@
 		s.t.Errorf("job %s: got %#v, want an end", o.id, o.reply)
 	}
 }
-
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	server := httptest.NewServer(http.NotFoundHandler())
-	defer server.Close()
-	return hostPort(server)
-}
