--- a/pkg/app/demo_command.go
+++ b/pkg/app/demo_command.go
@@ -22,6 +22,7 @@
 	workload := flags.String("workload", "both", "consorcio, trust or both")
 	seed := flags.Uint64("seed", 1, "seed of the generated jobs")
 	spanMs := flags.Int64("span-ms", 6000, "how long each workload is under load, in milliseconds")
+	kill := flags.Bool("kill", true, "kill one entry VM in the middle of the load")
 	verbose := flags.Bool("verbose", false, "show the log events of the entry VMs")
 	return &ffcli.Command{
 		Name:       "demo",
@@ -45,6 +46,7 @@
 				Progress: stderr,
 				Span:     clock.Millis(*spanMs),
 				Seed:     *seed,
+				Kill:     *kill,
 				NewVM: func(s settings.Settings) (demo.VM, error) {
 					return NewDaemon(DaemonDeps{Settings: s, Clock: clock.NewSystem(), Log: event.NewLog(logger)})
 				},
--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -29,6 +29,8 @@
 	// Span is how long each workload is under load.
 	Span clock.Millis
 	Seed uint64
+	// Kill ends one entry VM in the middle of the load.
+	Kill bool
 }
 
 // Demo runs workloads against sites of its own.
@@ -106,11 +108,13 @@
 		GiveUp:        demoGiveUp,
 		ReserveAtOnce: demoReserve,
 	})
-	kill := time.AfterFunc(d.deps.Span.Duration()/2, func() {
-		d.progress("%s: one entry VM is killed", w.Name)
-		s.killOne()
-	})
-	defer kill.Stop()
+	if d.deps.Kill {
+		kill := time.AfterFunc(d.deps.Span.Duration()/2, func() {
+			d.progress("%s: one entry VM is killed", w.Name)
+			s.killOne()
+		})
+		defer kill.Stop()
+	}
 	stop := d.showProgress(w, summary)
 	defer stop()
 	return l.Run(ctx)
