Test a bound on the bodies in flight

Cause: 10000 connections with bodies of 4 MiB each add up to 40 GB; only the single body was bounded.

--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -44,7 +44,9 @@
 
 // Limits bound what one caller can ask for.
 type Limits struct {
-	BodyBytes   int64
+	BodyBytes int64
+	// BodiesBytes bounds the bodies that are being read at the same time.
+	BodiesBytes int64
 	AnswerBytes int64
 	TasksPerJob int
 	// IDs bounds the ids of one call.
--- a/pkg/caller/server_test.go
+++ b/pkg/caller/server_test.go
@@ -58,7 +58,7 @@
 func (f fakeVM) BundleInForce() bool { return !f.noBundle }
 func (f fakeVM) ShuttingDown() bool  { return f.leaving }
 
-var testLimits = Limits{BodyBytes: 2048, AnswerBytes: 16, TasksPerJob: 3, IDs: 5, Connections: 8, Wait: 500, Deadline: 10000, Idle: clock.Minute}
+var testLimits = Limits{BodyBytes: 2048, BodiesBytes: 4096, AnswerBytes: 16, TasksPerJob: 3, IDs: 5, Connections: 8, Wait: 500, Deadline: 10000, Idle: clock.Minute}
 
 type call struct {
 	method, path, token, body string
