Bound the bodies that are read at the same time

Cause: connections times body size allowed 40 GB. Change: a weighted semaphore (limits.bodiesBytes, 64 MiB). Conclusion: bodies take 64 MiB at the most, whoever sends them.

--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -110,6 +110,7 @@
 		Log:       d.deps.Log,
 		Limits: caller.Limits{
 			BodyBytes:   s.Limits.BodyBytes,
+			BodiesBytes: s.Limits.BodiesBytes,
 			AnswerBytes: s.Limits.AnswerBytes,
 			TasksPerJob: s.Limits.TasksPerJob,
 			IDs:         s.Limits.ReservedIDs,
--- a/pkg/caller/codec.go
+++ b/pkg/caller/codec.go
@@ -49,16 +49,10 @@
 const maxNameBytes = 64
 
 func (s *Server) decode(c echo.Context, into any) error {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, s.config.Limits.BodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return badInput{tooLarge: true, detail: fmt.Sprintf("the body has more than %d bytes", s.config.Limits.BodyBytes), action: "send smaller jobs"}
-	}
+	body, err := s.readBody(c)
 	if err != nil {
-		return badInput{detail: "the body ended early: " + err.Error(), action: "send the whole body"}
+		return err
 	}
-	// The read deadline is for the body. Left in place, it would cancel a long wait.
-	_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Time{})
 	if !utf8.Valid(body) {
 		return badInput{detail: "the body is not UTF-8", action: "encode binary payloads, for example as base64"}
 	}
@@ -73,6 +67,31 @@
 	return nil
 }
 
+// readBody reads a body within the budget for all bodies. It does not wait for room: a
+// caller that is turned away comes back later, maybe to another VM.
+func (s *Server) readBody(c echo.Context) ([]byte, error) {
+	limits := s.config.Limits
+	size := c.Request().ContentLength
+	if size < 0 || size > limits.BodyBytes {
+		size = limits.BodyBytes
+	}
+	if !s.bodies.TryAcquire(size) {
+		return nil, errBodiesFull
+	}
+	defer s.bodies.Release(size)
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limits.BodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, badInput{tooLarge: true, detail: fmt.Sprintf("the body has more than %d bytes", limits.BodyBytes), action: "send smaller jobs"}
+	}
+	if err != nil {
+		return nil, badInput{detail: "the body ended early: " + err.Error(), action: "send the whole body"}
+	}
+	// The read deadline is for the body. Left in place, it would cancel a long wait.
+	_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Time{})
+	return body, nil
+}
+
 func decodeJob(w wireJob, l Limits) (contract.Submission, error) {
 	if len(w.Tasks) == 0 {
 		return contract.Submission{}, badInput{detail: "the job has no tasks", action: "give at least one task"}
--- a/pkg/caller/problem.go
+++ b/pkg/caller/problem.go
@@ -62,7 +62,24 @@
 	return peer
 }
 
+// writeFull turns a request away. An id that is submitted again may run already, so only
+// new ids are refused.
+func writeFull(c echo.Context, step string) error {
+	p := problem{
+		Type: typeRefused, Step: step, Detail: errBodiesFull.Error(),
+		Action: "send it again after the time in Retry-After, or to another entry VM", RetryAfterMs: int64(unavailableRetry),
+	}
+	if c.Param("id") == "" {
+		return writeProblem(c, http.StatusTooManyRequests, p)
+	}
+	p.Type = typeCannotTellYet
+	return writeProblem(c, http.StatusGatewayTimeout, p)
+}
+
 func writeBadInput(c echo.Context, step string, err error) error {
+	if errors.Is(err, errBodiesFull) {
+		return writeFull(c, step)
+	}
 	p := problem{Type: typeInvalid, Step: step, Detail: err.Error(), Action: "correct the request"}
 	status := http.StatusBadRequest
 	var bad badInput
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 	gometrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/net/netutil"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
@@ -79,6 +80,8 @@
 type Server struct {
 	config Config
 	echo   *echo.Echo
+	// bodies is the budget of bytes for bodies that are being read.
+	bodies *semaphore.Weighted
 }
 
 // NewServer returns a server that does not yet accept connections.
@@ -86,7 +89,7 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.New(gometrics.NewRegistry())
 	}
-	s := &Server{config: c, echo: echo.New()}
+	s := &Server{config: c, echo: echo.New(), bodies: semaphore.NewWeighted(c.Limits.BodiesBytes)}
 	s.echo.HideBanner, s.echo.HidePort = true, true
 	s.echo.HTTPErrorHandler = writeRoutingError
 	if c.Listener != nil {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -54,6 +54,7 @@
 // Limits bound what the daemon holds.
 type Limits struct {
 	BodyBytes           int64
+	BodiesBytes         int64
 	AnswerBytes         int64
 	ResultBytes         int64
 	TasksPerJob         int
@@ -91,7 +92,9 @@
 		PlatformAddress: "127.0.0.1:7002",
 		Trace:           Trace{Exporter: TraceNone},
 		Limits: Limits{
-			BodyBytes:           4 << 20,
+			BodyBytes: 4 << 20,
+			// The ledger holds 64 MiB, so a larger sum could not be accepted.
+			BodiesBytes:         64 << 20,
 			AnswerBytes:         64 << 20,
 			ResultBytes:         1 << 20,
 			TasksPerJob:         1000,
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -123,6 +123,7 @@
 		"zero":           {"limits.mailbox", "0", []string{"key limits.mailbox", "positive", "events"}},
 		"negative":       {"timeouts.tickMs", "-1", []string{"key timeouts.tickMs", "ms"}},
 		"idle too short": {"timeouts.callerIdleMs", "60000", []string{"key timeouts.callerIdleMs", "maxWaitMs"}},
+		"bodies":         {"limits.bodiesBytes", "1", []string{"key limits.bodiesBytes", "limits.bodyBytes"}},
 		"exporter":       {"trace.exporter", "zipkin", []string{"key trace.exporter", "none, stdout or otlphttp"}},
 		"no collector":   {"trace.exporter", "otlphttp", []string{"key trace.address", "host:port"}},
 		"half of TLS":    {"tls.keyFile", "key.pem", []string{"key tls.certificateFile", "all three"}},
--- a/pkg/settings/validate.go
+++ b/pkg/settings/validate.go
@@ -69,6 +69,9 @@
 			return wrong(k.Name, "is "+k.Value(), "use a positive number ("+k.Unit+")")
 		}
 	}
+	if s.Limits.BodiesBytes < s.Limits.BodyBytes {
+		return wrong("limits.bodiesBytes", "is below limits.bodyBytes", "raise it, or the largest bodies never fit")
+	}
 	if s.Timeouts.CallerIdle <= s.Timeouts.MaxWait {
 		return wrong("timeouts.callerIdleMs", "is not above timeouts.maxWaitMs", "raise it, or connections end while callers wait")
 	}
--- a/pkg/trace/joined_test.go
+++ b/pkg/trace/joined_test.go
@@ -141,7 +141,7 @@
 	}
 	server := caller.NewServer(caller.Config{
 		Listener: listener, Service: v.router, Owners: anyOwner{}, Readiness: anyOwner{}, Tracer: v.tracer,
-		Limits: caller.Limits{BodyBytes: 1024, AnswerBytes: 1024, TasksPerJob: 2, Connections: 1, Wait: 5 * clock.Second},
+		Limits: caller.Limits{BodyBytes: 1024, BodiesBytes: 1024, AnswerBytes: 1024, TasksPerJob: 2, Connections: 1, Wait: 5 * clock.Second},
 	})
 	done := make(chan struct{})
 	go func() { _ = server.Serve(); close(done) }()
