--- a/pkg/endpoint/client_test.go
+++ b/pkg/endpoint/client_test.go
@@ -229,6 +229,26 @@
 	}
 }
 
+// Guards against an answer that is sent twice and taken for the answer of the next
+// request on the connection.
+func TestDuplicateAnswerIsNotTakenForTheNext(t *testing.T) {
+	ep, _ := rawEndpoint(t, func(conn net.Conn, _ int, read func() (string, bool)) {
+		for attempt, ok := read(); ok; attempt, ok = read() {
+			answer := reply("200 OK", attempt, "", "result of "+attempt[len(attempt)-3:])
+			_, _ = io.WriteString(conn, answer+answer)
+		}
+	})
+	c := newTestClient(t)
+	for i := range 100 {
+		attempt := testAttempt
+		attempt.Number = contract.AttemptNumber(100 + i)
+		got := c.Run(t.Context(), ep, attempt, []byte("p"), clock.Second)
+		if s, ok := got.(contract.Succeeded); ok && string(s.Result) != fmt.Sprintf("result of %d", attempt.Number) {
+			t.Errorf("got %q for attempt %d, want its own result or none", s.Result, attempt.Number)
+		}
+	}
+}
+
 // Guards against more open connections than an endpoint may have, and against "may have
 // run" for an attempt that only waited for a connection.
 func TestConnectionsOfAnEndpointAreBounded(t *testing.T) {
--- a/pkg/peer/tls_test.go
+++ b/pkg/peer/tls_test.go
@@ -3,7 +3,12 @@
 import (
 	"context"
 	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
 	"net"
+	"os"
+	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -132,3 +137,54 @@
 		}
 	}
 }
+
+// Guards against files that are accepted although peers cannot work with them, and
+// against errors that do not name the file.
+func TestLoadIdentity(t *testing.T) {
+	ours := newAuthority(t)
+	issued := identity(t, ours, "a")
+	key, err := x509.MarshalPKCS8PrivateKey(issued.Certificate.PrivateKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	write := func(name, kind string, der []byte) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	certificateFile := write("certificate.pem", "CERTIFICATE", issued.Certificate.Certificate[0])
+	keyFile := write("key.pem", "PRIVATE KEY", key)
+	caFile := write("ca.pem", "CERTIFICATE", ours.certificate.Raw)
+	loaded, err := LoadIdentity(certificateFile, keyFile, caFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	to := serveTLS(t, &fakeHandler{}, loaded.Server(), 5*clock.Second)
+	client := NewClient(ClientConfig{Dialer: &net.Dialer{}, TLS: loaded.Client()})
+	defer client.Close()
+	if _, err := client.Ask(t.Context(), to, contract.SubmissionID{DataCentre: "centro", Issuer: "server-1", Witness: vm.None}, "o", 0); err != nil {
+		t.Errorf("got %v with loaded files, want an answer", err)
+	}
+	for name, c := range map[string]struct{ certificate, key, ca, want string }{
+		"no certificate":    {filepath.Join(dir, "none.pem"), keyFile, caFile, "none.pem"},
+		"key of another":    {certificateFile, write("other.pem", "PRIVATE KEY", otherKey(t, ours)), caFile, "other.pem"},
+		"CA file is a key":  {certificateFile, keyFile, keyFile, "key.pem"},
+		"CA file is absent": {certificateFile, keyFile, filepath.Join(dir, "none.pem"), "none.pem"},
+	} {
+		if _, err := LoadIdentity(c.certificate, c.key, c.ca); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: got error %v, want one with %q", name, err, c.want)
+		}
+	}
+}
+
+func otherKey(t *testing.T, a *Authority) []byte {
+	t.Helper()
+	key, err := x509.MarshalPKCS8PrivateKey(identity(t, a, "b").Certificate.PrivateKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
--- a/pkg/submit/codec.go
+++ b/pkg/submit/codec.go
@@ -1,6 +1,7 @@
 package submit
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"net/http"
 
@@ -21,7 +22,8 @@
 }
 
 type wireResults struct {
-	Results []string `json:"results"`
+	Encoding string   `json:"encoding"`
+	Results  []string `json:"results"`
 }
 
 type wireProblem struct {
@@ -64,7 +66,7 @@
 		if err := json.Unmarshal(body, &w); err != nil {
 			return nil, errors.Annotate(err, "decode results")
 		}
-		return Completed{Results: w.Results}, nil
+		return decodeResults(w)
 	case http.StatusAccepted:
 		return Pending{}, nil
 	}
@@ -82,3 +84,19 @@
 	}
 	return Rejected{Status: status, Detail: p.Type + ": " + p.Detail}, nil
 }
+
+// decodeResults undoes base64, in which the service writes results that are not UTF-8.
+func decodeResults(w wireResults) (Reply, error) {
+	if w.Encoding != "base64" {
+		return Completed{Results: w.Results}, nil
+	}
+	results := make([]string, len(w.Results))
+	for i, r := range w.Results {
+		plain, err := base64.StdEncoding.DecodeString(r)
+		if err != nil {
+			return nil, errors.Annotatef(err, "decode result %d", i)
+		}
+		results[i] = string(plain)
+	}
+	return Completed{Results: results}, nil
+}
