Close idle connections to endpoints before the endpoints do

Cause: a request that meets the endpoint's close of an idle connection has to count as one that may have run, so its task fails without need. Change: timeouts.endpointIdleMs, 4 s, below the 5 s after which common servers close.

--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -169,6 +169,7 @@
 		Connections: s.Limits.EndpointConnections,
 		ResultBytes: s.Limits.ResultBytes,
 		DialTimeout: s.Timeouts.Dial,
+		Idle:        s.Timeouts.EndpointIdle,
 		Metrics:     d.metrics,
 		Log:         d.deps.Log,
 	})
--- a/pkg/endpoint/client.go
+++ b/pkg/endpoint/client.go
@@ -40,6 +40,10 @@
 	Connections datacentre.Connections
 	ResultBytes int64
 	DialTimeout clock.Millis
+	// Idle bounds how long a connection is kept unused; 0 keeps it for ever. It should
+	// be below the endpoints' own bound: a request that meets the endpoint's close on
+	// its way counts as one that may have run.
+	Idle clock.Millis
 	// Dial opens connections; nil dials TCP with DialTimeout.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Metrics counts unusable answers; nil counts them nowhere.
@@ -72,6 +76,7 @@
 		},
 		MaxConnsPerHost:     int(c.Connections),
 		MaxIdleConnsPerHost: int(c.Connections),
+		IdleConnTimeout:     c.Idle.Duration(),
 		DisableCompression:  true,
 	}
 	return &Client{config: c, http: &http.Client{Transport: transport, CheckRedirect: refuseRedirect}}
--- a/pkg/settings/keys.go
+++ b/pkg/settings/keys.go
@@ -29,6 +29,7 @@
 		number("timeouts.maxWaitMs", "ms", "longest wait that a caller can ask for with waitMs", &t.MaxWait),
 		number("timeouts.maxDeadlineMs", "ms", "longest deadline that a caller can name", &t.MaxDeadline),
 		number("timeouts.callerIdleMs", "ms", "longest span in which a caller's connection is idle or sends its request", &t.CallerIdle),
+		number("timeouts.endpointIdleMs", "ms", "longest span in which a connection to an endpoint is kept unused; keep it below the endpoints' own", &t.EndpointIdle),
 		number("timeouts.pollMs", "ms", "span between two polls of the platform", &t.Poll),
 		number("timeouts.tickMs", "ms", "span between two timer events of the control goroutine", &t.Tick),
 		number("timeouts.shutdownMs", "ms", "longest span of a graceful shutdown", &t.Shutdown),
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -79,6 +79,8 @@
 	MaxDeadline clock.Millis
 	// CallerIdle bounds how long a caller's connection may stay unused.
 	CallerIdle clock.Millis
+	// EndpointIdle bounds how long a connection to an endpoint stays unused.
+	EndpointIdle clock.Millis
 	// Handshake bounds a TLS handshake between entry VMs.
 	Handshake clock.Millis
 }
@@ -116,7 +118,9 @@
 			// Ids are remembered for 15 min, so a later answer could not be fetched.
 			MaxDeadline: 15 * clock.Minute,
 			CallerIdle:  2 * clock.Minute,
-			Handshake:   2 * clock.Second,
+			// Common servers close idle connections after 5 s at the earliest.
+			EndpointIdle: 4 * clock.Second,
+			Handshake:    2 * clock.Second,
 		},
 	}
 }
