--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 
 	"github.com/juju/errors"
@@ -46,7 +47,6 @@
 	deps    DaemonDeps
 	self    vm.VM
 	bundle  atomic.Pointer[bundle.Bundle]
-	leaving atomic.Bool
 	metrics *metrics.Metrics
 	tracer  *trace.Tracer
 	router  *entry.Router
@@ -173,14 +173,17 @@
 		Metrics:     d.metrics,
 		Log:         d.deps.Log,
 	})
+	client := platform.NewClient(platform.ClientConfig{Address: s.PlatformAddress, Timeout: s.Timeouts.Platform})
 	traffic := entry.NewTraffic(entry.TrafficConfig{
-		Self:        d.self.Incarnation,
-		Endpoints:   endpoints,
-		Witnesses:   d.client,
-		PeerTimeout: s.Timeouts.Peer,
-		Clock:       d.deps.Clock,
-		Tracer:      d.tracer,
-		Metrics:     d.metrics,
+		Self:            d.self.Incarnation,
+		Endpoints:       endpoints,
+		Witnesses:       d.client,
+		Table:           client.Table(),
+		PeerTimeout:     s.Timeouts.Peer,
+		PlatformTimeout: s.Timeouts.Platform,
+		Clock:           d.deps.Clock,
+		Tracer:          d.tracer,
+		Metrics:         d.metrics,
 	})
 	d.loop = entry.NewLoop(entry.LoopConfig{
 		Control:   control,
@@ -196,7 +199,6 @@
 		Peers:       d.client,
 		PeerTimeout: s.Timeouts.Peer,
 	})
-	client := platform.NewClient(platform.ClientConfig{Address: s.PlatformAddress, Timeout: s.Timeouts.Platform})
 	d.poller = newPoller(pollerDeps{
 		Self:   d.self,
 		Client: client,
@@ -224,7 +226,7 @@
 func (d *Daemon) BundleInForce() bool { return d.bundle.Load() != nil }
 
 // ShuttingDown implements caller.Readiness.
-func (d *Daemon) ShuttingDown() bool { return d.leaving.Load() }
+func (d *Daemon) ShuttingDown() bool { return !d.router.Ready() }
 
 // CallerAddress returns the address on which callers are served.
 func (d *Daemon) CallerAddress() string {
@@ -239,26 +241,37 @@
 // Run serves until the context ends.
 func (d *Daemon) Run(ctx context.Context) error {
 	var g run.Group
-	addContext(ctx, &g, func(ctx context.Context) error {
-		<-ctx.Done()
-		d.leaving.Store(true)
+	// One limit holds for the drain and the requests in flight after it.
+	stopping := sync.OnceValues(func() (context.Context, context.CancelFunc) {
+		return context.WithTimeout(context.Background(), d.deps.Settings.Timeouts.Shutdown.Duration())
+	})
+	addContext(ctx, &g, func(run context.Context) error {
+		<-run.Done()
+		// Only a shutdown that was asked for drains; after a failed part there may be
+		// nobody to drain.
+		if ctx.Err() != nil {
+			limit, _ := stopping()
+			d.drain(limit)
+		}
 		return nil
 	})
-	addContext(d.killed, &g, d.loop.Run)
-	addContext(context.Background(), &g, d.poller.Run)
+	// The group stops its parts in this order: control outlives the listeners, whose
+	// requests wait for its replies.
 	g.Add(d.callers.Serve, func(error) {
 		if d.killed.Err() != nil {
 			d.callers.Close()
 			return
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), d.deps.Settings.Timeouts.Shutdown.Duration())
+		limit, cancel := stopping()
 		defer cancel()
-		_ = d.callers.Shutdown(ctx)
+		_ = d.callers.Shutdown(limit)
 	})
 	g.Add(d.peers.Serve, func(error) {
 		d.peers.Close()
 		d.client.Close()
 	})
+	addContext(context.Background(), &g, d.poller.Run)
+	addContext(d.killed, &g, d.loop.Run)
 	d.deps.Log.Info(event.DaemonStarted, "daemon started", logrus.Fields{
 		"incarnation": d.self.Incarnation, "dataCentre": d.self.DataCentre,
 		"callerAddress": d.address, "peerAddress": d.self.PeerAddress,
@@ -273,6 +286,13 @@
 	return err
 }
 
+// drain ends the work in flight and hands it over, while the listeners still serve.
+func (d *Daemon) drain(limit context.Context) {
+	if err := d.router.Drain(limit); err != nil {
+		d.deps.Log.Warn(event.DrainFailed, "drain", logrus.Fields{"error": err})
+	}
+}
+
 // flushSpans gives the exporter a last chance, so that a collector that hangs cannot hold
 // up the exit for longer than a peer could.
 func (d *Daemon) flushSpans() {
--- a/pkg/entry/traffic.go
+++ b/pkg/entry/traffic.go
@@ -9,6 +9,7 @@
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/metrics"
+	"github.com/sequoiacart/sequoiacart/pkg/platform"
 	"github.com/sequoiacart/sequoiacart/pkg/trace"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
@@ -20,7 +21,8 @@
 
 // RecordSender sends records to a witness.
 type RecordSender interface {
-	Record(ctx context.Context, witness vm.VM, issuer vm.Incarnation, records []contract.Record) ([]contract.RecordStatus, error)
+	Record(ctx context.Context, witness vm.VM, issuer vm.Incarnation, batch contract.BatchNumber, records []contract.Record) ([]contract.RecordStatus, error)
+	HandOver(ctx context.Context, witness vm.VM, issuer vm.Incarnation, records []contract.Record, last bool) error
 }
 
 // TrafficConfig holds what traffic is made of.
@@ -28,9 +30,12 @@
 	Self      vm.Incarnation
 	Endpoints EndpointRunner
 	Witnesses RecordSender
+	Table     platform.Table
 	// PeerTimeout bounds one call to a peer.
 	PeerTimeout clock.Millis
-	Clock       clock.Clock
+	// PlatformTimeout bounds the write and the read of a pair row together.
+	PlatformTimeout clock.Millis
+	Clock           clock.Clock
 	// Tracer records the queue and endpoint hops; nil records nothing.
 	Tracer *trace.Tracer
 	// Metrics counts attempts; nil counts them nowhere.
@@ -67,6 +72,10 @@
 		go t.runAttempt(a)
 	case SendRecords:
 		go t.sendRecords(a)
+	case SendHandOver:
+		go t.sendHandOver(a)
+	case WritePairRow:
+		go t.writePairRow(a)
 	}
 }
 
@@ -92,9 +101,23 @@
 func (t *Traffic) sendRecords(a SendRecords) {
 	ctx, cancel := context.WithTimeout(context.Background(), t.config.PeerTimeout.Duration())
 	defer cancel()
-	statuses, err := t.config.Witnesses.Record(ctx, a.Witness, t.config.Self, a.Records)
+	statuses, err := t.config.Witnesses.Record(ctx, a.Witness, t.config.Self, a.Batch, a.Records)
 	if err != nil {
 		statuses = nil
 	}
-	t.loop.Post(context.Background(), RecordsAnswered{Witness: a.Witness.Incarnation, Statuses: statuses})
+	t.loop.Post(context.Background(), RecordsAnswered{Witness: a.Witness.Incarnation, Batch: a.Batch, Statuses: statuses})
+}
+
+func (t *Traffic) sendHandOver(a SendHandOver) {
+	ctx, cancel := context.WithTimeout(context.Background(), t.config.PeerTimeout.Duration())
+	defer cancel()
+	err := t.config.Witnesses.HandOver(ctx, a.Witness, t.config.Self, a.Records, a.Last)
+	t.loop.Post(context.Background(), HandOverAnswered{Witness: a.Witness.Incarnation, Accepted: err == nil})
+}
+
+func (t *Traffic) writePairRow(a WritePairRow) {
+	ctx, cancel := context.WithTimeout(context.Background(), t.config.PlatformTimeout.Duration())
+	defer cancel()
+	row := decidePairRow(ctx, t.config.Table, a.Pair, a.Row)
+	t.loop.Post(context.Background(), PairRowDecided{Pair: a.Pair, Row: row})
 }
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -22,6 +22,7 @@
 	BundleInForce   Number = "SQ-3001"
 	BundleRejected  Number = "SQ-3002"
 	ListenersFailed Number = "SQ-1003"
+	DrainFailed     Number = "SQ-1004"
 )
 
 // Config holds what a log is made of.
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -23,7 +23,8 @@
 	AskHere(ctx context.Context, id contract.SubmissionID, o owner.ID, wait clock.Millis) contract.Answer
 	CancelHere(ctx context.Context, id contract.SubmissionID, o owner.ID) contract.Answer
 	WitnessHere(ctx context.Context, id contract.SubmissionID, o owner.ID) contract.Answer
-	RecordHere(ctx context.Context, issuer vm.Incarnation, records []contract.Record) ([]contract.RecordStatus, error)
+	RecordHere(ctx context.Context, issuer vm.Incarnation, batch contract.BatchNumber, records []contract.Record) ([]contract.RecordStatus, error)
+	HandOverHere(ctx context.Context, issuer vm.Incarnation, records []contract.Record, last bool) error
 }
 
 // ServerConfig holds what a server is made of.
@@ -89,7 +90,7 @@
 func (s *Server) serve(conn net.Conn) {
 	defer s.forget(conn)
 	if s.config.TLS == nil {
-		s.rpc.ServeConn(conn)
+		s.rpc.ServeCodec(serverCodec{newGobStream(conn)})
 		return
 	}
 	secure := tls.Server(conn, s.config.TLS)
@@ -97,7 +98,7 @@
 		s.refuse(conn, err)
 		return
 	}
-	s.rpc.ServeConn(secure)
+	s.rpc.ServeCodec(serverCodec{newGobStream(secure)})
 }
 
 // handshake runs on the goroutine of its connection, so a silent peer keeps nobody from
