Let the demo run with mutual TLS

Cause: mutual TLS could only be tried with certificates made elsewhere, and limits.answerBytes was above what a submission can return.

--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -91,12 +91,7 @@
 		_, _ = callerListener.Close(), peerListener.Close()
 		return nil, errors.Trace(err)
 	}
-	d.client = peer.NewClient(peer.ClientConfig{
-		Dialer:  &net.Dialer{Timeout: s.Timeouts.Dial.Duration()},
-		TLS:     d.clientTLS(),
-		Tracer:  d.tracer,
-		Metrics: d.metrics,
-	})
+	d.client = d.newPeerClient()
 	d.wireControl()
 	d.metrics.MailboxLength(d.loop.MailboxLength)
 	d.metrics.QueueLength(d.loop.QueuedTasks)
@@ -134,6 +129,16 @@
 	return d, errors.Trace(err)
 }
 
+// newPeerClient returns a client with connections of its own.
+func (d *Daemon) newPeerClient() *peer.Client {
+	return peer.NewClient(peer.ClientConfig{
+		Dialer:  &net.Dialer{Timeout: d.deps.Settings.Timeouts.Dial.Duration()},
+		TLS:     d.clientTLS(),
+		Tracer:  d.tracer,
+		Metrics: d.metrics,
+	})
+}
+
 // wireObservation makes what the other parts report to.
 func (d *Daemon) wireObservation() error {
 	if d.deps.Registry == nil {
--- a/pkg/app/demo_command.go
+++ b/pkg/app/demo_command.go
@@ -13,7 +13,9 @@
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/demo"
 	"github.com/sequoiacart/sequoiacart/pkg/event"
+	"github.com/sequoiacart/sequoiacart/pkg/peer"
 	"github.com/sequoiacart/sequoiacart/pkg/settings"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
 func newDemoCommand(stdout, stderr io.Writer) *ffcli.Command {
@@ -23,6 +25,7 @@
 	seed := flags.Uint64("seed", 1, "seed of the generated jobs")
 	spanMs := flags.Int64("span-ms", 6000, "how long each workload is under load, in milliseconds")
 	verbose := flags.Bool("verbose", false, "show the log events of the entry VMs")
+	mutualTLS := flags.Bool("mutual-tls", false, "entry VMs prove themselves with certificates that are made in memory")
 	return &ffcli.Command{
 		Name:       "demo",
 		ShortUsage: "sequoiacart demo [flags]",
@@ -40,13 +43,21 @@
 			if *verbose {
 				logger.SetOutput(stderr)
 			}
+			identify, err := identities(*mutualTLS)
+			if err != nil {
+				return errors.Trace(err)
+			}
 			d := demo.New(demo.Deps{
 				Out:      stdout,
 				Progress: stderr,
 				Span:     clock.Millis(*spanMs),
 				Seed:     *seed,
 				NewVM: func(s settings.Settings) (demo.VM, error) {
-					return NewDaemon(DaemonDeps{Settings: s, Clock: clock.NewSystem(), Log: event.NewLog(logger)})
+					identity, err := identify(s.VM)
+					if err != nil {
+						return nil, errors.Trace(err)
+					}
+					return NewDaemon(DaemonDeps{Settings: s, Clock: clock.NewSystem(), Log: event.NewLog(logger), Identity: identity})
 				},
 			})
 			return d.Run(ctx, chosen)
@@ -54,6 +65,24 @@
 	}
 }
 
+// demoValidity is how long the demo's certificates hold; the demo ends well before.
+const demoValidity = clock.Hour
+
+// identities returns what gives each entry VM its identity; without mutual TLS, none.
+func identities(on bool) (func(vm.ID) (*peer.Identity, error), error) {
+	if !on {
+		return func(vm.ID) (*peer.Identity, error) { return nil, nil }, nil
+	}
+	authority, err := peer.NewAuthority(peer.AuthorityConfig{Name: "sequoiacart demo", ValidFor: demoValidity})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return func(name vm.ID) (*peer.Identity, error) {
+		identity, err := authority.Issue(name)
+		return &identity, err
+	}, nil
+}
+
 func chooseWorkloads(name string) ([]demo.Workload, error) {
 	all := demo.Workloads()
 	if name == "both" {
--- a/pkg/settings/keys.go
+++ b/pkg/settings/keys.go
@@ -13,7 +13,7 @@
 		text("platformAddress", "host:port", "where the platform listens", &s.PlatformAddress),
 		number("limits.bodyBytes", "bytes", "largest body of a caller's request", &l.BodyBytes),
 		number("limits.bodiesBytes", "bytes", "largest sum of the bodies that are being read at the same time", &l.BodiesBytes),
-		number("limits.answerBytes", "bytes", "largest sum of the results of one job", &l.AnswerBytes),
+		number("limits.answerBytes", "bytes", "largest sum of the results of one job; more than 16 MiB never comes about", &l.AnswerBytes),
 		number("limits.resultBytes", "bytes", "largest result of one task", &l.ResultBytes),
 		number("limits.tasksPerJob", "tasks", "most tasks of one job; an owner's limit in the bundle can be lower", &l.TasksPerJob),
 		number("limits.queuedTasks", "tasks", "most tasks that wait at this VM", &l.QueuedTasks),
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -3,6 +3,7 @@
 
 import (
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
@@ -97,7 +98,7 @@
 			BodyBytes: 4 << 20,
 			// The ledger holds 64 MiB, so a larger sum could not be accepted.
 			BodiesBytes:         64 << 20,
-			AnswerBytes:         64 << 20,
+			AnswerBytes:         contract.MaxAnswerBytes,
 			ResultBytes:         1 << 20,
 			TasksPerJob:         1000,
 			CallerConnections:   10000,
