Test an answer whose end is late

Cause: an answer that is cut off by the deadline was counted as truncated. Output (go test -count=20 -run Unusable ./pkg/endpoint): 2 client_test.go:335: got 0 answers counted as late, want 1 Conclusion: the reason depends on where the deadline falls.

--- a/pkg/endpoint/client_test.go
+++ b/pkg/endpoint/client_test.go
@@ -300,33 +300,39 @@
 // task whose endpoint is merely late.
 func TestUnusableAnswersAreCountedByReason(t *testing.T) {
 	id := testAttempt.String()
-	cases := map[metrics.Unusable]string{
-		metrics.Misrouted:        reply("200 OK", "other", "", ""),
-		metrics.Truncated:        reply("200 OK", id, "", "done")[:len(reply("200 OK", id, "", "done"))-1],
-		metrics.TooLarge:         reply("200 OK", id, "", strings.Repeat("x", testResultBytes+1)),
-		metrics.UnexpectedStatus: reply("418 T", id, "", ""),
-		metrics.Broken:           "",
-		metrics.Late:             "late",
+	half := reply("200 OK", id, "", "done")[:len(reply("200 OK", id, "", "done"))-1]
+	cases := map[string]struct {
+		answer string
+		late   bool
+		want   metrics.Unusable
+	}{
+		"misrouted":         {reply("200 OK", "other", "", ""), false, metrics.Misrouted},
+		"truncated":         {half, false, metrics.Truncated},
+		"too large":         {reply("200 OK", id, "", strings.Repeat("x", testResultBytes+1)), false, metrics.TooLarge},
+		"unexpected status": {reply("418 T", id, "", ""), false, metrics.UnexpectedStatus},
+		"broken":            {"", false, metrics.Broken},
+		"late":              {"", true, metrics.Late},
+		"late body":         {half, true, metrics.Late},
 	}
-	for reason, answer := range cases {
-		t.Run(string(reason), func(t *testing.T) {
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
 			ep, _ := rawEndpoint(t, func(conn net.Conn, _ int, read func() (string, bool)) {
 				read()
-				if answer == "late" {
+				_, _ = io.WriteString(conn, tt.answer)
+				if tt.late {
 					cancel()
 					read()
-					return
 				}
-				_, _ = io.WriteString(conn, answer)
 			})
 			registry := gometrics.NewRegistry()
 			c := NewClient(ClientConfig{Connections: 1, ResultBytes: testResultBytes, DialTimeout: clock.Second, Metrics: metrics.New(registry)})
 			if got := c.Run(ctx, ep, testAttempt, []byte("p"), clock.Second); !sameResult(got, contract.Ambiguous{}) {
 				t.Errorf("got %#v, want ambiguous", got)
 			}
-			if got := gometrics.GetOrRegisterCounter("unusableAnswers."+string(reason), registry).Count(); got != 1 {
-				t.Errorf("got %d answers counted as %s, want 1", got, reason)
+			if got := gometrics.GetOrRegisterCounter("unusableAnswers."+string(tt.want), registry).Count(); got != 1 {
+				t.Errorf("got %d answers counted as %s, want 1", got, tt.want)
 			}
 		})
 	}
