Count an answer that the deadline cuts off as late

Change: the reason looks at the attempt's context first. Conclusion: 'truncated' now means that the endpoint cut the answer off.

--- a/pkg/endpoint/client.go
+++ b/pkg/endpoint/client.go
@@ -100,7 +100,7 @@
 		if g.proveUnsent() {
 			return contract.NotStarted{Cause: contract.EndpointUnreachable}
 		}
-		return c.unusable(to, failureOf(ctx), err.Error())
+		return c.unusable(to, failureOf(ctx, metrics.Broken), err.Error())
 	}
 	defer func() { _ = response.Body.Close() }()
 	result := c.read(to, attempt, response)
@@ -130,7 +130,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, c.config.ResultBytes+1))
 	if err != nil {
-		return c.unusable(to, metrics.Truncated, err.Error())
+		return c.unusable(to, failureOf(response.Request.Context(), metrics.Truncated), err.Error())
 	}
 	if int64(len(body)) > c.config.ResultBytes {
 		return c.unusable(to, metrics.TooLarge, "it is too large")
@@ -155,9 +155,10 @@
 	return contract.Ambiguous{Reason: "read answer of endpoint " + string(to.ID) + ": " + detail}
 }
 
-func failureOf(ctx context.Context) metrics.Unusable {
+// failureOf tells an answer that is late from one that is broken in the given way.
+func failureOf(ctx context.Context, broken metrics.Unusable) metrics.Unusable {
 	if ctx.Err() != nil {
 		return metrics.Late
 	}
-	return metrics.Broken
+	return broken
 }
