--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -16,6 +16,7 @@
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
 	"github.com/sequoiacart/sequoiacart/pkg/event"
 	"github.com/sequoiacart/sequoiacart/pkg/metrics"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
@@ -28,6 +29,7 @@
 	Submit(ctx context.Context, s contract.Submission, wait clock.Millis) contract.Answer
 	Ask(ctx context.Context, id contract.SubmissionID, o owner.ID, wait clock.Millis) contract.Answer
 	Cancel(ctx context.Context, id contract.SubmissionID, o owner.ID) contract.Answer
+	Usage(ctx context.Context) ([]dispatch.OwnerUsage, error)
 }
 
 // Authenticator finds the owner of a bearer token.
--- a/pkg/caller/server_test.go
+++ b/pkg/caller/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +14,7 @@
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
 	"github.com/sequoiacart/sequoiacart/pkg/metrics"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
 )
@@ -21,10 +23,11 @@
 
 // fakeService answers everything alike and remembers what it was told.
 type fakeService struct {
-	answer    contract.Answer
-	calls     int
-	submitted contract.Submission
-	wait      clock.Millis
+	answer     contract.Answer
+	calls      int
+	submitted  contract.Submission
+	usageError error
+	wait       clock.Millis
 }
 
 func (f *fakeService) Reserve(_ context.Context, _ owner.ID, count int) ([]contract.SubmissionID, error) {
@@ -60,6 +63,39 @@
 
 var testLimits = Limits{BodyBytes: 2048, BodiesBytes: 4096, AnswerBytes: 16, TasksPerJob: 3, IDs: 5, Connections: 8, Wait: 500, Deadline: 10000, Idle: clock.Minute}
 
+func (f *fakeService) Usage(context.Context) ([]dispatch.OwnerUsage, error) {
+	return []dispatch.OwnerUsage{
+		{Owner: "pantallas", SlotTime: 10, Charged: 12, Backlog: 1, Started: 2, Refused: 3, Waited: 4, LongestWait: 5},
+		{Owner: "other"},
+	}, f.usageError
+}
+
+// Guards against figures that an owner sees only of itself, and against figures for
+// strangers.
+func TestUsageIsOpenToAllOwners(t *testing.T) {
+	const want = `{"owners":[{"owner":"pantallas","slotMs":10,"backlogTasks":1,"startedTasks":2,"refusedJobs":3,"waitedMs":4,"longestWaitMs":5},` +
+		`{"owner":"other","slotMs":0,"backlogTasks":0,"startedTasks":0,"refusedJobs":0,"waitedMs":0,"longestWaitMs":0}]}`
+	got := serve(fakeVM{}, &fakeService{}, call{"GET", "/v1/usage", "right", ""})
+	if body := strings.TrimSpace(got.Body.String()); got.Code != http.StatusOK || body != want {
+		t.Errorf("got %d with %s, want 200 with %s", got.Code, body, want)
+	}
+	for name, c := range map[string]struct {
+		vm    fakeVM
+		token string
+		err   error
+		want  int
+	}{
+		"stranger":   {fakeVM{}, "wrong", nil, 401},
+		"no bundle":  {fakeVM{noBundle: true}, "right", nil, 503},
+		"overloaded": {fakeVM{}, "right", errors.New("mailbox is full"), 503},
+	} {
+		got := serve(c.vm, &fakeService{usageError: c.err}, call{"GET", "/v1/usage", c.token, ""})
+		if got.Code != c.want || strings.Contains(got.Body.String(), "other") {
+			t.Errorf("%s: got %d with %s, want %d without figures", name, got.Code, got.Body, c.want)
+		}
+	}
+}
+
 type call struct {
 	method, path, token, body string
 }
--- a/pkg/entry/action.go
+++ b/pkg/entry/action.go
@@ -58,9 +58,12 @@
 func (WritePairRow) isAction() {}
 
 // Reply is what a waiting traffic goroutine hears: IDs, AnswerReply,
-// RecordsReply or ShutdownReply.
+// RecordsReply, ShutdownReply or UsageReply.
 type Reply interface{ isReply() }
 
+// UsageReply carries the figures of every owner at this VM.
+type UsageReply struct{ Owners []dispatch.OwnerUsage }
+
 // IDs carries reserved ids.
 type IDs struct{ IDs []contract.SubmissionID }
 
@@ -73,6 +76,7 @@
 // ShutdownReply says whether all work ended and was handed over.
 type ShutdownReply struct{ Drained bool }
 
+func (UsageReply) isReply()    {}
 func (ShutdownReply) isReply() {}
 func (IDs) isReply()           {}
 func (AnswerReply) isReply()   {}
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -105,6 +105,8 @@
 		c.asked(now, e)
 	case Cancelled:
 		c.cancelled(now, e)
+	case UsageAsked:
+		c.do(ReplyTo{Waiter: e.Waiter, Reply: UsageReply{Owners: c.scheduler.Usage()}})
 	case WaiterGone:
 		c.waiterGone(e.Waiter)
 	case AttemptEnded:
--- a/pkg/entry/event.go
+++ b/pkg/entry/event.go
@@ -44,6 +44,9 @@
 	Owner  owner.ID
 }
 
+// UsageAsked asks for what each owner has had of this VM. Reply: UsageReply.
+type UsageAsked struct{ Waiter WaiterID }
+
 // WaiterGone says that a traffic goroutine no longer waits for the end of a submission.
 // If it still has no reply it hears Running. Reply: AnswerReply.
 type WaiterGone struct{ Waiter WaiterID }
@@ -128,6 +131,7 @@
 // Tick says that time has passed.
 type Tick struct{}
 
+func (UsageAsked) isEvent()       {}
 func (ReserveIDs) isEvent()       {}
 func (Submitted) isEvent()        {}
 func (Asked) isEvent()            {}
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -8,6 +8,7 @@
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
@@ -76,6 +77,15 @@
 	return reply.(IDs).IDs, nil
 }
 
+// Usage returns what each owner has had of this VM since it started.
+func (r *Router) Usage(ctx context.Context) ([]dispatch.OwnerUsage, error) {
+	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event { return UsageAsked{Waiter: w} })
+	if err != nil {
+		return nil, errors.Annotate(err, "read usage")
+	}
+	return reply.(UsageReply).Owners, nil
+}
+
 // Submit runs a submission at its issuer, waiting up to the span for its end.
 func (r *Router) Submit(ctx context.Context, s contract.Submission, wait clock.Millis) contract.Answer {
 	if s.ID.Issuer == r.config.Self {
