Serve usage to all owners

Its check for figures was wrong: it looked for 'other', which is also in the advice 'another entry VM'. It now looks for the key 'owners', which every body with figures has. Change: GET /v1/usage asks control for the scheduler's figures; routing errors name method and path. Conclusion: an owner reads everybody's figures of a VM with its own token. Shares and sign-offs come from the bundle and are not in this call.

--- a/pkg/caller/problem.go
+++ b/pkg/caller/problem.go
@@ -102,7 +102,8 @@
 	if errors.As(err, &routing) {
 		status = routing.Code
 	}
-	p := problem{Type: typeInvalid, Step: "route request", Detail: err.Error(), Action: "use a call that docs/api.md lists"}
+	detail := c.Request().Method + " " + c.Request().URL.Path + ": " + http.StatusText(status)
+	p := problem{Type: typeInvalid, Step: "route request", Detail: detail, Action: "use a call that docs/api.md lists"}
 	if status == http.StatusNotFound {
 		p.Type = typeNotFound
 	}
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -114,6 +114,7 @@
 	s.echo.PUT("/v1/requests/:id", s.submitRequest, s.count, s.authenticate)
 	s.echo.GET("/v1/jobs/:id", s.ask, s.count, s.authenticate)
 	s.echo.DELETE("/v1/jobs/:id", s.cancel, s.count, s.authenticate)
+	s.echo.GET("/v1/usage", s.usage, s.count, s.authenticate)
 }
 
 // Serve accepts connections until Shutdown.
--- a/pkg/caller/server_test.go
+++ b/pkg/caller/server_test.go
@@ -90,7 +90,7 @@
 		"overloaded": {fakeVM{}, "right", errors.New("mailbox is full"), 503},
 	} {
 		got := serve(c.vm, &fakeService{usageError: c.err}, call{"GET", "/v1/usage", c.token, ""})
-		if got.Code != c.want || strings.Contains(got.Body.String(), "other") {
+		if got.Code != c.want || strings.Contains(got.Body.String(), `"owners"`) {
 			t.Errorf("%s: got %d with %s, want %d without figures", name, got.Code, got.Body, c.want)
 		}
 	}
