--- a/pkg/endpoint/guard_test.go
+++ b/pkg/endpoint/guard_test.go
@@ -37,3 +37,23 @@
 		t.Error("got unsent after a write, want sent")
 	}
 }
+
+// Guards against "not started" for a request whose connection has gone on to another:
+// net/http can hand a connection on before the call that used it has returned.
+func TestGuardRemembersItsBytesWhenTheConnectionMovesOn(t *testing.T) {
+	here, there := net.Pipe()
+	go func() { _, _ = there.Read(make([]byte, 8)) }()
+	conn := &countedConn{Conn: here}
+	first, second := &guard{}, &guard{}
+	first.gotConn(httptrace.GotConnInfo{Conn: conn})
+	if _, err := conn.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	second.gotConn(httptrace.GotConnInfo{Conn: conn})
+	if first.proveUnsent() {
+		t.Error("got unsent for the first request, want sent")
+	}
+	if !second.proveUnsent() {
+		t.Error("got sent for the second request, want unsent")
+	}
+}
