--- a/pkg/endpoint/client.go
+++ b/pkg/endpoint/client.go
@@ -18,6 +18,7 @@
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/event"
+	"github.com/sequoiacart/sequoiacart/pkg/loan"
 	"github.com/sequoiacart/sequoiacart/pkg/metrics"
 	"github.com/sequoiacart/sequoiacart/pkg/trace"
 )
@@ -40,10 +41,6 @@
 	Connections datacentre.Connections
 	ResultBytes int64
 	DialTimeout clock.Millis
-	// Idle bounds how long a connection is kept unused; 0 keeps it for ever. It should
-	// be below the endpoints' own bound: a request that meets the endpoint's close on
-	// its way counts as one that may have run.
-	Idle clock.Millis
 	// Dial opens connections; nil dials TCP with DialTimeout.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Metrics counts unusable answers; nil counts them nowhere.
@@ -76,8 +73,12 @@
 		},
 		MaxConnsPerHost:     int(c.Connections),
 		MaxIdleConnsPerHost: int(c.Connections),
-		IdleConnTimeout:     c.Idle.Duration(),
 		DisableCompression:  true,
+		// Slots move between VMs, so connections that are idle for the term of a loan make
+		// room for those of the next user. The term is also below the 5 s after which
+		// common servers close: a request that meets the endpoint's close on its way
+		// counts as one that may have run.
+		IdleConnTimeout: loan.Term.Duration(),
 	}
 	return &Client{config: c, http: &http.Client{Transport: transport, CheckRedirect: refuseRedirect}}
 }
--- a/pkg/entry/control_records.go
+++ b/pkg/entry/control_records.go
@@ -24,7 +24,7 @@
 func (c *Control) flushOutboxes(now clock.Millis) {
 	for _, incarnation := range c.witnesses {
 		o := c.outboxes[incarnation]
-		witness, ok := c.roster.Find(incarnation)
+		witness, ok := c.present(incarnation)
 		if !ok {
 			c.missWitness(now, o)
 			continue
--- a/pkg/entry/event.go
+++ b/pkg/entry/event.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
@@ -122,12 +123,21 @@
 // RosterChanged brings a new roster.
 type RosterChanged struct{ Roster *vm.Roster }
 
-// EndpointsListed brings the endpoints of this VM's data centre.
-type EndpointsListed struct{ Endpoints []datacentre.Endpoint }
+// EndpointsListed brings the endpoints of this VM's data centre, and which of them leave.
+type EndpointsListed struct {
+	Endpoints []datacentre.Endpoint
+	Leaving   []datacentre.EndpointID
+}
 
 // OwnersChanged brings the owners of a bundle that came into force.
 type OwnersChanged struct{ Owners []owner.Owner }
 
+// BundleOffered brings a verified bundle. Reply: BundleVerdict.
+type BundleOffered struct {
+	Waiter    WaiterID
+	Candidate bundle.Candidate
+}
+
 // Tick says that time has passed.
 type Tick struct{}
 
@@ -151,3 +161,4 @@
 func (ShutdownBegun) isEvent()    {}
 func (HandOverAnswered) isEvent() {}
 func (HandOverReceived) isEvent() {}
+func (BundleOffered) isEvent()    {}
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -6,9 +6,11 @@
 
 	"github.com/juju/errors"
 
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
+	"github.com/sequoiacart/sequoiacart/pkg/loan"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
@@ -33,20 +35,20 @@
 // Router finds the VM that may answer for an id: this one, the issuer or the witness.
 type Router struct {
 	config   RouterConfig
-	roster   atomic.Pointer[vm.Roster]
+	peers    atomic.Pointer[Snapshot]
 	draining atomic.Bool
 }
 
 // NewRouter returns a router that knows no peers.
 func NewRouter(c RouterConfig) *Router {
 	r := &Router{config: c}
-	r.roster.Store(vm.NewRoster(vm.RosterConfig{Self: c.Self}))
+	r.SetPeers(Snapshot{Roster: vm.NewRoster(vm.RosterConfig{Self: c.Self})})
 	return r
 }
 
-// SetRoster publishes a new roster to the traffic goroutines.
-func (r *Router) SetRoster(roster *vm.Roster) {
-	r.roster.Store(roster)
+// SetPeers publishes a new roster and the state of the links to the traffic goroutines.
+func (r *Router) SetPeers(s Snapshot) {
+	r.peers.Store(&s)
 }
 
 // Ready reports whether the load balancer may send callers here.
@@ -68,6 +70,11 @@
 	return nil
 }
 
+// Roster returns the roster in use.
+func (r *Router) Roster() *vm.Roster {
+	return r.peers.Load().Roster
+}
+
 // Reserve returns new ids issued by this VM.
 func (r *Router) Reserve(ctx context.Context, o owner.ID, count int) ([]contract.SubmissionID, error) {
 	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event { return ReserveIDs{Waiter: w, Owner: o, Count: count} })
@@ -168,6 +175,32 @@
 	return reply.(RecordsReply).Statuses, nil
 }
 
+// HeartbeatHere handles a heartbeat of a peer.
+func (r *Router) HeartbeatHere(ctx context.Context, h Heartbeat) (vm.Incarnation, error) {
+	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event { return HeartbeatReceived{Waiter: w, Heartbeat: h} })
+	if err != nil {
+		return vm.None, errors.Annotatef(err, "handle heartbeat of %s", h.From.Incarnation)
+	}
+	return reply.(HeartbeatReply).Incarnation, nil
+}
+
+// LendHere handles a peer's request for slots.
+func (r *Router) LendHere(ctx context.Context, request loan.Request) ([]loan.Loan, error) {
+	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event { return LoanRequested{Waiter: w, Request: request} })
+	if err != nil {
+		return nil, errors.Annotatef(err, "lend slots to %s", request.ID.Borrower)
+	}
+	return reply.(LoansGranted).Loans, nil
+}
+
+// TakeBackHere handles the return of slots by a peer.
+func (r *Router) TakeBackHere(ctx context.Context, borrower vm.Incarnation, returns []loan.Return) error {
+	_, err := r.config.Loop.Call(ctx, func(w WaiterID) Event {
+		return LoansReturned{Waiter: w, Borrower: borrower, Returns: returns}
+	})
+	return errors.Annotatef(err, "take back slots of %s", borrower)
+}
+
 // HandOverHere keeps the answers of an issuer that shuts down.
 func (r *Router) HandOverHere(ctx context.Context, issuer vm.Incarnation, records []contract.Record, last bool) error {
 	_, err := r.config.Loop.Call(ctx, func(w WaiterID) Event {
@@ -176,6 +209,16 @@
 	return errors.Annotatef(err, "keep answers of %s", issuer)
 }
 
+// OfferBundle hands a verified bundle to control, which decides whether it follows the one
+// in force.
+func (r *Router) OfferBundle(ctx context.Context, c bundle.Candidate) (bundle.Verdict, error) {
+	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event { return BundleOffered{Waiter: w, Candidate: c} })
+	if err != nil {
+		return nil, errors.Annotatef(err, "offer bundle version %d", c.Head.Version)
+	}
+	return reply.(BundleVerdict).Verdict, nil
+}
+
 // callWithin hands an event to control and waits for the answer, up to the span.
 func (r *Router) callWithin(ctx context.Context, wait clock.Millis, makeEvent func(WaiterID) Event) (contract.Answer, error) {
 	if wait > 0 {
@@ -192,9 +235,11 @@
 
 type peerCall func(ctx context.Context, issuer vm.VM) (contract.Answer, error)
 
-// forward asks the issuer and, if it cannot be reached or cannot tell, the witness.
+// forward asks the issuer and, if it cannot be reached or cannot tell, the witness. A VM
+// whose link is known to be unreachable is not called, so that no caller waits for the
+// time-out.
 func (r *Router) forward(ctx context.Context, id contract.SubmissionID, o owner.ID, wait clock.Millis, call peerCall) contract.Answer {
-	if issuer, ok := r.roster.Load().Find(id.Issuer); ok {
+	if issuer, ok := r.peers.Load().reachable(id.Issuer); ok {
 		a, err := r.callPeer(ctx, issuer, wait, call)
 		if err == nil {
 			return r.orWitness(ctx, id, o, a)
@@ -225,7 +270,7 @@
 	if id.Witness == r.config.Self {
 		return r.WitnessHere(ctx, id, o), true
 	}
-	witness, ok := r.roster.Load().Find(id.Witness)
+	witness, ok := r.peers.Load().reachable(id.Witness)
 	if !ok {
 		return nil, false
 	}
--- a/pkg/entry/traffic.go
+++ b/pkg/entry/traffic.go
@@ -5,6 +5,7 @@
 
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
@@ -30,7 +31,15 @@
 	Self      vm.Incarnation
 	Endpoints EndpointRunner
 	Witnesses RecordSender
-	Table     platform.Table
+	Roster    HeartbeatSender
+	Rows      RowDeleter
+	Loans     LoanCaller
+	// Peers hears of new rosters and links.
+	Peers func(Snapshot)
+	Table platform.Table
+	// Publish hands a bundle that came into force to the other traffic goroutines. It
+	// does not wait.
+	Publish func(*bundle.Bundle)
 	// PeerTimeout bounds one call to a peer.
 	PeerTimeout clock.Millis
 	// PlatformTimeout bounds the write and the read of a pair row together.
@@ -72,10 +81,24 @@
 		go t.runAttempt(a)
 	case SendRecords:
 		go t.sendRecords(a)
+	case SendHeartbeat:
+		go t.sendHeartbeat(a)
+	case DeleteRow:
+		go t.deleteRow(a)
+	case RequestLoan:
+		go t.requestLoan(a)
+	case ReturnLoans:
+		go t.returnLoans(a)
+	case PublishPeers:
+		t.config.Peers(a.Peers)
 	case SendHandOver:
 		go t.sendHandOver(a)
 	case WritePairRow:
 		go t.writePairRow(a)
+	case PublishBundle:
+		if t.config.Publish != nil {
+			t.config.Publish(a.Bundle)
+		}
 	}
 }
 
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -12,6 +12,8 @@
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/entry"
+	"github.com/sequoiacart/sequoiacart/pkg/loan"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
 	"github.com/sequoiacart/sequoiacart/pkg/trace"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
@@ -25,12 +27,17 @@
 	WitnessHere(ctx context.Context, id contract.SubmissionID, o owner.ID) contract.Answer
 	RecordHere(ctx context.Context, issuer vm.Incarnation, batch contract.BatchNumber, records []contract.Record) ([]contract.RecordStatus, error)
 	HandOverHere(ctx context.Context, issuer vm.Incarnation, records []contract.Record, last bool) error
+	HeartbeatHere(ctx context.Context, h entry.Heartbeat) (vm.Incarnation, error)
+	LendHere(ctx context.Context, r loan.Request) ([]loan.Loan, error)
+	TakeBackHere(ctx context.Context, borrower vm.Incarnation, returns []loan.Return) error
 }
 
 // ServerConfig holds what a server is made of.
 type ServerConfig struct {
 	Listener net.Listener
 	Handler  Handler
+	// Bundles serves calls about bundles; nil leaves the service out.
+	Bundles BundleHandler
 	// TLS turns on mutual TLS; nil speaks plain TCP.
 	TLS *tls.Config
 	// Tracer records the served hop; nil records nothing.
@@ -61,6 +68,18 @@
 	if err := s.rpc.RegisterName("Witness", &witnessService{handler: c.Handler, tracer: c.Tracer}); err != nil {
 		return nil, errors.Annotate(err, "register witness service")
 	}
+	if err := s.rpc.RegisterName("Roster", &rosterService{handler: c.Handler}); err != nil {
+		return nil, errors.Annotate(err, "register roster service")
+	}
+	if err := s.rpc.RegisterName("Loan", &loanService{handler: c.Handler}); err != nil {
+		return nil, errors.Annotate(err, "register loan service")
+	}
+	if c.Bundles == nil {
+		return s, nil
+	}
+	if err := s.rpc.RegisterName("Bundle", &bundleService{handler: c.Bundles}); err != nil {
+		return nil, errors.Annotate(err, "register bundle service")
+	}
 	return s, nil
 }
 
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -2,6 +2,7 @@
 package settings
 
 import (
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
@@ -19,10 +20,15 @@
 	PeerAddress string
 	// PlatformAddress is where the platform listens.
 	PlatformAddress string
-	Limits          Limits
-	Timeouts        Timeouts
-	Trace           Trace
-	TLS             TLS
+	// GovernanceDigest pins the first governance section of the bundles. Without it, no
+	// bundle is taken.
+	GovernanceDigest bundle.Digest
+	// SeedPeers are peer addresses to ask for the bundle while the platform gives no roster.
+	SeedPeers Addresses
+	Limits    Limits
+	Timeouts  Timeouts
+	Trace     Trace
+	TLS       TLS
 }
 
 // TraceExporter names where spans go.
@@ -80,8 +86,6 @@
 	MaxDeadline clock.Millis
 	// CallerIdle bounds how long a caller's connection may stay unused.
 	CallerIdle clock.Millis
-	// EndpointIdle bounds how long a connection to an endpoint stays unused.
-	EndpointIdle clock.Millis
 	// Handshake bounds a TLS handshake between entry VMs.
 	Handshake clock.Millis
 }
@@ -119,9 +123,7 @@
 			// Ids are remembered for 15 min, so a later answer could not be fetched.
 			MaxDeadline: 15 * clock.Minute,
 			CallerIdle:  2 * clock.Minute,
-			// Common servers close idle connections after 5 s at the earliest.
-			EndpointIdle: 4 * clock.Second,
-			Handshake:    2 * clock.Second,
+			Handshake:   2 * clock.Second,
 		},
 	}
 }
--- a/pkg/trace/joined_test.go
+++ b/pkg/trace/joined_test.go
@@ -96,7 +96,7 @@
 	second.loop.Post(t.Context(), entry.OwnersChanged{Owners: []owner.Owner{testOwner}})
 	second.loop.Post(t.Context(), entry.RosterChanged{Roster: vm.NewRoster(vm.RosterConfig{Version: 1, Self: second.vm.Incarnation, VMs: []vm.VM{second.vm}})})
 	second.loop.Post(t.Context(), entry.EndpointsListed{Endpoints: []datacentre.Endpoint{{ID: "e1", DataCentre: "centro", Address: worker.Listener.Addr().String(), Slots: 2, Connections: 8}}})
-	first.router.SetRoster(vm.NewRoster(vm.RosterConfig{Version: 1, Self: first.vm.Incarnation, VMs: []vm.VM{first.vm, second.vm}}))
+	first.router.SetPeers(entry.Snapshot{Roster: vm.NewRoster(vm.RosterConfig{Version: 1, Self: first.vm.Incarnation, VMs: []vm.VM{first.vm, second.vm}})})
 	ids, err := second.router.Reserve(t.Context(), testOwner.ID, 1)
 	if err != nil {
 		t.Fatal(err)
