--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -118,6 +118,7 @@
 		Log:       d.deps.Log,
 		Limits: caller.Limits{
 			BodyBytes:   s.Limits.BodyBytes,
+			BodiesBytes: s.Limits.BodiesBytes,
 			AnswerBytes: s.Limits.AnswerBytes,
 			TasksPerJob: s.Limits.TasksPerJob,
 			IDs:         s.Limits.ReservedIDs,
@@ -149,6 +150,16 @@
 	return l.Addr().String()
 }
 
+// newPeerClient returns a client with connections of its own.
+func (d *Daemon) newPeerClient() *peer.Client {
+	return peer.NewClient(peer.ClientConfig{
+		Dialer:  &net.Dialer{Timeout: d.deps.Settings.Timeouts.Dial.Duration()},
+		TLS:     d.clientTLS(),
+		Tracer:  d.tracer,
+		Metrics: d.metrics,
+	})
+}
+
 // wireObservation makes what the other parts report to.
 func (d *Daemon) wireObservation() error {
 	if d.deps.Registry == nil {
@@ -171,15 +182,6 @@
 	}
 }
 
-func (d *Daemon) newPeerClient() *peer.Client {
-	return peer.NewClient(peer.ClientConfig{
-		Dialer:  &net.Dialer{Timeout: d.deps.Settings.Timeouts.Dial.Duration()},
-		TLS:     d.clientTLS(),
-		Tracer:  d.tracer,
-		Metrics: d.metrics,
-	})
-}
-
 func (d *Daemon) wireControl() {
 	s := d.deps.Settings
 	control := entry.NewControl(entry.ControlConfig{
--- a/pkg/app/demo_command.go
+++ b/pkg/app/demo_command.go
@@ -13,7 +13,9 @@
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/demo"
 	"github.com/sequoiacart/sequoiacart/pkg/event"
+	"github.com/sequoiacart/sequoiacart/pkg/peer"
 	"github.com/sequoiacart/sequoiacart/pkg/settings"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
 func newDemoCommand(stdout, stderr io.Writer) *ffcli.Command {
@@ -24,6 +26,7 @@
 	spanMs := flags.Int64("span-ms", 6000, "how long each workload is under load, in milliseconds")
 	kill := flags.Bool("kill", true, "kill one entry VM in the middle of the load")
 	verbose := flags.Bool("verbose", false, "show the log events of the entry VMs")
+	mutualTLS := flags.Bool("mutual-tls", false, "entry VMs prove themselves with certificates that are made in memory")
 	return &ffcli.Command{
 		Name:       "demo",
 		ShortUsage: "sequoiacart demo [flags]",
@@ -41,6 +44,10 @@
 			if *verbose {
 				logger.SetOutput(stderr)
 			}
+			identify, err := identities(*mutualTLS)
+			if err != nil {
+				return errors.Trace(err)
+			}
 			d := demo.New(demo.Deps{
 				Out:      stdout,
 				Progress: stderr,
@@ -48,7 +55,11 @@
 				Seed:     *seed,
 				Kill:     *kill,
 				NewVM: func(s settings.Settings) (demo.VM, error) {
-					return NewDaemon(DaemonDeps{Settings: s, Clock: clock.NewSystem(), Log: event.NewLog(logger)})
+					identity, err := identify(s.VM)
+					if err != nil {
+						return nil, errors.Trace(err)
+					}
+					return NewDaemon(DaemonDeps{Settings: s, Clock: clock.NewSystem(), Log: event.NewLog(logger), Identity: identity})
 				},
 			})
 			return d.Run(ctx, chosen)
@@ -56,6 +67,24 @@
 	}
 }
 
+// demoValidity is how long the demo's certificates hold; the demo ends well before.
+const demoValidity = clock.Hour
+
+// identities returns what gives each entry VM its identity; without mutual TLS, none.
+func identities(on bool) (func(vm.ID) (*peer.Identity, error), error) {
+	if !on {
+		return func(vm.ID) (*peer.Identity, error) { return nil, nil }, nil
+	}
+	authority, err := peer.NewAuthority(peer.AuthorityConfig{Name: "sequoiacart demo", ValidFor: demoValidity})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return func(name vm.ID) (*peer.Identity, error) {
+		identity, err := authority.Issue(name)
+		return &identity, err
+	}, nil
+}
+
 func chooseWorkloads(name string) ([]demo.Workload, error) {
 	all := demo.Workloads()
 	if name == "both" {
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -12,9 +12,11 @@
 	"github.com/labstack/echo/v4"
 	gometrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/net/netutil"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
 	"github.com/sequoiacart/sequoiacart/pkg/event"
 	"github.com/sequoiacart/sequoiacart/pkg/metrics"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
@@ -27,6 +29,7 @@
 	Submit(ctx context.Context, s contract.Submission, wait clock.Millis) contract.Answer
 	Ask(ctx context.Context, id contract.SubmissionID, o owner.ID, wait clock.Millis) contract.Answer
 	Cancel(ctx context.Context, id contract.SubmissionID, o owner.ID) contract.Answer
+	Usage(ctx context.Context) ([]dispatch.OwnerUsage, error)
 }
 
 // Authenticator finds the owner of a bearer token.
@@ -44,7 +47,9 @@
 
 // Limits bound what one caller can ask for.
 type Limits struct {
-	BodyBytes   int64
+	BodyBytes int64
+	// BodiesBytes bounds the bodies that are being read at the same time.
+	BodiesBytes int64
 	AnswerBytes int64
 	TasksPerJob int
 	// IDs bounds the ids of one call.
@@ -77,6 +82,8 @@
 type Server struct {
 	config Config
 	echo   *echo.Echo
+	// bodies is the budget of bytes for bodies that are being read.
+	bodies *semaphore.Weighted
 }
 
 // NewServer returns a server that does not yet accept connections.
@@ -84,7 +91,7 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.New(gometrics.NewRegistry())
 	}
-	s := &Server{config: c, echo: echo.New()}
+	s := &Server{config: c, echo: echo.New(), bodies: semaphore.NewWeighted(c.Limits.BodiesBytes)}
 	s.echo.HideBanner, s.echo.HidePort = true, true
 	s.echo.HTTPErrorHandler = writeRoutingError
 	if c.Listener != nil {
@@ -107,6 +114,7 @@
 	s.echo.PUT("/v1/requests/:id", s.submitRequest, s.count, s.authenticate)
 	s.echo.GET("/v1/jobs/:id", s.ask, s.count, s.authenticate)
 	s.echo.DELETE("/v1/jobs/:id", s.cancel, s.count, s.authenticate)
+	s.echo.GET("/v1/usage", s.usage, s.count, s.authenticate)
 }
 
 // Serve accepts connections until Shutdown.
--- a/pkg/caller/server_test.go
+++ b/pkg/caller/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +14,7 @@
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
 	"github.com/sequoiacart/sequoiacart/pkg/metrics"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
 )
@@ -21,10 +23,11 @@
 
 // fakeService answers everything alike and remembers what it was told.
 type fakeService struct {
-	answer    contract.Answer
-	calls     int
-	submitted contract.Submission
-	wait      clock.Millis
+	answer     contract.Answer
+	calls      int
+	submitted  contract.Submission
+	usageError error
+	wait       clock.Millis
 }
 
 func (f *fakeService) Reserve(_ context.Context, _ owner.ID, count int) ([]contract.SubmissionID, error) {
@@ -58,7 +61,40 @@
 func (f fakeVM) BundleInForce() bool { return !f.noBundle }
 func (f fakeVM) ShuttingDown() bool  { return f.leaving }
 
-var testLimits = Limits{BodyBytes: 2048, AnswerBytes: 16, TasksPerJob: 3, IDs: 5, Connections: 8, Wait: 500, Deadline: 10000, Idle: clock.Minute}
+var testLimits = Limits{BodyBytes: 2048, BodiesBytes: 4096, AnswerBytes: 16, TasksPerJob: 3, IDs: 5, Connections: 8, Wait: 500, Deadline: 10000, Idle: clock.Minute}
+
+func (f *fakeService) Usage(context.Context) ([]dispatch.OwnerUsage, error) {
+	return []dispatch.OwnerUsage{
+		{Owner: "pantallas", SlotTime: 10, Charged: 12, Backlog: 1, Started: 2, Refused: 3, Waited: 4, LongestWait: 5},
+		{Owner: "other"},
+	}, f.usageError
+}
+
+// Guards against figures that an owner sees only of itself, and against figures for
+// strangers.
+func TestUsageIsOpenToAllOwners(t *testing.T) {
+	const want = `{"owners":[{"owner":"pantallas","slotMs":10,"backlogTasks":1,"startedTasks":2,"refusedJobs":3,"waitedMs":4,"longestWaitMs":5},` +
+		`{"owner":"other","slotMs":0,"backlogTasks":0,"startedTasks":0,"refusedJobs":0,"waitedMs":0,"longestWaitMs":0}]}`
+	got := serve(fakeVM{}, &fakeService{}, call{"GET", "/v1/usage", "right", ""})
+	if body := strings.TrimSpace(got.Body.String()); got.Code != http.StatusOK || body != want {
+		t.Errorf("got %d with %s, want 200 with %s", got.Code, body, want)
+	}
+	for name, c := range map[string]struct {
+		vm    fakeVM
+		token string
+		err   error
+		want  int
+	}{
+		"stranger":   {fakeVM{}, "wrong", nil, 401},
+		"no bundle":  {fakeVM{noBundle: true}, "right", nil, 503},
+		"overloaded": {fakeVM{}, "right", errors.New("mailbox is full"), 503},
+	} {
+		got := serve(c.vm, &fakeService{usageError: c.err}, call{"GET", "/v1/usage", c.token, ""})
+		if got.Code != c.want || strings.Contains(got.Body.String(), `"owners"`) {
+			t.Errorf("%s: got %d with %s, want %d without figures", name, got.Code, got.Body, c.want)
+		}
+	}
+}
 
 type call struct {
 	method, path, token, body string
@@ -189,7 +225,7 @@
 // Guards against results and payloads that change on their way through JSON.
 func TestBytesArriveUnchanged(t *testing.T) {
 	cases := map[string]struct{ result, want string }{
-		"text":   {"é<&>", `{"state":"complete","encoding":"text","results":["é<&>"]}`},
+		"text":   {"é<&>", `{"state":"complete","encoding":"text","results":["é\u003c\u0026\u003e"]}`},
 		"empty":  {"", `{"state":"complete","encoding":"text","results":[""]}`},
 		"binary": {"\xff\x00", `{"state":"complete","encoding":"base64","results":["/wA="]}`},
 	}
@@ -197,23 +233,8 @@
 		t.Run(name, func(t *testing.T) {
 			f := &fakeService{answer: contract.Complete{Results: [][]byte{[]byte(c.result)}}}
 			got := serve(fakeVM{}, f, call{"PUT", "/v1/requests/" + testID.String() + "?waitMs=900", "right", `{"kind":"k","class":"c","deadlineMs":7,"payload":"` + "é" + `","repeatable":true}`})
-			var compact strings.Builder
-			decoded := json.NewDecoder(got.Body)
-			var raw any
-			if err := decoded.Decode(&raw); err != nil {
-				t.Fatal(err)
-			}
-			encoder := json.NewEncoder(&compact)
-			encoder.SetEscapeHTML(false)
-			_ = encoder.Encode(raw)
-			var want any
-			_ = json.Unmarshal([]byte(c.want), &want)
-			var wantText strings.Builder
-			encoder = json.NewEncoder(&wantText)
-			encoder.SetEscapeHTML(false)
-			_ = encoder.Encode(want)
-			if compact.String() != wantText.String() {
-				t.Errorf("got %s, want %s", compact.String(), wantText.String())
+			if body := strings.TrimSpace(got.Body.String()); body != c.want {
+				t.Errorf("got %s, want %s", body, c.want)
 			}
 			s := f.submitted
 			if s.Owner != "pantallas" || s.ID != testID || s.Kind != "k" || s.Class != "c" || s.Deadline != 7 || !s.Repeatable || string(s.Tasks[0].Payload) != "é" || f.wait != testLimits.Wait {
