Announce heads with their bytes and check candidates apart

Cause: under a slow platform, a VM waited for reports, the head row, the head and its sections in turn, and announcements waited behind polls. Change: an announcement carries the head's bytes; roll reads the VMs before its compare-and-set; candidates are checked and reported on a goroutine of their own, and keep their sections until their version is past. The benchmark now rolls when all VMs have reported the candidate ready.

--- a/pkg/app/bundle_bench_test.go
+++ b/pkg/app/bundle_bench_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"net"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/bundlestore"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/operator"
@@ -89,17 +91,24 @@
 		if _, err := o.Sign(ctx, signOff); err != nil {
 			b.Fatal(err)
 		}
+		waitForCandidate(daemons, row.ID)
+		reports, err := store.Reports(ctx)
+		if err != nil {
+			b.Fatal(err)
+		}
 		rolled, err := o.Roll(ctx, row.ID)
 		if err != nil {
 			b.Fatal(err)
 		}
+		news, err := o.Announcement(ctx, rolled.Head)
+		if err != nil {
+			b.Fatal(err)
+		}
 		setSlow(slow)
 		b.StartTimer()
 		began := time.Now()
 		if pushed {
-			if _, _, err := fleet.Announce(ctx, rolled.Head); err != nil {
-				b.Fatal(err)
-			}
+			fleet.Announce(ctx, reports, news)
 		}
 		waitForShare(daemons, share)
 		slowest = max(slowest, time.Since(began))
@@ -108,6 +117,15 @@
 	b.ReportMetric(float64(slowest.Milliseconds()), "slowest-ms")
 }
 
+func waitForCandidate(daemons []*Daemon, id bundle.Digest) {
+	ready := func(p bundle.Readiness) bool { return p.Candidate == id && p.Ready }
+	for _, d := range daemons {
+		for !slices.ContainsFunc(d.replica.BundleStatusHere().Prepared, ready) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
 func waitForShare(daemons []*Daemon, s owner.Share) {
 	for _, d := range daemons {
 		for d.bundle.Load() == nil || d.bundle.Load().Owners[0].Share != s {
--- a/pkg/app/bundle_roll_commands.go
+++ b/pkg/app/bundle_roll_commands.go
@@ -88,13 +88,20 @@
 			}
 			d := f.open()
 			defer d.close()
+			// Read before the roll, so that a slow platform does not hold up the news.
+			reports, err := d.fleet.Store.Reports(ctx)
+			if err != nil {
+				return errors.Trace(err)
+			}
 			row, err := d.operator.Roll(ctx, id)
 			if err != nil {
 				return errors.Trace(err)
 			}
+			w := wireRoll{Version: uint64(row.Head.Version), Head: string(row.Head.Digest), Operator: string(row.Operator), VMs: len(reports)}
 			// The bundle is accepted; VMs that are not told find it by their polls.
-			told, all, _ := d.fleet.Announce(ctx, row.Head)
-			w := wireRoll{Version: uint64(row.Head.Version), Head: string(row.Head.Digest), Operator: string(row.Operator), Told: told, VMs: all}
-			return f.print(stdout, w, "version %d is accepted, rolled by %s; %d of %d VMs told\nhead %s\n", w.Version, w.Operator, told, all, w.Head)
+			if news, err := d.operator.Announcement(ctx, row.Head); err == nil {
+				w.Told = d.fleet.Announce(ctx, reports, news)
+			}
+			return f.print(stdout, w, "version %d is accepted, rolled by %s; %d of %d VMs told\nhead %s\n", w.Version, w.Operator, w.Told, w.VMs, w.Head)
 		})
 }
--- a/pkg/operator/fleet.go
+++ b/pkg/operator/fleet.go
@@ -15,7 +15,7 @@
 
 // Peers calls entry VMs about bundles.
 type Peers interface {
-	Announce(ctx context.Context, to, from vm.VM, r bundle.Ref) error
+	Announce(ctx context.Context, to vm.VM, a bundle.Announcement) error
 	BundleStatus(ctx context.Context, of vm.VM) (bundle.Status, error)
 }
 
@@ -73,23 +73,19 @@
 	return s, nil
 }
 
-// Announce tells all VMs of a head that was rolled. It returns the number of VMs told;
-// the others find the head by their polls.
-func (f *Fleet) Announce(ctx context.Context, r bundle.Ref) (told, all int, err error) {
-	reports, err := f.Store.Reports(ctx)
-	if err != nil {
-		return 0, 0, errors.Trace(err)
-	}
+// Announce tells VMs of a head that was rolled. It returns the number of VMs told; the
+// others find the head by their polls.
+func (f *Fleet) Announce(ctx context.Context, reports []bundlestore.Report, a bundle.Announcement) (told int) {
 	heard := make([]bool, len(reports))
 	f.each(ctx, reports, func(ctx context.Context, i int, to bundlestore.Report) {
-		heard[i] = f.Peers.Announce(ctx, to.VM, vm.VM{}, r) == nil
+		heard[i] = f.Peers.Announce(ctx, to.VM, a) == nil
 	})
 	for _, h := range heard {
 		if h {
 			told++
 		}
 	}
-	return told, len(reports), nil
+	return told
 }
 
 func (f *Fleet) each(ctx context.Context, reports []bundlestore.Report, call func(context.Context, int, bundlestore.Report)) {
--- a/pkg/operator/roll.go
+++ b/pkg/operator/roll.go
@@ -50,6 +50,12 @@
 	return written, nil
 }
 
+// Announcement returns the news of a head that was rolled.
+func (o *Operator) Announcement(ctx context.Context, r bundle.Ref) (bundle.Announcement, error) {
+	body, err := o.deps.Store.Object(ctx, r.Digest)
+	return bundle.Announcement{Ref: r, Body: body}, errors.Trace(err)
+}
+
 // rolledBefore settles a candidate whose row is gone: it was rolled, or cleared because
 // another one was rolled under its version.
 func (o *Operator) rolledBefore(ctx context.Context, id bundle.Digest) (bundlestore.HeadRow, error) {
--- a/pkg/peer/bundle_service.go
+++ b/pkg/peer/bundle_service.go
@@ -12,7 +12,7 @@
 // BundleHandler serves the calls of peers about bundles.
 type BundleHandler interface {
 	// AnnounceHere hears that a head has come into force elsewhere. It does not wait.
-	AnnounceHere(from vm.VM, r bundle.Ref)
+	AnnounceHere(a bundle.Announcement)
 	// FetchHere returns what is at hand of the heads and sections asked for.
 	FetchHere(digests []bundle.Digest) bundle.Sections
 	BundleStatusHere() bundle.Status
@@ -25,6 +25,7 @@
 	PeerAddress string
 	Version     uint64
 	Head        string
+	Body        []byte
 }
 
 // FetchRequest asks for heads and sections by digest.
@@ -65,7 +66,14 @@
 	if !r.Digest.Valid() {
 		return errors.NotValidf("announce bundle: head %q: digest", request.Head)
 	}
-	b.handler.AnnounceHere(vm.VM{Incarnation: vm.Incarnation(request.Incarnation), PeerAddress: request.PeerAddress}, r)
+	if request.Body != nil && bundle.DigestOf(request.Body) != r.Digest {
+		return errors.NotValidf("announce bundle: body of head %s: digest", r.Digest)
+	}
+	b.handler.AnnounceHere(bundle.Announcement{
+		From: vm.VM{Incarnation: vm.Incarnation(request.Incarnation), PeerAddress: request.PeerAddress},
+		Ref:  r,
+		Body: request.Body,
+	})
 	return nil
 }
 
@@ -96,8 +104,14 @@
 }
 
 // Announce tells a VM of a head that came into force at another, or at the platform.
-func (c *Client) Announce(ctx context.Context, to, from vm.VM, r bundle.Ref) error {
-	request := AnnounceRequest{Incarnation: string(from.Incarnation), PeerAddress: from.PeerAddress, Version: uint64(r.Version), Head: string(r.Digest)}
+func (c *Client) Announce(ctx context.Context, to vm.VM, a bundle.Announcement) error {
+	request := AnnounceRequest{
+		Incarnation: string(a.From.Incarnation),
+		PeerAddress: a.From.PeerAddress,
+		Version:     uint64(a.Ref.Version),
+		Head:        string(a.Ref.Digest),
+		Body:        a.Body,
+	}
 	return c.call(ctx, to, "Bundle.Announce", request, &Empty{})
 }
 
--- a/pkg/peer/bundle_service_test.go
+++ b/pkg/peer/bundle_service_test.go
@@ -14,14 +14,10 @@
 type fakeBundles struct {
 	sections bundle.Sections
 	status   bundle.Status
-	heard    chan bundle.Ref
-	from     chan vm.VM
+	heard    chan bundle.Announcement
 }
 
-func (f *fakeBundles) AnnounceHere(from vm.VM, r bundle.Ref) {
-	f.heard <- r
-	f.from <- from
-}
+func (f *fakeBundles) AnnounceHere(a bundle.Announcement)        { f.heard <- a }
 func (f *fakeBundles) FetchHere([]bundle.Digest) bundle.Sections { return f.sections }
 func (f *fakeBundles) BundleStatusHere() bundle.Status           { return f.status }
 
@@ -38,7 +34,7 @@
 		status: bundle.Status{InForce: bundle.Ref{Version: 7, Digest: good}, Prepared: []bundle.Readiness{
 			{Candidate: bad, Version: 8, Reason: "why"}, {Candidate: good, Version: 8, Ready: true},
 		}},
-		heard: make(chan bundle.Ref, 1), from: make(chan vm.VM, 1),
+		heard: make(chan bundle.Announcement, 1),
 	}
 	server, err := NewServer(ServerConfig{Listener: listener, Bundles: f})
 	if err != nil {
@@ -52,14 +48,14 @@
 	to := vm.VM{Incarnation: "b-1", PeerAddress: listener.Addr().String()}
 	from := vm.VM{Incarnation: "a-1", PeerAddress: "a:1"}
 
-	if err := client.Announce(ctx, to, from, f.status.InForce); err != nil {
+	if err := client.Announce(ctx, to, bundle.Announcement{From: from, Ref: f.status.InForce, Body: []byte("good")}); err != nil {
 		t.Fatal(err)
 	}
-	if got, want := <-f.heard, f.status.InForce; got != want {
-		t.Errorf("announce: got %v, want %v", got, want)
+	if got := <-f.heard; got.Ref != f.status.InForce || string(got.Body) != "good" || got.From.Incarnation != from.Incarnation || got.From.PeerAddress != from.PeerAddress {
+		t.Errorf("announce: got %v, want %v from %v", got, f.status.InForce, from)
 	}
-	if got := <-f.from; got.Incarnation != from.Incarnation || got.PeerAddress != from.PeerAddress {
-		t.Errorf("announce: got from %v, want %v", got, from)
+	if err := client.Announce(ctx, to, bundle.Announcement{From: from, Ref: f.status.InForce, Body: []byte("other")}); err == nil {
+		t.Error("announce with the bytes of another head: got no error, want one")
 	}
 	got, err := client.FetchBundle(ctx, to, []bundle.Digest{good, bad})
 	if err != nil || len(got) != 1 || string(got[good]) != "good" {
@@ -69,7 +65,7 @@
 	if err != nil || status.InForce != f.status.InForce || len(status.Prepared) != 2 || status.Prepared[0] != f.status.Prepared[0] || status.Prepared[1] != f.status.Prepared[1] {
 		t.Errorf("status: got %v, %v, want %v", status, err, f.status)
 	}
-	if err := client.Announce(ctx, to, from, bundle.Ref{Version: 9, Digest: "no digest"}); err == nil || !strings.Contains(err.Error(), "peer b-1") {
+	if err := client.Announce(ctx, to, bundle.Announcement{From: from, Ref: bundle.Ref{Version: 9, Digest: "no digest"}}); err == nil || !strings.Contains(err.Error(), "peer b-1") {
 		t.Errorf("bad digest: got %v, want an error that names the peer", err)
 	}
 	many := FetchRequest{Digests: make([]string, MaxFetch+1)}
--- a/pkg/replica/fetch.go
+++ b/pkg/replica/fetch.go
@@ -12,12 +12,20 @@
 
 // fetchHead returns a head and all its sections: what is at hand, and the rest from the
 // peer that named the head, the platform or other peers.
-func (r *Replica) fetchHead(ctx context.Context, ref bundle.Ref, from *vm.VM) (bundle.Head, bundle.Sections, error) {
-	got, err := r.fetch(ctx, []bundle.Digest{ref.Digest}, from)
-	if err != nil {
-		return bundle.Head{}, nil, errors.Annotate(err, "fetch head")
+func (r *Replica) fetchHead(ctx context.Context, a bundle.Announcement) (bundle.Head, bundle.Sections, error) {
+	var from *vm.VM
+	if a.FromPeer() {
+		from = &a.From
+	}
+	body := a.Body
+	if body == nil {
+		got, err := r.fetch(ctx, []bundle.Digest{a.Ref.Digest}, from)
+		if err != nil {
+			return bundle.Head{}, nil, errors.Annotate(err, "fetch head")
+		}
+		body = got[a.Ref.Digest]
 	}
-	head, err := bundle.DecodeHead(got[ref.Digest])
+	head, err := bundle.DecodeHead(body)
 	if err != nil {
 		return bundle.Head{}, nil, errors.Trace(err)
 	}
--- a/pkg/replica/fixture_test.go
+++ b/pkg/replica/fixture_test.go
@@ -64,10 +64,10 @@
 }
 
 // Announce implements Peers.
-func (n *node) Announce(_ context.Context, to, from vm.VM, r bundle.Ref) error {
+func (n *node) Announce(_ context.Context, to vm.VM, a bundle.Announcement) error {
 	other, err := n.reach(to)
 	if err == nil {
-		other.AnnounceHere(from, r)
+		other.AnnounceHere(a)
 	}
 	return err
 }
@@ -121,7 +121,8 @@
 }
 
 func (n *node) poll() {
-	n.replica.Poll(context.Background())
+	n.replica.follow(context.Background())
+	n.replica.survey(context.Background())
 	n.replica.announces.Wait()
 }
 
--- a/pkg/replica/handler.go
+++ b/pkg/replica/handler.go
@@ -5,14 +5,13 @@
 	"slices"
 
 	"github.com/sequoiacart/sequoiacart/pkg/bundle"
-	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
 // AnnounceHere takes the news of a head for the replica's goroutine. When too many wait,
 // it is dropped and the next poll finds the head.
-func (r *Replica) AnnounceHere(from vm.VM, ref bundle.Ref) {
+func (r *Replica) AnnounceHere(a bundle.Announcement) {
 	select {
-	case r.announced <- announcement{from: from, ref: ref}:
+	case r.announced <- a:
 	default:
 	}
 }
@@ -23,28 +22,36 @@
 	defer r.mu.Unlock()
 	found := make(bundle.Sections)
 	for _, d := range digests {
-		if body, ok := r.cache[d]; ok {
+		if body, ok := r.atHand(d); ok {
 			found[d] = body
 		}
 	}
 	return found
 }
 
+// atHand looks a digest up in the bundle in force and in the candidates.
+func (r *Replica) atHand(d bundle.Digest) ([]byte, bool) {
+	if body, ok := r.held[d]; ok {
+		return body, true
+	}
+	for _, p := range r.prepared {
+		if body, ok := p.sections[d]; ok {
+			return body, true
+		}
+	}
+	return nil, false
+}
+
 // BundleStatusHere returns the version in force and the candidates that were checked.
 func (r *Replica) BundleStatusHere() bundle.Status {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.status
-}
-
-// publishStatus replaces the status that peers and operators read.
-func (r *Replica) publishStatus() {
-	s := bundle.Status{InForce: r.inForce}
+	s := bundle.Status{InForce: r.current}
 	for _, p := range r.prepared {
-		s.Prepared = append(s.Prepared, p)
+		if p.readiness.Version > r.current.Version {
+			s.Prepared = append(s.Prepared, p.readiness)
+		}
 	}
 	slices.SortFunc(s.Prepared, func(a, b bundle.Readiness) int { return cmp.Compare(a.Candidate, b.Candidate) })
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.status = s
+	return s
 }
--- a/pkg/replica/prepare.go
+++ b/pkg/replica/prepare.go
@@ -8,64 +8,94 @@
 
 	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/bundlestore"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/platform"
 )
 
-// prepare fetches and checks the candidates that are new, so that a roll finds every
-// section at hand. Candidates that are gone are forgotten.
+// preparedCandidate is what this VM found of a candidate, and the sections it keeps so
+// that a roll finds them at hand.
+type preparedCandidate struct {
+	readiness bundle.Readiness
+	sections  bundle.Sections
+}
+
+// maxPrepared bounds the candidates that a VM keeps, since each may bring sections.
+const maxPrepared = 32
+
+// survey checks the candidates that are new and reports. While the platform does not
+// answer it leaves both to the next time; following the head logs the outage.
+func (r *Replica) survey(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, surveyLimit(r.deps).Duration())
+	defer cancel()
+	if err := r.prepare(ctx); err != nil {
+		return
+	}
+	_ = r.report(ctx)
+}
+
+// surveyLimit leaves time for a list, a candidate and a report at a slow platform.
+func surveyLimit(d Deps) clock.Millis {
+	return 5 * d.PlatformTimeout
+}
+
+// prepare fetches and checks the candidates that are new, and forgets those whose
+// version is past.
 func (r *Replica) prepare(ctx context.Context) error {
 	rows, err := r.deps.Store.Candidates(ctx)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	present := make(map[bundle.Digest]bool)
+	r.forgetCandidates()
 	for _, row := range rows {
-		if row.Head.Version <= r.inForce.Version {
+		if !r.isNew(row) {
 			continue
 		}
-		present[row.ID] = true
-		if _, done := r.prepared[row.ID]; done || len(r.prepared) >= maxPrepared {
-			continue
-		}
-		readiness, err := r.check(ctx, row)
+		found, err := r.check(ctx, row)
 		if err != nil {
 			return errors.Trace(err)
 		}
-		r.prepared[row.ID] = readiness
+		r.mu.Lock()
+		r.prepared[row.ID] = found
+		r.mu.Unlock()
 	}
-	for id := range r.prepared {
-		if !present[id] {
+	return nil
+}
+
+func (r *Replica) isNew(row bundlestore.CandidateRow) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, done := r.prepared[row.ID]
+	return !done && row.Head.Version > r.current.Version && len(r.prepared) < maxPrepared
+}
+
+// forgetCandidates drops what can no longer come into force. A row that is gone is no
+// reason: a roll clears it before every VM has followed.
+func (r *Replica) forgetCandidates() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, p := range r.prepared {
+		if p.readiness.Version <= r.current.Version {
 			delete(r.prepared, id)
 		}
 	}
-	r.publishStatus()
-	return nil
 }
 
-// maxPrepared bounds the candidates that a VM keeps, since each may bring sections.
-const maxPrepared = 32
-
-// check fails only while the platform does not answer; then the next poll checks again.
-func (r *Replica) check(ctx context.Context, row bundlestore.CandidateRow) (bundle.Readiness, error) {
-	readiness := bundle.Readiness{Candidate: row.ID, Version: row.Head.Version}
-	head, sections, err := r.fetchHead(ctx, bundle.Ref{Version: row.Head.Version, Digest: row.ID}, nil)
+// check fails only while the platform does not answer; then the next survey checks again.
+func (r *Replica) check(ctx context.Context, row bundlestore.CandidateRow) (preparedCandidate, error) {
+	found := preparedCandidate{readiness: bundle.Readiness{Candidate: row.ID, Version: row.Head.Version}}
+	head, sections, err := r.fetchHead(ctx, bundle.Announcement{Ref: bundle.Ref{Version: row.Head.Version, Digest: row.ID}})
 	if errors.Is(err, platform.ErrUnavailable) {
-		return readiness, errors.Trace(err)
+		return found, errors.Trace(err)
 	}
 	if err == nil {
 		_, err = bundle.Assemble(head, sections)
 	}
 	if err != nil {
-		readiness.Reason = err.Error()
-		return readiness, nil
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for d, body := range sections {
-		r.cache[d] = body
+		found.readiness.Reason = err.Error()
+		return found, nil
 	}
-	readiness.Ready = true
-	return readiness, nil
+	found.readiness.Ready, found.sections = true, sections
+	return found, nil
 }
 
 // report writes this VM's row when it has something new to say.
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -22,7 +22,7 @@
 
 // Peers calls other entry VMs about bundles.
 type Peers interface {
-	Announce(ctx context.Context, to, from vm.VM, r bundle.Ref) error
+	Announce(ctx context.Context, to vm.VM, a bundle.Announcement) error
 	FetchBundle(ctx context.Context, to vm.VM, digests []bundle.Digest) (bundle.Sections, error)
 	BundleStatus(ctx context.Context, of vm.VM) (bundle.Status, error)
 }
@@ -55,26 +55,26 @@
 	Random          *rand.Rand
 }
 
-// Replica is a VM's copy of the bundle. One goroutine runs it; peers read its cache.
+// Replica is a VM's copy of the bundle. One goroutine follows the head, another checks
+// candidates and reports; peers read what is at hand.
 type Replica struct {
 	deps      Deps
-	announced chan announcement
-	// inForce, candidates and what follows belong to the goroutine that runs the replica.
-	inForce   bundle.Ref
-	prepared  map[bundle.Digest]bundle.Readiness
-	rejected  map[bundle.Digest]bool
-	outage    bool
-	reported  *bundle.Status
+	announced chan bundle.Announcement
 	announces sync.WaitGroup
+	// inForce, rejected and outage belong to the goroutine that follows the head.
+	inForce  bundle.Ref
+	rejected map[bundle.Digest]bool
+	outage   bool
+	// reported belongs to the goroutine that checks candidates.
+	reported *bundle.Status
 
-	mu     sync.Mutex
-	cache  bundle.Sections
-	status bundle.Status
-}
-
-type announcement struct {
-	from vm.VM
-	ref  bundle.Ref
+	mu sync.Mutex
+	// held is the head in force and its sections.
+	held bundle.Sections
+	// prepared is what was found of each candidate.
+	prepared map[bundle.Digest]preparedCandidate
+	current  bundle.Ref
+	random   *rand.Rand
 }
 
 const (
@@ -95,17 +95,21 @@
 func New(d Deps) *Replica {
 	return &Replica{
 		deps:      d,
-		announced: make(chan announcement, pendingAnnouncements),
-		prepared:  make(map[bundle.Digest]bundle.Readiness),
+		announced: make(chan bundle.Announcement, pendingAnnouncements),
 		rejected:  make(map[bundle.Digest]bool),
-		cache:     make(bundle.Sections),
+		held:      make(bundle.Sections),
+		prepared:  make(map[bundle.Digest]preparedCandidate),
+		random:    d.Random,
 	}
 }
 
-// Run polls and heeds announcements until the context ends.
+// Run follows the head, checks candidates and reports until the context ends.
 func (r *Replica) Run(ctx context.Context) error {
 	defer r.announces.Wait()
-	r.Poll(ctx)
+	var survey sync.WaitGroup
+	defer survey.Wait()
+	survey.Go(func() { r.surveyAtIntervals(ctx) })
+	r.follow(ctx)
 	next := r.deps.Clock.After(r.jitter())
 	for {
 		select {
@@ -114,41 +118,46 @@
 		case a := <-r.announced:
 			r.heed(ctx, a)
 		case <-next:
-			r.Poll(ctx)
+			r.follow(ctx)
 			next = r.deps.Clock.After(r.jitter())
 		}
 	}
 }
 
+// surveyAtIntervals is apart from following the head, so that a slow platform that holds
+// up checks and reports holds up no announcement.
+func (r *Replica) surveyAtIntervals(ctx context.Context) {
+	for {
+		r.survey(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.deps.Clock.After(r.jitter()):
+		}
+	}
+}
+
 // jitter spreads the polls of VMs that started together over half to one and a half times
 // the mean span.
 func (r *Replica) jitter() clock.Millis {
-	return r.deps.Every/2 + clock.Millis(r.deps.Random.Int64N(int64(r.deps.Every)+1))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.deps.Every/2 + clock.Millis(r.random.Int64N(int64(r.deps.Every)+1))
 }
 
-// Poll looks for a new head at the platform, or at peers while the platform is out of
-// reach, checks the prepared candidates and reports.
-func (r *Replica) Poll(ctx context.Context) {
+// follow looks for a new head at the platform, or at peers while the platform is out of
+// reach.
+func (r *Replica) follow(ctx context.Context) {
 	row, err := r.headRow(ctx, r.deps.PlatformTimeout)
 	switch {
 	case err == nil:
 		r.platformAnswers()
-		r.adopt(ctx, row.Head, nil)
+		r.adopt(ctx, bundle.Announcement{Ref: row.Head})
 	case errors.Is(err, platform.ErrAbsent):
 		r.platformAnswers()
 	default:
 		r.platformFails(err)
 		r.askPeers(ctx)
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, (2 * r.deps.PlatformTimeout).Duration())
-	defer cancel()
-	if err := r.prepare(ctx); err != nil {
-		r.platformFails(err)
-		return
-	}
-	if err := r.report(ctx); err != nil {
-		r.platformFails(err)
 	}
 }
 
@@ -161,30 +170,25 @@
 
 // heed follows an announcement. The head row says whether the head was accepted; while it
 // cannot be read, a peer that has the head in force is believed, and an operator is not.
-func (r *Replica) heed(ctx context.Context, a announcement) {
-	if a.ref.Version <= r.inForce.Version {
+func (r *Replica) heed(ctx context.Context, a bundle.Announcement) {
+	if a.Ref.Version <= r.inForce.Version {
 		return
 	}
 	limit := r.deps.PeerTimeout
-	if source(a.from) == nil {
+	if !a.FromPeer() {
 		// Nobody else can confirm it, so a slow platform is waited for.
 		limit = r.deps.PlatformTimeout
 	}
 	row, err := r.headRow(ctx, limit)
 	switch {
+	case err == nil && row.Head == a.Ref:
+		r.adopt(ctx, a)
 	case err == nil:
-		r.adopt(ctx, row.Head, source(a.from))
+		r.adopt(ctx, bundle.Announcement{From: a.From, Ref: row.Head})
 	case errors.Is(err, platform.ErrAbsent):
-	case source(a.from) != nil:
-		r.adopt(ctx, a.ref, source(a.from))
-	}
-}
-
-func source(v vm.VM) *vm.VM {
-	if v.PeerAddress == "" {
-		return nil
+	case a.FromPeer():
+		r.adopt(ctx, a)
 	}
-	return &v
 }
 
 // askPeers looks for a newer head at a few peers. A VM without a bundle asks more of them
@@ -194,17 +198,17 @@
 	if r.inForce.Version == 0 {
 		count = firstSources
 	}
-	var heads []announcement
+	var heads []bundle.Announcement
 	for _, p := range r.somePeers(count) {
 		s, err := r.statusOf(ctx, p)
 		if err == nil && s.InForce.Version > r.inForce.Version {
-			heads = append(heads, announcement{from: p, ref: s.InForce})
+			heads = append(heads, bundle.Announcement{From: p, Ref: s.InForce})
 		}
 	}
-	slices.SortFunc(heads, func(a, b announcement) int { return cmp.Compare(b.ref.Version, a.ref.Version) })
+	slices.SortFunc(heads, func(a, b bundle.Announcement) int { return cmp.Compare(b.Ref.Version, a.Ref.Version) })
 	for _, a := range heads {
-		if a.ref.Version > r.inForce.Version {
-			r.adopt(ctx, a.ref, source(a.from))
+		if a.Ref.Version > r.inForce.Version {
+			r.adopt(ctx, a)
 		}
 	}
 }
@@ -218,12 +222,15 @@
 // somePeers returns up to count peers in random order.
 func (r *Replica) somePeers(count int) []vm.VM {
 	known := append([]vm.VM(nil), r.deps.Known()...)
-	r.deps.Random.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.random.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
 	return known[:min(count, len(known))]
 }
 
 // adopt fetches and verifies a head and offers it to control.
-func (r *Replica) adopt(ctx context.Context, ref bundle.Ref, from *vm.VM) {
+func (r *Replica) adopt(ctx context.Context, a bundle.Announcement) {
+	ref := a.Ref
 	if ref == r.inForce || r.rejected[ref.Digest] {
 		return
 	}
@@ -231,7 +238,7 @@
 		r.reject(ref, bundle.Rejected{Version: ref.Version, Cause: bundle.OldVersion, Reason: "version " + r.inForce.Version.String() + " is in force"})
 		return
 	}
-	head, sections, err := r.fetchHead(ctx, ref, from)
+	head, sections, err := r.fetchHead(ctx, a)
 	if err != nil {
 		r.deps.Log.Warn(event.BundleIncomplete, "bundle cannot be fetched yet", logrus.Fields{"version": ref.Version, "head": ref.Digest, "error": err})
 		return
@@ -272,21 +279,14 @@
 	if latest := bundle.MonthOf(r.deps.Clock.Now() + clockSlack); c.Head.SignOff.Month > latest {
 		r.deps.Log.Warn(event.BundleAheadOfClock, "bundle is signed for a month ahead of this VM's clock", logrus.Fields{"month": c.Head.SignOff.Month})
 	}
-	for id, p := range r.prepared {
-		if p.Version <= c.Head.Version {
-			delete(r.prepared, id)
-		}
-	}
-	r.mu.Lock()
-	kept := make(bundle.Sections, len(sections)+1)
+	held := bundle.Sections{c.Digest: bundle.EncodeHead(c.Head)}
 	for _, d := range c.Head.Sections() {
-		kept[d] = sections[d]
+		held[d] = sections[d]
 	}
-	kept[c.Digest] = bundle.EncodeHead(c.Head)
-	r.cache = kept
+	r.mu.Lock()
+	r.held, r.current = held, r.inForce
 	r.mu.Unlock()
-	r.publishStatus()
-	r.announce(ctx)
+	r.announce(ctx, held[c.Digest])
 }
 
 // clockSlack is how far the clock may be behind before a warning.
@@ -294,14 +294,14 @@
 
 // announce tells peers of the head in force, each on a goroutine of its own, so that a
 // peer that hangs holds up nobody.
-func (r *Replica) announce(ctx context.Context) {
-	ref := r.inForce
+func (r *Replica) announce(ctx context.Context, head []byte) {
+	news := bundle.Announcement{From: r.deps.Self, Ref: r.inForce, Body: head}
 	for _, p := range r.somePeers(fanOut) {
 		r.announces.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, r.deps.PeerTimeout.Duration())
 			defer cancel()
 			// A peer that misses it polls, so a failure needs no answer.
-			_ = r.deps.Peers.Announce(ctx, p, r.deps.Self, ref)
+			_ = r.deps.Peers.Announce(ctx, p, news)
 		})
 	}
 }
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -14,7 +14,6 @@
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
 	"github.com/sequoiacart/sequoiacart/pkg/platform"
 	"github.com/sequoiacart/sequoiacart/pkg/standin"
-	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
 // Guards against a bundle that is lost, lowered, or in force before it was accepted, while
@@ -56,13 +55,13 @@
 		{"restarted next to an old peer, platform up", func(t *testing.T, w *world, n *node) {
 			w.publish(t, 9)
 			n.start(w.clock)
-			n.replica.AnnounceHere(w.nodes[1].self, w.nodes[1].replica.inForce)
+			n.replica.AnnounceHere(bundle.Announcement{From: w.nodes[1].self, Ref: w.nodes[1].replica.inForce})
 			n.heedAll()
 		}, 3, event.BundleInForce, 1},
 		{"old peer pushes an old version", func(t *testing.T, w *world, n *node) {
 			w.publish(t, 9)
 			n.poll()
-			n.replica.AnnounceHere(w.nodes[1].self, w.nodes[1].replica.inForce)
+			n.replica.AnnounceHere(bundle.Announcement{From: w.nodes[1].self, Ref: w.nodes[1].replica.inForce})
 			n.heedAll()
 		}, 3, event.BundleRejected, 0},
 		{"old peer pushes an old version in an outage", func(t *testing.T, w *world, n *node) {
@@ -71,7 +70,7 @@
 			n.poll()
 			w.platformDown(true)
 			w.nodes[1].cut = false
-			n.replica.AnnounceHere(w.nodes[1].self, w.nodes[1].replica.inForce)
+			n.replica.AnnounceHere(bundle.Announcement{From: w.nodes[1].self, Ref: w.nodes[1].replica.inForce})
 			n.heedAll()
 			n.poll()
 		}, 3, event.BundleRejected, 0},
@@ -82,18 +81,18 @@
 			n.heedAll()
 		}, 3, event.BundleInForce, 2},
 		{"signed but not rolled, announced by an operator", func(t *testing.T, w *world, n *node) {
-			n.replica.AnnounceHere(vm.VM{}, w.prepare(t, 9, true).Head)
+			n.replica.AnnounceHere(bundle.Announcement{Ref: w.prepare(t, 9, true).Head})
 			n.heedAll()
 		}, 2, event.BundleRejected, 0},
 		{"signed but not rolled, announced by a peer", func(t *testing.T, w *world, n *node) {
-			n.replica.AnnounceHere(w.nodes[1].self, w.prepare(t, 9, true).Head)
+			n.replica.AnnounceHere(bundle.Announcement{From: w.nodes[1].self, Ref: w.prepare(t, 9, true).Head})
 			n.heedAll()
 		}, 2, event.BundleRejected, 0},
 		{"signed but not rolled, announced by an operator in an outage", func(t *testing.T, w *world, n *node) {
 			ref := w.prepare(t, 9, true).Head
 			n.poll()
 			w.platformDown(true)
-			n.replica.AnnounceHere(vm.VM{}, ref)
+			n.replica.AnnounceHere(bundle.Announcement{Ref: ref})
 			n.heedAll()
 		}, 2, event.BundleRejected, 0},
 		{"unsigned, announced by a peer in an outage", func(t *testing.T, w *world, n *node) {
@@ -103,9 +102,9 @@
 				t.Fatal(err)
 			}
 			w.nodes[1].poll()
-			w.nodes[1].replica.cache[row.ID] = bundle.EncodeHead(head)
+			w.nodes[1].replica.held[row.ID] = bundle.EncodeHead(head)
 			w.platformDown(true)
-			n.replica.AnnounceHere(w.nodes[1].self, row.Head)
+			n.replica.AnnounceHere(bundle.Announcement{From: w.nodes[1].self, Ref: row.Head})
 			n.heedAll()
 		}, 2, event.BundleRejected, 1},
 		{"head row names an unsigned head, polled twice", func(t *testing.T, w *world, n *node) {
@@ -294,11 +293,11 @@
 			case 4:
 				// An operator may announce anything, also what was never rolled.
 				if len(heads) > 0 {
-					n.replica.AnnounceHere(vm.VM{}, heads[random.IntN(len(heads))])
+					n.replica.AnnounceHere(bundle.Announcement{Ref: heads[random.IntN(len(heads))]})
 				}
 			case 5:
 				peer := w.nodes[random.IntN(len(w.nodes))]
-				n.replica.AnnounceHere(peer.self, peer.replica.inForce)
+				n.replica.AnnounceHere(bundle.Announcement{From: peer.self, Ref: peer.replica.inForce})
 			case 6, 7:
 				n.heedAll()
 			default:
