--- a/pkg/bundle/head.go
+++ b/pkg/bundle/head.go
@@ -1,34 +1,6 @@
 package bundle
 
-import (
-	"slices"
-
-	"github.com/sequoiacart/sequoiacart/pkg/owner"
-)
-
-// Signature is a hex Ed25519 signature.
-type Signature string
-
-// SignOff is the consent of the owner whose month it is.
-type SignOff struct {
-	Month     Month
-	Signer    owner.ID
-	Signature Signature
-}
-
-// OwnerSection names the section of one owner.
-type OwnerSection struct {
-	Owner   owner.ID
-	Section Digest
-}
-
-// GovernanceLink is a governance section and the version that brought it. The first link
-// of a chain is pinned by the settings; each later one is signed under the one before.
-type GovernanceLink struct {
-	Version Version
-	Section Digest
-	SignOff SignOff
-}
+import "slices"
 
 // Head names all that belongs to a version. Owners are ordered by id.
 type Head struct {
--- /dev/null
+++ b/pkg/bundlestore/head_row.go
@@ -0,0 +1,11 @@
+package bundlestore
+
+import "github.com/sequoiacart/sequoiacart/pkg/bundle"
+
+// HeadRow names the head in force. It is small, since every VM polls it; the head itself
+// is an object.
+type HeadRow struct {
+	Head     bundle.Ref
+	Operator OperatorName
+	Token    WriterToken
+}
--- /dev/null
+++ b/pkg/bundlestore/names.go
@@ -0,0 +1,7 @@
+package bundlestore
+
+// OperatorName names the person or program that runs a bundle command.
+type OperatorName string
+
+// WriterToken recognises one write of one operator.
+type WriterToken string
--- a/pkg/peer/bundle_service.go
+++ b/pkg/peer/bundle_service.go
@@ -1,8 +1,6 @@
 package peer
 
 import (
-	"context"
-
 	"github.com/juju/errors"
 
 	"github.com/sequoiacart/sequoiacart/pkg/bundle"
@@ -18,40 +16,6 @@
 	BundleStatusHere() bundle.Status
 }
 
-// AnnounceRequest names a head that has come into force at a peer. An operator's
-// announcement names no peer.
-type AnnounceRequest struct {
-	Incarnation string
-	PeerAddress string
-	Version     uint64
-	Head        string
-	Body        []byte
-}
-
-// FetchRequest asks for heads and sections by digest.
-type FetchRequest struct{ Digests []string }
-
-// FetchReply carries what the peer has.
-type FetchReply struct{ Bodies map[string][]byte }
-
-// StatusReply carries what a VM says of bundles.
-type StatusReply struct {
-	Version  uint64
-	Head     string
-	Prepared []WireReadiness
-}
-
-// WireReadiness is a candidate's readiness on the wire.
-type WireReadiness struct {
-	Candidate string
-	Version   uint64
-	Ready     bool
-	Reason    string
-}
-
-// Empty is a request or reply without content.
-type Empty struct{}
-
 // MaxFetch bounds the digests of one call.
 const MaxFetch = 256
 
@@ -102,52 +66,3 @@
 	}
 	return nil
 }
-
-// Announce tells a VM of a head that came into force at another, or at the platform.
-func (c *Client) Announce(ctx context.Context, to vm.VM, a bundle.Announcement) error {
-	request := AnnounceRequest{
-		Incarnation: string(a.From.Incarnation),
-		PeerAddress: a.From.PeerAddress,
-		Version:     uint64(a.Ref.Version),
-		Head:        string(a.Ref.Digest),
-		Body:        a.Body,
-	}
-	return c.call(ctx, to, "Bundle.Announce", request, &Empty{})
-}
-
-// FetchBundle asks a VM for heads and sections. Bytes that do not fit their digest are
-// left out.
-func (c *Client) FetchBundle(ctx context.Context, to vm.VM, digests []bundle.Digest) (bundle.Sections, error) {
-	found := make(bundle.Sections)
-	for len(digests) > 0 {
-		count := min(len(digests), MaxFetch)
-		var request FetchRequest
-		for _, d := range digests[:count] {
-			request.Digests = append(request.Digests, string(d))
-		}
-		var reply FetchReply
-		if err := c.call(ctx, to, "Bundle.Fetch", request, &reply); err != nil {
-			return nil, errors.Trace(err)
-		}
-		for _, d := range digests[:count] {
-			if body, ok := reply.Bodies[string(d)]; ok && bundle.DigestOf(body) == d {
-				found[d] = body
-			}
-		}
-		digests = digests[count:]
-	}
-	return found, nil
-}
-
-// BundleStatus asks a VM for its version in force and the candidates that it checked.
-func (c *Client) BundleStatus(ctx context.Context, of vm.VM) (bundle.Status, error) {
-	var reply StatusReply
-	if err := c.call(ctx, of, "Bundle.Status", Empty{}, &reply); err != nil {
-		return bundle.Status{}, errors.Trace(err)
-	}
-	s := bundle.Status{InForce: bundle.Ref{Version: bundle.Version(reply.Version), Digest: bundle.Digest(reply.Head)}}
-	for _, p := range reply.Prepared {
-		s.Prepared = append(s.Prepared, bundle.Readiness{Candidate: bundle.Digest(p.Candidate), Version: bundle.Version(p.Version), Ready: p.Ready, Reason: p.Reason})
-	}
-	return s, nil
-}
