--- a/pkg/app/bundle_command.go
+++ b/pkg/app/bundle_command.go
@@ -22,11 +22,14 @@
 )
 
 func newBundleCommand(stdout, stderr io.Writer) *ffcli.Command {
+	flags := flag.NewFlagSet("bundle", flag.ContinueOnError)
+	flags.SetOutput(stderr)
 	return &ffcli.Command{
 		Name:       "bundle",
 		ShortUsage: "sequoiacart bundle keygen|check|diff|prepare|sign|roll|status|history [flags]",
 		ShortHelp:  "Brings configuration bundles from a file into force.",
-		LongHelp:   "docs/bundles.md describes the file, the steps and the errors.",
+		LongHelp:   "Example:\n  sequoiacart bundle check --file bundle.toml\n\ndocs/bundles.md describes the file, the steps and the errors.",
+		FlagSet:    flags,
 		Subcommands: []*ffcli.Command{
 			newBundleKeygenCommand(stdout, stderr),
 			newBundleCheckCommand(stdout, stderr),
--- a/pkg/app/bundle_command_test.go
+++ b/pkg/app/bundle_command_test.go
@@ -73,7 +73,7 @@
 	s := settings.Default()
 	s.VM, s.DataCentre, s.PlatformAddress = id, "centro", platformAddress
 	s.CallerAddress, s.PeerAddress = "127.0.0.1:0", "127.0.0.1:0"
-	s.GovernanceDigest, s.SeedPeers = bundle.Digest(pin), seedPeers
+	s.GovernanceDigest, s.SeedPeers = bundle.Digest(pin), settings.Addresses(strings.Join(seedPeers, ","))
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	d, err := NewDaemon(DaemonDeps{Settings: s, Clock: clock.NewSystem(), Log: event.NewLog(logger)})
--- a/pkg/app/standin_command.go
+++ b/pkg/app/standin_command.go
@@ -23,10 +23,14 @@
 const standinTimeout = 5 * clock.Second
 
 func newStandinCommand(stderr io.Writer) *ffcli.Command {
+	flags := flag.NewFlagSet("standin", flag.ContinueOnError)
+	flags.SetOutput(stderr)
 	return &ffcli.Command{
 		Name:        "standin",
 		ShortUsage:  "sequoiacart standin platform|endpoint [flags]",
 		ShortHelp:   "Runs a stand-in of an outside system, for trying and testing.",
+		LongHelp:    "Example:\n  sequoiacart standin platform --address 127.0.0.1:7002",
+		FlagSet:     flags,
 		Subcommands: []*ffcli.Command{newStandinPlatformCommand(stderr), newStandinEndpointCommand(stderr)},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
@@ -40,7 +44,7 @@
 		Name:       "platform",
 		ShortUsage: "sequoiacart standin platform --address 127.0.0.1:7002",
 		ShortHelp:  "Runs a table service, an object store and a VM list in memory.",
-		LongHelp:   "Example: sequoiacart standin platform --address 127.0.0.1:7002\nPUT /v1/faults sets faults for each service, for example:\n{\"table\":{\"down\":false,\"slowMs\":0,\"dropNext\":0,\"loseNext\":1,\"lag\":0}}",
+		LongHelp:   "Example:\n  sequoiacart standin platform --address 127.0.0.1:7002\nPUT /v1/faults sets faults for each service, for example:\n{\"table\":{\"down\":false,\"slowMs\":0,\"dropNext\":0,\"loseNext\":1,\"lag\":0}}",
 		FlagSet:    flags,
 		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
 		Exec: func(ctx context.Context, _ []string) error {
@@ -62,6 +66,7 @@
 		Name:       "endpoint",
 		ShortUsage: "sequoiacart standin endpoint --name e1 --data-centre centro",
 		ShortHelp:  "Runs an endpoint that sleeps for each task.",
+		LongHelp:   "Puts itself into the VM list of the platform stand-in.\nExample:\n  sequoiacart standin endpoint --name e1 --data-centre centro --platform-address 127.0.0.1:7002",
 		FlagSet:    flags,
 		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
 		Exec: func(ctx context.Context, _ []string) error {
--- a/pkg/entry/action.go
+++ b/pkg/entry/action.go
@@ -25,25 +25,47 @@
 	Endpoint datacentre.Endpoint
 	Payload  []byte
 	Deadline clock.Millis
+	// Accepted is when the submission was accepted, Trace the span it belongs to.
+	Accepted clock.Millis
+	Trace    contract.TraceParent
 }
 
 // SendRecords sends a batch to the witness. Ends with RecordsAnswered.
 type SendRecords struct {
 	Witness vm.VM
+	Batch   contract.BatchNumber
 	Records []contract.Record
 }
 
+// SendHandOver sends a part of the answers to the witness at shutdown. Ends with
+// HandOverAnswered.
+type SendHandOver struct {
+	Witness vm.VM
+	Records []contract.Record
+	Last    bool
+}
+
+// WritePairRow writes the row of a pair unless it exists, and reads it back where the
+// outcome is open. Ends with PairRowDecided.
+type WritePairRow struct {
+	Pair contract.Pair
+	Row  contract.PairRow
+}
+
+func (ReplyTo) isAction()      {}
+func (RunAttempt) isAction()   {}
+func (SendRecords) isAction()  {}
+func (SendHandOver) isAction() {}
+func (WritePairRow) isAction() {}
+
 // PublishBundle hands the bundle in force to traffic. Executors carry it out at once, so
 // that traffic sees bundles in the order of the decisions.
 type PublishBundle struct{ Bundle *bundle.Bundle }
 
-func (ReplyTo) isAction()       {}
-func (RunAttempt) isAction()    {}
-func (SendRecords) isAction()   {}
 func (PublishBundle) isAction() {}
 
-// Reply is what a waiting traffic goroutine hears: IDs, AnswerReply, RecordsReply
-// or BundleVerdict.
+// Reply is what a waiting traffic goroutine hears: IDs, AnswerReply, RecordsReply,
+// ShutdownReply or BundleVerdict.
 type Reply interface{ isReply() }
 
 // IDs carries reserved ids.
@@ -55,10 +77,15 @@
 // RecordsReply carries the status of each record of a batch.
 type RecordsReply struct{ Statuses []contract.RecordStatus }
 
-// BundleVerdict carries what became of an offered bundle.
-type BundleVerdict struct{ Verdict bundle.Verdict }
+// ShutdownReply says whether all work ended and was handed over.
+type ShutdownReply struct{ Drained bool }
 
+func (ShutdownReply) isReply() {}
 func (IDs) isReply()           {}
 func (AnswerReply) isReply()   {}
 func (RecordsReply) isReply()  {}
+
+// BundleVerdict carries what became of an offered bundle.
+type BundleVerdict struct{ Verdict bundle.Verdict }
+
 func (BundleVerdict) isReply() {}
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -11,7 +11,9 @@
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
+	"github.com/sequoiacart/sequoiacart/pkg/metrics"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/trace"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
@@ -25,6 +27,10 @@
 	Dialer Dialer
 	// TLS turns on mutual TLS; nil speaks plain TCP.
 	TLS *tls.Config
+	// Tracer records the peer hop; nil records nothing.
+	Tracer *trace.Tracer
+	// Metrics counts calls and failures; nil counts them nowhere.
+	Metrics *metrics.Metrics
 }
 
 // Client calls other entry VMs, over one connection for each.
@@ -42,27 +48,36 @@
 
 // Submit forwards a submission to its issuer.
 func (c *Client) Submit(ctx context.Context, issuer vm.VM, s contract.Submission, wait clock.Millis) (contract.Answer, error) {
+	ctx, span := c.config.Tracer.Start(ctx, trace.PeerHop, s.ID)
+	defer span.End()
+	s.Trace = trace.ParentOf(ctx)
 	return c.answer(ctx, issuer, "Contract.Submit", SubmitRequest{Submission: encodeSubmission(s), WaitMs: int64(wait)})
 }
 
 // Ask asks the issuer of an id for its answer.
 func (c *Client) Ask(ctx context.Context, issuer vm.VM, id contract.SubmissionID, o owner.ID, wait clock.Millis) (contract.Answer, error) {
-	return c.answer(ctx, issuer, "Contract.Ask", AskRequest{ID: id.String(), Owner: string(o), WaitMs: int64(wait)})
+	return c.ask(ctx, issuer, "Contract.Ask", id, o, wait)
 }
 
 // Cancel asks the issuer of an id to cancel it.
 func (c *Client) Cancel(ctx context.Context, issuer vm.VM, id contract.SubmissionID, o owner.ID) (contract.Answer, error) {
-	return c.answer(ctx, issuer, "Contract.Cancel", AskRequest{ID: id.String(), Owner: string(o)})
+	return c.ask(ctx, issuer, "Contract.Cancel", id, o, 0)
 }
 
 // AskWitness asks the witness of an id for its answer.
 func (c *Client) AskWitness(ctx context.Context, witness vm.VM, id contract.SubmissionID, o owner.ID) (contract.Answer, error) {
-	return c.answer(ctx, witness, "Witness.Ask", AskRequest{ID: id.String(), Owner: string(o)})
+	return c.ask(ctx, witness, "Witness.Ask", id, o, 0)
+}
+
+func (c *Client) ask(ctx context.Context, to vm.VM, method string, id contract.SubmissionID, o owner.ID, wait clock.Millis) (contract.Answer, error) {
+	ctx, span := c.config.Tracer.Start(ctx, trace.PeerHop, id)
+	defer span.End()
+	return c.answer(ctx, to, method, AskRequest{ID: id.String(), Owner: string(o), WaitMs: int64(wait), TraceParent: string(trace.ParentOf(ctx))})
 }
 
 // Record sends records to a witness.
-func (c *Client) Record(ctx context.Context, witness vm.VM, issuer vm.Incarnation, records []contract.Record) ([]contract.RecordStatus, error) {
-	request := RecordRequest{Issuer: string(issuer), Records: make([]WireRecord, len(records))}
+func (c *Client) Record(ctx context.Context, witness vm.VM, issuer vm.Incarnation, batch contract.BatchNumber, records []contract.Record) ([]contract.RecordStatus, error) {
+	request := RecordRequest{Issuer: string(issuer), Batch: uint64(batch), Records: make([]WireRecord, len(records))}
 	for i, r := range records {
 		request.Records[i] = encodeRecord(r)
 	}
@@ -80,6 +95,16 @@
 	return statuses, nil
 }
 
+// HandOver sends the answers of an issuer that shuts down to a witness.
+func (c *Client) HandOver(ctx context.Context, witness vm.VM, issuer vm.Incarnation, records []contract.Record, last bool) error {
+	request := HandOverRequest{Issuer: string(issuer), Records: make([]WireRecord, len(records)), Last: last}
+	for i, r := range records {
+		request.Records[i] = encodeRecord(r)
+	}
+	var reply RecordReply
+	return errors.Trace(c.call(ctx, witness, "Witness.HandOver", request, &reply))
+}
+
 // Close drops all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -99,23 +124,49 @@
 }
 
 func (c *Client) call(ctx context.Context, to vm.VM, method string, request, reply any) error {
+	err := c.send(ctx, to, method, request, reply)
+	if c.config.Metrics != nil {
+		c.config.Metrics.PeerCalled(method, err)
+	}
+	return err
+}
+
+func (c *Client) send(ctx context.Context, to vm.VM, method string, request, reply any) error {
 	p, err := c.connect(ctx, to.PeerAddress)
 	if err != nil {
 		return errors.Annotatef(err, "connect to peer %s", to.Incarnation)
 	}
-	call := p.Go(method, request, reply, make(chan *rpc.Call, 1))
+	done := make(chan *rpc.Call, 1)
+	written := make(chan struct{})
+	// Go returns only after the request is written, which a peer that reads nothing
+	// can hold up for ever.
+	go func() {
+		p.Go(method, request, reply, done)
+		close(written)
+	}()
 	select {
-	case done := <-call.Done:
-		if done.Error != nil {
-			c.drop(to.PeerAddress, p, done.Error)
-			return errors.Annotatef(done.Error, "%s at peer %s", method, to.Incarnation)
+	case call := <-done:
+		if call.Error != nil {
+			c.drop(to.PeerAddress, p, call.Error)
+			return errors.Annotatef(call.Error, "%s at peer %s", method, to.Incarnation)
 		}
 		return nil
 	case <-ctx.Done():
+		c.dropUnlessWritten(to.PeerAddress, p, written)
 		return errors.Annotatef(ctx.Err(), "%s at peer %s", method, to.Incarnation)
 	}
 }
 
+// dropUnlessWritten closes a connection on which the peer does not read; the close also
+// ends the goroutine that writes.
+func (c *Client) dropUnlessWritten(address string, p *rpc.Client, written <-chan struct{}) {
+	select {
+	case <-written:
+	default:
+		c.drop(address, p, rpc.ErrShutdown)
+	}
+}
+
 func (c *Client) connect(ctx context.Context, address string) (*rpc.Client, error) {
 	c.mu.Lock()
 	p, ok := c.peers[address]
@@ -133,7 +184,7 @@
 		_ = conn.Close()
 		return other, nil
 	}
-	p = rpc.NewClient(conn)
+	p = rpc.NewClientWithCodec(clientCodec{newGobStream(conn)})
 	c.peers[address] = p
 	return p, nil
 }
--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -197,3 +197,23 @@
 	defer p.mu.Unlock()
 	p.vms[string(v.Endpoint.ID)] = platform.EncodeVM(v)
 }
+
+// RowCount returns the number of rows under a prefix.
+func (p *Platform) RowCount(prefix string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := 0
+	for key := range p.rows {
+		if strings.HasPrefix(key, prefix) {
+			count++
+		}
+	}
+	return count
+}
+
+// SetDown sets all services down, or up again without any fault.
+func (p *Platform) SetDown(down bool) {
+	for _, s := range []Service{TableService, ObjectService, VMService} {
+		p.SetFaults(s, Faults{Down: down})
+	}
+}
--- /dev/null
+++ b/pkg/vm/delegates.go
@@ -0,0 +1,74 @@
+package vm
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+)
+
+const (
+	// DelegatesPerDataCentre is two, so that the loss of one leaves the other in place
+	// while the next is chosen.
+	DelegatesPerDataCentre = 2
+	// delegateRotation is how long the same VMs of a silent data centre are tried.
+	delegateRotation = 5 * clock.Second
+)
+
+// Delegates returns the VMs of a data centre that speak for it to another one: the
+// highest scores by rendezvous hashing among those alive, so that the other data centres
+// are spread over all VMs. Where too few are known to be alive, listed ones are tried in
+// turns, since any of them may have come back.
+func (r *Roster) Delegates(now clock.Millis, dc, toward datacentre.ID) []VM {
+	key := "delegate/" + string(toward)
+	chosen := top(r.byZone[dc], key, func(v VM) bool { return v.usable() && v.Status == Alive })
+	if len(chosen) >= DelegatesPerDataCentre {
+		return chosen[:DelegatesPerDataCentre]
+	}
+	turn := key + "/" + strconv.FormatInt(int64(now/delegateRotation), 10)
+	silent := top(r.byZone[dc], turn, func(v VM) bool { return v.Listed && v.Status != Alive })
+	chosen = append(chosen, silent...)
+	return chosen[:min(len(chosen), DelegatesPerDataCentre)]
+}
+
+// HeartbeatTargets returns whom this VM sends heartbeats: every listed or live VM of its
+// data centre, and one VM of each data centre toward which it is a delegate. Delegates of
+// equal rank pair up, which halves the traffic against all pairs.
+func (r *Roster) HeartbeatTargets(now clock.Millis) []VM {
+	self, ok := r.Find(r.Self)
+	if !ok {
+		return nil
+	}
+	var targets []VM
+	for _, v := range r.byZone[self.DataCentre] {
+		if v.Incarnation != r.Self && (v.Listed || v.Status != Removed) {
+			targets = append(targets, v)
+		}
+	}
+	for _, dc := range r.DataCentres() {
+		if dc == self.DataCentre {
+			continue
+		}
+		rank := slices.IndexFunc(r.Delegates(now, self.DataCentre, dc), func(v VM) bool { return v.Incarnation == r.Self })
+		others := r.Delegates(now, dc, self.DataCentre)
+		if rank >= 0 && len(others) > 0 {
+			targets = append(targets, others[rank%len(others)])
+		}
+	}
+	return targets
+}
+
+func top(vms []VM, key string, eligible func(VM) bool) []VM {
+	var chosen []VM
+	for _, v := range vms {
+		if eligible(v) {
+			chosen = append(chosen, v)
+		}
+	}
+	slices.SortFunc(chosen, func(a, b VM) int {
+		return cmp.Compare(rendezvousScore(key, b), rendezvousScore(key, a))
+	})
+	return chosen
+}
