Let bundle commands reach VMs that speak mutual TLS

Cause: roll and status dialled VMs in plain TCP only, so that a fleet with certificates was shown as out of reach and was not told of a roll. Change: flags for certificate, key and authority, read as the daemon reads them; a bad file is refused before the platform is called. Conclusion: bad files are tested; a call to a VM with TLS is not, beyond the tests of the peer client.

--- a/pkg/app/bundle_command.go
+++ b/pkg/app/bundle_command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -51,6 +52,8 @@
 	platform *string
 	operator *string
 	timeout  *int64
+	// The PEM files for calls to VMs that demand certificates; all empty for plain TCP.
+	certificate, key, authority *string
 }
 
 const (
@@ -75,6 +78,9 @@
 	f.platform = f.set.String("platform-address", "127.0.0.1:7002", "host:port of the platform")
 	f.operator = f.set.String("operator", os.Getenv("USER"), "name that other operators see")
 	f.timeout = f.set.Int64("timeout-ms", int64(bundleTimeout), "span for one call, in milliseconds")
+	f.certificate = f.set.String("tls-certificate-file", "", "PEM certificate for calls to VMs, where they speak TLS")
+	f.key = f.set.String("tls-key-file", "", "PEM key of the certificate")
+	f.authority = f.set.String("tls-ca-file", "", "PEM certificates of the authority of the VMs")
 	return f
 }
 
@@ -110,17 +116,25 @@
 	fleet    *operator.Fleet
 }
 
-func (f *bundleFlags) open() *desk {
+func (f *bundleFlags) open() (*desk, error) {
+	var identity *tls.Config
+	if *f.certificate != "" || *f.key != "" || *f.authority != "" {
+		loaded, err := peer.LoadIdentity(*f.certificate, *f.key, *f.authority)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		identity = loaded.Client()
+	}
 	timeout := clock.Millis(*f.timeout)
 	client := platform.NewClient(platform.ClientConfig{Address: *f.platform, Timeout: timeout, CallsPerSecond: operatorCalls})
-	peers := peer.NewClient(peer.ClientConfig{Dialer: &net.Dialer{Timeout: timeout.Duration()}})
+	peers := peer.NewClient(peer.ClientConfig{Dialer: &net.Dialer{Timeout: timeout.Duration()}, TLS: identity})
 	store := bundlestore.New(client.Table(), client.Objects())
 	return &desk{
 		client:   client,
 		peers:    peers,
 		operator: operator.New(operator.Deps{Name: bundlestore.OperatorName(*f.operator), Store: store, Clock: clock.NewSystem()}),
 		fleet:    &operator.Fleet{Store: store, Peers: peers, Timeout: timeout},
-	}
+	}, nil
 }
 
 func (d *desk) close() {
--- a/pkg/app/bundle_command_test.go
+++ b/pkg/app/bundle_command_test.go
@@ -153,6 +153,7 @@
 		{"half a digest", []string{"sign", at, "--candidate", "3f0c", "--key-file", keyFile}, "64 hex digits"},
 		{"no key file", []string{"sign", at, "--candidate", rival, "--key-file", first}, "bundle keygen"},
 		{"key file there already", []string{"keygen", "--key-file", keyFile}, "file exists"},
+		{"certificate without key", []string{"status", at, "--tls-certificate-file", keyFile}, "norte.key"},
 		{"no operator", []string{"roll", at, "--operator", "", "--candidate", rival}, "--operator is empty"},
 		{"no file", []string{"check"}, "--file is missing"},
 		{"unknown output", []string{"status", at, "--output", "xml"}, "text or json"},
--- a/pkg/app/bundle_file_commands.go
+++ b/pkg/app/bundle_file_commands.go
@@ -75,7 +75,10 @@
 	candidate := f.set.String("candidate", "", "prepared candidate to compare instead of a file")
 	return f.command("diff --file FILE | --candidate DIGEST", "Shows what would change against the bundle in force.",
 		"diff --file bundle.toml", func(ctx context.Context) error {
-			d := f.open()
+			d, err := f.open()
+			if err != nil {
+				return errors.Trace(err)
+			}
 			defer d.close()
 			to, err := diffTarget(ctx, d, *file, *candidate)
 			if err != nil {
--- a/pkg/app/bundle_roll_commands.go
+++ b/pkg/app/bundle_roll_commands.go
@@ -33,7 +33,10 @@
 			if err != nil {
 				return errors.Trace(err)
 			}
-			d := f.open()
+			d, err := f.open()
+			if err != nil {
+				return errors.Trace(err)
+			}
 			defer d.close()
 			c, err := d.operator.Prepare(ctx, b)
 			if err != nil {
@@ -59,7 +62,10 @@
 			if err != nil {
 				return errors.Trace(err)
 			}
-			d := f.open()
+			d, err := f.open()
+			if err != nil {
+				return errors.Trace(err)
+			}
 			defer d.close()
 			c, err := d.operator.Sign(ctx, operator.SignOff{Candidate: id, Signer: owner.ID(*signer), Key: key, Month: bundle.Month(*month)})
 			if err != nil {
@@ -86,7 +92,10 @@
 			if err != nil {
 				return errors.Trace(err)
 			}
-			d := f.open()
+			d, err := f.open()
+			if err != nil {
+				return errors.Trace(err)
+			}
 			defer d.close()
 			// Read before the roll, so that a slow platform does not hold up the news.
 			reports, err := d.fleet.Store.Reports(ctx)
--- a/pkg/app/bundle_status_commands.go
+++ b/pkg/app/bundle_status_commands.go
@@ -41,7 +41,10 @@
 	f := newBundleFlags("status", stderr).online()
 	return f.command("status", "Shows the version in force, the candidates, and which VM has what or is out of reach.",
 		"status --output json", func(ctx context.Context) error {
-			d := f.open()
+			d, err := f.open()
+			if err != nil {
+				return errors.Trace(err)
+			}
 			defer d.close()
 			s, err := d.fleet.Status(ctx)
 			if err != nil {
@@ -133,7 +136,10 @@
 	count := f.set.Int("count", historyCount, "number of versions to show, newest first")
 	return f.command("history", "Shows the versions that were in force, with their sign-offs.",
 		"history --count 5", func(ctx context.Context) error {
-			d := f.open()
+			d, err := f.open()
+			if err != nil {
+				return errors.Trace(err)
+			}
 			defer d.close()
 			heads, err := d.operator.History(ctx, *count)
 			if err != nil {
