--- a/pkg/bundle/holder_test.go
+++ b/pkg/bundle/holder_test.go
@@ -179,7 +179,7 @@
 // Guards against a version that goes down, and against force without a sign-off, under
 // any order of offers: signed, unsigned, other children, old and new, over many VMs.
 func TestHolderRandomOffers(t *testing.T) {
-	for seed := range uint64(100) {
+	for seed := range uint64(200) {
 		random := rand.New(rand.NewPCG(seed, 1))
 		h := &history{}
 		b := testBundle(2)
