--- a/pkg/measure/scenario.go
+++ b/pkg/measure/scenario.go
@@ -7,6 +7,8 @@
 	phases   []phase
 	// Jobs that arrive from windowFrom to windowTo are measured.
 	windowFrom, windowTo micros
+	// Shares are measured from sharesFrom to windowTo.
+	sharesFrom micros
 	// drain is the time after the last arrival in which tasks may end.
 	drain micros
 	// blackHole lets the first endpoint fail everything at once.
--- a/pkg/measure/simulation.go
+++ b/pkg/measure/simulation.go
@@ -30,12 +30,14 @@
 	wasted    int
 	waits     []micros
 	longWaits []micros
+	// burstTime is the slot time of owners in the window, slotTime that in which shares
+	// are measured.
+	burstTime map[owner.ID]micros
 	slotTime  map[owner.ID]micros
-	busyTime  micros
 }
 
 func newSimulation(s scenario, p Policy) *simulation {
-	m := &simulation{scenario: s, slotTime: make(map[owner.ID]micros)}
+	m := &simulation{scenario: s, slotTime: make(map[owner.ID]micros), burstTime: make(map[owner.ID]micros)}
 	for _, site := range s.workload.Sites {
 		for i := range site.Endpoints {
 			m.endpoints = append(m.endpoints, &endpoint{
@@ -169,8 +171,8 @@
 		return
 	}
 	held := to - from
-	m.slotTime[t.job.owner] += held
-	m.busyTime += held
+	m.burstTime[t.job.owner] += held
+	m.slotTime[t.job.owner] += max(to-max(from, m.scenario.sharesFrom), 0)
 	t.job.workInWindow += micros(float64(held) / t.endpoint.slowness)
 }
 
