Promise slots to urgent tasks of peers

Cause: urgent jobs larger than all slots of their VM were refused or late although the slots of the other VMs were enough. Change: LoanNeed and PeerSlots carry urgent tasks and their wait; a VM whose own urgent wait is shorter gives up to a quarter of its slots, and Admit counts on that for rank 0.

--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -64,6 +64,9 @@
 // The owner gets at least the slots of its share, and all slots where nobody else waits.
 func (s *Scheduler) lateness(now clock.Millis, a *account, k *kind, rank int, j Job) clock.Millis {
 	slots := slotMillis(s.placement.total + s.borrowable)
+	if rank == 0 {
+		slots = slotMillis(s.placement.total + max(s.borrowable, s.borrowableUrgent))
+	}
 	if slots == 0 {
 		// Without endpoints there is no projection; the bounds of the queue hold.
 		return 0
--- a/pkg/dispatch/loan.go
+++ b/pkg/dispatch/loan.go
@@ -17,6 +17,9 @@
 	Tasks int
 	// Wait is the projected wait of the last of them without a loan.
 	Wait clock.Millis
+	// UrgentTasks counts the waiting tasks of rank 0, UrgentWait is their projected wait.
+	UrgentTasks int
+	UrgentWait  clock.Millis
 	// Slots counts the slots that the VM may use already.
 	Slots datacentre.Slots
 	// Asked counts the peers that were asked at the same time.
@@ -42,9 +45,11 @@
 		return LoanNeed{}
 	}
 	return LoanNeed{
-		Tasks: tasks,
-		Wait:  clock.Millis(s.work / slotMillis(max(s.placement.total, 1))),
-		Slots: s.placement.total,
+		Tasks:       tasks,
+		Wait:        s.projectedWait(s.work),
+		UrgentTasks: s.urgentTasks,
+		UrgentWait:  s.projectedWait(s.urgentWork),
+		Slots:       s.placement.total,
 	}
 }
 
@@ -137,16 +142,26 @@
 
 // PeerSlots returns what to tell peers about loans.
 func (s *Scheduler) PeerSlots() PeerSlots {
-	p := PeerSlots{Wait: clock.Millis(s.work / slotMillis(max(s.placement.total, 1)))}
+	p := PeerSlots{
+		Slots:      s.placement.total,
+		Wait:       s.projectedWait(s.work),
+		UrgentWait: s.projectedWait(s.urgentWork),
+	}
 	if s.waiting == 0 {
 		p.Lendable = loanable(s.placement.free, s.placement.total)
 	}
 	return p
 }
 
-// SetBorrowable sets how many slots peers would lend, for the projection at Admit.
-func (s *Scheduler) SetBorrowable(slots datacentre.Slots) {
-	s.borrowable = slots
+// projectedWait is the time in which all slots do the work.
+func (s *Scheduler) projectedWait(work slotMillis) clock.Millis {
+	return clock.Millis(work / slotMillis(max(s.placement.total, 1)))
+}
+
+// SetBorrowable sets how many slots peers would lend for any work and for urgent work,
+// for the projection at Admit.
+func (s *Scheduler) SetBorrowable(slots, urgent datacentre.Slots) {
+	s.borrowable, s.borrowableUrgent = slots, urgent
 }
 
 // Slots returns the number of slots that this VM may use now.
--- a/pkg/dispatch/loan_promise.go
+++ b/pkg/dispatch/loan_promise.go
@@ -10,6 +10,9 @@
 	// A VM with backlog gives up slots only to a peer whose wait is this much longer, in
 	// halves; otherwise slots would go back and forth between VMs with equal backlog.
 	promiseWaitHalves = 3
+	// A peer with urgent tasks gets up to a quarter of the slots of a VM that has fewer. An
+	// urgent job can be larger than all slots of its VM.
+	urgentLoanPart = 4
 	// promiseSpan is the time within which a promise can become loans. The peer asks again
 	// after that.
 	promiseSpan = 200 * clock.Millis(1)
@@ -27,11 +30,16 @@
 // both VMs have the same wait; NextGrant hands them out. VMs differ in size and in the
 // number of their endpoints, but not in the jobs that a load balancer sends them.
 func (s *Scheduler) Promise(now clock.Millis, peer vm.Incarnation, need LoanNeed, oneWay clock.Millis) datacentre.Slots {
-	own := LoanNeed{Wait: clock.Millis(s.work / slotMillis(max(s.placement.total, 1)))}
-	if s.waiting == 0 || !need.WorthLending(oneWay) || need.Wait < own.Wait*promiseWaitHalves/2+2*oneWay {
+	if s.waiting == 0 || !need.WorthLending(oneWay) {
 		return 0
 	}
-	slots := need.slotsToLevel(s.work, s.placement.total)
+	slots := datacentre.Slots(0)
+	if need.Wait > s.projectedWait(s.work)*promiseWaitHalves/2+2*oneWay {
+		slots = need.slotsToLevel(s.work, s.placement.total)
+	}
+	if need.UrgentWait > max(s.projectedWait(s.urgentWork)*promiseWaitHalves/2, leastPromiseWait) {
+		slots = max(slots, need.urgentSlots(s.placement.total))
+	}
 	if slots > 0 {
 		s.promises = append(s.promises, promise{peer: peer, slots: slots, until: now + promiseSpan})
 	}
@@ -46,6 +54,12 @@
 	return min(datacentre.Slots(level)/datacentre.Slots(max(n.Asked, 1)), datacentre.Slots(n.Tasks))
 }
 
+// urgentSlots returns how many of a lender's slots go to a peer's urgent tasks.
+func (n LoanNeed) urgentSlots(total datacentre.Slots) datacentre.Slots {
+	asked := datacentre.Slots(max(n.Asked, 1))
+	return min(total/urgentLoanPart, (datacentre.Slots(n.UrgentTasks)+asked-1)/asked)
+}
+
 // NextGrant turns a free slot into a loan that was promised. Call it before Next.
 func (s *Scheduler) NextGrant(now clock.Millis) (vm.Incarnation, SlotLoan, bool) {
 	for len(s.promises) > 0 && s.placement.free > 0 {
--- a/pkg/dispatch/loan_promise_test.go
+++ b/pkg/dispatch/loan_promise_test.go
@@ -18,6 +18,7 @@
 		{name: "no slots at all", need: LoanNeed{Tasks: 100, Wait: 1000, Asked: 1}, want: 8},
 		{name: "shared with other lenders", need: LoanNeed{Tasks: 100, Wait: 1000, Asked: 4}, want: 2},
 		{name: "about the same wait", need: LoanNeed{Tasks: 100, Wait: 550, Slots: 16, Asked: 1}},
+		{name: "urgent tasks of a peer with a shorter wait", need: LoanNeed{Tasks: 100, Wait: 100, UrgentTasks: 100, UrgentWait: 500, Slots: 16, Asked: 1}, want: 4},
 		{name: "shorter wait", need: LoanNeed{Tasks: 100, Wait: 100, Slots: 16, Asked: 1}},
 	}
 	for _, tt := range tests {
--- a/pkg/dispatch/loan_requests.go
+++ b/pkg/dispatch/loan_requests.go
@@ -22,8 +22,11 @@
 type PeerSlots struct {
 	// Lendable counts the slots that the VM would lend now.
 	Lendable datacentre.Slots
-	// Wait is the projected wait of the last task in its queue.
-	Wait clock.Millis
+	// Slots counts the slots that the VM may use itself.
+	Slots datacentre.Slots
+	// Wait is the projected wait of the last task in its queue, UrgentWait that of the last
+	// task of rank 0.
+	Wait, UrgentWait clock.Millis
 }
 
 // LoanRequest is what one peer is asked for.
@@ -62,13 +65,16 @@
 	return p
 }
 
-// Borrowable is the number of slots that peers would lend, as far as they have told.
-func (r *LoanRequests) Borrowable() datacentre.Slots {
-	sum := datacentre.Slots(0)
+// Borrowable is the number of slots that peers would lend, for any work and for urgent
+// work, as far as they have told.
+func (r *LoanRequests) Borrowable() (slots, urgent datacentre.Slots) {
 	for _, p := range r.peers {
-		sum += p.slots.Lendable
+		slots += p.slots.Lendable
+		if p.slots.UrgentWait < leastPromiseWait {
+			urgent += p.slots.Slots / urgentLoanPart
+		}
 	}
-	return sum
+	return slots, urgent
 }
 
 // Plan splits the need between the peers, in the given order. Peers with idle slots are
@@ -76,13 +82,13 @@
 // promise.
 func (r *LoanRequests) Plan(now clock.Millis, need LoanNeed, peers []vm.Incarnation) []LoanRequest {
 	requests, left := r.askIdle(now, need, peers)
-	if left <= 0 || need.Wait < leastPromiseWait {
+	if left <= 0 || max(need.Wait, need.UrgentWait) < leastPromiseWait {
 		return requests
 	}
 	first := len(requests)
 	for _, id := range peers {
 		p := r.peer(id)
-		if now >= p.notBefore && p.slots.Wait > 0 && need.Wait > p.slots.Wait*promiseWaitHalves/2 {
+		if now >= p.notBefore && p.slots.promises(need) {
 			requests = append(requests, LoanRequest{Peer: id})
 			p.notBefore = now + loanRequestTimeout
 		}
@@ -96,6 +102,15 @@
 	return requests
 }
 
+// promises tells whether a peer would promise slots.
+func (p PeerSlots) promises(need LoanNeed) bool {
+	if p.Wait == 0 {
+		return false
+	}
+	return need.Wait > p.Wait*promiseWaitHalves/2 ||
+		need.UrgentWait > max(p.UrgentWait*promiseWaitHalves/2, leastPromiseWait)
+}
+
 func (r *LoanRequests) askIdle(now clock.Millis, need LoanNeed, peers []vm.Incarnation) (requests []LoanRequest, left int) {
 	left = need.Tasks
 	for left > 0 {
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -45,6 +45,10 @@
 	a.waiting += tasks
 	s.work += work
 	a.work[j.rank] += work
+	if j.rank == 0 {
+		s.urgentWork += work
+		s.urgentTasks += tasks
+	}
 	if a.waiting > 0 {
 		return
 	}
@@ -52,7 +56,7 @@
 	s.activeShares -= a.share()
 	clear(a.work[:])
 	if s.waiting == 0 {
-		s.work, s.activeShares = 0, 0
+		s.work, s.urgentWork, s.activeShares = 0, 0, 0
 	}
 }
 
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -41,6 +41,8 @@
 	// work is the estimated slot time of all waiting tasks, and activeShares the sum of
 	// the shares of the owners that they belong to.
 	work         slotMillis
+	urgentWork   slotMillis
+	urgentTasks  int
 	activeShares slotMillis
 	dropped      []Dropped
 
@@ -53,8 +55,10 @@
 	held      []*machine
 	placement placement
 
-	promises   []promise
-	borrowable datacentre.Slots
+	promises []promise
+	// borrowable slots are idle at peers; peers would free borrowableUrgent for tasks of
+	// rank 0.
+	borrowable, borrowableUrgent datacentre.Slots
 
 	// running has a list for each lane; a task that outruns short work moves to long.
 	running  [laneCount]runningList
