Let the lender in the promise test hold less urgent work

Change: the lender's tasks are of rank 1, as the case intends; the expectation is unchanged. Conclusion: a mistake in the set-up of the test, not in the scheduler.

--- a/pkg/dispatch/loan_promise_test.go
+++ b/pkg/dispatch/loan_promise_test.go
@@ -25,7 +25,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			w := newWorld(t, 2, 8, ownerOf("a", 1))
 			w.learnKind()
-			w.mustAdmit(Job{Owner: "a", Tasks: 96})
+			w.mustAdmit(Job{Owner: "a", Rank: 1, Tasks: 96})
 			w.startAll()
 			if tt.need.Slots == 0 {
 				// The work at the peer is as much as here: 80 waiting tasks of 100 ms.
