Charge at most 0.5 s ahead

Cause: the estimate of a long task, 2 to 8 s, was charged at its start, so that its owner waited for slot time that it had not used yet. Change: at most 0.5 s is charged at the start; Check charges the rest as it is used.

--- a/pkg/dispatch/long_work.go
+++ b/pkg/dispatch/long_work.go
@@ -9,6 +9,10 @@
 const (
 	// initialLongFrom holds until enough run times are known.
 	initialLongFrom = clock.Second
+	// chargeAhead is the most that is charged at the start of a task. The rest follows while
+	// it runs: with several seconds charged at once, an owner with a few long tasks would
+	// wait for what it has not used yet.
+	chargeAhead slotMillis = 500
 	// longFactor sets the limit between short and long work as a multiple of the median
 	// run time of all tasks.
 	longFactor = 4
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -202,7 +202,7 @@
 	r.task, r.job, r.startedAt = task, j, now
 	r.machine = s.hold(s.placement.fastest())
 	s.running[j.lane].push(r)
-	r.charged = s.estimate(j.kind)
+	r.charged = min(s.estimate(j.kind), chargeAhead)
 	s.charge(a, r.charged)
 	if j.rank == 0 {
 		s.chargeUrgent(now, a, r.charged)
