Ask for no loan that takes longer than the wait

Cause: half of the empty loan answers at 60 % load went to needs whose projected wait was 1 or 2 ms; lenders rightly refused them. Change: LoanRequests.Plan applies WorthLending with the delay of the nearest peer.

--- a/pkg/dispatch/loan_requests.go
+++ b/pkg/dispatch/loan_requests.go
@@ -11,6 +11,8 @@
 	// first to the last; a useless request costs a message of the waste budget.
 	firstLoanPause = 20 * clock.Millis(1)
 	lastLoanPause  = 640 * clock.Millis(1)
+	// leastOneWay is the delay of the nearest peer, in whole milliseconds.
+	leastOneWay clock.Millis = 1
 	// Below this wait the backlog is gone before promised slots are free.
 	leastPromiseWait = 100 * clock.Millis(1)
 	// One request is under way to a peer at a time; without an answer it counts as lost.
@@ -81,6 +83,9 @@
 // asked for as many as they have. For the rest, peers with a shorter wait are asked for a
 // promise.
 func (r *LoanRequests) Plan(now clock.Millis, need LoanNeed, peers []vm.Incarnation) []LoanRequest {
+	if !need.WorthLending(leastOneWay) {
+		return nil
+	}
 	requests, left := r.askIdle(now, need, peers)
 	if left <= 0 || max(need.Wait, need.UrgentWait) < leastPromiseWait {
 		return requests
--- a/pkg/dispatch/loan_requests_test.go
+++ b/pkg/dispatch/loan_requests_test.go
@@ -29,6 +29,7 @@
 		{name: "several for a large need", told: map[vm.Incarnation]PeerSlots{"a-1": {Lendable: 2}, "b-1": {Lendable: 9}}, tasks: 10, wait: 20, want: []vm.Incarnation{"b-1", "a-1"}},
 		{name: "promise of the shorter wait", told: map[vm.Incarnation]PeerSlots{"a-1": {Wait: 450}, "b-1": {Wait: 100}}, tasks: 5, wait: 500, want: []vm.Incarnation{"b-1"}},
 		{name: "no promise for a short wait", told: map[vm.Incarnation]PeerSlots{"b-1": {Wait: 10}}, tasks: 5, wait: 50},
+		{name: "wait shorter than the way there and back", told: map[vm.Incarnation]PeerSlots{"b-1": {Lendable: 9}}, tasks: 1, wait: 2},
 		{name: "pause after an empty answer", told: map[vm.Incarnation]PeerSlots{"b-1": {Lendable: 9}}, answers: []answer{{peer: "b-1", left: PeerSlots{Lendable: 9}}}, tasks: 5, wait: 20},
 	}
 	for _, tt := range tests {
