Let urgent tasks take half of the share ahead of turn

Cause: urgent jobs that missed their deadline were mostly behind one large urgent job of an owner with a small share that had used slots of other VMs. Change: urgentPart is 2 instead of 4.

--- a/pkg/dispatch/urgent.go
+++ b/pkg/dispatch/urgent.go
@@ -7,9 +7,10 @@
 const urgentBurst = clock.Second
 
 // urgentPart is the part of its share that an owner may take for urgent tasks ahead of
-// its turn: one in four. With the whole share, an owner that marks all jobs as urgent
-// would escape the correction for what it uses on other VMs.
-const urgentPart = 4
+// its turn: half. With the whole share, an owner that marks all jobs as urgent would
+// escape the correction for what it uses on other VMs; with a quarter, one large urgent
+// job holds up the small ones behind it past their deadlines.
+const urgentPart = 2
 
 // urgentLane orders owners with waiting jobs of rank 0 by the slot time that such jobs
 // have had. They go ahead of the owner's turn as long as they stay within a part of its share, so
