Return every slot of expired loans

Change: tasks of expired loans are counted apart (overdue); NextReturn hands their slots back as they end.

--- a/pkg/dispatch/loan.go
+++ b/pkg/dispatch/loan.go
@@ -107,17 +107,19 @@
 }
 
 // GiveBack takes borrowed slots away when the lease has expired, as far as they are still
-// borrowed. Tasks that run there are not affected: inUse of the slots can go back to the
-// lender only as tasks end, the returned ones now.
+// borrowed. Tasks that run there are not affected: the returned slots can go back to the
+// lender now, those in use come out of NextReturn as tasks end.
 func (s *Scheduler) GiveBack(_ clock.Millis, l SlotLoan) (returned, inUse datacentre.Slots) {
 	m := s.machine(l.Endpoint)
-	taken := min(l.Slots, m.borrowed)
-	idle := max(m.capacity()-m.used, 0)
 	s.placement.before(m)
+	taken := min(l.Slots, m.borrowed)
+	returned = min(taken, max(m.capacity()-m.used, 0))
+	inUse = taken - returned
 	m.borrowed -= taken
+	m.used -= inUse
+	m.overdue += inUse
 	s.placement.after(m)
-	returned = min(taken, idle)
-	return returned, taken - returned
+	return returned, inUse
 }
 
 // ReturnIdle takes away the borrowed slots that are idle, and returns them. While tasks
@@ -170,4 +172,12 @@
 }
 
 // NextReturn returns a slot of an expired loan whose task has ended since the last call.
-func (s *Scheduler) NextReturn() (SlotLoan, bool) { return SlotLoan{}, false }
+func (s *Scheduler) NextReturn() (SlotLoan, bool) {
+	n := len(s.returns)
+	if n == 0 {
+		return SlotLoan{}, false
+	}
+	l := s.returns[n-1]
+	s.returns = s.returns[:n-1]
+	return l, true
+}
--- a/pkg/dispatch/machine.go
+++ b/pkg/dispatch/machine.go
@@ -23,6 +23,8 @@
 	id datacentre.EndpointID
 	// The slots that this VM may use are owned - lent + borrowed.
 	owned, lent, borrowed, used datacentre.Slots
+	// overdue counts slots of expired loans that still run tasks; used does not count them.
+	overdue datacentre.Slots
 
 	// logSlowness is the logarithm to base 2 of the run time against the mean endpoint.
 	logSlowness float64
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -56,6 +56,7 @@
 	placement placement
 
 	promises []promise
+	returns  []SlotLoan
 	// borrowable slots are idle at peers; peers would free borrowableUrgent for tasks of
 	// rank 0.
 	borrowable, borrowableUrgent datacentre.Slots
@@ -275,9 +276,15 @@
 
 func (s *Scheduler) release(r *runningTask) {
 	r.list.remove(r)
-	s.placement.before(r.machine)
-	r.machine.used--
-	s.placement.after(r.machine)
+	m := r.machine
+	if m.overdue > 0 {
+		m.overdue--
+		s.returns = append(s.returns, SlotLoan{Endpoint: m.id, Slots: 1})
+		return
+	}
+	s.placement.before(m)
+	m.used--
+	s.placement.after(m)
 }
 
 // Cancel drops the tasks of a job that wait, and returns them.
--- a/pkg/measure/cluster.go
+++ b/pkg/measure/cluster.go
@@ -35,7 +35,6 @@
 			jobs:      make(map[contract.JobRef]*job),
 			loans:     dispatch.NewLoanRequests(),
 			lenders:   make(map[datacentre.EndpointID]*entryVM),
-			owed:      make(map[datacentre.EndpointID]datacentre.Slots),
 		}
 		e.scheduler.SetOwners(now, m.scenario.workload.Owners)
 		c.vms = append(c.vms, e)
@@ -137,9 +136,12 @@
 	case busy:
 		v.scheduler.Finish(now, t.start, contract.NotStarted{Cause: contract.EndpointBusy})
 	}
-	if v.owed[t.endpoint.id] > 0 {
-		v.owed[t.endpoint.id]--
-		c.sendBack(v, dispatch.SlotLoan{Endpoint: t.endpoint.id, Slots: 1})
+	for {
+		l, ok := v.scheduler.NextReturn()
+		if !ok {
+			break
+		}
+		c.sendBack(v, l)
 	}
 	c.startTasks(v)
 }
--- a/pkg/measure/cluster_loans.go
+++ b/pkg/measure/cluster_loans.go
@@ -60,8 +60,7 @@
 // expire takes back what is left of a loan. Slots that run tasks go back one by one as
 // the tasks end.
 func (c *cluster) expire(e loanExpires) {
-	returned, inUse := e.borrower.scheduler.GiveBack(c.simulation.agenda.now.millis(), e.loan)
-	e.borrower.owed[e.loan.Endpoint] += inUse
+	returned, _ := e.borrower.scheduler.GiveBack(c.simulation.agenda.now.millis(), e.loan)
 	if returned > 0 {
 		c.sendBack(e.borrower, dispatch.SlotLoan{Endpoint: e.loan.Endpoint, Slots: returned})
 	}
--- a/pkg/measure/entry_vm.go
+++ b/pkg/measure/entry_vm.go
@@ -16,8 +16,6 @@
 	// peers lists the others, those of the same data centre first.
 	peers []vm.Incarnation
 	ticks int
-	// lenders names the home of each borrowed endpoint; owed counts the slots of expired
-	// loans that still run tasks.
+	// lenders names the home of each borrowed endpoint.
 	lenders map[datacentre.EndpointID]*entryVM
-	owed    map[datacentre.EndpointID]datacentre.Slots
 }
