--- a/pkg/contract/attempt_result.go
+++ b/pkg/contract/attempt_result.go
@@ -29,6 +29,8 @@
 	EndpointBusy NotStartedCause = iota
 	EndpointLeaving
 	EndpointUnreachable
+	// NotSent means that this VM did not send the task; the endpoint has no part in it.
+	NotSent
 )
 
 // String returns the cause as it appears in logs.
@@ -38,6 +40,8 @@
 		return "busy"
 	case EndpointLeaving:
 		return "leaving"
+	case NotSent:
+		return "not tried"
 	default:
 		return "unreachable"
 	}
--- a/pkg/dispatch/admission_test.go
+++ b/pkg/dispatch/admission_test.go
@@ -164,5 +164,12 @@
 	if got, want := len(w.starts), 8; got != want {
 		t.Errorf("got %d starts, want only the %d before the cancellation", got, want)
 	}
+	back := 0
+	for _, ref := range refs {
+		back += len(w.scheduler.Cancel(w.clock.Now(), ref))
+	}
+	if got, want := back, 8; got != want {
+		t.Errorf("got %d tasks back that were not started after all, want %d", got, want)
+	}
 	w.mustAdmit(Job{Owner: "a", Tasks: 20000})
 }
--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -81,7 +81,7 @@
 	if s.failsEverywhere(k) {
 		s.pardon(k)
 	}
-	if k.broken && !j.succeeded && j.waiting() > 0 {
+	if k.broken && !j.succeeded && !j.ended && j.waiting() > 0 {
 		s.dequeue(j)
 		s.dropped = append(s.dropped, Doomed{
 			Job:    j.ref,
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -68,17 +68,18 @@
 	s.trackUrgent(l)
 }
 
-// requeue queues a task again that an endpoint did not run.
-func (s *Scheduler) requeue(now clock.Millis, j *queuedJob, t contract.TaskIndex) bool {
+// requeue queues a task again that an endpoint did not run. After Cancel it only keeps the
+// task for the next Cancel, which returns it.
+func (s *Scheduler) requeue(now clock.Millis, j *queuedJob, t contract.TaskIndex) {
 	if j.ended {
-		return false
+		j.requeued = append(j.requeued, t)
+		return
 	}
 	if j.waiting() > 0 {
 		s.dequeue(j)
 	}
 	j.requeued = append(j.requeued, t)
 	s.enqueue(now, j)
-	return true
 }
 
 func (s *Scheduler) newJob() *queuedJob {
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -246,10 +246,10 @@
 	span := now - r.startedAt
 	s.release(r)
 	j.running--
-	_, notStarted := result.(contract.NotStarted)
-	if notStarted {
+	_, requeued = result.(contract.NotStarted)
+	if requeued {
 		s.charge(j.account, -r.charged)
-		requeued = s.requeue(now, j, r.task.Index)
+		s.requeue(now, j, r.task.Index)
 	} else {
 		s.charge(j.account, slotMillis(span)-r.charged)
 		j.account.slotTime += slotMillis(span)
@@ -287,13 +287,14 @@
 	s.placement.after(m)
 }
 
-// Cancel drops the tasks of a job that wait, and returns them.
+// Cancel drops the tasks of a job that wait, and returns them. A running task that was not
+// started after all is returned by a further Cancel.
 func (s *Scheduler) Cancel(_ clock.Millis, job contract.JobRef) []contract.TaskIndex {
 	j, ok := s.jobs[job]
 	if !ok {
 		return nil
 	}
-	if j.waiting() > 0 {
+	if j.waiting() > 0 && !j.ended {
 		s.dequeue(j)
 	}
 	dropped := j.drop()
--- a/pkg/entry/action.go
+++ b/pkg/entry/action.go
@@ -24,19 +24,41 @@
 	Endpoint datacentre.Endpoint
 	Payload  []byte
 	Deadline clock.Millis
+	// Accepted is when the submission was accepted, Trace the span it belongs to.
+	Accepted clock.Millis
+	Trace    contract.TraceParent
 }
 
 // SendRecords sends a batch to the witness. Ends with RecordsAnswered.
 type SendRecords struct {
 	Witness vm.VM
+	Batch   contract.BatchNumber
 	Records []contract.Record
 }
 
-func (ReplyTo) isAction()     {}
-func (RunAttempt) isAction()  {}
-func (SendRecords) isAction() {}
+// SendHandOver sends a part of the answers to the witness at shutdown. Ends with
+// HandOverAnswered.
+type SendHandOver struct {
+	Witness vm.VM
+	Records []contract.Record
+	Last    bool
+}
 
-// Reply is what a waiting traffic goroutine hears: IDs, AnswerReply or RecordsReply.
+// WritePairRow writes the row of a pair unless it exists, and reads it back where the
+// outcome is open. Ends with PairRowDecided.
+type WritePairRow struct {
+	Pair contract.Pair
+	Row  contract.PairRow
+}
+
+func (ReplyTo) isAction()      {}
+func (RunAttempt) isAction()   {}
+func (SendRecords) isAction()  {}
+func (SendHandOver) isAction() {}
+func (WritePairRow) isAction() {}
+
+// Reply is what a waiting traffic goroutine hears: IDs, AnswerReply,
+// RecordsReply or ShutdownReply.
 type Reply interface{ isReply() }
 
 // IDs carries reserved ids.
@@ -48,6 +70,10 @@
 // RecordsReply carries the status of each record of a batch.
 type RecordsReply struct{ Statuses []contract.RecordStatus }
 
-func (IDs) isReply()          {}
-func (AnswerReply) isReply()  {}
-func (RecordsReply) isReply() {}
+// ShutdownReply says whether all work ended and was handed over.
+type ShutdownReply struct{ Drained bool }
+
+func (ShutdownReply) isReply() {}
+func (IDs) isReply()           {}
+func (AnswerReply) isReply()   {}
+func (RecordsReply) isReply()  {}
--- a/pkg/entry/traffic.go
+++ b/pkg/entry/traffic.go
@@ -3,9 +3,14 @@
 import (
 	"context"
 
+	gometrics "github.com/rcrowley/go-metrics"
+
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/metrics"
+	"github.com/sequoiacart/sequoiacart/pkg/platform"
+	"github.com/sequoiacart/sequoiacart/pkg/trace"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
@@ -16,7 +21,8 @@
 
 // RecordSender sends records to a witness.
 type RecordSender interface {
-	Record(ctx context.Context, witness vm.VM, issuer vm.Incarnation, records []contract.Record) ([]contract.RecordStatus, error)
+	Record(ctx context.Context, witness vm.VM, issuer vm.Incarnation, batch contract.BatchNumber, records []contract.Record) ([]contract.RecordStatus, error)
+	HandOver(ctx context.Context, witness vm.VM, issuer vm.Incarnation, records []contract.Record, last bool) error
 }
 
 // TrafficConfig holds what traffic is made of.
@@ -24,8 +30,21 @@
 	Self      vm.Incarnation
 	Endpoints EndpointRunner
 	Witnesses RecordSender
+	Roster    HeartbeatSender
+	Rows      RowDeleter
+	Loans     LoanCaller
+	// Peers hears of new rosters and links.
+	Peers func(Snapshot)
+	Table platform.Table
 	// PeerTimeout bounds one call to a peer.
 	PeerTimeout clock.Millis
+	// PlatformTimeout bounds the write and the read of a pair row together.
+	PlatformTimeout clock.Millis
+	Clock           clock.Clock
+	// Tracer records the queue and endpoint hops; nil records nothing.
+	Tracer *trace.Tracer
+	// Metrics counts attempts; nil counts them nowhere.
+	Metrics *metrics.Metrics
 }
 
 // Traffic carries out actions, each on a goroutine of its own. The number of attempts is
@@ -37,6 +56,12 @@
 
 // NewTraffic returns traffic that is not yet attached to a loop.
 func NewTraffic(c TrafficConfig) *Traffic {
+	if c.Metrics == nil {
+		c.Metrics = metrics.New(gometrics.NewRegistry())
+	}
+	if c.Clock == nil {
+		c.Clock = clock.NewSystem()
+	}
 	return &Traffic{config: c}
 }
 
@@ -52,22 +77,62 @@
 		go t.runAttempt(a)
 	case SendRecords:
 		go t.sendRecords(a)
+	case SendHeartbeat:
+		go t.sendHeartbeat(a)
+	case DeleteRow:
+		go t.deleteRow(a)
+	case RequestLoan:
+		go t.requestLoan(a)
+	case ReturnLoans:
+		go t.returnLoans(a)
+	case PublishPeers:
+		t.config.Peers(a.Peers)
+	case SendHandOver:
+		go t.sendHandOver(a)
+	case WritePairRow:
+		go t.writePairRow(a)
 	}
 }
 
 func (t *Traffic) runAttempt(a RunAttempt) {
-	ctx, cancel := context.WithTimeout(context.Background(), a.Deadline.Duration())
+	ctx, cancel := context.WithTimeout(trace.WithParent(context.Background(), a.Trace), a.Deadline.Duration())
 	defer cancel()
-	result := t.config.Endpoints.Run(ctx, a.Endpoint, a.Attempt, a.Payload, a.Deadline)
+	result := t.observeAttempt(ctx, a)
 	t.loop.Post(context.Background(), AttemptEnded{Attempt: a.Attempt, Start: a.Start, Result: result})
 }
 
+// observeAttempt runs an attempt and records its spans and figures.
+func (t *Traffic) observeAttempt(ctx context.Context, a RunAttempt) contract.AttemptResult {
+	id := a.Attempt.Submission
+	began := t.config.Clock.Now()
+	t.config.Tracer.Record(ctx, trace.QueueHop, id, a.Accepted, began)
+	ctx, span := t.config.Tracer.Start(ctx, trace.EndpointHop, id)
+	defer span.End()
+	result := t.config.Endpoints.Run(ctx, a.Endpoint, a.Attempt, a.Payload, a.Deadline)
+	t.config.Metrics.AttemptEnded(result, began-a.Accepted, t.config.Clock.Now()-began)
+	return result
+}
+
 func (t *Traffic) sendRecords(a SendRecords) {
 	ctx, cancel := context.WithTimeout(context.Background(), t.config.PeerTimeout.Duration())
 	defer cancel()
-	statuses, err := t.config.Witnesses.Record(ctx, a.Witness, t.config.Self, a.Records)
+	statuses, err := t.config.Witnesses.Record(ctx, a.Witness, t.config.Self, a.Batch, a.Records)
 	if err != nil {
 		statuses = nil
 	}
-	t.loop.Post(context.Background(), RecordsAnswered{Witness: a.Witness.Incarnation, Statuses: statuses})
+	t.loop.Post(context.Background(), RecordsAnswered{Witness: a.Witness.Incarnation, Batch: a.Batch, Statuses: statuses})
+}
+
+func (t *Traffic) sendHandOver(a SendHandOver) {
+	ctx, cancel := context.WithTimeout(context.Background(), t.config.PeerTimeout.Duration())
+	defer cancel()
+	err := t.config.Witnesses.HandOver(ctx, a.Witness, t.config.Self, a.Records, a.Last)
+	t.loop.Post(context.Background(), HandOverAnswered{Witness: a.Witness.Incarnation, Accepted: err == nil})
+}
+
+func (t *Traffic) writePairRow(a WritePairRow) {
+	ctx, cancel := context.WithTimeout(context.Background(), t.config.PlatformTimeout.Duration())
+	defer cancel()
+	row := decidePairRow(ctx, t.config.Table, a.Pair, a.Row)
+	t.loop.Post(context.Background(), PairRowDecided{Pair: a.Pair, Row: row})
 }
--- a/pkg/peer/wire.go
+++ b/pkg/peer/wire.go
@@ -12,6 +12,8 @@
 	DeadlineMs int64
 	Repeatable bool
 	Payloads   [][]byte
+	// TraceParent is the W3C traceparent of the peer hop.
+	TraceParent string
 }
 
 type answerKind int
@@ -66,14 +68,24 @@
 	ID     string
 	Owner  string
 	WaitMs int64
+	// TraceParent is the W3C traceparent of the peer hop.
+	TraceParent string
 }
 
 // RecordRequest brings a batch of records to a witness.
 type RecordRequest struct {
 	Issuer  string
+	Batch   uint64
 	Records []WireRecord
 }
 
+// HandOverRequest brings answers of an issuer that shuts down.
+type HandOverRequest struct {
+	Issuer  string
+	Records []WireRecord
+	Last    bool
+}
+
 // RecordReply carries one status for each record.
 type RecordReply struct {
 	Statuses []int
