Project the wait over all VMs where waits are levelled

SetBorrowable had also changed its signature, which others call. Change: PeersLoad sums up what peers told; Admit takes the lesser of the local projection and the one over all VMs. SetBorrowable has one argument again.

--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -65,7 +65,7 @@
 func (s *Scheduler) lateness(now clock.Millis, a *account, k *kind, rank int, j Job) clock.Millis {
 	slots := slotMillis(s.placement.total + s.borrowable)
 	if rank == 0 {
-		slots = slotMillis(s.placement.total + max(s.borrowable, s.borrowableUrgent))
+		slots = slotMillis(s.placement.total + max(s.borrowable, s.peersLoad.UrgentSlots))
 	}
 	if slots == 0 {
 		// Without endpoints there is no projection; the bounds of the queue hold.
@@ -80,10 +80,19 @@
 		shares += a.share()
 	}
 	wait := min(ahead*shares/a.share(), ahead+others) - free
-	end := now + clock.Millis(max(wait, 0)/slots) + s.upperEstimate(k)
+	wait = min(max(wait, 0)/slots, s.levelWait(ahead+others))
+	end := now + clock.Millis(wait) + s.upperEstimate(k)
 	return end - j.Deadline
 }
 
+// levelWait is the wait for the work when all VMs have the same wait.
+func (s *Scheduler) levelWait(work slotMillis) slotMillis {
+	if s.peersLoad.Slots == 0 {
+		return slotMillis(math.Inf(1))
+	}
+	return (work + s.peersLoad.work) / slotMillis(s.placement.total+s.peersLoad.Slots)
+}
+
 // probes admits one small job of a kind a second although the projection is late, if no
 // task of the kind has succeeded for that long. Without that, an estimate that is too
 // high refuses the tasks that would correct it.
--- a/pkg/dispatch/loan.go
+++ b/pkg/dispatch/loan.go
@@ -160,10 +160,16 @@
 	return clock.Millis(work / slotMillis(max(s.placement.total, 1)))
 }
 
-// SetBorrowable sets how many slots peers would lend for any work and for urgent work,
-// for the projection at Admit.
-func (s *Scheduler) SetBorrowable(slots, urgent datacentre.Slots) {
-	s.borrowable, s.borrowableUrgent = slots, urgent
+// SetBorrowable sets how many slots peers would lend for any work, for the projection at
+// Admit.
+func (s *Scheduler) SetBorrowable(slots datacentre.Slots) {
+	s.borrowable = slots
+}
+
+// SetPeersLoad sets what peers have told of their load, for the projection at Admit. Call
+// it only where Promise and NextGrant level the waits of VMs; the projection counts on it.
+func (s *Scheduler) SetPeersLoad(l PeersLoad) {
+	s.peersLoad = l
 }
 
 // Slots returns the number of slots that this VM may use now.
--- a/pkg/dispatch/loan_requests.go
+++ b/pkg/dispatch/loan_requests.go
@@ -31,6 +31,15 @@
 	Wait, UrgentWait clock.Millis
 }
 
+// PeersLoad is the load of all peers together.
+type PeersLoad struct {
+	// Slots counts the slots that peers may use, UrgentSlots those that they would free for
+	// tasks of rank 0.
+	Slots, UrgentSlots datacentre.Slots
+
+	work slotMillis
+}
+
 // LoanRequest is what one peer is asked for.
 type LoanRequest struct {
 	Peer vm.Incarnation
@@ -67,16 +76,26 @@
 	return p
 }
 
-// Borrowable is the number of slots that peers would lend, for any work and for urgent
-// work, as far as they have told.
-func (r *LoanRequests) Borrowable() (slots, urgent datacentre.Slots) {
+// Borrowable is the number of slots that peers would lend, as far as they have told.
+func (r *LoanRequests) Borrowable() datacentre.Slots {
+	sum := datacentre.Slots(0)
+	for _, p := range r.peers {
+		sum += p.slots.Lendable
+	}
+	return sum
+}
+
+// PeersLoad sums up what the peers have told.
+func (r *LoanRequests) PeersLoad() PeersLoad {
+	var l PeersLoad
 	for _, p := range r.peers {
-		slots += p.slots.Lendable
+		l.Slots += p.slots.Slots
+		l.work += slotMillis(p.slots.Wait) * slotMillis(p.slots.Slots)
 		if p.slots.UrgentWait < leastPromiseWait {
-			urgent += p.slots.Slots / urgentLoanPart
+			l.UrgentSlots += p.slots.Slots / urgentLoanPart
 		}
 	}
-	return slots, urgent
+	return l
 }
 
 // Plan splits the need between the peers, in the given order. Peers with idle slots are
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -57,9 +57,9 @@
 
 	promises []promise
 	returns  []SlotLoan
-	// borrowable slots are idle at peers; peers would free borrowableUrgent for tasks of
-	// rank 0.
-	borrowable, borrowableUrgent datacentre.Slots
+	// borrowable slots are idle at peers.
+	borrowable datacentre.Slots
+	peersLoad  PeersLoad
 
 	// running has a list for each lane; a task that outruns short work moves to long.
 	running  [laneCount]runningList
--- a/pkg/measure/cluster.go
+++ b/pkg/measure/cluster.go
@@ -154,7 +154,7 @@
 	case digestArrives:
 		e.to.scheduler.SetPeerUsage(now, e.from.vm.Incarnation, e.usage)
 		e.to.loans.Learn(e.from.vm.Incarnation, e.slots)
-		e.to.scheduler.SetBorrowable(e.to.loans.Borrowable())
+		e.to.learnLoad()
 	case loanAsked:
 		c.lend(e)
 	case loanGranted:
--- a/pkg/measure/cluster_loans.go
+++ b/pkg/measure/cluster_loans.go
@@ -53,7 +53,7 @@
 	if e.answer {
 		e.to.loans.Answered(now, e.from.vm.Incarnation, granted, e.left)
 	}
-	e.to.scheduler.SetBorrowable(e.to.loans.Borrowable())
+	e.to.learnLoad()
 	c.startTasks(e.to)
 }
 
--- a/pkg/measure/entry_vm.go
+++ b/pkg/measure/entry_vm.go
@@ -19,3 +19,9 @@
 	// lenders names the home of each borrowed endpoint.
 	lenders map[datacentre.EndpointID]*entryVM
 }
+
+// learnLoad tells the scheduler what is known of the peers.
+func (v *entryVM) learnLoad() {
+	v.scheduler.SetBorrowable(v.loans.Borrowable())
+	v.scheduler.SetPeersLoad(v.loans.PeersLoad())
+}
