Test that replaced endpoints are forgotten

Cause: the scheduler kept what it learnt of every endpoint that it ever saw. Change: scenario with 20,000 endpoints that come and go, and one that is leaving.

--- a/pkg/dispatch/health_test.go
+++ b/pkg/dispatch/health_test.go
@@ -116,6 +116,23 @@
 	}
 }
 
+// Guards against memory that grows with every endpoint that was ever replaced, and
+// against a drain that is forgotten while the list may still show the endpoint.
+func TestReplacedEndpointsAreForgotten(t *testing.T) {
+	w := newWorld(t, 0, 0, ownerOf("a", 1))
+	w.scheduler.Drain(w.clock.Now(), "leaving")
+	for i := range 20000 {
+		w.scheduler.SetSlots(w.clock.Now(), endpointName(i), 8)
+		w.scheduler.SetSlots(w.clock.Now(), endpointName(i), 0)
+	}
+	if got := len(w.scheduler.machines); got > 2000 {
+		t.Errorf("got %d endpoints remembered, want at most 2000", got)
+	}
+	if w.scheduler.Readmit(w.clock.Now(), "leaving", w.clock.Now()) {
+		t.Errorf("got the leaving endpoint readmitted without fresh evidence, want it remembered")
+	}
+}
+
 // Guards against tasks on slow endpoints while fast ones are free.
 func TestSpeedDecidesPlacement(t *testing.T) {
 	w := newWorld(t, 4, 8, ownerOf("a", 1))
