Forget endpoints that are gone

Change: SetSlots forgets endpoints without slots when their number has doubled; drains are kept for 10 minutes. A kind keeps its own name instead of a search for it.

--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -85,21 +85,12 @@
 		s.dequeue(j)
 		s.dropped = append(s.dropped, Doomed{
 			Job:    j.ref,
-			Reason: "tasks of kind " + string(s.kindName(k)) + " fail on every endpoint, last: " + reason,
+			Reason: "tasks of kind " + string(k.name) + " fail on every endpoint, last: " + reason,
 			Tasks:  j.drop(),
 		})
 	}
 }
 
-func (s *Scheduler) kindName(k *kind) contract.Kind {
-	for key, found := range s.kinds {
-		if found == k {
-			return key.kind
-		}
-	}
-	return ""
-}
-
 // failsEverywhere tells whether a kind has failed on at least half of the endpoints (3
 // to 8) since its last success. A quarter may be faulty, so fewer prove nothing.
 func (s *Scheduler) failsEverywhere(k *kind) bool {
--- a/pkg/dispatch/kind.go
+++ b/pkg/dispatch/kind.go
@@ -32,6 +32,7 @@
 
 // kind is what has been learnt of a kind of task.
 type kind struct {
+	name    contract.Kind
 	times   histogram
 	samples int
 	mean    slotMillis
--- a/pkg/dispatch/long_work.go
+++ b/pkg/dispatch/long_work.go
@@ -48,7 +48,7 @@
 		if len(s.kinds) >= knownKinds {
 			s.forgetKind()
 		}
-		k = &kind{}
+		k = &kind{name: name}
 		s.kinds[key] = k
 	}
 	k.used = now
--- a/pkg/dispatch/machine.go
+++ b/pkg/dispatch/machine.go
@@ -18,6 +18,14 @@
 	onTrial
 )
 
+const (
+	// drainMemory is how long a drain is remembered of an endpoint that is not listed. The
+	// platform's list lags and may show the endpoint once more.
+	drainMemory = 10 * clock.Minute
+	// leastSweep is the least number of endpoints at which any are forgotten.
+	leastSweep = 1024
+)
+
 // machine is what the scheduler knows of one endpoint.
 type machine struct {
 	id datacentre.EndpointID
@@ -50,6 +58,11 @@
 	return max(m.owned-m.lent+m.borrowed, 0)
 }
 
+// gone tells that no slots of the endpoint are used, lent or to be used.
+func (m *machine) gone() bool {
+	return m.owned == 0 && m.lent == 0 && m.borrowed == 0 && m.used == 0 && m.overdue == 0 && !m.held
+}
+
 func (m *machine) free() datacentre.Slots {
 	limit := m.capacity()
 	switch m.standing {
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -50,8 +50,10 @@
 	times    histogram
 	longFrom clock.Millis
 
-	machines  map[datacentre.EndpointID]*machine
-	all       []*machine
+	machines map[datacentre.EndpointID]*machine
+	all      []*machine
+	// sweepAt is the number of endpoints at which those that are gone are forgotten.
+	sweepAt   int
 	held      []*machine
 	placement placement
 
@@ -75,6 +77,7 @@
 		jobs:     make(map[contract.JobRef]*queuedJob),
 		kinds:    make(map[kindKey]*kind),
 		longFrom: initialLongFrom,
+		sweepAt:  leastSweep,
 		machines: make(map[datacentre.EndpointID]*machine),
 	}
 }
@@ -109,7 +112,10 @@
 
 // SetSlots sets how many slots of an endpoint are this VM's own; 0 takes the endpoint
 // away. What has been learnt of the endpoint stays.
-func (s *Scheduler) SetSlots(_ clock.Millis, e datacentre.EndpointID, capacity datacentre.Slots) {
+func (s *Scheduler) SetSlots(now clock.Millis, e datacentre.EndpointID, capacity datacentre.Slots) {
+	if len(s.all) > s.sweepAt {
+		s.forgetMachines(now)
+	}
 	m := s.machine(e)
 	if m.owned == capacity {
 		return
@@ -119,6 +125,22 @@
 	s.placement.after(m)
 }
 
+// forgetMachines drops what is known of endpoints that are gone. Endpoints are replaced
+// all the time, and their names may not come back.
+func (s *Scheduler) forgetMachines(now clock.Millis) {
+	kept := s.all[:0]
+	for _, m := range s.all {
+		if m.gone() && now-m.drainedAt > drainMemory {
+			delete(s.machines, m.id)
+			continue
+		}
+		kept = append(kept, m)
+	}
+	clear(s.all[len(kept):])
+	s.all = kept
+	s.sweepAt = 2*len(kept) + leastSweep
+}
+
 func (s *Scheduler) machine(e datacentre.EndpointID) *machine {
 	m, ok := s.machines[e]
 	if !ok {
