--- a/pkg/dispatch/order_test.go
+++ b/pkg/dispatch/order_test.go
@@ -103,7 +103,9 @@
 		name  string
 		flood Job
 		late  Job
-		bound clock.Millis
+		// usedLate is the slot time that the owner of the late job has used at a peer.
+		usedLate clock.Millis
+		bound    clock.Millis
 	}{
 		{
 			name:  "lowest class under a flood of the most urgent",
@@ -117,6 +119,13 @@
 			late:  Job{Owner: "b", Tasks: 1},
 			bound: 2*clock.Second + 100,
 		},
+		{
+			name:     "owner that used far more than its share at a peer",
+			flood:    Job{Owner: "a", Tasks: 10},
+			late:     Job{Owner: "b", Rank: 1, Tasks: 1},
+			usedLate: clock.Hour,
+			bound:    2*clock.Second + 100,
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -125,6 +134,9 @@
 				w.keepBacklog(300, tt.flood)
 				w.advance(50)
 			}
+			for _, used := range []clock.Millis{0, tt.usedLate} {
+				w.scheduler.SetPeerUsage(w.clock.Now(), "p-1", []OwnerUsage{{Owner: tt.late.Owner, Charged: used}})
+			}
 			late := w.mustAdmit(tt.late)
 			for range 100 {
 				w.keepBacklog(300, tt.flood)
