--- a/pkg/app/poller.go
+++ b/pkg/app/poller.go
@@ -6,7 +6,6 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/entry"
 	"github.com/sequoiacart/sequoiacart/pkg/event"
@@ -15,30 +14,24 @@
 )
 
 type pollerDeps struct {
-	Self    vm.VM
-	Client  *platform.Client
-	Clock   clock.Clock
-	Log     *event.Log
-	Every   clock.Millis
-	Loop    *entry.Loop
-	Rows    *rosterRows
-	InForce func(*bundle.Bundle)
+	Self   vm.VM
+	Client *platform.Client
+	Clock  clock.Clock
+	Log    *event.Log
+	Every  clock.Millis
+	Loop   *entry.Loop
+	Rows   *rosterRows
 }
 
-// poller reads the platform at intervals: roster, endpoints and bundle.
+// poller reads the platform at intervals: roster and endpoints.
 type poller struct {
-	deps    pollerDeps
-	current *bundle.Bundle
+	deps pollerDeps
 }
 
 func newPoller(deps pollerDeps) *poller {
 	return &poller{deps: deps}
 }
 
-const (
-	bundleObject platform.ObjectName = "bundle"
-)
-
 // Run polls until the context ends.
 func (p *poller) Run(ctx context.Context) error {
 	for {
@@ -60,10 +53,7 @@
 	if err := p.pollRoster(ctx); err != nil {
 		return errors.Annotate(err, "read roster")
 	}
-	if err := p.pollEndpoints(ctx); err != nil {
-		return errors.Annotate(err, "read endpoints")
-	}
-	return errors.Annotate(p.pollBundle(ctx), "read bundle")
+	return errors.Annotate(p.pollEndpoints(ctx), "read endpoints")
 }
 
 func (p *poller) pollRoster(ctx context.Context) error {
@@ -94,26 +84,3 @@
 	p.deps.Loop.Post(ctx, e)
 	return nil
 }
-
-func (p *poller) pollBundle(ctx context.Context) error {
-	body, err := p.deps.Client.Objects().Get(ctx, bundleObject)
-	if errors.Is(err, platform.ErrAbsent) {
-		return nil
-	}
-	if err != nil {
-		return errors.Trace(err)
-	}
-	b, err := bundle.Decode(body)
-	if err != nil {
-		p.deps.Log.Warn(event.BundleRejected, "bundle rejected", logrus.Fields{"error": err})
-		return nil
-	}
-	if p.current != nil && b.Version <= p.current.Version {
-		return nil
-	}
-	p.current = b
-	p.deps.InForce(b)
-	p.deps.Loop.Post(ctx, entry.OwnersChanged{Owners: b.Owners})
-	p.deps.Log.Info(event.BundleInForce, "bundle in force", logrus.Fields{"version": b.Version})
-	return nil
-}
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
@@ -40,6 +41,7 @@
 	witness   *contract.Witness
 	scheduler *dispatch.Scheduler
 	roster    *vm.Roster
+	bundles   bundle.Holder
 	owners    map[owner.ID]owner.Owner
 	endpoints map[datacentre.EndpointID]datacentre.Endpoint
 	outboxes  map[vm.Incarnation]*outbox
@@ -179,6 +181,8 @@
 		c.loansReturned(now, e)
 	case LoansAcknowledged:
 		c.lending.borrowings.Acknowledged(e.Returns)
+	case BundleOffered:
+		c.bundleOffered(now, e)
 	case Tick:
 		c.passTime(now)
 		c.tick(now)
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/loan"
@@ -68,6 +69,11 @@
 	return nil
 }
 
+// Roster returns the roster in use.
+func (r *Router) Roster() *vm.Roster {
+	return r.peers.Load().Roster
+}
+
 // Reserve returns new ids issued by this VM.
 func (r *Router) Reserve(ctx context.Context, o owner.ID, count int) ([]contract.SubmissionID, error) {
 	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event { return ReserveIDs{Waiter: w, Owner: o, Count: count} })
@@ -193,6 +199,16 @@
 	return errors.Annotatef(err, "keep answers of %s", issuer)
 }
 
+// OfferBundle hands a verified bundle to control, which decides whether it follows the one
+// in force.
+func (r *Router) OfferBundle(ctx context.Context, c bundle.Candidate) (bundle.Verdict, error) {
+	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event { return BundleOffered{Waiter: w, Candidate: c} })
+	if err != nil {
+		return nil, errors.Annotatef(err, "offer bundle version %d", c.Head.Version)
+	}
+	return reply.(BundleVerdict).Verdict, nil
+}
+
 // callWithin hands an event to control and waits for the answer, up to the span.
 func (r *Router) callWithin(ctx context.Context, wait clock.Millis, makeEvent func(WaiterID) Event) (contract.Answer, error) {
 	if wait > 0 {
--- a/pkg/settings/validate.go
+++ b/pkg/settings/validate.go
@@ -15,7 +15,7 @@
 // Validate checks the settings and names the first key that is wrong, the reason and what
 // to do.
 func (s Settings) Validate() error {
-	for _, check := range []func() error{s.checkNames, s.checkAddresses, s.checkNumbers, s.checkTrace, s.checkTLS} {
+	for _, check := range []func() error{s.checkNames, s.checkAddresses, s.checkGovernance, s.checkNumbers, s.checkTrace, s.checkTLS} {
 		if err := check(); err != nil {
 			return errors.Annotate(err, "check settings")
 		}
@@ -46,6 +46,23 @@
 			return err
 		}
 	}
+	if s.AdvertisedPeerAddress != "" {
+		if err := checkAddress("advertisedPeerAddress", s.AdvertisedPeerAddress); err != nil {
+			return err
+		}
+	}
+	for _, a := range s.SeedPeers.List() {
+		if err := checkAddress("seedPeers", a); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s Settings) checkGovernance() error {
+	if s.GovernanceDigest != "" && !s.GovernanceDigest.Valid() {
+		return wrong("governanceDigest", strconv.Quote(string(s.GovernanceDigest))+" is no digest", "use the 64 hex digits that bundle check prints")
+	}
 	return nil
 }
 
