--- a/pkg/measure/head_of_line.go
+++ b/pkg/measure/head_of_line.go
@@ -3,8 +3,8 @@
 const (
 	longPart   = 0.05
 	longFactor = 20
-	// headOfLineLoad makes tasks wait even without long ones; at 60 % the waits are too
-	// short for a ratio.
+	// headOfLineLoad is higher than the usual load, so that long tasks have to be confined
+	// for short ones to find slots.
 	headOfLineLoad = 0.8
 	// longerSpan is added to the run: the 99th percentile of the waits depends on the few
 	// largest jobs.
