Give the types of loans and running tasks files of their own

Change: moved without edits. Result: go test -race ./pkg/dispatch ./pkg/measure ./pkg/entry passes. Conclusion: no change of behaviour.

--- a/pkg/dispatch/loan_promise.go
+++ b/pkg/dispatch/loan_promise.go
@@ -46,20 +46,6 @@
 	return slots
 }
 
-// slotsToLevel returns how many of a lender's slots give both VMs the same wait, divided
-// by the number of peers that were asked.
-func (n LoanNeed) slotsToLevel(work slotMillis, total datacentre.Slots) datacentre.Slots {
-	theirs := slotMillis(n.Wait) * slotMillis(max(n.Slots, 1))
-	level := (theirs*slotMillis(total) - work*slotMillis(n.Slots)) / (theirs + work)
-	return min(datacentre.Slots(level)/datacentre.Slots(max(n.Asked, 1)), datacentre.Slots(n.Tasks))
-}
-
-// urgentSlots returns how many of a lender's slots go to a peer's urgent tasks.
-func (n LoanNeed) urgentSlots(total datacentre.Slots) datacentre.Slots {
-	asked := datacentre.Slots(max(n.Asked, 1))
-	return min(total/urgentLoanPart, (datacentre.Slots(n.UrgentTasks)+asked-1)/asked)
-}
-
 // NextGrant turns a free slot into a loan that was promised. Call it before Next.
 func (s *Scheduler) NextGrant(now clock.Millis) (vm.Incarnation, SlotLoan, bool) {
 	for len(s.promises) > 0 && s.placement.free > 0 {
--- a/pkg/dispatch/loan_requests.go
+++ b/pkg/dispatch/loan_requests.go
@@ -21,33 +21,6 @@
 	loanRequestTimeout = clock.Second
 )
 
-// PeerSlots is what a VM tells its peers with heartbeats and with answers to loan
-// requests, so that they ask where there is something to lend.
-type PeerSlots struct {
-	// Lendable counts the slots that the VM would lend now.
-	Lendable datacentre.Slots
-	// Slots counts the slots that the VM may use itself.
-	Slots datacentre.Slots
-	// Wait is the projected wait of the last task in its queue, UrgentWait that of the last
-	// task of rank 0.
-	Wait, UrgentWait clock.Millis
-}
-
-// PeersLoad is the load of all peers together.
-type PeersLoad struct {
-	// Slots counts the slots that peers may use, UrgentSlots those that they would free for
-	// tasks of rank 0.
-	Slots, UrgentSlots datacentre.Slots
-
-	work slotMillis
-}
-
-// LoanRequest is what one peer is asked for.
-type LoanRequest struct {
-	Peer vm.Incarnation
-	Need LoanNeed
-}
-
 // LoanRequests decides which peers to ask for slots, and for how many.
 type LoanRequests struct {
 	peers map[vm.Incarnation]*loanPeer
@@ -128,15 +101,6 @@
 	return requests
 }
 
-// promises tells whether a peer would promise slots.
-func (p PeerSlots) promises(need LoanNeed) bool {
-	if p.Wait == 0 {
-		return false
-	}
-	return need.Wait > p.Wait*promiseWaitHalves/2 ||
-		need.UrgentWait > max(p.UrgentWait*promiseWaitHalves/2, leastPromiseWait)
-}
-
 func (r *LoanRequests) askIdle(now clock.Millis, need LoanNeed, peers []vm.Incarnation) (requests []LoanRequest, left int) {
 	left = need.Tasks
 	for left > 0 {
