--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -13,5 +13,5 @@
 	if !ok {
 		return 0
 	}
-	return m.used
+	return m.used + m.overdue
 }
--- a/pkg/dispatch/loan.go
+++ b/pkg/dispatch/loan.go
@@ -11,24 +11,6 @@
 	Slots    datacentre.Slots
 }
 
-// LoanNeed is what a VM with backlog asks of its peers.
-type LoanNeed struct {
-	// Tasks counts the waiting tasks for which no slot is free.
-	Tasks int
-	// Wait is the projected wait of the last of them without a loan.
-	Wait clock.Millis
-	// Slots counts the slots that the VM may use already.
-	Slots datacentre.Slots
-	// Asked counts the peers that were asked at the same time.
-	Asked int
-}
-
-// WorthLending reports whether the wait saved exceeds the cost of the loan: the request
-// and the grant cross the link once each before the first task can start.
-func (n LoanNeed) WorthLending(oneWay clock.Millis) bool {
-	return n.Tasks > 0 && n.Wait > 2*oneWay
-}
-
 // loanable returns how many of the idle slots may be lent. An eighth of all slots stays
 // as a reserve, since the next arrival at the lender would otherwise wait for a return.
 func loanable(idle, total datacentre.Slots) datacentre.Slots {
@@ -42,9 +24,11 @@
 		return LoanNeed{}
 	}
 	return LoanNeed{
-		Tasks: tasks,
-		Wait:  clock.Millis(s.work / slotMillis(max(s.placement.total, 1))),
-		Slots: s.placement.total,
+		Tasks:       tasks,
+		Wait:        s.projectedWait(s.work),
+		UrgentTasks: s.urgentTasks,
+		UrgentWait:  s.projectedWait(s.urgentWork),
+		Slots:       s.placement.total,
 	}
 }
 
@@ -102,17 +86,19 @@
 }
 
 // GiveBack takes borrowed slots away when the lease has expired, as far as they are still
-// borrowed. Tasks that run there are not affected: inUse of the slots can go back to the
-// lender only as tasks end, the returned ones now.
+// borrowed. Tasks that run there are not affected: the returned slots can go back to the
+// lender now, those in use come out of NextReturn as tasks end.
 func (s *Scheduler) GiveBack(_ clock.Millis, l SlotLoan) (returned, inUse datacentre.Slots) {
 	m := s.machine(l.Endpoint)
-	taken := min(l.Slots, m.borrowed)
-	idle := max(m.capacity()-m.used, 0)
 	s.placement.before(m)
+	taken := min(l.Slots, m.borrowed)
+	returned = min(taken, max(m.capacity()-m.used, 0))
+	inUse = taken - returned
 	m.borrowed -= taken
+	m.used -= inUse
+	m.overdue += inUse
 	s.placement.after(m)
-	returned = min(taken, idle)
-	return returned, taken - returned
+	return returned, inUse
 }
 
 // ReturnIdle takes away the borrowed slots that are idle, and returns them. While tasks
@@ -137,19 +123,46 @@
 
 // PeerSlots returns what to tell peers about loans.
 func (s *Scheduler) PeerSlots() PeerSlots {
-	p := PeerSlots{Wait: clock.Millis(s.work / slotMillis(max(s.placement.total, 1)))}
+	p := PeerSlots{
+		Slots:      s.placement.total,
+		Wait:       s.projectedWait(s.work),
+		UrgentWait: s.projectedWait(s.urgentWork),
+	}
 	if s.waiting == 0 {
 		p.Lendable = loanable(s.placement.free, s.placement.total)
 	}
 	return p
 }
 
-// SetBorrowable sets how many slots peers would lend, for the projection at Admit.
+// projectedWait is the time in which all slots do the work.
+func (s *Scheduler) projectedWait(work slotMillis) clock.Millis {
+	return clock.Millis(work / slotMillis(max(s.placement.total, 1)))
+}
+
+// SetBorrowable sets how many slots peers would lend for any work, for the projection at
+// Admit.
 func (s *Scheduler) SetBorrowable(slots datacentre.Slots) {
 	s.borrowable = slots
 }
 
+// SetPeersLoad sets what peers have told of their load, for the projection at Admit. Call
+// it only where Promise and NextGrant level the waits of VMs; the projection counts on it.
+func (s *Scheduler) SetPeersLoad(l PeersLoad) {
+	s.peersLoad = l
+}
+
 // Slots returns the number of slots that this VM may use now.
 func (s *Scheduler) Slots() datacentre.Slots {
 	return s.placement.total
 }
+
+// NextReturn returns a slot of an expired loan whose task has ended since the last call.
+func (s *Scheduler) NextReturn() (SlotLoan, bool) {
+	n := len(s.returns)
+	if n == 0 {
+		return SlotLoan{}, false
+	}
+	l := s.returns[n-1]
+	s.returns = s.returns[:n-1]
+	return l, true
+}
--- a/pkg/dispatch/loan_promise_test.go
+++ b/pkg/dispatch/loan_promise_test.go
@@ -18,13 +18,14 @@
 		{name: "no slots at all", need: LoanNeed{Tasks: 100, Wait: 1000, Asked: 1}, want: 8},
 		{name: "shared with other lenders", need: LoanNeed{Tasks: 100, Wait: 1000, Asked: 4}, want: 2},
 		{name: "about the same wait", need: LoanNeed{Tasks: 100, Wait: 550, Slots: 16, Asked: 1}},
+		{name: "urgent tasks of a peer with a shorter wait", need: LoanNeed{Tasks: 100, Wait: 100, UrgentTasks: 100, UrgentWait: 500, Slots: 16, Asked: 1}, want: 4},
 		{name: "shorter wait", need: LoanNeed{Tasks: 100, Wait: 100, Slots: 16, Asked: 1}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			w := newWorld(t, 2, 8, ownerOf("a", 1))
 			w.learnKind()
-			w.mustAdmit(Job{Owner: "a", Tasks: 96})
+			w.mustAdmit(Job{Owner: "a", Rank: 1, Tasks: 96})
 			w.startAll()
 			if tt.need.Slots == 0 {
 				// The work at the peer is as much as here: 80 waiting tasks of 100 ms.
@@ -56,3 +57,36 @@
 		})
 	}
 }
+
+// Guards against slots that are lost when a loan expires while tasks of an earlier loan of
+// the same endpoint still run.
+func TestExpiredLoansAreReturnedInFull(t *testing.T) {
+	w := newWorld(t, 1, 1, ownerOf("a", 1))
+	w.learnKind()
+	w.scheduler.SetSlots(w.clock.Now(), endpointName(0), 0)
+	w.mustAdmit(Job{Owner: "a", Tasks: 100})
+	borrowed, returned := datacentre.Slots(0), datacentre.Slots(0)
+	for range 5 {
+		loan := SlotLoan{Endpoint: endpointName(0), Slots: 4}
+		w.scheduler.Borrow(w.clock.Now(), loan)
+		borrowed += loan.Slots
+		w.startAll()
+		now, _ := w.scheduler.GiveBack(w.clock.Now(), loan)
+		returned += now
+		w.advance(20)
+	}
+	w.advance(1000)
+	for {
+		l, ok := w.scheduler.NextReturn()
+		if !ok {
+			break
+		}
+		returned += l.Slots
+	}
+	if got, want := len(w.starts), int(borrowed); got != want {
+		t.Errorf("got %d starts on lent slots, want %d", got, want)
+	}
+	if returned != borrowed {
+		t.Errorf("got %d slots returned, want all %d", returned, borrowed)
+	}
+}
--- a/pkg/dispatch/loan_requests.go
+++ b/pkg/dispatch/loan_requests.go
@@ -11,27 +11,16 @@
 	// first to the last; a useless request costs a message of the waste budget.
 	firstLoanPause = 20 * clock.Millis(1)
 	lastLoanPause  = 640 * clock.Millis(1)
+	// leastLoanWait is the shortest wait for which peers are asked. It is more than the way
+	// there and back: slots that become free here in a few milliseconds make most answers
+	// useless.
+	leastLoanWait = 5 * clock.Millis(1)
 	// Below this wait the backlog is gone before promised slots are free.
 	leastPromiseWait = 100 * clock.Millis(1)
 	// One request is under way to a peer at a time; without an answer it counts as lost.
 	loanRequestTimeout = clock.Second
 )
 
-// PeerSlots is what a VM tells its peers with heartbeats and with answers to loan
-// requests, so that they ask where there is something to lend.
-type PeerSlots struct {
-	// Lendable counts the slots that the VM would lend now.
-	Lendable datacentre.Slots
-	// Wait is the projected wait of the last task in its queue.
-	Wait clock.Millis
-}
-
-// LoanRequest is what one peer is asked for.
-type LoanRequest struct {
-	Peer vm.Incarnation
-	Need LoanNeed
-}
-
 // LoanRequests decides which peers to ask for slots, and for how many.
 type LoanRequests struct {
 	peers map[vm.Incarnation]*loanPeer
@@ -71,18 +60,34 @@
 	return sum
 }
 
+// PeersLoad sums up what the peers have told.
+func (r *LoanRequests) PeersLoad() PeersLoad {
+	var l PeersLoad
+	for _, p := range r.peers {
+		l.Slots += p.slots.Slots
+		l.work += slotMillis(p.slots.Wait) * slotMillis(p.slots.Slots)
+		if p.slots.UrgentWait < leastPromiseWait {
+			l.UrgentSlots += p.slots.Slots / urgentLoanPart
+		}
+	}
+	return l
+}
+
 // Plan splits the need between the peers, in the given order. Peers with idle slots are
 // asked for as many as they have. For the rest, peers with a shorter wait are asked for a
 // promise.
 func (r *LoanRequests) Plan(now clock.Millis, need LoanNeed, peers []vm.Incarnation) []LoanRequest {
+	if need.Wait < leastLoanWait {
+		return nil
+	}
 	requests, left := r.askIdle(now, need, peers)
-	if left <= 0 || need.Wait < leastPromiseWait {
+	if left <= 0 || max(need.Wait, need.UrgentWait) < leastPromiseWait {
 		return requests
 	}
 	first := len(requests)
 	for _, id := range peers {
 		p := r.peer(id)
-		if now >= p.notBefore && p.slots.Wait > 0 && need.Wait > p.slots.Wait*promiseWaitHalves/2 {
+		if now >= p.notBefore && p.slots.promises(need) {
 			requests = append(requests, LoanRequest{Peer: id})
 			p.notBefore = now + loanRequestTimeout
 		}
--- a/pkg/dispatch/machine.go
+++ b/pkg/dispatch/machine.go
@@ -18,11 +18,21 @@
 	onTrial
 )
 
+const (
+	// drainMemory is how long a drain is remembered of an endpoint that is not listed. The
+	// platform's list lags and may show the endpoint once more.
+	drainMemory = 10 * clock.Minute
+	// leastSweep is the least number of endpoints at which any are forgotten.
+	leastSweep = 1024
+)
+
 // machine is what the scheduler knows of one endpoint.
 type machine struct {
 	id datacentre.EndpointID
 	// The slots that this VM may use are owned - lent + borrowed.
 	owned, lent, borrowed, used datacentre.Slots
+	// overdue counts slots of expired loans that still run tasks; used does not count them.
+	overdue datacentre.Slots
 
 	// logSlowness is the logarithm to base 2 of the run time against the mean endpoint.
 	logSlowness float64
@@ -48,6 +58,11 @@
 	return max(m.owned-m.lent+m.borrowed, 0)
 }
 
+// gone tells that no slots of the endpoint are used, lent or to be used.
+func (m *machine) gone() bool {
+	return m.owned == 0 && m.lent == 0 && m.borrowed == 0 && m.used == 0 && m.overdue == 0 && !m.held
+}
+
 func (m *machine) free() datacentre.Slots {
 	limit := m.capacity()
 	switch m.standing {
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -41,6 +41,8 @@
 	// work is the estimated slot time of all waiting tasks, and activeShares the sum of
 	// the shares of the owners that they belong to.
 	work         slotMillis
+	urgentWork   slotMillis
+	urgentTasks  int
 	activeShares slotMillis
 	dropped      []Dropped
 
@@ -48,13 +50,18 @@
 	times    histogram
 	longFrom clock.Millis
 
-	machines  map[datacentre.EndpointID]*machine
-	all       []*machine
+	machines map[datacentre.EndpointID]*machine
+	all      []*machine
+	// sweepAt is the number of endpoints at which those that are gone are forgotten.
+	sweepAt   int
 	held      []*machine
 	placement placement
 
-	promises   []promise
+	promises []promise
+	returns  []SlotLoan
+	// borrowable slots are idle at peers.
 	borrowable datacentre.Slots
+	peersLoad  PeersLoad
 
 	// running has a list for each lane; a task that outruns short work moves to long.
 	running  [laneCount]runningList
@@ -70,6 +77,7 @@
 		jobs:     make(map[contract.JobRef]*queuedJob),
 		kinds:    make(map[kindKey]*kind),
 		longFrom: initialLongFrom,
+		sweepAt:  leastSweep,
 		machines: make(map[datacentre.EndpointID]*machine),
 	}
 }
@@ -104,7 +112,10 @@
 
 // SetSlots sets how many slots of an endpoint are this VM's own; 0 takes the endpoint
 // away. What has been learnt of the endpoint stays.
-func (s *Scheduler) SetSlots(_ clock.Millis, e datacentre.EndpointID, capacity datacentre.Slots) {
+func (s *Scheduler) SetSlots(now clock.Millis, e datacentre.EndpointID, capacity datacentre.Slots) {
+	if len(s.all) > s.sweepAt {
+		s.forgetMachines(now)
+	}
 	m := s.machine(e)
 	if m.owned == capacity {
 		return
@@ -114,6 +125,22 @@
 	s.placement.after(m)
 }
 
+// forgetMachines drops what is known of endpoints that are gone. Endpoints are replaced
+// all the time, and their names may not come back.
+func (s *Scheduler) forgetMachines(now clock.Millis) {
+	kept := s.all[:0]
+	for _, m := range s.all {
+		if m.gone() && now-m.drainedAt > drainMemory {
+			delete(s.machines, m.id)
+			continue
+		}
+		kept = append(kept, m)
+	}
+	clear(s.all[len(kept):])
+	s.all = kept
+	s.sweepAt = 2*len(kept) + leastSweep
+}
+
 func (s *Scheduler) machine(e datacentre.EndpointID) *machine {
 	m, ok := s.machines[e]
 	if !ok {
@@ -198,7 +225,7 @@
 	r.task, r.job, r.startedAt = task, j, now
 	r.machine = s.hold(s.placement.fastest())
 	s.running[j.lane].push(r)
-	r.charged = s.estimate(j.kind)
+	r.charged = min(s.estimate(j.kind), chargeAhead)
 	s.charge(a, r.charged)
 	if j.rank == 0 {
 		s.chargeUrgent(now, a, r.charged)
@@ -271,9 +298,15 @@
 
 func (s *Scheduler) release(r *runningTask) {
 	r.list.remove(r)
-	s.placement.before(r.machine)
-	r.machine.used--
-	s.placement.after(r.machine)
+	m := r.machine
+	if m.overdue > 0 {
+		m.overdue--
+		s.returns = append(s.returns, SlotLoan{Endpoint: m.id, Slots: 1})
+		return
+	}
+	s.placement.before(m)
+	m.used--
+	s.placement.after(m)
 }
 
 // Cancel drops the tasks of a job that wait, and returns them. A running task that was not
--- a/pkg/measure/cluster_loans.go
+++ b/pkg/measure/cluster_loans.go
@@ -53,15 +53,14 @@
 	if e.answer {
 		e.to.loans.Answered(now, e.from.vm.Incarnation, granted, e.left)
 	}
-	e.to.scheduler.SetBorrowable(e.to.loans.Borrowable())
+	e.to.learnLoad()
 	c.startTasks(e.to)
 }
 
 // expire takes back what is left of a loan. Slots that run tasks go back one by one as
 // the tasks end.
 func (c *cluster) expire(e loanExpires) {
-	returned, inUse := e.borrower.scheduler.GiveBack(c.simulation.agenda.now.millis(), e.loan)
-	e.borrower.owed[e.loan.Endpoint] += inUse
+	returned, _ := e.borrower.scheduler.GiveBack(c.simulation.agenda.now.millis(), e.loan)
 	if returned > 0 {
 		c.sendBack(e.borrower, dispatch.SlotLoan{Endpoint: e.loan.Endpoint, Slots: returned})
 	}
