--- a/pkg/entry/partition_test.go
+++ b/pkg/entry/partition_test.go
@@ -50,6 +50,20 @@
 					t.Errorf("during the cut: got calls to centro %v at %s, want %v", calls, id, !c.wantSkip)
 				}
 			}
+			// An id of the data centre that is cut off, asked from outside: nobody there may
+			// guess. A VM that can reach the issuer passes the question on instead.
+			if c.wantSkip {
+				var told contract.Answer
+				s.waiter++
+				s.replies[s.waiter] = func(r Reply) { told = r.(AnswerReply).Answer }
+				outside := s.node("centro0")
+				if _, calls := outside.peers.reachable(s.node("sur0").vm.Incarnation); !calls {
+					s.handle(outside, OrphanAsked{Waiter: s.waiter, ID: s.reserve(s.node("sur0"))})
+					if _, ok := told.(contract.CannotTellYet); !ok {
+						t.Errorf("during the cut: got %#v about an id of sur, want cannot tell yet", told)
+					}
+				}
+			}
 			inside, outside := s.submit(s.node("sur0"), 16), s.submit(s.node("centro0"), 16)
 			s.run(4 * clock.Second)
 			for _, answer := range []*contract.Answer{inside, outside} {
--- a/pkg/entry/simulation_test.go
+++ b/pkg/entry/simulation_test.go
@@ -331,7 +331,16 @@
 	return &answer
 }
 
-// alive lists the VMs of a data centre that a VM takes for alive.
+// reserve returns a new id of a VM.
+func (s *simulation) reserve(n *simVM) contract.SubmissionID {
+	var id contract.SubmissionID
+	s.waiter++
+	s.replies[s.waiter] = func(r Reply) { id = r.(IDs).IDs[0] }
+	s.handle(n, ReserveIDs{Waiter: s.waiter, Owner: "ads", Count: 1})
+	return id
+}
+
+// alive counts the VMs of a data centre that a VM takes for alive.
 func (n *simVM) alive(dc datacentre.ID) int {
 	count := 0
 	for _, v := range n.control.roster.VMs() {
