--- a/pkg/entry/partition_test.go
+++ b/pkg/entry/partition_test.go
@@ -54,11 +54,12 @@
 			// guess. A VM that can reach the issuer passes the question on instead.
 			if c.wantSkip {
 				var told contract.Answer
+				id := s.reserve(s.node("sur0"))
 				s.waiter++
 				s.replies[s.waiter] = func(r Reply) { told = r.(AnswerReply).Answer }
 				outside := s.node("centro0")
 				if _, calls := outside.peers.reachable(s.node("sur0").vm.Incarnation); !calls {
-					s.handle(outside, OrphanAsked{Waiter: s.waiter, ID: s.reserve(s.node("sur0"))})
+					s.handle(outside, OrphanAsked{Waiter: s.waiter, ID: id})
 					if _, ok := told.(contract.CannotTellYet); !ok {
 						t.Errorf("during the cut: got %#v about an id of sur, want cannot tell yet", told)
 					}
