--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/binary"
 	"encoding/hex"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 
 	"github.com/juju/errors"
 	"github.com/oklog/run"
+	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/sequoiacart/sequoiacart/pkg/bundle"
@@ -20,10 +23,12 @@
 	"github.com/sequoiacart/sequoiacart/pkg/endpoint"
 	"github.com/sequoiacart/sequoiacart/pkg/entry"
 	"github.com/sequoiacart/sequoiacart/pkg/event"
+	"github.com/sequoiacart/sequoiacart/pkg/metrics"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
 	"github.com/sequoiacart/sequoiacart/pkg/peer"
 	"github.com/sequoiacart/sequoiacart/pkg/platform"
 	"github.com/sequoiacart/sequoiacart/pkg/settings"
+	"github.com/sequoiacart/sequoiacart/pkg/trace"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
@@ -32,6 +37,10 @@
 	Settings settings.Settings
 	Clock    clock.Clock
 	Log      *event.Log
+	// Registry receives the metrics; nil stands for a registry of its own.
+	Registry gometrics.Registry
+	// Identity turns on mutual TLS in place of the files in the settings.
+	Identity *peer.Identity
 }
 
 // Daemon is an entry VM at work.
@@ -39,6 +48,8 @@
 	deps       DaemonDeps
 	self       vm.VM
 	bundle     atomic.Pointer[bundle.Bundle]
+	metrics    *metrics.Metrics
+	tracer     *trace.Tracer
 	router     *entry.Router
 	loop       *entry.Loop
 	callers    *caller.Server
@@ -54,19 +65,23 @@
 const (
 	nonceBytes = 6
 	keyBytes   = 32
+	seedBytes  = 8
 )
 
 // NewDaemon opens the listeners and wires the parts.
 func NewDaemon(deps DaemonDeps) (*Daemon, error) {
 	s := deps.Settings
-	callerListener, err := net.Listen("tcp", s.CallerAddress)
+	if err := loadIdentity(&deps); err != nil {
+		return nil, errors.Trace(err)
+	}
+	callerListener, err := listen("callers", "callerAddress", s.CallerAddress)
 	if err != nil {
-		return nil, errors.Annotate(err, "listen for callers")
+		return nil, errors.Trace(err)
 	}
-	peerListener, err := net.Listen("tcp", s.PeerAddress)
+	peerListener, err := listen("peers", "peerAddress", s.PeerAddress)
 	if err != nil {
 		_ = callerListener.Close()
-		return nil, errors.Annotate(err, "listen for peers")
+		return nil, errors.Trace(err)
 	}
 	d := &Daemon{deps: deps, address: callerListener.Addr().String(), self: vm.VM{
 		Incarnation: vm.NewIncarnation(s.VM, hex.EncodeToString(randomBytes(nonceBytes))),
@@ -76,24 +91,82 @@
 		Started:     deps.Clock.Now(),
 	}}
 	d.killed, d.kill = context.WithCancel(context.Background())
-	d.client = peer.NewClient(peer.ClientConfig{Dialer: &net.Dialer{Timeout: s.Timeouts.Dial.Duration()}})
+	if err := d.wireObservation(); err != nil {
+		_, _ = callerListener.Close(), peerListener.Close()
+		return nil, errors.Trace(err)
+	}
+	d.client = peer.NewClient(peer.ClientConfig{
+		Dialer:  &net.Dialer{Timeout: s.Timeouts.Dial.Duration()},
+		TLS:     d.clientTLS(),
+		Tracer:  d.tracer,
+		Metrics: d.metrics,
+	})
 	// Heartbeats have connections of their own, so that a large message does not hold
 	// them up.
-	d.heartbeats = peer.NewClient(peer.ClientConfig{Dialer: &net.Dialer{Timeout: s.Timeouts.Dial.Duration()}})
+	d.heartbeats = peer.NewClient(peer.ClientConfig{
+		Dialer:  &net.Dialer{Timeout: s.Timeouts.Dial.Duration()},
+		TLS:     d.clientTLS(),
+		Tracer:  d.tracer,
+		Metrics: d.metrics,
+	})
 	d.wireControl()
+	d.metrics.MailboxLength(d.loop.MailboxLength)
+	d.metrics.QueueLength(d.loop.QueuedTasks)
 	d.callers = caller.NewServer(caller.Config{
 		Listener:  callerListener,
 		Service:   d.router,
 		Owners:    d,
 		Readiness: d,
-		BodyBytes: s.Limits.BodyBytes,
-		MaxWait:   s.Timeouts.MaxWait,
-		MaxIDs:    s.Limits.ReservedIDs,
+		Metrics:   d.metrics,
+		Tracer:    d.tracer,
+		Log:       d.deps.Log,
+		Limits: caller.Limits{
+			BodyBytes:   s.Limits.BodyBytes,
+			AnswerBytes: s.Limits.AnswerBytes,
+			TasksPerJob: s.Limits.TasksPerJob,
+			IDs:         s.Limits.ReservedIDs,
+			Connections: s.Limits.CallerConnections,
+			Wait:        s.Timeouts.MaxWait,
+			Deadline:    s.Timeouts.MaxDeadline,
+			Idle:        s.Timeouts.CallerIdle,
+		},
+	})
+	d.peers, err = peer.NewServer(peer.ServerConfig{
+		Listener:  peerListener,
+		Handler:   d.router,
+		Tracer:    d.tracer,
+		Handshake: s.Timeouts.Handshake,
+		TLS:       d.serverTLS(),
+		Refused: func(from net.Addr, err error) {
+			host, _, _ := net.SplitHostPort(from.String())
+			deps.Log.Warn(event.PeerRefused, "peer refused", logrus.Fields{"peer": host, "error": err})
+		},
 	})
-	d.peers, err = peer.NewServer(peer.ServerConfig{Listener: peerListener, Handler: d.router})
 	return d, errors.Trace(err)
 }
 
+// wireObservation makes what the other parts report to.
+func (d *Daemon) wireObservation() error {
+	if d.deps.Registry == nil {
+		d.deps.Registry = gometrics.NewRegistry()
+	}
+	d.metrics = metrics.New(d.deps.Registry)
+	var err error
+	d.tracer, err = trace.New(trace.Config{Exporter: exporterOf(d.deps.Settings.Trace), Self: d.self.Incarnation})
+	return errors.Trace(err)
+}
+
+func exporterOf(s settings.Trace) trace.Exporter {
+	switch s.Exporter {
+	case settings.TraceStdout:
+		return trace.Stdout{Writer: os.Stdout}
+	case settings.TraceOTLPHTTP:
+		return trace.OTLP{Address: s.Address}
+	default:
+		return trace.None{}
+	}
+}
+
 func (d *Daemon) wireControl() {
 	s := d.deps.Settings
 	control := entry.NewControl(entry.ControlConfig{
@@ -102,13 +175,15 @@
 		VM:             d.self,
 		Now:            d.deps.Clock.Now(),
 		Key:            randomBytes(keyBytes),
-		Dispatch:       dispatch.Config{QueuedTasks: s.Limits.QueuedTasks},
+		Dispatch:       dispatch.Config{QueuedTasks: s.Limits.QueuedTasks, Seed: binary.BigEndian.Uint64(randomBytes(seedBytes))},
 		AttemptTimeout: s.Timeouts.Attempt,
 	})
 	endpoints := endpoint.NewClient(endpoint.ClientConfig{
 		Connections: s.Limits.EndpointConnections,
 		ResultBytes: s.Limits.ResultBytes,
 		DialTimeout: s.Timeouts.Dial,
+		Metrics:     d.metrics,
+		Log:         d.deps.Log,
 	})
 	client := platform.NewClient(platform.ClientConfig{Address: s.PlatformAddress, Timeout: s.Timeouts.Platform})
 	rows := newRosterRows(client.Table(), d.deps.Clock, d.self)
@@ -123,6 +198,9 @@
 		Table:           client.Table(),
 		PeerTimeout:     s.Timeouts.Peer,
 		PlatformTimeout: s.Timeouts.Platform,
+		Clock:           d.deps.Clock,
+		Tracer:          d.tracer,
+		Metrics:         d.metrics,
 	})
 	d.loop = entry.NewLoop(entry.LoopConfig{
 		Control:   control,
@@ -161,11 +239,11 @@
 	return b.OwnerOf(token)
 }
 
-// Ready implements caller.Readiness: without a bundle, or while
-// draining, no work is taken.
-func (d *Daemon) Ready() bool {
-	return d.bundle.Load() != nil && d.router.Ready()
-}
+// BundleInForce implements caller.Readiness.
+func (d *Daemon) BundleInForce() bool { return d.bundle.Load() != nil }
+
+// ShuttingDown implements caller.Readiness.
+func (d *Daemon) ShuttingDown() bool { return !d.router.Ready() }
 
 // CallerAddress returns the address on which callers are served.
 func (d *Daemon) CallerAddress() string {
@@ -217,10 +295,12 @@
 		"callerAddress": d.address, "peerAddress": d.self.PeerAddress,
 	})
 	err := g.Run()
+	d.flushSpans()
 	d.deps.Log.Info(event.DaemonStopped, "daemon stopped", logrus.Fields{"incarnation": d.self.Incarnation})
-	if errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed) {
+	if err == nil || errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
+	d.deps.Log.Warn(event.ListenersFailed, "serving ended with an error", logrus.Fields{"error": err})
 	return err
 }
 
@@ -231,6 +311,14 @@
 	}
 }
 
+// flushSpans gives the exporter a last chance, so that a collector that hangs cannot hold
+// up the exit for longer than a peer could.
+func (d *Daemon) flushSpans() {
+	ctx, cancel := context.WithTimeout(context.Background(), d.deps.Settings.Timeouts.Peer.Duration())
+	defer cancel()
+	_ = d.tracer.Shutdown(ctx)
+}
+
 // addContext adds an actor that ends when the group cancels its context.
 func addContext(parent context.Context, g *run.Group, actor func(context.Context) error) {
 	ctx, cancel := context.WithCancel(parent)
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -186,6 +186,7 @@
 	c.startTasks(now)
 	c.askForLoans(now)
 	c.stopLateStarts(now)
+	c.answerDropped(now)
 	c.flushOutboxes(now)
 	c.reportDrained()
 	return c.actions
@@ -193,12 +194,16 @@
 
 // tick does what is due by time alone, at a bounded cost.
 func (c *Control) tick(now clock.Millis) {
+	c.scheduler.Check(now)
 	c.ledger.Evict(now)
 	c.witness.Evict(now)
 	c.retryRows(now)
 	c.forgetGone(now)
 }
 
+// QueuedTasks returns how many tasks wait for a slot.
+func (c *Control) QueuedTasks() int { return c.scheduler.Queued() }
+
 func (c *Control) do(a Action) {
 	c.actions = append(c.actions, a)
 }
--- a/pkg/entry/control_loans.go
+++ b/pkg/entry/control_loans.go
@@ -232,6 +232,7 @@
 	}
 	c.assignChanging(now)
 	c.dropForeignEndpoints(now)
+	c.scheduler.SetBorrowable(c.borrowable(now))
 	for i := range l.idle {
 		if _, ok := c.roster.Find(i); !ok {
 			delete(l.idle, i)
@@ -240,6 +241,17 @@
 	}
 }
 
+// borrowable counts the slots that peers would lend, for the projection of waits.
+func (c *Control) borrowable(now clock.Millis) datacentre.Slots {
+	total := datacentre.Slots(0)
+	for _, r := range c.lending.idle {
+		if now-r.at <= idleReportSpan {
+			total += r.slots
+		}
+	}
+	return total
+}
+
 // assignChanging looks again at the endpoints whose slots change with time alone.
 func (c *Control) assignChanging(now clock.Millis) {
 	for _, borrowed := range c.lending.borrowings.Endpoints() {
@@ -270,6 +282,7 @@
 			continue
 		}
 		delete(c.lending.foreign, id)
+		c.drains.Forget(id)
 		delete(c.endpoints, id)
 		c.grant(now, id, 0)
 		delete(c.granted, id)
--- a/pkg/peer/codec.go
+++ b/pkg/peer/codec.go
@@ -22,6 +22,8 @@
 		DeadlineMs: int64(s.Deadline),
 		Repeatable: s.Repeatable,
 		Payloads:   payloads,
+
+		TraceParent: string(s.Trace),
 	}
 }
 
@@ -42,6 +44,7 @@
 		Deadline:   clock.Millis(w.DeadlineMs),
 		Repeatable: w.Repeatable,
 		Tasks:      tasks,
+		Trace:      contract.TraceParent(w.TraceParent),
 	}, nil
 }
 
@@ -170,6 +173,9 @@
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
+		if !contract.IsEnding(answer) {
+			return nil, errors.NotValidf("decode record of peer: settlement without an ending: record")
+		}
 		r := contract.SettleRecord{ID: id, Owner: owner.ID(w.Owner), Answer: answer}
 		copy(r.Digest[:], w.Digest)
 		return r, nil
