Serve open accounting at GET /v1/usage and as a table

Cause: no owner could read what the others had. Change: pkg/accounting with a ledger of the VMs' figures and their ages; GET /v1/usage; sequoiacart usage. A VM does not yet tell the others its figures. Conclusion: each VM shows only its own figures.

--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -113,13 +113,14 @@
 	d.metrics.MailboxLength(d.loop.MailboxLength)
 	d.metrics.QueueLength(d.loop.QueuedTasks)
 	d.callers = caller.NewServer(caller.Config{
-		Listener:  callerListener,
-		Service:   d.router,
-		Owners:    d,
-		Readiness: d,
-		Metrics:   d.metrics,
-		Tracer:    d.tracer,
-		Log:       d.deps.Log,
+		Listener:   callerListener,
+		Service:    d.router,
+		Accounting: d.router,
+		Owners:     d,
+		Readiness:  d,
+		Metrics:    d.metrics,
+		Tracer:     d.tracer,
+		Log:        d.deps.Log,
 		Limits: caller.Limits{
 			BodyBytes:   s.Limits.BodyBytes,
 			AnswerBytes: s.Limits.AnswerBytes,
--- a/pkg/app/main.go
+++ b/pkg/app/main.go
@@ -68,6 +68,7 @@
 			newDemoCommand(stdout, stderr),
 			newEntryCommand(stderr),
 			newSubmitCommand(stdout, stderr),
+			newUsageCommand(stdout, stderr),
 			newStandinCommand(stderr),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -65,6 +65,8 @@
 	Owners    Authenticator
 	Readiness Readiness
 	Limits    Limits
+	// Accounting is served; nil serves none.
+	Accounting Accounting
 	// Metrics is served and counts the answers; nil stands for a registry of its own.
 	Metrics *metrics.Metrics
 	// Tracer records the caller hop; nil records nothing.
@@ -107,6 +109,9 @@
 	s.echo.PUT("/v1/requests/:id", s.submitRequest, s.count, s.authenticate)
 	s.echo.GET("/v1/jobs/:id", s.ask, s.count, s.authenticate)
 	s.echo.DELETE("/v1/jobs/:id", s.cancel, s.count, s.authenticate)
+	if s.config.Accounting != nil {
+		s.echo.GET("/v1/usage", s.usage, s.count, s.authenticate)
+	}
 }
 
 // Serve accepts connections until Shutdown.
--- /dev/null
+++ b/pkg/caller/usage.go
@@ -0,0 +1,108 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/juju/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/sequoiacart/sequoiacart/pkg/accounting"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// Accounting tells every owner what each owner has had.
+type Accounting interface {
+	Usage(ctx context.Context) (accounting.Report, error)
+}
+
+type wireReport struct {
+	Owners []wireOwnerReport `json:"owners"`
+	VMs    []wireVMReport    `json:"vms"`
+}
+
+type wireOwnerReport struct {
+	Owner string    `json:"owner"`
+	Share int       `json:"share"`
+	Usage wireUsage `json:"usage"`
+}
+
+type wireVMReport struct {
+	VM    string      `json:"vm"`
+	AgeMs int64       `json:"ageMs"`
+	Usage []wireUsage `json:"usage"`
+}
+
+type wireUsage struct {
+	Owner         string `json:"owner"`
+	SlotTimeMs    int64  `json:"slotTimeMs"`
+	Backlog       int    `json:"backlog"`
+	Started       int64  `json:"started"`
+	Refused       int64  `json:"refused"`
+	WaitedMs      int64  `json:"waitedMs"`
+	LongestWaitMs int64  `json:"longestWaitMs"`
+}
+
+func (s *Server) usage(c echo.Context) error {
+	report, err := s.config.Accounting.Usage(c.Request().Context())
+	if err != nil {
+		return writeProblem(c, http.StatusServiceUnavailable, problem{
+			Type: typeRefused, Step: "read usage", Detail: err.Error(),
+			Action: "ask again, or ask another entry VM", RetryAfterMs: int64(unavailableRetry),
+		})
+	}
+	return c.JSON(http.StatusOK, encodeReport(report))
+}
+
+func encodeReport(r accounting.Report) wireReport {
+	w := wireReport{Owners: []wireOwnerReport{}, VMs: []wireVMReport{}}
+	for _, o := range r.Owners {
+		w.Owners = append(w.Owners, wireOwnerReport{Owner: string(o.Owner), Share: int(o.Share), Usage: encodeUsage(o.Usage)})
+	}
+	for _, v := range r.VMs {
+		coded := wireVMReport{VM: string(v.VM), AgeMs: int64(v.Age)}
+		for _, u := range v.Usage {
+			coded.Usage = append(coded.Usage, encodeUsage(u))
+		}
+		w.VMs = append(w.VMs, coded)
+	}
+	return w
+}
+
+// DecodeReport reads the answer to GET /v1/usage.
+func DecodeReport(body []byte) (accounting.Report, error) {
+	var w wireReport
+	if err := json.Unmarshal(body, &w); err != nil {
+		return accounting.Report{}, errors.Annotate(err, "decode usage")
+	}
+	var r accounting.Report
+	for _, o := range w.Owners {
+		r.Owners = append(r.Owners, accounting.OwnerReport{Owner: owner.ID(o.Owner), Share: owner.Share(o.Share), Usage: decodeUsage(o.Usage)})
+	}
+	for _, v := range w.VMs {
+		decoded := accounting.VMReport{VM: vm.Incarnation(v.VM), Age: clock.Millis(v.AgeMs)}
+		for _, u := range v.Usage {
+			decoded.Usage = append(decoded.Usage, decodeUsage(u))
+		}
+		r.VMs = append(r.VMs, decoded)
+	}
+	return r, nil
+}
+
+func encodeUsage(u dispatch.OwnerUsage) wireUsage {
+	return wireUsage{
+		Owner: string(u.Owner), SlotTimeMs: int64(u.SlotTime), Backlog: u.Backlog, Started: u.Started,
+		Refused: u.Refused, WaitedMs: int64(u.Waited), LongestWaitMs: int64(u.LongestWait),
+	}
+}
+
+func decodeUsage(w wireUsage) dispatch.OwnerUsage {
+	return dispatch.OwnerUsage{
+		Owner: owner.ID(w.Owner), SlotTime: clock.Millis(w.SlotTimeMs), Backlog: w.Backlog, Started: w.Started,
+		Refused: w.Refused, Waited: clock.Millis(w.WaitedMs), LongestWait: clock.Millis(w.LongestWaitMs),
+	}
+}
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/sequoiacart/sequoiacart/pkg/accounting"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
@@ -71,6 +72,8 @@
 	drains     *datacentre.Drains
 	lending    *lending
 	ceilings   *datacentre.Ceilings
+	accounts   *accounting.Ledger
+	usageTurns map[vm.Incarnation]usageTurn
 	// granted are the slots that the scheduler was last given.
 	granted map[datacentre.EndpointID]datacentre.Slots
 	// homes tells of which endpoints this VM is the home by the roster in force.
@@ -107,6 +110,8 @@
 		neighbours: n,
 		drains:     datacentre.NewDrains(),
 		ceilings:   datacentre.NewCeilings(),
+		accounts:   accounting.NewLedger(),
+		usageTurns: make(map[vm.Incarnation]usageTurn),
 		lending:    newLending(c.Self, c.AttemptTimeout),
 		granted:    make(map[datacentre.EndpointID]datacentre.Slots),
 		homes:      make(map[datacentre.EndpointID]bool),
@@ -179,6 +184,8 @@
 		c.loansReturned(now, e)
 	case LoansAcknowledged:
 		c.lending.borrowings.Acknowledged(e.Returns)
+	case UsageAsked:
+		c.usageAsked(now, e)
 	case Tick:
 		c.passTime(now)
 		c.tick(now)
--- a/pkg/entry/control_membership.go
+++ b/pkg/entry/control_membership.go
@@ -78,6 +78,9 @@
 	}
 	c.setRoster(now, r)
 	c.vouched(now, h, local)
+	if local {
+		c.usageTold(now, h)
+	}
 	if local && c.drains.Merge(now, h.Drains) {
 		c.assignHomes(now)
 	}
@@ -244,6 +247,7 @@
 	n.targetsOf, n.targetsTurn = c.roster, turn
 	n.targets = c.roster.HeartbeatTargets(now)
 	c.dropIdleLinks()
+	c.forgetUsage()
 	return n.targets
 }
 
--- /dev/null
+++ b/pkg/entry/control_usage.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/sequoiacart/sequoiacart/pkg/accounting"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// UsageAsked asks for the open accounting. Reply: UsageReply.
+type UsageAsked struct{ Waiter WaiterID }
+
+func (UsageAsked) isEvent() {}
+
+// UsageReply carries the open accounting.
+type UsageReply struct{ Report accounting.Report }
+
+func (UsageReply) isReply() {}
+
+// usageTurn is how far a peer has been told of the owners' figures.
+type usageTurn struct {
+	next  int
+	after clock.Millis
+}
+
+func (c *Control) usageAsked(now clock.Millis, e UsageAsked) {
+	c.accounts.Told(now, c.config.Self, c.scheduler.Usage())
+	report := c.accounts.Report(now, slices.Collect(maps.Values(c.owners)))
+	c.do(ReplyTo{Waiter: e.Waiter, Reply: UsageReply{Report: report}})
+}
+
+// usageDigest returns the next part of the figures for a peer. The owners take turns, so
+// that many of them do not make heartbeats large.
+func (c *Control) usageDigest(now clock.Millis, to vm.Incarnation) []dispatch.OwnerUsage {
+	t := c.usageTurns[to]
+	if now < t.after {
+		return nil
+	}
+	all := c.scheduler.Usage()
+	var part []dispatch.OwnerUsage
+	for range min(len(all), accounting.DigestOwners) {
+		part = append(part, all[t.next%len(all)])
+		t.next = (t.next + 1) % len(all)
+	}
+	t.after = now + accounting.DigestEvery
+	c.usageTurns[to] = t
+	return part
+}
+
+// usageTold takes a peer's figures for the shares and for the accounting.
+func (c *Control) usageTold(now clock.Millis, h Heartbeat) {
+	c.scheduler.SetPeerUsage(now, h.From.Incarnation, h.Usage)
+	c.accounts.Told(now, h.From.Incarnation, h.Usage)
+}
+
+func (c *Control) forgetUsage() {
+	known := func(i vm.Incarnation) bool { _, ok := c.roster.Find(i); return ok }
+	c.accounts.Keep(known)
+	maps.DeleteFunc(c.usageTurns, func(i vm.Incarnation, _ usageTurn) bool { return !known(i) })
+}
--- a/pkg/entry/heartbeat.go
+++ b/pkg/entry/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
@@ -32,6 +33,8 @@
 	// the sender vouches for what it reported alive of them.
 	Reaches []datacentre.ID
 	Drains  []datacentre.DrainReport
+	// Usage is a part of the figures of the sender's owners.
+	Usage []dispatch.OwnerUsage
 }
 
 // HeartbeatReceived brings a heartbeat of a peer. Reply: HeartbeatReply.
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/sequoiacart/sequoiacart/pkg/accounting"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/loan"
@@ -168,6 +169,15 @@
 	return reply.(HeartbeatReply).Incarnation, nil
 }
 
+// Usage returns the open accounting of the data centre.
+func (r *Router) Usage(ctx context.Context) (accounting.Report, error) {
+	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event { return UsageAsked{Waiter: w} })
+	if err != nil {
+		return accounting.Report{}, errors.Annotate(err, "read usage")
+	}
+	return reply.(UsageReply).Report, nil
+}
+
 // LendHere handles a peer's request for slots.
 func (r *Router) LendHere(ctx context.Context, request loan.Request) ([]loan.Loan, error) {
 	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event { return LoanRequested{Waiter: w, Request: request} })
--- a/pkg/peer/wire_roster.go
+++ b/pkg/peer/wire_roster.go
@@ -3,7 +3,9 @@
 import (
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
 	"github.com/sequoiacart/sequoiacart/pkg/entry"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
@@ -34,6 +36,18 @@
 	Reports       []WireVM
 	Reaches       []string
 	Drains        []WireDrain
+	Usage         []WireUsage
+}
+
+// WireUsage is what an owner has had of the sender.
+type WireUsage struct {
+	Owner         string
+	SlotTimeMs    int64
+	Backlog       int
+	Started       int64
+	Refused       int64
+	WaitedMs      int64
+	LongestWaitMs int64
 }
 
 // HeartbeatReply names the incarnation that handled a heartbeat.
@@ -57,6 +71,12 @@
 	for _, d := range h.Drains {
 		w.Drains = append(w.Drains, WireDrain{Endpoint: string(d.Endpoint), Leaving: d.Leaving, AgeMs: int64(d.Age)})
 	}
+	for _, u := range h.Usage {
+		w.Usage = append(w.Usage, WireUsage{
+			Owner: string(u.Owner), SlotTimeMs: int64(u.SlotTime), Backlog: u.Backlog, Started: u.Started,
+			Refused: u.Refused, WaitedMs: int64(u.Waited), LongestWaitMs: int64(u.LongestWait),
+		})
+	}
 	return w
 }
 
@@ -78,6 +98,12 @@
 			Endpoint: datacentre.EndpointID(d.Endpoint), Leaving: d.Leaving, Age: max(0, clock.Millis(d.AgeMs)),
 		})
 	}
+	for _, u := range w.Usage {
+		h.Usage = append(h.Usage, dispatch.OwnerUsage{
+			Owner: owner.ID(u.Owner), SlotTime: clock.Millis(u.SlotTimeMs), Backlog: u.Backlog, Started: u.Started,
+			Refused: u.Refused, Waited: clock.Millis(u.WaitedMs), LongestWait: clock.Millis(u.LongestWaitMs),
+		})
+	}
 	return h
 }
 
