--- /dev/null
+++ b/pkg/entry/usage_test.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/sequoiacart/sequoiacart/pkg/accounting"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+)
+
+// Guards against accounting that shows an owner only what happened at one VM, or figures
+// whose age nobody can see.
+func TestUsageIsOpenAtEveryVM(t *testing.T) {
+	s := newSimulation(t, map[datacentre.ID]int{"centro": 3}, 6)
+	s.run(5 * clock.Second)
+	s.submit(s.node("centro1"), 40)
+	s.run(5 * clock.Second)
+	cases := []struct {
+		name    string
+		down    bool
+		wantAge clock.Millis
+	}{
+		{"all VMs up", false, accounting.DigestEvery + HeartbeatEvery},
+		{"the VM that ran the tasks is down", true, 12 * clock.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if c.down {
+				s.node("centro1").down = true
+				s.run(10 * clock.Second)
+			}
+			var report accounting.Report
+			s.waiter++
+			s.replies[s.waiter] = func(r Reply) { report = r.(UsageReply).Report }
+			s.handle(s.node("centro0"), UsageAsked{Waiter: s.waiter})
+			if len(report.Owners) != 1 || report.Owners[0].Usage.Started != 40 || report.Owners[0].Share != 1 {
+				t.Fatalf("got owners %+v, want 40 starts of one owner with share 1", report.Owners)
+			}
+			if len(report.VMs) != 3 {
+				t.Fatalf("got figures of %d VMs, want 3", len(report.VMs))
+			}
+			if got := report.VMs[1].Age; got > c.wantAge || c.down && got < 10*clock.Second {
+				t.Errorf("got figures of %s that are %d ms old, want at most %d", report.VMs[1].VM, got, c.wantAge)
+			}
+		})
+	}
+}
