--- a/pkg/entry/simulation_test.go
+++ b/pkg/entry/simulation_test.go
@@ -228,6 +228,12 @@
 			reply, _ := r.(RecordsReply)
 			s.handle(n, RecordsAnswered{Witness: a.Witness.Incarnation, Batch: a.Batch, Statuses: reply.Statuses})
 		})
+	case SendHandOver:
+		s.call(n, a.Witness, func(w WaiterID) Event {
+			return HandOverReceived{Waiter: w, Issuer: n.vm.Incarnation, Records: a.Records, Last: a.Last}
+		}, func(r Reply) {
+			s.handle(n, HandOverAnswered{Witness: a.Witness.Incarnation, Accepted: r != nil})
+		})
 	case WritePairRow:
 		row := contract.PairRowUnknown
 		if !s.offPlatform(n.vm.DataCentre) {
