Tell the others at shutdown and hand over homes

Change: a VM that shuts down marks itself as leaving, which the next heartbeats tell; where all VMs of a data centre leave, one stays home, so that the last one can end its work.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -158,6 +158,7 @@
 	case OrphanAsked:
 		c.orphanAsked(now, e)
 	case ShutdownBegun:
+		c.leave(now)
 		c.shutdownBegun(e)
 	case HandOverAnswered:
 		c.handOverAnswered(now, e)
--- a/pkg/entry/control_membership.go
+++ b/pkg/entry/control_membership.go
@@ -55,6 +55,14 @@
 	return v, ok && (v.Listed || v.Status != vm.Removed)
 }
 
+// leave tells the others that this VM shuts down. Its endpoints go to other homes; what
+// still waits here runs on borrowed slots.
+func (c *Control) leave(now clock.Millis) {
+	if m := c.neighbours.membership; c.roster == m.Roster() {
+		c.setRoster(now, m.SetLeaving(now))
+	}
+}
+
 func (c *Control) rowsRead(now clock.Millis, e RowsRead) {
 	n := c.neighbours
 	c.setRoster(now, n.membership.RowsRead(now, e.Rows))
--- a/pkg/vm/roster.go
+++ b/pkg/vm/roster.go
@@ -74,9 +74,13 @@
 
 // Home returns the VM that owns the slots of an endpoint: the highest score by
 // rendezvous hashing, weighted by size, among the VMs of the endpoint's data centre
-// that are neither leaving nor removed.
+// that are neither leaving nor removed. Where all are leaving, one of them stays home
+// until it has ended its work.
 func (r *Roster) Home(e datacentre.EndpointID, dc datacentre.ID) (VM, bool) {
-	return pick(r.byZone[dc], string(e), VM.usable)
+	if v, ok := pick(r.byZone[dc], string(e), VM.usable); ok {
+		return v, true
+	}
+	return pick(r.byZone[dc], string(e), func(v VM) bool { return v.Status != Removed })
 }
 
 // Witness returns the peer that keeps the records of self: one of the same data centre
