Make two tests notice the faults that they are for

Cause: with the sharing of drain evidence or the ceilings for busy endpoints taken out, the tests still passed: every VM asked the leaving endpoint itself, and one refusal in ten starts was allowed, which the scheduler's own pause just met. Change: only one VM hears "leaving"; one refusal in 50 starts is allowed.

--- a/pkg/entry/loan_test.go
+++ b/pkg/entry/loan_test.go
@@ -92,10 +92,10 @@
 			if _, ok := (*answer).(contract.Complete); !ok {
 				t.Errorf("got answer %#v within %d ms, want complete; %d starts", *answer, c.within, started(s))
 			}
-			// Two homes may waste messages until they notice, but not one for each start.
+			// Two homes may waste messages, within the target of 0.02 for each start.
 			allowed := 0
 			if c.wantBusy {
-				allowed = s.submitted / 10
+				allowed = s.submitted / 50
 			}
 			if s.maxInUse > 8 || s.overcommits > allowed {
 				t.Errorf("got %d slots in use and %d refusals as busy, want at most 8 and %d", s.maxInUse, s.overcommits, allowed)
--- a/pkg/entry/partition_test.go
+++ b/pkg/entry/partition_test.go
@@ -146,9 +146,8 @@
 	}{
 		{"the endpoint answers that it leaves", func() {
 			e.leaving = true
-			for _, n := range s.nodes {
-				s.submit(n, 4)
-			}
+			// Only one VM gets the answer; the others have to hear of it.
+			s.submit(s.nodes[0], 4)
 		}, 3 * clock.Second, 3},
 		{"the list still shows it live", func() {}, 30 * clock.Second, 3},
 		{"the list shows the leaving", func() { e.listed = listedLeaving }, 2 * clock.Second, 3},
