--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -14,9 +14,9 @@
 	"golang.org/x/net/netutil"
 	"golang.org/x/sync/semaphore"
 
+	"github.com/sequoiacart/sequoiacart/pkg/accounting"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
-	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
 	"github.com/sequoiacart/sequoiacart/pkg/event"
 	"github.com/sequoiacart/sequoiacart/pkg/metrics"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
@@ -29,7 +29,7 @@
 	Submit(ctx context.Context, s contract.Submission, wait clock.Millis) contract.Answer
 	Ask(ctx context.Context, id contract.SubmissionID, o owner.ID, wait clock.Millis) contract.Answer
 	Cancel(ctx context.Context, id contract.SubmissionID, o owner.ID) contract.Answer
-	Usage(ctx context.Context) ([]dispatch.OwnerUsage, error)
+	Usage(ctx context.Context) (accounting.Report, error)
 }
 
 // Authenticator finds the owner of a bearer token.
--- a/pkg/caller/usage.go
+++ b/pkg/caller/usage.go
@@ -1,18 +1,37 @@
 package caller
 
 import (
+	"encoding/json"
 	"net/http"
 
+	"github.com/juju/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/sequoiacart/sequoiacart/pkg/accounting"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
-type wireUsage struct {
-	Owners []wireOwnerUsage `json:"owners"`
+type wireReport struct {
+	Owners []wireOwnerReport `json:"owners"`
+	VMs    []wireVMReport    `json:"vms"`
+}
+
+type wireOwnerReport struct {
+	Owner string    `json:"owner"`
+	Share int       `json:"share"`
+	Usage wireUsage `json:"usage"`
+}
+
+type wireVMReport struct {
+	VM    string      `json:"vm"`
+	AgeMs int64       `json:"ageMs"`
+	Usage []wireUsage `json:"usage"`
 }
 
-type wireOwnerUsage struct {
+type wireUsage struct {
 	Owner         string `json:"owner"`
 	SlotMs        int64  `json:"slotMs"`
 	BacklogTasks  int    `json:"backlogTasks"`
@@ -22,30 +41,62 @@
 	LongestWaitMs int64  `json:"longestWaitMs"`
 }
 
-// usage shows every owner the figures of all owners at this VM.
 func (s *Server) usage(c echo.Context) error {
-	owners, err := s.config.Service.Usage(c.Request().Context())
+	report, err := s.config.Service.Usage(c.Request().Context())
 	if err != nil {
 		return writeProblem(c, http.StatusServiceUnavailable, problem{
 			Type: typeRefused, Step: "read usage", Detail: err.Error(),
-			Action: "try again, or at another entry VM", RetryAfterMs: int64(unavailableRetry),
+			Action: "ask again, or ask another entry VM", RetryAfterMs: int64(unavailableRetry),
 		})
 	}
-	return c.JSON(http.StatusOK, encodeUsage(owners))
+	return c.JSON(http.StatusOK, encodeReport(report))
 }
 
-func encodeUsage(owners []dispatch.OwnerUsage) wireUsage {
-	w := wireUsage{Owners: make([]wireOwnerUsage, len(owners))}
-	for i, o := range owners {
-		w.Owners[i] = wireOwnerUsage{
-			Owner:         string(o.Owner),
-			SlotMs:        int64(o.SlotTime),
-			BacklogTasks:  o.Backlog,
-			StartedTasks:  o.Started,
-			RefusedJobs:   o.Refused,
-			WaitedMs:      int64(o.Waited),
-			LongestWaitMs: int64(o.LongestWait),
+func encodeReport(r accounting.Report) wireReport {
+	w := wireReport{Owners: []wireOwnerReport{}, VMs: []wireVMReport{}}
+	for _, o := range r.Owners {
+		w.Owners = append(w.Owners, wireOwnerReport{Owner: string(o.Owner), Share: int(o.Share), Usage: encodeUsage(o.Usage)})
+	}
+	for _, v := range r.VMs {
+		coded := wireVMReport{VM: string(v.VM), AgeMs: int64(v.Age)}
+		for _, u := range v.Usage {
+			coded.Usage = append(coded.Usage, encodeUsage(u))
 		}
+		w.VMs = append(w.VMs, coded)
 	}
 	return w
 }
+
+// DecodeReport reads the answer to GET /v1/usage.
+func DecodeReport(body []byte) (accounting.Report, error) {
+	var w wireReport
+	if err := json.Unmarshal(body, &w); err != nil {
+		return accounting.Report{}, errors.Annotate(err, "decode usage")
+	}
+	var r accounting.Report
+	for _, o := range w.Owners {
+		r.Owners = append(r.Owners, accounting.OwnerReport{Owner: owner.ID(o.Owner), Share: owner.Share(o.Share), Usage: decodeUsage(o.Usage)})
+	}
+	for _, v := range w.VMs {
+		decoded := accounting.VMReport{VM: vm.Incarnation(v.VM), Age: clock.Millis(v.AgeMs)}
+		for _, u := range v.Usage {
+			decoded.Usage = append(decoded.Usage, decodeUsage(u))
+		}
+		r.VMs = append(r.VMs, decoded)
+	}
+	return r, nil
+}
+
+func encodeUsage(u dispatch.OwnerUsage) wireUsage {
+	return wireUsage{
+		Owner: string(u.Owner), SlotMs: int64(u.SlotTime), BacklogTasks: u.Backlog, StartedTasks: u.Started,
+		RefusedJobs: u.Refused, WaitedMs: int64(u.Waited), LongestWaitMs: int64(u.LongestWait),
+	}
+}
+
+func decodeUsage(w wireUsage) dispatch.OwnerUsage {
+	return dispatch.OwnerUsage{
+		Owner: owner.ID(w.Owner), SlotTime: clock.Millis(w.SlotMs), Backlog: w.BacklogTasks, Started: w.StartedTasks,
+		Refused: w.RefusedJobs, Waited: clock.Millis(w.WaitedMs), LongestWait: clock.Millis(w.LongestWaitMs),
+	}
+}
--- a/pkg/datacentre/drains.go
+++ b/pkg/datacentre/drains.go
@@ -121,3 +121,9 @@
 	slices.SortFunc(reports, func(a, b DrainReport) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	return reports
 }
+
+// Forget drops what is known of an endpoint of another data centre, whose list this VM
+// does not read.
+func (d *Drains) Forget(e EndpointID) {
+	delete(d.signs, e)
+}
--- a/pkg/entry/action.go
+++ b/pkg/entry/action.go
@@ -68,9 +68,6 @@
 // ShutdownReply, BundleVerdict or UsageReply.
 type Reply interface{ isReply() }
 
-// UsageReply carries the figures of every owner at this VM.
-type UsageReply struct{ Owners []dispatch.OwnerUsage }
-
 // IDs carries reserved ids.
 type IDs struct{ IDs []contract.SubmissionID }
 
@@ -83,7 +80,6 @@
 // ShutdownReply says whether all work ended and was handed over.
 type ShutdownReply struct{ Drained bool }
 
-func (UsageReply) isReply()    {}
 func (ShutdownReply) isReply() {}
 func (IDs) isReply()           {}
 func (AnswerReply) isReply()   {}
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/sequoiacart/sequoiacart/pkg/accounting"
 	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
@@ -73,6 +74,8 @@
 	drains     *datacentre.Drains
 	lending    *lending
 	ceilings   *datacentre.Ceilings
+	accounts   *accounting.Ledger
+	usageTurns map[vm.Incarnation]usageTurn
 	// granted are the slots that the scheduler was last given.
 	granted map[datacentre.EndpointID]datacentre.Slots
 	// homes tells of which endpoints this VM is the home by the roster in force.
@@ -109,6 +112,8 @@
 		neighbours: n,
 		drains:     datacentre.NewDrains(),
 		ceilings:   datacentre.NewCeilings(),
+		accounts:   accounting.NewLedger(),
+		usageTurns: make(map[vm.Incarnation]usageTurn),
 		lending:    newLending(c.Self, c.AttemptTimeout),
 		granted:    make(map[datacentre.EndpointID]datacentre.Slots),
 		homes:      make(map[datacentre.EndpointID]bool),
@@ -131,8 +136,6 @@
 		c.asked(now, e)
 	case Cancelled:
 		c.cancelled(now, e)
-	case UsageAsked:
-		c.do(ReplyTo{Waiter: e.Waiter, Reply: UsageReply{Owners: c.scheduler.Usage()}})
 	case WaiterGone:
 		c.waiterGone(e.Waiter)
 	case AttemptEnded:
@@ -157,6 +160,7 @@
 	case OrphanAsked:
 		c.orphanAsked(now, e)
 	case ShutdownBegun:
+		c.leave(now)
 		c.shutdownBegun(e)
 	case HandOverAnswered:
 		c.handOverAnswered(now, e)
@@ -183,6 +187,8 @@
 		c.loansReturned(now, e)
 	case LoansAcknowledged:
 		c.lending.borrowings.Acknowledged(e.Returns)
+	case UsageAsked:
+		c.usageAsked(now, e)
 	case BundleOffered:
 		c.bundleOffered(now, e)
 	case Tick:
--- a/pkg/entry/control_endpoints.go
+++ b/pkg/entry/control_endpoints.go
@@ -53,6 +53,10 @@
 // home it is, less what it lent, and what it borrowed.
 func (c *Control) assignHomes(now clock.Millis) {
 	for id, ep := range c.endpoints {
+		if !c.drains.Draining(id) {
+			// The scheduler drains by itself on an answer, and waits for fresh evidence.
+			c.scheduler.Readmit(now, id, now)
+		}
 		c.grant(now, id, c.slotsOf(now, ep))
 	}
 }
--- a/pkg/entry/control_membership.go
+++ b/pkg/entry/control_membership.go
@@ -55,6 +55,14 @@
 	return v, ok && (v.Listed || v.Status != vm.Removed)
 }
 
+// leave tells the others that this VM shuts down. Its endpoints go to other homes; what
+// still waits here runs on borrowed slots.
+func (c *Control) leave(now clock.Millis) {
+	if m := c.neighbours.membership; c.roster == m.Roster() {
+		c.setRoster(now, m.SetLeaving(now))
+	}
+}
+
 func (c *Control) rowsRead(now clock.Millis, e RowsRead) {
 	n := c.neighbours
 	c.setRoster(now, n.membership.RowsRead(now, e.Rows))
@@ -78,6 +86,9 @@
 	}
 	c.setRoster(now, r)
 	c.vouched(now, h, local)
+	if local {
+		c.usageTold(now, h)
+	}
 	if local && c.drains.Merge(now, h.Drains) {
 		c.assignHomes(now)
 	}
@@ -191,6 +202,7 @@
 	local := to.DataCentre == c.config.DataCentre
 	if local {
 		h.Drains = drains
+		h.Usage = c.usageDigest(now, to.Incarnation)
 	}
 	n.links.To(link.Peer{Incarnation: to.Incarnation}).Tried(now)
 	if local {
@@ -237,13 +249,14 @@
 // choice sorts all VMs.
 func (c *Control) heartbeatTargets(now clock.Millis) []vm.VM {
 	n := c.neighbours
-	turn := now / probeEvery
+	turn := now / vm.DelegateRotation
 	if n.targetsOf == c.roster && n.targetsTurn == turn {
 		return n.targets
 	}
 	n.targetsOf, n.targetsTurn = c.roster, turn
 	n.targets = c.roster.HeartbeatTargets(now)
 	c.dropIdleLinks()
+	c.forgetUsage()
 	return n.targets
 }
 
--- a/pkg/entry/partition_test.go
+++ b/pkg/entry/partition_test.go
@@ -50,6 +50,21 @@
 					t.Errorf("during the cut: got calls to centro %v at %s, want %v", calls, id, !c.wantSkip)
 				}
 			}
+			// An id of the data centre that is cut off, asked from outside: nobody there may
+			// guess. A VM that can reach the issuer passes the question on instead.
+			if c.wantSkip {
+				var told contract.Answer
+				id := s.reserve(s.node("sur0"))
+				s.waiter++
+				s.replies[s.waiter] = func(r Reply) { told = r.(AnswerReply).Answer }
+				outside := s.node("centro0")
+				if _, calls := outside.peers.reachable(s.node("sur0").vm.Incarnation); !calls {
+					s.handle(outside, OrphanAsked{Waiter: s.waiter, ID: id})
+					if _, ok := told.(contract.CannotTellYet); !ok {
+						t.Errorf("during the cut: got %#v about an id of sur, want cannot tell yet", told)
+					}
+				}
+			}
 			inside, outside := s.submit(s.node("sur0"), 16), s.submit(s.node("centro0"), 16)
 			s.run(4 * clock.Second)
 			for _, answer := range []*contract.Answer{inside, outside} {
@@ -131,9 +146,8 @@
 	}{
 		{"the endpoint answers that it leaves", func() {
 			e.leaving = true
-			for _, n := range s.nodes {
-				s.submit(n, 4)
-			}
+			// Only one VM gets the answer; the others have to hear of it.
+			s.submit(s.nodes[0], 4)
 		}, 3 * clock.Second, 3},
 		{"the list still shows it live", func() {}, 30 * clock.Second, 3},
 		{"the list shows the leaving", func() { e.listed = listedLeaving }, 2 * clock.Second, 3},
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -6,10 +6,10 @@
 
 	"github.com/juju/errors"
 
+	"github.com/sequoiacart/sequoiacart/pkg/accounting"
 	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
-	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
 	"github.com/sequoiacart/sequoiacart/pkg/loan"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
@@ -84,15 +84,6 @@
 	return reply.(IDs).IDs, nil
 }
 
-// Usage returns what each owner has had of this VM since it started.
-func (r *Router) Usage(ctx context.Context) ([]dispatch.OwnerUsage, error) {
-	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event { return UsageAsked{Waiter: w} })
-	if err != nil {
-		return nil, errors.Annotate(err, "read usage")
-	}
-	return reply.(UsageReply).Owners, nil
-}
-
 // Submit runs a submission at its issuer, waiting up to the span for its end.
 func (r *Router) Submit(ctx context.Context, s contract.Submission, wait clock.Millis) contract.Answer {
 	if s.ID.Issuer == r.config.Self {
@@ -184,6 +175,15 @@
 	return reply.(HeartbeatReply).Incarnation, nil
 }
 
+// Usage returns the open accounting of the data centre.
+func (r *Router) Usage(ctx context.Context) (accounting.Report, error) {
+	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event { return UsageAsked{Waiter: w} })
+	if err != nil {
+		return accounting.Report{}, errors.Annotate(err, "read usage")
+	}
+	return reply.(UsageReply).Report, nil
+}
+
 // LendHere handles a peer's request for slots.
 func (r *Router) LendHere(ctx context.Context, request loan.Request) ([]loan.Loan, error) {
 	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event { return LoanRequested{Waiter: w, Request: request} })
