--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -45,6 +45,9 @@
 	peers   *peer.Server
 	client  *peer.Client
 	poller  *poller
+	address string
+	killed  context.Context
+	kill    context.CancelFunc
 }
 
 const (
@@ -64,18 +67,20 @@
 		_ = callerListener.Close()
 		return nil, errors.Annotate(err, "listen for peers")
 	}
-	d := &Daemon{deps: deps, self: vm.VM{
+	d := &Daemon{deps: deps, address: callerListener.Addr().String(), self: vm.VM{
 		Incarnation: vm.NewIncarnation(s.VM, hex.EncodeToString(randomBytes(nonceBytes))),
 		DataCentre:  s.DataCentre,
 		PeerAddress: peerListener.Addr().String(),
 		Size:        s.Size,
 	}}
+	d.killed, d.kill = context.WithCancel(context.Background())
 	d.client = peer.NewClient(peer.ClientConfig{Dialer: &net.Dialer{Timeout: s.Timeouts.Dial.Duration()}})
 	d.wireControl()
 	d.callers = caller.NewServer(caller.Config{
 		Listener:  callerListener,
 		Service:   d.router,
 		Owners:    d,
+		Readiness: d,
 		BodyBytes: s.Limits.BodyBytes,
 		MaxWait:   s.Timeouts.MaxWait,
 		MaxIDs:    s.Limits.ReservedIDs,
@@ -144,6 +149,22 @@
 	return b.OwnerOf(token)
 }
 
+// Ready implements caller.Readiness: without a bundle, and during the drain, no work is
+// taken.
+func (d *Daemon) Ready() bool {
+	return d.bundle.Load() != nil && d.router.Ready()
+}
+
+// CallerAddress returns the address on which callers are served.
+func (d *Daemon) CallerAddress() string {
+	return d.address
+}
+
+// Kill ends the daemon at once, as a crash of its VM would.
+func (d *Daemon) Kill() {
+	d.kill()
+}
+
 // Run serves until the context ends.
 func (d *Daemon) Run(ctx context.Context) error {
 	var g run.Group
@@ -155,7 +176,7 @@
 		<-run.Done()
 		// Only a shutdown that was asked for drains; after a failed part there may be
 		// nobody to drain.
-		if ctx.Err() != nil {
+		if ctx.Err() != nil && d.killed.Err() == nil {
 			limit, _ := stopping()
 			d.drain(limit)
 		}
@@ -164,6 +185,10 @@
 	// The group stops its parts in this order: control outlives the listeners, whose
 	// requests wait for its replies.
 	g.Add(d.callers.Serve, func(error) {
+		if d.killed.Err() != nil {
+			d.callers.Close()
+			return
+		}
 		limit, cancel := stopping()
 		defer cancel()
 		_ = d.callers.Shutdown(limit)
@@ -173,10 +198,10 @@
 		d.client.Close()
 	})
 	addContext(context.Background(), &g, d.poller.Run)
-	addContext(context.Background(), &g, d.loop.Run)
+	addContext(d.killed, &g, d.loop.Run)
 	d.deps.Log.Info(event.DaemonStarted, "daemon started", logrus.Fields{
 		"incarnation": d.self.Incarnation, "dataCentre": d.self.DataCentre,
-		"callerAddress": d.deps.Settings.CallerAddress, "peerAddress": d.self.PeerAddress,
+		"callerAddress": d.address, "peerAddress": d.self.PeerAddress,
 	})
 	err := g.Run()
 	d.deps.Log.Info(event.DaemonStopped, "daemon stopped", logrus.Fields{"incarnation": d.self.Incarnation})
