Test a task that is found not started after a release

Cause: a release takes the tasks of a submission out of the queue under its job reference; a running attempt may report "not run" afterwards. Change: a case of TestSteps. Figures: go test ./pkg/entry -run Steps fails: found_busy_after_the_witness_was_released: got contract.Running, want contract.Complete starts: got 0, want 2 Conclusion: the task is forgotten and the submission never ends.

--- a/pkg/entry/steps_test.go
+++ b/pkg/entry/steps_test.go
@@ -130,6 +130,19 @@
 			a.crashed = true
 			w.advance(5 * clock.Second)
 		}, "contract.Expired", 2},
+		{"found busy after the witness was released", func(w *world, a, b *node, s contract.Submission) {
+			w.runTime = func() clock.Millis { return 8 * clock.Second }
+			w.result = func() contract.AttemptResult { return contract.NotStarted{} }
+			w.submit(a, s)
+			w.advance(100)
+			w.cut(a, b, true)
+			w.submit(a, job(a.reserve(), 1))
+			w.advance(6 * clock.Second)
+			w.runTime = func() clock.Millis { return 100 }
+			w.result = func() contract.AttemptResult { return contract.Succeeded{Result: []byte("r")} }
+			w.advance(5 * clock.Second)
+			w.cut(a, b, false)
+		}, "contract.Complete", 2},
 		{"ends ambiguously, not marked", func(w *world, a, _ *node, s contract.Submission) {
 			ambiguous(w)
 			for range 10 {
