Queue a task again that is found not started after a release

Cause: the scheduler queues nothing more under a job reference that was taken out of the queue. Change: such a task is admitted anew.

--- a/pkg/contract/ledger_entry.go
+++ b/pkg/contract/ledger_entry.go
@@ -45,6 +45,8 @@
 type admission struct {
 	ref   JobRef
 	tasks []TaskIndex
+	// closed means that the scheduler queues nothing more under the reference.
+	closed bool
 }
 
 func newLedgerEntry(now clock.Millis, s Submission) *LedgerEntry {
@@ -68,6 +70,25 @@
 	return refs
 }
 
+// Close notes that the tasks under a job reference were taken out of the queue.
+func (e *LedgerEntry) Close(ref JobRef) {
+	for i := range e.admissions {
+		if e.admissions[i].ref == ref {
+			e.admissions[i].closed = true
+		}
+	}
+}
+
+// Closed reports whether the tasks under a job reference were taken out of the queue.
+func (e *LedgerEntry) Closed(ref JobRef) bool {
+	for _, a := range e.admissions {
+		if a.ref == ref {
+			return a.closed
+		}
+	}
+	return true
+}
+
 // Task returns which task of the submission the scheduler means.
 func (e *LedgerEntry) Task(t TaskRef) TaskIndex {
 	for _, a := range e.admissions {
--- a/pkg/entry/control_submissions.go
+++ b/pkg/entry/control_submissions.go
@@ -158,10 +158,15 @@
 // withdraw takes the tasks of a submission out of the queue.
 func (c *Control) withdraw(now clock.Millis, entry *contract.LedgerEntry) {
 	for _, ref := range entry.Refs() {
-		for _, t := range c.scheduler.Cancel(now, ref) {
-			entry.Withdrawn = append(entry.Withdrawn, entry.Task(contract.TaskRef{Job: ref, Index: t}))
-		}
+		c.withdrawUnder(now, entry, ref)
+	}
+}
+
+func (c *Control) withdrawUnder(now clock.Millis, entry *contract.LedgerEntry, ref contract.JobRef) {
+	for _, t := range c.scheduler.Cancel(now, ref) {
+		entry.Withdrawn = append(entry.Withdrawn, entry.Task(contract.TaskRef{Job: ref, Index: t}))
 	}
+	entry.Close(ref)
 }
 
 // requeue frees the slot of a start that was not sent.
@@ -277,60 +282,6 @@
 	})
 }
 
-func (c *Control) attemptEnded(now clock.Millis, e AttemptEnded) {
-	if attempt, ok := c.running[e.Start]; !ok || attempt != e.Attempt {
-		c.strayAnswers++
-		return
-	}
-	delete(c.running, e.Start)
-	requeued := c.scheduler.Finish(now, e.Start, e.Result)
-	entry, ok := c.ledger.ByRef(e.Start.Task.Job)
-	if !ok {
-		c.scheduler.Cancel(now, e.Start.Task.Job)
-		return
-	}
-	switch {
-	case requeued && entry.Cancelled:
-		c.stopAgain(now, entry)
-	case requeued && c.releasing(entry):
-		c.withdraw(now, entry)
-	case requeued:
-	case c.mayRetry(entry, e):
-		entry.NoteAmbiguous(e.Attempt.Task)
-		c.readmit(now, entry, []contract.TaskIndex{e.Attempt.Task})
-		c.settleIfEnded(entry)
-	default:
-		c.ledger.End(entry, e.Attempt.Task, e.Result)
-		c.settleIfEnded(entry)
-	}
-}
-
-// stopAgain drops a task that came back to the queue after its submission was stopped.
-func (c *Control) stopAgain(now clock.Millis, entry *contract.LedgerEntry) {
-	c.withdraw(now, entry)
-	for _, t := range entry.Withdrawn {
-		entry.End(t, contract.NotStarted{})
-	}
-	entry.Withdrawn = nil
-	c.settleIfEnded(entry)
-}
-
-func (c *Control) releasing(entry *contract.LedgerEntry) bool {
-	o, ok := c.outboxes[entry.Submission.ID.Witness]
-	return ok && o.state == pairReleasing
-}
-
-// mayRetry reports whether an attempt with an unknown end may be made again: only for a
-// single request that its caller marked as repeatable, and within the budget.
-func (c *Control) mayRetry(entry *contract.LedgerEntry, e AttemptEnded) bool {
-	if _, ambiguous := e.Result.(contract.Ambiguous); !ambiguous {
-		return false
-	}
-	s := entry.Submission
-	return s.Repeatable && len(s.Tasks) == 1 && !entry.Cancelled && !c.draining && !c.releasing(entry) &&
-		c.retries.take(entry)
-}
-
 // settleIfEnded gives the whole answer to the witness before any caller hears it.
 func (c *Control) settleIfEnded(entry *contract.LedgerEntry) {
 	if entry.Final != nil || entry.Lost || entry.HasOutcome() || !entry.Ended() {
