Let a VM shut down within the random faults

Cause: the random test knew only crashes. Change: every second stop is a graceful shutdown; the VM ends when it is drained.

--- a/pkg/entry/random_faults_test.go
+++ b/pkg/entry/random_faults_test.go
@@ -12,7 +12,7 @@
 
 // TestRandomFaults guards against second starts, partial answers, false refusals,
 // different endings and submissions without an ending under combined faults: lost,
-// late, duplicate messages, cuts, pauses, one crash, and a platform that is down or
+// late, duplicate messages, cuts, pauses, one crash or shutdown, and a platform that is down or
 // loses answers. SEQUOIACART_FAULT_SEED runs one seed, SEQUOIACART_FAULT_RUNS more seeds.
 func TestRandomFaults(t *testing.T) {
 	first, runs := uint64(1), uint64(300)
@@ -29,6 +29,7 @@
 		for kind, n := range s.ended {
 			total[kind] += n
 		}
+		total["drained VMs"] += s.drained
 		if t.Failed() {
 			t.Fatalf("seed %d", seed)
 		}
@@ -42,6 +43,7 @@
 	ids     []contract.SubmissionID
 	jobs    map[contract.SubmissionID]contract.Submission
 	crashed bool
+	drained int
 	ended   map[string]int
 }
 
@@ -111,11 +113,25 @@
 		n.resume()
 	case 13:
 		if !s.crashed && s.rng.IntN(4) == 0 {
-			s.crashed, n.crashed = true, true
+			s.crashed = true
+			s.stop(n)
 		}
 	}
 }
 
+// stop ends a VM by a crash or, every second time, after a graceful shutdown.
+func (s *storm) stop(n *node) {
+	if s.rng.IntN(2) == 0 {
+		n.crashed = true
+		return
+	}
+	n.ask(func(id WaiterID) Event { return ShutdownBegun{Waiter: id} }, func(Reply) {
+		n.crashed = true
+		s.drained++
+		s.publishRoster()
+	})
+}
+
 // again asks for, submits or cancels an earlier submission through any VM.
 func (s *storm) again(via *node) {
 	if len(s.ids) == 0 || via.crashed {
