Test which witness new ids name while calls to one fail

Cause: until the release, which takes 3 s of failures, new ids name a witness that does not answer, and are refused afterwards. Change: a test alone. Conclusion: new ids have to avoid a witness from the first failure on.

--- a/pkg/entry/faults_test.go
+++ b/pkg/entry/faults_test.go
@@ -157,3 +157,41 @@
 		})
 	}
 }
+
+// TestWitnessOfNewIDs guards against ids that name a witness that does not answer,
+// since they are refused once it counts as unreachable.
+func TestWitnessOfNewIDs(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	a, b, c := w.nodes[0], w.nodes[1], w.nodes[2]
+	steps := []struct {
+		name string
+		do   func()
+		want *node
+	}{
+		{"both reachable", func() {}, b},
+		{"one call to b failed", func() {
+			w.cut(a, b, true)
+			w.submit(a, job(a.reserve(), 1))
+			w.advance(1500)
+		}, c},
+		{"b answers again", func() {
+			w.cut(a, b, false)
+			w.advance(clock.Second)
+		}, b},
+		{"one call to b and to c failed", func() {
+			w.cut(a, b, true)
+			w.submit(a, job(a.reserve(), 1))
+			w.advance(1500)
+			w.cut(a, c, true)
+			w.submit(a, job(a.reserve(), 1))
+			w.advance(1200)
+		}, b},
+		{"b is released, one call to c failed", func() { w.advance(2500) }, c},
+	}
+	for _, s := range steps {
+		s.do()
+		if got := a.reserve().Witness; got != s.want.vm.Incarnation {
+			t.Errorf("%s: got witness %s, want %s", s.name, got, s.want.vm.Incarnation)
+		}
+	}
+}
