Name another witness in new ids from the first failed call on

Change: a witness whose last call failed is chosen only if no other answers. Conclusion: a lost witness costs the ids reserved before its first failed call.

--- a/pkg/entry/control_fencing.go
+++ b/pkg/entry/control_fencing.go
@@ -201,13 +201,22 @@
 	}
 }
 
-// chooseWitness picks the witness of new ids among the VMs whose pair is open.
+// chooseWitness picks the witness of new ids among the VMs whose pair is open. One that
+// does not answer at present is taken only if there is no other.
 func (c *Control) chooseWitness() vm.Incarnation {
-	var open []vm.VM
+	answering := c.witnessAmong(func(o *outbox) bool { return o.state == pairOpen && o.calls.failures == 0 })
+	if answering != vm.None {
+		return answering
+	}
+	return c.witnessAmong(func(o *outbox) bool { return o.state == pairOpen })
+}
+
+func (c *Control) witnessAmong(eligible func(*outbox) bool) vm.Incarnation {
+	var vms []vm.VM
 	for _, v := range c.roster.VMs() {
-		if o, ok := c.outboxes[v.Incarnation]; !ok || o.state == pairOpen {
-			open = append(open, v)
+		if o, ok := c.outboxes[v.Incarnation]; !ok || eligible(o) {
+			vms = append(vms, v)
 		}
 	}
-	return vm.NewRoster(vm.RosterConfig{Version: c.roster.Version, Self: c.config.Self, VMs: open}).Witness()
+	return vm.NewRoster(vm.RosterConfig{Version: c.roster.Version, Self: c.config.Self, VMs: vms}).Witness()
 }
--- a/pkg/entry/control_records.go
+++ b/pkg/entry/control_records.go
@@ -52,6 +52,9 @@
 		o.failingSince = now
 	}
 	o.calls.failed(now, c.rng)
+	if o.calls.failures == 1 {
+		c.witnessForIDs = c.chooseWitness()
+	}
 	if now-o.failingSince >= contract.Unreachable {
 		c.beginRelease(now, o)
 	}
@@ -67,7 +70,10 @@
 		c.callFailed(now, o)
 		return
 	}
-	o.calls.succeeded()
+	if o.calls.failures > 0 {
+		o.calls.succeeded()
+		c.witnessForIDs = c.chooseWitness()
+	}
 	if slices.Contains(e.Statuses, contract.RecordFenced) {
 		c.beginRelease(now, o)
 		return
