--- a/pkg/endpoint/client.go
+++ b/pkg/endpoint/client.go
@@ -18,6 +18,7 @@
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/event"
+	"github.com/sequoiacart/sequoiacart/pkg/loan"
 	"github.com/sequoiacart/sequoiacart/pkg/metrics"
 	"github.com/sequoiacart/sequoiacart/pkg/trace"
 )
@@ -73,6 +74,9 @@
 		MaxConnsPerHost:     int(c.Connections),
 		MaxIdleConnsPerHost: int(c.Connections),
 		DisableCompression:  true,
+		// Slots move between VMs, so connections that are idle for the term of a loan make
+		// room for those of the next user.
+		IdleConnTimeout: loan.Term.Duration(),
 	}
 	return &Client{config: c, http: &http.Client{Transport: transport, CheckRedirect: refuseRedirect}}
 }
