Test a daemon's shutdown with a task in flight over TCP

Cause: the drain was tested on the state machine alone. Change: two daemons with a stand-in platform; the endpoint holds the task until readiness is withdrawn. Conclusion: the caller hears the answer, and so does whoever asks the peer.

--- /dev/null
+++ b/pkg/app/shutdown_test.go
@@ -0,0 +1,129 @@
+package app
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/endpoint"
+	"github.com/sequoiacart/sequoiacart/pkg/event"
+	"github.com/sequoiacart/sequoiacart/pkg/platform"
+	"github.com/sequoiacart/sequoiacart/pkg/settings"
+	"github.com/sequoiacart/sequoiacart/pkg/standin"
+	"github.com/sequoiacart/sequoiacart/pkg/submit"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+const shutdownBundle = `version = 1
+[[owners]]
+id = "o"
+share = 1
+tokens = ["` // The digest of the token follows.
+
+// TestDaemonDrains guards against a shutdown that cuts off a task in flight, that keeps
+// readiness meanwhile, or that takes the answer with it.
+func TestDaemonDrains(t *testing.T) {
+	started, release := make(chan struct{}, 8), make(chan struct{})
+	gate := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		started <- struct{}{}
+		<-release
+		w.Header().Set(endpoint.AttemptHeader, r.Header.Get(endpoint.AttemptHeader))
+		_, _ = w.Write(body)
+	}))
+	defer gate.Close()
+	p := standin.NewPlatform()
+	p.SetObject("bundle", []byte(shutdownBundle+string(bundle.DigestOf([]byte("token")))+"\"]\n[[owners.classes]]\nname = \"any\"\nrank = 0\ndeadlineMs = 60000\n"))
+	for _, id := range []datacentre.EndpointID{"e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8"} {
+		p.SetVM(platform.ListedVM{Endpoint: datacentre.Endpoint{ID: id, DataCentre: "dc", Address: strings.TrimPrefix(gate.URL, "http://"), Slots: 8, Connections: 64}})
+	}
+	site := httptest.NewServer(p.Handler())
+	defer site.Close()
+
+	a, stopA, doneA := runDaemon(t, "a", site.URL)
+	b, stopB, doneB := runDaemon(t, "b", site.URL)
+	client := submit.NewClient(submit.ClientConfig{Addresses: []string{a.CallerAddress(), b.CallerAddress()}, Token: "token", Wait: clock.Minute})
+	var id string
+	eventually(t, func() bool {
+		ids, err := client.Reserve(t.Context(), 0, 1)
+		if err != nil || !strings.Contains(ids[0], "."+string(b.self.Incarnation)+".") {
+			return false
+		}
+		id = ids[0]
+		return statusOf(a) == http.StatusOK
+	})
+	job := submit.Job{Kind: "k", Class: "any", Payloads: []string{"p"}}
+	replies := make(chan submit.Reply, 1)
+	go func() {
+		reply, err := client.Put(context.Background(), 0, id, job)
+		if err != nil {
+			t.Errorf("submit: got error %v, want none", err)
+		}
+		replies <- reply
+	}()
+	<-started
+	stopA()
+	eventually(t, func() bool { return statusOf(a) == http.StatusServiceUnavailable })
+	close(release)
+	if reply, ok := (<-replies).(submit.Completed); !ok {
+		t.Errorf("answer in flight: got %#v, want complete", reply)
+	}
+	if err := <-doneA; err != nil {
+		t.Errorf("end of the daemon: got %v, want no error", err)
+	}
+	reply, err := client.Put(t.Context(), 1, id, job)
+	if _, ok := reply.(submit.Completed); !ok {
+		t.Errorf("answer of the witness: got %#v (%v), want complete", reply, err)
+	}
+	if got := len(started); got != 0 {
+		t.Errorf("further starts: got %d, want 0", got)
+	}
+	stopB()
+	<-doneB
+}
+
+func runDaemon(t *testing.T, name vm.ID, site string) (*Daemon, context.CancelFunc, <-chan error) {
+	s := settings.Default()
+	s.VM, s.DataCentre = name, "dc"
+	s.CallerAddress, s.PeerAddress = "127.0.0.1:0", "127.0.0.1:0"
+	s.PlatformAddress = strings.TrimPrefix(site, "http://")
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	d, err := NewDaemon(DaemonDeps{Settings: s, Clock: clock.NewSystem(), Log: event.NewLog(logger)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	return d, stop, done
+}
+
+func statusOf(d *Daemon) int {
+	response, err := http.Get("http://" + d.CallerAddress() + "/readyz")
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// eventually looks at a condition until it holds; only the limit of the whole test run
+// ends it otherwise.
+func eventually(t *testing.T, holds func() bool) {
+	t.Helper()
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	for !holds() {
+		<-ticker.C
+	}
+}
