Test questions to a witness with invented issuers

Cause: a question makes the witness remember its issuer, which it cannot verify. Change: a test alone. Figures: go test ./pkg/contract -run ForgedIssuers fails: record after forged questions: got 3, want 0 Conclusion: one caller could stop a witness from taking new issuers.

--- a/pkg/contract/witness_test.go
+++ b/pkg/contract/witness_test.go
@@ -153,3 +153,16 @@
 		t.Errorf("empty ledger: got %s, want 0 0 0 true", got)
 	}
 }
+
+// TestForgedIssuers guards against questions with invented issuers that take the room
+// of issuers with records.
+func TestForgedIssuers(t *testing.T) {
+	w := NewWitness(WitnessConfig{Self: "w-1", Limits: DefaultLimits()})
+	for i := range maxIssuers {
+		w.Ask(testStart, Question{ID: testID(vm.Incarnation(fmt.Sprint("x-", i)), testStart), Owner: "o"})
+	}
+	id := testID("i-1", testStart)
+	if got := w.Record(testStart, "i-1", 1, []Record{startOf(id, 0)})[0]; got != RecordAccepted {
+		t.Errorf("record after forged questions: got %d, want %d", got, RecordAccepted)
+	}
+}
