Keep room at the witness for issuers with records

Cause: see the test before. Change: questions may add issuers up to half of the bound. Figures: go test ./pkg/contract -run ForgedIssuers failed before, passes after. Conclusion: invented issuers cost memory within the bound and nothing else.

--- a/pkg/contract/witness.go
+++ b/pkg/contract/witness.go
@@ -14,6 +14,9 @@
 	// maxIssuers bounds the issuers a witness knows. Their fences and floors cannot be
 	// forgotten, and a witness serves far fewer issuers during its life.
 	maxIssuers = 10_000
+	// maxAskedIssuers bounds those that come from questions. Callers can invent
+	// issuers, and must not take the room of issuers with records.
+	maxAskedIssuers = maxIssuers / 2
 
 	askAgainAfter = clock.Second
 )
@@ -49,7 +52,7 @@
 // Record keeps a batch of records of an issuer, in the order of the batch.
 func (w *Witness) Record(now clock.Millis, issuer vm.Incarnation, batch BatchNumber, records []Record) []RecordStatus {
 	statuses := make([]RecordStatus, len(records))
-	s, ok := w.issuer(now, issuer)
+	s, ok := w.issuer(now, issuer, maxIssuers)
 	for i, r := range records {
 		switch {
 		case !ok:
@@ -72,7 +75,7 @@
 // HandOver keeps answers that the issuer gave without this witness. The last part says
 // that the issuer starts nothing more.
 func (w *Witness) HandOver(now clock.Millis, issuer vm.Incarnation, records []Record, last bool) {
-	s, ok := w.issuer(now, issuer)
+	s, ok := w.issuer(now, issuer, maxIssuers)
 	if !ok || s.row == PairFencedByWitness {
 		return
 	}
@@ -101,7 +104,7 @@
 	if q.ID.Witness != w.config.Self {
 		return cannotTell("this VM is not the witness of the id"), false
 	}
-	s, ok := w.issuer(now, q.ID.Issuer)
+	s, ok := w.issuer(now, q.ID.Issuer, maxAskedIssuers)
 	if !ok {
 		return cannotTell("the witness knows too many issuers"), false
 	}
@@ -163,9 +166,9 @@
 	}
 }
 
-func (w *Witness) issuer(now clock.Millis, i vm.Incarnation) (*witnessedIssuer, bool) {
+func (w *Witness) issuer(now clock.Millis, i vm.Incarnation, most int) (*witnessedIssuer, bool) {
 	s, ok := w.issuers[i]
-	if !ok && len(w.issuers) >= maxIssuers {
+	if !ok && len(w.issuers) >= most {
 		return nil, false
 	}
 	if !ok {
