Test a submission with other content that the witness answers

Cause: a witness does not know the content of what it answers for. Change: a case of TestWitness, and the fields that it needs.

--- a/pkg/contract/record.go
+++ b/pkg/contract/record.go
@@ -11,6 +11,7 @@
 	Owner owner.ID
 	// TaskCount is the number of tasks of the whole submission.
 	TaskCount int
+	Digest    Digest
 	Tasks     []TaskIndex
 }
 
--- a/pkg/contract/witness.go
+++ b/pkg/contract/witness.go
@@ -94,6 +94,9 @@
 type Question struct {
 	ID    SubmissionID
 	Owner owner.ID
+	// Digest is that of the submission that is sent again; the zero digest asks for the
+	// answer alone.
+	Digest Digest
 	// IssuerGone says that the issuer is out of the roster.
 	IssuerGone bool
 }
--- a/pkg/contract/witness_test.go
+++ b/pkg/contract/witness_test.go
@@ -16,11 +16,11 @@
 }
 
 func startOf(id SubmissionID, tasks ...TaskIndex) Record {
-	return StartRecord{ID: id, Owner: "o", TaskCount: 3, Tasks: tasks}
+	return StartRecord{ID: id, Owner: "o", TaskCount: 3, Digest: Digest{1}, Tasks: tasks}
 }
 
 func settleOf(id SubmissionID, a Answer) Record {
-	return SettleRecord{ID: id, Owner: "o", Answer: a}
+	return SettleRecord{ID: id, Owner: "o", Digest: Digest{1}, Answer: a}
 }
 
 // TestWitness guards against records that are kept after questions were answered on
@@ -45,6 +45,12 @@
 			return fmt.Sprintf("%T %t", a, needsRow)
 		}
 	}
+	again := func(id SubmissionID, d Digest) func(*Witness, clock.Millis) any {
+		return func(w *Witness, now clock.Millis) any {
+			a, _ := w.Ask(now, Question{ID: id, Owner: "o", Digest: d})
+			return fmt.Sprintf("%T", a)
+		}
+	}
 	decide := func(row PairRow) func(*Witness, clock.Millis) any {
 		return func(w *Witness, _ clock.Millis) any { w.Decide("i-1", row); return "" }
 	}
@@ -101,6 +107,13 @@
 			{2, ask(other, "o", false), "contract.Refused false"},
 			{2, ask(id, "p", false), "contract.NotFound false"},
 		}},
+		{"sent again with other content", DefaultLimits(), []step{
+			{0, record(1, startOf(id, 0), settleOf(other, Complete{})), statuses(RecordAccepted, RecordAccepted)},
+			{Unreachable, again(id, Digest{1}), "contract.CannotTellYet"},
+			{Unreachable, again(id, Digest{2}), "contract.Conflict"},
+			{Unreachable, again(other, Digest{1}), "contract.Complete"},
+			{Unreachable, again(other, Digest{2}), "contract.Conflict"},
+		}},
 		{"full", Limits{IDs: 1, Bytes: 1 << 20}, []step{
 			{0, record(1, startOf(id, 0), startOf(other, 0)), statuses(RecordAccepted, RecordFull)},
 			{1, record(2, startOf(id, 1), settleOf(id, Complete{})), statuses(RecordAccepted, RecordAccepted)},
