Recognise other content under an id also at the witness

Cause: a submission sent again with other content after the issuer's loss got the answer of the first content. Change: records and questions carry the digest of the content; the witness answers conflict. Conclusion: an answer goes only to the content it belongs to.

--- a/pkg/contract/witness.go
+++ b/pkg/contract/witness.go
@@ -115,6 +115,8 @@
 	switch {
 	case known && e.owner != q.Owner:
 		return NotFound{}, false
+	case known && q.Digest != (Digest{}) && q.Digest != e.digest:
+		return Conflict{}, false
 	case known && e.final != nil:
 		return e.final, false
 	case !known && q.ID.IssuedAt <= s.floor:
@@ -184,7 +186,7 @@
 func (w *Witness) keep(now clock.Millis, issuer vm.Incarnation, s *witnessedIssuer, r Record) RecordStatus {
 	switch r := r.(type) {
 	case StartRecord:
-		e, status := w.entry(now, issuer, s, r.ID, r.Owner)
+		e, status := w.entry(now, issuer, s, r.ID, r.Owner, r.Digest)
 		if status != RecordAccepted {
 			return status
 		}
@@ -195,7 +197,7 @@
 		}
 		w.bytes += e.bytes() - before
 	case SettleRecord:
-		e, status := w.entry(now, issuer, s, r.ID, r.Owner)
+		e, status := w.entry(now, issuer, s, r.ID, r.Owner, r.Digest)
 		if status != RecordAccepted {
 			return status
 		}
@@ -215,7 +217,7 @@
 }
 
 // entry finds the entry of an id, or makes one where there is room.
-func (w *Witness) entry(now clock.Millis, issuer vm.Incarnation, s *witnessedIssuer, id SubmissionID, o owner.ID) (*witnessEntry, RecordStatus) {
+func (w *Witness) entry(now clock.Millis, issuer vm.Incarnation, s *witnessedIssuer, id SubmissionID, o owner.ID, d Digest) (*witnessEntry, RecordStatus) {
 	if id.Issuer != issuer || id.Witness != w.config.Self {
 		return nil, RecordFenced
 	}
@@ -228,7 +230,7 @@
 	if w.count >= w.config.Limits.IDs || w.bytes >= w.config.Limits.Bytes {
 		return nil, RecordFull
 	}
-	e := &witnessEntry{owner: o}
+	e := &witnessEntry{owner: o, digest: d}
 	s.entries[id] = e
 	w.order.push(id, now)
 	w.count++
--- a/pkg/contract/witnessed_issuer.go
+++ b/pkg/contract/witnessed_issuer.go
@@ -22,6 +22,7 @@
 // witnessEntry is what a witness knows of one id.
 type witnessEntry struct {
 	owner     owner.ID
+	digest    Digest
 	taskCount int
 	started   []uint64
 	final     Answer
@@ -55,6 +56,6 @@
 
 // bytes estimates the memory of the entry, with its places in the map and the queue.
 func (e *witnessEntry) bytes() int {
-	const overhead = 420
+	const overhead = 450
 	return overhead + len(e.owner) + 8*len(e.started) + answerBytes(e.final)
 }
--- a/pkg/entry/control_fencing.go
+++ b/pkg/entry/control_fencing.go
@@ -93,7 +93,7 @@
 
 func (c *Control) witnessAsked(now clock.Millis, e WitnessAsked) {
 	_, listed := c.present(e.ID.Issuer)
-	a, needsRow := c.witness.Ask(now, contract.Question{ID: e.ID, Owner: e.Owner, IssuerGone: !listed})
+	a, needsRow := c.witness.Ask(now, contract.Question{ID: e.ID, Owner: e.Owner, Digest: e.Digest, IssuerGone: !listed})
 	c.answer(e.Waiter, a)
 	if !needsRow {
 		return
--- a/pkg/entry/control_submissions.go
+++ b/pkg/entry/control_submissions.go
@@ -258,6 +258,7 @@
 				ID:        id,
 				Owner:     entry.Submission.Owner,
 				TaskCount: len(entry.Submission.Tasks),
+				Digest:    entry.Digest,
 				Tasks:     []contract.TaskIndex{task},
 			},
 			entry: entry,
--- a/pkg/entry/event.go
+++ b/pkg/entry/event.go
@@ -114,6 +114,8 @@
 	Waiter WaiterID
 	ID     contract.SubmissionID
 	Owner  owner.ID
+	// Digest is that of a submission that is sent again; zero asks for the answer alone.
+	Digest contract.Digest
 }
 
 // RosterChanged brings a new roster.
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -18,7 +18,7 @@
 	Submit(ctx context.Context, issuer vm.VM, s contract.Submission, wait clock.Millis) (contract.Answer, error)
 	Ask(ctx context.Context, issuer vm.VM, id contract.SubmissionID, o owner.ID, wait clock.Millis) (contract.Answer, error)
 	Cancel(ctx context.Context, issuer vm.VM, id contract.SubmissionID, o owner.ID) (contract.Answer, error)
-	AskWitness(ctx context.Context, witness vm.VM, id contract.SubmissionID, o owner.ID) (contract.Answer, error)
+	AskWitness(ctx context.Context, witness vm.VM, q contract.Question) (contract.Answer, error)
 }
 
 // RouterConfig holds what a router is made of.
@@ -80,9 +80,9 @@
 // Submit runs a submission at its issuer, waiting up to the span for its end.
 func (r *Router) Submit(ctx context.Context, s contract.Submission, wait clock.Millis) contract.Answer {
 	if s.ID.Issuer == r.config.Self {
-		return r.orWitness(ctx, s.ID, s.Owner, r.SubmitHere(ctx, s, wait))
+		return r.orWitness(ctx, question{id: s.ID, owner: s.Owner, submission: &s}, r.SubmitHere(ctx, s, wait))
 	}
-	return r.forward(ctx, s.ID, s.Owner, wait, func(ctx context.Context, issuer vm.VM) (contract.Answer, error) {
+	return r.forward(ctx, question{id: s.ID, owner: s.Owner, submission: &s}, wait, func(ctx context.Context, issuer vm.VM) (contract.Answer, error) {
 		return r.config.Peers.Submit(ctx, issuer, s, wait)
 	})
 }
@@ -102,9 +102,9 @@
 // Ask returns the answer of an id, waiting up to the span for it.
 func (r *Router) Ask(ctx context.Context, id contract.SubmissionID, o owner.ID, wait clock.Millis) contract.Answer {
 	if id.Issuer == r.config.Self {
-		return r.orWitness(ctx, id, o, r.AskHere(ctx, id, o, wait))
+		return r.orWitness(ctx, question{id: id, owner: o}, r.AskHere(ctx, id, o, wait))
 	}
-	return r.forward(ctx, id, o, wait, func(ctx context.Context, issuer vm.VM) (contract.Answer, error) {
+	return r.forward(ctx, question{id: id, owner: o}, wait, func(ctx context.Context, issuer vm.VM) (contract.Answer, error) {
 		return r.config.Peers.Ask(ctx, issuer, id, o, wait)
 	})
 }
@@ -123,9 +123,9 @@
 // Cancel drops the tasks of an id that have not started.
 func (r *Router) Cancel(ctx context.Context, id contract.SubmissionID, o owner.ID) contract.Answer {
 	if id.Issuer == r.config.Self {
-		return r.orWitness(ctx, id, o, r.CancelHere(ctx, id, o))
+		return r.orWitness(ctx, question{id: id, owner: o}, r.CancelHere(ctx, id, o))
 	}
-	return r.forward(ctx, id, o, 0, func(ctx context.Context, issuer vm.VM) (contract.Answer, error) {
+	return r.forward(ctx, question{id: id, owner: o}, 0, func(ctx context.Context, issuer vm.VM) (contract.Answer, error) {
 		return r.config.Peers.Cancel(ctx, issuer, id, o)
 	})
 }
@@ -140,8 +140,8 @@
 }
 
 // WitnessHere answers as the witness of an id.
-func (r *Router) WitnessHere(ctx context.Context, id contract.SubmissionID, o owner.ID) contract.Answer {
-	a, err := r.callWithin(ctx, 0, func(w WaiterID) Event { return WitnessAsked{Waiter: w, ID: id, Owner: o} })
+func (r *Router) WitnessHere(ctx context.Context, q contract.Question) contract.Answer {
+	a, err := r.callWithin(ctx, 0, func(w WaiterID) Event { return WitnessAsked{Waiter: w, ID: q.ID, Owner: q.Owner, Digest: q.Digest} })
 	if err != nil {
 		return contract.CannotTellYet{Reason: err.Error(), RetryAfter: unavailableRetry}
 	}
@@ -207,22 +207,37 @@
 	return reply.(AnswerReply).Answer, nil
 }
 
+// question is what the witness may be asked. The digest is computed only if it is.
+type question struct {
+	id         contract.SubmissionID
+	owner      owner.ID
+	submission *contract.Submission
+}
+
+func (q question) forWitness() contract.Question {
+	asked := contract.Question{ID: q.id, Owner: q.owner}
+	if q.submission != nil {
+		asked.Digest = q.submission.Digest()
+	}
+	return asked
+}
+
 type peerCall func(ctx context.Context, issuer vm.VM) (contract.Answer, error)
 
 // forward asks the issuer and, if it cannot be reached or cannot tell, the witness. A VM
 // whose link is known to be unreachable is not called, so that no caller waits for the
 // time-out.
-func (r *Router) forward(ctx context.Context, id contract.SubmissionID, o owner.ID, wait clock.Millis, call peerCall) contract.Answer {
-	if issuer, ok := r.peers.Load().reachable(id.Issuer); ok {
+func (r *Router) forward(ctx context.Context, q question, wait clock.Millis, call peerCall) contract.Answer {
+	if issuer, ok := r.peers.Load().reachable(q.id.Issuer); ok {
 		a, err := r.callPeer(ctx, issuer, wait, call)
 		if err == nil {
-			return r.orWitness(ctx, id, o, a)
+			return r.orWitness(ctx, q, a)
 		}
 	}
-	if a, ok := r.askWitness(ctx, id, o); ok {
+	if a, ok := r.askWitness(ctx, q); ok {
 		return a
 	}
-	a, err := r.callWithin(ctx, 0, func(w WaiterID) Event { return OrphanAsked{Waiter: w, ID: id} })
+	a, err := r.callWithin(ctx, 0, func(w WaiterID) Event { return OrphanAsked{Waiter: w, ID: q.id} })
 	if err != nil {
 		return contract.CannotTellYet{Reason: err.Error(), RetryAfter: unavailableRetry}
 	}
@@ -230,26 +245,26 @@
 }
 
 // orWitness keeps the issuer's answer, unless the issuer cannot tell and the witness can.
-func (r *Router) orWitness(ctx context.Context, id contract.SubmissionID, o owner.ID, a contract.Answer) contract.Answer {
+func (r *Router) orWitness(ctx context.Context, q question, a contract.Answer) contract.Answer {
 	if _, unsure := a.(contract.CannotTellYet); !unsure {
 		return a
 	}
-	if told, ok := r.askWitness(ctx, id, o); ok {
+	if told, ok := r.askWitness(ctx, q); ok {
 		return told
 	}
 	return a
 }
 
-func (r *Router) askWitness(ctx context.Context, id contract.SubmissionID, o owner.ID) (contract.Answer, bool) {
-	if id.Witness == r.config.Self {
-		return r.WitnessHere(ctx, id, o), true
+func (r *Router) askWitness(ctx context.Context, q question) (contract.Answer, bool) {
+	if q.id.Witness == r.config.Self {
+		return r.WitnessHere(ctx, q.forWitness()), true
 	}
-	witness, ok := r.peers.Load().reachable(id.Witness)
+	witness, ok := r.peers.Load().reachable(q.id.Witness)
 	if !ok {
 		return nil, false
 	}
 	a, err := r.callPeer(ctx, witness, 0, func(ctx context.Context, witness vm.VM) (contract.Answer, error) {
-		return r.config.Peers.AskWitness(ctx, witness, id, o)
+		return r.config.Peers.AskWitness(ctx, witness, q.forWitness())
 	})
 	return a, err == nil
 }
--- a/pkg/peer/codec.go
+++ b/pkg/peer/codec.go
@@ -124,7 +124,7 @@
 		for i, t := range r.Tasks {
 			tasks[i] = int(t)
 		}
-		return WireRecord{Kind: kindStart, ID: r.ID.String(), Owner: string(r.Owner), TaskCount: r.TaskCount, Tasks: tasks}
+		return WireRecord{Kind: kindStart, ID: r.ID.String(), Owner: string(r.Owner), TaskCount: r.TaskCount, Digest: r.Digest[:], Tasks: tasks}
 	case contract.SettleRecord:
 		return WireRecord{Kind: kindSettle, ID: r.ID.String(), Owner: string(r.Owner), Digest: r.Digest[:], Answer: encodeAnswer(r.Answer)}
 	default:
@@ -191,5 +191,7 @@
 		}
 		tasks[i] = contract.TaskIndex(t)
 	}
-	return contract.StartRecord{ID: id, Owner: owner.ID(w.Owner), TaskCount: w.TaskCount, Tasks: tasks}, nil
+	r := contract.StartRecord{ID: id, Owner: owner.ID(w.Owner), TaskCount: w.TaskCount, Tasks: tasks}
+	copy(r.Digest[:], w.Digest)
+	return r, nil
 }
--- a/pkg/peer/codec_test.go
+++ b/pkg/peer/codec_test.go
@@ -17,7 +17,7 @@
 // which a bad peer could break the witness or make it allocate without bound.
 func TestRecords(t *testing.T) {
 	id := testRecordID()
-	start := contract.StartRecord{ID: id, Owner: "o", TaskCount: 3, Tasks: []contract.TaskIndex{0, 2}}
+	start := contract.StartRecord{ID: id, Owner: "o", TaskCount: 3, Digest: contract.Digest{2}, Tasks: []contract.TaskIndex{0, 2}}
 	settle := contract.SettleRecord{ID: id, Owner: "o", Digest: contract.Digest{1}, Answer: contract.Complete{Results: [][]byte{{}, {1}}}}
 	change := func(edit func(*WireRecord)) []WireRecord {
 		w := encodeRecord(start)
--- a/pkg/peer/wire.go
+++ b/pkg/peer/wire.go
@@ -68,6 +68,8 @@
 	ID     string
 	Owner  string
 	WaitMs int64
+	// Digest is that of a submission that is sent again, for the witness.
+	Digest []byte
 	// TraceParent is the W3C traceparent of the peer hop.
 	TraceParent string
 }
--- a/pkg/peer/witness_service.go
+++ b/pkg/peer/witness_service.go
@@ -52,6 +52,8 @@
 	}
 	ctx, span := serve(w.tracer, request.TraceParent, id)
 	defer span.End()
-	*reply = encodeAnswer(w.handler.WitnessHere(ctx, id, owner.ID(request.Owner)))
+	q := contract.Question{ID: id, Owner: owner.ID(request.Owner)}
+	copy(q.Digest[:], request.Digest)
+	*reply = encodeAnswer(w.handler.WitnessHere(ctx, q))
 	return nil
 }
