--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -323,7 +323,7 @@
 		<-run.Done()
 		// Only a shutdown that was asked for drains; after a failed part there may be
 		// nobody to drain.
-		if ctx.Err() != nil {
+		if ctx.Err() != nil && d.killed.Err() == nil {
 			limit, _ := stopping()
 			d.drain(limit)
 		}
--- a/pkg/app/site_test.go
+++ b/pkg/app/site_test.go
@@ -65,7 +65,7 @@
 	s := &site{t: t, platform: standin.NewPlatform(), starts: standin.NewStartCounts()}
 	s.server = httptest.NewServer(s.platform.Handler())
 	t.Cleanup(s.server.Close)
-	s.governance = s.publish()
+	s.governance = publish(t, hostPort(s.server))
 	for i := range endpoints {
 		e := standin.NewEndpoint(standin.EndpointConfig{Slots: 8, Starts: s.starts})
 		server := httptest.NewServer(e.Handler())
@@ -87,9 +87,9 @@
 }
 
 // publish brings a first bundle into force and returns the digest to pin.
-func (s *site) publish() bundle.Digest {
-	s.t.Helper()
-	client := platform.NewClient(platform.ClientConfig{Address: hostPort(s.server), Timeout: 10 * clock.Second})
+func publish(t *testing.T, platformAddress string) bundle.Digest {
+	t.Helper()
+	client := platform.NewClient(platform.ClientConfig{Address: platformAddress, Timeout: 10 * clock.Second})
 	defer client.Close()
 	o := operator.New(operator.Deps{Name: "test", Store: bundlestore.New(client.Table(), client.Objects()), Clock: clock.NewSystem()})
 	pin, _, err := o.Genesis(context.Background(), []owner.Owner{{
@@ -100,7 +100,7 @@
 		Limits:  owner.Limits{TasksPerJob: 1000, QueuedTasks: 10000},
 	}})
 	if err != nil {
-		s.t.Fatal(err)
+		t.Fatal(err)
 	}
 	return pin
 }
--- a/pkg/contract/witness.go
+++ b/pkg/contract/witness.go
@@ -14,6 +14,9 @@
 	// maxIssuers bounds the issuers a witness knows. Their fences and floors cannot be
 	// forgotten, and a witness serves far fewer issuers during its life.
 	maxIssuers = 10_000
+	// maxAskedIssuers bounds those that come from questions. Callers can invent
+	// issuers, and must not take the room of issuers with records.
+	maxAskedIssuers = maxIssuers / 2
 
 	askAgainAfter = clock.Second
 )
@@ -49,7 +52,7 @@
 // Record keeps a batch of records of an issuer, in the order of the batch.
 func (w *Witness) Record(now clock.Millis, issuer vm.Incarnation, batch BatchNumber, records []Record) []RecordStatus {
 	statuses := make([]RecordStatus, len(records))
-	s, ok := w.issuer(now, issuer)
+	s, ok := w.issuer(now, issuer, maxIssuers)
 	for i, r := range records {
 		switch {
 		case !ok:
@@ -72,7 +75,7 @@
 // HandOver keeps answers that the issuer gave without this witness. The last part says
 // that the issuer starts nothing more.
 func (w *Witness) HandOver(now clock.Millis, issuer vm.Incarnation, records []Record, last bool) {
-	s, ok := w.issuer(now, issuer)
+	s, ok := w.issuer(now, issuer, maxIssuers)
 	if !ok || s.row == PairFencedByWitness {
 		return
 	}
@@ -91,6 +94,9 @@
 type Question struct {
 	ID    SubmissionID
 	Owner owner.ID
+	// Digest is that of the submission that is sent again; the zero digest asks for the
+	// answer alone.
+	Digest Digest
 	// IssuerGone says that the issuer is out of the roster.
 	IssuerGone bool
 }
@@ -101,7 +107,7 @@
 	if q.ID.Witness != w.config.Self {
 		return cannotTell("this VM is not the witness of the id"), false
 	}
-	s, ok := w.issuer(now, q.ID.Issuer)
+	s, ok := w.issuer(now, q.ID.Issuer, maxAskedIssuers)
 	if !ok {
 		return cannotTell("the witness knows too many issuers"), false
 	}
@@ -109,6 +115,8 @@
 	switch {
 	case known && e.owner != q.Owner:
 		return NotFound{}, false
+	case known && q.Digest != (Digest{}) && q.Digest != e.digest:
+		return Conflict{}, false
 	case known && e.final != nil:
 		return e.final, false
 	case !known && q.ID.IssuedAt <= s.floor:
@@ -163,9 +171,9 @@
 	}
 }
 
-func (w *Witness) issuer(now clock.Millis, i vm.Incarnation) (*witnessedIssuer, bool) {
+func (w *Witness) issuer(now clock.Millis, i vm.Incarnation, most int) (*witnessedIssuer, bool) {
 	s, ok := w.issuers[i]
-	if !ok && len(w.issuers) >= maxIssuers {
+	if !ok && len(w.issuers) >= most {
 		return nil, false
 	}
 	if !ok {
@@ -178,7 +186,7 @@
 func (w *Witness) keep(now clock.Millis, issuer vm.Incarnation, s *witnessedIssuer, r Record) RecordStatus {
 	switch r := r.(type) {
 	case StartRecord:
-		e, status := w.entry(now, issuer, s, r.ID, r.Owner)
+		e, status := w.entry(now, issuer, s, r.ID, r.Owner, r.Digest)
 		if status != RecordAccepted {
 			return status
 		}
@@ -189,7 +197,7 @@
 		}
 		w.bytes += e.bytes() - before
 	case SettleRecord:
-		e, status := w.entry(now, issuer, s, r.ID, r.Owner)
+		e, status := w.entry(now, issuer, s, r.ID, r.Owner, r.Digest)
 		if status != RecordAccepted {
 			return status
 		}
@@ -209,7 +217,7 @@
 }
 
 // entry finds the entry of an id, or makes one where there is room.
-func (w *Witness) entry(now clock.Millis, issuer vm.Incarnation, s *witnessedIssuer, id SubmissionID, o owner.ID) (*witnessEntry, RecordStatus) {
+func (w *Witness) entry(now clock.Millis, issuer vm.Incarnation, s *witnessedIssuer, id SubmissionID, o owner.ID, d Digest) (*witnessEntry, RecordStatus) {
 	if id.Issuer != issuer || id.Witness != w.config.Self {
 		return nil, RecordFenced
 	}
@@ -222,7 +230,7 @@
 	if w.count >= w.config.Limits.IDs || w.bytes >= w.config.Limits.Bytes {
 		return nil, RecordFull
 	}
-	e := &witnessEntry{owner: o}
+	e := &witnessEntry{owner: o, digest: d}
 	s.entries[id] = e
 	w.order.push(id, now)
 	w.count++
