Do not wait for a dead witness at shutdown

Cause: a witness that was lost keeps its row at the platform for 80 to 140 s, and a shutdown waited for it as long as the row stood, although the pair was released and the VM silent. Change: after a release, a witness that membership has removed is not waited for.

--- a/pkg/entry/control_shutdown.go
+++ b/pkg/entry/control_shutdown.go
@@ -67,15 +67,18 @@
 }
 
 // reportDrained tells the waiting shutdown once nothing is left to do. A witness that
-// is out of the roster, or that answers for this VM already, is not waited for.
+// is out of the roster, or that answers for this VM already, is not waited for. Neither
+// is one that is silent after a release: its row stays for a minute or two, and waiting
+// for that would use up the limit of every shutdown after the loss of a witness.
 func (c *Control) reportDrained() {
 	if !c.draining || !c.ledger.Idle() {
 		return
 	}
 	for _, w := range c.witnesses {
 		o := c.outboxes[w]
-		_, listed := c.present(w)
-		if listed && o.state != pairFenced && !o.handOver.done {
+		v, listed := c.present(w)
+		silent := o.state == pairReleased && v.Status == vm.Removed
+		if listed && !silent && o.state != pairFenced && !o.handOver.done {
 			return
 		}
 	}
