Print the measures beside the baselines in the demo

Cause: the demo showed live figures only, so a reader could not compare the decisions with a baseline. Change: after the live part, both workloads are measured at full size with simulated time, side by side, and the tables are printed. A limit of 36 s holds for the whole demo. A load whose time is up while it reserves ids ends without an error.

--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -53,6 +53,8 @@
 	demoWait     = 5 * clock.Second
 	demoGiveUp   = 12 * clock.Second
 	demoReserve  = 5
+	// demoLimit leaves a margin to the 40 s within which the demo ends.
+	demoLimit = 36 * clock.Second
 	// The demo's jobs are far below these limits.
 	demoTasksPerJob = 1000
 	demoQueuedTasks = 20000
@@ -61,6 +63,8 @@
 
 // Run runs the workloads one after the other and prints a table.
 func (d *Demo) Run(ctx context.Context, workloads []Workload) error {
+	ctx, cancel := context.WithTimeout(ctx, demoLimit.Duration())
+	defer cancel()
 	table := tabwriter.NewWriter(d.deps.Out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, "workload\tjobs\tcomplete\tfailed, refused, unknown\ttasks started\tstarted twice\twaste / start\tp50 / ideal\tp99 / ideal")
 	for _, w := range workloads {
@@ -70,7 +74,10 @@
 		}
 		_, _ = fmt.Fprintln(table, row)
 	}
-	return errors.Trace(table.Flush())
+	if err := table.Flush(); err != nil {
+		return errors.Annotate(err, "print table")
+	}
+	return d.printMeasures(ctx, workloads)
 }
 
 func (d *Demo) runWorkload(ctx context.Context, w Workload) (string, error) {
--- /dev/null
+++ b/pkg/demo/measures.go
@@ -0,0 +1,33 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/juju/errors"
+
+	"github.com/sequoiacart/sequoiacart/pkg/measure"
+)
+
+// printMeasures prints the metrics of the decisions at the workloads' full sizes, with
+// both baselines beside them. It stops waiting when the context ends.
+func (d *Demo) printMeasures(ctx context.Context, workloads []Workload) error {
+	d.progress("measuring the decisions at full size against the baselines, with simulated time")
+	reports := make([]chan measure.Report, len(workloads))
+	for i, w := range workloads {
+		reports[i] = make(chan measure.Report, 1)
+		go func() { reports[i] <- measure.Run(measure.Config{Workload: w.Measured, Seeds: []uint64{d.deps.Seed}}) }()
+	}
+	for i, w := range workloads {
+		select {
+		case r := <-reports[i]:
+			_, _ = fmt.Fprintln(d.deps.Out)
+			if err := r.Print(d.deps.Out); err != nil {
+				return errors.Annotate(err, "print measures")
+			}
+		case <-ctx.Done():
+			_, _ = fmt.Fprintf(d.deps.Out, "\n%s: no measures, since the demo's time was up; see docs/measurements.md\n", w.Name)
+		}
+	}
+	return nil
+}
--- a/pkg/demo/workload.go
+++ b/pkg/demo/workload.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/measure"
 	"github.com/sequoiacart/sequoiacart/pkg/submit"
 )
 
@@ -10,12 +11,14 @@
 	Name        string
 	DataCentres []datacentre.ID
 	Mix         submit.Mix
+	// Measured is the workload at its full size, for the measures of the decisions.
+	Measured measure.Workload
 }
 
 // Workloads returns the workloads of the project's users, cut down to two data centres.
 func Workloads() []Workload {
 	return []Workload{
-		{Name: "consorcio", DataCentres: []datacentre.ID{"centro", "norte"}, Mix: submit.ConsorcioMix()},
-		{Name: "trust", DataCentres: []datacentre.ID{"kingston", "portland"}, Mix: submit.TrustMix()},
+		{Name: "consorcio", DataCentres: []datacentre.ID{"centro", "norte"}, Mix: submit.ConsorcioMix(), Measured: measure.Consorcio()},
+		{Name: "trust", DataCentres: []datacentre.ID{"kingston", "portland"}, Mix: submit.TrustMix(), Measured: measure.Trust()},
 	}
 }
--- a/pkg/submit/load.go
+++ b/pkg/submit/load.go
@@ -50,6 +50,9 @@
 			return nil
 		}
 		id, err := l.nextID(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
 		if err != nil {
 			return errors.Trace(err)
 		}
