Let the demo serve until interrupted, for trying calls by hand

Cause: the curl lines of docs/api.md had nothing to run against, since the demo ends by itself and picks its ports.

--- a/pkg/app/demo_command.go
+++ b/pkg/app/demo_command.go
@@ -25,13 +25,14 @@
 	seed := flags.Uint64("seed", 1, "seed of the generated jobs")
 	spanMs := flags.Int64("span-ms", 6000, "how long each workload is under load, in milliseconds")
 	kill := flags.Bool("kill", true, "kill one entry VM in the middle of the load")
+	hold := flags.Bool("hold", false, "start the VMs of one workload, print their addresses and serve until interrupted")
 	verbose := flags.Bool("verbose", false, "show the log events of the entry VMs")
 	mutualTLS := flags.Bool("mutual-tls", false, "entry VMs prove themselves with certificates that are made in memory")
 	return &ffcli.Command{
 		Name:       "demo",
 		ShortUsage: "sequoiacart demo [flags]",
 		ShortHelp:  "Runs everything in one process on loopback, under load, and kills an entry VM on the way.",
-		LongHelp:   "Example:\n  sequoiacart demo --workload trust\nEnds by itself within 40 s.",
+		LongHelp:   "Example:\n  sequoiacart demo --workload trust\nEnds by itself within 40 s, except with --hold, which is for trying calls by hand.",
 		FlagSet:    flags,
 		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
 		Exec: func(ctx context.Context, _ []string) error {
@@ -62,6 +63,9 @@
 					return NewDaemon(DaemonDeps{Settings: s, Clock: clock.NewSystem(), Log: event.NewLog(logger), Identity: identity})
 				},
 			})
+			if *hold {
+				return d.Hold(ctx, chosen[0])
+			}
 			return d.Run(ctx, chosen)
 		},
 	}
--- a/pkg/app/submit_command.go
+++ b/pkg/app/submit_command.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"os"
@@ -19,8 +18,7 @@
 )
 
 const (
-	submitReserve  = 10
-	submitProgress = clock.Second
+	submitReserve = 10
 )
 
 type submitFlags struct {
@@ -83,7 +81,7 @@
 		GiveUp:        clock.Millis(f.giveUpMs),
 		ReserveAtOnce: submitReserve,
 	})
-	stop := showProgress(stderr, summary)
+	stop := submit.ShowProgress(stderr, "", summary)
 	err = load.Run(ctx)
 	stop()
 	if printErr := summary.Print(stdout); printErr != nil {
@@ -155,23 +153,3 @@
 func newRand(seed uint64) *rand.Rand {
 	return rand.New(rand.NewPCG(seed, seed))
 }
-
-// showProgress prints the counts at intervals until the returned function is called.
-func showProgress(w io.Writer, s *submit.Summary) (stop func()) {
-	done := make(chan struct{})
-	ticker := time.NewTicker(submitProgress.Duration())
-	go func() {
-		for {
-			select {
-			case <-done:
-				return
-			case <-ticker.C:
-				_, _ = fmt.Fprintln(w, s.Line())
-			}
-		}
-	}()
-	return func() {
-		ticker.Stop()
-		close(done)
-	}
-}
--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -122,30 +122,11 @@
 		})
 		defer kill.Stop()
 	}
-	stop := d.showProgress(w, summary)
+	stop := submit.ShowProgress(d.deps.Progress, w.Name+": ", summary)
 	defer stop()
 	return l.Run(ctx)
 }
 
-func (d *Demo) showProgress(w Workload, summary *submit.Summary) (stop func()) {
-	done := make(chan struct{})
-	ticker := time.NewTicker(time.Second)
-	go func() {
-		for {
-			select {
-			case <-done:
-				return
-			case <-ticker.C:
-				d.progress("%s: %s", w.Name, summary.Line())
-			}
-		}
-	}()
-	return func() {
-		ticker.Stop()
-		close(done)
-	}
-}
-
 func (d *Demo) progress(format string, args ...any) {
 	_, _ = fmt.Fprintf(d.deps.Progress, format+"\n", args...)
 }
--- /dev/null
+++ b/pkg/submit/progress.go
@@ -0,0 +1,32 @@
+package submit
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+const progressEvery = clock.Second
+
+// ShowProgress prints the counts of a summary once a second, each line after the label,
+// until the returned function is called.
+func ShowProgress(w io.Writer, label string, s *Summary) (stop func()) {
+	done := make(chan struct{})
+	ticker := time.NewTicker(progressEvery.Duration())
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+				_, _ = fmt.Fprintln(w, label+s.Line())
+			}
+		}
+	}()
+	return func() {
+		ticker.Stop()
+		close(done)
+	}
+}
