Declare the sign-offs of the open accounting

Change: types for the sign-off of a version and the history of a VM, an event that brings those read back from the platform, and the fields of the report. Conclusion: behaviour is unchanged.

--- a/pkg/accounting/report.go
+++ b/pkg/accounting/report.go
@@ -2,6 +2,7 @@
 package accounting
 
 import (
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
@@ -10,8 +11,12 @@
 
 // Report is the open accounting of one data centre, as one of its VMs knows it.
 type Report struct {
-	Owners []OwnerReport
-	VMs    []VMReport
+	// InForce is the version in force.
+	InForce bundle.Version
+	// SignOffs are those of the latest versions, the highest first.
+	SignOffs []bundle.SignedVersion
+	Owners   []OwnerReport
+	VMs      []VMReport
 }
 
 // OwnerReport sums up an owner over the VMs.
--- a/pkg/bundle/holder.go
+++ b/pkg/bundle/holder.go
@@ -1,12 +1,16 @@
 package bundle
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // Holder decides which candidate comes into force at a VM. It knows no clock: a head that
 // was accepted under the month it was signed for holds at every VM, whatever its clock
 // says. Months only move forward, as versions do.
 type Holder struct {
-	held Candidate
+	held     Candidate
+	signOffs SignOffHistory
 }
 
 // InForce returns the candidate in force.
@@ -14,6 +18,12 @@
 	return h.held, h.held.Bundle != nil
 }
 
+// SignOffs returns the sign-offs that this VM knows, the highest version first.
+func (h *Holder) SignOffs() []SignedVersion { return slices.Clone(h.signOffs.signed) }
+
+// NoteSignOffs takes the sign-offs of versions that were read back from the platform.
+func (h *Holder) NoteSignOffs([]SignedVersion) {}
+
 // Take puts a verified candidate into force or says why not.
 func (h *Holder) Take(c Candidate) Verdict {
 	if h.held.Bundle != nil {
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -191,6 +191,8 @@
 		c.usageAsked(now, e)
 	case BundleOffered:
 		c.bundleOffered(now, e)
+	case SignOffsRead:
+		c.bundles.NoteSignOffs(e.Signed)
 	case Tick:
 		c.passTime(now)
 		c.tick(now)
--- a/pkg/entry/event.go
+++ b/pkg/entry/event.go
@@ -137,6 +137,9 @@
 	Candidate bundle.Candidate
 }
 
+// SignOffsRead brings the sign-offs of versions before the one in force.
+type SignOffsRead struct{ Signed []bundle.SignedVersion }
+
 // Tick says that time has passed.
 type Tick struct{}
 
@@ -160,3 +163,4 @@
 func (HandOverAnswered) isEvent() {}
 func (HandOverReceived) isEvent() {}
 func (BundleOffered) isEvent()    {}
+func (SignOffsRead) isEvent()     {}
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -219,6 +219,12 @@
 	return reply.(BundleVerdict).Verdict, nil
 }
 
+// NoteSignOffs hands sign-offs that were read back to control.
+func (r *Router) NoteSignOffs(ctx context.Context, signed []bundle.SignedVersion) error {
+	r.config.Loop.Post(ctx, SignOffsRead{Signed: signed})
+	return ctx.Err()
+}
+
 // callWithin hands an event to control and waits for the answer, up to the span.
 func (r *Router) callWithin(ctx context.Context, wait clock.Millis, makeEvent func(WaiterID) Event) (contract.Answer, error) {
 	if wait > 0 {
--- a/pkg/replica/fixture_test.go
+++ b/pkg/replica/fixture_test.go
@@ -55,6 +55,12 @@
 	return n.holder.Take(c), nil
 }
 
+// NoteSignOffs implements Control.
+func (n *node) NoteSignOffs(_ context.Context, signed []bundle.SignedVersion) error {
+	n.holder.NoteSignOffs(signed)
+	return nil
+}
+
 func (n *node) reach(v vm.VM) (*Replica, error) {
 	other, ok := n.world.byAddr[v.PeerAddress]
 	if !ok || n.cut || other.cut {
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -27,9 +27,10 @@
 	BundleStatus(ctx context.Context, of vm.VM) (bundle.Status, error)
 }
 
-// Control decides which verified candidate comes into force.
+// Control decides which verified candidate comes into force, and remembers sign-offs.
 type Control interface {
 	OfferBundle(ctx context.Context, c bundle.Candidate) (bundle.Verdict, error)
+	NoteSignOffs(ctx context.Context, signed []bundle.SignedVersion) error
 }
 
 // Deps holds what a replica is made of.
