--- a/pkg/caller/server_test.go
+++ b/pkg/caller/server_test.go
@@ -13,6 +13,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/sequoiacart/sequoiacart/pkg/accounting"
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
@@ -66,7 +67,9 @@
 
 func (f *fakeService) Usage(context.Context) (accounting.Report, error) {
 	used := dispatch.OwnerUsage{Owner: "pantallas", SlotTime: 10, Charged: 12, Backlog: 1, Started: 2, Refused: 3, Waited: 4, LongestWait: 5}
+	signed := []bundle.SignedVersion{{Ref: bundle.Ref{Version: 2, Digest: "d2"}, Month: "2026-12", Signer: "other"}}
 	return accounting.Report{
+		InForce: 2, SignOffs: signed,
 		Owners: []accounting.OwnerReport{{Owner: "pantallas", Share: 3, Usage: used}, {Owner: "other", Share: 1, Usage: dispatch.OwnerUsage{Owner: "other"}}},
 		VMs:    []accounting.VMReport{{VM: "a-1", Age: 6, Usage: []dispatch.OwnerUsage{used}}},
 	}, f.usageError
@@ -78,7 +81,8 @@
 	const used = `{"owner":"pantallas","slotMs":10,"backlogTasks":1,"startedTasks":2,"refusedJobs":3,"waitedMs":4,"longestWaitMs":5}`
 	const want = `{"owners":[{"owner":"pantallas","share":3,"usage":` + used + `},` +
 		`{"owner":"other","share":1,"usage":{"owner":"other","slotMs":0,"backlogTasks":0,"startedTasks":0,"refusedJobs":0,"waitedMs":0,"longestWaitMs":0}}],` +
-		`"vms":[{"vm":"a-1","ageMs":6,"usage":[` + used + `]}]}`
+		`"vms":[{"vm":"a-1","ageMs":6,"usage":[` + used + `]}],` +
+		`"versionInForce":2,"signOffs":[{"version":2,"month":"2026-12","signer":"other","digest":"d2"}]}`
 	got := serve(fakeVM{}, &fakeService{}, call{"GET", "/v1/usage", "right", ""})
 	if body := strings.TrimSpace(got.Body.String()); got.Code != http.StatusOK || body != want {
 		t.Errorf("got %d with %s, want 200 with %s", got.Code, body, want)
--- /dev/null
+++ b/pkg/entry/sign_offs_test.go
@@ -0,0 +1,41 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/sequoiacart/sequoiacart/pkg/accounting"
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+)
+
+// Guards against a report without the sign-offs, or with one of a version that was refused.
+func TestUsageShowsSignOffs(t *testing.T) {
+	s := newSimulation(t, map[datacentre.ID]int{"centro": 1}, 1)
+	n := s.node("centro0")
+	offer := func(v bundle.Version, month bundle.Month, signer owner.ID) {
+		head := bundle.Head{Version: v, SignOff: bundle.SignOff{Month: month, Signer: signer}}
+		s.handle(n, BundleOffered{Candidate: bundle.Candidate{Head: head, Digest: bundle.Digest(fmt.Sprint("d", v)), Bundle: &bundle.Bundle{}}})
+	}
+	offer(3, "2026-11", "ads")
+	offer(5, "2026-12", "alerts")
+	offer(4, "2026-12", "ads")
+	earlier := bundle.SignedVersion{Ref: bundle.Ref{Version: 4, Digest: "d4"}, Month: "2026-11", Signer: "ads"}
+	s.handle(n, SignOffsRead{Signed: []bundle.SignedVersion{earlier, earlier}})
+	report := s.usage(n)
+	got := fmt.Sprint(report.InForce, report.SignOffs)
+	want := "5 [{{5 d5} 2026-12 alerts} {{4 d4} 2026-11 ads} {{3 d3} 2026-11 ads}]"
+	if got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
+
+// usage asks a VM for the open accounting.
+func (s *simulation) usage(n *simVM) accounting.Report {
+	var report accounting.Report
+	s.waiter++
+	s.replies[s.waiter] = func(r Reply) { report = r.(UsageReply).Report }
+	s.handle(n, UsageAsked{Waiter: s.waiter})
+	return report
+}
