Show the sign-offs in the open accounting

Change: the holder of the control goroutine remembers the sign-offs of the latest 32 versions. The replica reads back the heads that this VM did not take, by the parents' digests, one at each poll on the goroutine that checks candidates, and hands them to control as an event.

--- a/pkg/app/usage_command.go
+++ b/pkg/app/usage_command.go
@@ -13,6 +13,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/sequoiacart/sequoiacart/pkg/accounting"
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/caller"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 )
@@ -28,18 +29,26 @@
 	flags.SetOutput(stderr)
 	address := flags.String("address", "127.0.0.1:7000", "host:port of an entry VM")
 	token := flags.String("token", "", "bearer token of any owner")
+	output := flags.String("output", outputText, "text, or json for scripts")
 	return &ffcli.Command{
 		Name:       "usage",
 		ShortUsage: "sequoiacart usage --token TOKEN [flags]",
-		ShortHelp:  "Prints what each owner has had of the entry VMs of a data centre.",
+		ShortHelp:  "Prints what each owner has had of the entry VMs, and who signed off the bundles.",
 		LongHelp:   "Example:\n  sequoiacart usage --address 127.0.0.1:7000 --token TOKEN",
 		FlagSet:    flags,
 		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
 		Exec: func(ctx context.Context, _ []string) error {
+			if *output != outputText && *output != outputJSON {
+				return errors.NotValidf("read usage: --output %q; use text or json: command line", *output)
+			}
 			report, err := fetchUsage(ctx, *address, *token)
 			if err != nil {
 				return errors.Trace(err)
 			}
+			if *output == outputJSON {
+				_, err = fmt.Fprintln(stdout, string(caller.EncodeReport(report)))
+				return errors.Annotate(err, "print usage")
+			}
 			return printUsage(stdout, report)
 		},
 	}
@@ -79,5 +88,16 @@
 	for _, v := range r.VMs {
 		_, _ = fmt.Fprintf(t, "%s\t%d\n", v.VM, v.Age)
 	}
+	_, _ = fmt.Fprintln(t, "\nversion\tmonth\tsigner\tdigest")
+	for _, s := range r.SignOffs {
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", versionLabel(s.Ref.Version, r.InForce), s.Month, s.Signer, s.Ref.Digest)
+	}
 	return errors.Annotate(t.Flush(), "print usage")
 }
+
+func versionLabel(v, inForce bundle.Version) string {
+	if v == inForce {
+		return v.String() + " in force"
+	}
+	return v.String()
+}
--- a/pkg/bundle/holder.go
+++ b/pkg/bundle/holder.go
@@ -1,9 +1,6 @@
 package bundle
 
-import (
-	"fmt"
-	"slices"
-)
+import "fmt"
 
 // Holder decides which candidate comes into force at a VM. It knows no clock: a head that
 // was accepted under the month it was signed for holds at every VM, whatever its clock
@@ -19,10 +16,10 @@
 }
 
 // SignOffs returns the sign-offs that this VM knows, the highest version first.
-func (h *Holder) SignOffs() []SignedVersion { return slices.Clone(h.signOffs.signed) }
+func (h *Holder) SignOffs() []SignedVersion { return h.signOffs.All() }
 
 // NoteSignOffs takes the sign-offs of versions that were read back from the platform.
-func (h *Holder) NoteSignOffs([]SignedVersion) {}
+func (h *Holder) NoteSignOffs(signed []SignedVersion) { h.signOffs.Note(signed...) }
 
 // Take puts a verified candidate into force or says why not.
 func (h *Holder) Take(c Candidate) Verdict {
@@ -32,6 +29,7 @@
 		}
 	}
 	h.held = c
+	h.signOffs.Note(c.SignedVersion())
 	return InForce{Candidate: c}
 }
 
--- a/pkg/bundle/sign_off_history.go
+++ b/pkg/bundle/sign_off_history.go
@@ -1,5 +1,10 @@
 package bundle
 
+import (
+	"cmp"
+	"slices"
+)
+
 // RememberedSignOffs bounds the versions of which a VM knows the sign-off.
 const RememberedSignOffs = 32
 
@@ -8,3 +13,21 @@
 type SignOffHistory struct {
 	signed []SignedVersion
 }
+
+// Note adds sign-offs that are not yet known and drops the lowest versions over the bound.
+func (h *SignOffHistory) Note(signed ...SignedVersion) {
+	for _, s := range signed {
+		known := slices.ContainsFunc(h.signed, func(k SignedVersion) bool { return k.Ref == s.Ref })
+		if known {
+			continue
+		}
+		h.signed = append(h.signed, s)
+	}
+	slices.SortStableFunc(h.signed, func(a, b SignedVersion) int { return cmp.Compare(b.Ref.Version, a.Ref.Version) })
+	h.signed = h.signed[:min(len(h.signed), RememberedSignOffs)]
+}
+
+// All returns a copy of the sign-offs.
+func (h *SignOffHistory) All() []SignedVersion {
+	return slices.Clone(h.signed)
+}
--- a/pkg/caller/usage.go
+++ b/pkg/caller/usage.go
@@ -8,6 +8,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/sequoiacart/sequoiacart/pkg/accounting"
+	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
@@ -17,6 +18,16 @@
 type wireReport struct {
 	Owners []wireOwnerReport `json:"owners"`
 	VMs    []wireVMReport    `json:"vms"`
+	// VersionInForce is the version of the bundle that the shares are taken from.
+	VersionInForce uint64        `json:"versionInForce"`
+	SignOffs       []wireSignOff `json:"signOffs"`
+}
+
+type wireSignOff struct {
+	Version uint64 `json:"version"`
+	Month   string `json:"month"`
+	Signer  string `json:"signer"`
+	Digest  string `json:"digest"`
 }
 
 type wireOwnerReport struct {
@@ -52,8 +63,18 @@
 	return c.JSON(http.StatusOK, encodeReport(report))
 }
 
+// EncodeReport returns the answer to GET /v1/usage.
+func EncodeReport(r accounting.Report) []byte {
+	// The wire types hold only strings, numbers and lists.
+	body, _ := json.Marshal(encodeReport(r))
+	return body
+}
+
 func encodeReport(r accounting.Report) wireReport {
-	w := wireReport{Owners: []wireOwnerReport{}, VMs: []wireVMReport{}}
+	w := wireReport{Owners: []wireOwnerReport{}, VMs: []wireVMReport{}, VersionInForce: uint64(r.InForce), SignOffs: []wireSignOff{}}
+	for _, s := range r.SignOffs {
+		w.SignOffs = append(w.SignOffs, wireSignOff{Version: uint64(s.Ref.Version), Month: string(s.Month), Signer: string(s.Signer), Digest: string(s.Ref.Digest)})
+	}
 	for _, o := range r.Owners {
 		w.Owners = append(w.Owners, wireOwnerReport{Owner: string(o.Owner), Share: int(o.Share), Usage: encodeUsage(o.Usage)})
 	}
@@ -73,7 +94,13 @@
 	if err := json.Unmarshal(body, &w); err != nil {
 		return accounting.Report{}, errors.Annotate(err, "decode usage")
 	}
-	var r accounting.Report
+	r := accounting.Report{InForce: bundle.Version(w.VersionInForce)}
+	for _, s := range w.SignOffs {
+		r.SignOffs = append(r.SignOffs, bundle.SignedVersion{
+			Ref:   bundle.Ref{Version: bundle.Version(s.Version), Digest: bundle.Digest(s.Digest)},
+			Month: bundle.Month(s.Month), Signer: owner.ID(s.Signer),
+		})
+	}
 	for _, o := range w.Owners {
 		r.Owners = append(r.Owners, accounting.OwnerReport{Owner: owner.ID(o.Owner), Share: owner.Share(o.Share), Usage: decodeUsage(o.Usage)})
 	}
--- a/pkg/entry/control_usage.go
+++ b/pkg/entry/control_usage.go
@@ -29,6 +29,10 @@
 func (c *Control) usageAsked(now clock.Millis, e UsageAsked) {
 	c.accounts.Told(now, c.config.Self, c.scheduler.Usage())
 	report := c.accounts.Report(now, slices.Collect(maps.Values(c.owners)))
+	if held, ok := c.bundles.InForce(); ok {
+		report.InForce = held.Head.Version
+	}
+	report.SignOffs = c.bundles.SignOffs()
 	c.do(ReplyTo{Waiter: e.Waiter, Reply: UsageReply{Report: report}})
 }
 
--- a/pkg/replica/prepare.go
+++ b/pkg/replica/prepare.go
@@ -22,8 +22,9 @@
 // maxPrepared bounds the candidates that a VM keeps, since each may bring sections.
 const maxPrepared = 32
 
-// survey checks the candidates that are new and reports. While the platform does not
-// answer it leaves both to the next time; following the head logs the outage.
+// survey checks the candidates that are new, reports, and reads sign-offs back. While the
+// platform does not answer it leaves them to the next time; following the head logs the
+// outage.
 func (r *Replica) survey(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, surveyLimit(r.deps).Duration())
 	defer cancel()
@@ -31,6 +32,8 @@
 		return
 	}
 	_ = r.report(ctx)
+	// Last, since nothing waits for the history.
+	_ = r.readSignOff(ctx)
 }
 
 // surveyLimit leaves time for a list, a candidate and a report at a slow platform.
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -75,6 +75,7 @@
 	// prepared is what was found of each candidate.
 	prepared map[bundle.Digest]preparedCandidate
 	current  bundle.Ref
+	parents  lineage
 	random   *rand.Rand
 }
 
@@ -100,6 +101,7 @@
 		rejected:  make(map[bundle.Digest]bool),
 		held:      make(bundle.Sections),
 		prepared:  make(map[bundle.Digest]preparedCandidate),
+		parents:   make(lineage),
 		random:    d.Random,
 	}
 }
@@ -286,6 +288,7 @@
 	}
 	r.mu.Lock()
 	r.held, r.current = held, r.inForce
+	r.parents[c.Digest] = parentOf(c.Head)
 	r.mu.Unlock()
 	r.announce(ctx, held[c.Digest])
 }
