Declare the figures of other data centres

Change: types for the figures of a data centre, their place in the heartbeat and in the report. Conclusion: behaviour is unchanged.

--- a/pkg/accounting/report.go
+++ b/pkg/accounting/report.go
@@ -4,22 +4,35 @@
 import (
 	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
-// Report is the open accounting of one data centre, as one of its VMs knows it.
+// Report is the open accounting as one VM knows it.
 type Report struct {
 	// InForce is the version in force.
 	InForce bundle.Version
 	// SignOffs are those of the latest versions, the highest first.
 	SignOffs []bundle.SignedVersion
-	Owners   []OwnerReport
-	VMs      []VMReport
+	// Owners sums up the owners over the data centres.
+	Owners []OwnerReport
+	// Zones are the data centres, the one of the VM that reports among them.
+	Zones []ZoneReport
+	// VMs are those of the data centre of the VM that reports.
+	VMs []VMReport
 }
 
-// OwnerReport sums up an owner over the VMs.
+// ZoneReport is what is known of one data centre.
+type ZoneReport struct {
+	DataCentre datacentre.ID
+	// Age is how old the oldest of the figures is; none is older.
+	Age   clock.Millis
+	Usage []dispatch.OwnerUsage
+}
+
+// OwnerReport sums up an owner.
 type OwnerReport struct {
 	Owner owner.ID
 	Share owner.Share
--- a/pkg/entry/heartbeat.go
+++ b/pkg/entry/heartbeat.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"github.com/sequoiacart/sequoiacart/pkg/accounting"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
@@ -35,6 +36,9 @@
 	Drains  []datacentre.DrainReport
 	// Usage is a part of the figures of the sender's owners.
 	Usage []dispatch.OwnerUsage
+	// Zones is a part of the figures of the sender's data centre, toward another one, or
+	// of those that the sender heard of others, inside it.
+	Zones []accounting.ZoneUsage
 }
 
 // HeartbeatReceived brings a heartbeat of a peer. Reply: HeartbeatReply.
