--- a/pkg/entry/simulation_test.go
+++ b/pkg/entry/simulation_test.go
@@ -324,16 +324,20 @@
 
 // submit runs a job at a VM and returns where its answer will be.
 func (s *simulation) submit(n *simVM, tasks int) *contract.Answer {
+	return s.submitFor(n, "ads", tasks)
+}
+
+func (s *simulation) submitFor(n *simVM, o owner.ID, tasks int) *contract.Answer {
 	var answer contract.Answer
 	s.submitted += tasks
 	s.waiter++
 	s.replies[s.waiter] = func(r Reply) {
-		sub := contract.Submission{ID: r.(IDs).IDs[0], Owner: "ads", Kind: "swap", Class: "swap", Deadline: clock.Minute, Tasks: make([]contract.Task, tasks)}
+		sub := contract.Submission{ID: r.(IDs).IDs[0], Owner: o, Kind: "swap", Class: "swap", Deadline: clock.Minute, Tasks: make([]contract.Task, tasks)}
 		s.waiter++
 		s.replies[s.waiter] = func(r Reply) { answer = r.(AnswerReply).Answer }
 		s.handle(n, Submitted{Waiter: s.waiter, Submission: sub, Wait: true})
 	}
-	s.handle(n, ReserveIDs{Waiter: s.waiter, Owner: "ads", Count: 1})
+	s.handle(n, ReserveIDs{Waiter: s.waiter, Owner: o, Count: 1})
 	return &answer
 }
 
