Pass the figures of data centres on to the others

Change: delegates tell the sums over the VMs of their data centre in the heartbeats to other data centres, 8 owners at a time in turn, with the age of the oldest figure summed; a VM that hears them passes them on inside its data centre. The report lists the data centres with their ages and sums the owners over them. A data centre out of reach keeps its last figures. Spans grow with the square of the peers.

--- a/pkg/accounting/ledger.go
+++ b/pkg/accounting/ledger.go
@@ -80,6 +80,21 @@
 	return r
 }
 
+// Sum adds up the figures of an owner at some VMs. It is not complete when one of them has
+// not told any.
+func (l *Ledger) Sum(now clock.Millis, o owner.ID, vms []vm.Incarnation) (sum ZoneUsage, complete bool) {
+	sum.Usage.Owner = o
+	for _, i := range vms {
+		f, ok := l.vms[i][o]
+		if !ok {
+			return ZoneUsage{}, false
+		}
+		sum.Usage = add(sum.Usage, f.usage)
+		sum.Age = max(sum.Age, now-f.at)
+	}
+	return sum, true
+}
+
 func vmReport(now clock.Millis, i vm.Incarnation, known map[owner.ID]figures) VMReport {
 	r := VMReport{VM: i}
 	for _, o := range slices.Sorted(maps.Keys(known)) {
--- a/pkg/app/usage_command.go
+++ b/pkg/app/usage_command.go
@@ -20,7 +20,7 @@
 
 const (
 	usageTimeout = 5 * clock.Second
-	// usageBytes bounds the answer: 120 owners at 16 VMs make about 300 KB.
+	// usageBytes bounds the answer: 120 owners at 16 VMs and in 22 data centres make about 700 KB.
 	usageBytes = 4 << 20
 )
 
@@ -84,6 +84,14 @@
 		u := o.Usage
 		_, _ = fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", o.Owner, o.Share, u.SlotTime, u.Backlog, u.Started, u.Refused, int64(u.Waited)/max(u.Started, 1), u.LongestWait)
 	}
+	_, _ = fmt.Fprintln(t, "\ndata centre\tage of figures (ms)\tstarted")
+	for _, z := range r.Zones {
+		var started int64
+		for _, u := range z.Usage {
+			started += u.Started
+		}
+		_, _ = fmt.Fprintf(t, "%s\t%d\t%d\n", z.DataCentre, z.Age, started)
+	}
 	_, _ = fmt.Fprintln(t, "\nentry VM\tage of figures (ms)")
 	for _, v := range r.VMs {
 		_, _ = fmt.Fprintf(t, "%s\t%d\n", v.VM, v.Age)
--- a/pkg/caller/server_test.go
+++ b/pkg/caller/server_test.go
@@ -71,6 +71,7 @@
 	return accounting.Report{
 		InForce: 2, SignOffs: signed,
 		Owners: []accounting.OwnerReport{{Owner: "pantallas", Share: 3, Usage: used}, {Owner: "other", Share: 1, Usage: dispatch.OwnerUsage{Owner: "other"}}},
+		Zones:  []accounting.ZoneReport{{DataCentre: "centro", Age: 7, Usage: []dispatch.OwnerUsage{used}}},
 		VMs:    []accounting.VMReport{{VM: "a-1", Age: 6, Usage: []dispatch.OwnerUsage{used}}},
 	}, f.usageError
 }
@@ -81,6 +82,7 @@
 	const used = `{"owner":"pantallas","slotMs":10,"backlogTasks":1,"startedTasks":2,"refusedJobs":3,"waitedMs":4,"longestWaitMs":5}`
 	const want = `{"owners":[{"owner":"pantallas","share":3,"usage":` + used + `},` +
 		`{"owner":"other","share":1,"usage":{"owner":"other","slotMs":0,"backlogTasks":0,"startedTasks":0,"refusedJobs":0,"waitedMs":0,"longestWaitMs":0}}],` +
+		`"dataCentres":[{"dataCentre":"centro","ageMs":7,"usage":[` + used + `]}],` +
 		`"vms":[{"vm":"a-1","ageMs":6,"usage":[` + used + `]}],` +
 		`"versionInForce":2,"signOffs":[{"version":2,"month":"2026-12","signer":"other","digest":"d2"}]}`
 	got := serve(fakeVM{}, &fakeService{}, call{"GET", "/v1/usage", "right", ""})
--- a/pkg/caller/usage.go
+++ b/pkg/caller/usage.go
@@ -10,6 +10,7 @@
 	"github.com/sequoiacart/sequoiacart/pkg/accounting"
 	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
 	"github.com/sequoiacart/sequoiacart/pkg/owner"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
@@ -17,7 +18,9 @@
 
 type wireReport struct {
 	Owners []wireOwnerReport `json:"owners"`
-	VMs    []wireVMReport    `json:"vms"`
+	// DataCentres are all that this VM has heard of, its own among them.
+	DataCentres []wireZoneReport `json:"dataCentres"`
+	VMs         []wireVMReport   `json:"vms"`
 	// VersionInForce is the version of the bundle that the shares are taken from.
 	VersionInForce uint64        `json:"versionInForce"`
 	SignOffs       []wireSignOff `json:"signOffs"`
@@ -36,6 +39,12 @@
 	Usage wireUsage `json:"usage"`
 }
 
+type wireZoneReport struct {
+	DataCentre string      `json:"dataCentre"`
+	AgeMs      int64       `json:"ageMs"`
+	Usage      []wireUsage `json:"usage"`
+}
+
 type wireVMReport struct {
 	VM    string      `json:"vm"`
 	AgeMs int64       `json:"ageMs"`
@@ -71,19 +80,18 @@
 }
 
 func encodeReport(r accounting.Report) wireReport {
-	w := wireReport{Owners: []wireOwnerReport{}, VMs: []wireVMReport{}, VersionInForce: uint64(r.InForce), SignOffs: []wireSignOff{}}
+	w := wireReport{Owners: []wireOwnerReport{}, DataCentres: []wireZoneReport{}, VMs: []wireVMReport{}, VersionInForce: uint64(r.InForce), SignOffs: []wireSignOff{}}
 	for _, s := range r.SignOffs {
 		w.SignOffs = append(w.SignOffs, wireSignOff{Version: uint64(s.Ref.Version), Month: string(s.Month), Signer: string(s.Signer), Digest: string(s.Ref.Digest)})
 	}
 	for _, o := range r.Owners {
 		w.Owners = append(w.Owners, wireOwnerReport{Owner: string(o.Owner), Share: int(o.Share), Usage: encodeUsage(o.Usage)})
 	}
+	for _, z := range r.Zones {
+		w.DataCentres = append(w.DataCentres, wireZoneReport{DataCentre: string(z.DataCentre), AgeMs: int64(z.Age), Usage: encodeUsages(z.Usage)})
+	}
 	for _, v := range r.VMs {
-		coded := wireVMReport{VM: string(v.VM), AgeMs: int64(v.Age)}
-		for _, u := range v.Usage {
-			coded.Usage = append(coded.Usage, encodeUsage(u))
-		}
-		w.VMs = append(w.VMs, coded)
+		w.VMs = append(w.VMs, wireVMReport{VM: string(v.VM), AgeMs: int64(v.Age), Usage: encodeUsages(v.Usage)})
 	}
 	return w
 }
@@ -104,16 +112,31 @@
 	for _, o := range w.Owners {
 		r.Owners = append(r.Owners, accounting.OwnerReport{Owner: owner.ID(o.Owner), Share: owner.Share(o.Share), Usage: decodeUsage(o.Usage)})
 	}
+	for _, z := range w.DataCentres {
+		r.Zones = append(r.Zones, accounting.ZoneReport{DataCentre: datacentre.ID(z.DataCentre), Age: clock.Millis(z.AgeMs), Usage: decodeUsages(z.Usage)})
+	}
 	for _, v := range w.VMs {
-		decoded := accounting.VMReport{VM: vm.Incarnation(v.VM), Age: clock.Millis(v.AgeMs)}
-		for _, u := range v.Usage {
-			decoded.Usage = append(decoded.Usage, decodeUsage(u))
-		}
-		r.VMs = append(r.VMs, decoded)
+		r.VMs = append(r.VMs, accounting.VMReport{VM: vm.Incarnation(v.VM), Age: clock.Millis(v.AgeMs), Usage: decodeUsages(v.Usage)})
 	}
 	return r, nil
 }
 
+func encodeUsages(all []dispatch.OwnerUsage) []wireUsage {
+	coded := make([]wireUsage, len(all))
+	for i, u := range all {
+		coded[i] = encodeUsage(u)
+	}
+	return coded
+}
+
+func decodeUsages(coded []wireUsage) []dispatch.OwnerUsage {
+	all := make([]dispatch.OwnerUsage, len(coded))
+	for i, w := range coded {
+		all[i] = decodeUsage(w)
+	}
+	return all
+}
+
 func encodeUsage(u dispatch.OwnerUsage) wireUsage {
 	return wireUsage{
 		Owner: string(u.Owner), SlotMs: int64(u.SlotTime), BacklogTasks: u.Backlog, StartedTasks: u.Started,
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -76,6 +76,8 @@
 	ceilings   *datacentre.Ceilings
 	accounts   *accounting.Ledger
 	usageTurns map[vm.Incarnation]usageTurn
+	zones      *accounting.Zones
+	zoneTurns  map[vm.Incarnation]usageTurn
 	// granted are the slots that the scheduler was last given.
 	granted map[datacentre.EndpointID]datacentre.Slots
 	// homes tells of which endpoints this VM is the home by the roster in force.
@@ -114,6 +116,8 @@
 		ceilings:   datacentre.NewCeilings(),
 		accounts:   accounting.NewLedger(),
 		usageTurns: make(map[vm.Incarnation]usageTurn),
+		zones:      accounting.NewZones(),
+		zoneTurns:  make(map[vm.Incarnation]usageTurn),
 		lending:    newLending(c.Self, c.AttemptTimeout),
 		granted:    make(map[datacentre.EndpointID]datacentre.Slots),
 		homes:      make(map[datacentre.EndpointID]bool),
--- a/pkg/entry/control_membership.go
+++ b/pkg/entry/control_membership.go
@@ -89,6 +89,7 @@
 	if local {
 		c.usageTold(now, h)
 	}
+	c.zonesTold(now, h, local)
 	if local && c.drains.Merge(now, h.Drains) {
 		c.assignHomes(now)
 	}
@@ -204,6 +205,7 @@
 		h.Drains = drains
 		h.Usage = c.usageDigest(now, to.Incarnation)
 	}
+	h.Zones = c.zoneDigest(now, to)
 	n.links.To(link.Peer{Incarnation: to.Incarnation}).Tried(now)
 	if local {
 		h.Reaches = n.reached
--- a/pkg/entry/control_usage.go
+++ b/pkg/entry/control_usage.go
@@ -7,6 +7,7 @@
 	"github.com/sequoiacart/sequoiacart/pkg/accounting"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
@@ -29,6 +30,7 @@
 func (c *Control) usageAsked(now clock.Millis, e UsageAsked) {
 	c.accounts.Told(now, c.config.Self, c.scheduler.Usage())
 	report := c.accounts.Report(now, slices.Collect(maps.Values(c.owners)))
+	c.zones.AddTo(&report, now, c.config.DataCentre)
 	if held, ok := c.bundles.InForce(); ok {
 		report.InForce = held.Head.Version
 	}
@@ -63,5 +65,8 @@
 func (c *Control) forgetUsage() {
 	known := func(i vm.Incarnation) bool { _, ok := c.roster.Find(i); return ok }
 	c.accounts.Keep(known)
-	maps.DeleteFunc(c.usageTurns, func(i vm.Incarnation, _ usageTurn) bool { return !known(i) })
+	c.zones.Keep(func(o owner.ID) bool { _, ok := c.owners[o]; return ok })
+	for _, turns := range []map[vm.Incarnation]usageTurn{c.usageTurns, c.zoneTurns} {
+		maps.DeleteFunc(turns, func(i vm.Incarnation, _ usageTurn) bool { return !known(i) })
+	}
 }
--- a/pkg/peer/traffic_bench_test.go
+++ b/pkg/peer/traffic_bench_test.go
@@ -58,11 +58,14 @@
 // and replies, without the headers of TCP and IP. It counts what a node sends as a caller
 // and, since every call has its like the other way round, as much again as a callee.
 func BenchmarkControlTraffic(b *testing.B) {
-	perCall := measureHeartbeat(b, 0)
-	perDigest := measureHeartbeat(b, accounting.DigestOwners) - perCall
+	perCall := measureHeartbeat(b, 0, 0)
+	perDigest := measureHeartbeat(b, accounting.DigestOwners, 0) - perCall
+	perZoneDigest := measureHeartbeat(b, 0, accounting.ZoneDigestOwners) - perCall
 	for _, zones := range []int{3, 7, 22} {
 		for _, each := range []int{4, 8, 16} {
 			mean, most := heartbeatsPerSecond(zones, each)
+			// The peers of the VM that is a delegate toward most others.
+			peers := each - 1 + int((most-float64(each-1)*float64(clock.Second)/float64(entry.HeartbeatEvery))*float64(entry.ZoneHeartbeatEvery)/float64(clock.Second)+0.5)
 			b.Run(fmt.Sprintf("zones=%d/vms=%d", zones, each), func(b *testing.B) {
 				for range b.N {
 					heartbeatsPerSecond(zones, each)
@@ -72,6 +75,8 @@
 				b.ReportMetric(2*mean*perCall/1000, "mean-KB/s")
 				b.ReportMetric(2*most*perCall/1000, "most-KB/s")
 				b.ReportMetric(2*float64(each-1)*perDigest/1000*float64(clock.Second)/float64(accounting.DigestSpan(each-1)), "usage-KB/s")
+				b.ReportMetric(perZoneDigest, "zone-digest-bytes")
+				b.ReportMetric(2*float64(peers)*perZoneDigest/1000*float64(clock.Second)/float64(accounting.ZoneDigestSpan(peers)), "zones-KB/s")
 			})
 		}
 	}
@@ -102,7 +107,7 @@
 	return mean, most
 }
 
-func measureHeartbeat(b *testing.B, owners int) float64 {
+func measureHeartbeat(b *testing.B, owners, zoneRows int) float64 {
 	b.Helper()
 	conns := make(chan net.Conn, 1)
 	server, err := peer.NewServer(peer.ServerConfig{Listener: pipeListener{conns}, Handler: quietHandler{}})
@@ -121,13 +126,17 @@
 	for i := range owners {
 		usage = append(usage, dispatch.OwnerUsage{Owner: owner.ID(fmt.Sprint("owner", i)), SlotTime: 100_000_000, Charged: 100_000_000, Backlog: 100, Started: 1_000_000, Refused: 1000, Waited: 10_000_000, LongestWait: 10_000})
 	}
+	var zones []accounting.ZoneUsage
+	for i := range zoneRows {
+		zones = append(zones, accounting.ZoneUsage{DataCentre: "norte", Age: 10_000, Usage: dispatch.OwnerUsage{Owner: owner.ID(fmt.Sprint("owner", 100+i)), SlotTime: 100_000_000, Backlog: 100, Started: 1_000_000, Refused: 1000, Waited: 10_000_000, LongestWait: 10_000}})
+	}
 	const calls = 100
 	for i := range calls + 1 {
 		if i == 1 {
 			// The first call carries the descriptions of the types.
 			bytes.Store(0)
 		}
-		if _, err := c.Heartbeat(context.Background(), self, entry.Heartbeat{From: self, RosterVersion: 1000, Backlog: 1000, Reaches: []datacentre.ID{"sur", "oeste", "norte"}, Usage: usage}); err != nil {
+		if _, err := c.Heartbeat(context.Background(), self, entry.Heartbeat{From: self, RosterVersion: 1000, Backlog: 1000, Reaches: []datacentre.ID{"sur", "oeste", "norte"}, Usage: usage, Zones: zones}); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/pkg/peer/wire_roster.go
+++ b/pkg/peer/wire_roster.go
@@ -1,6 +1,9 @@
 package peer
 
 import (
+	"cmp"
+
+	"github.com/sequoiacart/sequoiacart/pkg/accounting"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
@@ -37,6 +40,7 @@
 	Reaches       []string
 	Drains        []WireDrain
 	Usage         []WireUsage
+	Zones         []WireZoneUsage
 }
 
 // WireUsage is what an owner has had of the sender.
@@ -56,6 +60,13 @@
 	Incarnation string
 }
 
+// WireZoneUsage is what an owner has had of a data centre; an empty one is the sender's.
+type WireZoneUsage struct {
+	DataCentre string
+	AgeMs      int64
+	Usage      WireUsage
+}
+
 func encodeHeartbeat(h entry.Heartbeat) HeartbeatRequest {
 	w := HeartbeatRequest{
 		From:          encodeVM(h.From),
@@ -73,10 +84,10 @@
 		w.Drains = append(w.Drains, WireDrain{Endpoint: string(d.Endpoint), Leaving: d.Leaving, AgeMs: int64(d.Age)})
 	}
 	for _, u := range h.Usage {
-		w.Usage = append(w.Usage, WireUsage{
-			Owner: string(u.Owner), SlotTimeMs: int64(u.SlotTime), ChargedMs: int64(u.Charged), Backlog: u.Backlog, Started: u.Started,
-			Refused: u.Refused, WaitedMs: int64(u.Waited), LongestWaitMs: int64(u.LongestWait),
-		})
+		w.Usage = append(w.Usage, encodeUsage(u))
+	}
+	for _, z := range h.Zones {
+		w.Zones = append(w.Zones, encodeZoneUsage(h.From, z))
 	}
 	return w
 }
@@ -100,14 +111,47 @@
 		})
 	}
 	for _, u := range w.Usage {
-		h.Usage = append(h.Usage, dispatch.OwnerUsage{
-			Owner: owner.ID(u.Owner), SlotTime: clock.Millis(u.SlotTimeMs), Charged: clock.Millis(u.ChargedMs), Backlog: u.Backlog, Started: u.Started,
-			Refused: u.Refused, Waited: clock.Millis(u.WaitedMs), LongestWait: clock.Millis(u.LongestWaitMs),
-		})
+		h.Usage = append(h.Usage, decodeUsage(u))
+	}
+	for _, z := range w.Zones {
+		h.Zones = append(h.Zones, decodeZoneUsage(h.From, z))
 	}
 	return h
 }
 
+func encodeUsage(u dispatch.OwnerUsage) WireUsage {
+	return WireUsage{
+		Owner: string(u.Owner), SlotTimeMs: int64(u.SlotTime), ChargedMs: int64(u.Charged), Backlog: u.Backlog, Started: u.Started,
+		Refused: u.Refused, WaitedMs: int64(u.Waited), LongestWaitMs: int64(u.LongestWait),
+	}
+}
+
+func decodeUsage(w WireUsage) dispatch.OwnerUsage {
+	return dispatch.OwnerUsage{
+		Owner: owner.ID(w.Owner), SlotTime: clock.Millis(w.SlotTimeMs), Charged: clock.Millis(w.ChargedMs), Backlog: w.Backlog, Started: w.Started,
+		Refused: w.Refused, Waited: clock.Millis(w.WaitedMs), LongestWait: clock.Millis(w.LongestWaitMs),
+	}
+}
+
+// encodeZoneUsage leaves out what the receiver does not need: the sender's own data
+// centre, and the charge, which only VMs of one data centre set off against each other.
+func encodeZoneUsage(from vm.VM, z accounting.ZoneUsage) WireZoneUsage {
+	w := WireZoneUsage{AgeMs: int64(z.Age), Usage: encodeUsage(z.Usage)}
+	w.Usage.ChargedMs = 0
+	if z.DataCentre != from.DataCentre {
+		w.DataCentre = string(z.DataCentre)
+	}
+	return w
+}
+
+func decodeZoneUsage(from vm.VM, w WireZoneUsage) accounting.ZoneUsage {
+	return accounting.ZoneUsage{
+		DataCentre: cmp.Or(datacentre.ID(w.DataCentre), from.DataCentre),
+		Age:        max(0, clock.Millis(w.AgeMs)),
+		Usage:      decodeUsage(w.Usage),
+	}
+}
+
 func encodeVM(v vm.VM) WireVM {
 	return WireVM{
 		Incarnation: string(v.Incarnation),
--- a/pkg/peer/wire_roster_test.go
+++ b/pkg/peer/wire_roster_test.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"testing"
 
+	"github.com/sequoiacart/sequoiacart/pkg/accounting"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
 	"github.com/sequoiacart/sequoiacart/pkg/entry"
@@ -19,6 +20,10 @@
 		From: v, RosterVersion: 2, Backlog: 3, Idle: 6, Reports: []vm.VM{v}, Reaches: []datacentre.ID{"sur"},
 		Drains: []datacentre.DrainReport{{Endpoint: "e1", Leaving: true, Age: 5}},
 		Usage:  []dispatch.OwnerUsage{{Owner: "ads", SlotTime: 1, Charged: 7, Backlog: 2, Started: 3, Refused: 4, Waited: 5, LongestWait: 6}},
+		Zones: []accounting.ZoneUsage{
+			{DataCentre: "centro", Age: 8, Usage: dispatch.OwnerUsage{Owner: "ads", SlotTime: 1, Backlog: 2, Started: 3, Refused: 4, Waited: 5, LongestWait: 6}},
+			{DataCentre: "sur", Age: 9, Usage: dispatch.OwnerUsage{Owner: "alerts", Started: 3}},
+		},
 	}
 	var wire bytes.Buffer
 	if err := gob.NewEncoder(&wire).Encode(encodeHeartbeat(want)); err != nil {
