Put the open accounting together once a second

Cause: each question cost the control goroutine a report, 1.4 ms in a trial with 120 owners, 16 VMs and 22 data centres. Change: control keeps the report for a second and answers all questions with it. Figures: 100 questions in 3 s make 3 reports, before 100.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -77,7 +77,10 @@
 	accounts   *accounting.Ledger
 	usageTurns map[vm.Incarnation]usageTurn
 	zones      *accounting.Zones
-	zoneTurns  map[vm.Incarnation]usageTurn
+	// report is the open accounting as last put together; a new one is due at reportAfter.
+	report      accounting.Report
+	reportAfter clock.Millis
+	zoneTurns   map[vm.Incarnation]usageTurn
 	// granted are the slots that the scheduler was last given.
 	granted map[datacentre.EndpointID]datacentre.Slots
 	// homes tells of which endpoints this VM is the home by the roster in force.
--- a/pkg/entry/control_usage.go
+++ b/pkg/entry/control_usage.go
@@ -27,7 +27,20 @@
 	after clock.Millis
 }
 
+// reportEvery bounds what questions cost the control goroutine: a report takes 1.4 ms with
+// 120 owners in 22 data centres.
+const reportEvery = clock.Second
+
 func (c *Control) usageAsked(now clock.Millis, e UsageAsked) {
+	if now >= c.reportAfter {
+		c.report, c.reportAfter = c.usageReport(now), now+reportEvery
+	}
+	c.do(ReplyTo{Waiter: e.Waiter, Reply: UsageReply{Report: c.report}})
+}
+
+// usageReport returns a report that is not changed any more, since several traffic
+// goroutines may read it.
+func (c *Control) usageReport(now clock.Millis) accounting.Report {
 	c.accounts.Told(now, c.config.Self, c.scheduler.Usage())
 	report := c.accounts.Report(now, slices.Collect(maps.Values(c.owners)))
 	c.zones.AddTo(&report, now, c.config.DataCentre)
@@ -35,7 +48,7 @@
 		report.InForce = held.Head.Version
 	}
 	report.SignOffs = c.bundles.SignOffs()
-	c.do(ReplyTo{Waiter: e.Waiter, Reply: UsageReply{Report: report}})
+	return report
 }
 
 // usageDigest returns the next part of the figures for a peer. The owners take turns, so
