Measure sizes and calls for the capacity page

Cause: the capacity page needs slopes for heartbeats, records, the scheduler, the membership, the bundle, the accounting and the polls of the platform, and most of them had no benchmark.

--- /dev/null
+++ b/pkg/bundle/size_bench_test.go
@@ -0,0 +1,48 @@
+package bundle
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+)
+
+// BenchmarkSize reports the bytes of a bundle's parts and the memory of a verified one
+// together with its sections.
+func BenchmarkSize(b *testing.B) {
+	for _, owners := range []int{12, 120} {
+		b.Run(fmt.Sprintf("owners=%d", owners), func(b *testing.B) {
+			type copyOfVM struct {
+				sections  Sections
+				candidate Candidate
+			}
+			var kept []copyOfVM
+			var last Head
+			before := heapBytes()
+			for range b.N {
+				h := &history{}
+				last = h.add(testBundle(owners), "norte", "2026-11")
+				c, err := Verify(h.pin(), last, h.sections)
+				if err != nil {
+					b.Fatal(err)
+				}
+				kept = append(kept, copyOfVM{h.sections, c})
+			}
+			b.ReportMetric((heapBytes()-before)/float64(b.N), "B/memory")
+			total := 0
+			for _, s := range kept[0].sections {
+				total += len(s)
+			}
+			governance := len(kept[0].sections[last.Governance[0].Section])
+			b.ReportMetric(float64(len(EncodeHead(last))), "B/head")
+			b.ReportMetric(float64(governance), "B/governance")
+			b.ReportMetric(float64(total-governance)/float64(owners), "B/owner-section")
+		})
+	}
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
--- a/pkg/contract/memory_bench_test.go
+++ b/pkg/contract/memory_bench_test.go
@@ -24,7 +24,7 @@
 // BenchmarkLedgerMemory reports the measured and the estimated memory of a concluded
 // record with results of 16 bytes for each task.
 func BenchmarkLedgerMemory(b *testing.B) {
-	for _, tasks := range []int{1, 370} {
+	for _, tasks := range []int{1, 5, 37, 370} {
 		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
 			for b.Loop() {
 				count := benchRecords / tasks
@@ -47,7 +47,7 @@
 
 // BenchmarkWitnessMemory reports the memory of a record of starts, and of a settled one.
 func BenchmarkWitnessMemory(b *testing.B) {
-	for _, tasks := range []int{1, 370} {
+	for _, tasks := range []int{1, 5, 37, 370} {
 		for _, settled := range []bool{false, true} {
 			b.Run(fmt.Sprintf("tasks=%d/settled=%t", tasks, settled), func(b *testing.B) {
 				for b.Loop() {
--- a/pkg/peer/traffic_bench_test.go
+++ b/pkg/peer/traffic_bench_test.go
@@ -58,10 +58,10 @@
 // and replies, without the headers of TCP and IP. It counts what a node sends as a caller
 // and, since every call has its like the other way round, as much again as a callee.
 func BenchmarkControlTraffic(b *testing.B) {
-	perCall := measureHeartbeat(b, 0)
-	perDigest := measureHeartbeat(b, accounting.DigestOwners) - perCall
+	perCall := measureHeartbeat(b, heartbeatSize{})
+	perDigest := measureHeartbeat(b, heartbeatSize{owners: accounting.DigestOwners}) - perCall
 	for _, zones := range []int{3, 7, 22} {
-		for _, each := range []int{4, 8, 16} {
+		for _, each := range []int{4, 8, 16, 39} {
 			mean, most := heartbeatsPerSecond(zones, each)
 			b.Run(fmt.Sprintf("zones=%d/vms=%d", zones, each), func(b *testing.B) {
 				for range b.N {
@@ -102,7 +102,20 @@
 	return mean, most
 }
 
-func measureHeartbeat(b *testing.B, owners int) float64 {
+// heartbeatSize tells what a heartbeat carries besides its sender.
+type heartbeatSize struct{ owners, reports, drains int }
+
+// BenchmarkHeartbeat measures the bytes of one heartbeat, with its reply, over what it
+// carries, and the time to encode, handle and decode it at both ends.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, size := range []heartbeatSize{{}, {owners: 4}, {owners: 12}, {owners: 120}, {reports: 1}, {reports: 32}, {drains: 1}, {drains: 32}} {
+		b.Run(fmt.Sprintf("owners=%d/reports=%d/drains=%d", size.owners, size.reports, size.drains), func(b *testing.B) {
+			b.ReportMetric(measureHeartbeat(b, size), "B/heartbeat")
+		})
+	}
+}
+
+func measureHeartbeat(b *testing.B, size heartbeatSize) float64 {
 	b.Helper()
 	conns := make(chan net.Conn, 1)
 	server, err := peer.NewServer(peer.ServerConfig{Listener: pipeListener{conns}, Handler: quietHandler{}})
@@ -118,20 +131,28 @@
 	defer c.Close()
 	self := vm.VM{Incarnation: "sur11-0123456789ab", DataCentre: "sur", PeerAddress: "10.11.12.13:7001", Size: 16, Started: 1_765_000_000_000}
 	var usage []dispatch.OwnerUsage
-	for i := range owners {
+	for i := range size.owners {
 		usage = append(usage, dispatch.OwnerUsage{Owner: owner.ID(fmt.Sprint("owner", i)), SlotTime: 100_000_000, Charged: 100_000_000, Backlog: 100, Started: 1_000_000, Refused: 1000, Waited: 10_000_000, LongestWait: 10_000})
 	}
-	const calls = 100
+	h := entry.Heartbeat{From: self, RosterVersion: 1000, Backlog: 1000, Reaches: []datacentre.ID{"sur", "oeste", "norte"}, Usage: usage}
+	for range size.reports {
+		h.Reports = append(h.Reports, self)
+	}
+	for i := range size.drains {
+		h.Drains = append(h.Drains, datacentre.DrainReport{Endpoint: datacentre.EndpointID(fmt.Sprint("playout", i)), Leaving: true, Age: 1000})
+	}
+	calls := max(100, b.N)
 	for i := range calls + 1 {
 		if i == 1 {
 			// The first call carries the descriptions of the types.
 			bytes.Store(0)
+			b.ResetTimer()
 		}
-		if _, err := c.Heartbeat(context.Background(), self, entry.Heartbeat{From: self, RosterVersion: 1000, Backlog: 1000, Reaches: []datacentre.ID{"sur", "oeste", "norte"}, Usage: usage}); err != nil {
+		if _, err := c.Heartbeat(context.Background(), self, h); err != nil {
 			b.Fatal(err)
 		}
 	}
-	return float64(bytes.Load()) / calls
+	return float64(bytes.Load()) / float64(calls)
 }
 
 type fixedDialer struct{ conn net.Conn }
