--- /dev/null
+++ b/pkg/loan/memory_bench_test.go
@@ -0,0 +1,41 @@
+package loan_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/loan"
+)
+
+// BenchmarkBookMemory reports the memory of a lender's book over the loans in it.
+func BenchmarkBookMemory(b *testing.B) {
+	for _, loans := range []int{4, 40, 400} {
+		b.Run(fmt.Sprint("loans=", loans), func(b *testing.B) {
+			var idle []loan.Idle
+			for i := range loans {
+				idle = append(idle, loan.Idle{Endpoint: datacentre.Endpoint{ID: datacentre.EndpointID(fmt.Sprint("playout", i))}, Free: 8})
+			}
+			var kept []*loan.Book
+			before := heapBytes()
+			for range b.N {
+				book := loan.NewBook(loan.BookConfig{TaskSpan: clock.Minute})
+				for n := range loans {
+					book.Grant(1, loan.Request{ID: loan.RequestID{Borrower: "sur11-0123456789ab", Sequence: loan.Sequence(n)}, Wanted: 1}, false, idle[n:n+1])
+				}
+				kept = append(kept, book)
+			}
+			b.ReportMetric((heapBytes()-before)/float64(b.N), "B/book")
+			runtime.KeepAlive(kept)
+		})
+	}
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
--- /dev/null
+++ b/pkg/peer/loan_bench_test.go
@@ -0,0 +1,78 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/loan"
+	"github.com/sequoiacart/sequoiacart/pkg/peer"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// lendingHandler grants the same loans to everybody.
+type lendingHandler struct {
+	peer.Handler
+	loans []loan.Loan
+}
+
+func (h lendingHandler) LendHere(context.Context, loan.Request) ([]loan.Loan, error) {
+	return h.loans, nil
+}
+
+func (lendingHandler) TakeBackHere(context.Context, vm.Incarnation, []loan.Return) error { return nil }
+
+// BenchmarkLoan measures a request that keeps as many loans as it is granted, and the
+// return of them, with their replies: the bytes, without the headers of TCP and IP, and
+// the time at both ends together.
+func BenchmarkLoan(b *testing.B) {
+	for _, loans := range []int{0, 1, 40} {
+		b.Run(fmt.Sprint("loans=", loans), func(b *testing.B) { benchmarkLoan(b, loans) })
+	}
+}
+
+func benchmarkLoan(b *testing.B, count int) {
+	request := loan.RequestID{Borrower: "sur11-0123456789ab", Sequence: 1000}
+	var loans []loan.Loan
+	var keep []loan.ID
+	var returns []loan.Return
+	for i := range count {
+		e := datacentre.Endpoint{ID: datacentre.EndpointID(fmt.Sprintf("playout%05d", i)), DataCentre: "sur", Rack: "rack1", Address: "10.11.12.13:8000", Slots: 8, Connections: 64}
+		id := loan.ID{Request: request, Endpoint: e.ID}
+		loans = append(loans, loan.Loan{ID: id, Endpoint: e, Slots: 4})
+		keep = append(keep, id)
+		returns = append(returns, loan.Return{Loan: id})
+	}
+	conns := make(chan net.Conn, 1)
+	server, err := peer.NewServer(peer.ServerConfig{Listener: pipeListener{conns}, Handler: lendingHandler{loans: loans}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	go func() { _ = server.Serve() }()
+	defer server.Close()
+	var bytes atomic.Int64
+	near, far := net.Pipe()
+	conns <- far
+	c := peer.NewClient(peer.ClientConfig{Dialer: fixedDialer{countingConn{near, &bytes}}})
+	defer c.Close()
+	lender := vm.VM{Incarnation: "sur12-0123456789ab", DataCentre: "sur", PeerAddress: "10.11.12.13:7001"}
+	exchange := func() {
+		if _, err := c.RequestLoan(context.Background(), lender, loan.Request{ID: request, Wanted: 8, Keep: keep}); err != nil {
+			b.Fatal(err)
+		}
+		if err := c.ReturnLoans(context.Background(), lender, request.Borrower, returns); err != nil {
+			b.Fatal(err)
+		}
+	}
+	// The first calls carry the descriptions of the types.
+	exchange()
+	bytes.Store(0)
+	b.ResetTimer()
+	for range b.N {
+		exchange()
+	}
+	b.ReportMetric(float64(bytes.Load())/float64(b.N), "B/exchange")
+}
