Decide the daemon's loans by the rule that pkg/measure measures

Cause: there were two loan policies. pkg/measure measured the rule of pkg/dispatch, while the daemon chose peers, numbers and endpoints by itself (half of the idle slots, peers with any idle slot, the wait so far instead of the projected wait), so figures about loans did not hold for the daemon.

Change: the request carries dispatch.LoanNeed. LoanRequests.Plan chooses the peers and numbers; Scheduler.Offer, split from Lend, decides whether, what and how much to lend (WorthLending, reserve of an eighth, trusted endpoints, own slots only). pkg/loan keeps terms, renewals, returns and lost answers; its choice of endpoints is gone, as are the daemon's own pauses and idle reports. The scheduler is told borrowed slots apart from own ones (SetBorrowed). PlanUnheard asks delegates of other data centres that send no heartbeats here. The answer tells what is left to lend. A copy of a request gets nothing more. No promises yet: heartbeats tell lendable slots and no wait, so nobody asks.

A VM that had lent most of its slots refused a job for its projected wait. The borrower became home of an endpoint behind the cut and used the slots that its lender had kept.

TestLenderDecidesByTheMeasuredRule comes with the change, since the type of the request did not exist before. No existing check is changed; one line of simulation_test.go carries the new type of the answer.

--- a/pkg/dispatch/loan.go
+++ b/pkg/dispatch/loan.go
@@ -32,21 +32,34 @@
 	}
 }
 
-// Lend decides on a peer's request and takes the granted slots away from this VM until
-// Reclaim. Only own slots are lent, never borrowed ones.
-func (s *Scheduler) Lend(_ clock.Millis, need LoanNeed, oneWay clock.Millis) []SlotLoan {
+// Offer decides on a peer's request. Only own slots are lent, never borrowed ones. It
+// changes nothing: the daemon books the loans with their terms and sets the slots that are
+// left.
+func (s *Scheduler) Offer(need LoanNeed, oneWay clock.Millis) []SlotLoan {
 	if !need.WorthLending(oneWay) || s.waiting > 0 {
 		return nil
 	}
 	left := min(loanable(s.placement.free, s.placement.total), datacentre.Slots(need.Tasks))
 	var loans []SlotLoan
-	for left > 0 {
-		more := s.lendFree(left)
-		if len(more) == 0 {
-			break
+	for _, m := range s.all {
+		n := min(m.lendable(), left)
+		if n <= 0 {
+			continue
 		}
-		left -= more[0].Slots
-		loans = append(loans, more...)
+		left -= n
+		loans = append(loans, SlotLoan{Endpoint: m.id, Slots: n})
+	}
+	return loans
+}
+
+// Lend makes the loans of Offer and takes their slots away from this VM until Reclaim.
+func (s *Scheduler) Lend(_ clock.Millis, need LoanNeed, oneWay clock.Millis) []SlotLoan {
+	loans := s.Offer(need, oneWay)
+	for _, l := range loans {
+		m := s.machine(l.Endpoint)
+		s.placement.before(m)
+		m.lent += l.Slots
+		s.placement.after(m)
 	}
 	return loans
 }
@@ -54,10 +67,7 @@
 // lendFree lends free own slots of one endpoint, up to left.
 func (s *Scheduler) lendFree(left datacentre.Slots) []SlotLoan {
 	for _, m := range s.all {
-		if m.standing != trusted {
-			continue
-		}
-		n := min(m.free(), m.owned-m.lent, left)
+		n := min(m.lendable(), left)
 		if n <= 0 {
 			continue
 		}
@@ -85,6 +95,18 @@
 	s.placement.after(m)
 }
 
+// SetBorrowed sets how many slots of an endpoint are borrowed, in place of Borrow and
+// GiveBack, for a caller that keeps the terms of loans itself.
+func (s *Scheduler) SetBorrowed(_ clock.Millis, e datacentre.EndpointID, slots datacentre.Slots) {
+	m := s.machine(e)
+	if m.borrowed == slots {
+		return
+	}
+	s.placement.before(m)
+	m.borrowed = slots
+	s.placement.after(m)
+}
+
 // GiveBack takes borrowed slots away when the lease has expired, as far as they are still
 // borrowed. Tasks that run there are not affected: the returned slots can go back to the
 // lender now, those in use come out of NextReturn as tasks end.
@@ -151,11 +173,6 @@
 	s.peersLoad = l
 }
 
-// Slots returns the number of slots that this VM may use now.
-func (s *Scheduler) Slots() datacentre.Slots {
-	return s.placement.total
-}
-
 // NextReturn returns a slot of an expired loan whose task has ended since the last call.
 func (s *Scheduler) NextReturn() (SlotLoan, bool) {
 	n := len(s.returns)
--- a/pkg/dispatch/loan_requests.go
+++ b/pkg/dispatch/loan_requests.go
@@ -19,6 +19,9 @@
 	leastPromiseWait = 100 * clock.Millis(1)
 	// One request is under way to a peer at a time; without an answer it counts as lost.
 	loanRequestTimeout = clock.Second
+	// unheardAtOnce bounds the peers that are asked at once without knowing their slots; each
+	// may have nothing to lend.
+	unheardAtOnce = 3
 )
 
 // LoanRequests decides which peers to ask for slots, and for how many.
@@ -27,7 +30,9 @@
 }
 
 type loanPeer struct {
-	slots     PeerSlots
+	slots PeerSlots
+	// heard says that the peer tells of its slots without being asked.
+	heard     bool
 	notBefore clock.Millis
 	pause     clock.Millis
 }
@@ -39,7 +44,8 @@
 
 // Learn takes what a peer has told.
 func (r *LoanRequests) Learn(peer vm.Incarnation, slots PeerSlots) {
-	r.peer(peer).slots = slots
+	p := r.peer(peer)
+	p.slots, p.heard = slots, true
 }
 
 func (r *LoanRequests) peer(id vm.Incarnation) *loanPeer {
@@ -101,6 +107,25 @@
 	return requests
 }
 
+// PlanUnheard asks peers that never tell of their slots, for the whole need each. Those of
+// another data centre send heartbeats to some of its VMs only.
+func (r *LoanRequests) PlanUnheard(now clock.Millis, need LoanNeed, peers []vm.Incarnation) []LoanRequest {
+	if need.Wait < leastLoanWait {
+		return nil
+	}
+	need.Asked = 1
+	var requests []LoanRequest
+	for _, id := range peers {
+		p := r.peer(id)
+		if p.heard || now < p.notBefore || len(requests) == unheardAtOnce {
+			continue
+		}
+		p.notBefore = now + loanRequestTimeout
+		requests = append(requests, LoanRequest{Peer: id, Need: need})
+	}
+	return requests
+}
+
 func (r *LoanRequests) askIdle(now clock.Millis, need LoanNeed, peers []vm.Incarnation) (requests []LoanRequest, left int) {
 	left = need.Tasks
 	for left > 0 {
@@ -147,7 +172,11 @@
 	p.notBefore = now + p.pause
 }
 
-// Forget drops a peer that has left the roster.
-func (r *LoanRequests) Forget(peer vm.Incarnation) {
-	delete(r.peers, peer)
+// Forget drops the peers that are gone.
+func (r *LoanRequests) Forget(gone func(vm.Incarnation) bool) {
+	for id := range r.peers {
+		if gone(id) {
+			delete(r.peers, id)
+		}
+	}
 }
--- a/pkg/dispatch/machine.go
+++ b/pkg/dispatch/machine.go
@@ -78,6 +78,15 @@
 	return max(limit-m.used, 0)
 }
 
+// lendable returns how many slots are free and may be lent: own slots of an endpoint that
+// has not failed lately.
+func (m *machine) lendable() datacentre.Slots {
+	if m.standing != trusted {
+		return 0
+	}
+	return min(m.free(), m.owned-m.lent)
+}
+
 // observe learns the speed from a run that took 2^surprise times as long as expected.
 func (m *machine) observe(surprise float64) {
 	m.samples++
--- a/pkg/entry/control_endpoints.go
+++ b/pkg/entry/control_endpoints.go
@@ -4,6 +4,7 @@
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
 // endpointsListed takes over the platform's list as a difference, so that a poll that
@@ -20,7 +21,7 @@
 		if _, ok := listed[id]; !ok && ep.DataCentre == c.config.DataCentre {
 			delete(c.endpoints, id)
 			delete(c.homes, id)
-			c.grant(now, id, 0)
+			c.grant(now, id, 0, 0)
 		}
 	}
 	for id, ep := range listed {
@@ -45,7 +46,7 @@
 		return
 	}
 	if ep, ok := c.endpoints[id]; ok {
-		c.grant(now, id, c.slotsOf(now, ep))
+		c.assign(now, ep)
 	}
 }
 
@@ -57,17 +58,41 @@
 			// The scheduler drains by itself on an answer, and waits for fresh evidence.
 			c.scheduler.Readmit(now, id, now)
 		}
-		c.grant(now, id, c.slotsOf(now, ep))
+		c.assign(now, ep)
 	}
 }
 
-func (c *Control) slotsOf(now clock.Millis, ep datacentre.Endpoint) datacentre.Slots {
+// assign gives the scheduler the slots of one endpoint. Those that this VM has as its home
+// come first, and only they are lent.
+func (c *Control) assign(now clock.Millis, ep datacentre.Endpoint) {
 	if c.drains.Draining(ep.ID) {
-		return 0
+		c.grant(now, ep.ID, 0, 0)
+		return
 	}
-	own := max(0, c.homeSlots(ep)-c.lending.book.Out(ep.ID))
-	slots := min(ep.Slots, own+c.lending.borrowings.Usable(now, ep.ID))
-	return c.ceilings.Limit(now, ep.ID, slots)
+	own := c.ownSlots(ep)
+	usable := c.lending.borrowings.Usable(now, ep.ID)
+	if lent := c.keptForRemoved(now, ep.ID); lent > 0 {
+		own = min(own, max(0, lent-usable))
+	}
+	slots := min(ep.Slots, own+usable)
+	slots = c.ceilings.Limit(now, ep.ID, slots)
+	own = min(own, slots)
+	c.grant(now, ep.ID, own, slots-own)
+}
+
+// ownSlots returns the slots of an endpoint that this VM has as its home and has not lent.
+func (c *Control) ownSlots(ep datacentre.Endpoint) datacentre.Slots {
+	return max(0, c.homeSlots(ep)-c.lending.book.Out(ep.ID))
+}
+
+// keptForRemoved returns the slots of an endpoint that were borrowed from a VM which was
+// removed since. It may run behind a cut, use the rest of the endpoint, and leave these
+// slots alone until it takes them back.
+func (c *Control) keptForRemoved(now clock.Millis, e datacentre.EndpointID) datacentre.Slots {
+	return c.lending.borrowings.Unreturned(now, e, func(lender vm.Incarnation) bool {
+		v, ok := c.roster.Find(lender)
+		return ok && v.Status == vm.Removed && v.Listed
+	})
 }
 
 // homeSlots returns the slots of an endpoint that this VM has as its home. It remembers
@@ -86,14 +111,16 @@
 }
 
 // grant tells the scheduler of an endpoint's slots where they have changed.
-func (c *Control) grant(now clock.Millis, id datacentre.EndpointID, slots datacentre.Slots) {
-	if old, ok := c.granted[id]; ok && old == slots {
+func (c *Control) grant(now clock.Millis, id datacentre.EndpointID, own, borrowed datacentre.Slots) {
+	if old, ok := c.granted[id]; ok && old == 0 && own+borrowed == 0 {
+		// The scheduler may have forgotten the endpoint, and would begin to keep it again.
 		return
 	}
-	if slots > 0 && c.granted[id] == 0 {
+	if own+borrowed > 0 && c.granted[id] == 0 {
 		// The drain evidence that the scheduler keeps by itself is out of date now.
 		c.scheduler.Readmit(now, id, now)
 	}
-	c.granted[id] = slots
-	c.scheduler.SetSlots(now, id, slots)
+	c.granted[id] = own + borrowed
+	c.scheduler.SetSlots(now, id, own)
+	c.scheduler.SetBorrowed(now, id, borrowed)
 }
--- a/pkg/entry/control_loans.go
+++ b/pkg/entry/control_loans.go
@@ -1,52 +1,36 @@
 package entry
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
 	"github.com/sequoiacart/sequoiacart/pkg/link"
 	"github.com/sequoiacart/sequoiacart/pkg/loan"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
 const (
-	// askAgain is how long a peer that lent nothing is left alone.
-	askAgain = 200 * clock.Millis(1)
-	// askZoneAgain is the same for peers of other data centres, whose idle slots this VM
-	// does not hear of.
-	askZoneAgain = clock.Second
-	// idleReportSpan is how long a peer's word on its idle slots is good.
-	idleReportSpan = clock.Second
 	// unknownDelay stands for the delay of a link that this VM has not measured.
 	unknownDelay = 5 * clock.Millis(1)
+	// localDelay bounds the delay of links inside a data centre.
+	localDelay = clock.Millis(1)
 	// lookEvery bounds the searches for lenders, each of which goes over all VMs.
 	lookEvery = 10 * clock.Millis(1)
-	// lendersAtOnce bounds the requests under way.
-	lendersAtOnce = 3
 )
 
 // lending is what the control state holds of loans, on both sides.
 type lending struct {
 	book       *loan.Book
 	borrowings *loan.Borrowings
-	// idle is what peers say that they could lend.
-	idle map[vm.Incarnation]idleReport
+	// requests decides whom to ask, from what peers say that they could lend.
+	requests *dispatch.LoanRequests
 	// foreign are the endpoints of other data centres that are or were borrowed.
-	foreign map[datacentre.EndpointID]struct{}
-	// underWay are the requests under way, and when a peer may be asked again.
+	foreign  map[datacentre.EndpointID]struct{}
 	underWay map[vm.Incarnation]bool
-	askAfter map[vm.Incarnation]clock.Millis
-	// backlogAt is when tasks began to wait; zero says that none wait.
-	backlogAt clock.Millis
-	lookedAt  clock.Millis
-}
-
-type idleReport struct {
-	slots datacentre.Slots
-	at    clock.Millis
+	lookedAt clock.Millis
 }
 
 func newLending(self vm.Incarnation, taskSpan clock.Millis) *lending {
@@ -54,19 +38,27 @@
 	return &lending{
 		book:       loan.NewBook(config),
 		borrowings: loan.NewBorrowings(self, config),
-		idle:       make(map[vm.Incarnation]idleReport),
+		requests:   dispatch.NewLoanRequests(),
 		foreign:    make(map[datacentre.EndpointID]struct{}),
 		underWay:   make(map[vm.Incarnation]bool),
-		askAfter:   make(map[vm.Incarnation]clock.Millis),
 	}
 }
 
-// loanRequested lends what this VM does not need. With a backlog of its own it neither
+// loanRequested lends what the scheduler offers. With a backlog of its own this VM neither
 // lends nor renews.
 func (c *Control) loanRequested(now clock.Millis, e LoanRequested) {
-	loans := c.lending.book.Grant(now, e.Request, c.scheduler.Queued() == 0, c.idleSlots())
+	var loans []loan.Loan
+	if c.scheduler.Queued() == 0 {
+		loans = c.lending.book.Renew(now, e.Request)
+	}
+	var offers []loan.Offer
+	for _, l := range c.scheduler.Offer(e.Request.Need, c.delayTo(e.Request.ID.Borrower)) {
+		offers = append(offers, loan.Offer{Endpoint: c.endpoints[l.Endpoint], Slots: l.Slots})
+	}
+	loans = append(loans, c.lending.book.Lend(now, e.Request.ID, offers)...)
 	c.assignHomes(now)
-	c.do(ReplyTo{Waiter: e.Waiter, Reply: LoansGranted{Loans: loans}})
+	granted := loan.Grant{Loans: loans, Lendable: c.scheduler.PeerSlots().Lendable}
+	c.do(ReplyTo{Waiter: e.Waiter, Reply: LoansGranted{Grant: granted}})
 }
 
 func (c *Control) loansReturned(now clock.Millis, e LoansReturned) {
@@ -76,121 +68,92 @@
 	c.do(ReplyTo{Waiter: e.Waiter, Reply: LoansTakenBack{}})
 }
 
-// idleSlots returns the slots of this VM's own endpoints that nobody uses.
-func (c *Control) idleSlots() []loan.Idle {
-	if c.scheduler.Queued() > 0 {
-		return nil
-	}
-	var idle []loan.Idle
-	for id, ep := range c.endpoints {
-		own := c.homeSlots(ep) - c.lending.book.Out(id)
-		free := min(own, c.granted[id]) - c.scheduler.InUse(id)
-		if free > 0 && !c.drains.Draining(id) {
-			idle = append(idle, loan.Idle{Endpoint: ep, Free: free})
-		}
-	}
-	return idle
-}
-
-func (c *Control) idleTotal() datacentre.Slots {
-	total := datacentre.Slots(0)
-	for _, i := range c.idleSlots() {
-		total += i.Free
-	}
-	return total
-}
-
-// askForLoans asks peers for slots while tasks wait for one.
+// askForLoans renews loans and asks peers for slots while tasks wait for one.
 func (c *Control) askForLoans(now clock.Millis) {
 	l := c.lending
-	backlog := c.scheduler.Queued()
-	if backlog == 0 {
-		l.backlogAt = 0
-		return
-	}
-	if l.backlogAt == 0 {
-		l.backlogAt, l.lookedAt = now, 0
-	}
-	if now-l.lookedAt < lookEvery {
+	need := c.scheduler.LoanNeed(now)
+	if need.Tasks == 0 || now-l.lookedAt < lookEvery {
 		return
 	}
 	l.lookedAt = now
 	for _, lender := range l.borrowings.Lenders(now) {
-		c.ask(now, lender, datacentre.Slots(backlog))
+		c.ask(now, lender, dispatch.LoanNeed{})
+	}
+	near, far := c.lenders(now, need)
+	requests := l.requests.Plan(now, need, append(near, far...))
+	if len(requests) == 0 {
+		requests = l.requests.PlanUnheard(now, need, far)
 	}
-	for _, v := range c.lenders(now) {
-		c.ask(now, v.Incarnation, datacentre.Slots(backlog))
+	for _, r := range requests {
+		c.ask(now, r.Peer, r.Need)
 	}
 }
 
-func (c *Control) ask(now clock.Millis, lender vm.Incarnation, wanted datacentre.Slots) {
+func (c *Control) ask(now clock.Millis, lender vm.Incarnation, need dispatch.LoanNeed) {
 	l := c.lending
 	to, ok := c.roster.Find(lender)
-	if !ok || l.underWay[lender] || len(l.underWay) >= lendersAtOnce || now < l.askAfter[lender] {
+	if !ok || l.underWay[lender] {
 		return
 	}
 	l.underWay[lender] = true
-	c.do(RequestLoan{To: to, Request: l.borrowings.NextRequest(now, lender, wanted), AskedAt: now})
+	c.do(RequestLoan{To: to, Request: l.borrowings.NextRequest(now, lender, need), AskedAt: now})
 }
 
-// lenders returns the peers worth asking: those of the data centre that say they have
-// idle slots, the most first, or else delegates of data centres nearer than the wait.
-func (c *Control) lenders(now clock.Millis) []vm.VM {
-	var near []vm.VM
-	idle := func(v vm.VM) datacentre.Slots {
-		r := c.lending.idle[v.Incarnation]
-		if now-r.at > idleReportSpan {
-			return 0
-		}
-		return r.slots
-	}
+// lenders returns the peers that may be asked: those of the data centre, and delegates of
+// the data centres that are near enough for the need.
+func (c *Control) lenders(now clock.Millis, need dispatch.LoanNeed) (near, far []vm.Incarnation) {
+	l := c.lending
 	for _, v := range c.roster.VMs() {
-		if v.DataCentre == c.config.DataCentre && v.Incarnation != c.config.Self && v.Status == vm.Alive && idle(v) > 0 {
-			near = append(near, v)
+		if v.DataCentre == c.config.DataCentre && v.Incarnation != c.config.Self && v.Status == vm.Alive && !l.underWay[v.Incarnation] {
+			near = append(near, v.Incarnation)
 		}
 	}
-	if len(near) > 0 {
-		slices.SortFunc(near, func(a, b vm.VM) int {
-			return cmp.Or(cmp.Compare(idle(b), idle(a)), cmp.Compare(a.Incarnation, b.Incarnation))
-		})
-		return near
-	}
-	return c.farLenders(now)
-}
-
-// farLenders takes the wait so far for the wait that a loan saves. The task and its
-// result cross the link, so it must exceed the delay both ways.
-func (c *Control) farLenders(now clock.Millis) []vm.VM {
-	var far []vm.VM
 	for _, dc := range c.roster.DataCentres() {
 		zone, ok := c.neighbours.links.Find(link.Zone{DataCentre: dc})
-		if dc == c.config.DataCentre || !ok || zone.State(now) != link.Reachable {
-			continue
-		}
-		delay := unknownDelay
-		if zone.Delay > 0 {
-			delay = zone.Delay.Millis()
-		}
-		if now-c.lending.backlogAt <= 2*delay {
+		if dc == c.config.DataCentre || !ok || zone.State(now) != link.Reachable || !need.WorthLending(c.zoneDelay(dc)) {
 			continue
 		}
 		for _, v := range c.roster.Delegates(now, dc, c.config.DataCentre) {
-			if v.Status == vm.Alive {
-				far = append(far, v)
+			if v.Status == vm.Alive && !l.underWay[v.Incarnation] {
+				far = append(far, v.Incarnation)
 			}
 		}
 	}
-	return far
+	return near, far
+}
+
+// delayTo returns the delay of the link to a peer, one way.
+func (c *Control) delayTo(peer vm.Incarnation) clock.Millis {
+	v, ok := c.roster.Find(peer)
+	if !ok {
+		return unknownDelay
+	}
+	return c.zoneDelay(v.DataCentre)
+}
+
+func (c *Control) zoneDelay(dc datacentre.ID) clock.Millis {
+	if dc == c.config.DataCentre {
+		return localDelay
+	}
+	zone, ok := c.neighbours.links.Find(link.Zone{DataCentre: dc})
+	if !ok || zone.Delay <= 0 {
+		return unknownDelay
+	}
+	return zone.Delay.Millis()
 }
 
 func (c *Control) loanAnswered(now clock.Millis, e LoanAnswered) {
 	l := c.lending
 	delete(l.underWay, e.Lender)
-	if len(e.Loans) == 0 {
-		c.leaveAlone(now, e.Lender)
+	granted := datacentre.Slots(0)
+	for _, lent := range e.Grant.Loans {
+		granted += lent.Slots
+	}
+	l.requests.Answered(now, e.Lender, granted, dispatch.PeerSlots{Lendable: e.Grant.Lendable})
+	if granted == 0 {
 		return
 	}
-	l.borrowings.Granted(now, e.AskedAt, e.Lender, e.Request, e.Loans)
+	l.borrowings.Granted(now, e.AskedAt, e.Lender, e.Request, e.Grant.Loans)
 	for _, borrowed := range l.borrowings.Endpoints() {
 		if borrowed.ID == "" || borrowed.DataCentre == c.config.DataCentre {
 			continue
@@ -204,15 +167,7 @@
 func (c *Control) loanFailed(now clock.Millis, e LoanFailed) {
 	delete(c.lending.underWay, e.Lender)
 	c.lending.borrowings.Disclaim(now, e.Lender, e.Request)
-	c.leaveAlone(now, e.Lender)
-}
-
-func (c *Control) leaveAlone(now clock.Millis, lender vm.Incarnation) {
-	span := askAgain
-	if v, ok := c.roster.Find(lender); ok && v.DataCentre != c.config.DataCentre {
-		span = askZoneAgain
-	}
-	c.lending.askAfter[lender] = now + span
+	c.lending.requests.Answered(now, e.Lender, 0, dispatch.PeerSlots{})
 }
 
 // passLoans ends terms and returns slots.
@@ -222,8 +177,10 @@
 		c.assignHomes(now)
 	}
 	due := l.borrowings.Returns(now, func(e datacentre.EndpointID) datacentre.Slots {
-		own := max(0, c.homeSlots(c.endpoints[e])-l.book.Out(e))
-		return max(0, c.scheduler.InUse(e)-own)
+		if c.keptForRemoved(now, e) > 0 {
+			return c.scheduler.InUse(e)
+		}
+		return max(0, c.scheduler.InUse(e)-c.ownSlots(c.endpoints[e]))
 	})
 	for lender, returns := range due {
 		if to, ok := c.roster.Find(lender); ok {
@@ -232,31 +189,19 @@
 	}
 	c.assignChanging(now)
 	c.dropForeignEndpoints(now)
-	c.scheduler.SetBorrowable(c.borrowable(now))
-	for i := range l.idle {
-		if _, ok := c.roster.Find(i); !ok {
-			delete(l.idle, i)
-			delete(l.askAfter, i)
-		}
-	}
-}
-
-// borrowable counts the slots that peers would lend, for the projection of waits.
-func (c *Control) borrowable(now clock.Millis) datacentre.Slots {
-	total := datacentre.Slots(0)
-	for _, r := range c.lending.idle {
-		if now-r.at <= idleReportSpan {
-			total += r.slots
-		}
-	}
-	return total
+	l.requests.Forget(func(i vm.Incarnation) bool {
+		v, ok := c.roster.Find(i)
+		return !ok || v.Status != vm.Alive
+	})
+	// Lent slots come back within a term of the first backlog, since it ends the renewals.
+	c.scheduler.SetBorrowable(l.requests.Borrowable() + l.book.Total())
 }
 
 // assignChanging looks again at the endpoints whose slots change with time alone.
 func (c *Control) assignChanging(now clock.Millis) {
 	for _, borrowed := range c.lending.borrowings.Endpoints() {
 		if ep, ok := c.endpoints[borrowed.ID]; ok {
-			c.grant(now, ep.ID, c.slotsOf(now, ep))
+			c.assign(now, ep)
 		}
 	}
 	for _, id := range c.ceilings.Endpoints() {
@@ -265,7 +210,7 @@
 			c.ceilings.Forget(id)
 			continue
 		}
-		c.grant(now, id, c.slotsOf(now, ep))
+		c.assign(now, ep)
 	}
 }
 
@@ -284,7 +229,7 @@
 		delete(c.lending.foreign, id)
 		c.drains.Forget(id)
 		delete(c.endpoints, id)
-		c.grant(now, id, 0)
+		c.grant(now, id, 0, 0)
 		delete(c.granted, id)
 	}
 }
--- a/pkg/entry/control_membership.go
+++ b/pkg/entry/control_membership.go
@@ -5,6 +5,7 @@
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
 	"github.com/sequoiacart/sequoiacart/pkg/link"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
@@ -76,7 +77,7 @@
 	m := c.neighbours.membership
 	r := m.Heard(now, h.From)
 	c.peerHeard(now, PeerHeard{Incarnation: h.From.Incarnation})
-	c.lending.idle[h.From.Incarnation] = idleReport{slots: h.Idle, at: now}
+	c.lending.requests.Learn(h.From.Incarnation, dispatch.PeerSlots{Lendable: h.Idle})
 	local := h.From.DataCentre == c.config.DataCentre
 	for _, v := range h.Reports {
 		// A VM speaks for its own data centre, or inside it for the others.
@@ -177,7 +178,7 @@
 			continue
 		}
 		if !gathered {
-			drains, idle, gathered = c.drains.Reports(now), c.idleTotal(), true
+			drains, idle, gathered = c.drains.Reports(now), c.scheduler.PeerSlots().Lendable, true
 		}
 		b.at, b.underWay = now, true
 		c.do(c.heartbeat(now, to, drains, idle))
--- a/pkg/entry/loan_test.go
+++ b/pkg/entry/loan_test.go
@@ -6,6 +6,8 @@
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
+	"github.com/sequoiacart/sequoiacart/pkg/loan"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
@@ -145,3 +147,44 @@
 		t.Errorf("got %d refusals as busy, want 0", s.overcommits)
 	}
 }
+
+// Guards against a lender that decides by another rule than the one that pkg/measure
+// measures: it lends for a wait that the loan does not shorten, lends its reserve, or lends
+// twice on copies of a request.
+func TestLenderDecidesByTheMeasuredRule(t *testing.T) {
+	s := newSimulation(t, map[datacentre.ID]int{"centro": 1}, 4)
+	s.run(5 * clock.Second)
+	n := s.node("centro0")
+	cases := []struct {
+		name     string
+		sequence loan.Sequence
+		need     dispatch.LoanNeed
+		want     datacentre.Slots
+		left     datacentre.Slots
+	}{
+		{"wait as short as the way there and back", 1, dispatch.LoanNeed{Tasks: 4, Wait: 2 * localDelay}, 0, 28},
+		{"as many as tasks wait", 2, dispatch.LoanNeed{Tasks: 20, Wait: 100}, 20, 10},
+		{"copy of the request", 2, dispatch.LoanNeed{Tasks: 20, Wait: 100}, 0, 10},
+		{"all but the reserve", 3, dispatch.LoanNeed{Tasks: 100, Wait: 100}, 10, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := loan.Request{ID: loan.RequestID{Borrower: "b-1", Sequence: c.sequence}, Need: c.need}
+			got, left := datacentre.Slots(0), datacentre.Slots(-1)
+			for _, a := range n.control.Handle(s.now, LoanRequested{Request: r}) {
+				reply, ok := a.(ReplyTo)
+				if !ok {
+					continue
+				}
+				grant := reply.Reply.(LoansGranted).Grant
+				left = grant.Lendable
+				for _, l := range grant.Loans {
+					got += l.Slots
+				}
+			}
+			if got != c.want || left != c.left {
+				t.Errorf("got %d slots lent and %d left to lend, want %d and %d", got, left, c.want, c.left)
+			}
+		})
+	}
+}
--- a/pkg/entry/loans.go
+++ b/pkg/entry/loans.go
@@ -17,7 +17,7 @@
 	Lender  vm.Incarnation
 	Request loan.RequestID
 	AskedAt clock.Millis
-	Loans   []loan.Loan
+	Grant   loan.Grant
 }
 
 // LoanFailed reports that a request was not answered; it may have been granted.
@@ -60,7 +60,7 @@
 func (ReturnLoans) isAction() {}
 
 // LoansGranted carries the loans that a request was granted.
-type LoansGranted struct{ Loans []loan.Loan }
+type LoansGranted struct{ Grant loan.Grant }
 
 // LoansTakenBack says that returns were handled.
 type LoansTakenBack struct{}
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -185,12 +185,12 @@
 }
 
 // LendHere handles a peer's request for slots.
-func (r *Router) LendHere(ctx context.Context, request loan.Request) ([]loan.Loan, error) {
+func (r *Router) LendHere(ctx context.Context, request loan.Request) (loan.Grant, error) {
 	reply, err := r.config.Loop.Call(ctx, func(w WaiterID) Event { return LoanRequested{Waiter: w, Request: request} })
 	if err != nil {
-		return nil, errors.Annotatef(err, "lend slots to %s", request.ID.Borrower)
+		return loan.Grant{}, errors.Annotatef(err, "lend slots to %s", request.ID.Borrower)
 	}
-	return reply.(LoansGranted).Loans, nil
+	return reply.(LoansGranted).Grant, nil
 }
 
 // TakeBackHere handles the return of slots by a peer.
--- a/pkg/entry/simulation_test.go
+++ b/pkg/entry/simulation_test.go
@@ -250,7 +250,7 @@
 				s.handle(n, LoanFailed{Lender: a.To.Incarnation, Request: a.Request.ID})
 				return
 			}
-			s.handle(n, LoanAnswered{Lender: a.To.Incarnation, Request: a.Request.ID, AskedAt: a.AskedAt, Loans: reply.Loans})
+			s.handle(n, LoanAnswered{Lender: a.To.Incarnation, Request: a.Request.ID, AskedAt: a.AskedAt, Grant: reply.Grant})
 		})
 	case ReturnLoans:
 		s.call(n, a.To, func(w WaiterID) Event {
--- a/pkg/entry/traffic_loans.go
+++ b/pkg/entry/traffic_loans.go
@@ -9,20 +9,20 @@
 
 // LoanCaller asks peers for slots and gives them back.
 type LoanCaller interface {
-	RequestLoan(ctx context.Context, lender vm.VM, r loan.Request) ([]loan.Loan, error)
+	RequestLoan(ctx context.Context, lender vm.VM, r loan.Request) (loan.Grant, error)
 	ReturnLoans(ctx context.Context, lender vm.VM, borrower vm.Incarnation, returns []loan.Return) error
 }
 
 func (t *Traffic) requestLoan(a RequestLoan) {
 	ctx, cancel := context.WithTimeout(context.Background(), t.config.PeerTimeout.Duration())
 	defer cancel()
-	loans, err := t.config.Loans.RequestLoan(ctx, a.To, a.Request)
+	granted, err := t.config.Loans.RequestLoan(ctx, a.To, a.Request)
 	if err != nil {
 		t.loop.Post(context.Background(), LoanFailed{Lender: a.To.Incarnation, Request: a.Request.ID})
 		return
 	}
 	t.loop.Post(context.Background(), LoanAnswered{
-		Lender: a.To.Incarnation, Request: a.Request.ID, AskedAt: a.AskedAt, Loans: loans,
+		Lender: a.To.Incarnation, Request: a.Request.ID, AskedAt: a.AskedAt, Grant: granted,
 	})
 }
 
--- a/pkg/loan/book.go
+++ b/pkg/loan/book.go
@@ -1,9 +1,6 @@
 package loan
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 )
@@ -32,10 +29,10 @@
 	takeBackAt clock.Millis
 }
 
-// Idle is an endpoint with slots that its home VM does not use.
-type Idle struct {
+// Offer is a number of slots of an endpoint that the scheduler has decided to lend.
+type Offer struct {
 	Endpoint datacentre.Endpoint
-	Free     datacentre.Slots
+	Slots    datacentre.Slots
 }
 
 // NewBook returns a book without loans.
@@ -48,48 +45,55 @@
 	return b.out[e]
 }
 
-// Grant renews the loans that the borrower keeps and lends idle slots, from the endpoints
-// with most of them. One request gets at most half of what is idle, rounded up, so that
-// several borrowers and the lender's own next tasks find some.
-func (b *Book) Grant(now clock.Millis, r Request, renew bool, idle []Idle) []Loan {
-	var granted []Loan
+// Total returns how many slots are lent.
+func (b *Book) Total() datacentre.Slots {
+	total := datacentre.Slots(0)
+	for _, n := range b.out {
+		total += n
+	}
+	return total
+}
+
+// Renew prolongs the loans that the borrower keeps, and returns them.
+func (b *Book) Renew(now clock.Millis, r Request) []Loan {
+	var renewed []Loan
 	for _, id := range r.Keep {
 		l, ok := b.lent[id]
-		if !ok || !renew || id.Request.Borrower != r.ID.Borrower || now >= l.takeBackAt-b.config.TaskSpan {
+		if !ok || id.Request.Borrower != r.ID.Borrower || now >= l.takeBackAt-b.config.TaskSpan {
 			continue
 		}
 		l.takeBackAt = b.takeBackAt(now)
-		granted = append(granted, l.loan)
+		renewed = append(renewed, l.loan)
 	}
-	return append(granted, b.lend(now, r, idle)...)
+	return renewed
 }
 
-func (b *Book) lend(now clock.Millis, r Request, idle []Idle) []Loan {
-	total := datacentre.Slots(0)
-	for _, i := range idle {
-		total += max(0, i.Free)
+// Lend books what is lent on a request, and returns the loans. A copy of the request gets
+// nothing more.
+func (b *Book) Lend(now clock.Millis, r RequestID, offers []Offer) []Loan {
+	if b.booked(r) {
+		return nil
 	}
-	left := min(r.Wanted, (total+1)/2)
-	idle = slices.Clone(idle)
-	slices.SortFunc(idle, func(a, b Idle) int {
-		return cmp.Or(cmp.Compare(b.Free, a.Free), cmp.Compare(a.Endpoint.ID, b.Endpoint.ID))
-	})
 	var granted []Loan
-	for _, i := range idle {
-		slots := min(left, i.Free)
-		id := ID{Request: r.ID, Endpoint: i.Endpoint.ID}
-		if _, again := b.lent[id]; slots <= 0 || again {
-			continue
-		}
-		l := Loan{ID: id, Endpoint: i.Endpoint, Slots: slots}
+	for _, o := range offers {
+		id := ID{Request: r, Endpoint: o.Endpoint.ID}
+		l := Loan{ID: id, Endpoint: o.Endpoint, Slots: o.Slots}
 		b.lent[id] = &lent{loan: l, takeBackAt: b.takeBackAt(now)}
-		b.out[i.Endpoint.ID] += slots
-		left -= slots
+		b.out[o.Endpoint.ID] += o.Slots
 		granted = append(granted, l)
 	}
 	return granted
 }
 
+func (b *Book) booked(r RequestID) bool {
+	for id := range b.lent {
+		if id.Request == r {
+			return true
+		}
+	}
+	return false
+}
+
 // Returned takes slots back. Returns may arrive twice and in any order: a loan never
 // grows.
 func (b *Book) Returned(returns []Return) {
--- a/pkg/loan/borrowings.go
+++ b/pkg/loan/borrowings.go
@@ -6,6 +6,7 @@
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
@@ -55,15 +56,16 @@
 	return usable
 }
 
-// Total returns how many slots this VM has borrowed and may use.
-func (b *Borrowings) Total(now clock.Millis) datacentre.Slots {
-	total := datacentre.Slots(0)
-	for _, l := range b.loans {
-		if now < l.stopAt {
-			total += l.loan.Slots
+// Unreturned returns how many slots of an endpoint its lenders count as lent, as far as
+// this VM knows, from the lenders that are chosen.
+func (b *Borrowings) Unreturned(now clock.Millis, e datacentre.EndpointID, chosen func(vm.Incarnation) bool) datacentre.Slots {
+	slots := datacentre.Slots(0)
+	for id, l := range b.loans {
+		if id.Endpoint == e && now < l.forgetAt && chosen(l.lender) {
+			slots += l.told
 		}
 	}
-	return total
+	return slots
 }
 
 // Endpoints returns the endpoints of all loans that are not yet returned.
@@ -101,9 +103,9 @@
 }
 
 // NextRequest returns a request for a lender.
-func (b *Borrowings) NextRequest(now clock.Millis, lender vm.Incarnation, wanted datacentre.Slots) Request {
+func (b *Borrowings) NextRequest(now clock.Millis, lender vm.Incarnation, need dispatch.LoanNeed) Request {
 	b.last++
-	return Request{ID: RequestID{Borrower: b.self, Sequence: b.last}, Wanted: wanted, Keep: b.Renewable(now, lender)}
+	return Request{ID: RequestID{Borrower: b.self, Sequence: b.last}, Need: need, Keep: b.Renewable(now, lender)}
 }
 
 // Granted takes over the answer to a request that was made at a point in time. A renewal
--- a/pkg/loan/loan.go
+++ b/pkg/loan/loan.go
@@ -4,6 +4,7 @@
 import (
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
@@ -35,9 +36,16 @@
 
 // Request asks for slots and for the renewal of loans.
 type Request struct {
-	ID     RequestID
-	Wanted datacentre.Slots
-	Keep   []ID
+	ID   RequestID
+	Need dispatch.LoanNeed
+	Keep []ID
+}
+
+// Grant is the answer to a request.
+type Grant struct {
+	Loans []Loan
+	// Lendable counts the slots that the lender would still lend.
+	Lendable datacentre.Slots
 }
 
 // Return tells a lender how many slots of a loan are still held by running tasks. An
--- a/pkg/peer/loan_service.go
+++ b/pkg/peer/loan_service.go
@@ -20,13 +20,11 @@
 func (l *loanService) Request(request LoanRequest, reply *LoanReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), entry.HeartbeatTimeout.Duration())
 	defer cancel()
-	loans, err := l.handler.LendHere(ctx, decodeLoanRequest(request))
+	granted, err := l.handler.LendHere(ctx, decodeLoanRequest(request))
 	if err != nil {
 		return errors.Trace(err)
 	}
-	for _, granted := range loans {
-		reply.Loans = append(reply.Loans, encodeLoan(granted))
-	}
+	*reply = encodeGrant(granted)
 	return nil
 }
 
@@ -46,16 +44,12 @@
 }
 
 // RequestLoan asks a peer for slots.
-func (c *Client) RequestLoan(ctx context.Context, lender vm.VM, r loan.Request) ([]loan.Loan, error) {
+func (c *Client) RequestLoan(ctx context.Context, lender vm.VM, r loan.Request) (loan.Grant, error) {
 	var reply LoanReply
 	if err := c.call(ctx, lender, "Loan.Request", encodeLoanRequest(r), &reply); err != nil {
-		return nil, errors.Trace(err)
-	}
-	loans := make([]loan.Loan, len(reply.Loans))
-	for i, w := range reply.Loans {
-		loans[i] = decodeLoan(w)
+		return loan.Grant{}, errors.Trace(err)
 	}
-	return loans, nil
+	return decodeGrant(reply), nil
 }
 
 // ReturnLoans gives slots back to a peer.
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -28,7 +28,7 @@
 	RecordHere(ctx context.Context, issuer vm.Incarnation, batch contract.BatchNumber, records []contract.Record) ([]contract.RecordStatus, error)
 	HandOverHere(ctx context.Context, issuer vm.Incarnation, records []contract.Record, last bool) error
 	HeartbeatHere(ctx context.Context, h entry.Heartbeat) (vm.Incarnation, error)
-	LendHere(ctx context.Context, r loan.Request) ([]loan.Loan, error)
+	LendHere(ctx context.Context, r loan.Request) (loan.Grant, error)
 	TakeBackHere(ctx context.Context, borrower vm.Incarnation, returns []loan.Return) error
 }
 
--- a/pkg/peer/wire_loan.go
+++ b/pkg/peer/wire_loan.go
@@ -1,7 +1,9 @@
 package peer
 
 import (
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
 	"github.com/sequoiacart/sequoiacart/pkg/loan"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
@@ -28,12 +30,25 @@
 type LoanRequest struct {
 	Borrower string
 	Sequence uint64
-	Wanted   int
+	Need     WireLoanNeed
 	Keep     []WireLoanID
 }
 
-// LoanReply carries the loans granted.
-type LoanReply struct{ Loans []WireLoan }
+// WireLoanNeed is the need of a borrower on the wire.
+type WireLoanNeed struct {
+	Tasks        int
+	WaitMs       int64
+	UrgentTasks  int
+	UrgentWaitMs int64
+	Slots        int
+	Asked        int
+}
+
+// LoanReply carries the loans granted and what the lender has left to lend.
+type LoanReply struct {
+	Loans    []WireLoan
+	Lendable int
+}
 
 // WireReturn tells how many slots of a loan are still held.
 type WireReturn struct {
@@ -62,7 +77,7 @@
 }
 
 func encodeLoanRequest(r loan.Request) LoanRequest {
-	w := LoanRequest{Borrower: string(r.ID.Borrower), Sequence: uint64(r.ID.Sequence), Wanted: int(r.Wanted)}
+	w := LoanRequest{Borrower: string(r.ID.Borrower), Sequence: uint64(r.ID.Sequence), Need: encodeLoanNeed(r.Need)}
 	for _, id := range r.Keep {
 		w.Keep = append(w.Keep, encodeLoanID(id))
 	}
@@ -71,8 +86,8 @@
 
 func decodeLoanRequest(w LoanRequest) loan.Request {
 	r := loan.Request{
-		ID:     loan.RequestID{Borrower: vm.Incarnation(w.Borrower), Sequence: loan.Sequence(w.Sequence)},
-		Wanted: datacentre.Slots(w.Wanted),
+		ID:   loan.RequestID{Borrower: vm.Incarnation(w.Borrower), Sequence: loan.Sequence(w.Sequence)},
+		Need: decodeLoanNeed(w.Need),
 	}
 	for _, id := range w.Keep {
 		r.Keep = append(r.Keep, decodeLoanID(id))
@@ -80,6 +95,36 @@
 	return r
 }
 
+func encodeLoanNeed(n dispatch.LoanNeed) WireLoanNeed {
+	return WireLoanNeed{
+		Tasks: n.Tasks, WaitMs: int64(n.Wait), UrgentTasks: n.UrgentTasks, UrgentWaitMs: int64(n.UrgentWait),
+		Slots: int(n.Slots), Asked: n.Asked,
+	}
+}
+
+func decodeLoanNeed(w WireLoanNeed) dispatch.LoanNeed {
+	return dispatch.LoanNeed{
+		Tasks: w.Tasks, Wait: clock.Millis(w.WaitMs), UrgentTasks: w.UrgentTasks, UrgentWait: clock.Millis(w.UrgentWaitMs),
+		Slots: datacentre.Slots(w.Slots), Asked: w.Asked,
+	}
+}
+
+func encodeGrant(g loan.Grant) LoanReply {
+	w := LoanReply{Lendable: int(g.Lendable)}
+	for _, l := range g.Loans {
+		w.Loans = append(w.Loans, encodeLoan(l))
+	}
+	return w
+}
+
+func decodeGrant(w LoanReply) loan.Grant {
+	g := loan.Grant{Lendable: datacentre.Slots(w.Lendable)}
+	for _, l := range w.Loans {
+		g.Loans = append(g.Loans, decodeLoan(l))
+	}
+	return g
+}
+
 func encodeLoan(l loan.Loan) WireLoan {
 	return WireLoan{
 		ID:          encodeLoanID(l.ID),
