--- a/pkg/loan/memory_bench_test.go
+++ b/pkg/loan/memory_bench_test.go
@@ -14,16 +14,16 @@
 func BenchmarkBookMemory(b *testing.B) {
 	for _, loans := range []int{4, 40, 400} {
 		b.Run(fmt.Sprint("loans=", loans), func(b *testing.B) {
-			var idle []loan.Idle
+			var offers []loan.Offer
 			for i := range loans {
-				idle = append(idle, loan.Idle{Endpoint: datacentre.Endpoint{ID: datacentre.EndpointID(fmt.Sprint("playout", i))}, Free: 8})
+				offers = append(offers, loan.Offer{Endpoint: datacentre.Endpoint{ID: datacentre.EndpointID(fmt.Sprint("playout", i))}, Slots: 1})
 			}
 			var kept []*loan.Book
 			before := heapBytes()
 			for range b.N {
 				book := loan.NewBook(loan.BookConfig{TaskSpan: clock.Minute})
 				for n := range loans {
-					book.Grant(1, loan.Request{ID: loan.RequestID{Borrower: "sur11-0123456789ab", Sequence: loan.Sequence(n)}, Wanted: 1}, false, idle[n:n+1])
+					book.Lend(1, loan.RequestID{Borrower: "sur11-0123456789ab", Sequence: loan.Sequence(n)}, offers[n:n+1])
 				}
 				kept = append(kept, book)
 			}
--- a/pkg/peer/loan_bench_test.go
+++ b/pkg/peer/loan_bench_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
 	"github.com/sequoiacart/sequoiacart/pkg/loan"
 	"github.com/sequoiacart/sequoiacart/pkg/peer"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
@@ -19,8 +20,8 @@
 	loans []loan.Loan
 }
 
-func (h lendingHandler) LendHere(context.Context, loan.Request) ([]loan.Loan, error) {
-	return h.loans, nil
+func (h lendingHandler) LendHere(context.Context, loan.Request) (loan.Grant, error) {
+	return loan.Grant{Loans: h.loans, Lendable: 8}, nil
 }
 
 func (lendingHandler) TakeBackHere(context.Context, vm.Incarnation, []loan.Return) error { return nil }
@@ -60,7 +61,7 @@
 	defer c.Close()
 	lender := vm.VM{Incarnation: "sur12-0123456789ab", DataCentre: "sur", PeerAddress: "10.11.12.13:7001"}
 	exchange := func() {
-		if _, err := c.RequestLoan(context.Background(), lender, loan.Request{ID: request, Wanted: 8, Keep: keep}); err != nil {
+		if _, err := c.RequestLoan(context.Background(), lender, loan.Request{ID: request, Need: dispatch.LoanNeed{Tasks: 8, Wait: 500, Slots: 16, Asked: 1}, Keep: keep}); err != nil {
 			b.Fatal(err)
 		}
 		if err := c.ReturnLoans(context.Background(), lender, request.Borrower, returns); err != nil {
