Measure the data path over loopback

Cause: no run showed what a job through the daemon adds to a direct call.

Change: BenchmarkDataPath runs an issuer, its witness and 64 endpoints that answer at once in one process, and alternates blocks of 50 direct calls and 50 jobs. startDaemon is split, so that a benchmark can set the VM's size.

--- a/pkg/app/bundle_command_test.go
+++ b/pkg/app/bundle_command_test.go
@@ -70,10 +70,22 @@
 
 func startDaemon(t testing.TB, id vm.ID, platformAddress, pin string, seedPeers ...string) *Daemon {
 	t.Helper()
+	s := testSettings(id, platformAddress, pin)
+	s.SeedPeers = settings.Addresses(strings.Join(seedPeers, ","))
+	return startDaemonWith(t, s)
+}
+
+// testSettings listen on free ports.
+func testSettings(id vm.ID, platformAddress, pin string) settings.Settings {
 	s := settings.Default()
 	s.VM, s.DataCentre, s.PlatformAddress = id, "centro", platformAddress
 	s.CallerAddress, s.PeerAddress = "127.0.0.1:0", "127.0.0.1:0"
-	s.GovernanceDigest, s.SeedPeers = bundle.Digest(pin), settings.Addresses(strings.Join(seedPeers, ","))
+	s.GovernanceDigest = bundle.Digest(pin)
+	return s
+}
+
+func startDaemonWith(t testing.TB, s settings.Settings) *Daemon {
+	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	d, err := NewDaemon(DaemonDeps{Settings: s, Clock: clock.NewSystem(), Log: event.NewLog(logger)})
--- /dev/null
+++ b/pkg/app/data_path_bench_test.go
@@ -0,0 +1,219 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/endpoint"
+	"github.com/sequoiacart/sequoiacart/pkg/platform"
+	"github.com/sequoiacart/sequoiacart/pkg/standin"
+	"github.com/sequoiacart/sequoiacart/pkg/submit"
+)
+
+const (
+	pathEndpoints = 64
+	pathSlots     = 8
+	// pathIssuerSize makes the issuer the home of nearly all endpoints.
+	pathIssuerSize = 10000
+	// pathBlock is how many direct calls, and then jobs, make up one iteration.
+	pathBlock   = 50
+	pathPayload = `{"runMs":0}`
+)
+
+// BenchmarkDataPath measures jobs through an entry VM with a witness, against direct calls
+// of the endpoint in the same run, all over loopback in one process. An iteration is a
+// block of direct calls and one of jobs. Processor time and allocations are those of the
+// whole process, caller and endpoints included; a direct call costs direct-cpu-us of them.
+// The memory of answers (64 MiB) bounds the number of jobs: use a fixed -benchtime.
+func BenchmarkDataPath(b *testing.B) {
+	for _, tasks := range []int{1, 8, 64, 370} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) { benchmarkDataPath(b, 1, tasks) })
+	}
+	for _, tasks := range []int{1, 8} {
+		b.Run(fmt.Sprintf("callers=32/tasks=%d", tasks), func(b *testing.B) { benchmarkDataPath(b, 32, tasks) })
+	}
+}
+
+func benchmarkDataPath(b *testing.B, callers, tasks int) {
+	p := newDataPath(b, tasks)
+	p.block(callers, p.direct)
+	p.reserve()
+	p.block(callers, p.job)
+	var direct, jobs measured
+	for b.Loop() {
+		direct.add(p.block(callers, p.direct))
+		p.reserve()
+		jobs.add(p.block(callers, p.job))
+	}
+	starts := float64(len(jobs.spans) * tasks)
+	b.ReportMetric(direct.percentile(50), "direct-p50-us")
+	b.ReportMetric(direct.percentile(99), "direct-p99-us")
+	b.ReportMetric(jobs.percentile(50), "job-p50-us")
+	b.ReportMetric(jobs.percentile(99), "job-p99-us")
+	b.ReportMetric(jobs.percentile(50)-direct.percentile(50), "added-p50-us")
+	b.ReportMetric(micros(direct.processor)/float64(len(direct.spans)), "direct-cpu-us")
+	b.ReportMetric(micros(jobs.processor)/starts, "cpu-us/start")
+	b.ReportMetric(float64(jobs.allocations)/starts, "allocs/start")
+	b.ReportMetric(starts/jobs.elapsed.Seconds(), "starts/s")
+	b.ReportMetric(0, "ns/op")
+}
+
+// measured is what calls took together.
+type measured struct {
+	spans       []time.Duration
+	elapsed     time.Duration
+	processor   time.Duration
+	allocations uint64
+}
+
+func (m *measured) add(o measured) {
+	m.spans = append(m.spans, o.spans...)
+	m.elapsed += o.elapsed
+	m.processor += o.processor
+	m.allocations += o.allocations
+}
+
+func (m *measured) percentile(p int) float64 {
+	slices.Sort(m.spans)
+	return micros(m.spans[min(len(m.spans)-1, len(m.spans)*p/100)])
+}
+
+func micros(d time.Duration) float64 { return float64(d.Nanoseconds()) / 1000 }
+
+// dataPath is an issuer, its witness, and endpoints that answer at once.
+type dataPath struct {
+	b       *testing.B
+	caller  *submit.Client
+	http    *http.Client
+	address string
+	work    submit.Job
+	ids     []string
+}
+
+func newDataPath(b *testing.B, tasks int) *dataPath {
+	stand := standin.NewPlatform()
+	server := httptest.NewServer(stand.Handler())
+	b.Cleanup(server.Close)
+	p := &dataPath{b: b, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: pathBlock}}}
+	for i := range pathEndpoints {
+		e := httptest.NewServer(http.HandlerFunc(answerAtOnce))
+		b.Cleanup(e.Close)
+		p.address = e.URL
+		stand.SetVM(platform.ListedVM{Endpoint: datacentre.Endpoint{
+			ID: datacentre.EndpointID(fmt.Sprint("e", i)), DataCentre: "centro", Address: hostPort(e), Slots: pathSlots, Connections: 64,
+		}})
+	}
+	pin := publish(b, hostPort(server))
+	// Daemons stop in the reverse order: an issuer without its witness would drain in vain.
+	witness := startDaemonWith(b, testSettings("witness", hostPort(server), string(pin)))
+	s := testSettings("issuer", hostPort(server), string(pin))
+	s.Size = pathIssuerSize
+	issuer := startDaemonWith(b, s)
+	for !issuer.Ready() || !witness.Ready() {
+		time.Sleep(pollEvery)
+	}
+	p.caller = submit.NewClient(submit.ClientConfig{Addresses: []string{issuer.CallerAddress()}, Token: testToken, Wait: 10 * clock.Second})
+	for range tasks {
+		p.work.Payloads = append(p.work.Payloads, pathPayload)
+	}
+	p.work.Class = "urgent"
+	p.waitForWitness()
+	return p
+}
+
+// waitForWitness returns when new ids name the witness and a job runs.
+func (p *dataPath) waitForWitness() {
+	for p.reserve(); !strings.Contains(p.ids[0], ".witness-"); p.reserve() {
+		time.Sleep(pollEvery)
+	}
+	for {
+		p.reserve()
+		if reply, err := p.caller.Put(context.Background(), 0, p.ids[0], p.work); err == nil {
+			if _, ok := reply.(submit.Completed); ok {
+				return
+			}
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
+// reserve takes the ids of a block ahead, as callers with many jobs do.
+func (p *dataPath) reserve() {
+	ids, err := p.caller.Reserve(context.Background(), 0, pathBlock)
+	if err != nil {
+		p.b.Fatal(err)
+	}
+	p.ids = ids
+}
+
+func (p *dataPath) job(i int) {
+	reply, err := p.caller.Put(context.Background(), 0, p.ids[i], p.work)
+	if _, ok := reply.(submit.Completed); !ok {
+		p.b.Errorf("job %d: got %#v (%v), want completed; a refusal may need a shorter -benchtime", i, reply, err)
+	}
+}
+
+func (p *dataPath) direct(int) {
+	response, err := p.http.Post(p.address+"/run", "application/octet-stream", strings.NewReader(pathPayload))
+	if err != nil {
+		p.b.Error(err)
+		return
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+}
+
+func answerAtOnce(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set(endpoint.AttemptHeader, r.Header.Get(endpoint.AttemptHeader))
+	_, _ = w.Write(body)
+}
+
+// block makes calls from several callers at once.
+func (p *dataPath) block(callers int, call func(i int)) measured {
+	m := measured{spans: make([]time.Duration, pathBlock)}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	processor, began := processorTime(p.b), time.Now()
+	next := make(chan int, pathBlock)
+	for i := range pathBlock {
+		next <- i
+	}
+	close(next)
+	var g sync.WaitGroup
+	for range callers {
+		g.Go(func() {
+			for i := range next {
+				at := time.Now()
+				call(i)
+				m.spans[i] = time.Since(at)
+			}
+		})
+	}
+	g.Wait()
+	m.elapsed, m.processor = time.Since(began), processorTime(p.b)-processor
+	runtime.ReadMemStats(&after)
+	m.allocations = after.Mallocs - before.Mallocs
+	return m
+}
+
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/pkg/app/site_test.go
+++ b/pkg/app/site_test.go
@@ -87,7 +87,7 @@
 }
 
 // publish brings a first bundle into force and returns the digest to pin.
-func publish(t *testing.T, platformAddress string) bundle.Digest {
+func publish(t testing.TB, platformAddress string) bundle.Digest {
 	t.Helper()
 	client := platform.NewClient(platform.ClientConfig{Address: platformAddress, Timeout: 10 * clock.Second})
 	defer client.Close()
