Record the starts of a job together

Cause: each start of a job went to the witness as a record of its own, with id, owner and digest. At 64 tasks a job, encoding, parsing and keeping them made up a tenth of the allocations, and most of what the control goroutine and the witness did for a start.

Change: starts of one submission that follow each other in a batch share a StartRecord, which the wire and the witness already allowed. The record is made when the batch is, and outgoing keeps the position of its record. The bound on a batch still counts starts. The order of records is unchanged.

--- a/pkg/contract/ledger_entry.go
+++ b/pkg/contract/ledger_entry.go
@@ -99,6 +99,11 @@
 	return t.Index
 }
 
+// TaskCount returns the number of tasks of the submission, also after its end.
+func (e *LedgerEntry) TaskCount() int {
+	return e.taskCount
+}
+
 // NextAttempt numbers the next send of a task.
 func (e *LedgerEntry) NextAttempt(task TaskIndex) AttemptID {
 	e.tasks[task].attempts++
--- a/pkg/entry/control_fencing.go
+++ b/pkg/entry/control_fencing.go
@@ -18,7 +18,7 @@
 	o.calls.succeeded()
 	c.witnessForIDs = c.chooseWitness()
 	for _, out := range o.abandon() {
-		if _, ok := out.record.(contract.StartRecord); ok {
+		if out.final == nil {
 			c.requeue(now, out.start)
 		}
 	}
--- a/pkg/entry/control_records.go
+++ b/pkg/entry/control_records.go
@@ -65,7 +65,7 @@
 	if !ok || e.Batch != o.batch || len(o.underWay) == 0 {
 		return
 	}
-	if len(e.Statuses) != len(o.underWay) || slices.Contains(e.Statuses, contract.RecordStale) {
+	if len(e.Statuses) != o.records || slices.Contains(e.Statuses, contract.RecordStale) {
 		o.retry()
 		c.callFailed(now, o)
 		return
@@ -78,21 +78,20 @@
 		c.beginRelease(now, o)
 		return
 	}
-	for i, out := range o.answered() {
-		c.recordAnswered(now, out, e.Statuses[i])
+	for _, out := range o.answered() {
+		c.recordAnswered(now, out, e.Statuses[out.record])
 	}
 }
 
 func (c *Control) recordAnswered(now clock.Millis, out outgoing, status contract.RecordStatus) {
-	switch r := out.record.(type) {
-	case contract.StartRecord:
+	if out.final == nil {
 		c.startAnswered(now, out, status)
-	case contract.SettleRecord:
-		// A witness that has no place for the id, or calls it expired, never gives
-		// another answer for it.
-		out.entry.Settled = status == contract.RecordAccepted
-		c.conclude(out.entry, r.Answer)
+		return
 	}
+	// A witness that has no place for the id, or calls it expired, never gives another
+	// answer for it.
+	out.entry.Settled = status == contract.RecordAccepted
+	c.conclude(out.entry, out.final)
 }
 
 func (c *Control) startAnswered(now clock.Millis, out outgoing, status contract.RecordStatus) {
--- a/pkg/entry/control_shutdown.go
+++ b/pkg/entry/control_shutdown.go
@@ -41,7 +41,7 @@
 			continue
 		}
 		r := settleRecord(e, e.Final)
-		records, size = append(records, r), size+recordBytes(r)
+		records, size = append(records, r), size+recordBytes(e.Final)
 		h.underWay = append(h.underWay, e)
 	}
 	h.calling, h.last = true, last && len(o.owed) == 0
--- a/pkg/entry/control_submissions.go
+++ b/pkg/entry/control_submissions.go
@@ -253,18 +253,7 @@
 	case id.Witness == vm.None || entry.Recorded(task) || c.outbox(id.Witness).state == pairReleased:
 		c.send(entry, start, task)
 	default:
-		c.outbox(id.Witness).add(outgoing{
-			record: contract.StartRecord{
-				ID:        id,
-				Owner:     entry.Submission.Owner,
-				TaskCount: len(entry.Submission.Tasks),
-				Digest:    entry.Digest,
-				Tasks:     []contract.TaskIndex{task},
-			},
-			entry: entry,
-			start: start,
-			task:  task,
-		})
+		c.outbox(id.Witness).add(outgoing{entry: entry, start: start, task: task})
 	}
 }
 
@@ -295,7 +284,7 @@
 	}
 	switch o := c.outbox(entry.Submission.ID.Witness); o.state {
 	case pairOpen:
-		o.add(outgoing{record: settleRecord(entry, final), entry: entry})
+		o.add(outgoing{final: final, entry: entry})
 	case pairReleased:
 		c.conclude(entry, final)
 	case pairReleasing, pairFenced:
--- a/pkg/entry/outbox.go
+++ b/pkg/entry/outbox.go
@@ -36,7 +36,9 @@
 	state    pairState
 	waiting  []outgoing
 	underWay []outgoing
-	batch    contract.BatchNumber
+	// records counts the records of the batch under way.
+	records int
+	batch   contract.BatchNumber
 	calls    backoff
 	// failingSince is the time of the first of the failures in a row.
 	failingSince clock.Millis
@@ -49,13 +51,17 @@
 	handOver handOver
 }
 
-// outgoing is a record and what it holds up: a start, or the end of the submission.
+// outgoing is what a record holds up: a start, or the end of the submission.
 type outgoing struct {
-	record contract.Record
-	entry  *contract.LedgerEntry
-	start  dispatch.Start
-	task   contract.TaskIndex
-	sent   bool
+	// final is the answer to settle; nil stands for a start.
+	final contract.Answer
+	entry *contract.LedgerEntry
+	start dispatch.Start
+	task  contract.TaskIndex
+	sent  bool
+	// record is the position in the batch under way. Starts of one submission that
+	// follow each other share a record.
+	record int
 }
 
 func newOutbox(witness vm.Incarnation) *outbox {
@@ -74,7 +80,7 @@
 	}
 	size, taken := 0, 0
 	for _, out := range o.waiting {
-		if len(batch) == maxBatch || size > maxBatchBytes {
+		if len(o.underWay) == maxBatch || size > maxBatchBytes {
 			break
 		}
 		taken++
@@ -83,21 +89,42 @@
 			continue
 		}
 		out.sent, out.entry.RecordSent = true, true
+		batch, size = o.appendRecord(batch, out), size+recordBytes(out.final)
+		out.record = len(batch) - 1
 		o.underWay = append(o.underWay, out)
-		batch = append(batch, out.record)
-		size += recordBytes(out.record)
 	}
 	o.waiting = slices.Delete(o.waiting, 0, taken)
+	o.records = len(batch)
 	if len(batch) > 0 {
 		o.batch++
 	}
 	return batch, dropped
 }
 
+// appendRecord adds a start to the record before, where that is one of starts of the same
+// submission; a job of many tasks then costs the witness one record for each batch.
+func (o *outbox) appendRecord(batch []contract.Record, out outgoing) []contract.Record {
+	if out.final != nil {
+		return append(batch, settleRecord(out.entry, out.final))
+	}
+	if n := len(o.underWay); n > 0 && o.underWay[n-1].final == nil && o.underWay[n-1].entry == out.entry {
+		last := batch[len(batch)-1].(contract.StartRecord)
+		last.Tasks = append(last.Tasks, out.task)
+		batch[len(batch)-1] = last
+		return batch
+	}
+	return append(batch, contract.StartRecord{
+		ID:        out.entry.Submission.ID,
+		Owner:     out.entry.Submission.Owner,
+		TaskCount: out.entry.TaskCount(),
+		Digest:    out.entry.Digest,
+		Tasks:     []contract.TaskIndex{out.task},
+	})
+}
+
 // void reports whether a start is no longer wanted and the witness cannot know of it.
 func (o outgoing) void() bool {
-	_, start := o.record.(contract.StartRecord)
-	return start && !o.sent && (o.entry.Cancelled || o.entry.Final != nil)
+	return o.final == nil && !o.sent && (o.entry.Cancelled || o.entry.Final != nil)
 }
 
 // answered takes the batch that was under way.
@@ -134,14 +161,11 @@
 	return entries
 }
 
-func recordBytes(r contract.Record) int {
+// recordBytes estimates the size of a record on the wire; a start has no answer.
+func recordBytes(final contract.Answer) int {
 	const overhead = 200
-	settled, ok := r.(contract.SettleRecord)
-	if !ok {
-		return overhead
-	}
 	n := overhead
-	if c, ok := settled.Answer.(contract.Complete); ok {
+	if c, ok := final.(contract.Complete); ok {
 		for _, result := range c.Results {
 			n += len(result)
 		}
