Send attempts through the transport itself

Cause: http.Client copies the headers of every request in order to follow redirects, which the endpoint client never does, and the text of the attempt id was made twice for each attempt.

Change: Client.Run calls the transport's RoundTrip, which follows nothing; the tests of redirects stay as they were. The id's text is made once.

--- a/pkg/endpoint/client.go
+++ b/pkg/endpoint/client.go
@@ -52,7 +52,9 @@
 // Client sends tasks to endpoints.
 type Client struct {
 	config ClientConfig
-	http   *http.Client
+	// http is a bare transport: an http.Client would copy the headers of each request to
+	// follow redirects, which would send the task a second time.
+	http *http.Transport
 }
 
 // NewClient returns a client with its own connections.
@@ -80,23 +82,17 @@
 		// counts as one that may have run.
 		IdleConnTimeout: loan.Term.Duration(),
 	}
-	return &Client{config: c, http: &http.Client{Transport: transport, CheckRedirect: refuseRedirect}}
-}
-
-// refuseRedirect hands the redirect back as the answer: following it would send the
-// task a second time.
-func refuseRedirect(*http.Request, []*http.Request) error {
-	return http.ErrUseLastResponse
+	return &Client{config: c, http: transport}
 }
 
 // Run sends one attempt and tells how it ended. It never sends an attempt twice.
 func (c *Client) Run(ctx context.Context, to datacentre.Endpoint, attempt contract.AttemptID, payload []byte, deadline clock.Millis) contract.AttemptResult {
-	g := &guard{}
-	request, err := c.request(httptrace.WithClientTrace(ctx, g.trace()), to, attempt, payload, deadline)
+	g, id := &guard{}, attempt.String()
+	request, err := c.request(httptrace.WithClientTrace(ctx, g.trace()), to, id, payload, deadline)
 	if err != nil {
 		return contract.NotStarted{Cause: contract.EndpointUnreachable}
 	}
-	response, err := c.http.Do(request)
+	response, err := c.http.RoundTrip(request)
 	if err != nil {
 		if g.proveUnsent() {
 			return contract.NotStarted{Cause: contract.EndpointUnreachable}
@@ -104,14 +100,14 @@
 		return c.unusable(to, failureOf(ctx, metrics.Broken), err.Error())
 	}
 	defer func() { _ = response.Body.Close() }()
-	result := c.read(to, attempt, response)
+	result := c.read(ctx, to, id, response)
 	if _, ok := result.(contract.Ambiguous); ok {
 		g.drop()
 	}
 	return result
 }
 
-func (c *Client) request(ctx context.Context, to datacentre.Endpoint, attempt contract.AttemptID, payload []byte, deadline clock.Millis) (*http.Request, error) {
+func (c *Client) request(ctx context.Context, to datacentre.Endpoint, id string, payload []byte, deadline clock.Millis) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.Address+"/run", bytes.NewReader(payload))
 	if err != nil {
 		return nil, errors.Annotatef(err, "make request for endpoint %s", to.ID)
@@ -119,19 +115,19 @@
 	// http.NewRequest sets GetBody, with which the transport would send the request
 	// again on a broken idle connection.
 	request.GetBody = nil
-	request.Header.Set(AttemptHeader, attempt.String())
+	request.Header.Set(AttemptHeader, id)
 	request.Header.Set(DeadlineHeader, strconv.FormatInt(int64(deadline), 10))
 	trace.Inject(ctx, request.Header)
 	return request, nil
 }
 
-func (c *Client) read(to datacentre.Endpoint, attempt contract.AttemptID, response *http.Response) contract.AttemptResult {
-	if response.Header.Get(AttemptHeader) != attempt.String() {
+func (c *Client) read(ctx context.Context, to datacentre.Endpoint, id string, response *http.Response) contract.AttemptResult {
+	if response.Header.Get(AttemptHeader) != id {
 		return c.unusable(to, metrics.Misrouted, "it belongs to another attempt")
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, c.config.ResultBytes+1))
 	if err != nil {
-		return c.unusable(to, failureOf(response.Request.Context(), metrics.Truncated), err.Error())
+		return c.unusable(to, failureOf(ctx, metrics.Truncated), err.Error())
 	}
 	if int64(len(body)) > c.config.ResultBytes {
 		return c.unusable(to, metrics.TooLarge, "it is too large")
--- a/pkg/entry/outbox.go
+++ b/pkg/entry/outbox.go
@@ -39,7 +39,7 @@
 	// records counts the records of the batch under way.
 	records int
 	batch   contract.BatchNumber
-	calls    backoff
+	calls   backoff
 	// failingSince is the time of the first of the failures in a row.
 	failingSince clock.Millis
 	rowAsked     bool
