Handle absent traceparents without a carrier

Cause: every hop built a map and ran the propagator also where no trace is under way, which is the case without an exporter and without a caller's traceparent.

Change: WithParent and ParentOf return at once.

--- a/pkg/trace/propagation.go
+++ b/pkg/trace/propagation.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"go.opentelemetry.io/otel/propagation"
+	oteltrace "go.opentelemetry.io/otel/trace"
 
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 )
@@ -13,6 +14,9 @@
 
 // ParentOf returns the W3C traceparent of the span in the context; empty without one.
 func ParentOf(ctx context.Context) contract.TraceParent {
+	if !oteltrace.SpanContextFromContext(ctx).IsValid() {
+		return ""
+	}
 	carrier := propagation.MapCarrier{}
 	propagation.TraceContext{}.Inject(ctx, carrier)
 	return contract.TraceParent(carrier.Get(parentHeader))
@@ -21,6 +25,9 @@
 // WithParent returns a context whose next span joins the trace. A malformed traceparent
 // is ignored, as W3C Trace Context wants it.
 func WithParent(ctx context.Context, p contract.TraceParent) context.Context {
+	if p == "" {
+		return ctx
+	}
 	return propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier{parentHeader: string(p)})
 }
 
