Test that a refusal during the drain is repeated word for word (failing)

Seen: TestShutdown/work_in_flight and /witness_cut_off fail with 'refusal during the drain asked again'.

--- a/pkg/entry/steps_test.go
+++ b/pkg/entry/steps_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -269,7 +270,8 @@
 			done := false
 			a.ask(func(id WaiterID) Event { return ShutdownBegun{Waiter: id} }, func(Reply) { done = true })
 			tc.fault(w, a, b)
-			if refused := w.submit(c, job(late, 1)); settle(w, refused) != "contract.Refused" && tc.done {
+			refused := w.submit(c, job(late, 1))
+			if settle(w, refused) != "contract.Refused" && tc.done {
 				t.Errorf("answer during the drain: got %v, want a refusal", *refused)
 			}
 			w.advance(20 * clock.Second)
@@ -279,6 +281,12 @@
 			a.crashed = true
 			w.ask(c, id)
 			w.ask(c, late)
+			w.advance(5 * clock.Second)
+			again := w.ask(c, late)
+			settle(w, again)
+			if got, want := fmt.Sprint(*again), fmt.Sprint(*refused); tc.done && got != want {
+				t.Errorf("refusal during the drain asked again: got %s, want %s", got, want)
+			}
 			if got := settle(w, w.ask(c, id)); tc.done && got != tc.want {
 				t.Errorf("answer: got %s, want %s", got, tc.want)
 			}
