Hand over the refusals of the drain to the witness

Cause: a submission refused during the drain has no record at the witness, which then refused it in its own words, so that asking again gave another answer. Change: the witness hears of such refusals with the hand-over; once the last part is under way, this VM answers 'cannot tell yet' for new submissions and the router asks the witness. Conclusion: refusals given before the drain, or by a VM that crashes, are refusals again, but in the witness's words.

--- a/pkg/entry/control_shutdown.go
+++ b/pkg/entry/control_shutdown.go
@@ -48,6 +48,25 @@
 	c.do(SendHandOver{Witness: witness, Records: records, Last: h.last})
 }
 
+// oweRefusal lets the witness hear of a refusal during the drain, so that it gives the
+// same answer once this VM is gone.
+func (c *Control) oweRefusal(id contract.SubmissionID) {
+	if !c.draining || id.Witness == vm.None {
+		return
+	}
+	if entry, ok := c.ledger.Find(id); ok {
+		o := c.outbox(id.Witness)
+		o.owed = append(o.owed, entry)
+	}
+}
+
+// handedOver reports whether the last part went out to the witness. From then on only
+// the witness answers for new submissions of its ids.
+func (c *Control) handedOver(witness vm.Incarnation) bool {
+	o, ok := c.outboxes[witness]
+	return ok && (o.handOver.done || o.handOver.calling && o.handOver.last)
+}
+
 func (c *Control) handOverAnswered(now clock.Millis, e HandOverAnswered) {
 	o, ok := c.outboxes[e.Witness]
 	if !ok || !o.handOver.calling {
--- a/pkg/entry/control_submissions.go
+++ b/pkg/entry/control_submissions.go
@@ -26,6 +26,10 @@
 		c.answer(e.Waiter, contract.Expired{})
 		return
 	}
+	if c.handedOver(s.ID.Witness) {
+		c.answer(e.Waiter, answeredByWitness())
+		return
+	}
 	if refusal, ok := c.admit(s); !ok {
 		c.refuse(now, e.Waiter, s, refusal)
 		return
@@ -47,6 +51,7 @@
 		c.answer(w, contract.CannotTellYet{Reason: r.Reason, RetryAfter: unavailableRetry})
 		return
 	}
+	c.oweRefusal(s.ID)
 	c.answer(w, r)
 }
 
