Split the daemon into its making, wiring and running

Change: daemon_wiring.go has a function for each part, daemon_run.go the run group and the shutdown; no change of behaviour. Result: the tests of pkg/app pass.

--- /dev/null
+++ b/pkg/app/daemon_run.go
@@ -0,0 +1,110 @@
+package app
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"net/http"
+	"sync"
+
+	"github.com/juju/errors"
+	"github.com/oklog/run"
+	"github.com/sirupsen/logrus"
+
+	"github.com/sequoiacart/sequoiacart/pkg/event"
+)
+
+// Run serves until the context ends.
+func (d *Daemon) Run(ctx context.Context) error {
+	var g run.Group
+	// One limit holds for the drain and the requests in flight after it.
+	stopping := sync.OnceValues(func() (context.Context, context.CancelFunc) {
+		return context.WithTimeout(context.Background(), d.deps.Settings.Timeouts.Shutdown.Duration())
+	})
+	addContext(ctx, &g, func(run context.Context) error {
+		<-run.Done()
+		// Only a shutdown that was asked for drains; after a failed part there may be
+		// nobody to drain.
+		if ctx.Err() != nil && d.killed.Err() == nil {
+			limit, _ := stopping()
+			d.drain(limit)
+		}
+		return nil
+	})
+	// The group stops its parts in this order: control outlives the listeners, whose
+	// requests wait for its replies.
+	g.Add(d.callers.Serve, func(error) {
+		if d.killed.Err() != nil {
+			d.callers.Close()
+			return
+		}
+		limit, cancel := stopping()
+		defer cancel()
+		_ = d.callers.Shutdown(limit)
+	})
+	g.Add(d.peers.Serve, func(error) {
+		d.peers.Close()
+		d.client.Close()
+		d.heartbeats.Close()
+	})
+	addContext(context.Background(), &g, d.poller.Run)
+	addContext(context.Background(), &g, d.runReplica)
+	addContext(d.killed, &g, d.loop.Run)
+	d.deps.Log.Info(event.DaemonStarted, "daemon started", logrus.Fields{
+		"incarnation": d.self.Incarnation, "dataCentre": d.self.DataCentre,
+		"callerAddress": d.address, "peerAddress": d.peerAddress, "advertisedPeerAddress": d.self.PeerAddress,
+	})
+	err := g.Run()
+	d.flushSpans()
+	d.deps.Log.Info(event.DaemonStopped, "daemon stopped", logrus.Fields{"incarnation": d.self.Incarnation})
+	if err == nil || errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	d.deps.Log.Warn(event.ListenersFailed, "serving ended with an error", logrus.Fields{"error": err})
+	return err
+}
+
+// drain ends the work in flight and hands it over, while the listeners still serve.
+func (d *Daemon) drain(limit context.Context) {
+	if err := d.router.Drain(limit); err != nil {
+		d.deps.Log.Warn(event.DrainFailed, "drain", logrus.Fields{"error": err})
+	}
+}
+
+// flushSpans gives the exporter a last chance, so that a collector that hangs cannot hold
+// up the exit for longer than a peer could.
+func (d *Daemon) flushSpans() {
+	ctx, cancel := context.WithTimeout(context.Background(), d.deps.Settings.Timeouts.Peer.Duration())
+	defer cancel()
+	_ = d.tracer.Shutdown(ctx)
+}
+
+// runReplica withdraws the report of this VM at graceful shutdown.
+func (d *Daemon) runReplica(ctx context.Context) error {
+	defer d.bundles.Close()
+	err := d.replica.Run(ctx)
+	if d.killed.Err() != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.deps.Settings.Timeouts.Peer.Duration())
+	defer cancel()
+	// A report that stays says no more than that the VM is out of reach.
+	_ = d.replica.Withdraw(ctx)
+	return err
+}
+
+// addContext adds an actor that ends when the group cancels its context.
+func addContext(parent context.Context, g *run.Group, actor func(context.Context) error) {
+	ctx, cancel := context.WithCancel(parent)
+	g.Add(func() error { return actor(ctx) }, func(error) { cancel() })
+}
+
+func randomSeed() uint64 {
+	return binary.LittleEndian.Uint64(randomBytes(seedBytes))
+}
+
+func randomBytes(n int) []byte {
+	b := make([]byte, n)
+	_, _ = crand.Read(b)
+	return b
+}
--- /dev/null
+++ b/pkg/app/daemon_wiring.go
@@ -0,0 +1,198 @@
+package app
+
+import (
+	"math/rand/v2"
+	"net"
+	"os"
+
+	"github.com/juju/errors"
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/sequoiacart/sequoiacart/pkg/bundlestore"
+	"github.com/sequoiacart/sequoiacart/pkg/caller"
+	"github.com/sequoiacart/sequoiacart/pkg/dispatch"
+	"github.com/sequoiacart/sequoiacart/pkg/endpoint"
+	"github.com/sequoiacart/sequoiacart/pkg/entry"
+	"github.com/sequoiacart/sequoiacart/pkg/event"
+	"github.com/sequoiacart/sequoiacart/pkg/metrics"
+	"github.com/sequoiacart/sequoiacart/pkg/peer"
+	"github.com/sequoiacart/sequoiacart/pkg/platform"
+	"github.com/sequoiacart/sequoiacart/pkg/replica"
+	"github.com/sequoiacart/sequoiacart/pkg/settings"
+	"github.com/sequoiacart/sequoiacart/pkg/trace"
+)
+
+// wirePeerClients makes the clients for other entry VMs. Heartbeats have connections of
+// their own, so that a large message does not hold them up.
+func (d *Daemon) wirePeerClients() {
+	d.client = d.newPeerClient()
+	d.heartbeats = d.newPeerClient()
+}
+
+// newPeerClient returns a client with connections of its own.
+func (d *Daemon) newPeerClient() *peer.Client {
+	return peer.NewClient(peer.ClientConfig{
+		Dialer:  &net.Dialer{Timeout: d.deps.Settings.Timeouts.Dial.Duration()},
+		TLS:     d.clientTLS(),
+		Tracer:  d.tracer,
+		Metrics: d.metrics,
+	})
+}
+
+// wireObservation makes what the other parts report to.
+func (d *Daemon) wireObservation() error {
+	if d.deps.Registry == nil {
+		d.deps.Registry = gometrics.NewRegistry()
+	}
+	d.metrics = metrics.New(d.deps.Registry)
+	var err error
+	d.tracer, err = trace.New(trace.Config{Exporter: exporterOf(d.deps.Settings.Trace), Self: d.self.Incarnation})
+	return errors.Trace(err)
+}
+
+func exporterOf(s settings.Trace) trace.Exporter {
+	switch s.Exporter {
+	case settings.TraceStdout:
+		return trace.Stdout{Writer: os.Stdout}
+	case settings.TraceOTLPHTTP:
+		return trace.OTLP{Address: s.Address}
+	default:
+		return trace.None{}
+	}
+}
+
+// wireControl makes the control state machine, the goroutine that runs it, and the traffic
+// that serves it.
+func (d *Daemon) wireControl() {
+	s := d.deps.Settings
+	client := platform.NewClient(platform.ClientConfig{Address: s.PlatformAddress, Timeout: s.Timeouts.Platform})
+	rows := newRosterRows(client.Table(), d.deps.Clock, d.self)
+	traffic := d.newTraffic(client, rows)
+	d.loop = entry.NewLoop(entry.LoopConfig{
+		Control:   d.newControl(),
+		Clock:     d.deps.Clock,
+		Executor:  traffic,
+		Mailbox:   s.Limits.Mailbox,
+		TickEvery: s.Timeouts.Tick,
+	})
+	traffic.Attach(d.loop)
+	d.router = entry.NewRouter(entry.RouterConfig{
+		Self:        d.self.Incarnation,
+		Loop:        d.loop,
+		Peers:       d.client,
+		PeerTimeout: s.Timeouts.Peer,
+	})
+	d.poller = newPoller(pollerDeps{
+		Self:   d.self,
+		Client: client,
+		Clock:  d.deps.Clock,
+		Log:    d.deps.Log,
+		Every:  s.Timeouts.Poll,
+		Loop:   d.loop,
+		Rows:   rows,
+	})
+}
+
+func (d *Daemon) newControl() *entry.Control {
+	s := d.deps.Settings
+	return entry.NewControl(entry.ControlConfig{
+		DataCentre:     s.DataCentre,
+		Self:           d.self.Incarnation,
+		VM:             d.self,
+		Now:            d.deps.Clock.Now(),
+		Key:            randomBytes(keyBytes),
+		Limits:         s.Limits.Remembered,
+		Dispatch:       dispatch.Config{QueuedTasks: s.Limits.QueuedTasks, Seed: randomSeed()},
+		AttemptTimeout: s.Timeouts.Attempt,
+	})
+}
+
+func (d *Daemon) newTraffic(client *platform.Client, rows *rosterRows) *entry.Traffic {
+	s := d.deps.Settings
+	endpoints := endpoint.NewClient(endpoint.ClientConfig{
+		Connections: s.Limits.EndpointConnections,
+		ResultBytes: s.Limits.ResultBytes,
+		DialTimeout: s.Timeouts.Dial,
+		Metrics:     d.metrics,
+		Log:         d.deps.Log,
+	})
+	return entry.NewTraffic(entry.TrafficConfig{
+		Self:            d.self.Incarnation,
+		Endpoints:       endpoints,
+		Witnesses:       d.client,
+		Roster:          d.heartbeats,
+		Rows:            rows,
+		Loans:           d.client,
+		Peers:           func(p entry.Snapshot) { d.router.SetPeers(p) },
+		Table:           client.Table(),
+		PeerTimeout:     s.Timeouts.Peer,
+		PlatformTimeout: s.Timeouts.Platform,
+		Clock:           d.deps.Clock,
+		Tracer:          d.tracer,
+		Metrics:         d.metrics,
+		Publish:         d.bundle.Store,
+	})
+}
+
+// wireReplica makes this VM's copy of the bundle. It has a platform client of its own, so
+// that a VM that loads its first bundle does not use up the rate of the other calls.
+func (d *Daemon) wireReplica() {
+	s := d.deps.Settings
+	d.bundles = platform.NewClient(platform.ClientConfig{Address: s.PlatformAddress, Timeout: s.Timeouts.Platform, Clock: d.deps.Clock})
+	d.replica = replica.New(replica.Deps{
+		Self:            d.self,
+		Pin:             s.GovernanceDigest,
+		Store:           bundlestore.New(d.bundles.Table(), d.bundles.Objects()),
+		Peers:           d.client,
+		Control:         d.router,
+		Known:           d.knownPeers,
+		Clock:           d.deps.Clock,
+		Log:             d.deps.Log,
+		Every:           s.Timeouts.Poll,
+		PeerTimeout:     s.Timeouts.Peer,
+		PlatformTimeout: s.Timeouts.Platform,
+		Random:          rand.New(rand.NewPCG(randomSeed(), randomSeed())),
+	})
+}
+
+// newCallerServer returns the server for callers, within the limits of the settings.
+func (d *Daemon) newCallerServer(listener net.Listener) *caller.Server {
+	s := d.deps.Settings
+	return caller.NewServer(caller.Config{
+		Listener:  listener,
+		Service:   d.router,
+		Owners:    d,
+		Readiness: d,
+		Metrics:   d.metrics,
+		Tracer:    d.tracer,
+		Log:       d.deps.Log,
+		Limits: caller.Limits{
+			BodyBytes:   s.Limits.BodyBytes,
+			BodiesBytes: s.Limits.BodiesBytes,
+			AnswerBytes: s.Limits.AnswerBytes,
+			TasksPerJob: s.Limits.TasksPerJob,
+			IDs:         s.Limits.ReservedIDs,
+			Connections: s.Limits.CallerConnections,
+			Wait:        s.Timeouts.MaxWait,
+			Deadline:    s.Timeouts.MaxDeadline,
+			Idle:        s.Timeouts.CallerIdle,
+		},
+	})
+}
+
+// newPeerServer returns the server for other entry VMs.
+func (d *Daemon) newPeerServer(listener net.Listener) (*peer.Server, error) {
+	return peer.NewServer(peer.ServerConfig{
+		Listener:  listener,
+		Handler:   d.router,
+		Bundles:   d.replica,
+		Tracer:    d.tracer,
+		Handshake: d.deps.Settings.Timeouts.Handshake,
+		TLS:       d.serverTLS(),
+		Refused: func(from net.Addr, err error) {
+			host, _, _ := net.SplitHostPort(from.String())
+			d.deps.Log.Warn(event.PeerRefused, "peer refused", logrus.Fields{"peer": host, "error": err})
+		},
+	})
+}
