--- /dev/null
+++ b/pkg/accounting/data_centres.go
@@ -0,0 +1,120 @@
+package accounting
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/owner"
+)
+
+const (
+	// passedOnSlack is how much newer figures must be that a peer passes on. The time under
+	// way makes the figures at hand look newer when they come back, by up to the deadline
+	// of a heartbeat.
+	passedOnSlack = clock.Second
+	// maxDataCentres bounds the data centres, since their names come from peers.
+	maxDataCentres = 64
+)
+
+// DataCentres keeps the latest figures of the other data centres. Those of a data centre that is
+// out of reach stay and grow old.
+type DataCentres struct {
+	dataCentres map[datacentre.ID]map[owner.ID]dataCentreFigures
+}
+
+type dataCentreFigures struct {
+	figures
+	// direct says that a VM of the data centre itself told them.
+	direct bool
+}
+
+// NewDataCentres returns data centres without figures.
+func NewDataCentres() *DataCentres {
+	return &DataCentres{dataCentres: make(map[datacentre.ID]map[owner.ID]dataCentreFigures)}
+}
+
+// Told takes figures of another data centre, from one of its VMs or passed on by a peer.
+// What is older than the figures at hand changes nothing.
+func (z *DataCentres) Told(now clock.Millis, u DataCentreUsage, direct bool) {
+	known, ok := z.dataCentres[u.DataCentre]
+	if !ok {
+		if len(z.dataCentres) >= maxDataCentres {
+			return
+		}
+		known = make(map[owner.ID]dataCentreFigures)
+		z.dataCentres[u.DataCentre] = known
+	}
+	at := now - u.Age
+	slack := passedOnSlack
+	if direct {
+		slack = 0
+	}
+	if held, ok := known[u.Usage.Owner]; ok && at <= held.at+slack {
+		return
+	}
+	known[u.Usage.Owner] = dataCentreFigures{figures: figures{usage: u.Usage, at: at}, direct: direct}
+}
+
+// Keep drops the figures of owners that are no longer known.
+func (z *DataCentres) Keep(known func(owner.ID) bool) {
+	for _, owners := range z.dataCentres {
+		maps.DeleteFunc(owners, func(o owner.ID, _ dataCentreFigures) bool { return !known(o) })
+	}
+}
+
+// Direct returns the figures that VMs of the other data centres told this VM itself and
+// nobody has newer ones of, in a fixed order.
+func (z *DataCentres) Direct(now clock.Millis) []DataCentreUsage {
+	var rows []DataCentreUsage
+	for dc, owners := range z.dataCentres {
+		for _, f := range owners {
+			if f.direct {
+				rows = append(rows, DataCentreUsage{DataCentre: dc, Usage: f.usage, Age: now - f.at})
+			}
+		}
+	}
+	slices.SortFunc(rows, func(a, b DataCentreUsage) int {
+		return cmp.Or(cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.Usage.Owner, b.Usage.Owner))
+	})
+	return rows
+}
+
+// AddTo adds the data centres to the report of one of them, and their figures to the sums
+// of the owners.
+func (z *DataCentres) AddTo(r *Report, now clock.Millis, self datacentre.ID) {
+	r.DataCentres = []DataCentreReport{ownDataCentre(r, self)}
+	for dc, known := range z.dataCentres {
+		if dc != self {
+			r.DataCentres = append(r.DataCentres, addDataCentre(r, now, dc, known))
+		}
+	}
+	slices.SortFunc(r.DataCentres, func(a, b DataCentreReport) int { return cmp.Compare(a.DataCentre, b.DataCentre) })
+}
+
+func ownDataCentre(r *Report, self datacentre.ID) DataCentreReport {
+	own := DataCentreReport{DataCentre: self}
+	for _, o := range r.Owners {
+		own.Usage = append(own.Usage, o.Usage)
+	}
+	for _, v := range r.VMs {
+		own.Age = max(own.Age, v.Age)
+	}
+	return own
+}
+
+func addDataCentre(r *Report, now clock.Millis, dc datacentre.ID, known map[owner.ID]dataCentreFigures) DataCentreReport {
+	dataCentre := DataCentreReport{DataCentre: dc}
+	for i, o := range r.Owners {
+		f, ok := known[o.Owner]
+		if !ok {
+			continue
+		}
+		dataCentre.Usage = append(dataCentre.Usage, f.usage)
+		dataCentre.Age = max(dataCentre.Age, now-f.at)
+		r.Owners[i].Usage = add(o.Usage, f.usage)
+	}
+	return dataCentre
+}
--- a/pkg/accounting/zones_test.go
+++ b/pkg/accounting/data_centres_test.go
@@ -10,7 +10,7 @@
 
 // Guards against older figures in place of newer ones, and against two delegates that take
 // each other's copies for news, so that none of them passes its own on any more.
-func TestZonesKeepTheNewest(t *testing.T) {
+func TestDataCentresKeepTheNewest(t *testing.T) {
 	for name, tt := range map[string]struct {
 		age, figuresAge clock.Millis
 		direct          bool
@@ -22,12 +22,12 @@
 		"newer by the time under way":         {4001, 5000, false, 1, 1},
 		"newer, passed on":                    {3999, 3999, false, 2, 0},
 	} {
-		z := NewZones()
-		z.Told(10000, ZoneUsage{DataCentre: "sur", Age: 5000, Usage: dispatch.OwnerUsage{Owner: "ads", Started: 1}}, true)
-		z.Told(10000, ZoneUsage{DataCentre: "sur", Age: tt.age, Usage: dispatch.OwnerUsage{Owner: "ads", Started: 2}}, tt.direct)
+		z := NewDataCentres()
+		z.Told(10000, DataCentreUsage{DataCentre: "sur", Age: 5000, Usage: dispatch.OwnerUsage{Owner: "ads", Started: 1}}, true)
+		z.Told(10000, DataCentreUsage{DataCentre: "sur", Age: tt.age, Usage: dispatch.OwnerUsage{Owner: "ads", Started: 2}}, tt.direct)
 		r := Report{Owners: []OwnerReport{{Owner: "ads"}}}
 		z.AddTo(&r, 10000, "centro")
-		if sur, rows := r.Zones[1], len(z.Direct(10000)); sur.Usage[0].Started != tt.want || sur.Age != tt.figuresAge || rows != tt.passedOn {
+		if sur, rows := r.DataCentres[1], len(z.Direct(10000)); sur.Usage[0].Started != tt.want || sur.Age != tt.figuresAge || rows != tt.passedOn {
 			t.Errorf("%s: got %+v with %d rows to pass on, want %d started, %d ms old, and %d rows", name, sur, rows, tt.want, tt.figuresAge, tt.passedOn)
 		}
 	}
--- a/pkg/accounting/ledger.go
+++ b/pkg/accounting/ledger.go
@@ -82,12 +82,12 @@
 
 // Sum adds up the figures of an owner at some VMs. It is not complete when one of them has
 // not told any.
-func (l *Ledger) Sum(now clock.Millis, o owner.ID, vms []vm.Incarnation) (sum ZoneUsage, complete bool) {
+func (l *Ledger) Sum(now clock.Millis, o owner.ID, vms []vm.Incarnation) (sum DataCentreUsage, complete bool) {
 	sum.Usage.Owner = o
 	for _, i := range vms {
 		f, ok := l.vms[i][o]
 		if !ok {
-			return ZoneUsage{}, false
+			return DataCentreUsage{}, false
 		}
 		sum.Usage = add(sum.Usage, f.usage)
 		sum.Age = max(sum.Age, now-f.at)
--- a/pkg/accounting/report.go
+++ b/pkg/accounting/report.go
@@ -18,14 +18,14 @@
 	SignOffs []bundle.SignedVersion
 	// Owners sums up the owners over the data centres.
 	Owners []OwnerReport
-	// Zones are the data centres, the one of the VM that reports among them.
-	Zones []ZoneReport
+	// DataCentres are the data centres, the one of the VM that reports among them.
+	DataCentres []DataCentreReport
 	// VMs are those of the data centre of the VM that reports.
 	VMs []VMReport
 }
 
-// ZoneReport is what is known of one data centre.
-type ZoneReport struct {
+// DataCentreReport is what is known of one data centre.
+type DataCentreReport struct {
 	DataCentre datacentre.ID
 	// Age is how old the oldest of the figures is; none is older.
 	Age   clock.Millis
--- a/pkg/app/usage_command.go
+++ b/pkg/app/usage_command.go
@@ -85,7 +85,7 @@
 		_, _ = fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", o.Owner, o.Share, u.SlotTime, u.Backlog, u.Started, u.Refused, int64(u.Waited)/max(u.Started, 1), u.LongestWait)
 	}
 	_, _ = fmt.Fprintln(t, "\ndata centre\tage of figures (ms)\tstarted")
-	for _, z := range r.Zones {
+	for _, z := range r.DataCentres {
 		var started int64
 		for _, u := range z.Usage {
 			started += u.Started
--- a/pkg/caller/server_test.go
+++ b/pkg/caller/server_test.go
@@ -70,9 +70,9 @@
 	signed := []bundle.SignedVersion{{Ref: bundle.Ref{Version: 2, Digest: "d2"}, Month: "2026-12", Signer: "other"}}
 	return accounting.Report{
 		InForce: 2, SignOffs: signed,
-		Owners: []accounting.OwnerReport{{Owner: "pantallas", Share: 3, Usage: used}, {Owner: "other", Share: 1, Usage: dispatch.OwnerUsage{Owner: "other"}}},
-		Zones:  []accounting.ZoneReport{{DataCentre: "centro", Age: 7, Usage: []dispatch.OwnerUsage{used}}},
-		VMs:    []accounting.VMReport{{VM: "a-1", Age: 6, Usage: []dispatch.OwnerUsage{used}}},
+		Owners:      []accounting.OwnerReport{{Owner: "pantallas", Share: 3, Usage: used}, {Owner: "other", Share: 1, Usage: dispatch.OwnerUsage{Owner: "other"}}},
+		DataCentres: []accounting.DataCentreReport{{DataCentre: "centro", Age: 7, Usage: []dispatch.OwnerUsage{used}}},
+		VMs:         []accounting.VMReport{{VM: "a-1", Age: 6, Usage: []dispatch.OwnerUsage{used}}},
 	}, f.usageError
 }
 
--- a/pkg/caller/usage.go
+++ b/pkg/caller/usage.go
@@ -19,8 +19,8 @@
 type wireReport struct {
 	Owners []wireOwnerReport `json:"owners"`
 	// DataCentres are all that this VM has heard of, its own among them.
-	DataCentres []wireZoneReport `json:"dataCentres"`
-	VMs         []wireVMReport   `json:"vms"`
+	DataCentres []wireDataCentreReport `json:"dataCentres"`
+	VMs         []wireVMReport         `json:"vms"`
 	// VersionInForce is the version of the bundle that the shares are taken from.
 	VersionInForce uint64        `json:"versionInForce"`
 	SignOffs       []wireSignOff `json:"signOffs"`
@@ -39,7 +39,7 @@
 	Usage wireUsage `json:"usage"`
 }
 
-type wireZoneReport struct {
+type wireDataCentreReport struct {
 	DataCentre string      `json:"dataCentre"`
 	AgeMs      int64       `json:"ageMs"`
 	Usage      []wireUsage `json:"usage"`
@@ -80,15 +80,15 @@
 }
 
 func encodeReport(r accounting.Report) wireReport {
-	w := wireReport{Owners: []wireOwnerReport{}, DataCentres: []wireZoneReport{}, VMs: []wireVMReport{}, VersionInForce: uint64(r.InForce), SignOffs: []wireSignOff{}}
+	w := wireReport{Owners: []wireOwnerReport{}, DataCentres: []wireDataCentreReport{}, VMs: []wireVMReport{}, VersionInForce: uint64(r.InForce), SignOffs: []wireSignOff{}}
 	for _, s := range r.SignOffs {
 		w.SignOffs = append(w.SignOffs, wireSignOff{Version: uint64(s.Ref.Version), Month: string(s.Month), Signer: string(s.Signer), Digest: string(s.Ref.Digest)})
 	}
 	for _, o := range r.Owners {
 		w.Owners = append(w.Owners, wireOwnerReport{Owner: string(o.Owner), Share: int(o.Share), Usage: encodeUsage(o.Usage)})
 	}
-	for _, z := range r.Zones {
-		w.DataCentres = append(w.DataCentres, wireZoneReport{DataCentre: string(z.DataCentre), AgeMs: int64(z.Age), Usage: encodeUsages(z.Usage)})
+	for _, z := range r.DataCentres {
+		w.DataCentres = append(w.DataCentres, wireDataCentreReport{DataCentre: string(z.DataCentre), AgeMs: int64(z.Age), Usage: encodeUsages(z.Usage)})
 	}
 	for _, v := range r.VMs {
 		w.VMs = append(w.VMs, wireVMReport{VM: string(v.VM), AgeMs: int64(v.Age), Usage: encodeUsages(v.Usage)})
@@ -113,7 +113,7 @@
 		r.Owners = append(r.Owners, accounting.OwnerReport{Owner: owner.ID(o.Owner), Share: owner.Share(o.Share), Usage: decodeUsage(o.Usage)})
 	}
 	for _, z := range w.DataCentres {
-		r.Zones = append(r.Zones, accounting.ZoneReport{DataCentre: datacentre.ID(z.DataCentre), Age: clock.Millis(z.AgeMs), Usage: decodeUsages(z.Usage)})
+		r.DataCentres = append(r.DataCentres, accounting.DataCentreReport{DataCentre: datacentre.ID(z.DataCentre), Age: clock.Millis(z.AgeMs), Usage: decodeUsages(z.Usage)})
 	}
 	for _, v := range w.VMs {
 		r.VMs = append(r.VMs, accounting.VMReport{VM: vm.Incarnation(v.VM), Age: clock.Millis(v.AgeMs), Usage: decodeUsages(v.Usage)})
--- a/pkg/datacentre/datacentre.go
+++ b/pkg/datacentre/datacentre.go
@@ -10,7 +10,7 @@
 // RackID names a rack within a data centre.
 type RackID string
 
-// DataCentre is a zone with its own entry VMs and endpoints.
+// DataCentre is a data centre with its own entry VMs and endpoints.
 type DataCentre struct {
 	ID        ID
 	Region    RegionID
--- a/pkg/dispatch/machine.go
+++ b/pkg/dispatch/endpoint.go
@@ -26,8 +26,8 @@
 	leastSweep = 1024
 )
 
-// machine is what the scheduler knows of one endpoint.
-type machine struct {
+// endpoint is what the scheduler knows of one endpoint.
+type endpoint struct {
 	id datacentre.EndpointID
 	// The slots that this VM may use are owned - lent + borrowed.
 	owned, lent, borrowed, used datacentre.Slots
@@ -51,19 +51,19 @@
 	drainedAt   clock.Millis
 
 	bucket     int
-	prev, next *machine
+	prev, next *endpoint
 }
 
-func (m *machine) capacity() datacentre.Slots {
+func (m *endpoint) capacity() datacentre.Slots {
 	return max(m.owned-m.lent+m.borrowed, 0)
 }
 
 // gone tells that no slots of the endpoint are used, lent or to be used.
-func (m *machine) gone() bool {
+func (m *endpoint) gone() bool {
 	return m.owned == 0 && m.lent == 0 && m.borrowed == 0 && m.used == 0 && m.overdue == 0 && !m.held
 }
 
-func (m *machine) free() datacentre.Slots {
+func (m *endpoint) free() datacentre.Slots {
 	limit := m.capacity()
 	switch m.standing {
 	case trusted:
@@ -80,7 +80,7 @@
 
 // lendable returns how many slots are free and may be lent: own slots of an endpoint that
 // has not failed lately.
-func (m *machine) lendable() datacentre.Slots {
+func (m *endpoint) lendable() datacentre.Slots {
 	if m.standing != trusted {
 		return 0
 	}
@@ -88,7 +88,7 @@
 }
 
 // observe learns the speed from a run that took 2^surprise times as long as expected.
-func (m *machine) observe(surprise float64) {
+func (m *endpoint) observe(surprise float64) {
 	m.samples++
 	m.logSlowness += max(1/float64(m.samples+1), learningFloor) * surprise
 }
--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -29,7 +29,7 @@
 )
 
 // learn takes the result of a run into account for its kind, its job and its endpoint.
-func (s *Scheduler) learn(now clock.Millis, j *queuedJob, m *machine, span clock.Millis, result contract.AttemptResult) {
+func (s *Scheduler) learn(now clock.Millis, j *queuedJob, m *endpoint, span clock.Millis, result contract.AttemptResult) {
 	switch r := result.(type) {
 	case contract.Succeeded:
 		j.succeeded = true
@@ -44,7 +44,7 @@
 	}
 }
 
-func (s *Scheduler) succeeded(now clock.Millis, k *kind, m *machine) {
+func (s *Scheduler) succeeded(now clock.Millis, k *kind, m *endpoint) {
 	k.failRate -= learningFloor * k.failRate
 	k.lastSuccess, k.failures, k.broken = now, 0, false
 	for _, f := range k.failedOn {
@@ -66,7 +66,7 @@
 	}
 }
 
-func (s *Scheduler) failed(now clock.Millis, j *queuedJob, m *machine, span clock.Millis, reason string) {
+func (s *Scheduler) failed(now clock.Millis, j *queuedJob, m *endpoint, span clock.Millis, reason string) {
 	k := j.kind
 	weight := 1
 	if k.known() && slotMillis(span) < k.mean/4 {
@@ -79,11 +79,11 @@
 	s.blame(now, k, m, weight)
 	k.failRate += learningFloor * (1 - k.failRate)
 	if s.failsEverywhere(k) {
-		s.pardon(k)
+		s.clearBlame(k)
 	}
 	if k.broken && !j.succeeded && !j.ended && j.waiting() > 0 {
 		s.dequeue(j)
-		s.dropped = append(s.dropped, Doomed{
+		s.dropped = append(s.dropped, Unrunnable{
 			Job:    j.ref,
 			Reason: "tasks of kind " + string(k.name) + " fail on every endpoint, last: " + reason,
 			Tasks:  j.drop(),
@@ -105,8 +105,8 @@
 	return k.broken
 }
 
-// pardon lifts what endpoints were blamed for by a kind that fails everywhere.
-func (s *Scheduler) pardon(k *kind) {
+// clearBlame lifts what endpoints were blamed for by a kind that fails everywhere.
+func (s *Scheduler) clearBlame(k *kind) {
 	for _, m := range k.failedOn {
 		if m.blamed != k || m.standing == trusted {
 			continue
@@ -118,7 +118,7 @@
 
 // blame counts a failure against the endpoint. The endpoint becomes suspect, and is
 // ejected when the same kind has succeeded elsewhere since the streak began.
-func (s *Scheduler) blame(now clock.Millis, k *kind, m *machine, weight int) {
+func (s *Scheduler) blame(now clock.Millis, k *kind, m *endpoint, weight int) {
 	if k.broken {
 		return
 	}
@@ -152,7 +152,7 @@
 
 // eject takes an endpoint out of service, unless a quarter are out already. It then
 // stays suspect.
-func (s *Scheduler) eject(now clock.Millis, m *machine) {
+func (s *Scheduler) eject(now clock.Millis, m *endpoint) {
 	out, serving := 0, 0
 	for _, o := range s.all {
 		if o.capacity() == 0 || o == m {
@@ -174,7 +174,7 @@
 	s.watch(m)
 }
 
-func (s *Scheduler) setStanding(m *machine, to standing) {
+func (s *Scheduler) setStanding(m *endpoint, to standing) {
 	s.placement.before(m)
 	if m.standing != to {
 		m.successes = 0
@@ -186,7 +186,7 @@
 	s.placement.after(m)
 }
 
-func (s *Scheduler) notStarted(now clock.Millis, m *machine, cause contract.NotStartedCause) {
+func (s *Scheduler) notStarted(now clock.Millis, m *endpoint, cause contract.NotStartedCause) {
 	switch cause {
 	case contract.EndpointLeaving:
 		s.Drain(now, m.id)
@@ -201,7 +201,7 @@
 	}
 }
 
-func (s *Scheduler) pause(now clock.Millis, m *machine) {
+func (s *Scheduler) pause(now clock.Millis, m *endpoint) {
 	s.placement.before(m)
 	m.pausedUntil = now + pauseSpan
 	s.placement.after(m)
@@ -209,7 +209,7 @@
 }
 
 // watch puts an endpoint on the list that releaseHeld goes through.
-func (s *Scheduler) watch(m *machine) {
+func (s *Scheduler) watch(m *endpoint) {
 	if !m.held {
 		m.held = true
 		s.held = append(s.held, m)
@@ -249,7 +249,7 @@
 
 // Drain stops new work to a leaving endpoint.
 func (s *Scheduler) Drain(now clock.Millis, e datacentre.EndpointID) {
-	m := s.machine(e)
+	m := s.endpoint(e)
 	s.placement.before(m)
 	m.draining, m.drainedAt = true, now
 	s.placement.after(m)
@@ -258,7 +258,7 @@
 // Readmit lifts a drain if the evidence that the endpoint serves was observed after it.
 // It returns whether the endpoint takes new work now.
 func (s *Scheduler) Readmit(_ clock.Millis, e datacentre.EndpointID, observedAt clock.Millis) bool {
-	m, ok := s.machines[e]
+	m, ok := s.endpoints[e]
 	if !ok || !m.draining {
 		return true
 	}
--- a/pkg/dispatch/health_test.go
+++ b/pkg/dispatch/health_test.go
@@ -19,15 +19,15 @@
 		// badKind fails on every endpoint.
 		badKind contract.Kind
 		// mostLost is the accepted part of the tasks lost to faults of endpoints.
-		mostLost float64
-		mostOut  int
-		doomed   bool
+		mostLost   float64
+		mostOut    int
+		unrunnable bool
 	}{
 		{name: "one of 12 fails at once", faulty: 1, span: 1, mostLost: 0.01, mostOut: 1},
 		{name: "one of 12 fails slowly", faulty: 1, span: 100, mostLost: 0.01, mostOut: 1},
 		{name: "five of 12 fail at once", faulty: 5, span: 1, mostLost: 0.1, mostOut: 3},
-		{name: "a kind fails everywhere", badKind: "bad", span: 5, mostOut: 0, doomed: true},
-		{name: "a kind fails everywhere and one endpoint too", badKind: "bad", faulty: 1, span: 5, mostLost: 0.01, mostOut: 1, doomed: true},
+		{name: "a kind fails everywhere", badKind: "bad", span: 5, mostOut: 0, unrunnable: true},
+		{name: "a kind fails everywhere and one endpoint too", badKind: "bad", faulty: 1, span: 5, mostLost: 0.01, mostOut: 1, unrunnable: true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -60,8 +60,8 @@
 			if mostOut > tt.mostOut {
 				t.Errorf("got %d endpoints ejected at a time, want at most %d", mostOut, tt.mostOut)
 			}
-			if got := len(w.doomed) > 0; got != tt.doomed {
-				t.Errorf("got jobs failed early %v, want %v", got, tt.doomed)
+			if got := len(w.unrunnable) > 0; got != tt.unrunnable {
+				t.Errorf("got jobs failed early %v, want %v", got, tt.unrunnable)
 			}
 			w.advance(2 * clock.Minute)
 			before := len(w.starts)
@@ -125,7 +125,7 @@
 		w.scheduler.SetSlots(w.clock.Now(), endpointName(i), 8)
 		w.scheduler.SetSlots(w.clock.Now(), endpointName(i), 0)
 	}
-	if got := len(w.scheduler.machines); got > 2000 {
+	if got := len(w.scheduler.endpoints); got > 2000 {
 		t.Errorf("got %d endpoints remembered, want at most 2000", got)
 	}
 	if w.scheduler.Readmit(w.clock.Now(), "leaving", w.clock.Now()) {
--- a/pkg/dispatch/kind.go
+++ b/pkg/dispatch/kind.go
@@ -50,7 +50,7 @@
 	lastSuccess clock.Millis
 	// probedAt is the last time that a job was admitted against the projection.
 	probedAt clock.Millis
-	failedOn []*machine
+	failedOn []*endpoint
 	broken   bool
 }
 
@@ -60,7 +60,7 @@
 
 // observe takes the run time of a successful task. It returns by how much the endpoint
 // was slower than expected, as a logarithm to base 2.
-func (k *kind) observe(span clock.Millis, m *machine) float64 {
+func (k *kind) observe(span clock.Millis, m *endpoint) float64 {
 	k.times.add(span)
 	k.samples++
 	step := max(1/float64(k.samples), learningFloor)
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -9,7 +9,7 @@
 
 // InUse counts the slots of an endpoint that this VM's tasks hold.
 func (s *Scheduler) InUse(e datacentre.EndpointID) datacentre.Slots {
-	m, ok := s.machines[e]
+	m, ok := s.endpoints[e]
 	if !ok {
 		return 0
 	}
--- a/pkg/dispatch/loan.go
+++ b/pkg/dispatch/loan.go
@@ -56,7 +56,7 @@
 func (s *Scheduler) Lend(_ clock.Millis, need LoanNeed, oneWay clock.Millis) []SlotLoan {
 	loans := s.Offer(need, oneWay)
 	for _, l := range loans {
-		m := s.machine(l.Endpoint)
+		m := s.endpoint(l.Endpoint)
 		s.placement.before(m)
 		m.lent += l.Slots
 		s.placement.after(m)
@@ -81,7 +81,7 @@
 
 // Reclaim takes lent slots back, when the peer returns them or the lease has expired.
 func (s *Scheduler) Reclaim(_ clock.Millis, l SlotLoan) {
-	m := s.machine(l.Endpoint)
+	m := s.endpoint(l.Endpoint)
 	s.placement.before(m)
 	m.lent = max(m.lent-l.Slots, 0)
 	s.placement.after(m)
@@ -89,7 +89,7 @@
 
 // Borrow adds slots that a peer has lent.
 func (s *Scheduler) Borrow(_ clock.Millis, l SlotLoan) {
-	m := s.machine(l.Endpoint)
+	m := s.endpoint(l.Endpoint)
 	s.placement.before(m)
 	m.borrowed += l.Slots
 	s.placement.after(m)
@@ -98,7 +98,7 @@
 // SetBorrowed sets how many slots of an endpoint are borrowed, in place of Borrow and
 // GiveBack, for a caller that keeps the terms of loans itself.
 func (s *Scheduler) SetBorrowed(_ clock.Millis, e datacentre.EndpointID, slots datacentre.Slots) {
-	m := s.machine(e)
+	m := s.endpoint(e)
 	if m.borrowed == slots {
 		return
 	}
@@ -111,7 +111,7 @@
 // borrowed. Tasks that run there are not affected: the returned slots can go back to the
 // lender now, those in use come out of NextReturn as tasks end.
 func (s *Scheduler) GiveBack(_ clock.Millis, l SlotLoan) (returned, inUse datacentre.Slots) {
-	m := s.machine(l.Endpoint)
+	m := s.endpoint(l.Endpoint)
 	s.placement.before(m)
 	taken := min(l.Slots, m.borrowed)
 	returned = min(taken, max(m.capacity()-m.used, 0))
--- a/pkg/dispatch/long_work.go
+++ b/pkg/dispatch/long_work.go
@@ -95,7 +95,7 @@
 
 // learnTime takes a run time into account for its kind and for the limit between short
 // and long work.
-func (s *Scheduler) learnTime(k *kind, m *machine, span clock.Millis) {
+func (s *Scheduler) learnTime(k *kind, m *endpoint, span clock.Millis) {
 	surprise := k.observe(span, m)
 	s.placement.before(m)
 	m.observe(surprise)
--- a/pkg/dispatch/placement.go
+++ b/pkg/dispatch/placement.go
@@ -18,14 +18,14 @@
 // finds the first that is not empty, so a choice costs the same for any number of
 // endpoints.
 type placement struct {
-	buckets [placementBuckets]*machine
+	buckets [placementBuckets]*endpoint
 	filled  uint64
 	free    datacentre.Slots
 	total   datacentre.Slots
 }
 
 // fastest returns the endpoint for the next task.
-func (p *placement) fastest() *machine {
+func (p *placement) fastest() *endpoint {
 	if p.filled == 0 {
 		return nil
 	}
@@ -33,13 +33,13 @@
 }
 
 // rotate lets the next endpoint of the same speed have the next turn.
-func (p *placement) rotate(m *machine) {
+func (p *placement) rotate(m *endpoint) {
 	if m.bucket != absent {
 		p.buckets[m.bucket] = m.next
 	}
 }
 
-func bucketOf(m *machine) int {
+func bucketOf(m *endpoint) int {
 	switch m.standing {
 	case suspect:
 		return suspectBucket
@@ -52,19 +52,19 @@
 }
 
 // before takes an endpoint out of the sums, ahead of a change to it.
-func (p *placement) before(m *machine) {
+func (p *placement) before(m *endpoint) {
 	p.free -= m.free()
 	p.total -= m.capacity()
 }
 
 // after counts an endpoint again and moves it to where it belongs after the change.
-func (p *placement) after(m *machine) {
+func (p *placement) after(m *endpoint) {
 	p.free += m.free()
 	p.total += m.capacity()
 	p.relink(m)
 }
 
-func (p *placement) relink(m *machine) {
+func (p *placement) relink(m *endpoint) {
 	bucket := absent
 	if m.free() > 0 {
 		bucket = bucketOf(m)
@@ -80,7 +80,7 @@
 	}
 }
 
-func (p *placement) link(m *machine, bucket int) {
+func (p *placement) link(m *endpoint, bucket int) {
 	m.bucket = bucket
 	first := p.buckets[bucket]
 	if first == nil {
@@ -94,7 +94,7 @@
 	first.prev = m
 }
 
-func (p *placement) unlink(m *machine) {
+func (p *placement) unlink(m *endpoint) {
 	b := m.bucket
 	m.bucket = absent
 	if m.next == m {
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -116,7 +116,7 @@
 
 func (s *Scheduler) freeRun(r *runningTask) {
 	r.generation++
-	r.job, r.machine, r.prev = nil, nil, nil
+	r.job, r.endpoint, r.prev = nil, nil, nil
 	r.next = s.idleRuns
 	s.idleRuns = r
 }
--- a/pkg/dispatch/running_task.go
+++ b/pkg/dispatch/running_task.go
@@ -9,7 +9,7 @@
 type runningTask struct {
 	task      contract.TaskRef
 	job       *queuedJob
-	machine   *machine
+	endpoint  *endpoint
 	startedAt clock.Millis
 	// charged is the slot time charged to the owner so far.
 	charged    slotMillis
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -50,11 +50,11 @@
 	times    histogram
 	longFrom clock.Millis
 
-	machines map[datacentre.EndpointID]*machine
-	all      []*machine
+	endpoints map[datacentre.EndpointID]*endpoint
+	all       []*endpoint
 	// sweepAt is the number of endpoints at which those that are gone are forgotten.
 	sweepAt   int
-	held      []*machine
+	held      []*endpoint
 	placement placement
 
 	promises []promise
@@ -71,14 +71,14 @@
 // New returns a scheduler without endpoints.
 func New(c Config) *Scheduler {
 	return &Scheduler{
-		config:   c,
-		random:   rand.New(rand.NewPCG(c.Seed, c.Seed)),
-		accounts: make(map[owner.ID]*account),
-		jobs:     make(map[contract.JobRef]*queuedJob),
-		kinds:    make(map[kindKey]*kind),
-		longFrom: initialLongFrom,
-		sweepAt:  leastSweep,
-		machines: make(map[datacentre.EndpointID]*machine),
+		config:    c,
+		random:    rand.New(rand.NewPCG(c.Seed, c.Seed)),
+		accounts:  make(map[owner.ID]*account),
+		jobs:      make(map[contract.JobRef]*queuedJob),
+		kinds:     make(map[kindKey]*kind),
+		longFrom:  initialLongFrom,
+		sweepAt:   leastSweep,
+		endpoints: make(map[datacentre.EndpointID]*endpoint),
 	}
 }
 
@@ -116,7 +116,7 @@
 	if len(s.all) > s.sweepAt {
 		s.forgetMachines(now)
 	}
-	m := s.machine(e)
+	m := s.endpoint(e)
 	if m.owned == capacity {
 		return
 	}
@@ -131,7 +131,7 @@
 	kept := s.all[:0]
 	for _, m := range s.all {
 		if m.gone() && now-m.drainedAt > drainMemory {
-			delete(s.machines, m.id)
+			delete(s.endpoints, m.id)
 			continue
 		}
 		kept = append(kept, m)
@@ -141,11 +141,11 @@
 	s.sweepAt = 2*len(kept) + leastSweep
 }
 
-func (s *Scheduler) machine(e datacentre.EndpointID) *machine {
-	m, ok := s.machines[e]
+func (s *Scheduler) endpoint(e datacentre.EndpointID) *endpoint {
+	m, ok := s.endpoints[e]
 	if !ok {
-		m = &machine{id: e, bucket: absent}
-		s.machines[e] = m
+		m = &endpoint{id: e, bucket: absent}
+		s.endpoints[e] = m
 		s.all = append(s.all, m)
 	}
 	return m
@@ -223,17 +223,17 @@
 
 	r := s.newRun()
 	r.task, r.job, r.startedAt = task, j, now
-	r.machine = s.hold(s.placement.fastest())
+	r.endpoint = s.hold(s.placement.fastest())
 	s.running[j.lane].push(r)
 	r.charged = min(s.estimate(j.kind), chargeAhead)
 	s.charge(a, r.charged)
 	if j.rank == 0 {
 		s.chargeUrgent(now, a, r.charged)
 	}
-	return Start{Task: task, Endpoint: r.machine.id, run: runHandle{task: r, generation: r.generation}}
+	return Start{Task: task, Endpoint: r.endpoint.id, run: runHandle{task: r, generation: r.generation}}
 }
 
-func (s *Scheduler) hold(m *machine) *machine {
+func (s *Scheduler) hold(m *endpoint) *endpoint {
 	s.placement.before(m)
 	m.used++
 	s.placement.after(m)
@@ -264,7 +264,7 @@
 	if r == nil || r.generation != st.run.generation {
 		return false
 	}
-	j, m := r.job, r.machine
+	j, m := r.job, r.endpoint
 	span := now - r.startedAt
 	s.release(r)
 	j.running--
@@ -298,7 +298,7 @@
 
 func (s *Scheduler) release(r *runningTask) {
 	r.list.remove(r)
-	m := r.machine
+	m := r.endpoint
 	if m.overdue > 0 {
 		m.overdue--
 		s.returns = append(s.returns, SlotLoan{Endpoint: m.id, Slots: 1})
--- a/pkg/dispatch/world_test.go
+++ b/pkg/dispatch/world_test.go
@@ -26,13 +26,13 @@
 	// run returns how long a task takes and how it ends; the default is 100 ms of success.
 	run func(Job, datacentre.EndpointID) (clock.Millis, contract.AttemptResult)
 
-	starts   []Start
-	slotTime map[owner.ID]clock.Millis
-	failed   map[datacentre.EndpointID]int
-	waits    map[contract.JobRef]clock.Millis
-	shed     []contract.JobRef
-	doomed   []Doomed
-	lastRef  contract.JobRef
+	starts     []Start
+	slotTime   map[owner.ID]clock.Millis
+	failed     map[datacentre.EndpointID]int
+	waits      map[contract.JobRef]clock.Millis
+	shed       []contract.JobRef
+	unrunnable []Unrunnable
+	lastRef    contract.JobRef
 }
 
 type worldRun struct {
@@ -179,8 +179,8 @@
 		switch d := d.(type) {
 		case Shed:
 			w.shed = append(w.shed, d.Job)
-		case Doomed:
-			w.doomed = append(w.doomed, d)
+		case Unrunnable:
+			w.unrunnable = append(w.unrunnable, d)
 		}
 	}
 }
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -70,17 +70,17 @@
 	rng          *rand.Rand
 	actions      []Action
 
-	neighbours *neighbours
-	drains     *datacentre.Drains
-	lending    *lending
-	ceilings   *datacentre.Ceilings
-	accounts   *accounting.Ledger
-	usageTurns map[vm.Incarnation]usageTurn
-	zones      *accounting.Zones
+	neighbours  *neighbours
+	drains      *datacentre.Drains
+	lending     *lending
+	ceilings    *datacentre.Ceilings
+	accounts    *accounting.Ledger
+	usageTurns  map[vm.Incarnation]usageTurn
+	dataCentres *accounting.DataCentres
 	// report is the open accounting as last put together; a new one is due at reportAfter.
-	report      accounting.Report
-	reportAfter clock.Millis
-	zoneTurns   map[vm.Incarnation]usageTurn
+	report          accounting.Report
+	reportAfter     clock.Millis
+	dataCentreTurns map[vm.Incarnation]usageTurn
 	// granted are the slots that the scheduler was last given.
 	granted map[datacentre.EndpointID]datacentre.Slots
 	// homes tells of which endpoints this VM is the home by the roster in force.
@@ -114,16 +114,16 @@
 		// The generator only spreads retries; its seed differs between VMs.
 		rng: rand.New(rand.NewPCG(xxhash.Sum64String(string(c.Self)), 0)),
 
-		neighbours: n,
-		drains:     datacentre.NewDrains(),
-		ceilings:   datacentre.NewCeilings(),
-		accounts:   accounting.NewLedger(),
-		usageTurns: make(map[vm.Incarnation]usageTurn),
-		zones:      accounting.NewZones(),
-		zoneTurns:  make(map[vm.Incarnation]usageTurn),
-		lending:    newLending(c.Self, c.AttemptTimeout),
-		granted:    make(map[datacentre.EndpointID]datacentre.Slots),
-		homes:      make(map[datacentre.EndpointID]bool),
+		neighbours:      n,
+		drains:          datacentre.NewDrains(),
+		ceilings:        datacentre.NewCeilings(),
+		accounts:        accounting.NewLedger(),
+		usageTurns:      make(map[vm.Incarnation]usageTurn),
+		dataCentres:     accounting.NewDataCentres(),
+		dataCentreTurns: make(map[vm.Incarnation]usageTurn),
+		lending:         newLending(c.Self, c.AttemptTimeout),
+		granted:         make(map[datacentre.EndpointID]datacentre.Slots),
+		homes:           make(map[datacentre.EndpointID]bool),
 	}
 }
 
--- a/pkg/entry/control_zone_usage.go
+++ b/pkg/entry/control_data_centre_usage.go
@@ -10,44 +10,44 @@
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
-// zoneDigest returns the next part of the figures of data centres for a peer: of this one
+// dataCentreDigest returns the next part of the figures of data centres for a peer: of this one
 // toward another, and of those that this VM heard itself inside it.
-func (c *Control) zoneDigest(now clock.Millis, to vm.VM) []accounting.ZoneUsage {
-	t, ok := c.zoneTurns[to.Incarnation]
+func (c *Control) dataCentreDigest(now clock.Millis, to vm.VM) []accounting.DataCentreUsage {
+	t, ok := c.dataCentreTurns[to.Incarnation]
 	if now < t.after {
 		return nil
 	}
-	span := accounting.ZoneDigestSpan(len(c.neighbours.targets))
+	span := accounting.DataCentreDigestSpan(len(c.neighbours.targets))
 	if !ok {
 		// Delegates change every few seconds, so a new turn goes on where the time is, or
 		// else the first owners would always come first.
-		t.next = int(now/span) * accounting.ZoneDigestOwners
+		t.next = int(now/span) * accounting.DataCentreDigestOwners
 	}
-	var part []accounting.ZoneUsage
+	var part []accounting.DataCentreUsage
 	if to.DataCentre == c.config.DataCentre {
-		part = turn(&t, c.zones.Direct(now))
+		part = turn(&t, c.dataCentres.Direct(now))
 	} else {
-		part = c.ownZone(now, turn(&t, slices.Sorted(maps.Keys(c.owners))))
+		part = c.ownDataCentre(now, turn(&t, slices.Sorted(maps.Keys(c.owners))))
 	}
 	t.after = now + span
-	c.zoneTurns[to.Incarnation] = t
+	c.dataCentreTurns[to.Incarnation] = t
 	return part
 }
 
 // turn returns the next part of a list, and all of it where it is short.
 func turn[T any](t *usageTurn, all []T) []T {
 	var part []T
-	for range min(len(all), accounting.ZoneDigestOwners) {
+	for range min(len(all), accounting.DataCentreDigestOwners) {
 		part = append(part, all[t.next%len(all)])
 		t.next = (t.next + 1) % len(all)
 	}
 	return part
 }
 
-// ownZone sums up owners over the VMs of this data centre that are not removed. While the
+// ownDataCentre sums up owners over the VMs of this data centre that are not removed. While the
 // figures of one of them are missing, as after a start of this VM, the sum is not told:
 // it would fall for those who had it from another delegate.
-func (c *Control) ownZone(now clock.Millis, owners []owner.ID) []accounting.ZoneUsage {
+func (c *Control) ownDataCentre(now clock.Millis, owners []owner.ID) []accounting.DataCentreUsage {
 	c.accounts.Told(now, c.config.Self, c.scheduler.Usage())
 	var vms []vm.Incarnation
 	for _, v := range c.roster.VMs() {
@@ -55,7 +55,7 @@
 			vms = append(vms, v.Incarnation)
 		}
 	}
-	var rows []accounting.ZoneUsage
+	var rows []accounting.DataCentreUsage
 	for _, o := range owners {
 		if u, complete := c.accounts.Sum(now, o, vms); complete {
 			u.DataCentre = c.config.DataCentre
@@ -67,13 +67,13 @@
 
 // zonesTold takes the figures of data centres. A VM speaks for its own, or inside it for
 // the others.
-func (c *Control) zonesTold(now clock.Millis, h Heartbeat, local bool) {
-	for _, u := range h.Zones {
+func (c *Control) dataCentresTold(now clock.Millis, h Heartbeat, local bool) {
+	for _, u := range h.DataCentres {
 		if _, known := c.owners[u.Usage.Owner]; !known {
 			continue
 		}
 		if (u.DataCentre == h.From.DataCentre) != local {
-			c.zones.Told(now, u, !local)
+			c.dataCentres.Told(now, u, !local)
 		}
 	}
 }
--- a/pkg/entry/control_dropped.go
+++ b/pkg/entry/control_dropped.go
@@ -16,8 +16,8 @@
 		switch d := dropped.(type) {
 		case dispatch.Shed:
 			c.refuseShed(d)
-		case dispatch.Doomed:
-			c.failDoomed(now, d)
+		case dispatch.Unrunnable:
+			c.failUnrunnable(now, d)
 		}
 	}
 }
@@ -34,8 +34,8 @@
 	c.settleIfEnded(entry)
 }
 
-// failDoomed ends a submission whose kind of task fails wherever it runs.
-func (c *Control) failDoomed(now clock.Millis, d dispatch.Doomed) {
+// failUnrunnable ends a submission whose kind of task fails wherever it runs.
+func (c *Control) failUnrunnable(now clock.Millis, d dispatch.Unrunnable) {
 	entry, ok := c.ledger.ByRef(d.Job)
 	if !ok {
 		return
--- a/pkg/entry/control_loans.go
+++ b/pkg/entry/control_loans.go
@@ -109,8 +109,8 @@
 		}
 	}
 	for _, dc := range c.roster.DataCentres() {
-		zone, ok := c.neighbours.links.Find(link.Zone{DataCentre: dc})
-		if dc == c.config.DataCentre || !ok || zone.State(now) != link.Reachable || !need.WorthLending(c.zoneDelay(dc)) {
+		dataCentre, ok := c.neighbours.links.Find(link.DataCentre{ID: dc})
+		if dc == c.config.DataCentre || !ok || dataCentre.State(now) != link.Reachable || !need.WorthLending(c.dataCentreDelay(dc)) {
 			continue
 		}
 		for _, v := range c.roster.Delegates(now, dc, c.config.DataCentre) {
@@ -128,18 +128,18 @@
 	if !ok {
 		return unknownDelay
 	}
-	return c.zoneDelay(v.DataCentre)
+	return c.dataCentreDelay(v.DataCentre)
 }
 
-func (c *Control) zoneDelay(dc datacentre.ID) clock.Millis {
+func (c *Control) dataCentreDelay(dc datacentre.ID) clock.Millis {
 	if dc == c.config.DataCentre {
 		return localDelay
 	}
-	zone, ok := c.neighbours.links.Find(link.Zone{DataCentre: dc})
-	if !ok || zone.Delay <= 0 {
+	dataCentre, ok := c.neighbours.links.Find(link.DataCentre{ID: dc})
+	if !ok || dataCentre.Delay <= 0 {
 		return unknownDelay
 	}
-	return zone.Delay.Millis()
+	return dataCentre.Delay.Millis()
 }
 
 func (c *Control) loanAnswered(now clock.Millis, e LoanAnswered) {
--- a/pkg/entry/control_membership.go
+++ b/pkg/entry/control_membership.go
@@ -90,7 +90,7 @@
 	if local {
 		c.usageTold(now, h)
 	}
-	c.zonesTold(now, h, local)
+	c.dataCentresTold(now, h, local)
 	if local && c.drains.Merge(now, h.Drains) {
 		c.assignHomes(now)
 	}
@@ -100,7 +100,7 @@
 func (c *Control) vouched(now clock.Millis, h Heartbeat, local bool) {
 	n := c.neighbours
 	if !local {
-		n.links.To(link.Zone{DataCentre: h.From.DataCentre}).Heard(now)
+		n.links.To(link.DataCentre{ID: h.From.DataCentre}).Heard(now)
 		// A data centre that calls but does not answer is no use as a witness.
 		if c.reaches(now, h.From.DataCentre) {
 			c.setRoster(now, n.membership.Vouched(now, h.From.Incarnation, h.From.DataCentre))
@@ -111,7 +111,7 @@
 		if dc == c.config.DataCentre {
 			continue
 		}
-		n.links.To(link.Zone{DataCentre: dc}).Vouched(now)
+		n.links.To(link.DataCentre{ID: dc}).Vouched(now)
 		c.setRoster(now, n.membership.Vouched(now, h.From.Incarnation, dc))
 	}
 }
@@ -125,7 +125,7 @@
 	delay := link.Delay(e.RoundTripMicros / 2)
 	n.links.To(link.Peer{Incarnation: e.Answered}).Answered(now, delay)
 	if e.To.DataCentre != c.config.DataCentre {
-		n.links.To(link.Zone{DataCentre: e.To.DataCentre}).Answered(now, delay)
+		n.links.To(link.DataCentre{ID: e.To.DataCentre}).Answered(now, delay)
 	}
 	n.journal.confirmed(e.Answered, e.Reported)
 	c.setRoster(now, n.membership.Answered(now, e.Answered))
@@ -164,7 +164,7 @@
 }
 
 func (c *Control) sendHeartbeats(now clock.Millis) {
-	c.watchZones(now)
+	c.watchDataCentres(now)
 	var drains []datacentre.DrainReport
 	var idle datacentre.Slots
 	gathered := false
@@ -191,7 +191,7 @@
 	case to.Status == vm.Removed:
 		return probeEvery
 	case to.DataCentre != c.config.DataCentre:
-		return ZoneHeartbeatEvery
+		return DataCentreHeartbeatEvery
 	default:
 		return HeartbeatEvery
 	}
@@ -206,7 +206,7 @@
 		h.Drains = drains
 		h.Usage = c.usageDigest(now, to.Incarnation)
 	}
-	h.Zones = c.zoneDigest(now, to)
+	h.DataCentres = c.dataCentreDigest(now, to)
 	n.links.To(link.Peer{Incarnation: to.Incarnation}).Tried(now)
 	if local {
 		h.Reaches = n.reached
@@ -221,9 +221,9 @@
 	return SendHeartbeat{To: to, Heartbeat: h, reported: upTo}
 }
 
-// watchZones notes which data centres this VM reaches. What it tells its peers changes
+// watchDataCentres notes which data centres this VM reaches. What it tells its peers changes
 // with them, so the peers are told again.
-func (c *Control) watchZones(now clock.Millis) {
+func (c *Control) watchDataCentres(now clock.Millis) {
 	n := c.neighbours
 	var reached []datacentre.ID
 	for _, dc := range c.roster.DataCentres() {
@@ -231,7 +231,7 @@
 			continue
 		}
 		// Somebody of this data centre tries it, so silence from now on counts.
-		n.links.To(link.Zone{DataCentre: dc}).Tried(now)
+		n.links.To(link.DataCentre{ID: dc}).Tried(now)
 		if c.reaches(now, dc) {
 			reached = append(reached, dc)
 		}
@@ -244,8 +244,8 @@
 
 // reaches reports whether this VM itself lately heard a data centre and was answered by it.
 func (c *Control) reaches(now clock.Millis, dc datacentre.ID) bool {
-	zone, ok := c.neighbours.links.Find(link.Zone{DataCentre: dc})
-	return ok && zone.BothWays(now)
+	dataCentre, ok := c.neighbours.links.Find(link.DataCentre{ID: dc})
+	return ok && dataCentre.BothWays(now)
 }
 
 // heartbeatTargets chooses anew only when the roster or the turn has changed, since the
--- a/pkg/entry/control_usage.go
+++ b/pkg/entry/control_usage.go
@@ -43,7 +43,7 @@
 func (c *Control) usageReport(now clock.Millis) accounting.Report {
 	c.accounts.Told(now, c.config.Self, c.scheduler.Usage())
 	report := c.accounts.Report(now, slices.Collect(maps.Values(c.owners)))
-	c.zones.AddTo(&report, now, c.config.DataCentre)
+	c.dataCentres.AddTo(&report, now, c.config.DataCentre)
 	if held, ok := c.bundles.InForce(); ok {
 		report.InForce = held.Head.Version
 	}
@@ -78,8 +78,8 @@
 func (c *Control) forgetUsage() {
 	known := func(i vm.Incarnation) bool { _, ok := c.roster.Find(i); return ok }
 	c.accounts.Keep(known)
-	c.zones.Keep(func(o owner.ID) bool { _, ok := c.owners[o]; return ok })
-	for _, turns := range []map[vm.Incarnation]usageTurn{c.usageTurns, c.zoneTurns} {
+	c.dataCentres.Keep(func(o owner.ID) bool { _, ok := c.owners[o]; return ok })
+	for _, turns := range []map[vm.Incarnation]usageTurn{c.usageTurns, c.dataCentreTurns} {
 		maps.DeleteFunc(turns, func(i vm.Incarnation, _ usageTurn) bool { return !known(i) })
 	}
 }
--- a/pkg/entry/zone_usage_test.go
+++ b/pkg/entry/data_centre_usage_test.go
@@ -34,7 +34,7 @@
 	forge := func(s *simulation) {
 		forged := dispatch.OwnerUsage{Owner: "ads", Started: 99}
 		s.handle(s.node("centro0"), HeartbeatReceived{Heartbeat: Heartbeat{
-			From: s.node("norte0").vm, Zones: []accounting.ZoneUsage{{DataCentre: "oeste", Usage: forged}, {DataCentre: "centro", Usage: forged}},
+			From: s.node("norte0").vm, DataCentres: []accounting.DataCentreUsage{{DataCentre: "oeste", Usage: forged}, {DataCentre: "centro", Usage: forged}},
 		}})
 		s.run(clock.Second)
 	}
@@ -116,7 +116,7 @@
 // startedIn tells the started tasks of the owners at each data centre and in all.
 func startedIn(r accounting.Report, fresh clock.Millis) string {
 	text := ""
-	for _, z := range r.Zones {
+	for _, z := range r.DataCentres {
 		text += string(z.DataCentre)
 		for _, u := range z.Usage {
 			text += fmt.Sprint(" ", u.Started)
--- a/pkg/entry/heartbeat.go
+++ b/pkg/entry/heartbeat.go
@@ -11,8 +11,8 @@
 const (
 	// HeartbeatEvery leaves room for two lost heartbeats before a VM is suspected.
 	HeartbeatEvery = 400 * clock.Millis(1)
-	// ZoneHeartbeatEvery is for heartbeats between data centres.
-	ZoneHeartbeatEvery = 450 * clock.Millis(1)
+	// DataCentreHeartbeatEvery is for heartbeats between data centres.
+	DataCentreHeartbeatEvery = 450 * clock.Millis(1)
 	// probeEvery is for VMs that are listed but silent.
 	probeEvery = clock.Second
 	// HeartbeatTimeout bounds one heartbeat call.
@@ -36,9 +36,9 @@
 	Drains  []datacentre.DrainReport
 	// Usage is a part of the figures of the sender's owners.
 	Usage []dispatch.OwnerUsage
-	// Zones is a part of the figures of the sender's data centre, toward another one, or
+	// DataCentres is a part of the figures of the sender's data centre, toward another one, or
 	// of those that the sender heard of others, inside it.
-	Zones []accounting.ZoneUsage
+	DataCentres []accounting.DataCentreUsage
 }
 
 // HeartbeatReceived brings a heartbeat of a peer. Reply: HeartbeatReply.
--- a/pkg/entry/membership_bench_test.go
+++ b/pkg/entry/membership_bench_test.go
@@ -14,11 +14,11 @@
 // loans in one second without work: ticks, heartbeats of all that send them, their
 // answers, and one reading of the rows and of the list. 1.1 % of a core is 11 ms.
 func BenchmarkMembershipSecond(b *testing.B) {
-	for _, size := range []struct{ zones, each, endpoints int }{{3, 4, 640}, {3, 8, 640}, {3, 16, 640}, {7, 4, 640}, {7, 8, 100}, {7, 8, 640}, {7, 16, 640}, {22, 4, 640}, {22, 8, 640}, {22, 16, 640}, {22, 39, 640}} {
-		b.Run(fmt.Sprintf("zones=%d/vms=%d/endpoints=%d", size.zones, size.each, size.endpoints), func(b *testing.B) {
+	for _, size := range []struct{ dataCentres, each, endpoints int }{{3, 4, 640}, {3, 8, 640}, {3, 16, 640}, {7, 4, 640}, {7, 8, 100}, {7, 8, 640}, {7, 16, 640}, {22, 4, 640}, {22, 8, 640}, {22, 16, 640}, {22, 39, 640}} {
+		b.Run(fmt.Sprintf("dataCentres=%d/vms=%d/endpoints=%d", size.dataCentres, size.each, size.endpoints), func(b *testing.B) {
 			var vms []vm.VM
 			var rows []vm.Row
-			for z := range size.zones {
+			for z := range size.dataCentres {
 				for i := range size.each {
 					v := vm.VM{Incarnation: vm.Incarnation(fmt.Sprintf("z%dv%d-1", z, i)), DataCentre: datacentre.ID(fmt.Sprint("z", z)), PeerAddress: fmt.Sprint(z, ":", i), Size: 1}
 					vms = append(vms, v)
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -15,17 +15,17 @@
 	return clock.Millis((d + 999) / 1000)
 }
 
-// End is what a link leads to: Peer or Zone.
+// End is what a link leads to: Peer or DataCentre.
 type End interface{ isEnd() }
 
 // Peer is the end of a link to one entry VM.
 type Peer struct{ Incarnation vm.Incarnation }
 
-// Zone is the end of a link to a data centre, over whichever delegates.
-type Zone struct{ DataCentre datacentre.ID }
+// DataCentre is the end of a link to a data centre, over whichever delegates.
+type DataCentre struct{ ID datacentre.ID }
 
-func (Peer) isEnd() {}
-func (Zone) isEnd() {}
+func (Peer) isEnd()       {}
+func (DataCentre) isEnd() {}
 
 // State says whether calls over a link are worth making.
 type State int
--- a/pkg/link/map.go
+++ b/pkg/link/map.go
@@ -54,7 +54,7 @@
 
 // View returns the ends that are unreachable, for goroutines that must not wait for them.
 func (m *Map) View(now clock.Millis) *View {
-	v := &View{peers: make(map[vm.Incarnation]struct{}), zones: make(map[datacentre.ID]struct{})}
+	v := &View{peers: make(map[vm.Incarnation]struct{}), dataCentres: make(map[datacentre.ID]struct{})}
 	for e, l := range m.links {
 		if l.State(now) != Unreachable {
 			continue
@@ -62,8 +62,8 @@
 		switch e := e.(type) {
 		case Peer:
 			v.peers[e.Incarnation] = struct{}{}
-		case Zone:
-			v.zones[e.DataCentre] = struct{}{}
+		case DataCentre:
+			v.dataCentres[e.ID] = struct{}{}
 		}
 	}
 	return v
@@ -71,8 +71,8 @@
 
 // View is an immutable list of the unreachable ends.
 type View struct {
-	peers map[vm.Incarnation]struct{}
-	zones map[datacentre.ID]struct{}
+	peers       map[vm.Incarnation]struct{}
+	dataCentres map[datacentre.ID]struct{}
 }
 
 // Unreachable reports whether a call to the VM would only run into its time-out.
@@ -81,13 +81,13 @@
 		return false
 	}
 	_, peer := v.peers[to.Incarnation]
-	_, zone := v.zones[to.DataCentre]
-	return peer || zone
+	_, dataCentre := v.dataCentres[to.DataCentre]
+	return peer || dataCentre
 }
 
 // Equal reports whether two views tell the same.
 func (v *View) Equal(other *View) bool {
-	if v == nil || other == nil || len(v.peers) != len(other.peers) || len(v.zones) != len(other.zones) {
+	if v == nil || other == nil || len(v.peers) != len(other.peers) || len(v.dataCentres) != len(other.dataCentres) {
 		return v == other
 	}
 	for p := range v.peers {
@@ -95,8 +95,8 @@
 			return false
 		}
 	}
-	for z := range v.zones {
-		if _, ok := other.zones[z]; !ok {
+	for z := range v.dataCentres {
+		if _, ok := other.dataCentres[z]; !ok {
 			return false
 		}
 	}
--- a/pkg/measure/cluster.go
+++ b/pkg/measure/cluster.go
@@ -120,7 +120,7 @@
 		switch d := dropped.(type) {
 		case dispatch.Shed:
 			v.jobs[d.Job].refused = true
-		case dispatch.Doomed:
+		case dispatch.Unrunnable:
 			v.jobs[d.Job].failed = true
 		}
 	}
--- a/pkg/peer/traffic_bench_test.go
+++ b/pkg/peer/traffic_bench_test.go
@@ -60,23 +60,23 @@
 func BenchmarkControlTraffic(b *testing.B) {
 	perCall := measureHeartbeat(b, heartbeatSize{})
 	perDigest := measureHeartbeat(b, heartbeatSize{owners: accounting.DigestOwners}) - perCall
-	perZoneDigest := measureHeartbeat(b, heartbeatSize{zoneOwners: accounting.ZoneDigestOwners}) - perCall
-	for _, zones := range []int{3, 7, 22} {
+	perDataCentreDigest := measureHeartbeat(b, heartbeatSize{dataCentreOwners: accounting.DataCentreDigestOwners}) - perCall
+	for _, dataCentres := range []int{3, 7, 22} {
 		for _, each := range []int{4, 8, 16, 39} {
-			mean, most := heartbeatsPerSecond(zones, each)
+			mean, most := heartbeatsPerSecond(dataCentres, each)
 			// The peers of the VM that is a delegate toward most others.
-			peers := each - 1 + int((most-float64(each-1)*float64(clock.Second)/float64(entry.HeartbeatEvery))*float64(entry.ZoneHeartbeatEvery)/float64(clock.Second)+0.5)
-			b.Run(fmt.Sprintf("zones=%d/vms=%d", zones, each), func(b *testing.B) {
+			peers := each - 1 + int((most-float64(each-1)*float64(clock.Second)/float64(entry.HeartbeatEvery))*float64(entry.DataCentreHeartbeatEvery)/float64(clock.Second)+0.5)
+			b.Run(fmt.Sprintf("dataCentres=%d/vms=%d", dataCentres, each), func(b *testing.B) {
 				for range b.N {
-					heartbeatsPerSecond(zones, each)
+					heartbeatsPerSecond(dataCentres, each)
 				}
 				b.ReportMetric(2*mean, "mean-calls/s")
 				b.ReportMetric(2*most, "most-calls/s")
 				b.ReportMetric(2*mean*perCall/1000, "mean-KB/s")
 				b.ReportMetric(2*most*perCall/1000, "most-KB/s")
 				b.ReportMetric(2*float64(each-1)*perDigest/1000*float64(clock.Second)/float64(accounting.DigestSpan(each-1)), "usage-KB/s")
-				b.ReportMetric(perZoneDigest, "zone-digest-bytes")
-				b.ReportMetric(2*float64(peers)*perZoneDigest/1000*float64(clock.Second)/float64(accounting.ZoneDigestSpan(peers)), "zones-KB/s")
+				b.ReportMetric(perDataCentreDigest, "data-centre-digest-bytes")
+				b.ReportMetric(2*float64(peers)*perDataCentreDigest/1000*float64(clock.Second)/float64(accounting.DataCentreDigestSpan(peers)), "data-centres-KB/s")
 			})
 		}
 	}
@@ -84,9 +84,9 @@
 
 // heartbeatsPerSecond counts what the VMs of the first data centre send: the mean, and
 // the VM that is a delegate toward most others.
-func heartbeatsPerSecond(zones, each int) (mean, most float64) {
+func heartbeatsPerSecond(dataCentres, each int) (mean, most float64) {
 	var vms []vm.VM
-	for z := range zones {
+	for z := range dataCentres {
 		for i := range each {
 			vms = append(vms, vm.VM{Incarnation: vm.Incarnation(fmt.Sprintf("z%dv%d-1", z, i)), DataCentre: datacentre.ID(fmt.Sprint("z", z)), Size: 1})
 		}
@@ -97,7 +97,7 @@
 		for _, to := range r.HeartbeatTargets(1) {
 			span := entry.HeartbeatEvery
 			if to.DataCentre != v.DataCentre {
-				span = entry.ZoneHeartbeatEvery
+				span = entry.DataCentreHeartbeatEvery
 			}
 			rate += float64(clock.Second) / float64(span)
 		}
@@ -108,7 +108,7 @@
 }
 
 // heartbeatSize tells what a heartbeat carries besides its sender.
-type heartbeatSize struct{ owners, zoneOwners, reports, drains int }
+type heartbeatSize struct{ owners, dataCentreOwners, reports, drains int }
 
 // BenchmarkHeartbeat measures the bytes of one heartbeat, with its reply, over what it
 // carries, and the time to encode, handle and decode it at both ends.
@@ -139,11 +139,11 @@
 	for i := range size.owners {
 		usage = append(usage, dispatch.OwnerUsage{Owner: owner.ID(fmt.Sprint("owner", i)), SlotTime: 100_000_000, Charged: 100_000_000, Backlog: 100, Started: 1_000_000, Refused: 1000, Waited: 10_000_000, LongestWait: 10_000})
 	}
-	var zones []accounting.ZoneUsage
-	for i := range size.zoneOwners {
-		zones = append(zones, accounting.ZoneUsage{DataCentre: "norte", Age: 10_000, Usage: dispatch.OwnerUsage{Owner: owner.ID(fmt.Sprint("owner", 100+i)), SlotTime: 100_000_000, Backlog: 100, Started: 1_000_000, Refused: 1000, Waited: 10_000_000, LongestWait: 10_000}})
+	var dataCentres []accounting.DataCentreUsage
+	for i := range size.dataCentreOwners {
+		dataCentres = append(dataCentres, accounting.DataCentreUsage{DataCentre: "norte", Age: 10_000, Usage: dispatch.OwnerUsage{Owner: owner.ID(fmt.Sprint("owner", 100+i)), SlotTime: 100_000_000, Backlog: 100, Started: 1_000_000, Refused: 1000, Waited: 10_000_000, LongestWait: 10_000}})
 	}
-	h := entry.Heartbeat{From: self, RosterVersion: 1000, Backlog: 1000, Reaches: []datacentre.ID{"sur", "oeste", "norte"}, Usage: usage, Zones: zones}
+	h := entry.Heartbeat{From: self, RosterVersion: 1000, Backlog: 1000, Reaches: []datacentre.ID{"sur", "oeste", "norte"}, Usage: usage, DataCentres: dataCentres}
 	for range size.reports {
 		h.Reports = append(h.Reports, self)
 	}
--- a/pkg/peer/wire_roster.go
+++ b/pkg/peer/wire_roster.go
@@ -40,7 +40,7 @@
 	Reaches       []string
 	Drains        []WireDrain
 	Usage         []WireUsage
-	Zones         []WireZoneUsage
+	DataCentres   []WireDataCentreUsage
 }
 
 // WireUsage is what an owner has had of the sender.
@@ -60,8 +60,8 @@
 	Incarnation string
 }
 
-// WireZoneUsage is what an owner has had of a data centre; an empty one is the sender's.
-type WireZoneUsage struct {
+// WireDataCentreUsage is what an owner has had of a data centre; an empty one is the sender's.
+type WireDataCentreUsage struct {
 	DataCentre string
 	AgeMs      int64
 	Usage      WireUsage
@@ -86,8 +86,8 @@
 	for _, u := range h.Usage {
 		w.Usage = append(w.Usage, encodeUsage(u))
 	}
-	for _, z := range h.Zones {
-		w.Zones = append(w.Zones, encodeZoneUsage(h.From, z))
+	for _, z := range h.DataCentres {
+		w.DataCentres = append(w.DataCentres, encodeDataCentreUsage(h.From, z))
 	}
 	return w
 }
@@ -113,8 +113,8 @@
 	for _, u := range w.Usage {
 		h.Usage = append(h.Usage, decodeUsage(u))
 	}
-	for _, z := range w.Zones {
-		h.Zones = append(h.Zones, decodeZoneUsage(h.From, z))
+	for _, z := range w.DataCentres {
+		h.DataCentres = append(h.DataCentres, decodeDataCentreUsage(h.From, z))
 	}
 	return h
 }
@@ -133,10 +133,10 @@
 	}
 }
 
-// encodeZoneUsage leaves out what the receiver does not need: the sender's own data
+// encodeDataCentreUsage leaves out what the receiver does not need: the sender's own data
 // centre, and the charge, which only VMs of one data centre set off against each other.
-func encodeZoneUsage(from vm.VM, z accounting.ZoneUsage) WireZoneUsage {
-	w := WireZoneUsage{AgeMs: int64(z.Age), Usage: encodeUsage(z.Usage)}
+func encodeDataCentreUsage(from vm.VM, z accounting.DataCentreUsage) WireDataCentreUsage {
+	w := WireDataCentreUsage{AgeMs: int64(z.Age), Usage: encodeUsage(z.Usage)}
 	w.Usage.ChargedMs = 0
 	if z.DataCentre != from.DataCentre {
 		w.DataCentre = string(z.DataCentre)
@@ -144,8 +144,8 @@
 	return w
 }
 
-func decodeZoneUsage(from vm.VM, w WireZoneUsage) accounting.ZoneUsage {
-	return accounting.ZoneUsage{
+func decodeDataCentreUsage(from vm.VM, w WireDataCentreUsage) accounting.DataCentreUsage {
+	return accounting.DataCentreUsage{
 		DataCentre: cmp.Or(datacentre.ID(w.DataCentre), from.DataCentre),
 		Age:        max(0, clock.Millis(w.AgeMs)),
 		Usage:      decodeUsage(w.Usage),
--- a/pkg/peer/wire_roster_test.go
+++ b/pkg/peer/wire_roster_test.go
@@ -20,7 +20,7 @@
 		From: v, RosterVersion: 2, Backlog: 3, Idle: 6, Reports: []vm.VM{v}, Reaches: []datacentre.ID{"sur"},
 		Drains: []datacentre.DrainReport{{Endpoint: "e1", Leaving: true, Age: 5}},
 		Usage:  []dispatch.OwnerUsage{{Owner: "ads", SlotTime: 1, Charged: 7, Backlog: 2, Started: 3, Refused: 4, Waited: 5, LongestWait: 6}},
-		Zones: []accounting.ZoneUsage{
+		DataCentres: []accounting.DataCentreUsage{
 			{DataCentre: "centro", Age: 8, Usage: dispatch.OwnerUsage{Owner: "ads", SlotTime: 1, Backlog: 2, Started: 3, Refused: 4, Waited: 5, LongestWait: 6}},
 			{DataCentre: "sur", Age: 9, Usage: dispatch.OwnerUsage{Owner: "alerts", Started: 3}},
 		},
--- a/pkg/vm/delegates.go
+++ b/pkg/vm/delegates.go
@@ -23,12 +23,12 @@
 // turns, since any of them may have come back.
 func (r *Roster) Delegates(now clock.Millis, dc, toward datacentre.ID) []VM {
 	key := "delegate/" + string(toward)
-	chosen := top(r.byZone[dc], key, func(v VM) bool { return v.usable() && v.Status == Alive })
+	chosen := top(r.byDataCentre[dc], key, func(v VM) bool { return v.usable() && v.Status == Alive })
 	if len(chosen) >= DelegatesPerDataCentre {
 		return chosen[:DelegatesPerDataCentre]
 	}
 	turn := key + "/" + strconv.FormatInt(int64(now/DelegateRotation), 10)
-	silent := top(r.byZone[dc], turn, func(v VM) bool { return v.Listed && v.Status != Alive })
+	silent := top(r.byDataCentre[dc], turn, func(v VM) bool { return v.Listed && v.Status != Alive })
 	chosen = append(chosen, silent...)
 	return chosen[:min(len(chosen), DelegatesPerDataCentre)]
 }
@@ -42,7 +42,7 @@
 		return nil
 	}
 	var targets []VM
-	for _, v := range r.byZone[self.DataCentre] {
+	for _, v := range r.byDataCentre[self.DataCentre] {
 		if v.Incarnation != r.Self && (v.Listed || v.Status != Removed) {
 			targets = append(targets, v)
 		}
--- a/pkg/vm/memory_bench_test.go
+++ b/pkg/vm/memory_bench_test.go
@@ -36,8 +36,8 @@
 	for _, each := range []int{4, 8, 16, 39} {
 		b.Run(fmt.Sprint("vms=", each), func(b *testing.B) {
 			sum, most := 0, 0
-			const zones = 100
-			for z := range zones {
+			const dataCentres = 100
+			for z := range dataCentres {
 				var vms []vm.VM
 				for i := range each {
 					vms = append(vms, vm.VM{Incarnation: vm.Incarnation(fmt.Sprintf("z%dv%d-%d", z, i, 7*z+i)), DataCentre: "z", Size: 1})
@@ -51,7 +51,7 @@
 				}
 				sum, most = sum+largest, max(most, largest)
 			}
-			b.ReportMetric(float64(sum)/zones, "issuers-of-busiest/zone")
+			b.ReportMetric(float64(sum)/dataCentres, "issuers-of-busiest/dataCentre")
 			b.ReportMetric(float64(most), "issuers-of-busiest")
 		})
 	}
--- a/pkg/vm/roster.go
+++ b/pkg/vm/roster.go
@@ -16,12 +16,12 @@
 
 // Roster is an immutable list of the entry VMs that one VM knows of.
 type Roster struct {
-	Version RosterVersion
-	Self    Incarnation
-	vms     []VM
-	index   map[Incarnation]int
-	zones   []datacentre.ID
-	byZone  map[datacentre.ID][]VM
+	Version      RosterVersion
+	Self         Incarnation
+	vms          []VM
+	index        map[Incarnation]int
+	dataCentres  []datacentre.ID
+	byDataCentre map[datacentre.ID][]VM
 }
 
 // RosterConfig holds what a roster is made of.
@@ -38,13 +38,13 @@
 		return strings.Compare(string(a.Incarnation), string(b.Incarnation))
 	})
 	index := make(map[Incarnation]int, len(vms))
-	byZone := make(map[datacentre.ID][]VM)
+	byDataCentre := make(map[datacentre.ID][]VM)
 	for i, v := range vms {
 		index[v.Incarnation] = i
-		byZone[v.DataCentre] = append(byZone[v.DataCentre], v)
+		byDataCentre[v.DataCentre] = append(byDataCentre[v.DataCentre], v)
 	}
-	zones := slices.Sorted(maps.Keys(byZone))
-	return &Roster{Version: c.Version, Self: c.Self, vms: vms, index: index, zones: zones, byZone: byZone}
+	dataCentres := slices.Sorted(maps.Keys(byDataCentre))
+	return &Roster{Version: c.Version, Self: c.Self, vms: vms, index: index, dataCentres: dataCentres, byDataCentre: byDataCentre}
 }
 
 // VMs returns all VMs in order of their incarnations. The caller must not change the slice.
@@ -55,12 +55,12 @@
 // DataCentres returns the data centres of the known VMs in order. The caller must not
 // change the slice.
 func (r *Roster) DataCentres() []datacentre.ID {
-	return r.zones
+	return r.dataCentres
 }
 
 // SameIn reports whether another roster tells the same of the VMs of a data centre.
 func (r *Roster) SameIn(dc datacentre.ID, other *Roster) bool {
-	return other != nil && slices.Equal(r.byZone[dc], other.byZone[dc])
+	return other != nil && slices.Equal(r.byDataCentre[dc], other.byDataCentre[dc])
 }
 
 // Find returns the VM of an incarnation.
@@ -77,10 +77,10 @@
 // that are neither leaving nor removed. Where all are leaving, one of them stays home
 // until it has ended its work.
 func (r *Roster) Home(e datacentre.EndpointID, dc datacentre.ID) (VM, bool) {
-	if v, ok := pick(r.byZone[dc], string(e), VM.usable); ok {
+	if v, ok := pick(r.byDataCentre[dc], string(e), VM.usable); ok {
 		return v, true
 	}
-	return pick(r.byZone[dc], string(e), func(v VM) bool { return v.Status != Removed })
+	return pick(r.byDataCentre[dc], string(e), func(v VM) bool { return v.Status != Removed })
 }
 
 // Witness returns the peer that keeps the records of self: one of the same data centre
