Show dropped ends of attempts as a metric

Cause: the control state counted copies and misrouted ends of attempts, but nobody could read the count. Change: gauge strayAnswers at /metrics. Result: the test of the registry reads it.

--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -95,6 +95,7 @@
 	d.wireReplica()
 	d.metrics.MailboxLength(d.loop.MailboxLength)
 	d.metrics.QueueLength(d.loop.QueuedTasks)
+	d.metrics.StrayAnswers(d.loop.StrayAnswers)
 	d.callers = d.newCallerServer(callerListener)
 	d.peers, err = d.newPeerServer(peerListener)
 	return d, errors.Trace(err)
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -225,6 +225,10 @@
 // QueuedTasks returns how many tasks wait for a slot.
 func (c *Control) QueuedTasks() int { return c.scheduler.Queued() }
 
+// StrayAnswers returns how many ends of attempts were dropped because the attempt was not
+// running.
+func (c *Control) StrayAnswers() int { return c.strayAnswers }
+
 func (c *Control) do(a Action) {
 	c.actions = append(c.actions, a)
 }
--- a/pkg/entry/loop.go
+++ b/pkg/entry/loop.go
@@ -40,6 +40,8 @@
 	stopped chan struct{}
 	// queued mirrors the length of the queue for readers on other goroutines.
 	queued atomic.Int64
+	// strays mirrors the count of dropped ends of attempts.
+	strays atomic.Int64
 }
 
 type envelope struct {
@@ -81,6 +83,9 @@
 // QueuedTasks returns how many tasks wait for a slot.
 func (l *Loop) QueuedTasks() int { return int(l.queued.Load()) }
 
+// StrayAnswers returns how many ends of attempts were dropped.
+func (l *Loop) StrayAnswers() int { return int(l.strays.Load()) }
+
 // Post hands over an event that must not be lost; it waits for room, as long as the
 // loop runs.
 func (l *Loop) Post(ctx context.Context, e Event) {
@@ -149,6 +154,7 @@
 		l.execute(a)
 	}
 	l.queued.Store(int64(l.config.Control.QueuedTasks()))
+	l.strays.Store(int64(l.config.Control.StrayAnswers()))
 }
 
 func (l *Loop) execute(a Action) {
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -95,6 +95,10 @@
 // QueueLength makes the number of waiting tasks readable as a gauge.
 func (m *Metrics) QueueLength(length func() int) { m.gauge("queueLength", length) }
 
+// StrayAnswers makes the number of ends of attempts that were not running readable as a
+// gauge.
+func (m *Metrics) StrayAnswers(count func() int) { m.gauge("strayAnswers", count) }
+
 func (m *Metrics) gauge(name string, length func() int) {
 	_ = m.registry.Register(name, gometrics.NewFunctionalGauge(func() int64 { return int64(length()) }))
 }
--- a/pkg/metrics/metrics_test.go
+++ b/pkg/metrics/metrics_test.go
@@ -29,6 +29,7 @@
 	m.RequestAnswered("complete")
 	queued := 7
 	m.QueueLength(func() int { return queued })
+	m.StrayAnswers(func() int { return 3 })
 	queued = 9
 	for name, want := range map[string]int64{
 		"starts": 3, "requeues": 2, "attempts.succeeded": 1, "attempts.ranAndFailed": 1, "attempts.ambiguous": 1,
@@ -42,6 +43,9 @@
 	if got := registry.Get("queueLength").(gometrics.Gauge).Value(); got != 9 {
 		t.Errorf("got queueLength = %d, want 9", got)
 	}
+	if got, want := registry.Get("strayAnswers").(gometrics.Gauge).Value(), int64(3); got != want {
+		t.Errorf("got strayAnswers = %d, want %d", got, want)
+	}
 	if got, want := registry.Get("waitMs").(gometrics.Histogram).Count(), int64(3); got != want {
 		t.Errorf("got %d waits, want %d", got, want)
 	}
