--- a/pkg/app/demo_command.go
+++ b/pkg/app/demo_command.go
@@ -27,7 +27,7 @@
 	kill := flags.Bool("kill", true, "kill one entry VM in the middle of the load")
 	hold := flags.Bool("hold", false, "start the VMs of one workload, print their addresses and serve until interrupted")
 	verbose := flags.Bool("verbose", false, "show the log events of the entry VMs")
-	mutualTLS := flags.Bool("mutual-tls", false, "entry VMs prove themselves with certificates that are made in memory")
+	mutualTLS := flags.Bool("mutual-tls", true, "entry VMs prove themselves with certificates that are made in memory")
 	return &ffcli.Command{
 		Name:       "demo",
 		ShortUsage: "sequoiacart demo [flags]",
