--- a/pkg/app/bundle_command.go
+++ b/pkg/app/bundle_command.go
@@ -51,7 +51,9 @@
 	output   *string
 	platform *string
 	operator *string
-	timeout  *int64
+	// writes says that the command leaves rows that name the operator.
+	writes  bool
+	timeout *int64
 	// The PEM files for calls to VMs that demand certificates; all empty for plain TCP.
 	certificate, key, authority *string
 }
@@ -84,6 +86,12 @@
 	return f
 }
 
+// writing demands the operator's name.
+func (f *bundleFlags) writing() *bundleFlags {
+	f.writes = true
+	return f
+}
+
 // command makes a command whose last help lines are an example.
 func (f *bundleFlags) command(usage, help, example string, exec func(context.Context) error) *ffcli.Command {
 	return &ffcli.Command{
@@ -100,7 +108,7 @@
 			if *f.output != outputText && *f.output != outputJSON {
 				return errors.NotValidf("run bundle %s: --output %q; use text or json: command line", f.set.Name(), *f.output)
 			}
-			if f.operator != nil && *f.operator == "" {
+			if f.writes && *f.operator == "" {
 				return errors.NotValidf("run bundle %s: --operator is empty; give the name that other operators should see: command line", f.set.Name())
 			}
 			return exec(ctx)
--- a/pkg/app/bundle_command_test.go
+++ b/pkg/app/bundle_command_test.go
@@ -154,6 +154,12 @@
 	if got := runMain(t, "bundle", "diff", at, "--file", third); !strings.Contains(got, `owners.norte.share: "2" -> "3"`) {
 		t.Errorf("diff: got %q", got)
 	}
+	// Reading names nobody to other operators, so it works without a name.
+	for _, command := range []string{"status", "history"} {
+		if got := runMain(t, "bundle", command, at, "--operator", ""); !strings.Contains(got, "version 2") {
+			t.Errorf("%s without an operator: got %q", command, got)
+		}
+	}
 	failures := []struct {
 		name string
 		args []string
--- a/pkg/app/bundle_roll_commands.go
+++ b/pkg/app/bundle_roll_commands.go
@@ -25,7 +25,7 @@
 }
 
 func newBundlePrepareCommand(stdout, stderr io.Writer) *ffcli.Command {
-	f := newBundleFlags("prepare", stderr).online()
+	f := newBundleFlags("prepare", stderr).online().writing()
 	file := f.set.String("file", "", "TOML file of the bundle")
 	return f.command("prepare --file FILE", "Uploads a bundle as the next version; every VM fetches and checks it.",
 		"prepare --file bundle.toml --operator ana", func(ctx context.Context) error {
@@ -47,13 +47,13 @@
 }
 
 func newBundleSignCommand(stdout, stderr io.Writer) *ffcli.Command {
-	f := newBundleFlags("sign", stderr).online()
+	f := newBundleFlags("sign", stderr).online().writing()
 	candidate := f.set.String("candidate", "", "digest that prepare printed")
 	signer := f.set.String("owner", "", "owner whose month it is")
 	keyFile := f.set.String("key-file", "", "file that keygen wrote")
 	month := f.set.String("month", "", "month to sign for, such as 2026-12; default: the present one in UTC")
 	return f.command("sign --candidate DIGEST --owner OWNER --key-file FILE", "Signs off a candidate for the owner of the month. Read it with diff first.",
-		"sign --candidate 3f0c... --owner norte --key-file norte.key", func(ctx context.Context) error {
+		"sign --candidate 3f0c... --owner norte --key-file norte.key --operator ana", func(ctx context.Context) error {
 			id, err := candidateDigest(*candidate)
 			if err != nil {
 				return errors.Trace(err)
@@ -84,7 +84,7 @@
 }
 
 func newBundleRollCommand(stdout, stderr io.Writer) *ffcli.Command {
-	f := newBundleFlags("roll", stderr).online()
+	f := newBundleFlags("roll", stderr).online().writing()
 	candidate := f.set.String("candidate", "", "digest that prepare printed")
 	return f.command("roll --candidate DIGEST", "Puts a signed candidate into force. It may be run again after a failure.",
 		"roll --candidate 3f0c... --operator ana", func(ctx context.Context) error {
