Share the set-up of benchmarks and test daemons

Cause: the in-memory peer of three benchmarks, the steps up to a signed candidate of two, and the start of a daemon of two tests stood twice. Change: pipeClient, signShare and runDaemon serve them; no check changed.

--- a/pkg/app/bundle_bench_test.go
+++ b/pkg/app/bundle_bench_test.go
@@ -76,27 +76,12 @@
 	for b.Loop() {
 		b.StopTimer()
 		share++
-		inForce, err := o.InForce(ctx)
-		if err != nil {
-			b.Fatal(err)
-		}
-		next := *inForce.Bundle
-		next.Owners = append([]owner.Owner(nil), next.Owners...)
-		next.Owners[0].Share = share
-		row, err := o.Prepare(ctx, &next)
-		if err != nil {
-			b.Fatal(err)
-		}
-		signOff.Candidate = row.ID
-		if _, err := o.Sign(ctx, signOff); err != nil {
-			b.Fatal(err)
-		}
-		waitForCandidate(daemons, row.ID)
+		candidate := signShare(b, o, signOff, daemons, share)
 		reports, err := store.Reports(ctx)
 		if err != nil {
 			b.Fatal(err)
 		}
-		rolled, err := o.Roll(ctx, row.ID)
+		rolled, err := o.Roll(ctx, candidate)
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -133,3 +118,27 @@
 		}
 	}
 }
+
+// signShare prepares and signs a bundle with another share, and waits until all VMs have
+// checked it.
+func signShare(b *testing.B, o *operator.Operator, signOff operator.SignOff, daemons []*Daemon, share owner.Share) bundle.Digest {
+	b.Helper()
+	ctx := b.Context()
+	inForce, err := o.InForce(ctx)
+	if err != nil {
+		b.Fatal(err)
+	}
+	next := *inForce.Bundle
+	next.Owners = append([]owner.Owner(nil), next.Owners...)
+	next.Owners[0].Share = share
+	row, err := o.Prepare(ctx, &next)
+	if err != nil {
+		b.Fatal(err)
+	}
+	signOff.Candidate = row.ID
+	if _, err := o.Sign(ctx, signOff); err != nil {
+		b.Fatal(err)
+	}
+	waitForCandidate(daemons, row.ID)
+	return row.ID
+}
--- a/pkg/app/bundle_command_test.go
+++ b/pkg/app/bundle_command_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -13,11 +11,8 @@
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
-	"github.com/sequoiacart/sequoiacart/pkg/event"
 	"github.com/sequoiacart/sequoiacart/pkg/settings"
 	"github.com/sequoiacart/sequoiacart/pkg/standin"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
@@ -86,17 +81,9 @@
 
 func startDaemonWith(t testing.TB, s settings.Settings) *Daemon {
 	t.Helper()
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	d, err := NewDaemon(DaemonDeps{Settings: s, Clock: clock.NewSystem(), Log: event.NewLog(logger)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- d.Run(ctx) }()
+	d, stop, done := runDaemon(t, s)
 	t.Cleanup(func() {
-		cancel()
+		stop()
 		if err := <-done; err != nil {
 			t.Errorf("daemon: %v", err)
 		}
--- a/pkg/app/poll_bench_test.go
+++ b/pkg/app/poll_bench_test.go
@@ -169,27 +169,12 @@
 func rollShare(b *testing.B, o *operator.Operator, fleet *operator.Fleet, signOff operator.SignOff, daemons []*Daemon, share owner.Share) {
 	b.Helper()
 	ctx := b.Context()
-	inForce, err := o.InForce(ctx)
-	if err != nil {
-		b.Fatal(err)
-	}
-	next := *inForce.Bundle
-	next.Owners = append([]owner.Owner(nil), next.Owners...)
-	next.Owners[0].Share = share
-	row, err := o.Prepare(ctx, &next)
-	if err != nil {
-		b.Fatal(err)
-	}
-	signOff.Candidate = row.ID
-	if _, err := o.Sign(ctx, signOff); err != nil {
-		b.Fatal(err)
-	}
-	waitForCandidate(daemons, row.ID)
+	candidate := signShare(b, o, signOff, daemons, share)
 	reports, err := fleet.Store.Reports(ctx)
 	if err != nil {
 		b.Fatal(err)
 	}
-	rolled, err := o.Roll(ctx, row.ID)
+	rolled, err := o.Roll(ctx, candidate)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/pkg/app/shutdown_test.go
+++ b/pkg/app/shutdown_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/sequoiacart/sequoiacart/pkg/bundle"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/endpoint"
@@ -20,7 +19,6 @@
 	"github.com/sequoiacart/sequoiacart/pkg/settings"
 	"github.com/sequoiacart/sequoiacart/pkg/standin"
 	"github.com/sequoiacart/sequoiacart/pkg/submit"
-	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
 // TestDaemonDrains guards against a shutdown that cuts off a task in flight, that keeps
@@ -37,14 +35,14 @@
 	defer gate.Close()
 	p := standin.NewPlatform()
 	for _, id := range []datacentre.EndpointID{"e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8"} {
-		p.SetVM(platform.ListedVM{Endpoint: datacentre.Endpoint{ID: id, DataCentre: "dc", Address: strings.TrimPrefix(gate.URL, "http://"), Slots: 8, Connections: 64}})
+		p.SetVM(platform.ListedVM{Endpoint: datacentre.Endpoint{ID: id, DataCentre: "centro", Address: strings.TrimPrefix(gate.URL, "http://"), Slots: 8, Connections: 64}})
 	}
 	site := httptest.NewServer(p.Handler())
 	defer site.Close()
 
 	pin := publish(t, hostPort(site))
-	a, stopA, doneA := runDaemon(t, "a", hostPort(site), pin)
-	b, stopB, doneB := runDaemon(t, "b", hostPort(site), pin)
+	a, stopA, doneA := runDaemon(t, testSettings("a", hostPort(site), string(pin)))
+	b, stopB, doneB := runDaemon(t, testSettings("b", hostPort(site), string(pin)))
 	client := submit.NewClient(submit.ClientConfig{Addresses: []string{a.CallerAddress(), b.CallerAddress()}, Token: testToken, Wait: clock.Minute})
 	var id string
 	eventually(t, func() bool {
@@ -85,11 +83,9 @@
 	<-doneB
 }
 
-func runDaemon(t *testing.T, name vm.ID, platformAddress string, pin bundle.Digest) (*Daemon, context.CancelFunc, <-chan error) {
-	s := settings.Default()
-	s.VM, s.DataCentre = name, "dc"
-	s.CallerAddress, s.PeerAddress = "127.0.0.1:0", "127.0.0.1:0"
-	s.PlatformAddress, s.GovernanceDigest = platformAddress, pin
+// runDaemon runs a daemon without a log until the returned function stops it.
+func runDaemon(t testing.TB, s settings.Settings) (*Daemon, context.CancelFunc, <-chan error) {
+	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	d, err := NewDaemon(DaemonDeps{Settings: s, Clock: clock.NewSystem(), Log: event.NewLog(logger)})
--- a/pkg/peer/loan_bench_test.go
+++ b/pkg/peer/loan_bench_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
-	"sync/atomic"
 	"testing"
 
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
@@ -47,18 +45,7 @@
 		keep = append(keep, id)
 		returns = append(returns, loan.Return{Loan: id})
 	}
-	conns := make(chan net.Conn, 1)
-	server, err := peer.NewServer(peer.ServerConfig{Listener: pipeListener{conns}, Handler: lendingHandler{loans: loans}})
-	if err != nil {
-		b.Fatal(err)
-	}
-	go func() { _ = server.Serve() }()
-	defer server.Close()
-	var bytes atomic.Int64
-	near, far := net.Pipe()
-	conns <- far
-	c := peer.NewClient(peer.ClientConfig{Dialer: fixedDialer{countingConn{near, &bytes}}})
-	defer c.Close()
+	c, bytes := pipeClient(b, lendingHandler{loans: loans})
 	lender := vm.VM{Incarnation: "sur12-0123456789ab", DataCentre: "sur", PeerAddress: "10.11.12.13:7001"}
 	exchange := func() {
 		if _, err := c.RequestLoan(context.Background(), lender, loan.Request{ID: request, Need: dispatch.LoanNeed{Tasks: 8, Wait: 500, Slots: 16, Asked: 1}, Keep: keep}); err != nil {
--- a/pkg/peer/record_bench_test.go
+++ b/pkg/peer/record_bench_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
-	"sync/atomic"
 	"testing"
 
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
@@ -44,18 +42,7 @@
 }
 
 func benchmarkRecord(b *testing.B, batch int, record func(contract.SubmissionID) contract.Record) {
-	conns := make(chan net.Conn, 1)
-	server, err := peer.NewServer(peer.ServerConfig{Listener: pipeListener{conns}, Handler: acceptingHandler{}})
-	if err != nil {
-		b.Fatal(err)
-	}
-	go func() { _ = server.Serve() }()
-	defer server.Close()
-	var bytes atomic.Int64
-	near, far := net.Pipe()
-	conns <- far
-	c := peer.NewClient(peer.ClientConfig{Dialer: fixedDialer{countingConn{near, &bytes}}})
-	defer c.Close()
+	c, bytes := pipeClient(b, acceptingHandler{})
 	witness := vm.VM{Incarnation: "sur12-0123456789ab", DataCentre: "sur", PeerAddress: "10.11.12.13:7001"}
 	id := contract.SubmissionID{DataCentre: "sur", Issuer: "sur11-0123456789ab", Witness: witness.Incarnation, IssuedAt: 1_765_000_000_000}
 	records := make([]contract.Record, batch)
--- a/pkg/peer/traffic_bench_test.go
+++ b/pkg/peer/traffic_bench_test.go
@@ -122,18 +122,7 @@
 
 func measureHeartbeat(b *testing.B, size heartbeatSize) float64 {
 	b.Helper()
-	conns := make(chan net.Conn, 1)
-	server, err := peer.NewServer(peer.ServerConfig{Listener: pipeListener{conns}, Handler: quietHandler{}})
-	if err != nil {
-		b.Fatal(err)
-	}
-	go func() { _ = server.Serve() }()
-	defer server.Close()
-	var bytes atomic.Int64
-	near, far := net.Pipe()
-	conns <- far
-	c := peer.NewClient(peer.ClientConfig{Dialer: fixedDialer{countingConn{near, &bytes}}})
-	defer c.Close()
+	c, bytes := pipeClient(b, quietHandler{})
 	self := vm.VM{Incarnation: "sur11-0123456789ab", DataCentre: "sur", PeerAddress: "10.11.12.13:7001", Size: 16, Started: 1_765_000_000_000}
 	var usage []dispatch.OwnerUsage
 	for i := range size.owners {
@@ -169,3 +158,21 @@
 func (d fixedDialer) DialContext(context.Context, string, string) (net.Conn, error) {
 	return d.conn, nil
 }
+
+// pipeClient returns a client of a server with the handler, in memory, and the count of the
+// bytes in both directions.
+func pipeClient(b *testing.B, h peer.Handler) (*peer.Client, *atomic.Int64) {
+	b.Helper()
+	conns := make(chan net.Conn, 1)
+	server, err := peer.NewServer(peer.ServerConfig{Listener: pipeListener{conns}, Handler: h})
+	if err != nil {
+		b.Fatal(err)
+	}
+	go func() { _ = server.Serve() }()
+	bytes := new(atomic.Int64)
+	near, far := net.Pipe()
+	conns <- far
+	c := peer.NewClient(peer.ClientConfig{Dialer: fixedDialer{countingConn{near, bytes}}})
+	b.Cleanup(func() { c.Close(); server.Close() })
+	return c, bytes
+}
