Test that a poll asks for one data centre

Cause: nothing failed when the client left the data centre out of its call. Change: a test over the stand-in with endpoints in two data centres. Result: passes; a trial without the query fails with both endpoints listed.

--- a/pkg/platform/client_test.go
+++ b/pkg/platform/client_test.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/platform"
 	"github.com/sequoiacart/sequoiacart/pkg/standin"
 )
@@ -154,3 +155,18 @@
 		t.Errorf("330 calls at 30/s with a burst of 30: got %d ms, want %d ms", got, want)
 	}
 }
+
+// Guards against polls that carry the endpoints of all data centres.
+func TestListVMsAsksForOneDataCentre(t *testing.T) {
+	stand, client, _ := newPlatform(t, platform.ClientConfig{})
+	for _, dc := range []datacentre.ID{"centro", "norte"} {
+		stand.SetVM(platform.ListedVM{Endpoint: datacentre.Endpoint{ID: datacentre.EndpointID(dc) + "1", DataCentre: dc}})
+	}
+	listed, err := client.ListVMs(context.Background(), "norte")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := len(listed), 1; got != want || listed[0].Endpoint.ID != "norte1" {
+		t.Errorf("got %v, want the endpoint of norte alone", listed)
+	}
+}
