--- /dev/null
+++ b/internal/control/home/dispatch.go
@@ -0,0 +1,201 @@
+package home
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+)
+
+const endDone = endpoint.EndDone
+
+// enqueue puts a job with waiting tasks in its order: the one whose tasks have to start
+// first comes first.
+func (h *Home) enqueue(w *work) {
+	if w.answered || slices.Contains(h.queue, w) {
+		return
+	}
+	at, _ := slices.BinarySearchFunc(h.queue, w, byUrgency)
+	h.queue = slices.Insert(h.queue, at, w)
+}
+
+// byUrgency orders jobs: those that have begun hold room that is worth nothing until they
+// end, so they come first; then those that have to start first.
+func byUrgency(a, b *work) int {
+	return cmp.Or(cmp.Compare(a.startBy, b.startBy), cmp.Compare(a.Key.Entry, b.Key.Entry), cmp.Compare(a.Key.Seq, b.Key.Seq))
+}
+
+func (h *Home) unqueue(w *work) {
+	if i := slices.Index(h.queue, w); i >= 0 {
+		h.queue = slices.Delete(h.queue, i, i+1)
+	}
+}
+
+// dispatch starts waiting tasks wherever there is room.
+func (h *Home) dispatch() {
+	for _, w := range slices.Clone(h.queue) {
+		rest := 0
+		for _, t := range w.tasks {
+			if t.state != waiting {
+				continue
+			}
+			if !t.ready() || !h.mayStart(t) || !h.place(t) {
+				rest++
+			}
+		}
+		if rest == 0 {
+			h.unqueue(w)
+		}
+	}
+}
+
+// mayStart reports whether no other run of the task can exist.
+func (h *Home) mayStart(t *task) bool {
+	if other := h.tasks[t.name]; other != nil && other != t {
+		return false
+	}
+	if !t.work.Adopt || h.now >= h.recoverUntil {
+		return true
+	}
+	// An earlier home may have started it where this home has not looked yet.
+	return h.allFenced()
+}
+
+func (h *Home) allFenced() bool {
+	for _, p := range h.ordered {
+		if !p.fenced && !p.missing {
+			return false
+		}
+	}
+	return true
+}
+
+// place starts a task at the endpoint that suits it, if there is one.
+func (h *Home) place(t *task) bool {
+	q := h.state.Queue(t.work.queue)
+	if q == nil {
+		return false
+	}
+	step := t.stepOf()
+	work := h.expect(t.work, step)
+	left := t.work.objective - h.now - lateStart
+	var best *place
+	var bestTime clock.Millis
+	for _, p := range h.ordered {
+		if p.Service != q.Service || !p.free.Holds(step.Demand) || !p.usable(h.now) || !p.HasLabel(step.Requires) || p == t.avoid && t.failures > 0 {
+			continue
+		}
+		if step.PerEndpoint > 0 && h.ofStep(t, p) >= step.PerEndpoint {
+			continue
+		}
+		takes := clock.Millis(float64(work) / p.speed.factor())
+		if step.Rack != "" && p.Rack != step.Rack {
+			takes = clock.Millis(float64(takes) * h.config.FarFactor)
+		}
+		if best == nil || better(takes, p, bestTime, best, left) {
+			best, bestTime = p, takes
+		}
+	}
+	if best == nil {
+		return false
+	}
+	h.start(t, best, bestTime)
+	return true
+}
+
+// lateStart is the time that a start and the report of its end take.
+const lateStart = clock.Millis(8)
+
+// better reports whether p suits a task better than the best so far: one that meets the
+// objective comes before one that does not; among those that do not, the faster; among
+// those that do, the one that leaves least room unused, so that wide tasks find room.
+func better(takes clock.Millis, p *place, bestTime clock.Millis, best *place, left clock.Millis) bool {
+	meets, bestMeets := takes <= left, bestTime <= left
+	if meets != bestMeets {
+		return meets
+	}
+	if !meets {
+		return takes < bestTime
+	}
+	if takes != bestTime {
+		return takes < bestTime
+	}
+	return p.free.CPU < best.free.CPU
+}
+
+// ofStep counts the tasks of t's step at an endpoint.
+func (h *Home) ofStep(t *task, p *place) int {
+	n := 0
+	for _, o := range p.tasks {
+		if o.work == t.work && o.step == t.step {
+			n++
+		}
+	}
+	return n
+}
+
+// refuseLate refuses the queued jobs that cannot meet their objective any more and of which
+// nothing has run.
+func (h *Home) refuseLate() {
+	for _, w := range slices.Clone(h.queue) {
+		if w.started || h.now <= w.startBy+startSlack {
+			continue
+		}
+		if to, ok := h.roomier(w); ok {
+			h.answer(w, job.Redirected{To: to})
+			continue
+		}
+		h.answer(w, job.Refused{Reason: job.NoRoomInTime, RetryAfter: retryAfter})
+	}
+}
+
+// startSlack is how much later than planned a job may start before it is given up; the
+// estimates of run times are not better than that.
+const startSlack = clock.Millis(10)
+
+// sorted returns the tasks at a place in a fixed order.
+func (p *place) sorted() []*task {
+	all := make([]*task, 0, len(p.tasks))
+	for _, t := range p.tasks {
+		all = append(all, t)
+	}
+	slices.SortFunc(all, func(a, b *task) int { return cmp.Compare(a.name, b.name) })
+	return all
+}
+
+// endpointsListed brings the places in line with the platform's list.
+func (h *Home) endpointsListed(all []endpoint.Endpoint) {
+	listed := make(map[datacentre.EndpointID]bool, len(all))
+	for _, e := range all {
+		listed[e.ID] = true
+		p := h.places[e.ID]
+		if p == nil {
+			p = newPlace(e, h.now)
+			h.places[e.ID] = p
+			at, _ := slices.BinarySearchFunc(h.ordered, p, func(a, b *place) int { return cmp.Compare(a.ID, b.ID) })
+			h.ordered = slices.Insert(h.ordered, at, p)
+			h.hold(p, Watch)
+			continue
+		}
+		if e.Born != p.Born && e.Born > p.Born && p.Born != 0 {
+			h.restarted(p, e.Born)
+		}
+		used := p.Capacity.Minus(p.free)
+		e.Born = max(e.Born, p.Born)
+		p.Endpoint, p.free, p.missing = e, e.Capacity.Minus(used), false
+	}
+	for _, p := range slices.Clone(h.ordered) {
+		if listed[p.ID] {
+			continue
+		}
+		p.missing = true
+		if len(p.tasks) == 0 {
+			delete(h.places, p.ID)
+			i := slices.Index(h.ordered, p)
+			h.ordered = slices.Delete(h.ordered, i, i+1)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/home/home.go
@@ -0,0 +1,268 @@
+// Package home decides for the endpoints of one cell: which tasks start where and when,
+// which jobs are refused or passed on, and what becomes of runs whose endpoint, entry VM or
+// home fails. It does no I/O; it turns events into actions.
+package home
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/sequoiacart/sequoiacart/internal/world/cell"
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/queue"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// Config holds what a home is made of.
+type Config struct {
+	Cell  cell.ID
+	Token cell.Token
+	Times Times
+	// FarFactor is how many times longer a task runs outside the rack of its data.
+	FarFactor float64
+	State     *queue.State
+	Now       clock.Millis
+	// Fresh says that no other home can have given orders for the cell before.
+	Fresh bool
+}
+
+// Home is the state of a home. It belongs to the control goroutine.
+type Home struct {
+	config Config
+	state  *queue.State
+
+	places map[datacentre.EndpointID]*place
+	// ordered has the places in a fixed order, so that decisions do not depend on the
+	// order of a map.
+	ordered []*place
+	works   map[job.Key]*work
+	byID    map[job.ID]*work
+	queue   []*work
+	// tasks are those that occupy room, by name.
+	tasks   map[job.TaskName]*task
+	entries map[vm.Incarnation]*entry
+	answers answers
+	runs    lastRuns
+	found   map[job.TaskName]foundRun
+	others  map[cell.ID]*cell.Load
+	kinds   map[queue.Name]*kind
+
+	// claimUntil is when runs of an earlier home that no entry VM has claimed are stopped.
+	claimUntil clock.Millis
+	// recoverUntil is when nothing that an earlier home ordered can be left.
+	recoverUntil clock.Millis
+	now          clock.Millis
+	actions      []Action
+}
+
+// entry is what the home knows of an entry VM with jobs here.
+type entry struct {
+	until clock.Millis
+	works map[uint64]*work
+}
+
+// foundRun is a run of an earlier home that no job has claimed yet.
+type foundRun struct {
+	place   *place
+	run     job.Run
+	percent int
+	ended   bool
+	how     endpoint.End
+	at      clock.Millis
+}
+
+// New returns a home that has just taken the cell.
+func New(c Config) *Home {
+	h := &Home{
+		config: c, state: c.State, now: c.Now,
+		places: make(map[datacentre.EndpointID]*place), works: make(map[job.Key]*work),
+		byID: make(map[job.ID]*work), tasks: make(map[job.TaskName]*task),
+		entries: make(map[vm.Incarnation]*entry), found: make(map[job.TaskName]foundRun),
+		others: make(map[cell.ID]*cell.Load), kinds: make(map[queue.Name]*kind),
+		answers: newAnswers(), runs: newLastRuns(),
+	}
+	if !c.Fresh {
+		h.recoverUntil = c.Now + c.Times.RunsGoneAfter()
+		h.claimUntil = c.Now + claimWindow
+	}
+	return h
+}
+
+// Token returns the fencing token of the home's orders.
+func (h *Home) Token() cell.Token { return h.config.Token }
+
+// SetToken raises the fencing token after a later lineup that has the same home.
+func (h *Home) SetToken(t cell.Token) { h.config.Token = max(h.config.Token, t) }
+
+// Busy reports whether time matters to the home: it has jobs or runs.
+func (h *Home) Busy() bool { return len(h.tasks) > 0 || len(h.works) > 0 }
+
+// Handle takes in an event and returns what is to be done.
+func (h *Home) Handle(now clock.Millis, e Event) []Action {
+	h.now = now
+	h.actions = nil
+	switch e := e.(type) {
+	case Submitted:
+		h.submit(e.Submission)
+	case Interest:
+		h.interest(e)
+	case StartEnded:
+		h.startEnded(e)
+	case StopEnded:
+		h.stopEnded(e)
+	case HoldEnded:
+		h.holdEnded(e)
+	case EndpointsListed:
+		h.endpointsListed(e.Endpoints)
+	case DesiredState:
+		h.state = e.State
+	case LoadHeard:
+		l := e.Load
+		h.others[l.Cell] = &l
+	case Cancelled:
+		if w := h.byID[e.Job]; w != nil {
+			h.abandon(w, job.CallerGone)
+		}
+	case Tick:
+		h.passTime()
+	}
+	h.dispatch()
+	return h.actions
+}
+
+// GiveUp ends all submissions because another home has the cell.
+func (h *Home) GiveUp(now clock.Millis) []Action {
+	h.now, h.actions = now, nil
+	for _, w := range h.sortedWorks() {
+		if !w.answered {
+			h.answer(w, job.Moved{})
+		}
+	}
+	return h.actions
+}
+
+func (h *Home) sortedWorks() []*work {
+	all := make([]*work, 0, len(h.works))
+	for _, w := range h.works {
+		all = append(all, w)
+	}
+	slices.SortFunc(all, func(a, b *work) int {
+		return cmp.Or(cmp.Compare(a.Key.Entry, b.Key.Entry), cmp.Compare(a.Key.Seq, b.Key.Seq))
+	})
+	return all
+}
+
+func (h *Home) do(a Action) { h.actions = append(h.actions, a) }
+
+// interest renews the jobs of an entry VM and gives up those that nobody waits for.
+func (h *Home) interest(e Interest) {
+	en := h.entry(e.Entry)
+	en.until = max(en.until, e.Sent+h.config.Times.Interest)
+	if en.until <= h.now {
+		return
+	}
+	for seq, w := range en.works {
+		// A job that came after the message was sent is not in its list.
+		if seq <= e.LastSeq && w.taken < e.Sent && !w.answered && !slices.Contains(e.Waiting, seq) {
+			h.abandon(w, job.CallerGone)
+		}
+	}
+}
+
+func (h *Home) entry(i vm.Incarnation) *entry {
+	en := h.entries[i]
+	if en == nil {
+		en = &entry{works: make(map[uint64]*work)}
+		h.entries[i] = en
+	}
+	return en
+}
+
+// answer ends a submission. Its tasks are dealt with by the caller.
+func (h *Home) answer(w *work, o job.Outcome) {
+	if w.answered {
+		return
+	}
+	w.answered = true
+	h.answers.keep(&w.Submission, o, h.now)
+	h.do(Answer{Key: w.Key, Outcome: o})
+	h.unqueue(w)
+	h.forget(w)
+}
+
+// forget drops a job once it has been answered and none of its runs is left.
+func (h *Home) forget(w *work) {
+	if !w.answered {
+		return
+	}
+	for _, t := range w.tasks {
+		if t.occupies() {
+			return
+		}
+	}
+	delete(h.works, w.Key)
+	if h.byID[w.Job.ID] == w {
+		delete(h.byID, w.Job.ID)
+	}
+	if en := h.entries[w.Key.Entry]; en != nil {
+		delete(en.works, w.Key.Seq)
+	}
+}
+
+// abandon stops all runs of a job.
+func (h *Home) abandon(w *work, why job.Reason) {
+	if w.answered {
+		return
+	}
+	var outcome job.Outcome = job.Stopped{Reason: why}
+	if !w.started {
+		outcome = job.Refused{Reason: why, RetryAfter: retryAfter}
+	}
+	h.do(Note{What: JobAbandoned, Job: w.Job.ID, Detail: string(why)})
+	h.endTasks(w)
+	h.answer(w, outcome)
+}
+
+// endTasks gives up what is left of a job.
+func (h *Home) endTasks(w *work) {
+	for _, t := range w.tasks {
+		switch t.state {
+		case waiting:
+			t.state = ended
+		case starting, running:
+			h.stop(t)
+		case stopping, done, ended:
+		}
+	}
+}
+
+// passTime does what is due by the clock alone.
+func (h *Home) passTime() {
+	for _, en := range h.entries {
+		if en.until > h.now {
+			continue
+		}
+		for _, w := range en.works {
+			h.abandon(w, job.InterestLapsed)
+		}
+	}
+	for _, w := range h.sortedWorks() {
+		if !w.answered && h.now >= w.limit {
+			h.abandon(w, job.TimeLimit)
+		}
+	}
+	h.refuseLate()
+	for _, p := range h.ordered {
+		h.tend(p)
+	}
+	h.stopUnclaimed()
+	h.answers.expire(h.now)
+	for i, en := range h.entries {
+		if len(en.works) == 0 && en.until+clock.Minute < h.now {
+			delete(h.entries, i)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/node/action.go
@@ -0,0 +1,97 @@
+package node
+
+import (
+	"github.com/sequoiacart/sequoiacart/internal/control/home"
+	"github.com/sequoiacart/sequoiacart/internal/world/cell"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/queue"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// Action is what the traffic goroutines have to do. It is one of the types of this file.
+type Action interface{ action() }
+
+// Order is a start, stop or hold of a home.
+type Order struct {
+	Cell  cell.ID
+	Order home.Action
+}
+
+// SendSubmission hands a job to a home at another VM.
+type SendSubmission struct {
+	To         cell.Member
+	Cell       cell.ID
+	Submission job.Submission
+}
+
+// SendBeat sends a beat.
+type SendBeat struct {
+	To   cell.Member
+	Beat BeatRequest
+	// SentAt is when the answer's round trip begins, by this VM's clock.
+	SentAt clock.Millis
+}
+
+// SendCancel passes a cancellation on.
+type SendCancel struct {
+	To  cell.Member
+	Job job.ID
+}
+
+// SendYield asks a successor to take over.
+type SendYield struct {
+	To     cell.Member
+	Lineup cell.Lineup
+}
+
+// WriteLineup writes a lineup if the store's is still at the expected revision; 0 means
+// that there is none.
+type WriteLineup struct {
+	Lineup   cell.Lineup
+	Expected int64
+}
+
+// FetchDesired asks a peer for its desired state.
+type FetchDesired struct{ From cell.Member }
+
+// FetchEndpoints asks a peer for its list of endpoints.
+type FetchEndpoints struct{ From cell.Member }
+
+// Report is a decision to be logged.
+type Report struct {
+	What   Topic
+	Cell   cell.ID
+	Job    job.ID
+	Note   *home.Note
+	Lineup cell.Lineup
+	Rank   int
+	Token  cell.Token
+	// Outcome and Waited belong to the end of a job.
+	Outcome job.Outcome
+	Waited  clock.Millis
+	Version queue.Version
+}
+
+// Topic names what a report tells.
+type Topic int
+
+// The topics.
+const (
+	JobEnded Topic = iota
+	HomeNote
+	HomeTaken
+	HomeLost
+	HomeYielded
+	LineupLearnt
+	DesiredInForce
+)
+
+func (Order) action()          {}
+func (SendSubmission) action() {}
+func (SendBeat) action()       {}
+func (SendCancel) action()     {}
+func (SendYield) action()      {}
+func (WriteLineup) action()    {}
+func (FetchDesired) action()   {}
+func (FetchEndpoints) action() {}
+func (Report) action()         {}
--- /dev/null
+++ b/internal/control/node/control.go
@@ -0,0 +1,373 @@
+// Package node is the control state of an entry VM: the jobs of its callers, the cells whose
+// home it is, whom it believes to be home elsewhere, and the desired state. It does no I/O;
+// one goroutine feeds it events and carries out the actions that come back.
+package node
+
+import (
+	"slices"
+
+	"github.com/sequoiacart/sequoiacart/internal/control/front"
+	"github.com/sequoiacart/sequoiacart/internal/control/home"
+	"github.com/sequoiacart/sequoiacart/internal/control/succession"
+	"github.com/sequoiacart/sequoiacart/internal/world/cell"
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/queue"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// Config holds what the control state is made of.
+type Config struct {
+	Self cell.VM
+	// DataCentres are all data centres of the deployment.
+	DataCentres []datacentre.ID
+	Times       home.Times
+	FarFactor   float64
+	// Successors is how many VMs stand in for a home.
+	Successors int
+	Now        clock.Millis
+}
+
+// Control is the control state. It belongs to one goroutine.
+type Control struct {
+	config Config
+	now    clock.Millis
+
+	front *front.Front
+	views map[cell.ID]*succession.View
+	homes map[cell.ID]*hosted
+	cells []cell.ID
+
+	desired          *queue.State
+	endpoints        []endpoint.Endpoint
+	endpointsVersion int64
+	endpointsAt      clock.Millis
+	vms              []cell.VM
+	// heard is when each VM last sent a beat here.
+	heard map[vm.Incarnation]clock.Millis
+	loads map[cell.ID]cell.Load
+
+	callers map[job.Key]chan<- job.Outcome
+	peers   map[job.Key]chan<- job.Outcome
+
+	fetchedAt clock.Millis
+	// shutdown says that the VM hands over and takes nothing new.
+	shutdown bool
+	actions  []Action
+}
+
+// hosted is a cell whose home this VM is.
+type hosted struct {
+	home      *home.Home
+	writing   bool
+	writtenAt clock.Millis
+	yielding  bool
+}
+
+// New returns the control state of a VM that knows nothing yet.
+func New(c Config) *Control {
+	n := &Control{
+		config: c, now: c.Now,
+		views: make(map[cell.ID]*succession.View), homes: make(map[cell.ID]*hosted),
+		heard: make(map[vm.Incarnation]clock.Millis), loads: make(map[cell.ID]cell.Load),
+		callers: make(map[job.Key]chan<- job.Outcome), peers: make(map[job.Key]chan<- job.Outcome),
+	}
+	for _, dc := range c.DataCentres {
+		id := cell.Of(dc)
+		n.cells = append(n.cells, id)
+		n.views[id] = succession.NewView(c.Self.Incarnation, id, c.Now)
+	}
+	slices.Sort(n.cells)
+	n.front = front.New(front.Config{Self: c.Self.Incarnation, Homes: n, Homeless: homeless})
+	return n
+}
+
+// homeless is how long a job waits for the next home of its cell: a successor takes over
+// about 500 ms after the last answer of the home.
+const homeless = clock.Millis(700)
+
+// Handle takes in an event and returns what is to be done.
+func (n *Control) Handle(now clock.Millis, e Event) []Action {
+	n.now, n.actions = now, nil
+	switch e := e.(type) {
+	case JobArrived:
+		n.jobArrived(e)
+	case CallerLeft:
+		n.front.Gone(e.Key, now)
+	case CancelRequested:
+		n.cancel(e.Job)
+	case SubmitAnswered:
+		n.front.Answered(e.Key, e.From, e.Outcome, now)
+	case PeerSubmitted:
+		n.peerSubmitted(e)
+	case PeerBeat:
+		n.peerBeat(e)
+	case BeatAnswered:
+		n.beatAnswered(e)
+	case PeerCancelled:
+		n.cancelHere(e.Job)
+	case PeerYielded:
+		n.peerYielded(e)
+	case YieldEnded:
+		n.yieldEnded(e)
+	case HomeHeard:
+		n.tell(e.Cell, e.Event)
+	case DesiredRead:
+		n.desiredRead(e.State)
+	case EndpointsRead:
+		n.endpointsRead(e)
+	case VMsRead:
+		n.vms = e.VMs
+	case LineupsRead:
+		for _, l := range e.Lineups {
+			n.learn(l)
+		}
+	case LineupWritten:
+		n.lineupWritten(e)
+	case ShutdownRequested:
+		n.beginShutdown()
+	case Tick:
+		n.passTime()
+	}
+	n.flush()
+	return n.actions
+}
+
+// Busy reports whether time matters to what this VM does.
+func (n *Control) Busy() bool {
+	if n.front.Len() > 0 {
+		return true
+	}
+	for _, h := range n.homes {
+		if h.home.Busy() {
+			return true
+		}
+	}
+	return false
+}
+
+// Ready reports whether callers should be sent here.
+func (n *Control) Ready() bool {
+	return !n.shutdown && n.desired != nil && len(n.Available(n.now)) > 0
+}
+
+// Idle reports whether nobody waits for this VM and it is home of no cell.
+func (n *Control) Idle() bool {
+	return n.front.Len() == 0 && len(n.homes) == 0
+}
+
+// Desired returns the desired state in force, or nil.
+func (n *Control) Desired() *queue.State { return n.desired }
+
+// Endpoints returns the list of endpoints and its version.
+func (n *Control) Endpoints() ([]endpoint.Endpoint, int64) { return n.endpoints, n.endpointsVersion }
+
+// InLineup reports whether this VM is home or successor of a cell, and whether it is home.
+func (n *Control) InLineup() (member, isHome bool) {
+	for _, c := range n.cells {
+		l := n.views[c].Lineup()
+		if l.Rank(n.config.Self.Incarnation) >= 0 {
+			member = true
+		}
+	}
+	return member, len(n.homes) > 0
+}
+
+func (n *Control) do(a Action) { n.actions = append(n.actions, a) }
+
+// flush carries out what the front wants. Jobs for a home of this VM are handed over here.
+func (n *Control) flush() {
+	for {
+		actions := n.front.Take()
+		if len(actions) == 0 {
+			return
+		}
+		for _, a := range actions {
+			switch a := a.(type) {
+			case front.Submit:
+				n.submit(a)
+			case front.Reply:
+				n.reply(a)
+			case front.Withdraw:
+				n.withdraw(a)
+			}
+		}
+	}
+}
+
+func (n *Control) reply(a front.Reply) {
+	if ended := n.callers[a.Key]; ended != nil {
+		ended <- a.Outcome
+		delete(n.callers, a.Key)
+	}
+	n.do(Report{What: JobEnded, Cell: a.At, Job: a.Job, Outcome: a.Outcome, Waited: a.Waited})
+}
+
+func (n *Control) withdraw(a front.Withdraw) {
+	v := n.views[a.From]
+	if v == nil {
+		return
+	}
+	if h := n.homes[a.From]; h != nil {
+		n.tellInterest(h, a.From)
+		return
+	}
+	v.Press()
+	n.step(a.From)
+}
+
+func (n *Control) submit(a front.Submit) {
+	m, _, clockThere, ok := n.views[a.To].Home(n.now)
+	if !ok {
+		n.front.Answered(a.Submission.Key, a.To, job.Refused{Reason: job.NotHome}, n.now)
+		return
+	}
+	if n.homes[a.To] != nil {
+		n.tell(a.To, home.Submitted{Submission: a.Submission})
+		return
+	}
+	a.Submission.Expires = clockThere + submissionValid
+	n.do(SendSubmission{To: m, Cell: a.To, Submission: a.Submission})
+}
+
+// submissionValid is how long a submission may be on its way. A round trip takes a few
+// milliseconds; the sum with interest and lease stays below the 1,300 ms after which callers
+// send a job again.
+const submissionValid = clock.Millis(250)
+
+func (n *Control) jobArrived(e JobArrived) {
+	k := n.front.Arrive(e.Job, e.Limit, n.now)
+	n.callers[k] = e.Ended
+	e.Taken <- k
+}
+
+func (n *Control) peerSubmitted(e PeerSubmitted) {
+	if n.homes[e.Cell] == nil {
+		e.Ended <- job.Refused{Reason: job.NotHome, RetryAfter: clock.Second}
+		return
+	}
+	n.peers[e.Submission.Key] = e.Ended
+	n.tell(e.Cell, home.Submitted{Submission: e.Submission})
+}
+
+// tell hands an event to a home and passes on what it wants done.
+func (n *Control) tell(c cell.ID, e home.Event) {
+	h := n.homes[c]
+	if h == nil {
+		return
+	}
+	n.carryOut(c, h.home.Handle(n.now, e))
+}
+
+func (n *Control) carryOut(c cell.ID, actions []home.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case home.Start, home.Stop, home.Hold:
+			n.do(Order{Cell: c, Order: a})
+		case home.Answer:
+			n.answer(c, a)
+		case home.Fenced:
+			n.lose(c)
+		case home.Note:
+			n.do(Report{What: HomeNote, Cell: c, Job: a.Job, Note: &a})
+		}
+	}
+}
+
+// answer passes the outcome of a submission to the VM that made it.
+func (n *Control) answer(c cell.ID, a home.Answer) {
+	if a.Key.Entry == n.config.Self.Incarnation {
+		n.front.Answered(a.Key, c, a.Outcome, n.now)
+		return
+	}
+	if ended := n.peers[a.Key]; ended != nil {
+		ended <- a.Outcome
+		delete(n.peers, a.Key)
+	}
+}
+
+func (n *Control) cancel(id job.ID) {
+	for _, c := range n.cells {
+		if n.homes[c] != nil {
+			continue
+		}
+		if m, _, _, ok := n.views[c].Home(n.now); ok {
+			n.do(SendCancel{To: m, Job: id})
+		}
+	}
+	n.cancelHere(id)
+}
+
+func (n *Control) cancelHere(id job.ID) {
+	for _, c := range n.cells {
+		n.tell(c, home.Cancelled{Job: id})
+	}
+}
+
+func (n *Control) desiredRead(s *queue.State) {
+	if n.desired != nil && s.Version <= n.desired.Version {
+		return
+	}
+	n.desired = s
+	n.do(Report{What: DesiredInForce, Version: s.Version})
+	for _, c := range n.cells {
+		n.tell(c, home.DesiredState{State: s})
+	}
+}
+
+func (n *Control) endpointsRead(e EndpointsRead) {
+	if e.Version < n.endpointsVersion {
+		return
+	}
+	n.endpoints, n.endpointsVersion, n.endpointsAt = e.Endpoints, e.Version, n.now
+	for _, c := range n.cells {
+		n.tellEndpoints(c)
+	}
+}
+
+func (n *Control) tellEndpoints(c cell.ID) {
+	if n.endpointsVersion == 0 || n.homes[c] == nil {
+		return
+	}
+	var mine []endpoint.Endpoint
+	for _, e := range n.endpoints {
+		if e.DataCentre == c.DataCentre() {
+			mine = append(mine, e)
+		}
+	}
+	n.tell(c, home.EndpointsListed{Endpoints: mine})
+}
+
+// Available implements front.Homes: the cell of this VM's data centre first, then the
+// others, those with the most free room first.
+func (n *Control) Available(now clock.Millis) []cell.ID {
+	own := cell.Of(n.config.Self.DataCentre)
+	var all []cell.ID
+	for _, c := range n.cells {
+		if _, _, _, ok := n.views[c].Home(now); ok {
+			all = append(all, c)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b cell.ID) int {
+		switch {
+		case a == own:
+			return -1
+		case b == own:
+			return 1
+		}
+		return int(n.loads[b].FreeCPU - n.loads[a].FreeCPU)
+	})
+	return all
+}
+
+// Home implements front.Homes.
+func (n *Control) Home(c cell.ID, now clock.Millis) (vm.Incarnation, bool) {
+	v := n.views[c]
+	if v == nil {
+		return "", false
+	}
+	m, _, _, ok := v.Home(now)
+	return m.Incarnation, ok
+}
--- /dev/null
+++ b/internal/control/node/event.go
@@ -0,0 +1,159 @@
+package node
+
+import (
+	"github.com/sequoiacart/sequoiacart/internal/control/home"
+	"github.com/sequoiacart/sequoiacart/internal/control/succession"
+	"github.com/sequoiacart/sequoiacart/internal/world/cell"
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/queue"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// Event is what the control goroutine hears. It is one of the types of this file.
+type Event interface{ event() }
+
+// JobArrived is a job that a caller has sent to this VM.
+type JobArrived struct {
+	Job   job.Job
+	Limit clock.Millis
+	// Taken receives the key of the job, Ended its outcome. Both have room for one.
+	Taken chan<- job.Key
+	Ended chan<- job.Outcome
+}
+
+// CallerLeft says that the caller of a job waits no longer.
+type CallerLeft struct{ Key job.Key }
+
+// CancelRequested asks for a job to be cancelled wherever it runs.
+type CancelRequested struct{ Job job.ID }
+
+// SubmitAnswered is what a home, or the way to it, made of a submission.
+type SubmitAnswered struct {
+	Key     job.Key
+	From    cell.ID
+	Outcome job.Outcome
+}
+
+// PeerSubmitted is a submission of another VM, to a cell whose home this VM should be.
+type PeerSubmitted struct {
+	Cell       cell.ID
+	Submission job.Submission
+	// Ended has room for one.
+	Ended chan<- job.Outcome
+}
+
+// PeerBeat is a beat of another VM.
+type PeerBeat struct {
+	Beat BeatRequest
+	// Reply has room for one.
+	Reply chan<- BeatReply
+}
+
+// BeatAnswered is the answer of a member to this VM's beat.
+type BeatAnswered struct {
+	Cell   cell.ID
+	Answer succession.Answer
+	Reply  BeatReply
+}
+
+// PeerCancelled is a cancellation that another VM passes on.
+type PeerCancelled struct{ Job job.ID }
+
+// PeerYielded says that the home of a cell shuts down and wants this VM to take over.
+type PeerYielded struct {
+	Lineup cell.Lineup
+	// Done has room for one and tells whether this VM is home now.
+	Done chan<- bool
+}
+
+// YieldEnded says whether a successor has taken a cell over.
+type YieldEnded struct {
+	Cell  cell.ID
+	Taken bool
+}
+
+// HomeHeard is an event for the home of a cell.
+type HomeHeard struct {
+	Cell  cell.ID
+	Event home.Event
+}
+
+// DesiredRead is a desired state, from the store or a peer.
+type DesiredRead struct{ State *queue.State }
+
+// EndpointsRead is the store's list of all endpoints, as of a version of the store.
+type EndpointsRead struct {
+	Endpoints []endpoint.Endpoint
+	Version   int64
+}
+
+// VMsRead is the store's list of entry VMs.
+type VMsRead struct{ VMs []cell.VM }
+
+// LineupsRead are lineups in the store.
+type LineupsRead struct{ Lineups []cell.Lineup }
+
+// LineupWritten is the result of writing a lineup.
+type LineupWritten struct {
+	Lineup cell.Lineup
+	// Written says that the lineup stands, with its revision filled in.
+	Written bool
+}
+
+// ShutdownRequested makes the VM hand over what it is home of.
+type ShutdownRequested struct{}
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (JobArrived) event()        {}
+func (CallerLeft) event()        {}
+func (CancelRequested) event()   {}
+func (SubmitAnswered) event()    {}
+func (PeerSubmitted) event()     {}
+func (PeerBeat) event()          {}
+func (BeatAnswered) event()      {}
+func (PeerCancelled) event()     {}
+func (PeerYielded) event()       {}
+func (YieldEnded) event()        {}
+func (HomeHeard) event()         {}
+func (DesiredRead) event()       {}
+func (EndpointsRead) event()     {}
+func (VMsRead) event()           {}
+func (LineupsRead) event()       {}
+func (LineupWritten) event()     {}
+func (ShutdownRequested) event() {}
+func (Tick) event()              {}
+
+// BeatRequest is what an entry VM tells the home of a cell.
+type BeatRequest struct {
+	Cell cell.ID
+	From cell.VM
+	// Sent is when the message was sent, by the home's clock and at the latest; 0 while
+	// the sender does not know the home's clock.
+	Sent    clock.Millis
+	Waiting []uint64
+	LastSeq uint64
+	// Revision is that of the lineup that the sender knows.
+	Revision int64
+	Desired  queue.Version
+	// Loads are the figures of the cells whose home the sender is.
+	Loads []cell.Load
+}
+
+// BeatReply is what a member answers.
+type BeatReply struct {
+	Home     bool
+	Token    cell.Token
+	Clock    clock.Millis
+	Draining bool
+	// Lineup is filled in when it is later than the sender's.
+	Lineup  cell.Lineup
+	Desired queue.Version
+	Load    cell.Load
+	// EndpointsVersion is the store's version of the list of endpoints that the member has.
+	EndpointsVersion int64
+	From             vm.Incarnation
+}
--- /dev/null
+++ b/internal/control/succession/view.go
@@ -0,0 +1,260 @@
+// Package succession decides who is the home of a cell: whom a VM believes to be it, when a
+// successor takes over, and when a VM claims a cell that has nobody.
+package succession
+
+import (
+	"github.com/sequoiacart/sequoiacart/internal/world/cell"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// Times bound how long a VM waits for others.
+const (
+	// BeatEvery is the interval of beats to a home. Three of them fit into the 350 ms after
+	// which a home gives up the jobs of a silent entry VM.
+	BeatEvery = clock.Millis(100)
+	// BeatTimeout bounds a beat; a round trip takes a few milliseconds, and a VM that is
+	// slowed five times still answers within it.
+	BeatTimeout = clock.Millis(150)
+	// beatAgain is the pause after a beat that failed.
+	beatAgain = clock.Millis(40)
+	// failuresToDoubt is how many beats in a row fail before a member counts as silent.
+	failuresToDoubt = 3
+	// ClaimPause is how much longer each next candidate waits before it claims a cell.
+	ClaimPause = clock.Millis(120)
+	// claimRetry is the pause after a claim that did not succeed.
+	claimRetry = clock.Millis(300)
+	// freshHome is how long after its last answer a home is still believed to be there.
+	freshHome = clock.Millis(400)
+)
+
+// View is what one VM knows of a cell. It belongs to the control goroutine.
+type View struct {
+	self   vm.Incarnation
+	lineup cell.Lineup
+	// asked is the rank of the member that is asked at present.
+	asked    int
+	failures int
+	// silent says that no member of the lineup has answered since it was known.
+	silent      bool
+	silentSince clock.Millis
+	claimedAt   clock.Millis
+	beating     bool
+	beatAt      clock.Millis
+
+	// homeToken is that of the member that last said it was home.
+	homeToken   cell.Token
+	homeAt      clock.Millis
+	home        bool
+	homeClock   clock.Millis
+	homeClockAt clock.Millis
+	pressed     bool
+	// lostUnder is the revision of the lineup under which this VM was home and is not any
+	// more.
+	lostUnder int64
+}
+
+// NewView returns a view of a cell of which nothing is known.
+func NewView(self vm.Incarnation, c cell.ID, now clock.Millis) *View {
+	return &View{self: self, lineup: cell.Lineup{Cell: c}, silent: true, silentSince: now}
+}
+
+// Lineup returns the latest lineup known.
+func (v *View) Lineup() cell.Lineup { return v.lineup }
+
+// Step is what a view wants done. It is one of the types below.
+type Step interface{ step() }
+
+// Beat asks a member whether it is home.
+type Beat struct {
+	To cell.Member
+	// First says that the member has not answered yet, so that its clock is unknown.
+	First bool
+}
+
+// TakeOver makes this VM the home under its rank in the lineup.
+type TakeOver struct{ Rank int }
+
+// Claim writes a lineup with this VM as home.
+type Claim struct{}
+
+func (Beat) step()     {}
+func (TakeOver) step() {}
+func (Claim) step()    {}
+
+// Learn takes in a lineup from the store or from a peer. It reports whether it is newer.
+func (v *View) Learn(l cell.Lineup, now clock.Millis) bool {
+	if l.Revision <= v.lineup.Revision {
+		return false
+	}
+	same := len(l.Members) > 0 && v.home && v.asked < len(v.lineup.Members) &&
+		l.Members[0].Incarnation == v.lineup.Members[v.asked].Incarnation
+	v.lineup = l
+	v.asked, v.failures = 0, 0
+	if !same {
+		v.home = false
+		v.silent, v.silentSince = true, now
+		v.beating = false
+	}
+	v.beatAt = 0
+	return true
+}
+
+// Press makes the next beat go out at once.
+func (v *View) Press() { v.pressed = true }
+
+// Next returns what is due, or nil. position tells this VM's place among those who may claim
+// the cell, or -1.
+func (v *View) Next(now clock.Millis, position func() int) Step {
+	if len(v.lineup.Members) == 0 {
+		return v.claim(now, position)
+	}
+	if v.asked >= len(v.lineup.Members) {
+		// Everybody has been silent: ask again from the start, and claim meanwhile.
+		v.asked, v.failures = 0, 0
+	}
+	if v.lineup.Members[v.asked].Incarnation == v.self {
+		if v.lineup.Revision != v.lostUnder {
+			return TakeOver{Rank: v.asked}
+		}
+		v.askNext(now)
+		return nil
+	}
+	if v.silent {
+		if s := v.claim(now, position); s != nil {
+			return s
+		}
+	}
+	due := v.beatAt + BeatEvery
+	if v.failures > 0 {
+		due = v.beatAt + beatAgain
+	}
+	if v.beating || now < due && !v.pressed {
+		return nil
+	}
+	v.beating, v.beatAt, v.pressed = true, now, false
+	return Beat{To: v.lineup.Members[v.asked], First: v.homeClockAt == 0}
+}
+
+// claim is due once a cell has had no home for long enough. The pause of each candidate
+// leaves the first one time to succeed.
+func (v *View) claim(now clock.Millis, position func() int) Step {
+	wait := clock.Millis(0)
+	if len(v.lineup.Members) > 0 {
+		wait = freshHome
+	}
+	if now < v.silentSince+wait || now < v.claimedAt+claimRetry && v.claimedAt != 0 {
+		return nil
+	}
+	place := position()
+	if place < 0 || now < v.silentSince+wait+clock.Millis(place)*ClaimPause {
+		return nil
+	}
+	v.claimedAt = now
+	return Claim{}
+}
+
+// Answer is what a member answered to a beat.
+type Answer struct {
+	From vm.Incarnation
+	// OK says that there was an answer at all.
+	OK bool
+	// Gone says that nobody listens at the member's address any more.
+	Gone bool
+	// Home says that the member is home under the token.
+	Home  bool
+	Token cell.Token
+	// HomeClock is the member's clock when it answered.
+	HomeClock clock.Millis
+}
+
+// Answered takes in the answer to a beat.
+func (v *View) Answered(a Answer, now clock.Millis) {
+	if v.asked >= len(v.lineup.Members) || v.lineup.Members[v.asked].Incarnation != a.From {
+		return
+	}
+	v.beating = false
+	if !a.OK {
+		v.failed(a.Gone, now)
+		return
+	}
+	v.failures = 0
+	v.silent = false
+	if !a.Home {
+		v.notHome(now)
+		return
+	}
+	v.home, v.homeAt, v.homeToken = true, now, max(v.homeToken, a.Token)
+	v.homeClock, v.homeClockAt = a.HomeClock, now
+}
+
+func (v *View) failed(gone bool, now clock.Millis) {
+	v.failures++
+	if gone {
+		v.failures++
+	}
+	if v.failures < failuresToDoubt {
+		return
+	}
+	v.askNext(now)
+}
+
+// askNext turns to the next member. After the last one the cell counts as silent.
+func (v *View) askNext(now clock.Millis) {
+	v.home, v.homeClockAt = false, 0
+	v.failures, v.beatAt = 0, 0
+	v.asked++
+	if v.asked >= len(v.lineup.Members) && !v.silent {
+		v.silent, v.silentSince = true, now
+	}
+}
+
+// notHome deals with a member that answers but is not home: it still hears its predecessors,
+// so they are asked again.
+func (v *View) notHome(now clock.Millis) {
+	v.home, v.homeClockAt = false, 0
+	if v.asked > 0 {
+		v.asked = 0
+		v.beatAt = now
+		return
+	}
+	// The first of the lineup is not home any more: whoever is will write a new lineup.
+	v.askNext(now)
+}
+
+// Became records that this VM is home.
+func (v *View) Became(t cell.Token, now clock.Millis) {
+	v.home, v.homeToken, v.homeAt, v.silent = true, t, now, false
+	if r := v.lineup.Rank(v.self); r >= 0 {
+		v.asked = r
+	}
+}
+
+// Lost records that this VM is not home any more.
+func (v *View) Lost(now clock.Millis) {
+	v.home, v.homeClockAt = false, 0
+	v.silent, v.silentSince = true, now
+	v.asked, v.failures, v.beating, v.beatAt = 0, 0, false, 0
+	// Whoever took over outranks this VM under the same lineup.
+	v.lostUnder = v.lineup.Revision
+}
+
+// IsSelf reports whether this VM is believed to be home.
+func (v *View) IsSelf() bool {
+	return v.home && v.asked < len(v.lineup.Members) && v.lineup.Members[v.asked].Incarnation == v.self
+}
+
+// Home returns the member that is believed to be home, and its clock now at the earliest.
+func (v *View) Home(now clock.Millis) (m cell.Member, token cell.Token, clockThere clock.Millis, ok bool) {
+	if !v.home || v.asked >= len(v.lineup.Members) {
+		return cell.Member{}, 0, 0, false
+	}
+	m = v.lineup.Members[v.asked]
+	if m.Incarnation == v.self {
+		return m, v.homeToken, now, true
+	}
+	if now-v.homeAt > freshHome {
+		return cell.Member{}, 0, 0, false
+	}
+	return m, v.homeToken, v.homeClock + now - v.homeClockAt, true
+}
--- /dev/null
+++ b/internal/link/caller/server.go
@@ -0,0 +1,211 @@
+// Package caller serves the callers of a VM over HTTP. What they say and are told is encoded
+// and decoded by package platform; what happens to their jobs is decided by package node.
+package caller
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/juju/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/sequoiacart/sequoiacart/internal/control/node"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/queue"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/platform"
+)
+
+// Local is what the server needs of its own VM.
+type Local interface {
+	// Post hands an event to the control goroutine. It reports false once that has ended.
+	Post(e node.Event) bool
+	Desired() *queue.State
+}
+
+// Config holds what a server is made of.
+type Config struct {
+	Listener net.Listener
+	Local    Local
+	Counter  Counter
+}
+
+// Counter counts requests by their status.
+type Counter interface{ Count(name string) }
+
+// Server answers callers.
+type Server struct {
+	config   Config
+	http     *http.Server
+	draining atomic.Bool
+	refusing atomic.Bool
+	open     atomic.Int64
+}
+
+const (
+	// headerBytesMost bounds the headers of a request; desired states allow up to 16 KB.
+	headerBytesMost = 16 << 10
+	// headerTimeout and idleTimeout are those of the desired states seen so far. They are
+	// fixed when the listener is opened, before a desired state is known.
+	headerTimeout = 3 * clock.Second
+	idleTimeout   = 60 * clock.Second
+	// bodyBytesMost bounds a job while the desired state names no limit.
+	bodyBytesMost = 256 << 10
+	// limitDefault is how long a caller is taken to wait that does not say.
+	limitDefault = 30 * clock.Second
+)
+
+// NewServer returns a server that does not accept connections yet.
+func NewServer(c Config) *Server {
+	s := &Server{config: c}
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.POST("/*", s.submit)
+	e.GET("/*", s.look)
+	e.DELETE("/*", s.cancel)
+	s.http = &http.Server{
+		Handler: e, MaxHeaderBytes: headerBytesMost,
+		ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
+	}
+	return s
+}
+
+// Serve accepts connections until Close.
+func (s *Server) Serve() error {
+	err := s.http.Serve(s.config.Listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Annotate(err, "serve callers")
+}
+
+// Drain closes each connection after its next answer, so that callers turn to other VMs.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Refuse also refuses new jobs.
+func (s *Server) Refuse() { s.refusing.Store(true) }
+
+// Open counts the requests that have no answer yet.
+func (s *Server) Open() int64 { return s.open.Load() }
+
+// Shutdown ends idle connections and waits for the others.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+// Close ends all connections.
+func (s *Server) Close() { _ = s.http.Close() }
+
+func (s *Server) answer(c echo.Context, r platform.Response) error {
+	if r.RetryAfter > 0 {
+		c.Response().Header().Set("Retry-After", strconv.FormatInt(int64((r.RetryAfter+clock.Second-1)/clock.Second), 10))
+	}
+	if s.draining.Load() {
+		c.Response().Header().Set("Connection", "close")
+	}
+	s.config.Counter.Count("requests." + strconv.Itoa(r.Status))
+	return c.Blob(r.Status, echo.MIMEApplicationJSON, r.Body)
+}
+
+// match finds the queue that a request is for, or says what to answer.
+func (s *Server) match(c echo.Context) (*queue.State, *queue.Queue, string, *platform.Response) {
+	desired := s.config.Local.Desired()
+	if desired == nil {
+		r := platform.Refusal(string(job.NoDesiredState), clock.Second)
+		return nil, nil, "", &r
+	}
+	q, rest := desired.Match(c.Request().Host, c.Request().URL.Path)
+	if q == nil {
+		r := platform.NotFound()
+		return desired, nil, "", &r
+	}
+	return desired, q, rest, nil
+}
+
+func (s *Server) submit(c echo.Context) error {
+	s.open.Add(1)
+	defer s.open.Add(-1)
+	desired, q, id, early := s.match(c)
+	if early != nil {
+		return s.answer(c, *early)
+	}
+	if !platform.ValidJob(id) {
+		return s.answer(c, platform.Invalid(http.StatusBadRequest, "the path does not end in a job's ID of 16 hexadecimal digits"))
+	}
+	bytesMost := desired.Limits.BodyBytes
+	if bytesMost <= 0 {
+		bytesMost = bodyBytesMost
+	}
+	body, err := io.ReadAll(io.LimitReader(c.Request().Body, bytesMost+1))
+	if err != nil {
+		return s.answer(c, platform.Invalid(http.StatusBadRequest, "the body ended early"))
+	}
+	if int64(len(body)) > bytesMost {
+		return s.answer(c, platform.Invalid(http.StatusRequestEntityTooLarge, "the body is longer than "+strconv.FormatInt(bytesMost, 10)+" bytes"))
+	}
+	j, err := platform.DecodeJob(id, q, body)
+	switch {
+	case errors.Is(err, platform.ErrUnsupported):
+		return s.answer(c, platform.Refusal(err.Error(), 0))
+	case err != nil:
+		return s.answer(c, platform.Invalid(http.StatusBadRequest, err.Error()))
+	case s.refusing.Load():
+		return s.answer(c, platform.Refusal(string(job.Draining), clock.Second))
+	}
+	return s.answer(c, s.run(c.Request().Context(), j, limitOf(c.Request(), q)))
+}
+
+// limitOf is how long the caller waits, bounded by the queue's own limit.
+func limitOf(r *http.Request, q *queue.Queue) clock.Millis {
+	limit := limitDefault
+	if ms, err := strconv.ParseInt(r.Header.Get(platform.HeaderDeadline), 10, 64); err == nil && ms > 0 {
+		limit = clock.Millis(ms)
+	}
+	if q.Timeout > 0 {
+		limit = min(limit, q.Timeout)
+	}
+	return limit
+}
+
+// run has a job run and waits for its outcome, or for the caller to leave.
+func (s *Server) run(ctx context.Context, j job.Job, limit clock.Millis) platform.Response {
+	taken, ended := make(chan job.Key, 1), make(chan job.Outcome, 1)
+	if !s.config.Local.Post(node.JobArrived{Job: j, Limit: limit, Taken: taken, Ended: ended}) {
+		return platform.Refusal(string(job.Draining), clock.Second)
+	}
+	select {
+	case o := <-ended:
+		return platform.EncodeOutcome(o)
+	case <-ctx.Done():
+	}
+	if k, ok := <-taken; ok {
+		s.config.Local.Post(node.CallerLeft{Key: k})
+	}
+	return platform.EncodeOutcome(job.Stopped{Reason: job.CallerGone})
+}
+
+// look answers questions for a job or for the number of stored jobs of a queue. Only jobs
+// that need not be stored are served, so nothing is known of a job once it has ended.
+func (s *Server) look(c echo.Context) error {
+	_, _, id, early := s.match(c)
+	switch {
+	case early != nil:
+		return s.answer(c, *early)
+	case id == "":
+		return s.answer(c, platform.Pending(0))
+	}
+	return s.answer(c, platform.UnknownJob())
+}
+
+func (s *Server) cancel(c echo.Context) error {
+	_, _, id, early := s.match(c)
+	if early != nil {
+		return s.answer(c, *early)
+	}
+	if !s.config.Local.Post(node.CancelRequested{Job: job.ID(id)}) {
+		return s.answer(c, platform.Refusal(string(job.Draining), clock.Second))
+	}
+	return s.answer(c, platform.Cancelled())
+}
--- /dev/null
+++ b/internal/link/peer/client.go
@@ -0,0 +1,194 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/sequoiacart/sequoiacart/internal/control/node"
+	"github.com/sequoiacart/sequoiacart/internal/world/cell"
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/queue"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// Dialer opens connections to peers.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// ClientConfig holds what a client is made of.
+type ClientConfig struct {
+	Dialer Dialer
+	// Timeout bounds calls that are answered at once.
+	Timeout clock.Millis
+}
+
+// Client calls other entry VMs, over one connection for each.
+type Client struct {
+	config ClientConfig
+
+	mu    sync.Mutex
+	peers map[string]*connection
+}
+
+// connection is a connection to a peer, or the attempt to open it.
+type connection struct {
+	ready chan struct{}
+	rpc   *rpc.Client
+	err   error
+}
+
+// NewClient returns a client without connections.
+func NewClient(c ClientConfig) *Client {
+	return &Client{config: c, peers: make(map[string]*connection)}
+}
+
+// Beat sends a beat. gone says that nobody listens at the address.
+func (c *Client) Beat(to cell.Member, b node.BeatRequest) (reply node.BeatReply, gone bool, err error) {
+	answer := &node.BeatReply{}
+	if err := c.call(to, "Beat", b, answer, c.config.Timeout); err != nil {
+		// The answer may still be written to by a late reply.
+		return node.BeatReply{}, errors.Is(err, syscall.ECONNREFUSED), err
+	}
+	return *answer, false, nil
+}
+
+// Submit hands a job to a home and waits for its outcome for limit at most.
+func (c *Client) Submit(to cell.Member, in cell.ID, s job.Submission, traceParent string, limit clock.Millis) job.Outcome {
+	var reply SubmitReply
+	err := c.call(to, "Submit", SubmitRequest{Cell: in, Submission: s, TraceParent: traceParent}, &reply, limit)
+	if err != nil {
+		return job.Unanswered{Cause: err.Error()}
+	}
+	return decodeOutcome(reply)
+}
+
+// Cancel passes a cancellation on.
+func (c *Client) Cancel(to cell.Member, id job.ID) error {
+	return c.call(to, "Cancel", CancelRequest{Job: id}, &Empty{}, c.config.Timeout)
+}
+
+// Yield asks a successor to take a cell over.
+func (c *Client) Yield(to cell.Member, l cell.Lineup) (bool, error) {
+	var reply YieldReply
+	err := c.call(to, "Yield", YieldRequest{Lineup: l}, &reply, c.config.Timeout)
+	return reply.Taken, err
+}
+
+// Desired asks a peer for its desired state, which may be none.
+func (c *Client) Desired(from cell.Member) (*queue.State, error) {
+	var r DesiredReply
+	if err := c.call(from, "Desired", Empty{}, &r, c.config.Timeout); err != nil || r.Version == 0 {
+		return nil, err
+	}
+	return queue.NewState(r.Version, r.Queues, r.Services, r.Limits), nil
+}
+
+// Endpoints asks a peer for its list of endpoints.
+func (c *Client) Endpoints(from cell.Member) ([]endpoint.Endpoint, int64, error) {
+	var r EndpointsReply
+	err := c.call(from, "Endpoints", Empty{}, &r, c.config.Timeout)
+	return r.Endpoints, r.Version, err
+}
+
+// Close ends all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, p := range c.peers {
+		delete(c.peers, address)
+		go p.close()
+	}
+}
+
+func (p *connection) close() {
+	<-p.ready
+	if p.rpc != nil {
+		_ = p.rpc.Close()
+	}
+}
+
+func (c *Client) call(to cell.Member, method string, request, reply any, limit clock.Millis) error {
+	timer := time.NewTimer(limit.Duration())
+	defer timer.Stop()
+	p := c.connect(to.Address)
+	select {
+	case <-p.ready:
+	case <-timer.C:
+		c.drop(to.Address, p)
+		return errors.Timeoutf("%s at %s: connect", method, to.Incarnation)
+	}
+	if p.err != nil {
+		c.drop(to.Address, p)
+		return errors.Annotatef(p.err, "%s at %s", method, to.Incarnation)
+	}
+	done := p.rpc.Go(serviceName+"."+method, request, reply, make(chan *rpc.Call, 1))
+	select {
+	case call := <-done.Done:
+		if call.Error != nil && !isRemote(call.Error) {
+			c.drop(to.Address, p)
+		}
+		return errors.Annotatef(call.Error, "%s at %s", method, to.Incarnation)
+	case <-timer.C:
+		if method == "Beat" {
+			// A connection that is silent may stay so for good; the next call opens
+			// another. Calls under way on this one may still be answered.
+			c.forget(to.Address, p)
+		}
+		return errors.Timeoutf("%s at %s", method, to.Incarnation)
+	}
+}
+
+// isRemote reports whether the peer itself answered with an error.
+func isRemote(err error) bool {
+	var s rpc.ServerError
+	return errors.As(err, &s)
+}
+
+// connect returns the connection to an address and opens one where there is none.
+func (c *Client) connect(address string) *connection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.peers[address]; p != nil {
+		return p
+	}
+	p := &connection{ready: make(chan struct{})}
+	c.peers[address] = p
+	go func() {
+		defer close(p.ready)
+		n, err := c.config.Dialer.DialContext(context.Background(), "tcp", address)
+		if err != nil {
+			p.err = err
+			return
+		}
+		p.rpc = rpc.NewClient(n)
+	}()
+	return p
+}
+
+// drop closes a connection that has failed.
+func (c *Client) drop(address string, p *connection) {
+	c.forget(address, p)
+	go p.close()
+}
+
+// silentFor is how long calls on a forgotten connection may still be answered.
+const silentFor = 2 * clock.Second
+
+// forget makes the next call open another connection, and closes this one later.
+func (c *Client) forget(address string, p *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.peers[address] != p {
+		return
+	}
+	delete(c.peers, address)
+	time.AfterFunc(silentFor.Duration(), p.close)
+}
--- /dev/null
+++ b/internal/link/peer/server.go
@@ -0,0 +1,162 @@
+// Package peer speaks net/rpc between the entry VMs.
+package peer
+
+import (
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/sequoiacart/sequoiacart/internal/control/node"
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/queue"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// Local is what the server needs of its own VM.
+type Local interface {
+	// Post hands an event to the control goroutine. It reports false once that has ended.
+	Post(e node.Event) bool
+	Desired() *queue.State
+	Endpoints() ([]endpoint.Endpoint, int64)
+}
+
+// ServerConfig holds what a server is made of.
+type ServerConfig struct {
+	Listener net.Listener
+	Local    Local
+	// SubmitTimeout bounds the wait for the outcome of a submission.
+	SubmitTimeout clock.Millis
+	// ControlTimeout bounds the wait for other answers of the control goroutine.
+	ControlTimeout clock.Millis
+}
+
+// Server answers other entry VMs.
+type Server struct {
+	config ServerConfig
+	rpc    *rpc.Server
+
+	mu     sync.Mutex
+	conns  map[net.Conn]struct{}
+	closed atomic.Bool
+}
+
+// serviceName is the name of the service on the wire.
+const serviceName = "Fleet"
+
+// NewServer returns a server that does not accept connections yet.
+func NewServer(c ServerConfig) (*Server, error) {
+	s := &Server{config: c, rpc: rpc.NewServer(), conns: make(map[net.Conn]struct{})}
+	err := s.rpc.RegisterName(serviceName, &service{config: c})
+	return s, errors.Annotate(err, "register peer service")
+}
+
+// Serve accepts connections until Close.
+func (s *Server) Serve() error {
+	for {
+		c, err := s.config.Listener.Accept()
+		if err != nil {
+			if s.closed.Load() {
+				return nil
+			}
+			return errors.Annotate(err, "accept peer connections")
+		}
+		s.mu.Lock()
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
+		go func() {
+			s.rpc.ServeConn(c)
+			s.mu.Lock()
+			delete(s.conns, c)
+			s.mu.Unlock()
+		}()
+	}
+}
+
+// Close ends the listener and all connections.
+func (s *Server) Close() {
+	s.closed.Store(true)
+	_ = s.config.Listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+}
+
+type service struct{ config ServerConfig }
+
+var errShutDown = errors.New("the VM is shutting down")
+
+// Beat answers a beat.
+func (s *service) Beat(r BeatRequest, reply *BeatReply) error {
+	answer := make(chan node.BeatReply, 1)
+	if !s.config.Local.Post(node.PeerBeat{Beat: r, Reply: answer}) {
+		return errShutDown
+	}
+	b, err := await(answer, s.config.ControlTimeout)
+	*reply = b
+	return err
+}
+
+// Submit runs a job and answers with its outcome.
+func (s *service) Submit(r SubmitRequest, reply *SubmitReply) error {
+	ended := make(chan job.Outcome, 1)
+	if !s.config.Local.Post(node.PeerSubmitted{Cell: r.Cell, Submission: r.Submission, Ended: ended}) {
+		return errShutDown
+	}
+	o, err := await(ended, s.config.SubmitTimeout)
+	if err == nil {
+		*reply = encodeOutcome(o)
+	}
+	return err
+}
+
+// Cancel cancels a job in the cells whose home this VM is.
+func (s *service) Cancel(r CancelRequest, _ *Empty) error {
+	if !s.config.Local.Post(node.PeerCancelled{Job: r.Job}) {
+		return errShutDown
+	}
+	return nil
+}
+
+// Yield takes a cell over from a home that shuts down.
+func (s *service) Yield(r YieldRequest, reply *YieldReply) error {
+	done := make(chan bool, 1)
+	if !s.config.Local.Post(node.PeerYielded{Lineup: r.Lineup, Done: done}) {
+		return errShutDown
+	}
+	taken, err := await(done, s.config.ControlTimeout)
+	reply.Taken = taken
+	return err
+}
+
+// Desired returns the desired state in force here.
+func (s *service) Desired(_ Empty, reply *DesiredReply) error {
+	if d := s.config.Local.Desired(); d != nil {
+		*reply = DesiredReply{Version: d.Version, Queues: d.Queues, Services: d.Services, Limits: d.Limits}
+	}
+	return nil
+}
+
+// Endpoints returns this VM's list of endpoints.
+func (s *service) Endpoints(_ Empty, reply *EndpointsReply) error {
+	reply.Endpoints, reply.Version = s.config.Local.Endpoints()
+	return nil
+}
+
+func await[T any](ch <-chan T, limit clock.Millis) (T, error) {
+	timer := time.NewTimer(limit.Duration())
+	defer timer.Stop()
+	select {
+	case v := <-ch:
+		return v, nil
+	case <-timer.C:
+		var zero T
+		return zero, errors.Timeoutf("wait for the control goroutine")
+	}
+}
--- /dev/null
+++ b/internal/link/peer/wire.go
@@ -0,0 +1,109 @@
+package peer
+
+import (
+	"github.com/sequoiacart/sequoiacart/internal/control/node"
+	"github.com/sequoiacart/sequoiacart/internal/world/cell"
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/queue"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// SubmitRequest hands a job to a home.
+type SubmitRequest struct {
+	Cell       cell.ID
+	Submission job.Submission
+	// TraceParent is the W3C trace context of the caller's request, or empty.
+	TraceParent string
+}
+
+// SubmitReply is the outcome of a submission.
+type SubmitReply struct {
+	Kind       int
+	Task       job.TaskName
+	Reason     job.Reason
+	RetryAfter clock.Millis
+	To         cell.ID
+	Cause      string
+}
+
+// The kinds of outcomes on the wire.
+const (
+	kindCompleted = iota + 1
+	kindFailed
+	kindRefused
+	kindRedirected
+	kindMoved
+	kindStopped
+	kindUnanswered
+)
+
+func encodeOutcome(o job.Outcome) SubmitReply {
+	switch o := o.(type) {
+	case job.Completed:
+		return SubmitReply{Kind: kindCompleted}
+	case job.Failed:
+		return SubmitReply{Kind: kindFailed, Task: o.Task}
+	case job.Refused:
+		return SubmitReply{Kind: kindRefused, Reason: o.Reason, RetryAfter: o.RetryAfter}
+	case job.Redirected:
+		return SubmitReply{Kind: kindRedirected, To: o.To}
+	case job.Moved:
+		return SubmitReply{Kind: kindMoved}
+	case job.Stopped:
+		return SubmitReply{Kind: kindStopped, Reason: o.Reason}
+	case job.Unanswered:
+		return SubmitReply{Kind: kindUnanswered, Cause: o.Cause}
+	}
+	return SubmitReply{Kind: kindUnanswered, Cause: "unknown outcome"}
+}
+
+func decodeOutcome(r SubmitReply) job.Outcome {
+	switch r.Kind {
+	case kindCompleted:
+		return job.Completed{}
+	case kindFailed:
+		return job.Failed{Task: r.Task}
+	case kindRefused:
+		return job.Refused{Reason: r.Reason, RetryAfter: r.RetryAfter}
+	case kindRedirected:
+		return job.Redirected{To: r.To}
+	case kindMoved:
+		return job.Moved{}
+	case kindStopped:
+		return job.Stopped{Reason: r.Reason}
+	}
+	return job.Unanswered{Cause: r.Cause}
+}
+
+// CancelRequest cancels a job.
+type CancelRequest struct{ Job job.ID }
+
+// YieldRequest asks a successor to take a cell over.
+type YieldRequest struct{ Lineup cell.Lineup }
+
+// YieldReply says whether it has.
+type YieldReply struct{ Taken bool }
+
+// Empty stands for no argument or no answer.
+type Empty struct{}
+
+// DesiredReply is a desired state; version 0 means none.
+type DesiredReply struct {
+	Version  queue.Version
+	Queues   []queue.Queue
+	Services map[queue.ServiceName]queue.Service
+	Limits   queue.Limits
+}
+
+// EndpointsReply is a VM's list of endpoints, as of a version of the store.
+type EndpointsReply struct {
+	Endpoints []endpoint.Endpoint
+	Version   int64
+}
+
+// BeatRequest and BeatReply are exchanged as they are: they hold named plain types.
+type (
+	BeatRequest = node.BeatRequest
+	BeatReply   = node.BeatReply
+)
--- /dev/null
+++ b/internal/link/store/codec.go
@@ -0,0 +1,72 @@
+package store
+
+import (
+	"encoding/json"
+
+	"github.com/juju/errors"
+
+	"github.com/sequoiacart/sequoiacart/internal/world/cell"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+type wireVM struct {
+	Incarnation string `json:"incarnation"`
+	Address     string `json:"address"`
+	DataCentre  string `json:"dataCentre"`
+	MilliCores  int    `json:"milliCores"`
+}
+
+type wireMember struct {
+	Incarnation string `json:"incarnation"`
+	Address     string `json:"address"`
+}
+
+type wireLineup struct {
+	Members []wireMember `json:"members"`
+}
+
+// EncodeVM returns the row of an entry VM.
+func EncodeVM(v cell.VM) ([]byte, error) {
+	return json.Marshal(wireVM{
+		Incarnation: string(v.Incarnation), Address: v.Address,
+		DataCentre: string(v.DataCentre), MilliCores: v.CPU,
+	})
+}
+
+// DecodeVM reads the row of an entry VM.
+func DecodeVM(r Row) (cell.VM, error) {
+	var w wireVM
+	if err := json.Unmarshal(r.Value, &w); err != nil {
+		return cell.VM{}, errors.Annotatef(err, "decode row of VM %s", r.Key)
+	}
+	if w.Incarnation == "" || w.Address == "" {
+		return cell.VM{}, errors.NotValidf("decode row of VM %s: no incarnation or address: row", r.Key)
+	}
+	return cell.VM{
+		Member:     cell.Member{Incarnation: vm.Incarnation(w.Incarnation), Address: w.Address},
+		DataCentre: datacentre.ID(w.DataCentre), CPU: w.MilliCores,
+	}, nil
+}
+
+// EncodeLineup returns the row of a cell.
+func EncodeLineup(l cell.Lineup) ([]byte, error) {
+	w := wireLineup{Members: make([]wireMember, len(l.Members))}
+	for i, m := range l.Members {
+		w.Members[i] = wireMember{Incarnation: string(m.Incarnation), Address: m.Address}
+	}
+	return json.Marshal(w)
+}
+
+// DecodeLineup reads the row of a cell.
+func DecodeLineup(r Row) (cell.Lineup, error) {
+	var w wireLineup
+	if err := json.Unmarshal(r.Value, &w); err != nil {
+		return cell.Lineup{}, errors.Annotatef(err, "decode lineup of cell %s", r.Key)
+	}
+	l := cell.Lineup{Cell: cell.ID(r.Key), Revision: int64(r.Revision)}
+	for _, m := range w.Members {
+		l.Members = append(l.Members, cell.Member{Incarnation: vm.Incarnation(m.Incarnation), Address: m.Address})
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/process/daemon/daemon.go
@@ -0,0 +1,173 @@
+// Package daemon runs an entry VM on the platform: it wires the control state to the network
+// and owns all goroutines and listeners.
+package daemon
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"runtime/debug"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/sequoiacart/sequoiacart/internal/control/home"
+	"github.com/sequoiacart/sequoiacart/internal/control/node"
+	"github.com/sequoiacart/sequoiacart/internal/link/caller"
+	"github.com/sequoiacart/sequoiacart/internal/link/peer"
+	"github.com/sequoiacart/sequoiacart/internal/link/store"
+	"github.com/sequoiacart/sequoiacart/internal/process/meter"
+	"github.com/sequoiacart/sequoiacart/internal/process/network"
+	"github.com/sequoiacart/sequoiacart/internal/process/settings"
+	"github.com/sequoiacart/sequoiacart/internal/world/cell"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/event"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+	"github.com/sequoiacart/sequoiacart/platform"
+)
+
+// Config holds what a daemon is made of.
+type Config struct {
+	Settings settings.Settings
+	// Reload reads the settings again, after SIGHUP.
+	Reload func() (settings.Settings, error)
+	Hangup <-chan struct{}
+	Clock  clock.Clock
+	Log    *event.Log
+}
+
+// Daemon is an entry VM on the platform.
+type Daemon struct {
+	config  Config
+	self    cell.VM
+	loop    *loop
+	traffic *traffic
+	store   store.Store
+	journal *journal
+	meter   *meter.Meter
+	peers   *peer.Client
+	server  *peer.Server
+	callers *caller.Server
+	ready   *http.Server
+	metrics *http.Server
+
+	readyListener, metricsListener net.Listener
+	cancelTraffic                  context.CancelFunc
+}
+
+const (
+	// dialTimeout bounds the opening of a connection; a round trip takes 2 ms at most.
+	dialTimeout = clock.Millis(120)
+	// unacknowledged is when a connection with sent bytes counts as broken.
+	unacknowledged = clock.Millis(1000)
+	// orderTimeout bounds starts, stops and holds. It is short, since a run is only looked
+	// for elsewhere after it.
+	orderTimeout = clock.Millis(150)
+	// storeTimeout bounds calls to the store, which answers within 4 ms, or 60 times slower
+	// while it is overloaded.
+	storeTimeout = clock.Millis(800)
+	// peerTimeout bounds calls that peers answer at once.
+	peerTimeout = clock.Millis(150)
+	// submitTimeoutMost bounds the wait for a job's outcome at a home.
+	submitTimeoutMost = 60 * clock.Second
+	// idleConnections to one endpoint: the tasks that fit there at the same time and two
+	// holds. New connections are dear.
+	idleConnections = 8
+	idleTimeout     = clock.Minute
+	// collectAt is the garbage collector's target while memory allows.
+	collectAt = 300
+	// memoryShare of the VM's memory is the soft limit of the heap.
+	memoryShare = 0.6
+	megabyte    = 1 << 20
+)
+
+// New opens the listeners of a daemon.
+func New(c Config) (*Daemon, error) {
+	s := c.Settings
+	debug.SetGCPercent(collectAt)
+	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * megabyte))
+	d := &Daemon{config: c, meter: meter.New()}
+	d.journal = newJournal(c.Log, d.meter, c.Clock, s.LogLinesPerSecond)
+	nonce := make([]byte, 4)
+	if _, err := crand.Read(nonce); err != nil {
+		return nil, errors.Annotate(err, "start VM: draw a nonce")
+	}
+	d.self = cell.VM{
+		Member:     cell.Member{Incarnation: vm.NewIncarnation(s.VM, hex.EncodeToString(nonce)), Address: s.Peers},
+		DataCentre: s.DataCentre, CPU: int(s.ProcessorShare * 1000),
+	}
+	connections := network.Config{DialTimeout: dialTimeout, Unacknowledged: unacknowledged}
+	transport := func() *http.Transport {
+		return &http.Transport{
+			DialContext: connections.DialContext, MaxIdleConnsPerHost: idleConnections,
+			IdleConnTimeout: idleTimeout.Duration(), DisableCompression: true,
+		}
+	}
+	d.store = platform.NewStore(platform.StoreConfig{Address: s.Store, Timeout: storeTimeout, Transport: transport()})
+	d.peers = peer.NewClient(peer.ClientConfig{Dialer: connections, Timeout: peerTimeout})
+	control := node.New(node.Config{
+		Self: d.self, DataCentres: s.DataCentres, FarFactor: s.FarFactor, Successors: s.Successors, Now: c.Clock.Now(),
+		Times: home.DefaultTimes(s.LongestLease, s.StopTakes, s.Resend),
+	})
+	d.loop = newLoop(control, c.Clock)
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancelTraffic = cancel
+	d.traffic = &traffic{
+		ctx: ctx, loop: d.loop, clock: c.Clock, peers: d.peers, store: d.store, journal: d.journal, meter: d.meter,
+		endpoints: platform.NewEndpointClient(platform.EndpointsConfig{Timeout: orderTimeout, Transport: transport()}),
+	}
+	d.loop.executor = d.traffic
+	return d, d.listen()
+}
+
+func (d *Daemon) listen() error {
+	s := d.config.Settings
+	peers, err := net.Listen("tcp", s.Peers)
+	if err != nil {
+		return errors.Annotate(err, "start VM: listen for peers")
+	}
+	d.server, err = peer.NewServer(peer.ServerConfig{
+		Listener: peers, Local: d.loop, SubmitTimeout: submitTimeoutMost, ControlTimeout: clock.Second,
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	callers, err := net.Listen("tcp", s.Callers)
+	if err != nil {
+		return errors.Annotate(err, "start VM: listen for callers")
+	}
+	d.callers = caller.NewServer(caller.Config{Listener: callers, Local: d.loop, Counter: d.meter})
+	if d.readyListener, err = net.Listen("tcp", s.Ready); err != nil {
+		return errors.Annotate(err, "start VM: listen for the load balancer")
+	}
+	d.ready = &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: clock.Second.Duration()}
+	if s.Metrics == "" {
+		return nil
+	}
+	if d.metricsListener, err = net.Listen("tcp", s.Metrics); err != nil {
+		return errors.Annotate(err, "start VM: listen for metrics")
+	}
+	d.metrics = &http.Server{Handler: d.meter, ReadHeaderTimeout: clock.Second.Duration()}
+	return nil
+}
+
+func (d *Daemon) serveReady(w http.ResponseWriter, r *http.Request) {
+	status := http.StatusNotFound
+	if r.URL.Path == platform.ReadyPath {
+		status = http.StatusServiceUnavailable
+		if d.loop.ready.Load() {
+			status = http.StatusOK
+		}
+	}
+	w.WriteHeader(status)
+}
+
+func (d *Daemon) startFields() logrus.Fields {
+	s := d.config.Settings
+	return logrus.Fields{
+		"vm": d.self.Incarnation, "dataCentre": s.DataCentre, "callers": s.Callers, "peers": s.Peers,
+		"store": s.Store, "milliCores": d.self.CPU, "memoryMB": s.MemoryMB,
+	}
+}
--- /dev/null
+++ b/internal/process/daemon/journal.go
@@ -0,0 +1,205 @@
+package daemon
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/sequoiacart/sequoiacart/internal/control/home"
+	"github.com/sequoiacart/sequoiacart/internal/control/node"
+	"github.com/sequoiacart/sequoiacart/internal/process/meter"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/event"
+)
+
+// journal logs decisions on a goroutine of its own. When lines come faster than allowed or
+// than they can be written, they are dropped and counted; nobody waits for the log.
+type journal struct {
+	log       *event.Log
+	meter     *meter.Meter
+	clock     clock.Clock
+	perSecond atomic.Int64
+	lines     chan func()
+
+	second    atomic.Int64
+	inSecond  atomic.Int64
+	storeDown atomic.Int64
+}
+
+// journalLength is how many lines may wait to be written.
+const journalLength = 512
+
+func newJournal(log *event.Log, m *meter.Meter, c clock.Clock, perSecond int) *journal {
+	j := &journal{log: log, meter: m, clock: c, lines: make(chan func(), journalLength)}
+	j.setLimit(perSecond)
+	return j
+}
+
+// setLimit bounds the lines of a second.
+func (j *journal) setLimit(perSecond int) { j.perSecond.Store(int64(perSecond)) }
+
+// run writes lines until the context ends, and then those that are left.
+func (j *journal) run(ctx context.Context) error {
+	for {
+		select {
+		case line := <-j.lines:
+			line()
+		case <-ctx.Done():
+			for len(j.lines) > 0 {
+				(<-j.lines)()
+			}
+			return ctx.Err()
+		}
+	}
+}
+
+func (j *journal) write(line func()) {
+	second := int64(j.clock.Now() / clock.Second)
+	if j.second.Swap(second) != second {
+		j.inSecond.Store(0)
+	}
+	if j.inSecond.Add(1) > j.perSecond.Load() {
+		j.meter.Count("logLines.dropped")
+		return
+	}
+	select {
+	case j.lines <- line:
+	default:
+		j.meter.Count("logLines.dropped")
+	}
+}
+
+// report logs a decision of the control state and counts it.
+func (j *journal) report(r node.Report) {
+	switch r.What {
+	case node.JobEnded:
+		j.jobEnded(r)
+	case node.HomeNote:
+		j.homeNote(r)
+	case node.HomeTaken:
+		j.meter.Count("homes.taken")
+		j.write(func() {
+			j.log.Info(event.CellTaken, "home of cell", logrus.Fields{"cell": r.Cell, "lineup": r.Lineup.Revision, "rank": r.Rank, "token": r.Token})
+		})
+	case node.HomeLost:
+		j.meter.Count("homes.lost")
+		j.write(func() {
+			j.log.Info(event.CellLost, "no longer home of cell", logrus.Fields{"cell": r.Cell, "token": r.Token})
+		})
+	case node.HomeYielded:
+		j.write(func() {
+			j.log.Info(event.CellYielded, "cell handed over", logrus.Fields{"cell": r.Cell, "lineup": r.Lineup.Revision, "successor": r.Rank >= 0})
+		})
+	case node.LineupLearnt:
+		j.write(func() {
+			members := make([]string, len(r.Lineup.Members))
+			for i, m := range r.Lineup.Members {
+				members[i] = string(m.Incarnation)
+			}
+			j.log.Info(event.LineupLearnt, "lineup of cell", logrus.Fields{"cell": r.Cell, "lineup": r.Lineup.Revision, "members": members})
+		})
+	case node.DesiredInForce:
+		j.meter.Gauge("desiredVersion", int64(r.Version))
+		j.write(func() {
+			j.log.Info(event.DesiredInForce, "desired state in force", logrus.Fields{"version": r.Version})
+		})
+	}
+}
+
+func (j *journal) jobEnded(r node.Report) {
+	outcome, reason := outcomeName(r.Outcome)
+	j.meter.Count("jobs." + outcome)
+	if reason != "" {
+		j.meter.Count("jobs." + outcome + "." + reason)
+	}
+	j.meter.Time("jobMs", r.Waited)
+	j.write(func() {
+		j.log.Info(event.JobEnded, "job ended", logrus.Fields{"job": r.Job, "outcome": outcome, "reason": reason, "cell": r.Cell, "waitedMs": r.Waited, "desired": r.Version})
+	})
+}
+
+func outcomeName(o job.Outcome) (outcome, reason string) {
+	switch o := o.(type) {
+	case job.Completed:
+		return "completed", ""
+	case job.Failed:
+		return "failed", ""
+	case job.Refused:
+		return "refused", string(o.Reason)
+	case job.Stopped:
+		return "stopped", string(o.Reason)
+	case job.Unanswered:
+		return "unanswered", ""
+	case job.Moved:
+		return "moved", ""
+	case job.Redirected:
+		return "redirected", ""
+	}
+	return "unknown", ""
+}
+
+var decisionNames = map[home.Decision]string{
+	home.EndpointEjected: "endpointEjected", home.EndpointSuspected: "endpointSuspected",
+	home.EndpointReturned: "endpointReturned", home.RunStalled: "runStalled", home.RunLost: "runLost",
+	home.RunFailed: "runFailed", home.RunUnclaimed: "runUnclaimed", home.JobQueued: "jobQueued",
+	home.JobAbandoned: "jobAbandoned",
+}
+
+func (j *journal) homeNote(r node.Report) {
+	name := decisionNames[r.Note.What]
+	j.meter.Count("home." + name)
+	j.write(func() {
+		j.log.Info(event.HomeDecided, "home decided", logrus.Fields{
+			"decision": name, "cell": r.Cell, "job": r.Note.Job, "task": r.Note.Task, "endpoint": r.Note.Endpoint.ID, "detail": r.Note.Detail,
+		})
+	})
+}
+
+// callFailed logs a call to a peer or endpoint that failed; repeats are held back.
+func (j *journal) callFailed(step, peer string, err error) {
+	j.write(func() {
+		j.log.Warn(event.CallFailed, "call failed", logrus.Fields{"step": step, "peer": peer, "error": err.Error()})
+	})
+}
+
+// unreadable logs a row of the list of endpoints that cannot be read.
+func (j *journal) unreadable(key string, err error) {
+	j.meter.Count("endpoints.unreadable")
+	j.write(func() {
+		j.log.Warn(event.EndpointUnreadable, "row of endpoint not readable", logrus.Fields{"endpoint": key, "error": err.Error()})
+	})
+}
+
+func (j *journal) storeFailed(table string, err error) {
+	j.meter.Count("store.failed")
+	if j.storeDown.Swap(1) == 1 {
+		return
+	}
+	j.write(func() {
+		j.log.Info(event.StoreLost, "store lost", logrus.Fields{"table": table, "error": err.Error()})
+	})
+}
+
+func (j *journal) storeAnswered(table string) {
+	j.meter.Count("store.answered")
+	if j.storeDown.Swap(0) == 0 {
+		return
+	}
+	j.write(func() {
+		j.log.Info(event.StoreRegained, "store answers again", logrus.Fields{"table": table})
+	})
+}
+
+func (j *journal) started(fields logrus.Fields) {
+	j.log.Info(event.VMStarted, "VM started", fields)
+}
+
+func (j *journal) stopping(reason string) {
+	j.log.Info(event.VMStopping, "VM stops", logrus.Fields{"reason": reason})
+}
+
+func (j *journal) reloaded(fields logrus.Fields) {
+	j.write(func() { j.log.Info(event.SettingsReloaded, "settings read again", fields) })
+}
--- /dev/null
+++ b/internal/process/daemon/loop.go
@@ -0,0 +1,125 @@
+package daemon
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sequoiacart/sequoiacart/internal/control/node"
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/internal/world/queue"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+const (
+	// mailboxLength bounds the events that wait for the control goroutine. At 700 starts a
+	// second a VM has about 3,000 events a second, so this is a third of a second.
+	mailboxLength = 1024
+	// tickBusy and tickIdle are how often time passes for the control state.
+	tickBusy = clock.Millis(10)
+	tickIdle = clock.Millis(40)
+)
+
+// executor carries out actions without blocking.
+type executor interface{ execute(node.Action) }
+
+// loop runs the control state on one goroutine.
+type loop struct {
+	control  *node.Control
+	clock    clock.Clock
+	executor executor
+	mailbox  chan node.Event
+	ended    chan struct{}
+
+	desired   atomic.Pointer[queue.State]
+	endpoints atomic.Pointer[listed]
+	ready     atomic.Bool
+	idle      atomic.Bool
+	role      atomic.Int32
+}
+
+// listed is a list of endpoints as of a version of the store.
+type listed struct {
+	endpoints []endpoint.Endpoint
+	version   int64
+}
+
+// The roles of a VM, which decide how often it reads the list of endpoints.
+const (
+	roleEntry int32 = iota
+	roleSuccessor
+	roleHome
+)
+
+func newLoop(control *node.Control, c clock.Clock) *loop {
+	l := &loop{control: control, clock: c, mailbox: make(chan node.Event, mailboxLength), ended: make(chan struct{})}
+	l.endpoints.Store(&listed{})
+	return l
+}
+
+// Post implements peer.Local.
+func (l *loop) Post(e node.Event) bool {
+	select {
+	case l.mailbox <- e:
+		return true
+	case <-l.ended:
+		return false
+	}
+}
+
+// Desired implements peer.Local.
+func (l *loop) Desired() *queue.State { return l.desired.Load() }
+
+// Endpoints implements peer.Local.
+func (l *loop) Endpoints() ([]endpoint.Endpoint, int64) {
+	e := l.endpoints.Load()
+	return e.endpoints, e.version
+}
+
+func (l *loop) run(ctx context.Context) error {
+	defer close(l.ended)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		var e node.Event
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case e = <-l.mailbox:
+		case <-timer.C:
+			e = node.Tick{}
+		}
+		for _, a := range l.control.Handle(l.clock.Now(), e) {
+			l.executor.execute(a)
+		}
+		if _, ticked := e.(node.Tick); ticked {
+			l.publish()
+			next := tickIdle
+			if l.control.Busy() {
+				next = tickBusy
+			}
+			timer.Reset(next.Duration())
+		} else if _, ok := e.(node.DesiredRead); ok {
+			l.publish()
+		}
+	}
+}
+
+// publish makes what traffic goroutines read visible to them.
+func (l *loop) publish() {
+	l.desired.Store(l.control.Desired())
+	if e, v := l.control.Endpoints(); v != l.endpoints.Load().version {
+		l.endpoints.Store(&listed{endpoints: e, version: v})
+	}
+	l.ready.Store(l.control.Ready())
+	l.idle.Store(l.control.Idle())
+	role := roleEntry
+	member, home := l.control.InLineup()
+	if member {
+		role = roleSuccessor
+	}
+	if home {
+		role = roleHome
+	}
+	l.role.Store(role)
+}
--- /dev/null
+++ b/internal/process/daemon/readers.go
@@ -0,0 +1,200 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/sequoiacart/sequoiacart/internal/control/node"
+	"github.com/sequoiacart/sequoiacart/internal/link/store"
+	"github.com/sequoiacart/sequoiacart/internal/world/cell"
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/platform"
+)
+
+const (
+	// desiredWait is how long the store may wait before it answers a question for a newer
+	// desired state. A change has to be in force everywhere within two seconds, also when a
+	// connection has gone silent.
+	desiredWait = clock.Millis(1000)
+	// rosterWait is the same for VMs and lineups, of which peers also tell.
+	rosterWait = clock.Millis(2500)
+	// endpointsPauseHome and endpointsPauseSuccessor space the reads of changes to the list
+	// of endpoints. No task may start 2 s after an endpoint said that it leaves.
+	endpointsPauseHome      = clock.Millis(400)
+	endpointsPauseSuccessor = clock.Millis(1500)
+	// readAgain is the pause after a read that failed.
+	readAgain = clock.Millis(150)
+)
+
+// follower keeps up with one table.
+type follower struct {
+	store   store.Store
+	table   store.Table
+	wait    clock.Millis
+	pause   func() clock.Millis
+	journal *journal
+	// changed takes all rows and the version that they are as of.
+	changed func(rows map[string]store.Row, version store.Revision)
+}
+
+// run reads the table once, follows its changes, and starts again where they are lost.
+func (f *follower) run(ctx context.Context) error {
+	rows := make(map[string]store.Row)
+	var version store.Revision
+	known := false
+	for ctx.Err() == nil {
+		pause := f.pause()
+		if pause < 0 {
+			// This VM does not need the table at present.
+			known = false
+			sleep(ctx, readAgain)
+			continue
+		}
+		var s store.Snapshot
+		var err error
+		if known {
+			s, err = f.store.Follow(ctx, f.table, version, f.wait)
+		} else {
+			s, err = f.store.Read(ctx, f.table)
+		}
+		if err != nil {
+			if errors.Is(err, store.ErrHistoryGone) {
+				known = false
+			}
+			if ctx.Err() == nil {
+				f.journal.storeFailed(string(f.table), err)
+			}
+			sleep(ctx, readAgain)
+			continue
+		}
+		f.journal.storeAnswered(string(f.table))
+		if !known {
+			clear(rows)
+		}
+		for _, r := range s.Rows {
+			if r.Removed {
+				delete(rows, r.Key)
+				continue
+			}
+			rows[r.Key] = r
+		}
+		if !known || len(s.Rows) > 0 {
+			f.changed(rows, s.Version)
+		}
+		known, version = true, s.Version
+		if pause > 0 {
+			sleep(ctx, pause)
+		}
+	}
+	return ctx.Err()
+}
+
+func sleep(ctx context.Context, span clock.Millis) {
+	timer := time.NewTimer(span.Duration())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func always(span clock.Millis) func() clock.Millis {
+	return func() clock.Millis { return span }
+}
+
+func (d *Daemon) followers() []*follower {
+	return []*follower{
+		{store: d.store, table: platform.Operator, wait: desiredWait, pause: always(0), journal: d.journal, changed: d.desiredChanged},
+		{store: d.store, table: store.VMs, wait: rosterWait, pause: always(0), journal: d.journal, changed: d.vmsChanged},
+		{store: d.store, table: store.Lineups, wait: rosterWait, pause: always(0), journal: d.journal, changed: d.lineupsChanged},
+		{store: d.store, table: platform.Endpoints, wait: rosterWait, pause: d.endpointsPause, journal: d.journal, changed: d.endpointsChanged},
+	}
+}
+
+func (d *Daemon) endpointsPause() clock.Millis {
+	switch d.loop.role.Load() {
+	case roleHome:
+		return endpointsPauseHome
+	case roleSuccessor:
+		return endpointsPauseSuccessor
+	}
+	return -1
+}
+
+func (d *Daemon) desiredChanged(rows map[string]store.Row, _ store.Revision) {
+	r, ok := rows[platform.DesiredKey]
+	if !ok {
+		return
+	}
+	s, err := platform.DecodeDesired(r.Value)
+	if err != nil {
+		d.journal.callFailed("decode desired state", "store", err)
+		return
+	}
+	d.loop.Post(node.DesiredRead{State: s})
+}
+
+func (d *Daemon) vmsChanged(rows map[string]store.Row, _ store.Revision) {
+	var all []cell.VM
+	for _, r := range rows {
+		v, err := store.DecodeVM(r)
+		if err != nil {
+			d.journal.callFailed("decode VM", "store", err)
+			continue
+		}
+		all = append(all, v)
+	}
+	slices.SortFunc(all, func(a, b cell.VM) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	d.loop.Post(node.VMsRead{VMs: all})
+}
+
+func (d *Daemon) lineupsChanged(rows map[string]store.Row, _ store.Revision) {
+	var all []cell.Lineup
+	for _, r := range rows {
+		l, err := store.DecodeLineup(r)
+		if err != nil {
+			d.journal.callFailed("decode lineup", "store", err)
+			continue
+		}
+		all = append(all, l)
+	}
+	slices.SortFunc(all, func(a, b cell.Lineup) int { return cmp.Compare(a.Cell, b.Cell) })
+	d.loop.Post(node.LineupsRead{Lineups: all})
+}
+
+func (d *Daemon) endpointsChanged(rows map[string]store.Row, version store.Revision) {
+	var all []endpoint.Endpoint
+	for _, r := range rows {
+		e, err := platform.DecodeEndpoint(r)
+		if err != nil {
+			d.journal.unreadable(r.Key, err)
+			continue
+		}
+		all = append(all, e)
+	}
+	slices.SortFunc(all, func(a, b endpoint.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	d.loop.Post(node.EndpointsRead{Endpoints: all, Version: int64(version)})
+}
+
+// register writes this VM's row until it stands.
+func (d *Daemon) register(ctx context.Context) error {
+	body, err := store.EncodeVM(d.self)
+	if err != nil {
+		return errors.Annotate(err, "encode row of this VM")
+	}
+	for ctx.Err() == nil {
+		err := d.store.Put(ctx, store.VMs, string(d.self.Incarnation.VM()), body)
+		if err == nil {
+			break
+		}
+		d.journal.storeFailed(string(store.VMs), err)
+		sleep(ctx, readAgain)
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/process/daemon/traffic.go
@@ -0,0 +1,195 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"github.com/sequoiacart/sequoiacart/internal/control/home"
+	"github.com/sequoiacart/sequoiacart/internal/control/node"
+	"github.com/sequoiacart/sequoiacart/internal/control/succession"
+	"github.com/sequoiacart/sequoiacart/internal/link/peer"
+	"github.com/sequoiacart/sequoiacart/internal/link/store"
+	"github.com/sequoiacart/sequoiacart/internal/process/meter"
+	"github.com/sequoiacart/sequoiacart/internal/world/cell"
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/platform"
+)
+
+// traffic carries out the actions of the control state, each on a goroutine of its own that
+// posts the result back.
+type traffic struct {
+	ctx       context.Context
+	loop      *loop
+	clock     clock.Clock
+	endpoints *platform.EndpointClient
+	peers     *peer.Client
+	store     store.Store
+	journal   *journal
+	meter     *meter.Meter
+}
+
+// submitSlack is how much longer than its caller waits a submission's answer is awaited.
+const submitSlack = clock.Millis(300)
+
+func (t *traffic) execute(a node.Action) {
+	switch a := a.(type) {
+	case node.Order:
+		t.order(a.Cell, a.Order)
+	case node.SendSubmission:
+		go t.submit(a)
+	case node.SendBeat:
+		go t.beat(a)
+	case node.SendCancel:
+		go func() {
+			if err := t.peers.Cancel(a.To, a.Job); err != nil {
+				t.journal.callFailed("cancel", string(a.To.Incarnation), err)
+			}
+		}()
+	case node.SendYield:
+		go t.yield(a)
+	case node.WriteLineup:
+		go t.writeLineup(a)
+	case node.FetchDesired:
+		go t.fetchDesired(a)
+	case node.FetchEndpoints:
+		go t.fetchEndpoints(a)
+	case node.Report:
+		t.journal.report(a)
+	}
+}
+
+func (t *traffic) order(c cell.ID, a home.Action) {
+	switch a := a.(type) {
+	case home.Start:
+		go t.start(c, a)
+	case home.Stop:
+		go t.stop(c, a)
+	case home.Hold:
+		go t.hold(c, a)
+	case home.Answer, home.Fenced, home.Note:
+		// The control state deals with these itself.
+	}
+}
+
+func (t *traffic) start(c cell.ID, s home.Start) {
+	from := t.clock.Now()
+	result, at := t.endpoints.Start(t.ctx, s)
+	t.meter.Time("startMs", t.clock.Now()-from)
+	t.meter.Count("starts." + startName(result))
+	t.loop.Post(node.HomeHeard{Cell: c, Event: home.StartEnded{
+		Endpoint: s.Endpoint.ID, Task: s.Task, Run: s.Run, Result: result, Clock: at,
+	}})
+}
+
+func startName(r endpoint.StartResult) string {
+	switch r := r.(type) {
+	case endpoint.Started:
+		return "started"
+	case endpoint.Rejected:
+		return rejectionNames[r.Why]
+	case endpoint.NoAnswer:
+		return "noAnswer"
+	}
+	return "unknown"
+}
+
+var rejectionNames = map[endpoint.Rejection]string{
+	endpoint.RejectedFenced: "fenced", endpoint.RejectedOld: "old", endpoint.RejectedLate: "late",
+	endpoint.RejectedNoRoom: "noRoom", endpoint.RejectedUnhealthy: "unhealthy",
+	endpoint.RejectedOtherLife: "otherLife", endpoint.RejectedInvalid: "invalid", endpoint.RejectedNotSent: "notSent",
+}
+
+func (t *traffic) stop(c cell.ID, s home.Stop) {
+	ok, err := t.endpoints.Stop(t.ctx, s)
+	if err != nil {
+		t.meter.Count("stops.failed")
+		t.journal.callFailed("stop", string(s.Endpoint.ID), err)
+	} else {
+		t.meter.Count("stops.answered")
+	}
+	t.loop.Post(node.HomeHeard{Cell: c, Event: home.StopEnded{Endpoint: s.Endpoint.ID, Task: s.Task, Run: s.Run, Acknowledged: ok}})
+}
+
+func (t *traffic) hold(c cell.ID, h home.Hold) {
+	sent := t.clock.Now()
+	look, rejection, err := t.endpoints.Hold(t.ctx, h)
+	if err != nil {
+		t.meter.Count("holds.failed")
+		t.journal.callFailed("hold", string(h.Endpoint.ID), err)
+	} else {
+		t.meter.Count("holds.answered")
+	}
+	t.loop.Post(node.HomeHeard{Cell: c, Event: home.HoldEnded{
+		Endpoint: h.Endpoint.ID, Kind: h.Kind, Sent: sent, Look: look, Rejection: rejection,
+	}})
+}
+
+func (t *traffic) submit(a node.SendSubmission) {
+	limit := max(a.Submission.Limit-a.Submission.Waited, 0) + submitSlack
+	o := t.peers.Submit(a.To, a.Cell, a.Submission, "", limit)
+	t.loop.Post(node.SubmitAnswered{Key: a.Submission.Key, From: a.Cell, Outcome: o})
+}
+
+func (t *traffic) beat(a node.SendBeat) {
+	reply, gone, err := t.peers.Beat(a.To, a.Beat)
+	if err != nil {
+		t.meter.Count("beats.failed")
+		t.journal.callFailed("beat", string(a.To.Incarnation), err)
+	} else {
+		t.meter.Count("beats.answered")
+		t.meter.Time("beatMs", t.clock.Now()-a.SentAt)
+	}
+	from := a.To.Incarnation
+	if err == nil && reply.From != from {
+		// Another process listens at the address now.
+		gone, err = true, errors.NotFoundf("%s", from)
+	}
+	t.loop.Post(node.BeatAnswered{Cell: a.Beat.Cell, Reply: reply, Answer: succession.Answer{
+		From: from, OK: err == nil, Gone: gone, Home: reply.Home, Token: reply.Token, HomeClock: reply.Clock,
+	}})
+}
+
+func (t *traffic) yield(a node.SendYield) {
+	taken, err := t.peers.Yield(a.To, a.Lineup)
+	if err != nil {
+		t.journal.callFailed("yield", string(a.To.Incarnation), err)
+	}
+	t.loop.Post(node.YieldEnded{Cell: a.Lineup.Cell, Taken: taken})
+}
+
+func (t *traffic) writeLineup(a node.WriteLineup) {
+	written := node.LineupWritten{Lineup: a.Lineup}
+	body, err := store.EncodeLineup(a.Lineup)
+	if err == nil {
+		var revision store.Revision
+		revision, err = t.store.Write(t.ctx, store.Lineups, string(a.Lineup.Cell), body, store.Revision(a.Expected))
+		written.Written, written.Lineup.Revision = err == nil, int64(revision)
+	}
+	if err != nil {
+		t.journal.callFailed("write lineup", "store", err)
+	}
+	t.meter.Count("lineupWrites")
+	t.loop.Post(written)
+}
+
+func (t *traffic) fetchDesired(a node.FetchDesired) {
+	s, err := t.peers.Desired(a.From)
+	if err != nil {
+		t.journal.callFailed("fetch desired state", string(a.From.Incarnation), err)
+		return
+	}
+	if s != nil {
+		t.loop.Post(node.DesiredRead{State: s})
+	}
+}
+
+func (t *traffic) fetchEndpoints(a node.FetchEndpoints) {
+	all, version, err := t.peers.Endpoints(a.From)
+	if err != nil {
+		t.journal.callFailed("fetch endpoints", string(a.From.Incarnation), err)
+		return
+	}
+	t.loop.Post(node.EndpointsRead{Endpoints: all, Version: version})
+}
--- /dev/null
+++ b/internal/process/network/network.go
@@ -0,0 +1,42 @@
+// Package network makes TCP connections that do not hang when the other side has vanished.
+package network
+
+import (
+	"context"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// Config holds the limits of connections.
+type Config struct {
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout clock.Millis
+	// Unacknowledged is how long sent bytes may stay without an acknowledgement before the
+	// connection counts as broken.
+	Unacknowledged clock.Millis
+}
+
+// Dialer returns a dialer with these limits.
+func (c Config) Dialer() *net.Dialer {
+	return &net.Dialer{Timeout: c.DialTimeout.Duration(), KeepAlive: -1, Control: c.control}
+}
+
+// DialContext opens a TCP connection.
+func (c Config) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	return c.Dialer().DialContext(ctx, network, address)
+}
+
+func (c Config) control(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(c.Unacknowledged))
+	})
+	if err != nil {
+		return err
+	}
+	return failure
+}
--- /dev/null
+++ b/internal/process/settings/settings.go
@@ -0,0 +1,151 @@
+// Package settings holds what a VM on the platform has to be told, with defaults and checks.
+package settings
+
+import (
+	"flag"
+	"io"
+	"net"
+	"strings"
+
+	"github.com/juju/errors"
+	"github.com/pelletier/go-toml/v2"
+	"github.com/peterbourgon/ff/v3"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// Settings are the settings of a VM on the platform. docs/settings.md lists the keys.
+type Settings struct {
+	VM         vm.ID
+	DataCentre datacentre.ID
+	// DataCentres are all data centres of the deployment, this one included.
+	DataCentres []datacentre.ID
+
+	Callers, Ready, Peers, Metrics string
+	Store                          string
+
+	// ProcessorShare is the part of a core that the VM has; MemoryMB is its memory.
+	ProcessorShare float64
+	MemoryMB       int
+
+	// LongestLease, StopTakes, Resend and Grace are bounds of the platform.
+	LongestLease, StopTakes, Resend, Grace clock.Millis
+	// FarFactor is how much longer tasks take away from their data.
+	FarFactor float64
+	// Successors is how many VMs of the data centre form the lineup of a cell.
+	Successors int
+
+	// LogLinesPerSecond bounds the decisions that are logged.
+	LogLinesPerSecond int
+}
+
+// EnvPrefix begins the variables that stand for flags.
+const EnvPrefix = "SEQUOIACART"
+
+// FileFlag names the settings file. The platform hands its path over in SEQUOIACART_BOOT.
+const FileFlag = "boot"
+
+// Default returns the defaults.
+func Default() Settings {
+	return Settings{
+		Metrics: "", ProcessorShare: 1, MemoryMB: 256, LongestLease: clock.Second, StopTakes: 50,
+		Resend: 1300, Grace: 6 * clock.Second, FarFactor: 1, Successors: 3,
+		LogLinesPerSecond: 400,
+	}
+}
+
+// Register defines a flag for each key. The names of flags are those of the keys in the file.
+func Register(flags *flag.FlagSet, s *Settings) {
+	flags.String(FileFlag, "", "TOML `file` with settings")
+	text := func(into *string, name, use string) {
+		flags.StringVar(into, name, *into, use)
+	}
+	text((*string)(&s.VM), "vm", "`name` of this VM")
+	text((*string)(&s.DataCentre), "dataCentre", "`name` of this VM's data centre")
+	flags.Func("dataCentres", "`names` of all data centres, separated by commas", func(v string) error {
+		s.DataCentres = nil
+		for _, dc := range strings.Split(v, ",") {
+			if dc != "" {
+				s.DataCentres = append(s.DataCentres, datacentre.ID(dc))
+			}
+		}
+		return nil
+	})
+	text(&s.Callers, "listen.callers", "`address` for callers")
+	text(&s.Ready, "listen.ready", "`address` for the load balancer's checks")
+	text(&s.Peers, "listen.peers", "`address` for other VMs")
+	text(&s.Metrics, "listen.metrics", "`address` for metrics; empty serves none")
+	text(&s.Store, "store.address", "`address` of the platform's store")
+	flags.Float64Var(&s.ProcessorShare, "machine.processorShare", s.ProcessorShare, "processor `cores` that this VM has")
+	flags.IntVar(&s.MemoryMB, "machine.memoryMB", s.MemoryMB, "memory of this VM in `megabytes`")
+	millis := func(into *clock.Millis, name, use string) {
+		flags.Int64Var((*int64)(into), name, int64(*into), use)
+	}
+	millis(&s.LongestLease, "bounds.longestLeaseMs", "longest lease that endpoints give, in `milliseconds`")
+	millis(&s.StopTakes, "bounds.stopMs", "time that a stop takes at an endpoint, in `milliseconds`")
+	millis(&s.Resend, "bounds.resendMs", "time after which callers send a job again, in `milliseconds`")
+	millis(&s.Grace, "bounds.graceMs", "time between SIGTERM and SIGKILL, in `milliseconds`")
+	flags.Float64Var(&s.FarFactor, "bounds.farFactor", s.FarFactor, "`factor` by which tasks take longer away from their data")
+	flags.IntVar(&s.Successors, "successors", s.Successors, "`number` of VMs of the data centre in the lineup of its cell")
+	flags.IntVar(&s.LogLinesPerSecond, "log.linesPerSecond", s.LogLinesPerSecond, "most decisions logged in a second, in `lines`")
+}
+
+// Options make ff read flags first, then variables, then the file.
+func Options() []ff.Option {
+	return []ff.Option{ff.WithEnvVarPrefix(EnvPrefix), ff.WithConfigFileFlag(FileFlag), ff.WithConfigFileParser(parseFile)}
+}
+
+// Validate reports the first key with a value that cannot work.
+func (s *Settings) Validate() error {
+	named := []struct{ key, value string }{
+		{"vm", string(s.VM)}, {"dataCentre", string(s.DataCentre)}, {"listen.callers", s.Callers},
+		{"listen.ready", s.Ready}, {"listen.peers", s.Peers}, {"store.address", s.Store},
+	}
+	for _, n := range named {
+		if n.value == "" {
+			return errors.NotValidf("check settings: key %s is empty: give it a value; it", n.key)
+		}
+	}
+	for _, n := range named[2:] {
+		if _, _, err := net.SplitHostPort(n.value); err != nil {
+			return errors.NotValidf("check settings: key %s: %q is not host:port; it", n.key, n.value)
+		}
+	}
+	found := false
+	for _, dc := range s.DataCentres {
+		found = found || dc == s.DataCentre
+	}
+	if !found {
+		return errors.NotValidf("check settings: key dataCentres lacks this VM's data centre %q; it", s.DataCentre)
+	}
+	positive := []struct {
+		key   string
+		value float64
+	}{
+		{"machine.processorShare", s.ProcessorShare}, {"machine.memoryMB", float64(s.MemoryMB)},
+		{"bounds.longestLeaseMs", float64(s.LongestLease)}, {"bounds.stopMs", float64(s.StopTakes)},
+		{"bounds.resendMs", float64(s.Resend)}, {"bounds.graceMs", float64(s.Grace)},
+		{"successors", float64(s.Successors)}, {"log.linesPerSecond", float64(s.LogLinesPerSecond)},
+	}
+	for _, p := range positive {
+		if p.value <= 0 {
+			return errors.NotValidf("check settings: key %s: %v is not above 0; it", p.key, p.value)
+		}
+	}
+	if s.FarFactor < 1 {
+		return errors.NotValidf("check settings: key bounds.farFactor: %v is below 1; it", s.FarFactor)
+	}
+	return nil
+}
+
+// parseFile hands the keys of a TOML file to ff by the names of their flags. ff refuses
+// unknown ones by name.
+func parseFile(r io.Reader, set func(name, value string) error) error {
+	var root map[string]any
+	if err := toml.NewDecoder(r).Decode(&root); err != nil {
+		return errors.Annotate(err, "the settings file is not TOML: correct it")
+	}
+	return setAll("", root, set)
+}
--- /dev/null
+++ b/internal/world/cell/cell.go
@@ -0,0 +1,63 @@
+// Package cell describes sets of endpoints that one VM, their home, gives orders to.
+package cell
+
+import (
+	"slices"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// ID names a cell. A cell holds the endpoints of one data centre.
+type ID string
+
+// Of returns the cell of a data centre.
+func Of(dc datacentre.ID) ID { return ID(dc) }
+
+// DataCentre returns the data centre whose endpoints the cell holds.
+func (c ID) DataCentre() datacentre.ID { return datacentre.ID(c) }
+
+// Token is a fencing token: endpoints refuse orders with a lower one than they have seen.
+type Token int64
+
+// rankBits leave room for 256 successors under each version of a lineup.
+const rankBits = 8
+
+// Member is a VM in a lineup.
+type Member struct {
+	Incarnation vm.Incarnation
+	Address     string
+}
+
+// Lineup names the home of a cell, first, and its successors in order.
+type Lineup struct {
+	Cell ID
+	// Revision is the version of the lineup's row in the platform's store. All versions
+	// come from one rising counter.
+	Revision int64
+	Members  []Member
+}
+
+// Token is the fencing token of the member of that rank. A later lineup outranks all
+// members of an earlier one, and a successor outranks its predecessors.
+func (l *Lineup) Token(rank int) Token {
+	return Token(l.Revision<<rankBits | int64(rank))
+}
+
+// Rank returns the rank of a VM in the lineup, or -1.
+func (l *Lineup) Rank(i vm.Incarnation) int {
+	return slices.IndexFunc(l.Members, func(m Member) bool { return m.Incarnation == i })
+}
+
+// Load is what a home tells others of its cell.
+type Load struct {
+	Cell ID
+	// FreeCPU is unused processor capacity of usable endpoints, in thousandths of a core;
+	// TotalCPU is all of it.
+	FreeCPU, TotalCPU int64
+	// WaitingCPU is the capacity that queued tasks ask for.
+	WaitingCPU int64
+	// At is when the figures were received, by the clock of the VM that has them.
+	At clock.Millis
+}
--- /dev/null
+++ b/internal/world/cell/vm.go
@@ -0,0 +1,42 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+)
+
+// VM is an entry VM that can be home of a cell.
+type VM struct {
+	Member
+	DataCentre datacentre.ID
+	// CPU is its processor share in thousandths of a core.
+	CPU int
+}
+
+// Candidates orders VMs by how well they suit as home of the cell: first those of its data
+// centre, of them the strongest. The order is the same at every VM.
+func Candidates(c ID, vms []VM) []VM {
+	sorted := slices.Clone(vms)
+	slices.SortFunc(sorted, func(a, b VM) int {
+		if near := a.DataCentre == c.DataCentre(); near != (b.DataCentre == c.DataCentre()) {
+			if near {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(b.CPU, a.CPU), cmp.Compare(spread(c, a), spread(c, b)), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return sorted
+}
+
+// spread varies the order of equal VMs from cell to cell, so that one VM is not the second
+// choice of all.
+func spread(c ID, v VM) uint32 {
+	h := uint32(2166136261)
+	for _, b := range []byte(string(c) + "/" + string(v.Incarnation.VM())) {
+		h = (h ^ uint32(b)) * 16777619
+	}
+	return h
+}
--- /dev/null
+++ b/internal/world/job/job.go
@@ -0,0 +1,82 @@
+// Package job describes best-effort jobs, their steps and tasks, and how jobs end.
+package job
+
+import (
+	"github.com/sequoiacart/sequoiacart/internal/world/queue"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// ID is the name that the caller chose for a job. A caller sends a job again under the
+// same ID.
+type ID string
+
+// Index numbers the tasks of a job, through all its steps.
+type Index int
+
+// TaskName names a task wherever it runs.
+type TaskName string
+
+// Run numbers the starts of a task, from 1.
+type Run int64
+
+// Payload is what the caller hands to the tasks. The dispatcher does not read it.
+type Payload string
+
+// Step is a set of tasks of one kind.
+type Step struct {
+	Tasks    int
+	Demand   Room
+	Estimate clock.Millis
+	// After lists the steps whose tasks must all be done before this one starts.
+	After []int
+	// Rack is where the data of the step is; the tasks are slower in other racks.
+	Rack datacentre.RackID
+	// Requires is a label that the endpoint must have.
+	Requires string
+	// PerEndpoint bounds the tasks of the step on one endpoint; 0 means no bound.
+	PerEndpoint int
+}
+
+// Job is what a caller submits.
+type Job struct {
+	ID      ID
+	Queue   queue.Name
+	Payload Payload
+	Steps   []Step
+}
+
+// Tasks counts the tasks of all steps.
+func (j *Job) Tasks() int {
+	n := 0
+	for _, s := range j.Steps {
+		n += s.Tasks
+	}
+	return n
+}
+
+// Key names one attempt of an entry VM to have a job run. A home answers a key once and
+// runs nothing for it afterwards.
+type Key struct {
+	Entry vm.Incarnation
+	Seq   uint64
+}
+
+// Submission is a job with the times within which it is of use. Spans are used instead of
+// points in time, since VMs do not share a clock.
+type Submission struct {
+	Key Key
+	Job Job
+	// Waited is how long the caller has been waiting already.
+	Waited clock.Millis
+	// Limit is how long the caller waits in all.
+	Limit clock.Millis
+	// Hops counts the cells that passed the job on.
+	Hops int
+	// Adopt says that another home may have started tasks of the key.
+	Adopt bool
+	// Expires is the time, by the home's clock, after which the home must not take the
+	// submission any more: the message was held up.
+	Expires clock.Millis
+}
--- /dev/null
+++ b/internal/world/job/outcome.go
@@ -0,0 +1,62 @@
+package job
+
+import (
+	"github.com/sequoiacart/sequoiacart/internal/world/cell"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// Outcome is how a submission ends at a home. It is one of the types of this file.
+type Outcome interface{ outcome() }
+
+// Completed means that all tasks are done.
+type Completed struct{}
+
+// Failed means that a task failed as often as its queue allows.
+type Failed struct{ Task TaskName }
+
+// Refused means that no task of the key has run or will run.
+type Refused struct {
+	Reason     Reason
+	RetryAfter clock.Millis
+}
+
+// Redirected means that nothing ran here and that another cell has room.
+type Redirected struct{ To cell.ID }
+
+// Moved means that the home has given up its cell. Runs of the job go on until the new
+// home has taken them over or their leases lapse.
+type Moved struct{}
+
+// Stopped means that the home has stopped what ran for the key, or lets it lapse.
+type Stopped struct{ Reason Reason }
+
+// Unanswered means that the home gave no answer; tasks may be running there.
+type Unanswered struct{ Cause string }
+
+func (Completed) outcome()  {}
+func (Failed) outcome()     {}
+func (Refused) outcome()    {}
+func (Redirected) outcome() {}
+func (Moved) outcome()      {}
+func (Stopped) outcome()    {}
+func (Unanswered) outcome() {}
+
+// Reason says why a job was not served.
+type Reason string
+
+// The reasons.
+const (
+	NoDesiredState Reason = "noDesiredState"
+	NoHome         Reason = "noHome"
+	NoRoomInTime   Reason = "noRoomInTime"
+	NoSuchEndpoint Reason = "noEndpointFits"
+	LateMessage    Reason = "messageHeldUp"
+	NotHome        Reason = "notHome"
+	Unsupported    Reason = "unsupportedJob"
+	Draining       Reason = "draining"
+	CallerGone     Reason = "callerGone"
+	TimeLimit      Reason = "timeLimit"
+	InterestLapsed Reason = "interestLapsed"
+	Superseded     Reason = "superseded"
+	CellLost       Reason = "cellLost"
+)
--- a/pkg/app/main.go
+++ b/pkg/app/main.go
@@ -68,6 +68,7 @@
 			newBundleCommand(stdout, stderr),
 			newDemoCommand(stdout, stderr),
 			newEntryCommand(stderr),
+			newNodeCommand(stdout, stderr),
 			newSubmitCommand(stdout, stderr),
 			newUsageCommand(stdout, stderr),
 			newStandinCommand(stderr),
--- /dev/null
+++ b/pkg/clock/boot.go
@@ -0,0 +1,39 @@
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Boot is the machine's clock including the time during which the machine was suspended.
+// Leases need it: the monotonic clock of the Go runtime stands still meanwhile.
+type Boot struct {
+	base Millis
+	from Millis
+}
+
+// NewBoot returns a clock that starts at the present wall-clock time.
+func NewBoot() *Boot {
+	return &Boot{base: Millis(time.Now().UnixMilli()), from: sinceBoot()}
+}
+
+// Now implements Clock.
+func (b *Boot) Now() Millis { return b.base + sinceBoot() - b.from }
+
+// After implements Clock.
+func (b *Boot) After(span Millis) <-chan Millis {
+	ch := make(chan Millis, 1)
+	time.AfterFunc(span.Duration(), func() { ch <- b.Now() })
+	return ch
+}
+
+func sinceBoot() Millis {
+	var ts unix.Timespec
+	// CLOCK_BOOTTIME exists on every Linux since 2.6.39, and the call has no other error
+	// for a valid pointer.
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic("clock_gettime(CLOCK_BOOTTIME): " + err.Error())
+	}
+	return FromDuration(time.Duration(ts.Nano()))
+}
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -11,7 +11,7 @@
 )
 
 // Number identifies a log event. The first digit tells its area: 1 daemon, 2 platform,
-// 3 bundles, 4 peers and membership, 5 callers, 6 endpoints.
+// 3 bundles, 4 peers and membership, 5 callers, 6 endpoints, 7 VMs on the users' platform.
 type Number string
 
 // The events.
@@ -28,6 +28,21 @@
 	PlatformBack       Number = "SQ-3004"
 	BundleIncomplete   Number = "SQ-3005"
 	BundleAheadOfClock Number = "SQ-3006"
+	// The events of a VM on the users' platform.
+	VMStarted          Number = "SQ-7001"
+	VMStopping         Number = "SQ-7002"
+	SettingsReloaded   Number = "SQ-7003"
+	StoreLost          Number = "SQ-7004"
+	StoreRegained      Number = "SQ-7005"
+	DesiredInForce     Number = "SQ-7006"
+	CellTaken          Number = "SQ-7010"
+	CellLost           Number = "SQ-7011"
+	CellYielded        Number = "SQ-7012"
+	LineupLearnt       Number = "SQ-7013"
+	JobEnded           Number = "SQ-7020"
+	HomeDecided        Number = "SQ-7021"
+	CallFailed         Number = "SQ-7030"
+	EndpointUnreadable Number = "SQ-7031"
 )
 
 // Config holds what a log is made of.
--- a/pkg/vm/incarnation.go
+++ b/pkg/vm/incarnation.go
@@ -21,10 +21,14 @@
 	return Incarnation(string(id) + "-" + nonce)
 }
 
-// VM returns the VM that the incarnation belongs to.
+// VM returns the VM that the incarnation belongs to. Names of VMs may hold hyphens; nonces
+// do not.
 func (i Incarnation) VM() ID {
-	id, _, _ := strings.Cut(string(i), "-")
-	return ID(id)
+	end := strings.LastIndexByte(string(i), '-')
+	if end < 0 {
+		return ID(i)
+	}
+	return ID(i[:end])
 }
 
 // Valid reports whether the text has the form of an incarnation.
