--- a/internal/control/home/admission.go
+++ b/internal/control/home/admission.go
@@ -21,8 +21,6 @@
 	// roomFactor is how much more room than the job needs another cell must have, since
 	// others see the same room.
 	roomFactor = 2
-	// lateFactor times the objective is how late an answer is still worth something.
-	lateFactor = 3
 )
 
 // submit takes a job, passes it on or refuses it.
@@ -75,7 +73,6 @@
 	chain := h.chain(w)
 	span := h.state.Queue(w.queue).Objective(chain)
 	w.objective = w.arrived + span
-	w.limit = min(w.limit, w.arrived+max(lateFactor*span, h.state.Queue(w.queue).Timeout))
 	w.startBy = w.objective - clock.Millis(float64(chain)/h.fastest())
 }
 
--- a/internal/control/node/membership.go
+++ b/internal/control/node/membership.go
@@ -71,7 +71,7 @@
 	if n.homes[c] != nil {
 		return
 	}
-	switch s := n.views[c].Next(n.now, func() int { return n.position(c) }).(type) {
+	switch s := n.views[c].Next(n.now, func() clock.Millis { return n.position(c) }).(type) {
 	case succession.Beat:
 		n.do(SendBeat{To: s.To, Beat: n.beat(c, s.First), SentAt: n.now})
 	case succession.TakeOver:
@@ -83,14 +83,22 @@
 	}
 }
 
-// position is this VM's place among those who may claim the cell, or -1.
-func (n *Control) position(c cell.ID) int {
+// position is how long this VM leaves a claim of the cell to better candidates, or -1.
+func (n *Control) position(c cell.ID) clock.Millis {
 	if n.shutdown || n.desired == nil {
 		return -1
 	}
-	return slices.IndexFunc(cell.Candidates(c, n.vms), func(v cell.VM) bool {
+	place := slices.IndexFunc(cell.Candidates(c, n.vms), func(v cell.VM) bool {
 		return v.Incarnation == n.config.Self.Incarnation
 	})
+	if place < 0 {
+		return -1
+	}
+	pause := clock.Millis(place) * succession.ClaimPause
+	if n.config.Self.DataCentre != c.DataCentre() {
+		pause += succession.AwayPause
+	}
+	return pause
 }
 
 func (n *Control) beat(c cell.ID, first bool) BeatRequest {
--- a/internal/control/succession/view.go
+++ b/internal/control/succession/view.go
@@ -20,6 +20,9 @@
 	beatAgain = clock.Millis(40)
 	// failuresToDoubt is how many beats in a row fail before a member counts as silent.
 	failuresToDoubt = 3
+	// AwayPause is how much longer VMs of other data centres wait. A home in the data centre
+	// keeps its endpoints through a partition.
+	AwayPause = clock.Millis(700)
 	// ClaimPause is how much longer each next candidate waits before it claims a cell.
 	ClaimPause = clock.Millis(120)
 	// claimRetry is the pause after a claim that did not succeed.
@@ -103,9 +106,9 @@
 // Press makes the next beat go out at once.
 func (v *View) Press() { v.pressed = true }
 
-// Next returns what is due, or nil. position tells this VM's place among those who may claim
-// the cell, or -1.
-func (v *View) Next(now clock.Millis, position func() int) Step {
+// Next returns what is due, or nil. position tells how long this VM leaves a claim to those
+// who suit better, or -1 if it must not claim.
+func (v *View) Next(now clock.Millis, position func() clock.Millis) Step {
 	if len(v.lineup.Members) == 0 {
 		return v.claim(now, position)
 	}
@@ -138,7 +141,7 @@
 
 // claim is due once a cell has had no home for long enough. The pause of each candidate
 // leaves the first one time to succeed.
-func (v *View) claim(now clock.Millis, position func() int) Step {
+func (v *View) claim(now clock.Millis, position func() clock.Millis) Step {
 	wait := clock.Millis(0)
 	if len(v.lineup.Members) > 0 {
 		wait = freshHome
@@ -146,8 +149,8 @@
 	if now < v.silentSince+wait || now < v.claimedAt+claimRetry && v.claimedAt != 0 {
 		return nil
 	}
-	place := position()
-	if place < 0 || now < v.silentSince+wait+clock.Millis(place)*ClaimPause {
+	pause := position()
+	if pause < 0 || now < v.silentSince+wait+pause {
 		return nil
 	}
 	v.claimedAt = now
--- a/internal/link/caller/server.go
+++ b/internal/link/caller/server.go
@@ -154,19 +154,16 @@
 	case s.refusing.Load():
 		return s.answer(c, platform.Refusal(string(job.Draining), clock.Second))
 	}
-	return s.answer(c, s.run(c.Request().Context(), j, limitOf(c.Request(), q)))
+	return s.answer(c, s.run(c.Request().Context(), j, limitOf(c.Request())))
 }
 
-// limitOf is how long the caller waits, bounded by the queue's own limit.
-func limitOf(r *http.Request, q *queue.Queue) clock.Millis {
-	limit := limitDefault
+// limitOf is how long the caller waits. The time-out of a queue bounds requests that a single
+// endpoint answers; callers of jobs name a longer one, after the work they ask for.
+func limitOf(r *http.Request) clock.Millis {
 	if ms, err := strconv.ParseInt(r.Header.Get(platform.HeaderDeadline), 10, 64); err == nil && ms > 0 {
-		limit = clock.Millis(ms)
+		return clock.Millis(ms)
 	}
-	if q.Timeout > 0 {
-		limit = min(limit, q.Timeout)
-	}
-	return limit
+	return limitDefault
 }
 
 // run has a job run and waits for its outcome, or for the caller to leave.
