Claim the runs of an earlier home whenever they are found

A new home adopted runs only when the submission arrived, which is before the endpoints have listed them, and then started the tasks again; places had no lease time, so that adopted runs counted as lapsed at once. Ruled out: late starts of the old home (endpoints fenced them).

--- a/internal/control/home/admission.go
+++ b/internal/control/home/admission.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/sequoiacart/sequoiacart/internal/world/cell"
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
@@ -61,11 +62,15 @@
 	en := h.entry(w.Key.Entry)
 	en.works[w.Key.Seq] = w
 	en.until = max(en.until, h.now+h.config.Times.Interest)
+	h.enqueue(w)
+	h.completeAdopted(w)
+}
+
+// completeAdopted answers a job whose last task had already ended when it was adopted.
+func (h *Home) completeAdopted(w *work) {
 	if w.open == 0 {
 		h.answer(w, job.Completed{})
-		return
 	}
-	h.enqueue(w)
 }
 
 // setTimes derives the points in time that matter to a job from its longest chain.
@@ -105,24 +110,23 @@
 	return best
 }
 
-// adopt gives a job the runs that an earlier home started for it.
+// adopt gives a job the runs that an earlier home started for it. Runs are found one
+// endpoint after the other, so this is done again before each start.
 func (h *Home) adopt(w *work) {
 	for _, t := range w.tasks {
 		f, ok := h.found[t.name]
-		if !ok || h.tasks[t.name] != nil {
+		if !ok || t.state != waiting || f.stopped || h.tasks[t.name] != nil {
 			continue
 		}
-		t.run = f.run
+		t.run = max(t.run, f.run)
+		delete(h.found, t.name)
+		w.started = true
 		if f.ended {
-			if f.how == endDone {
-				w.started = true
+			if f.how == endpoint.EndDone {
 				h.markDoneQuietly(t)
 			}
-			delete(h.found, t.name)
 			continue
 		}
-		delete(h.found, t.name)
-		w.started = true
 		t.state, t.place = running, f.place
 		t.startedAt, t.confirmedAt = f.at, f.at
 		t.expected = clock.Millis(float64(h.expect(w, t.stepOf())) / f.place.speed.factor())
--- a/internal/control/home/dispatch.go
+++ b/internal/control/home/dispatch.go
@@ -10,8 +10,6 @@
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 )
 
-const endDone = endpoint.EndDone
-
 // enqueue puts a job with waiting tasks in its order: the one whose tasks have to start
 // first comes first.
 func (h *Home) enqueue(w *work) {
@@ -37,6 +35,10 @@
 // dispatch starts waiting tasks wherever there is room.
 func (h *Home) dispatch() {
 	for _, w := range slices.Clone(h.queue) {
+		if w.Adopt && len(h.found) > 0 {
+			h.adopt(w)
+			h.completeAdopted(w)
+		}
 		rest := 0
 		for _, t := range w.tasks {
 			if t.state != waiting {
@@ -57,6 +59,9 @@
 	if other := h.tasks[t.name]; other != nil && other != t {
 		return false
 	}
+	if f, ok := h.found[t.name]; ok && !f.ended {
+		return false
+	}
 	if !t.work.Adopt || h.now >= h.recoverUntil {
 		return true
 	}
--- a/internal/control/home/home.go
+++ b/internal/control/home/home.go
@@ -72,6 +72,8 @@
 	ended   bool
 	how     endpoint.End
 	at      clock.Millis
+	// stopped says that the run has been told to stop, so that no job can claim it.
+	stopped bool
 }
 
 // New returns a home that has just taken the cell.
--- a/internal/control/home/place.go
+++ b/internal/control/home/place.go
@@ -40,7 +40,8 @@
 }
 
 func newPlace(e endpoint.Endpoint, now clock.Millis) *place {
-	return &place{Endpoint: e, free: e.Capacity, tasks: make(map[job.TaskName]*task), heardAt: now}
+	// An earlier home may have given leases until just now.
+	return &place{Endpoint: e, free: e.Capacity, tasks: make(map[job.TaskName]*task), heardAt: now, leasedAt: now}
 }
 
 // clockNow is the endpoint's clock now, at the earliest; a lease counted from it is never
--- a/internal/control/home/runs.go
+++ b/internal/control/home/runs.go
@@ -218,7 +218,11 @@
 	p.acked = e.Number
 	t := h.current(p, e.Task, e.Run)
 	if t == nil {
-		if h.now < h.claimUntil {
+		f := h.found[e.Task]
+		switch {
+		case f.place == p && f.stopped:
+			delete(h.found, e.Task)
+		case h.now < h.claimUntil:
 			h.found[e.Task] = foundRun{place: p, run: e.Run, ended: true, how: e.How, at: h.now}
 		}
 		return
@@ -319,6 +323,7 @@
 			t.percent, t.percentAt = a.Percent, h.now
 		}
 	}
+	h.forgetFound(p, listed)
 	for _, t := range p.sorted() {
 		_, present := listed[t.name]
 		switch {
@@ -333,19 +338,37 @@
 	}
 }
 
-// foundActive deals with a run that no task of this home has.
+// foundActive deals with a run that no task of this home has. Within the first moments an
+// entry VM may still claim it; later it is stopped.
 func (h *Home) foundActive(p *place, a endpoint.ActiveRun) {
-	if h.now < h.claimUntil {
-		f := h.found[a.Task]
-		if f.at == 0 || f.run < a.Run {
-			f = foundRun{place: p, run: a.Run, at: h.now}
-		}
-		f.percent = a.Percent
-		h.found[a.Task] = f
+	f, known := h.found[a.Task]
+	if known && f.place != p && f.run > a.Run {
+		h.stopFound(p, a.Task, a.Run)
 		return
 	}
-	h.do(Note{What: RunUnclaimed, Task: a.Task, Endpoint: p.Endpoint, Detail: "run " + strconv.FormatInt(int64(a.Run), 10)})
-	h.do(Stop{Endpoint: p.Endpoint, Task: a.Task, Run: a.Run, Token: h.config.Token})
+	if !known || f.place != p || f.run != a.Run {
+		f = foundRun{place: p, run: a.Run, at: h.now}
+	}
+	f.percent = a.Percent
+	if h.now >= h.claimUntil {
+		h.do(Note{What: RunUnclaimed, Task: a.Task, Endpoint: p.Endpoint, Detail: "run " + strconv.FormatInt(int64(a.Run), 10)})
+		f.stopped = true
+		h.stopFound(p, a.Task, a.Run)
+	}
+	h.found[a.Task] = f
+}
+
+func (h *Home) stopFound(p *place, name job.TaskName, run job.Run) {
+	h.do(Stop{Endpoint: p.Endpoint, Task: name, Run: run, Token: h.config.Token})
+}
+
+// forgetFound drops what was found at an endpoint and is not listed there any more.
+func (h *Home) forgetFound(p *place, listed map[job.TaskName]endpoint.ActiveRun) {
+	for name, f := range h.found {
+		if _, present := listed[name]; f.place == p && !f.ended && !present {
+			delete(h.found, name)
+		}
+	}
 }
 
 // hold sends a hold unless one of its kind is under way.
@@ -443,16 +466,21 @@
 
 // stopUnclaimed ends the time in which runs of an earlier home may be claimed.
 func (h *Home) stopUnclaimed() {
-	if h.claimUntil == 0 || h.now < h.claimUntil {
+	if len(h.found) == 0 || h.now < h.claimUntil {
 		return
 	}
-	h.claimUntil = 0
 	for name, f := range h.found {
-		if !f.ended && h.tasks[name] == nil {
-			h.do(Stop{Endpoint: f.place.Endpoint, Task: name, Run: f.run, Token: h.config.Token})
+		lapsed := h.now >= max(f.at, f.place.leasedAt)+h.config.Times.leaseLapse()
+		switch {
+		case f.ended && h.now >= h.recoverUntil, !f.ended && f.stopped && lapsed:
+			delete(h.found, name)
+		case !f.ended && !f.stopped:
+			h.do(Note{What: RunUnclaimed, Task: name, Endpoint: f.place.Endpoint, Detail: "claim window over"})
+			f.stopped = true
+			h.found[name] = f
+			h.stopFound(f.place, name, f.run)
 		}
 	}
-	clear(h.found)
 }
 
 func (h *Home) note(d Decision, t *task, p *place, detail string) {
