--- a/internal/control/home/runs.go
+++ b/internal/control/home/runs.go
@@ -328,16 +328,22 @@
 		_, present := listed[t.name]
 		switch {
 		case present:
-		case t.state == running && t.confirmedAt <= e.Sent:
+		case t.state == running && t.confirmedAt+lookMargin < e.Sent:
+			// The look may still have been taken before the start was carried out, so the
+			// run is stopped before the task starts again.
 			h.note(RunLost, t, p, "not listed")
-			h.release(t)
-		case t.state == stopping && t.stopAcknowledged != 0 && t.stopAcknowledged <= e.Sent:
+			h.stop(t)
+		case t.state == stopping && t.stopAcknowledged != 0 && t.stopAcknowledged+lookMargin < e.Sent:
 			// A stop was answered before this look, so the run can never appear again.
 			h.release(t)
 		}
 	}
 }
 
+// lookMargin is how much later than an answer a look must have been sent to count as taken
+// after it: both times are read on different goroutines, in whole milliseconds.
+const lookMargin = clock.Millis(5)
+
 // foundActive deals with a run that no task of this home has. Within the first moments an
 // entry VM may still claim it; later it is stopped.
 func (h *Home) foundActive(p *place, a endpoint.ActiveRun) {
