--- a/internal/control/home/dispatch.go
+++ b/internal/control/home/dispatch.go
@@ -62,11 +62,9 @@
 	if f, ok := h.found[t.name]; ok && !f.ended {
 		return false
 	}
-	if !t.work.Adopt || h.now >= h.recoverUntil {
-		return true
-	}
-	// An earlier home may have started it where this home has not looked yet.
-	return h.allFenced()
+	// An earlier home may have started it where this home has not looked yet. It stops what
+	// its entry VM does not ask for any more.
+	return !t.work.Adopt || h.now >= t.work.taken+h.config.Times.RunsGoneAfter() || h.allFenced()
 }
 
 func (h *Home) allFenced() bool {
--- a/internal/control/home/home.go
+++ b/internal/control/home/home.go
@@ -25,8 +25,6 @@
 	FarFactor float64
 	State     *queue.State
 	Now       clock.Millis
-	// Fresh says that no other home can have given orders for the cell before.
-	Fresh bool
 }
 
 // Home is the state of a home. It belongs to the control goroutine.
@@ -50,12 +48,8 @@
 	others  map[cell.ID]*cell.Load
 	kinds   map[queue.Name]*kind
 
-	// claimUntil is when runs of an earlier home that no entry VM has claimed are stopped.
-	claimUntil clock.Millis
-	// recoverUntil is when nothing that an earlier home ordered can be left.
-	recoverUntil clock.Millis
-	now          clock.Millis
-	actions      []Action
+	now     clock.Millis
+	actions []Action
 }
 
 // entry is what the home knows of an entry VM with jobs here.
@@ -86,10 +80,6 @@
 		others: make(map[cell.ID]*cell.Load), kinds: make(map[queue.Name]*kind),
 		answers: newAnswers(), runs: newLastRuns(),
 	}
-	if !c.Fresh {
-		h.recoverUntil = c.Now + c.Times.RunsGoneAfter()
-		h.claimUntil = c.Now + claimWindow
-	}
 	return h
 }
 
--- a/internal/control/home/place.go
+++ b/internal/control/home/place.go
@@ -18,6 +18,8 @@
 	// fenced says that the endpoint has answered under the present token, so that no order
 	// of an earlier home counts there any more.
 	fenced bool
+	// claimUntil is when runs of an earlier home here that no job has claimed are stopped.
+	claimUntil clock.Millis
 	// clockRead is the endpoint's clock at clockReadAt, at the earliest.
 	clockRead   endpoint.Clock
 	clockReadAt clock.Millis
--- a/internal/control/home/runs.go
+++ b/internal/control/home/runs.go
@@ -169,7 +169,10 @@
 		h.restarted(p, e.Look.Born)
 	}
 	p.Born = e.Look.Born
-	p.fenced, p.heardAt = true, h.now
+	if !p.fenced {
+		p.fenced, p.claimUntil = true, h.now+claimWindow
+	}
+	p.heardAt = h.now
 	p.unanswered = 0
 	p.readClock(e.Look.Clock, h.now)
 	for _, end := range e.Look.Ended {
@@ -222,7 +225,7 @@
 		switch {
 		case f.place == p && f.stopped:
 			delete(h.found, e.Task)
-		case h.now < h.claimUntil:
+		case h.now < p.claimUntil:
 			h.found[e.Task] = foundRun{place: p, run: e.Run, ended: true, how: e.How, at: h.now}
 		}
 		return
@@ -356,7 +359,7 @@
 		f = foundRun{place: p, run: a.Run, at: h.now}
 	}
 	f.percent = a.Percent
-	if h.now >= h.claimUntil {
+	if h.now >= p.claimUntil {
 		h.do(Note{What: RunUnclaimed, Task: a.Task, Endpoint: p.Endpoint, Detail: "run " + strconv.FormatInt(int64(a.Run), 10)})
 		f.stopped = true
 		h.stopFound(p, a.Task, a.Run)
@@ -383,7 +386,7 @@
 	busy := len(p.tasks) > 0
 	// Leases at an endpoint that does not answer are left to lapse, so that its tasks can
 	// run elsewhere.
-	if (busy || h.now < h.claimUntil) && p.clockRead != 0 && p.unanswered == 0 {
+	if (busy || h.now < p.claimUntil) && p.clockRead != 0 && p.unanswered == 0 {
 		a.Until = p.clockNow(h.now) + endpoint.Clock(h.config.Times.Lease)
 		p.leasedAt = h.now
 	}
@@ -472,13 +475,13 @@
 
 // stopUnclaimed ends the time in which runs of an earlier home may be claimed.
 func (h *Home) stopUnclaimed() {
-	if len(h.found) == 0 || h.now < h.claimUntil {
-		return
-	}
 	for name, f := range h.found {
+		if h.now < f.place.claimUntil {
+			continue
+		}
 		lapsed := h.now >= max(f.at, f.place.leasedAt)+h.config.Times.leaseLapse()
 		switch {
-		case f.ended && h.now >= h.recoverUntil, !f.ended && f.stopped && lapsed:
+		case f.ended && h.now >= f.at+rememberFor, !f.ended && f.stopped && lapsed:
 			delete(h.found, name)
 		case !f.ended && !f.stopped:
 			h.do(Note{What: RunUnclaimed, Task: name, Endpoint: f.place.Endpoint, Detail: "claim window over"})
--- a/internal/control/node/action.go
+++ b/internal/control/node/action.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sequoiacart/sequoiacart/internal/control/home"
 	"github.com/sequoiacart/sequoiacart/internal/world/cell"
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -42,6 +43,9 @@
 type SendYield struct {
 	To     cell.Member
 	Lineup cell.Lineup
+	// Endpoints is the home's own list, as of a version of the store.
+	Endpoints        []endpoint.Endpoint
+	EndpointsVersion int64
 }
 
 // WriteLineup writes a lineup if the store's is still at the expected revision; 0 means
@@ -51,6 +55,12 @@
 	Expected int64
 }
 
+// Probe tries whether any of the endpoints of a cell can be reached.
+type Probe struct {
+	Cell      cell.ID
+	Endpoints []endpoint.Endpoint
+}
+
 // FetchDesired asks a peer for its desired state.
 type FetchDesired struct{ From cell.Member }
 
@@ -92,6 +102,7 @@
 func (SendCancel) action()     {}
 func (SendYield) action()      {}
 func (WriteLineup) action()    {}
+func (Probe) action()          {}
 func (FetchDesired) action()   {}
 func (FetchEndpoints) action() {}
 func (Report) action()         {}
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -44,10 +44,14 @@
 	endpoints        []endpoint.Endpoint
 	endpointsVersion int64
 	endpointsAt      clock.Millis
-	vms              []cell.VM
+	// vanished tells since when endpoints are missing in the store's list.
+	vanished map[datacentre.EndpointID]clock.Millis
+	vms      []cell.VM
 	// heard is when each VM last sent a beat here.
 	heard map[vm.Incarnation]clock.Millis
 	loads map[cell.ID]cell.Load
+	// probes tell whether the endpoints of other data centres can be reached.
+	probes map[cell.ID]probe
 
 	callers map[job.Key]chan<- job.Outcome
 	peers   map[job.Key]chan<- job.Outcome
@@ -63,7 +67,12 @@
 	home      *home.Home
 	writing   bool
 	writtenAt clock.Millis
-	yielding  bool
+	takenAt   clock.Millis
+	// yielding says that a successor has been asked to take over; lastAsked is its rank in
+	// the lineup of revision askedUnder.
+	yielding   bool
+	lastAsked  int
+	askedUnder int64
 }
 
 // New returns the control state of a VM that knows nothing yet.
@@ -71,7 +80,7 @@
 	n := &Control{
 		config: c, now: c.Now,
 		views: make(map[cell.ID]*succession.View), homes: make(map[cell.ID]*hosted),
-		heard: make(map[vm.Incarnation]clock.Millis), loads: make(map[cell.ID]cell.Load),
+		vanished: make(map[datacentre.EndpointID]clock.Millis), heard: make(map[vm.Incarnation]clock.Millis), loads: make(map[cell.ID]cell.Load), probes: make(map[cell.ID]probe),
 		callers: make(map[job.Key]chan<- job.Outcome), peers: make(map[job.Key]chan<- job.Outcome),
 	}
 	for _, dc := range c.DataCentres {
@@ -126,6 +135,8 @@
 		}
 	case LineupWritten:
 		n.lineupWritten(e)
+	case ProbeEnded:
+		n.probes[e.Cell] = probe{reached: e.Reached, endedAt: now}
 	case ShutdownRequested:
 		n.beginShutdown()
 	case Tick:
@@ -317,11 +328,55 @@
 	}
 }
 
+// endpointsRead takes in a list of endpoints. One that has vanished from it is kept for a
+// while: entries lapse while the store cannot be reached, and come back, and until then an
+// earlier home may have runs there.
 func (n *Control) endpointsRead(e EndpointsRead) {
 	if e.Version < n.endpointsVersion {
 		return
 	}
-	n.endpoints, n.endpointsVersion, n.endpointsAt = e.Endpoints, e.Version, n.now
+	listed := make(map[datacentre.EndpointID]bool, len(e.Endpoints))
+	for _, l := range e.Endpoints {
+		listed[l.ID] = true
+		delete(n.vanished, l.ID)
+	}
+	merged := slices.Clone(e.Endpoints)
+	for _, old := range n.endpoints {
+		if listed[old.ID] {
+			continue
+		}
+		since, known := n.vanished[old.ID]
+		if !known {
+			since = n.now
+			n.vanished[old.ID] = since
+		}
+		if n.now-since < vanishedFor {
+			merged = append(merged, old)
+		}
+	}
+	n.endpoints, n.endpointsVersion, n.endpointsAt = merged, e.Version, n.now
+	for _, c := range n.cells {
+		n.tellEndpoints(c)
+	}
+}
+
+// vanishedFor is how long an endpoint that has vanished from the list is still used if it
+// answers. Entries that lapsed are back within two seconds of the store's return.
+const vanishedFor = clock.Millis(2500)
+
+// dropVanished forgets endpoints that have been missing for long enough.
+func (n *Control) dropVanished() {
+	gone := false
+	for id, since := range n.vanished {
+		if n.now-since >= vanishedFor {
+			delete(n.vanished, id)
+			n.endpoints = slices.DeleteFunc(slices.Clone(n.endpoints), func(e endpoint.Endpoint) bool { return e.ID == id })
+			gone = true
+		}
+	}
+	if !gone {
+		return
+	}
 	for _, c := range n.cells {
 		n.tellEndpoints(c)
 	}
--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -64,6 +64,9 @@
 // PeerYielded says that the home of a cell shuts down and wants this VM to take over.
 type PeerYielded struct {
 	Lineup cell.Lineup
+	// Endpoints is the home's own list, as of a version of the store.
+	Endpoints        []endpoint.Endpoint
+	EndpointsVersion int64
 	// Done has room for one and tells whether this VM is home now.
 	Done chan<- bool
 }
@@ -102,6 +105,12 @@
 	Written bool
 }
 
+// ProbeEnded says whether endpoints of a cell can be reached.
+type ProbeEnded struct {
+	Cell    cell.ID
+	Reached bool
+}
+
 // ShutdownRequested makes the VM hand over what it is home of.
 type ShutdownRequested struct{}
 
@@ -124,6 +133,7 @@
 func (VMsRead) event()           {}
 func (LineupsRead) event()       {}
 func (LineupWritten) event()     {}
+func (ProbeEnded) event()        {}
 func (ShutdownRequested) event() {}
 func (Tick) event()              {}
 
@@ -139,6 +149,8 @@
 	// Revision is that of the lineup that the sender knows.
 	Revision int64
 	Desired  queue.Version
+	// Leaving says that the sender shuts down and stands in for nobody any more.
+	Leaving bool
 	// Loads are the figures of the cells whose home the sender is.
 	Loads []cell.Load
 }
--- a/internal/control/node/membership.go
+++ b/internal/control/node/membership.go
@@ -6,6 +6,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/control/home"
 	"github.com/sequoiacart/sequoiacart/internal/control/succession"
 	"github.com/sequoiacart/sequoiacart/internal/world/cell"
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 )
 
@@ -36,9 +37,11 @@
 		n.tell(c, home.Tick{})
 		if h = n.homes[c]; h != nil {
 			n.tendLineup(c, h)
+			n.returnCell(c, h)
 			n.loads[c] = h.home.Load(n.now)
 		}
 	}
+	n.dropVanished()
 	n.front.Tick(n.now)
 	n.shareLoads()
 }
@@ -76,7 +79,7 @@
 		n.do(SendBeat{To: s.To, Beat: n.beat(c, s.First), SentAt: n.now})
 	case succession.TakeOver:
 		l := n.views[c].Lineup()
-		n.take(c, l, s.Rank, false)
+		n.take(c, l, s.Rank)
 	case succession.Claim:
 		n.claim(c)
 	case nil:
@@ -105,7 +108,7 @@
 	waiting, last := n.front.Waiting(c)
 	b := BeatRequest{
 		Cell: c, From: n.config.Self, Waiting: waiting, LastSeq: last,
-		Revision: n.views[c].Lineup().Revision,
+		Revision: n.views[c].Lineup().Revision, Leaving: n.shutdown,
 	}
 	if n.desired != nil {
 		b.Desired = n.desired.Version
@@ -125,6 +128,9 @@
 func (n *Control) peerBeat(e PeerBeat) {
 	b := e.Beat
 	n.heard[b.From.Incarnation] = n.now
+	if b.Leaving {
+		delete(n.heard, b.From.Incarnation)
+	}
 	v := n.views[b.Cell]
 	reply := BeatReply{From: n.config.Self.Incarnation, Clock: n.now, EndpointsVersion: n.endpointsVersion, Draining: n.shutdown}
 	if n.desired != nil {
@@ -172,7 +178,9 @@
 		n.step(e.Cell)
 		return
 	}
-	n.heard[e.Answer.From] = n.now
+	if !e.Reply.Draining {
+		n.heard[e.Answer.From] = n.now
+	}
 	if e.Reply.Lineup.Revision > 0 {
 		n.learn(e.Reply.Lineup)
 	}
@@ -227,14 +235,14 @@
 }
 
 // take makes this VM the home of a cell.
-func (n *Control) take(c cell.ID, l cell.Lineup, rank int, fresh bool) {
-	if n.shutdown || n.homes[c] != nil {
+func (n *Control) take(c cell.ID, l cell.Lineup, rank int) {
+	if n.shutdown || n.homes[c] != nil || !n.reaches(c) {
 		return
 	}
 	token := l.Token(rank)
-	n.homes[c] = &hosted{writtenAt: n.now, home: home.New(home.Config{
+	n.homes[c] = &hosted{writtenAt: n.now, takenAt: n.now, home: home.New(home.Config{
 		Cell: c, Token: token, Times: n.config.Times, FarFactor: n.config.FarFactor,
-		State: n.desired, Now: n.now, Fresh: fresh,
+		State: n.desired, Now: n.now,
 	})}
 	n.views[c].Became(token, n.now)
 	n.do(Report{What: HomeTaken, Cell: c, Lineup: l, Rank: rank, Token: token})
@@ -258,8 +266,54 @@
 	n.carryOut(c, h.home.GiveUp(n.now))
 }
 
+// reaches reports whether this VM may be home of a cell of another data centre: a partition
+// leaves that to the VMs inside. Where it is not known, some endpoints are tried.
+func (n *Control) reaches(c cell.ID) bool {
+	if c.DataCentre() == n.config.Self.DataCentre {
+		return true
+	}
+	p := n.probes[c]
+	if p.reached && n.now-p.endedAt <= probeFresh {
+		return true
+	}
+	if !p.running && n.now-p.endedAt >= probeEvery {
+		var some []endpoint.Endpoint
+		for _, e := range n.endpoints {
+			if e.DataCentre == c.DataCentre() && len(some) < probedEndpoints {
+				some = append(some, e)
+			}
+		}
+		if len(some) == 0 {
+			// Nothing is known to be there, so nothing can be taken from anybody.
+			return n.endpointsVersion != 0
+		}
+		n.probes[c] = probe{running: true, endedAt: p.endedAt}
+		n.do(Probe{Cell: c, Endpoints: some})
+	}
+	return false
+}
+
+// probe is what is known of the way to the endpoints of another data centre.
+type probe struct {
+	running, reached bool
+	endedAt          clock.Millis
+}
+
+const (
+	// probeFresh is how long the way to a data centre is believed in.
+	probeFresh = clock.Millis(500)
+	// probeEvery spaces probes, each of which opens connections.
+	probeEvery = clock.Millis(300)
+	// probedEndpoints is how many endpoints are tried; one that answers is enough, and some
+	// may have crashed.
+	probedEndpoints = 3
+)
+
 // claim tries to become home of a cell that has nobody.
 func (n *Control) claim(c cell.ID) {
+	if !n.reaches(c) {
+		return
+	}
 	l := n.views[c].Lineup()
 	n.do(WriteLineup{Lineup: cell.Lineup{Cell: c, Members: n.members(c)}, Expected: l.Revision})
 }
@@ -318,6 +372,25 @@
 	n.do(WriteLineup{Lineup: cell.Lineup{Cell: c, Members: want}, Expected: l.Revision})
 }
 
+// returnCell hands a cell of another data centre to a VM inside once there is one.
+func (n *Control) returnCell(c cell.ID, h *hosted) {
+	if c.DataCentre() == n.config.Self.DataCentre || h.yielding || n.shutdown || h.writing || n.now-h.takenAt < returnAfter {
+		return
+	}
+	l := n.views[c].Lineup()
+	for _, v := range cell.Candidates(c, n.vms) {
+		if v.DataCentre == c.DataCentre() && n.heardAgo(v) <= memberFresh && l.Rank(v.Incarnation) > l.Rank(n.config.Self.Incarnation) {
+			h.yielding = true
+			n.do(SendYield{To: v.Member, Lineup: l, Endpoints: n.endpoints, EndpointsVersion: n.endpointsVersion})
+			return
+		}
+	}
+}
+
+// returnAfter is how long a VM of another data centre keeps a cell at least, so that a cell
+// does not go back and forth while a data centre comes back.
+const returnAfter = 2 * clock.Second
+
 func (n *Control) lineupWritten(e LineupWritten) {
 	c := e.Lineup.Cell
 	if h := n.homes[c]; h != nil {
@@ -329,7 +402,7 @@
 	wasHome := n.homes[c] != nil
 	n.learn(e.Lineup)
 	if !wasHome && n.views[c].Lineup().Revision == e.Lineup.Revision {
-		n.take(c, e.Lineup, 0, false)
+		n.take(c, e.Lineup, 0)
 	}
 }
 
@@ -343,14 +416,17 @@
 	}
 }
 
-// yield asks the first successor that lives to take a cell over.
+// yield asks the next successor that lives to take a cell over.
 func (n *Control) yield(c cell.ID) {
+	h := n.homes[c]
 	l := n.views[c].Lineup()
-	own := l.Rank(n.config.Self.Incarnation)
+	if h.lastAsked == 0 || h.askedUnder != l.Revision {
+		h.lastAsked, h.askedUnder = l.Rank(n.config.Self.Incarnation), l.Revision
+	}
 	for rank, m := range l.Members {
-		if rank > own && n.now-n.heard[m.Incarnation] <= memberFresh {
-			n.homes[c].yielding = true
-			n.do(SendYield{To: m, Lineup: l})
+		if at, ok := n.heard[m.Incarnation]; rank > h.lastAsked && ok && n.now-at <= memberFresh {
+			h.yielding, h.lastAsked = true, rank
+			n.do(SendYield{To: m, Lineup: l, Endpoints: n.endpoints, EndpointsVersion: n.endpointsVersion})
 			return
 		}
 	}
@@ -372,11 +448,29 @@
 		e.Done <- false
 		return
 	}
-	n.take(c, l, rank, false)
+	if e.EndpointsVersion > n.endpointsVersion {
+		// The home may have runs at endpoints that this VM has not heard of yet.
+		n.endpointsRead(EndpointsRead{Endpoints: e.Endpoints, Version: e.EndpointsVersion})
+	}
+	n.take(c, l, rank)
 	e.Done <- n.homes[c] != nil
 }
 
+// yieldEnded gives a cell up once a successor has it. A VM that shuts down asks the next one
+// otherwise; one that wanted to return the cell keeps it.
 func (n *Control) yieldEnded(e YieldEnded) {
-	n.do(Report{What: HomeYielded, Cell: e.Cell, Lineup: n.views[e.Cell].Lineup()})
-	n.lose(e.Cell)
+	h := n.homes[e.Cell]
+	if h == nil {
+		return
+	}
+	h.yielding = false
+	switch {
+	case e.Taken:
+		n.do(Report{What: HomeYielded, Cell: e.Cell, Lineup: n.views[e.Cell].Lineup()})
+		n.lose(e.Cell)
+	case n.shutdown:
+		n.yield(e.Cell)
+	default:
+		h.takenAt = n.now
+	}
 }
--- a/internal/control/succession/view.go
+++ b/internal/control/succession/view.go
@@ -164,6 +164,8 @@
 	OK bool
 	// Gone says that nobody listens at the member's address any more.
 	Gone bool
+	// Draining says that the member shuts down.
+	Draining bool
 	// Home says that the member is home under the token.
 	Home  bool
 	Token cell.Token
@@ -184,6 +186,10 @@
 	v.failures = 0
 	v.silent = false
 	if !a.Home {
+		if a.Draining {
+			v.askNext(now)
+			return
+		}
 		v.notHome(now)
 		return
 	}
--- a/internal/link/peer/client.go
+++ b/internal/link/peer/client.go
@@ -62,12 +62,12 @@
 
 // Submit hands a job to a home and waits for its outcome for limit at most.
 func (c *Client) Submit(to cell.Member, in cell.ID, s job.Submission, traceParent string, limit clock.Millis) job.Outcome {
-	var reply SubmitReply
-	err := c.call(to, "Submit", SubmitRequest{Cell: in, Submission: s, TraceParent: traceParent}, &reply, limit)
+	reply := &SubmitReply{}
+	err := c.call(to, "Submit", SubmitRequest{Cell: in, Submission: s, TraceParent: traceParent}, reply, limit)
 	if err != nil {
 		return job.Unanswered{Cause: err.Error()}
 	}
-	return decodeOutcome(reply)
+	return decodeOutcome(*reply)
 }
 
 // Cancel passes a cancellation on.
@@ -76,16 +76,19 @@
 }
 
 // Yield asks a successor to take a cell over.
-func (c *Client) Yield(to cell.Member, l cell.Lineup) (bool, error) {
-	var reply YieldReply
-	err := c.call(to, "Yield", YieldRequest{Lineup: l}, &reply, c.config.Timeout)
-	return reply.Taken, err
+func (c *Client) Yield(a node.SendYield) (bool, error) {
+	reply := &YieldReply{}
+	request := YieldRequest{Lineup: a.Lineup, Endpoints: a.Endpoints, EndpointsVersion: a.EndpointsVersion}
+	if err := c.call(a.To, "Yield", request, reply, c.config.Timeout); err != nil {
+		return false, err
+	}
+	return reply.Taken, nil
 }
 
 // Desired asks a peer for its desired state, which may be none.
 func (c *Client) Desired(from cell.Member) (*queue.State, error) {
-	var r DesiredReply
-	if err := c.call(from, "Desired", Empty{}, &r, c.config.Timeout); err != nil || r.Version == 0 {
+	r := &DesiredReply{}
+	if err := c.call(from, "Desired", Empty{}, r, c.config.Timeout); err != nil || r.Version == 0 {
 		return nil, err
 	}
 	return queue.NewState(r.Version, r.Queues, r.Services, r.Limits), nil
@@ -93,9 +96,11 @@
 
 // Endpoints asks a peer for its list of endpoints.
 func (c *Client) Endpoints(from cell.Member) ([]endpoint.Endpoint, int64, error) {
-	var r EndpointsReply
-	err := c.call(from, "Endpoints", Empty{}, &r, c.config.Timeout)
-	return r.Endpoints, r.Version, err
+	r := &EndpointsReply{}
+	if err := c.call(from, "Endpoints", Empty{}, r, c.config.Timeout); err != nil {
+		return nil, 0, err
+	}
+	return r.Endpoints, r.Version, nil
 }
 
 // Close ends all connections.
--- a/internal/link/peer/server.go
+++ b/internal/link/peer/server.go
@@ -127,7 +127,9 @@
 // Yield takes a cell over from a home that shuts down.
 func (s *service) Yield(r YieldRequest, reply *YieldReply) error {
 	done := make(chan bool, 1)
-	if !s.config.Local.Post(node.PeerYielded{Lineup: r.Lineup, Done: done}) {
+	if !s.config.Local.Post(node.PeerYielded{
+		Lineup: r.Lineup, Endpoints: r.Endpoints, EndpointsVersion: r.EndpointsVersion, Done: done,
+	}) {
 		return errShutDown
 	}
 	taken, err := await(done, s.config.ControlTimeout)
--- a/internal/link/peer/wire.go
+++ b/internal/link/peer/wire.go
@@ -80,7 +80,11 @@
 type CancelRequest struct{ Job job.ID }
 
 // YieldRequest asks a successor to take a cell over.
-type YieldRequest struct{ Lineup cell.Lineup }
+type YieldRequest struct {
+	Lineup           cell.Lineup
+	Endpoints        []endpoint.Endpoint
+	EndpointsVersion int64
+}
 
 // YieldReply says whether it has.
 type YieldReply struct{ Taken bool }
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -115,7 +115,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancelTraffic = cancel
 	d.traffic = &traffic{
-		ctx: ctx, loop: d.loop, clock: c.Clock, peers: d.peers, store: d.store, journal: d.journal, meter: d.meter,
+		ctx: ctx, loop: d.loop, clock: c.Clock, peers: d.peers, dialer: connections, store: d.store, journal: d.journal, meter: d.meter,
 		endpoints: platform.NewEndpointClient(platform.EndpointsConfig{Timeout: orderTimeout, Transport: transport()}),
 	}
 	d.loop.executor = d.traffic
--- a/internal/process/daemon/traffic.go
+++ b/internal/process/daemon/traffic.go
@@ -25,6 +25,7 @@
 	clock     clock.Clock
 	endpoints *platform.EndpointClient
 	peers     *peer.Client
+	dialer    peer.Dialer
 	store     store.Store
 	journal   *journal
 	meter     *meter.Meter
@@ -51,6 +52,8 @@
 		go t.yield(a)
 	case node.WriteLineup:
 		go t.writeLineup(a)
+	case node.Probe:
+		go t.probe(a)
 	case node.FetchDesired:
 		go t.fetchDesired(a)
 	case node.FetchEndpoints:
@@ -147,12 +150,12 @@
 		gone, err = true, errors.NotFoundf("%s", from)
 	}
 	t.loop.Post(node.BeatAnswered{Cell: a.Beat.Cell, Reply: reply, Answer: succession.Answer{
-		From: from, OK: err == nil, Gone: gone, Home: reply.Home, Token: reply.Token, HomeClock: reply.Clock,
+		From: from, OK: err == nil, Gone: gone, Draining: reply.Draining, Home: reply.Home, Token: reply.Token, HomeClock: reply.Clock,
 	}})
 }
 
 func (t *traffic) yield(a node.SendYield) {
-	taken, err := t.peers.Yield(a.To, a.Lineup)
+	taken, err := t.peers.Yield(a)
 	if err != nil {
 		t.journal.callFailed("yield", string(a.To.Incarnation), err)
 	}
@@ -174,6 +177,22 @@
 	t.loop.Post(written)
 }
 
+// probe opens a connection to one endpoint after the other until one of them listens.
+func (t *traffic) probe(a node.Probe) {
+	ended := node.ProbeEnded{Cell: a.Cell}
+	for _, e := range a.Endpoints {
+		c, err := t.dialer.DialContext(t.ctx, "tcp", e.Address)
+		if err != nil {
+			t.journal.callFailed("probe", string(e.ID), err)
+			continue
+		}
+		_ = c.Close()
+		ended.Reached = true
+		break
+	}
+	t.loop.Post(ended)
+}
+
 func (t *traffic) fetchDesired(a node.FetchDesired) {
 	s, err := t.peers.Desired(a.From)
 	if err != nil {
