--- a/internal/control/front/front.go
+++ b/internal/control/front/front.go
@@ -47,6 +47,8 @@
 	// mayRun says that an earlier home may have runs of the job.
 	mayRun        bool
 	homelessSince clock.Millis
+	// patience is how long the job can wait for a home to begin with.
+	patience clock.Millis
 }
 
 // Action is what the front wants done. It is one of the types below.
@@ -89,11 +91,12 @@
 	return a
 }
 
-// Arrive takes a job from a caller, who waits for limit at most. The key names it from now on.
-func (f *Front) Arrive(j job.Job, limit, now clock.Millis) job.Key {
+// Arrive takes a job from a caller, who waits for limit at most. It waits for a home while its
+// patience lasts. The key names it from now on.
+func (f *Front) Arrive(j job.Job, limit, patience, now clock.Millis) job.Key {
 	f.seq++
 	k := job.Key{Entry: f.config.Self, Seq: f.seq}
-	p := &pending{arrived: now, submission: job.Submission{Key: k, Job: j, Limit: limit}}
+	p := &pending{arrived: now, patience: patience, homelessSince: now, submission: job.Submission{Key: k, Job: j, Limit: limit}}
 	f.jobs[f.seq] = p
 	f.send(p, now)
 	return k
@@ -110,7 +113,9 @@
 		return
 	}
 	if len(available) == 0 {
-		f.reply(p, job.Refused{Reason: job.NoHome, RetryAfter: clock.Second}, now)
+		if now >= p.arrived+p.patience {
+			f.reply(p, job.Refused{Reason: job.NoHome, RetryAfter: clock.Second}, now)
+		}
 		return
 	}
 	f.sendTo(p, available[0], now)
@@ -224,7 +229,7 @@
 			if home, ok := f.config.Homes.Home(p.at, now); !ok || home != p.home {
 				p.placed, p.mayRun, p.homelessSince = false, true, now
 			}
-		case now >= p.homelessSince+f.config.Homeless:
+		case p.mayRun && now >= p.homelessSince+f.config.Homeless:
 			f.reply(p, job.Stopped{Reason: job.CellLost}, now)
 		default:
 			f.send(p, now)
--- a/internal/control/home/admission.go
+++ b/internal/control/home/admission.go
@@ -50,7 +50,7 @@
 	if s.Adopt {
 		h.adopt(w)
 	}
-	if !w.started {
+	if !w.started && !s.Adopt {
 		if o := h.admit(w); o != nil {
 			h.answers.keep(&w.Submission, o, h.now)
 			h.do(Answer{Key: w.Key, Outcome: o})
@@ -83,17 +83,7 @@
 
 // chain is the longest chain of expected work.
 func (h *Home) chain(w *work) clock.Millis {
-	ends := make([]clock.Millis, len(w.Job.Steps))
-	var longest clock.Millis
-	for i := range w.Job.Steps {
-		s := &w.Job.Steps[i]
-		for _, before := range s.After {
-			ends[i] = max(ends[i], ends[before])
-		}
-		ends[i] += h.expect(w, s)
-		longest = max(longest, ends[i])
-	}
-	return longest
+	return w.Job.Chain(func(s *job.Step) clock.Millis { return h.expect(w, s) })
 }
 
 // fastest is the speed of the faster endpoints.
@@ -115,7 +105,7 @@
 func (h *Home) adopt(w *work) {
 	for _, t := range w.tasks {
 		f, ok := h.found[t.name]
-		if !ok || t.state != waiting || f.stopped || h.tasks[t.name] != nil {
+		if !ok || t.state != waiting || f.stoppedAt != 0 || h.tasks[t.name] != nil {
 			continue
 		}
 		t.run = max(t.run, f.run)
@@ -150,7 +140,7 @@
 		return job.Refused{Reason: job.NoSuchEndpoint, RetryAfter: retryAfter}
 	}
 	wait := h.projectedWait(w)
-	if wait == 0 {
+	if wait == 0 || h.settling() {
 		return nil
 	}
 	inTime := h.now+wait <= w.startBy
@@ -169,7 +159,7 @@
 	for i := range w.Job.Steps {
 		s := &w.Job.Steps[i]
 		if !slices.ContainsFunc(h.ordered, func(p *place) bool {
-			return p.Service == q.Service && !p.Draining && !p.missing && p.fenced && p.HasLabel(s.Requires) && p.Capacity.Holds(s.Demand)
+			return p.Service == q.Service && !p.Draining && !p.missing && p.HasLabel(s.Requires) && p.Capacity.Holds(s.Demand)
 		}) {
 			return false
 		}
@@ -177,6 +167,14 @@
 	return true
 }
 
+// settling reports whether the home is too young to know its endpoints.
+func (h *Home) settling() bool {
+	return h.now < h.config.Now+settleTime && !h.allFenced()
+}
+
+// settleTime is how long the first answers of the endpoints may take; a round trip takes 2 ms.
+const settleTime = clock.Millis(60)
+
 // demand is the processor capacity that the waiting tasks of the job's first steps need.
 func (w *work) demand() job.MilliCores {
 	var sum job.MilliCores
--- a/internal/control/home/home.go
+++ b/internal/control/home/home.go
@@ -66,8 +66,8 @@
 	ended   bool
 	how     endpoint.End
 	at      clock.Millis
-	// stopped says that the run has been told to stop, so that no job can claim it.
-	stopped bool
+	// stoppedAt is when the run was last told to stop; from then on no job can claim it.
+	stoppedAt clock.Millis
 }
 
 // New returns a home that has just taken the cell.
--- /dev/null
+++ b/internal/control/home/home_test.go
@@ -0,0 +1,441 @@
+package home
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/sequoiacart/sequoiacart/internal/world/cell"
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+)
+
+// Guards against jobs that are not served although nothing is wrong, and against times that
+// callers would count as late.
+func TestQuietCell(t *testing.T) {
+	w := newWorld(t, 1, 6)
+	w.addHome(1, 256)
+	w.advance(50)
+	w.interest(1, "a-1", 1, 2)
+	w.tell(1, Submitted{Submission: submission("a-1", 1, 8)})
+	w.tell(1, Submitted{Submission: submission("a-1", 2, 2)})
+	w.advance(200)
+	for seq := uint64(1); seq <= 2; seq++ {
+		k := job.Key{Entry: "a-1", Seq: seq}
+		if got, want := outcomeOf(w.outcomes[k]), "job.Completed"; got != want {
+			t.Errorf("job %d: got %s, want %s", seq, got, want)
+		}
+		if got, want := w.endedAt[k]-1_000_050, clock.Millis(70); got > want {
+			t.Errorf("job %d: got an answer after %d ms, want at most %d ms", seq, got, want)
+		}
+	}
+}
+
+// Guards against two runs of a task at the same time, against jobs that are called complete
+// though they are not, and against jobs that nobody ends, with an order that fails in every
+// way that the platform describes.
+func TestOrdersThatFail(t *testing.T) {
+	faults := map[string]func(a Action) delivery{
+		"start lost":               func(a Action) delivery { _, ok := a.(Start); return delivery{lost: ok} },
+		"start's answer lost":      func(a Action) delivery { _, ok := a.(Start); return delivery{answerLost: ok} },
+		"start carried out late":   func(a Action) delivery { return laterStart(a, 2000) },
+		"start late, before lapse": func(a Action) delivery { return laterStart(a, 300) },
+		"hold's answer lost":       func(a Action) delivery { _, ok := a.(Hold); return delivery{answerLost: ok} },
+		"everything lost":          func(Action) delivery { return delivery{lost: true} },
+		"all answers lost":         func(Action) delivery { return delivery{answerLost: true} },
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 2, 4)
+			w.addHome(1, 256)
+			w.advance(50)
+			w.interest(1, "a-1", 1)
+			from := w.now
+			w.fault = func(_ int, e datacentre.EndpointID, a Action) delivery {
+				if e != "e00" || w.now-from > 1000 {
+					return delivery{}
+				}
+				return fault(a)
+			}
+			w.tell(1, Submitted{Submission: submission("a-1", 1, 8)})
+			w.advance(3500)
+			if got, want := outcomeOf(w.outcomes[job.Key{Entry: "a-1", Seq: 1}]), "job.Completed"; got != want {
+				t.Errorf("got %s, want %s", got, want)
+			}
+			if got, want := w.mostRuns, 1; got != want {
+				t.Errorf("got %d runs of a task at the same time, want %d", got, want)
+			}
+		})
+	}
+}
+
+func laterStart(a Action, span clock.Millis) delivery {
+	if _, ok := a.(Start); ok {
+		return delivery{later: span}
+	}
+	return delivery{}
+}
+
+// Guards against tasks that wait for an endpoint that has crashed, stands still or fails all
+// that it starts.
+func TestEndpointsThatFail(t *testing.T) {
+	faults := map[string]func(w *world, e *fakeEndpoint){
+		"down for good": func(_ *world, e *fakeEndpoint) { e.down = true },
+		"restarted":     func(_ *world, e *fakeEndpoint) { e.crash() },
+		"stalling": func(_ *world, e *fakeEndpoint) {
+			for _, r := range e.runs {
+				r.stalled = true
+			}
+		},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 3, 4)
+			w.addHome(1, 256)
+			w.advance(50)
+			w.interest(1, "a-1", 1)
+			w.tell(1, Submitted{Submission: submission("a-1", 1, 4)})
+			w.advance(20)
+			for _, id := range []datacentre.EndpointID{"e00", "e01"} {
+				fault(w, w.endpoints[id])
+			}
+			w.advance(1500)
+			if got, want := outcomeOf(w.outcomes[job.Key{Entry: "a-1", Seq: 1}]), "job.Completed"; got != want {
+				t.Errorf("got %s, want %s", got, want)
+			}
+			if got, want := w.mostRuns, 1; got != want {
+				t.Errorf("got %d runs of a task at the same time, want %d", got, want)
+			}
+		})
+	}
+}
+
+// Guards against an endpoint that fails everything at once and therefore always has room.
+func TestFailingEndpointIsEjected(t *testing.T) {
+	w := newWorld(t, 4, 6)
+	w.endpoints["e00"].failing = true
+	w.addHome(1, 256)
+	w.advance(50)
+	var seqs []uint64
+	for seq := uint64(1); seq <= 40; seq++ {
+		seqs = append(seqs, seq)
+	}
+	w.interest(1, "a-1", seqs...)
+	for _, seq := range seqs {
+		w.tell(1, Submitted{Submission: submission("a-1", seq, 2)})
+		w.advance(20)
+	}
+	w.advance(500)
+	for _, seq := range seqs {
+		if got, want := outcomeOf(w.outcomes[job.Key{Entry: "a-1", Seq: seq}]), "job.Completed"; got != want {
+			t.Errorf("job %d: got %s, want %s", seq, got, want)
+		}
+	}
+	if got := w.notes[EndpointEjected]; got == 0 {
+		t.Errorf("got no ejection, want one")
+	}
+	if got, want := w.notes[RunFailed], 6; got > want {
+		t.Errorf("got %d failed runs, want at most %d", got, want)
+	}
+}
+
+// Guards against an endless retry of a task that can never be done.
+func TestTaskThatAlwaysFails(t *testing.T) {
+	w := newWorld(t, 5, 4)
+	for _, e := range w.endpoints {
+		e.failing = true
+	}
+	w.addHome(1, 256)
+	w.advance(50)
+	w.interest(1, "a-1", 1)
+	w.tell(1, Submitted{Submission: submission("a-1", 1, 1)})
+	w.advance(500)
+	if got, want := outcomeOf(w.outcomes[job.Key{Entry: "a-1", Seq: 1}]), "job.Failed"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+	if got, want := w.starts[Name("0000000000000001", 0, 0)], 3; got != want {
+		t.Errorf("got %d starts, want the queue's %d attempts", got, want)
+	}
+}
+
+// Guards against runs that outlive their caller: after a broken connection the caller sends
+// the job again, and a run of the first time must be gone by then.
+func TestRunsEndWithTheirEntryVM(t *testing.T) {
+	for name, freeze := range map[string]bool{"entry VM falls silent": false, "home freezes as well": true} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 6, 2)
+			w.takes = func(job.TaskName) clock.Millis { return 5000 }
+			f := w.addHome(1, 256)
+			w.advance(50)
+			w.tell(1, Interest{Entry: "a-1", Sent: w.now, Waiting: []uint64{1}, LastSeq: 1})
+			w.tell(1, Submitted{Submission: submission("a-1", 1, 2)})
+			w.advance(200)
+			w.tell(1, Interest{Entry: "a-1", Sent: w.now, Waiting: []uint64{1}, LastSeq: 1})
+			silent := w.now
+			if freeze {
+				w.advance(testTimes().Interest - 20)
+				f.frozen = w.now + 5000
+			}
+			w.advance(silent + testTimes().RunsGoneAfter() - w.now)
+			for id, e := range w.endpoints {
+				if got := len(e.runs); got != 0 {
+					t.Errorf("%s: got %d runs, want none", id, got)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a sum of waits that is longer than the time after which callers send a job
+// again.
+func TestRunsAreGoneBeforeJobsAreSentAgain(t *testing.T) {
+	for _, resend := range []clock.Millis{1300, 2000} {
+		times := DefaultTimes(1000, 50, resend)
+		if got, want := times.RunsGoneAfter(), resend-100; got > want {
+			t.Errorf("resend after %d ms: got runs for %d ms, want at most %d ms", resend, got, want)
+		}
+	}
+}
+
+// Guards against a job that the caller has left and that runs on, and against one that is
+// dropped because a message about others was under way when it came.
+func TestInterest(t *testing.T) {
+	w := newWorld(t, 7, 4)
+	w.takes = func(job.TaskName) clock.Millis { return 1000 }
+	w.addHome(1, 256)
+	w.advance(50)
+	early := w.now
+	w.advance(5)
+	w.tell(1, Submitted{Submission: submission("a-1", 1, 2)})
+	w.tell(1, Submitted{Submission: submission("a-1", 2, 2)})
+	w.tell(1, Interest{Entry: "a-1", Sent: early, Waiting: nil, LastSeq: 2})
+	w.advance(10)
+	if got := len(w.outcomes); got != 0 {
+		t.Errorf("a message sent before the jobs came: got %d ended, want none", got)
+	}
+	w.tell(1, Interest{Entry: "a-1", Sent: w.now, Waiting: []uint64{2}, LastSeq: 2})
+	w.advance(80)
+	if got, want := outcomeOf(w.outcomes[job.Key{Entry: "a-1", Seq: 1}]), "stopped callerGone"; got != want {
+		t.Errorf("job that nobody waits for: got %s, want %s", got, want)
+	}
+	if got := w.outcomes[job.Key{Entry: "a-1", Seq: 2}]; got != nil {
+		t.Errorf("job that is waited for: got %s, want none yet", outcomeOf(got))
+	}
+}
+
+// Guards against a message that was held up in the network and would run a job that its
+// caller has long sent again.
+func TestHeldUpSubmissionIsRefused(t *testing.T) {
+	w := newWorld(t, 8, 2)
+	w.addHome(1, 256)
+	w.advance(50)
+	s := submission("a-1", 1, 2)
+	s.Expires = w.now - 1
+	w.tell(1, Submitted{Submission: s})
+	w.advance(100)
+	if got, want := outcomeOf(w.outcomes[s.Key]), "refused messageHeldUp"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+	if got := len(w.starts); got != 0 {
+		t.Errorf("got %d tasks started, want none", got)
+	}
+}
+
+// Guards against a repeated message that runs a job again.
+func TestRepeatedSubmissionGetsTheSameAnswer(t *testing.T) {
+	w := newWorld(t, 9, 2)
+	w.addHome(1, 256)
+	w.advance(50)
+	w.interest(1, "a-1", 1)
+	s := submission("a-1", 1, 2)
+	w.tell(1, Submitted{Submission: s})
+	w.tell(1, Submitted{Submission: s})
+	w.advance(100)
+	delete(w.outcomes, s.Key)
+	w.tell(1, Submitted{Submission: s})
+	w.advance(100)
+	if got, want := outcomeOf(w.outcomes[s.Key]), "job.Completed"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+	for name, got := range w.starts {
+		if want := 1; got != want {
+			t.Errorf("%s: got %d starts, want %d", name, got, want)
+		}
+	}
+}
+
+// Guards against a run that is started beside itself because a look that was taken before
+// the start does not list it.
+func TestLookOfTheSameMomentProvesNothing(t *testing.T) {
+	w := newWorld(t, 10, 2)
+	h := w.addHome(1, 256).home
+	w.advance(50)
+	w.interest(1, "a-1", 1)
+	w.tell(1, Submitted{Submission: submission("a-1", 1, 1)})
+	w.advance(3)
+	var p *place
+	for _, o := range h.ordered {
+		if len(o.tasks) > 0 {
+			p = o
+		}
+	}
+	w.tell(1, HoldEnded{Endpoint: p.ID, Kind: Renewal, Sent: w.now - 1, Look: &endpoint.Look{Born: p.Born, Clock: p.clockNow(w.now)}})
+	w.advance(100)
+	if got, want := w.starts[Name("0000000000000001", 0, 0)], 1; got != want {
+		t.Errorf("got %d starts, want %d", got, want)
+	}
+}
+
+// Guards against tasks that run twice, or not at all, when a home is replaced: by another
+// that knows nothing, while the old one goes on, in the middle of a partition, or with an
+// endpoint that the new home cannot reach at first.
+func TestTakeOver(t *testing.T) {
+	cases := map[string]struct {
+		oldGoesOn, oldCutOff bool
+		// blocked cannot be reached by the new home for so long.
+		blocked clock.Millis
+		// claim is how long after the take-over the entry VM claims its job.
+		claim clock.Millis
+	}{
+		"old home dead":                         {claim: 30},
+		"claimed before anything is listed":     {claim: 0},
+		"old home goes on":                      {oldGoesOn: true, claim: 30},
+		"endpoint out of reach":                 {oldGoesOn: true, blocked: 500, claim: 30},
+		"endpoint out of reach for long":        {oldGoesOn: true, blocked: 2500, claim: 30},
+		"claimed late":                          {claim: 400},
+		"claimed late, old home goes on":        {oldGoesOn: true, claim: 400},
+		"old home has lost the entry VM before": {oldGoesOn: true, oldCutOff: true, blocked: 600, claim: 100},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 11, 4)
+			w.takes = func(n job.TaskName) clock.Millis { return 120 + 40*clock.Millis(n[len(n)-1]-'0') }
+			old := w.addHome(1, 256)
+			w.advance(50)
+			if !c.oldCutOff {
+				w.interest(1, "a-1", 1)
+			}
+			s := submission("a-1", 1, 6)
+			w.tell(1, Submitted{Submission: s})
+			w.advance(60)
+			if !c.oldGoesOn {
+				old.gone = true
+			}
+			taken := w.now
+			w.fault = func(n int, e datacentre.EndpointID, _ Action) delivery {
+				return delivery{lost: n == 2 && e == "e01" && w.now-taken < c.blocked}
+			}
+			w.addHome(2, 257)
+			w.advance(c.claim)
+			s.Adopt, s.Waited = true, w.now-1_000_050
+			w.tell(2, Submitted{Submission: s})
+			w.interest(2, "a-1", 1)
+			w.advance(4000)
+			if got, want := w.mostRuns, 1; got != want {
+				t.Errorf("got %d runs of a task at the same time, want %d", got, want)
+			}
+			if got, want := outcomeOf(w.outcomes[s.Key]), "job.Completed"; got != want {
+				t.Errorf("got %s, want %s", got, want)
+			}
+		})
+	}
+}
+
+// Guards against combinations of faults that nobody has thought of. The seeds that failed
+// are kept in the table.
+func TestRandomFaults(t *testing.T) {
+	seeds := 150
+	if testing.Short() {
+		seeds = 30
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { randomFaults(t, uint64(seed)) })
+	}
+}
+
+func randomFaults(t *testing.T, seed uint64) {
+	w := newWorld(t, seed, 6)
+	w.takes = func(n job.TaskName) clock.Millis { return 20 + clock.Millis(n[len(n)-1])*7%400 }
+	for _, e := range w.inOrder {
+		e.speed = 0.5 + w.random.Float64()
+	}
+	w.addHome(1, 256)
+	w.advance(50)
+	current := 1
+	rate := 0.02 + 0.1*w.random.Float64()
+	w.fault = func(int, datacentre.EndpointID, Action) delivery {
+		if w.random.Float64() > rate {
+			return delivery{}
+		}
+		switch w.random.IntN(3) {
+		case 0:
+			return delivery{lost: true}
+		case 1:
+			return delivery{answerLost: true}
+		}
+		return delivery{later: clock.Millis(w.random.IntN(4000))}
+	}
+	open := make(map[uint64]job.Submission)
+	for seq := uint64(1); seq <= 40; seq++ {
+		s := submission("a-1", seq, 1+w.random.IntN(8))
+		open[seq] = s
+		w.tell(current, Submitted{Submission: s})
+		switch w.random.IntN(12) {
+		case 0:
+			for _, e := range w.inOrder {
+				if w.random.IntN(4) == 0 {
+					e.crash()
+				}
+			}
+		case 1:
+			if w.random.IntN(2) == 0 {
+				w.homes[current].gone = true
+			}
+			current++
+			w.addHome(current, cell.Token(255+current))
+			at := clock.Millis(w.random.IntN(150))
+			w.advance(at)
+			for _, seq := range slices.Sorted(maps.Keys(open)) {
+				s := open[seq]
+				if _, moved := w.outcomes[s.Key].(job.Moved); moved || w.outcomes[s.Key] == nil {
+					delete(w.outcomes, s.Key)
+					s.Adopt = true
+					open[seq] = s
+					w.tell(current, Submitted{Submission: s})
+				}
+			}
+		case 2:
+			w.homes[current].frozen = w.now + clock.Millis(w.random.IntN(1500))
+		}
+		for step := 0; step < 4; step++ {
+			var waiting []uint64
+			for n, s := range open {
+				if w.outcomes[s.Key] == nil {
+					waiting = append(waiting, n)
+				}
+			}
+			w.tell(current, Interest{Entry: "a-1", Sent: w.now, Waiting: waiting, LastSeq: seq})
+			w.advance(clock.Millis(10 + w.random.IntN(40)))
+		}
+	}
+	w.advance(6000)
+	if got, want := w.mostRuns, 1; got != want {
+		t.Errorf("seed %d: got %d runs of a task at the same time, want %d", seed, got, want)
+	}
+	for seq, s := range open {
+		o := w.outcomes[s.Key]
+		if o == nil {
+			t.Errorf("seed %d: job %d: got no outcome, want one", seed, seq)
+		}
+		if _, refused := o.(job.Refused); refused && !s.Adopt {
+			for k := range s.Job.Steps[0].Tasks {
+				if got := w.starts[Name(s.Job.ID, 0, k)]; got != 0 {
+					t.Errorf("seed %d: job %d was refused: got %d starts of task %d, want none", seed, seq, got, k)
+				}
+			}
+		}
+	}
+}
--- a/internal/control/home/runs.go
+++ b/internal/control/home/runs.go
@@ -199,6 +199,11 @@
 // restarted releases all runs of an endpoint that has begun another life.
 func (h *Home) restarted(p *place, born endpoint.Born) {
 	for _, t := range p.sorted() {
+		if t.confirmedAt == 0 {
+			// The start may still be under way, and the new life may carry it out.
+			h.stop(t)
+			continue
+		}
 		h.note(RunLost, t, p, "endpoint restarted")
 		t.avoid = p
 		h.release(t)
@@ -211,6 +216,9 @@
 	p.acked, p.Born = 0, born
 	p.speed, p.health = speed{}, health{}
 	p.free = p.Capacity
+	for _, t := range p.tasks {
+		p.free = p.free.Minus(t.stepOf().Demand)
+	}
 }
 
 // runEnded takes in the end of a run.
@@ -223,7 +231,7 @@
 	if t == nil {
 		f := h.found[e.Task]
 		switch {
-		case f.place == p && f.stopped:
+		case f.place == p && f.stoppedAt != 0:
 			delete(h.found, e.Task)
 		case h.now < p.claimUntil:
 			h.found[e.Task] = foundRun{place: p, run: e.Run, ended: true, how: e.How, at: h.now}
@@ -359,12 +367,23 @@
 		f = foundRun{place: p, run: a.Run, at: h.now}
 	}
 	f.percent = a.Percent
+	h.found[a.Task] = f
 	if h.now >= p.claimUntil {
-		h.do(Note{What: RunUnclaimed, Task: a.Task, Endpoint: p.Endpoint, Detail: "run " + strconv.FormatInt(int64(a.Run), 10)})
-		f.stopped = true
-		h.stopFound(p, a.Task, a.Run)
+		h.stopUnclaimedRun(a.Task, f)
 	}
-	h.found[a.Task] = f
+}
+
+// stopUnclaimedRun stops a run of an earlier home, again while there is no sign of it.
+func (h *Home) stopUnclaimedRun(name job.TaskName, f foundRun) {
+	if f.ended || f.stoppedAt != 0 && h.now < f.stoppedAt+stopAgainAfter {
+		return
+	}
+	if f.stoppedAt == 0 {
+		h.do(Note{What: RunUnclaimed, Task: name, Endpoint: f.place.Endpoint, Detail: "run " + strconv.FormatInt(int64(f.run), 10)})
+	}
+	f.stoppedAt = h.now
+	h.found[name] = f
+	h.stopFound(f.place, name, f.run)
 }
 
 func (h *Home) stopFound(p *place, name job.TaskName, run job.Run) {
@@ -481,13 +500,10 @@
 		}
 		lapsed := h.now >= max(f.at, f.place.leasedAt)+h.config.Times.leaseLapse()
 		switch {
-		case f.ended && h.now >= f.at+rememberFor, !f.ended && f.stopped && lapsed:
+		case f.ended && h.now >= f.at+rememberFor, !f.ended && f.stoppedAt != 0 && lapsed:
 			delete(h.found, name)
-		case !f.ended && !f.stopped:
-			h.do(Note{What: RunUnclaimed, Task: name, Endpoint: f.place.Endpoint, Detail: "claim window over"})
-			f.stopped = true
-			h.found[name] = f
-			h.stopFound(f.place, name, f.run)
+		default:
+			h.stopUnclaimedRun(name, f)
 		}
 	}
 }
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -47,6 +47,7 @@
 	// vanished tells since when endpoints are missing in the store's list.
 	vanished map[datacentre.EndpointID]clock.Millis
 	vms      []cell.VM
+	vmRows   map[vm.ID]cell.VM
 	// heard is when each VM last sent a beat here.
 	heard map[vm.Incarnation]clock.Millis
 	loads map[cell.ID]cell.Load
@@ -128,7 +129,7 @@
 	case EndpointsRead:
 		n.endpointsRead(e)
 	case VMsRead:
-		n.vms = e.VMs
+		n.vmsRead(e.VMs)
 	case LineupsRead:
 		for _, l := range e.Lineups {
 			n.learn(l)
@@ -136,7 +137,7 @@
 	case LineupWritten:
 		n.lineupWritten(e)
 	case ProbeEnded:
-		n.probes[e.Cell] = probe{reached: e.Reached, endedAt: now}
+		n.probeEnded(e)
 	case ShutdownRequested:
 		n.beginShutdown()
 	case Tick:
@@ -249,11 +250,22 @@
 const submissionValid = clock.Millis(250)
 
 func (n *Control) jobArrived(e JobArrived) {
-	k := n.front.Arrive(e.Job, e.Limit, n.now)
+	k := n.front.Arrive(e.Job, e.Limit, n.patience(&e.Job), n.now)
 	n.callers[k] = e.Ended
 	e.Taken <- k
 }
 
+// patience is how long a job may wait for a home and still meet its objective: the objective
+// less the declared time of its longest chain.
+func (n *Control) patience(j *job.Job) clock.Millis {
+	q := n.desired.Queue(j.Queue)
+	if q == nil {
+		return 0
+	}
+	chain := j.Chain(func(s *job.Step) clock.Millis { return s.Estimate })
+	return q.Objective(chain) - chain
+}
+
 func (n *Control) peerSubmitted(e PeerSubmitted) {
 	if n.homes[e.Cell] == nil {
 		e.Ended <- job.Refused{Reason: job.NotHome, RetryAfter: clock.Second}
@@ -317,6 +329,16 @@
 	}
 }
 
+func (n *Control) vmsRead(vms []cell.VM) {
+	n.vms, n.vmRows = vms, make(map[vm.ID]cell.VM, len(vms))
+	for _, v := range vms {
+		n.vmRows[v.Incarnation.VM()] = v
+	}
+	for _, c := range n.cells {
+		n.step(c)
+	}
+}
+
 func (n *Control) desiredRead(s *queue.State) {
 	if n.desired != nil && s.Version <= n.desired.Version {
 		return
--- a/internal/control/node/membership.go
+++ b/internal/control/node/membership.go
@@ -74,7 +74,7 @@
 	if n.homes[c] != nil {
 		return
 	}
-	switch s := n.views[c].Next(n.now, func() clock.Millis { return n.position(c) }).(type) {
+	switch s := n.views[c].Next(n.now, n.surroundings(c)).(type) {
 	case succession.Beat:
 		n.do(SendBeat{To: s.To, Beat: n.beat(c, s.First), SentAt: n.now})
 	case succession.TakeOver:
@@ -86,6 +86,18 @@
 	}
 }
 
+func (n *Control) surroundings(c cell.ID) succession.Surroundings {
+	revision := n.views[c].Lineup().Revision
+	return succession.Surroundings{
+		Pause: func() clock.Millis { return n.position(c) },
+		Replaced: func(m cell.Member) bool {
+			v, ok := n.vmRows[m.Incarnation.VM()]
+			// A row that is older than the lineup may be that of the life before.
+			return ok && v.Incarnation != m.Incarnation && v.Revision > revision
+		},
+	}
+}
+
 // position is how long this VM leaves a claim of the cell to better candidates, or -1.
 func (n *Control) position(c cell.ID) clock.Millis {
 	if n.shutdown || n.desired == nil {
@@ -267,15 +279,14 @@
 }
 
 // reaches reports whether this VM may be home of a cell of another data centre: a partition
-// leaves that to the VMs inside. Where it is not known, some endpoints are tried.
+// leaves that to the VMs inside. Where it is not known, some endpoints are tried. Once they
+// can be reached, the members have time to answer, since after a partition one of them may
+// be home with runs at endpoints that are not listed yet.
 func (n *Control) reaches(c cell.ID) bool {
 	if c.DataCentre() == n.config.Self.DataCentre {
 		return true
 	}
 	p := n.probes[c]
-	if p.reached && n.now-p.endedAt <= probeFresh {
-		return true
-	}
 	if !p.running && n.now-p.endedAt >= probeEvery {
 		var some []endpoint.Endpoint
 		for _, e := range n.endpoints {
@@ -283,27 +294,42 @@
 				some = append(some, e)
 			}
 		}
-		if len(some) == 0 {
-			// Nothing is known to be there, so nothing can be taken from anybody.
-			return n.endpointsVersion != 0
-		}
-		n.probes[c] = probe{running: true, endedAt: p.endedAt}
+		p.running = true
+		n.probes[c] = p
 		n.do(Probe{Cell: c, Endpoints: some})
 	}
-	return false
+	return p.reachedSince != 0 && n.now-p.reachedSince >= reachedFor && n.now-p.endedAt <= probeFresh
+}
+
+func (n *Control) probeEnded(e ProbeEnded) {
+	p := n.probes[e.Cell]
+	p.running = false
+	switch {
+	case !e.Reached:
+		p.reachedSince = 0
+	case p.reachedSince == 0 || n.now-p.endedAt > probeFresh:
+		p.reachedSince = n.now
+	}
+	p.endedAt = n.now
+	n.probes[e.Cell] = p
 }
 
 // probe is what is known of the way to the endpoints of another data centre.
 type probe struct {
-	running, reached bool
-	endedAt          clock.Millis
+	running bool
+	// reachedSince is when a row of successful probes began, or 0.
+	reachedSince clock.Millis
+	endedAt      clock.Millis
 }
 
 const (
 	// probeFresh is how long the way to a data centre is believed in.
-	probeFresh = clock.Millis(500)
+	probeFresh = clock.Millis(800)
 	// probeEvery spaces probes, each of which opens connections.
 	probeEvery = clock.Millis(300)
+	// reachedFor is how long endpoints must have been reachable: four
+	// silent members are asked in turn within 600 ms.
+	reachedFor = clock.Millis(900)
 	// probedEndpoints is how many endpoints are tried; one that answers is enough, and some
 	// may have crashed.
 	probedEndpoints = 3
--- a/internal/control/succession/view.go
+++ b/internal/control/succession/view.go
@@ -15,16 +15,18 @@
 	BeatEvery = clock.Millis(100)
 	// BeatTimeout bounds a beat; a round trip takes a few milliseconds, and a VM that is
 	// slowed five times still answers within it.
-	BeatTimeout = clock.Millis(150)
+	BeatTimeout = clock.Millis(120)
 	// beatAgain is the pause after a beat that failed.
-	beatAgain = clock.Millis(40)
-	// failuresToDoubt is how many beats in a row fail before a member counts as silent.
+	beatAgain = clock.Millis(30)
+	// failuresToDoubt is how many beats in a row fail before a member counts as silent; a
+	// refused connection counts twice. While the whole lineup is silent, one is enough to
+	// turn to the next member.
 	failuresToDoubt = 3
 	// AwayPause is how much longer VMs of other data centres wait. A home in the data centre
 	// keeps its endpoints through a partition.
 	AwayPause = clock.Millis(700)
 	// ClaimPause is how much longer each next candidate waits before it claims a cell.
-	ClaimPause = clock.Millis(120)
+	ClaimPause = clock.Millis(60)
 	// claimRetry is the pause after a claim that did not succeed.
 	claimRetry = clock.Millis(300)
 	// freshHome is how long after its last answer a home is still believed to be there.
@@ -41,9 +43,11 @@
 	// silent says that no member of the lineup has answered since it was known.
 	silent      bool
 	silentSince clock.Millis
-	claimedAt   clock.Millis
-	beating     bool
-	beatAt      clock.Millis
+	// rounds counts how often all members have been asked in vain since then.
+	rounds    int
+	claimedAt clock.Millis
+	beating   bool
+	beatAt    clock.Millis
 
 	// homeToken is that of the member that last said it was home.
 	homeToken   cell.Token
@@ -96,7 +100,7 @@
 	v.asked, v.failures = 0, 0
 	if !same {
 		v.home = false
-		v.silent, v.silentSince = true, now
+		v.silent, v.silentSince, v.rounds = true, now, 0
 		v.beating = false
 	}
 	v.beatAt = 0
@@ -106,15 +110,29 @@
 // Press makes the next beat go out at once.
 func (v *View) Press() { v.pressed = true }
 
-// Next returns what is due, or nil. position tells how long this VM leaves a claim to those
-// who suit better, or -1 if it must not claim.
-func (v *View) Next(now clock.Millis, position func() clock.Millis) Step {
+// Surroundings is what a view has to be told of the rest of the VM's state.
+type Surroundings struct {
+	// Pause tells how long this VM leaves a claim to those who suit better, or -1 if it must
+	// not claim.
+	Pause func() clock.Millis
+	// Replaced reports whether the process behind a member has been replaced by another.
+	Replaced func(m cell.Member) bool
+}
+
+// Next returns what is due, or nil.
+func (v *View) Next(now clock.Millis, s Surroundings) Step {
 	if len(v.lineup.Members) == 0 {
-		return v.claim(now, position)
+		return v.claim(now, s)
+	}
+	for range v.lineup.Members {
+		if v.asked < len(v.lineup.Members) && !v.beating && s.Replaced(v.lineup.Members[v.asked]) {
+			v.askNext(now)
+		}
 	}
 	if v.asked >= len(v.lineup.Members) {
 		// Everybody has been silent: ask again from the start, and claim meanwhile.
 		v.asked, v.failures = 0, 0
+		v.rounds++
 	}
 	if v.lineup.Members[v.asked].Incarnation == v.self {
 		if v.lineup.Revision != v.lostUnder {
@@ -123,9 +141,9 @@
 		v.askNext(now)
 		return nil
 	}
-	if v.silent {
-		if s := v.claim(now, position); s != nil {
-			return s
+	if v.silent && v.rounds > 0 {
+		if step := v.claim(now, s); step != nil {
+			return step
 		}
 	}
 	due := v.beatAt + BeatEvery
@@ -141,16 +159,12 @@
 
 // claim is due once a cell has had no home for long enough. The pause of each candidate
 // leaves the first one time to succeed.
-func (v *View) claim(now clock.Millis, position func() clock.Millis) Step {
-	wait := clock.Millis(0)
-	if len(v.lineup.Members) > 0 {
-		wait = freshHome
-	}
-	if now < v.silentSince+wait || now < v.claimedAt+claimRetry && v.claimedAt != 0 {
+func (v *View) claim(now clock.Millis, s Surroundings) Step {
+	if v.claimedAt != 0 && now < v.claimedAt+claimRetry {
 		return nil
 	}
-	pause := position()
-	if pause < 0 || now < v.silentSince+wait+pause {
+	pause := s.Pause()
+	if pause < 0 || now < v.silentSince+pause {
 		return nil
 	}
 	v.claimedAt = now
@@ -202,10 +216,11 @@
 	if gone {
 		v.failures++
 	}
-	if v.failures < failuresToDoubt {
+	if v.failures < failuresToDoubt && !v.silent {
 		return
 	}
 	v.askNext(now)
+	v.beatAt = now - BeatEvery + beatAgain
 }
 
 // askNext turns to the next member. After the last one the cell counts as silent.
@@ -214,7 +229,7 @@
 	v.failures, v.beatAt = 0, 0
 	v.asked++
 	if v.asked >= len(v.lineup.Members) && !v.silent {
-		v.silent, v.silentSince = true, now
+		v.silent, v.silentSince, v.rounds = true, now, 0
 	}
 }
 
@@ -242,7 +257,7 @@
 // Lost records that this VM is not home any more.
 func (v *View) Lost(now clock.Millis) {
 	v.home, v.homeClockAt = false, 0
-	v.silent, v.silentSince = true, now
+	v.silent, v.silentSince, v.rounds = true, now, 0
 	v.asked, v.failures, v.beating, v.beatAt = 0, 0, false, 0
 	// Whoever took over outranks this VM under the same lineup.
 	v.lostUnder = v.lineup.Revision
--- a/internal/link/caller/server.go
+++ b/internal/link/caller/server.go
@@ -24,7 +24,9 @@
 type Local interface {
 	// Post hands an event to the control goroutine. It reports false once that has ended.
 	Post(e node.Event) bool
-	Desired() *queue.State
+	// AwaitDesired returns the desired state, which a process that has just started waits for
+	// for limit at most; nil means that there is none yet.
+	AwaitDesired(ctx context.Context, limit clock.Millis) *queue.State
 }
 
 // Config holds what a server is made of.
@@ -55,6 +57,9 @@
 	idleTimeout   = 60 * clock.Second
 	// bodyBytesMost bounds a job while the desired state names no limit.
 	bodyBytesMost = 256 << 10
+	// awaitDesired is how long a request waits for the first desired state. Reading it takes
+	// some 10 ms; urgent jobs are late after 140 ms.
+	awaitDesired = clock.Millis(120)
 	// limitDefault is how long a caller is taken to wait that does not say.
 	limitDefault = 30 * clock.Second
 )
@@ -111,7 +116,7 @@
 
 // match finds the queue that a request is for, or says what to answer.
 func (s *Server) match(c echo.Context) (*queue.State, *queue.Queue, string, *platform.Response) {
-	desired := s.config.Local.Desired()
+	desired := s.config.Local.AwaitDesired(c.Request().Context(), awaitDesired)
 	if desired == nil {
 		r := platform.Refusal(string(job.NoDesiredState), clock.Second)
 		return nil, nil, "", &r
--- a/internal/link/store/codec.go
+++ b/internal/link/store/codec.go
@@ -45,7 +45,7 @@
 	}
 	return cell.VM{
 		Member:     cell.Member{Incarnation: vm.Incarnation(w.Incarnation), Address: w.Address},
-		DataCentre: datacentre.ID(w.DataCentre), CPU: w.MilliCores,
+		DataCentre: datacentre.ID(w.DataCentre), CPU: w.MilliCores, Revision: int64(r.Revision),
 	}, nil
 }
 
--- a/internal/process/daemon/loop.go
+++ b/internal/process/daemon/loop.go
@@ -30,6 +30,8 @@
 	executor executor
 	mailbox  chan node.Event
 	ended    chan struct{}
+	// known is closed once there is a desired state.
+	known chan struct{}
 
 	desired   atomic.Pointer[queue.State]
 	endpoints atomic.Pointer[listed]
@@ -52,7 +54,7 @@
 )
 
 func newLoop(control *node.Control, c clock.Clock) *loop {
-	l := &loop{control: control, clock: c, mailbox: make(chan node.Event, mailboxLength), ended: make(chan struct{})}
+	l := &loop{control: control, clock: c, mailbox: make(chan node.Event, mailboxLength), ended: make(chan struct{}), known: make(chan struct{})}
 	l.endpoints.Store(&listed{})
 	return l
 }
@@ -70,6 +72,18 @@
 // Desired implements peer.Local.
 func (l *loop) Desired() *queue.State { return l.desired.Load() }
 
+// AwaitDesired implements caller.Local.
+func (l *loop) AwaitDesired(ctx context.Context, limit clock.Millis) *queue.State {
+	timer := time.NewTimer(limit.Duration())
+	defer timer.Stop()
+	select {
+	case <-l.known:
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return l.desired.Load()
+}
+
 // Endpoints implements peer.Local.
 func (l *loop) Endpoints() ([]endpoint.Endpoint, int64) {
 	e := l.endpoints.Load()
@@ -107,7 +121,9 @@
 
 // publish makes what traffic goroutines read visible to them.
 func (l *loop) publish() {
-	l.desired.Store(l.control.Desired())
+	if d := l.control.Desired(); d != nil && l.desired.Swap(d) == nil {
+		close(l.known)
+	}
 	if e, v := l.control.Endpoints(); v != l.endpoints.Load().version {
 		l.endpoints.Store(&listed{endpoints: e, version: v})
 	}
--- a/internal/world/cell/vm.go
+++ b/internal/world/cell/vm.go
@@ -13,6 +13,8 @@
 	DataCentre datacentre.ID
 	// CPU is its processor share in thousandths of a core.
 	CPU int
+	// Revision is the version of the VM's row in the platform's store.
+	Revision int64
 }
 
 // Candidates orders VMs by how well they suit as home of the cell: first those of its data
--- a/internal/world/job/job.go
+++ b/internal/world/job/job.go
@@ -56,6 +56,20 @@
 	return n
 }
 
+// Chain is the longest chain of work through the steps, each of which takes as long as told.
+func (j *Job) Chain(takes func(*Step) clock.Millis) clock.Millis {
+	ends := make([]clock.Millis, len(j.Steps))
+	var longest clock.Millis
+	for i := range j.Steps {
+		for _, before := range j.Steps[i].After {
+			ends[i] = max(ends[i], ends[before])
+		}
+		ends[i] += takes(&j.Steps[i])
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
 // Key names one attempt of an entry VM to have a job run. A home answers a key once and
 // runs nothing for it afterwards.
 type Key struct {
