--- a/internal/control/node/membership.go
+++ b/internal/control/node/membership.go
@@ -89,7 +89,8 @@
 func (n *Control) surroundings(c cell.ID) succession.Surroundings {
 	revision := n.views[c].Lineup().Revision
 	return succession.Surroundings{
-		Pause: func() clock.Millis { return n.position(c) },
+		Pause:   func() clock.Millis { return n.position(c) },
+		MayTake: func() bool { return !n.shutdown && n.reaches(c) },
 		Replaced: func(m cell.Member) bool {
 			v, ok := n.vmRows[m.Incarnation.VM()]
 			// A row that is older than the lineup may be that of the life before.
--- a/internal/control/succession/view.go
+++ b/internal/control/succession/view.go
@@ -115,6 +115,8 @@
 	// Pause tells how long this VM leaves a claim to those who suit better, or -1 if it must
 	// not claim.
 	Pause func() clock.Millis
+	// MayTake reports whether this VM may become home of the cell now.
+	MayTake func() bool
 	// Replaced reports whether the process behind a member has been replaced by another.
 	Replaced func(m cell.Member) bool
 }
@@ -135,9 +137,10 @@
 		v.rounds++
 	}
 	if v.lineup.Members[v.asked].Incarnation == v.self {
-		if v.lineup.Revision != v.lostUnder {
+		if v.lineup.Revision != v.lostUnder && s.MayTake() {
 			return TakeOver{Rank: v.asked}
 		}
+		// The others are asked again meanwhile: one of them may be home after all.
 		v.askNext(now)
 		return nil
 	}
