--- a/internal/control/front/front.go
+++ b/internal/control/front/front.go
@@ -1,4 +1,4 @@
-// Package front decides for the jobs that callers have sent to this VM: which cell runs
+// Package front decides for the jobs that callers have sent to this VM: which cells run
 // each, what happens when a home answers, moves or is lost, and what the caller is told.
 package front
 
@@ -32,23 +32,37 @@
 type Front struct {
 	config  Config
 	seq     uint64
-	jobs    map[uint64]*pending
+	jobs    map[uint64]*request
+	parts   map[uint64]*part
 	actions []Action
 }
 
-// pending is a job that a caller waits for.
-type pending struct {
+// request is a job that a caller waits for. It is one part at first, and may be divided.
+type request struct {
+	job     job.Job
+	attempt uint64
+	arrived clock.Millis
+	limit   clock.Millis
+	// patience is how long the job can wait for a home to begin with.
+	patience clock.Millis
+	parts    []*part
+	// ran says that some part has been taken by a home, so that the job cannot be refused
+	// any more.
+	ran bool
+}
+
+// part is the tasks of a job that one home runs.
+type part struct {
+	of         *request
 	submission job.Submission
-	arrived    clock.Millis
 	at         cell.ID
 	home       vm.Incarnation
 	// placed says that the submission is on its way to, or at, a home.
 	placed bool
-	// mayRun says that an earlier home may have runs of the job.
+	done   bool
+	// mayRun says that an earlier home may have runs of the part.
 	mayRun        bool
 	homelessSince clock.Millis
-	// patience is how long the job can wait for a home to begin with.
-	patience clock.Millis
 }
 
 // Action is what the front wants done. It is one of the types below.
@@ -65,6 +79,7 @@
 	Key     job.Key
 	Job     job.ID
 	At      cell.ID
+	Parts   int
 	Waited  clock.Millis
 	Outcome job.Outcome
 }
@@ -78,7 +93,7 @@
 
 // New returns a front without jobs.
 func New(c Config) *Front {
-	return &Front{config: c, jobs: make(map[uint64]*pending)}
+	return &Front{config: c, jobs: make(map[uint64]*request), parts: make(map[uint64]*part)}
 }
 
 // Len counts the jobs that callers wait for.
@@ -94,91 +109,150 @@
 // Arrive takes a job from a caller, who waits for limit at most. It waits for a home while its
 // patience lasts. The key names it from now on.
 func (f *Front) Arrive(j job.Job, limit, patience, now clock.Millis) job.Key {
-	f.seq++
-	k := job.Key{Entry: f.config.Self, Seq: f.seq}
-	p := &pending{arrived: now, patience: patience, homelessSince: now, submission: job.Submission{Key: k, Job: j, Limit: limit}}
-	f.jobs[f.seq] = p
+	r := &request{job: j, arrived: now, limit: limit, patience: patience}
+	p := f.newPart(r, now)
+	r.attempt = p.submission.Key.Seq
+	p.submission.Attempt, p.submission.Job = r.attempt, j
+	f.jobs[r.attempt] = r
 	f.send(p, now)
-	return k
+	return p.submission.Key
+}
+
+func (f *Front) newPart(r *request, now clock.Millis) *part {
+	f.seq++
+	p := &part{of: r, homelessSince: now, submission: job.Submission{
+		Key: job.Key{Entry: f.config.Self, Seq: f.seq}, Attempt: r.attempt, Limit: r.limit,
+	}}
+	r.parts = append(r.parts, p)
+	f.parts[f.seq] = p
+	return p
 }
 
-// send hands a job to the home that is preferred, or refuses it.
-func (f *Front) send(p *pending, now clock.Millis) {
+// send hands a part to the home that is preferred, or refuses the job.
+func (f *Front) send(p *part, now clock.Millis) {
 	available := f.config.Homes.Available(now)
 	if p.mayRun {
-		// Only the home of the same cell knows what runs of the job there are.
+		// Only the home of the same cell knows what runs of the part there are.
 		if slices.Contains(available, p.at) {
 			f.sendTo(p, p.at, now)
 		}
 		return
 	}
 	if len(available) == 0 {
-		if now >= p.arrived+p.patience {
-			f.reply(p, job.Refused{Reason: job.NoHome, RetryAfter: clock.Second}, now)
+		if now >= p.of.arrived+p.of.patience {
+			f.reply(p.of, p.at, job.Refused{Reason: job.NoHome, RetryAfter: clock.Second}, now)
 		}
 		return
 	}
 	f.sendTo(p, available[0], now)
 }
 
-func (f *Front) sendTo(p *pending, c cell.ID, now clock.Millis) {
+func (f *Front) sendTo(p *part, c cell.ID, now clock.Millis) {
 	home, ok := f.config.Homes.Home(c, now)
 	if !ok {
 		return
 	}
 	p.at, p.home, p.placed = c, home, true
 	s := p.submission
-	s.Waited = now - p.arrived
+	s.Waited = now - p.of.arrived
 	s.Adopt = p.mayRun
 	f.actions = append(f.actions, Submit{To: c, Submission: s})
 }
 
-func (f *Front) reply(p *pending, o job.Outcome, now clock.Millis) {
-	if r, ok := o.(job.Refused); ok && p.mayRun {
-		// The last home has run nothing, but an earlier one may have.
-		o = job.Stopped{Reason: r.Reason}
+// reply ends a job. Parts that are still at homes are withdrawn.
+func (f *Front) reply(r *request, at cell.ID, o job.Outcome, now clock.Millis) {
+	if refused, ok := o.(job.Refused); ok && r.mayHaveRun() {
+		// The last home has run nothing, but another may have.
+		o = job.Stopped{Reason: refused.Reason}
 	}
-	delete(f.jobs, p.submission.Key.Seq)
-	f.actions = append(f.actions, Reply{Key: p.submission.Key, Job: p.submission.Job.ID, At: p.at, Waited: now - p.arrived, Outcome: o})
+	delete(f.jobs, r.attempt)
+	for _, p := range r.parts {
+		delete(f.parts, p.submission.Key.Seq)
+		if p.placed {
+			f.actions = append(f.actions, Withdraw{From: p.at})
+		}
+	}
+	f.actions = append(f.actions, Reply{
+		Key: job.Key{Entry: f.config.Self, Seq: r.attempt}, Job: r.job.ID, At: at, Parts: len(r.parts),
+		Waited: now - r.arrived, Outcome: o,
+	})
+}
+
+func (r *request) mayHaveRun() bool {
+	return r.ran || slices.ContainsFunc(r.parts, func(p *part) bool { return p.mayRun || p.done || p.placed })
 }
 
 // Answered takes in what a home, or the way to it, made of a submission.
 func (f *Front) Answered(k job.Key, from cell.ID, o job.Outcome, now clock.Millis) {
-	p := f.jobs[k.Seq]
+	p := f.parts[k.Seq]
 	if p == nil || p.at != from || !p.placed {
 		return
 	}
 	p.placed = false
 	switch o := o.(type) {
-	case job.Completed, job.Failed:
-		f.reply(p, o, now)
+	case job.Completed:
+		p.done = true
+		if !slices.ContainsFunc(p.of.parts, func(o *part) bool { return !o.done }) {
+			f.reply(p.of, from, o, now)
+		}
+	case job.Failed, job.Stopped:
+		f.reply(p.of, from, o, now)
 	case job.Refused:
 		f.refused(p, o, now)
 	case job.Redirected:
 		p.submission.Hops++
 		if _, ok := f.config.Homes.Home(o.To, now); !ok || p.mayRun {
-			f.reply(p, job.Refused{Reason: job.NoRoomInTime, RetryAfter: clock.Second}, now)
+			f.reply(p.of, from, job.Refused{Reason: job.NoRoomInTime, RetryAfter: clock.Second}, now)
 			return
 		}
 		f.sendTo(p, o.To, now)
+	case job.Divided:
+		f.divide(p, o.Shares, now)
 	case job.Moved:
 		p.mayRun, p.homelessSince = true, now
 	case job.Unanswered:
 		p.homelessSince = now
 		p.mayRun = true
-		f.retry(p, now)
-	case job.Stopped:
-		f.reply(p, o, now)
+	}
+}
+
+// divide hands the tasks of a job of one step to several cells.
+func (f *Front) divide(p *part, shares []job.Share, now clock.Millis) {
+	r := p.of
+	tasks := 0
+	for _, s := range shares {
+		_, ok := f.config.Homes.Home(s.Cell, now)
+		if !ok {
+			tasks = -1
+			break
+		}
+		tasks += s.Tasks
+	}
+	if p.mayRun || len(r.parts) != 1 || len(r.job.Steps) != 1 || tasks != r.job.Steps[0].Tasks {
+		f.reply(r, p.at, job.Refused{Reason: job.NoRoomInTime, RetryAfter: clock.Second}, now)
+		return
+	}
+	delete(f.parts, p.submission.Key.Seq)
+	r.parts, r.ran = nil, true
+	first := 0
+	for _, s := range shares {
+		n := f.newPart(r, now)
+		n.submission.Job = r.job
+		n.submission.Job.Steps = slices.Clone(r.job.Steps)
+		n.submission.Job.Steps[0].Tasks = s.Tasks
+		n.submission.First, n.submission.Part = first, true
+		first += s.Tasks
+		f.sendTo(n, s.Cell, now)
 	}
 }
 
 // refused passes a refusal on, unless it comes from a VM that is not home or from a message
 // that was held up: those say nothing of the room there is.
-func (f *Front) refused(p *pending, o job.Refused, now clock.Millis) {
+func (f *Front) refused(p *part, o job.Refused, now clock.Millis) {
 	switch o.Reason {
 	case job.NotHome, job.LateMessage, job.CellLost:
 		p.homelessSince = now
-		if p.mayRun {
+		if p.mayRun || p.submission.Part {
 			return
 		}
 		available := f.config.Homes.Available(now)
@@ -190,65 +264,66 @@
 		}
 	default:
 	}
-	f.reply(p, o, now)
+	f.reply(p.of, p.at, o, now)
 }
 
 // hopsMost bounds how often a job is handed to another cell.
 const hopsMost = 3
 
-// retry hands a job without an answer to the same home again, which knows the key. Where
-// the home has changed, the next one is asked to adopt its runs.
-func (f *Front) retry(p *pending, now clock.Millis) {
-	if _, ok := f.config.Homes.Home(p.at, now); ok && now-p.homelessSince >= retryPause {
-		f.sendTo(p, p.at, now)
-	}
-}
-
-// retryPause keeps a job from being sent in a loop to a home that does not answer.
-const retryPause = clock.Millis(30)
-
 // Gone drops a job whose caller has left.
 func (f *Front) Gone(k job.Key, now clock.Millis) {
-	p := f.jobs[k.Seq]
-	if p == nil {
-		return
+	if r := f.jobs[k.Seq]; r != nil {
+		f.reply(r, r.parts[0].at, job.Stopped{Reason: job.CallerGone}, now)
 	}
-	f.reply(p, job.Stopped{Reason: job.CallerGone}, now)
-	f.actions = append(f.actions, Withdraw{From: p.at})
 }
 
-// Tick ends jobs whose caller waits no longer and looks after those without a home.
+// resendPause keeps a part from being sent in a loop to a home that does not answer.
+const resendPause = clock.Millis(30)
+
+// Tick ends jobs whose caller waits no longer and looks after parts without a home.
 func (f *Front) Tick(now clock.Millis) {
-	for _, p := range f.sorted() {
-		switch {
-		case now >= p.arrived+p.submission.Limit:
-			f.reply(p, job.Stopped{Reason: job.TimeLimit}, now)
-			f.actions = append(f.actions, Withdraw{From: p.at})
-		case p.placed:
-			// A job at a home that is lost is without a home.
-			if home, ok := f.config.Homes.Home(p.at, now); !ok || home != p.home {
-				p.placed, p.mayRun, p.homelessSince = false, true, now
+	for _, r := range f.sorted() {
+		if now >= r.arrived+r.limit {
+			f.reply(r, r.parts[0].at, job.Stopped{Reason: job.TimeLimit}, now)
+			continue
+		}
+		for _, p := range slices.Clone(r.parts) {
+			if f.jobs[r.attempt] == nil {
+				break
 			}
-		case p.mayRun && now >= p.homelessSince+f.config.Homeless:
-			f.reply(p, job.Stopped{Reason: job.CellLost}, now)
-		default:
-			f.send(p, now)
+			f.tend(p, now)
 		}
 	}
 }
 
-func (f *Front) sorted() []*pending {
-	all := make([]*pending, 0, len(f.jobs))
-	for _, p := range f.jobs {
-		all = append(all, p)
+func (f *Front) tend(p *part, now clock.Millis) {
+	switch {
+	case p.done:
+	case p.placed:
+		// A part at a home that is lost is without a home.
+		if home, ok := f.config.Homes.Home(p.at, now); !ok || home != p.home {
+			p.placed, p.mayRun, p.homelessSince = false, true, now
+		}
+	case p.mayRun && now >= p.homelessSince+f.config.Homeless:
+		f.reply(p.of, p.at, job.Stopped{Reason: job.CellLost}, now)
+	case p.mayRun && now < p.homelessSince+resendPause:
+	default:
+		f.send(p, now)
+	}
+}
+
+func (f *Front) sorted() []*request {
+	all := make([]*request, 0, len(f.jobs))
+	for _, r := range f.jobs {
+		all = append(all, r)
 	}
-	slices.SortFunc(all, func(a, b *pending) int { return cmp.Compare(a.submission.Key.Seq, b.submission.Key.Seq) })
+	slices.SortFunc(all, func(a, b *request) int { return cmp.Compare(a.attempt, b.attempt) })
 	return all
 }
 
-// Waiting lists the jobs that are at the cell's home, and the latest number given out.
+// Waiting lists the submissions that are at the cell's home, and the latest number given out.
 func (f *Front) Waiting(c cell.ID) (seqs []uint64, last uint64) {
-	for seq, p := range f.jobs {
+	for seq, p := range f.parts {
 		if p.at == c && p.placed {
 			seqs = append(seqs, seq)
 		}
--- a/internal/control/home/event.go
+++ b/internal/control/home/event.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sequoiacart/sequoiacart/internal/world/cell"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/internal/world/experience"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -90,6 +91,9 @@
 // Cancelled says that the caller of a job does not want it any more.
 type Cancelled struct{ Job job.ID }
 
+// Remembered is what an earlier home of the cell has learnt.
+type Remembered struct{ Experience experience.Experience }
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -102,4 +106,5 @@
 func (DesiredState) event()    {}
 func (LoadHeard) event()       {}
 func (Cancelled) event()       {}
+func (Remembered) event()      {}
 func (Tick) event()            {}
--- a/internal/control/home/home.go
+++ b/internal/control/home/home.go
@@ -9,6 +9,7 @@
 
 	"github.com/sequoiacart/sequoiacart/internal/world/cell"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/internal/world/experience"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -37,7 +38,7 @@
 	// order of a map.
 	ordered []*place
 	works   map[job.Key]*work
-	byID    map[job.ID]*work
+	byID    map[job.ID][]*work
 	queue   []*work
 	// tasks are those that occupy room, by name.
 	tasks   map[job.TaskName]*task
@@ -47,6 +48,8 @@
 	found   map[job.TaskName]foundRun
 	others  map[cell.ID]*cell.Load
 	kinds   map[queue.Name]*kind
+	// remembered is what an earlier home has learnt, for endpoints that are listed later.
+	remembered experience.Experience
 
 	now     clock.Millis
 	actions []Action
@@ -75,7 +78,7 @@
 	h := &Home{
 		config: c, state: c.State, now: c.Now,
 		places: make(map[datacentre.EndpointID]*place), works: make(map[job.Key]*work),
-		byID: make(map[job.ID]*work), tasks: make(map[job.TaskName]*task),
+		byID: make(map[job.ID][]*work), tasks: make(map[job.TaskName]*task),
 		entries: make(map[vm.Incarnation]*entry), found: make(map[job.TaskName]foundRun),
 		others: make(map[cell.ID]*cell.Load), kinds: make(map[queue.Name]*kind),
 		answers: newAnswers(), runs: newLastRuns(),
@@ -115,9 +118,11 @@
 		l := e.Load
 		h.others[l.Cell] = &l
 	case Cancelled:
-		if w := h.byID[e.Job]; w != nil {
+		for _, w := range slices.Clone(h.byID[e.Job]) {
 			h.abandon(w, job.CallerGone)
 		}
+	case Remembered:
+		h.remember(e.Experience)
 	case Tick:
 		h.passTime()
 	}
@@ -196,7 +201,9 @@
 		}
 	}
 	delete(h.works, w.Key)
-	if h.byID[w.Job.ID] == w {
+	rest := slices.DeleteFunc(h.byID[w.Job.ID], func(o *work) bool { return o == w })
+	h.byID[w.Job.ID] = rest
+	if len(rest) == 0 {
 		delete(h.byID, w.Job.ID)
 	}
 	if en := h.entries[w.Key.Entry]; en != nil {
--- a/internal/control/home/home_test.go
+++ b/internal/control/home/home_test.go
@@ -142,6 +142,26 @@
 	}
 }
 
+// Guards against speeds that are learnt by half, so that long tasks go to slow endpoints.
+func TestSpeedsAreLearnt(t *testing.T) {
+	w := newWorld(t, 12, 4)
+	want := map[datacentre.EndpointID]float64{"e00": 0.55, "e01": 1.2, "e02": 1.2, "e03": 1.2}
+	for id, s := range want {
+		w.endpoints[id].speed = s
+	}
+	h := w.addHome(1, 256).home
+	w.advance(50)
+	for seq := uint64(1); seq <= 60; seq++ {
+		w.interest(1, "a-1", seq)
+		w.tell(1, Submitted{Submission: submission("a-1", seq, 8)})
+		w.advance(150)
+	}
+	ratio := h.places["e01"].speed.factor() / h.places["e00"].speed.factor()
+	if want := 1.2 / 0.55; ratio < 0.8*want || ratio > 1.2*want {
+		t.Errorf("got a ratio of %.2f between the speeds of two endpoints, want %.2f", ratio, want)
+	}
+}
+
 // Guards against an endless retry of a task that can never be done.
 func TestTaskThatAlwaysFails(t *testing.T) {
 	w := newWorld(t, 5, 4)
--- a/internal/control/home/place.go
+++ b/internal/control/home/place.go
@@ -92,6 +92,11 @@
 	return min(max(math.Exp(s.log), speedSlowest), speedFastest)
 }
 
+// takes is how long work takes that takes base at speed 1.
+func (s *speed) takes(base clock.Millis) clock.Millis {
+	return clock.Millis(float64(base) / s.factor())
+}
+
 func (s *speed) learn(expected, measured clock.Millis) {
 	if expected <= 0 || measured <= 0 {
 		return
--- a/internal/control/home/runs.go
+++ b/internal/control/home/runs.go
@@ -9,11 +9,12 @@
 )
 
 // start sends a task to an endpoint.
-func (h *Home) start(t *task, p *place, expected clock.Millis) {
+func (h *Home) start(t *task, p *place, base clock.Millis) {
 	t.run = max(t.run, h.runs.of(t.name)) + 1
 	h.runs.note(t.name, t.run, h.now)
 	t.state, t.place, t.startedAt, t.confirmedAt = starting, p, h.now, 0
-	t.expected, t.percent, t.percentAt = expected, 0, h.now
+	t.base, t.expected = base, p.speed.takes(base)
+	t.percent, t.percentAt = 0, h.now
 	t.stopAcknowledged, t.stopSent = 0, 0
 	t.work.started = true
 	h.occupy(t, p)
@@ -240,7 +241,7 @@
 	}
 	if t.work.answered {
 		if e.How == endpoint.EndDone {
-			p.speed.learn(t.expected, h.now-t.startedAt)
+			p.speed.learn(t.base, h.now-t.startedAt)
 		}
 		h.release(t)
 		return
@@ -267,7 +268,7 @@
 func (h *Home) taskDone(t *task, p *place) {
 	took := h.now - t.startedAt
 	if t.state != stopping {
-		p.speed.learn(t.expected, took)
+		p.speed.learn(t.base, took)
 	}
 	h.learnKind(t, p, took)
 	p.health.succeeded()
--- a/internal/control/home/work.go
+++ b/internal/control/home/work.go
@@ -44,7 +44,8 @@
 	// startedAt is when the start was sent, confirmedAt when the endpoint was first known
 	// to have the run.
 	startedAt, confirmedAt clock.Millis
-	expected               clock.Millis
+	// base is how long the run is expected to take at speed 1, expected at its place.
+	base, expected clock.Millis
 	// percent was first seen at percentAt.
 	percent   int
 	percentAt clock.Millis
@@ -96,7 +97,7 @@
 		w.stepsOpen[i] = step.Tasks
 		w.open += step.Tasks
 		for k := range step.Tasks {
-			w.tasks = append(w.tasks, &task{work: w, name: Name(s.Job.ID, i, k), step: i, run: 0})
+			w.tasks = append(w.tasks, &task{work: w, name: Name(s.Job.ID, i, s.First+k), step: i, run: 0})
 		}
 	}
 	return w
--- a/internal/control/node/action.go
+++ b/internal/control/node/action.go
@@ -4,6 +4,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/control/home"
 	"github.com/sequoiacart/sequoiacart/internal/world/cell"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/internal/world/experience"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -55,6 +56,15 @@
 	Expected int64
 }
 
+// ReadExperience reads what an earlier home of a cell has learnt.
+type ReadExperience struct{ Cell cell.ID }
+
+// WriteExperience keeps what the home of a cell has learnt.
+type WriteExperience struct {
+	Cell       cell.ID
+	Experience experience.Experience
+}
+
 // Probe tries whether any of the endpoints of a cell can be reached.
 type Probe struct {
 	Cell      cell.ID
@@ -96,13 +106,15 @@
 	DesiredInForce
 )
 
-func (Order) action()          {}
-func (SendSubmission) action() {}
-func (SendBeat) action()       {}
-func (SendCancel) action()     {}
-func (SendYield) action()      {}
-func (WriteLineup) action()    {}
-func (Probe) action()          {}
-func (FetchDesired) action()   {}
-func (FetchEndpoints) action() {}
-func (Report) action()         {}
+func (Order) action()           {}
+func (SendSubmission) action()  {}
+func (SendBeat) action()        {}
+func (SendCancel) action()      {}
+func (SendYield) action()       {}
+func (WriteLineup) action()     {}
+func (ReadExperience) action()  {}
+func (WriteExperience) action() {}
+func (Probe) action()           {}
+func (FetchDesired) action()    {}
+func (FetchEndpoints) action()  {}
+func (Report) action()          {}
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -69,6 +69,8 @@
 	writing   bool
 	writtenAt clock.Millis
 	takenAt   clock.Millis
+	// savedAt is when what the home has learnt was last written to the store.
+	savedAt clock.Millis
 	// yielding says that a successor has been asked to take over; lastAsked is its rank in
 	// the lineup of revision askedUnder.
 	yielding   bool
@@ -136,6 +138,8 @@
 		}
 	case LineupWritten:
 		n.lineupWritten(e)
+	case ExperienceRead:
+		n.tell(e.Cell, home.Remembered{Experience: e.Experience})
 	case ProbeEnded:
 		n.probeEnded(e)
 	case ShutdownRequested:
--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -5,6 +5,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/control/succession"
 	"github.com/sequoiacart/sequoiacart/internal/world/cell"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/internal/world/experience"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -105,6 +106,12 @@
 	Written bool
 }
 
+// ExperienceRead is what an earlier home of a cell has learnt.
+type ExperienceRead struct {
+	Cell       cell.ID
+	Experience experience.Experience
+}
+
 // ProbeEnded says whether endpoints of a cell can be reached.
 type ProbeEnded struct {
 	Cell    cell.ID
@@ -133,6 +140,7 @@
 func (VMsRead) event()           {}
 func (LineupsRead) event()       {}
 func (LineupWritten) event()     {}
+func (ExperienceRead) event()    {}
 func (ProbeEnded) event()        {}
 func (ShutdownRequested) event() {}
 func (Tick) event()              {}
--- a/internal/control/node/membership.go
+++ b/internal/control/node/membership.go
@@ -38,6 +38,7 @@
 		if h = n.homes[c]; h != nil {
 			n.tendLineup(c, h)
 			n.returnCell(c, h)
+			n.saveExperience(c, h)
 			n.loads[c] = h.home.Load(n.now)
 		}
 	}
@@ -253,11 +254,12 @@
 		return
 	}
 	token := l.Token(rank)
-	n.homes[c] = &hosted{writtenAt: n.now, takenAt: n.now, home: home.New(home.Config{
+	n.homes[c] = &hosted{writtenAt: n.now, takenAt: n.now, savedAt: n.now, home: home.New(home.Config{
 		Cell: c, Token: token, Times: n.config.Times, FarFactor: n.config.FarFactor,
 		State: n.desired, Now: n.now,
 	})}
 	n.views[c].Became(token, n.now)
+	n.do(ReadExperience{Cell: c})
 	n.do(Report{What: HomeTaken, Cell: c, Lineup: l, Rank: rank, Token: token})
 	for o, load := range n.loads {
 		if o != c {
@@ -399,6 +401,18 @@
 	n.do(WriteLineup{Lineup: cell.Lineup{Cell: c, Members: want}, Expected: l.Revision})
 }
 
+// saveExperience writes what a home has learnt to the store, for the home after a restart.
+func (n *Control) saveExperience(c cell.ID, h *hosted) {
+	if n.now-h.savedAt < saveEvery || n.shutdown {
+		return
+	}
+	h.savedAt = n.now
+	n.do(WriteExperience{Cell: c, Experience: h.home.Experience()})
+}
+
+// saveEvery spaces writes of what a home has learnt; speeds hardly change.
+const saveEvery = 4 * clock.Second
+
 // returnCell hands a cell of another data centre to a VM inside once there is one.
 func (n *Control) returnCell(c cell.ID, h *hosted) {
 	if c.DataCentre() == n.config.Self.DataCentre || h.yielding || n.shutdown || h.writing || n.now-h.takenAt < returnAfter {
--- a/internal/link/peer/wire.go
+++ b/internal/link/peer/wire.go
@@ -24,6 +24,7 @@
 	Reason     job.Reason
 	RetryAfter clock.Millis
 	To         cell.ID
+	Shares     []job.Share
 	Cause      string
 }
 
@@ -36,6 +37,7 @@
 	kindMoved
 	kindStopped
 	kindUnanswered
+	kindDivided
 )
 
 func encodeOutcome(o job.Outcome) SubmitReply {
@@ -48,6 +50,8 @@
 		return SubmitReply{Kind: kindRefused, Reason: o.Reason, RetryAfter: o.RetryAfter}
 	case job.Redirected:
 		return SubmitReply{Kind: kindRedirected, To: o.To}
+	case job.Divided:
+		return SubmitReply{Kind: kindDivided, Shares: o.Shares}
 	case job.Moved:
 		return SubmitReply{Kind: kindMoved}
 	case job.Stopped:
@@ -68,6 +72,8 @@
 		return job.Refused{Reason: r.Reason, RetryAfter: r.RetryAfter}
 	case kindRedirected:
 		return job.Redirected{To: r.To}
+	case kindDivided:
+		return job.Divided{Shares: r.Shares}
 	case kindMoved:
 		return job.Moved{}
 	case kindStopped:
--- a/internal/link/store/codec.go
+++ b/internal/link/store/codec.go
@@ -6,6 +6,8 @@
 	"github.com/juju/errors"
 
 	"github.com/sequoiacart/sequoiacart/internal/world/cell"
+	"github.com/sequoiacart/sequoiacart/internal/world/experience"
+	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
@@ -70,3 +72,41 @@
 	}
 	return l, nil
 }
+
+type wireMean struct {
+	Log     float64 `json:"log"`
+	Samples int     `json:"samples"`
+}
+
+type wireExperience struct {
+	Speeds map[string]wireMean `json:"speeds"`
+	Works  map[string]wireMean `json:"works"`
+}
+
+// EncodeExperience returns the row of what a home has learnt.
+func EncodeExperience(e experience.Experience) ([]byte, error) {
+	w := wireExperience{Speeds: make(map[string]wireMean, len(e.Speeds)), Works: make(map[string]wireMean, len(e.Works))}
+	for id, m := range e.Speeds {
+		w.Speeds[string(id)] = wireMean(m)
+	}
+	for n, m := range e.Works {
+		w.Works[string(n)] = wireMean(m)
+	}
+	return json.Marshal(w)
+}
+
+// DecodeExperience reads the row of what a home has learnt.
+func DecodeExperience(r Row) (experience.Experience, error) {
+	var w wireExperience
+	if err := json.Unmarshal(r.Value, &w); err != nil {
+		return experience.Experience{}, errors.Annotatef(err, "decode what the home of cell %s has learnt", r.Key)
+	}
+	e := experience.Experience{Speeds: make(map[datacentre.EndpointID]experience.Mean), Works: make(map[queue.Name]experience.Mean)}
+	for id, m := range w.Speeds {
+		e.Speeds[datacentre.EndpointID(id)] = experience.Mean(m)
+	}
+	for n, m := range w.Works {
+		e.Works[queue.Name(n)] = experience.Mean(m)
+	}
+	return e, nil
+}
--- a/internal/link/store/store.go
+++ b/internal/link/store/store.go
@@ -19,6 +19,8 @@
 	VMs Table = "vms"
 	// Lineups has a row for each cell, by its name.
 	Lineups Table = "lineups"
+	// Experiences has a row for each cell: what its home has learnt.
+	Experiences Table = "experiences"
 )
 
 // Revision orders the changes of the whole store. 0 stands for a row that does not exist.
@@ -45,6 +47,8 @@
 	ErrUnavailable = errors.New("store unavailable")
 	// ErrConflict means that a row was not at the expected revision. Nothing was written.
 	ErrConflict = errors.New("row changed")
+	// ErrAbsent means that there is no such row.
+	ErrAbsent = errors.New("no such row")
 	// ErrHistoryGone means that changes since the given version are no longer known.
 	ErrHistoryGone = errors.New("history gone")
 )
@@ -53,6 +57,8 @@
 type Store interface {
 	// Read returns a whole table. Rows are in ascending order of their keys.
 	Read(ctx context.Context, t Table) (Snapshot, error)
+	// Get returns one row, or ErrAbsent.
+	Get(ctx context.Context, t Table, key string) (Row, error)
 	// Follow returns the changes after a version as soon as there is one, or after wait.
 	Follow(ctx context.Context, t Table, after Revision, wait clock.Millis) (Snapshot, error)
 	// Write puts a row if it is at the expected revision, and returns its new one.
--- a/internal/process/daemon/loop.go
+++ b/internal/process/daemon/loop.go
@@ -113,8 +113,12 @@
 				next = tickBusy
 			}
 			timer.Reset(next.Duration())
-		} else if _, ok := e.(node.DesiredRead); ok {
+			continue
+		}
+		switch e.(type) {
+		case node.DesiredRead, node.EndpointsRead:
 			l.publish()
+		default:
 		}
 	}
 }
--- a/internal/process/daemon/readers.go
+++ b/internal/process/daemon/readers.go
@@ -50,8 +50,8 @@
 	for ctx.Err() == nil {
 		pause := f.pause()
 		if pause < 0 {
-			// This VM does not need the table at present.
-			known = false
+			// This VM does not need the table at present. The history reaches back far enough
+			// to go on from here later.
 			sleep(ctx, readAgain)
 			continue
 		}
@@ -117,6 +117,10 @@
 }
 
 func (d *Daemon) endpointsPause() clock.Millis {
+	if d.loop.endpoints.Load().version == 0 {
+		// A VM that has just started may be home within 100 ms.
+		return 0
+	}
 	switch d.loop.role.Load() {
 	case roleHome:
 		return endpointsPauseHome
--- a/internal/process/daemon/traffic.go
+++ b/internal/process/daemon/traffic.go
@@ -13,6 +13,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/process/meter"
 	"github.com/sequoiacart/sequoiacart/internal/world/cell"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/internal/world/experience"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/platform"
 )
@@ -52,6 +53,10 @@
 		go t.yield(a)
 	case node.WriteLineup:
 		go t.writeLineup(a)
+	case node.ReadExperience:
+		go t.readExperience(a)
+	case node.WriteExperience:
+		go t.writeExperience(a)
 	case node.Probe:
 		go t.probe(a)
 	case node.FetchDesired:
@@ -177,6 +182,31 @@
 	t.loop.Post(written)
 }
 
+func (t *traffic) readExperience(a node.ReadExperience) {
+	row, err := t.store.Get(t.ctx, store.Experiences, string(a.Cell))
+	if errors.Is(err, store.ErrAbsent) {
+		return
+	}
+	if err == nil {
+		var e experience.Experience
+		if e, err = store.DecodeExperience(row); err == nil {
+			t.loop.Post(node.ExperienceRead{Cell: a.Cell, Experience: e})
+			return
+		}
+	}
+	t.journal.callFailed("read experience", "store", err)
+}
+
+func (t *traffic) writeExperience(a node.WriteExperience) {
+	body, err := store.EncodeExperience(a.Experience)
+	if err == nil {
+		err = t.store.Put(t.ctx, store.Experiences, string(a.Cell), body)
+	}
+	if err != nil {
+		t.journal.callFailed("write experience", "store", err)
+	}
+}
+
 // probe opens a connection to one endpoint after the other until one of them listens.
 func (t *traffic) probe(a node.Probe) {
 	ended := node.ProbeEnded{Cell: a.Cell}
--- a/internal/world/job/job.go
+++ b/internal/world/job/job.go
@@ -81,7 +81,16 @@
 // points in time, since VMs do not share a clock.
 type Submission struct {
 	Key Key
-	Job Job
+	// Attempt is the Seq of the first submission of the job by its entry VM. Parts of a
+	// divided job and later submissions of the same caller's request share it.
+	Attempt uint64
+	Job     Job
+	// First is the index of the first task of a part; the job's only step then has the
+	// tasks of the part alone.
+	First int
+	// Part says that other parts of the job may be running elsewhere, so that this one is
+	// not to be divided, passed on or refused for want of room.
+	Part bool
 	// Waited is how long the caller has been waiting already.
 	Waited clock.Millis
 	// Limit is how long the caller waits in all.
--- a/internal/world/job/outcome.go
+++ b/internal/world/job/outcome.go
@@ -23,6 +23,15 @@
 // Redirected means that nothing ran here and that another cell has room.
 type Redirected struct{ To cell.ID }
 
+// Divided means that nothing ran here, and that several cells together have room now.
+type Divided struct{ Shares []Share }
+
+// Share is a number of a job's tasks for a cell.
+type Share struct {
+	Cell  cell.ID
+	Tasks int
+}
+
 // Moved means that the home has given up its cell. Runs of the job go on until the new
 // home has taken them over or their leases lapse.
 type Moved struct{}
@@ -37,6 +46,7 @@
 func (Failed) outcome()     {}
 func (Refused) outcome()    {}
 func (Redirected) outcome() {}
+func (Divided) outcome()    {}
 func (Moved) outcome()      {}
 func (Stopped) outcome()    {}
 func (Unanswered) outcome() {}
