--- a/internal/link/peer/wire.go
+++ b/internal/link/peer/wire.go
@@ -112,8 +112,8 @@
 	Version   int64
 }
 
-// BeatRequest and BeatReply are exchanged as they are: they hold named plain types.
-type (
-	BeatRequest = node.BeatRequest
-	BeatReply   = node.BeatReply
-)
+// BeatRequest is sent as it is: it holds plain types with names.
+type BeatRequest = node.BeatRequest
+
+// BeatReply is sent as it is as well.
+type BeatReply = node.BeatReply
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -3,6 +3,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	crand "crypto/rand"
 	"encoding/hex"
@@ -97,7 +98,7 @@
 		return nil, errors.Annotate(err, "start VM: draw a nonce")
 	}
 	d.self = cell.VM{
-		Member:     cell.Member{Incarnation: vm.NewIncarnation(s.VM, hex.EncodeToString(nonce)), Address: s.Peers},
+		Member:     cell.Member{Incarnation: vm.NewIncarnation(s.VM, hex.EncodeToString(nonce)), Address: cmp.Or(s.AdvertisedPeers, s.Peers)},
 		DataCentre: s.DataCentre, CPU: int(s.ProcessorShare * 1000),
 	}
 	connections := network.Config{DialTimeout: dialTimeout, Unacknowledged: unacknowledged}
--- a/internal/process/daemon/run.go
+++ b/internal/process/daemon/run.go
@@ -75,7 +75,7 @@
 func (d *Daemon) drain() {
 	d.loop.Post(node.ShutdownRequested{})
 	d.callers.Drain()
-	ctx, cancel := context.WithTimeout(context.Background(), (clock.Millis(float64(d.config.Settings.Grace) * finishShare)).Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), clock.Millis(float64(d.config.Settings.Grace)*finishShare).Duration())
 	defer cancel()
 	sleep(ctx, leaveRotation)
 	d.callers.Refuse()
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -24,7 +24,9 @@
 	DataCentres []datacentre.ID
 
 	Callers, Ready, Peers, Metrics string
-	Store                          string
+	// AdvertisedPeers is where other VMs reach Peers, if not there.
+	AdvertisedPeers string
+	Store           string
 
 	// ProcessorShare is the part of a core that the VM has; MemoryMB is its memory.
 	ProcessorShare float64
@@ -76,6 +78,7 @@
 	text(&s.Callers, "listen.callers", "`address` for callers")
 	text(&s.Ready, "listen.ready", "`address` for the load balancer's checks")
 	text(&s.Peers, "listen.peers", "`address` for other VMs")
+	text(&s.AdvertisedPeers, "listen.advertisedPeers", "`address` at which other VMs reach this one; empty means listen.peers")
 	text(&s.Metrics, "listen.metrics", "`address` for metrics; empty serves none")
 	text(&s.Store, "store.address", "`address` of the platform's store")
 	flags.Float64Var(&s.ProcessorShare, "machine.processorShare", s.ProcessorShare, "processor `cores` that this VM has")
@@ -100,8 +103,12 @@
 // Validate reports the first key with a value that cannot work.
 func (s *Settings) Validate() error {
 	named := []struct{ key, value string }{
-		{"vm", string(s.VM)}, {"dataCentre", string(s.DataCentre)}, {"listen.callers", s.Callers},
-		{"listen.ready", s.Ready}, {"listen.peers", s.Peers}, {"store.address", s.Store},
+		{"vm", string(s.VM)},
+		{"dataCentre", string(s.DataCentre)},
+		{"listen.callers", s.Callers},
+		{"listen.ready", s.Ready},
+		{"listen.peers", s.Peers},
+		{"store.address", s.Store},
 	}
 	for _, n := range named {
 		if n.value == "" {
@@ -124,10 +131,14 @@
 		key   string
 		value float64
 	}{
-		{"machine.processorShare", s.ProcessorShare}, {"machine.memoryMB", float64(s.MemoryMB)},
-		{"bounds.longestLeaseMs", float64(s.LongestLease)}, {"bounds.stopMs", float64(s.StopTakes)},
-		{"bounds.resendMs", float64(s.Resend)}, {"bounds.graceMs", float64(s.Grace)},
-		{"successors", float64(s.Successors)}, {"log.linesPerSecond", float64(s.LogLinesPerSecond)},
+		{"machine.processorShare", s.ProcessorShare},
+		{"machine.memoryMB", float64(s.MemoryMB)},
+		{"bounds.longestLeaseMs", float64(s.LongestLease)},
+		{"bounds.stopMs", float64(s.StopTakes)},
+		{"bounds.resendMs", float64(s.Resend)},
+		{"bounds.graceMs", float64(s.Grace)},
+		{"successors", float64(s.Successors)},
+		{"log.linesPerSecond", float64(s.LogLinesPerSecond)},
 	}
 	for _, p := range positive {
 		if p.value <= 0 {
--- /dev/null
+++ b/internal/soak/fleet/fleet_test.go
@@ -0,0 +1,302 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sequoiacart/sequoiacart/pkg/app"
+	"github.com/sequoiacart/sequoiacart/platform/standin"
+)
+
+var (
+	firstSeed = flag.Uint64("soak.seed", 1, "first `seed` of the soak")
+	seeds     = flag.Int("soak.seeds", 2, "`number` of seeds")
+	span      = flag.Duration("soak.span", 6*time.Second, "`time` that each seed takes")
+)
+
+// asNode makes the test binary run the real command.
+const asNode = "SEQUOIACART_SOAK_NODE"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asNode) != "" {
+		os.Exit(app.Main([]string{"node"}, os.Stdout, os.Stderr))
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// fleet is VMs as processes, a store and endpoints, with a relay on each way between them.
+type fleet struct {
+	t         *testing.T
+	random    *rand.Rand
+	store     *standin.Store
+	ledger    *ledger
+	vms       []*node
+	endpoints []*endpoint
+	relays    []*relay
+	dir       string
+	desired   int64
+}
+
+type node struct {
+	name, dc              string
+	callers, ready, peers string
+	boot                  string
+	peerRelay, storeRelay *relay
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	exited  chan struct{}
+	log     *os.File
+}
+
+type endpoint struct {
+	id, dc string
+	stand  *standin.Endpoint
+	relay  *relay
+	server *httptest.Server
+
+	mu       sync.Mutex
+	draining bool
+	absent   bool
+}
+
+const (
+	queueHost, queuePath = "swap.example", "/swap/"
+	dataCentres          = 2
+	vmsPerDataCentre     = 2
+	endpointsPerCentre   = 4
+	endpointCPU          = 32000
+	taskCPU              = 14000
+	// resendAfter is when callers send a job again, as on the platform.
+	resendAfter = 1300 * time.Millisecond
+)
+
+func newFleet(t *testing.T, seed uint64) *fleet {
+	t.Helper()
+	f := &fleet{t: t, random: rand.New(rand.NewPCG(seed, 7)), store: standin.NewStore(), ledger: newLedger(), dir: t.TempDir()}
+	server := httptest.NewServer(f.store)
+	t.Cleanup(server.Close)
+	storeAddress := strings.TrimPrefix(server.URL, "http://")
+	f.publish()
+	for dc := range dataCentres {
+		for i := range endpointsPerCentre {
+			f.addEndpoint(fmt.Sprintf("i-%d%d", dc, i), fmt.Sprintf("dc%d", dc))
+		}
+	}
+	go f.beatEndpoints(t.Context())
+	for dc := range dataCentres {
+		for i := range vmsPerDataCentre {
+			f.addVM(fmt.Sprintf("vm%d%d", dc, i), fmt.Sprintf("dc%d", dc), storeAddress)
+		}
+	}
+	return f
+}
+
+// publish writes the next desired state.
+func (f *fleet) publish() {
+	f.desired += 1 + int64(f.random.IntN(3))
+	f.store.Put("op", "config", []byte(fmt.Sprintf(`{"version":%d,"routes":[{"name":"r1","hostname":"%s","path_prefix":"%s",
+		"route_type":"non_idempotent","timeout_ms":1500,"slo_ms":60,"priority":0,"backend":"playout","max_attempts":3,"stretch":1.6}],
+		"services":[{"name":"playout","max_connections":64,"rejects_overload":true}],"limits":{"max_body_bytes":262144}}`,
+		f.desired, queueHost, queuePath)))
+}
+
+func (f *fleet) addEndpoint(id, dc string) {
+	e := &endpoint{id: id, dc: dc, stand: standin.NewEndpoint(standin.EndpointConfig{
+		ID: id, Service: "playout", DataCentre: dc, MilliCores: endpointCPU, Runs: f.ledger.at(id),
+	})}
+	e.server = httptest.NewServer(e.stand)
+	f.t.Cleanup(e.server.Close)
+	e.relay = f.relay(strings.TrimPrefix(e.server.URL, "http://"))
+	f.endpoints = append(f.endpoints, e)
+}
+
+func (f *fleet) relay(target string) *relay {
+	r := newRelay(f.t, target)
+	f.relays = append(f.relays, r)
+	return r
+}
+
+// beatEndpoints keeps the entries of the endpoints up to date.
+func (f *fleet) beatEndpoints(ctx context.Context) {
+	for {
+		for _, e := range f.endpoints {
+			e.mu.Lock()
+			if e.absent {
+				f.store.Remove("servers", e.id)
+			} else {
+				f.store.Put("servers", e.id, e.stand.Row(e.relay.address(), e.draining))
+			}
+			e.mu.Unlock()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (f *fleet) addVM(name, dc, store string) {
+	n := &node{name: name, dc: dc, callers: freeAddress(f.t), ready: freeAddress(f.t), peers: freeAddress(f.t)}
+	n.peerRelay, n.storeRelay = f.relay(n.peers), f.relay(store)
+	n.boot = filepath.Join(f.dir, name+".toml")
+	text := fmt.Sprintf(`vm = %q
+dataCentre = %q
+dataCentres = ["dc0", "dc1"]
+[listen]
+callers = %q
+ready = %q
+peers = %q
+advertisedPeers = %q
+[store]
+address = %q
+`, name, dc, n.callers, n.ready, n.peers, n.peerRelay.address(), n.storeRelay.address())
+	if err := os.WriteFile(n.boot, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	log, err := os.Create(filepath.Join(f.dir, name+".log"))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	n.log = log
+	f.vms = append(f.vms, n)
+	f.start(n)
+	f.t.Cleanup(func() { n.signal(syscall.SIGKILL); <-n.exited; _ = log.Close() })
+}
+
+func (f *fleet) start(n *node) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := exec.Command(os.Args[0])
+	c.Env = append(os.Environ(), asNode+"=1", "SEQUOIACART_BOOT="+n.boot, "GOMAXPROCS=1")
+	c.Stdout, c.Stderr = n.log, n.log
+	if err := c.Start(); err != nil {
+		f.t.Error(err)
+		return
+	}
+	exited := make(chan struct{})
+	n.process, n.exited = c, exited
+	go func() { _ = c.Wait(); close(exited) }()
+}
+
+// signal reaches only the process that the soak started, by its id.
+func (n *node) signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_ = n.process.Process.Signal(s)
+}
+
+func (n *node) isReady() bool {
+	r, err := http.Get("http://" + n.ready + "/-/ready")
+	if err != nil {
+		return false
+	}
+	_ = r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
+
+func (f *fleet) awaitReady() {
+	f.t.Helper()
+	limit := time.Now().Add(15 * time.Second)
+	for _, n := range f.vms {
+		for !n.isReady() {
+			if time.Now().After(limit) {
+				f.t.Fatalf("%s: got no readiness within 15 s, want it", n.name)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// tail returns the last lines of a VM's log.
+func (n *node) tail(lines int) string {
+	file, err := os.Open(n.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = file.Close() }()
+	var all []string
+	for s := bufio.NewScanner(file); s.Scan(); {
+		all = append(all, s.Text())
+	}
+	return strings.Join(all[max(0, len(all)-lines):], "\n")
+}
+
+// caller sends one job until it has a final answer, as the platform's callers do.
+func (f *fleet) caller(client *http.Client, random *rand.Rand, id string, tasks int, payload standin.Payload) {
+	spec, err := json.Marshal(payload)
+	if err != nil {
+		panic(err)
+	}
+	body, err := json.Marshal(map[string]any{"task_spec": string(spec), "best_effort": true, "steps": []map[string]any{
+		{"count": tasks, "cpu": payload.MilliCores, "mem_mb": 64, "estimate_ms": max(payload.RunMs, 1)},
+	}})
+	if err != nil {
+		panic(err)
+	}
+	refused := true
+	deadline := time.Now().Add(5 * time.Second)
+	for attempt := 0; attempt < 3 && time.Now().Before(deadline); attempt++ {
+		n := f.vms[random.IntN(len(f.vms))]
+		status := f.post(client, n, id, string(body))
+		if status == http.StatusOK {
+			f.ledger.completed(id, tasks)
+			return
+		}
+		if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+			if refused && attempt == 0 {
+				f.ledger.refused(id)
+			}
+			return
+		}
+		refused = false
+		time.Sleep(resendAfter)
+	}
+}
+
+func (f *fleet) post(client *http.Client, n *node, id, body string) int {
+	r, err := http.NewRequest(http.MethodPost, "http://"+n.callers+queuePath+id, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	r.Host = queueHost
+	r.Header.Set("Sequoiacart-Deadline-Ms", "3000")
+	response, err := client.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode == http.StatusOK && !strings.Contains(string(text), "completed") {
+		return 0
+	}
+	return response.StatusCode
+}
--- /dev/null
+++ b/internal/soak/fleet/relay_test.go
@@ -0,0 +1,104 @@
+package fleet
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// relay is a loopback proxy that can misbehave on its way to one address.
+type relay struct {
+	listener net.Listener
+	target   atomic.Value
+	// silent swallows all bytes of open connections and accepts new ones without an answer.
+	silent atomic.Bool
+	// oneWay swallows only what comes back.
+	oneWay atomic.Bool
+	delay  atomic.Int64
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+func newRelay(t *testing.T, target string) *relay {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{listener: l, conns: make(map[net.Conn]struct{})}
+	r.target.Store(target)
+	go r.serve()
+	t.Cleanup(func() { _ = l.Close(); r.reset() })
+	return r
+}
+
+func (r *relay) address() string { return r.listener.Addr().String() }
+
+func (r *relay) serve() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.connect(c)
+	}
+}
+
+func (r *relay) connect(c net.Conn) {
+	o, err := net.Dial("tcp", r.target.Load().(string))
+	if err != nil {
+		_ = c.Close()
+		return
+	}
+	r.mu.Lock()
+	r.conns[c], r.conns[o] = struct{}{}, struct{}{}
+	r.mu.Unlock()
+	go r.pump(o, c, false)
+	r.pump(c, o, true)
+	r.mu.Lock()
+	delete(r.conns, c)
+	delete(r.conns, o)
+	r.mu.Unlock()
+}
+
+func (r *relay) pump(to, from net.Conn, back bool) {
+	defer func() { _ = to.Close(); _ = from.Close() }()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 && !r.silent.Load() && (!back || !r.oneWay.Load()) {
+			time.Sleep(time.Duration(r.delay.Load()))
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// reset breaks all open connections.
+func (r *relay) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+// heal ends all misbehaviour. Connections that were silent stay so, as real ones may.
+func (r *relay) heal() {
+	if r.silent.Load() || r.oneWay.Load() {
+		r.reset()
+	}
+	r.silent.Store(false)
+	r.oneWay.Store(false)
+	r.delay.Store(0)
+}
--- /dev/null
+++ b/internal/soak/fleet/soak_test.go
@@ -0,0 +1,196 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sequoiacart/sequoiacart/platform/standin"
+)
+
+// regressions are seeds that failed once, each with its cause.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{}
+
+// Guards against runs at the same time, answers that are not true and fleets that do not
+// recover, under random faults of processes, connections, endpoints and the store. Run it
+// longer with -soak.seeds, -soak.seed and -soak.span.
+func TestSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	for _, r := range regressions {
+		t.Run(fmt.Sprintf("regression %d", r.seed), func(t *testing.T) { soak(t, r.seed) })
+	}
+	for i := range *seeds {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { soak(t, seed) })
+	}
+}
+
+// callers is how many callers send jobs at the same time.
+const callers = 8
+
+func soak(t *testing.T, seed uint64) {
+	f := newFleet(t, seed)
+	f.awaitReady()
+	var all sync.WaitGroup
+	stop := make(chan struct{})
+	for c := range callers {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			f.call(seed, c, stop)
+		}()
+	}
+	end := time.Now().Add(*span)
+	for time.Now().Before(end) {
+		time.Sleep(time.Duration(100+f.random.IntN(600)) * time.Millisecond)
+		f.trouble()
+	}
+	f.heal()
+	close(stop)
+	all.Wait()
+	f.checkRecovery()
+	f.ledger.mu.Lock()
+	defer f.ledger.mu.Unlock()
+	t.Logf("seed %d: %d jobs completed, %d runs, ends %v", seed, f.ledger.ended, f.ledger.runs, f.ledger.ends)
+	for _, p := range f.ledger.problems {
+		t.Errorf("seed %d: %s", seed, p)
+	}
+	if t.Failed() {
+		for _, n := range f.vms {
+			t.Logf("%s:\n%s", n.name, n.tail(40))
+		}
+	}
+}
+
+// call sends jobs until it is told to stop. Connections stay open from job to job.
+func (f *fleet) call(seed uint64, c int, stop <-chan struct{}) {
+	random := rand.New(rand.NewPCG(seed, uint64(100+c)))
+	client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(random.IntN(60)) * time.Millisecond):
+		}
+		id := fmt.Sprintf("%08x%02x%06x", uint32(seed), c, n)
+		f.caller(client, random, id, 1+random.IntN(5), standin.Payload{
+			RunMs: 10 + int64(random.IntN(250)), MilliCores: taskCPU, Fail: random.IntN(200) == 0,
+		})
+	}
+}
+
+// trouble begins one fault. Those that last end by themselves or when the fleet heals.
+func (f *fleet) trouble() {
+	n := f.vms[f.random.IntN(len(f.vms))]
+	e := f.endpoints[f.random.IntN(len(f.endpoints))]
+	lasts := time.Duration(200+f.random.IntN(2500)) * time.Millisecond
+	switch f.random.IntN(13) {
+	case 0:
+		n.signal(syscall.SIGKILL)
+		f.restart(n)
+	case 1:
+		n.signal(syscall.SIGTERM)
+		f.restart(n)
+	case 2:
+		n.signal(syscall.SIGSTOP)
+		time.AfterFunc(lasts, func() { n.signal(syscall.SIGCONT) })
+	case 3:
+		f.fault(n.peerRelay, lasts)
+	case 4:
+		f.fault(n.storeRelay, lasts)
+	case 5, 6:
+		f.fault(e.relay, lasts)
+	case 7:
+		e.stand.Restart()
+	case 8:
+		e.stand.SetStalling(true)
+		time.AfterFunc(lasts, func() { e.stand.SetStalling(false); e.stand.Restart() })
+	case 9:
+		e.mu.Lock()
+		e.draining, e.absent = !e.draining, f.random.IntN(4) == 0
+		e.mu.Unlock()
+	case 10:
+		f.store.SetFaults(standin.StoreFaults{Down: f.random.IntN(2) == 0, Slow: time.Duration(f.random.IntN(200)) * time.Millisecond, LoseAnswers: f.random.IntN(2) == 0})
+		time.AfterFunc(lasts, func() { f.store.SetFaults(standin.StoreFaults{}) })
+	case 11:
+		f.store.ForgetHistory()
+		f.publish()
+	case 12:
+		n.signal(syscall.SIGHUP)
+	}
+}
+
+// fault makes a relay delay, reset, cut one way or fall silent.
+func (f *fleet) fault(r *relay, span time.Duration) {
+	switch f.random.IntN(4) {
+	case 0:
+		r.reset()
+		return
+	case 1:
+		r.delay.Store(int64(time.Duration(f.random.IntN(80)) * time.Millisecond))
+	case 2:
+		r.oneWay.Store(true)
+	case 3:
+		r.silent.Store(true)
+	}
+	time.AfterFunc(span, r.heal)
+}
+
+// restart starts a VM again once its process is gone.
+func (f *fleet) restart(n *node) {
+	go func() {
+		<-n.exited
+		if f.t.Context().Err() == nil {
+			f.start(n)
+		}
+	}()
+}
+
+func (f *fleet) heal() {
+	for _, r := range f.relays {
+		r.heal()
+	}
+	f.store.SetFaults(standin.StoreFaults{})
+	for _, e := range f.endpoints {
+		e.mu.Lock()
+		e.draining, e.absent = false, false
+		e.mu.Unlock()
+		e.stand.SetStalling(false)
+	}
+	for _, n := range f.vms {
+		n.signal(syscall.SIGCONT)
+	}
+}
+
+// checkRecovery wants every VM ready and a job served, within the time that the platform
+// allows for recovery.
+func (f *fleet) checkRecovery() {
+	f.t.Helper()
+	limit := time.Now().Add(12 * time.Second)
+	client := &http.Client{Timeout: 4 * time.Second}
+	for i := range f.vms {
+		id := fmt.Sprintf("ffffffff%08x", i)
+		body := `{"task_spec":"{\"runMs\":20,\"milliCores\":14000}","best_effort":true,"steps":[{"count":2,"cpu":14000,"estimate_ms":20}]}`
+		for n := 0; ; n++ {
+			if f.post(client, f.vms[i], id, body) == http.StatusOK {
+				break
+			}
+			if time.Now().After(limit) {
+				f.t.Errorf("%s: got no job served within 12 s of the last fault, want one", f.vms[i].name)
+				break
+			}
+			time.Sleep(resendAfter / 10)
+			id = fmt.Sprintf("ffffff%02x%08x", i, n)
+		}
+	}
+}
