--- /dev/null
+++ b/internal/process/settings/settings_test.go
@@ -0,0 +1,129 @@
+package settings
+
+import (
+	"flag"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+const whole = `vm = "front-1"
+dataCentre = "centro"
+dataCentres = ["centro", "norte"]
+[listen]
+callers = "10.0.0.1:1"
+ready = "10.0.0.1:2"
+peers = "10.0.0.1:3"
+[store]
+address = "10.0.0.9:4"
+[machine]
+processorShare = 0.4
+memoryMB = 284
+[bounds]
+resendMs = 1500
+farFactor = 1.5
+`
+
+func parse(t *testing.T, file string, args ...string) (Settings, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "boot.toml")
+	if err := os.WriteFile(path, []byte(file), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv(EnvPrefix+"_BOOT", path)
+	s := Default()
+	flags := flag.NewFlagSet("node", flag.ContinueOnError)
+	flags.SetOutput(io.Discard)
+	Register(flags, &s)
+	if err := ff.Parse(flags, args, Options()...); err != nil {
+		return s, err
+	}
+	return s, s.Validate()
+}
+
+// Guards against keys of the file that are not taken over, and against an order of precedence
+// other than flag, variable, file, default.
+func TestSources(t *testing.T) {
+	t.Setenv(EnvPrefix+"_SUCCESSORS", "2")
+	s, err := parse(t, whole, "--machine.memoryMB", "144")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(s.DataCentres) != 2 || s.DataCentres[1] != "norte" {
+		t.Errorf("got data centres %v, want centro and norte", s.DataCentres)
+	}
+	got := []any{string(s.VM), s.Peers, s.ProcessorShare, s.MemoryMB, s.Resend, s.StopTakes, s.Successors}
+	want := []any{"front-1", "10.0.0.1:3", 0.4, 144, clock.Millis(1500), clock.Millis(50), 2}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Errorf("value %d: got %v, want %v", i, got[i], want[i])
+		}
+	}
+}
+
+// Guards against settings that cannot work and are only noticed later, and against errors
+// that do not name the key.
+func TestMistakes(t *testing.T) {
+	cases := map[string]struct{ from, to, want string }{
+		"unknown key":          {`vm = "front-1"`, "vm = \"front-1\"\ncolour = 1", "colour"},
+		"no name":              {`vm = "front-1"`, `vm = ""`, "vm"},
+		"address without port": {`"10.0.0.1:3"`, `"10.0.0.1"`, "listen.peers"},
+		"data centre missing":  {`["centro", "norte"]`, `["norte"]`, "dataCentres"},
+		"no memory":            {"memoryMB = 284", "memoryMB = 0", "machine.memoryMB"},
+		"text for a number":    {"memoryMB = 284", `memoryMB = "much"`, "machine.memoryMB"},
+		"far factor below 1":   {"farFactor = 1.5", "farFactor = 0.5", "bounds.farFactor"},
+		"not TOML":             {`vm = "front-1"`, `vm = `, "not TOML"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := parse(t, strings.Replace(whole, c.from, c.to, 1))
+			if err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("got %v, want an error with %q", err, c.want)
+			}
+		})
+	}
+}
+
+// Guards against keys that the page does not explain.
+func TestPageListsAllKeys(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/node-settings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := Default()
+	flags := flag.NewFlagSet("node", flag.ContinueOnError)
+	Register(flags, &s)
+	flags.VisitAll(func(f *flag.Flag) {
+		if !strings.Contains(string(page), "| `"+f.Name+"` |") {
+			t.Errorf("got no row for %s in docs/node-settings.md, want one", f.Name)
+		}
+	})
+}
+
+// Guards against a template that the platform fills with keys that the program refuses.
+func TestTemplateHasKnownKeys(t *testing.T) {
+	text, err := os.ReadFile("../../../deploy/settings.toml.tmpl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	filled := strings.NewReplacer(
+		`[{{#zones}}"{{@}}"{{,}}{{/zones}}]`, `["a", "b"]`, "{{zone}}", "a", "{{node_name}}", "vm-1", "{{ip}}", "10.0.0.1",
+		"{{listen_addrs.front}}", "10.0.0.1:1", "{{listen_addrs.ready}}", "10.0.0.1:2", "{{listen_addrs.control}}", "10.0.0.1:3",
+		"{{platform.address}}", "10.0.0.9:4", "{{limits.cpu_share}}", "0.4", "{{limits.memory_mb}}", "284",
+		"{{bounds.hold_max_ms}}", "1000", "{{bounds.stop_ms}}", "50", "{{bounds.retransmit_ms}}", "1300",
+		"{{bounds.grace_s}}", "6", "{{bounds.far_x}}", "1.5",
+	).Replace(string(text))
+	s, err := parse(t, filled)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := s.Grace, 6*clock.Second; got != want {
+		t.Errorf("got a grace period of %d ms, want %d ms", got, want)
+	}
+}
--- a/pkg/app/node_command.go
+++ b/pkg/app/node_command.go
@@ -22,7 +22,7 @@
 const nodeHelp = `Runs an entry VM on the users' platform until SIGINT or SIGTERM.
 
 Every setting can be given as a flag, as a SEQUOIACART_ variable and in the TOML file that
-SEQUOIACART_BOOT names, in this order of precedence. docs/platform.md lists them all.
+SEQUOIACART_BOOT names, in this order of precedence. docs/node-settings.md lists them all.
 
 Example:
   SEQUOIACART_BOOT=boot.toml sequoiacart node`
--- a/pkg/event/catalogue_test.go
+++ b/pkg/event/catalogue_test.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	rows := regexp.MustCompile(`(?m)^\| (SQ-[1-6]\d{3}) \| (info|warning) \| ([^|]+) \| [^|]+ \|$`).FindAllStringSubmatch(string(body), -1)
+	rows := regexp.MustCompile(`(?m)^\| (SQ-[1-7]\d{3}) \| (info|warning) \| ([^|]+) \| [^|]+ \|$`).FindAllStringSubmatch(string(body), -1)
 	page := make(map[Number]line)
 	for _, r := range rows {
 		page[Number(r[1])] = line{r[2], r[3]}
@@ -67,7 +67,7 @@
 	use := regexp.MustCompile(`\.(\w+)\(\s*event\.(\w+),\s*("(?:[^"\\]|\\.)*",)?`)
 	levels := map[string]string{"Info": "info", "Warn": "warning"}
 	numbers, uses := make(map[string]Number), make(map[string][]line)
-	err := filepath.WalkDir("..", func(path string, _ fs.DirEntry, err error) error {
+	read := func(path string, _ fs.DirEntry, err error) error {
 		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 			return err
 		}
@@ -83,9 +83,11 @@
 			uses[m[2]] = append(uses[m[2]], line{levels[m[1]], text})
 		}
 		return err
-	})
-	if err != nil {
-		t.Fatal(err)
+	}
+	for _, root := range []string{"..", "../../internal", "../../platform"} {
+		if err := filepath.WalkDir(root, read); err != nil {
+			t.Fatal(err)
+		}
 	}
 	return numbers, uses
 }
