--- a/internal/control/home/action.go
+++ b/internal/control/home/action.go
@@ -29,6 +29,10 @@
 	Token    cell.Token
 }
 
+// Moment counts the events that a home has handled. It orders what the home asked and heard
+// exactly, which a clock of milliseconds does not.
+type Moment uint64
+
 // Hold extends the leases of an endpoint, acknowledges ends and asks for both lists.
 type Hold struct {
 	Endpoint endpoint.Endpoint
@@ -39,6 +43,8 @@
 	// Wait is how long the endpoint may wait for an end before it answers.
 	Wait  clock.Millis
 	Token cell.Token
+	// Asked is when the home decided to send it.
+	Asked Moment
 }
 
 // Answer ends a submission.
@@ -67,11 +73,15 @@
 	EndpointEjected Decision = iota
 	EndpointSuspected
 	EndpointReturned
+	StartDoubted
 	RunStalled
 	RunLost
 	RunFailed
 	RunUnclaimed
-	JobQueued
+	JobTaken
+	JobRefused
+	JobPassedOn
+	JobAdopted
 	JobAbandoned
 )
 
--- a/internal/control/home/admission.go
+++ b/internal/control/home/admission.go
@@ -2,11 +2,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 
 	"github.com/sequoiacart/sequoiacart/internal/world/cell"
-	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
@@ -55,6 +55,7 @@
 	}
 	if !w.started && !s.Adopt {
 		if o := h.admit(w); o != nil {
+			h.noteAdmission(w, o)
 			h.answers.keep(&w.Submission, o, h.now)
 			h.do(Answer{Key: w.Key, Outcome: o})
 			return
@@ -65,10 +66,36 @@
 	en := h.entry(w.Key.Entry)
 	en.works[w.Key.Seq] = w
 	en.until = max(en.until, h.now+h.config.Times.Interest)
+	h.noteAdmission(w, nil)
 	h.enqueue(w)
 	h.completeAdopted(w)
 }
 
+// noteAdmission logs what became of a submission and the figures that decided it.
+func (h *Home) noteAdmission(w *work, o job.Outcome) {
+	n := Note{What: JobTaken, Job: w.Job.ID}
+	switch o := o.(type) {
+	case job.Refused:
+		n.What, n.Detail = JobRefused, string(o.Reason)+" "
+	case job.Redirected:
+		n.What, n.Detail = JobPassedOn, "to "+string(o.To)+" "
+	case job.Divided:
+		n.What, n.Detail = JobPassedOn, fmt.Sprintf("divided %v ", o.Shares)
+	default:
+		if w.Adopt {
+			n.What = JobAdopted
+		}
+	}
+	oldest, fresh := clock.Millis(0), h.spareCells()
+	for _, l := range fresh {
+		oldest = max(oldest, h.now-l.At)
+	}
+	load := h.Load(h.now)
+	n.Detail += fmt.Sprintf("tasks %d demand %d free %d waiting %d of %d mCPU, starts by %d ms, hops %d, cells with room %d told up to %d ms ago, desired state %d",
+		len(w.tasks), w.demand(), load.FreeCPU, load.WaitingCPU, load.TotalCPU, w.startBy-h.now, w.Hops, len(fresh), oldest, h.state.Version)
+	h.do(n)
+}
+
 // completeAdopted answers a job whose last task had already ended when it was adopted.
 func (h *Home) completeAdopted(w *work) {
 	if w.open == 0 {
@@ -111,21 +138,23 @@
 // endpoint after the other, so this is done again before each start.
 func (h *Home) adopt(w *work) {
 	for _, t := range w.tasks {
-		f, ok := h.found[t.name]
-		if !ok || t.state != waiting || f.stoppedAt != 0 || h.tasks[t.name] != nil {
+		if t.state != waiting || h.tasks[t.name] != nil {
+			continue
+		}
+		t.run = max(t.run, h.found.lastRun(t.name))
+		f, ok := h.found.claim(t.name)
+		if !ok {
 			continue
 		}
-		t.run = max(t.run, f.run)
-		delete(h.found, t.name)
+		h.found.forget(t.name, f.place)
 		w.started = true
 		if f.ended {
-			if f.how == endpoint.EndDone {
-				h.markDoneQuietly(t)
-			}
+			h.markDoneQuietly(t)
 			continue
 		}
-		t.state, t.place = running, f.place
-		t.startedAt, t.confirmedAt = f.at, f.at
+		t.run, t.place = f.run, f.place
+		h.confirm(t)
+		t.startedAt = f.at
 		t.base = h.baseAt(t, f.place)
 		t.expected = f.place.speed.takes(t.base)
 		t.percent, t.percentAt = f.percent, h.now
--- a/internal/control/home/dispatch.go
+++ b/internal/control/home/dispatch.go
@@ -59,7 +59,7 @@
 	if other := h.tasks[t.name]; other != nil && other != t {
 		return false
 	}
-	if f, ok := h.found[t.name]; ok && !f.ended {
+	if h.found.active(t.name) {
 		return false
 	}
 	// An earlier home may have started it where this home has not looked yet. It stops what
@@ -153,11 +153,12 @@
 		if w.started || w.Part || h.now <= w.startBy+startSlack {
 			continue
 		}
-		if o := h.elsewhere(w, 0); o != nil {
-			h.answer(w, o)
-			continue
+		o := h.elsewhere(w, 0)
+		if o == nil {
+			o = job.Refused{Reason: job.NoRoomInTime, RetryAfter: retryAfter}
 		}
-		h.answer(w, job.Refused{Reason: job.NoRoomInTime, RetryAfter: retryAfter})
+		h.noteAdmission(w, o)
+		h.answer(w, o)
 	}
 }
 
--- a/internal/control/home/event.go
+++ b/internal/control/home/event.go
@@ -50,7 +50,8 @@
 type HoldEnded struct {
 	Endpoint datacentre.EndpointID
 	Kind     HoldKind
-	Sent     clock.Millis
+	// Asked is that of the hold.
+	Asked Moment
 	// Look is nil when there was no usable answer.
 	Look *endpoint.Look
 	// Rejection tells why the endpoint refused; it counts only without a Look.
--- a/internal/control/home/home.go
+++ b/internal/control/home/home.go
@@ -8,7 +8,6 @@
 	"slices"
 
 	"github.com/sequoiacart/sequoiacart/internal/world/cell"
-	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/experience"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
@@ -45,13 +44,14 @@
 	entries map[vm.Incarnation]*entry
 	answers answers
 	runs    lastRuns
-	found   map[job.TaskName]foundRun
+	found   foundRuns
 	others  map[cell.ID]*cell.Load
 	kinds   map[queue.Name]*kind
 	// remembered is what an earlier home has learnt, for endpoints that are listed later.
 	remembered experience.Experience
 
 	now     clock.Millis
+	moment  Moment
 	actions []Action
 }
 
@@ -61,25 +61,13 @@
 	works map[uint64]*work
 }
 
-// foundRun is a run of an earlier home that no job has claimed yet.
-type foundRun struct {
-	place   *place
-	run     job.Run
-	percent int
-	ended   bool
-	how     endpoint.End
-	at      clock.Millis
-	// stoppedAt is when the run was last told to stop; from then on no job can claim it.
-	stoppedAt clock.Millis
-}
-
 // New returns a home that has just taken the cell.
 func New(c Config) *Home {
 	h := &Home{
 		config: c, state: c.State, now: c.Now,
 		places: make(map[datacentre.EndpointID]*place), works: make(map[job.Key]*work),
 		byID: make(map[job.ID][]*work), tasks: make(map[job.TaskName]*task),
-		entries: make(map[vm.Incarnation]*entry), found: make(map[job.TaskName]foundRun),
+		entries: make(map[vm.Incarnation]*entry), found: make(foundRuns),
 		others: make(map[cell.ID]*cell.Load), kinds: make(map[queue.Name]*kind),
 		answers: newAnswers(), runs: newLastRuns(),
 	}
@@ -98,6 +86,7 @@
 // Handle takes in an event and returns what is to be done.
 func (h *Home) Handle(now clock.Millis, e Event) []Action {
 	h.now = now
+	h.moment++
 	h.actions = nil
 	switch e := e.(type) {
 	case Submitted:
--- a/internal/control/home/home_test.go
+++ b/internal/control/home/home_test.go
@@ -162,6 +162,43 @@
 	}
 }
 
+// Guards against urgent jobs that are late because one answer of an endpoint was lost: of a
+// start that was carried out, of one that was not, or of the watch that tells of the end.
+func TestLostAnswersAreNoticedInTime(t *testing.T) {
+	lose := map[string]func(a Action) delivery{
+		"start":          func(a Action) delivery { _, ok := a.(Start); return delivery{lost: ok} },
+		"start's answer": func(a Action) delivery { _, ok := a.(Start); return delivery{answerLost: ok} },
+		"watch's answer": func(a Action) delivery {
+			hold, ok := a.(Hold)
+			return delivery{answerLost: ok && hold.Kind == Watch}
+		},
+	}
+	for name, fault := range lose {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 13, 6)
+			w.addHome(1, 256)
+			w.advance(50)
+			w.interest(1, "a-1", 1)
+			lost := false
+			w.fault = func(_ int, _ datacentre.EndpointID, a Action) delivery {
+				d := fault(a)
+				if lost || !d.lost && !d.answerLost {
+					return delivery{}
+				}
+				lost = true
+				return d
+			}
+			from := w.now
+			w.tell(1, Submitted{Submission: submission("a-1", 1, 8)})
+			w.advance(1000)
+			k := job.Key{Entry: "a-1", Seq: 1}
+			if got, want := w.endedAt[k]-from, testState().Queue(testQueue).Objective(50); got > want || w.outcomes[k] == nil {
+				t.Errorf("got %s after %d ms, want an answer within %d ms", outcomeOf(w.outcomes[k]), got, want)
+			}
+		})
+	}
+}
+
 // Guards against an endless retry of a task that can never be done.
 func TestTaskThatAlwaysFails(t *testing.T) {
 	w := newWorld(t, 5, 4)
@@ -302,7 +339,7 @@
 			p = o
 		}
 	}
-	w.tell(1, HoldEnded{Endpoint: p.ID, Kind: Renewal, Sent: w.now - 1, Look: &endpoint.Look{Born: p.Born, Clock: p.clockNow(w.now)}})
+	w.tell(1, HoldEnded{Endpoint: p.ID, Kind: Renewal, Asked: h.moment - 3, Look: &endpoint.Look{Born: p.Born, Clock: p.clockNow(w.now)}})
 	w.advance(100)
 	if got, want := w.starts[Name("0000000000000001", 0, 0)], 1; got != want {
 		t.Errorf("got %d starts, want %d", got, want)
--- a/internal/control/home/place.go
+++ b/internal/control/home/place.go
@@ -29,6 +29,8 @@
 
 	watching, renewing bool
 	renewedAt          clock.Millis
+	// lookAgain says that a look is wanted that is sent later than the one under way.
+	lookAgain bool
 	// unanswered counts holds without an answer in a row.
 	unanswered int
 	heardAt    clock.Millis
--- a/internal/control/home/runs.go
+++ b/internal/control/home/runs.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"slices"
 	"strconv"
 
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
@@ -15,7 +16,7 @@
 	t.state, t.place, t.startedAt, t.confirmedAt = starting, p, h.now, 0
 	t.base, t.expected = base, p.speed.takes(base)
 	t.percent, t.percentAt = 0, h.now
-	t.stopAcknowledged, t.stopSent = 0, 0
+	t.stopAcknowledged, t.stopSent, t.doubtedIn = 0, 0, 0
 	t.work.started = true
 	h.occupy(t, p)
 	p.leasedAt = h.now
@@ -28,6 +29,11 @@
 	}
 }
 
+// confirm records that the endpoint has the run.
+func (h *Home) confirm(t *task) {
+	t.state, t.confirmedAt, t.confirmedIn = running, h.now, h.moment
+}
+
 func (h *Home) occupy(t *task, p *place) {
 	p.free = p.free.Minus(t.stepOf().Demand)
 	p.tasks[t.name] = t
@@ -92,12 +98,12 @@
 	}
 	switch r := e.Result.(type) {
 	case endpoint.Started:
-		t.state, t.confirmedAt = running, h.now
+		h.confirm(t)
 	case endpoint.NoAnswer:
-		p.unanswered = max(p.unanswered, unansweredHolds)
-		h.note(EndpointSuspected, t, p, r.Cause)
-		h.stop(t)
-		h.hold(p, Renewal)
+		// A look tells whether the run is there: the answer alone may have been lost or late.
+		t.doubtedIn = h.moment
+		h.note(StartDoubted, t, p, r.Cause)
+		h.look(p)
 	case endpoint.Rejected:
 		h.startRejected(t, p, r.Why)
 	}
@@ -144,10 +150,8 @@
 		return
 	}
 	if t := h.current(p, e.Task, e.Run); t != nil && t.state == stopping {
-		t.stopAcknowledged = h.now
-		if !p.watching {
-			h.hold(p, Watch)
-		}
+		t.stopAcknowledged, t.stopAcknowledgedIn = h.now, h.moment
+		h.look(p)
 	}
 }
 
@@ -163,7 +167,11 @@
 		p.renewing = false
 	}
 	if e.Look == nil {
-		h.holdFailed(p, e.Rejection)
+		h.holdFailed(p, e)
+		return
+	}
+	if e.Look.Born < p.Born {
+		// An answer of an earlier life, which this VM has read late.
 		return
 	}
 	if p.Born != 0 && e.Look.Born != p.Born {
@@ -181,44 +189,73 @@
 	}
 	h.compare(p, e)
 	h.hold(p, Watch)
+	h.lookIfWanted(p)
 }
 
-func (h *Home) holdFailed(p *place, r HoldRejection) {
-	switch r {
+// look asks an endpoint for its runs, with a request that is sent from now on.
+func (h *Home) look(p *place) {
+	p.lookAgain = p.renewing
+	h.hold(p, Renewal)
+}
+
+func (h *Home) lookIfWanted(p *place) {
+	if p.lookAgain && !p.renewing {
+		p.lookAgain = false
+		h.hold(p, Renewal)
+	}
+}
+
+func (h *Home) holdFailed(p *place, e HoldEnded) {
+	defer h.lookIfWanted(p)
+	switch e.Rejection {
 	case HoldFenced:
 		h.do(Fenced{})
 	case HoldOtherLife:
-		h.restarted(p, 0)
+		h.gone(p)
 	case HoldUnanswered:
 		p.unanswered++
 		if p.unanswered == unansweredHolds {
 			h.do(Note{What: EndpointSuspected, Endpoint: p.Endpoint, Detail: "hold without answer"})
 		}
+		for _, t := range p.sorted() {
+			if t.state == starting && t.doubtedIn != 0 && e.Asked >= t.doubtedIn {
+				h.stop(t)
+			}
+		}
 	}
 }
 
-// restarted releases all runs of an endpoint that has begun another life.
+// restarted deals with an endpoint that has begun another life under its ID. The runs of the
+// life before are gone, but a start that was under way then may have been carried out by the
+// new one, so that each run has to be missing in a later look, or stopped.
 func (h *Home) restarted(p *place, born endpoint.Born) {
 	for _, t := range p.sorted() {
-		if t.confirmedAt == 0 {
-			// The start may still be under way, and the new life may carry it out.
+		h.note(RunLost, t, p, "endpoint restarted")
+		t.avoid = p
+		if t.state != stopping {
 			h.stop(t)
 			continue
 		}
-		h.note(RunLost, t, p, "endpoint restarted")
-		t.avoid = p
-		h.release(t)
+		t.stopAcknowledged = 0
+		h.sendStop(t)
 	}
-	for name, f := range h.found {
-		if f.place == p {
-			delete(h.found, name)
-		}
+	for name := range h.found {
+		h.found.forget(name, p)
 	}
 	p.acked, p.Born = 0, born
 	p.speed, p.health = speed{}, health{}
-	p.free = p.Capacity
-	for _, t := range p.tasks {
-		p.free = p.free.Minus(t.stepOf().Demand)
+}
+
+// gone releases all runs of an instance that another has replaced at its address. Orders name
+// the instance, so the new one has carried out none of them.
+func (h *Home) gone(p *place) {
+	for _, t := range p.sorted() {
+		h.note(RunLost, t, p, "instance replaced")
+		t.avoid = p
+		h.release(t)
+	}
+	for name := range h.found {
+		h.found.forget(name, p)
 	}
 }
 
@@ -230,12 +267,9 @@
 	p.acked = e.Number
 	t := h.current(p, e.Task, e.Run)
 	if t == nil {
-		f := h.found[e.Task]
-		switch {
-		case f.place == p && f.stoppedAt != 0:
-			delete(h.found, e.Task)
-		case h.now < p.claimUntil:
-			h.found[e.Task] = foundRun{place: p, run: e.Run, ended: true, how: e.How, at: h.now}
+		h.found.forget(e.Task, p)
+		if h.now < p.claimUntil {
+			h.found.put(e.Task, foundRun{place: p, run: e.Run, ended: true, how: e.How, at: h.now})
 		}
 		return
 	}
@@ -271,6 +305,9 @@
 		p.speed.learn(t.base, took)
 	}
 	h.learnKind(t, p, took)
+	if p.health.onTrial {
+		h.note(EndpointReturned, t, p, "did its task on trial")
+	}
 	p.health.succeeded()
 	h.vacate(t)
 	h.markDone(t)
@@ -329,7 +366,7 @@
 			continue
 		}
 		if t.state == starting {
-			t.state, t.confirmedAt = running, h.now
+			h.confirm(t)
 		}
 		if a.Percent != t.percent {
 			t.percent, t.percentAt = a.Percent, h.now
@@ -340,35 +377,29 @@
 		_, present := listed[t.name]
 		switch {
 		case present:
-		case t.state == running && t.confirmedAt+lookMargin < e.Sent:
-			// The look may still have been taken before the start was carried out, so the
-			// run is stopped before the task starts again.
+		case t.state == starting && t.doubtedIn != 0 && e.Asked >= t.doubtedIn:
+			// It may still be carried out later, so a stop has to come first.
+			h.stop(t)
+		case t.state == running && e.Asked >= t.confirmedIn:
+			// It should be there; a stop makes sure before the task starts again.
 			h.note(RunLost, t, p, "not listed")
 			h.stop(t)
-		case t.state == stopping && t.stopAcknowledged != 0 && t.stopAcknowledged+lookMargin < e.Sent:
+		case t.state == stopping && t.stopAcknowledged != 0 && e.Asked >= t.stopAcknowledgedIn:
 			// A stop was answered before this look, so the run can never appear again.
 			h.release(t)
 		}
 	}
 }
 
-// lookMargin is how much later than an answer a look must have been sent to count as taken
-// after it: both times are read on different goroutines, in whole milliseconds.
-const lookMargin = clock.Millis(5)
-
 // foundActive deals with a run that no task of this home has. Within the first moments an
 // entry VM may still claim it; later it is stopped.
 func (h *Home) foundActive(p *place, a endpoint.ActiveRun) {
-	f, known := h.found[a.Task]
-	if known && f.place != p && f.run > a.Run {
-		h.stopFound(p, a.Task, a.Run)
-		return
-	}
-	if !known || f.place != p || f.run != a.Run {
+	f, known := h.found.at(a.Task, p)
+	if !known || f.run != a.Run {
 		f = foundRun{place: p, run: a.Run, at: h.now}
 	}
 	f.percent = a.Percent
-	h.found[a.Task] = f
+	h.found.put(a.Task, f)
 	if h.now >= p.claimUntil {
 		h.stopUnclaimedRun(a.Task, f)
 	}
@@ -383,26 +414,23 @@
 		h.do(Note{What: RunUnclaimed, Task: name, Endpoint: f.place.Endpoint, Detail: "run " + strconv.FormatInt(int64(f.run), 10)})
 	}
 	f.stoppedAt = h.now
-	h.found[name] = f
-	h.stopFound(f.place, name, f.run)
-}
-
-func (h *Home) stopFound(p *place, name job.TaskName, run job.Run) {
-	h.do(Stop{Endpoint: p.Endpoint, Task: name, Run: run, Token: h.config.Token})
+	h.found.put(name, f)
+	h.do(Stop{Endpoint: f.place.Endpoint, Task: name, Run: f.run, Token: h.config.Token})
 }
 
 // forgetFound drops what was found at an endpoint and is not listed there any more.
 func (h *Home) forgetFound(p *place, listed map[job.TaskName]endpoint.ActiveRun) {
-	for name, f := range h.found {
-		if _, present := listed[name]; f.place == p && !f.ended && !present {
-			delete(h.found, name)
+	for name := range h.found {
+		f, known := h.found.at(name, p)
+		if _, present := listed[name]; known && !f.ended && !present {
+			h.found.forget(name, p)
 		}
 	}
 }
 
 // hold sends a hold unless one of its kind is under way.
 func (h *Home) hold(p *place, k HoldKind) {
-	a := Hold{Endpoint: p.Endpoint, Kind: k, Acked: p.acked, Token: h.config.Token}
+	a := Hold{Endpoint: p.Endpoint, Kind: k, Acked: p.acked, Token: h.config.Token, Asked: h.moment}
 	busy := len(p.tasks) > 0
 	// Leases at an endpoint that does not answer are left to lapse, so that its tasks can
 	// run elsewhere.
@@ -478,6 +506,10 @@
 		h.release(t)
 		return
 	}
+	if h.now >= t.startedAt+t.expected+lateStart && h.now-p.heardAt >= endUnheardFor && h.now-p.renewedAt >= endUnheardFor {
+		// It should have ended, and the answer that tells so may have been lost.
+		h.hold(p, Renewal)
+	}
 	if float64(h.now-t.startedAt) < overdue*float64(t.expected)+float64(lookEvery) {
 		return
 	}
@@ -495,16 +527,18 @@
 
 // stopUnclaimed ends the time in which runs of an earlier home may be claimed.
 func (h *Home) stopUnclaimed() {
-	for name, f := range h.found {
-		if h.now < f.place.claimUntil {
-			continue
-		}
-		lapsed := h.now >= max(f.at, f.place.leasedAt)+h.config.Times.leaseLapse()
-		switch {
-		case f.ended && h.now >= f.at+rememberFor, !f.ended && f.stoppedAt != 0 && lapsed:
-			delete(h.found, name)
-		default:
-			h.stopUnclaimedRun(name, f)
+	for name, runs := range h.found {
+		for _, f := range slices.Clone(runs) {
+			if h.now < f.place.claimUntil {
+				continue
+			}
+			lapsed := h.now >= max(f.at, f.place.leasedAt)+h.config.Times.leaseLapse()
+			switch {
+			case f.ended && h.now >= f.at+rememberFor, !f.ended && f.stoppedAt != 0 && lapsed:
+				h.found.forget(name, f.place)
+			default:
+				h.stopUnclaimedRun(name, f)
+			}
 		}
 	}
 }
--- a/internal/control/home/times.go
+++ b/internal/control/home/times.go
@@ -41,6 +41,10 @@
 	stallAfter = clock.Millis(160)
 	// overdue is the multiple of the expected run time after which progress is watched.
 	overdue = 1.6
+	// endUnheardFor is how long an endpoint may be silent while a run should have ended there.
+	// A lost answer to a watch would otherwise be noticed after 230 ms, when urgent jobs are
+	// late.
+	endUnheardFor = clock.Millis(50)
 	// lookEvery is how often an endpoint with overdue runs is asked for progress.
 	lookEvery = clock.Millis(80)
 	// tickEvery is the resolution of the home's own timers while it has work.
--- a/internal/control/home/work.go
+++ b/internal/control/home/work.go
@@ -44,13 +44,17 @@
 	// startedAt is when the start was sent, confirmedAt when the endpoint was first known
 	// to have the run.
 	startedAt, confirmedAt clock.Millis
+	confirmedIn            Moment
 	// base is how long the run is expected to take at speed 1, expected at its place.
 	base, expected clock.Millis
+	// doubtedIn is when the start was found to have no answer, or 0.
+	doubtedIn Moment
 	// percent was first seen at percentAt.
 	percent   int
 	percentAt clock.Millis
 	// stopAcknowledged is when a stop was answered, stopSent when the last was sent.
 	stopAcknowledged, stopSent clock.Millis
+	stopAcknowledgedIn         Moment
 	failures                   int
 	avoid                      *place
 }
--- a/internal/control/home/world_test.go
+++ b/internal/control/home/world_test.go
@@ -91,7 +91,8 @@
 	testQueue   = "swap"
 	stopSpan    = clock.Millis(50)
 	hop         = clock.Millis(1)
-	orderLimit  = clock.Millis(150)
+	startLimit  = clock.Millis(30)
+	orderLimit  = clock.Millis(80)
 )
 
 func testState() *queue.State {
@@ -226,8 +227,12 @@
 	d := w.fault(n, id, a)
 	e := w.endpoints[id]
 	answered := d.later == 0 && !d.answerLost && !d.lost
+	limit := orderLimit + wait
+	if _, ok := a.(Start); ok {
+		limit = startLimit
+	}
 	if !answered {
-		w.after(orderLimit+wait, func() { w.tell(n, unanswered) })
+		w.after(limit, func() { w.tell(n, unanswered) })
 	}
 	if d.lost {
 		return
@@ -235,7 +240,7 @@
 	w.after(hop+d.later, func() {
 		if e.down {
 			if answered {
-				w.after(orderLimit+wait, func() { w.tell(n, unanswered) })
+				w.after(limit, func() { w.tell(n, unanswered) })
 			}
 			return
 		}
@@ -261,9 +266,8 @@
 }
 
 func (w *world) hold(n int, a Hold) {
-	sent := w.now
 	w.send(n, a.Endpoint.ID, a, func(e *fakeEndpoint) Event {
-		ended := HoldEnded{Endpoint: e.ID, Kind: a.Kind, Sent: sent}
+		ended := HoldEnded{Endpoint: e.ID, Kind: a.Kind, Asked: a.Asked}
 		if a.Token < e.token {
 			ended.Rejection = HoldFenced
 			return ended
@@ -275,7 +279,7 @@
 		}
 		ended.Look = w.look(e)
 		return ended
-	}, a.Wait, HoldEnded{Endpoint: a.Endpoint.ID, Kind: a.Kind, Sent: sent})
+	}, a.Wait, HoldEnded{Endpoint: a.Endpoint.ID, Kind: a.Kind, Asked: a.Asked})
 }
 
 func (w *world) look(e *fakeEndpoint) *endpoint.Look {
--- a/internal/control/node/action.go
+++ b/internal/control/node/action.go
@@ -89,6 +89,7 @@
 	// Outcome and Waited belong to the end of a job.
 	Outcome job.Outcome
 	Waited  clock.Millis
+	Parts   int
 	Version queue.Version
 }
 
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -218,7 +218,11 @@
 		ended <- a.Outcome
 		delete(n.callers, a.Key)
 	}
-	n.do(Report{What: JobEnded, Cell: a.At, Job: a.Job, Outcome: a.Outcome, Waited: a.Waited})
+	r := Report{What: JobEnded, Cell: a.At, Job: a.Job, Outcome: a.Outcome, Waited: a.Waited, Parts: a.Parts}
+	if n.desired != nil {
+		r.Version = n.desired.Version
+	}
+	n.do(r)
 }
 
 func (n *Control) withdraw(a front.Withdraw) {
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -65,9 +65,12 @@
 	dialTimeout = clock.Millis(60)
 	// unacknowledged is when a connection with sent bytes counts as broken.
 	unacknowledged = clock.Millis(1000)
-	// orderTimeout bounds starts, stops and holds. It is short, since a run is only looked
-	// for elsewhere after it.
-	orderTimeout = clock.Millis(150)
+	// startTimeout is when a start without an answer is looked after. A round trip takes 2 ms;
+	// a task of 50 ms has to be late by less than 40 ms for its job to be in time. A start
+	// that was carried out is found by the look, so that a short wait does no harm.
+	startTimeout = clock.Millis(30)
+	// orderTimeout bounds stops and holds, the latter beside the time they wait for an end.
+	orderTimeout = clock.Millis(80)
 	// storeTimeout bounds calls to the store, which answers within 4 ms, or 60 times slower
 	// while it is overloaded.
 	storeTimeout = clock.Millis(800)
@@ -119,7 +122,7 @@
 	d.cancelTraffic = cancel
 	d.traffic = &traffic{
 		ctx: ctx, loop: d.loop, clock: c.Clock, peers: d.peers, dialer: connections, store: d.store, journal: d.journal, meter: d.meter,
-		endpoints: platform.NewEndpointClient(platform.EndpointsConfig{Timeout: orderTimeout, Transport: transport()}),
+		endpoints: platform.NewEndpointClient(platform.EndpointsConfig{StartTimeout: startTimeout, Timeout: orderTimeout, Transport: transport()}),
 	}
 	d.loop.executor = d.traffic
 	return d, d.listen()
--- a/internal/process/daemon/journal.go
+++ b/internal/process/daemon/journal.go
@@ -116,7 +116,7 @@
 	}
 	j.meter.Time("jobMs", r.Waited)
 	j.write(func() {
-		j.log.Info(event.JobEnded, "job ended", logrus.Fields{"job": r.Job, "outcome": outcome, "reason": reason, "cell": r.Cell, "waitedMs": r.Waited, "desired": r.Version})
+		j.log.Info(event.JobEnded, "job ended", logrus.Fields{"job": r.Job, "outcome": outcome, "reason": reason, "cell": r.Cell, "parts": r.Parts, "waitedMs": r.Waited, "desired": r.Version})
 	})
 }
 
@@ -142,8 +142,9 @@
 
 var decisionNames = map[home.Decision]string{
 	home.EndpointEjected: "endpointEjected", home.EndpointSuspected: "endpointSuspected",
-	home.EndpointReturned: "endpointReturned", home.RunStalled: "runStalled", home.RunLost: "runLost",
-	home.RunFailed: "runFailed", home.RunUnclaimed: "runUnclaimed", home.JobQueued: "jobQueued",
+	home.EndpointReturned: "endpointReturned", home.StartDoubted: "startDoubted", home.RunStalled: "runStalled", home.RunLost: "runLost",
+	home.RunFailed: "runFailed", home.RunUnclaimed: "runUnclaimed", home.JobTaken: "jobTaken",
+	home.JobRefused: "jobRefused", home.JobPassedOn: "jobPassedOn", home.JobAdopted: "jobAdopted",
 	home.JobAbandoned: "jobAbandoned",
 }
 
--- a/internal/process/daemon/traffic.go
+++ b/internal/process/daemon/traffic.go
@@ -121,7 +121,6 @@
 }
 
 func (t *traffic) hold(c cell.ID, h home.Hold) {
-	sent := t.clock.Now()
 	look, rejection, err := t.endpoints.Hold(t.ctx, h)
 	if err != nil {
 		t.meter.Count("holds.failed")
@@ -130,7 +129,7 @@
 		t.meter.Count("holds.answered")
 	}
 	t.loop.Post(node.HomeHeard{Cell: c, Event: home.HoldEnded{
-		Endpoint: h.Endpoint.ID, Kind: h.Kind, Sent: sent, Look: look, Rejection: rejection,
+		Endpoint: h.Endpoint.ID, Kind: h.Kind, Asked: h.Asked, Look: look, Rejection: rejection,
 	}})
 }
 
