--- a/pkg/entry/partition_test.go
+++ b/pkg/entry/partition_test.go
@@ -10,7 +10,7 @@
 )
 
 // Guards against a data centre that stops serving when it is cut off, and against views
-// that do not heal at the join. The cases are the rows of docs/operations.md.
+// that do not heal at the join. The cases are the rows of docs/entry-operations.md.
 func TestPartitions(t *testing.T) {
 	size := map[datacentre.ID]int{"centro": 3, "norte": 3, "sur": 3}
 	cutOff := func(from, to vm.VM) bool { return (from.DataCentre == "sur") != (to.DataCentre == "sur") }
