Wait for runs at endpoints that a new home cannot know, and hand over all that it has

The lists of homes inside a data centre have the same gap when entries lapse. Such tasks now wait until nothing can be left, unless no entry was lost for 15 s or the home before named its endpoints. TestTakeOverWithAnIncompleteList failed first.

--- a/internal/control/home/admission.go
+++ b/internal/control/home/admission.go
@@ -7,9 +7,9 @@
 	"slices"
 
 	"github.com/sequoiacart/sequoiacart/internal/world/cell"
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
-	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 )
 
 const (
@@ -383,11 +383,12 @@
 	return l
 }
 
-// Endpoints returns the endpoints of the cell that are not known to be gone.
-func (h *Home) Endpoints() []datacentre.EndpointID {
-	ids := make([]datacentre.EndpointID, len(h.ordered))
+// Endpoints returns all endpoints where this home may have runs, those that have vanished
+// from the list among them.
+func (h *Home) Endpoints() []endpoint.Endpoint {
+	all := make([]endpoint.Endpoint, len(h.ordered))
 	for i, p := range h.ordered {
-		ids[i] = p.ID
+		all[i] = p.Endpoint
 	}
-	return ids
+	return all
 }
--- a/internal/control/home/dispatch.go
+++ b/internal/control/home/dispatch.go
@@ -64,7 +64,7 @@
 	}
 	// An earlier home may have started it where this home has not looked yet. It stops what
 	// its entry VM does not ask for any more.
-	return !t.work.Adopt || h.now >= t.work.taken+h.config.Times.RunsGoneAfter() || h.allFenced()
+	return !t.work.Adopt || h.now >= t.work.taken+h.config.Times.RunsGoneAfter() || h.complete && h.allFenced()
 }
 
 func (h *Home) allFenced() bool {
--- a/internal/control/home/event.go
+++ b/internal/control/home/event.go
@@ -81,7 +81,12 @@
 )
 
 // EndpointsListed is the content of the platform's list for the cell.
-type EndpointsListed struct{ Endpoints []endpoint.Endpoint }
+type EndpointsListed struct {
+	Endpoints []endpoint.Endpoint
+	// Complete says that no endpoint has vanished from the list for long enough that an
+	// earlier home can have runs only at those that are listed.
+	Complete bool
+}
 
 // DesiredState is a newer desired state.
 type DesiredState struct{ State *queue.State }
--- a/internal/control/home/home.go
+++ b/internal/control/home/home.go
@@ -50,9 +50,11 @@
 	// remembered is what an earlier home has learnt, for endpoints that are listed later.
 	remembered experience.Experience
 
-	now     clock.Millis
-	moment  Moment
-	actions []Action
+	// complete says that the list of endpoints lacks none with runs of an earlier home.
+	complete bool
+	now      clock.Millis
+	moment   Moment
+	actions  []Action
 }
 
 // entry is what the home knows of an entry VM with jobs here.
@@ -100,6 +102,7 @@
 	case HoldEnded:
 		h.holdEnded(e)
 	case EndpointsListed:
+		h.complete = e.Complete
 		h.endpointsListed(e.Endpoints)
 	case DesiredState:
 		h.state = e.State
--- a/internal/control/home/home_test.go
+++ b/internal/control/home/home_test.go
@@ -401,6 +401,34 @@
 	}
 }
 
+// Guards against tasks that run twice because an earlier home has them at an endpoint whose
+// entry has lapsed, so that the new home does not know of it.
+func TestTakeOverWithAnIncompleteList(t *testing.T) {
+	w := newWorld(t, 14, 5)
+	w.takes = func(job.TaskName) clock.Millis { return 700 }
+	w.addHome(1, 256)
+	w.advance(50)
+	s := submission("a-1", 1, 6)
+	w.tell(1, Interest{Entry: "a-1", Sent: w.now, Waiting: []uint64{1}, LastSeq: 1})
+	w.tell(1, Submitted{Submission: s})
+	w.advance(60)
+	w.addHome(2, 257)
+	known := slices.DeleteFunc(w.listed(), func(e endpoint.Endpoint) bool { return e.ID == "e01" })
+	w.homes[2] = &fakeHome{home: New(Config{Cell: "centro", Token: 258, Times: testTimes(), FarFactor: 1.5, State: testState(), Now: w.now})}
+	w.tell(2, EndpointsListed{Endpoints: known})
+	s.Adopt = true
+	w.advance(10)
+	w.tell(2, Submitted{Submission: s})
+	w.interest(2, "a-1", 1)
+	w.advance(3000)
+	if got, want := w.mostRuns, 1; got != want {
+		t.Errorf("got %d runs of a task at the same time, want %d", got, want)
+	}
+	if got, want := outcomeOf(w.outcomes[s.Key]), "job.Completed"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
+
 // Guards against combinations of faults that nobody has thought of. The seeds that failed
 // are kept in the table.
 func TestRandomFaults(t *testing.T) {
--- a/internal/control/home/world_test.go
+++ b/internal/control/home/world_test.go
@@ -132,7 +132,7 @@
 func (w *world) addHome(n int, token cell.Token) *fakeHome {
 	f := &fakeHome{home: New(Config{Cell: "centro", Token: token, Times: testTimes(), FarFactor: 1.5, State: testState(), Now: w.now})}
 	w.homes[n] = f
-	w.tell(n, EndpointsListed{Endpoints: w.listed()})
+	w.tell(n, EndpointsListed{Endpoints: w.listed(), Complete: true})
 	w.tick(n)
 	return f
 }
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -46,6 +46,9 @@
 	endpointsAt      clock.Millis
 	// vanished tells since when endpoints are missing in the store's list.
 	vanished map[datacentre.EndpointID]clock.Millis
+	// shrunkAt is when an endpoint was last found missing; at first it is the start, since
+	// nothing is known of the time before.
+	shrunkAt clock.Millis
 	vms      []cell.VM
 	vmRows   map[vm.ID]cell.VM
 	// heard is when each VM last sent a beat here.
@@ -69,6 +72,8 @@
 	writing   bool
 	writtenAt clock.Millis
 	takenAt   clock.Millis
+	// handedOver says that the home before has told all endpoints where it had runs.
+	handedOver bool
 	// savedAt is when what the home has learnt was last written to the store.
 	savedAt clock.Millis
 	// yielding says that a successor has been asked to take over; lastAsked is its rank in
@@ -81,7 +86,7 @@
 // New returns the control state of a VM that knows nothing yet.
 func New(c Config) *Control {
 	n := &Control{
-		config: c, now: c.Now,
+		config: c, now: c.Now, shrunkAt: c.Now,
 		views: make(map[cell.ID]*succession.View), homes: make(map[cell.ID]*hosted),
 		vanished: make(map[datacentre.EndpointID]clock.Millis), heard: make(map[vm.Incarnation]clock.Millis), loads: make(map[cell.ID]cell.Load), probes: make(map[cell.ID]probe),
 		callers: make(map[job.Key]chan<- job.Outcome), peers: make(map[job.Key]chan<- job.Outcome),
@@ -378,7 +383,7 @@
 		since, known := n.vanished[old.ID]
 		if !known {
 			since = n.now
-			n.vanished[old.ID] = since
+			n.vanished[old.ID], n.shrunkAt = since, n.now
 		}
 		if n.now-since < vanishedFor {
 			merged = append(merged, old)
@@ -422,9 +427,14 @@
 			mine = append(mine, e)
 		}
 	}
-	n.tell(c, home.EndpointsListed{Endpoints: mine})
+	n.tell(c, home.EndpointsListed{Endpoints: mine, Complete: n.homes[c].handedOver || n.now-n.shrunkAt >= completeAfter})
 }
 
+// completeAfter is how long an endpoint that has vanished may still have runs of an earlier
+// home: entries lapse 4.5 s into a partition, and runs there end with it at the latest when
+// their callers give up, which they do within 10 s.
+const completeAfter = 15 * clock.Second
+
 // Available implements front.Homes: the cell of this VM's data centre first, then the
 // others, those with the most free room first.
 func (n *Control) Available(now clock.Millis) []cell.ID {
--- a/internal/control/node/membership.go
+++ b/internal/control/node/membership.go
@@ -422,7 +422,7 @@
 	for _, v := range cell.Candidates(c, n.vms) {
 		if v.DataCentre == c.DataCentre() && n.heardAgo(v) <= memberFresh && l.Rank(v.Incarnation) > l.Rank(n.config.Self.Incarnation) {
 			h.yielding = true
-			n.do(SendYield{To: v.Member, Lineup: l, Endpoints: n.endpoints, EndpointsVersion: n.endpointsVersion})
+			n.do(SendYield{To: v.Member, Lineup: l, Endpoints: n.handOver(h), EndpointsVersion: n.endpointsVersion})
 			return
 		}
 	}
@@ -467,7 +467,7 @@
 	for rank, m := range l.Members {
 		if at, ok := n.heard[m.Incarnation]; rank > h.lastAsked && ok && n.now-at <= memberFresh {
 			h.yielding, h.lastAsked = true, rank
-			n.do(SendYield{To: m, Lineup: l, Endpoints: n.endpoints, EndpointsVersion: n.endpointsVersion})
+			n.do(SendYield{To: m, Lineup: l, Endpoints: n.handOver(h), EndpointsVersion: n.endpointsVersion})
 			return
 		}
 	}
@@ -475,6 +475,35 @@
 	n.lose(c)
 }
 
+// handOver lists the endpoints that the next home has to know: those that are listed, and
+// those that are not any more but may have runs.
+func (n *Control) handOver(h *hosted) []endpoint.Endpoint {
+	all := slices.Clone(n.endpoints)
+	for _, e := range h.home.Endpoints() {
+		if !slices.ContainsFunc(all, func(o endpoint.Endpoint) bool { return o.ID == e.ID }) {
+			all = append(all, e)
+		}
+	}
+	return all
+}
+
+// mergeEndpoints takes in what the home before knows. Endpoints that only it knows are kept
+// like those that have vanished just now.
+func (n *Control) mergeEndpoints(e PeerYielded) {
+	if e.EndpointsVersion > n.endpointsVersion {
+		n.endpointsRead(EndpointsRead{Endpoints: e.Endpoints, Version: e.EndpointsVersion})
+		return
+	}
+	merged := slices.Clone(n.endpoints)
+	for _, o := range e.Endpoints {
+		if !slices.ContainsFunc(merged, func(m endpoint.Endpoint) bool { return m.ID == o.ID }) {
+			merged = append(merged, o)
+			n.vanished[o.ID] = n.now
+		}
+	}
+	n.endpoints = merged
+}
+
 func (n *Control) peerYielded(e PeerYielded) {
 	n.learn(e.Lineup)
 	c := e.Lineup.Cell
@@ -489,11 +518,12 @@
 		e.Done <- false
 		return
 	}
-	if e.EndpointsVersion > n.endpointsVersion {
-		// The home may have runs at endpoints that this VM has not heard of yet.
-		n.endpointsRead(EndpointsRead{Endpoints: e.Endpoints, Version: e.EndpointsVersion})
-	}
+	n.mergeEndpoints(e)
 	n.take(c, l, rank)
+	if h := n.homes[c]; h != nil {
+		h.handedOver = true
+		n.tellEndpoints(c)
+	}
 	e.Done <- n.homes[c] != nil
 }
 
