--- a/internal/control/succession/view.go
+++ b/internal/control/succession/view.go
@@ -96,11 +96,14 @@
 	}
 	same := len(l.Members) > 0 && v.home && v.asked < len(v.lineup.Members) &&
 		l.Members[0].Incarnation == v.lineup.Members[v.asked].Incarnation
+	// A lineup that replaces another has just been written by its first member, which may not
+	// have opened its listener to everybody yet. One that is the first known may be old.
+	justWritten := v.lineup.Revision > 0
 	v.lineup = l
 	v.asked, v.failures = 0, 0
 	if !same {
 		v.home = false
-		v.silent, v.silentSince, v.rounds = true, now, 0
+		v.silent, v.silentSince, v.rounds = !justWritten, now, 0
 		v.beating = false
 	}
 	v.beatAt = 0
--- a/internal/control/succession/view_test.go
+++ b/internal/control/succession/view_test.go
@@ -157,6 +157,22 @@
 	}
 }
 
+// Guards against a successor that takes over from a home that has just claimed the cell, as
+// after a restart of all VMs, because one beat failed.
+func TestNewHomeIsGivenThreeBeats(t *testing.T) {
+	v := NewView("me-1", "centro", start)
+	f := fleet{state: states("silent", "", "", ""), mayTake: true, pause: -1}
+	v.Learn(lineup(5, "a-0", "b-0"), start)
+	f.run(v, start, 50)
+	v.Learn(lineup(6, "a-1", "me-1"), start+50)
+	if got, _ := f.run(v, start+50, 2*BeatTimeout); got != "no home" {
+		t.Errorf("after one failed beat: got %q, want no take-over", got)
+	}
+	if got, _ := f.run(v, start+50+2*BeatTimeout, 500); got != "take over at rank 1" {
+		t.Errorf("after three failed beats: got %q, want a take-over", got)
+	}
+}
+
 // Guards against a lineup that an old message brings back.
 func TestOlderLineupsAreIgnored(t *testing.T) {
 	v := NewView("me-1", "centro", start)
