Keep the platform's words of the soak in its stand-in

The soak sends jobs and lists endpoints through platform/standin, so that names of the platform stay in platform/ and deploy/.

--- a/internal/soak/fleet/fleet_test.go
+++ b/internal/soak/fleet/fleet_test.go
@@ -3,13 +3,10 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -78,12 +75,11 @@
 }
 
 const (
-	queueHost, queuePath = "swap.example", "/swap/"
-	dataCentres          = 2
-	vmsPerDataCentre     = 2
-	endpointsPerCentre   = 4
-	endpointCPU          = 32000
-	taskCPU              = 14000
+	dataCentres        = 2
+	vmsPerDataCentre   = 2
+	endpointsPerCentre = 4
+	endpointCPU        = 32000
+	taskCPU            = 14000
 	// resendAfter is when callers send a job again, as on the platform.
 	resendAfter = 1300 * time.Millisecond
 )
@@ -112,10 +108,7 @@
 // publish writes the next desired state.
 func (f *fleet) publish() {
 	f.desired += 1 + int64(f.random.IntN(3))
-	f.store.Put("op", "config", []byte(fmt.Sprintf(`{"version":%d,"routes":[{"name":"r1","hostname":"%s","path_prefix":"%s",
-		"route_type":"non_idempotent","timeout_ms":1500,"slo_ms":60,"priority":0,"backend":"playout","max_attempts":3,"stretch":1.6}],
-		"services":[{"name":"playout","max_connections":64,"rejects_overload":true}],"limits":{"max_body_bytes":262144}}`,
-		f.desired, queueHost, queuePath)))
+	f.store.Desired(f.desired)
 }
 
 func (f *fleet) addEndpoint(id, dc string) {
@@ -140,9 +133,9 @@
 		for _, e := range f.endpoints {
 			e.mu.Lock()
 			if e.absent {
-				f.store.Remove("servers", e.id)
+				f.store.Unlist(e.stand)
 			} else {
-				f.store.Put("servers", e.id, e.stand.Row(e.relay.address(), e.draining))
+				f.store.List(e.stand, e.relay.address(), e.draining)
 			}
 			e.mu.Unlock()
 		}
@@ -214,20 +207,11 @@
 	_ = n.process.Process.Signal(s)
 }
 
-func (n *node) isReady() bool {
-	r, err := http.Get("http://" + n.ready + "/-/ready")
-	if err != nil {
-		return false
-	}
-	_ = r.Body.Close()
-	return r.StatusCode == http.StatusOK
-}
-
 func (f *fleet) awaitReady() {
 	f.t.Helper()
 	limit := time.Now().Add(15 * time.Second)
 	for _, n := range f.vms {
-		for !n.isReady() {
+		for !standin.IsReady(n.ready) {
 			if time.Now().After(limit) {
 				f.t.Fatalf("%s: got no readiness within 15 s, want it", n.name)
 			}
@@ -250,53 +234,22 @@
 	return strings.Join(all[max(0, len(all)-lines):], "\n")
 }
 
-// caller sends one job until it has a final answer, as the platform's callers do.
-func (f *fleet) caller(client *http.Client, random *rand.Rand, id string, tasks int, payload standin.Payload) {
-	spec, err := json.Marshal(payload)
-	if err != nil {
-		panic(err)
-	}
-	body, err := json.Marshal(map[string]any{"task_spec": string(spec), "best_effort": true, "steps": []map[string]any{
-		{"count": tasks, "cpu": payload.MilliCores, "mem_mb": 64, "estimate_ms": max(payload.RunMs, 1)},
-	}})
-	if err != nil {
-		panic(err)
-	}
-	refused := true
+// run sends a job until it has a final answer, as the platform's callers do.
+func (f *fleet) run(c standin.Caller, random *rand.Rand, j standin.Job) {
 	deadline := time.Now().Add(5 * time.Second)
 	for attempt := 0; attempt < 3 && time.Now().Before(deadline); attempt++ {
 		n := f.vms[random.IntN(len(f.vms))]
-		status := f.post(client, n, id, string(body))
-		if status == http.StatusOK {
-			f.ledger.completed(id, tasks)
+		switch c.Send(n.callers, j) {
+		case standin.Completed:
+			f.ledger.completed(j.ID, j.Tasks)
 			return
-		}
-		if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-			if refused && attempt == 0 {
-				f.ledger.refused(id)
+		case standin.Refused:
+			if attempt == 0 {
+				f.ledger.refused(j.ID)
 			}
 			return
+		case standin.Unclear:
+			time.Sleep(resendAfter)
 		}
-		refused = false
-		time.Sleep(resendAfter)
-	}
-}
-
-func (f *fleet) post(client *http.Client, n *node, id, body string) int {
-	r, err := http.NewRequest(http.MethodPost, "http://"+n.callers+queuePath+id, strings.NewReader(body))
-	if err != nil {
-		panic(err)
-	}
-	r.Host = queueHost
-	r.Header.Set("Sequoiacart-Deadline-Ms", "3000")
-	response, err := client.Do(r)
-	if err != nil {
-		return 0
-	}
-	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
-	if err != nil || response.StatusCode == http.StatusOK && !strings.Contains(string(text), "completed") {
-		return 0
 	}
-	return response.StatusCode
 }
--- a/internal/soak/fleet/soak_test.go
+++ b/internal/soak/fleet/soak_test.go
@@ -74,8 +74,8 @@
 // call sends jobs until it is told to stop. Connections stay open from job to job.
 func (f *fleet) call(seed uint64, c int, stop <-chan struct{}) {
 	random := rand.New(rand.NewPCG(seed, uint64(100+c)))
-	client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{}}
-	defer client.CloseIdleConnections()
+	caller := standin.Caller{Client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{}}}
+	defer caller.Client.CloseIdleConnections()
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
@@ -83,9 +83,9 @@
 		case <-time.After(time.Duration(random.IntN(60)) * time.Millisecond):
 		}
 		id := fmt.Sprintf("%08x%02x%06x", uint32(seed), c, n)
-		f.caller(client, random, id, 1+random.IntN(5), standin.Payload{
+		f.run(caller, random, standin.Job{ID: id, Tasks: 1 + random.IntN(5), Payload: standin.Payload{
 			RunMs: 10 + int64(random.IntN(250)), MilliCores: taskCPU, Fail: random.IntN(200) == 0,
-		})
+		}})
 	}
 }
 
@@ -177,20 +177,18 @@
 func (f *fleet) checkRecovery() {
 	f.t.Helper()
 	limit := time.Now().Add(12 * time.Second)
-	client := &http.Client{Timeout: 4 * time.Second}
-	for i := range f.vms {
-		id := fmt.Sprintf("ffffffff%08x", i)
-		body := `{"task_spec":"{\"runMs\":20,\"milliCores\":14000}","best_effort":true,"steps":[{"count":2,"cpu":14000,"estimate_ms":20}]}`
-		for n := 0; ; n++ {
-			if f.post(client, f.vms[i], id, body) == http.StatusOK {
+	caller := standin.Caller{Client: &http.Client{Timeout: 4 * time.Second}}
+	for i, n := range f.vms {
+		for k := 0; ; k++ {
+			j := standin.Job{ID: fmt.Sprintf("ffffff%02x%08x", i, k), Tasks: 2, Payload: standin.Payload{RunMs: 20, MilliCores: taskCPU}}
+			if caller.Send(n.callers, j) == standin.Completed {
 				break
 			}
 			if time.Now().After(limit) {
-				f.t.Errorf("%s: got no job served within 12 s of the last fault, want one", f.vms[i].name)
+				f.t.Errorf("%s: got no job served within 12 s of the last fault, want one", n.name)
 				break
 			}
 			time.Sleep(resendAfter / 10)
-			id = fmt.Sprintf("ffffff%02x%08x", i, n)
 		}
 	}
 }
