--- a/internal/control/home/dispatch.go
+++ b/internal/control/home/dispatch.go
@@ -20,8 +20,7 @@
 	h.queue = slices.Insert(h.queue, at, w)
 }
 
-// byUrgency orders jobs: those that have begun hold room that is worth nothing until they
-// end, so they come first; then those that have to start first.
+// byUrgency orders jobs by the time by which they have to start.
 func byUrgency(a, b *work) int {
 	return cmp.Or(cmp.Compare(a.startBy, b.startBy), cmp.Compare(a.Key.Entry, b.Key.Entry), cmp.Compare(a.Key.Seq, b.Key.Seq))
 }
--- a/internal/control/home/times.go
+++ b/internal/control/home/times.go
@@ -10,8 +10,6 @@
 	Interest clock.Millis
 	// StopTakes is how long an endpoint takes to end a run that it was told to stop.
 	StopTakes clock.Millis
-	// Resend is how long after a broken connection a caller sends its job again.
-	Resend clock.Millis
 }
 
 const (
@@ -47,8 +45,6 @@
 	endUnheardFor = clock.Millis(50)
 	// lookEvery is how often an endpoint with overdue runs is asked for progress.
 	lookEvery = clock.Millis(80)
-	// tickEvery is the resolution of the home's own timers while it has work.
-	tickEvery = clock.Millis(10)
 )
 
 // DefaultTimes derives the times from the longest lease that endpoints give, the time
@@ -58,7 +54,6 @@
 		Lease:     min(leaseLongest, longestLease*6/10),
 		Interest:  clock.Millis(float64(resend) * interestShare),
 		StopTakes: stopTakes,
-		Resend:    resend,
 	}
 }
 
--- /dev/null
+++ b/internal/control/node/lineups.go
@@ -0,0 +1,271 @@
+package node
+
+import (
+	"slices"
+
+	"github.com/sequoiacart/sequoiacart/internal/control/home"
+	"github.com/sequoiacart/sequoiacart/internal/world/cell"
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// learn takes in a lineup. A home that is not in the first place of a later one has lost its
+// cell.
+func (n *Control) learn(l cell.Lineup) {
+	v := n.views[l.Cell]
+	if v == nil || !v.Learn(l, n.now) {
+		return
+	}
+	n.do(Report{What: LineupLearnt, Cell: l.Cell, Lineup: l})
+	h := n.homes[l.Cell]
+	if h == nil {
+		return
+	}
+	if len(l.Members) > 0 && l.Members[0].Incarnation == n.config.Self.Incarnation {
+		h.home.SetToken(l.Token(0))
+		v.Became(h.home.Token(), n.now)
+		return
+	}
+	n.lose(l.Cell)
+}
+
+// take makes this VM the home of a cell.
+func (n *Control) take(c cell.ID, l cell.Lineup, rank int) {
+	if n.shutdown || n.homes[c] != nil || !n.reaches(c) {
+		return
+	}
+	token := l.Token(rank)
+	n.homes[c] = &hosted{writtenAt: n.now, takenAt: n.now, savedAt: n.now, home: home.New(home.Config{
+		Cell: c, Token: token, Times: n.config.Times, FarFactor: n.config.FarFactor,
+		State: n.desired, Now: n.now,
+	})}
+	n.views[c].Became(token, n.now)
+	n.do(ReadExperience{Cell: c})
+	n.do(Report{What: HomeTaken, Cell: c, Lineup: l, Rank: rank, Token: token})
+	for o, load := range n.loads {
+		if o != c {
+			n.tell(c, home.LoadHeard{Load: load})
+		}
+	}
+	n.tellEndpoints(c)
+}
+
+// lose gives up a cell because somebody else is its home.
+func (n *Control) lose(c cell.ID) {
+	h := n.homes[c]
+	if h == nil {
+		return
+	}
+	delete(n.homes, c)
+	n.views[c].Lost(n.now)
+	n.do(Report{What: HomeLost, Cell: c, Token: h.home.Token()})
+	n.carryOut(c, h.home.GiveUp(n.now))
+}
+
+// claim tries to become home of a cell that has nobody.
+func (n *Control) claim(c cell.ID) {
+	if !n.reaches(c) {
+		return
+	}
+	l := n.views[c].Lineup()
+	n.do(WriteLineup{Lineup: cell.Lineup{Cell: c, Members: n.members(c)}, Expected: l.Revision})
+}
+
+// members are this VM and the VMs that are to stand in for it.
+func (n *Control) members(c cell.ID) []cell.Member {
+	members := []cell.Member{n.config.Self.Member}
+	var away []cell.Member
+	for _, v := range cell.Candidates(c, n.vms) {
+		if v.Incarnation == n.config.Self.Incarnation || n.heardAgo(v) > memberFresh {
+			continue
+		}
+		if v.DataCentre != c.DataCentre() {
+			away = append(away, v.Member)
+			continue
+		}
+		if len(members) < n.config.Successors {
+			members = append(members, v.Member)
+		}
+	}
+	// One successor outside takes over when the data centre loses all its VMs.
+	for _, m := range away {
+		if len(members) > n.config.Successors {
+			break
+		}
+		members = append(members, m)
+	}
+	return members
+}
+
+func (n *Control) heardAgo(v cell.VM) clock.Millis {
+	at, ok := n.heard[v.Incarnation]
+	if !ok {
+		return clock.Hour
+	}
+	return n.now - at
+}
+
+// tendLineup writes the lineup again when its successors have changed or this VM has taken
+// over from another.
+func (n *Control) tendLineup(c cell.ID, h *hosted) {
+	l := n.views[c].Lineup()
+	spacing := rewriteEvery
+	if h.home.Token() != l.Token(0) || len(l.Members) == 1 {
+		spacing = settleTime
+	}
+	if h.writing || h.yielding || n.shutdown || n.now-h.writtenAt < spacing {
+		return
+	}
+	want := n.members(c)
+	if slices.Equal(want, l.Members) {
+		h.writtenAt = n.now
+		return
+	}
+	h.writing, h.writtenAt = true, n.now
+	n.do(WriteLineup{Lineup: cell.Lineup{Cell: c, Members: want}, Expected: l.Revision})
+}
+
+// saveExperience writes what a home has learnt to the store, for the home after a restart.
+func (n *Control) saveExperience(c cell.ID, h *hosted) {
+	if n.now-h.savedAt < saveEvery || n.shutdown {
+		return
+	}
+	h.savedAt = n.now
+	n.do(WriteExperience{Cell: c, Experience: h.home.Experience()})
+}
+
+// saveEvery spaces writes of what a home has learnt; speeds hardly change.
+const saveEvery = 4 * clock.Second
+
+// returnCell hands a cell of another data centre to a VM inside once there is one.
+func (n *Control) returnCell(c cell.ID, h *hosted) {
+	if c.DataCentre() == n.config.Self.DataCentre || h.yielding || n.shutdown || h.writing || n.now-h.takenAt < returnAfter {
+		return
+	}
+	l := n.views[c].Lineup()
+	for _, v := range cell.Candidates(c, n.vms) {
+		if v.DataCentre == c.DataCentre() && n.heardAgo(v) <= memberFresh && l.Rank(v.Incarnation) > l.Rank(n.config.Self.Incarnation) {
+			h.yielding = true
+			n.do(SendYield{To: v.Member, Lineup: l, Endpoints: n.handOver(h), EndpointsVersion: n.endpointsVersion})
+			return
+		}
+	}
+}
+
+// returnAfter is how long a VM of another data centre keeps a cell at least, so that a cell
+// does not go back and forth while a data centre comes back.
+const returnAfter = 2 * clock.Second
+
+func (n *Control) lineupWritten(e LineupWritten) {
+	c := e.Lineup.Cell
+	if h := n.homes[c]; h != nil {
+		h.writing, h.writtenAt = false, n.now
+	}
+	if !e.Written {
+		return
+	}
+	wasHome := n.homes[c] != nil
+	n.learn(e.Lineup)
+	if !wasHome && n.views[c].Lineup().Revision == e.Lineup.Revision {
+		n.take(c, e.Lineup, 0)
+	}
+}
+
+// beginShutdown hands every cell of this VM to a successor.
+func (n *Control) beginShutdown() {
+	n.shutdown = true
+	for _, c := range n.cells {
+		if n.homes[c] != nil {
+			n.yield(c)
+		}
+	}
+}
+
+// yield asks the next successor that lives to take a cell over.
+func (n *Control) yield(c cell.ID) {
+	h := n.homes[c]
+	l := n.views[c].Lineup()
+	if h.lastAsked == 0 || h.askedUnder != l.Revision {
+		h.lastAsked, h.askedUnder = l.Rank(n.config.Self.Incarnation), l.Revision
+	}
+	for rank, m := range l.Members {
+		if at, ok := n.heard[m.Incarnation]; rank > h.lastAsked && ok && n.now-at <= memberFresh {
+			h.yielding, h.lastAsked = true, rank
+			n.do(SendYield{To: m, Lineup: l, Endpoints: n.handOver(h), EndpointsVersion: n.endpointsVersion})
+			return
+		}
+	}
+	n.do(Report{What: HomeYielded, Cell: c, Lineup: l, Rank: -1})
+	n.lose(c)
+}
+
+// handOver lists the endpoints that the next home has to know: those that are listed, and
+// those that are not any more but may have runs.
+func (n *Control) handOver(h *hosted) []endpoint.Endpoint {
+	all := slices.Clone(n.endpoints)
+	for _, e := range h.home.Endpoints() {
+		if !slices.ContainsFunc(all, func(o endpoint.Endpoint) bool { return o.ID == e.ID }) {
+			all = append(all, e)
+		}
+	}
+	return all
+}
+
+// mergeEndpoints takes in what the home before knows. Endpoints that only it knows are kept
+// like those that have vanished just now.
+func (n *Control) mergeEndpoints(e PeerYielded) {
+	if e.EndpointsVersion > n.endpointsVersion {
+		n.endpointsRead(EndpointsRead{Endpoints: e.Endpoints, Version: e.EndpointsVersion})
+		return
+	}
+	merged := slices.Clone(n.endpoints)
+	for _, o := range e.Endpoints {
+		if !slices.ContainsFunc(merged, func(m endpoint.Endpoint) bool { return m.ID == o.ID }) {
+			merged = append(merged, o)
+			n.vanished[o.ID] = n.now
+		}
+	}
+	n.endpoints = merged
+}
+
+func (n *Control) peerYielded(e PeerYielded) {
+	n.learn(e.Lineup)
+	c := e.Lineup.Cell
+	v := n.views[c]
+	if v == nil || n.shutdown || n.desired == nil {
+		e.Done <- false
+		return
+	}
+	l := v.Lineup()
+	rank := l.Rank(n.config.Self.Incarnation)
+	if rank < 0 {
+		e.Done <- false
+		return
+	}
+	n.mergeEndpoints(e)
+	n.take(c, l, rank)
+	if h := n.homes[c]; h != nil {
+		h.handedOver = true
+		n.tellEndpoints(c)
+	}
+	e.Done <- n.homes[c] != nil
+}
+
+// yieldEnded gives a cell up once a successor has it. A VM that shuts down asks the next one
+// otherwise; one that wanted to return the cell keeps it.
+func (n *Control) yieldEnded(e YieldEnded) {
+	h := n.homes[e.Cell]
+	if h == nil {
+		return
+	}
+	h.yielding = false
+	switch {
+	case e.Taken:
+		n.do(Report{What: HomeYielded, Cell: e.Cell, Lineup: n.views[e.Cell].Lineup()})
+		n.lose(e.Cell)
+	case n.shutdown:
+		n.yield(e.Cell)
+	default:
+		h.takenAt = n.now
+	}
+}
