--- a/pkg/app/node_command.go
+++ b/pkg/app/node_command.go
@@ -25,7 +25,7 @@
 SEQUOIACART_BOOT names, in this order of precedence. docs/node-settings.md lists them all.
 
 Example:
-  SEQUOIACART_BOOT=boot.toml sequoiacart node`
+  sequoiacart node --boot boot.toml`
 
 func newNodeCommand(stdout, stderr io.Writer) *ffcli.Command {
 	flags := flag.NewFlagSet("node", flag.ContinueOnError)
