--- a/internal/soak/fleet/fleet_test.go
+++ b/internal/soak/fleet/fleet_test.go
@@ -147,14 +147,29 @@
 	}
 }
 
+// lowestPort and ports are a range below the one from which the kernel takes ports for
+// listeners on port 0 and for outgoing connections. A port from there could be taken by a
+// relay between the moment when it is chosen and the start of the process that listens on it.
+// Each soak begins at a place of its own in the range and takes each port once.
+const lowestPort, ports, portsApart = 20000, 12000, 97
+
+var nextPort = os.Getpid() * portsApart
+
+// freeAddress returns an address that nobody listens on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range ports {
+		nextPort++
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+nextPort%ports)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return address
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Fatal("got no free port, want one")
+	return ""
 }
 
 func (f *fleet) addVM(name, dc, store string) {
@@ -213,7 +228,7 @@
 	for _, n := range f.vms {
 		for !standin.IsReady(n.ready) {
 			if time.Now().After(limit) {
-				f.t.Fatalf("%s: got no readiness within 15 s, want it", n.name)
+				f.t.Fatalf("%s: got no readiness within 15 s, want it; its log:\n%s", n.name, n.tail(20))
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
