Let jobs of a higher priority start first

Cause: the queue of a home went by the time by which jobs have to start and left out the priority that the operator declares. A job now comes before one of the next lower priority by 50 ms.

--- a/internal/control/home/admission.go
+++ b/internal/control/home/admission.go
@@ -109,8 +109,14 @@
 	span := h.state.Queue(w.queue).Objective(chain)
 	w.objective = w.arrived + span
 	w.startBy = w.objective - lateStart - clock.Millis(float64(chain)*startMargin/h.fastest())
+	w.turn = w.startBy + clock.Millis(h.state.Queue(w.queue).Priority)*headStart
 }
 
+// headStart is by how much a job comes before one of the next lower priority that has to start
+// at the same time. It is shorter than the 75 ms that the tightest jobs can wait, so that a job
+// of a lower priority comes first in the last moments before it has to start, and none starves.
+const headStart = clock.Millis(50)
+
 // startMargin is how much longer than expected the tasks of a job are allowed to take. Declared
 // times are off by 40 %, and a job that ends late is worth a fifth of one in time.
 const startMargin = 1.15
@@ -239,7 +245,7 @@
 	need := w.demand()
 	unit := w.tasks[0].stepOf().Demand
 	for _, o := range h.queue {
-		if o.startBy <= w.startBy {
+		if o.turn <= w.turn {
 			need += o.demand()
 		}
 	}
--- a/internal/control/home/dispatch.go
+++ b/internal/control/home/dispatch.go
@@ -10,19 +10,19 @@
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 )
 
-// enqueue puts a job with waiting tasks in its order: the one whose tasks have to start
-// first comes first.
+// enqueue puts a job with waiting tasks in its turn: by when its tasks have to start, and by
+// the priority of its queue.
 func (h *Home) enqueue(w *work) {
 	if w.answered || slices.Contains(h.queue, w) {
 		return
 	}
-	at, _ := slices.BinarySearchFunc(h.queue, w, byUrgency)
+	at, _ := slices.BinarySearchFunc(h.queue, w, byTurn)
 	h.queue = slices.Insert(h.queue, at, w)
 }
 
-// byUrgency orders jobs by the time by which they have to start.
-func byUrgency(a, b *work) int {
-	return cmp.Or(cmp.Compare(a.startBy, b.startBy), cmp.Compare(a.Key.Entry, b.Key.Entry), cmp.Compare(a.Key.Seq, b.Key.Seq))
+// byTurn orders jobs; names decide between equals, so that decisions can be repeated.
+func byTurn(a, b *work) int {
+	return cmp.Or(cmp.Compare(a.turn, b.turn), cmp.Compare(a.Key.Entry, b.Key.Entry), cmp.Compare(a.Key.Seq, b.Key.Seq))
 }
 
 func (h *Home) unqueue(w *work) {
--- a/internal/control/home/work.go
+++ b/internal/control/home/work.go
@@ -29,6 +29,8 @@
 	arrived, objective, limit clock.Millis
 	// startBy is the time until which its tasks have to start to meet the objective.
 	startBy clock.Millis
+	// turn orders the queue: startBy, later by headStart for each step of priority.
+	turn clock.Millis
 	// blamed are the endpoints that this job has counted a failure against.
 	blamed map[*place]bool
 }
