Divide wide jobs by the room that cells are about to give back

Homes now tell each other what is about to be free within 50 ms and, by priority, what waits for it; a job that would be refused is divided by it if every task finds room in time. Tests: TestWideJobIsDividedByWhatIsAboutToBeFree (failed first), TestLoadTellsWhatIsAboutToBeFree.

--- a/internal/control/home/admission.go
+++ b/internal/control/home/admission.go
@@ -1,12 +1,9 @@
 package home
 
 import (
-	"cmp"
 	"fmt"
-	"math"
 	"slices"
 
-	"github.com/sequoiacart/sequoiacart/internal/world/cell"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -92,7 +89,7 @@
 	}
 	load := h.Load(h.now)
 	n.Detail += fmt.Sprintf("tasks %d demand %d free %d waiting %d of %d mCPU, starts by %d ms, hops %d, cells with room %d told up to %d ms ago, desired state %d",
-		len(w.tasks), w.demand(), load.FreeCPU, load.WaitingCPU, load.TotalCPU, w.startBy-h.now, w.Hops, len(fresh), oldest, h.state.Version)
+		len(w.tasks), w.demand(), load.FreeCPU, load.WaitingCPU(), load.TotalCPU, w.startBy-h.now, w.Hops, len(fresh), oldest, h.state.Version)
 	h.do(n)
 }
 
@@ -185,17 +182,20 @@
 		}
 		return job.Refused{Reason: job.NoSuchEndpoint, RetryAfter: retryAfter}
 	}
-	wait, here := h.projectedWait(w)
-	if wait == 0 {
+	p := h.project(w)
+	if p.wait == 0 {
 		return nil
 	}
-	if o := h.elsewhere(w, here); o != nil {
+	if o := h.elsewhere(w, p.now); o != nil {
 		return o
 	}
-	if h.now+wait > w.startBy {
-		return job.Refused{Reason: job.NoRoomInTime, RetryAfter: retryAfter}
+	if h.now+p.wait <= w.startBy {
+		return nil
+	}
+	if o := h.elsewhereSoon(w, p.inTime); o != nil {
+		return o
 	}
-	return nil
+	return job.Refused{Reason: job.NoRoomInTime, RetryAfter: retryAfter}
 }
 
 // fits reports whether each step fits on some usable endpoint at all.
@@ -232,163 +232,6 @@
 	return sum
 }
 
-// freeing is room that a running task is expected to give back.
-type freeing struct {
-	at  clock.Millis
-	cpu job.MilliCores
-}
-
-// projectedWait is how long it takes until the job's tasks have room, behind the jobs that
-// come before it, and how many of them have room now. Room that is too small for another task
-// is left out.
-func (h *Home) projectedWait(w *work) (wait clock.Millis, now int) {
-	need := w.demand()
-	unit := w.tasks[0].stepOf().Demand
-	for _, o := range h.queue {
-		if o.turn <= w.turn {
-			need += o.demand()
-		}
-	}
-	var frees []freeing
-	for _, p := range h.ordered {
-		if p.usable(h.now) {
-			need -= unit.CPU * times(p.free, unit)
-		}
-	}
-	if need <= 0 {
-		return 0, len(w.tasks)
-	}
-	if unit.CPU > 0 {
-		now = max(0, len(w.tasks)-int((need+unit.CPU-1)/unit.CPU))
-	}
-	for _, p := range h.ordered {
-		if p.Draining || p.missing || p.unanswered > 0 {
-			continue
-		}
-		for _, t := range p.tasks {
-			frees = append(frees, freeing{at: max(t.startedAt+t.expected, h.now+1), cpu: t.stepOf().Demand.CPU})
-		}
-	}
-	slices.SortFunc(frees, func(a, b freeing) int { return cmp.Compare(a.at, b.at) })
-	var last clock.Millis
-	for _, f := range frees {
-		need -= f.cpu
-		last = f.at - h.now
-		if need <= 0 {
-			return last, now
-		}
-	}
-	if last == 0 {
-		return clock.Minute, now
-	}
-	// All that runs now has to end and more: the rest takes its share of further rounds.
-	return 2*last + 1, now
-}
-
-// times is how many tasks of the demand fit into the room.
-func times(room, demand job.Room) job.MilliCores {
-	n := math.MaxInt32
-	if demand.CPU > 0 {
-		n = min(n, int(max(room.CPU, 0)/demand.CPU))
-	}
-	if demand.Memory > 0 {
-		n = min(n, int(max(room.Memory, 0)/demand.Memory))
-	}
-	if demand.Accelerators > 0 {
-		n = min(n, int(max(room.Accelerators, 0)/demand.Accelerators))
-	}
-	if n == math.MaxInt32 {
-		return 0
-	}
-	return job.MilliCores(n)
-}
-
-// elsewhere finds room for a job in other cells: in one of them for the whole job, or else
-// for what has no room here. Nothing is returned unless all tasks can start at once.
-func (h *Home) elsewhere(w *work, here int) job.Outcome {
-	if w.Hops >= hopsMost || w.started {
-		return nil
-	}
-	cells := h.spareCells()
-	unit := w.tasks[0].stepOf().Demand.CPU
-	if len(cells) == 0 || unit <= 0 {
-		return nil
-	}
-	if cells[0].spare() >= int64(w.demand())*roomFactor {
-		cells[0].FreeCPU -= int64(w.demand())
-		return job.Redirected{To: cells[0].Cell}
-	}
-	if len(w.Job.Steps) != 1 {
-		return nil
-	}
-	var shares []job.Share
-	if here > 0 {
-		shares = append(shares, job.Share{Cell: h.config.Cell, Tasks: here})
-	}
-	left := len(w.tasks) - here
-	for _, c := range cells {
-		n := min(left, int(float64(c.spare())*divideShare/float64(unit)))
-		if n <= 0 {
-			continue
-		}
-		shares = append(shares, job.Share{Cell: c.Cell, Tasks: n})
-		left -= n
-	}
-	if left > 0 {
-		return nil
-	}
-	for _, s := range shares {
-		if l := h.others[s.Cell]; l != nil {
-			l.FreeCPU -= int64(unit) * int64(s.Tasks)
-		}
-	}
-	return job.Divided{Shares: shares}
-}
-
-// divideShare is the part of another cell's free room that tasks can use: endpoints have
-// rests that are too small for a task, and others see the same room.
-const divideShare = 0.6
-
-// otherLoad is the load of another cell.
-type otherLoad struct{ *cell.Load }
-
-func (l otherLoad) spare() int64 { return l.FreeCPU - l.WaitingCPU }
-
-// spareCells lists the other cells with fresh figures, those with most room first.
-func (h *Home) spareCells() []otherLoad {
-	var cells []otherLoad
-	for _, l := range h.others {
-		if h.now-l.At <= loadFresh && l.FreeCPU > l.WaitingCPU {
-			cells = append(cells, otherLoad{l})
-		}
-	}
-	slices.SortFunc(cells, func(a, b otherLoad) int {
-		return cmp.Or(cmp.Compare(b.spare(), a.spare()), cmp.Compare(a.Cell, b.Cell))
-	})
-	return cells
-}
-
-// loadFresh is how old the figures of another cell may be; they come every 100 ms.
-const loadFresh = clock.Millis(350)
-
-// Load returns what other homes need to know.
-func (h *Home) Load(now clock.Millis) cell.Load {
-	l := cell.Load{Cell: h.config.Cell, At: now}
-	for _, p := range h.ordered {
-		if p.Draining || p.missing {
-			continue
-		}
-		l.TotalCPU += int64(p.Capacity.CPU)
-		if p.usable(now) {
-			l.FreeCPU += int64(p.free.CPU)
-		}
-	}
-	for _, w := range h.queue {
-		l.WaitingCPU += int64(w.demand())
-	}
-	return l
-}
-
 // Endpoints returns all endpoints where this home may have runs, those that have vanished
 // from the list among them.
 func (h *Home) Endpoints() []endpoint.Endpoint {
--- a/internal/control/home/order_test.go
+++ b/internal/control/home/order_test.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"testing"
 
+	"github.com/sequoiacart/sequoiacart/internal/world/cell"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -115,3 +116,70 @@
 		t.Errorf("plain jobs served: got %d of 100, want at least %d", got, want)
 	}
 }
+
+// Pattern: a wide urgent job comes at the crest, when no cell has room for it and all cells
+// together are about to give back enough. Guards against a refusal although every task could
+// start in time.
+func TestWideJobIsDividedByWhatIsAboutToBeFree(t *testing.T) {
+	tests := []struct {
+		name   string
+		others []cell.Load
+		want   string
+	}{
+		{"two cells are about to have room", []cell.Load{
+			{Cell: "norte", TotalCPU: 384_000, SoonCPU: 140_000},
+			{Cell: "sur", TotalCPU: 384_000, SoonCPU: 140_000},
+		}, "job.Divided"},
+		{"urgent jobs wait for that room already", []cell.Load{
+			{Cell: "norte", TotalCPU: 384_000, SoonCPU: 140_000, Waiting: []cell.Waiting{{Priority: 0, CPU: 140_000}}},
+			{Cell: "sur", TotalCPU: 384_000, SoonCPU: 140_000, Waiting: []cell.Waiting{{Priority: 0, CPU: 140_000}}},
+		}, "refused noRoomInTime"},
+		{"only jobs that come after it wait there", []cell.Load{
+			{Cell: "norte", TotalCPU: 384_000, SoonCPU: 140_000, Waiting: []cell.Waiting{{Priority: 1, CPU: 140_000}}},
+			{Cell: "sur", TotalCPU: 384_000, SoonCPU: 140_000, Waiting: []cell.Waiting{{Priority: 1, CPU: 140_000}}},
+		}, "job.Divided"},
+		{"nobody else has room", nil, "refused noRoomInTime"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newPrioritizedWorld(t, 4)
+			for seq := uint64(1); seq <= 4; seq++ {
+				w.submitPlain(seq, 2)
+				w.advance(5)
+			}
+			w.advance(20)
+			for _, l := range tt.others {
+				l.At = w.now
+				w.tell(1, LoadHeard{Load: l})
+			}
+			w.submitUrgent(firstUrgent, 12)
+			if got := w.outcome(firstUrgent); got != tt.want {
+				t.Errorf("got %s, want %s", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against a home that does not tell others what it is about to give back.
+func TestLoadTellsWhatIsAboutToBeFree(t *testing.T) {
+	w := newPrioritizedWorld(t, 2)
+	w.submitPlain(1, 4)
+	w.advance(60)
+	w.submitPlain(2, 2)
+	w.advance(40)
+	before := w.homes[1].home.Load(w.now)
+	w.advance(30)
+	after := w.homes[1].home.Load(w.now)
+	if got, want := before.SoonCPU, int64(0); got != want {
+		t.Errorf("70 ms before the ends: got %d, want %d", got, want)
+	}
+	if got, want := after.SoonCPU, int64(4*14_000); got != want {
+		t.Errorf("40 ms before the ends: got %d, want %d", got, want)
+	}
+	if got, want := after.WaitingBefore(1), int64(2*14_000); got != want {
+		t.Errorf("waiting: got %d, want %d", got, want)
+	}
+	if got, want := after.WaitingBefore(0), int64(0); got != want {
+		t.Errorf("waiting for the first priority: got %d, want %d", got, want)
+	}
+}
--- a/internal/world/cell/cell.go
+++ b/internal/world/cell/cell.go
@@ -50,14 +50,59 @@
 	return slices.IndexFunc(l.Members, func(m Member) bool { return m.Incarnation == i })
 }
 
+// SoonSpan is how far SoonCPU of a Load looks ahead. The tightest jobs of both deployments have
+// to start within 90 ms; the rest is for figures that are up to 100 ms old.
+const SoonSpan = clock.Millis(50)
+
+// Waiting is the processor capacity, in thousandths of a core, that queued tasks of a
+// priority ask for.
+type Waiting struct {
+	Priority int
+	CPU      int64
+}
+
 // Load is what a home tells others of its cell.
 type Load struct {
 	Cell ID
 	// FreeCPU is unused processor capacity of usable endpoints, in thousandths of a core;
 	// TotalCPU is all of it.
 	FreeCPU, TotalCPU int64
-	// WaitingCPU is the capacity that queued tasks ask for.
-	WaitingCPU int64
+	// SoonCPU is used capacity that is expected to be free within SoonSpan.
+	SoonCPU int64
+	// Waiting is the capacity that queued tasks ask for, by the priority of their queues.
+	Waiting []Waiting
 	// At is when the figures were received, by the clock of the VM that has them.
 	At clock.Millis
 }
+
+// WaitingCPU is the capacity that all queued tasks ask for.
+func (l *Load) WaitingCPU() int64 {
+	var sum int64
+	for _, w := range l.Waiting {
+		sum += w.CPU
+	}
+	return sum
+}
+
+// WaitingBefore is the capacity that queued tasks ask for which come before or with tasks of
+// the priority.
+func (l *Load) WaitingBefore(priority int) int64 {
+	var sum int64
+	for _, w := range l.Waiting {
+		if w.Priority <= priority {
+			sum += w.CPU
+		}
+	}
+	return sum
+}
+
+// AddWaiting adds queued tasks of a priority.
+func (l *Load) AddWaiting(priority int, cpu int64) {
+	for i := range l.Waiting {
+		if l.Waiting[i].Priority == priority {
+			l.Waiting[i].CPU += cpu
+			return
+		}
+	}
+	l.Waiting = append(l.Waiting, Waiting{Priority: priority, CPU: cpu})
+}
