Move cells to much stronger VMs, and let them start before the first claim

Cause: on the grown sites the first VM to start claimed its cell, often one of 0.48 or 0.144 of a core beside two of 0.8, and kept it. The first claim of a cell now waits 400 ms for others to start, and a home hands its cell to a VM of 1.5 times its processor or more. Tests: TestCellMovesToAMuchStrongerVM (failed first).

--- a/internal/control/node/lineups.go
+++ b/internal/control/node/lineups.go
@@ -137,14 +137,16 @@
 // saveEvery spaces writes of what a home has learnt; speeds hardly change.
 const saveEvery = 4 * clock.Second
 
-// returnCell hands a cell of another data centre to a VM inside once there is one.
-func (n *Control) returnCell(c cell.ID, h *hosted) {
-	if c.DataCentre() == n.config.Self.DataCentre || h.yielding || n.shutdown || h.writing || n.now-h.takenAt < returnAfter {
+// moveCell hands a cell to a successor that suits much better: a VM inside the data centre if
+// this one is outside, or one with far more processor, so that a small VM which was there first
+// does not carry a cell at the crest.
+func (n *Control) moveCell(c cell.ID, h *hosted) {
+	if h.yielding || n.shutdown || h.writing || n.now-h.takenAt < moveAfter {
 		return
 	}
 	l := n.views[c].Lineup()
 	for _, v := range cell.Candidates(c, n.vms) {
-		if v.DataCentre == c.DataCentre() && n.heardAgo(v) <= memberFresh && l.Rank(v.Incarnation) > l.Rank(n.config.Self.Incarnation) {
+		if n.suitsBetter(c, v) && n.heardAgo(v) <= memberFresh && l.Rank(v.Incarnation) > l.Rank(n.config.Self.Incarnation) {
 			h.yielding = true
 			n.do(SendYield{To: v.Member, Lineup: l, Endpoints: n.handOver(h), EndpointsVersion: n.endpointsVersion})
 			return
@@ -152,9 +154,23 @@
 	}
 }
 
-// returnAfter is how long a VM of another data centre keeps a cell at least, so that a cell
-// does not go back and forth while a data centre comes back.
-const returnAfter = 2 * clock.Second
+func (n *Control) suitsBetter(c cell.ID, v cell.VM) bool {
+	if v.DataCentre != c.DataCentre() {
+		return false
+	}
+	self := &n.config.Self
+	return self.DataCentre != c.DataCentre() || float64(v.CPU) >= muchStronger*float64(self.CPU)
+}
+
+const (
+	// moveAfter is how long a home keeps a cell at least, so that a cell does not go back and
+	// forth while a data centre comes back.
+	moveAfter = 2 * clock.Second
+	// muchStronger is how many times the processor of its home a VM must have to be worth the
+	// move, during which jobs of the cell wait some milliseconds. The sizes of a deployment
+	// differ by 1.6 times and more.
+	muchStronger = 1.5
+)
 
 func (n *Control) lineupWritten(e LineupWritten) {
 	c := e.Lineup.Cell
--- a/internal/control/node/membership.go
+++ b/internal/control/node/membership.go
@@ -18,6 +18,9 @@
 	// settleTime is how long a home waits before it writes its first lineup, so that the
 	// others have sent a beat.
 	settleTime = clock.Millis(400)
+	// gatherPause is how long the first claim of a cell waits for stronger VMs to appear: all VMs
+	// of a deployment start within 300 ms, and callers come seconds later.
+	gatherPause = clock.Millis(400)
 	// fetchEvery spaces questions to peers for what the store should have told.
 	fetchEvery = clock.Millis(200)
 	// endpointsStale is how old the list of endpoints may become before a peer is asked: the
@@ -36,7 +39,7 @@
 		n.tell(c, home.Tick{})
 		if h = n.homes[c]; h != nil {
 			n.tendLineup(c, h)
-			n.returnCell(c, h)
+			n.moveCell(c, h)
 			n.saveExperience(c, h)
 			n.loads[c] = h.home.Load(n.now)
 		}
@@ -111,6 +114,9 @@
 		return -1
 	}
 	pause := clock.Millis(place) * succession.ClaimPause
+	if n.views[c].Lineup().Revision == 0 {
+		pause += gatherPause
+	}
 	if n.config.Self.DataCentre != c.DataCentre() {
 		pause += succession.AwayPause
 	}
--- a/internal/control/node/node_test.go
+++ b/internal/control/node/node_test.go
@@ -103,10 +103,15 @@
 	return found
 }
 
-// Guards against a cell that nobody claims, and against claims that do not name the VMs that
-// live as successors.
+// Guards against a cell that nobody claims, against one that is claimed for the first time
+// before stronger VMs have started, and against claims that do not name the VMs that live as
+// successors.
 func TestClaimOfACellWithoutHome(t *testing.T) {
 	b := newBench(t)
+	b.wait(gatherPause)
+	if writes := find[WriteLineup](b); len(writes) != 0 {
+		t.Fatalf("got writes %+v while VMs start, want none", writes)
+	}
 	b.hear(member("centro", "peer-1"), "centro")
 	b.wait(200)
 	writes := find[WriteLineup](b)
@@ -165,6 +170,32 @@
 	}
 }
 
+// Guards against a small VM that carries a cell although a much stronger one stands by, and
+// against cells that move between VMs of nearly the same size.
+func TestCellMovesToAMuchStrongerVM(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		cpu   int
+		moves bool
+	}{{"twice as strong", 800, true}, {"a little stronger", 500, false}} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := homeOfCentro(t)
+			v := member("centro", "peer-1")
+			v.CPU = tt.cpu
+			b.do(VMsRead{VMs: []cell.VM{member("centro", "me-1"), v, member("norte", "n-1")}})
+			for range 30 {
+				b.hear(v, "centro")
+				b.hear(member("norte", "n-1"), "centro")
+				b.wait(100)
+			}
+			yields := find[SendYield](b)
+			if moved := len(yields) > 0 && yields[0].To.Incarnation == "peer-1"; moved != tt.moves {
+				t.Errorf("got yields %+v, want one to the VM inside: %v", yields, tt.moves)
+			}
+		})
+	}
+}
+
 // Guards against tasks that start again although an earlier home may run them at an endpoint
 // whose entry has lapsed.
 func TestVanishedEndpointsAreKeptForAWhile(t *testing.T) {
