Let VMs that start without the store learn from seeds

Cause: a process that starts while the store is away, or turns it away, knew nobody: it had no desired state, no lineups and no list of endpoints, and refused its callers until the store was back. The settings' seeds were not used. Such a VM now asks the seeds in turn for all they know, until it knows a desired state, the VMs and a lineup. What the store has told is never set back by it. Nothing changes while the store answers within 100 ms of the start.

--- a/internal/control/node/action.go
+++ b/internal/control/node/action.go
@@ -71,6 +71,9 @@
 	Endpoints []endpoint.Endpoint
 }
 
+// AskSeed asks a VM of which only the address is known for all that it knows.
+type AskSeed struct{ Address string }
+
 // FetchDesired asks a peer for its desired state.
 type FetchDesired struct{ From cell.Member }
 
@@ -116,6 +119,7 @@
 func (ReadExperience) action()  {}
 func (WriteExperience) action() {}
 func (Probe) action()           {}
+func (AskSeed) action()         {}
 func (FetchDesired) action()    {}
 func (FetchEndpoints) action()  {}
 func (Report) action()          {}
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -27,7 +27,10 @@
 	FarFactor   float64
 	// Successors is how many VMs stand in for a home.
 	Successors int
-	Now        clock.Millis
+	// Seeds are the addresses of some VMs, this one perhaps among them, to be asked while the
+	// store is away.
+	Seeds []string
+	Now   clock.Millis
 }
 
 // Control is the control state. It belongs to one goroutine.
@@ -61,6 +64,9 @@
 	peers   map[job.Key]chan<- job.Outcome
 
 	fetchedAt clock.Millis
+	// seeds are asked in turn; the next is due at askSeedAt.
+	seeds     []string
+	askSeedAt clock.Millis
 	// shutdown says that the VM hands over and takes nothing new.
 	shutdown bool
 	actions  []Action
@@ -97,6 +103,8 @@
 		n.views[id] = succession.NewView(c.Self.Incarnation, id, c.Now)
 	}
 	slices.Sort(n.cells)
+	n.seeds = slices.DeleteFunc(slices.Clone(c.Seeds), func(a string) bool { return a == c.Self.Address })
+	n.askSeedAt = c.Now + askSeedAfter
 	n.front = front.New(front.Config{Self: c.Self.Incarnation, Homes: n, Homeless: homeless})
 	return n
 }
@@ -145,6 +153,10 @@
 		n.lineupWritten(e)
 	case ExperienceRead:
 		n.tell(e.Cell, home.Remembered{Experience: e.Experience})
+	case PeerIntroduced:
+		e.Reply <- n.introduction()
+	case SeedAnswered:
+		n.seedAnswered(e.Introduction)
 	case ProbeEnded:
 		n.probeEnded(e)
 	case ShutdownRequested:
--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -112,6 +112,25 @@
 	Experience experience.Experience
 }
 
+// Introduction is all that a VM has to know of a deployment: what it reads from the store, or
+// asks a peer for while the store is away.
+type Introduction struct {
+	Desired          *queue.State
+	VMs              []cell.VM
+	Lineups          []cell.Lineup
+	Endpoints        []endpoint.Endpoint
+	EndpointsVersion int64
+}
+
+// PeerIntroduced asks for all that this VM knows.
+type PeerIntroduced struct {
+	// Reply has room for one.
+	Reply chan<- Introduction
+}
+
+// SeedAnswered is what a seed knows.
+type SeedAnswered struct{ Introduction Introduction }
+
 // ProbeEnded says whether endpoints of a cell can be reached.
 type ProbeEnded struct {
 	Cell    cell.ID
@@ -141,6 +160,8 @@
 func (LineupsRead) event()       {}
 func (LineupWritten) event()     {}
 func (ExperienceRead) event()    {}
+func (PeerIntroduced) event()    {}
+func (SeedAnswered) event()      {}
 func (ProbeEnded) event()        {}
 func (ShutdownRequested) event() {}
 func (Tick) event()              {}
--- /dev/null
+++ b/internal/control/node/introduction.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+const (
+	// askSeedAfter is how long after its start a VM leaves it to the store to tell what there
+	// is; reading all tables takes some 20 ms.
+	askSeedAfter = clock.Millis(100)
+	// askSeedEvery spaces questions to seeds; a VM that does not answer is waited for for
+	// 150 ms.
+	askSeedEvery = clock.Millis(200)
+)
+
+// askSeeds asks the seeds in turn until this VM knows the deployment, from them or the store.
+func (n *Control) askSeeds() {
+	if len(n.seeds) == 0 || n.now < n.askSeedAt || n.introduced() {
+		return
+	}
+	n.do(AskSeed{Address: n.seeds[0]})
+	n.seeds = append(n.seeds[1:], n.seeds[0])
+	n.askSeedAt = n.now + askSeedEvery
+}
+
+// introduced reports whether this VM knows a desired state and the homes of cells.
+func (n *Control) introduced() bool {
+	if n.desired == nil || len(n.vms) == 0 {
+		return false
+	}
+	for _, c := range n.cells {
+		if l := n.views[c].Lineup(); l.Revision > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// introduction is all that this VM knows.
+func (n *Control) introduction() Introduction {
+	i := Introduction{Desired: n.desired, VMs: n.vms, Endpoints: n.endpoints, EndpointsVersion: n.endpointsVersion}
+	for _, c := range n.cells {
+		if l := n.views[c].Lineup(); l.Revision > 0 {
+			i.Lineups = append(i.Lineups, l)
+		}
+	}
+	return i
+}
+
+// seedAnswered takes in what a seed knows, as far as this VM does not know it already. The store
+// may have answered meanwhile.
+func (n *Control) seedAnswered(i Introduction) {
+	if i.Desired != nil {
+		n.desiredRead(i.Desired)
+	}
+	if len(n.vms) == 0 && len(i.VMs) > 0 {
+		n.vmsRead(i.VMs)
+	}
+	if i.EndpointsVersion > n.endpointsVersion {
+		n.endpointsRead(EndpointsRead{Endpoints: i.Endpoints, Version: i.EndpointsVersion})
+	}
+	for _, l := range i.Lineups {
+		n.learn(l)
+	}
+}
--- a/internal/control/node/membership.go
+++ b/internal/control/node/membership.go
@@ -45,6 +45,7 @@
 		}
 	}
 	n.dropVanished()
+	n.askSeeds()
 	n.front.Tick(n.now)
 	n.shareLoads()
 }
--- a/internal/link/peer/client.go
+++ b/internal/link/peer/client.go
@@ -16,6 +16,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
 // Dialer opens connections to peers.
@@ -88,10 +89,22 @@
 // Desired asks a peer for its desired state, which may be none.
 func (c *Client) Desired(from cell.Member) (*queue.State, error) {
 	r := &DesiredReply{}
-	if err := c.call(from, "Desired", Empty{}, r, c.config.Timeout); err != nil || r.Version == 0 {
+	if err := c.call(from, "Desired", Empty{}, r, c.config.Timeout); err != nil {
 		return nil, err
 	}
-	return queue.NewState(r.Version, r.Queues, r.Services, r.Limits), nil
+	return decodeDesired(r), nil
+}
+
+// Introduce asks a VM of which only the address is known for all that it knows.
+func (c *Client) Introduce(address string) (node.Introduction, error) {
+	r := &IntroductionReply{}
+	if err := c.call(cell.Member{Incarnation: vm.Incarnation(address), Address: address}, "Introduce", Empty{}, r, c.config.Timeout); err != nil {
+		return node.Introduction{}, err
+	}
+	return node.Introduction{
+		Desired: decodeDesired(&r.Desired), VMs: r.VMs, Lineups: r.Lineups,
+		Endpoints: r.Endpoints.Endpoints, EndpointsVersion: r.Endpoints.Version,
+	}, nil
 }
 
 // Endpoints asks a peer for its list of endpoints.
--- a/internal/link/peer/server.go
+++ b/internal/link/peer/server.go
@@ -139,12 +139,24 @@
 
 // Desired returns the desired state in force here.
 func (s *service) Desired(_ Empty, reply *DesiredReply) error {
-	if d := s.config.Local.Desired(); d != nil {
-		*reply = DesiredReply{Version: d.Version, Queues: d.Queues, Services: d.Services, Limits: d.Limits}
-	}
+	*reply = encodeDesired(s.config.Local.Desired())
 	return nil
 }
 
+// Introduce returns all that this VM knows of the deployment.
+func (s *service) Introduce(_ Empty, reply *IntroductionReply) error {
+	answer := make(chan node.Introduction, 1)
+	if !s.config.Local.Post(node.PeerIntroduced{Reply: answer}) {
+		return errShutDown
+	}
+	i, err := await(answer, s.config.ControlTimeout)
+	*reply = IntroductionReply{
+		Desired: encodeDesired(i.Desired), VMs: i.VMs, Lineups: i.Lineups,
+		Endpoints: EndpointsReply{Endpoints: i.Endpoints, Version: i.EndpointsVersion},
+	}
+	return err
+}
+
 // Endpoints returns this VM's list of endpoints.
 func (s *service) Endpoints(_ Empty, reply *EndpointsReply) error {
 	reply.Endpoints, reply.Version = s.config.Local.Endpoints()
--- a/internal/link/peer/wire.go
+++ b/internal/link/peer/wire.go
@@ -112,6 +112,28 @@
 	Version   int64
 }
 
+// IntroductionReply is all that a VM knows of a deployment.
+type IntroductionReply struct {
+	Desired   DesiredReply
+	VMs       []cell.VM
+	Lineups   []cell.Lineup
+	Endpoints EndpointsReply
+}
+
+func encodeDesired(d *queue.State) DesiredReply {
+	if d == nil {
+		return DesiredReply{}
+	}
+	return DesiredReply{Version: d.Version, Queues: d.Queues, Services: d.Services, Limits: d.Limits}
+}
+
+func decodeDesired(r *DesiredReply) *queue.State {
+	if r.Version == 0 {
+		return nil
+	}
+	return queue.NewState(r.Version, r.Queues, r.Services, r.Limits)
+}
+
 // BeatRequest is sent as it is: it holds plain types with names.
 type BeatRequest = node.BeatRequest
 
--- a/internal/process/daemon/journal.go
+++ b/internal/process/daemon/journal.go
@@ -193,6 +193,15 @@
 	})
 }
 
+// introduced logs what a seed has told this VM.
+func (j *journal) introduced(seed string, i node.Introduction) {
+	fields := logrus.Fields{"seed": seed, "vms": len(i.VMs), "lineups": len(i.Lineups), "endpoints": len(i.Endpoints), "endpointsVersion": i.EndpointsVersion}
+	if i.Desired != nil {
+		fields["desired"] = i.Desired.Version
+	}
+	j.write(func() { j.log.Info(event.SeedAnswered, "seed answered", fields) })
+}
+
 func (j *journal) started(fields logrus.Fields) {
 	j.log.Info(event.VMStarted, "VM started", fields)
 }
--- a/internal/process/daemon/traffic.go
+++ b/internal/process/daemon/traffic.go
@@ -59,6 +59,8 @@
 		go t.writeExperience(a)
 	case node.Probe:
 		go t.probe(a)
+	case node.AskSeed:
+		go t.askSeed(a)
 	case node.FetchDesired:
 		go t.fetchDesired(a)
 	case node.FetchEndpoints:
@@ -222,6 +224,17 @@
 	t.loop.Post(ended)
 }
 
+func (t *traffic) askSeed(a node.AskSeed) {
+	i, err := t.peers.Introduce(a.Address)
+	t.meter.Count("seeds.asked")
+	if err != nil {
+		t.journal.callFailed("ask seed", a.Address, err)
+		return
+	}
+	t.journal.introduced(a.Address, i)
+	t.loop.Post(node.SeedAnswered{Introduction: i})
+}
+
 func (t *traffic) fetchDesired(a node.FetchDesired) {
 	s, err := t.peers.Desired(a.From)
 	if err != nil {
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -5,6 +5,7 @@
 	"flag"
 	"io"
 	"net"
+	"slices"
 	"strings"
 
 	"github.com/juju/errors"
@@ -27,6 +28,8 @@
 	// AdvertisedPeers is where other VMs reach Peers, if not there.
 	AdvertisedPeers string
 	Store           string
+	// Seeds are addresses for peers of some other VMs, for a start while the store is away.
+	Seeds []string
 
 	// ProcessorShare is the part of a core that the VM has; MemoryMB is its memory.
 	ProcessorShare float64
@@ -66,14 +69,20 @@
 	}
 	text((*string)(&s.VM), "vm", "`name` of this VM")
 	text((*string)(&s.DataCentre), "dataCentre", "`name` of this VM's data centre")
-	flags.Func("dataCentres", "`names` of all data centres, separated by commas", func(v string) error {
+	list := func(name, use string, set func([]string)) {
+		flags.Func(name, use, func(v string) error {
+			set(slices.DeleteFunc(strings.Split(v, ","), func(w string) bool { return w == "" }))
+			return nil
+		})
+	}
+	list("dataCentres", "`names` of all data centres, separated by commas", func(names []string) {
 		s.DataCentres = nil
-		for _, dc := range strings.Split(v, ",") {
-			if dc != "" {
-				s.DataCentres = append(s.DataCentres, datacentre.ID(dc))
-			}
+		for _, dc := range names {
+			s.DataCentres = append(s.DataCentres, datacentre.ID(dc))
 		}
-		return nil
+	})
+	list("seeds", "`addresses` for peers of other VMs, separated by commas, asked while the store is away", func(addresses []string) {
+		s.Seeds = addresses
 	})
 	text(&s.Callers, "listen.callers", "`address` for callers")
 	text(&s.Ready, "listen.ready", "`address` for the load balancer's checks")
@@ -120,6 +129,11 @@
 			return errors.NotValidf("check settings: key %s: %q is not host:port; it", n.key, n.value)
 		}
 	}
+	for _, a := range s.Seeds {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			return errors.NotValidf("check settings: key seeds: %q is not host:port; it", a)
+		}
+	}
 	found := false
 	for _, dc := range s.DataCentres {
 		found = found || dc == s.DataCentre
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -16,6 +16,7 @@
 const whole = `vm = "front-1"
 dataCentre = "centro"
 dataCentres = ["centro", "norte"]
+seeds = ["10.0.0.2:3", "10.0.0.3:3"]
 [listen]
 callers = "10.0.0.1:1"
 ready = "10.0.0.1:2"
@@ -58,8 +59,8 @@
 	if len(s.DataCentres) != 2 || s.DataCentres[1] != "norte" {
 		t.Errorf("got data centres %v, want centro and norte", s.DataCentres)
 	}
-	got := []any{string(s.VM), s.Peers, s.ProcessorShare, s.MemoryMB, s.Resend, s.StopTakes, s.Successors}
-	want := []any{"front-1", "10.0.0.1:3", 0.4, 144, clock.Millis(1500), clock.Millis(50), 2}
+	got := []any{string(s.VM), s.Peers, s.ProcessorShare, s.MemoryMB, s.Resend, s.StopTakes, s.Successors, len(s.Seeds)}
+	want := []any{"front-1", "10.0.0.1:3", 0.4, 144, clock.Millis(1500), clock.Millis(50), 2, 2}
 	for i := range want {
 		if got[i] != want[i] {
 			t.Errorf("value %d: got %v, want %v", i, got[i], want[i])
@@ -74,6 +75,7 @@
 		"unknown key":          {`vm = "front-1"`, "vm = \"front-1\"\ncolour = 1", "colour"},
 		"no name":              {`vm = "front-1"`, `vm = ""`, "vm"},
 		"address without port": {`"10.0.0.1:3"`, `"10.0.0.1"`, "listen.peers"},
+		"seed without port":    {`"10.0.0.2:3"`, `"10.0.0.2"`, "seeds"},
 		"data centre missing":  {`["centro", "norte"]`, `["norte"]`, "dataCentres"},
 		"no memory":            {"memoryMB = 284", "memoryMB = 0", "machine.memoryMB"},
 		"text for a number":    {"memoryMB = 284", `memoryMB = "much"`, "machine.memoryMB"},
@@ -113,7 +115,7 @@
 		t.Fatal(err)
 	}
 	filled := strings.NewReplacer(
-		`[{{#zones}}"{{@}}"{{,}}{{/zones}}]`, `["a", "b"]`, "{{zone}}", "a", "{{node_name}}", "vm-1", "{{ip}}", "10.0.0.1",
+		`[{{#zones}}"{{@}}"{{,}}{{/zones}}]`, `["a", "b"]`, `[{{#seeds}}"{{.}}"{{,}}{{/seeds}}]`, `["10.0.0.2:3", "10.0.0.3:3"]`, "{{zone}}", "a", "{{node_name}}", "vm-1", "{{ip}}", "10.0.0.1",
 		"{{listen_addrs.front}}", "10.0.0.1:1", "{{listen_addrs.ready}}", "10.0.0.1:2", "{{listen_addrs.control}}", "10.0.0.1:3",
 		"{{platform.address}}", "10.0.0.9:4", "{{limits.cpu_share}}", "0.4", "{{limits.memory_mb}}", "284",
 		"{{bounds.hold_max_ms}}", "1000", "{{bounds.stop_ms}}", "50", "{{bounds.retransmit_ms}}", "1300",
--- a/internal/soak/fleet/fleet_test.go
+++ b/internal/soak/fleet/fleet_test.go
@@ -176,9 +176,14 @@
 	n := &node{name: name, dc: dc, callers: freeAddress(f.t), ready: freeAddress(f.t), peers: freeAddress(f.t)}
 	n.peerRelay, n.storeRelay = f.relay(n.peers), f.relay(store)
 	n.boot = filepath.Join(f.dir, name+".toml")
+	seed := n.peerRelay.address()
+	if len(f.vms) > 0 {
+		seed = f.vms[0].peerRelay.address()
+	}
 	text := fmt.Sprintf(`vm = %q
 dataCentre = %q
 dataCentres = ["dc0", "dc1"]
+seeds = [%q]
 [listen]
 callers = %q
 ready = %q
@@ -186,7 +191,7 @@
 advertisedPeers = %q
 [store]
 address = %q
-`, name, dc, n.callers, n.ready, n.peers, n.peerRelay.address(), n.storeRelay.address())
+`, name, dc, seed, n.callers, n.ready, n.peers, n.peerRelay.address(), n.storeRelay.address())
 	if err := os.WriteFile(n.boot, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/soak/fleet/soak_test.go
+++ b/internal/soak/fleet/soak_test.go
@@ -34,6 +34,27 @@
 	}
 }
 
+// Guards against a VM that starts while the store is away and cannot serve, although its peers
+// know all that it needs.
+func TestStartWithoutStore(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	f := newFleet(t, 1)
+	f.awaitReady()
+	f.store.SetFaults(standin.StoreFaults{Down: true})
+	n := f.vms[len(f.vms)-1]
+	n.signal(syscall.SIGKILL)
+	<-n.exited
+	f.start(n)
+	f.awaitReady()
+	j := standin.Job{ID: "00000000000000aa", Tasks: 2, Payload: standin.Payload{RunMs: 20, MilliCores: taskCPU}}
+	caller := standin.Caller{Client: &http.Client{Timeout: 4 * time.Second}}
+	if got, want := caller.Send(n.callers, j), standin.Completed; got != want {
+		t.Errorf("got answer %v of a VM that started without the store, want %v", got, want)
+	}
+}
+
 // callers is how many callers send jobs at the same time.
 const callers = 8
 
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -35,6 +35,7 @@
 	StoreLost          Number = "SQ-7004"
 	StoreRegained      Number = "SQ-7005"
 	DesiredInForce     Number = "SQ-7006"
+	SeedAnswered       Number = "SQ-7007"
 	CellTaken          Number = "SQ-7010"
 	CellLost           Number = "SQ-7011"
 	CellYielded        Number = "SQ-7012"
