Look at each endpoint once for a pass over a home's queue

Cause: after every event a home tried every waiting task at every endpoint. A pass now collects the endpoints with room for the smallest task first, and a task that asks for as much as one that has found no room is left out. Tests: TestTasksWithRoomPassThoseWithout.

--- a/internal/control/home/dispatch.go
+++ b/internal/control/home/dispatch.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 )
@@ -31,26 +33,81 @@
 	}
 }
 
-// dispatch starts waiting tasks wherever there is room.
+// dispatch starts waiting tasks wherever there is room. It runs after each event, at the crest
+// with dozens of jobs in the queue and hardly any room, so it looks at each endpoint once.
 func (h *Home) dispatch() {
-	for _, w := range slices.Clone(h.queue) {
+	if len(h.queue) == 0 {
+		return
+	}
+	r := h.newRound()
+	for i := 0; i < len(h.queue); {
+		w := h.queue[i]
 		if w.Adopt && len(h.found) > 0 {
 			h.adopt(w)
 			h.completeAdopted(w)
 		}
-		rest := 0
-		for _, t := range w.tasks {
-			if t.state != waiting {
-				continue
-			}
-			if !t.ready() || !h.mayStart(t) || !h.place(t) {
-				rest++
-			}
-		}
-		if rest == 0 {
+		if !h.dispatchJob(w, &r) {
 			h.unqueue(w)
 		}
+		if i < len(h.queue) && h.queue[i] == w {
+			i++
+		}
+	}
+}
+
+// dispatchJob starts the tasks of a job that have room and reports whether any are left.
+func (h *Home) dispatchJob(w *work, r *round) bool {
+	left := false
+	for _, t := range w.tasks {
+		if t.state != waiting {
+			continue
+		}
+		if !t.ready() || r.full(t) || !h.mayStart(t) || !h.place(t, r) {
+			left = true
+		}
 	}
+	return left
+}
+
+// round is one pass over the queue.
+type round struct {
+	// open are the endpoints with room for the smallest task.
+	open []*place
+	// tooLarge are demands that found no room in this round, whatever endpoint is allowed.
+	tooLarge []tooLarge
+}
+
+type tooLarge struct {
+	queue  queue.Name
+	demand job.Room
+}
+
+func (h *Home) newRound() round {
+	smallest := job.MilliCores(math.MaxInt64)
+	for _, w := range h.queue {
+		for i := range w.Job.Steps {
+			smallest = min(smallest, w.Job.Steps[i].Demand.CPU)
+		}
+	}
+	r := round{open: h.open[:0]}
+	for _, p := range h.ordered {
+		if p.free.CPU >= smallest && p.usable(h.now) {
+			r.open = append(r.open, p)
+		}
+	}
+	h.open = r.open
+	return r
+}
+
+// full reports whether a task that asks for no more than this one has found no room.
+func (r *round) full(t *task) bool {
+	if len(r.open) == 0 {
+		return true
+	}
+	demand := t.stepOf().Demand
+	return slices.ContainsFunc(r.tooLarge, func(l tooLarge) bool {
+		return l.queue == t.work.queue && demand.Holds(l.demand)
+	})
 }
 
 // mayStart reports whether no other run of the task can exist.
@@ -76,7 +133,7 @@
 }
 
 // place starts a task at the endpoint that suits it, if there is one.
-func (h *Home) place(t *task) bool {
+func (h *Home) place(t *task, r *round) bool {
 	q := h.state.Queue(t.work.queue)
 	if q == nil {
 		return false
@@ -85,11 +142,17 @@
 	left := t.work.objective - h.now - lateStart
 	var best *place
 	var bestTime clock.Millis
-	for _, p := range h.ordered {
-		if p.Service != q.Service || !p.free.Holds(step.Demand) || !p.usable(h.now) || !p.HasLabel(step.Requires) || p == t.avoid && t.failures > 0 {
+	allowed := true
+	for _, p := range r.open {
+		if p.Service != q.Service || !p.free.Holds(step.Demand) || !p.usable(h.now) {
+			continue
+		}
+		if !p.HasLabel(step.Requires) || p == t.avoid && t.failures > 0 {
+			allowed = false
 			continue
 		}
 		if step.PerEndpoint > 0 && h.ofStep(t, p) >= step.PerEndpoint {
+			allowed = false
 			continue
 		}
 		takes := p.speed.takes(h.baseAt(t, p))
@@ -98,6 +161,9 @@
 		}
 	}
 	if best == nil {
+		if allowed {
+			r.tooLarge = append(r.tooLarge, tooLarge{queue: t.work.queue, demand: step.Demand})
+		}
 		return false
 	}
 	h.start(t, best, h.baseAt(t, best))
--- a/internal/control/home/home.go
+++ b/internal/control/home/home.go
@@ -39,6 +39,8 @@
 	works   map[job.Key]*work
 	byID    map[job.ID][]*work
 	queue   []*work
+	// open is reused from round to round.
+	open []*place
 	// tasks are those that occupy room, by name.
 	tasks   map[job.TaskName]*task
 	entries map[vm.Incarnation]*entry
--- a/internal/control/home/order_test.go
+++ b/internal/control/home/order_test.go
@@ -183,3 +183,45 @@
 		t.Errorf("waiting for the first priority: got %d, want %d", got, want)
 	}
 }
+
+// Guards against tasks that wait although there is room for them, because a larger one, or one
+// that may run on few endpoints, has found none.
+func TestTasksWithRoomPassThoseWithout(t *testing.T) {
+	tests := []struct {
+		name string
+		// taken is how many of four slots are taken.
+		taken int
+		first func(*job.Step)
+	}{
+		{"larger", 3, func(s *job.Step) { s.Demand.CPU = 32_000 }},
+		{"more memory", 3, func(s *job.Step) { s.Demand.Memory = 1 << 17 }},
+		{"label that is missing here", 3, func(s *job.Step) { s.Requires = "elsewhere" }},
+		{"spread over endpoints", 0, func(s *job.Step) { s.Tasks, s.PerEndpoint = 3, 1 }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newPrioritizedWorld(t, 2)
+			h := w.homes[1].home
+			if tt.taken > 0 {
+				w.submitPlain(1, tt.taken)
+			}
+			blocked := submission("a-1", 2, 1)
+			blocked.Job.Queue, blocked.Job.Steps[0].Estimate = plainQueue, plainTakes
+			tt.first(&blocked.Job.Steps[0])
+			blocked.Job.Steps[0].Demand.CPU = max(blocked.Job.Steps[0].Demand.CPU, 14_000)
+			small := submission("a-1", 3, 1)
+			small.Job.Queue, small.Job.Steps[0].Estimate = plainQueue, plainTakes
+			// Admission would refuse the first one or both; here they wait one behind the other.
+			for i, s := range []job.Submission{blocked, small} {
+				q := newWork(s, w.now)
+				q.turn, q.startBy, q.limit = w.now+clock.Millis(i), w.now+3000, w.now+3000
+				h.works[q.Key] = q
+				h.enqueue(q)
+			}
+			w.advance(190)
+			if got, want := w.outcome(3), "job.Completed"; got != want {
+				t.Errorf("got %s, want %s", got, want)
+			}
+		})
+	}
+}
--- a/internal/control/home/world_test.go
+++ b/internal/control/home/world_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/sequoiacart/sequoiacart/internal/world/cell"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
@@ -20,7 +21,7 @@
 // world has endpoints as the platform describes them, homes that give them orders, and a
 // manual clock. Messages take a millisecond each way unless a fault says otherwise.
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	random  *rand.Rand
 	now     clock.Millis
 	pending []message
@@ -34,7 +35,10 @@
 	// mostRuns is the highest number of simultaneous runs of one task.
 	mostRuns int
 	starts   map[job.TaskName]int
-	notes    map[Decision]int
+	// events counts what homes were told, and spent is how long they took over it.
+	events int
+	spent  time.Duration
+	notes  map[Decision]int
 	// takes is how long a run of a task takes at speed 1.
 	takes func(job.TaskName) clock.Millis
 	// fault decides what becomes of an order; the default delivers it.
@@ -103,7 +107,7 @@
 
 func testTimes() Times { return DefaultTimes(1000, stopSpan, 1300) }
 
-func newWorld(t *testing.T, seed uint64, endpoints int) *world {
+func newWorld(t testing.TB, seed uint64, endpoints int) *world {
 	t.Helper()
 	w := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: 1_000_000,
@@ -191,7 +195,11 @@
 		w.after(f.frozen-w.now, func() { w.tell(n, e) })
 		return
 	}
-	for _, a := range f.home.Handle(w.now, e) {
+	from := time.Now()
+	actions := f.home.Handle(w.now, e)
+	w.events++
+	w.spent += time.Since(from)
+	for _, a := range actions {
 		w.carryOut(n, a)
 	}
 }
