Keep the connection of a start that is slow to answer

Cause: a start without an answer for 30 ms was cancelled, which closes its connection. The look that follows does not need the cancel. The endpoint is now looked at after 30 ms while the start goes on for 300 ms; an answer that comes meanwhile counts. Tests: TestLateAnswersToStartsStopNothing; "start's answer late" in TestOrdersThatFail.

--- a/internal/control/home/event.go
+++ b/internal/control/home/event.go
@@ -37,6 +37,13 @@
 	Clock endpoint.Clock
 }
 
+// StartSlow says that a start has had no answer for longer than usual. The answer may still come.
+type StartSlow struct {
+	Endpoint datacentre.EndpointID
+	Task     job.TaskName
+	Run      job.Run
+}
+
 // StopEnded is the answer to a stop.
 type StopEnded struct {
 	Endpoint datacentre.EndpointID
@@ -106,6 +113,7 @@
 func (Submitted) event()       {}
 func (Interest) event()        {}
 func (StartEnded) event()      {}
+func (StartSlow) event()       {}
 func (StopEnded) event()       {}
 func (HoldEnded) event()       {}
 func (EndpointsListed) event() {}
--- a/internal/control/home/home.go
+++ b/internal/control/home/home.go
@@ -99,6 +99,12 @@
 		h.interest(e)
 	case StartEnded:
 		h.startEnded(e)
+	case StartSlow:
+		if p := h.places[e.Endpoint]; p != nil {
+			if t := h.current(p, e.Task, e.Run); t != nil {
+				h.doubt(t, p, "no answer yet")
+			}
+		}
 	case StopEnded:
 		h.stopEnded(e)
 	case HoldEnded:
--- a/internal/control/home/home_test.go
+++ b/internal/control/home/home_test.go
@@ -39,6 +39,7 @@
 		"start's answer lost":      func(a Action) delivery { _, ok := a.(Start); return delivery{answerLost: ok} },
 		"start carried out late":   func(a Action) delivery { return laterStart(a, 2000) },
 		"start late, before lapse": func(a Action) delivery { return laterStart(a, 300) },
+		"start's answer late":      func(a Action) delivery { return lateAnswer(a, 60) },
 		"hold's answer lost":       func(a Action) delivery { _, ok := a.(Hold); return delivery{answerLost: ok} },
 		"everything lost":          func(Action) delivery { return delivery{lost: true} },
 		"all answers lost":         func(Action) delivery { return delivery{answerLost: true} },
@@ -75,6 +76,40 @@
 	return delivery{}
 }
 
+// lateAnswer delays the answer to a start that is carried out at once.
+func lateAnswer(a Action, span clock.Millis) delivery {
+	if _, ok := a.(Start); ok {
+		return delivery{answerLater: span}
+	}
+	return delivery{}
+}
+
+// Guards against runs that are stopped, or started elsewhere, although only the answer to their
+// start is late.
+func TestLateAnswersToStartsStopNothing(t *testing.T) {
+	for _, late := range []clock.Millis{25, 40, 200} {
+		w := newWorld(t, 3, 4)
+		w.addHome(1, 256)
+		w.advance(50)
+		w.interest(1, "a-1", 1)
+		w.fault = func(_ int, _ datacentre.EndpointID, a Action) delivery { return lateAnswer(a, late) }
+		w.tell(1, Submitted{Submission: submission("a-1", 1, 8)})
+		w.advance(400)
+		if got, want := len(w.starts), 8; got != want {
+			t.Fatalf("answers %d ms late: got %d tasks started, want %d", late, got, want)
+		}
+		for name, n := range w.starts {
+			if n != 1 {
+				t.Errorf("answers %d ms late: got %d starts of %s, want 1", late, n, name)
+			}
+		}
+		k := job.Key{Entry: "a-1", Seq: 1}
+		if got, want := w.endedAt[k]-1_000_050, clock.Millis(90); outcomeOf(w.outcomes[k]) != "job.Completed" || got > want {
+			t.Errorf("answers %d ms late: got %s after %d ms, want it completed within %d ms", late, outcomeOf(w.outcomes[k]), got, want)
+		}
+	}
+}
+
 // Guards against tasks that wait for an endpoint that has crashed, stands still or fails all
 // that it starts.
 func TestEndpointsThatFail(t *testing.T) {
--- a/internal/control/home/runs.go
+++ b/internal/control/home/runs.go
@@ -99,15 +99,23 @@
 	case endpoint.Started:
 		h.confirm(t)
 	case endpoint.NoAnswer:
-		// A look tells whether the run is there: the answer alone may have been lost or late.
-		t.doubtedIn = h.moment
-		h.note(StartDoubted, t, p, r.Cause)
-		h.look(p)
+		h.doubt(t, p, r.Cause)
 	case endpoint.Rejected:
 		h.startRejected(t, p, r.Why)
 	}
 }
 
+// doubt has an endpoint looked at for a run whose start has not been answered: the answer alone
+// may be lost or late.
+func (h *Home) doubt(t *task, p *place, cause string) {
+	if t.state != starting || t.doubtedIn != 0 {
+		return
+	}
+	t.doubtedIn = h.moment
+	h.note(StartDoubted, t, p, cause)
+	h.look(p)
+}
+
 func (h *Home) startRejected(t *task, p *place, why endpoint.Rejection) {
 	t.avoid = p
 	switch why {
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -65,10 +65,13 @@
 	dialTimeout = clock.Millis(60)
 	// unacknowledged is when a connection with sent bytes counts as broken.
 	unacknowledged = clock.Millis(1000)
-	// startTimeout is when a start without an answer is looked after. A round trip takes 2 ms;
+	// startSlow is when a start without an answer is looked after. A round trip takes 2 ms;
 	// a task of 50 ms has to be late by less than 40 ms for its job to be in time. A start
 	// that was carried out is found by the look, so that a short wait does no harm.
-	startTimeout = clock.Millis(30)
+	startSlow = clock.Millis(30)
+	// startTimeout bounds a start. Its connection is given up with it, and a VM that is short of
+	// processor must not spend what it has on new connections.
+	startTimeout = clock.Millis(300)
 	// orderTimeout bounds stops and holds, the latter beside the time they wait for an end.
 	orderTimeout = clock.Millis(80)
 	// storeTimeout bounds calls to the store, which answers within 4 ms, or 60 times slower
--- a/internal/process/daemon/traffic.go
+++ b/internal/process/daemon/traffic.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -85,7 +86,11 @@
 
 func (t *traffic) start(c cell.ID, s home.Start) {
 	from := t.clock.Now()
+	slow := time.AfterFunc(startSlow.Duration(), func() {
+		t.loop.Post(node.HomeHeard{Cell: c, Event: home.StartSlow{Endpoint: s.Endpoint.ID, Task: s.Task, Run: s.Run}})
+	})
 	result, at := t.endpoints.Start(t.ctx, s)
+	slow.Stop()
 	t.meter.Time("startMs", t.clock.Now()-from)
 	t.meter.Count("starts." + startName(result))
 	t.loop.Post(node.HomeHeard{Cell: c, Event: home.StartEnded{
