Keep a cell through a shutdown until there is a successor

Cause: a home that shut down and found nobody in its lineup gave its cell up at once. The home now serves on, looks for a successor every 100 ms, writes a lineup with the VMs that live as soon as the store answers, and gives the cell up after 70 % of the grace period. Tests: TestCellIsKeptUntilThereIsASuccessor (failed first), TestCellWithoutSuccessorIsGivenUpInTime.

--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -30,7 +30,10 @@
 	// Seeds are the addresses of some VMs, this one perhaps among them, to be asked while the
 	// store is away.
 	Seeds []string
-	Now   clock.Millis
+	// HandOver is how long after the request to shut down a cell may be kept for which there is
+	// no successor yet.
+	HandOver clock.Millis
+	Now      clock.Millis
 }
 
 // Control is the control state. It belongs to one goroutine.
@@ -67,9 +70,10 @@
 	// seeds are asked in turn; the next is due at askSeedAt.
 	seeds     []string
 	askSeedAt clock.Millis
-	// shutdown says that the VM hands over and takes nothing new.
-	shutdown bool
-	actions  []Action
+	// shutdown says that the VM hands over and takes nothing new, since shutdownAt.
+	shutdown   bool
+	shutdownAt clock.Millis
+	actions    []Action
 }
 
 // hosted is a cell whose home this VM is.
@@ -84,9 +88,11 @@
 	savedAt clock.Millis
 	// yielding says that a successor has been asked to take over; lastAsked is its rank in
 	// the lineup of revision askedUnder.
-	yielding   bool
-	lastAsked  int
-	askedUnder int64
+	yielding bool
+	// yieldAgainAt is when a VM that shuts down looks for a successor again.
+	yieldAgainAt clock.Millis
+	lastAsked    int
+	askedUnder   int64
 }
 
 // New returns the control state of a VM that knows nothing yet.
--- a/internal/control/node/lineups.go
+++ b/internal/control/node/lineups.go
@@ -113,7 +113,11 @@
 	if h.home.Token() != l.Token(0) || len(l.Members) == 1 {
 		spacing = settleTime
 	}
-	if h.writing || h.yielding || n.shutdown || n.now-h.writtenAt < spacing {
+	if n.shutdown {
+		// A lineup without a VM that lives leaves nobody to hand over to.
+		spacing = settleTime
+	}
+	if h.writing || h.yielding || n.now-h.writtenAt < spacing {
 		return
 	}
 	want := n.members(c)
@@ -189,7 +193,7 @@
 
 // beginShutdown hands every cell of this VM to a successor.
 func (n *Control) beginShutdown() {
-	n.shutdown = true
+	n.shutdown, n.shutdownAt = true, n.now
 	for _, c := range n.cells {
 		if n.homes[c] != nil {
 			n.yield(c)
@@ -211,10 +215,27 @@
 			return
 		}
 	}
+	if n.now < n.shutdownAt+n.config.HandOver {
+		// In a partition all members of the lineup may have been replaced, and the store may be
+		// out of reach for another. The cell is served until there is a successor.
+		h.lastAsked, h.yieldAgainAt = 0, n.now+yieldAgainAfter
+		return
+	}
 	n.do(Report{What: HomeYielded, Cell: c, Lineup: l, Rank: -1})
 	n.lose(c)
 }
 
+// yieldAgainAfter spaces the search for a successor; a lineup with new ones takes a call to the
+// store.
+const yieldAgainAfter = clock.Millis(100)
+
+// goOnYielding looks for a successor again for a cell that could not be handed over.
+func (n *Control) goOnYielding(c cell.ID, h *hosted) {
+	if n.shutdown && !h.yielding && n.now >= h.yieldAgainAt {
+		n.yield(c)
+	}
+}
+
 // handOver lists the endpoints that the next home has to know: those that are listed, and
 // those that are not any more but may have runs.
 func (n *Control) handOver(h *hosted) []endpoint.Endpoint {
--- a/internal/control/node/membership.go
+++ b/internal/control/node/membership.go
@@ -40,6 +40,7 @@
 		if h = n.homes[c]; h != nil {
 			n.tendLineup(c, h)
 			n.moveCell(c, h)
+			n.goOnYielding(c, h)
 			n.saveExperience(c, h)
 			n.loads[c] = h.home.Load(n.now)
 		}
--- a/internal/control/node/node_test.go
+++ b/internal/control/node/node_test.go
@@ -329,3 +329,53 @@
 		t.Errorf("got a token of an earlier lineup above a later one, want it below")
 	}
 }
+
+// Guards against a cell without a home in a partition: the home shuts down, all members of its
+// lineup have been replaced, and no other lineup can be written until the partition heals.
+func TestCellIsKeptUntilThereIsASuccessor(t *testing.T) {
+	b := homeOfCentro(t)
+	b.control.config.HandOver = 4000
+	newcomer := member("centro", "peer-2")
+	b.do(VMsRead{VMs: []cell.VM{member("centro", "me-1"), newcomer}})
+	b.wait(memberFresh + 100)
+	b.hear(newcomer, "centro")
+	find[WriteLineup](b)
+	b.do(ShutdownRequested{})
+	for range 10 {
+		b.hear(newcomer, "centro")
+		b.wait(100)
+	}
+	if yields := find[SendYield](b); len(yields) != 0 || !b.isHome("centro") {
+		t.Fatalf("got yields %+v and home %v while there is no successor, want the cell kept", yields, b.isHome("centro"))
+	}
+	b.do(LineupWritten{Lineup: lineup("centro", 5), Written: false})
+	b.wait(500)
+	b.hear(newcomer, "centro")
+	b.wait(200)
+	writes := find[WriteLineup](b)
+	if len(writes) == 0 || len(writes[0].Lineup.Members) < 2 || writes[0].Lineup.Members[1].Incarnation != "peer-2" {
+		t.Fatalf("got writes %+v, want a lineup with the VM that lives", writes)
+	}
+	b.do(LineupWritten{Lineup: lineup("centro", 9, "me-1", "peer-2"), Written: true})
+	b.hear(newcomer, "centro")
+	b.wait(200)
+	if yields := find[SendYield](b); len(yields) == 0 || yields[0].To.Incarnation != "peer-2" {
+		t.Fatalf("got yields %+v, want the new successor asked", yields)
+	}
+}
+
+// Guards against a process that is killed with its cells because it has found no successor.
+func TestCellWithoutSuccessorIsGivenUpInTime(t *testing.T) {
+	b := homeOfCentro(t)
+	b.control.config.HandOver = 4000
+	b.wait(memberFresh + 100)
+	b.do(ShutdownRequested{})
+	b.wait(3900)
+	if !b.isHome("centro") {
+		t.Errorf("got no home before the time is over, want the cell kept")
+	}
+	b.wait(400)
+	if b.isHome("centro") || !b.control.Idle() {
+		t.Errorf("got the cell kept after the time is over, want it given up")
+	}
+}
--- a/internal/process/daemon/run.go
+++ b/internal/process/daemon/run.go
@@ -20,6 +20,9 @@
 	// finishShare of the grace period is left for requests in flight; a process that is
 	// still there at its end is killed.
 	finishShare = 0.8
+	// handOverShare of the grace period is left to find a successor for a cell; after it the jobs
+	// of the cell still have time to go elsewhere.
+	handOverShare = 0.7
 	// pollDrain is how often the shutdown looks whether the last request has ended.
 	pollDrain = clock.Millis(25)
 )
