Close idle connections at a shutdown and answer what is still open at its end

Cause: a VM that shut down refused jobs on open connections from 2.3 s on, and cut what was in flight at 4.8 s of the 6 s of grace. After half of the grace period the listener and idle connections are closed, so that callers turn to others; requests in flight go on, and those that are open after 90 % are answered with 502. Tests: TestAllJobsAreAnsweredAtTheEnd, TestShutdownAnswersRequestsInFlight.

--- a/internal/control/front/front.go
+++ b/internal/control/front/front.go
@@ -277,6 +277,13 @@
 	}
 }
 
+// EndAll ends all jobs because the VM has to exit. Their callers are told to send them again.
+func (f *Front) EndAll(why job.Reason, now clock.Millis) {
+	for _, r := range f.sorted() {
+		f.reply(r, r.parts[0].at, job.Stopped{Reason: why}, now)
+	}
+}
+
 // resendPause keeps a part from being sent in a loop to a home that does not answer.
 const resendPause = clock.Millis(30)
 
--- a/internal/control/front/front_test.go
+++ b/internal/control/front/front_test.go
@@ -186,3 +186,17 @@
 		})
 	}
 }
+
+// Guards against connections that end without an answer when the VM has to exit, and against an
+// answer that says not run for a job that is at a home.
+func TestAllJobsAreAnsweredAtTheEnd(t *testing.T) {
+	f, _ := newFront()
+	f.Arrive(wide(2), 3000, 100, 1000)
+	f.Arrive(wide(4), 3000, 100, 1000)
+	took(f)
+	f.EndAll(job.Draining, 1500)
+	got := took(f)
+	if strings.Count(got, "Stopped draining") != 2 || f.Len() != 0 {
+		t.Errorf("got %q and %d jobs left, want both ended as stopped", got, f.Len())
+	}
+}
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -167,6 +167,11 @@
 		n.probeEnded(e)
 	case ShutdownRequested:
 		n.beginShutdown()
+	case ShutdownOverdue:
+		n.front.EndAll(job.Draining, now)
+		for _, c := range n.cells {
+			n.lose(c)
+		}
 	case Tick:
 		n.passTime()
 	}
--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -140,6 +140,9 @@
 // ShutdownRequested makes the VM hand over what it is home of.
 type ShutdownRequested struct{}
 
+// ShutdownOverdue ends what is left when the process has to exit.
+type ShutdownOverdue struct{}
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -164,6 +167,7 @@
 func (SeedAnswered) event()      {}
 func (ProbeEnded) event()        {}
 func (ShutdownRequested) event() {}
+func (ShutdownOverdue) event()   {}
 func (Tick) event()              {}
 
 // BeatRequest is what an entry VM tells the home of a cell.
--- a/internal/link/caller/server.go
+++ b/internal/link/caller/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 
 	"github.com/juju/errors"
@@ -44,7 +45,8 @@
 	config   Config
 	http     *http.Server
 	draining atomic.Bool
-	refusing atomic.Bool
+	closed   chan struct{}
+	close    sync.Once
 	open     atomic.Int64
 }
 
@@ -66,7 +68,7 @@
 
 // NewServer returns a server that does not accept connections yet.
 func NewServer(c Config) *Server {
-	s := &Server{config: c}
+	s := &Server{config: c, closed: make(chan struct{})}
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.POST("/*", s.submit)
@@ -79,10 +81,12 @@
 	return s
 }
 
-// Serve accepts connections until Close.
+// Serve accepts connections, and answers requests until Close: a Shutdown ends the listener at
+// once, while requests are still in flight.
 func (s *Server) Serve() error {
 	err := s.http.Serve(s.config.Listener)
 	if errors.Is(err, http.ErrServerClosed) {
+		<-s.closed
 		return nil
 	}
 	return errors.Annotate(err, "serve callers")
@@ -91,17 +95,17 @@
 // Drain closes each connection after its next answer, so that callers turn to other VMs.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Refuse also refuses new jobs.
-func (s *Server) Refuse() { s.refusing.Store(true) }
-
 // Open counts the requests that have no answer yet.
 func (s *Server) Open() int64 { return s.open.Load() }
 
-// Shutdown ends idle connections and waits for the others.
+// Shutdown ends the listener and idle connections, and waits for the requests in flight.
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
 // Close ends all connections.
-func (s *Server) Close() { _ = s.http.Close() }
+func (s *Server) Close() {
+	_ = s.http.Close()
+	s.close.Do(func() { close(s.closed) })
+}
 
 func (s *Server) answer(c echo.Context, r platform.Response) error {
 	if r.RetryAfter > 0 {
@@ -156,8 +160,6 @@
 		return s.answer(c, platform.Refusal(err.Error(), 0))
 	case err != nil:
 		return s.answer(c, platform.Invalid(http.StatusBadRequest, err.Error()))
-	case s.refusing.Load():
-		return s.answer(c, platform.Refusal(string(job.Draining), clock.Second))
 	}
 	return s.answer(c, s.run(c.Request().Context(), j, limitOf(c.Request())))
 }
--- /dev/null
+++ b/internal/link/caller/server_test.go
@@ -0,0 +1,99 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sequoiacart/sequoiacart/internal/control/node"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/queue"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// local is a VM whose jobs end when the test says so.
+type local struct{ jobs chan node.JobArrived }
+
+func (l *local) Post(e node.Event) bool {
+	if a, ok := e.(node.JobArrived); ok {
+		a.Taken <- job.Key{Entry: "me-1", Seq: 1}
+		l.jobs <- a
+	}
+	return true
+}
+
+func (l *local) AwaitDesired(context.Context, clock.Millis) *queue.State {
+	return queue.NewState(1, []queue.Queue{{Name: "q", Host: "h", Path: "/q/", Service: "s"}}, nil, queue.Limits{})
+}
+
+type noCounter struct{}
+
+func (noCounter) Count(string) {}
+
+// Guards against a shutdown that cuts off a request in flight: the run group ends the process
+// once Serve returns.
+func TestShutdownAnswersRequestsInFlight(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &local{jobs: make(chan node.JobArrived, 1)}
+	s := NewServer(Config{Listener: listener, Local: l, Counter: noCounter{}})
+	served := make(chan error, 1)
+	go func() { served <- s.Serve() }()
+	type reply struct {
+		status int
+		body   string
+		err    error
+	}
+	replies := make(chan reply, 1)
+	go func() {
+		const text = `{"task_spec":"x","best_effort":true,"steps":[{"count":1,"cpu":1,"estimate_ms":5}]}`
+		request, err := http.NewRequest(http.MethodPost, "http://"+listener.Addr().String()+"/q/0123456789abcdef", strings.NewReader(text))
+		if err != nil {
+			replies <- reply{err: err}
+			return
+		}
+		request.Host = "h"
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			replies <- reply{err: err}
+			return
+		}
+		defer func() { _ = response.Body.Close() }()
+		body, err := io.ReadAll(response.Body)
+		replies <- reply{status: response.StatusCode, body: string(body), err: err}
+	}()
+	j := <-l.jobs
+	s.Drain()
+	shut := make(chan error, 1)
+	go func() { shut <- s.Shutdown(t.Context()) }()
+	// The listener is closed first; from then on Serve would return.
+	for {
+		c, err := net.DialTimeout("tcp", listener.Addr().String(), time.Second)
+		if err != nil {
+			break
+		}
+		_ = c.Close()
+	}
+	select {
+	case err := <-served:
+		t.Fatalf("got the end of Serve (%v) with a request in flight, want it to go on", err)
+	default:
+	}
+	j.Ended <- job.Completed{}
+	if got := <-replies; got.err != nil || got.status != http.StatusOK {
+		t.Errorf("got %+v, want an answer with 200", got)
+	}
+	if err := <-shut; err != nil {
+		t.Errorf("got %v from the shutdown, want nil", err)
+	}
+	s.Close()
+	if err := <-served; err != nil {
+		t.Errorf("got %v from Serve, want nil", err)
+	}
+}
--- a/internal/process/daemon/run.go
+++ b/internal/process/daemon/run.go
@@ -14,12 +14,15 @@
 )
 
 const (
-	// leaveRotation is how long callers may still be sent here after SIGTERM: the load
-	// balancer asks once a second and turns away after two answers.
-	leaveRotation = clock.Millis(2300)
-	// finishShare of the grace period is left for requests in flight; a process that is
-	// still there at its end is killed.
-	finishShare = 0.8
+	// acceptShare of the grace period is how long jobs are still taken after SIGTERM. The load
+	// balancer turns callers away after 2.3 s of 6; then idle connections are closed, so that
+	// their callers turn to other VMs.
+	acceptShare = 0.5
+	// finishShare of the grace period is left for requests in flight. Those that are still open
+	// then are told so, for a process that is there at its end is killed.
+	finishShare = 0.9
+	// answerLast is how long the last answers may take to be written.
+	answerLast = clock.Millis(200)
 	// handOverShare of the grace period is left to find a successor for a cell; after it the jobs
 	// of the cell still have time to go elsewhere.
 	handOverShare = 0.7
@@ -78,14 +81,20 @@
 func (d *Daemon) drain() {
 	d.loop.Post(node.ShutdownRequested{})
 	d.callers.Drain()
-	ctx, cancel := context.WithTimeout(context.Background(), clock.Millis(float64(d.config.Settings.Grace)*finishShare).Duration())
+	grace := float64(d.config.Settings.Grace)
+	background := context.Background()
+	sleep(background, clock.Millis(grace*acceptShare))
+	closed := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(background, (clock.Millis(grace*(finishShare-acceptShare)) + answerLast).Duration())
 	defer cancel()
-	sleep(ctx, leaveRotation)
-	d.callers.Refuse()
-	for ctx.Err() == nil && (d.callers.Open() > 0 || !d.loop.idle.Load()) {
-		sleep(ctx, pollDrain)
+	go func() { closed <- d.callers.Shutdown(ctx) }()
+	finish, done := context.WithTimeout(background, clock.Millis(grace*(finishShare-acceptShare)).Duration())
+	defer done()
+	for finish.Err() == nil && (d.callers.Open() > 0 || !d.loop.idle.Load()) {
+		sleep(finish, pollDrain)
 	}
-	if err := d.callers.Shutdown(ctx); err != nil {
+	d.loop.Post(node.ShutdownOverdue{})
+	if err := <-closed; err != nil {
 		d.journal.callFailed("finish requests", "callers", err)
 	}
 }
