Make one client of the platform and one stand-in of its store

Cause: the entry daemon had a client, row types, errors and a stand-in of its own for a table service, an object store and a VM list that no platform speaks, beside those of platform/. pkg/platform now adds retries and the limit of calls to platform.Store, which has learnt ranges, removals and objects; its errors are those of the store. pkg/standin adds its faults to the store of platform/standin. Tests replaced: TestListVMsAsksForOneDataCentre by TestPollsCarryOnlyChanges, which bounds the bytes of a poll whatever the data centre; TestFaultsOverHTTP has the same cases in the platform's words, and two more. All tests pass.

--- a/internal/link/store/store.go
+++ b/internal/link/store/store.go
@@ -21,6 +21,8 @@
 	Lineups Table = "lineups"
 	// Experiences has a row for each cell: what its home has learnt.
 	Experiences Table = "experiences"
+	// Entry has the rows of the entry daemon, by names that begin with their purpose.
+	Entry Table = "entry"
 )
 
 // Revision orders the changes of the whole store. 0 stands for a row that does not exist.
@@ -49,6 +51,8 @@
 	ErrConflict = errors.New("row changed")
 	// ErrAbsent means that there is no such row.
 	ErrAbsent = errors.New("no such row")
+	// ErrTooLarge means that the answer is longer than the client takes.
+	ErrTooLarge = errors.New("answer too large")
 	// ErrHistoryGone means that changes since the given version are no longer known.
 	ErrHistoryGone = errors.New("history gone")
 )
--- a/pkg/app/daemon_wiring.go
+++ b/pkg/app/daemon_wiring.go
@@ -66,7 +66,12 @@
 // that serves it.
 func (d *Daemon) wireControl() {
 	s := d.deps.Settings
-	client := platform.NewClient(platform.ClientConfig{Address: s.PlatformAddress, Timeout: s.Timeouts.Platform})
+	client := platform.NewClient(platform.ClientConfig{
+		Address: s.PlatformAddress, Timeout: s.Timeouts.Platform,
+		Unreadable: func(err error) {
+			d.deps.Log.Warn(event.PlatformFailed, "read list of endpoints", logrus.Fields{"error": err})
+		},
+	})
 	rows := newRosterRows(client.Table(), d.deps.Clock, d.self)
 	traffic := d.newTraffic(client, rows)
 	d.loop = entry.NewLoop(entry.LoopConfig{
--- a/pkg/app/standin_command.go
+++ b/pkg/app/standin_command.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"flag"
 	"io"
 	"net"
@@ -86,7 +85,7 @@
 
 // listEndpoint puts the endpoint into the VM list of the platform stand-in.
 func listEndpoint(ctx context.Context, platformAddress string, e datacentre.Endpoint) error {
-	body, err := json.Marshal(platform.EncodeVM(platform.ListedVM{Endpoint: e}))
+	body, err := standin.EncodeVM(platform.ListedVM{Endpoint: e})
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -1,19 +1,19 @@
 package platform
 
 import (
-	"bytes"
 	"cmp"
 	"context"
-	"encoding/json"
-	"io"
+	"maps"
 	"net/http"
-	"net/url"
-	"strconv"
+	"slices"
+	"sync"
 
 	"github.com/juju/errors"
 
+	"github.com/sequoiacart/sequoiacart/internal/link/store"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	wire "github.com/sequoiacart/sequoiacart/platform"
 )
 
 // ClientConfig holds what a client is made of. Zero values stand for the defaults.
@@ -32,6 +32,9 @@
 	// AnswerBytes bounds an answer.
 	AnswerBytes int64
 	Clock       clock.Clock
+	// Unreadable is told of each row of the list of endpoints that names none to use; nil
+	// means that nobody is.
+	Unreadable func(err error)
 }
 
 const (
@@ -43,12 +46,19 @@
 	defaultAnswerBytes    = 16 << 20
 )
 
-// Client speaks HTTP to the platform. It implements Table, Objects and VMList.
+// Client is the entry daemon's way to the platform: it adds retries and a limit of calls to the
+// client of the platform's store. It implements Table, Objects and VMList.
 type Client struct {
-	config  ClientConfig
-	http    *http.Client
-	backoff backoff
-	limit   *rateLimit
+	config    ClientConfig
+	transport *http.Transport
+	store     *wire.Store
+	backoff   backoff
+	limit     *rateLimit
+
+	// mu guards what the list of endpoints was, as of listedVersion.
+	mu            sync.Mutex
+	listed        map[string]store.Row
+	listedVersion store.Revision
 }
 
 // NewClient returns a client with its own connections.
@@ -56,6 +66,9 @@
 	if c.Clock == nil {
 		c.Clock = clock.NewSystem()
 	}
+	if c.Unreadable == nil {
+		c.Unreadable = func(error) {}
+	}
 	c.Attempts = cmp.Or(c.Attempts, defaultAttempts)
 	c.FirstPause = cmp.Or(c.FirstPause, defaultFirstPause)
 	c.LongestPause = cmp.Or(c.LongestPause, defaultLongestPause)
@@ -64,8 +77,10 @@
 	// An own transport: the default one would share connections with the rest of the process.
 	transport := &http.Transport{MaxConnsPerHost: maxConnections, IdleConnTimeout: idleTimeout.Duration()}
 	return &Client{
-		config:  c,
-		http:    &http.Client{Timeout: c.Timeout.Duration(), Transport: transport},
+		config: c, transport: transport,
+		store: wire.NewStore(wire.StoreConfig{
+			Address: c.Address, Timeout: c.Timeout, Transport: transport, AnswerBytes: c.AnswerBytes,
+		}),
 		backoff: backoff{clock: c.Clock, first: c.FirstPause, limit: c.LongestPause},
 		limit:   &rateLimit{clock: c.Clock, perSecond: c.CallsPerSecond},
 	}
@@ -78,9 +93,7 @@
 )
 
 // Close drops idle connections.
-func (c *Client) Close() {
-	c.http.CloseIdleConnections()
-}
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
 // Table returns the client's view of the table service.
 func (c *Client) Table() Table { return tableClient{c} }
@@ -88,117 +101,164 @@
 // Objects returns the client's view of the object store.
 func (c *Client) Objects() Objects { return objectClient{c} }
 
-// ListVMs implements VMList.
+// connectionsPerEndpoint is how many connections an endpoint of both deployments takes.
+const connectionsPerEndpoint = 64
+
+// ListVMs implements VMList. Only the first call reads the whole list; later ones read what has
+// changed since.
 func (c *Client) ListVMs(ctx context.Context, dc datacentre.ID) ([]ListedVM, error) {
-	body, err := c.repeat(ctx, http.MethodGet, "/v1/vms?dataCentre="+url.QueryEscape(string(dc)), nil)
-	if err != nil {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.refresh(ctx); err != nil {
 		return nil, errors.Annotate(err, "list VMs")
 	}
-	return DecodeVMs(body)
+	var vms []ListedVM
+	for _, r := range sortedRows(c.listed) {
+		e, err := wire.DecodeEndpoint(r)
+		if err == nil && e.DataCentre != dc {
+			continue
+		}
+		slots, slotsErr := wire.DecodeSlots(r)
+		if err = cmp.Or(err, slotsErr); err != nil {
+			c.config.Unreadable(err)
+			continue
+		}
+		state := Live
+		if e.Draining {
+			state = Leaving
+		}
+		vms = append(vms, ListedVM{State: state, Endpoint: datacentre.Endpoint{
+			ID: e.ID, DataCentre: e.DataCentre, Rack: e.Rack, Address: e.Address, Slots: slots, Connections: connectionsPerEndpoint,
+		}})
+	}
+	return vms, nil
+}
+
+// refresh brings the copy of the list of endpoints up to date.
+func (c *Client) refresh(ctx context.Context) error {
+	if c.listed != nil {
+		changes, err := repeated(ctx, c, func() (store.Snapshot, error) {
+			return c.store.Follow(ctx, wire.Endpoints, c.listedVersion, 0)
+		})
+		if err == nil {
+			c.take(changes)
+			return nil
+		}
+		if !errors.Is(err, store.ErrHistoryGone) {
+			return err
+		}
+	}
+	all, err := repeated(ctx, c, func() (store.Snapshot, error) { return c.store.Read(ctx, wire.Endpoints) })
+	if err != nil {
+		return err
+	}
+	c.listed = make(map[string]store.Row)
+	c.take(all)
+	return nil
+}
+
+func (c *Client) take(s store.Snapshot) {
+	for _, r := range s.Rows {
+		if r.Removed {
+			delete(c.listed, r.Key)
+			continue
+		}
+		c.listed[r.Key] = r
+	}
+	c.listedVersion = s.Version
 }
 
-// repeat makes a call that may be repeated, because it reads or writes the same bytes
-// under the same name. It backs off while the platform does not answer.
-func (c *Client) repeat(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+// repeated makes a call that may be repeated, because it reads or writes the same bytes under
+// the same name. It backs off while the platform does not answer.
+func repeated[T any](ctx context.Context, c *Client, call func() (T, error)) (T, error) {
 	for retry := 0; ; retry++ {
-		answer, err := c.do(ctx, method, path, body)
+		answer, err := limited(ctx, c, call)
 		if err == nil || !errors.Is(err, ErrUnavailable) || retry+1 >= c.config.Attempts {
 			return answer, err
 		}
 		if c.backoff.pause(ctx, retry) != nil {
-			return nil, err
+			return answer, err
 		}
 	}
 }
 
-// do makes one attempt.
-func (c *Client) do(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+// limited makes one attempt once the limit of calls allows it.
+func limited[T any](ctx context.Context, c *Client, call func() (T, error)) (T, error) {
 	if err := c.limit.admit(ctx); err != nil {
-		return nil, errors.Annotatef(ErrUnavailable, "call platform %s: %v", c.config.Address, err)
-	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.config.Address+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, errors.Annotatef(err, "call platform %s", c.config.Address)
-	}
-	response, err := c.http.Do(request)
-	if err != nil {
-		return nil, errors.Annotatef(ErrUnavailable, "call platform %s: %v", c.config.Address, err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(io.LimitReader(response.Body, c.config.AnswerBytes+1))
-	if err != nil {
-		return nil, errors.Annotatef(ErrUnavailable, "read answer of platform %s: %v", c.config.Address, err)
-	}
-	if int64(len(answer)) > c.config.AnswerBytes {
-		return nil, errors.Annotatef(ErrTooLarge, "read answer of platform %s: %s: more than %d bytes", c.config.Address, path, c.config.AnswerBytes)
-	}
-	switch response.StatusCode {
-	case http.StatusOK:
-		return answer, nil
-	case http.StatusNotFound:
-		return nil, errors.Annotatef(ErrAbsent, "call platform %s: %s", c.config.Address, path)
-	case http.StatusPreconditionFailed:
-		return nil, errors.Annotatef(ErrRevision, "call platform %s: %s", c.config.Address, path)
+		var none T
+		return none, errors.Annotatef(ErrUnavailable, "call platform %s: %v", c.config.Address, err)
 	}
-	return nil, errors.Annotatef(ErrUnavailable, "call platform %s: status %s", c.config.Address, response.Status)
+	answer, err := call()
+	return answer, errors.Annotatef(err, "call platform %s", c.config.Address)
 }
 
 type tableClient struct{ client *Client }
 
 func (t tableClient) Get(ctx context.Context, key Key) (Row, error) {
-	body, err := t.client.repeat(ctx, http.MethodGet, "/v1/table/"+url.PathEscape(string(key)), nil)
+	r, err := repeated(ctx, t.client, func() (store.Row, error) { return t.client.store.Get(ctx, store.Entry, string(key)) })
 	if err != nil {
 		return Row{}, errors.Annotate(err, "get row")
 	}
-	var w WireRow
-	if err := json.Unmarshal(body, &w); err != nil {
-		return Row{}, errors.Annotate(err, "decode row")
-	}
-	return DecodeRow(w), nil
+	return rowOf(r), nil
 }
 
 func (t tableClient) List(ctx context.Context, prefix Key) ([]Row, error) {
-	body, err := t.client.repeat(ctx, http.MethodGet, "/v1/table?prefix="+url.QueryEscape(string(prefix)), nil)
+	s, err := repeated(ctx, t.client, func() (store.Snapshot, error) {
+		return t.client.store.ReadRange(ctx, store.Entry, string(prefix), after(prefix))
+	})
 	if err != nil {
 		return nil, errors.Annotate(err, "list rows")
 	}
-	var ws []WireRow
-	if err := json.Unmarshal(body, &ws); err != nil {
-		return nil, errors.Annotate(err, "decode rows")
-	}
-	rows := make([]Row, len(ws))
-	for i, w := range ws {
-		rows[i] = DecodeRow(w)
+	rows := make([]Row, len(s.Rows))
+	for i, r := range s.Rows {
+		rows[i] = rowOf(r)
 	}
 	return rows, nil
 }
 
-func (t tableClient) Put(ctx context.Context, key Key, expected Revision, value []byte) (Revision, error) {
-	body, err := t.client.do(ctx, http.MethodPut, rowPath(key, expected), value)
-	if err != nil {
-		return 0, errors.Annotate(err, "put row")
+// after is the first key behind all keys that begin with the prefix.
+func after(prefix Key) string {
+	if prefix == "" {
+		return ""
 	}
-	revision, err := strconv.ParseUint(string(body), 10, 64)
-	return Revision(revision), errors.Annotate(err, "decode revision")
+	last := len(prefix) - 1
+	return string(prefix[:last]) + string(rune(prefix[last]+1))
+}
+
+func (t tableClient) Put(ctx context.Context, key Key, expected Revision, value []byte) (Revision, error) {
+	revision, err := limited(ctx, t.client, func() (store.Revision, error) {
+		return t.client.store.Write(ctx, store.Entry, string(key), value, store.Revision(expected))
+	})
+	return Revision(revision), errors.Annotate(err, "put row")
 }
 
 func (t tableClient) Delete(ctx context.Context, key Key, expected Revision) error {
-	_, err := t.client.do(ctx, http.MethodDelete, rowPath(key, expected), nil)
+	_, err := limited(ctx, t.client, func() (struct{}, error) {
+		return struct{}{}, t.client.store.Remove(ctx, store.Entry, string(key), store.Revision(expected))
+	})
 	return errors.Annotate(err, "delete row")
 }
 
-func rowPath(key Key, expected Revision) string {
-	return "/v1/table/" + url.PathEscape(string(key)) + "?expected=" + strconv.FormatUint(uint64(expected), 10)
+func rowOf(r store.Row) Row {
+	return Row{Key: Key(r.Key), Revision: Revision(r.Revision), Value: r.Value}
 }
 
 type objectClient struct{ client *Client }
 
 func (o objectClient) Put(ctx context.Context, name ObjectName, body []byte) error {
-	_, err := o.client.repeat(ctx, http.MethodPut, "/v1/objects/"+url.PathEscape(string(name)), body)
+	_, err := repeated(ctx, o.client, func() (struct{}, error) {
+		return struct{}{}, o.client.store.PutObject(ctx, string(name), body)
+	})
 	return errors.Annotate(err, "put object")
 }
 
 func (o objectClient) Get(ctx context.Context, name ObjectName) ([]byte, error) {
-	body, err := o.client.repeat(ctx, http.MethodGet, "/v1/objects/"+url.PathEscape(string(name)), nil)
+	body, err := repeated(ctx, o.client, func() ([]byte, error) { return o.client.store.GetObject(ctx, string(name)) })
 	return body, errors.Annotate(err, "get object")
 }
+
+func sortedRows(rows map[string]store.Row) []store.Row {
+	all := slices.Collect(maps.Values(rows))
+	slices.SortFunc(all, func(a, b store.Row) int { return cmp.Compare(a.Key, b.Key) })
+	return all
+}
--- a/pkg/platform/client_test.go
+++ b/pkg/platform/client_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -156,17 +158,53 @@
 	}
 }
 
-// Guards against polls that carry the endpoints of all data centres.
-func TestListVMsAsksForOneDataCentre(t *testing.T) {
-	stand, client, _ := newPlatform(t, platform.ClientConfig{})
-	for _, dc := range []datacentre.ID{"centro", "norte"} {
-		stand.SetVM(platform.ListedVM{Endpoint: datacentre.Endpoint{ID: datacentre.EndpointID(dc) + "1", DataCentre: dc}})
+// Guards against polls that carry endpoints which have not changed, whatever their data centre,
+// and against endpoints of other data centres in the answer.
+func TestPollsCarryOnlyChanges(t *testing.T) {
+	stand := standin.NewPlatform()
+	var bytes atomic.Int64
+	handler := stand.Handler()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handler.ServeHTTP(countingWriter{w, &bytes}, r)
+	}))
+	client := platform.NewClient(platform.ClientConfig{Address: strings.TrimPrefix(server.URL, "http://"), Timeout: 10 * clock.Second})
+	t.Cleanup(func() { client.Close(); server.Close() })
+	for i := range 50 {
+		for _, dc := range []datacentre.ID{"centro", "norte"} {
+			stand.SetVM(platform.ListedVM{Endpoint: datacentre.Endpoint{ID: datacentre.EndpointID(fmt.Sprint(dc, i)), DataCentre: dc, Slots: 8}})
+		}
+	}
+	poll := func(want int) []platform.ListedVM {
+		t.Helper()
+		listed, err := client.ListVMs(context.Background(), "norte")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := len(listed); got != want || listed[0].Endpoint.DataCentre != "norte" || listed[0].Endpoint.Slots != 8 || listed[0].Endpoint.Connections != 64 {
+			t.Errorf("got %d endpoints, the first %+v, want the %d of norte", got, listed[0], want)
+		}
+		return listed
 	}
-	listed, err := client.ListVMs(context.Background(), "norte")
-	if err != nil {
-		t.Fatal(err)
+	poll(50)
+	whole := bytes.Swap(0)
+	poll(50)
+	if got, want := bytes.Swap(0), whole/20; got > want {
+		t.Errorf("a poll without changes: got %d bytes, want at most %d", got, want)
 	}
-	if got, want := len(listed), 1; got != want || listed[0].Endpoint.ID != "norte1" {
-		t.Errorf("got %v, want the endpoint of norte alone", listed)
+	stand.SetVM(platform.ListedVM{State: platform.Leaving, Endpoint: datacentre.Endpoint{ID: "norte0", DataCentre: "norte", Slots: 8}})
+	listed := poll(50)
+	if got, want := bytes.Load(), whole/20; got > want || listed[0].State != platform.Leaving {
+		t.Errorf("a poll after a change: got %d bytes and %+v, want at most %d and the endpoint leaving", got, listed[0], want)
 	}
 }
+
+// countingWriter counts the bytes of answers, without headers.
+type countingWriter struct {
+	http.ResponseWriter
+	bytes *atomic.Int64
+}
+
+func (w countingWriter) Write(b []byte) (int, error) {
+	w.bytes.Add(int64(len(b)))
+	return w.ResponseWriter.Write(b)
+}
--- a/pkg/platform/table.go
+++ b/pkg/platform/table.go
@@ -1,10 +1,11 @@
-// Package platform speaks to the platform: its table service, object store and VM list.
+// Package platform is what the entry daemon needs of the platform: a table service, an object
+// store and a list of endpoint VMs. Package platform at the root of the repository speaks to it.
 package platform
 
 import (
 	"context"
 
-	"github.com/juju/errors"
+	"github.com/sequoiacart/sequoiacart/internal/link/store"
 )
 
 // Key names a row.
@@ -21,11 +22,11 @@
 }
 
 // Errors of the table service and the object store.
-const (
-	ErrAbsent      = errors.ConstError("not present at the platform")
-	ErrRevision    = errors.ConstError("the row has another revision")
-	ErrUnavailable = errors.ConstError("the platform does not answer")
-	ErrTooLarge    = errors.ConstError("the answer is too large")
+var (
+	ErrAbsent      = store.ErrAbsent
+	ErrRevision    = store.ErrConflict
+	ErrUnavailable = store.ErrUnavailable
+	ErrTooLarge    = store.ErrTooLarge
 )
 
 // Table is the transactional table service. A write whose answer is lost may have taken
@@ -38,6 +39,9 @@
 	Delete(ctx context.Context, key Key, expected Revision) error
 }
 
+// RowsTable is the table of the platform's store that has the daemon's rows.
+const RowsTable = store.Entry
+
 // ObjectName names an object.
 type ObjectName string
 
--- a/pkg/standin/faults.go
+++ b/pkg/standin/faults.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	wire "github.com/sequoiacart/sequoiacart/platform/standin"
 )
 
 // Service names a part of the platform that can fail on its own.
@@ -14,9 +15,9 @@
 
 // The services.
 const (
-	TableService  Service = "table"
-	ObjectService Service = "objects"
-	VMService     Service = "vms"
+	TableService  = Service(wire.Rows)
+	ObjectService = Service(wire.Objects)
+	VMService     = Service(wire.Endpoints)
 )
 
 // Faults says how a service fails until the next change. The counts apply to the next
@@ -90,29 +91,27 @@
 	return drop, lose, f.Slow
 }
 
-// wrap applies the faults to a handler. A dropped call ends without an answer.
-func (s *faultSwitches) wrap(name Service, handler http.HandlerFunc) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		drop, lose, slow := s.next(name, r.Method != http.MethodGet)
-		if slow > 0 {
-			select {
-			case <-s.clock.After(slow):
-			case <-r.Context().Done():
-			}
+// apply serves a call with the faults of its service. A dropped call ends without an answer.
+func (s *faultSwitches) apply(name Service, write bool, handler http.Handler, w http.ResponseWriter, r *http.Request) {
+	drop, lose, slow := s.next(name, write)
+	if slow > 0 {
+		select {
+		case <-s.clock.After(slow):
+		case <-r.Context().Done():
 		}
-		if drop {
-			panic(http.ErrAbortHandler)
-		}
-		if lose {
-			handler(discardedAnswer{header: make(http.Header)}, r)
-			panic(http.ErrAbortHandler)
-		}
-		handler(w, r)
 	}
+	if drop {
+		panic(http.ErrAbortHandler)
+	}
+	if lose {
+		handler.ServeHTTP(discardedAnswer{header: make(http.Header)}, r)
+		panic(http.ErrAbortHandler)
+	}
+	handler.ServeHTTP(w, r)
 }
 
 // serve reads PUT /v1/faults: an object with the faults of each service by name.
-func (s *faultSwitches) serve(w http.ResponseWriter, r *http.Request) {
+func (s *faultSwitches) serve(w http.ResponseWriter, r *http.Request, set func(Service, Faults)) {
 	var ws map[Service]wireFaults
 	decoder := json.NewDecoder(r.Body)
 	decoder.DisallowUnknownFields()
@@ -129,7 +128,7 @@
 		}
 	}
 	for name, f := range ws {
-		s.set(name, Faults{Down: f.Down, Slow: clock.Millis(f.SlowMs), Pass: f.Pass, DropNext: f.DropNext, LoseNext: f.LoseNext, Lag: f.Lag})
+		set(name, Faults{Down: f.Down, Slow: clock.Millis(f.SlowMs), Pass: f.Pass, DropNext: f.DropNext, LoseNext: f.LoseNext, Lag: f.Lag})
 	}
 }
 
--- a/pkg/standin/platform_test.go
+++ b/pkg/standin/platform_test.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,51 +14,111 @@
 
 // Guards against tests that pass because the stand-in does not fail as they ask.
 func TestFaultsOverHTTP(t *testing.T) {
-	const lost = "lost"
 	tests := []struct {
 		name   string
 		faults string
-		// calls are a method and a path each; want are their answers.
+		// calls are a verb and a name each; want are their answers.
 		calls []string
 		want  []string
 	}{
-		{"none", `{}`, []string{"PUT /v1/objects/a", "GET /v1/objects/a"}, []string{"", "a"}},
-		{"down", `{"objects":{"down":true}}`, []string{"PUT /v1/objects/a", "GET /v1/vms"}, []string{lost, "[]\n"}},
-		{"call lost", `{"objects":{"dropNext":1}}`, []string{"PUT /v1/objects/a", "GET /v1/objects/a"}, []string{lost, "404 page not found\n"}},
-		{"answer lost", `{"objects":{"loseNext":1}}`, []string{"PUT /v1/objects/a", "GET /v1/objects/a"}, []string{lost, "a"}},
-		{"reads do not use up lost answers", `{"objects":{"loseNext":1}}`, []string{"GET /v1/objects/b", "PUT /v1/objects/a"}, []string{"404 page not found\n", lost}},
-		{"after one call", `{"table":{"pass":1,"loseNext":1}}`, []string{"PUT /v1/table/a?expected=0", "PUT /v1/table/b?expected=0", "GET /v1/table/b"}, []string{"1", lost, `{"key":"b","revision":2,"value":"YQ=="}` + "\n"}},
-		{"table lags by one write", `{"table":{"lag":1}}`, []string{"PUT /v1/table/a?expected=0", "GET /v1/table/a", "PUT /v1/table/b?expected=0", "GET /v1/table?prefix="}, []string{"1", "404 page not found\n", "2", `[{"key":"a","revision":1,"value":"YQ=="}]` + "\n"}},
-		{"VM list lags by two writes", `{"vms":{"lag":2}}`, []string{"PUT /v1/vms/a", "PUT /v1/vms/b", "GET /v1/vms"}, []string{"", "", "[]\n"}},
-		{"VM list of one data centre", `{}`, []string{"PUT /v1/vms/a", "GET /v1/vms?dataCentre=elsewhere"}, []string{"", "[]\n"}},
-		{"unknown service", `{"tables":{}}`, []string{"GET /v1/vms"}, []string{"[]\n"}},
-		{"unknown switch", `{"table":{"dwon":true}}`, []string{"GET /v1/vms"}, []string{"[]\n"}},
+		{"none", `{}`, []string{"putObject a", "getObject a"}, []string{"done", "a"}},
+		{"down", `{"objects":{"down":true}}`, []string{"putObject a", "listVMs"}, []string{lost, ""}},
+		{"call lost", `{"objects":{"dropNext":1}}`, []string{"putObject a", "getObject a"}, []string{lost, absent}},
+		{"answer lost", `{"objects":{"loseNext":1}}`, []string{"putObject a", "getObject a"}, []string{lost, "a"}},
+		{"reads do not use up lost answers", `{"objects":{"loseNext":1}}`, []string{"getObject b", "putObject a"}, []string{absent, lost}},
+		{"after one call", `{"table":{"pass":1,"loseNext":1}}`, []string{"putRow a", "putRow b", "getRow b"}, []string{"done", lost, "b"}},
+		{"row that is there", `{}`, []string{"putRow a", "putRow a", "listRows"}, []string{"done", conflict, "a"}},
+		{"table lags by one write", `{"table":{"lag":1}}`, []string{"putRow a", "getRow a", "putRow b", "listRows"}, []string{"done", absent, "done", "a"}},
+		{"VM list lags by two writes", `{"vms":{"lag":2}}`, []string{"putVM a", "putVM b", "listVMs", "putVM c", "listVMs"}, []string{"done", "done", "", "done", "a"}},
+		{"a lagging table leaves the VM list alone", `{"table":{"lag":1}}`, []string{"putVM a", "listVMs"}, []string{"done", "a"}},
+		{"unknown service", `{"tables":{}}`, []string{"listVMs"}, []string{""}},
+		{"unknown switch", `{"table":{"dwon":true}}`, []string{"listVMs"}, []string{""}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			server := httptest.NewServer(NewPlatform().Handler())
 			defer server.Close()
-			answer := call(t, server.URL, "PUT /v1/faults", tt.faults)
+			_, answer := exchange(t, http.MethodPut, server.URL+"/v1/faults", tt.faults)
 			if got, want := strings.Contains(answer, "set faults"), strings.HasPrefix(tt.name, "unknown"); got != want {
 				t.Errorf("set faults: got %q, want an error %t", answer, want)
 			}
 			for i, c := range tt.calls {
-				body := "a"
-				if strings.Contains(c, "/v1/vms/") {
-					body = fmt.Sprintf(`{"endpoint":%q}`, c)
-				}
-				if got := call(t, server.URL, c, body); got != tt.want[i] {
-					t.Errorf("%s: got %q, want %q", c, got, tt.want[i])
+				if got := call(t, server.URL, c); got != tt.want[i] {
+					t.Errorf("call %d, %s: got %q, want %q", i, c, got, tt.want[i])
 				}
 			}
 		})
 	}
 }
 
-func call(t *testing.T, base, methodAndPath, body string) string {
+// The answers to calls that are not bodies.
+const (
+	lost     = "lost"
+	absent   = "absent"
+	conflict = "conflict"
+)
+
+// call makes a call in the platform's words and returns its answer in short.
+func call(t *testing.T, base, verbAndName string) string {
+	t.Helper()
+	verb, name, _ := strings.Cut(verbAndName, " ")
+	var status int
+	var body string
+	switch verb {
+	case "putObject":
+		status, body = exchange(t, http.MethodPut, base+"/-/blob-put/"+name, name)
+	case "getObject":
+		status, body = exchange(t, http.MethodGet, base+"/-/blob-get/"+name, "")
+	case "putRow":
+		status, body = exchange(t, http.MethodPost, base+"/-/rows-tx", fmt.Sprintf(
+			`{"precondition":[{"table":"t","key":%q,"row_version":0}],"puts":[{"table":"t","key":%q,"value":"YQ=="}]}`, name, name))
+	case "getRow":
+		status, body = exchange(t, http.MethodGet, base+"/-/rows-get?table=t&limit=1&from="+name, "")
+		if status == http.StatusOK && keys(t, body) == "" {
+			return absent
+		}
+	case "listRows":
+		status, body = exchange(t, http.MethodGet, base+"/-/rows-get?table=t", "")
+	case "putVM":
+		status, body = exchange(t, http.MethodPut, base+"/v1/vms/"+name, `{"slots":8}`)
+	case "listVMs":
+		status, body = exchange(t, http.MethodGet, base+"/-/rows-get?table=servers", "")
+	}
+	switch {
+	case status == 0:
+		return lost
+	case status == http.StatusNotFound:
+		return absent
+	case status == http.StatusPreconditionFailed:
+		return conflict
+	case verb == "getRow", verb == "listRows", verb == "listVMs":
+		return keys(t, body)
+	case verb == "getObject":
+		return body
+	}
+	return "done"
+}
+
+// keys are those of the rows in an answer.
+func keys(t *testing.T, body string) string {
+	t.Helper()
+	var page struct {
+		Rows []struct{ Key string }
+	}
+	if err := json.Unmarshal([]byte(body), &page); err != nil {
+		t.Fatal(err)
+	}
+	var all []string
+	for _, r := range page.Rows {
+		all = append(all, r.Key)
+	}
+	return strings.Join(all, " ")
+}
+
+// exchange makes a call; status 0 means that there was no answer.
+func exchange(t *testing.T, method, url, body string) (status int, answer string) {
 	t.Helper()
-	method, path, _ := strings.Cut(methodAndPath, " ")
-	request, err := http.NewRequest(method, base+path, strings.NewReader(body))
+	request, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -65,14 +126,14 @@
 	request.Close = true
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return "lost"
+		return 0, ""
 	}
 	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(response.Body)
+	text, err := io.ReadAll(response.Body)
 	if err != nil {
-		return "lost"
+		return 0, ""
 	}
-	return string(answer)
+	return response.StatusCode, string(text)
 }
 
 // Guards against a slow platform that answers at once, and against one that waits in
@@ -82,10 +143,10 @@
 	s := newFaultSwitches(manual)
 	s.set(TableService, Faults{Slow: clock.Second})
 	served := make(chan struct{}, 1)
-	handler := s.wrap(TableService, func(http.ResponseWriter, *http.Request) { served <- struct{}{} })
+	handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served <- struct{}{} })
 	done := make(chan struct{})
 	go func() {
-		handler(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
+		s.apply(TableService, false, handler, httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
 		close(done)
 	}()
 	for {
