Record a span for each hop of a job at a node

Cause: a node made no spans and dropped the W3C traceparent of its callers, which the house style asks for. The tracer of the entry daemon now takes any subject with a name. A node records the caller's request, the call to a home, its service there and each start; a job carries its span from VM to VM. Exporter and collector are settings (trace.exporter, trace.address; none by default, and then traceparents are only passed on). Endpoints are sent no traceparent: the platform's pages name no such header. Tests: TestSubmissionsJoinTheTrace, TestStartsCarryTheTrace, the caller's trace in TestShutdownAnswersRequestsInFlight.

--- a/internal/control/home/action.go
+++ b/internal/control/home/action.go
@@ -5,6 +5,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
 )
 
 // Action is what a home wants done. It is one of the types of this file.
@@ -19,6 +20,8 @@
 	// Until is the end of the lease, by the endpoint's clock.
 	Until endpoint.Clock
 	Token cell.Token
+	// Trace is the span of the job at this home.
+	Trace contract.TraceParent
 }
 
 // Stop orders an endpoint to stop a run and never to start it.
--- a/internal/control/home/home_test.go
+++ b/internal/control/home/home_test.go
@@ -376,3 +376,24 @@
 		t.Errorf("got %d starts, want %d", got, want)
 	}
 }
+
+// Guards against starts that cannot be joined to the job's trace.
+func TestStartsCarryTheTrace(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.addHome(1, 256)
+	w.advance(50)
+	s := submission("a-1", 1, 1)
+	s.Job.Trace = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+	started := false
+	for _, a := range w.homes[1].home.Handle(w.now, Submitted{Submission: s}) {
+		if start, ok := a.(Start); ok {
+			started = true
+			if got, want := start.Trace, s.Job.Trace; got != want {
+				t.Errorf("got trace %q, want %q", got, want)
+			}
+		}
+	}
+	if !started {
+		t.Errorf("got no start, want one")
+	}
+}
--- a/internal/control/home/runs.go
+++ b/internal/control/home/runs.go
@@ -22,6 +22,7 @@
 	h.do(Start{
 		Endpoint: p.Endpoint, Task: t.name, Run: t.run, Payload: t.work.Job.Payload,
 		Until: p.clockNow(h.now) + endpoint.Clock(h.config.Times.Lease), Token: h.config.Token,
+		Trace: t.work.Job.Trace,
 	})
 	if !p.watching {
 		h.hold(p, Watch)
--- a/internal/link/caller/server.go
+++ b/internal/link/caller/server.go
@@ -18,6 +18,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/trace"
 	"github.com/sequoiacart/sequoiacart/platform"
 )
 
@@ -35,6 +36,8 @@
 	Listener net.Listener
 	Local    Local
 	Counter  Counter
+	// Tracer records a span for each job; nil records none.
+	Tracer *trace.Tracer
 }
 
 // Counter counts requests by their status.
@@ -161,7 +164,10 @@
 	case err != nil:
 		return s.answer(c, platform.Invalid(http.StatusBadRequest, err.Error()))
 	}
-	return s.answer(c, s.run(c.Request().Context(), j, limitOf(c.Request())))
+	ctx, span := s.config.Tracer.Start(trace.WithParent(c.Request().Context(), trace.FromHeader(c.Request().Header)), trace.CallerHop, j.ID)
+	defer span.End()
+	j.Trace = trace.ParentOf(ctx)
+	return s.answer(c, s.run(ctx, j, limitOf(c.Request())))
 }
 
 // limitOf is how long the caller waits. The time-out of a queue bounds requests that a single
--- a/internal/link/caller/server_test.go
+++ b/internal/link/caller/server_test.go
@@ -30,11 +30,13 @@
 	return queue.NewState(1, []queue.Queue{{Name: "q", Host: "h", Path: "/q/", Service: "s"}}, nil, queue.Limits{})
 }
 
+const callerSpan = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+
 type noCounter struct{}
 
 func (noCounter) Count(string) {}
 
-// Guards against a shutdown that cuts off a request in flight: the run group ends the process
+// Guards against callers' traces that end at the VM, and against a shutdown that cuts off a request in flight: the run group ends the process
 // once Serve returns.
 func TestShutdownAnswersRequestsInFlight(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -59,6 +61,7 @@
 			return
 		}
 		request.Host = "h"
+		request.Header.Set("traceparent", callerSpan)
 		response, err := http.DefaultClient.Do(request)
 		if err != nil {
 			replies <- reply{err: err}
@@ -69,6 +72,9 @@
 		replies <- reply{status: response.StatusCode, body: string(body), err: err}
 	}()
 	j := <-l.jobs
+	if got, want := string(j.Job.Trace), callerSpan; got != want {
+		t.Errorf("got trace %q, want the caller's %q", got, want)
+	}
 	s.Drain()
 	shut := make(chan error, 1)
 	go func() { shut <- s.Shutdown(t.Context()) }()
--- a/internal/link/peer/client.go
+++ b/internal/link/peer/client.go
@@ -16,6 +16,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/trace"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
@@ -29,6 +30,8 @@
 	Dialer Dialer
 	// Timeout bounds calls that are answered at once.
 	Timeout clock.Millis
+	// Tracer records a span for each submission; nil records none.
+	Tracer *trace.Tracer
 }
 
 // Client calls other entry VMs, over one connection for each.
@@ -62,9 +65,14 @@
 }
 
 // Submit hands a job to a home and waits for its outcome for limit at most.
-func (c *Client) Submit(to cell.Member, in cell.ID, s job.Submission, traceParent string, limit clock.Millis) job.Outcome {
+func (c *Client) Submit(to cell.Member, in cell.ID, s job.Submission, limit clock.Millis) job.Outcome {
+	ctx, span := c.config.Tracer.Start(trace.WithParent(context.Background(), s.Job.Trace), trace.PeerHop, s.Job.ID)
+	defer span.End()
+	if p := trace.ParentOf(ctx); p != "" {
+		s.Job.Trace = p
+	}
 	reply := &SubmitReply{}
-	err := c.call(to, "Submit", SubmitRequest{Cell: in, Submission: s, TraceParent: traceParent}, reply, limit)
+	err := c.call(to, "Submit", SubmitRequest{Cell: in, Submission: s}, reply, limit)
 	if err != nil {
 		return job.Unanswered{Cause: err.Error()}
 	}
--- a/internal/link/peer/server.go
+++ b/internal/link/peer/server.go
@@ -2,6 +2,7 @@
 package peer
 
 import (
+	"context"
 	"net"
 	"net/rpc"
 	"sync"
@@ -15,6 +16,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/trace"
 )
 
 // Local is what the server needs of its own VM.
@@ -33,6 +35,8 @@
 	SubmitTimeout clock.Millis
 	// ControlTimeout bounds the wait for other answers of the control goroutine.
 	ControlTimeout clock.Millis
+	// Tracer records a span for each submission; nil records none.
+	Tracer *trace.Tracer
 }
 
 // Server answers other entry VMs.
@@ -105,6 +109,11 @@
 
 // Submit runs a job and answers with its outcome.
 func (s *service) Submit(r SubmitRequest, reply *SubmitReply) error {
+	ctx, span := s.config.Tracer.Start(trace.WithParent(context.Background(), r.Submission.Job.Trace), trace.ServedHop, r.Submission.Job.ID)
+	defer span.End()
+	if p := trace.ParentOf(ctx); p != "" {
+		r.Submission.Job.Trace = p
+	}
 	ended := make(chan job.Outcome, 1)
 	if !s.config.Local.Post(node.PeerSubmitted{Cell: r.Cell, Submission: r.Submission, Ended: ended}) {
 		return errShutDown
--- a/internal/link/peer/wire.go
+++ b/internal/link/peer/wire.go
@@ -11,10 +11,9 @@
 
 // SubmitRequest hands a job to a home.
 type SubmitRequest struct {
-	Cell       cell.ID
+	Cell cell.ID
+	// Submission carries the span of the call in its job.
 	Submission job.Submission
-	// TraceParent is the W3C trace context of the caller's request, or empty.
-	TraceParent string
 }
 
 // SubmitReply is the outcome of a submission.
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/world/cell"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/event"
+	"github.com/sequoiacart/sequoiacart/pkg/trace"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 	"github.com/sequoiacart/sequoiacart/platform"
 )
@@ -53,6 +54,7 @@
 	callers *caller.Server
 	ready   *http.Server
 	metrics *http.Server
+	tracer  *trace.Tracer
 
 	readyListener, metricsListener net.Listener
 	cancelTraffic                  context.CancelFunc
@@ -107,6 +109,10 @@
 		Member:     cell.Member{Incarnation: vm.NewIncarnation(s.VM, hex.EncodeToString(nonce)), Address: cmp.Or(s.AdvertisedPeers, s.Peers)},
 		DataCentre: s.DataCentre, CPU: int(s.ProcessorShare * 1000),
 	}
+	var err error
+	if d.tracer, err = trace.New(trace.Config{Exporter: s.Spans(), Self: d.self.Incarnation}); err != nil {
+		return nil, errors.Annotate(err, "start VM")
+	}
 	connections := network.Config{DialTimeout: dialTimeout, Unacknowledged: unacknowledged}
 	transport := func() *http.Transport {
 		return &http.Transport{
@@ -115,7 +121,7 @@
 		}
 	}
 	d.store = platform.NewStore(platform.StoreConfig{Address: s.Store, Timeout: storeTimeout, Transport: transport()})
-	d.peers = peer.NewClient(peer.ClientConfig{Dialer: connections, Timeout: peerTimeout})
+	d.peers = peer.NewClient(peer.ClientConfig{Dialer: connections, Timeout: peerTimeout, Tracer: d.tracer})
 	control := node.New(node.Config{
 		Self: d.self, DataCentres: s.DataCentres, FarFactor: s.FarFactor, Successors: s.Successors, Seeds: s.Seeds, HandOver: clock.Millis(float64(s.Grace) * handOverShare), Now: c.Clock.Now(),
 		Times: home.DefaultTimes(s.LongestLease, s.StopTakes, s.Resend),
@@ -124,7 +130,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancelTraffic = cancel
 	d.traffic = &traffic{
-		ctx: ctx, loop: d.loop, clock: c.Clock, peers: d.peers, dialer: connections, store: d.store, journal: d.journal, meter: d.meter,
+		ctx: ctx, loop: d.loop, clock: c.Clock, peers: d.peers, dialer: connections, store: d.store, journal: d.journal, meter: d.meter, tracer: d.tracer,
 		endpoints: platform.NewEndpointClient(platform.EndpointsConfig{StartTimeout: startTimeout, Timeout: orderTimeout, Transport: transport()}),
 	}
 	d.loop.executor = d.traffic
@@ -138,7 +144,7 @@
 		return errors.Annotate(err, "start VM: listen for peers")
 	}
 	d.server, err = peer.NewServer(peer.ServerConfig{
-		Listener: peers, Local: d.loop, SubmitTimeout: submitTimeoutMost, ControlTimeout: clock.Second,
+		Listener: peers, Local: d.loop, SubmitTimeout: submitTimeoutMost, ControlTimeout: clock.Second, Tracer: d.tracer,
 	})
 	if err != nil {
 		return errors.Trace(err)
@@ -147,7 +153,7 @@
 	if err != nil {
 		return errors.Annotate(err, "start VM: listen for callers")
 	}
-	d.callers = caller.NewServer(caller.Config{Listener: callers, Local: d.loop, Counter: d.meter})
+	d.callers = caller.NewServer(caller.Config{Listener: callers, Local: d.loop, Counter: d.meter, Tracer: d.tracer})
 	if d.readyListener, err = net.Listen("tcp", s.Ready); err != nil {
 		return errors.Annotate(err, "start VM: listen for the load balancer")
 	}
--- a/internal/process/daemon/run.go
+++ b/internal/process/daemon/run.go
@@ -68,6 +68,7 @@
 	until(d.journal.run)
 	d.journal.started(d.startFields())
 	err := g.Run()
+	d.flushSpans()
 	if err == nil || errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed) {
 		d.journal.stopping("shutdown")
 		return nil
@@ -76,6 +77,15 @@
 	return err
 }
 
+// flushSpans sends the spans that wait, within the time that is left.
+func (d *Daemon) flushSpans() {
+	ctx, cancel := context.WithTimeout(context.Background(), answerLast.Duration())
+	defer cancel()
+	if err := d.tracer.Shutdown(ctx); err != nil {
+		d.journal.callFailed("send spans", "collector", err)
+	}
+}
+
 // drain leaves the load balancer's rotation, hands cells over, and waits for the requests in
 // flight.
 func (d *Daemon) drain() {
--- a/internal/process/daemon/traffic.go
+++ b/internal/process/daemon/traffic.go
@@ -16,6 +16,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/experience"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/trace"
 	"github.com/sequoiacart/sequoiacart/platform"
 )
 
@@ -31,6 +32,7 @@
 	store     store.Store
 	journal   *journal
 	meter     *meter.Meter
+	tracer    *trace.Tracer
 }
 
 // submitSlack is how much longer than its caller waits a submission's answer is awaited.
@@ -86,6 +88,8 @@
 
 func (t *traffic) start(c cell.ID, s home.Start) {
 	from := t.clock.Now()
+	_, span := t.tracer.Start(trace.WithParent(t.ctx, s.Trace), trace.EndpointHop, s.Task)
+	defer span.End()
 	slow := time.AfterFunc(startSlow.Duration(), func() {
 		t.loop.Post(node.HomeHeard{Cell: c, Event: home.StartSlow{Endpoint: s.Endpoint.ID, Task: s.Task, Run: s.Run}})
 	})
@@ -142,7 +146,7 @@
 
 func (t *traffic) submit(a node.SendSubmission) {
 	limit := max(a.Submission.Limit-a.Submission.Waited, 0) + submitSlack
-	o := t.peers.Submit(a.To, a.Cell, a.Submission, "", limit)
+	o := t.peers.Submit(a.To, a.Cell, a.Submission, limit)
 	t.loop.Post(node.SubmitAnswered{Key: a.Submission.Key, From: a.Cell, Outcome: o})
 }
 
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -5,6 +5,7 @@
 	"flag"
 	"io"
 	"net"
+	"os"
 	"slices"
 	"strings"
 
@@ -14,6 +15,7 @@
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/trace"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
@@ -44,6 +46,28 @@
 
 	// LogLinesPerSecond bounds the decisions that are logged.
 	LogLinesPerSecond int
+
+	// TraceExporter is where spans go, TraceAddress the collector of traceOTLP.
+	TraceExporter string
+	TraceAddress  string
+}
+
+// The exporters of spans.
+const (
+	traceNone   = "none"
+	traceStdout = "stdout"
+	traceOTLP   = "otlphttp"
+)
+
+// Spans returns where spans go.
+func (s *Settings) Spans() trace.Exporter {
+	switch s.TraceExporter {
+	case traceStdout:
+		return trace.Stdout{Writer: os.Stdout}
+	case traceOTLP:
+		return trace.OTLP{Address: s.TraceAddress}
+	}
+	return trace.None{}
 }
 
 // EnvPrefix begins the variables that stand for flags.
@@ -57,7 +81,7 @@
 	return Settings{
 		Metrics: "", ProcessorShare: 1, MemoryMB: 256, LongestLease: clock.Second, StopTakes: 50,
 		Resend: 1300, Grace: 6 * clock.Second, FarFactor: 1, Successors: 3,
-		LogLinesPerSecond: 400,
+		LogLinesPerSecond: 400, TraceExporter: traceNone,
 	}
 }
 
@@ -101,6 +125,8 @@
 	millis(&s.Grace, "bounds.graceMs", "time between SIGTERM and SIGKILL, in `milliseconds`")
 	flags.Float64Var(&s.FarFactor, "bounds.farFactor", s.FarFactor, "`factor` by which tasks take longer away from their data")
 	flags.IntVar(&s.Successors, "successors", s.Successors, "`number` of VMs of the data centre in the lineup of its cell")
+	text(&s.TraceExporter, "trace.exporter", "`where` spans go: none, stdout or otlphttp")
+	text(&s.TraceAddress, "trace.address", "`address` of the collector for otlphttp")
 	flags.IntVar(&s.LogLinesPerSecond, "log.linesPerSecond", s.LogLinesPerSecond, "most decisions logged in a second, in `lines`")
 }
 
@@ -159,6 +185,15 @@
 			return errors.NotValidf("check settings: key %s: %v is not above 0; it", p.key, p.value)
 		}
 	}
+	switch s.TraceExporter {
+	case traceNone, traceStdout:
+	case traceOTLP:
+		if _, _, err := net.SplitHostPort(s.TraceAddress); err != nil {
+			return errors.NotValidf("check settings: key trace.address: %q is not host:port; it", s.TraceAddress)
+		}
+	default:
+		return errors.NotValidf("check settings: key trace.exporter: %q is not none, stdout or otlphttp; it", s.TraceExporter)
+	}
 	if s.FarFactor < 1 {
 		return errors.NotValidf("check settings: key bounds.farFactor: %v is below 1; it", s.FarFactor)
 	}
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -80,6 +80,8 @@
 		"no memory":            {"memoryMB = 284", "memoryMB = 0", "machine.memoryMB"},
 		"text for a number":    {"memoryMB = 284", `memoryMB = "much"`, "machine.memoryMB"},
 		"far factor below 1":   {"farFactor = 1.5", "farFactor = 0.5", "bounds.farFactor"},
+		"unknown exporter":     {"[machine]", "[trace]\nexporter = \"paper\"\n[machine]", "trace.exporter"},
+		"no collector":         {"[machine]", "[trace]\nexporter = \"otlphttp\"\n[machine]", "trace.address"},
 		"not TOML":             {`vm = "front-1"`, `vm = `, "not TOML"},
 	}
 	for name, c := range cases {
--- a/internal/world/job/job.go
+++ b/internal/world/job/job.go
@@ -4,6 +4,7 @@
 import (
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
@@ -12,12 +13,18 @@
 // same ID.
 type ID string
 
+// String returns the ID as the caller sent it.
+func (i ID) String() string { return string(i) }
+
 // Index numbers the tasks of a job, through all its steps.
 type Index int
 
 // TaskName names a task wherever it runs.
 type TaskName string
 
+// String returns the name as the endpoint is told it.
+func (n TaskName) String() string { return string(n) }
+
 // Run numbers the starts of a task, from 1.
 type Run int64
 
@@ -45,6 +52,8 @@
 	Queue   queue.Name
 	Payload Payload
 	Steps   []Step
+	// Trace is the span that the job belongs to, or empty.
+	Trace contract.TraceParent
 }
 
 // Tasks counts the tasks of all steps.
--- a/pkg/trace/tracer.go
+++ b/pkg/trace/tracer.go
@@ -96,8 +96,11 @@
 	}
 }
 
+// Subject names the submission or job that a span is about.
+type Subject interface{ String() string }
+
 // Start begins the span of a hop. The returned context carries it; End ends it.
-func (t *Tracer) Start(ctx context.Context, hop Hop, id contract.SubmissionID) (context.Context, Span) {
+func (t *Tracer) Start(ctx context.Context, hop Hop, id Subject) (context.Context, Span) {
 	if t == nil {
 		return ctx, Span{}
 	}
