--- a/pkg/app/daemon_wiring.go
+++ b/pkg/app/daemon_wiring.go
@@ -69,7 +69,7 @@
 	client := platform.NewClient(platform.ClientConfig{
 		Address: s.PlatformAddress, Timeout: s.Timeouts.Platform,
 		Unreadable: func(err error) {
-			d.deps.Log.Warn(event.PlatformFailed, "read list of endpoints", logrus.Fields{"error": err})
+			d.deps.Log.Warn(event.EndpointIgnored, "endpoint ignored", logrus.Fields{"error": err})
 		},
 	})
 	rows := newRosterRows(client.Table(), d.deps.Clock, d.self)
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -19,6 +19,7 @@
 	DaemonStarted   Number = "SQ-1001"
 	DaemonStopped   Number = "SQ-1002"
 	PlatformFailed  Number = "SQ-2001"
+	EndpointIgnored Number = "SQ-2002"
 	BundleInForce   Number = "SQ-3001"
 	BundleRejected  Number = "SQ-3002"
 	ListenersFailed Number = "SQ-1003"
