--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -90,8 +90,8 @@
 	idleConnections = 8
 	// idleShare of the descriptors may be connections without a call, of all endpoints
 	// together; those that were not used for longest are closed. The others are for holds
-	// under way, peers and callers. A home of 750 endpoints had 4,061 connections open, of
-	// 4,100 descriptors, and failed.
+	// under way, peers and callers. The busiest VM of a sweep with 3,000 endpoints had 4,061
+	// connections open and 292 MB.
 	idleShare = 0.4
 	// bufferBytes of a connection; orders and most answers are shorter.
 	bufferBytes = 2 << 10
