Log why an attempt counts as ended and what allowed the next start

Change: endAttempt takes the reason, a sealed AttemptEnd. A runEnded line names it for each end that the endpoint has not listed, with the incarnation, the lease of the start, the latest extension, the time since then, and whether the start was confirmed. A runStarted line names what allowed a start that may follow an earlier attempt: all tokens accepted (with version and age of the list), the wait for expiry, the earlier end, or the end of an earlier submission. Ordinary first starts, starts after a listed end, and listed ends get no new line. No decision changes.

--- a/internal/control/leader/action.go
+++ b/internal/control/leader/action.go
@@ -68,8 +68,16 @@
 	Task     job.TaskName
 	Endpoint endpoint.Endpoint
 	Detail   string
+	// Details is set for the decisions that may lead to a second attempt of a task.
+	Details Details
 }
 
+// Details are the figures behind a logged decision. They do not change after the decision.
+type Details interface{ details() }
+
+func (*EndedAttempt) details()   {}
+func (*StartedAttempt) details() {}
+
 // Decision is the kind of a logged decision.
 type Decision int
 
@@ -84,6 +92,10 @@
 	AttemptFailed
 	// AttemptNotAdopted is an attempt of an earlier leader that is stopped since no job adopted it.
 	AttemptNotAdopted
+	// AttemptEnded is an attempt that counts as ended without being listed as ended.
+	AttemptEnded
+	// AttemptStarted is an attempt of a task that may have had an earlier one.
+	AttemptStarted
 	JobAccepted
 	JobRefused
 	JobForwarded
--- a/internal/control/leader/admission.go
+++ b/internal/control/leader/admission.go
@@ -155,7 +155,7 @@
 			l.markAdoptedDone(t)
 			continue
 		}
-		t.attempt, t.endpoint = o.attempt, o.endpoint
+		t.attempt, t.endpoint, t.startGrant = o.attempt, o.endpoint, LeaseGrant{}
 		l.confirmRunning(t)
 		t.startedAt = o.foundAt
 		t.baseDuration = l.baseDuration(t, o.endpoint)
--- a/internal/control/leader/attempts.go
+++ b/internal/control/leader/attempts.go
@@ -10,7 +10,8 @@
 
 // startAttempt starts the next attempt of a task at an endpoint.
 func (l *Leader) startAttempt(t *task, ep *endpointState, base clock.Millis) {
-	t.attempt = max(t.attempt, l.attemptNumbers.get(t.name)) + 1
+	lastAttempt := l.attemptNumbers.get(t.name)
+	t.attempt = max(t.attempt, lastAttempt) + 1
 	l.attemptNumbers.set(t.name, t.attempt, l.now)
 	t.phase, t.endpoint, t.startedAt, t.confirmedAt = starting, ep, l.now, 0
 	t.baseDuration, t.expectedDuration = base, ep.speed.duration(base)
@@ -19,10 +20,13 @@
 	t.job.started = true
 	l.reserve(t, ep)
 	ep.leaseSentAt = l.now
+	until := ep.earliestClock(l.now) + endpoint.Clock(l.config.Timeouts.AttemptLease)
+	t.startGrant = ep.leaseGrant(until, l.now)
+	ep.lastGrant = t.startGrant
+	l.logStart(t, lastAttempt)
 	l.emit(Start{
 		Endpoint: ep.Endpoint, Task: t.name, Attempt: t.attempt, Payload: t.job.Job.Payload,
-		LeaseUntil: ep.earliestClock(l.now) + endpoint.Clock(l.config.Timeouts.AttemptLease), Token: l.config.Token,
-		Trace: t.job.Job.Trace,
+		LeaseUntil: until, Token: l.config.Token, Trace: t.job.Job.Trace,
 	})
 	if !ep.watching {
 		l.sendHold(ep, Watch)
@@ -55,7 +59,9 @@
 
 // endAttempt frees the resources of an attempt that has certainly ended and enqueues the task for
 // another one, unless its job has been answered.
-func (l *Leader) endAttempt(t *task) {
+func (l *Leader) endAttempt(t *task, end AttemptEnd) {
+	t.lastEnd = l.endedAttempt(t, end)
+	l.logEnd(t, t.lastEnd)
 	l.freeResources(t)
 	t.phase = waiting
 	if t.job.answered {
@@ -91,7 +97,7 @@
 	if ep == nil {
 		return
 	}
-	ep.setClock(e.Clock, l.now)
+	ep.setClock(e.Clock, 0, l.now)
 	t := l.taskOfAttempt(ep, e.Task, e.Attempt)
 	if t == nil || t.phase != starting {
 		return
@@ -137,11 +143,11 @@
 	case endpoint.RejectedExpired, endpoint.RejectedOtherInstance:
 		l.sendHold(ep, Renewal)
 	case endpoint.RejectedInvalid:
-		l.endAttempt(t)
+		l.endAttempt(t, EndRejected{Reason: reason})
 		l.countTaskFailure(t)
 		return
 	}
-	l.endAttempt(t)
+	l.endAttempt(t, EndRejected{Reason: reason})
 }
 
 const (
@@ -177,9 +183,7 @@
 		t.stopAckedAt = 0
 		l.sendStop(t)
 	}
-	for name := range l.orphans {
-		l.orphans.remove(name, ep)
-	}
+	l.removeOrphans(ep, EndRestarted{})
 	ep.ackedEnd, ep.Born = 0, incarnation
 	ep.speed, ep.health = speed{}, health{}
 }
@@ -190,11 +194,9 @@
 	for _, t := range ep.sortedTasks() {
 		l.logAttempt(AttemptLost, t, ep, "instance replaced")
 		t.avoidEndpoint = ep
-		l.endAttempt(t)
-	}
-	for name := range l.orphans {
-		l.orphans.remove(name, ep)
+		l.endAttempt(t, EndReplaced{})
 	}
+	l.removeOrphans(ep, EndReplaced{})
 }
 
 // handleAttemptEnded processes the end of an attempt.
@@ -215,7 +217,7 @@
 		if e.End == endpoint.EndDone {
 			ep.speed.record(t.baseDuration, l.now-t.startedAt)
 		}
-		l.endAttempt(t)
+		l.endAttempt(t, EndListed{End: e.End})
 		return
 	}
 	switch e.End {
@@ -227,13 +229,13 @@
 			l.countEndpointFailure(t, ep)
 		}
 		t.avoidEndpoint = ep
-		l.endAttempt(t)
+		l.endAttempt(t, EndListed{End: e.End})
 		l.countTaskFailure(t)
 	case endpoint.EndExpired, endpoint.EndBroken, endpoint.EndAlone, endpoint.EndUnknown:
 		l.logAttempt(AttemptLost, t, ep, "ended "+strconv.Itoa(int(e.End)))
-		l.endAttempt(t)
+		l.endAttempt(t, EndListed{End: e.End})
 	case endpoint.EndStopped:
-		l.endAttempt(t)
+		l.endAttempt(t, EndListed{End: e.End})
 	}
 }
 
--- a/internal/control/leader/checks.go
+++ b/internal/control/leader/checks.go
@@ -25,9 +25,12 @@
 func (l *Leader) checkTask(t *task, ep *endpointState) {
 	switch t.phase {
 	case stopping:
-		stopped := t.stopAckedAt != 0 && l.now >= t.stopAckedAt+l.config.Timeouts.StopDuration+leaseMargin
-		if stopped || l.now >= ep.leaseSentAt+l.config.Timeouts.attemptLeaseExpiry() {
-			l.endAttempt(t)
+		if t.stopAckedAt != 0 && l.now >= t.stopAckedAt+l.config.Timeouts.StopDuration+leaseMargin {
+			l.endAttempt(t, EndStopDuration{})
+			return
+		}
+		if l.now >= ep.leaseSentAt+l.config.Timeouts.attemptLeaseExpiry() {
+			l.endAttempt(t, EndLeaseExpired{})
 			return
 		}
 		if t.stopAckedAt == 0 && l.now >= t.stopSentAt+stopRetryInterval {
@@ -38,7 +41,7 @@
 	case starting:
 		if l.now >= ep.leaseSentAt+l.config.Timeouts.attemptLeaseExpiry() {
 			l.logAttempt(AttemptLost, t, ep, "lease expired")
-			l.endAttempt(t)
+			l.endAttempt(t, EndLeaseExpired{})
 		}
 	case waiting, done, ended:
 	}
@@ -53,7 +56,7 @@
 	if l.now >= ep.leaseSentAt+l.config.Timeouts.attemptLeaseExpiry() {
 		l.logAttempt(AttemptLost, t, ep, "lease expired")
 		t.avoidEndpoint = ep
-		l.endAttempt(t)
+		l.endAttempt(t, EndLeaseExpired{})
 		return
 	}
 	if l.now >= t.startedAt+t.expectedDuration+startOverhead && l.now-ep.lastReportAt >= endReportTimeout && l.now-ep.renewalSentAt >= endReportTimeout {
@@ -85,8 +88,11 @@
 			}
 			expired := l.now >= max(o.foundAt, o.endpoint.leaseSentAt)+l.config.Timeouts.attemptLeaseExpiry()
 			switch {
-			case o.ended && l.now >= o.foundAt+historyRetention, !o.ended && o.stopSentAt != 0 && expired:
+			case o.ended && l.now >= o.foundAt+historyRetention:
+				l.orphans.remove(name, o.endpoint)
+			case !o.ended && o.stopSentAt != 0 && expired:
 				l.orphans.remove(name, o.endpoint)
+				l.logOrphanEnd(name, o, EndLeaseExpired{})
 			default:
 				l.stopOrphan(name, o)
 			}
--- a/internal/control/leader/cluster_test.go
+++ b/internal/control/leader/cluster_test.go
@@ -39,6 +39,7 @@
 	events       int
 	handlingTime time.Duration
 	decisions    map[Decision]int
+	logged       []LogDecision
 	// duration is how long an attempt of a task takes at speed 1.
 	duration func(job.TaskName) clock.Millis
 	// fault decides how a request is delivered; the default delivers it normally.
@@ -231,6 +232,7 @@
 		}
 	case LogDecision:
 		c.decisions[a.Decision]++
+		c.logged = append(c.logged, a)
 	}
 }
 
--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -121,7 +121,13 @@
 	}
 	// An earlier leader may have started the task at an endpoint that has not reported yet. It
 	// stops the attempts of jobs whose leases are not renewed.
-	return !t.job.Adopt || l.now >= t.job.receivedAt+l.config.Timeouts.AttemptsExpireAfter() || l.listComplete && l.allTokensAccepted()
+	return !t.job.Adopt || l.adoptionWaitEnded(t.job) || l.listComplete && l.allTokensAccepted()
+}
+
+// adoptionWaitEnded reports whether all attempts that an earlier leader has started for a job have
+// expired.
+func (l *Leader) adoptionWaitEnded(j *jobState) bool {
+	return l.now >= j.receivedAt+l.config.Timeouts.AttemptsExpireAfter()
 }
 
 func (l *Leader) allTokensAccepted() bool {
--- a/internal/control/leader/endpoint_state.go
+++ b/internal/control/leader/endpoint_state.go
@@ -21,8 +21,12 @@
 	// clockReading is a lower bound of the endpoint's clock at clockReadAt.
 	clockReading endpoint.Clock
 	clockReadAt  clock.Millis
+	// clockReadIn is the incarnation that reported clockReading, or 0 if the answer did not name it.
+	clockReadIn endpoint.Incarnation
 	// leaseSentAt is when the latest request that extends leases was sent.
 	leaseSentAt clock.Millis
+	// lastGrant is the latest lease that was granted or extended here, for the log.
+	lastGrant LeaseGrant
 	// ackedEnd is the highest number of an ended attempt that the leader has processed.
 	ackedEnd endpoint.EndNumber
 
@@ -54,14 +58,15 @@
 	return ep.clockReading + endpoint.Clock(now-ep.clockReadAt)
 }
 
-// setClock records a reading of the endpoint's clock; 0 is no reading.
-func (ep *endpointState) setClock(c endpoint.Clock, now clock.Millis) {
+// setClock records a reading of the clock of an endpoint's incarnation; 0 is no reading, or an
+// unknown incarnation.
+func (ep *endpointState) setClock(c endpoint.Clock, incarnation endpoint.Incarnation, now clock.Millis) {
 	if c == 0 {
 		return
 	}
 	// A reading is stale by the time its answer took. The latest one always replaces the one
 	// before, since the drift of the endpoint's clock makes an older reading unsafe.
-	ep.clockReading, ep.clockReadAt = c, now
+	ep.clockReading, ep.clockReadAt, ep.clockReadIn = c, now, incarnation
 }
 
 // usable reports whether new tasks may be placed here.
--- a/internal/control/leader/event.go
+++ b/internal/control/leader/event.go
@@ -95,6 +95,7 @@
 	// Complete means that attempts of an earlier leader can only be at listed endpoints: no endpoint
 	// has left the list recently, or the earlier leader has handed over its own list.
 	Complete bool
+	List     EndpointList
 }
 
 // DesiredState is a newer desired state.
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -55,6 +55,7 @@
 
 	// listComplete means that every endpoint with attempts of an earlier leader is listed.
 	listComplete bool
+	list         EndpointList
 	now          clock.Millis
 	sequence     SequenceNumber
 	actions      []Action
@@ -113,7 +114,7 @@
 	case HoldEnded:
 		l.handleHoldEnded(e)
 	case EndpointsListed:
-		l.listComplete = e.Complete
+		l.listComplete, l.list = e.Complete, e.List
 		l.updateEndpoints(e.Endpoints)
 	case DesiredState:
 		l.desired = e.State
--- /dev/null
+++ b/internal/control/leader/start_permission.go
@@ -0,0 +1,101 @@
+package leader
+
+import (
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/shard"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// StartPermission is what allows a start of a task that may have had an earlier attempt. It is one
+// of the types of this file.
+type StartPermission interface{ startPermission() }
+
+// TokensAccepted means that every endpoint of a complete list has accepted the leader's token, so
+// that the attempts of earlier leaders are known.
+type TokensAccepted struct {
+	List EndpointList
+	// ListAge is the time since the list was read.
+	ListAge clock.Millis
+	// SinceMissing is the time since an endpoint last disappeared from the list.
+	SinceMissing clock.Millis
+	// Accepted counts the listed endpoints that have accepted the token, Unlisted those that are no
+	// longer listed and were passed over.
+	Accepted, Unlisted int
+}
+
+// ExpiryAwaited means that AttemptsExpireAfter has passed since the leader received the job.
+type ExpiryAwaited struct{ Waited clock.Millis }
+
+// EarlierAttemptEnded means that the earlier attempt at this leader counts as ended.
+type EarlierAttemptEnded struct{ Attempt *EndedAttempt }
+
+// EarlierSubmissionEnded means that none of the attempts of an earlier submission to this leader
+// is left. Last is the highest number of those.
+type EarlierSubmissionEnded struct{ Last job.Attempt }
+
+func (TokensAccepted) startPermission()         {}
+func (ExpiryAwaited) startPermission()          {}
+func (EarlierAttemptEnded) startPermission()    {}
+func (EarlierSubmissionEnded) startPermission() {}
+
+// StartedAttempt is an attempt of a task that may have had an earlier one.
+type StartedAttempt struct {
+	Attempt job.Attempt
+	Token   shard.Token
+	Lease   LeaseGrant
+	// Permissions are what allowed the start; each of them was required.
+	Permissions []StartPermission
+}
+
+// EndpointList says which list of the endpoints of the shard a leader has.
+type EndpointList struct {
+	// Version is that of the store, and ReadAt when this VM got the list.
+	Version int64
+	ReadAt  clock.Millis
+	// LastMissingAt is when an endpoint last disappeared from the list, or when the VM started.
+	LastMissingAt clock.Millis
+	// CleanHandOver means that the previous leader has handed over its own list.
+	CleanHandOver bool
+}
+
+// startPermissions returns what allows the task to start now, or nothing for an ordinary first
+// start. lastAttempt is the highest attempt number of the task at this leader so far.
+func (l *Leader) startPermissions(t *task, lastAttempt job.Attempt) []StartPermission {
+	var all []StartPermission
+	if t.job.Adopt {
+		if l.adoptionWaitEnded(t.job) {
+			all = append(all, ExpiryAwaited{Waited: l.now - t.job.receivedAt})
+		} else {
+			all = append(all, l.tokensAccepted())
+		}
+	}
+	if e := t.lastEnd; e != nil {
+		if _, listed := e.End.(EndListed); !listed {
+			all = append(all, EarlierAttemptEnded{Attempt: e})
+		}
+	} else if lastAttempt > 0 {
+		all = append(all, EarlierSubmissionEnded{Last: lastAttempt})
+	}
+	return all
+}
+
+func (l *Leader) tokensAccepted() TokensAccepted {
+	p := TokensAccepted{List: l.list, ListAge: l.now - l.list.ReadAt, SinceMissing: l.now - l.list.LastMissingAt}
+	for _, ep := range l.sortedEndpoints {
+		if ep.unlisted {
+			p.Unlisted++
+		} else {
+			p.Accepted++
+		}
+	}
+	return p
+}
+
+// logStart logs the start of the current attempt of a task, unless it is an ordinary first one.
+func (l *Leader) logStart(t *task, lastAttempt job.Attempt) {
+	if p := l.startPermissions(t, lastAttempt); len(p) > 0 {
+		l.emit(LogDecision{Decision: AttemptStarted, Job: t.job.Job.ID, Task: t.name, Endpoint: t.endpoint.Endpoint, Details: &StartedAttempt{
+			Attempt: t.attempt, Token: l.config.Token, Lease: t.startGrant, Permissions: p,
+		}})
+	}
+}
--- a/internal/control/leader/status_report.go
+++ b/internal/control/leader/status_report.go
@@ -36,7 +36,7 @@
 	}
 	ep.lastReportAt = l.now
 	ep.unansweredHolds = 0
-	ep.setClock(e.Report.Clock, l.now)
+	ep.setClock(e.Report.Clock, e.Report.Incarnation, l.now)
 	for _, end := range e.Report.Ended {
 		l.handleAttemptEnded(ep, end)
 	}
@@ -111,7 +111,7 @@
 			l.stopAttempt(t)
 		case t.phase == stopping && t.stopAckedAt != 0 && e.Sequence >= t.stopAckedSeq:
 			// A stop was acknowledged before this report, so the attempt can never appear again.
-			l.endAttempt(t)
+			l.endAttempt(t, EndAbsentAfterStop{})
 		}
 	}
 }
@@ -149,6 +149,7 @@
 		o, ok := l.orphans.get(name, ep)
 		if _, present := listed[name]; ok && !o.ended && !present {
 			l.orphans.remove(name, ep)
+			l.logOrphanEnd(name, o, EndAbsent{})
 		}
 	}
 }
@@ -182,5 +183,8 @@
 		}
 		ep.renewing, ep.renewalSentAt = true, l.now
 	}
+	if h.LeaseUntil != 0 {
+		ep.lastGrant = ep.leaseGrant(h.LeaseUntil, l.now)
+	}
 	l.emit(h)
 }
--- a/internal/control/leader/task.go
+++ b/internal/control/leader/task.go
@@ -15,6 +15,10 @@
 	phase     taskPhase
 	endpoint  *endpointState
 	attempt   job.Attempt
+	// startGrant is the lease of the start of the current attempt, and lastEnd the attempt before,
+	// for the log.
+	startGrant LeaseGrant
+	lastEnd    *EndedAttempt
 	// startedAt is when the start was sent, confirmedAt when the endpoint first confirmed the
 	// attempt.
 	startedAt, confirmedAt clock.Millis
--- a/internal/control/node/endpoints.go
+++ b/internal/control/node/endpoints.go
@@ -69,13 +69,26 @@
 	if n.endpointsVersion == 0 || n.ledShards[id] == nil {
 		return
 	}
+	list, complete := n.endpointList(n.ledShards[id].cleanHandOver)
+	n.sendToLeader(id, leader.EndpointsListed{Endpoints: n.endpointsOf(id), Complete: complete, List: list})
+}
+
+// endpointsOf returns the endpoints of a shard.
+func (n *Control) endpointsOf(id shard.ID) []endpoint.Endpoint {
 	var inShard []endpoint.Endpoint
 	for _, e := range n.endpoints {
 		if e.DataCentre == id.DataCentre() {
 			inShard = append(inShard, e)
 		}
 	}
-	n.sendToLeader(id, leader.EndpointsListed{Endpoints: inShard, Complete: n.ledShards[id].cleanHandOver || n.now-n.lastMissingAt >= listCompleteDelay})
+	return inShard
+}
+
+// endpointList describes the list of endpoints and says whether it has all endpoints with attempts
+// of an earlier leader.
+func (n *Control) endpointList(cleanHandOver bool) (list leader.EndpointList, complete bool) {
+	list = leader.EndpointList{Version: n.endpointsVersion, ReadAt: n.endpointsAt, LastMissingAt: n.lastMissingAt, CleanHandOver: cleanHandOver}
+	return list, cleanHandOver || n.now-n.lastMissingAt >= listCompleteDelay
 }
 
 // listCompleteDelay is how long an endpoint that has disappeared may still have attempts of an
--- /dev/null
+++ b/internal/process/daemon/decision_fields_test.go
@@ -0,0 +1,106 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/sequoiacart/sequoiacart/internal/control/leader"
+	"github.com/sequoiacart/sequoiacart/internal/control/node"
+	"github.com/sequoiacart/sequoiacart/internal/process/meter"
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/event"
+)
+
+// logLine returns the line that a node writes for an event.
+func logLine(t *testing.T, e node.LogEvent) map[string]any {
+	t.Helper()
+	var out bytes.Buffer
+	log := logrus.New()
+	log.SetOutput(&out)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	l := newEventLogger(event.NewLog(log), meter.New(), clock.NewManual(clock.Hour), 10)
+	l.logEvent(e)
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = l.run(ended)
+	t.Log(out.String())
+	var line map[string]any
+	if err := json.Unmarshal(out.Bytes(), &line); err != nil {
+		t.Fatalf("got %q: %v, want a line of JSON", out.String(), err)
+	}
+	return line
+}
+
+func decisionLine(t *testing.T, d leader.Decision, details leader.Details) map[string]any {
+	t.Helper()
+	return logLine(t, node.LogEvent{Topic: node.LeaderDecision, Shard: "centro", Job: "75aef6597ba279b0", Decision: &leader.LogDecision{
+		Decision: d, Job: "75aef6597ba279b0", Task: "75aef6597ba279b0.0.0.1", Endpoint: endpoint.Endpoint{ID: "e1", Born: 7}, Details: details,
+	}})
+}
+
+func endedAttempt(end leader.AttemptEnd) *leader.EndedAttempt {
+	return &leader.EndedAttempt{
+		Attempt: 2, Endpoint: endpoint.Endpoint{ID: "e1", Born: 7}, End: end, SinceExtension: 640, Confirmed: true,
+		Start:     leader.LeaseGrant{SentAt: 1000, Until: 5600, Reading: 4900, Age: 100, ReadIn: 6, SentTo: 6},
+		LastGrant: leader.LeaseGrant{SentAt: 1100, Until: 5700, Reading: 5000, Age: 100, SentTo: 7},
+	}
+}
+
+// Guards against a reason or a permission that is logged without a name, or under the name of
+// another.
+func TestLinesNameReasonsAndPermissions(t *testing.T) {
+	reasons := map[string]leader.AttemptEnd{
+		"listed": leader.EndListed{End: endpoint.EndStopped}, "absentAfterStop": leader.EndAbsentAfterStop{},
+		"stopDuration": leader.EndStopDuration{}, "leaseExpired": leader.EndLeaseExpired{}, "restarted": leader.EndRestarted{},
+		"replaced": leader.EndReplaced{}, "rejected": leader.EndRejected{Reason: endpoint.RejectedNoCapacity}, "absent": leader.EndAbsent{},
+	}
+	for want, end := range reasons {
+		line := decisionLine(t, leader.AttemptEnded, endedAttempt(end))
+		if got := line["reason"]; got != want || line["decision"] != "runEnded" {
+			t.Errorf("got reason %v of %v, want %s of runEnded", got, line["decision"], want)
+		}
+	}
+	permissions := map[string]leader.StartPermission{
+		"tokensAccepted": leader.TokensAccepted{List: leader.EndpointList{Version: 812, CleanHandOver: true}, ListAge: 90, SinceMissing: 20_000, Accepted: 41, Unlisted: 1},
+		"expiryAwaited":  leader.ExpiryAwaited{Waited: 1040}, "earlierRunEnded": leader.EarlierAttemptEnded{Attempt: endedAttempt(leader.EndLeaseExpired{})},
+		"earlierSubmissionEnded": leader.EarlierSubmissionEnded{Last: 3},
+	}
+	for want, p := range permissions {
+		line := decisionLine(t, leader.AttemptStarted, &leader.StartedAttempt{Attempt: 3, Token: 2305, Permissions: []leader.StartPermission{p}})
+		allowed, _ := line["allowedBy"].([]any)
+		if len(allowed) != 1 || line["decision"] != "runStarted" {
+			t.Fatalf("got %v of %v, want one permission of runStarted", allowed, line["decision"])
+		}
+		fields, _ := allowed[0].(map[string]any)
+		if got := fields["by"]; got != want {
+			t.Errorf("got a start allowed by %v, want %s", got, want)
+		}
+	}
+}
+
+// Guards against lines from which one cannot tell whether a lease was computed from the clock of
+// another incarnation of the endpoint.
+func TestLinesHaveTheLeaseOfAnAttempt(t *testing.T) {
+	line := decisionLine(t, leader.AttemptEnded, endedAttempt(leader.EndLeaseExpired{}))
+	for field, want := range map[string]float64{"run": 2, "born": 7, "sinceExtensionMs": 640} {
+		if got := line[field]; got != want {
+			t.Errorf("%s: got %v, want %v", field, got, want)
+		}
+	}
+	for field, want := range map[string]map[string]float64{
+		"lease":     {"untilMs": 5600, "readingMs": 4900, "readingAgeMs": 100, "readIn": 6, "sentTo": 6},
+		"extension": {"untilMs": 5700, "readingMs": 5000, "readingAgeMs": 100, "readIn": 0, "sentTo": 7},
+	} {
+		got, _ := line[field].(map[string]any)
+		for name, value := range want {
+			if got[name] != value {
+				t.Errorf("%s.%s: got %v, want %v", field, name, got[name], value)
+			}
+		}
+	}
+}
--- a/internal/process/daemon/event_logger.go
+++ b/internal/process/daemon/event_logger.go
@@ -147,7 +147,8 @@
 var decisionNames = map[leader.Decision]string{
 	leader.EndpointEjected: "endpointEjected", leader.EndpointSuspected: "endpointSuspected",
 	leader.EndpointReturned: "endpointReturned", leader.StartUncertain: "startDoubted", leader.AttemptStalled: "runStalled", leader.AttemptLost: "runLost",
-	leader.AttemptFailed: "runFailed", leader.AttemptNotAdopted: "runUnclaimed", leader.JobAccepted: "jobTaken",
+	leader.AttemptFailed: "runFailed", leader.AttemptNotAdopted: "runUnclaimed", leader.AttemptEnded: "runEnded",
+	leader.AttemptStarted: "runStarted", leader.JobAccepted: "jobTaken",
 	leader.JobRefused: "jobRefused", leader.JobForwarded: "jobPassedOn", leader.JobAdopted: "jobAdopted",
 	leader.JobAbandoned: "jobAbandoned",
 }
@@ -156,9 +157,11 @@
 	name := decisionNames[e.Decision.Decision]
 	l.meter.Count("home." + name)
 	l.write(func() {
-		l.log.Info(event.LeaderDecision, "decision of leader", logrus.Fields{
+		fields := logrus.Fields{
 			"decision": name, "cell": e.Shard, "job": e.Decision.Job, "task": e.Decision.Task, "endpoint": e.Decision.Endpoint.ID, "detail": e.Decision.Detail,
-		})
+		}
+		addDetails(fields, e.Decision.Details)
+		l.log.Info(event.LeaderDecision, "decision of leader", fields)
 	})
 }
 
