Log changes of a leader's endpoints and the attempts that it leaves

Cause: a start at a new leader is allowed when all listed endpoints have accepted its token. No line says which list that was, which endpoints entered or left it since, or which attempts an earlier leader left.

A leader logs endpoints that appear after its first list, become unlisted or are dropped, in one line per list and kind, so that a store outage that lets all entries expire gives a few lines; and each restart of an endpoint under its id. jobAbandoned names the attempts that may be running, and runsLeft those of a leader that steps down. No decision changes.

Result: tests of internal/control and internal/process pass, among them new ones for each line.

--- a/internal/control/leader/action.go
+++ b/internal/control/leader/action.go
@@ -96,6 +96,14 @@
 	AttemptEnded
 	// AttemptStarted is an attempt of a task that may have had an earlier one.
 	AttemptStarted
+	// AttemptsLeft are the attempts that a leader leaves to the next one.
+	AttemptsLeft
+	// EndpointAppeared is an endpoint that was not in the leader's list before.
+	EndpointAppeared
+	EndpointRestarted
+	EndpointUnlisted
+	// EndpointDropped is an unlisted endpoint without tasks, whose state the leader has removed.
+	EndpointDropped
 	JobAccepted
 	JobRefused
 	JobForwarded
--- a/internal/control/leader/attempt_end.go
+++ b/internal/control/leader/attempt_end.go
@@ -118,3 +118,29 @@
 		}
 	}
 }
+
+// ActiveAttempts are attempts that may be running when their job or their leader ends.
+type ActiveAttempts struct{ Attempts []ActiveAttempt }
+
+// ActiveAttempt is an attempt that may be running.
+type ActiveAttempt struct {
+	Task     job.TaskName
+	Attempt  job.Attempt
+	Endpoint endpoint.Endpoint
+	// Start is the lease of the start, as in EndedAttempt.
+	Start     LeaseGrant
+	Confirmed bool
+}
+
+func (*ActiveAttempts) details() {}
+
+// activeAttempts lists the current attempts of tasks.
+func activeAttempts(tasks []*task) *ActiveAttempts {
+	active := &ActiveAttempts{}
+	for _, t := range tasks {
+		if t.holdsResources() {
+			active.Attempts = append(active.Attempts, ActiveAttempt{Task: t.name, Attempt: t.attempt, Endpoint: t.endpoint.Endpoint, Start: t.startGrant, Confirmed: t.confirmedAt != 0})
+		}
+	}
+	return active
+}
--- a/internal/control/leader/decision_log_test.go
+++ b/internal/control/leader/decision_log_test.go
@@ -251,3 +251,70 @@
 		})
 	}
 }
+
+// Guards against endpoints that enter or leave the list of a leader, or restart, without a line, so
+// that one cannot tell which endpoints a start was allowed without.
+func TestLogNamesChangedEndpoints(t *testing.T) {
+	c := newCluster(t, 22, 3)
+	c.duration = func(job.TaskName) clock.Millis { return 1000 }
+	c.addLeader(1, 256)
+	c.advance(50)
+	c.renewLeases(1, "a-1", 1)
+	c.deliver(1, Submitted{Submission: submission("a-1", 1, 2)})
+	c.advance(20)
+	if got := len(loggedDetails[*EndpointChanges](c)); got != 0 {
+		t.Errorf("first list: got %d lines, want none", got)
+	}
+	busy := slices.IndexFunc(c.sortedEndpoints, func(e *fakeEndpoint) bool { return len(e.attempts) > 0 })
+	all := c.endpointList()
+	c.deliver(1, EndpointsListed{Complete: true})
+	c.deliver(1, EndpointsListed{Complete: true})
+	c.deliver(1, EndpointsListed{Endpoints: all, Complete: true})
+	restarted := slices.Clone(all)
+	restarted[busy].Born++
+	c.deliver(1, EndpointsListed{Endpoints: restarted, Complete: true})
+	var got []string
+	for _, d := range c.logged {
+		switch details := d.Details.(type) {
+		case *EndpointChanges:
+			got = append(got, fmt.Sprint(d.Decision, " ", len(details.Endpoints)))
+		case *EndpointRestart:
+			got = append(got, fmt.Sprint(d.Decision, " ", d.Endpoint.ID, " ", details.Before, " ", details.After, " ", details.Tasks))
+		default:
+		}
+	}
+	want := []string{
+		fmt.Sprint(EndpointUnlisted, " ", 3), fmt.Sprint(EndpointDropped, " ", 2), fmt.Sprint(EndpointAppeared, " ", 2),
+		fmt.Sprint(EndpointRestarted, " ", all[busy].ID, " ", 1, " ", 2, " ", 2),
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+// Guards against a second attempt whose first one has no line at all, because its leader stepped
+// down or abandoned the job while it ran.
+func TestLogNamesAttemptsThatAreLeft(t *testing.T) {
+	ends := map[string]func(*cluster){
+		"leader steps down": func(c *cluster) {
+			for _, a := range c.leaders[1].leader.StepDown(c.now) {
+				c.execute(1, a)
+			}
+		},
+		"job abandoned": func(c *cluster) { c.deliver(1, Cancelled{Job: submission("a-1", 1, 1).Job.ID}) },
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			c := runOneTask(t, nil)
+			end(c)
+			left := loggedDetails[*ActiveAttempts](c)
+			if len(left) != 1 || len(left[0].Attempts) != 1 {
+				t.Fatalf("got %+v, want a line with one attempt", left)
+			}
+			got := left[0].Attempts[0]
+			if got.Endpoint.ID != "e00" || got.Attempt != 1 || !got.Confirmed || got.Start.Until == 0 {
+				t.Errorf("got %+v, want the confirmed attempt 1 at e00 and its lease", got)
+			}
+		})
+	}
+}
--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -251,6 +251,7 @@
 // updateEndpoints applies the platform's list of endpoints.
 func (l *Leader) updateEndpoints(all []endpoint.Endpoint) {
 	listed := make(map[datacentre.EndpointID]bool, len(all))
+	var appeared, unlisted, dropped []EndpointChange
 	for _, e := range all {
 		listed[e.ID] = true
 		ep := l.endpoints[e.ID]
@@ -262,10 +263,12 @@
 			l.endpoints[e.ID] = ep
 			index, _ := slices.BinarySearchFunc(l.sortedEndpoints, ep, func(a, b *endpointState) int { return cmp.Compare(a.ID, b.ID) })
 			l.sortedEndpoints = slices.Insert(l.sortedEndpoints, index, ep)
+			appeared = append(appeared, ep.change())
 			l.sendHold(ep, Watch)
 			continue
 		}
 		if e.Born != ep.Born && e.Born > ep.Born && ep.Born != 0 {
+			l.logRestart(ep, e.Born, true)
 			l.handleRestart(ep, e.Born)
 		}
 		used := ep.Capacity.Minus(ep.free)
@@ -276,11 +279,21 @@
 		if listed[ep.ID] {
 			continue
 		}
+		if !ep.unlisted {
+			unlisted = append(unlisted, ep.change())
+		}
 		ep.unlisted = true
 		if len(ep.tasks) == 0 {
+			dropped = append(dropped, ep.change())
 			delete(l.endpoints, ep.ID)
 			i := slices.Index(l.sortedEndpoints, ep)
 			l.sortedEndpoints = slices.Delete(l.sortedEndpoints, i, i+1)
 		}
 	}
+	if l.listed {
+		l.logEndpointChanges(EndpointAppeared, appeared)
+	}
+	l.listed = true
+	l.logEndpointChanges(EndpointUnlisted, unlisted)
+	l.logEndpointChanges(EndpointDropped, dropped)
 }
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/sequoiacart/sequoiacart/internal/world/estimate"
@@ -55,10 +56,12 @@
 
 	// listComplete means that every endpoint with attempts of an earlier leader is listed.
 	listComplete bool
-	list         EndpointList
-	now          clock.Millis
-	sequence     SequenceNumber
-	actions      []Action
+	// list is the latest list of endpoints, for the log; listed means that there was one.
+	list     EndpointList
+	listed   bool
+	now      clock.Millis
+	sequence SequenceNumber
+	actions  []Action
 }
 
 // entryVM is an entry VM with jobs at this leader.
@@ -142,6 +145,10 @@
 			l.answer(j, job.Moved{})
 		}
 	}
+	if len(l.activeTasks) > 0 {
+		left := slices.SortedFunc(maps.Values(l.activeTasks), func(a, b *task) int { return cmp.Compare(a.name, b.name) })
+		l.emit(LogDecision{Decision: AttemptsLeft, Details: activeAttempts(left)})
+	}
 	return l.actions
 }
 
@@ -225,7 +232,7 @@
 	if !j.started {
 		outcome = job.Refused{Reason: reason, RetryAfter: retryAfter}
 	}
-	l.emit(LogDecision{Decision: JobAbandoned, Job: j.Job.ID, Detail: string(reason)})
+	l.emit(LogDecision{Decision: JobAbandoned, Job: j.Job.ID, Detail: string(reason), Details: activeAttempts(j.tasks)})
 	l.endTasks(j)
 	l.answer(j, outcome)
 }
--- a/internal/control/leader/start_permission.go
+++ b/internal/control/leader/start_permission.go
@@ -13,11 +13,7 @@
 // TokensAccepted means that every endpoint of a complete list has accepted the leader's token, so
 // that the attempts of earlier leaders are known.
 type TokensAccepted struct {
-	List EndpointList
-	// ListAge is the time since the list was read.
-	ListAge clock.Millis
-	// SinceMissing is the time since an endpoint last disappeared from the list.
-	SinceMissing clock.Millis
+	List EndpointListState
 	// Accepted counts the listed endpoints that have accepted the token, Unlisted those that are no
 	// longer listed and were passed over.
 	Accepted, Unlisted int
@@ -58,6 +54,17 @@
 	CleanHandOver bool
 }
 
+// EndpointListState is a list of endpoints and the times since its points in time.
+type EndpointListState struct {
+	EndpointList
+	Age, SinceMissing clock.Millis
+}
+
+// At returns the state of the list at a time.
+func (e EndpointList) At(now clock.Millis) EndpointListState {
+	return EndpointListState{EndpointList: e, Age: now - e.ReadAt, SinceMissing: now - e.LastMissingAt}
+}
+
 // startPermissions returns what allows the task to start now, or nothing for an ordinary first
 // start. lastAttempt is the highest attempt number of the task at this leader so far.
 func (l *Leader) startPermissions(t *task, lastAttempt job.Attempt) []StartPermission {
@@ -80,7 +87,7 @@
 }
 
 func (l *Leader) tokensAccepted() TokensAccepted {
-	p := TokensAccepted{List: l.list, ListAge: l.now - l.list.ReadAt, SinceMissing: l.now - l.list.LastMissingAt}
+	p := TokensAccepted{List: l.list.At(l.now)}
 	for _, ep := range l.sortedEndpoints {
 		if ep.unlisted {
 			p.Unlisted++
--- a/internal/control/leader/status_report.go
+++ b/internal/control/leader/status_report.go
@@ -28,6 +28,7 @@
 		return
 	}
 	if ep.Born != 0 && e.Report.Incarnation != ep.Born {
+		l.logRestart(ep, e.Report.Incarnation, false)
 		l.handleRestart(ep, e.Report.Incarnation)
 	}
 	ep.Born = e.Report.Incarnation
--- a/internal/control/node/action.go
+++ b/internal/control/node/action.go
@@ -89,6 +89,11 @@
 	ReplicaSet shard.ReplicaSet
 	Rank       int
 	Token      shard.Token
+	// List is the list of endpoints of LeadershipAcquired, with the number of its endpoints in the
+	// shard and whether it counts as complete.
+	List         leader.EndpointListState
+	Endpoints    int
+	ListComplete bool
 	// Outcome, Waited and Parts are set for JobEnded.
 	Outcome job.Outcome
 	Waited  clock.Millis
--- a/internal/control/node/leadership.go
+++ b/internal/control/node/leadership.go
@@ -29,8 +29,9 @@
 	n.stepDown(set.Cell)
 }
 
-// becomeLeader makes this VM the leader of a shard under its rank in the replica set.
-func (n *Control) becomeLeader(id shard.ID, set shard.ReplicaSet, rank int) {
+// becomeLeader makes this VM the leader of a shard under its rank in the replica set. The log says
+// whether the leader before has handed the shard over.
+func (n *Control) becomeLeader(id shard.ID, set shard.ReplicaSet, rank int, handedOver bool) {
 	if n.shutdown || n.ledShards[id] != nil || !n.canReachEndpoints(id) {
 		return
 	}
@@ -41,7 +42,11 @@
 	})}
 	n.monitors[id].BecameLeader(token, n.now)
 	n.emit(LoadEstimates{Shard: id})
-	n.emit(LogEvent{Topic: LeadershipAcquired, Shard: id, ReplicaSet: set, Rank: rank, Token: token})
+	list, complete := n.endpointList(handedOver)
+	n.emit(LogEvent{
+		Topic: LeadershipAcquired, Shard: id, ReplicaSet: set, Rank: rank, Token: token,
+		List: list.At(n.now), Endpoints: len(n.endpointsOf(id)), ListComplete: complete,
+	})
 	for o, load := range n.loads {
 		if o != id {
 			n.sendToLeader(id, leader.LoadReported{Load: load})
@@ -194,7 +199,7 @@
 	wasLeader := n.ledShards[id] != nil
 	n.applyReplicaSet(e.ReplicaSet)
 	if !wasLeader && n.monitors[id].ReplicaSet().Revision == e.ReplicaSet.Revision {
-		n.becomeLeader(id, e.ReplicaSet, 0)
+		n.becomeLeader(id, e.ReplicaSet, 0, false)
 	}
 }
 
@@ -289,7 +294,7 @@
 		return
 	}
 	n.mergeHandedOverEndpoints(e)
-	n.becomeLeader(id, set, rank)
+	n.becomeLeader(id, set, rank, true)
 	if led := n.ledShards[id]; led != nil {
 		led.cleanHandOver = true
 		n.sendEndpoints(id)
--- a/internal/control/node/node_test.go
+++ b/internal/control/node/node_test.go
@@ -380,3 +380,35 @@
 		t.Errorf("got the shard kept after the handover timeout, want the leader to step down")
 	}
 }
+
+// Guards against a leadership whose line does not say which list of endpoints the starts of the new
+// leader rely on.
+func TestLogNamesTheListOfANewLeader(t *testing.T) {
+	acquired := func(h *harness) LogEvent {
+		t.Helper()
+		for _, e := range takeActions[LogEvent](h) {
+			if e.Topic == LeadershipAcquired {
+				return e
+			}
+		}
+		t.Fatal("got no line for the leadership of centro, want one")
+		return LogEvent{}
+	}
+	h := newHarness(t)
+	h.advance(200)
+	h.handle(ReplicaSetsLoaded{ReplicaSets: []shard.ReplicaSet{replicaSet("centro", 5, "me-1", "peer-1", "n-1")}})
+	h.advance(50)
+	e := acquired(h)
+	if e.List.Version != 1 || e.Endpoints != 2 || e.ListComplete || e.List.CleanHandOver || e.List.Age < 200 {
+		t.Errorf("claimed: got %+v, %d endpoints, complete %v, want version 1, 200 ms old, with 2 endpoints, incomplete", e.List, e.Endpoints, e.ListComplete)
+	}
+	h = newHarness(t)
+	h.handle(PeerYielded{
+		ReplicaSet: replicaSet("centro", 5, "peer-1", "me-1"), Done: make(chan bool, 1),
+		Endpoints: []endpoint.Endpoint{newEndpoint("centro", "e1")}, EndpointsVersion: 4,
+	})
+	e = acquired(h)
+	if e.List.Version != 4 || e.Endpoints != 2 || !e.ListComplete || !e.List.CleanHandOver || e.List.Age != 0 {
+		t.Errorf("handed over: got %+v, %d endpoints, complete %v, want version 4, just read, with 2 endpoints, complete", e.List, e.Endpoints, e.ListComplete)
+	}
+}
--- a/internal/process/daemon/decision_fields.go
+++ b/internal/process/daemon/decision_fields.go
@@ -4,6 +4,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sequoiacart/sequoiacart/internal/control/leader"
+	"github.com/sequoiacart/sequoiacart/internal/control/node"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 )
 
@@ -19,7 +20,43 @@
 			allowed[i] = permissionFields(p)
 		}
 		fields["allowedBy"] = allowed
+	case *leader.ActiveAttempts:
+		if len(d.Attempts) == 0 {
+			return
+		}
+		runs := make([]logrus.Fields, len(d.Attempts))
+		for i, a := range d.Attempts {
+			runs[i] = logrus.Fields{"task": a.Task, "run": a.Attempt, "endpoint": a.Endpoint.ID, "born": a.Endpoint.Born, "confirmed": a.Confirmed}
+			if a.Start.SentAt != 0 {
+				runs[i]["lease"] = leaseFields(a.Start)
+			}
+		}
+		fields["runs"] = runs
+	case *leader.EndpointChanges:
+		all := make([]logrus.Fields, len(d.Endpoints))
+		for i, c := range d.Endpoints {
+			all[i] = logrus.Fields{"endpoint": c.ID, "born": c.Born, "tasks": c.Tasks, "tokenAccepted": c.TokenAccepted}
+		}
+		fields["endpoints"] = all
+		addList(fields, d.List)
+	case *leader.EndpointRestart:
+		fields["bornBefore"], fields["born"], fields["listed"], fields["tasks"] = d.Before, d.After, d.Listed, d.Tasks
+		fields["readIn"], fields["readingAgeMs"] = d.ReadIn, d.Age
+	}
+}
+
+// leadershipFields says which leadership was acquired, and with which list of endpoints.
+func leadershipFields(e node.LogEvent) logrus.Fields {
+	fields := logrus.Fields{
+		"cell": e.Shard, "lineup": e.ReplicaSet.Revision, "rank": e.Rank, "token": e.Token,
+		"endpoints": e.Endpoints, "listComplete": e.ListComplete,
 	}
+	addList(fields, e.List)
+	return fields
+}
+
+func addList(fields logrus.Fields, l leader.EndpointListState) {
+	fields["listVersion"], fields["listAgeMs"], fields["sinceMissingMs"], fields["cleanHandOver"] = l.Version, l.Age, l.SinceMissing, l.CleanHandOver
 }
 
 func addEndedAttempt(fields logrus.Fields, e *leader.EndedAttempt) {
@@ -62,10 +99,9 @@
 func permissionFields(p leader.StartPermission) logrus.Fields {
 	switch p := p.(type) {
 	case leader.TokensAccepted:
-		return logrus.Fields{
-			"by": "tokensAccepted", "accepted": p.Accepted, "unlisted": p.Unlisted, "listVersion": p.List.Version,
-			"listAgeMs": p.ListAge, "sinceMissingMs": p.SinceMissing, "cleanHandOver": p.List.CleanHandOver,
-		}
+		fields := logrus.Fields{"by": "tokensAccepted", "accepted": p.Accepted, "unlisted": p.Unlisted}
+		addList(fields, p.List)
+		return fields
 	case leader.ExpiryAwaited:
 		return logrus.Fields{"by": "expiryAwaited", "waitedMs": p.Waited}
 	case leader.EarlierAttemptEnded:
--- a/internal/process/daemon/decision_fields_test.go
+++ b/internal/process/daemon/decision_fields_test.go
@@ -66,7 +66,7 @@
 		}
 	}
 	permissions := map[string]leader.StartPermission{
-		"tokensAccepted": leader.TokensAccepted{List: leader.EndpointList{Version: 812, CleanHandOver: true}, ListAge: 90, SinceMissing: 20_000, Accepted: 41, Unlisted: 1},
+		"tokensAccepted": leader.TokensAccepted{List: leader.EndpointList{Version: 812, ReadAt: 29_910, LastMissingAt: 10_000}.At(30_000), Accepted: 41, Unlisted: 1},
 		"expiryAwaited":  leader.ExpiryAwaited{Waited: 1040}, "earlierRunEnded": leader.EarlierAttemptEnded{Attempt: endedAttempt(leader.EndLeaseExpired{})},
 		"earlierSubmissionEnded": leader.EarlierSubmissionEnded{Last: 3},
 	}
@@ -104,3 +104,30 @@
 		}
 	}
 }
+
+// Guards against lines about lists of endpoints and attempts that lack what they are read for.
+func TestLinesHaveTheListOfEndpoints(t *testing.T) {
+	list := leader.EndpointList{Version: 812, ReadAt: 29_910, LastMissingAt: 10_000, CleanHandOver: true}.At(30_000)
+	changed := []leader.EndpointChange{{ID: "e1", Born: 7, Tasks: 2, TokenAccepted: true}}
+	e1 := endpoint.Endpoint{ID: "e1", Born: 7}
+	active := []leader.ActiveAttempt{{Task: "75aef6597ba279b0.0.0.1", Attempt: 1, Endpoint: e1, Confirmed: true, Start: leader.LeaseGrant{SentAt: 1000, Until: 5600, Reading: 4900, Age: 100, ReadIn: 6, SentTo: 7}}}
+	for _, tt := range []struct {
+		name   string
+		line   map[string]any
+		fields []string
+	}{
+		{"endpoints unlisted", decisionLine(t, leader.EndpointUnlisted, &leader.EndpointChanges{Endpoints: changed, List: list}), []string{"endpoints", "listVersion", "listAgeMs", "sinceMissingMs"}},
+		{"endpoint restarted", decisionLine(t, leader.EndpointRestarted, &leader.EndpointRestart{Before: 6, After: 7, Listed: true, Tasks: 2, ReadIn: 6, Age: 140}), []string{"bornBefore", "born", "listed", "tasks", "readIn", "readingAgeMs"}},
+		{"attempts left", decisionLine(t, leader.AttemptsLeft, &leader.ActiveAttempts{Attempts: active}), []string{"runs"}},
+		{
+			"leadership acquired", logLine(t, node.LogEvent{Topic: node.LeadershipAcquired, Shard: "centro", Token: 2305, Rank: 1, List: list, Endpoints: 42, ListComplete: true}),
+			[]string{"token", "listVersion", "listAgeMs", "sinceMissingMs", "endpoints", "listComplete", "cleanHandOver"},
+		},
+	} {
+		for _, f := range tt.fields {
+			if tt.line[f] == nil {
+				t.Errorf("%s: got no field %s in %v, want one", tt.name, f, tt.line)
+			}
+		}
+	}
+}
--- a/internal/process/daemon/event_logger.go
+++ b/internal/process/daemon/event_logger.go
@@ -85,7 +85,7 @@
 	case node.LeadershipAcquired:
 		l.meter.Count("homes.taken")
 		l.write(func() {
-			l.log.Info(event.LeadershipAcquired, "leadership of shard acquired", logrus.Fields{"cell": e.Shard, "lineup": e.ReplicaSet.Revision, "rank": e.Rank, "token": e.Token})
+			l.log.Info(event.LeadershipAcquired, "leadership of shard acquired", leadershipFields(e))
 		})
 	case node.LeadershipLost:
 		l.meter.Count("homes.lost")
@@ -150,7 +150,8 @@
 	leader.AttemptFailed: "runFailed", leader.AttemptNotAdopted: "runUnclaimed", leader.AttemptEnded: "runEnded",
 	leader.AttemptStarted: "runStarted", leader.JobAccepted: "jobTaken",
 	leader.JobRefused: "jobRefused", leader.JobForwarded: "jobPassedOn", leader.JobAdopted: "jobAdopted",
-	leader.JobAbandoned: "jobAbandoned",
+	leader.JobAbandoned: "jobAbandoned", leader.AttemptsLeft: "runsLeft", leader.EndpointAppeared: "endpointAppeared",
+	leader.EndpointRestarted: "endpointRestarted", leader.EndpointUnlisted: "endpointUnlisted", leader.EndpointDropped: "endpointDropped",
 }
 
 func (l *eventLogger) leaderDecision(e node.LogEvent) {
