Merge the log of how attempts end and what allows a start

Change: the log names why an attempt counts as ended, what its lease was computed from, what allowed the next start, and changes of a leader's endpoints.

--- a/internal/control/leader/cluster_test.go
+++ b/internal/control/leader/cluster_test.go
@@ -39,6 +39,7 @@
 	events       int
 	handlingTime time.Duration
 	decisions    map[Decision]int
+	logged       []LogDecision
 	// duration is how long an attempt of a task takes at speed 1.
 	duration func(job.TaskName) clock.Millis
 	// fault decides how a request is delivered; the default delivers it normally.
@@ -151,7 +152,7 @@
 	if !f.relists || f.stopped || f.fenced {
 		return
 	}
-	c.deliver(n, EndpointsListed{Endpoints: c.endpointList(), Complete: true, ReadAt: c.now})
+	c.deliver(n, EndpointsListed{Endpoints: c.endpointList(), Complete: true, List: EndpointList{ReadAt: c.now}})
 	c.schedule(400, func() { c.list(n) })
 }
 
@@ -242,6 +243,7 @@
 		}
 	case LogDecision:
 		c.decisions[a.Decision]++
+		c.logged = append(c.logged, a)
 	}
 }
 
--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -121,9 +121,13 @@
 	}
 	// An earlier leader may have started the task at an endpoint that has not reported yet. It
 	// stops the attempts of jobs whose leases are not renewed.
-	timeouts := l.config.Timeouts
-	expired := l.now >= t.job.receivedAt+timeouts.SubmissionTimeout+timeouts.AttemptsExpireAfter()
-	return !t.job.Adopt || expired || l.earlierAttemptsReported(t.job)
+	return !t.job.Adopt || l.adoptionWaitEnded(t.job) || l.earlierAttemptsReported(t.job)
+}
+
+// adoptionWaitEnded reports whether all attempts that an earlier leader has started for a job have
+// expired.
+func (l *Leader) adoptionWaitEnded(j *jobState) bool {
+	return l.now >= j.receivedAt+l.config.Timeouts.SubmissionTimeout+l.config.Timeouts.AttemptsExpireAfter()
 }
 
 // earlierAttemptsReported reports whether every endpoint at which an earlier leader can have started
@@ -133,7 +137,7 @@
 func (l *Leader) earlierAttemptsReported(j *jobState) bool {
 	timeouts := l.config.Timeouts
 	latestStart := j.receivedAt + timeouts.SubmissionTimeout + timeouts.JobLease
-	return l.listComplete && l.listReadAt >= max(l.config.Now, latestStart-newEndpointDelay) && l.allTokensAccepted()
+	return l.listComplete && l.list.ReadAt >= max(l.config.Now, latestStart-newEndpointDelay) && l.allTokensAccepted()
 }
 
 func (l *Leader) allTokensAccepted() bool {
@@ -257,6 +261,7 @@
 // updateEndpoints applies the platform's list of endpoints.
 func (l *Leader) updateEndpoints(all []endpoint.Endpoint) {
 	listed := make(map[datacentre.EndpointID]bool, len(all))
+	var appeared, unlisted, dropped []EndpointChange
 	for _, e := range all {
 		listed[e.ID] = true
 		ep := l.endpoints[e.ID]
@@ -271,10 +276,12 @@
 			l.endpoints[e.ID] = ep
 			index, _ := slices.BinarySearchFunc(l.sortedEndpoints, ep, func(a, b *endpointState) int { return cmp.Compare(a.ID, b.ID) })
 			l.sortedEndpoints = slices.Insert(l.sortedEndpoints, index, ep)
+			appeared = append(appeared, ep.change())
 			l.sendHold(ep, Watch)
 			continue
 		}
 		if e.Born != ep.Born && e.Born > ep.Born && ep.Born != 0 {
+			l.logRestart(ep, e.Born, true)
 			l.handleRestart(ep, e.Born)
 		}
 		used := ep.Capacity.Minus(ep.free)
@@ -285,11 +292,21 @@
 		if listed[ep.ID] {
 			continue
 		}
+		if !ep.unlisted {
+			unlisted = append(unlisted, ep.change())
+		}
 		ep.unlisted = true
 		if len(ep.tasks) == 0 {
+			dropped = append(dropped, ep.change())
 			delete(l.endpoints, ep.ID)
 			i := slices.Index(l.sortedEndpoints, ep)
 			l.sortedEndpoints = slices.Delete(l.sortedEndpoints, i, i+1)
 		}
 	}
+	if l.listed {
+		l.logEndpointChanges(EndpointAppeared, appeared)
+	}
+	l.listed = true
+	l.logEndpointChanges(EndpointUnlisted, unlisted)
+	l.logEndpointChanges(EndpointDropped, dropped)
 }
--- a/internal/control/leader/event.go
+++ b/internal/control/leader/event.go
@@ -95,8 +95,7 @@
 	// Complete means that no endpoint with attempts of an earlier leader has left the list before
 	// ReadAt: none has left it recently, or the earlier leader has handed over its own list.
 	Complete bool
-	// ReadAt is a time at which the list had every endpoint that earlier leaders knew.
-	ReadAt clock.Millis
+	List     EndpointList
 }
 
 // DesiredState is a newer desired state.
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/sequoiacart/sequoiacart/internal/world/estimate"
@@ -53,14 +54,13 @@
 	// later.
 	inheritedEstimates estimate.Estimates
 
-	// listComplete and listReadAt are those of the latest list of endpoints.
+	// list is the latest list of endpoints; listed means that there was one.
+	list         EndpointList
 	listComplete bool
-	listReadAt   clock.Millis
-	// listed means that the leader has a list of endpoints.
-	listed   bool
-	now      clock.Millis
-	sequence SequenceNumber
-	actions  []Action
+	listed       bool
+	now          clock.Millis
+	sequence     SequenceNumber
+	actions      []Action
 }
 
 // entryVM is an entry VM with jobs at this leader.
@@ -116,9 +116,8 @@
 	case HoldEnded:
 		l.handleHoldEnded(e)
 	case EndpointsListed:
-		l.listComplete, l.listReadAt = e.Complete, e.ReadAt
+		l.listComplete, l.list = e.Complete, e.List
 		l.updateEndpoints(e.Endpoints)
-		l.listed = true
 	case DesiredState:
 		l.desired = e.State
 	case LoadReported:
@@ -145,6 +144,10 @@
 			l.answer(j, job.Moved{})
 		}
 	}
+	if len(l.activeTasks) > 0 {
+		left := slices.SortedFunc(maps.Values(l.activeTasks), func(a, b *task) int { return cmp.Compare(a.name, b.name) })
+		l.emit(LogDecision{Decision: AttemptsLeft, Details: activeAttempts(left)})
+	}
 	return l.actions
 }
 
@@ -228,7 +231,7 @@
 	if !j.started {
 		outcome = job.Refused{Reason: reason, RetryAfter: retryAfter}
 	}
-	l.emit(LogDecision{Decision: JobAbandoned, Job: j.Job.ID, Detail: string(reason)})
+	l.emit(LogDecision{Decision: JobAbandoned, Job: j.Job.ID, Detail: string(reason), Details: activeAttempts(j.tasks)})
 	l.endTasks(j)
 	l.answer(j, outcome)
 }
--- a/internal/control/node/endpoints.go
+++ b/internal/control/node/endpoints.go
@@ -73,17 +73,28 @@
 	if n.endpointsVersion == 0 || n.ledShards[id] == nil {
 		return
 	}
+	list, complete := n.endpointList(n.ledShards[id].handedOverAt)
+	n.sendToLeader(id, leader.EndpointsListed{Endpoints: n.endpointsOf(id), Complete: complete, List: list})
+}
+
+// endpointsOf returns the endpoints of a shard.
+func (n *Control) endpointsOf(id shard.ID) []endpoint.Endpoint {
 	var inShard []endpoint.Endpoint
 	for _, e := range n.endpoints {
 		if e.DataCentre == id.DataCentre() {
 			inShard = append(inShard, e)
 		}
 	}
-	led := n.ledShards[id]
-	n.sendToLeader(id, leader.EndpointsListed{
-		Endpoints: inShard, ReadAt: max(n.endpointsReadAt, led.handedOverAt),
-		Complete: led.handedOverAt != 0 || n.now-n.lastMissingAt >= listCompleteDelay,
-	})
+	return inShard
+}
+
+// endpointList describes the list of endpoints and says whether it has all endpoints with attempts
+// of an earlier leader. handedOverAt is when that leader listed them, or 0.
+func (n *Control) endpointList(handedOverAt clock.Millis) (list leader.EndpointList, complete bool) {
+	list = leader.EndpointList{
+		Version: n.endpointsVersion, ReadAt: max(n.endpointsReadAt, handedOverAt), LastMissingAt: n.lastMissingAt, CleanHandOver: handedOverAt != 0,
+	}
+	return list, list.CleanHandOver || n.now-n.lastMissingAt >= listCompleteDelay
 }
 
 // listCompleteDelay is how long an endpoint that has disappeared may still have attempts of an
--- a/internal/control/node/leadership.go
+++ b/internal/control/node/leadership.go
@@ -29,20 +29,25 @@
 	n.stepDown(set.Cell)
 }
 
-// becomeLeader makes this VM the leader of a shard under its rank in the replica set.
-func (n *Control) becomeLeader(id shard.ID, set shard.ReplicaSet, rank int) {
+// becomeLeader makes this VM the leader of a shard under its rank in the replica set. handedOverAt
+// is when the leader before listed all endpoints with attempts of its jobs, or 0.
+func (n *Control) becomeLeader(id shard.ID, set shard.ReplicaSet, rank int, handedOverAt clock.Millis) {
 	if n.shutdown || n.ledShards[id] != nil || !n.canReachEndpoints(id) {
 		return
 	}
 	token := set.Token(rank)
-	n.ledShards[id] = &ledShard{writtenAt: n.now, acquiredAt: n.now, savedAt: n.now, leader: leader.New(leader.Config{
+	n.ledShards[id] = &ledShard{writtenAt: n.now, acquiredAt: n.now, savedAt: n.now, handedOverAt: handedOverAt, leader: leader.New(leader.Config{
 		Shard: id, Token: token, Timeouts: n.config.Timeouts, FarFactor: n.config.FarFactor,
 		Desired: n.desired, Now: n.now,
 	})}
 	n.monitors[id].BecameLeader(token, n.now)
 	n.emit(ReadEndpoints{})
 	n.emit(LoadEstimates{Shard: id})
-	n.emit(LogEvent{Topic: LeadershipAcquired, Shard: id, ReplicaSet: set, Rank: rank, Token: token})
+	list, complete := n.endpointList(handedOverAt)
+	n.emit(LogEvent{
+		Topic: LeadershipAcquired, Shard: id, ReplicaSet: set, Rank: rank, Token: token,
+		List: list.At(n.now), Endpoints: len(n.endpointsOf(id)), ListComplete: complete,
+	})
 	for o, load := range n.loads {
 		if o != id {
 			n.sendToLeader(id, leader.LoadReported{Load: load})
@@ -195,7 +200,7 @@
 	wasLeader := n.ledShards[id] != nil
 	n.applyReplicaSet(e.ReplicaSet)
 	if !wasLeader && n.monitors[id].ReplicaSet().Revision == e.ReplicaSet.Revision {
-		n.becomeLeader(id, e.ReplicaSet, 0)
+		n.becomeLeader(id, e.ReplicaSet, 0, 0)
 	}
 }
 
@@ -267,7 +272,7 @@
 	for _, o := range e.Endpoints {
 		if !slices.ContainsFunc(merged, func(m endpoint.Endpoint) bool { return m.ID == o.ID }) {
 			merged = append(merged, o)
-			n.missingSince[o.ID] = n.now
+			n.missingSince[o.ID], n.lastMissingAt = n.now, n.now
 		}
 	}
 	n.endpoints = merged
@@ -290,11 +295,7 @@
 		return
 	}
 	n.mergeHandedOverEndpoints(e)
-	n.becomeLeader(id, set, rank)
-	if led := n.ledShards[id]; led != nil {
-		led.handedOverAt = n.now
-		n.sendEndpoints(id)
-	}
+	n.becomeLeader(id, set, rank, n.now)
 	e.Done <- n.ledShards[id] != nil
 }
 
--- a/internal/process/daemon/event_logger.go
+++ b/internal/process/daemon/event_logger.go
@@ -85,7 +85,7 @@
 	case node.LeadershipAcquired:
 		l.meter.Count("homes.taken")
 		l.write(func() {
-			l.log.Info(event.LeadershipAcquired, "leadership of shard acquired", logrus.Fields{"cell": e.Shard, "lineup": e.ReplicaSet.Revision, "rank": e.Rank, "token": e.Token})
+			l.log.Info(event.LeadershipAcquired, "leadership of shard acquired", leadershipFields(e))
 		})
 	case node.LeadershipLost:
 		l.meter.Count("homes.lost")
@@ -147,18 +147,22 @@
 var decisionNames = map[leader.Decision]string{
 	leader.EndpointEjected: "endpointEjected", leader.EndpointSuspected: "endpointSuspected",
 	leader.EndpointReturned: "endpointReturned", leader.StartUncertain: "startDoubted", leader.AttemptStalled: "runStalled", leader.AttemptLost: "runLost",
-	leader.AttemptFailed: "runFailed", leader.AttemptNotAdopted: "runUnclaimed", leader.JobAccepted: "jobTaken",
+	leader.AttemptFailed: "runFailed", leader.AttemptNotAdopted: "runUnclaimed", leader.AttemptEnded: "runEnded",
+	leader.AttemptStarted: "runStarted", leader.JobAccepted: "jobTaken",
 	leader.JobRefused: "jobRefused", leader.JobForwarded: "jobPassedOn", leader.JobAdopted: "jobAdopted",
-	leader.JobAbandoned: "jobAbandoned",
+	leader.JobAbandoned: "jobAbandoned", leader.AttemptsLeft: "runsLeft", leader.EndpointAppeared: "endpointAppeared",
+	leader.EndpointRestarted: "endpointRestarted", leader.EndpointUnlisted: "endpointUnlisted", leader.EndpointDropped: "endpointDropped",
 }
 
 func (l *eventLogger) leaderDecision(e node.LogEvent) {
 	name := decisionNames[e.Decision.Decision]
 	l.meter.Count("home." + name)
 	l.write(func() {
-		l.log.Info(event.LeaderDecision, "decision of leader", logrus.Fields{
+		fields := logrus.Fields{
 			"decision": name, "cell": e.Shard, "job": e.Decision.Job, "task": e.Decision.Task, "endpoint": e.Decision.Endpoint.ID, "detail": e.Decision.Detail,
-		})
+		}
+		addDetails(fields, e.Decision.Details)
+		l.log.Info(event.LeaderDecision, "decision of leader", fields)
 	})
 }
 
