Reproduce two attempts of a task after an endpoint has restarted under its ID

Cause: leases are computed from the clock of one incarnation of an endpoint, and stops and fencing tokens are forgotten with it. The simulated endpoints kept one clock through a restart, so no test met this. Change: simulated clocks start anew in each incarnation and may be slow.

--- a/internal/control/leader/cluster_test.go
+++ b/internal/control/leader/cluster_test.go
@@ -82,10 +82,13 @@
 
 type fakeEndpoint struct {
 	endpoint.Endpoint
-	speed         float64
-	clockOffset   clock.Millis
+	speed float64
+	// bornAt is when the clock started at clockStart; it is slower than ours by the factor drift.
+	bornAt        clock.Millis
+	clockStart    endpoint.Clock
+	drift         float64
 	token         shard.Token
-	leaseEnd      clock.Millis
+	leaseEnd      endpoint.Clock
 	attempts      map[job.TaskName]*fakeAttempt
 	lastAttempts  map[job.TaskName]job.Attempt
 	ended         []endpoint.EndedAttempt
@@ -99,6 +102,7 @@
 	testService      = "playout"
 	testQueue        = "swap"
 	testStopDuration = clock.Millis(50)
+	longestLease     = 1000
 	oneWayDelay      = clock.Millis(1)
 	slowStartDelay   = clock.Millis(30)
 	startTimeout     = clock.Millis(300)
@@ -111,7 +115,7 @@
 	}, map[queue.ServiceName]queue.Service{testService: {Name: testService, GuardsRoom: true}}, queue.Limits{})
 }
 
-func testTimeouts() Timeouts { return DefaultTimeouts(1000, testStopDuration, 1300) }
+func testTimeouts() Timeouts { return DefaultTimeouts(longestLease, testStopDuration, 1300) }
 
 func newCluster(t testing.TB, seed uint64, endpoints int) *cluster {
 	t.Helper()
@@ -130,7 +134,7 @@
 				ID: id, Born: 1, Service: testService, DataCentre: "centro", Address: string(id),
 				Capacity: job.Resources{CPU: 32000, Memory: 1 << 17}, Labels: []string{"a", "r1"}, Rack: "r1",
 			},
-			speed: 1, clockOffset: clock.Millis(c.random.IntN(100000)),
+			speed: 1, bornAt: c.now, clockStart: endpoint.Clock(c.random.IntN(100000)),
 			attempts: make(map[job.TaskName]*fakeAttempt), lastAttempts: make(map[job.TaskName]job.Attempt),
 		}
 		c.sortedEndpoints = append(c.sortedEndpoints, c.endpoints[id])
@@ -303,7 +307,7 @@
 		e.token = a.Token
 		e.ended = slices.DeleteFunc(e.ended, func(attempt endpoint.EndedAttempt) bool { return attempt.Number <= a.Acked })
 		if a.LeaseUntil != 0 {
-			e.leaseEnd = max(e.leaseEnd, min(clock.Millis(a.LeaseUntil)-e.clockOffset, c.now+1000))
+			e.leaseEnd = max(e.leaseEnd, min(a.LeaseUntil, e.clock(c.now)+longestLease))
 		}
 		ended.Report = c.statusReport(e)
 		return ended
@@ -311,7 +315,7 @@
 }
 
 func (c *cluster) statusReport(e *fakeEndpoint) *endpoint.StatusReport {
-	report := &endpoint.StatusReport{Incarnation: e.Born, Clock: endpoint.Clock(c.now + e.clockOffset), Ended: slices.Clone(e.ended)}
+	report := &endpoint.StatusReport{Incarnation: e.Born, Clock: e.clock(c.now), Ended: slices.Clone(e.ended)}
 	for _, attempt := range e.attempts {
 		percent := 0
 		if !attempt.stalled && attempt.endsAt > attempt.startedAt {
@@ -324,16 +328,15 @@
 }
 
 func (c *cluster) start(e *fakeEndpoint, a Start) (endpoint.StartResult, endpoint.Clock) {
-	at := endpoint.Clock(c.now + e.clockOffset)
+	at := e.clock(c.now)
 	if a.Token < e.token {
 		return endpoint.Rejected{Reason: endpoint.RejectedFenced}, at
 	}
 	e.token = a.Token
-	leaseEnd := min(clock.Millis(a.LeaseUntil)-e.clockOffset, c.now+1000)
-	if leaseEnd <= c.now {
+	if a.LeaseUntil <= at {
 		return endpoint.Rejected{Reason: endpoint.RejectedExpired}, at
 	}
-	e.leaseEnd = max(e.leaseEnd, leaseEnd)
+	e.leaseEnd = max(e.leaseEnd, min(a.LeaseUntil, at+longestLease))
 	if attempt := e.attempts[a.Task]; attempt != nil && attempt.number == a.Attempt {
 		return endpoint.Started{}, at
 	}
@@ -379,7 +382,7 @@
 			case e.down:
 				delete(e.attempts, name)
 				continue
-			case c.now >= e.leaseEnd:
+			case e.clock(c.now) >= e.leaseEnd:
 				end = endpoint.EndExpired
 			case attempt.stalled || c.now < attempt.endsAt:
 				continue
@@ -407,9 +410,15 @@
 	}
 }
 
-// crash restarts an endpoint at once with a new incarnation and without any state.
-func (e *fakeEndpoint) crash() {
+// clock returns the endpoint's clock.
+func (e *fakeEndpoint) clock(now clock.Millis) endpoint.Clock {
+	return e.clockStart + endpoint.Clock(float64(now-e.bornAt)*(1-e.drift))
+}
+
+// crash restarts an endpoint at once with a new incarnation and clock, and without any state.
+func (c *cluster) crash(e *fakeEndpoint) {
 	e.Born++
+	e.bornAt, e.clockStart = c.now, 0
 	e.attempts, e.lastAttempts = make(map[job.TaskName]*fakeAttempt), make(map[job.TaskName]job.Attempt)
 	e.ended, e.lastEndNumber, e.token, e.leaseEnd = nil, 0, 0, 0
 }
--- a/internal/control/leader/decision_log_test.go
+++ b/internal/control/leader/decision_log_test.go
@@ -86,7 +86,7 @@
 		}, EndStopDuration{}, true, false},
 		{"endpoint restarted", func(t *testing.T) *cluster {
 			c := runOneTask(t, nil)
-			c.endpoints["e00"].crash()
+			c.crash(c.endpoints["e00"])
 			c.advance(250)
 			return c
 		}, EndAbsentAfterStop{}, true, true},
@@ -98,7 +98,7 @@
 		{"earlier leader, endpoint restarted", func(t *testing.T) *cluster {
 			c := runOneTask(t, nil)
 			takeOver(c)
-			c.endpoints["e00"].crash()
+			c.crash(c.endpoints["e00"])
 			c.deliver(2, EndpointsListed{Endpoints: c.endpointList(), Complete: true})
 			return c
 		}, EndRestarted{}, true, true},
@@ -183,7 +183,7 @@
 		}, nil},
 		{"endpoint restarted", func(t *testing.T) *cluster {
 			c := runOneTask(t, nil)
-			c.endpoints["e00"].crash()
+			c.crash(c.endpoints["e00"])
 			c.advance(250)
 			return c
 		}, []string{"leader.EarlierAttemptEnded"}},
@@ -194,7 +194,7 @@
 				name := TaskName("ffffffffffffffff", 0, i)
 				e.attempts[name] = &fakeAttempt{name: name, number: 1, startedAt: c.now, endsAt: c.now + 80}
 			}
-			e.leaseEnd = c.now + 1000
+			e.leaseEnd = e.clock(c.now) + longestLease
 			c.addLeader(1, 256)
 			c.advance(50)
 			c.renewLeases(1, "a-1", 1)
--- a/internal/control/leader/leader_test.go
+++ b/internal/control/leader/leader_test.go
@@ -114,7 +114,7 @@
 func TestEndpointsThatFail(t *testing.T) {
 	faults := map[string]func(c *cluster, e *fakeEndpoint){
 		"down permanently": func(_ *cluster, e *fakeEndpoint) { e.down = true },
-		"restarted":        func(_ *cluster, e *fakeEndpoint) { e.crash() },
+		"restarted":        func(c *cluster, e *fakeEndpoint) { c.crash(e) },
 		"stalling": func(_ *cluster, e *fakeEndpoint) {
 			for _, attempt := range e.attempts {
 				attempt.stalled = true
--- /dev/null
+++ b/internal/control/leader/lease_test.go
@@ -0,0 +1,140 @@
+package leader
+
+import (
+	"testing"
+
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+)
+
+// longJob submits a job of one task that is not refused however late it starts, and renews its
+// lease.
+func (c *cluster) longJob(duration clock.Millis) job.Submission {
+	c.duration = func(job.TaskName) clock.Millis { return duration }
+	s := submission("a-1", 1, 1)
+	s.Part, s.Limit = true, 20*clock.Second
+	c.renewLeases(1, "a-1", 1)
+	c.deliver(1, Submitted{Submission: s})
+	return s
+}
+
+func (c *cluster) endpointOf(name job.TaskName) *fakeEndpoint {
+	for _, e := range c.sortedEndpoints {
+		if e.attempts[name] != nil {
+			return e
+		}
+	}
+	return nil
+}
+
+// Guards against leases that last longer than the leader counts on because the endpoint's clock is
+// slow and its last reading is old.
+func TestLeaseOfAnEndpointWithASlowClock(t *testing.T) {
+	const reading, lease = 500_000, 600
+	for _, age := range []clock.Millis{0, 150, 1080} {
+		ep := newEndpointState(endpoint.Endpoint{ID: "e00"}, 0)
+		ep.setClock(reading, 1, 1000)
+		until := ep.earliestClock(1000+age) + lease
+		present := reading + endpoint.Clock(float64(age)*(1-clockDrift))
+		if got, want := until-present, endpoint.Clock(lease); got > want {
+			t.Errorf("reading of %d ms ago: got a lease of %d ms, want at most %d ms", age, got, want)
+		}
+	}
+}
+
+// Guards against a task that runs twice at the same time because an endpoint carries out a start
+// after it has restarted under its ID: the new incarnation has seen neither a stop nor a fencing
+// token, and by its clock the lease of the start is far from over.
+func TestLateStartInANewIncarnation(t *testing.T) {
+	c := newCluster(t, 32, 2)
+	for _, e := range c.endpoints {
+		e.clockStart = 500_000
+	}
+	c.addLeader(1, 256)
+	c.advance(50)
+	var first datacentre.EndpointID
+	from := c.now
+	c.fault = func(_ int, e datacentre.EndpointID, a Action) delivery {
+		_, start := a.(Start)
+		if first == "" && start {
+			first = e
+			return delivery{delay: 2000}
+		}
+		return delivery{lost: e == first && c.now-from < 1000}
+	}
+	s := c.longJob(8000)
+	c.advance(1000)
+	c.crash(c.endpoints[first])
+	c.advance(2000)
+	if got, want := c.maxConcurrentAttempts, 1; got != want {
+		t.Errorf("got %d concurrent attempts of a task, want %d", got, want)
+	}
+	if e := c.endpointOf(TaskName(s.Job.ID, 0, 0)); e == nil || e.ID == first {
+		t.Errorf("got the task at no or at the first endpoint, want it at the second")
+	}
+}
+
+// Guards against a task that runs twice at the same time because the lease at an endpoint that has
+// restarted lasts longer than computed: a request whose lease was computed from the clock of the
+// earlier incarnation extends leases in the new one to the longest that endpoints grant.
+func TestLeaseInANewIncarnation(t *testing.T) {
+	tests := map[string]func(c *cluster, e *fakeEndpoint){
+		"renewal carried out by the new incarnation": func(c *cluster, e *fakeEndpoint) {
+			c.fault = func(_ int, id datacentre.EndpointID, a Action) delivery {
+				_, hold := a.(Hold)
+				return delivery{delay: map[bool]clock.Millis{true: 30}[hold && id == e.ID]}
+			}
+			c.advance(160)
+			c.crash(e)
+			c.advance(40)
+		},
+		"start carried out by the new incarnation, its answer lost": func(c *cluster, e *fakeEndpoint) {
+			c.crash(e)
+		},
+		"reading of the earlier incarnation arrives late": func(c *cluster, _ *fakeEndpoint) {
+			c.fault = func(_ int, _ datacentre.EndpointID, a Action) delivery {
+				_, start := a.(Start)
+				return delivery{answerDelay: map[bool]clock.Millis{true: 1900}[start]}
+			}
+			c.deliver(1, Submitted{Submission: submission("a-1", 2, 4)})
+			c.advance(5)
+			for _, e := range c.sortedEndpoints {
+				c.crash(e)
+			}
+			c.advance(1880)
+		},
+	}
+	for name, restart := range tests {
+		t.Run(name, func(t *testing.T) {
+			for offset := clock.Millis(0); offset < 400; offset += 10 {
+				c := newCluster(t, 33, 2)
+				for _, e := range c.endpoints {
+					e.clockStart = 500_000
+				}
+				c.addLeader(1, 256)
+				c.advance(50)
+				restart(c, c.sortedEndpoints[0])
+				c.fault = func(int, datacentre.EndpointID, Action) delivery { return delivery{} }
+				c.advance(offset)
+				c.maxConcurrentAttempts = 0
+				s := c.longJob(4000)
+				first := c.endpointOf(TaskName(s.Job.ID, 0, 0))
+				for waited := 0; first == nil && waited < 5000; waited++ {
+					c.advance(1)
+					first = c.endpointOf(TaskName(s.Job.ID, 0, 0))
+				}
+				if first == nil {
+					t.Fatalf("got no attempt within 5 s, want one")
+				}
+				c.advance(oneWayDelay + 1)
+				c.fault = func(_ int, e datacentre.EndpointID, _ Action) delivery { return delivery{lost: e == first.ID} }
+				c.advance(3000)
+				if got, want := c.maxConcurrentAttempts, 1; got != want {
+					t.Errorf("job %d ms after the restart: got %d concurrent attempts of a task, want %d", offset, got, want)
+				}
+			}
+		})
+	}
+}
--- a/internal/control/leader/random_faults_test.go
+++ b/internal/control/leader/random_faults_test.go
@@ -30,6 +30,7 @@
 	c.duration = func(n job.TaskName) clock.Millis { return 20 + clock.Millis(n[len(n)-1])*7%400 }
 	for _, e := range c.sortedEndpoints {
 		e.speed = 0.5 + c.random.Float64()
+		e.drift = clockDrift * c.random.Float64()
 	}
 	c.addLeader(1, 256)
 	c.advance(50)
@@ -56,7 +57,7 @@
 		case 0:
 			for _, e := range c.sortedEndpoints {
 				if c.random.IntN(4) == 0 {
-					e.crash()
+					c.crash(e)
 				}
 			}
 		case 1:
