Keep the leases and orders of one incarnation of an endpoint out of the next

Cause: until_ms is a time on the endpoint's clock, which starts anew with each incarnation. An order that was computed from the earlier clock has its lease capped at 1,000 ms in the new incarnation, where the leader counted on 632 ms; the new incarnation knows neither stop nor token; the answer to a start could replace the reading of the new clock by one of the old; an acknowledgement of a stop by the earlier incarnation counted for the new one. Readings were also aged without the drift of 2 % of the endpoint's clock. Change: a leader that notices a restart raises the token of the endpoint by an epoch, forgets its clock, and starts nothing there until every lease that earlier requests can have extended is over. An attempt that the present incarnation has not confirmed expires after 1,340 ms. Answers to starts and stops count only for the incarnation and token that they were sent to. A raised token of a leader has to be accepted by every endpoint before adopted tasks start. Why it works: once the new incarnation has seen the higher token, it rejects every older order.

--- a/internal/control/leader/action.go
+++ b/internal/control/leader/action.go
@@ -30,6 +30,8 @@
 	Task     job.TaskName
 	Attempt  job.Attempt
 	Token    shard.Token
+	// Sequence is the event in which the leader issued the stop.
+	Sequence SequenceNumber
 }
 
 // SequenceNumber counts the events that a leader has handled. It orders requests and answers
--- a/internal/control/leader/attempts.go
+++ b/internal/control/leader/attempts.go
@@ -13,10 +13,10 @@
 	lastAttempt := l.attemptNumbers.get(t.name)
 	t.attempt = max(t.attempt, lastAttempt) + 1
 	l.attemptNumbers.set(t.name, t.attempt, l.now)
-	t.phase, t.endpoint, t.startedAt, t.confirmedAt = starting, ep, l.now, 0
+	t.phase, t.endpoint, t.startedAt, t.confirmedAt, t.confirmedIn = starting, ep, l.now, 0, 0
 	t.baseDuration, t.expectedDuration = base, ep.speed.duration(base)
 	t.percent, t.percentAt = 0, l.now
-	t.stopAckedAt, t.stopSentAt, t.uncertainSeq = 0, 0, 0
+	t.stopAckedAt, t.stopSentAt, t.uncertainSeq, t.startedSeq = 0, 0, 0, l.sequence
 	t.job.started = true
 	l.reserve(t, ep)
 	ep.leaseSentAt = l.now
@@ -26,7 +26,7 @@
 	l.logStart(t, lastAttempt)
 	l.emit(Start{
 		Endpoint: ep.Endpoint, Task: t.name, Attempt: t.attempt, Payload: t.job.Job.Payload,
-		LeaseUntil: until, Token: l.config.Token, Trace: t.job.Job.Trace,
+		LeaseUntil: until, Token: l.tokenFor(ep), Trace: t.job.Job.Trace,
 	})
 	if !ep.watching {
 		l.sendHold(ep, Watch)
@@ -35,7 +35,7 @@
 
 // confirmRunning records that the endpoint runs the attempt.
 func (l *Leader) confirmRunning(t *task) {
-	t.phase, t.confirmedAt, t.confirmedSeq = running, l.now, l.sequence
+	t.phase, t.confirmedAt, t.confirmedSeq, t.confirmedIn = running, l.now, l.sequence, t.endpoint.Born
 }
 
 func (l *Leader) reserve(t *task, ep *endpointState) {
@@ -80,7 +80,7 @@
 
 func (l *Leader) sendStop(t *task) {
 	t.stopSentAt = l.now
-	l.emit(Stop{Endpoint: t.endpoint.Endpoint, Task: t.name, Attempt: t.attempt, Token: l.config.Token})
+	l.emit(Stop{Endpoint: t.endpoint.Endpoint, Task: t.name, Attempt: t.attempt, Token: l.tokenFor(t.endpoint), Sequence: l.sequence})
 }
 
 // taskOfAttempt returns the task whose current attempt at the endpoint is this one, or nil.
@@ -97,13 +97,20 @@
 	if ep == nil {
 		return
 	}
-	ep.setClock(e.Clock, 0, l.now)
+	wentBack := ep.clockWentBack(e.Clock)
+	if e.SentTo == ep.Born && !wentBack {
+		ep.setClock(e.Clock, 0, l.now)
+	}
 	t := l.taskOfAttempt(ep, e.Task, e.Attempt)
 	if t == nil || t.phase != starting {
 		return
 	}
 	switch r := e.Result.(type) {
 	case endpoint.Started:
+		if wentBack {
+			l.markUncertain(t, ep, "clock of the endpoint went back")
+			return
+		}
 		l.confirmRunning(t)
 	case endpoint.NoAnswer:
 		l.markUncertain(t, ep, r.Cause)
@@ -127,7 +134,9 @@
 	t.avoidEndpoint = ep
 	switch reason {
 	case endpoint.RejectedFenced:
-		l.emit(Fenced{})
+		if t.startedSeq >= ep.tokenSeq {
+			l.emit(Fenced{})
+		}
 	case endpoint.RejectedStale:
 		// An earlier submission of the job has used this attempt number.
 		t.attempt += skippedAttempts
@@ -160,7 +169,7 @@
 
 func (l *Leader) handleStopEnded(e StopEnded) {
 	ep := l.endpoints[e.Endpoint]
-	if ep == nil || !e.Acknowledged {
+	if ep == nil || !e.Acknowledged || e.Sequence < ep.tokenSeq {
 		return
 	}
 	if t := l.taskOfAttempt(ep, e.Task, e.Attempt); t != nil && t.phase == stopping {
@@ -173,6 +182,7 @@
 // the earlier incarnation have ended, but the new one may have carried out a start that was in
 // flight, so each attempt has to be stopped or missing from a later report.
 func (l *Leader) handleRestart(ep *endpointState, incarnation endpoint.Incarnation) {
+	l.raiseToken(ep)
 	for _, t := range ep.sortedTasks() {
 		l.logAttempt(AttemptLost, t, ep, "endpoint restarted")
 		t.avoidEndpoint = ep
--- a/internal/control/leader/checks.go
+++ b/internal/control/leader/checks.go
@@ -15,6 +15,9 @@
 	if !ep.watching {
 		l.sendHold(ep, Watch)
 	}
+	if ep.contacted && !ep.tokenAccepted() {
+		l.sendHold(ep, Renewal)
+	}
 	if len(ep.tasks) > 0 && l.now-ep.leaseSentAt >= l.config.Timeouts.AttemptLease/renewalsPerLease && l.now-ep.renewalSentAt >= l.config.Timeouts.AttemptLease/renewalsPerLease {
 		l.sendHold(ep, Renewal)
 	}
@@ -29,7 +32,7 @@
 			l.endAttempt(t, EndStopDuration{})
 			return
 		}
-		if l.now >= ep.leaseSentAt+l.config.Timeouts.attemptLeaseExpiry() {
+		if l.attemptExpired(t, ep) {
 			l.endAttempt(t, EndLeaseExpired{})
 			return
 		}
@@ -39,7 +42,7 @@
 	case running:
 		l.checkRunning(t, ep)
 	case starting:
-		if l.now >= ep.leaseSentAt+l.config.Timeouts.attemptLeaseExpiry() {
+		if l.attemptExpired(t, ep) {
 			l.logAttempt(AttemptLost, t, ep, "lease expired")
 			l.endAttempt(t, EndLeaseExpired{})
 		}
@@ -53,7 +56,7 @@
 // checkRunning handles an attempt that takes longer than expected or whose endpoint does not
 // report.
 func (l *Leader) checkRunning(t *task, ep *endpointState) {
-	if l.now >= ep.leaseSentAt+l.config.Timeouts.attemptLeaseExpiry() {
+	if l.attemptExpired(t, ep) {
 		l.logAttempt(AttemptLost, t, ep, "lease expired")
 		t.avoidEndpoint = ep
 		l.endAttempt(t, EndLeaseExpired{})
@@ -86,11 +89,10 @@
 			if l.now < o.endpoint.adoptionEnd {
 				continue
 			}
-			expired := l.now >= max(o.foundAt, o.endpoint.leaseSentAt)+l.config.Timeouts.attemptLeaseExpiry()
 			switch {
 			case o.ended && l.now >= o.foundAt+historyRetention:
 				l.orphans.remove(name, o.endpoint)
-			case !o.ended && o.stopSentAt != 0 && expired:
+			case !o.ended && o.stopSentAt != 0 && l.orphanExpired(o):
 				l.orphans.remove(name, o.endpoint)
 				l.logOrphanEnd(name, o, EndLeaseExpired{})
 			default:
--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -142,7 +142,7 @@
 
 func (l *Leader) allTokensAccepted() bool {
 	for _, ep := range l.sortedEndpoints {
-		if !ep.tokenAccepted && !ep.unlisted {
+		if !ep.tokenAccepted() && !ep.unlisted {
 			return false
 		}
 	}
--- a/internal/control/leader/endpoint_change.go
+++ b/internal/control/leader/endpoint_change.go
@@ -40,7 +40,7 @@
 func (*EndpointRestart) details() {}
 
 func (ep *endpointState) change() EndpointChange {
-	return EndpointChange{ID: ep.ID, Born: ep.Born, Tasks: len(ep.tasks), TokenAccepted: ep.tokenAccepted}
+	return EndpointChange{ID: ep.ID, Born: ep.Born, Tasks: len(ep.tasks), TokenAccepted: ep.tokenAccepted()}
 }
 
 // logEndpointChanges logs the endpoints that a list has changed, if there are any.
--- a/internal/control/leader/endpoint_state.go
+++ b/internal/control/leader/endpoint_state.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 )
 
@@ -13,9 +14,14 @@
 	// tasks are those that occupy resources here.
 	tasks map[job.TaskName]*task
 
-	// tokenAccepted means that the endpoint has answered under the current token, so that it
-	// rejects the requests of every earlier leader.
-	tokenAccepted bool
+	// epoch counts the restarts of the endpoint under the leader's token.
+	epoch shard.Epoch
+	// contacted means that the present incarnation has answered a request with a token of this
+	// leader.
+	contacted bool
+	// tokenSeq is the event from which requests carry the present token, and acceptedSeq the event
+	// in which the latest answered one was sent.
+	tokenSeq, acceptedSeq SequenceNumber
 	// adoptionEnd is when the attempts of an earlier leader that no job has adopted are stopped.
 	adoptionEnd clock.Millis
 	// clockReading is a lower bound of the endpoint's clock at clockReadAt.
@@ -25,6 +31,9 @@
 	clockReadIn endpoint.Incarnation
 	// leaseSentAt is when the latest request that extends leases was sent.
 	leaseSentAt clock.Millis
+	// cappedLeaseEnd is when the leases have expired that requests to an earlier incarnation may
+	// have extended in the present one, or 0 if it has not restarted.
+	cappedLeaseEnd clock.Millis
 	// lastGrant is the latest lease that was granted or extended here, for the log.
 	lastGrant LeaseGrant
 	// ackedEnd is the highest number of an ended attempt that the leader has processed.
@@ -54,25 +63,8 @@
 	return &endpointState{Endpoint: e, free: e.Capacity, tasks: make(map[job.TaskName]*task), lastReportAt: now, leaseSentAt: now}
 }
 
-// earliestClock is a lower bound of the endpoint's clock now, so that a lease computed from it
-// never lasts longer than intended.
-func (ep *endpointState) earliestClock(now clock.Millis) endpoint.Clock {
-	return ep.clockReading + endpoint.Clock(now-ep.clockReadAt)
-}
-
-// setClock records a reading of the clock of an endpoint's incarnation; 0 is no reading, or an
-// unknown incarnation.
-func (ep *endpointState) setClock(c endpoint.Clock, incarnation endpoint.Incarnation, now clock.Millis) {
-	if c == 0 {
-		return
-	}
-	// A reading is stale by the time its answer took. The latest one always replaces the one
-	// before, since the drift of the endpoint's clock makes an older reading unsafe.
-	ep.clockReading, ep.clockReadAt, ep.clockReadIn = c, now, incarnation
-}
-
 // usable reports whether new tasks may be placed here.
 func (ep *endpointState) usable(now clock.Millis) bool {
-	return ep.clockReading != 0 && ep.tokenAccepted && !ep.Draining && !ep.unlisted && ep.unansweredHolds < suspectAfterHolds &&
-		now >= max(ep.usableFrom, ep.blockedUntil) && ep.health.usable(now, len(ep.tasks))
+	return ep.clockReading != 0 && ep.contacted && ep.epoch <= shard.MaxEpoch && !ep.Draining && !ep.unlisted && ep.unansweredHolds < suspectAfterHolds &&
+		now >= max(ep.usableFrom, ep.blockedUntil, ep.cappedLeaseEnd) && ep.health.usable(now, len(ep.tasks))
 }
--- a/internal/control/leader/event.go
+++ b/internal/control/leader/event.go
@@ -33,7 +33,9 @@
 	Endpoint datacentre.EndpointID
 	Task     job.TaskName
 	Attempt  job.Attempt
-	Result   endpoint.StartResult
+	// SentTo is the incarnation that the leader knew when it sent the start.
+	SentTo endpoint.Incarnation
+	Result endpoint.StartResult
 	// Clock is the endpoint's clock when it answered, or 0.
 	Clock endpoint.Clock
 }
@@ -51,6 +53,8 @@
 	Endpoint datacentre.EndpointID
 	Task     job.TaskName
 	Attempt  job.Attempt
+	// Sequence is the one that the stop was sent with.
+	Sequence SequenceNumber
 	// Acknowledged means that the attempt is being stopped or can never start.
 	Acknowledged bool
 }
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -87,8 +87,17 @@
 // Token returns the fencing token of the leader's requests.
 func (l *Leader) Token() shard.Token { return l.config.Token }
 
-// SetToken raises the fencing token after a later replica set with the same leader.
-func (l *Leader) SetToken(t shard.Token) { l.config.Token = max(l.config.Token, t) }
+// SetToken raises the fencing token after a later replica set with the same leader. Another member
+// of the earlier one may have led meanwhile, so every endpoint has to accept the higher token.
+func (l *Leader) SetToken(t shard.Token) {
+	if t <= l.config.Token {
+		return
+	}
+	l.config.Token = t
+	for _, ep := range l.sortedEndpoints {
+		ep.epoch, ep.tokenSeq = 0, l.sequence+1
+	}
+}
 
 // Busy reports whether the leader has jobs or attempts and therefore needs ticks.
 func (l *Leader) Busy() bool { return len(l.activeTasks) > 0 || len(l.jobs) > 0 }
--- /dev/null
+++ b/internal/control/leader/lease.go
@@ -0,0 +1,81 @@
+package leader
+
+import (
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/internal/world/shard"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// earliestClock is a lower bound of the endpoint's clock now, so that a lease computed from it
+// never lasts longer than intended.
+func (ep *endpointState) earliestClock(now clock.Millis) endpoint.Clock {
+	return ep.clockReading + endpoint.Clock(float64(now-ep.clockReadAt)*(1-clockDrift))
+}
+
+// setClock records a reading of the clock of an endpoint's incarnation; 0 is no reading, or an
+// unknown incarnation.
+func (ep *endpointState) setClock(c endpoint.Clock, incarnation endpoint.Incarnation, now clock.Millis) {
+	if c == 0 {
+		return
+	}
+	// A reading is stale by the time its answer took. The latest one always replaces the one
+	// before, since the drift of the endpoint's clock makes an older reading unsafe.
+	ep.clockReading, ep.clockReadAt, ep.clockReadIn = c, now, incarnation
+}
+
+// clockWentBack reports whether a reading is of a later incarnation than the one that the leader
+// knows: it is further behind than an answer can be late.
+func (ep *endpointState) clockWentBack(c endpoint.Clock) bool {
+	return c != 0 && c+endpoint.Clock(RequestLifetime) < ep.clockReading
+}
+
+// attemptExpired reports whether the lease of an attempt has certainly expired.
+func (l *Leader) attemptExpired(t *task, ep *endpointState) bool {
+	timeouts := l.config.Timeouts
+	expiry := max(ep.leaseSentAt+timeouts.attemptLeaseExpiry(), ep.cappedLeaseEnd)
+	if t.confirmedAt == 0 || t.confirmedIn != ep.Born {
+		// An incarnation that the leader does not know of may have carried out the start.
+		expiry = max(expiry, t.startedAt+timeouts.cappedLeaseExpiry())
+	}
+	return l.now >= expiry
+}
+
+// orphanExpired reports whether the lease of an attempt of an earlier leader has certainly expired.
+func (l *Leader) orphanExpired(o orphan) bool {
+	timeouts := l.config.Timeouts
+	ep := o.endpoint
+	return l.now >= max(o.foundAt+timeouts.cappedLeaseExpiry(), ep.leaseSentAt+timeouts.attemptLeaseExpiry(), ep.cappedLeaseEnd)
+}
+
+// tokenFor returns the fencing token of requests to an endpoint.
+func (l *Leader) tokenFor(ep *endpointState) shard.Token { return l.config.Token.InEpoch(ep.epoch) }
+
+// raiseToken gives an endpoint that has restarted a higher token. The requests that were meant for
+// the earlier incarnation have no effect in the new one once it has accepted the higher token, and
+// the leases that they may have extended before expire at cappedLeaseEnd.
+func (l *Leader) raiseToken(ep *endpointState) {
+	ep.epoch++
+	ep.contacted, ep.tokenSeq = false, l.sequence
+	ep.clockReading = 0
+	ep.cappedLeaseEnd = l.now + l.config.Timeouts.cappedLeaseExpiry()
+	l.requestReport(ep)
+}
+
+// acceptToken records that an endpoint has answered a request.
+func (l *Leader) acceptToken(ep *endpointState, request SequenceNumber) {
+	ep.acceptedSeq = max(ep.acceptedSeq, request)
+	if ep.contacted || request < ep.tokenSeq {
+		return
+	}
+	ep.contacted = true
+	if ep.adoptionEnd == 0 {
+		ep.adoptionEnd = l.now + adoptionWindow
+	}
+	if ep.cappedLeaseEnd != 0 {
+		ep.cappedLeaseEnd = l.now + l.config.Timeouts.cappedLeaseExpiry()
+	}
+}
+
+// tokenAccepted reports whether the endpoint has answered under its present token, so that it
+// rejects the requests of every earlier leader.
+func (ep *endpointState) tokenAccepted() bool { return ep.contacted && ep.acceptedSeq >= ep.tokenSeq }
--- a/internal/control/leader/start_permission.go
+++ b/internal/control/leader/start_permission.go
@@ -103,7 +103,7 @@
 func (l *Leader) logStart(t *task, lastAttempt job.Attempt) {
 	if p := l.startPermissions(t, lastAttempt); len(p) > 0 {
 		l.emit(LogDecision{Decision: AttemptStarted, Job: t.job.Job.ID, Task: t.name, Endpoint: t.endpoint.Endpoint, Details: &StartedAttempt{
-			Attempt: t.attempt, Token: l.config.Token, Lease: t.startGrant, Permissions: p,
+			Attempt: t.attempt, Token: l.tokenFor(t.endpoint), Lease: t.startGrant, Permissions: p,
 		}})
 	}
 }
--- a/internal/control/leader/status_report.go
+++ b/internal/control/leader/status_report.go
@@ -32,9 +32,7 @@
 		l.handleRestart(ep, e.Report.Incarnation)
 	}
 	ep.Born = e.Report.Incarnation
-	if !ep.tokenAccepted {
-		ep.tokenAccepted, ep.adoptionEnd = true, l.now+adoptionWindow
-	}
+	l.acceptToken(ep, e.Sequence)
 	ep.lastReportAt = l.now
 	ep.unansweredHolds = 0
 	ep.setClock(e.Report.Clock, e.Report.Incarnation, l.now)
@@ -64,7 +62,9 @@
 	defer l.requestPendingReport(ep)
 	switch e.Rejection {
 	case HoldFenced:
-		l.emit(Fenced{})
+		if e.Sequence >= ep.tokenSeq {
+			l.emit(Fenced{})
+		}
 	case HoldOtherInstance:
 		l.handleReplacement(ep)
 	case HoldUnanswered:
@@ -141,7 +141,7 @@
 	}
 	o.stopSentAt = l.now
 	l.orphans.put(name, o)
-	l.emit(Stop{Endpoint: o.endpoint.Endpoint, Task: name, Attempt: o.attempt, Token: l.config.Token})
+	l.emit(Stop{Endpoint: o.endpoint.Endpoint, Task: name, Attempt: o.attempt, Token: l.tokenFor(o.endpoint), Sequence: l.sequence})
 }
 
 // removeUnlistedOrphans removes the orphans at an endpoint that it no longer lists.
@@ -157,7 +157,7 @@
 
 // sendHold sends a hold unless one of its kind is in flight.
 func (l *Leader) sendHold(ep *endpointState, k HoldKind) {
-	h := Hold{Endpoint: ep.Endpoint, Kind: k, Acked: ep.ackedEnd, Token: l.config.Token, Sequence: l.sequence}
+	h := Hold{Endpoint: ep.Endpoint, Kind: k, Acked: ep.ackedEnd, Token: l.tokenFor(ep), Sequence: l.sequence}
 	busy := len(ep.tasks) > 0
 	// The leases at an endpoint that does not answer are left to expire, so that its tasks can run
 	// elsewhere.
@@ -175,7 +175,7 @@
 		if busy {
 			h.Wait = l.config.Timeouts.AttemptLease / renewalsPerLease
 		}
-		if ep.unansweredHolds > 0 || !ep.tokenAccepted {
+		if ep.unansweredHolds > 0 || !ep.contacted {
 			h.Wait = 0
 		}
 	case Renewal:
--- a/internal/control/leader/task.go
+++ b/internal/control/leader/task.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 )
@@ -19,9 +20,11 @@
 	// for the log.
 	startGrant LeaseGrant
 	lastEnd    *EndedAttempt
-	// startedAt is when the start was sent, confirmedAt when the endpoint first confirmed the
-	// attempt.
+	// startedAt is when the start was sent, confirmedAt when the endpoint first confirmed the attempt,
+	// and confirmedIn the incarnation that did.
 	startedAt, confirmedAt clock.Millis
+	confirmedIn            endpoint.Incarnation
+	startedSeq             SequenceNumber
 	confirmedSeq           SequenceNumber
 	// baseDuration is how long the attempt is expected to take at speed 1, expectedDuration at its
 	// endpoint.
--- a/internal/control/leader/timeouts.go
+++ b/internal/control/leader/timeouts.go
@@ -7,6 +7,8 @@
 type Timeouts struct {
 	// AttemptLease is how long the attempts at an endpoint go on without another request.
 	AttemptLease clock.Millis
+	// LongestLease is the longest lease that endpoints grant; they cap longer ones.
+	LongestLease clock.Millis
 	// JobLease is how long a leader runs a job without a renewal from its entry VM.
 	JobLease clock.Millis
 	// SubmissionTimeout is how long a submission may be in transit.
@@ -65,6 +67,7 @@
 func DefaultTimeouts(longestLease, stopDuration, resendAfter clock.Millis) Timeouts {
 	return Timeouts{
 		AttemptLease:      min(maxAttemptLease, longestLease*6/10),
+		LongestLease:      longestLease,
 		JobLease:          clock.Millis(float64(resendAfter) * jobLeaseShare),
 		SubmissionTimeout: submissionTimeout, StopDuration: stopDuration,
 	}
@@ -80,5 +83,21 @@
 // attemptLeaseExpiry is how long after a request was sent the lease that it granted has certainly
 // expired.
 func (t Timeouts) attemptLeaseExpiry() clock.Millis {
-	return t.AttemptLease + clock.Millis(float64(t.AttemptLease)*clockDrift) + leaseMargin
+	return expiry(t.AttemptLease)
 }
+
+// cappedLeaseExpiry is how long after a request was sent a lease has certainly expired that another
+// incarnation of the endpoint granted. The end of the lease was computed from the clock of the
+// earlier incarnation, so it may be far in the future by that of the new one.
+func (t Timeouts) cappedLeaseExpiry() clock.Millis {
+	return RequestLifetime + expiry(t.LongestLease)
+}
+
+// expiry is how long a lease lasts at most by the leader's clock.
+func expiry(lease clock.Millis) clock.Millis {
+	return lease + clock.Millis(float64(lease)*clockDrift) + leaseMargin
+}
+
+// RequestLifetime is how long after it was sent a request may take effect at an endpoint that does
+// not carry it out late: its connection is closed by then.
+const RequestLifetime = clock.Millis(300)
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -77,7 +77,7 @@
 	slowStartDelay = clock.Millis(30)
 	// startTimeout bounds a start. A timeout also closes the connection, and a VM that is short
 	// of processor time must not spend it on opening new ones.
-	startTimeout = clock.Millis(300)
+	startTimeout = leader.RequestLifetime
 	// endpointCallTimeout bounds stops and holds; for holds, the time they wait for the end of an
 	// attempt is added.
 	endpointCallTimeout = clock.Millis(80)
--- a/internal/process/daemon/traffic.go
+++ b/internal/process/daemon/traffic.go
@@ -106,7 +106,7 @@
 	t.meter.RecordDuration("startMs", t.clock.Now()-sent)
 	t.meter.Count("starts." + startOutcomeName(result))
 	t.loop.Post(node.LeaderEvent{Shard: id, Event: leader.StartEnded{
-		Endpoint: s.Endpoint.ID, Task: s.Task, Attempt: s.Attempt, Result: result, Clock: endpointClock,
+		Endpoint: s.Endpoint.ID, Task: s.Task, Attempt: s.Attempt, SentTo: s.Endpoint.Born, Result: result, Clock: endpointClock,
 	}})
 }
 
@@ -136,7 +136,7 @@
 	} else {
 		t.meter.Count("stops.answered")
 	}
-	t.loop.Post(node.LeaderEvent{Shard: id, Event: leader.StopEnded{Endpoint: s.Endpoint.ID, Task: s.Task, Attempt: s.Attempt, Acknowledged: ok}})
+	t.loop.Post(node.LeaderEvent{Shard: id, Event: leader.StopEnded{Endpoint: s.Endpoint.ID, Task: s.Task, Attempt: s.Attempt, Sequence: s.Sequence, Acknowledged: ok}})
 }
 
 func (t *traffic) hold(id shard.ID, h leader.Hold) {
