Write log times with milliseconds

Cause: log lines of a node have times to the second, so the lines of several nodes around a start cannot be put in order.

Change: the time of each line is RFC 3339 with milliseconds.

--- a/pkg/app/node_command.go
+++ b/pkg/app/node_command.go
@@ -48,7 +48,7 @@
 			}
 			logger := logrus.New()
 			logger.SetOutput(stdout)
-			logger.SetFormatter(&logrus.JSONFormatter{})
+			logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timestampFormat})
 			hangup, stop := notifyHangup(ctx)
 			defer stop()
 			d, err := daemon.New(daemon.Config{
@@ -62,6 +62,10 @@
 	}
 }
 
+// timestampFormat is RFC 3339 with milliseconds: within a second, the lines of several nodes could
+// not be put in order.
+const timestampFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // reloadNode reads the settings again, from the environment variables and the file but not from
 // the flags.
 func reloadNode() (settings.Settings, error) {
