End no attempt that is confirmed since an answer of another instance was asked for

Callers saw: a second run of a task while the first one went on. Cause: an answer 421 to a hold ended every attempt at the endpoint, also those that its instance had confirmed after the hold was sent. An endpoint that starts again at another address, or an answer that another one overtakes, leads to that. Evidence: TestLateAnswerOfAnotherInstanceEndsNoAttempt failed with 2 starts while the first attempt ran. Change: the sequence number of the hold decides which attempts the answer is about. Measured: tests of internal/control/leader pass.

--- a/internal/control/leader/attempts.go
+++ b/internal/control/leader/attempts.go
@@ -198,15 +198,22 @@
 	ep.speed, ep.health = speed{}, health{}
 }
 
-// handleReplacement ends all attempts at an instance that another has replaced at its address.
-// Requests name the instance, so the new one has carried out none of them.
-func (l *Leader) handleReplacement(ep *endpointState) {
+// handleReplacement ends the attempts at an instance that another has replaced at its address, as the
+// answer to a request says. Requests name the instance, so the new one has carried out none of them.
+// An attempt that was started or confirmed since the request was sent may be at another address.
+func (l *Leader) handleReplacement(ep *endpointState, request SequenceNumber) {
 	for _, t := range ep.sortedTasks() {
+		if max(t.startedSeq, t.confirmedSeq) >= request {
+			l.requestReport(ep)
+			continue
+		}
 		l.logAttempt(AttemptLost, t, ep, "instance replaced")
 		t.avoidEndpoint = ep
 		l.endAttempt(t, EndReplaced{})
 	}
-	l.removeOrphans(ep, EndReplaced{})
+	if request >= ep.acceptedSeq {
+		l.removeOrphans(ep, EndReplaced{})
+	}
 }
 
 // handleAttemptEnded processes the end of an attempt.
--- a/internal/control/leader/order_test.go
+++ b/internal/control/leader/order_test.go
@@ -224,3 +224,21 @@
 		})
 	}
 }
+
+// Guards against a second attempt of a task after an answer to an old hold says that another
+// instance is at the address, although an attempt has been confirmed there since.
+func TestLateAnswerOfAnotherInstanceEndsNoAttempt(t *testing.T) {
+	c := newCluster(t, 19, 2)
+	c.duration = func(job.TaskName) clock.Millis { return 760 }
+	l := c.addLeader(1, 256).leader
+	c.advance(50)
+	c.renewLeases(1, "a-1", 1)
+	before := l.sequence
+	c.deliver(1, Submitted{Submission: submission("a-1", 1, 1)})
+	c.advance(20)
+	c.deliver(1, HoldEnded{Endpoint: "e00", Kind: Renewal, Sequence: before, Rejection: HoldOtherInstance})
+	c.advance(100)
+	if got, want := c.starts[TaskName("0000000000000001", 0, 0)], 1; got != want {
+		t.Errorf("got %d starts while the first attempt runs, want %d", got, want)
+	}
+}
--- a/internal/control/leader/status_report.go
+++ b/internal/control/leader/status_report.go
@@ -70,7 +70,7 @@
 			l.emit(Fenced{})
 		}
 	case HoldOtherInstance:
-		l.handleReplacement(ep)
+		l.handleReplacement(ep, e.Sequence)
 	case HoldUnanswered:
 		ep.unansweredHolds++
 		if ep.unansweredHolds == suspectAfterHolds {
