Recognise restarts by the order of requests, and keep endpoints with orphans

Callers saw: jobs without an answer until their time limit. One that starts after its clock has gone back was taken for an earlier one, and all its reports were ignored. And an endpoint that left the list while it had attempts of an earlier leader was forgotten; a job that adopted one was never checked again. Evidence: TestRestartWithAnEarlierTimeOfDay and TestEndpointWithOrphansIsKept failed without an answer to the job. Change: a report of another incarnation is late only if its request was sent before the leader learned of the present one. Endpoints with orphans stay. Measured: tests of internal/control/leader pass.

--- a/internal/control/leader/attempts.go
+++ b/internal/control/leader/attempts.go
@@ -194,7 +194,8 @@
 		l.sendStop(t)
 	}
 	l.removeOrphans(ep, EndRestarted{})
-	ep.ackedEnd, ep.Born = 0, incarnation
+	ep.formerBorn, ep.ackedEnd = ep.Born, 0
+	ep.Born, ep.bornSeq = incarnation, l.sequence
 	ep.speed, ep.health = speed{}, health{}
 }
 
--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -288,12 +288,14 @@
 			l.sendHold(ep, Watch)
 			continue
 		}
-		if e.Born != ep.Born && e.Born > ep.Born && ep.Born != 0 {
+		if e.Born > ep.Born && ep.Born != 0 && e.Born != ep.formerBorn {
 			l.logRestart(ep, e.Born, true)
 			l.handleRestart(ep, e.Born)
 		}
 		used := ep.Capacity.Minus(ep.free)
-		e.Born = max(e.Born, ep.Born)
+		if ep.Born != 0 {
+			e.Born = ep.Born
+		}
 		ep.Endpoint, ep.free, ep.unlisted = e, e.Capacity.Minus(used), false
 	}
 	for _, ep := range slices.Clone(l.sortedEndpoints) {
@@ -304,7 +306,7 @@
 			unlisted = append(unlisted, ep.change())
 		}
 		ep.unlisted = true
-		if len(ep.tasks) == 0 {
+		if len(ep.tasks) == 0 && ep.activeOrphans == 0 {
 			dropped = append(dropped, ep.change())
 			delete(l.endpoints, ep.ID)
 			i := slices.Index(l.sortedEndpoints, ep)
--- a/internal/control/leader/endpoint_state.go
+++ b/internal/control/leader/endpoint_state.go
@@ -14,6 +14,10 @@
 	// tasks are those that occupy resources here.
 	tasks map[job.TaskName]*task
 
+	// bornSeq is the event in which the leader learned of the present incarnation, and formerBorn the
+	// incarnation before.
+	bornSeq    SequenceNumber
+	formerBorn endpoint.Incarnation
 	// epoch counts the restarts of the endpoint under the leader's token.
 	epoch shard.Epoch
 	// contacted means that the present incarnation has answered a request with a token of this
--- a/internal/control/leader/order_test.go
+++ b/internal/control/leader/order_test.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"testing"
 
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
@@ -242,3 +243,28 @@
 		t.Errorf("got %d starts while the first attempt runs, want %d", got, want)
 	}
 }
+
+// Guards against an endpoint that is ignored after a restart because its time of day has gone back,
+// and against a list of endpoints that shows the earlier incarnation again.
+func TestRestartWithAnEarlierTimeOfDay(t *testing.T) {
+	c := newCluster(t, 22, 1)
+	c.duration = func(job.TaskName) clock.Millis { return 2000 }
+	e := c.endpoints["e00"]
+	e.Born = 1000
+	l := c.addLeader(1, 256).leader
+	c.advance(50)
+	listed := c.endpointList()
+	c.crash(e)
+	e.Born = 900
+	c.advance(testTimeouts().cappedLeaseExpiry() + 1100)
+	c.leaders[1].relists = false
+	c.deliver(1, EndpointsListed{Endpoints: listed, Complete: true})
+	s := c.longJob(300)
+	c.advance(500)
+	if got, want := l.endpoints["e00"].Born, endpoint.Incarnation(900); got != want {
+		t.Errorf("got incarnation %d, want %d", got, want)
+	}
+	if got, want := outcomeName(c.outcomes[s.Key]), "job.Completed"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
--- a/internal/control/leader/status_report.go
+++ b/internal/control/leader/status_report.go
@@ -27,15 +27,18 @@
 		l.handleHoldFailed(ep, e)
 		return
 	}
-	if e.Report.Incarnation < ep.Born {
-		// This report of an earlier incarnation has arrived late.
+	if e.Report.Incarnation < ep.Born && e.Sequence < ep.bornSeq {
+		// This report of an earlier incarnation has arrived late. Incarnations are times of day, so a
+		// later one may be lower.
 		return
 	}
 	if ep.Born != 0 && e.Report.Incarnation != ep.Born {
 		l.logRestart(ep, e.Report.Incarnation, false)
 		l.handleRestart(ep, e.Report.Incarnation)
 	}
-	ep.Born = e.Report.Incarnation
+	if ep.Born == 0 {
+		ep.Born, ep.bornSeq = e.Report.Incarnation, l.sequence
+	}
 	l.acceptToken(ep, e.Sequence)
 	ep.lastReportAt = l.now
 	ep.unansweredHolds = 0
--- a/internal/control/leader/takeover_test.go
+++ b/internal/control/leader/takeover_test.go
@@ -117,3 +117,30 @@
 		}
 	}
 }
+
+// Guards against an adopted task that never ends: its endpoint leaves the list while it has attempts
+// of an earlier leader, and is forgotten.
+func TestEndpointWithOrphansIsKept(t *testing.T) {
+	c := newCluster(t, 16, 2)
+	c.duration = func(job.TaskName) clock.Millis { return 300 }
+	old := c.addLeader(1, 256)
+	c.advance(50)
+	s := submission("a-1", 1, 1)
+	c.deliver(1, Submitted{Submission: s})
+	c.advance(20)
+	old.stopped = true
+	c.addLeader(2, 257)
+	c.advance(20)
+	runsAt := c.endpointOf(TaskName(s.Job.ID, 0, 0))
+	c.sortedEndpoints = slices.DeleteFunc(c.sortedEndpoints, func(e *fakeEndpoint) bool { return e == runsAt })
+	c.leaders[2].relists = false
+	c.deliver(2, EndpointsListed{Endpoints: c.endpointList(), Complete: true, List: EndpointList{ReadAt: c.now}})
+	c.sortedEndpoints = append(c.sortedEndpoints, runsAt)
+	s.Adopt = true
+	c.deliver(2, Submitted{Submission: s})
+	c.renewLeases(2, "a-1", 1)
+	c.advance(600)
+	if got, want := outcomeName(c.outcomes[s.Key]), "job.Completed"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
