Decline requests to take over a shard that are late or outranked

Cause: a successor carried out every request to take over. A partition can hold one up until the sender has given up and another member leads under a later replica set. The successor then led under its rank in that set, so that it outranked the present leader, and took the list of a leader that had been gone for seconds for complete. Evidence: TestRequestToTakeOverFromAnEarlierLeaderIsDeclined (branch paths) failed: "got accepted true and leader true while peer-1 leads under a later replica set, want it declined". With the check taken out again, TestExpiredRequestToTakeOverIsDeclined and TestRequestToTakeOverFromAnOutrankedLeaderIsDeclined fail as well. Change: the request carries the leader's token and an expiry on the successor's clock, of which heartbeats and their answers now tell the leader a lower bound (new field Clock of HeartbeatRequest). A successor declines a request that has expired, that names an older replica set than its own, or whose token is below the highest that it has seen a leader with. A VM that leads the shard already answers whether it outranks the sender. Fields are only added to messages; requests of earlier versions count with the token of the first member. Why it works: the expiry ends before the sender asks the next successor, so two of them do not take over at the request of one leader; the token orders all leaders of a shard.

--- a/internal/control/failover/monitor.go
+++ b/internal/control/failover/monitor.go
@@ -274,6 +274,9 @@
 	m.lostRevision = m.replicaSet.Revision
 }
 
+// HighestToken returns the highest token under which a VM is known to have led the shard, or 0.
+func (m *Monitor) HighestToken() shard.Token { return m.leaderToken }
+
 // IsLeader reports whether this VM is considered the leader.
 func (m *Monitor) IsLeader() bool {
 	return m.leaderConfirmed && m.polledRank < len(m.replicaSet.Members) && m.replicaSet.Members[m.polledRank].Incarnation == m.self
--- a/internal/control/node/action.go
+++ b/internal/control/node/action.go
@@ -44,6 +44,11 @@
 type SendYield struct {
 	To         shard.Member
 	ReplicaSet shard.ReplicaSet
+	// Token is that of this VM as the leader.
+	Token shard.Token
+	// Expires is the time on the successor's clock after which it declines, or 0 if its clock is
+	// unknown.
+	Expires clock.Millis
 	// Endpoints is the leader's own list, as of a version of the store.
 	Endpoints        []endpoint.Endpoint
 	EndpointsVersion int64
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -59,9 +59,9 @@
 	lastMissingAt clock.Millis
 	vms           []shard.VM
 	vmRecords     map[vm.ID]shard.VM
-	// heartbeatAt is when a heartbeat of each VM, or its answer to one, was last received.
-	heartbeatAt map[vm.Incarnation]clock.Millis
-	loads       map[shard.ID]shard.Load
+	// heartbeats are the last ones of each VM, or its last answers to one.
+	heartbeats map[vm.Incarnation]heartbeat
+	loads      map[shard.ID]shard.Load
 	// probes say whether the endpoints of other data centres can be reached.
 	probes map[shard.ID]probeState
 
@@ -79,6 +79,21 @@
 	actions    []Action
 }
 
+// heartbeat is a heartbeat of another VM, or its answer to one.
+type heartbeat struct {
+	receivedAt clock.Millis
+	// senderClock is the other VM's clock when it sent the message, or 0 if it did not say.
+	senderClock clock.Millis
+}
+
+// earliestClock is a lower bound of the other VM's clock now, or 0 if there is none.
+func (h heartbeat) earliestClock(now clock.Millis) clock.Millis {
+	if h.senderClock == 0 {
+		return 0
+	}
+	return h.senderClock + now - h.receivedAt
+}
+
 // ledShard is a shard that this VM leads.
 type ledShard struct {
 	leader *leader.Leader
@@ -107,7 +122,7 @@
 	n := &Control{
 		config: c, now: c.Now, lastMissingAt: c.Now,
 		monitors: make(map[shard.ID]*failover.Monitor), ledShards: make(map[shard.ID]*ledShard),
-		missingSince: make(map[datacentre.EndpointID]clock.Millis), heartbeatAt: make(map[vm.Incarnation]clock.Millis), loads: make(map[shard.ID]shard.Load), probes: make(map[shard.ID]probeState),
+		missingSince: make(map[datacentre.EndpointID]clock.Millis), heartbeats: make(map[vm.Incarnation]heartbeat), loads: make(map[shard.ID]shard.Load), probes: make(map[shard.ID]probeState),
 		callers: make(map[job.Key]chan<- job.Outcome), peers: make(map[job.Key]chan<- job.Outcome),
 	}
 	for _, dc := range c.DataCentres {
--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -66,6 +66,10 @@
 // down or this VM is a better one.
 type PeerYielded struct {
 	ReplicaSet shard.ReplicaSet
+	// Token is that of the leader, or 0 if its version of the program does not send it.
+	Token shard.Token
+	// Expires is the time on this VM's clock after which the request is declined, or 0 for none.
+	Expires clock.Millis
 	// Endpoints is the leader's own list, as of a version of the store.
 	Endpoints        []endpoint.Endpoint
 	EndpointsVersion int64
@@ -190,6 +194,8 @@
 	// Revision is that of the sender's replica set, Desired the version of its desired state.
 	Revision int64
 	Desired  queue.Version
+	// Clock is the sender's clock when it sent the message.
+	Clock clock.Millis
 	// Leaving says that the sender shuts down and is no longer available as a successor.
 	Leaving bool
 	// Loads are the loads of the shards that the sender leads.
--- a/internal/control/node/heartbeats.go
+++ b/internal/control/node/heartbeats.go
@@ -133,7 +133,7 @@
 	waiting, last := n.gateway.Outstanding(id)
 	r := HeartbeatRequest{
 		Cell: id, From: n.config.Self, Waiting: waiting, LastSeq: last,
-		Revision: n.monitors[id].ReplicaSet().Revision, Leaving: n.shutdown,
+		Revision: n.monitors[id].ReplicaSet().Revision, Leaving: n.shutdown, Clock: n.now,
 	}
 	if n.desired != nil {
 		r.Desired = n.desired.Version
@@ -152,9 +152,9 @@
 // handlePeerHeartbeat answers the heartbeat of another VM.
 func (n *Control) handlePeerHeartbeat(e PeerHeartbeat) {
 	r := e.Request
-	n.heartbeatAt[r.From.Incarnation] = n.now
+	n.heartbeats[r.From.Incarnation] = heartbeat{receivedAt: n.now, senderClock: r.Clock}
 	if r.Leaving {
-		delete(n.heartbeatAt, r.From.Incarnation)
+		delete(n.heartbeats, r.From.Incarnation)
 	}
 	monitor := n.monitors[r.Cell]
 	reply := HeartbeatReply{From: n.config.Self.Incarnation, Clock: n.now, EndpointsVersion: n.endpointsVersion, Draining: n.shutdown}
@@ -205,7 +205,7 @@
 		return
 	}
 	if !e.Reply.Draining {
-		n.heartbeatAt[e.Answer.From] = n.now
+		n.heartbeats[e.Answer.From] = heartbeat{receivedAt: n.now, senderClock: e.Reply.Clock}
 	}
 	if e.Reply.Lineup.Revision > 0 {
 		n.applyReplicaSet(e.Reply.Lineup)
--- a/internal/control/node/leadership.go
+++ b/internal/control/node/leadership.go
@@ -107,11 +107,11 @@
 
 // heartbeatAge returns the time since the last heartbeat of a VM, or an hour if there was none.
 func (n *Control) heartbeatAge(v shard.VM) clock.Millis {
-	at, ok := n.heartbeatAt[v.Incarnation]
+	last, ok := n.heartbeats[v.Incarnation]
 	if !ok {
 		return clock.Hour
 	}
-	return n.now - at
+	return n.now - last.receivedAt
 }
 
 // refreshReplicaSet rewrites the replica set when its successors have changed or this VM has taken
@@ -162,8 +162,7 @@
 	set := n.monitors[id].ReplicaSet()
 	for _, v := range shard.Candidates(id, n.vms) {
 		if n.isBetterLeader(id, v) && n.heartbeatAge(v) <= heartbeatMaxAge && set.Rank(v.Incarnation) > set.Rank(n.config.Self.Incarnation) {
-			led.yielding = true
-			n.emit(SendYield{To: v.Member, ReplicaSet: set, Endpoints: n.endpointsToHandOver(led), EndpointsVersion: n.endpointsVersion})
+			n.askToTakeOver(id, led, v.Member)
 			return
 		}
 	}
@@ -222,9 +221,9 @@
 		led.lastAskedRank, led.lastAskedRevision = set.Rank(n.config.Self.Incarnation), set.Revision
 	}
 	for rank, m := range set.Members {
-		if at, ok := n.heartbeatAt[m.Incarnation]; rank > led.lastAskedRank && ok && n.now-at <= heartbeatMaxAge {
-			led.yielding, led.lastAskedRank = true, rank
-			n.emit(SendYield{To: m, ReplicaSet: set, Endpoints: n.endpointsToHandOver(led), EndpointsVersion: n.endpointsVersion})
+		if last, ok := n.heartbeats[m.Incarnation]; rank > led.lastAskedRank && ok && n.now-last.receivedAt <= heartbeatMaxAge {
+			led.lastAskedRank = rank
+			n.askToTakeOver(id, led, m)
 			return
 		}
 	}
@@ -238,6 +237,24 @@
 	n.stepDown(id)
 }
 
+// askToTakeOver asks a successor to take over a shard.
+func (n *Control) askToTakeOver(id shard.ID, led *ledShard, to shard.Member) {
+	led.yielding = true
+	y := SendYield{
+		To: to, ReplicaSet: n.monitors[id].ReplicaSet(), Token: led.leader.Token(),
+		Endpoints: n.endpointsToHandOver(led), EndpointsVersion: n.endpointsVersion,
+	}
+	if c := n.heartbeats[to.Incarnation].earliestClock(n.now); c != 0 {
+		y.Expires = c + yieldLifetime
+	}
+	n.emit(y)
+}
+
+// yieldLifetime is how long a successor may carry out a request to take over. It is no longer than
+// the timeout of the call, so that a successor that has not answered does not take over while the
+// next one is asked.
+const yieldLifetime = clock.Millis(150)
+
 // yieldRetryInterval is the interval between searches for a successor. Writing a replica set with
 // new members takes a call to the store.
 const yieldRetryInterval = clock.Millis(100)
@@ -283,12 +300,16 @@
 func (n *Control) handlePeerYielded(e PeerYielded) {
 	n.applyReplicaSet(e.ReplicaSet)
 	id := e.ReplicaSet.Cell
-	monitor := n.monitors[id]
-	if monitor == nil || n.shutdown || n.desired == nil {
+	if n.ledShards[id] != nil {
+		// This VM has taken over already. The sender steps down if it is outranked.
+		e.Done <- n.ledShards[id].leader.Token() > e.Token
+		return
+	}
+	if n.shutdown || n.desired == nil || !n.isCurrent(e) {
 		e.Done <- false
 		return
 	}
-	set := monitor.ReplicaSet()
+	set := n.monitors[id].ReplicaSet()
 	rank := set.Rank(n.config.Self.Incarnation)
 	if rank < 0 {
 		e.Done <- false
@@ -299,6 +320,19 @@
 	e.Done <- n.ledShards[id] != nil
 }
 
+// isCurrent reports whether a request to take over is from the present leader of the shard, as far
+// as this VM knows. A partition may delay a request until another VM has become the leader, whose
+// attempts the list of endpoints in the request does not cover.
+func (n *Control) isCurrent(e PeerYielded) bool {
+	monitor := n.monitors[e.ReplicaSet.Cell]
+	if monitor == nil || e.ReplicaSet.Revision < monitor.ReplicaSet().Revision || e.Expires != 0 && n.now > e.Expires {
+		return false
+	}
+	// VMs of earlier versions send no token; theirs is at least that of the first member.
+	token := max(e.Token, e.ReplicaSet.Token(0))
+	return token >= monitor.HighestToken()
+}
+
 // handleYieldEnded steps down as leader once a successor has taken the shard over. If the successor
 // declined, a VM that shuts down asks the next one, and any other VM keeps the shard.
 func (n *Control) handleYieldEnded(e YieldEnded) {
--- a/internal/control/node/node_test.go
+++ b/internal/control/node/node_test.go
@@ -428,3 +428,69 @@
 		t.Errorf("handed over: got %+v, %d endpoints, complete %v, want version 4, just read, with 2 endpoints, complete", e.List, e.Endpoints, e.ListComplete)
 	}
 }
+
+// Guards against a request to take over that a partition has held up: another VM leads the shard
+// under a later replica set, and the list in the request is from before its time.
+func TestRequestToTakeOverFromAnEarlierLeaderIsDeclined(t *testing.T) {
+	h := newHarness(t)
+	h.answers["peer-1"] = HeartbeatReply{Home: true, Token: 9 << 8, From: "peer-1"}
+	h.handle(ReplicaSetsLoaded{ReplicaSets: []shard.ReplicaSet{replicaSet("centro", 9, "peer-1", "me-1")}})
+	h.advance(300)
+	done := make(chan bool, 1)
+	h.handle(PeerYielded{
+		ReplicaSet: replicaSet("centro", 5, "gone-1", "me-1", "peer-1"),
+		Endpoints:  []endpoint.Endpoint{newEndpoint("centro", "e1")}, EndpointsVersion: 1, Done: done,
+	})
+	if accepted := <-done; accepted || h.isLeader("centro") {
+		t.Errorf("got accepted %v and leader %v while peer-1 leads under a later replica set, want it declined", accepted, h.isLeader("centro"))
+	}
+}
+
+// Guards against a successor that takes over after its request has been delayed until the sender has
+// given up and asked the next successor.
+func TestExpiredRequestToTakeOverIsDeclined(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		late  clock.Millis
+		taken bool
+	}{{"in time", 0, true}, {"expired", 1, false}} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t)
+			done := make(chan bool, 1)
+			set := replicaSet("centro", 5, "peer-1", "me-1")
+			h.handle(PeerYielded{ReplicaSet: set, Token: set.Token(0), Expires: h.now - tt.late, Endpoints: firstList(), EndpointsVersion: 1, Done: done})
+			if accepted := <-done; accepted != tt.taken || h.isLeader("centro") != tt.taken {
+				t.Errorf("got accepted %v and leader %v, want %v", accepted, h.isLeader("centro"), tt.taken)
+			}
+		})
+	}
+}
+
+// Guards against a request to take over from a leader that another member of the same replica set
+// has replaced.
+func TestRequestToTakeOverFromAnOutrankedLeaderIsDeclined(t *testing.T) {
+	h := newHarness(t)
+	set := replicaSet("centro", 5, "gone-1", "peer-1", "me-1")
+	h.answers["peer-1"] = HeartbeatReply{Home: true, Token: set.Token(1), From: "peer-1"}
+	h.handle(ReplicaSetsLoaded{ReplicaSets: []shard.ReplicaSet{set}})
+	h.advance(600)
+	done := make(chan bool, 1)
+	h.handle(PeerYielded{ReplicaSet: set, Token: set.Token(0), Endpoints: firstList(), EndpointsVersion: 1, Done: done})
+	if accepted := <-done; accepted || h.isLeader("centro") {
+		t.Errorf("got accepted %v and leader %v while peer-1 leads, want it declined", accepted, h.isLeader("centro"))
+	}
+}
+
+// Guards against requests to take over that never expire: their end is a time on the clock of the
+// successor, which its heartbeats tell.
+func TestRequestToTakeOverExpiresOnTheClockOfTheSuccessor(t *testing.T) {
+	h := leaderOfCentro(t)
+	const successorClock = clock.Millis(7_000_000)
+	h.handle(PeerHeartbeat{Request: HeartbeatRequest{Cell: "centro", From: newVM("centro", "peer-1"), Clock: successorClock}, Reply: make(chan HeartbeatReply, 1)})
+	h.now += 30
+	h.handle(ShutdownRequested{})
+	yields := takeActions[SendYield](h)
+	if len(yields) != 1 || yields[0].Expires != successorClock+30+yieldLifetime || yields[0].Token != h.control.ledShards["centro"].leader.Token() {
+		t.Errorf("got %+v, want one with the token of the leader that expires at %d", yields, successorClock+30+yieldLifetime)
+	}
+}
--- a/internal/link/peer/wire.go
+++ b/internal/link/peer/wire.go
@@ -92,6 +92,10 @@
 	Lineup           shard.ReplicaSet
 	Endpoints        []endpoint.Endpoint
 	EndpointsVersion int64
+	// Token is that of the leader.
+	Token shard.Token
+	// Expires is the time on the successor's clock after which it declines, or 0.
+	Expires clock.Millis
 }
 
 // YieldReply reports whether the successor has taken over the shard. The name Taken is sent.
