--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -44,7 +44,9 @@
 	gateway   *gateway.Gateway
 	monitors  map[shard.ID]*failover.Monitor
 	ledShards map[shard.ID]*ledShard
-	shards    []shard.ID
+	// lastLeadership is the latest leadership of this VM.
+	lastLeadership LeadershipID
+	shards         []shard.ID
 
 	desired          *queue.State
 	endpoints        []endpoint.Endpoint
@@ -59,9 +61,9 @@
 	lastMissingAt clock.Millis
 	vms           []shard.VM
 	vmRecords     map[vm.ID]shard.VM
-	// heartbeatAt is when a heartbeat of each VM, or its answer to one, was last received.
-	heartbeatAt map[vm.Incarnation]clock.Millis
-	loads       map[shard.ID]shard.Load
+	// heartbeats are the last ones of each VM, or its last answers to one.
+	heartbeats map[vm.Incarnation]heartbeat
+	loads      map[shard.ID]shard.Load
 	// probes say whether the endpoints of other data centres can be reached.
 	probes map[shard.ID]probeState
 
@@ -79,8 +81,24 @@
 	actions    []Action
 }
 
+// heartbeat is a heartbeat of another VM, or its answer to one.
+type heartbeat struct {
+	receivedAt clock.Millis
+	// senderClock is the other VM's clock when it sent the message, or 0 if it did not say.
+	senderClock clock.Millis
+}
+
+// earliestClock is a lower bound of the other VM's clock now, or 0 if there is none.
+func (h heartbeat) earliestClock(now clock.Millis) clock.Millis {
+	if h.senderClock == 0 {
+		return 0
+	}
+	return h.senderClock + now - h.receivedAt
+}
+
 // ledShard is a shard that this VM leads.
 type ledShard struct {
+	id     LeadershipID
 	leader *leader.Leader
 	// writing says that a write of the replica set is pending; writtenAt is when the set was last
 	// written or found unchanged.
@@ -107,7 +125,7 @@
 	n := &Control{
 		config: c, now: c.Now, lastMissingAt: c.Now,
 		monitors: make(map[shard.ID]*failover.Monitor), ledShards: make(map[shard.ID]*ledShard),
-		missingSince: make(map[datacentre.EndpointID]clock.Millis), heartbeatAt: make(map[vm.Incarnation]clock.Millis), loads: make(map[shard.ID]shard.Load), probes: make(map[shard.ID]probeState),
+		missingSince: make(map[datacentre.EndpointID]clock.Millis), heartbeats: make(map[vm.Incarnation]heartbeat), loads: make(map[shard.ID]shard.Load), probes: make(map[shard.ID]probeState),
 		callers: make(map[job.Key]chan<- job.Outcome), peers: make(map[job.Key]chan<- job.Outcome),
 	}
 	for _, dc := range c.DataCentres {
@@ -151,7 +169,11 @@
 	case YieldEnded:
 		n.handleYieldEnded(e)
 	case LeaderEvent:
-		n.sendToLeader(e.Shard, e.Event)
+		// The leadership that requested the action may have ended. Its answers say nothing about the
+		// token and the attempts of a later one.
+		if n.leads(e.Shard, e.Leadership) {
+			n.sendToLeader(e.Shard, e.Event)
+		}
 	case DesiredStateLoaded:
 		n.handleDesiredStateLoaded(e.State)
 	case EndpointsLoaded:
@@ -322,14 +344,16 @@
 	if led == nil {
 		return
 	}
-	n.applyLeaderActions(id, led.leader.Handle(n.now, e))
+	n.applyLeaderActions(id, led.id, led.leader.Handle(n.now, e))
 }
 
-func (n *Control) applyLeaderActions(id shard.ID, actions []leader.Action) {
+func (n *Control) applyLeaderActions(id shard.ID, l LeadershipID, actions []leader.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
 		case leader.Start, leader.Stop, leader.Hold:
-			n.emit(LeaderAction{Shard: id, Action: a})
+			if n.leads(id, l) {
+				n.emit(LeaderAction{Shard: id, Leadership: l, Action: a})
+			}
 		case leader.Answer:
 			n.deliverOutcome(id, a)
 		case leader.Fenced:
