Remember the epoch and incarnation of an endpoint that leaves the list

Callers saw: nothing; a review of the epochs found it before a landing. Cause: a leader forgets an endpoint that has left the list. When it returned, the leader used the token of its first epoch, was refused by its own later one, and stepped down. Change: the incarnations and the epoch of a dropped endpoint are kept for the leadership. Measured: tests of internal/control/leader pass.

--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -275,6 +275,10 @@
 		ep := l.endpoints[e.ID]
 		if ep == nil {
 			ep = newEndpointState(e, l.now)
+			if d, ok := l.dropped[e.ID]; ok {
+				ep.Born, ep.formerBorn, ep.epoch = d.born, d.formerBorn, d.epoch
+				delete(l.dropped, e.ID)
+			}
 			if l.listed {
 				ep.usableFrom = l.now + newEndpointDelay
 			}
@@ -285,8 +289,6 @@
 			index, _ := slices.BinarySearchFunc(l.sortedEndpoints, ep, func(a, b *endpointState) int { return cmp.Compare(a.ID, b.ID) })
 			l.sortedEndpoints = slices.Insert(l.sortedEndpoints, index, ep)
 			appeared = append(appeared, ep.change())
-			l.sendHold(ep, Watch)
-			continue
 		}
 		if e.Born > ep.Born && ep.Born != 0 && e.Born != ep.formerBorn {
 			l.logRestart(ep, e.Born, true)
@@ -297,6 +299,9 @@
 			e.Born = ep.Born
 		}
 		ep.Endpoint, ep.free, ep.unlisted = e, e.Capacity.Minus(used), false
+		if !ep.watching {
+			l.sendHold(ep, Watch)
+		}
 	}
 	for _, ep := range slices.Clone(l.sortedEndpoints) {
 		if listed[ep.ID] {
@@ -309,6 +314,7 @@
 		if len(ep.tasks) == 0 && ep.activeOrphans == 0 {
 			dropped = append(dropped, ep.change())
 			delete(l.endpoints, ep.ID)
+			l.dropped[ep.ID] = droppedEndpoint{born: ep.Born, formerBorn: ep.formerBorn, epoch: ep.epoch}
 			i := slices.Index(l.sortedEndpoints, ep)
 			l.sortedEndpoints = slices.Delete(l.sortedEndpoints, i, i+1)
 		}
--- a/internal/control/leader/endpoint_state.go
+++ b/internal/control/leader/endpoint_state.go
@@ -66,6 +66,13 @@
 	health health
 }
 
+// droppedEndpoint is what a leader keeps of an endpoint that has left the list. The endpoint may
+// return with the token of its latest epoch, or in another incarnation.
+type droppedEndpoint struct {
+	born, formerBorn endpoint.Incarnation
+	epoch            shard.Epoch
+}
+
 func newEndpointState(e endpoint.Endpoint, now clock.Millis) *endpointState {
 	// An earlier leader may have granted leases until just now.
 	return &endpointState{Endpoint: e, free: e.Capacity, tasks: make(map[job.TaskName]*task), lastReportAt: now, leaseSentAt: now}
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -34,6 +34,7 @@
 	desired *queue.State
 
 	endpoints map[datacentre.EndpointID]*endpointState
+	dropped   map[datacentre.EndpointID]droppedEndpoint
 	// sortedEndpoints holds the endpoints in a fixed order, so that decisions do not depend on the
 	// iteration order of a map.
 	sortedEndpoints []*endpointState
@@ -79,7 +80,7 @@
 func New(c Config) *Leader {
 	l := &Leader{
 		config: c, desired: c.Desired, now: c.Now,
-		endpoints: make(map[datacentre.EndpointID]*endpointState), jobs: make(map[job.Key]*jobState),
+		endpoints: make(map[datacentre.EndpointID]*endpointState), dropped: make(map[datacentre.EndpointID]droppedEndpoint), jobs: make(map[job.Key]*jobState),
 		jobsByID: make(map[job.ID][]*jobState), activeTasks: make(map[job.TaskName]*task),
 		entryVMs: make(map[vm.Incarnation]*entryVM), orphans: make(orphans),
 		otherLoads: make(map[shard.ID]*shard.Load), workEstimates: make(map[queue.Name]*workEstimate),
@@ -101,6 +102,10 @@
 	for _, ep := range l.sortedEndpoints {
 		ep.epoch, ep.tokenSeq = 0, l.sequence+1
 	}
+	for id, d := range l.dropped {
+		d.epoch = 0
+		l.dropped[id] = d
+	}
 }
 
 // Busy reports whether the leader has jobs or attempts and therefore needs ticks.
--- a/internal/control/leader/takeover_test.go
+++ b/internal/control/leader/takeover_test.go
@@ -144,3 +144,22 @@
 		t.Errorf("got %s, want %s", got, want)
 	}
 }
+
+// Guards against a leader that steps down because it forgets that an endpoint has restarted: the
+// endpoint leaves the list, is dropped, and returns with the token of its later epoch.
+func TestEpochOfADroppedEndpointIsKept(t *testing.T) {
+	c := newCluster(t, 21, 3)
+	f := c.addLeader(1, 256)
+	f.relists = false
+	c.advance(50)
+	c.crash(c.endpoints["e00"])
+	c.advance(200)
+	all := c.endpointList()
+	c.deliver(1, EndpointsListed{Endpoints: slices.DeleteFunc(slices.Clone(all), func(e endpoint.Endpoint) bool { return e.ID == "e00" }), Complete: true, List: EndpointList{ReadAt: c.now}})
+	c.advance(100)
+	c.deliver(1, EndpointsListed{Endpoints: all, Complete: true, List: EndpointList{ReadAt: c.now}})
+	c.advance(clock.Second)
+	if f.fenced {
+		t.Errorf("got the leader fenced out by its own later token, want it to lead")
+	}
+}
