Take a handed-over list for complete only as far as its sender knows

Cause: a successor took the list of the leader that handed over for complete, although that leader may have taken over itself a moment before, with an old list. And an endpoint that was handed over, could not be reached and left the list, was forgotten at once, with the attempts that it may have. TestHandedOverEndpointCountsAlsoUnlisted failed with 2 concurrent attempts. TestHandedOverListIsOnlyAsGoodAsTheSender needs the new field. Change: the request to take over says whether the list is complete: the sender knows that of its list, or has led for so long that no earlier attempt is left. An endpoint that has not answered the new leader counts until the attempts of earlier leaders have expired. Tests that hand over now say that the list is complete. Measured: tests of internal/control pass.

--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -132,7 +132,7 @@
 // adoptionWaitEnded reports whether all attempts that an earlier leader has started for a job have
 // expired.
 func (l *Leader) adoptionWaitEnded(j *jobState) bool {
-	return l.now >= j.receivedAt+l.config.Timeouts.SubmissionTimeout+l.config.Timeouts.AttemptsExpireAfter()
+	return l.now >= j.receivedAt+l.config.Timeouts.EarlierAttemptsExpireAfter()
 }
 
 // earlierAttemptsReported reports whether every endpoint at which an earlier leader can have started
@@ -147,13 +147,19 @@
 
 func (l *Leader) allTokensAccepted() bool {
 	for _, ep := range l.sortedEndpoints {
-		if !ep.tokenAccepted() && !ep.unlisted {
+		if !ep.tokenAccepted() && (!ep.unlisted || l.mayHaveEarlierAttempts(ep)) {
 			return false
 		}
 	}
 	return true
 }
 
+// mayHaveEarlierAttempts reports whether an endpoint that has not answered this leader may have
+// attempts of an earlier one.
+func (l *Leader) mayHaveEarlierAttempts(ep *endpointState) bool {
+	return !ep.contacted && l.now < l.config.Now+l.config.Timeouts.EarlierAttemptsExpireAfter()
+}
+
 // placeTask starts a task at the most suitable endpoint, if there is one.
 func (l *Leader) placeTask(t *task, r *dispatchRound) bool {
 	q := l.desired.Queue(t.job.queue)
@@ -311,7 +317,7 @@
 			unlisted = append(unlisted, ep.change())
 		}
 		ep.unlisted = true
-		if len(ep.tasks) == 0 && ep.activeOrphans == 0 {
+		if len(ep.tasks) == 0 && ep.activeOrphans == 0 && !l.mayHaveEarlierAttempts(ep) {
 			dropped = append(dropped, ep.change())
 			delete(l.endpoints, ep.ID)
 			l.dropped[ep.ID] = droppedEndpoint{born: ep.Born, formerBorn: ep.formerBorn, epoch: ep.epoch}
--- a/internal/control/leader/takeover_test.go
+++ b/internal/control/leader/takeover_test.go
@@ -163,3 +163,34 @@
 		t.Errorf("got the leader fenced out by its own later token, want it to lead")
 	}
 }
+
+// Guards against a second attempt of a task that runs at an endpoint that the earlier leader has
+// handed over: the new leader cannot reach it, and it leaves the list.
+func TestHandedOverEndpointCountsAlsoUnlisted(t *testing.T) {
+	c := newCluster(t, 17, 3)
+	c.duration = func(job.TaskName) clock.Millis { return 760 }
+	old := c.addLeader(1, 256)
+	c.advance(50)
+	c.renewLeases(1, "a-1", 1)
+	s := submission("a-1", 1, 1)
+	s.Part = true
+	c.deliver(1, Submitted{Submission: s})
+	c.advance(20)
+	runsAt := c.endpointOf(TaskName(s.Job.ID, 0, 0))
+	old.stopped = true
+	c.fault = func(_ int, e datacentre.EndpointID, _ Action) delivery { return delivery{lost: e == runsAt.ID} }
+	c.addLeader(2, 257).relists = false
+	c.advance(20)
+	s.Adopt = true
+	c.deliver(2, Submitted{Submission: s})
+	c.renewLeases(2, "a-1", 1)
+	listed := slices.DeleteFunc(c.endpointList(), func(e endpoint.Endpoint) bool { return e.ID == runsAt.ID })
+	c.deliver(2, EndpointsListed{Endpoints: listed, Complete: true, List: EndpointList{ReadAt: c.now}})
+	c.advance(3000)
+	if got, want := c.maxConcurrentAttempts, 1; got != want {
+		t.Errorf("got %d concurrent attempts of a task, want %d", got, want)
+	}
+	if got, want := outcomeName(c.outcomes[s.Key]), "job.Completed"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
--- a/internal/control/leader/timeouts.go
+++ b/internal/control/leader/timeouts.go
@@ -80,6 +80,13 @@
 	return t.JobLease + t.attemptLeaseExpiry() + t.StopDuration
 }
 
+// EarlierAttemptsExpireAfter is how long after a leader has taken over, or has received a job again,
+// the last attempt that an earlier leader can have started has ended. The last message of the job's
+// entry VM to the earlier leader may have been in transit.
+func (t Timeouts) EarlierAttemptsExpireAfter() clock.Millis {
+	return t.SubmissionTimeout + t.AttemptsExpireAfter()
+}
+
 // attemptLeaseExpiry is how long after a request was sent the lease that it granted has certainly
 // expired.
 func (t Timeouts) attemptLeaseExpiry() clock.Millis {
--- a/internal/control/node/action.go
+++ b/internal/control/node/action.go
@@ -63,6 +63,8 @@
 	// Endpoints is the leader's own list, as of a version of the store.
 	Endpoints        []endpoint.Endpoint
 	EndpointsVersion int64
+	// Complete says that attempts of this and of earlier leaders can only be at these endpoints.
+	Complete bool
 }
 
 // WriteReplicaSet writes a replica set if the one in the store still has the expected revision; 0
--- a/internal/control/node/endpoint_list_test.go
+++ b/internal/control/node/endpoint_list_test.go
@@ -116,3 +116,44 @@
 		})
 	}
 }
+
+// Guards against a list that a new leader takes for complete because another one has handed it over,
+// which has just taken over itself with an old list.
+func TestHandedOverListIsOnlyAsGoodAsTheSender(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		led  clock.Millis
+		read bool
+		want bool
+	}{
+		{"just taken over with an old list", 20, false, false},
+		{"just taken over, list read", 20, true, true},
+		{"led for long", 1500, false, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := takeOver(t)
+			if tt.read {
+				h.handle(EndpointsLoaded{Version: 2, ReadAt: h.now, Endpoints: firstList()})
+			}
+			for range tt.led / 10 {
+				h.sendHeartbeat(newVM("norte", "n-1"), "centro")
+				h.advance(10)
+			}
+			h.handle(ReplicaSetWritten{ReplicaSet: replicaSet("centro", 9, "me-1", "n-1"), Written: true})
+			h.actions = nil
+			h.handle(ShutdownRequested{})
+			yields := takeActions[SendYield](h)
+			if len(yields) != 1 || yields[0].Complete != tt.want {
+				t.Errorf("got %+v, want one request to take over with a complete list: %v", yields, tt.want)
+			}
+		})
+	}
+	for _, complete := range []bool{false, true} {
+		h := newHarness(t)
+		h.advance(20 * clock.Second)
+		h.handle(PeerYielded{ReplicaSet: replicaSet("centro", 5, "peer-1", "me-1"), Endpoints: firstList(), EndpointsVersion: 1, Complete: complete, Done: make(chan bool, 1)})
+		if got := h.control.ledShards["centro"].handedOverAt != 0; got != complete {
+			t.Errorf("got the list taken for complete: %v, want %v, as the sender says", got, complete)
+		}
+	}
+}
--- a/internal/control/node/endpoints.go
+++ b/internal/control/node/endpoints.go
@@ -97,6 +97,14 @@
 	return list, list.CleanHandOver || n.now-n.lastMissingAt >= listCompleteDelay
 }
 
+// isListComplete reports whether attempts at the endpoints of a shard, of this leader and of earlier
+// ones, can only be at the endpoints that this VM has. It either knows those of the earlier leaders,
+// or has led for so long that none of their attempts is left.
+func (n *Control) isListComplete(led *ledShard) bool {
+	list, complete := n.endpointList(led.handedOverAt)
+	return complete && list.ReadAt >= led.acquiredAt || n.now >= led.acquiredAt+n.config.Timeouts.EarlierAttemptsExpireAfter()
+}
+
 // listCompleteDelay is how long an endpoint that has disappeared may still have attempts of an
 // earlier leader. Entries expire 4.5 s into a partition, and attempts there end at the latest when
 // their callers time out, which happens within 10 s.
--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -73,6 +73,8 @@
 	// Endpoints is the leader's own list, as of a version of the store.
 	Endpoints        []endpoint.Endpoint
 	EndpointsVersion int64
+	// Complete says that attempts of the leader and of earlier ones can only be at these endpoints.
+	Complete bool
 	// Done receives whether this VM is the leader now. It must have a buffer of one.
 	Done chan<- bool
 }
--- a/internal/control/node/leadership.go
+++ b/internal/control/node/leadership.go
@@ -249,7 +249,7 @@
 	led.yielding = true
 	y := SendYield{
 		To: to, Leadership: led.id, ReplicaSet: n.monitors[id].ReplicaSet(), Token: led.leader.Token(),
-		Endpoints: n.endpointsToHandOver(led), EndpointsVersion: n.endpointsVersion,
+		Endpoints: n.endpointsToHandOver(led), EndpointsVersion: n.endpointsVersion, Complete: n.isListComplete(led),
 	}
 	if c := n.heartbeats[to.Incarnation].earliestClock(n.now); c != 0 {
 		y.Expires = c + yieldLifetime
@@ -323,7 +323,11 @@
 		return
 	}
 	n.mergeHandedOverEndpoints(e)
-	n.becomeLeader(id, set, rank, n.now)
+	handedOverAt := clock.Millis(0)
+	if e.Complete {
+		handedOverAt = n.now
+	}
+	n.becomeLeader(id, set, rank, handedOverAt)
 	e.Done <- n.ledShards[id] != nil
 }
 
--- a/internal/control/node/node_test.go
+++ b/internal/control/node/node_test.go
@@ -420,7 +420,7 @@
 	}
 	h = newHarness(t)
 	h.handle(PeerYielded{
-		ReplicaSet: replicaSet("centro", 5, "peer-1", "me-1"), Done: make(chan bool, 1),
+		ReplicaSet: replicaSet("centro", 5, "peer-1", "me-1"), Complete: true, Done: make(chan bool, 1),
 		Endpoints: []endpoint.Endpoint{newEndpoint("centro", "e1")}, EndpointsVersion: 4,
 	})
 	e = acquired(h)
@@ -531,7 +531,7 @@
 		t.Fatalf("got this VM as leader of centro although a later replica set names another")
 	}
 	all, version := h.control.Endpoints()
-	h.handle(PeerYielded{ReplicaSet: replicaSet("centro", 6, "peer-1", "me-1"), Endpoints: all, EndpointsVersion: version, Done: make(chan bool, 1)})
+	h.handle(PeerYielded{ReplicaSet: replicaSet("centro", 6, "peer-1", "me-1"), Endpoints: all, EndpointsVersion: version, Complete: true, Done: make(chan bool, 1)})
 	if !h.isLeader("centro") {
 		t.Fatalf("got no leader of centro after the other VM has yielded, want this VM")
 	}
--- a/internal/link/peer/wire.go
+++ b/internal/link/peer/wire.go
@@ -92,6 +92,8 @@
 	Lineup           shard.ReplicaSet
 	Endpoints        []endpoint.Endpoint
 	EndpointsVersion int64
+	// Complete says that attempts can only be at these endpoints.
+	Complete bool
 	// Token is that of the leader.
 	Token shard.Token
 	// Expires is the time on the successor's clock after which it declines, or 0.
