--- a/internal/control/node/node_test.go
+++ b/internal/control/node/node_test.go
@@ -569,3 +569,21 @@
 		t.Errorf("got %d starts and leader %v after an endpoint has accepted a higher token, want neither", len(starts), h.isLeader("centro"))
 	}
 }
+
+// Guards against a leader that restarts its tasks after its VM has been suspended, before an
+// endpoint has told it that a successor took over.
+func TestNothingStartsAfterAPauseBeforeEndpointsAnswer(t *testing.T) {
+	h := leaderOfCentro(t)
+	present := h.control.ledShards["centro"].id
+	h.answerHold(present, "e1", 40)
+	h.answerHold(present, "e2", 41)
+	h.handle(JobArrived{Job: movedSubmission().Job, Limit: 3000, Accepted: make(chan job.Key, 1), Ended: make(chan job.Outcome, 1)})
+	if starts := startedTasks(h); len(starts) != 1 {
+		t.Fatalf("got %d starts, want one", len(starts))
+	}
+	h.now += 1200
+	h.handle(Tick{})
+	if starts := startedTasks(h); len(starts) != 0 {
+		t.Errorf("got %d starts in the first tick after 1,200 ms, want none before the endpoints have answered", len(starts))
+	}
+}
