Take the answers of an earlier leader only for the end of a job

Callers saw: jobs that are stopped and lost after a leader was frozen. Cause: the gateway matched answers by shard. A leader that thaws steps down and answers Moved for jobs that the gateway has submitted to the next leader meanwhile. The gateway took this for the next leader's answer and left the jobs out of its heartbeats for 30 ms or more, and the next leader abandoned them. Change: Responder names the shard and the VM that a submission was sent to; Submit and SubmitAnswered carry the VM. An answer of another VM than the part's present leader counts only if it follows from the ends of tasks alone (Completed, Failed); the present leader is then told at once that nobody waits for the part any more. Tests: TestOutcomes names the VM that answers, and has two more cases.

--- a/internal/control/gateway/gateway.go
+++ b/internal/control/gateway/gateway.go
@@ -74,9 +74,16 @@
 // Submit sends a job to the leader of a shard.
 type Submit struct {
 	To         shard.ID
+	Leader     vm.Incarnation
 	Submission job.Submission
 }
 
+// Responder is a VM that answers a submission as the leader of a shard.
+type Responder struct {
+	Shard shard.ID
+	VM    vm.Incarnation
+}
+
 // Reply returns the outcome of a job to its caller. Shard is the one whose answer ended the job,
 // or else that of its first part.
 type Reply struct {
@@ -162,7 +169,7 @@
 	s := p.submission
 	s.Waited = now - p.request.arrived
 	s.Adopt = p.mayHaveStarted
-	g.actions = append(g.actions, Submit{To: id, Submission: s})
+	g.actions = append(g.actions, Submit{To: id, Leader: leader, Submission: s})
 }
 
 // reply ends a job and releases the leases of parts whose outcome is outstanding.
@@ -188,27 +195,33 @@
 	return r.divided || slices.ContainsFunc(r.parts, func(p *part) bool { return p.mayHaveStarted || p.done || p.submitted })
 }
 
-// HandleAnswer processes the outcome of a submission: the leader's answer or a failed call.
-func (g *Gateway) HandleAnswer(k job.Key, from shard.ID, o job.Outcome, now clock.Millis) {
+// HandleAnswer processes the outcome of a submission: the leader's answer or a failed call. An
+// earlier leader, whose answer is late, can only say that the part has ended; otherwise the outcome
+// at the present leader counts.
+func (g *Gateway) HandleAnswer(k job.Key, from Responder, o job.Outcome, now clock.Millis) {
 	p := g.parts[k.Seq]
-	if p == nil || p.shard != from || !p.submitted {
+	if p == nil || p.shard != from.Shard || !p.submitted || p.leader != from.VM && !isEnd(o) {
 		return
 	}
-	p.submitted = false
+	// After the answer of an earlier leader, the present one still has the part.
+	p.submitted = p.leader != from.VM
 	switch o := o.(type) {
 	case job.Completed:
 		p.done = true
 		if !slices.ContainsFunc(p.request.parts, func(o *part) bool { return !o.done }) {
-			g.reply(p.request, from, o, now)
+			g.reply(p.request, p.shard, o, now)
+		} else if p.submitted {
+			p.submitted = false
+			g.actions = append(g.actions, ReleaseLease{Shard: p.shard})
 		}
 	case job.Failed, job.Stopped:
-		g.reply(p.request, from, o, now)
+		g.reply(p.request, p.shard, o, now)
 	case job.Refused:
 		g.handleRefusal(p, o, now)
 	case job.Redirected:
 		p.submission.Hops++
 		if _, ok := g.config.Leaders.Leader(o.To, now); !ok || p.mayHaveStarted {
-			g.reply(p.request, from, job.Refused{Reason: job.NoCapacityInTime, RetryAfter: clock.Second}, now)
+			g.reply(p.request, p.shard, job.Refused{Reason: job.NoCapacityInTime, RetryAfter: clock.Second}, now)
 			return
 		}
 		g.sendTo(p, o.To, now)
@@ -222,6 +235,16 @@
 	}
 }
 
+// isEnd reports whether an outcome follows from the ends of tasks alone, so that no other leader can
+// change it.
+func isEnd(o job.Outcome) bool {
+	switch o.(type) {
+	case job.Completed, job.Failed:
+		return true
+	}
+	return false
+}
+
 // divide distributes the tasks of a job with a single step over several shards.
 func (g *Gateway) divide(p *part, shares []job.Share, now clock.Millis) {
 	r := p.request
--- a/internal/control/gateway/gateway_test.go
+++ b/internal/control/gateway/gateway_test.go
@@ -11,6 +11,12 @@
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
+// centro and norte are the first leaders of the shards.
+var (
+	centro = Responder{Shard: "centro", VM: "c-1"}
+	norte  = Responder{Shard: "norte", VM: "n-1"}
+)
+
 // fakeLeaders implements Leaders. A shard without an entry in byShard has no responsive leader.
 type fakeLeaders struct {
 	preference []shard.ID
@@ -76,27 +82,42 @@
 		act  func(g *Gateway, leaders *fakeLeaders, k job.Key)
 		want string
 	}{
-		"completed": {func(g *Gateway, _ *fakeLeaders, k job.Key) { g.HandleAnswer(k, "centro", job.Completed{}, now) }, "Completed"},
-		"failed":    {func(g *Gateway, _ *fakeLeaders, k job.Key) { g.HandleAnswer(k, "centro", job.Failed{}, now) }, "Failed"},
-		"refused":   {func(g *Gateway, _ *fakeLeaders, k job.Key) { g.HandleAnswer(k, "centro", refused, now) }, "Refused noRoomInTime"},
+		"completed": {func(g *Gateway, _ *fakeLeaders, k job.Key) { g.HandleAnswer(k, centro, job.Completed{}, now) }, "Completed"},
+		"failed":    {func(g *Gateway, _ *fakeLeaders, k job.Key) { g.HandleAnswer(k, centro, job.Failed{}, now) }, "Failed"},
+		"refused":   {func(g *Gateway, _ *fakeLeaders, k job.Key) { g.HandleAnswer(k, centro, refused, now) }, "Refused noRoomInTime"},
 		"redirected": {func(g *Gateway, _ *fakeLeaders, k job.Key) {
-			g.HandleAnswer(k, "centro", job.Redirected{To: "norte"}, now)
+			g.HandleAnswer(k, centro, job.Redirected{To: "norte"}, now)
 		}, "submit 8 tasks from 0 to norte"},
 		"not the leader, another shard has one": {func(g *Gateway, _ *fakeLeaders, k job.Key) {
-			g.HandleAnswer(k, "centro", job.Refused{Reason: job.NotLeader}, now)
+			g.HandleAnswer(k, centro, job.Refused{Reason: job.NotLeader}, now)
 		}, "submit 8 tasks from 0 to norte"},
 		"leader moved": {func(g *Gateway, leaders *fakeLeaders, k job.Key) {
-			g.HandleAnswer(k, "centro", job.Moved{}, now)
+			g.HandleAnswer(k, centro, job.Moved{}, now)
 			leaders.byShard["centro"] = "c-2"
 			g.Tick(now + 40)
 		}, "submit 8 tasks from 0 to centro adopting"},
 		"leader moved, new one refuses": {func(g *Gateway, leaders *fakeLeaders, k job.Key) {
-			g.HandleAnswer(k, "centro", job.Moved{}, now)
+			g.HandleAnswer(k, centro, job.Moved{}, now)
 			leaders.byShard["centro"] = "c-2"
 			g.Tick(now + 40)
 			g.TakeActions()
-			g.HandleAnswer(k, "centro", refused, now+50)
+			g.HandleAnswer(k, Responder{Shard: "centro", VM: "c-2"}, refused, now+50)
 		}, "Stopped noRoomInTime"},
+		"leader replaced, former one completes": {func(g *Gateway, leaders *fakeLeaders, k job.Key) {
+			leaders.byShard["centro"] = "c-2"
+			g.Tick(now + 10)
+			g.Tick(now + 40)
+			g.TakeActions()
+			g.HandleAnswer(k, centro, job.Completed{}, now+50)
+		}, "release lease at centro; Completed"},
+		"leader replaced, call to former one fails": {func(g *Gateway, leaders *fakeLeaders, k job.Key) {
+			leaders.byShard["centro"] = "c-2"
+			g.Tick(now + 10)
+			g.Tick(now + 40)
+			g.TakeActions()
+			g.HandleAnswer(k, centro, job.Unanswered{}, now+50)
+			g.Tick(now + 90)
+		}, ""},
 		"leader lost, no successor": {func(g *Gateway, leaders *fakeLeaders, _ job.Key) {
 			leaders.byShard["centro"] = ""
 			g.Tick(now + 10)
@@ -104,41 +125,41 @@
 			g.Tick(now + 710)
 		}, "Stopped cellLost"},
 		"no answer, same leader": {func(g *Gateway, _ *fakeLeaders, k job.Key) {
-			g.HandleAnswer(k, "centro", job.Unanswered{}, now)
+			g.HandleAnswer(k, centro, job.Unanswered{}, now)
 			g.Tick(now + 10)
 			g.Tick(now + 40)
 		}, "submit 8 tasks from 0 to centro adopting"},
 		"answer of another shard": {func(g *Gateway, _ *fakeLeaders, k job.Key) {
-			g.HandleAnswer(k, "norte", job.Completed{}, now)
+			g.HandleAnswer(k, norte, job.Completed{}, now)
 		}, ""},
 		"caller disconnected": {func(g *Gateway, _ *fakeLeaders, k job.Key) { g.CallerDisconnected(k, now) }, "release lease at centro; Stopped callerGone"},
 		"time limit passed":   {func(g *Gateway, _ *fakeLeaders, _ job.Key) { g.Tick(now + 3000) }, "release lease at centro; Stopped timeLimit"},
 		"divided": {func(g *Gateway, _ *fakeLeaders, k job.Key) {
-			g.HandleAnswer(k, "centro", divided(3, 5), now)
+			g.HandleAnswer(k, centro, divided(3, 5), now)
 		}, "submit 3 tasks from 0 to centro; submit 5 tasks from 3 to norte"},
 		"divided, shares do not add up": {func(g *Gateway, _ *fakeLeaders, k job.Key) {
-			g.HandleAnswer(k, "centro", divided(3, 4), now)
+			g.HandleAnswer(k, centro, divided(3, 4), now)
 		}, "Refused noRoomInTime"},
 		"divided, one part done": {func(g *Gateway, _ *fakeLeaders, k job.Key) {
-			g.HandleAnswer(k, "centro", divided(3, 5), now)
+			g.HandleAnswer(k, centro, divided(3, 5), now)
 			g.TakeActions()
-			g.HandleAnswer(job.Key{Entry: "me-1", Seq: k.Seq + 1}, "centro", job.Completed{}, now+50)
+			g.HandleAnswer(job.Key{Entry: "me-1", Seq: k.Seq + 1}, centro, job.Completed{}, now+50)
 		}, ""},
 		"divided, all parts done": {func(g *Gateway, _ *fakeLeaders, k job.Key) {
-			g.HandleAnswer(k, "centro", divided(3, 5), now)
+			g.HandleAnswer(k, centro, divided(3, 5), now)
 			g.TakeActions()
-			g.HandleAnswer(job.Key{Entry: "me-1", Seq: k.Seq + 1}, "centro", job.Completed{}, now+50)
-			g.HandleAnswer(job.Key{Entry: "me-1", Seq: k.Seq + 2}, "norte", job.Completed{}, now+60)
+			g.HandleAnswer(job.Key{Entry: "me-1", Seq: k.Seq + 1}, centro, job.Completed{}, now+50)
+			g.HandleAnswer(job.Key{Entry: "me-1", Seq: k.Seq + 2}, norte, job.Completed{}, now+60)
 		}, "Completed"},
 		"divided, one part refused": {func(g *Gateway, _ *fakeLeaders, k job.Key) {
-			g.HandleAnswer(k, "centro", divided(3, 5), now)
+			g.HandleAnswer(k, centro, divided(3, 5), now)
 			g.TakeActions()
-			g.HandleAnswer(job.Key{Entry: "me-1", Seq: k.Seq + 1}, "centro", refused, now+50)
+			g.HandleAnswer(job.Key{Entry: "me-1", Seq: k.Seq + 1}, centro, refused, now+50)
 		}, "release lease at norte; Stopped noRoomInTime"},
 		"divided, one part failed": {func(g *Gateway, _ *fakeLeaders, k job.Key) {
-			g.HandleAnswer(k, "centro", divided(3, 5), now)
+			g.HandleAnswer(k, centro, divided(3, 5), now)
 			g.TakeActions()
-			g.HandleAnswer(job.Key{Entry: "me-1", Seq: k.Seq + 2}, "norte", job.Failed{}, now+50)
+			g.HandleAnswer(job.Key{Entry: "me-1", Seq: k.Seq + 2}, norte, job.Failed{}, now+50)
 		}, "release lease at centro; Failed"},
 	}
 	for name, c := range cases {
@@ -200,3 +221,22 @@
 		t.Errorf("got %q and %d remaining jobs, want both stopped", got, g.Len())
 	}
 }
+
+// Guards against a job that its new leader stops, because the answer of its former leader is taken
+// for that of the new one: the gateway then leaves it out of its heartbeats.
+func TestLateAnswerOfAFormerLeaderIsIgnored(t *testing.T) {
+	g, leaders := newGateway()
+	k := g.Accept(jobOf(8), 1500, 90, 1000)
+	leaders.byShard["centro"] = "c-2"
+	for now := clock.Millis(1400); now <= 1450; now += 10 {
+		g.Tick(now)
+	}
+	if got, want := describeActions(g), "submit 8 tasks from 0 to centro; submit 8 tasks from 0 to centro adopting"; got != want {
+		t.Fatalf("got %q, want %q", got, want)
+	}
+	// The former leader steps down after a freeze and answers all jobs.
+	g.HandleAnswer(k, centro, job.Moved{}, 1460)
+	if seqs, _ := g.Outstanding("centro"); len(seqs) != 1 {
+		t.Errorf("got %d submissions outstanding, want the one to the new leader", len(seqs))
+	}
+}
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -299,8 +299,8 @@
 
 func (n *Control) submit(a gateway.Submit) {
 	m, _, leaderClock, ok := n.monitors[a.To].Leader(n.now)
-	if !ok {
-		n.gateway.HandleAnswer(a.Submission.Key, a.To, job.Refused{Reason: job.NotLeader}, n.now)
+	if !ok || m.Incarnation != a.Leader {
+		n.gateway.HandleAnswer(a.Submission.Key, gateway.Responder{Shard: a.To, VM: a.Leader}, job.Refused{Reason: job.NotLeader}, n.now)
 		return
 	}
 	if n.ledShards[a.To] != nil {
@@ -367,7 +367,7 @@
 // deliverOutcome returns the outcome of a submission to the VM that sent it.
 func (n *Control) deliverOutcome(id shard.ID, a leader.Answer) {
 	if a.Key.Entry == n.config.Self.Incarnation {
-		n.gateway.HandleAnswer(a.Key, id, a.Outcome, n.now)
+		n.gateway.HandleAnswer(a.Key, gateway.Responder{Shard: id, VM: n.config.Self.Incarnation}, a.Outcome, n.now)
 		return
 	}
 	if ended := n.peers[a.Key]; ended != nil {
--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/sequoiacart/sequoiacart/internal/control/failover"
+	"github.com/sequoiacart/sequoiacart/internal/control/gateway"
 	"github.com/sequoiacart/sequoiacart/internal/control/leader"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/estimate"
@@ -32,8 +33,9 @@
 
 // SubmitAnswered is the outcome of a submission: the leader's answer or a failed call.
 type SubmitAnswered struct {
-	Key     job.Key
-	From    shard.ID
+	Key job.Key
+	// From is the leader that the submission was sent to.
+	From    gateway.Responder
 	Outcome job.Outcome
 }
 
--- a/internal/process/daemon/traffic.go
+++ b/internal/process/daemon/traffic.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"github.com/sequoiacart/sequoiacart/internal/control/failover"
+	"github.com/sequoiacart/sequoiacart/internal/control/gateway"
 	"github.com/sequoiacart/sequoiacart/internal/control/leader"
 	"github.com/sequoiacart/sequoiacart/internal/control/node"
 	"github.com/sequoiacart/sequoiacart/internal/link/peer"
@@ -154,7 +155,7 @@
 func (t *traffic) submit(a node.SendSubmission) {
 	limit := max(a.Submission.Limit-a.Submission.Waited, 0) + submitMargin
 	o := t.peers.Submit(a.To, a.Shard, a.Submission, limit)
-	t.loop.Post(node.SubmitAnswered{Key: a.Submission.Key, From: a.Shard, Outcome: o})
+	t.loop.Post(node.SubmitAnswered{Key: a.Submission.Key, From: gateway.Responder{Shard: a.Shard, VM: a.To.Incarnation}, Outcome: o})
 }
 
 func (t *traffic) sendHeartbeat(a node.SendHeartbeat) {
