Test that a leader starts nothing at endpoints that it has not handed over

A leader that yields sends its list of endpoints and goes on until the successor has answered. Change: the test, which also covers the time until the request has expired. No code changes.

--- a/internal/control/node/node_test.go
+++ b/internal/control/node/node_test.go
@@ -569,3 +569,25 @@
 		t.Errorf("got %d starts and leader %v after an endpoint has accepted a higher token, want neither", len(starts), h.isLeader("centro"))
 	}
 }
+
+// Guards against attempts that the next leader does not know of: an endpoint appears after the
+// leader has sent its list to the successor, and before the successor's answer.
+func TestNothingStartsAtEndpointsThatWereNotHandedOver(t *testing.T) {
+	h := leaderOfCentro(t)
+	h.handle(ShutdownRequested{})
+	yields := takeActions[SendYield](h)
+	if len(yields) != 1 {
+		t.Fatalf("got %d yields, want one", len(yields))
+	}
+	h.handle(EndpointsLoaded{Version: 2, Endpoints: []endpoint.Endpoint{newEndpoint("centro", "e1"), newEndpoint("centro", "e2"), newEndpoint("centro", "e3")}})
+	h.answerHold(h.control.ledShards["centro"].id, "e3", 40)
+	s := movedSubmission()
+	s.Adopt = false
+	h.handle(PeerSubmitted{Shard: "centro", Submission: s, Ended: make(chan job.Outcome, 1)})
+	h.advance(yieldLifetime)
+	for _, start := range startedTasks(h) {
+		if !slices.ContainsFunc(yields[0].Endpoints, func(e endpoint.Endpoint) bool { return e.ID == start.Endpoint.ID }) {
+			t.Errorf("got a start at %s, which is not in the list for the next leader, want none", start.Endpoint.ID)
+		}
+	}
+}
