Keep the leases of jobs that a gateway is about to submit again

Callers saw: jobs that are stopped and lost after a connection between two VMs has failed. Cause: after a call that failed, the gateway submits the job again to the same leader 30 ms later. A heartbeat in between left the job out, and the leader, which still ran it, abandoned it. Evidence: TestJobsToBeSubmittedAgainKeepTheirLeases failed before: "got 0 jobs in heartbeats to the leader that may be running one, want 1". Change: heartbeats list a part as long as its caller waits and the shard's leader may be running it, also while no submission of it is pending. Why it works: a heartbeat renews nothing for a part that has been answered, and an unknown number in the list has no effect. The times of AttemptsExpireAfter count from the last renewal, which is no later than the answer to the caller.

--- a/internal/control/gateway/gateway.go
+++ b/internal/control/gateway/gateway.go
@@ -399,11 +399,12 @@
 	return all
 }
 
-// Outstanding lists the sequence numbers of submissions to the shard whose outcome is outstanding,
-// and the latest sequence number issued.
+// Outstanding lists the sequence numbers of the parts that the leader of the shard may be running for
+// callers that wait, and the latest sequence number issued. A part that will be submitted again is
+// one of them: the call may have failed at a leader that goes on.
 func (g *Gateway) Outstanding(id shard.ID) (seqs []uint64, last uint64) {
 	for seq, p := range g.parts {
-		if p.shard == id && p.submitted {
+		if p.shard == id && !p.done && (p.submitted || p.mayHaveStarted) {
 			seqs = append(seqs, seq)
 		}
 	}
--- a/internal/control/gateway/gateway_test.go
+++ b/internal/control/gateway/gateway_test.go
@@ -299,3 +299,19 @@
 		})
 	}
 }
+
+// Guards against a job that its leader abandons, because a heartbeat leaves it out while the gateway
+// waits to submit it again after a call without an answer.
+func TestJobsToBeSubmittedAgainKeepTheirLeases(t *testing.T) {
+	g, _ := newGateway()
+	k := g.Accept(jobOf(8), 1500, 90, 1000)
+	g.HandleAnswer(k, centro, job.Unanswered{}, 1100)
+	if seqs, _ := g.Outstanding("centro"); len(seqs) != 1 {
+		t.Errorf("got %d jobs in heartbeats to the leader that may be running one, want 1", len(seqs))
+	}
+	g.Tick(1140)
+	g.HandleAnswer(k, centro, job.Completed{}, 1150)
+	if seqs, _ := g.Outstanding("centro"); len(seqs) != 0 {
+		t.Errorf("got %d jobs in heartbeats after the job has ended, want none", len(seqs))
+	}
+}
