End submissions that are pending on a silent connection to a peer

Cause: after a heartbeat without an answer the client uses a new connection. Calls on the former one stayed pending for two seconds, longer than most callers wait, while the leader's answer was lost with that connection. Evidence: TestSubmissionOnASilentConnectionEnds failed before: "got a submission that is still pending a second after a new connection has answered, want it ended". Change: the client closes the former connection once the peer has answered on a later one and the late heartbeat stays unanswered for another timeout (150 ms). The gateway then submits the job again; the leader knows it by its key and continues, or gives the answer that it has kept. Calls to a peer that is only slow stay pending as before (TestSubmissionToASlowLeaderStaysPending), since a job that is submitted again can no longer be refused or forwarded.

--- a/internal/link/peer/client.go
+++ b/internal/link/peer/client.go
@@ -40,6 +40,9 @@
 
 	mu          sync.Mutex
 	connections map[string]*connection
+	// detached has a channel for each earlier connection, by address, that is closed when a later one
+	// has been answered.
+	detached map[string][]chan struct{}
 }
 
 // connection is a connection to a peer. ready is closed when the dial has ended; rpc or err is
@@ -52,7 +55,7 @@
 
 // NewClient returns a client without connections.
 func NewClient(c ClientConfig) *Client {
-	return &Client{config: c, connections: make(map[string]*connection)}
+	return &Client{config: c, connections: make(map[string]*connection), detached: make(map[string][]chan struct{})}
 }
 
 // SendHeartbeat sends a heartbeat. refused reports that the peer's address refused the connection.
@@ -163,12 +166,15 @@
 		if call.Error != nil && !isPeerError(call.Error) {
 			c.closeFailed(to.Address, p)
 		}
+		if call.Error == nil {
+			c.notifyDetached(to.Address, p)
+		}
 		return errors.Annotatef(call.Error, "%s at %s", method, to.Incarnation)
 	case <-timer.C:
 		if method == "Beat" {
 			// A connection without answers may never recover, so the next call opens
 			// another. Pending calls on this one may still be answered.
-			c.detach(to.Address, p)
+			c.detach(to.Address, p, done.Done)
 		}
 		return errors.Timeoutf("%s at %s", method, to.Incarnation)
 	}
@@ -203,20 +209,67 @@
 
 // closeFailed closes a connection that has failed.
 func (c *Client) closeFailed(address string, p *connection) {
-	c.detach(address, p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.connections[address] == p {
+		delete(c.connections, address)
+	}
 	go p.close()
 }
 
-// detachedLifetime is how long pending calls on a replaced connection may still be answered.
+// detachedLifetime is how long calls may stay pending on a connection that has been replaced.
 const detachedLifetime = 2 * clock.Second
 
-// detach makes the next call open a new connection, and closes this one after a delay.
-func (c *Client) detach(address string, p *connection) {
+// detach makes the next call open a new connection, since a heartbeat on this one has timed out.
+// late receives the answer to the heartbeat if there is one after all.
+func (c *Client) detach(address string, p *connection, late <-chan *rpc.Call) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.connections[address] != p {
 		return
 	}
 	delete(c.connections, address)
-	time.AfterFunc(detachedLifetime.Duration(), p.close)
+	replaced := make(chan struct{})
+	c.detached[address] = append(c.detached[address], replaced)
+	go func() {
+		p.awaitSilence(late, replaced, c.config.Timeout)
+		p.close()
+	}()
+}
+
+// awaitSilence returns when the calls that are pending on a detached connection have to end without
+// an answer, so that submissions are made again on a later connection: when the peer has answered
+// there, closing replaced, and the late heartbeat stays unanswered for another timeout. A peer that
+// is only slow answers both, and its calls stay pending for detachedLifetime.
+func (p *connection) awaitSilence(late <-chan *rpc.Call, replaced <-chan struct{}, timeout clock.Millis) {
+	lifetime := time.NewTimer(detachedLifetime.Duration())
+	defer lifetime.Stop()
+	select {
+	case <-replaced:
+		silence := time.NewTimer(timeout.Duration())
+		defer silence.Stop()
+		select {
+		case <-silence.C:
+			return
+		case <-late:
+		}
+	case <-late:
+	case <-lifetime.C:
+		return
+	}
+	<-lifetime.C
+}
+
+// notifyDetached tells the detached connections to an address that the peer has answered on the
+// present one.
+func (c *Client) notifyDetached(address string, present *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.connections[address] != present {
+		return
+	}
+	for _, replaced := range c.detached[address] {
+		close(replaced)
+	}
+	delete(c.detached, address)
 }
--- /dev/null
+++ b/internal/link/peer/connection_test.go
@@ -0,0 +1,167 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sequoiacart/sequoiacart/internal/control/node"
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/queue"
+	"github.com/sequoiacart/sequoiacart/internal/world/shard"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// slowLeader answers heartbeats and keeps submissions until the test ends them.
+type slowLeader struct {
+	submitted chan node.PeerSubmitted
+	// beats receives the first heartbeats, which the test answers, up to its capacity.
+	beats chan node.PeerHeartbeat
+}
+
+func (l *slowLeader) Post(e node.Event) bool {
+	switch e := e.(type) {
+	case node.PeerSubmitted:
+		l.submitted <- e
+	case node.PeerHeartbeat:
+		select {
+		case l.beats <- e:
+		default:
+			e.Reply <- node.HeartbeatReply{}
+		}
+	default:
+	}
+	return true
+}
+
+func (l *slowLeader) Desired() *queue.State                   { return nil }
+func (l *slowLeader) Endpoints() ([]endpoint.Endpoint, int64) { return nil, 0 }
+
+// silencingDialer opens connections that it can make silent: they stay open, and nothing arrives on
+// them any more. Later connections work.
+type silencingDialer struct {
+	mu   sync.Mutex
+	open []*silencedConn
+}
+
+type silencedConn struct {
+	net.Conn
+	silenced chan struct{}
+}
+
+func (c *silencedConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		select {
+		case <-c.silenced:
+			if err == nil {
+				continue
+			}
+		default:
+		}
+		return n, err
+	}
+}
+
+func (d *silencingDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	n, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	c := &silencedConn{Conn: n, silenced: make(chan struct{})}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.open = append(d.open, c)
+	return c, nil
+}
+
+func (d *silencingDialer) silence() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.open {
+		close(c.silenced)
+	}
+	d.open = nil
+}
+
+// pendingSubmission is a submission whose leader has received it and not answered.
+type pendingSubmission struct {
+	client   *Client
+	dialer   *silencingDialer
+	to       shard.Member
+	received node.PeerSubmitted
+	answered chan job.Outcome
+}
+
+// submit submits a job to a leader.
+func submit(t *testing.T, leader *slowLeader) *pendingSubmission {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, err := NewServer(ServerConfig{Listener: listener, Local: leader, SubmitTimeout: 10 * clock.Second, ControlTimeout: 2 * clock.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve() }()
+	t.Cleanup(server.Close)
+	p := &pendingSubmission{dialer: &silencingDialer{}, to: shard.Member{Incarnation: "vm-2", Address: listener.Addr().String()}, answered: make(chan job.Outcome, 1)}
+	p.client = NewClient(ClientConfig{Dialer: p.dialer, Timeout: 150})
+	t.Cleanup(p.client.Close)
+	go func() {
+		p.answered <- p.client.Submit(p.to, "centro", job.Submission{Key: job.Key{Entry: "vm-1", Seq: 1}}, 10*clock.Second)
+	}()
+	p.received = <-leader.submitted
+	return p
+}
+
+// heartbeat sends heartbeats until one is answered.
+func (p *pendingSubmission) heartbeat(t *testing.T) {
+	t.Helper()
+	for range 20 {
+		if _, _, err := p.client.SendHeartbeat(p.to, node.HeartbeatRequest{}); err == nil {
+			return
+		}
+	}
+	t.Fatal("got no answer to 20 heartbeats, want one on a new connection")
+}
+
+// Guards against a caller that gets no answer although its job has ended: the connection on which
+// the submission is pending has gone silent, and heartbeats go on over another one.
+func TestSubmissionOnASilentConnectionEnds(t *testing.T) {
+	p := submit(t, &slowLeader{submitted: make(chan node.PeerSubmitted, 1)})
+	p.dialer.silence()
+	p.received.Ended <- job.Completed{}
+	p.heartbeat(t)
+	select {
+	case o := <-p.answered:
+		if _, ok := o.(job.Unanswered); !ok {
+			t.Errorf("got %#v, want no answer", o)
+		}
+	case <-time.After(time.Second):
+		t.Errorf("got a submission that is still pending a second after a new connection has answered, want it ended")
+	}
+}
+
+// Guards against submissions that end without an answer because their leader is slow for a moment:
+// they could then no longer be refused or forwarded.
+func TestSubmissionToASlowLeaderStaysPending(t *testing.T) {
+	leader := &slowLeader{submitted: make(chan node.PeerSubmitted, 1), beats: make(chan node.PeerHeartbeat, 1)}
+	p := submit(t, leader)
+	if _, _, err := p.client.SendHeartbeat(p.to, node.HeartbeatRequest{}); err == nil {
+		t.Fatal("got an answer to a heartbeat that the leader keeps, want a time-out")
+	}
+	first := <-leader.beats
+	leader.beats <- node.PeerHeartbeat{}
+	first.Reply <- node.HeartbeatReply{}
+	p.heartbeat(t)
+	time.Sleep(400 * time.Millisecond)
+	p.received.Ended <- job.Completed{}
+	if o := <-p.answered; o != (job.Completed{}) {
+		t.Errorf("got %#v, want the answer of the leader", o)
+	}
+}
