--- a/internal/control/gateway/gateway.go
+++ b/internal/control/gateway/gateway.go
@@ -33,10 +33,13 @@
 	config Config
 	// seq is the latest sequence number issued. jobs are by the number of their first submission,
 	// parts by their own.
-	seq     uint64
-	jobs    map[uint64]*request
-	parts   map[uint64]*part
-	actions []Action
+	seq   uint64
+	jobs  map[uint64]*request
+	parts map[uint64]*part
+	// requests has the request of each job. There is one at most, so that a job has no attempts at
+	// two shards that do not know of each other.
+	requests map[job.ID]*request
+	actions  []Action
 }
 
 // request is a job that a caller waits for. It starts as one part and may be divided among shards.
@@ -74,9 +77,16 @@
 // Submit sends a job to the leader of a shard.
 type Submit struct {
 	To         shard.ID
+	Leader     vm.Incarnation
 	Submission job.Submission
 }
 
+// Responder is a VM that answers a submission as the leader of a shard.
+type Responder struct {
+	Shard shard.ID
+	VM    vm.Incarnation
+}
+
 // Reply returns the outcome of a job to its caller. Shard is the one whose answer ended the job,
 // or else that of its first part.
 type Reply struct {
@@ -98,7 +108,7 @@
 
 // New returns a gateway without jobs.
 func New(c Config) *Gateway {
-	return &Gateway{config: c, jobs: make(map[uint64]*request), parts: make(map[uint64]*part)}
+	return &Gateway{config: c, jobs: make(map[uint64]*request), parts: make(map[uint64]*part), requests: make(map[job.ID]*request)}
 }
 
 // Len counts the jobs that callers wait for.
@@ -112,17 +122,50 @@
 }
 
 // Accept adds a job and returns its key. The caller waits for limit at most. The job is refused if
-// no leader is available within leaderWaitLimit.
+// no leader is available within leaderWaitLimit. It replaces an earlier request of the same job, whose
+// caller has sent it again on another connection.
 func (g *Gateway) Accept(j job.Job, limit, leaderWaitLimit, now clock.Millis) job.Key {
 	r := &request{job: j, arrived: now, limit: limit, leaderWaitLimit: leaderWaitLimit}
 	p := g.newPart(r, now)
 	r.firstSeq = p.submission.Key.Seq
 	p.submission.Attempt, p.submission.Job = r.firstSeq, j
-	g.jobs[r.firstSeq] = r
+	earlier := g.requests[j.ID]
+	g.jobs[r.firstSeq], g.requests[j.ID] = r, r
+	if earlier != nil {
+		g.replace(earlier, p, now)
+		return p.submission.Key
+	}
 	g.send(p, now)
 	return p.submission.Key
 }
 
+// replace ends an earlier request of a job, and submits the job again where attempts of the earlier
+// submission may be running: only the leader of that shard knows when they have ended.
+func (g *Gateway) replace(earlier *request, p *part, now clock.Millis) {
+	open := slices.DeleteFunc(slices.Clone(earlier.parts), func(e *part) bool { return e.done || !e.submitted && !e.mayHaveStarted })
+	g.reply(earlier, earlier.parts[0].shard, job.Stopped{Reason: job.Superseded}, now)
+	if len(open) == 0 {
+		g.send(p, now)
+		return
+	}
+	p.shard = open[0].shard
+	if slices.ContainsFunc(open, func(e *part) bool { return e.shard != p.shard }) {
+		// No leader knows all attempts. They have ended when the caller sends the job once more.
+		p.mayHaveStarted = true
+		g.reply(p.request, p.shard, job.Stopped{Reason: job.Superseded}, now)
+		return
+	}
+	leader, ok := g.config.Leaders.Leader(p.shard, now)
+	if ok && !slices.ContainsFunc(open, func(e *part) bool { return e.mayHaveStarted || e.leader != leader }) {
+		// The leader knows the attempts, so none has to be adopted.
+		g.sendTo(p, p.shard, now)
+		p.mayHaveStarted = true
+		return
+	}
+	p.mayHaveStarted = true
+	g.send(p, now)
+}
+
 func (g *Gateway) newPart(r *request, now clock.Millis) *part {
 	g.seq++
 	p := &part{request: r, leaderlessSince: now, submission: job.Submission{
@@ -162,7 +205,7 @@
 	s := p.submission
 	s.Waited = now - p.request.arrived
 	s.Adopt = p.mayHaveStarted
-	g.actions = append(g.actions, Submit{To: id, Submission: s})
+	g.actions = append(g.actions, Submit{To: id, Leader: leader, Submission: s})
 }
 
 // reply ends a job and releases the leases of parts whose outcome is outstanding.
@@ -172,6 +215,9 @@
 		o = job.Stopped{Reason: refused.Reason}
 	}
 	delete(g.jobs, r.firstSeq)
+	if g.requests[r.job.ID] == r {
+		delete(g.requests, r.job.ID)
+	}
 	for _, p := range r.parts {
 		delete(g.parts, p.submission.Key.Seq)
 		if p.submitted {
@@ -188,27 +234,33 @@
 	return r.divided || slices.ContainsFunc(r.parts, func(p *part) bool { return p.mayHaveStarted || p.done || p.submitted })
 }
 
-// HandleAnswer processes the outcome of a submission: the leader's answer or a failed call.
-func (g *Gateway) HandleAnswer(k job.Key, from shard.ID, o job.Outcome, now clock.Millis) {
+// HandleAnswer processes the outcome of a submission: the leader's answer or a failed call. An
+// earlier leader, whose answer is late, can only say that the part has ended; otherwise the outcome
+// at the present leader counts.
+func (g *Gateway) HandleAnswer(k job.Key, from Responder, o job.Outcome, now clock.Millis) {
 	p := g.parts[k.Seq]
-	if p == nil || p.shard != from || !p.submitted {
+	if p == nil || p.shard != from.Shard || !p.submitted || p.leader != from.VM && !isEnd(o) {
 		return
 	}
-	p.submitted = false
+	// After the answer of an earlier leader, the present one still has the part.
+	p.submitted = p.leader != from.VM
 	switch o := o.(type) {
 	case job.Completed:
 		p.done = true
 		if !slices.ContainsFunc(p.request.parts, func(o *part) bool { return !o.done }) {
-			g.reply(p.request, from, o, now)
+			g.reply(p.request, p.shard, o, now)
+		} else if p.submitted {
+			p.submitted = false
+			g.actions = append(g.actions, ReleaseLease{Shard: p.shard})
 		}
 	case job.Failed, job.Stopped:
-		g.reply(p.request, from, o, now)
+		g.reply(p.request, p.shard, o, now)
 	case job.Refused:
 		g.handleRefusal(p, o, now)
 	case job.Redirected:
 		p.submission.Hops++
 		if _, ok := g.config.Leaders.Leader(o.To, now); !ok || p.mayHaveStarted {
-			g.reply(p.request, from, job.Refused{Reason: job.NoCapacityInTime, RetryAfter: clock.Second}, now)
+			g.reply(p.request, p.shard, job.Refused{Reason: job.NoCapacityInTime, RetryAfter: clock.Second}, now)
 			return
 		}
 		g.sendTo(p, o.To, now)
@@ -222,6 +274,16 @@
 	}
 }
 
+// isEnd reports whether an outcome follows from the ends of tasks alone, so that no other leader can
+// change it.
+func isEnd(o job.Outcome) bool {
+	switch o.(type) {
+	case job.Completed, job.Failed:
+		return true
+	}
+	return false
+}
+
 // divide distributes the tasks of a job with a single step over several shards.
 func (g *Gateway) divide(p *part, shares []job.Share, now clock.Millis) {
 	r := p.request
@@ -337,11 +399,12 @@
 	return all
 }
 
-// Outstanding lists the sequence numbers of submissions to the shard whose outcome is outstanding,
-// and the latest sequence number issued.
+// Outstanding lists the sequence numbers of the parts that the leader of the shard may be running for
+// callers that wait, and the latest sequence number issued. A part that will be submitted again is
+// one of them: the call may have failed at a leader that goes on.
 func (g *Gateway) Outstanding(id shard.ID) (seqs []uint64, last uint64) {
 	for seq, p := range g.parts {
-		if p.shard == id && p.submitted {
+		if p.shard == id && !p.done && (p.submitted || p.mayHaveStarted) {
 			seqs = append(seqs, seq)
 		}
 	}
