Model more of the platform's endpoints in the fault soak

Its answers to starts and stops named the incarnation, and its rows had the clock; those of the platform do not. Holds that waited over a restart were answered by the next incarnation. All clocks had the right speed, stops took 20 ms, requests without an answer were never carried out later, and the set of endpoints was fixed.

Change: endpoints take the speed of their clock (half of them 2 % slow), stop within 0 to 50 ms, carry out requests without an answer 2 to 12 s later, also after a restart, and end attempts at the time that is due, which observers get. The store can carry out writes without an answer late. The soak adds, removes, drains and replaces endpoints (also at the same address), takes the rows of a data centre away at once and brings them back, with or without an outage of the store, writes an unreadable row, and breaks callers' connections. It checks that no attempt is left when a caller sends its job again, and keeps the logs of failed seeds with -soak.logs. Seeds take 15 s instead of 6 s.

--- a/internal/soak/fleet/fleet_test.go
+++ b/internal/soak/fleet/fleet_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -24,7 +25,8 @@
 var (
 	firstSeed    = flag.Uint64("soak.seed", 1, "first `seed` of the soak")
 	seeds        = flag.Int("soak.seeds", 2, "`number` of seeds")
-	seedDuration = flag.Duration("soak.span", 6*time.Second, "`time` that each seed takes")
+	seedDuration = flag.Duration("soak.span", 15*time.Second, "`time` that each seed takes")
+	logDirectory = flag.String("soak.logs", "", "`directory` for the VMs' logs of seeds that fail")
 )
 
 // nodeEnv is the environment variable that makes the test binary run the real command.
@@ -42,13 +44,18 @@
 type fleet struct {
 	t              *testing.T
 	random         *rand.Rand
+	seed           uint64
 	store          *standin.Store
 	checker        *attemptChecker
 	vms            []*node
-	endpoints      []*endpoint
 	relays         []*relay
 	dir            string
 	desiredVersion int64
+
+	mu sync.Mutex
+	// endpoints are those that have not been removed, and endpointsAdded counts all.
+	endpoints      []*endpoint
+	endpointsAdded int
 }
 
 // node is a VM: a process that runs the node command. Other VMs reach it over peerRelay, and it
@@ -65,8 +72,7 @@
 	log     *os.File
 }
 
-// endpoint is a simulated endpoint behind a relay. Its row is missing from the store while absent
-// is set.
+// endpoint is a simulated endpoint behind a relay.
 type endpoint struct {
 	id, dc  string
 	standIn *standin.Endpoint
@@ -75,29 +81,33 @@
 
 	mu       sync.Mutex
 	draining bool
-	absent   bool
+	// absent means that the row is missing from the store.
+	absent bool
 }
 
 const (
 	dataCentres        = 2
 	vmsPerDataCentre   = 2
 	endpointsPerCentre = 4
+	maxEndpoints       = 12
 	endpointMilliCores = 32000
 	taskMilliCores     = 14000
 	// resendAfter is when callers send a job again; it is the platform's value.
 	resendAfter = 1300 * time.Millisecond
+	// callerTimeout is longer than the limit that callers send.
+	callerTimeout = 4 * time.Second
 )
 
 func newFleet(t *testing.T, seed uint64) *fleet {
 	t.Helper()
-	f := &fleet{t: t, random: rand.New(rand.NewPCG(seed, 7)), store: standin.NewStore(), checker: newAttemptChecker(), dir: t.TempDir()}
+	f := &fleet{t: t, random: rand.New(rand.NewPCG(seed, 7)), seed: seed, store: standin.NewStore(), checker: newAttemptChecker(), dir: t.TempDir()}
 	server := httptest.NewServer(f.store)
 	t.Cleanup(server.Close)
 	storeAddress := strings.TrimPrefix(server.URL, "http://")
 	f.publishDesiredState()
 	for dc := range dataCentres {
-		for i := range endpointsPerCentre {
-			f.addEndpoint(fmt.Sprintf("i-%d%d", dc, i), fmt.Sprintf("dc%d", dc))
+		for range endpointsPerCentre {
+			f.addEndpoint(fmt.Sprintf("dc%d", dc), nil)
 		}
 	}
 	go f.refreshEndpoints(t.Context())
@@ -115,14 +125,68 @@
 	f.store.PutDesiredState(f.desiredVersion)
 }
 
-func (f *fleet) addEndpoint(id, dc string) {
+// addEndpoint adds an endpoint under a new ID, behind the relay of a removed one or a new relay. Half
+// of the endpoints have the slowest clock that the platform allows.
+func (f *fleet) addEndpoint(dc string, behind *relay) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	id := fmt.Sprintf("i-%s-%d", dc, f.endpointsAdded)
 	e := &endpoint{id: id, dc: dc, standIn: standin.NewEndpoint(standin.EndpointConfig{
-		ID: id, Service: "playout", DataCentre: dc, MilliCores: endpointMilliCores, Observer: f.checker.observer(id),
+		ID: id, Service: "playout", DataCentre: dc, MilliCores: endpointMilliCores,
+		ClockRate: 1 - 0.02*float64(f.endpointsAdded%2), Seed: f.seed + uint64(f.endpointsAdded), Observer: f.checker.observer(id),
 	})}
 	e.server = httptest.NewServer(e.standIn)
 	f.t.Cleanup(e.server.Close)
-	e.relay = f.relay(strings.TrimPrefix(e.server.URL, "http://"))
+	target := strings.TrimPrefix(e.server.URL, "http://")
+	if e.relay = behind; behind == nil {
+		e.relay = f.relay(target)
+	}
+	e.relay.target.Store(target)
 	f.endpoints = append(f.endpoints, e)
+	f.endpointsAdded++
+	f.refreshRow(e)
+}
+
+// removeEndpoint ends an endpoint for good: after a drain, or at once. In the second case its row
+// remains until it has not been refreshed for three intervals.
+func (f *fleet) removeEndpoint(e *endpoint, drain time.Duration) {
+	rowRemains := 3 * rowRefreshInterval
+	if drain > 0 {
+		f.setRow(e, true, false)
+		rowRemains = 0
+	}
+	time.AfterFunc(drain, func() {
+		f.mu.Lock()
+		f.endpoints = slices.DeleteFunc(f.endpoints, func(other *endpoint) bool { return other == e })
+		f.mu.Unlock()
+		e.standIn.Remove()
+		e.relay.reset()
+		time.AfterFunc(rowRemains, func() { f.setRow(e, true, true) })
+	})
+}
+
+// restart starts an endpoint again under its ID. Its row shows the new incarnation at the
+// next refresh.
+func (e *endpoint) restart() {
+	e.standIn.Restart()
+	e.relay.reset()
+}
+
+func (f *fleet) countEndpoints(dc string) int {
+	n := 0
+	for _, e := range f.listEndpoints() {
+		if e.dc == dc {
+			n++
+		}
+	}
+	return n
+}
+
+// listEndpoints returns the endpoints that have not been removed.
+func (f *fleet) listEndpoints() []*endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.endpoints)
 }
 
 func (f *fleet) relay(target string) *relay {
@@ -131,26 +195,41 @@
 	return r
 }
 
-// refreshEndpoints writes the rows of the endpoints every second.
+const rowRefreshInterval = time.Second
+
+// refreshEndpoints writes the rows of the endpoints at intervals.
 func (f *fleet) refreshEndpoints(ctx context.Context) {
 	for {
-		for _, e := range f.endpoints {
-			e.mu.Lock()
-			if e.absent {
-				f.store.RemoveEndpoint(e.standIn)
-			} else {
-				f.store.PutEndpoint(e.standIn, e.relay.address(), e.draining)
-			}
-			e.mu.Unlock()
+		for _, e := range f.listEndpoints() {
+			f.refreshRow(e)
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(time.Second):
+		case <-time.After(rowRefreshInterval):
 		}
 	}
 }
 
+// refreshRow writes or removes the row of an endpoint.
+func (f *fleet) refreshRow(e *endpoint) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.absent {
+		f.store.RemoveEndpoint(e.standIn)
+		return
+	}
+	f.store.PutEndpoint(e.standIn, e.relay.address(), e.draining)
+}
+
+// setRow changes the state of an endpoint's row and writes the row at once.
+func (f *fleet) setRow(e *endpoint, draining, absent bool) {
+	e.mu.Lock()
+	e.draining, e.absent = draining, absent
+	e.mu.Unlock()
+	f.refreshRow(e)
+}
+
 // lowestPort and portCount define a range below the kernel's ephemeral ports, which it uses for
 // listeners on port 0 and for outgoing connections: a relay could get an ephemeral port after it
 // was chosen for a process and before that process listens on it. Each process of the soak test
@@ -244,6 +323,20 @@
 	}
 }
 
+// keepLog copies a VM's log to the directory for logs, if there is one.
+func (n *node) keepLog(t *testing.T, name string) {
+	if *logDirectory == "" {
+		return
+	}
+	text, err := os.ReadFile(n.log.Name())
+	if err == nil {
+		err = os.WriteFile(filepath.Join(*logDirectory, name), text, 0o600)
+	}
+	if err != nil {
+		t.Log(err)
+	}
+}
+
 // tail returns the last lines of a VM's log.
 func (n *node) tail(lines int) string {
 	file, err := os.Open(n.log.Name())
@@ -263,7 +356,15 @@
 	deadline := time.Now().Add(5 * time.Second)
 	for attempt := 0; attempt < 3 && time.Now().Before(deadline); attempt++ {
 		n := f.vms[random.IntN(len(f.vms))]
-		switch c.Send(n.callerAddress, j) {
+		limit := callerTimeout
+		if random.IntN(12) == 0 {
+			// The connection to the caller breaks while the job runs.
+			limit = time.Duration(random.IntN(600)) * time.Millisecond
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		answer := c.Send(ctx, n.callerAddress, j)
+		cancel()
+		switch answer {
 		case standin.Completed:
 			f.checker.completed(j.ID, j.Tasks)
 			return
@@ -274,6 +375,7 @@
 			return
 		case standin.Ambiguous:
 			time.Sleep(resendAfter)
+			f.checker.resent(j.ID)
 		}
 	}
 }
--- a/internal/soak/fleet/soak_test.go
+++ b/internal/soak/fleet/soak_test.go
@@ -49,8 +49,8 @@
 	f.start(n)
 	f.awaitReady()
 	j := standin.Job{ID: "00000000000000aa", Tasks: 2, Payload: standin.Payload{RunMs: 20, MilliCores: taskMilliCores}}
-	caller := standin.Caller{Client: &http.Client{Timeout: 4 * time.Second}}
-	if got, want := caller.Send(n.callerAddress, j), standin.Completed; got != want {
+	caller := standin.Caller{Client: &http.Client{Timeout: callerTimeout}}
+	if got, want := caller.Send(t.Context(), n.callerAddress, j), standin.Completed; got != want {
 		t.Errorf("got answer %v of a VM that started without the store, want %v", got, want)
 	}
 }
@@ -81,13 +81,15 @@
 	f.checkRecovery()
 	f.checker.mu.Lock()
 	defer f.checker.mu.Unlock()
-	t.Logf("seed %d: %d jobs completed, %d attempts, ends %v", seed, f.checker.jobsCompleted, f.checker.attempts, f.checker.ends)
+	f.checker.reportRemaining()
+	t.Logf("seed %d: %d jobs completed, %d attempts, ends %v, %d notified late", seed, f.checker.jobsCompleted, f.checker.attempts, f.checker.ends, f.checker.lateEnds)
 	for _, p := range f.checker.problems {
 		t.Errorf("seed %d: %s", seed, p)
 	}
 	if t.Failed() {
 		for _, n := range f.vms {
 			t.Logf("%s:\n%s", n.name, n.tail(40))
+			n.keepLog(t, fmt.Sprintf("%d-%s.log", seed, n.name))
 		}
 	}
 }
@@ -95,7 +97,7 @@
 // sendJobs sends jobs until stop is closed. Connections are reused from job to job.
 func (f *fleet) sendJobs(seed uint64, c int, stop <-chan struct{}) {
 	random := rand.New(rand.NewPCG(seed, uint64(100+c)))
-	caller := standin.Caller{Client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{}}}
+	caller := standin.Caller{Client: &http.Client{Transport: &http.Transport{}}}
 	defer caller.Client.CloseIdleConnections()
 	for n := 0; ; n++ {
 		select {
@@ -113,9 +115,12 @@
 // injectFault injects one random fault. Lasting faults end after a random time or with heal.
 func (f *fleet) injectFault() {
 	n := f.vms[f.random.IntN(len(f.vms))]
-	e := f.endpoints[f.random.IntN(len(f.endpoints))]
+	endpoints := f.listEndpoints()
+	e := endpoints[f.random.IntN(len(endpoints))]
 	duration := time.Duration(200+f.random.IntN(2500)) * time.Millisecond
-	switch f.random.IntN(13) {
+	kind := f.random.IntN(22)
+	f.t.Logf("%s fault %d, %s, %s, %v", time.Now().Format(timeFormat), kind, n.name, e.id, duration)
+	switch kind {
 	case 0:
 		n.signal(syscall.SIGKILL)
 		f.restart(n)
@@ -132,23 +137,77 @@
 	case 5, 6:
 		f.fault(e.relay, duration)
 	case 7:
-		e.standIn.Restart()
+		e.restart()
 	case 8:
-		e.standIn.SetStalling(true)
-		time.AfterFunc(duration, func() { e.standIn.SetStalling(false); e.standIn.Restart() })
+		e.standIn.SetFaults(standin.EndpointFaults{Stalling: true})
+		time.AfterFunc(duration, func() { e.standIn.SetFaults(standin.EndpointFaults{}); e.restart() })
 	case 9:
-		e.mu.Lock()
-		e.draining, e.absent = !e.draining, f.random.IntN(4) == 0
-		e.mu.Unlock()
+		f.setRow(e, f.random.IntN(2) == 0, false)
 	case 10:
-		f.store.SetFaults(standin.StoreFaults{Down: f.random.IntN(2) == 0, Delay: time.Duration(f.random.IntN(200)) * time.Millisecond, LoseAnswers: f.random.IntN(2) == 0})
+		f.store.SetFaults(f.storeFaults())
 		time.AfterFunc(duration, func() { f.store.SetFaults(standin.StoreFaults{}) })
 	case 11:
 		f.store.TruncateHistory()
 		f.publishDesiredState()
 	case 12:
 		n.signal(syscall.SIGHUP)
+	case 13, 14:
+		e.standIn.SetFaults(standin.EndpointFaults{Late: 0.3})
+		time.AfterFunc(duration, func() { e.standIn.SetFaults(standin.EndpointFaults{}) })
+	case 15:
+		if len(endpoints) < maxEndpoints {
+			f.addEndpoint(e.dc, nil)
+		}
+	case 16:
+		if f.countEndpoints(e.dc) >= endpointsPerCentre {
+			f.removeEndpoint(e, duration*time.Duration(f.random.IntN(2)))
+		}
+	case 17, 18:
+		f.expireRows(e.dc, duration, f.random.IntN(2) == 0)
+	case 19:
+		e.relay.discardAll.Store(true)
+		time.AfterFunc(duration, func() { e.restart(); e.relay.heal() })
+	case 20:
+		f.removeEndpoint(e, 0)
+		f.addEndpoint(e.dc, e.relay)
+	case 21:
+		f.store.Put("servers", "i-unreadable", fmt.Appendf(nil, `{"backend":"playout","zone":%q,"address":%d`, e.dc, kind))
+	}
+}
+
+// storeFaults returns random faults of the store.
+func (f *fleet) storeFaults() standin.StoreFaults {
+	switch f.random.IntN(4) {
+	case 0:
+		return standin.StoreFaults{Down: true}
+	case 1:
+		return standin.StoreFaults{LoseAnswers: true}
+	case 2:
+		return standin.StoreFaults{LateWrites: time.Duration(500+f.random.IntN(4000)) * time.Millisecond}
+	}
+	return standin.StoreFaults{Delay: time.Duration(f.random.IntN(200)) * time.Millisecond, LoseAnswers: f.random.IntN(2) == 0}
+}
+
+// expireRows removes the rows of some endpoints of a data centre at once and writes them again later.
+// If an outage has caused it, the rows return up to two seconds after the store.
+func (f *fleet) expireRows(dc string, duration time.Duration, outage bool) {
+	var expired []*endpoint
+	for _, e := range f.listEndpoints() {
+		if e.dc == dc && f.random.IntN(3) > 0 {
+			expired = append(expired, e)
+			f.setRow(e, false, true)
+		}
+	}
+	if outage {
+		f.store.SetFaults(standin.StoreFaults{Down: true})
+		time.AfterFunc(duration, func() { f.store.SetFaults(standin.StoreFaults{}) })
+		duration += time.Duration(f.random.IntN(2000)) * time.Millisecond
 	}
+	time.AfterFunc(duration, func() {
+		for _, e := range expired {
+			f.setRow(e, false, false)
+		}
+	})
 }
 
 // fault makes a relay reset its connections, delay, or discard bytes in one or both directions.
@@ -183,11 +242,9 @@
 		r.heal()
 	}
 	f.store.SetFaults(standin.StoreFaults{})
-	for _, e := range f.endpoints {
-		e.mu.Lock()
-		e.draining, e.absent = false, false
-		e.mu.Unlock()
-		e.standIn.SetStalling(false)
+	for _, e := range f.listEndpoints() {
+		f.setRow(e, false, false)
+		e.standIn.SetFaults(standin.EndpointFaults{})
 	}
 	for _, n := range f.vms {
 		n.signal(syscall.SIGCONT)
@@ -199,11 +256,11 @@
 func (f *fleet) checkRecovery() {
 	f.t.Helper()
 	limit := time.Now().Add(12 * time.Second)
-	caller := standin.Caller{Client: &http.Client{Timeout: 4 * time.Second}}
+	caller := standin.Caller{Client: &http.Client{Timeout: callerTimeout}}
 	for i, n := range f.vms {
 		for k := 0; ; k++ {
 			j := standin.Job{ID: fmt.Sprintf("ffffff%02x%08x", i, k), Tasks: 2, Payload: standin.Payload{RunMs: 20, MilliCores: taskMilliCores}}
-			if caller.Send(n.callerAddress, j) == standin.Completed {
+			if caller.Send(f.t.Context(), n.callerAddress, j) == standin.Completed {
 				break
 			}
 			if time.Now().After(limit) {
