Add steady seeds and endpoints added unseen to the fault soak

Cause: the soak could not find the fault of the incident. A leader takes its list of endpoints for complete 15 s after its start or the last missing row, and adopted tasks wait until then; seeds were shorter, restarted VMs and removed rows all the time. Two faults that killed the same VM also started it twice: one process ran on after the test, and the VM was not killed any more.

Change: even seeds are steady. Their VMs run for 17 s before the first fault, are not restarted, and no row is removed. A new fault adds an endpoint while one VM of the data centre does not reach the store, and freezes the other one a little later. Answers of an earlier incarnation can arrive after a restart, relays delay by up to 250 ms, and a quarter of the jobs have tasks of up to 0.9 s.

--- a/internal/soak/fleet/fleet_test.go
+++ b/internal/soak/fleet/fleet_test.go
@@ -69,6 +69,8 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	exited  chan struct{}
+	// removed means that the process is not started again.
+	removed bool
 	log     *os.File
 }
 
@@ -89,7 +91,7 @@
 	dataCentres        = 2
 	vmsPerDataCentre   = 2
 	endpointsPerCentre = 4
-	maxEndpoints       = 12
+	maxEndpoints       = 16
 	endpointMilliCores = 32000
 	taskMilliCores     = 14000
 	// resendAfter is when callers send a job again; it is the platform's value.
@@ -165,11 +167,13 @@
 	})
 }
 
-// restart starts an endpoint again under its ID. Its row shows the new incarnation at the
-// next refresh.
-func (e *endpoint) restart() {
+// restart starts an endpoint again under its ID. Its row shows the new incarnation at the next
+// refresh. Answers of the earlier incarnation that are on their way are lost or still arrive.
+func (e *endpoint) restart(lose bool) {
 	e.standIn.Restart()
-	e.relay.reset()
+	if lose {
+		e.relay.reset()
+	}
 }
 
 func (f *fleet) countEndpoints(dc string) int {
@@ -285,12 +289,42 @@
 	n.log = log
 	f.vms = append(f.vms, n)
 	f.start(n)
-	f.t.Cleanup(func() { n.signal(syscall.SIGKILL); <-n.exited; _ = log.Close() })
+	f.t.Cleanup(func() { n.remove(); _ = log.Close() })
 }
 
 func (f *fleet) start(n *node) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	f.startProcess(n)
+}
+
+// restart starts a VM again after its present process has exited.
+func (f *fleet) restart(n *node) {
+	n.mu.Lock()
+	exited := n.exited
+	n.mu.Unlock()
+	go func() {
+		<-exited
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		// Another fault may have started the VM already.
+		if n.exited == exited && !n.removed {
+			f.startProcess(n)
+		}
+	}()
+}
+
+// remove ends a VM for good.
+func (n *node) remove() {
+	n.mu.Lock()
+	n.removed = true
+	_ = n.process.Process.Signal(syscall.SIGKILL)
+	exited := n.exited
+	n.mu.Unlock()
+	<-exited
+}
+
+func (f *fleet) startProcess(n *node) {
 	c := exec.Command(os.Args[0])
 	c.Env = append(os.Environ(), nodeEnv+"=1", "SEQUOIACART_BOOT="+n.settingsPath, "GOMAXPROCS=1")
 	c.Stdout, c.Stderr = n.log, n.log
--- a/internal/soak/fleet/soak_test.go
+++ b/internal/soak/fleet/soak_test.go
@@ -70,6 +70,9 @@
 			f.sendJobs(seed, c, stop)
 		}()
 	}
+	if f.isSteady() {
+		time.Sleep(steadyAfter)
+	}
 	end := time.Now().Add(*seedDuration)
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(100+f.random.IntN(600)) * time.Millisecond)
@@ -106,19 +109,41 @@
 		case <-time.After(time.Duration(random.IntN(60)) * time.Millisecond):
 		}
 		id := fmt.Sprintf("%08x%02x%06x", uint32(seed), c, n)
+		longest := 250
+		if random.IntN(4) == 0 {
+			longest = 900
+		}
 		f.sendJob(caller, random, standin.Job{ID: id, Tasks: 1 + random.IntN(5), Payload: standin.Payload{
-			RunMs: 10 + int64(random.IntN(250)), MilliCores: taskMilliCores, Fail: random.IntN(200) == 0,
+			RunMs: 10 + int64(random.IntN(longest)), MilliCores: taskMilliCores, Fail: random.IntN(200) == 0,
 		}})
 	}
 }
 
+// steadyAfter is how long VMs run and no endpoint is missing until leaders take their lists for
+// complete; it is 15 s, and processes take a second to start.
+const steadyAfter = 17 * time.Second
+
+// isSteady reports whether VMs are not restarted and endpoints only added, which is the case for even
+// seeds: a VM that has just started or has missed an endpoint never takes its list for complete.
+func (f *fleet) isSteady() bool { return f.seed%2 == 0 }
+
+// Kinds of faults. Those for steady seeds restart no VM and remove no row.
+var (
+	allKinds    = []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22}
+	steadyKinds = []int{2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 21, 22, 22, 22, 22, 22, 22, 22, 22}
+)
+
 // injectFault injects one random fault. Lasting faults end after a random time or with heal.
 func (f *fleet) injectFault() {
 	n := f.vms[f.random.IntN(len(f.vms))]
 	endpoints := f.listEndpoints()
 	e := endpoints[f.random.IntN(len(endpoints))]
 	duration := time.Duration(200+f.random.IntN(2500)) * time.Millisecond
-	kind := f.random.IntN(22)
+	kinds := allKinds
+	if f.isSteady() {
+		kinds = steadyKinds
+	}
+	kind := kinds[f.random.IntN(len(kinds))]
 	f.t.Logf("%s fault %d, %s, %s, %v", time.Now().Format(timeFormat), kind, n.name, e.id, duration)
 	switch kind {
 	case 0:
@@ -137,10 +162,10 @@
 	case 5, 6:
 		f.fault(e.relay, duration)
 	case 7:
-		e.restart()
+		e.restart(f.random.IntN(2) == 0)
 	case 8:
 		e.standIn.SetFaults(standin.EndpointFaults{Stalling: true})
-		time.AfterFunc(duration, func() { e.standIn.SetFaults(standin.EndpointFaults{}); e.restart() })
+		time.AfterFunc(duration, func() { e.standIn.SetFaults(standin.EndpointFaults{}); e.restart(false) })
 	case 9:
 		f.setRow(e, f.random.IntN(2) == 0, false)
 	case 10:
@@ -166,15 +191,37 @@
 		f.expireRows(e.dc, duration, f.random.IntN(2) == 0)
 	case 19:
 		e.relay.discardAll.Store(true)
-		time.AfterFunc(duration, func() { e.restart(); e.relay.heal() })
+		time.AfterFunc(duration, func() { e.restart(true); e.relay.heal() })
 	case 20:
 		f.removeEndpoint(e, 0)
 		f.addEndpoint(e.dc, e.relay)
 	case 21:
 		f.store.Put("servers", "i-unreadable", fmt.Appendf(nil, `{"backend":"playout","zone":%q,"address":%d`, e.dc, kind))
+	case 22:
+		if len(endpoints) < maxEndpoints {
+			f.addEndpointUnseen(e.dc)
+		}
 	}
 }
 
+// addEndpointUnseen adds an endpoint while one VM of its data centre does not reach the store, and
+// freezes the other, which may be the leader, once it has had time to use the endpoint.
+func (f *fleet) addEndpointUnseen(dc string) {
+	var vms []*node
+	for _, n := range f.vms {
+		if n.dc == dc {
+			vms = append(vms, n)
+		}
+	}
+	f.random.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
+	vms[0].storeRelay.discardAll.Store(true)
+	f.addEndpoint(dc, nil)
+	freeze := time.Duration(500+f.random.IntN(1500)) * time.Millisecond
+	duration := time.Duration(500+f.random.IntN(1500)) * time.Millisecond
+	time.AfterFunc(freeze, func() { vms[1].signal(syscall.SIGSTOP) })
+	time.AfterFunc(freeze+duration, func() { vms[1].signal(syscall.SIGCONT); vms[0].storeRelay.heal() })
+}
+
 // storeFaults returns random faults of the store.
 func (f *fleet) storeFaults() standin.StoreFaults {
 	switch f.random.IntN(4) {
@@ -217,7 +264,7 @@
 		r.reset()
 		return
 	case 1:
-		r.delay.Store(int64(time.Duration(f.random.IntN(80)) * time.Millisecond))
+		r.delay.Store(int64(time.Duration(f.random.IntN(250)) * time.Millisecond))
 	case 2:
 		r.discardFromTarget.Store(true)
 	case 3:
@@ -226,16 +273,6 @@
 	time.AfterFunc(duration, r.heal)
 }
 
-// restart starts a VM again after its process has exited.
-func (f *fleet) restart(n *node) {
-	go func() {
-		<-n.exited
-		if f.t.Context().Err() == nil {
-			f.start(n)
-		}
-	}()
-}
-
 // heal ends all lasting faults.
 func (f *fleet) heal() {
 	for _, r := range f.relays {
