Answer for ids of unknown issuers only once the issuers are proved lost

Callers would see: "failed, every task may have run", at once and final, from a VM that does not know the issuer of an id, while the issuer runs the job and answers "complete" later. Callers that decide for each task send the tasks again. Found by a review, not reported. Cause: Control.isLost took a VM that is missing from the roster for one that had been silent since the asked VM started. An issuer that has started a moment ago, or behind a cut, was lost at once. Nor did it ask whether the table of VMs had been read since. Change: a VM is lost only if it has not been seen for LostTimeout and a read of the table that began after that time did not find it. For a VM that was never in the roster the time counts from the first question about it; questions add at most 5,000 VMs. RowsRead says when the read began, and a read does not count if the roster has no room for all of its rows. A witness that answers after a release needs the same proof. Why it works: an id exists before the first question about it, so its issuer has had the LostTimeout to write its row or to make contact, and the read is later than that. Not covered: an issuer cut off for more than 60 s both from the VM asked and from the platform.

--- a/pkg/app/roster_rows.go
+++ b/pkg/app/roster_rows.go
@@ -73,11 +73,12 @@
 // read returns the event that passes the rows to the control goroutine. If another VM has deleted
 // this VM's row by mistake, the next poll writes it again.
 func (r *rosterRows) read(ctx context.Context) (entry.RowsRead, error) {
+	requestedAt := r.clock.Now()
 	rows, err := r.table.List(ctx, rosterPrefix)
 	if err != nil {
 		return entry.RowsRead{}, errors.Trace(err)
 	}
-	var e entry.RowsRead
+	e := entry.RowsRead{RequestedAt: requestedAt}
 	found := false
 	for _, row := range rows {
 		var w wireVM
--- a/pkg/contract/witness.go
+++ b/pkg/contract/witness.go
@@ -10,8 +10,8 @@
 	// UnreachableTimeout is the time without contact after which a peer is considered
 	// unreachable.
 	UnreachableTimeout = 3 * clock.Second
-	// LostTimeout is the time without contact after which a VM that is removed and has no row
-	// in the platform's table is considered lost.
+	// LostTimeout is the time without contact after which a VM that is removed and is missing
+	// from a later read of the platform's table is considered lost.
 	LostTimeout = clock.Minute
 	// maxIssuers limits the issuers that a witness tracks. Their fences and eviction times
 	// can never be dropped. A witness serves far fewer issuers while it runs.
@@ -102,8 +102,8 @@
 	// Digest is the digest of a submission that is sent again. It is zero if only the
 	// answer is requested.
 	Digest Digest
-	// IssuerAbsent means that the issuer is not in the roster, or is removed there and has no
-	// row in the platform's table.
+	// IssuerAbsent means that the issuer has been absent from the roster, or removed there, for
+	// the LostTimeout, and that a later read of the platform's table did not find it.
 	IssuerAbsent bool
 }
 
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -54,13 +54,14 @@
 	// pendingFences are the issuers whose pair row this VM, as their witness, is writing.
 	pendingFences map[vm.Incarnation]*backoff
 	fenceRetries  []vm.Incarnation
-	// lastSeen is, for each VM that is no longer present, when it ceased to be present or last
-	// made contact.
+	// lastSeen is, for each VM that is not present, when it ceased to be present, when it last
+	// made contact, or, if it was never present, when its absence was first asked about.
 	lastSeen        map[vm.Incarnation]clock.Millis
 	pruneLastSeenAt clock.Millis
-	startedAt       clock.Millis
-	started         bool
-	retries         retryBudget
+	// tableReadAt is when the latest read of the platform's table began of which every row is
+	// in the roster.
+	tableReadAt clock.Millis
+	retries     retryBudget
 	// running are the attempts whose result has not been reported.
 	running map[dispatch.Start]contract.AttemptID
 	// strayAnswers counts results of attempts that are not running: duplicates, and
@@ -133,9 +134,6 @@
 // the next call.
 func (c *Control) Handle(now clock.Millis, event Event) []Action {
 	c.actions = c.actions[:0]
-	if !c.started {
-		c.started, c.startedAt = true, now
-	}
 	switch e := event.(type) {
 	case ReserveIDs:
 		c.reserveIDs(now, e)
--- a/pkg/entry/control_fencing.go
+++ b/pkg/entry/control_fencing.go
@@ -92,8 +92,7 @@
 }
 
 func (c *Control) handleWitnessAnswerRequested(now clock.Millis, e WitnessAnswerRequested) {
-	_, present := c.present(e.ID.Issuer)
-	a, needsRow := c.witness.Ask(now, contract.Query{ID: e.ID, Owner: e.Owner, Digest: e.Digest, IssuerAbsent: !present})
+	a, needsRow := c.witness.Ask(now, contract.Query{ID: e.ID, Owner: e.Owner, Digest: e.Digest, IssuerAbsent: c.isLost(now, e.ID.Issuer)})
 	c.answer(e.Waiter, a)
 	if !needsRow {
 		return
@@ -144,27 +143,38 @@
 // handleOrphanAnswerRequested answers for an id whose issuer and witness cannot be reached.
 // When both are permanently lost, no VM has a record of which tasks ran.
 func (c *Control) handleOrphanAnswerRequested(now clock.Millis, e OrphanAnswerRequested) {
+	issuerLost := c.isLost(now, e.ID.Issuer)
+	witnessLost := e.ID.Witness == vm.None || c.isLost(now, e.ID.Witness)
 	switch {
 	case now-e.ID.IssuedAt > contract.RetentionWindow:
 		c.answer(e.Waiter, contract.Expired{})
-	case c.isLost(now, e.ID.Issuer) && (e.ID.Witness == vm.None || c.isLost(now, e.ID.Witness)):
+	case issuerLost && witnessLost:
 		c.answer(e.Waiter, contract.Failed{Reason: "the VMs that held the submission are lost; every task may have run"})
 	default:
 		c.answer(e.Waiter, contract.CannotTellYet{Reason: "neither the issuer nor the witness of the id can be reached", RetryAfter: retryDelay})
 	}
 }
 
-// isLost reports whether a VM is not present and was last seen long enough ago to be treated
-// as permanently lost.
+// maxQueriedVMs limits the absent VMs that are tracked because of questions about them. Callers
+// can invent VMs.
+const maxQueriedVMs = 5000
+
+// isLost reports whether a VM is to be treated as permanently lost: it has not been seen for the
+// LostTimeout, and a read of the platform's table after that time did not find it. An older read
+// proves nothing about a VM that has started since. The time of a VM that was never present
+// counts from the first question about it, because it may have started only just before.
 func (c *Control) isLost(now clock.Millis, i vm.Incarnation) bool {
 	if _, present := c.present(i); present || i == c.config.Self {
 		return false
 	}
 	since, ok := c.lastSeen[i]
 	if !ok {
-		since = c.startedAt
+		if len(c.lastSeen) < maxQueriedVMs {
+			c.lastSeen[i] = now
+		}
+		return false
 	}
-	return now-since >= contract.LostTimeout
+	return now-since >= contract.LostTimeout && c.tableReadSince(since+contract.LostTimeout)
 }
 
 func (c *Control) handlePeerSeen(now clock.Millis, e PeerSeen) {
--- a/pkg/entry/control_membership.go
+++ b/pkg/entry/control_membership.go
@@ -69,11 +69,29 @@
 func (c *Control) handleRowsRead(now clock.Millis, e RowsRead) {
 	p := c.peers
 	c.setRoster(now, p.membership.RecordRows(now, e.Rows))
+	c.recordTableRead(e)
 	for _, r := range p.membership.StaleRows(now) {
 		c.emit(DeleteRow{Row: r})
 	}
 }
 
+// recordTableRead records when the rows were read. A read counts only if the roster contains the
+// VMs of all rows: the number of members is limited, and a VM beyond the limit is not absent.
+func (c *Control) recordTableRead(e RowsRead) {
+	for _, r := range e.Rows {
+		if _, ok := c.roster.Find(r.VM.Incarnation); !ok && r.VM.Incarnation.Valid() {
+			return
+		}
+	}
+	c.tableReadAt = max(c.tableReadAt, e.RequestedAt)
+}
+
+// tableReadSince reports whether the table has been read completely by a read that began at the
+// given time or later. A roster set by RosterChanged stands for the table.
+func (c *Control) tableReadSince(t clock.Millis) bool {
+	return c.roster != c.peers.membership.Roster() || c.tableReadAt >= t
+}
+
 func (c *Control) handleHeartbeatReceived(now clock.Millis, e HeartbeatReceived) {
 	h := e.Heartbeat
 	m := c.peers.membership
--- a/pkg/entry/heartbeat.go
+++ b/pkg/entry/heartbeat.go
@@ -62,7 +62,11 @@
 type HeartbeatFailed struct{ To vm.VM }
 
 // RowsRead carries the entry VMs' rows of the platform's table.
-type RowsRead struct{ Rows []vm.Row }
+type RowsRead struct {
+	Rows []vm.Row
+	// RequestedAt is when the read began. Rows that were written later may be missing.
+	RequestedAt clock.Millis
+}
 
 // VMsListed carries the entry VMs in the platform's list.
 type VMsListed struct{ Entries []vm.ListEntry }
--- a/pkg/entry/simulation_test.go
+++ b/pkg/entry/simulation_test.go
@@ -172,7 +172,7 @@
 	for _, r := range s.rows {
 		rows = append(rows, r)
 	}
-	s.handle(n, RowsRead{Rows: rows})
+	s.handle(n, RowsRead{Rows: rows, RequestedAt: s.now})
 	var listed EndpointsListed
 	for _, e := range s.endpoints {
 		switch {
