Answer "expired" only by the clock that issued the id

Callers would see: 410, "nothing starts from now on", for an id whose issuer runs the job. Found by a review, not reported. Cause: a VM that reached neither issuer nor witness compared the time of issue, which is on the issuer's clock, with its own clock. The clocks part easily: the daemon read the wall clock once and followed a clock that stands still while a machine is suspended, so an issuer that was suspended for 15 min issued ids that other VMs took for expired from then on. On the same clock a suspended borrower of slots takes the term of its loan for running. If both are proved lost, the answer is "failed, every task may have run", whatever the age: an age that cannot be measured must not tell the caller to submit again. sequoiacart entry and demo run on CLOCK_BOOTTIME (clock.Boot), as sequoiacart node does. Why it works: the remaining answers "expired" compare times of the issuer's clock only, at the issuer and against the floor of its witness. The price: an old id of VMs that are long gone is answered "cannot tell yet" for 60 s and then "failed", where it was "expired" at once. Measured: tests of pkg and internal/control pass. No test suspends a machine.

--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -27,8 +27,10 @@
 // DaemonDeps holds the dependencies of a daemon.
 type DaemonDeps struct {
 	Settings settings.Settings
-	Clock    clock.Clock
-	Log      *event.Log
+	// Clock must go on while the machine is suspended: the terms of loans are leases, and the
+	// start window of an id must not grow.
+	Clock clock.Clock
+	Log   *event.Log
 	// Registry receives the metrics; if nil, the daemon creates its own.
 	Registry gometrics.Registry
 	// Identity enables mutual TLS and replaces the files in the settings.
--- a/pkg/app/demo_command.go
+++ b/pkg/app/demo_command.go
@@ -60,7 +60,7 @@
 					if err != nil {
 						return nil, errors.Trace(err)
 					}
-					return NewDaemon(DaemonDeps{Settings: s, Clock: clock.NewSystem(), Log: event.NewLog(logger), Identity: identity})
+					return NewDaemon(DaemonDeps{Settings: s, Clock: clock.NewBoot(), Log: event.NewLog(logger), Identity: identity})
 				},
 			})
 			if *serve {
--- a/pkg/app/entry_command.go
+++ b/pkg/app/entry_command.go
@@ -45,7 +45,7 @@
 			}
 			logger := logrus.New()
 			logger.SetOutput(stderr)
-			d, err := NewDaemon(DaemonDeps{Settings: s, Clock: clock.NewSystem(), Log: event.NewLog(logger)})
+			d, err := NewDaemon(DaemonDeps{Settings: s, Clock: clock.NewBoot(), Log: event.NewLog(logger)})
 			if err != nil {
 				return errors.Annotate(err, "start entry VM "+string(s.VM))
 			}
--- a/pkg/entry/control_fencing.go
+++ b/pkg/entry/control_fencing.go
@@ -141,18 +141,17 @@
 }
 
 // handleOrphanAnswerRequested answers for an id whose issuer and witness cannot be reached.
-// When both are permanently lost, no VM has a record of which tasks ran.
+// When both are permanently lost, no VM has a record of which tasks ran. The answer is never
+// Expired: the time of issue is a time on the issuer's clock, which this VM cannot compare with
+// its own.
 func (c *Control) handleOrphanAnswerRequested(now clock.Millis, e OrphanAnswerRequested) {
 	issuerLost := c.isLost(now, e.ID.Issuer)
 	witnessLost := e.ID.Witness == vm.None || c.isLost(now, e.ID.Witness)
-	switch {
-	case now-e.ID.IssuedAt > contract.RetentionWindow:
-		c.answer(e.Waiter, contract.Expired{})
-	case issuerLost && witnessLost:
+	if issuerLost && witnessLost {
 		c.answer(e.Waiter, contract.Failed{Reason: "the VMs that held the submission are lost; every task may have run"})
-	default:
-		c.answer(e.Waiter, contract.CannotTellYet{Reason: "neither the issuer nor the witness of the id can be reached", RetryAfter: retryDelay})
+		return
 	}
+	c.answer(e.Waiter, contract.CannotTellYet{Reason: "neither the issuer nor the witness of the id can be reached", RetryAfter: retryDelay})
 }
 
 // maxQueriedVMs limits the absent VMs that are tracked because of questions about them. Callers
--- a/pkg/entry/orphan_test.go
+++ b/pkg/entry/orphan_test.go
@@ -10,7 +10,8 @@
 )
 
 // TestOrphanAnswers guards against a final answer for an id whose issuer may still run it: a VM
-// that is missing from a roster is not proved to be lost.
+// that is missing from a roster is not proved to be lost, and the time of issue is a time on the
+// issuer's clock.
 func TestOrphanAnswers(t *testing.T) {
 	self := vm.VM{Incarnation: "centro0-1", DataCentre: "centro", PeerAddress: "centro0:1", Size: 1}
 	issuer := vm.VM{Incarnation: "sur0-1", DataCentre: "sur", PeerAddress: "sur0:1", Size: 1}
@@ -42,6 +43,9 @@
 		{"unknown issuer, last read before the first question", new(rows(self)), 0, 2*contract.LostTimeout + 1, 0, 2 * contract.LostTimeout, 2 * contract.LostTimeout, "contract.CannotTellYet"},
 		{"unknown issuer, last read soon after the first question", new(rows(self)), 0, 2*contract.LostTimeout - clock.Second, 0, 2 * contract.LostTimeout, 2 * contract.LostTimeout, "contract.CannotTellYet"},
 		{"unknown issuer, reads that arrive late", new(rows(self)), 0, 0, 2 * contract.LostTimeout, 2 * contract.LostTimeout, 2 * contract.LostTimeout, "contract.CannotTellYet"},
+		{"present issuer whose clock is behind", new(rows(self, issuer)), 0, 0, 0, 0, contract.RetentionWindow + clock.Minute, "contract.CannotTellYet"},
+		{"unknown issuer whose clock is behind", new(rows(self)), 0, 0, 0, 0, contract.RetentionWindow + clock.Minute, "contract.CannotTellYet"},
+		{"lost issuer whose clock was behind", new(rows(self, issuer)), 2 * contract.LostTimeout, 0, 0, 0, contract.RetentionWindow + clock.Minute, "contract.Failed"},
 		{"issuer without a row for a short time", new(rows(self, issuer)), 10 * clock.Second, 0, 0, 0, 30 * clock.Second, "contract.CannotTellYet"},
 		{"issuer without a row for a long time", new(rows(self, issuer)), 2 * contract.LostTimeout, 0, 0, 0, 3 * contract.LostTimeout, "contract.Failed"},
 	}
