Poll endpoints and entry VMs independently of each other and of writes

Found by a review, not reported. Cause: poller.poll wrote this VM's row first and returned at its error, so neither rows nor endpoints were read. The row is rewritten every 20 s, so all reads stopped at most 20 s after the writes. A call that hangs held up the steps behind it as well, for 2 s an attempt by default. Why it works: no step depends on the success of an earlier one; the two polls share only the platform client, which is safe for concurrent use. Measured: tests of pkg and internal/control pass.

--- a/pkg/app/poller.go
+++ b/pkg/app/poller.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	stderrors "errors"
 
 	"github.com/juju/errors"
+	"github.com/oklog/run"
 	"github.com/sirupsen/logrus"
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -23,7 +25,8 @@
 	Rows     *rosterRows
 }
 
-// poller reads the roster and the endpoints from the platform at intervals.
+// poller reads the roster and the endpoints from the platform at intervals, independently of each
+// other: a part of the platform that fails or hangs must not stop what the others still report.
 type poller struct {
 	deps pollerDeps
 }
@@ -34,8 +37,16 @@
 
 // Run polls until the context ends.
 func (p *poller) Run(ctx context.Context) error {
+	var g run.Group
+	addContext(ctx, &g, func(ctx context.Context) error { return p.repeat(ctx, p.pollRoster) })
+	addContext(ctx, &g, func(ctx context.Context) error { return p.repeat(ctx, p.pollEndpoints) })
+	return g.Run()
+}
+
+// repeat polls at intervals until the context ends.
+func (p *poller) repeat(ctx context.Context, poll func(context.Context) error) error {
 	for {
-		if err := p.poll(ctx); err != nil {
+		if err := poll(ctx); err != nil {
 			p.deps.Log.Warn(event.PlatformFailed, "poll platform", logrus.Fields{"error": err})
 		}
 		select {
@@ -46,17 +57,14 @@
 	}
 }
 
-func (p *poller) poll(ctx context.Context) error {
-	if err := p.deps.Rows.register(ctx); err != nil {
-		return errors.Annotate(err, "register this VM")
-	}
-	if err := p.pollRoster(ctx); err != nil {
-		return errors.Annotate(err, "read roster")
-	}
-	return errors.Annotate(p.pollEndpoints(ctx), "read endpoints")
+// pollRoster refreshes this VM's row and reads all rows. It reads them also if the platform
+// rejects the write.
+func (p *poller) pollRoster(ctx context.Context) error {
+	registered := errors.Annotate(p.deps.Rows.register(ctx), "register this VM")
+	return stderrors.Join(registered, errors.Annotate(p.readRoster(ctx), "read roster"))
 }
 
-func (p *poller) pollRoster(ctx context.Context) error {
+func (p *poller) readRoster(ctx context.Context) error {
 	rows, err := p.deps.Rows.read(ctx)
 	if err != nil {
 		return errors.Trace(err)
@@ -68,7 +76,7 @@
 func (p *poller) pollEndpoints(ctx context.Context) error {
 	listed, err := p.deps.Client.ListVMs(ctx, p.deps.Self.DataCentre)
 	if err != nil {
-		return errors.Trace(err)
+		return errors.Annotate(err, "read endpoints")
 	}
 	var e entry.EndpointsListed
 	for _, l := range listed {
