Don't take a pause of this VM for a silence of issuers

Callers would see: a submission refused, or answered "failed, may have run", although its issuer runs and would have completed it. No second start. Found by a review, not reported. Cause: a witness compares the time of the last contact with its own clock. After a pause of 3 s or more, a question that was handled before the issuer's messages, which waited in the sockets, fenced the pair for good. Membership and links allow for a pause; Witness.lastContact and Control.lastSeen did not. With the second, a pause of a minute made an issuer count as lost. Why it works: an issuer has the same time left after the pause as before it, and its messages are handled within it. A fence is only ever later than without the change, and a later fence starts nothing: records are what allows starts.

--- a/pkg/contract/witness.go
+++ b/pkg/contract/witness.go
@@ -52,6 +52,14 @@
 	}
 }
 
+// CompensatePause extends the time-outs of all issuers by a pause of this VM, since their messages
+// could not be handled meanwhile.
+func (w *Witness) CompensatePause(pause clock.Millis) {
+	for _, s := range w.issuers {
+		s.lastContact += pause
+	}
+}
+
 // Record stores a batch of records of an issuer and returns their statuses in the order of
 // the batch.
 func (w *Witness) Record(now clock.Millis, issuer vm.Incarnation, batch BatchNumber, records []Record) []RecordStatus {
--- a/pkg/contract/witness_test.go
+++ b/pkg/contract/witness_test.go
@@ -58,6 +58,9 @@
 		return func(w *Witness, now clock.Millis) any { w.HandOver(now, "i-1", records, last); return "" }
 	}
 	evict := func(w *Witness, now clock.Millis) any { w.Evict(now); return fmt.Sprint(w.count, w.bytes) }
+	pause := func(p clock.Millis) func(*Witness, clock.Millis) any {
+		return func(w *Witness, _ clock.Millis) any { w.CompensatePause(p); return "" }
+	}
 	contact := func(w *Witness, now clock.Millis) any { w.RecordContact(now, "i-1"); return "" }
 	statuses := func(s ...RecordStatus) string { return fmt.Sprint(s) }
 	const undecided, needsRow = "contract.CannotTellYet false", "contract.CannotTellYet true"
@@ -100,6 +103,16 @@
 			{2 * LostTimeout, handOver(false, settleRecord(other, Complete{})), ""},
 			{2 * LostTimeout, ask(other, "o", true), "failed [2 2 2]"},
 		}},
+		{"witness paused", DefaultLimits(), []step{
+			{0, record(1, startRecord(id, 0)), statuses(RecordAccepted)},
+			{LostTimeout, pause(LostTimeout), ""},
+			{LostTimeout + UnreachableTimeout - 1, ask(id, "o", false), undecided},
+			{LostTimeout + UnreachableTimeout, ask(id, "o", false), needsRow},
+			{LostTimeout + UnreachableTimeout, setPairRow(PairReleasedByIssuer), ""},
+			{3 * LostTimeout, pause(LostTimeout), ""},
+			{3*LostTimeout - 1, ask(id, "o", true), undecided},
+			{3 * LostTimeout, ask(id, "o", true), "failed [2 2 2]"},
+		}},
 		{"issuer shut down", DefaultLimits(), []step{
 			{0, record(1, startRecord(id, 0), settleRecord(id, Complete{})), statuses(RecordAccepted, RecordAccepted)},
 			{1, handOver(true), ""},
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -61,7 +61,9 @@
 	// tableReadAt is when the latest read of the platform's table began of which every row is
 	// in the roster.
 	tableReadAt clock.Millis
-	retries     retryBudget
+	// handledAt is when the latest event was handled, to detect a pause of this VM.
+	handledAt clock.Millis
+	retries   retryBudget
 	// running are the attempts whose result has not been reported.
 	running map[dispatch.Start]contract.AttemptID
 	// strayAnswers counts results of attempts that are not running: duplicates, and
@@ -115,7 +117,8 @@
 		running:       make(map[dispatch.Start]contract.AttemptID),
 		waiters:       newWaiterIndex(),
 		// The generator is used only for retry jitter; its seed differs between VMs.
-		rng: rand.New(rand.NewPCG(xxhash.Sum64String(string(c.Self)), 0)),
+		rng:       rand.New(rand.NewPCG(xxhash.Sum64String(string(c.Self)), 0)),
+		handledAt: c.Now,
 
 		peers:             peers,
 		drains:            datacentre.NewDrains(),
@@ -134,6 +137,7 @@
 // the next call.
 func (c *Control) Handle(now clock.Millis, event Event) []Action {
 	c.actions = c.actions[:0]
+	c.compensatePause(now)
 	switch e := event.(type) {
 	case ReserveIDs:
 		c.reserveIDs(now, e)
--- a/pkg/entry/control_fencing.go
+++ b/pkg/entry/control_fencing.go
@@ -205,6 +205,20 @@
 	}
 }
 
+// compensatePause detects a pause of this VM and extends by it the time-outs after which the
+// others are fenced or treated as lost. The membership and the links do the same for theirs.
+func (c *Control) compensatePause(now clock.Millis) {
+	pause := now - c.handledAt
+	c.handledAt = now
+	if pause <= vm.SuspectAfter {
+		return
+	}
+	c.witness.CompensatePause(pause)
+	for i := range c.lastSeen {
+		c.lastSeen[i] += pause
+	}
+}
+
 func (c *Control) updateLastSeen(now clock.Millis, i vm.Incarnation) {
 	if _, ok := c.present(i); ok {
 		delete(c.lastSeen, i)
