--- a/pkg/entry/control_fencing.go
+++ b/pkg/entry/control_fencing.go
@@ -92,8 +92,7 @@
 }
 
 func (c *Control) handleWitnessAnswerRequested(now clock.Millis, e WitnessAnswerRequested) {
-	_, present := c.present(e.ID.Issuer)
-	a, needsRow := c.witness.Ask(now, contract.Query{ID: e.ID, Owner: e.Owner, Digest: e.Digest, IssuerAbsent: !present})
+	a, needsRow := c.witness.Ask(now, contract.Query{ID: e.ID, Owner: e.Owner, Digest: e.Digest, IssuerAbsent: c.isLost(now, e.ID.Issuer)})
 	c.answer(e.Waiter, a)
 	if !needsRow {
 		return
@@ -142,29 +141,39 @@
 }
 
 // handleOrphanAnswerRequested answers for an id whose issuer and witness cannot be reached.
-// When both are permanently lost, no VM has a record of which tasks ran.
+// When both are permanently lost, no VM has a record of which tasks ran. The answer is never
+// Expired: the time of issue is a time on the issuer's clock, which this VM cannot compare with
+// its own.
 func (c *Control) handleOrphanAnswerRequested(now clock.Millis, e OrphanAnswerRequested) {
-	switch {
-	case now-e.ID.IssuedAt > contract.RetentionWindow:
-		c.answer(e.Waiter, contract.Expired{})
-	case c.isLost(now, e.ID.Issuer) && (e.ID.Witness == vm.None || c.isLost(now, e.ID.Witness)):
+	issuerLost := c.isLost(now, e.ID.Issuer)
+	witnessLost := e.ID.Witness == vm.None || c.isLost(now, e.ID.Witness)
+	if issuerLost && witnessLost {
 		c.answer(e.Waiter, contract.Failed{Reason: "the VMs that held the submission are lost; every task may have run"})
-	default:
-		c.answer(e.Waiter, contract.CannotTellYet{Reason: "neither the issuer nor the witness of the id can be reached", RetryAfter: retryDelay})
+		return
 	}
+	c.answer(e.Waiter, contract.CannotTellYet{Reason: "neither the issuer nor the witness of the id can be reached", RetryAfter: retryDelay})
 }
 
-// isLost reports whether a VM is not present and was last seen long enough ago to be treated
-// as permanently lost.
+// maxQueriedVMs limits the absent VMs that are tracked because of questions about them. Callers
+// can invent VMs.
+const maxQueriedVMs = 5000
+
+// isLost reports whether a VM is to be treated as permanently lost: it has not been seen for the
+// LostTimeout, and a read of the platform's table after that time did not find it. An older read
+// proves nothing about a VM that has started since. The time of a VM that was never present
+// counts from the first question about it, because it may have started only just before.
 func (c *Control) isLost(now clock.Millis, i vm.Incarnation) bool {
 	if _, present := c.present(i); present || i == c.config.Self {
 		return false
 	}
 	since, ok := c.lastSeen[i]
 	if !ok {
-		since = c.startedAt
+		if len(c.lastSeen) < maxQueriedVMs {
+			c.lastSeen[i] = now
+		}
+		return false
 	}
-	return now-since >= contract.LostTimeout
+	return now-since >= contract.LostTimeout && c.tableReadSince(since+contract.LostTimeout)
 }
 
 func (c *Control) handlePeerSeen(now clock.Millis, e PeerSeen) {
@@ -196,6 +205,20 @@
 	}
 }
 
+// compensatePause detects a pause of this VM and extends by it the time-outs after which the
+// others are fenced or treated as lost. The membership and the links do the same for theirs.
+func (c *Control) compensatePause(now clock.Millis) {
+	pause := now - c.handledAt
+	c.handledAt = now
+	if pause <= vm.SuspectAfter {
+		return
+	}
+	c.witness.CompensatePause(pause)
+	for i := range c.lastSeen {
+		c.lastSeen[i] += pause
+	}
+}
+
 func (c *Control) updateLastSeen(now clock.Millis, i vm.Incarnation) {
 	if _, ok := c.present(i); ok {
 		delete(c.lastSeen, i)
