Add a model test of whole VMs with faults of every kind

Cause: the tests at leader level do not cover several VMs with gateways, monitors and lists of endpoints of different age, nor callers that send a job again to another VM.

--- /dev/null
+++ b/internal/control/node/model_caller_test.go
@@ -0,0 +1,209 @@
+package node_test
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"github.com/sequoiacart/sequoiacart/internal/control/node"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// modelCallers sends jobs to the VMs, and sends a job again if its answer allows that or is missing.
+type modelCallers struct {
+	world  *world
+	random *rand.Rand
+	// work is how long the tasks of each job take.
+	work map[job.ID]micros
+	// burstUntil is until when jobs arrive at a multiple of the usual rate.
+	burstUntil micros
+}
+
+// callerRequest is one submission of a job by its caller.
+type callerRequest struct {
+	id      int
+	callers *modelCallers
+	job     job.Job
+	// sends counts the earlier submissions of the job.
+	sends int
+	limit micros
+	vm    *modelVM
+	// life is the VM's when it processed the request; key is valid from then on.
+	life    int
+	key     job.Key
+	arrived bool
+	// ended means that the caller has an answer or does not wait any more.
+	ended bool
+}
+
+const (
+	modelDemand       = job.MilliCores(2000)
+	jobInterval       = 90 * ms
+	maxSends          = 3
+	duplicateInterval = 4 * second
+)
+
+func newModelCallers(w *world) *modelCallers {
+	return &modelCallers{world: w, random: w.random("callers"), work: make(map[job.ID]micros)}
+}
+
+// submitJobs sends jobs until a point in time.
+func (c *modelCallers) submitJobs(until micros) {
+	if c.world.now >= until {
+		return
+	}
+	c.submitNew()
+	interval := jobInterval
+	if c.world.now < c.burstUntil {
+		interval /= 5
+	}
+	c.world.after(micros(float64(interval)*2*c.random.Float64()), func() { c.submitJobs(until) })
+}
+
+func (c *modelCallers) submitNew() {
+	c.world.stats.jobs++
+	work := []micros{51, 170, 300, 760}[c.random.IntN(4)] * ms
+	step := job.Step{Tasks: 1 + c.random.IntN(6), Demand: job.Resources{CPU: modelDemand, Memory: 64}, Estimate: clock.Millis(work / ms)}
+	j := job.Job{ID: job.ID(fmt.Sprintf("%016x", c.world.stats.jobs)), Queue: modelQueue, Steps: []job.Step{step}}
+	if c.random.IntN(4) == 0 {
+		step.Tasks, step.After = 1, []int{0}
+		j.Steps = append(j.Steps, step)
+	}
+	c.work[j.ID] = work
+	limit := 1500 * ms
+	if c.random.IntN(2) == 0 {
+		limit = 4 * second
+	}
+	c.send(j, 0, limit)
+}
+
+// workOf is how long a task takes at an endpoint of usual speed.
+func (c *modelCallers) workOf(t job.TaskName) micros {
+	id, _, _ := strings.Cut(string(t), ".")
+	return c.work[job.ID(id)]
+}
+
+// send submits a job to a VM, usually one that is ready.
+func (c *modelCallers) send(j job.Job, sends int, limit micros) {
+	w := c.world
+	ready := slices.DeleteFunc(slices.Clone(w.vms), func(v *modelVM) bool { return !v.publishedReady || !v.up })
+	if len(ready) == 0 || c.random.IntN(6) == 0 {
+		ready = w.vms
+	}
+	w.order++
+	r := &callerRequest{id: w.order, callers: c, job: j, sends: sends, limit: limit, vm: ready[c.random.IntN(len(ready))]}
+	w.trace.add(record{job: j.ID, vm: r.vm.name, format: "caller sends job %s to %s, send %d, limit %s", args: []any{j.ID, r.vm.name, sends + 1, formatTime(limit)}})
+	w.network.send(callerName, r.vm.name, r.arrive)
+	patience := limit
+	givesUp := w.options.enabled(faultGiveUp) && c.random.IntN(8) == 0
+	if givesUp {
+		patience = micros(c.random.Int64N(int64(limit)))
+	}
+	w.after(patience, func() {
+		if !r.ended {
+			r.disconnect()
+			r.end("no answer", !givesUp)
+		}
+	})
+}
+
+// arrive passes the request to the VM's process.
+func (r *callerRequest) arrive() {
+	v := r.vm
+	switch {
+	case v.up:
+		v.callers[r] = true
+		v.whenRunning(v.life, r.process)
+	case !v.silent:
+		r.callers.world.network.send(v.name, callerName, r.broken)
+	}
+}
+
+// process submits the job to the control state. A request that a frozen VM finds after its caller has
+// disconnected is processed only if faultStaleRequest is enabled.
+func (r *callerRequest) process() {
+	v, w := r.vm, r.callers.world
+	if r.ended && !w.options.enabled(faultStaleRequest) {
+		delete(v.callers, r)
+		return
+	}
+	if v.control.Desired() == nil {
+		r.reply(job.Refused{Reason: job.NoDesiredState})
+		return
+	}
+	accepted, ended := make(chan job.Key, 1), make(chan job.Outcome, 1)
+	v.awaitOutcome(ended, r.reply)
+	v.handle(node.JobArrived{Job: r.job, Limit: clock.Millis(r.limit / ms), Accepted: accepted, Ended: ended})
+	r.arrived, r.life, r.key = true, v.life, <-accepted
+	w.trace.add(record{job: r.job.ID, vm: v.name, format: "%s takes job as %v", args: []any{v.name, r.key}})
+	if r.ended {
+		v.later(micros(v.random.Int64N(1500)), func() { v.handle(node.CallerDisconnected{Key: r.key}) })
+	}
+}
+
+// disconnect tells the VM that the caller does not wait any more.
+func (r *callerRequest) disconnect() {
+	r.callers.world.network.send(callerName, r.vm.name, func() {
+		if r.arrived && r.life == r.vm.life {
+			r.vm.post(r.life, node.CallerDisconnected{Key: r.key})
+		}
+	})
+}
+
+// reply sends the outcome to the caller.
+func (r *callerRequest) reply(o job.Outcome) {
+	delete(r.vm.callers, r)
+	r.callers.world.network.send(r.vm.name, callerName, func() {
+		if r.ended {
+			return
+		}
+		switch o := o.(type) {
+		case job.Completed, job.Failed:
+			r.callers.world.stats.completed++
+			r.end("200", false)
+			r.sendDuplicate()
+		case job.Refused:
+			r.callers.world.stats.refused++
+			r.end("503 "+string(o.Reason), false)
+		case job.Stopped:
+			r.end("502 or 504 "+string(o.Reason), true)
+		default:
+			r.end(fmt.Sprintf("502 %T", o), true)
+		}
+	})
+}
+
+// sendDuplicate sends some jobs again although they have been answered.
+func (r *callerRequest) sendDuplicate() {
+	c := r.callers
+	if r.sends+1 < maxSends && c.world.options.enabled(faultDuplicate) && c.random.IntN(20) == 0 {
+		c.world.after(micros(c.random.Int64N(int64(duplicateInterval))), func() { c.send(r.job, r.sends+1, r.limit) })
+	}
+}
+
+// broken ends a request whose connection has broken.
+func (r *callerRequest) broken() {
+	if !r.ended {
+		r.end("connection broken", true)
+	}
+}
+
+// end records the answer and sends the job again where the protocol says so.
+func (r *callerRequest) end(answer string, again bool) {
+	r.ended = true
+	c := r.callers
+	c.world.trace.add(record{job: r.job.ID, vm: r.vm.name, format: "caller of %s at %s got %s", args: []any{r.job.ID, r.vm.name, answer}})
+	if again && r.sends+1 < maxSends {
+		c.world.stats.resent++
+		c.world.after(fromMillis(modelResend), func() { c.send(r.job, r.sends+1, r.limit) })
+	}
+}
+
+// sortedRequests returns requests in a fixed order.
+func sortedRequests(requests map[*callerRequest]bool) []*callerRequest {
+	return slices.SortedFunc(maps.Keys(requests), func(a, b *callerRequest) int { return cmp.Compare(a.id, b.id) })
+}
--- /dev/null
+++ b/internal/control/node/model_exchange_test.go
@@ -0,0 +1,82 @@
+package node_test
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// exchange is a call of a VM to an endpoint, a peer or the store. Exactly one result reaches the VM:
+// the answer, a failure or a timeout.
+type exchange struct {
+	// id orders calls by when they were made.
+	id   int
+	vm   *modelVM
+	life int
+	to   string
+	done bool
+	// fail receives why there was no answer.
+	fail func(exchangeFailure)
+}
+
+// exchangeFailure is why a call had no answer.
+type exchangeFailure int
+
+const (
+	callTimedOut exchangeFailure = iota
+	// callBroken means that the connection broke after the request had been sent.
+	callBroken
+	// callNotSent means that no connection could be opened in time.
+	callNotSent
+	// callRefused means that no process listens at the address.
+	callRefused
+)
+
+// dialTimeout bounds the opening of a connection.
+const dialTimeout = 60 * ms
+
+// newExchange sends a request on a goroutine of its own, so that a freeze may delay it.
+func (v *modelVM) newExchange(to string, limit micros, arrive func(*exchange), fail func(exchangeFailure)) *exchange {
+	v.world.order++
+	x := &exchange{id: v.world.order, vm: v, life: v.life, to: to, fail: fail}
+	v.later(v.executionDelay(), func() {
+		v.later(limit, func() { x.finish(func() { fail(callTimedOut) }) })
+		sent := v.world.network.send(v.name, to, func() { arrive(x) })
+		if !sent && v.world.network.link(v.name, to).random.IntN(2) == 0 {
+			v.later(min(dialTimeout, limit), func() { x.finish(func() { fail(callNotSent) }) })
+		}
+	})
+	return x
+}
+
+// answer returns a result over the network to the VM.
+func (x *exchange) answer(result func()) {
+	x.vm.world.network.send(x.to, x.vm.name, func() { x.receive(result) })
+}
+
+// receive lets the VM process a result once it runs.
+func (x *exchange) receive(result func()) {
+	if x.vm.life == x.life {
+		x.vm.whenRunning(x.life, func() { x.finish(result) })
+	}
+}
+
+func (x *exchange) finish(result func()) {
+	if !x.done {
+		x.done = true
+		result()
+	}
+}
+
+// breakFrom tells the VM that the process at the other end has ended.
+func (x *exchange) breakFrom(from string) {
+	x.vm.world.network.send(from, x.vm.name, func() { x.receive(func() { x.fail(callBroken) }) })
+}
+
+// refuse tells the VM that no process listens at the address.
+func (x *exchange) refuse() { x.answer(func() { x.fail(callRefused) }) }
+
+// sortedExchanges returns calls in a fixed order.
+func sortedExchanges(open map[*exchange]bool) []*exchange {
+	return slices.SortedFunc(maps.Keys(open), func(a, b *exchange) int { return cmp.Compare(a.id, b.id) })
+}
--- /dev/null
+++ b/internal/control/node/model_execute_test.go
@@ -0,0 +1,229 @@
+package node_test
+
+import (
+	"github.com/sequoiacart/sequoiacart/internal/control/failover"
+	"github.com/sequoiacart/sequoiacart/internal/control/leader"
+	"github.com/sequoiacart/sequoiacart/internal/control/node"
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/shard"
+)
+
+const (
+	slowStartDelay      = 30 * ms
+	startTimeout        = 300 * ms
+	endpointCallTimeout = 80 * ms
+	peerTimeout         = 150 * ms
+	submitMargin        = 300 * ms
+)
+
+// execute does what the daemon's traffic goroutines do.
+func (v *modelVM) execute(a node.Action) {
+	switch a := a.(type) {
+	case node.LeaderAction:
+		v.executeLeaderAction(a.Shard, a.Action)
+	case node.SendSubmission:
+		v.submit(a)
+	case node.SendHeartbeat:
+		v.sendHeartbeat(a)
+	case node.SendCancel:
+		v.callPeer(a.To.Address, peerTimeout, func(peer *modelVM, _ *exchange) { peer.handle(node.PeerCancelled{Job: a.Job}) }, func(exchangeFailure) {})
+	case node.SendYield:
+		v.yield(a)
+	case node.WriteReplicaSet:
+		v.writeReplicaSet(a)
+	case node.LoadEstimates, node.SaveEstimates:
+	case node.Probe:
+		v.probe(a)
+	case node.QuerySeed:
+		v.querySeed(a)
+	case node.FetchDesiredState:
+		v.fetchDesiredState(a)
+	case node.FetchEndpoints:
+		v.fetchEndpoints(a)
+	case node.LogEvent:
+		v.world.trace.log(v, a)
+		if a.Topic == node.LeadershipAcquired {
+			v.world.stats.takeovers++
+		}
+	}
+}
+
+func (v *modelVM) executeLeaderAction(id shard.ID, a leader.Action) {
+	switch a := a.(type) {
+	case leader.Start:
+		v.sendStart(id, a)
+	case leader.Stop:
+		v.sendStop(id, a)
+	case leader.Hold:
+		v.sendHold(id, a)
+	case leader.Answer, leader.Fenced, leader.LogDecision:
+	}
+}
+
+func (v *modelVM) postToLeader(id shard.ID, e leader.Event) {
+	v.post(v.life, node.LeaderEvent{Shard: id, Event: e})
+}
+
+func (v *modelVM) sendStart(id shard.ID, s leader.Start) {
+	v.world.trace.add(record{vm: v.name, endpoint: s.Endpoint.ID, task: s.Task, format: "%s sends start of attempt %d token %s until %d",
+		args: []any{v.name, s.Attempt, formatToken(s.Token), s.LeaseUntil}})
+	end := func(r endpoint.StartResult, at endpoint.Clock) {
+		v.postToLeader(id, leader.StartEnded{Endpoint: s.Endpoint.ID, Task: s.Task, Attempt: s.Attempt, Result: r, Clock: at})
+	}
+	x := v.newExchange(string(s.Endpoint.ID), startTimeout, v.atEndpoint(s.Endpoint.ID, func(e *modelEndpoint, respond func(func())) {
+		result, at := e.startAttempt(s, v.name), e.clock()
+		respond(func() { end(result, at) })
+	}), func(f exchangeFailure) {
+		if f == callNotSent || f == callRefused {
+			end(endpoint.Rejected{Reason: endpoint.RejectedNotSent}, 0)
+			return
+		}
+		end(endpoint.NoAnswer{Cause: "no answer"}, 0)
+	})
+	v.later(slowStartDelay, func() {
+		if !x.done {
+			v.postToLeader(id, leader.StartSlow{Endpoint: s.Endpoint.ID, Task: s.Task, Attempt: s.Attempt})
+		}
+	})
+}
+
+func (v *modelVM) sendStop(id shard.ID, s leader.Stop) {
+	end := func(acknowledged bool) {
+		v.postToLeader(id, leader.StopEnded{Endpoint: s.Endpoint.ID, Task: s.Task, Attempt: s.Attempt, Acknowledged: acknowledged})
+	}
+	v.newExchange(string(s.Endpoint.ID), endpointCallTimeout, v.atEndpoint(s.Endpoint.ID, func(e *modelEndpoint, respond func(func())) {
+		accepted := e.stopAttempt(s, v.name)
+		respond(func() { end(accepted) })
+	}), func(exchangeFailure) { end(false) })
+}
+
+func (v *modelVM) sendHold(id shard.ID, h leader.Hold) {
+	end := func(report *endpoint.StatusReport, r leader.HoldRejection) {
+		v.postToLeader(id, leader.HoldEnded{Endpoint: h.Endpoint.ID, Kind: h.Kind, Sequence: h.Sequence, Report: report, Rejection: r})
+	}
+	v.newExchange(string(h.Endpoint.ID), endpointCallTimeout+fromMillis(h.Wait), v.atEndpoint(h.Endpoint.ID, func(e *modelEndpoint, respond func(func())) {
+		e.hold(h, v.name, func(report *endpoint.StatusReport, r leader.HoldRejection) {
+			respond(func() { end(report, r) })
+		})
+	}), func(exchangeFailure) { end(nil, leader.HoldUnanswered) })
+}
+
+func (v *modelVM) callPeer(address string, limit micros, arrive func(*modelVM, *exchange), fail func(exchangeFailure)) {
+	var peer *modelVM
+	for _, o := range v.world.vms {
+		if o.name == address {
+			peer = o
+		}
+	}
+	v.newExchange(address, limit, func(x *exchange) {
+		switch {
+		case peer == nil || !peer.up && !peer.silent:
+			x.refuse()
+		case peer.up:
+			peer.whenRunning(peer.life, func() { arrive(peer, x) })
+		}
+	}, fail)
+}
+
+func (v *modelVM) submit(a node.SendSubmission) {
+	limit := fromMillis(max(a.Submission.Limit-a.Submission.Waited, 0)) + submitMargin
+	end := func(o job.Outcome) {
+		v.post(v.life, node.SubmitAnswered{Key: a.Submission.Key, From: a.Shard, Outcome: o})
+	}
+	v.callPeer(a.To.Address, limit, func(peer *modelVM, x *exchange) {
+		ended := make(chan job.Outcome, 1)
+		await(peer, x, ended, end)
+		peer.handle(node.PeerSubmitted{Shard: a.Shard, Submission: a.Submission, Ended: ended})
+	}, func(exchangeFailure) { end(job.Unanswered{Cause: "no answer"}) })
+}
+
+func (v *modelVM) sendHeartbeat(a node.SendHeartbeat) {
+	incarnation := a.To.Incarnation
+	end := func(reply node.HeartbeatReply, ok, refused bool) {
+		if ok && reply.From != incarnation {
+			ok, refused = false, true
+		}
+		v.post(v.life, node.HeartbeatAnswered{Shard: a.Request.Cell, Reply: reply, Answer: failover.Answer{
+			From: incarnation, OK: ok, ConnectionRefused: refused, Draining: reply.Draining, Leader: reply.Home, Token: reply.Token, LeaderClock: reply.Clock,
+		}})
+	}
+	v.callPeer(a.To.Address, peerTimeout, func(peer *modelVM, x *exchange) {
+		replies := make(chan node.HeartbeatReply, 1)
+		await(peer, x, replies, func(r node.HeartbeatReply) { end(r, true, false) })
+		peer.handle(node.PeerHeartbeat{Request: a.Request, Reply: replies})
+	}, func(f exchangeFailure) { end(node.HeartbeatReply{}, false, f == callRefused) })
+}
+
+func (v *modelVM) yield(a node.SendYield) {
+	end := func(accepted bool) {
+		v.post(v.life, node.YieldEnded{Shard: a.ReplicaSet.Cell, Accepted: accepted})
+	}
+	v.callPeer(a.To.Address, peerTimeout, func(peer *modelVM, x *exchange) {
+		done := make(chan bool, 1)
+		await(peer, x, done, end)
+		peer.handle(node.PeerYielded{ReplicaSet: a.ReplicaSet, Endpoints: a.Endpoints, EndpointsVersion: a.EndpointsVersion, Done: done})
+	}, func(exchangeFailure) { end(false) })
+}
+
+func (v *modelVM) writeReplicaSet(a node.WriteReplicaSet) {
+	end := func(revision int64, written bool) {
+		e := node.ReplicaSetWritten{ReplicaSet: a.ReplicaSet, Written: written}
+		e.ReplicaSet.Revision = revision
+		v.post(v.life, e)
+	}
+	store := v.world.store
+	write := func() (int64, bool) {
+		return store.put(tableReplicaSets, string(a.ReplicaSet.Cell), a.ReplicaSet, a.Expected)
+	}
+	v.newExchange(storeName, storeTimeout, func(x *exchange) {
+		store.serve(x, func() {
+			if v.world.options.enabled(faultStoreLate) && store.random.IntN(6) == 0 {
+				store.world.after(micros(store.random.Int64N(4000))*ms, func() { write() })
+				return
+			}
+			revision, written := write()
+			if v.world.options.enabled(faultStoreLate) && store.random.IntN(6) == 0 {
+				return
+			}
+			x.answer(func() { end(revision, written) })
+		})
+	}, func(exchangeFailure) { end(0, false) })
+}
+
+// probe reports whether one of the endpoints accepts a connection.
+func (v *modelVM) probe(a node.Probe) {
+	delay, reachable := v.executionDelay(), false
+	for _, target := range a.Endpoints {
+		e := v.world.endpoint(target.ID)
+		if e != nil && e.up && !v.world.network.isCut(v.name, string(e.id)) && !v.world.network.isCut(string(e.id), v.name) {
+			delay, reachable = delay+2*v.world.network.latency(v.name, string(e.id), v.random), true
+			break
+		}
+		delay += dialTimeout
+	}
+	v.later(delay, func() { v.handle(node.ProbeEnded{Shard: a.Shard, Reachable: reachable}) })
+}
+
+func (v *modelVM) querySeed(a node.QuerySeed) {
+	v.callPeer(a.Address, peerTimeout, func(peer *modelVM, x *exchange) {
+		replies := make(chan node.DeploymentState, 1)
+		await(peer, x, replies, func(s node.DeploymentState) { v.post(v.life, node.SeedAnswered{State: s}) })
+		peer.handle(node.PeerStateRequested{Reply: replies})
+	}, func(exchangeFailure) {})
+}
+
+func (v *modelVM) fetchDesiredState(a node.FetchDesiredState) {
+	v.callPeer(a.From.Address, peerTimeout, func(peer *modelVM, x *exchange) {
+		if s := peer.control.Desired(); s != nil {
+			x.answer(func() { v.post(v.life, node.DesiredStateLoaded{State: s}) })
+		}
+	}, func(exchangeFailure) {})
+}
+
+func (v *modelVM) fetchEndpoints(a node.FetchEndpoints) {
+	v.callPeer(a.From.Address, peerTimeout, func(peer *modelVM, x *exchange) {
+		e := node.EndpointsLoaded{Endpoints: peer.publishedEndpoints, Version: peer.publishedVersion}
+		x.answer(func() { v.post(v.life, e) })
+	}, func(exchangeFailure) {})
+}
--- /dev/null
+++ b/internal/control/node/model_follower_test.go
@@ -0,0 +1,147 @@
+package node_test
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/sequoiacart/sequoiacart/internal/control/node"
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/internal/world/queue"
+	"github.com/sequoiacart/sequoiacart/internal/world/shard"
+)
+
+// modelFollower follows the changes of one table for a VM, with the pauses of the daemon's.
+type modelFollower struct {
+	vm      *modelVM
+	table   storeTable
+	wait    micros
+	pause   func() micros
+	rows    map[string]storeRow
+	version int64
+	loaded  bool
+}
+
+const (
+	desiredFeedWait             = second
+	feedWait                    = 2500 * ms
+	leaderEndpointsPause        = 400 * ms
+	successorEndpoints          = 1500 * ms
+	storeRetryPause             = 150 * ms
+	storeTimeout                = 800 * ms
+	noPause              micros = 0
+	notNeeded            micros = -1
+)
+
+func (v *modelVM) follow(t storeTable, wait micros, pause func() micros) {
+	f := &modelFollower{vm: v, table: t, wait: wait, pause: pause, rows: make(map[string]storeRow)}
+	v.later(noPause, f.read)
+}
+
+func (v *modelVM) endpointsPause() micros {
+	if v.publishedVersion == 0 {
+		return noPause
+	}
+	switch member, leading := v.publishedMember, v.publishedLeading; {
+	case leading:
+		return leaderEndpointsPause
+	case member:
+		return successorEndpoints
+	}
+	return notNeeded
+}
+
+// read reads the table or waits for its changes, and then calls itself again.
+func (f *modelFollower) read() {
+	pause := f.pause()
+	if pause < 0 {
+		f.vm.later(storeRetryPause, f.read)
+		return
+	}
+	limit := storeTimeout
+	if f.loaded {
+		limit += f.wait
+	}
+	store := f.vm.world.store
+	f.vm.newExchange(storeName, limit, func(x *exchange) {
+		store.serve(x, func() {
+			if !f.loaded {
+				f.respond(x, store.all(f.table), pause)
+				return
+			}
+			f.await(x, pause)
+		})
+	}, func(exchangeFailure) { f.vm.later(storeRetryPause, f.read) })
+}
+
+// await answers once there are changes, or after the wait.
+func (f *modelFollower) await(x *exchange, pause micros) {
+	store := f.vm.world.store
+	answered := false
+	answer := func() {
+		if !answered && store.world.now >= store.downUntil {
+			answered = true
+			f.respond(x, store.since(f.table, f.version), pause)
+		}
+	}
+	if len(store.since(f.table, f.version)) > 0 {
+		answer()
+		return
+	}
+	store.waiting[f.table] = append(store.waiting[f.table], answer)
+	store.world.after(f.wait, answer)
+}
+
+func (f *modelFollower) respond(x *exchange, rows []storeRow, pause micros) {
+	rows, version := slices.Clone(rows), f.vm.world.store.version
+	x.answer(func() {
+		if !f.loaded {
+			clear(f.rows)
+		}
+		for _, r := range rows {
+			if r.removed {
+				delete(f.rows, r.key)
+				continue
+			}
+			f.rows[r.key] = r
+		}
+		if !f.loaded || len(rows) > 0 {
+			f.changed(version)
+		}
+		f.loaded, f.version = true, version
+		f.vm.later(pause, f.read)
+	})
+}
+
+// changed posts the contents of the table to the control state.
+func (f *modelFollower) changed(version int64) {
+	all := slices.SortedFunc(maps.Values(f.rows), func(a, b storeRow) int { return cmp.Compare(a.key, b.key) })
+	switch f.table {
+	case tableOperator:
+		for _, r := range all {
+			f.vm.post(f.vm.life, node.DesiredStateLoaded{State: r.value.(*queue.State)})
+		}
+	case tableVMs:
+		var vms []shard.VM
+		for _, r := range all {
+			vm := r.value.(shard.VM)
+			vm.Revision = r.version
+			vms = append(vms, vm)
+		}
+		f.vm.post(f.vm.life, node.VMsLoaded{VMs: vms})
+	case tableReplicaSets:
+		var sets []shard.ReplicaSet
+		for _, r := range all {
+			set := r.value.(shard.ReplicaSet)
+			set.Revision = r.version
+			sets = append(sets, set)
+		}
+		f.vm.post(f.vm.life, node.ReplicaSetsLoaded{ReplicaSets: sets})
+	case tableEndpoints:
+		var endpoints []endpoint.Endpoint
+		for _, r := range all {
+			endpoints = append(endpoints, r.value.(endpoint.Endpoint))
+		}
+		f.vm.post(f.vm.life, node.EndpointsLoaded{Endpoints: endpoints, Version: version})
+	}
+}
--- /dev/null
+++ b/internal/control/node/model_test.go
@@ -0,0 +1,105 @@
+package node_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+)
+
+var (
+	modelSeeds   = flag.Int("model.seeds", 0, "number of worlds of TestModel; 0 is the short run")
+	modelSeed    = flag.Uint64("model.seed", 1, "seed of the first world of TestModel")
+	modelFaults  = flag.String("model.faults", "", "kinds of faults of TestModel, separated by commas; empty combines all of them at random")
+	modelWithout = flag.String("model.without", "", "kinds of faults that TestModel leaves out")
+	modelTraced  = flag.Bool("model.trace", true, "print what led to a violation")
+)
+
+const (
+	shortModelSeeds = 12
+	// faultPeriod is how long faults go on. The world starts before them, for longer than a leader
+	// takes to consider its list of endpoints complete, and at times for less.
+	faultPeriod   = 14 * second
+	shortWarmUp   = 3 * second
+	longWarmUp    = 17 * second
+	settlePeriod  = 3 * second
+	longWarmUpOdd = 4
+)
+
+// Guards against two attempts of a task at the same time, under any combination of faults of VMs,
+// endpoints, the store and the network. A longer run, other seeds or single kinds of faults:
+//
+//	go test ./internal/control/node -run TestModel -model.seeds 2000 -model.seed 1
+//	go test ./internal/control/node -run TestModel -model.seeds 500 -model.faults reborn,loss
+//	go test ./internal/control/node -run TestModel -model.seeds 500 -model.without nextLife
+func TestModel(t *testing.T) {
+	seeds := *modelSeeds
+	if seeds == 0 {
+		seeds = shortModelSeeds
+	}
+	var total modelStats
+	for i := range seeds {
+		seed := *modelSeed + uint64(i)
+		w := runModel(seed, modelKinds(seed))
+		total.add(w.stats)
+		if w.violation == "" {
+			continue
+		}
+		t.Errorf("seed %d, faults %v: %s", seed, w.options.kinds, w.violation)
+		if *modelTraced {
+			t.Logf("seed %d:\n%s", seed, w.trace.text)
+		}
+	}
+	t.Logf("%d worlds: %+v", seeds, total)
+	if total.completed == 0 {
+		t.Errorf("got no completed job, want the worlds to run jobs")
+	}
+}
+
+// Guards against a model that finds no faults because its jobs do not run: without faults, nearly all
+// jobs are completed.
+func TestModelWithoutFaults(t *testing.T) {
+	w := runModel(1, nil)
+	if w.violation != "" {
+		t.Errorf("got %s, want no violation\n%s", w.violation, w.trace.text)
+	}
+	if w.stats.completed < w.stats.jobs*9/10 {
+		t.Errorf("got %+v, want nine of ten jobs completed", w.stats)
+	}
+}
+
+// modelKinds returns the fault kinds of a seed.
+func modelKinds(seed uint64) []faultKind {
+	without := parseKinds(*modelWithout)
+	if *modelFaults != "" {
+		return parseKinds(*modelFaults)
+	}
+	kinds := slices.DeleteFunc(slices.Clone(allFaults), func(k faultKind) bool { return slices.Contains(without, k) })
+	return chooseKinds(kinds, rand.New(rand.NewPCG(seed, 0)))
+}
+
+func parseKinds(text string) []faultKind {
+	var kinds []faultKind
+	for _, name := range strings.FieldsFunc(text, func(r rune) bool { return r == ',' }) {
+		if !slices.Contains(allFaults, faultKind(name)) {
+			panic(fmt.Sprintf("unknown fault %q, want one of %v", name, allFaults))
+		}
+		kinds = append(kinds, faultKind(name))
+	}
+	return kinds
+}
+
+// runModel runs a world from its start to the end of its faults.
+func runModel(seed uint64, kinds []faultKind) *world {
+	w := newWorld(seed, modelOptions{kinds: kinds})
+	warmUp := longWarmUp
+	if seed%longWarmUpOdd == 0 {
+		warmUp = shortWarmUp
+	}
+	w.after(warmUp-second, func() { w.callers.submitJobs(warmUp + faultPeriod) })
+	w.after(warmUp, func() { w.injectFaults(warmUp + faultPeriod) })
+	w.run(warmUp + faultPeriod + settlePeriod)
+	return w
+}
--- /dev/null
+++ b/internal/control/node/model_vm_test.go
@@ -0,0 +1,295 @@
+package node_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/sequoiacart/sequoiacart/internal/control/leader"
+	"github.com/sequoiacart/sequoiacart/internal/control/node"
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/shard"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// modelVM is an entry VM: its control state, and what the daemon does around it.
+type modelVM struct {
+	world  *world
+	name   string
+	dc     datacentre.ID
+	cpu    int
+	random *rand.Rand
+
+	up bool
+	// silent means that a VM that is down does not refuse connections either.
+	silent bool
+	life   int
+	self   shard.VM
+	// clockOffset is the difference between the VM's clock and that of the world.
+	clockOffset micros
+	control     *node.Control
+	frozenUntil micros
+	// freezeAtStart freezes the VM right after the next event that starts an attempt.
+	freezeAtStart micros
+	slowUntil     micros
+
+	// What the traffic goroutines read, as of the last publication.
+	publishedEndpoints                                []endpoint.Endpoint
+	publishedVersion                                  int64
+	publishedMember, publishedLeading, publishedReady bool
+
+	// waiters poll the channels that the control state answers on.
+	waiters []func() bool
+	// open are the peers' calls that this VM has received and not answered.
+	open map[*exchange]bool
+	// callers are the requests of callers that are connected.
+	callers map[*callerRequest]bool
+}
+
+const (
+	tickBusy       = 10 * ms
+	tickIdle       = 40 * ms
+	modelGrace     = 6 * second
+	acceptShare    = 0.5
+	finishShare    = 0.9
+	modelStop      = clock.Millis(50)
+	modelResend    = clock.Millis(1300)
+	modelLease     = clock.Millis(1000)
+	modelHandOver  = clock.Millis(4200)
+	modelSuccessor = 3
+)
+
+func newModelVM(w *world, name string, dc datacentre.ID, cpu int) *modelVM {
+	return &modelVM{world: w, name: name, dc: dc, cpu: cpu, random: w.random("vm " + name)}
+}
+
+// start starts a process with a new incarnation and no state.
+func (v *modelVM) start() {
+	if v.up {
+		return
+	}
+	v.life++
+	v.up, v.silent, v.frozenUntil, v.freezeAtStart = true, false, 0, 0
+	v.clockOffset = second * micros(1000+v.random.IntN(100_000))
+	v.publishedEndpoints, v.publishedVersion, v.publishedMember, v.publishedLeading, v.publishedReady = nil, 0, false, false, false
+	v.waiters, v.open, v.callers = nil, make(map[*exchange]bool), make(map[*callerRequest]bool)
+	v.self = shard.VM{
+		Member:     shard.Member{Incarnation: vm.NewIncarnation(vm.ID(v.name), fmt.Sprintf("%04d", v.life)), Address: v.name},
+		DataCentre: v.dc, CPU: v.cpu,
+	}
+	dcs := make(map[datacentre.ID]bool)
+	config := node.Config{
+		Self: v.self, Timeouts: leader.DefaultTimeouts(modelLease, modelStop, modelResend), FarFactor: 1.5,
+		Successors: modelSuccessor, HandOverTimeout: modelHandOver, Now: v.clock(),
+	}
+	for _, o := range v.world.vms {
+		if !dcs[o.dc] {
+			dcs[o.dc] = true
+			config.DataCentres = append(config.DataCentres, o.dc)
+			config.Seeds = append(config.Seeds, o.name)
+		}
+	}
+	v.control = node.New(config)
+	v.world.trace.add(record{vm: v.name, format: "VM starts: %s", args: []any{v.self.Incarnation}})
+	v.follow(tableOperator, desiredFeedWait, func() micros { return noPause })
+	v.follow(tableVMs, feedWait, func() micros { return noPause })
+	v.follow(tableReplicaSets, feedWait, func() micros { return noPause })
+	v.follow(tableEndpoints, feedWait, v.endpointsPause)
+	v.register()
+	v.tick(v.life)
+}
+
+// kill ends the process. Unless the VM becomes silent, those that are connected notice it.
+func (v *modelVM) kill(silent bool) {
+	if !v.up {
+		return
+	}
+	v.up, v.silent = false, silent
+	v.life++
+	v.world.trace.add(record{vm: v.name, format: "VM killed, silent %v", args: []any{silent}})
+	for _, r := range sortedRequests(v.callers) {
+		if !silent {
+			v.world.network.send(v.name, callerName, r.broken)
+		}
+	}
+	for _, x := range sortedExchanges(v.open) {
+		if !silent {
+			x.breakFrom(v.name)
+		}
+	}
+}
+
+// shutDown ends the process within the grace period.
+func (v *modelVM) shutDown() {
+	v.world.trace.add(record{vm: v.name, format: "VM shuts down"})
+	life := v.life
+	v.post(life, node.ShutdownRequested{})
+	v.later(micros(float64(modelGrace)*acceptShare), func() { v.awaitIdle(life) })
+	v.later(micros(float64(modelGrace)*finishShare), func() { v.exit(life) })
+}
+
+func (v *modelVM) awaitIdle(life int) {
+	if v.control.Idle() && len(v.callers) == 0 {
+		v.exit(life)
+		return
+	}
+	v.later(25*ms, func() { v.awaitIdle(life) })
+}
+
+func (v *modelVM) exit(life int) {
+	v.post(life, node.ShutdownOverdue{})
+	v.later(50*ms, func() { v.kill(false) })
+}
+
+func (v *modelVM) clock() clock.Millis { return clock.Millis((v.world.now + v.clockOffset) / ms) }
+
+// whenRunning calls do at once, or when the VM is no longer frozen, unless the life has ended.
+func (v *modelVM) whenRunning(life int, do func()) {
+	switch {
+	case v.life != life || !v.up:
+	case v.world.now < v.frozenUntil:
+		// Goroutines that wake up together run in any order.
+		v.world.after(v.frozenUntil-v.world.now+micros(v.random.Int64N(2000)), func() { v.whenRunning(life, do) })
+	default:
+		do()
+	}
+}
+
+// later calls do after a delay, if the process still runs then.
+func (v *modelVM) later(delay micros, do func()) {
+	life := v.life
+	v.world.after(delay, func() { v.whenRunning(life, do) })
+}
+
+// executionDelay is how long a goroutine takes from an action to its first call.
+func (v *modelVM) executionDelay() micros {
+	delay := micros(20 + v.random.Int64N(150))
+	if v.world.now < v.slowUntil {
+		delay += micros(v.random.Int64N(40)) * ms
+	}
+	return delay
+}
+
+// post passes an event to the control state.
+func (v *modelVM) post(life int, e node.Event) {
+	v.whenRunning(life, func() { v.handle(e) })
+}
+
+func (v *modelVM) handle(e node.Event) {
+	actions := v.control.Handle(v.clock(), e)
+	// Stops of one event may be in any order; a fixed one keeps the simulation reproducible.
+	slices.SortStableFunc(actions, compareStops)
+	if v.freezeAtStart > 0 && slices.ContainsFunc(actions, isStart) {
+		v.freeze(v.freezeAtStart)
+		v.freezeAtStart = 0
+	}
+	for _, a := range actions {
+		v.execute(a)
+	}
+	v.waiters = slices.DeleteFunc(v.waiters, func(answered func() bool) bool { return answered() })
+	switch e.(type) {
+	case node.Tick:
+		v.publish()
+		v.publishedMember, v.publishedLeading = v.control.InReplicaSet()
+		v.publishedReady = v.control.Ready()
+	case node.DesiredStateLoaded, node.EndpointsLoaded:
+		v.publish()
+	default:
+	}
+}
+
+func (v *modelVM) publish() {
+	if e, version := v.control.Endpoints(); version != v.publishedVersion {
+		v.publishedEndpoints, v.publishedVersion = e, version
+	}
+}
+
+func (v *modelVM) tick(life int) {
+	if v.life != life || !v.up {
+		return
+	}
+	v.handle(node.Tick{})
+	next := tickIdle
+	if v.control.Busy() {
+		next = tickBusy
+	}
+	v.later(next+micros(v.random.Int64N(1000)), func() { v.tick(life) })
+}
+
+func (v *modelVM) freeze(duration micros) {
+	v.frozenUntil = max(v.frozenUntil, v.world.now+duration)
+	v.world.trace.add(record{vm: v.name, format: "VM frozen until %s", args: []any{formatTime(v.frozenUntil)}})
+}
+
+func isStart(a node.Action) bool {
+	l, ok := a.(node.LeaderAction)
+	if !ok {
+		return false
+	}
+	_, ok = l.Action.(leader.Start)
+	return ok
+}
+
+// compareStops orders stops among themselves by their tasks.
+func compareStops(a, b node.Action) int {
+	x, xOK := stopOf(a)
+	y, yOK := stopOf(b)
+	if !xOK || !yOK || x.Task == y.Task {
+		return 0
+	}
+	if x.Task < y.Task {
+		return -1
+	}
+	return 1
+}
+
+func stopOf(a node.Action) (leader.Stop, bool) {
+	l, ok := a.(node.LeaderAction)
+	if !ok {
+		return leader.Stop{}, false
+	}
+	s, ok := l.Action.(leader.Stop)
+	return s, ok
+}
+
+// await answers a peer's call once the control state has replied.
+func await[T any](v *modelVM, x *exchange, replies <-chan T, result func(T)) {
+	v.open[x] = true
+	v.waiters = append(v.waiters, func() bool {
+		select {
+		case reply := <-replies:
+			delete(v.open, x)
+			x.answer(func() { result(reply) })
+			return true
+		default:
+			return false
+		}
+	})
+}
+
+// awaitOutcome passes on the outcome of a job once the control state has it.
+func (v *modelVM) awaitOutcome(ended <-chan job.Outcome, do func(job.Outcome)) {
+	v.waiters = append(v.waiters, func() bool {
+		select {
+		case o := <-ended:
+			do(o)
+			return true
+		default:
+			return false
+		}
+	})
+}
+
+// register writes the VM's row, and retries until that succeeds.
+func (v *modelVM) register() {
+	store := v.world.store
+	v.newExchange(storeName, storeTimeout, func(x *exchange) {
+		store.serve(x, func() {
+			store.put(tableVMs, v.name, x.vm.self, -1)
+			x.answer(func() {})
+		})
+	}, func(exchangeFailure) { v.later(storeRetryPause, v.register) })
+}
