Keep requests of the model's connections to one process

Cause: a delayed request reached the next process at the address, which TCP rules out. Change: only a connection that is being opened reaches the next process.

--- a/internal/control/node/model_delivery_test.go
+++ b/internal/control/node/model_delivery_test.go
@@ -11,6 +11,15 @@
 	return nil
 }
 
+// lifeOf returns the life of an endpoint at the time of the call.
+func (v *modelVM) lifeOf(id datacentre.EndpointID) func() int {
+	e := v.world.endpoint(id)
+	return func() int { return e.life }
+}
+
+// onlyLife is that of the store, which never restarts.
+func onlyLife() int { return 1 }
+
 // atEndpoint carries out an order at an endpoint when it arrives, or seconds later and without an
 // answer.
 func (v *modelVM) atEndpoint(id datacentre.EndpointID, carryOut func(e *modelEndpoint, respond func(func()))) func(*exchange) {
