Add attempts that stand still and unhealthy endpoints to the model

Cause: both are among the platform's disturbances and change when the leader sends stops. Change: the switch stall; failures also rejects some starts as unhealthy.

--- a/internal/control/node/model_endpoint_test.go
+++ b/internal/control/node/model_endpoint_test.go
@@ -54,6 +54,8 @@
 	modelStopLimit = 50 * ms
 	// modelHeartbeat is the interval at which endpoints write their rows.
 	modelHeartbeat = 1500 * ms
+	// stallPeriod is how much longer an attempt that makes no progress takes.
+	stallPeriod = 1000 * second
 )
 
 func newModelEndpoint(w *world, id datacentre.EndpointID, dc datacentre.ID) *modelEndpoint {
@@ -197,6 +199,9 @@
 	if s.LeaseUntil <= e.clock() {
 		return endpoint.Rejected{Reason: endpoint.RejectedExpired}
 	}
+	if e.world.options.enabled(faultFailures) && e.random.IntN(30) == 0 {
+		return endpoint.Rejected{Reason: endpoint.RejectedUnhealthy}
+	}
 	e.extend(s.LeaseUntil)
 	if slices.ContainsFunc(e.attempts, func(a *modelAttempt) bool { return a.task == s.Task && a.number == s.Attempt }) {
 		return endpoint.Started{}
@@ -213,6 +218,9 @@
 	if e.world.options.enabled(faultFailures) && e.random.IntN(15) == 0 {
 		a.end = endpoint.EndFailed
 	}
+	if e.world.options.enabled(faultStall) && e.random.IntN(15) == 0 {
+		a.endsAt += stallPeriod
+	}
 	e.attempts = append(e.attempts, a)
 	return endpoint.Started{}
 }
--- a/internal/control/node/model_faults_test.go
+++ b/internal/control/node/model_faults_test.go
@@ -36,6 +36,7 @@
 	faultBurst        faultKind = "burst"
 	faultStoreLate    faultKind = "storeLate"
 	faultFailures     faultKind = "failures"
+	faultStall        faultKind = "stall"
 	faultGiveUp       faultKind = "giveUp"
 	faultDuplicate    faultKind = "duplicate"
 	faultNextLife     faultKind = "nextLife"
@@ -79,7 +80,7 @@
 var allFaults = []faultKind{
 	faultLoss, faultLate, faultCut, faultZoneCut, faultEndpointCut, faultCoreCut, faultFreeze, faultSlow, faultKill, faultPower, faultRoll,
 	faultStoreDown, faultStoreRefuses, faultStoreSlow, faultRevoke, faultCrash, faultReborn, faultRebornCut, faultAdd, faultLeave, faultBurst,
-	faultStoreLate, faultFailures, faultGiveUp, faultDuplicate, faultNextLife, faultStaleRequest, faultCallerCut, faultThawOrder,
+	faultStoreLate, faultFailures, faultStall, faultGiveUp, faultDuplicate, faultNextLife, faultStaleRequest, faultCallerCut, faultThawOrder,
 }
 
 // injectFaults causes faults of the world's kinds until a point in time.
