Use no endpoint that another instance has replaced

Callers saw: late jobs, where endpoints start again under another ID at the same address. Cause: an endpoint stayed usable after an answer 421 until its entry left the list. Change: such an endpoint is out of use until it answers a hold itself.

--- a/internal/control/leader/attempts.go
+++ b/internal/control/leader/attempts.go
@@ -213,6 +213,7 @@
 		l.endAttempt(t, EndReplaced{})
 	}
 	if request >= ep.acceptedSeq {
+		ep.replaced = true
 		l.removeOrphans(ep, EndReplaced{})
 	}
 }
--- a/internal/control/leader/endpoint_state.go
+++ b/internal/control/leader/endpoint_state.go
@@ -54,6 +54,8 @@
 	// unansweredHolds counts consecutive holds without an answer.
 	unansweredHolds int
 	lastReportAt    clock.Millis
+	// replaced means that another instance answers at the endpoint's address.
+	replaced bool
 	// unlisted means that the endpoint is missing from the platform's list.
 	unlisted bool
 	// usableFrom is when an endpoint that was added to the list may get tasks.
@@ -80,7 +82,7 @@
 
 // usable reports whether new tasks may be placed here.
 func (ep *endpointState) usable(now clock.Millis) bool {
-	return ep.clockReading != 0 && ep.contacted && ep.epoch <= shard.MaxEpoch && !ep.Draining && !ep.unlisted && ep.unansweredHolds < suspectAfterHolds &&
+	return ep.clockReading != 0 && ep.contacted && ep.epoch <= shard.MaxEpoch && !ep.replaced && !ep.Draining && !ep.unlisted && ep.unansweredHolds < suspectAfterHolds &&
 		now >= max(ep.usableFrom, ep.blockedUntil, ep.cappedLeaseEnd) && ep.health.usable(now, len(ep.tasks)) &&
 		(ep.activeOrphans == 0 || now < ep.adoptionEnd) && !ep.hasOverdueStop(now)
 }
--- a/internal/control/leader/order_test.go
+++ b/internal/control/leader/order_test.go
@@ -268,3 +268,19 @@
 		t.Errorf("got %s, want %s", got, want)
 	}
 }
+
+// Guards against starts that an endpoint's successor at the same address refuses one after the other
+// until the endpoint leaves the list.
+func TestReplacedEndpointGetsNoTasks(t *testing.T) {
+	c := newCluster(t, 23, 2)
+	l := c.addLeader(1, 256).leader
+	c.advance(50)
+	c.deliver(1, HoldEnded{Endpoint: "e00", Kind: Renewal, Sequence: l.sequence, Rejection: HoldOtherInstance})
+	if l.endpoints["e00"].usable(c.now) {
+		t.Errorf("got an endpoint that another instance has replaced usable, want it out of use")
+	}
+	c.advance(1100)
+	if !l.endpoints["e00"].usable(c.now) {
+		t.Errorf("got the endpoint out of use after it has answered itself, want it usable")
+	}
+}
--- a/internal/control/leader/status_report.go
+++ b/internal/control/leader/status_report.go
@@ -39,6 +39,7 @@
 	if ep.Born == 0 {
 		ep.Born, ep.bornSeq = e.Report.Incarnation, l.sequence
 	}
+	ep.replaced = false
 	l.acceptToken(ep, e.Sequence)
 	ep.lastReportAt = l.now
 	ep.unansweredHolds = 0
--- a/internal/control/node/model_execute_test.go
+++ b/internal/control/node/model_execute_test.go
@@ -8,7 +8,6 @@
 	"github.com/sequoiacart/sequoiacart/internal/control/node"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
-	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 )
 
 const (
@@ -23,7 +22,7 @@
 func (v *modelVM) execute(a node.Action) {
 	switch a := a.(type) {
 	case node.LeaderAction:
-		v.executeLeaderAction(a.Shard, a.Action)
+		v.executeLeaderAction(a)
 	case node.SendSubmission:
 		v.submit(a)
 	case node.SendHeartbeat:
@@ -43,6 +42,8 @@
 		v.fetchDesiredState(a)
 	case node.FetchEndpoints:
 		v.fetchEndpoints(a)
+	case node.ReadEndpoints:
+		v.endpointsFollower.wake()
 	case node.LogEvent:
 		v.world.trace.log(v, a)
 		if a.Topic == node.LeadershipAcquired {
@@ -51,29 +52,29 @@
 	}
 }
 
-func (v *modelVM) executeLeaderAction(id shard.ID, a leader.Action) {
-	switch a := a.(type) {
+func (v *modelVM) executeLeaderAction(a node.LeaderAction) {
+	switch request := a.Action.(type) {
 	case leader.Start:
-		v.sendStart(id, a)
+		v.sendStart(a, request)
 	case leader.Stop:
-		v.sendStop(id, a)
+		v.sendStop(a, request)
 	case leader.Hold:
-		v.sendHold(id, a)
+		v.sendHold(a, request)
 	case leader.Answer, leader.Fenced, leader.LogDecision:
 	}
 }
 
-func (v *modelVM) postToLeader(id shard.ID, e leader.Event) {
-	v.post(v.life, node.LeaderEvent{Shard: id, Event: e})
+func (v *modelVM) postToLeader(a node.LeaderAction, e leader.Event) {
+	v.post(v.life, a.Result(e))
 }
 
-func (v *modelVM) sendStart(id shard.ID, s leader.Start) {
+func (v *modelVM) sendStart(a node.LeaderAction, s leader.Start) {
 	v.world.trace.add(record{
 		vm: v.name, endpoint: s.Endpoint.ID, task: s.Task, format: "%s sends start of attempt %d token %s until %d",
 		args: []any{v.name, s.Attempt, formatToken(s.Token), s.LeaseUntil},
 	})
 	end := func(r endpoint.StartResult, at endpoint.Clock) {
-		v.postToLeader(id, leader.StartEnded{Endpoint: s.Endpoint.ID, Task: s.Task, Attempt: s.Attempt, Result: r, Clock: at})
+		v.postToLeader(a, leader.StartEnded{Endpoint: s.Endpoint.ID, Task: s.Task, Attempt: s.Attempt, SentTo: s.Endpoint.Born, Result: r, Clock: at})
 	}
 	x := v.newExchange(string(s.Endpoint.ID), startTimeout, v.lifeOf(s.Endpoint.ID), v.atEndpoint(s.Endpoint.ID, func(e *modelEndpoint, respond func(func())) {
 		result, at := e.startAttempt(s, v.name), e.clock()
@@ -87,14 +88,14 @@
 	})
 	v.later(slowStartDelay, func() {
 		if !x.done {
-			v.postToLeader(id, leader.StartSlow{Endpoint: s.Endpoint.ID, Task: s.Task, Attempt: s.Attempt})
+			v.postToLeader(a, leader.StartSlow{Endpoint: s.Endpoint.ID, Task: s.Task, Attempt: s.Attempt})
 		}
 	})
 }
 
-func (v *modelVM) sendStop(id shard.ID, s leader.Stop) {
+func (v *modelVM) sendStop(a node.LeaderAction, s leader.Stop) {
 	end := func(acknowledged bool) {
-		v.postToLeader(id, leader.StopEnded{Endpoint: s.Endpoint.ID, Task: s.Task, Attempt: s.Attempt, Acknowledged: acknowledged})
+		v.postToLeader(a, leader.StopEnded{Endpoint: s.Endpoint.ID, Task: s.Task, Attempt: s.Attempt, Sequence: s.Sequence, Acknowledged: acknowledged})
 	}
 	v.newExchange(string(s.Endpoint.ID), endpointCallTimeout, v.lifeOf(s.Endpoint.ID), v.atEndpoint(s.Endpoint.ID, func(e *modelEndpoint, respond func(func())) {
 		accepted := e.stopAttempt(s, v.name)
@@ -102,9 +103,9 @@
 	}), func(exchangeFailure) { end(false) })
 }
 
-func (v *modelVM) sendHold(id shard.ID, h leader.Hold) {
+func (v *modelVM) sendHold(a node.LeaderAction, h leader.Hold) {
 	end := func(report *endpoint.StatusReport, r leader.HoldRejection) {
-		v.postToLeader(id, leader.HoldEnded{Endpoint: h.Endpoint.ID, Kind: h.Kind, Sequence: h.Sequence, Report: report, Rejection: r})
+		v.postToLeader(a, leader.HoldEnded{Endpoint: h.Endpoint.ID, Kind: h.Kind, Sequence: h.Sequence, Report: report, Rejection: r})
 	}
 	v.newExchange(string(h.Endpoint.ID), endpointCallTimeout+fromMillis(h.Wait), v.lifeOf(h.Endpoint.ID), v.atEndpoint(h.Endpoint.ID, func(e *modelEndpoint, respond func(func())) {
 		e.hold(h, v.name, func(report *endpoint.StatusReport, r leader.HoldRejection) {
@@ -156,12 +157,14 @@
 
 func (v *modelVM) yield(a node.SendYield) {
 	end := func(accepted bool) {
-		v.post(v.life, node.YieldEnded{Shard: a.ReplicaSet.Cell, Accepted: accepted})
+		v.post(v.life, node.YieldEnded{Shard: a.ReplicaSet.Cell, Leadership: a.Leadership, Accepted: accepted})
 	}
 	v.callPeer(a.To.Address, peerTimeout, func(peer *modelVM, x *exchange) {
 		done := make(chan bool, 1)
 		await(peer, x, done, end)
-		peer.handle(node.PeerYielded{ReplicaSet: a.ReplicaSet, Endpoints: a.Endpoints, EndpointsVersion: a.EndpointsVersion, Done: done})
+		peer.handle(node.PeerYielded{
+			ReplicaSet: a.ReplicaSet, Token: a.Token, Expires: a.Expires, Endpoints: a.Endpoints, EndpointsVersion: a.EndpointsVersion, Complete: a.Complete, Done: done,
+		})
 	}, func(exchangeFailure) { end(false) })
 }
 
@@ -222,7 +225,7 @@
 
 func (v *modelVM) fetchEndpoints(a node.FetchEndpoints) {
 	v.callPeer(a.From.Address, peerTimeout, func(peer *modelVM, x *exchange) {
-		e := node.EndpointsLoaded{Endpoints: peer.publishedEndpoints, Version: peer.publishedVersion}
+		e := node.EndpointsLoaded{Endpoints: peer.publishedEndpoints, Version: peer.publishedVersion, Gap: true}
 		x.answer(func() { v.post(v.life, e) })
 	}, func(exchangeFailure) {})
 }
--- a/internal/control/node/model_follower_test.go
+++ b/internal/control/node/model_follower_test.go
@@ -9,6 +9,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
 )
 
 // modelFollower follows the changes of one table for a VM, with the pauses of the daemon's.
@@ -20,11 +21,20 @@
 	rows    map[string]storeRow
 	version int64
 	loaded  bool
+	// pauses numbers the pauses, and woken makes the next read due at once.
+	pauses int
+	paused bool
+	woken  bool
+	// sentAt is when the latest read was sent; gap says that rows may have come and gone since the
+	// one before.
+	sentAt clock.Millis
+	gap    bool
 }
 
 const (
 	desiredFeedWait             = second
 	feedWait                    = 2500 * ms
+	endpointsFeedWait           = 400 * ms
 	leaderEndpointsPause        = 400 * ms
 	successorEndpoints          = 1500 * ms
 	storeRetryPause             = 150 * ms
@@ -35,7 +45,30 @@
 
 func (v *modelVM) follow(t storeTable, wait micros, pause func() micros) {
 	f := &modelFollower{vm: v, table: t, wait: wait, pause: pause, rows: make(map[string]storeRow)}
-	v.later(noPause, f.read)
+	if t == tableEndpoints {
+		v.endpointsFollower = f
+	}
+	f.pauseFor(noPause)
+}
+
+// pauseFor reads the table after a pause.
+func (f *modelFollower) pauseFor(pause micros) {
+	f.pauses++
+	n := f.pauses
+	f.paused = true
+	f.vm.later(pause, func() {
+		if n == f.pauses {
+			f.read()
+		}
+	})
+}
+
+// wake makes the next read due at once.
+func (f *modelFollower) wake() {
+	f.woken = true
+	if f.paused {
+		f.pauseFor(noPause)
+	}
 }
 
 func (v *modelVM) endpointsPause() micros {
@@ -53,11 +86,14 @@
 
 // read reads the table or waits for its changes, and then calls itself again.
 func (f *modelFollower) read() {
+	f.paused = false
 	pause := f.pause()
-	if pause < 0 {
-		f.vm.later(storeRetryPause, f.read)
+	if pause < 0 && !f.woken {
+		f.pauseFor(storeRetryPause)
 		return
 	}
+	pause = max(pause, noPause)
+	f.woken, f.sentAt, f.gap = false, f.vm.clock(), !f.loaded
 	limit := storeTimeout
 	if f.loaded {
 		limit += f.wait
@@ -71,7 +107,7 @@
 			}
 			f.await(x, pause)
 		})
-	}, func(exchangeFailure) { f.vm.later(storeRetryPause, f.read) })
+	}, func(exchangeFailure) { f.pauseFor(storeRetryPause) })
 }
 
 // await answers once there are changes, or after the wait.
@@ -101,15 +137,19 @@
 		for _, r := range rows {
 			if r.removed {
 				delete(f.rows, r.key)
+				f.gap = true
 				continue
 			}
 			f.rows[r.key] = r
 		}
-		if !f.loaded || len(rows) > 0 {
+		if !f.loaded || len(rows) > 0 || f.table == tableEndpoints {
 			f.changed(version)
 		}
 		f.loaded, f.version = true, version
-		f.vm.later(pause, f.read)
+		if f.woken {
+			pause = noPause
+		}
+		f.pauseFor(pause)
 	})
 }
 
@@ -142,6 +182,6 @@
 		for _, r := range all {
 			endpoints = append(endpoints, r.value.(endpoint.Endpoint))
 		}
-		f.vm.post(f.vm.life, node.EndpointsLoaded{Endpoints: endpoints, Version: version})
+		f.vm.post(f.vm.life, node.EndpointsLoaded{Endpoints: endpoints, Version: version, ReadAt: f.sentAt, Gap: f.gap})
 	}
 }
--- a/internal/control/node/model_trace_test.go
+++ b/internal/control/node/model_trace_test.go
@@ -115,7 +115,7 @@
 
 func formatTime(t micros) string { return fmt.Sprintf("%.3f", float64(t)/float64(ms)) }
 
-func formatToken(t shard.Token) string { return fmt.Sprintf("%d.%d", t>>8, t&0xff) }
+func formatToken(t shard.Token) string { return fmt.Sprintf("%d.%d.%d", t>>16, t>>8&0xff, t&0xff) }
 
 func endName(e endpoint.End) string {
 	switch e {
--- a/internal/control/node/model_vm_test.go
+++ b/internal/control/node/model_vm_test.go
@@ -23,6 +23,8 @@
 	dc     datacentre.ID
 	cpu    int
 	random *rand.Rand
+	// endpointsFollower follows the list of endpoints.
+	endpointsFollower *modelFollower
 
 	up bool
 	// silent means that a VM that is down does not refuse connections either.
@@ -101,7 +103,7 @@
 	v.follow(tableOperator, desiredFeedWait, func() micros { return noPause })
 	v.follow(tableVMs, feedWait, func() micros { return noPause })
 	v.follow(tableReplicaSets, feedWait, func() micros { return noPause })
-	v.follow(tableEndpoints, feedWait, v.endpointsPause)
+	v.follow(tableEndpoints, endpointsFeedWait, v.endpointsPause)
 	v.register()
 	v.tick(v.life)
 }
