Let the model test follow the messages of the fixed code

Cause: requests and events carry sequences, incarnations, leaderships, the time of a read and the time by which they have to be sent. Change: the model's VMs, followers and deliveries do what the daemon does.

--- a/internal/control/node/model_exchange_test.go
+++ b/internal/control/node/model_exchange_test.go
@@ -15,6 +15,9 @@
 	life int
 	to   string
 	done bool
+	// beforeSend is called when the request is due, and reports whether it may still be sent; it may
+	// be nil.
+	beforeSend func() bool
 	// fail receives why there was no answer.
 	fail func(exchangeFailure)
 }
@@ -41,6 +44,10 @@
 	v.world.order++
 	x := &exchange{id: v.world.order, vm: v, life: v.life, to: to, fail: fail}
 	v.later(v.executionDelay(), func() {
+		if x.beforeSend != nil && !x.beforeSend() {
+			x.finish(func() { fail(callNotSent) })
+			return
+		}
 		v.later(limit, func() { x.finish(func() { fail(callTimedOut) }) })
 		sentAt, connectedTo := v.world.now, life()
 		sent := v.world.network.send(v.name, to, func() {
--- a/internal/control/node/model_execute_test.go
+++ b/internal/control/node/model_execute_test.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/sequoiacart/sequoiacart/internal/control/failover"
+	"github.com/sequoiacart/sequoiacart/internal/control/gateway"
 	"github.com/sequoiacart/sequoiacart/internal/control/leader"
 	"github.com/sequoiacart/sequoiacart/internal/control/node"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
@@ -86,6 +87,7 @@
 		}
 		end(endpoint.NoAnswer{Cause: "no answer"}, 0)
 	})
+	x.beforeSend = func() bool { return v.clock() <= s.SendBy }
 	v.later(slowStartDelay, func() {
 		if !x.done {
 			v.postToLeader(a, leader.StartSlow{Endpoint: s.Endpoint.ID, Task: s.Task, Attempt: s.Attempt})
@@ -107,11 +109,17 @@
 	end := func(report *endpoint.StatusReport, r leader.HoldRejection) {
 		v.postToLeader(a, leader.HoldEnded{Endpoint: h.Endpoint.ID, Kind: h.Kind, Sequence: h.Sequence, Report: report, Rejection: r})
 	}
-	v.newExchange(string(h.Endpoint.ID), endpointCallTimeout+fromMillis(h.Wait), v.lifeOf(h.Endpoint.ID), v.atEndpoint(h.Endpoint.ID, func(e *modelEndpoint, respond func(func())) {
+	x := v.newExchange(string(h.Endpoint.ID), endpointCallTimeout+fromMillis(h.Wait), v.lifeOf(h.Endpoint.ID), v.atEndpoint(h.Endpoint.ID, func(e *modelEndpoint, respond func(func())) {
 		e.hold(h, v.name, func(report *endpoint.StatusReport, r leader.HoldRejection) {
 			respond(func() { end(report, r) })
 		})
 	}), func(exchangeFailure) { end(nil, leader.HoldUnanswered) })
+	x.beforeSend = func() bool {
+		if v.clock() > h.SendBy {
+			h.LeaseUntil = 0
+		}
+		return true
+	}
 }
 
 func (v *modelVM) callPeer(address string, limit micros, arrive func(*modelVM, *exchange), fail func(exchangeFailure)) {
@@ -129,7 +137,7 @@
 func (v *modelVM) submit(a node.SendSubmission) {
 	limit := fromMillis(max(a.Submission.Limit-a.Submission.Waited, 0)) + submitMargin
 	end := func(o job.Outcome) {
-		v.post(v.life, node.SubmitAnswered{Key: a.Submission.Key, From: a.Shard, Outcome: o})
+		v.post(v.life, node.SubmitAnswered{Key: a.Submission.Key, From: gateway.Responder{Shard: a.Shard, VM: a.To.Incarnation}, Outcome: o})
 	}
 	v.callPeer(a.To.Address, limit, func(peer *modelVM, x *exchange) {
 		ended := make(chan job.Outcome, 1)
@@ -163,7 +171,7 @@
 		done := make(chan bool, 1)
 		await(peer, x, done, end)
 		peer.handle(node.PeerYielded{
-			ReplicaSet: a.ReplicaSet, Token: a.Token, Expires: a.Expires, Endpoints: a.Endpoints, EndpointsVersion: a.EndpointsVersion, Complete: a.Complete, Done: done,
+			ReplicaSet: a.ReplicaSet, From: a.From, Token: a.Token, Expires: a.Expires, Endpoints: a.Endpoints, EndpointsVersion: a.EndpointsVersion, Done: done,
 		})
 	}, func(exchangeFailure) { end(false) })
 }
