Give requests of one event before and after a raised token different numbers, and withhold leases after a pause

Callers would see: a shard without its leader, and attempts that outlast their caller. Cause: the first event after a pause asks all endpoints for reports before it is handled. If it shows a restart, requests under the former and the raised token had the same number: the answer to the former one counted for the raised token, and a refusal of it ended the leadership. The reports also extended the leases of jobs that had expired during the pause. Evidence: TestRestartInTheFirstEventAfterAPause failed with both, TestPauseExtendsNoLeasesOfExpiredJobs with an attempt whose lease lasts another 177 ms when its job is resent. Change: a raised token takes a number of its own. No request extends leases after a pause until a tick has abandoned the jobs that expired and the endpoints have answered. Measured: tests of internal/control pass.

--- a/internal/control/leader/freeze_test.go
+++ b/internal/control/leader/freeze_test.go
@@ -6,6 +6,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 )
 
 // Guards against starts for a job whose lease expired while the leader's VM was frozen: the first
@@ -85,3 +86,57 @@
 		}
 	}
 }
+
+// Guards against a leader that steps down because of its own raised token, or counts it as accepted
+// too early: it learns of a restart in the first event after a pause, in which it has sent a request
+// under the former token already.
+func TestRestartInTheFirstEventAfterAPause(t *testing.T) {
+	c := newCluster(t, 17, 1)
+	f := c.addLeader(1, 256)
+	c.advance(50)
+	l, e := f.leader, c.endpoints["e00"]
+	f.stopped = true
+	c.advance(2000)
+	c.crash(e)
+	c.advance(100)
+	actions := l.Handle(c.now, HoldEnded{Endpoint: e.ID, Kind: Watch, Sequence: l.sequence, Report: c.statusReport(e)})
+	for _, a := range actions {
+		h, ok := a.(Hold)
+		if !ok || h.Token != firstEpoch(256) {
+			continue
+		}
+		for _, a := range l.Handle(c.now+1, HoldEnded{Endpoint: e.ID, Kind: h.Kind, Sequence: h.Sequence, Rejection: HoldFenced}) {
+			if _, ok := a.(Fenced); ok {
+				t.Errorf("got the leader fenced out by its own raised token, want it to lead")
+			}
+		}
+		l.Handle(c.now+2, HoldEnded{Endpoint: e.ID, Kind: h.Kind, Sequence: h.Sequence, Report: c.statusReport(e)})
+		if l.endpoints[e.ID].tokenAccepted() {
+			t.Errorf("got the raised token accepted by the answer to a request under the former one")
+		}
+	}
+}
+
+// Guards against attempts that outlast the job of a lost entry VM because the first event after a
+// pause extends the leases of jobs that expired during it, and the stops are lost.
+func TestPauseExtendsNoLeasesOfExpiredJobs(t *testing.T) {
+	c := newCluster(t, 20, 1)
+	c.duration = func(job.TaskName) clock.Millis { return 5000 }
+	f := c.addLeader(1, 256)
+	c.advance(50)
+	c.deliver(1, JobLeasesRenewed{Entry: "a-1", Sent: c.now, Waiting: []uint64{1}, LastSeq: 1})
+	lastRenewal := c.now
+	s := submission("a-1", 1, 1)
+	s.Part, s.Limit = true, 20*clock.Second
+	c.deliver(1, Submitted{Submission: s})
+	c.advance(330)
+	f.frozenUntil = c.now + 560
+	c.fault = func(_ int, _ datacentre.EndpointID, a Action) delivery {
+		_, ok := a.(Stop)
+		return delivery{lost: ok}
+	}
+	c.advance(lastRenewal + 1300 - c.now)
+	if e := c.endpoints["e00"]; e.attempts[TaskName(s.Job.ID, 0, 0)] != nil {
+		t.Errorf("got an attempt with a lease for another %d ms when the job is resent, want none", e.leaseEnd-e.clock(c.now))
+	}
+}
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -286,6 +286,9 @@
 			l.abandon(j, job.TimeLimit)
 		}
 	}
+	if l.resuming {
+		l.checkResumed()
+	}
 	l.refuseLateJobs()
 	for _, ep := range l.sortedEndpoints {
 		l.checkEndpoint(ep)
--- a/internal/control/leader/lease.go
+++ b/internal/control/leader/lease.go
@@ -40,13 +40,14 @@
 
 // leaseUntil returns the end of the lease that a request to an endpoint may grant now. A request
 // extends the lease of everything that runs there, so it reports false while an attempt has to end
-// that the endpoint may not have been told to stop.
+// that the endpoint may not have been told to stop, and after a pause, until it is known which have
+// to.
 func (l *Leader) leaseUntil(ep *endpointState) (endpoint.Clock, bool) {
 	lease := l.config.Timeouts.AttemptLease
 	if ep.activeOrphans > 0 {
 		lease = min(lease, ep.adoptionEnd+orphanLease-l.now)
 	}
-	if ep.clockReading == 0 || lease <= 0 || ep.hasOverdueStop(l.now) {
+	if l.resuming || ep.clockReading == 0 || lease <= 0 || ep.hasOverdueStop(l.now) {
 		return 0, false
 	}
 	return ep.earliestClock(l.now) + endpoint.Clock(lease), true
@@ -88,6 +89,8 @@
 // the leases that they may have extended before expire at cappedLeaseEnd.
 func (l *Leader) raiseToken(ep *endpointState) {
 	ep.epoch++
+	// A request of this event may have been sent under the former token.
+	l.sequence++
 	ep.contacted, ep.tokenSeq = false, l.sequence
 	ep.clockReading = 0
 	ep.cappedLeaseEnd = l.now + l.config.Timeouts.cappedLeaseExpiry()
--- a/internal/control/leader/pause.go
+++ b/internal/control/leader/pause.go
@@ -17,7 +17,8 @@
 }
 
 // checkResumed ends the wait after a pause once a request that was sent since then has been answered
-// by every listed endpoint, or has failed there.
+// by every listed endpoint, or has failed there. Jobs whose leases expired during the pause have been
+// abandoned by then.
 func (l *Leader) checkResumed() {
 	for _, ep := range l.sortedEndpoints {
 		if ep.resolvedSeq < l.resumedSeq && !ep.unlisted {
--- a/internal/control/leader/status_report.go
+++ b/internal/control/leader/status_report.go
@@ -20,9 +20,6 @@
 		ep.renewing = false
 	}
 	ep.resolvedSeq = max(ep.resolvedSeq, e.Sequence)
-	if l.resuming {
-		l.checkResumed()
-	}
 	if e.Report == nil {
 		l.handleHoldFailed(ep, e)
 		return
