Let a submission that arrives late end no later one of the same caller

Callers would see: 502 for a job that runs. Cause: a leader ended any other submission of a job, also the one that had replaced the arriving one at the same entry VM. Evidence: TestReplacedSubmissionEndsNoLaterOne failed with 'stopped superseded'. Change: a submission of an earlier request of the same entry VM is refused as late. Measured: the test passes.

--- a/internal/control/leader/admission.go
+++ b/internal/control/leader/admission.go
@@ -39,6 +39,12 @@
 		l.emit(Answer{Key: s.Key, Outcome: job.Refused{Reason: job.NoDesiredState, RetryAfter: retryAfter}})
 		return
 	}
+	for _, later := range l.jobsByID[s.Job.ID] {
+		if later.Key.Entry == s.Key.Entry && later.Attempt > s.Attempt {
+			l.emit(Answer{Key: s.Key, Outcome: job.Refused{Reason: job.LateMessage, RetryAfter: retryAfter}})
+			return
+		}
+	}
 	j := newJobState(s, l.now)
 	l.setDeadlines(j)
 	for _, earlier := range slices.Clone(l.jobsByID[s.Job.ID]) {
--- a/internal/control/leader/resent_test.go
+++ b/internal/control/leader/resent_test.go
@@ -66,3 +66,24 @@
 		})
 	}
 }
+
+// Guards against a submission that arrives after the one that replaces it, and ends that: the caller
+// has sent the job again to the same VM.
+func TestReplacedSubmissionEndsNoLaterOne(t *testing.T) {
+	c := newCluster(t, 23, 2)
+	c.duration = func(job.TaskName) clock.Millis { return 300 }
+	c.addLeader(1, 256)
+	c.advance(50)
+	c.renewLeases(1, "a-1", 2)
+	first := submission("a-1", 1, 1)
+	first.Attempt = 1
+	second := first
+	second.Key.Seq, second.Attempt = 2, 2
+	c.deliver(1, Submitted{Submission: second})
+	c.advance(20)
+	c.deliver(1, Submitted{Submission: first})
+	c.advance(1000)
+	if got, want := outcomeName(c.outcomes[second.Key]), "job.Completed"; got != want {
+		t.Errorf("got %s for the submission that the caller waits for, want %s", got, want)
+	}
+}
