Drop every report of another incarnation that was requested before the present one was known

Callers would see: late jobs. Cause: a late report of the former incarnation counted as another restart if its time of day was later. It raised the epoch, lost the attempts and blocked the endpoint for 1.5 s, twice. Evidence: TestLateReportOfALaterTimeOfDay failed. Change: the order of the requests alone decides. Measured: the test passes.

--- a/internal/control/leader/order_test.go
+++ b/internal/control/leader/order_test.go
@@ -284,3 +284,22 @@
 		t.Errorf("got the endpoint out of use after it has answered itself, want it usable")
 	}
 }
+
+// Guards against a report of the former incarnation that counts as another restart because its time
+// of day is later.
+func TestLateReportOfALaterTimeOfDay(t *testing.T) {
+	c := newCluster(t, 24, 1)
+	e := c.endpoints["e00"]
+	e.Born = 1000
+	l := c.addLeader(1, 256).leader
+	c.advance(50)
+	late := HoldEnded{Endpoint: e.ID, Kind: Renewal, Sequence: l.sequence, Report: c.statusReport(e)}
+	c.crash(e)
+	e.Born = 900
+	c.advance(1200)
+	epoch := l.endpoints[e.ID].epoch
+	c.deliver(1, late)
+	if got := l.endpoints[e.ID]; got.epoch != epoch || got.Born != 900 {
+		t.Errorf("got incarnation %d and epoch %d after a late report, want 900 and %d", got.Born, got.epoch, epoch)
+	}
+}
--- a/internal/control/leader/status_report.go
+++ b/internal/control/leader/status_report.go
@@ -24,9 +24,9 @@
 		l.handleHoldFailed(ep, e)
 		return
 	}
-	if e.Report.Incarnation < ep.Born && e.Sequence < ep.bornSeq {
-		// This report of an earlier incarnation has arrived late. Incarnations are times of day, so a
-		// later one may be lower.
+	if e.Report.Incarnation != ep.Born && e.Sequence < ep.bornSeq {
+		// This report is of an earlier incarnation, or of a later one that the next report will show.
+		// Incarnations are times of day, which can go back, so the order of requests decides.
 		return
 	}
 	if ep.Born != 0 && e.Report.Incarnation != ep.Born {
