Add tests that need each part of the incident's fix

The review of the fix removed parts of it one by one and found several that no test needed, since another part masked them. Each of the new or changed tests fails without its part, tried one by one on a scratch copy: the epoch in the token, the lease of an orphan, the lease check and the age of the list in the dispatch, the wait after a pause, the check of the leadership, gaps that a hand-over reveals, and the order of answers around a raised token.

TestNothingStartsAfterTheJobLeaseExpired has a second case, after a short freeze. TestFencedLeaderStartsNothing waits with ticks and renewals instead of a jump of the clock, which another check took for a pause. TestNothingStartsAfterAPauseBeforeEndpointsAnswer confirms the start, so that its lease counts as over.

--- a/internal/control/leader/freeze_test.go
+++ b/internal/control/leader/freeze_test.go
@@ -11,29 +11,40 @@
 
 // Guards against starts for a job whose lease expired while the leader's VM was frozen: the first
 // event after the thaw is the answer to a hold, not a tick. The entry VM has handed the job to
-// another leader, which relies on the end of the lease.
+// another leader, which relies on the end of the lease. After a short freeze, the leader does not
+// wait for its endpoints.
 func TestNothingStartsAfterTheJobLeaseExpired(t *testing.T) {
-	c := newCluster(t, 17, 1)
-	f := c.addLeader(1, 256)
-	c.advance(50)
-	c.renewLeases(1, "b-1", 1)
-	c.duration = func(job.TaskName) clock.Millis { return 40 }
-	c.deliver(1, Submitted{Submission: submission("b-1", 1, 2)})
-	c.advance(5)
-	waiting := submission("a-1", 2, 1)
-	c.deliver(1, Submitted{Submission: waiting})
-	name := TaskName(waiting.Job.ID, 0, 0)
-	if o, started := c.outcomes[waiting.Key], c.starts[name]; o != nil || started != 0 {
-		t.Fatalf("got %s and %d starts, want the job queued", outcomeName(o), started)
-	}
-	f.frozenUntil = c.now + 1500
-	c.advance(1499)
-	f.stopped = true
-	l, e := f.leader, c.endpoints["e00"]
-	for _, a := range l.Handle(c.now, HoldEnded{Endpoint: e.ID, Kind: Watch, Sequence: l.sequence, Report: c.statusReport(e)}) {
-		if s, ok := a.(Start); ok && s.Task == name {
-			t.Errorf("got a start %d ms after the job's last renewal, want none after %d ms", c.now-l.jobs[waiting.Key].receivedAt, testTimeouts().JobLease)
-		}
+	for _, tt := range []struct {
+		name               string
+		freezeAt, freezeMs clock.Millis
+		duration           clock.Millis
+	}{{"long freeze", 0, 1500, 40}, {"short freeze", 200, 250, 300}} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCluster(t, 17, 1)
+			f := c.addLeader(1, 256)
+			c.advance(50)
+			c.renewLeases(1, "b-1", 1)
+			c.duration = func(job.TaskName) clock.Millis { return tt.duration }
+			c.deliver(1, Submitted{Submission: submission("b-1", 1, 2)})
+			c.advance(5)
+			waiting := submission("a-1", 2, 1)
+			waiting.Part, waiting.Limit = true, 20*clock.Second
+			c.deliver(1, Submitted{Submission: waiting})
+			c.advance(tt.freezeAt)
+			name := TaskName(waiting.Job.ID, 0, 0)
+			if o, started := c.outcomes[waiting.Key], c.starts[name]; o != nil || started != 0 {
+				t.Fatalf("got %s and %d starts, want the job queued", outcomeName(o), started)
+			}
+			f.frozenUntil = c.now + tt.freezeMs
+			c.advance(tt.freezeMs - 1)
+			f.stopped = true
+			l, e := f.leader, c.endpoints["e00"]
+			for _, a := range l.Handle(c.now, HoldEnded{Endpoint: e.ID, Kind: Watch, Sequence: l.sequence, Report: c.statusReport(e)}) {
+				if s, ok := a.(Start); ok && s.Task == name {
+					t.Errorf("got a start %d ms after the job's last renewal, want none after %d ms", c.now-l.jobs[waiting.Key].receivedAt, testTimeouts().JobLease)
+				}
+			}
+		})
 	}
 }
 
--- a/internal/control/leader/lease_test.go
+++ b/internal/control/leader/lease_test.go
@@ -76,6 +76,34 @@
 	}
 }
 
+// Guards against a start that was given up long before its endpoint restarts, and that is carried out
+// after the new incarnation has answered: only the epoch in the token keeps it out.
+func TestStartsOfTheFormerIncarnationAreFenced(t *testing.T) {
+	c := newCluster(t, 32, 2)
+	for _, e := range c.endpoints {
+		e.clockStart = 500_000
+	}
+	c.addLeader(1, 256)
+	c.advance(50)
+	var first datacentre.EndpointID
+	from := c.now
+	c.fault = func(_ int, e datacentre.EndpointID, a Action) delivery {
+		_, start := a.(Start)
+		if first == "" && start {
+			first = e
+			return delivery{delay: 3500}
+		}
+		return delivery{lost: e == first && c.now-from < 2100}
+	}
+	c.longJob(12_000)
+	c.advance(2200)
+	c.crash(c.endpoints[first])
+	c.advance(3000)
+	if got, want := c.maxConcurrentAttempts, 1; got != want {
+		t.Errorf("got %d concurrent attempts of a task, want %d", got, want)
+	}
+}
+
 // Guards against a task that runs twice at the same time because the lease at an endpoint that has
 // restarted lasts longer than computed: a request whose lease was computed from the clock of the
 // earlier incarnation extends leases in the new one to the longest that endpoints grant.
@@ -234,3 +262,34 @@
 		t.Errorf("got %d concurrent attempts of a task, want %d", got, want)
 	}
 }
+
+// Guards against a task that runs twice because an attempt of an earlier leader is forgotten while it
+// runs: its lease was computed from the clock of an earlier incarnation, and the endpoint is silent
+// once it has reported the attempt.
+func TestLeaseOfAnOrphanOfARestartedEndpoint(t *testing.T) {
+	c := newCluster(t, 34, 2)
+	c.duration = func(job.TaskName) clock.Millis { return 5000 }
+	s := submission("a-1", 1, 1)
+	s.Part, s.Limit, s.Adopt = true, 20*clock.Second, true
+	name := TaskName(s.Job.ID, 0, 0)
+	e := c.endpoints["e01"]
+	e.attempts[name] = &fakeAttempt{name: name, number: 1, startedAt: c.now, endsAt: c.now + 5000}
+	e.lastAttempts[name] = 1
+	e.leaseEnd = e.clock(c.now) + longestLease
+	c.addLeader(1, 256)
+	c.advance(5)
+	if got := c.leaders[1].leader.endpoints[e.ID].activeOrphans; got != 1 {
+		t.Fatalf("got %d attempts of an earlier leader, want 1", got)
+	}
+	c.fault = func(_ int, id datacentre.EndpointID, _ Action) delivery { return delivery{lost: id == e.ID} }
+	c.advance(700)
+	c.renewLeases(1, "a-1", 1)
+	c.deliver(1, Submitted{Submission: s})
+	c.advance(2000)
+	if got, want := c.maxConcurrentAttempts, 1; got != want {
+		t.Errorf("got %d concurrent attempts of a task, want %d", got, want)
+	}
+	if c.starts[name] == 0 {
+		t.Errorf("got no start of the task once the lease has expired, want one")
+	}
+}
--- a/internal/control/leader/takeover_test.go
+++ b/internal/control/leader/takeover_test.go
@@ -194,3 +194,26 @@
 		t.Errorf("got %s, want %s", got, want)
 	}
 }
+
+// Guards against a list that was read after the take-over, but long before a job was submitted again:
+// the leader that had the job may have started its tasks at an endpoint that was added since.
+func TestListFromBeforeTheJobProvesNothing(t *testing.T) {
+	c := newCluster(t, 35, 2)
+	f := c.addLeader(1, 256)
+	f.relists = false
+	c.advance(3000)
+	s := submission("a-1", 1, 1)
+	s.Part, s.Limit, s.Adopt = true, 20*clock.Second, true
+	name := TaskName(s.Job.ID, 0, 0)
+	c.renewLeases(1, "a-1", 1)
+	c.deliver(1, Submitted{Submission: s})
+	c.advance(500)
+	if got := c.starts[name]; got != 0 {
+		t.Errorf("got %d starts with a list that is 3 s old, want none", got)
+	}
+	c.deliver(1, EndpointsListed{Endpoints: c.endpointList(), Complete: true, List: EndpointList{ReadAt: c.now}})
+	c.advance(20)
+	if got := c.starts[name]; got != 1 {
+		t.Errorf("got %d starts once the list is read again, want 1", got)
+	}
+}
--- a/internal/control/node/endpoint_list_test.go
+++ b/internal/control/node/endpoint_list_test.go
@@ -156,3 +156,41 @@
 		})
 	}
 }
+
+// Guards against a list that is taken for complete although a hand-over shows endpoints that this VM
+// has not read of, or a version whose changes it has not followed: others may have come and gone.
+func TestHandOverMayRevealGaps(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		endpoints []endpoint.Endpoint
+		version   int64
+		starts    int
+	}{
+		{"list of this VM", firstList(), 2, 1},
+		{"unknown endpoint", append(firstList(), newEndpoint("centro", "e3")), 2, 0},
+		{"later version", firstList(), 3, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.now += 2 * listCompleteDelay
+			h.handle(EndpointsLoaded{Version: 2, ReadAt: h.now, Endpoints: firstList()})
+			h.handle(PeerYielded{
+				ReplicaSet: replicaSet("centro", 5, "peer-1", "me-1"), From: "peer-1", Endpoints: tt.endpoints, EndpointsVersion: tt.version, Done: make(chan bool, 1),
+			})
+			h.advance(10)
+			h.answerHolds(nil)
+			h.handle(EndpointsLoaded{Version: 4, ReadAt: h.now, Endpoints: firstList()})
+			s := resubmittedJob()
+			s.Earlier = "peer-9"
+			h.handle(PeerSubmitted{Shard: "centro", Submission: s, Ended: make(chan job.Outcome, 1)})
+			starts := 0
+			for range 5 {
+				h.advance(20)
+				starts += len(h.answerHolds(nil))
+			}
+			if starts != tt.starts {
+				t.Errorf("got %d starts within 100 ms, want %d", starts, tt.starts)
+			}
+		})
+	}
+}
--- a/internal/control/node/leadership_test.go
+++ b/internal/control/node/leadership_test.go
@@ -146,9 +146,22 @@
 	h := leaderOfCentro(t)
 	present := h.control.ledShards["centro"].id
 	h.answerHold(present, "e1", 40)
-	h.handle(PeerSubmitted{Shard: "centro", Submission: movedSubmission(), Ended: make(chan job.Outcome, 1)})
-	h.now += 2 * clock.Second
-	h.actions = nil
+	moved := movedSubmission()
+	// A part is not refused while it waits.
+	moved.Part = true
+	h.handle(PeerSubmitted{Shard: "centro", Submission: moved, Ended: make(chan job.Outcome, 1)})
+	renew := func(now clock.Millis) {
+		h.handle(LeaderEvent{Shard: "centro", Leadership: present, Event: leader.JobLeasesRenewed{Entry: "n-1", Sent: now, Waiting: []uint64{1}, LastSeq: 1}})
+	}
+	waitEnds := h.now + h.control.config.Timeouts.EarlierAttemptsExpireAfter()
+	for h.now < waitEnds-20 {
+		h.advance(10)
+		renew(h.now)
+	}
+	if starts := startedTasks(h); len(starts) != 0 {
+		t.Fatalf("got %d starts before the wait ends, want none", len(starts))
+	}
+	h.now = waitEnds
 	h.handle(LeaderEvent{Shard: "centro", Leadership: present, Event: leader.HoldEnded{Endpoint: "e2", Kind: leader.Watch, Sequence: 41, Rejection: leader.HoldFenced}})
 	if starts := startedTasks(h); len(starts) != 0 || h.isLeader("centro") {
 		t.Errorf("got %d starts and leader %v after an endpoint has accepted a higher token, want neither", len(starts), h.isLeader("centro"))
@@ -160,12 +173,16 @@
 func TestNothingStartsAfterAPauseBeforeEndpointsAnswer(t *testing.T) {
 	h := leaderOfCentro(t)
 	present := h.control.ledShards["centro"].id
-	h.answerHold(present, "e1", 40)
-	h.answerHold(present, "e2", 41)
+	h.answerHold(present, "e1", 1)
+	h.answerHold(present, "e2", 1)
 	h.handle(JobArrived{Job: movedSubmission().Job, Limit: 3000, Accepted: make(chan job.Key, 1), Ended: make(chan job.Outcome, 1)})
-	if starts := startedTasks(h); len(starts) != 1 {
+	starts := startedTasks(h)
+	if len(starts) != 1 {
 		t.Fatalf("got %d starts, want one", len(starts))
 	}
+	h.handle(LeaderEvent{Shard: "centro", Leadership: present, Event: leader.StartEnded{
+		Endpoint: starts[0].Endpoint.ID, SentTo: 1, Task: starts[0].Task, Attempt: starts[0].Attempt, Result: endpoint.Started{}, Clock: 5001,
+	}})
 	h.now += 1200
 	h.handle(Tick{})
 	if starts := startedTasks(h); len(starts) != 0 {
