--- a/internal/control/leader/takeover_test.go
+++ b/internal/control/leader/takeover_test.go
@@ -217,3 +217,34 @@
 		t.Errorf("got %d starts once the list is read again, want 1", got)
 	}
 }
+
+// Guards against attempts that outlast the wait of their caller because two leaders in a row are lost
+// soon after they have taken over: each extends the leases of attempts that no job has adopted.
+func TestLeadersInARowExtendNoUnadoptedAttempts(t *testing.T) {
+	c := newCluster(t, 26, 1)
+	c.duration = func(job.TaskName) clock.Millis { return 5000 }
+	f := c.addLeader(1, 256)
+	c.advance(50)
+	s := submission("a-1", 1, 1)
+	s.Part, s.Limit = true, 20*clock.Second
+	c.deliver(1, JobLeasesRenewed{Entry: "a-1", Sent: c.now, Waiting: []uint64{1}, LastSeq: 1})
+	c.deliver(1, Submitted{Submission: s})
+	c.advance(8)
+	// The entry VM and the leader lose power.
+	lostAt := c.now
+	f.stopped = true
+	c.advance(570)
+	second := c.addLeader(2, 257)
+	c.advance(20)
+	second.stopped = true
+	c.advance(350)
+	c.fault = func(_ int, _ datacentre.EndpointID, a Action) delivery {
+		_, ok := a.(Stop)
+		return delivery{lost: ok}
+	}
+	c.addLeader(3, 258)
+	c.advance(lostAt + 1300 - c.now)
+	if e := c.endpoints["e00"]; e.attempts[TaskName(s.Job.ID, 0, 0)] != nil {
+		t.Errorf("got an attempt with a lease for another %d ms when the job is sent again, want none", e.leaseEnd-e.clock(c.now))
+	}
+}
--- a/internal/control/node/endpoints.go
+++ b/internal/control/node/endpoints.go
@@ -89,8 +89,8 @@
 	return inShard
 }
 
-// endpointList describes the list of endpoints and says whether it has all endpoints with attempts
-// of an earlier leader. handedOverBy is the leader that has handed over the shard, or empty.
+// endpointList describes the list of endpoints and says whether it had, when it was read, all endpoints
+// with attempts of an earlier leader. handedOverBy is the leader that has handed over the shard, or empty.
 func (n *Control) endpointList(handedOverBy vm.Incarnation) (list leader.EndpointList, complete bool) {
 	list = leader.EndpointList{
 		Version: n.endpointsVersion, ReadAt: n.endpointsReadAt, LastMissingAt: n.lastMissingAt, HandedOverBy: handedOverBy,
