Share the set-up of tests of late starts and of resubmitted jobs

Two pairs of tests stood nearly twice. The checks and times are the same; the job of TestLateStartInANewIncarnation is 12 s long instead of 8 s.

--- a/internal/control/leader/lease_test.go
+++ b/internal/control/leader/lease_test.go
@@ -44,29 +44,37 @@
 	}
 }
 
-// Guards against a task that runs twice at the same time because an endpoint carries out a start
-// after it has restarted under its ID: the new incarnation has seen neither a stop nor a fencing
-// token, and by its clock the lease of the start is far from over.
-func TestLateStartInANewIncarnation(t *testing.T) {
-	c := newCluster(t, 32, 2)
+// delayedStart returns a cluster of two endpoints with a leader, and a job whose first start takes
+// effect after a delay. The endpoint of that start does not answer until silentFor has passed, and
+// restarts at restartAt. All times count from the submission.
+func delayedStart(t *testing.T, delay, silentFor, restartAt clock.Millis) (c *cluster, s job.Submission, first datacentre.EndpointID) {
+	t.Helper()
+	c = newCluster(t, 32, 2)
 	for _, e := range c.endpoints {
 		e.clockStart = 500_000
 	}
 	c.addLeader(1, 256)
 	c.advance(50)
-	var first datacentre.EndpointID
 	from := c.now
 	c.fault = func(_ int, e datacentre.EndpointID, a Action) delivery {
 		_, start := a.(Start)
 		if first == "" && start {
 			first = e
-			return delivery{delay: 2000}
+			return delivery{delay: delay}
 		}
-		return delivery{lost: e == first && c.now-from < 1000}
+		return delivery{lost: e == first && c.now-from < silentFor}
 	}
-	s := c.longJob(8000)
-	c.advance(1000)
+	s = c.longJob(12_000)
+	c.advance(restartAt)
 	c.crash(c.endpoints[first])
+	return c, s, first
+}
+
+// Guards against a task that runs twice at the same time because an endpoint carries out a start
+// after it has restarted under its ID: the new incarnation has seen neither a stop nor a fencing
+// token, and by its clock the lease of the start is far from over.
+func TestLateStartInANewIncarnation(t *testing.T) {
+	c, s, first := delayedStart(t, 2000, 1000, 1000)
 	c.advance(2000)
 	if got, want := c.maxConcurrentAttempts, 1; got != want {
 		t.Errorf("got %d concurrent attempts of a task, want %d", got, want)
@@ -79,25 +87,7 @@
 // Guards against a start that was given up long before its endpoint restarts, and that is carried out
 // after the new incarnation has answered: only the epoch in the token keeps it out.
 func TestStartsOfTheFormerIncarnationAreFenced(t *testing.T) {
-	c := newCluster(t, 32, 2)
-	for _, e := range c.endpoints {
-		e.clockStart = 500_000
-	}
-	c.addLeader(1, 256)
-	c.advance(50)
-	var first datacentre.EndpointID
-	from := c.now
-	c.fault = func(_ int, e datacentre.EndpointID, a Action) delivery {
-		_, start := a.(Start)
-		if first == "" && start {
-			first = e
-			return delivery{delay: 3500}
-		}
-		return delivery{lost: e == first && c.now-from < 2100}
-	}
-	c.longJob(12_000)
-	c.advance(2200)
-	c.crash(c.endpoints[first])
+	c, _, _ := delayedStart(t, 3500, 2100, 2200)
 	c.advance(3000)
 	if got, want := c.maxConcurrentAttempts, 1; got != want {
 		t.Errorf("got %d concurrent attempts of a task, want %d", got, want)
--- a/internal/control/node/endpoint_list_test.go
+++ b/internal/control/node/endpoint_list_test.go
@@ -105,19 +105,27 @@
 			tt.read.Endpoints = firstList()
 			h.handle(tt.read)
 			h.answerHolds(nil)
-			h.handle(PeerSubmitted{Shard: "centro", Submission: resubmittedJob(), Ended: make(chan job.Outcome, 1)})
-			starts := 0
-			for range 5 {
-				h.advance(20)
-				starts += len(h.answerHolds(nil))
-			}
-			if starts != tt.starts {
+			if starts := h.startsOfResubmittedJob(""); starts != tt.starts {
 				t.Errorf("got %d starts within 100 ms, want %d", starts, tt.starts)
 			}
 		})
 	}
 }
 
+// startsOfResubmittedJob submits a job again and counts its starts within 100 ms. earlier is the only
+// leader that had it, or empty if there were several. All endpoints answer.
+func (h *harness) startsOfResubmittedJob(earlier vm.Incarnation) int {
+	s := resubmittedJob()
+	s.Earlier = earlier
+	h.handle(PeerSubmitted{Shard: "centro", Submission: s, Ended: make(chan job.Outcome, 1)})
+	starts := 0
+	for range 5 {
+		h.advance(20)
+		starts += len(h.answerHolds(nil))
+	}
+	return starts
+}
+
 // Guards against a list that is taken for complete because it was handed over, although another VM
 // than the sender may have started the task: before the hand-over, or since, during a partition.
 func TestHandedOverListCountsForJobsOfTheSender(t *testing.T) {
@@ -142,15 +150,7 @@
 				h.advance(10)
 			}
 			h.handle(EndpointsLoaded{Version: 2, ReadAt: h.now, Endpoints: firstList()})
-			s := resubmittedJob()
-			s.Earlier = tt.earlier
-			h.handle(PeerSubmitted{Shard: "centro", Submission: s, Ended: make(chan job.Outcome, 1)})
-			starts := 0
-			for range 5 {
-				h.advance(20)
-				starts += len(h.answerHolds(nil))
-			}
-			if starts != tt.starts {
+			if starts := h.startsOfResubmittedJob(tt.earlier); starts != tt.starts {
 				t.Errorf("got %d starts within 100 ms, want %d", starts, tt.starts)
 			}
 		})
@@ -180,15 +180,7 @@
 			h.advance(10)
 			h.answerHolds(nil)
 			h.handle(EndpointsLoaded{Version: 4, ReadAt: h.now, Endpoints: firstList()})
-			s := resubmittedJob()
-			s.Earlier = "peer-9"
-			h.handle(PeerSubmitted{Shard: "centro", Submission: s, Ended: make(chan job.Outcome, 1)})
-			starts := 0
-			for range 5 {
-				h.advance(20)
-				starts += len(h.answerHolds(nil))
-			}
-			if starts != tt.starts {
+			if starts := h.startsOfResubmittedJob("peer-9"); starts != tt.starts {
 				t.Errorf("got %d starts within 100 ms, want %d", starts, tt.starts)
 			}
 		})
