Give the rows of a test's endpoints an address

TestPollsCarryOnlyChanges wrote rows without an address, which count as odd since the checks of endpoint rows, so the list was empty and the test panicked. The rows have the address of an endpoint now; the checks are the same.

--- a/pkg/platform/client_test.go
+++ b/pkg/platform/client_test.go
@@ -172,7 +172,7 @@
 	t.Cleanup(func() { client.Close(); server.Close() })
 	for i := range 50 {
 		for _, dc := range []datacentre.ID{"centro", "norte"} {
-			p.SetVM(platform.ListedVM{Endpoint: datacentre.Endpoint{ID: datacentre.EndpointID(fmt.Sprint(dc, i)), DataCentre: dc, Slots: 8}})
+			p.SetVM(platform.ListedVM{Endpoint: datacentre.Endpoint{ID: datacentre.EndpointID(fmt.Sprint(dc, i)), DataCentre: dc, Address: "10.0.0.1:80", Slots: 8}})
 		}
 	}
 	poll := func(want int) []platform.ListedVM {
@@ -192,7 +192,7 @@
 	if got, want := bytes.Swap(0), fullListBytes/20; got > want {
 		t.Errorf("a poll without changes: got %d bytes, want at most %d", got, want)
 	}
-	p.SetVM(platform.ListedVM{State: platform.Leaving, Endpoint: datacentre.Endpoint{ID: "norte0", DataCentre: "norte", Slots: 8}})
+	p.SetVM(platform.ListedVM{State: platform.Leaving, Endpoint: datacentre.Endpoint{ID: "norte0", DataCentre: "norte", Address: "10.0.0.1:80", Slots: 8}})
 	listed := poll(50)
 	if got, want := bytes.Load(), fullListBytes/20; got > want || listed[0].State != platform.Leaving {
 		t.Errorf("a poll after a change: got %d bytes and %+v, want at most %d and the endpoint leaving", got, listed[0], want)
