Record the evidence when an endpoint has crashed

Holds and starts whose connection is refused now say so (HoldRefused, RejectedRefused). The leader handles each end of an incarnation once, in handleCrash, before the attempts there are ended, and logs the evidence: a new incarnation, another instance at the address, or refused connections. It counts refusals only from an incarnation that has answered this leader and does not drain, for requests issued after its latest answer, and requires two connections, of which the second was opened after the first was refused: a single refusal is also what a reset of a connection that is being opened looks like, and the second one comes within a tick. An answer of the same incarnation takes the crash back. Lost attempts are logged with what is known of their endpoint. Decisions about attempts do not change.

A refused stop stays unacknowledged and is repeated, as before; holds to the same endpoint are always in flight, so that it adds no evidence.

--- a/internal/control/leader/action.go
+++ b/internal/control/leader/action.go
@@ -108,6 +108,8 @@
 	// EndpointAppeared is an endpoint that was not in the leader's list before.
 	EndpointAppeared
 	EndpointRestarted
+	// EndpointCrashed is the end of an incarnation, with its evidence and the tasks that ran there.
+	EndpointCrashed
 	EndpointUnlisted
 	// EndpointDropped is an unlisted endpoint without tasks, whose state the leader has removed.
 	EndpointDropped
--- a/internal/control/leader/attempts.go
+++ b/internal/control/leader/attempts.go
@@ -107,6 +107,7 @@
 	}
 	switch r := e.Result.(type) {
 	case endpoint.Started:
+		ep.answeredSeq = l.sequence
 		if wentBack {
 			l.markUncertain(t, ep, "clock of the endpoint went back")
 			return
@@ -146,7 +147,10 @@
 	case endpoint.RejectedUnhealthy:
 		l.countEndpointFailure(t, ep)
 		ep.blockedUntil = max(ep.blockedUntil, l.now+capacityBackoff)
-	case endpoint.RejectedNotSent:
+	case endpoint.RejectedNotSent, endpoint.RejectedRefused:
+		if reason == endpoint.RejectedRefused {
+			l.handleRefusedConnection(ep, t.startedSeq)
+		}
 		ep.unansweredHolds = max(ep.unansweredHolds, suspectAfterHolds)
 		l.sendHold(ep, Renewal)
 	case endpoint.RejectedExpired, endpoint.RejectedOtherInstance:
@@ -182,9 +186,10 @@
 // the earlier incarnation have ended, but the new one may have carried out a start that was in
 // flight, so each attempt has to be stopped or missing from a later report.
 func (l *Leader) handleRestart(ep *endpointState, incarnation endpoint.Incarnation) {
+	l.handleCrash(ep, NewIncarnation{Before: ep.Born, After: incarnation})
 	l.raiseToken(ep)
 	for _, t := range ep.sortedTasks() {
-		l.logAttempt(AttemptLost, t, ep, "endpoint restarted")
+		l.logAttempt(AttemptLost, t, ep, ep.lossDetail("endpoint restarted"))
 		t.avoidEndpoint = ep
 		if t.phase != stopping {
 			l.stopAttempt(t)
@@ -196,6 +201,7 @@
 	l.removeOrphans(ep, EndRestarted{})
 	ep.formerBorn, ep.ackedEnd = ep.Born, 0
 	ep.Born, ep.bornSeq = incarnation, l.sequence
+	ep.crashed, ep.refusals = false, 0
 	ep.speed, ep.health = speed{}, health{}
 }
 
@@ -203,12 +209,15 @@
 // answer to a request says. Requests name the instance, so the new one has carried out none of them.
 // An attempt that was started or confirmed since the request was sent may be at another address.
 func (l *Leader) handleReplacement(ep *endpointState, request SequenceNumber) {
+	if request >= ep.acceptedSeq {
+		l.handleCrash(ep, InstanceReplaced{})
+	}
 	for _, t := range ep.sortedTasks() {
 		if max(t.startedSeq, t.confirmedSeq) >= request {
 			l.requestReport(ep)
 			continue
 		}
-		l.logAttempt(AttemptLost, t, ep, "instance replaced")
+		l.logAttempt(AttemptLost, t, ep, ep.lossDetail("instance replaced"))
 		t.avoidEndpoint = ep
 		l.endAttempt(t, EndReplaced{})
 	}
--- a/internal/control/leader/checks.go
+++ b/internal/control/leader/checks.go
@@ -43,7 +43,7 @@
 		l.checkRunning(t, ep)
 	case starting:
 		if l.attemptExpired(t, ep) {
-			l.logAttempt(AttemptLost, t, ep, "lease expired")
+			l.logAttempt(AttemptLost, t, ep, ep.lossDetail("lease expired"))
 			l.endAttempt(t, EndLeaseExpired{})
 		}
 	case waiting, done, ended:
@@ -57,7 +57,7 @@
 // report.
 func (l *Leader) checkRunning(t *task, ep *endpointState) {
 	if l.attemptExpired(t, ep) {
-		l.logAttempt(AttemptLost, t, ep, "lease expired")
+		l.logAttempt(AttemptLost, t, ep, ep.lossDetail("lease expired"))
 		t.avoidEndpoint = ep
 		l.endAttempt(t, EndLeaseExpired{})
 		return
--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -294,7 +294,7 @@
 		if ep == nil {
 			ep = newEndpointState(e, l.now)
 			if d, ok := l.dropped[e.ID]; ok {
-				ep.Born, ep.formerBorn, ep.epoch = d.born, d.formerBorn, d.epoch
+				ep.Born, ep.formerBorn, ep.epoch, ep.crashed = d.born, d.formerBorn, d.epoch, d.crashed
 				delete(l.dropped, e.ID)
 			}
 			if l.listed {
@@ -332,7 +332,7 @@
 		if len(ep.tasks) == 0 && ep.activeOrphans == 0 && !l.mayHaveEarlierAttempts(ep) {
 			dropped = append(dropped, ep.change())
 			delete(l.endpoints, ep.ID)
-			l.dropped[ep.ID] = droppedEndpoint{born: ep.Born, formerBorn: ep.formerBorn, epoch: ep.epoch}
+			l.dropped[ep.ID] = droppedEndpoint{born: ep.Born, formerBorn: ep.formerBorn, epoch: ep.epoch, crashed: ep.crashed}
 			i := slices.Index(l.sortedEndpoints, ep)
 			l.sortedEndpoints = slices.Delete(l.sortedEndpoints, i, i+1)
 		}
--- a/internal/control/leader/endpoint_state.go
+++ b/internal/control/leader/endpoint_state.go
@@ -54,6 +54,16 @@
 	// unansweredHolds counts consecutive holds without an answer.
 	unansweredHolds int
 	lastReportAt    clock.Millis
+	// answeredSeq is the event in which the endpoint's latest answer was handled.
+	answeredSeq SequenceNumber
+	// refusals counts the separate refused connections since then, from refusedAt on. refusedSeq is the
+	// event in which the latest one was handled.
+	refusals   int
+	refusedAt  clock.Millis
+	refusedSeq SequenceNumber
+	// crashed means that the crash of the present incarnation has been handled, in crashedSeq.
+	crashed    bool
+	crashedSeq SequenceNumber
 	// replaced means that another instance answers at the endpoint's address.
 	replaced bool
 	// unlisted means that the endpoint is missing from the platform's list.
@@ -73,6 +83,7 @@
 type droppedEndpoint struct {
 	born, formerBorn endpoint.Incarnation
 	epoch            shard.Epoch
+	crashed          bool
 }
 
 func newEndpointState(e endpoint.Endpoint, now clock.Millis) *endpointState {
--- a/internal/control/leader/event.go
+++ b/internal/control/leader/event.go
@@ -85,12 +85,14 @@
 type HoldRejection int
 
 const (
-	// HoldUnanswered covers every cause but the two below.
+	// HoldUnanswered covers every cause but those below.
 	HoldUnanswered HoldRejection = iota
 	// HoldFenced means that the endpoint has seen a higher fencing token.
 	HoldFenced
 	// HoldOtherInstance means that another instance answers at the address of the endpoint.
 	HoldOtherInstance
+	// HoldRefused means that the endpoint's address refuses connections.
+	HoldRefused
 )
 
 // EndpointsListed is the platform's list of the endpoints of the shard.
--- a/internal/control/leader/fake_endpoint_test.go
+++ b/internal/control/leader/fake_endpoint_test.go
@@ -39,6 +39,8 @@
 	ended         []endpoint.EndedAttempt
 	lastEndNumber endpoint.EndNumber
 	down          bool
+	// refusing makes the address refuse connections while the endpoint is down.
+	refusing bool
 	// failing makes every attempt fail at once, stalling makes every attempt stop progressing.
 	failing, stalling bool
 }
--- a/internal/control/leader/status_report.go
+++ b/internal/control/leader/status_report.go
@@ -36,7 +36,9 @@
 	if ep.Born == 0 {
 		ep.Born, ep.bornSeq = e.Report.Incarnation, l.sequence
 	}
+	l.withdrawCrash(ep, e.Sequence)
 	ep.replaced = false
+	ep.answeredSeq = l.sequence
 	l.acceptToken(ep, e.Sequence)
 	ep.lastReportAt = l.now
 	ep.unansweredHolds = 0
@@ -72,15 +74,22 @@
 		}
 	case HoldOtherInstance:
 		l.handleReplacement(ep, e.Sequence)
+	case HoldRefused:
+		l.handleRefusedConnection(ep, e.Sequence)
+		l.handleUnansweredHold(ep, e)
 	case HoldUnanswered:
-		ep.unansweredHolds++
-		if ep.unansweredHolds == suspectAfterHolds {
-			l.emit(LogDecision{Decision: EndpointSuspected, Endpoint: ep.Endpoint, Detail: "hold not answered"})
-		}
-		for _, t := range ep.sortedTasks() {
-			if t.phase == starting && t.uncertainSeq != 0 && e.Sequence >= t.uncertainSeq {
-				l.stopAttempt(t)
-			}
+		l.handleUnansweredHold(ep, e)
+	}
+}
+
+func (l *Leader) handleUnansweredHold(ep *endpointState, e HoldEnded) {
+	ep.unansweredHolds++
+	if ep.unansweredHolds == suspectAfterHolds {
+		l.emit(LogDecision{Decision: EndpointSuspected, Endpoint: ep.Endpoint, Detail: "hold not answered"})
+	}
+	for _, t := range ep.sortedTasks() {
+		if t.phase == starting && t.uncertainSeq != 0 && e.Sequence >= t.uncertainSeq {
+			l.stopAttempt(t)
 		}
 	}
 }
--- a/internal/control/node/model_execute_test.go
+++ b/internal/control/node/model_execute_test.go
@@ -81,11 +81,14 @@
 		result, at := e.startAttempt(s, v.name), e.clock()
 		respond(func() { end(result, at) })
 	}), func(f exchangeFailure) {
-		if f == callNotSent || f == callRefused {
+		switch f {
+		case callNotSent:
 			end(endpoint.Rejected{Reason: endpoint.RejectedNotSent}, 0)
-			return
+		case callRefused:
+			end(endpoint.Rejected{Reason: endpoint.RejectedRefused}, 0)
+		default:
+			end(endpoint.NoAnswer{Cause: "no answer"}, 0)
 		}
-		end(endpoint.NoAnswer{Cause: "no answer"}, 0)
 	})
 	x.beforeSend = func() bool { return v.clock() <= s.SendBy }
 	v.later(slowStartDelay, func() {
@@ -113,7 +116,13 @@
 		e.hold(h, v.name, func(report *endpoint.StatusReport, r leader.HoldRejection) {
 			respond(func() { end(report, r) })
 		})
-	}), func(exchangeFailure) { end(nil, leader.HoldUnanswered) })
+	}), func(f exchangeFailure) {
+		if f == callRefused {
+			end(nil, leader.HoldRefused)
+			return
+		}
+		end(nil, leader.HoldUnanswered)
+	})
 	x.beforeSend = func() bool {
 		if v.clock() > h.SendBy {
 			h.LeaseUntil = 0
--- a/internal/process/daemon/decision_fields.go
+++ b/internal/process/daemon/decision_fields.go
@@ -42,6 +42,8 @@
 	case *leader.EndpointRestart:
 		fields["bornBefore"], fields["born"], fields["listed"], fields["tasks"] = d.Before, d.After, d.Listed, d.Tasks
 		fields["readIn"], fields["readingAgeMs"] = d.ReadIn, d.Age
+	case *leader.EndpointCrash:
+		addCrash(fields, d)
 	}
 }
 
@@ -113,3 +115,21 @@
 	}
 	return logrus.Fields{"by": "unknown"}
 }
+
+func addCrash(fields logrus.Fields, c *leader.EndpointCrash) {
+	fields["born"], fields["draining"], fields["contacted"], fields["tasks"] = c.Incarnation, c.Draining, c.Contacted, c.Total
+	fields["sinceReportMs"] = c.SinceReport
+	runs := make([]logrus.Fields, len(c.Attempts))
+	for i, a := range c.Attempts {
+		runs[i] = logrus.Fields{"task": a.Task, "run": a.Attempt, "confirmed": a.Confirmed, "orphan": a.Orphan, "ageMs": a.Age}
+	}
+	fields["runs"] = runs
+	switch e := c.Evidence.(type) {
+	case leader.NewIncarnation:
+		fields["evidence"], fields["bornAfter"] = "newIncarnation", e.After
+	case leader.InstanceReplaced:
+		fields["evidence"] = "instanceReplaced"
+	case leader.ConnectionsRefused:
+		fields["evidence"], fields["refusals"], fields["refusedForMs"] = "connectionsRefused", e.Refusals, e.Duration
+	}
+}
--- a/internal/process/daemon/decision_fields_test.go
+++ b/internal/process/daemon/decision_fields_test.go
@@ -131,3 +131,23 @@
 		}
 	}
 }
+
+// Guards against lines about crashes from which one cannot tell a crash from a planned end, or which
+// tasks ran there.
+func TestLinesHaveTheEvidenceOfACrash(t *testing.T) {
+	attempts := []leader.CrashedAttempt{{Task: "75aef6597ba279b0.0.0.1", Attempt: 2, Confirmed: true, Age: 310}}
+	for want, e := range map[string]leader.CrashEvidence{
+		"newIncarnation": leader.NewIncarnation{Before: 7, After: 8}, "instanceReplaced": leader.InstanceReplaced{},
+		"connectionsRefused": leader.ConnectionsRefused{Refusals: 2, Duration: 10},
+	} {
+		line := decisionLine(t, leader.EndpointCrashed, &leader.EndpointCrash{Incarnation: 7, Evidence: e, Contacted: true, SinceReport: 40, Attempts: attempts, Total: 1})
+		if got := line["evidence"]; got != want || line["decision"] != "endpointCrashed" {
+			t.Errorf("got evidence %v of %v, want %s of endpointCrashed", got, line["decision"], want)
+		}
+		for _, f := range []string{"born", "draining", "contacted", "sinceReportMs", "tasks", "runs"} {
+			if line[f] == nil {
+				t.Errorf("got no field %s in %v, want one", f, line)
+			}
+		}
+	}
+}
--- a/internal/process/daemon/traffic.go
+++ b/internal/process/daemon/traffic.go
@@ -133,6 +133,7 @@
 	endpoint.RejectedFenced: "fenced", endpoint.RejectedStale: "old", endpoint.RejectedExpired: "late",
 	endpoint.RejectedNoCapacity: "noRoom", endpoint.RejectedUnhealthy: "unhealthy",
 	endpoint.RejectedOtherInstance: "otherLife", endpoint.RejectedInvalid: "invalid", endpoint.RejectedNotSent: "notSent",
+	endpoint.RejectedRefused: "refused",
 }
 
 func (t *traffic) stop(a node.LeaderAction, s leader.Stop) {
--- a/internal/world/endpoint/endpoint.go
+++ b/internal/world/endpoint/endpoint.go
@@ -117,4 +117,6 @@
 	RejectedInvalid
 	// RejectedNotSent means that no byte of the request reached the endpoint.
 	RejectedNotSent
+	// RejectedRefused means that nothing was sent since the endpoint's address refuses connections.
+	RejectedRefused
 )
