Do not take refused connections for a crash

The leader counted two refused connections as the crash of an endpoint.

An endpoint that is only cut off must not be held against its tasks, nor may a task start elsewhere on that account before the lease has expired. Refusals are now a suspicion (handleSuspectedCrash), taken back when the same incarnation answers. handleCrash is called on proof alone: a later incarnation under the ID, or another instance at the address.

--- a/internal/control/leader/action.go
+++ b/internal/control/leader/action.go
@@ -108,7 +108,9 @@
 	// EndpointAppeared is an endpoint that was not in the leader's list before.
 	EndpointAppeared
 	EndpointRestarted
-	// EndpointCrashed is the end of an incarnation, with its evidence and the tasks that ran there.
+	// EndpointCrashSuspected is an endpoint whose address refuses connections, and EndpointCrashed one
+	// whose incarnation has ended. Both have the evidence and the tasks there.
+	EndpointCrashSuspected
 	EndpointCrashed
 	EndpointUnlisted
 	// EndpointDropped is an unlisted endpoint without tasks, whose state the leader has removed.
--- a/internal/control/leader/attempts.go
+++ b/internal/control/leader/attempts.go
@@ -61,6 +61,9 @@
 // another one, unless its job has been answered.
 func (l *Leader) endAttempt(t *task, end AttemptEnd) {
 	t.lastEnd = l.endedAttempt(t, end)
+	if _, expired := end.(EndLeaseExpired); expired {
+		t.endpoint.recordLost(l.crashedAttempt(t), l.now)
+	}
 	l.logEnd(t, t.lastEnd)
 	l.freeResources(t)
 	t.phase = waiting
@@ -201,7 +204,7 @@
 	l.removeOrphans(ep, EndRestarted{})
 	ep.formerBorn, ep.ackedEnd = ep.Born, 0
 	ep.Born, ep.bornSeq = incarnation, l.sequence
-	ep.crashed, ep.refusals = false, 0
+	ep.suspected, ep.crashed, ep.refusals, ep.lost = false, false, 0, nil
 	ep.speed, ep.health = speed{}, health{}
 }
 
--- a/internal/control/leader/checks.go
+++ b/internal/control/leader/checks.go
@@ -12,6 +12,7 @@
 	for _, t := range ep.sortedTasks() {
 		l.checkTask(t, ep)
 	}
+	ep.dropLost(l.now)
 	if !ep.watching {
 		l.sendHold(ep, Watch)
 	}
@@ -94,6 +95,7 @@
 				l.orphans.remove(name, o.endpoint)
 			case !o.ended && o.stopSentAt != 0 && l.orphanExpired(o):
 				l.orphans.remove(name, o.endpoint)
+				o.endpoint.recordLost(l.crashedOrphan(name, o), l.now)
 				l.logOrphanEnd(name, o, EndLeaseExpired{})
 			default:
 				l.stopOrphan(name, o)
--- a/internal/control/leader/crash.go
+++ b/internal/control/leader/crash.go
@@ -9,7 +9,7 @@
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 )
 
-// CrashEvidence is what shows that an incarnation of an endpoint has ended. It is one of the types
+// CrashEvidence is what speaks for the end of an incarnation of an endpoint. It is one of the types
 // of this file.
 type CrashEvidence interface{ crashEvidence() }
 
@@ -19,7 +19,8 @@
 // InstanceReplaced means that another instance answers at the address of the endpoint.
 type InstanceReplaced struct{}
 
-// ConnectionsRefused means that the address of an endpoint that had answered refuses connections.
+// ConnectionsRefused means that the address of an endpoint that had answered refuses connections. It
+// proves no crash, since links that reset connections have the same effect.
 type ConnectionsRefused struct {
 	// Refusals counts separate connections, each opened after the one before had been refused.
 	Refusals int
@@ -39,11 +40,13 @@
 	Draining bool
 	// Contacted means that the incarnation had answered this leader.
 	Contacted bool
+	// Abrupt means that the address refused connections within a lease of the latest report, so that
+	// the attempts there had not expired before.
+	Abrupt bool
 	// SinceReport is the age of the latest status report.
 	SinceReport clock.Millis
-	// Attempts are at most maxCrashAttempts of all Total ones.
+	// Attempts include those that have expired since the latest report.
 	Attempts []CrashedAttempt
-	Total    int
 }
 
 // CrashedAttempt is an attempt that may have been running at an endpoint when it crashed.
@@ -54,51 +57,98 @@
 	Confirmed bool
 	// Orphan means that the attempt was started by an earlier leader and has not been adopted.
 	Orphan bool
-	// Age is the time since the start was sent, or since this leader found the orphan.
-	Age clock.Millis
+	// Lost means that the attempt has expired since the endpoint's latest report.
+	Lost bool
+	// Age is the time since the start was sent, or since this leader found the orphan, until it was lost.
+	Age    clock.Millis
+	lostAt clock.Millis
 }
 
 func (*EndpointCrash) details() {}
 
 const (
-	// maxCrashAttempts bounds the attempts in the log line of a crash.
-	maxCrashAttempts = 32
-	// refusalsForCrash excludes a single refusal, which a reset of a connection that is being opened
-	// looks like. The next connection is opened within a tick.
-	refusalsForCrash = 2
+	// refusalsForSuspicion excludes a single refusal, which a reset of a connection that is being
+	// opened looks like. The next connection is opened within a tick.
+	refusalsForSuspicion = 2
+	// crashProofTimeout is how long the attempts lost at an endpoint are kept. Endpoints that crash are
+	// back after some seconds.
+	crashProofTimeout = 10 * clock.Second
 )
 
-// handleCrash handles the end of an incarnation of an endpoint, once, before the attempts there are
-// ended.
+// handleCrash handles the proven end of an incarnation of an endpoint, once, before the attempts
+// there are ended.
 func (l *Leader) handleCrash(ep *endpointState, e CrashEvidence) {
 	if ep.crashed {
 		return
 	}
-	ep.crashed, ep.crashedSeq = true, l.sequence
+	ep.crashed = true
 	l.emit(LogDecision{Decision: EndpointCrashed, Endpoint: ep.Endpoint, Details: l.endpointCrash(ep, e)})
+	ep.lost = nil
+}
+
+// handleSuspectedCrash handles an incarnation that seems to have crashed, once until it answers again.
+func (l *Leader) handleSuspectedCrash(ep *endpointState, e ConnectionsRefused) {
+	if ep.suspected || ep.crashed {
+		return
+	}
+	ep.suspected = true
+	l.emit(LogDecision{Decision: EndpointCrashSuspected, Endpoint: ep.Endpoint, Details: l.endpointCrash(ep, e)})
+}
+
+// withdrawSuspicion handles an answer of the present incarnation to a request that was issued in the
+// given event. An answer to an earlier one may have been sent before the crash.
+func (l *Leader) withdrawSuspicion(ep *endpointState, request SequenceNumber) {
+	if request < ep.refusedSeq {
+		return
+	}
+	ep.refusals, ep.lost = 0, nil
+	if ep.suspected {
+		ep.suspected = false
+		l.emit(LogDecision{Decision: EndpointReturned, Endpoint: ep.Endpoint, Detail: "answers in the same incarnation"})
+	}
+}
+
+// recordLost keeps an attempt that has expired at an endpoint.
+func (ep *endpointState) recordLost(a CrashedAttempt, now clock.Millis) {
+	a.Lost, a.lostAt = true, now
+	ep.lost = append(ep.lost, a)
+}
+
+// dropLost drops the attempts that were lost too long ago for a crash to be proved.
+func (ep *endpointState) dropLost(now clock.Millis) {
+	ep.lost = slices.DeleteFunc(ep.lost, func(a CrashedAttempt) bool { return now >= a.lostAt+crashProofTimeout })
+}
+
+func (l *Leader) crashedAttempt(t *task) CrashedAttempt {
+	return CrashedAttempt{Task: t.name, Attempt: t.attempt, Confirmed: t.confirmedAt != 0, Age: l.now - t.startedAt}
+}
+
+func (l *Leader) crashedOrphan(name job.TaskName, o orphan) CrashedAttempt {
+	return CrashedAttempt{Task: name, Attempt: o.attempt, Confirmed: true, Orphan: true, Age: l.now - o.foundAt}
 }
 
 func (l *Leader) endpointCrash(ep *endpointState, e CrashEvidence) *EndpointCrash {
-	var attempts []CrashedAttempt
+	attempts := slices.Clone(ep.lost)
 	for _, t := range ep.sortedTasks() {
-		attempts = append(attempts, CrashedAttempt{Task: t.name, Attempt: t.attempt, Confirmed: t.confirmedAt != 0, Age: l.now - t.startedAt})
+		attempts = append(attempts, l.crashedAttempt(t))
 	}
-	own := len(attempts)
 	for name := range l.orphans {
 		if o, ok := l.orphans.get(name, ep); ok && !o.ended {
-			attempts = append(attempts, CrashedAttempt{Task: name, Attempt: o.attempt, Confirmed: true, Orphan: true, Age: l.now - o.foundAt})
+			attempts = append(attempts, l.crashedOrphan(name, o))
 		}
 	}
-	slices.SortFunc(attempts[own:], func(a, b CrashedAttempt) int { return cmp.Compare(a.Task, b.Task) })
+	slices.SortFunc(attempts, func(a, b CrashedAttempt) int {
+		return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Attempt, b.Attempt))
+	})
 	return &EndpointCrash{
-		Incarnation: ep.Born, Evidence: e, Draining: ep.Draining, Contacted: ep.contacted, SinceReport: l.now - ep.lastReportAt,
-		Attempts: attempts[:min(len(attempts), maxCrashAttempts)], Total: len(attempts),
+		Incarnation: ep.Born, Evidence: e, Draining: ep.Draining, Contacted: ep.contacted,
+		Abrupt:      ep.refusals > 0 && ep.refusedAt-ep.lastReportAt <= l.config.Timeouts.AttemptLease,
+		SinceReport: l.now - ep.lastReportAt, Attempts: attempts,
 	}
 }
 
 // handleRefusedConnection handles a request that was issued in the given event and not sent since
-// the endpoint's address refuses connections. An incarnation that had answered before listens no
-// more, so it has crashed unless it was about to exit.
+// the endpoint's address refuses connections.
 func (l *Leader) handleRefusedConnection(ep *endpointState, request SequenceNumber) {
 	if request <= max(ep.answeredSeq, ep.bornSeq) {
 		return
@@ -110,21 +160,8 @@
 		ep.refusals++
 		ep.refusedSeq = l.sequence
 	}
-	if ep.refusals >= refusalsForCrash && ep.Born != 0 && ep.contacted && !ep.Draining {
-		l.handleCrash(ep, ConnectionsRefused{Refusals: ep.refusals, Duration: l.now - ep.refusedAt})
-	}
-}
-
-// withdrawCrash takes back the crash of an incarnation that has answered a request issued since. An
-// earlier request may have been answered before the crash.
-func (l *Leader) withdrawCrash(ep *endpointState, request SequenceNumber) {
-	if request < ep.refusedSeq {
-		return
-	}
-	ep.refusals = 0
-	if ep.crashed && request >= ep.crashedSeq {
-		ep.crashed = false
-		l.emit(LogDecision{Decision: EndpointReturned, Endpoint: ep.Endpoint, Detail: "answers in the same incarnation"})
+	if ep.refusals >= refusalsForSuspicion && ep.Born != 0 && ep.contacted && !ep.Draining {
+		l.handleSuspectedCrash(ep, ConnectionsRefused{Refusals: ep.refusals, Duration: l.now - ep.refusedAt})
 	}
 }
 
@@ -135,6 +172,8 @@
 		return detail + ", endpoint draining"
 	case ep.crashed:
 		return detail + ", endpoint crashed"
+	case ep.suspected:
+		return detail + ", endpoint refuses connections"
 	case ep.unlisted:
 		return detail + ", endpoint not listed"
 	case ep.unansweredHolds > 0:
--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -329,7 +329,7 @@
 			unlisted = append(unlisted, ep.change())
 		}
 		ep.unlisted = true
-		if len(ep.tasks) == 0 && ep.activeOrphans == 0 && !l.mayHaveEarlierAttempts(ep) {
+		if len(ep.tasks) == 0 && len(ep.lost) == 0 && ep.activeOrphans == 0 && !l.mayHaveEarlierAttempts(ep) {
 			dropped = append(dropped, ep.change())
 			delete(l.endpoints, ep.ID)
 			l.dropped[ep.ID] = droppedEndpoint{born: ep.Born, formerBorn: ep.formerBorn, epoch: ep.epoch, crashed: ep.crashed}
--- a/internal/control/leader/endpoint_state.go
+++ b/internal/control/leader/endpoint_state.go
@@ -61,9 +61,12 @@
 	refusals   int
 	refusedAt  clock.Millis
 	refusedSeq SequenceNumber
-	// crashed means that the crash of the present incarnation has been handled, in crashedSeq.
-	crashed    bool
-	crashedSeq SequenceNumber
+	// suspected means that the present incarnation seems to have crashed, and crashed that its crash
+	// has been handled.
+	suspected, crashed bool
+	// lost are the attempts that have expired here since the latest report. They may have been running
+	// when the endpoint crashed.
+	lost []CrashedAttempt
 	// replaced means that another instance answers at the endpoint's address.
 	replaced bool
 	// unlisted means that the endpoint is missing from the platform's list.
--- a/internal/control/leader/status_report.go
+++ b/internal/control/leader/status_report.go
@@ -36,7 +36,7 @@
 	if ep.Born == 0 {
 		ep.Born, ep.bornSeq = e.Report.Incarnation, l.sequence
 	}
-	l.withdrawCrash(ep, e.Sequence)
+	l.withdrawSuspicion(ep, e.Sequence)
 	ep.replaced = false
 	ep.answeredSeq = l.sequence
 	l.acceptToken(ep, e.Sequence)
--- a/internal/process/daemon/decision_fields.go
+++ b/internal/process/daemon/decision_fields.go
@@ -116,12 +116,16 @@
 	return logrus.Fields{"by": "unknown"}
 }
 
+// maxCrashAttempts bounds the attempts in the line of a crash.
+const maxCrashAttempts = 32
+
 func addCrash(fields logrus.Fields, c *leader.EndpointCrash) {
-	fields["born"], fields["draining"], fields["contacted"], fields["tasks"] = c.Incarnation, c.Draining, c.Contacted, c.Total
+	fields["born"], fields["draining"], fields["contacted"], fields["abrupt"], fields["tasks"] = c.Incarnation, c.Draining, c.Contacted, c.Abrupt, len(c.Attempts)
 	fields["sinceReportMs"] = c.SinceReport
-	runs := make([]logrus.Fields, len(c.Attempts))
-	for i, a := range c.Attempts {
-		runs[i] = logrus.Fields{"task": a.Task, "run": a.Attempt, "confirmed": a.Confirmed, "orphan": a.Orphan, "ageMs": a.Age}
+	shown := c.Attempts[:min(len(c.Attempts), maxCrashAttempts)]
+	runs := make([]logrus.Fields, len(shown))
+	for i, a := range shown {
+		runs[i] = logrus.Fields{"task": a.Task, "run": a.Attempt, "confirmed": a.Confirmed, "orphan": a.Orphan, "lost": a.Lost, "ageMs": a.Age}
 	}
 	fields["runs"] = runs
 	switch e := c.Evidence.(type) {
--- a/internal/process/daemon/event_logger.go
+++ b/internal/process/daemon/event_logger.go
@@ -151,7 +151,7 @@
 	leader.AttemptStarted: "runStarted", leader.JobAccepted: "jobTaken",
 	leader.JobRefused: "jobRefused", leader.JobForwarded: "jobPassedOn", leader.JobAdopted: "jobAdopted",
 	leader.JobAbandoned: "jobAbandoned", leader.AttemptsLeft: "runsLeft", leader.EndpointAppeared: "endpointAppeared",
-	leader.EndpointRestarted: "endpointRestarted", leader.EndpointCrashed: "endpointCrashed", leader.EndpointUnlisted: "endpointUnlisted", leader.EndpointDropped: "endpointDropped",
+	leader.EndpointRestarted: "endpointRestarted", leader.EndpointCrashSuspected: "endpointCrashSuspected", leader.EndpointCrashed: "endpointCrashed", leader.EndpointUnlisted: "endpointUnlisted", leader.EndpointDropped: "endpointDropped",
 }
 
 func (l *eventLogger) leaderDecision(e node.LogEvent) {
