--- a/internal/control/leader/action.go
+++ b/internal/control/leader/action.go
@@ -108,6 +108,10 @@
 	// EndpointAppeared is an endpoint that was not in the leader's list before.
 	EndpointAppeared
 	EndpointRestarted
+	// EndpointCrashSuspected is an endpoint whose address refuses connections, and EndpointCrashed one
+	// whose incarnation has ended. Both have the evidence and the tasks there.
+	EndpointCrashSuspected
+	EndpointCrashed
 	EndpointUnlisted
 	// EndpointDropped is an unlisted endpoint without tasks, whose state the leader has removed.
 	EndpointDropped
--- a/internal/control/leader/checks.go
+++ b/internal/control/leader/checks.go
@@ -12,6 +12,7 @@
 	for _, t := range ep.sortedTasks() {
 		l.checkTask(t, ep)
 	}
+	ep.dropLost(l.now)
 	if !ep.watching {
 		l.sendHold(ep, Watch)
 	}
@@ -43,7 +44,7 @@
 		l.checkRunning(t, ep)
 	case starting:
 		if l.attemptExpired(t, ep) {
-			l.logAttempt(AttemptLost, t, ep, "lease expired")
+			l.logAttempt(AttemptLost, t, ep, ep.lossDetail("lease expired"))
 			l.endAttempt(t, EndLeaseExpired{})
 		}
 	case waiting, done, ended:
@@ -57,7 +58,7 @@
 // report.
 func (l *Leader) checkRunning(t *task, ep *endpointState) {
 	if l.attemptExpired(t, ep) {
-		l.logAttempt(AttemptLost, t, ep, "lease expired")
+		l.logAttempt(AttemptLost, t, ep, ep.lossDetail("lease expired"))
 		t.avoidEndpoint = ep
 		l.endAttempt(t, EndLeaseExpired{})
 		return
@@ -94,6 +95,7 @@
 				l.orphans.remove(name, o.endpoint)
 			case !o.ended && o.stopSentAt != 0 && l.orphanExpired(o):
 				l.orphans.remove(name, o.endpoint)
+				o.endpoint.recordLost(l.crashedOrphan(name, o), l.now)
 				l.logOrphanEnd(name, o, EndLeaseExpired{})
 			default:
 				l.stopOrphan(name, o)
--- a/internal/control/leader/cluster_test.go
+++ b/internal/control/leader/cluster_test.go
@@ -205,6 +205,12 @@
 	switch a := a.(type) {
 	case Start:
 		c.starts[a.Task]++
+		if e := c.endpoints[a.Endpoint.ID]; e.refusing {
+			c.schedule(2*oneWayDelay, func() {
+				c.deliver(n, StartEnded{Endpoint: e.ID, Task: a.Task, Attempt: a.Attempt, Result: endpoint.Rejected{Reason: endpoint.RejectedRefused}})
+			})
+			return
+		}
 		c.send(n, a.Endpoint.ID, a, func(e *fakeEndpoint) Event {
 			result, at := c.start(e, a)
 			return StartEnded{Endpoint: e.ID, Task: a.Task, Attempt: a.Attempt, SentTo: a.Endpoint.Born, Result: result, Clock: at}
@@ -291,6 +297,16 @@
 }
 
 func (c *cluster) hold(n int, a Hold) {
+	if e := c.endpoints[a.Endpoint.ID]; e.refusing || e.replaced {
+		rejection := HoldRefused
+		if e.replaced {
+			rejection = HoldOtherInstance
+		}
+		c.schedule(2*oneWayDelay, func() {
+			c.deliver(n, HoldEnded{Endpoint: e.ID, Kind: a.Kind, Sequence: a.Sequence, Rejection: rejection})
+		})
+		return
+	}
 	c.send(n, a.Endpoint.ID, a, func(e *fakeEndpoint) Event {
 		ended := HoldEnded{Endpoint: e.ID, Kind: a.Kind, Sequence: a.Sequence}
 		if a.Token < e.token {
--- a/internal/process/daemon/decision_fields.go
+++ b/internal/process/daemon/decision_fields.go
@@ -42,6 +42,8 @@
 	case *leader.EndpointRestart:
 		fields["bornBefore"], fields["born"], fields["listed"], fields["tasks"] = d.Before, d.After, d.Listed, d.Tasks
 		fields["readIn"], fields["readingAgeMs"] = d.ReadIn, d.Age
+	case *leader.EndpointCrash:
+		addCrash(fields, d)
 	}
 }
 
@@ -113,3 +115,25 @@
 	}
 	return logrus.Fields{"by": "unknown"}
 }
+
+// maxCrashAttempts bounds the attempts in the line of a crash.
+const maxCrashAttempts = 32
+
+func addCrash(fields logrus.Fields, c *leader.EndpointCrash) {
+	fields["born"], fields["draining"], fields["contacted"], fields["abrupt"], fields["tasks"] = c.Incarnation, c.Draining, c.Contacted, c.Abrupt, len(c.Attempts)
+	fields["sinceReportMs"] = c.SinceReport
+	shown := c.Attempts[:min(len(c.Attempts), maxCrashAttempts)]
+	runs := make([]logrus.Fields, len(shown))
+	for i, a := range shown {
+		runs[i] = logrus.Fields{"task": a.Task, "run": a.Attempt, "confirmed": a.Confirmed, "orphan": a.Orphan, "lost": a.Lost, "ageMs": a.Age}
+	}
+	fields["runs"] = runs
+	switch e := c.Evidence.(type) {
+	case leader.NewIncarnation:
+		fields["evidence"], fields["bornAfter"] = "newIncarnation", e.After
+	case leader.InstanceReplaced:
+		fields["evidence"] = "instanceReplaced"
+	case leader.ConnectionsRefused:
+		fields["evidence"], fields["refusals"], fields["refusedForMs"] = "connectionsRefused", e.Refusals, e.Duration
+	}
+}
