Bound the leases of unadopted attempts across leaders

Each leader extended the leases of the attempts that it found by up to 400 ms.

A leader knows when the caller of each of its jobs was last known to wait. Its answers to heartbeats carry the earliest of these times plus the 1,300 ms of the callers, or the bound that it has got itself while attempts of earlier leaders may be left. A successor extends the leases of unadopted attempts no further. One that has heard no bound extends none, and starts nothing beside such attempts.

--- a/internal/control/failover/monitor.go
+++ b/internal/control/failover/monitor.go
@@ -58,7 +58,9 @@
 	leaderConfirmed  bool
 	leaderClock      clock.Millis
 	leaderClockAt    clock.Millis
-	heartbeatDue     bool
+	// orphansEndBy is the bound of the latest answer of a leader, by this VM's clock.
+	orphansEndBy clock.Millis
+	heartbeatDue bool
 	// lostRevision is the revision of the replica set under which this VM lost its leadership.
 	lostRevision int64
 }
@@ -195,6 +197,11 @@
 	Token  shard.Token
 	// LeaderClock is the member's clock when it answered.
 	LeaderClock clock.Millis
+	// SentAt is when the heartbeat was sent, by this VM's clock.
+	SentAt clock.Millis
+	// OrphansEndIn is how long after the answer the attempts in the shard have to have ended that no job
+	// adopts after this leader, or 0 or less if that is unknown.
+	OrphansEndIn clock.Millis
 }
 
 // HandleAnswer applies the result of a heartbeat.
@@ -217,10 +224,28 @@
 		m.handleNotLeader(now)
 		return
 	}
+	m.recordOrphansEnd(a)
 	m.leaderConfirmed, m.leaderAnsweredAt, m.leaderToken = true, now, max(m.leaderToken, a.Token)
 	m.leaderClock, m.leaderClockAt = a.LeaderClock, now
 }
 
+// recordOrphansEnd records the bound of a leader. One that has been outranked does not know the
+// attempts of the leader that outranks it, so its bound may only be the earlier one.
+func (m *Monitor) recordOrphansEnd(a Answer) {
+	end := clock.Millis(0)
+	if a.OrphansEndIn > 0 {
+		end = a.SentAt + a.OrphansEndIn
+	}
+	if a.Token < m.leaderToken {
+		end = min(end, m.orphansEndBy)
+	}
+	m.orphansEndBy = end
+}
+
+// OrphansEndBy returns when the attempts in the shard have to have ended that no job adopts, by this
+// VM's clock, or 0 if no leader has said so.
+func (m *Monitor) OrphansEndBy() clock.Millis { return m.orphansEndBy }
+
 func (m *Monitor) heartbeatFailed(connectionRefused bool, now clock.Millis) {
 	m.failures++
 	if connectionRefused {
--- a/internal/control/leader/admission.go
+++ b/internal/control/leader/admission.go
@@ -46,6 +46,7 @@
 		}
 	}
 	j := newJobState(s, l.now)
+	j.waitedAt = l.now - l.config.Timeouts.SubmissionTimeout
 	l.setDeadlines(j)
 	for _, earlier := range slices.Clone(l.jobsByID[s.Job.ID]) {
 		if earlier.Key.Entry != s.Key.Entry || earlier.Attempt != s.Attempt {
--- a/internal/control/leader/cluster_test.go
+++ b/internal/control/leader/cluster_test.go
@@ -70,6 +70,8 @@
 	fenced      bool
 	// relists says that the leader keeps reading the list of endpoints.
 	relists bool
+	// orphansEndBy is its bound as of its last tick, as heartbeats pass it on to the next leader.
+	orphansEndBy clock.Millis
 }
 
 const (
@@ -120,8 +122,13 @@
 }
 
 // addLeader adds a leader with the token, in its first epoch, that reads the list of endpoints every 400 ms.
+// It has heard the bound of the leader with the number before.
 func (c *cluster) addLeader(n int, token shard.Token) *fakeLeader {
-	f := &fakeLeader{relists: true, leader: New(Config{Shard: "centro", Token: firstEpoch(token), Timeouts: testTimeouts(), FarFactor: 1.5, Desired: testState(), Now: c.now})}
+	config := Config{Shard: "centro", Token: firstEpoch(token), Timeouts: testTimeouts(), FarFactor: 1.5, Desired: testState(), Now: c.now}
+	if earlier := c.leaders[n-1]; earlier != nil {
+		config.OrphansEndBy = earlier.orphansEndBy
+	}
+	f := &fakeLeader{relists: true, leader: New(config)}
 	c.leaders[n] = f
 	c.list(n)
 	c.tick(n)
@@ -179,6 +186,7 @@
 		return
 	}
 	c.deliver(n, Tick{})
+	f.orphansEndBy = f.leader.OrphansEndBy(c.now)
 	c.schedule(10, func() { c.tick(n) })
 }
 
--- a/internal/control/leader/decision_log_test.go
+++ b/internal/control/leader/decision_log_test.go
@@ -196,6 +196,7 @@
 				e.attempts[name] = &fakeAttempt{name: name, number: 1, startedAt: c.now, endsAt: c.now + 80}
 			}
 			e.leaseEnd = e.clock(c.now) + longestLease
+			c.leaders[0] = &fakeLeader{stopped: true, orphansEndBy: c.now + clock.Second}
 			c.addLeader(1, 256)
 			c.advance(50)
 			c.renewLeases(1, "a-1", 1)
--- a/internal/control/leader/endpoint_state.go
+++ b/internal/control/leader/endpoint_state.go
@@ -32,6 +32,8 @@
 	activeOrphans int
 	// adoptionEnd is when the attempts of an earlier leader that no job has adopted are stopped.
 	adoptionEnd clock.Millis
+	// orphanLeaseEnd is when the leases here end at the latest while there are such attempts.
+	orphanLeaseEnd clock.Millis
 	// clockReading is a lower bound of the endpoint's clock at clockReadAt.
 	clockReading endpoint.Clock
 	clockReadAt  clock.Millis
@@ -84,5 +86,5 @@
 func (ep *endpointState) usable(now clock.Millis) bool {
 	return ep.clockReading != 0 && ep.contacted && ep.epoch <= shard.MaxEpoch && !ep.replaced && !ep.Draining && !ep.unlisted && ep.unansweredHolds < suspectAfterHolds &&
 		now >= max(ep.usableFrom, ep.blockedUntil, ep.cappedLeaseEnd) && ep.health.usable(now, len(ep.tasks)) &&
-		(ep.activeOrphans == 0 || now < ep.adoptionEnd) && !ep.hasOverdueStop(now)
+		(ep.activeOrphans == 0 || now < ep.orphanLeaseEnd-orphanLease) && !ep.hasOverdueStop(now)
 }
--- a/internal/control/leader/job_state.go
+++ b/internal/control/leader/job_state.go
@@ -22,6 +22,8 @@
 
 	// receivedAt is when the leader received the job.
 	receivedAt clock.Millis
+	// waitedAt is when the caller was last known to wait for the job.
+	waitedAt clock.Millis
 	// submittedAt is when the caller sent the job, by the leader's clock. objective and limit are
 	// points in time.
 	submittedAt, objective, limit clock.Millis
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -26,6 +26,9 @@
 	FarFactor float64
 	Desired   *queue.State
 	Now       clock.Millis
+	// OrphansEndBy is when the attempts of earlier leaders that no job adopts have to have ended, or 0
+	// if this VM has not heard of it. Their callers may send the jobs again from then on.
+	OrphansEndBy clock.Millis
 }
 
 // Leader is the state of the leader of one shard. It belongs to the control goroutine.
@@ -195,8 +198,12 @@
 		return
 	}
 	for seq, j := range entry.jobs {
-		// A job that arrived after the message was sent is not in its list.
-		if seq <= e.LastSeq && j.receivedAt < e.Sent && !j.answered && !slices.Contains(e.Waiting, seq) {
+		switch {
+		case j.answered:
+		case slices.Contains(e.Waiting, seq):
+			j.waitedAt = max(j.waitedAt, e.Sent)
+		case seq <= e.LastSeq && j.receivedAt < e.Sent:
+			// A job that arrived after the message was sent is not in its list.
 			l.abandon(j, job.CallerDisconnected)
 		}
 	}
--- a/internal/control/leader/lease.go
+++ b/internal/control/leader/lease.go
@@ -31,8 +31,8 @@
 
 const (
 	// orphanLease is how long after the adoption window the attempts at an endpoint with orphans may
-	// go on; a stop takes 50 ms. Each of several leaders in a row extends the leases that it finds,
-	// and together they have to stay below the time after which callers resend a job.
+	// go on; a stop takes 50 ms. The time after which callers resend the jobs may end them earlier (see
+	// OrphansEndBy).
 	orphanLease = clock.Millis(150)
 	// stopAckTimeout is how long the acknowledgement of a stop may take; a round trip takes 2 ms.
 	stopAckTimeout = clock.Millis(50)
@@ -45,7 +45,7 @@
 func (l *Leader) leaseUntil(ep *endpointState) (endpoint.Clock, bool) {
 	lease := l.config.Timeouts.AttemptLease
 	if ep.activeOrphans > 0 {
-		lease = min(lease, ep.adoptionEnd+orphanLease-l.now)
+		lease = min(lease, ep.orphanLeaseEnd-l.now)
 	}
 	if l.resuming || ep.clockReading == 0 || lease <= 0 || ep.hasOverdueStop(l.now) {
 		return 0, false
@@ -106,6 +106,7 @@
 	ep.contacted = true
 	if ep.adoptionEnd == 0 {
 		ep.adoptionEnd = l.now + adoptionWindow
+		ep.orphanLeaseEnd = min(ep.adoptionEnd+orphanLease, l.latestOrphanLease())
 	}
 	if ep.cappedLeaseEnd != 0 {
 		ep.cappedLeaseEnd = l.now + l.config.Timeouts.cappedLeaseExpiry()
--- a/internal/control/leader/takeover_test.go
+++ b/internal/control/leader/takeover_test.go
@@ -248,3 +248,43 @@
 		t.Errorf("got an attempt with a lease for another %d ms when the job is sent again, want none", e.leaseEnd-e.clock(c.now))
 	}
 }
+
+// Guards against work that is lost when a leader fails: its successor has to extend the leases of the
+// attempts until the entry VMs have submitted their jobs again, and of none whose caller may have
+// resent its job by then.
+func TestLeasesOfUnadoptedAttempts(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		takenOver clock.Millis
+		unheard   bool
+		want      bool
+	}{
+		{name: "the earlier leader has failed just now", takenOver: 560, want: true},
+		{name: "the caller may resend the job soon", takenOver: 950, want: false},
+		{name: "the VM has not heard of an earlier leader", takenOver: 560, unheard: true, want: false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCluster(t, 27, 1)
+			c.duration = func(job.TaskName) clock.Millis { return 5000 }
+			f := c.addLeader(1, 256)
+			c.advance(50)
+			c.renewLeases(1, "a-1", 1)
+			s := submission("a-1", 1, 1)
+			s.Part, s.Limit = true, 20*clock.Second
+			c.deliver(1, Submitted{Submission: s})
+			c.advance(160)
+			e := c.endpoints["e00"]
+			f.stopped = true
+			if tt.unheard {
+				f.orphansEndBy = 0
+			}
+			e.leaseEnd = e.clock(c.now) + endpoint.Clock(tt.takenOver) + 20
+			c.advance(tt.takenOver)
+			c.addLeader(2, 257)
+			c.advance(200)
+			if got := e.attempts[TaskName(s.Job.ID, 0, 0)] != nil; got != tt.want {
+				t.Errorf("got a running attempt %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/control/leader/timeouts.go
+++ b/internal/control/leader/timeouts.go
@@ -15,6 +15,8 @@
 	SubmissionTimeout clock.Millis
 	// StopDuration is how long an endpoint takes to end an attempt after it has received a stop.
 	StopDuration clock.Millis
+	// ResendAfter is how long after its connection broke the caller of a job sends it again.
+	ResendAfter clock.Millis
 }
 
 const (
@@ -69,7 +71,7 @@
 		AttemptLease:      min(maxAttemptLease, longestLease*6/10),
 		LongestLease:      longestLease,
 		JobLease:          clock.Millis(float64(resendAfter) * jobLeaseShare),
-		SubmissionTimeout: submissionTimeout, StopDuration: stopDuration,
+		SubmissionTimeout: submissionTimeout, StopDuration: stopDuration, ResendAfter: resendAfter,
 	}
 }
 
--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -224,6 +224,9 @@
 	Desired queue.Version
 	// Load is that of the shard, if the member leads it.
 	Load shard.Load
+	// OrphansEndIn is how long after the answer the attempts in the shard have to have ended that no job
+	// adopts after this leader, or 0 or less if that is unknown.
+	OrphansEndIn clock.Millis
 	// EndpointsVersion is the store's version of the list of endpoints that the member has.
 	EndpointsVersion int64
 	From             vm.Incarnation
--- a/internal/control/node/heartbeats.go
+++ b/internal/control/node/heartbeats.go
@@ -176,6 +176,7 @@
 		if r.Sent != 0 {
 			n.sendToLeader(r.Cell, leader.JobLeasesRenewed{Entry: r.From.Incarnation, Sent: r.Sent, Waiting: r.Waiting, LastSeq: r.LastSeq})
 		}
+		reply.OrphansEndIn = led.leader.OrphansEndBy(n.now) - n.now
 	}
 	if r.Desired > reply.Desired {
 		n.fetchDesiredState(r.From.Member)
--- a/internal/control/node/leadership.go
+++ b/internal/control/node/leadership.go
@@ -40,7 +40,7 @@
 	n.lastLeadership++
 	n.ledShards[id] = &ledShard{id: n.lastLeadership, writtenAt: n.now, acquiredAt: n.now, savedAt: n.now, handedOverBy: handedOverBy, leader: leader.New(leader.Config{
 		Shard: id, Token: token, Timeouts: n.config.Timeouts, FarFactor: n.config.FarFactor,
-		Desired: n.desired, Now: n.now,
+		Desired: n.desired, Now: n.now, OrphansEndBy: n.monitors[id].OrphansEndBy(),
 	})}
 	n.monitors[id].BecameLeader(token, n.now)
 	n.emit(ReadEndpoints{})
