Count the time limit of a job from the beginning of a pause

A VM that was frozen counted the limit of a job from when it read the request, which may have waited in its socket for as long as the pause. If the VM was cut off from its callers, it did not hear that they had given up, and ran jobs that they had sent to other VMs meanwhile.

The server passes on since when the caller may be waiting: the last event before the pause, for requests that are read within 200 ms after it.

--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -312,7 +312,14 @@
 }
 
 func (n *Control) handleJobArrived(e JobArrived) {
-	k := n.gateway.Accept(e.Job, e.Limit, n.leaderWaitLimit(&e.Job), n.now)
+	limit := e.Limit - (n.now - e.WaitsSince)
+	if limit <= 0 {
+		// The caller may have sent the job to another VM.
+		e.Ended <- job.Stopped{Reason: job.TimeLimit}
+		close(e.Accepted)
+		return
+	}
+	k := n.gateway.Accept(e.Job, limit, n.leaderWaitLimit(&e.Job), n.now)
 	n.callers[k] = e.Ended
 	e.Accepted <- k
 }
--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -20,7 +20,11 @@
 type JobArrived struct {
 	Job   job.Job
 	Limit clock.Millis
-	// Accepted receives the key of the job, Ended its outcome. Both must have a buffer of one.
+	// WaitsSince is the earliest time at which the caller may have sent the job, by this VM's clock: a
+	// request may have waited in its socket while the VM was paused. Limit counts from then on.
+	WaitsSince clock.Millis
+	// Accepted receives the key of the job, or is closed if its limit has passed. Ended receives the
+	// outcome. Both must have a buffer of one.
 	Accepted chan<- job.Key
 	Ended    chan<- job.Outcome
 }
--- a/internal/control/node/leadership_test.go
+++ b/internal/control/node/leadership_test.go
@@ -175,7 +175,7 @@
 	present := h.control.ledShards["centro"].id
 	h.answerHold(present, "e1", 1)
 	h.answerHold(present, "e2", 1)
-	h.handle(JobArrived{Job: movedSubmission().Job, Limit: 3000, Accepted: make(chan job.Key, 1), Ended: make(chan job.Outcome, 1)})
+	h.handle(JobArrived{Job: movedSubmission().Job, Limit: 3000, WaitsSince: h.now, Accepted: make(chan job.Key, 1), Ended: make(chan job.Outcome, 1)})
 	starts := startedTasks(h)
 	if len(starts) != 1 {
 		t.Fatalf("got %d starts, want one", len(starts))
@@ -211,3 +211,35 @@
 		}
 	}
 }
+
+// Guards against a job that runs longer than its caller waits, so that its tasks run twice: the request
+// waited in its socket while the VM was paused, and the VM cannot hear that the caller has gone.
+func TestLimitCountsFromTheArrivalOfARequest(t *testing.T) {
+	for _, tt := range []struct {
+		waited     clock.Millis
+		wantStarts int
+		// wantEnd is how long after it was read the job ends.
+		wantEnd clock.Millis
+	}{
+		{waited: 0, wantStarts: 1, wantEnd: 1500},
+		{waited: 1000, wantStarts: 1, wantEnd: 500},
+		{waited: 1500, wantStarts: 0, wantEnd: 0},
+	} {
+		h := leaderOfCentro(t)
+		present := h.control.ledShards["centro"].id
+		h.answerHold(present, "e1", 1)
+		h.answerHold(present, "e2", 1)
+		ended := make(chan job.Outcome, 1)
+		readAt := h.now
+		h.handle(JobArrived{Job: movedSubmission().Job, Limit: 1500, WaitsSince: h.now - tt.waited, Accepted: make(chan job.Key, 1), Ended: ended})
+		if got := len(startedTasks(h)); got != tt.wantStarts {
+			t.Errorf("waited %d ms: got %d starts, want %d", tt.waited, got, tt.wantStarts)
+		}
+		for len(ended) == 0 && h.now < readAt+3000 {
+			h.advance(10)
+		}
+		if got := h.now - readAt; got > tt.wantEnd+20 || got < tt.wantEnd {
+			t.Errorf("waited %d ms: got an end after %d ms, want it after %d ms", tt.waited, got, tt.wantEnd)
+		}
+	}
+}
--- a/internal/control/node/model_caller_test.go
+++ b/internal/control/node/model_caller_test.go
@@ -41,6 +41,8 @@
 	// gone means that the VM's machine has received the disconnection, and settled that the request
 	// has waited for it after a freeze.
 	gone, settled bool
+	// waitsSince is the earliest time at which it may have been sent, as far as the VM knows.
+	waitsSince clock.Millis
 }
 
 const (
@@ -130,12 +132,17 @@
 	// requestSettlePeriod is how long after a freeze a VM waits for settleDelay with a request.
 	requestSettlePeriod = 200 * ms
 	settleDelay         = 20 * ms
+	// maxEventInterval is the time without an event from which a VM counts as paused.
+	maxEventInterval = 300 * ms
 )
 
 // process submits the job to the control state, unless the caller's disconnection has arrived
 // before. After a freeze the VM gives it time to arrive.
 func (r *callerRequest) process() {
 	v, w := r.vm, r.callers.world
+	if !r.settled {
+		r.waitsSince = v.waitsSince()
+	}
 	if !r.settled && v.frozenUntil > 0 && w.now < v.frozenUntil+requestSettlePeriod {
 		r.settled = true
 		v.later(settleDelay, r.process)
@@ -151,8 +158,12 @@
 	}
 	accepted, ended := make(chan job.Key, 1), make(chan job.Outcome, 1)
 	v.awaitOutcome(ended, r.reply)
-	v.handle(node.JobArrived{Job: r.job, Limit: clock.Millis(r.limit / ms), Accepted: accepted, Ended: ended})
-	r.arrived, r.life, r.key = true, v.life, <-accepted
+	v.handle(node.JobArrived{Job: r.job, Limit: clock.Millis(r.limit / ms), WaitsSince: r.waitsSince, Accepted: accepted, Ended: ended})
+	key, ok := <-accepted
+	if !ok {
+		return
+	}
+	r.arrived, r.life, r.key = true, v.life, key
 	w.trace.add(record{job: r.job.ID, vm: v.name, format: "%s takes job as %v", args: []any{v.name, r.key}})
 }
 
--- a/internal/control/node/model_vm_test.go
+++ b/internal/control/node/model_vm_test.go
@@ -35,6 +35,8 @@
 	clockOffset micros
 	control     *node.Control
 	frozenUntil micros
+	// pausedAt is when the latest freeze began.
+	pausedAt micros
 	// freezeAtStart freezes the VM right after the next event that starts an attempt.
 	freezeAtStart micros
 	slowUntil     micros
@@ -259,10 +261,21 @@
 }
 
 func (v *modelVM) freeze(duration micros) {
+	if v.world.now >= v.frozenUntil {
+		v.pausedAt = v.world.now
+	}
 	v.frozenUntil = max(v.frozenUntil, v.world.now+duration)
 	v.world.trace.add(record{vm: v.name, format: "VM frozen until %s", args: []any{formatTime(v.frozenUntil)}})
 }
 
+// waitsSince returns the earliest time at which a request that is read now may have arrived.
+func (v *modelVM) waitsSince() clock.Millis {
+	if paused := v.frozenUntil - v.pausedAt; paused <= maxEventInterval || v.world.now >= v.frozenUntil+requestSettlePeriod {
+		return v.clock()
+	}
+	return clock.Millis((v.pausedAt + v.clockOffset) / ms)
+}
+
 func isStart(a node.Action) bool {
 	l, ok := a.(node.LeaderAction)
 	if !ok {
--- a/internal/link/caller/server.go
+++ b/internal/link/caller/server.go
@@ -29,9 +29,9 @@
 	// AwaitDesiredState returns the desired state. After a start it waits up to limit for the
 	// first one, and returns nil if there is none yet.
 	AwaitDesiredState(ctx context.Context, limit clock.Millis) *queue.State
-	// AwaitSettled reports whether the caller of a request still waits. After a pause of the VM it
-	// gives the connections time to tell which callers have gone meanwhile.
-	AwaitSettled(ctx context.Context) bool
+	// AwaitSettled reports whether the caller of a request still waits, and since when it may do so.
+	// After a pause of the VM it gives the connections time to tell which callers have gone meanwhile.
+	AwaitSettled(ctx context.Context) (waitsSince clock.Millis, waits bool)
 }
 
 // Config holds the dependencies of a server.
@@ -186,11 +186,12 @@
 // run submits a job to the control state and waits for its outcome, or until the caller
 // disconnects.
 func (s *Server) run(ctx context.Context, j job.Job, limit clock.Millis) platform.Response {
-	if !s.config.Local.AwaitSettled(ctx) {
+	since, waits := s.config.Local.AwaitSettled(ctx)
+	if !waits {
 		return platform.EncodeOutcome(job.Stopped{Reason: job.CallerDisconnected})
 	}
 	accepted, ended := make(chan job.Key, 1), make(chan job.Outcome, 1)
-	if !s.config.Local.Post(node.JobArrived{Job: j, Limit: limit, Accepted: accepted, Ended: ended}) {
+	if !s.config.Local.Post(node.JobArrived{Job: j, Limit: limit, WaitsSince: since, Accepted: accepted, Ended: ended}) {
 		return platform.Refusal(string(job.Draining), clock.Second)
 	}
 	select {
--- a/internal/link/caller/server_test.go
+++ b/internal/link/caller/server_test.go
@@ -35,14 +35,17 @@
 	return queue.NewState(1, []queue.Queue{{Name: "q", Host: "h", Path: "/q/", Service: "s"}}, nil, queue.Limits{})
 }
 
-func (l *local) AwaitSettled(ctx context.Context) bool {
+func (l *local) AwaitSettled(ctx context.Context) (clock.Millis, bool) {
 	if l.settling != nil {
 		l.settling <- struct{}{}
 		<-ctx.Done()
 	}
-	return ctx.Err() == nil
+	return waitsSince, ctx.Err() == nil
 }
 
+// waitsSince is since when the callers of the fake VM wait.
+const waitsSince = clock.Millis(700)
+
 const callerSpan = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
 
 type noCounter struct{}
@@ -85,6 +88,9 @@
 		replies <- reply{status: response.StatusCode, body: string(body), err: err}
 	}()
 	j := <-l.jobs
+	if got, want := j.WaitsSince, waitsSince; got != want {
+		t.Errorf("got a caller that waits since %d, want %d", got, want)
+	}
 	if got, want := string(j.Job.Trace), callerSpan; got != want {
 		t.Errorf("got trace %q, want the caller's %q", got, want)
 	}
--- a/internal/process/daemon/loop.go
+++ b/internal/process/daemon/loop.go
@@ -44,9 +44,9 @@
 	endpoints atomic.Pointer[endpointList]
 	ready     atomic.Bool
 	idle      atomic.Bool
-	// lastEventAt is when the control goroutine took the latest event, and resumedAt when it took the
-	// first one after the latest pause.
-	lastEventAt, resumedAt atomic.Int64
+	// lastEventAt is when the control goroutine took the latest event. It took pausedAt's before the
+	// latest pause, and resumedAt's after it.
+	lastEventAt, pausedAt, resumedAt atomic.Int64
 	// role is one of the roles below.
 	role atomic.Int32
 }
@@ -98,27 +98,39 @@
 
 // AwaitSettled implements caller.Local. A request may have waited in its socket during a pause, and
 // its caller may have sent the job to another VM since.
-func (l *loop) AwaitSettled(ctx context.Context) bool {
-	if l.settling(l.clock.Now()) {
+func (l *loop) AwaitSettled(ctx context.Context) (waitsSince clock.Millis, waits bool) {
+	now := l.clock.Now()
+	since := l.waitsSince(now)
+	if since != now {
 		select {
 		case <-ctx.Done():
 		case <-l.clock.After(settleDelay):
 		}
 	}
-	return ctx.Err() == nil
+	return since, ctx.Err() == nil
 }
 
-// settling reports whether the VM is paused or was paused until recently.
-func (l *loop) settling(now clock.Millis) bool {
-	paused := now > clock.Millis(l.lastEventAt.Load())+maxEventInterval
-	return paused || now < clock.Millis(l.resumedAt.Load())+settlePeriod
+// waitsSince returns the earliest time at which a request that is read now may have arrived: the
+// beginning of the pause if the VM is paused or was paused until recently.
+func (l *loop) waitsSince(now clock.Millis) clock.Millis {
+	if last := clock.Millis(l.lastEventAt.Load()); now > last+maxEventInterval {
+		return last
+	}
+	if now < clock.Millis(l.resumedAt.Load())+settlePeriod {
+		return clock.Millis(l.pausedAt.Load())
+	}
+	return now
 }
 
 // recordEvent records that the control goroutine takes an event.
 func (l *loop) recordEvent(now clock.Millis) {
-	if last := clock.Millis(l.lastEventAt.Swap(int64(now))); now > last+maxEventInterval {
+	last := clock.Millis(l.lastEventAt.Load())
+	if now > last+maxEventInterval {
+		l.pausedAt.Store(int64(last))
 		l.resumedAt.Store(int64(now))
 	}
+	// Stored last, so that a request is never read between a pause and its record.
+	l.lastEventAt.Store(int64(now))
 }
 
 // Endpoints implements peer.Local.
