--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -20,7 +20,11 @@
 type JobArrived struct {
 	Job   job.Job
 	Limit clock.Millis
-	// Accepted receives the key of the job, Ended its outcome. Both must have a buffer of one.
+	// WaitsSince is the earliest time at which the caller may have sent the job, by this VM's clock: a
+	// request may have waited in its socket while the VM was paused. Limit counts from then on.
+	WaitsSince clock.Millis
+	// Accepted receives the key of the job, or is closed if its limit has passed. Ended receives the
+	// outcome. Both must have a buffer of one.
 	Accepted chan<- job.Key
 	Ended    chan<- job.Outcome
 }
@@ -224,6 +228,9 @@
 	Desired queue.Version
 	// Load is that of the shard, if the member leads it.
 	Load shard.Load
+	// OrphansEndIn is how long after the answer the attempts in the shard have to have ended that no job
+	// adopts after this leader, or 0 or less if that is unknown.
+	OrphansEndIn clock.Millis
 	// EndpointsVersion is the store's version of the list of endpoints that the member has.
 	EndpointsVersion int64
 	From             vm.Incarnation
