Do not count held-back warnings against the rate limit of the log

Failed calls counted against log.linesPerSecond before the log held their repeats back; holds to an endpoint that refuses connections fail a hundred times a second, so that ten of them used up the limit of 400 and the decisions of the rest of that second were dropped.

Warnings no longer count: the log writes one a minute for each peer.

TestRepeatedWarningsLeaveTheRateLimit failed before: no line of jobTaken after five failed calls with a limit of two lines.

--- a/internal/process/daemon/decision_fields_test.go
+++ b/internal/process/daemon/decision_fields_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"testing"
 
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/sequoiacart/sequoiacart/internal/control/leader"
@@ -151,3 +152,27 @@
 		}
 	}
 }
+
+// Guards against decisions that are not logged since repeats of a warning, which are not written, use
+// up the rate limit: calls to an endpoint that refuses connections fail a hundred times a second.
+func TestRepeatedWarningsLeaveTheRateLimit(t *testing.T) {
+	var out bytes.Buffer
+	log := logrus.New()
+	log.SetOutput(&out)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	l := newEventLogger(event.NewLog(log), meter.New(), clock.NewManual(clock.Hour), 2)
+	for range 5 {
+		l.callFailed("hold", "e1", errors.New("connection refused"))
+	}
+	for range 3 {
+		l.logEvent(node.LogEvent{Topic: node.LeaderDecision, Decision: &leader.LogDecision{Decision: leader.JobAccepted}})
+	}
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = l.run(ended)
+	for line, want := range map[string]int{"call failed": 1, "jobTaken": 2} {
+		if got := bytes.Count(out.Bytes(), []byte(line)); got != want {
+			t.Errorf("got %d lines of %q, want %d", got, line, want)
+		}
+	}
+}
--- a/internal/process/daemon/event_logger.go
+++ b/internal/process/daemon/event_logger.go
@@ -68,6 +68,12 @@
 		l.meter.Count("logLines.dropped")
 		return
 	}
+	l.enqueue(line)
+}
+
+// enqueue writes a line regardless of the rate limit. Warnings use it, since the log holds back their
+// repeats.
+func (l *eventLogger) enqueue(line func()) {
 	select {
 	case l.lines <- line:
 	default:
@@ -168,7 +174,7 @@
 
 // callFailed logs a failed call to a peer or endpoint; the event log suppresses repeats.
 func (l *eventLogger) callFailed(step, peer string, err error) {
-	l.write(func() {
+	l.enqueue(func() {
 		l.log.Warn(event.CallFailed, "call failed", logrus.Fields{"step": step, "peer": peer, "error": err.Error()})
 	})
 }
@@ -176,7 +182,7 @@
 // endpointUnreadable logs an endpoint row that cannot be decoded.
 func (l *eventLogger) endpointUnreadable(key string, err error) {
 	l.meter.Count("endpoints.unreadable")
-	l.write(func() {
+	l.enqueue(func() {
 		l.log.Warn(event.EndpointUnreadable, "row of endpoint not readable", logrus.Fields{"endpoint": key, "error": err.Error()})
 	})
 }
