Tell the end of an endpoint's process from a link that resets

Refused connections come at once, but links that reset connections cause them too. What differs is how the hold in flight ends: when the process ends, its sockets are closed in order and the hold gets EOF; on a link that resets, and at endpoints that reset requests, it gets "connection reset by peer".

A hold that the endpoint closes says so (HoldClosed). Two refused connections after it, with no answer or other failure in between, are ProcessEnded, for which handleCrash is called. An endpoint that drains is left out, and so is one whose state is older than endpoints serve after they have announced their end (2 s). An answer of the same incarnation takes it back, like a suspicion. It is strong evidence, not proof: leases are waited for as before, and no attempt ends earlier.

--- a/internal/control/leader/attempts.go
+++ b/internal/control/leader/attempts.go
@@ -204,7 +204,7 @@
 	l.removeOrphans(ep, EndRestarted{})
 	ep.formerBorn, ep.ackedEnd = ep.Born, 0
 	ep.Born, ep.bornSeq = incarnation, l.sequence
-	ep.suspected, ep.crashed, ep.refusals, ep.lost = false, false, 0, nil
+	ep.suspected, ep.crashed, ep.refusals, ep.closedSeq, ep.lost = false, false, 0, 0, nil
 	ep.speed, ep.health = speed{}, health{}
 }
 
--- a/internal/control/leader/crash.go
+++ b/internal/control/leader/crash.go
@@ -28,6 +28,18 @@
 	Duration clock.Millis
 }
 
+// ProcessEnded means that an endpoint has closed the connection of a hold that it had not answered and
+// that its address refuses connections since then, without any other answer or failure in between.
+// An answer of the same incarnation takes it back.
+type ProcessEnded struct {
+	// Refusals and Duration are as in ConnectionsRefused.
+	Refusals int
+	Duration clock.Millis
+	// SinceClosed is the time since the connection was closed.
+	SinceClosed clock.Millis
+}
+
+func (ProcessEnded) crashEvidence()       {}
 func (NewIncarnation) crashEvidence()     {}
 func (InstanceReplaced) crashEvidence()   {}
 func (ConnectionsRefused) crashEvidence() {}
@@ -70,13 +82,16 @@
 	// refusalsForSuspicion excludes a single refusal, which a reset of a connection that is being
 	// opened looks like. The next connection is opened within a tick.
 	refusalsForSuspicion = 2
+	// maxListAge is how old the list may be that does not show an endpoint as draining. Endpoints serve
+	// for drain_ms after the store has accepted that they drain, which is 2 s.
+	maxListAge = 2 * clock.Second
 	// crashProofTimeout is how long the attempts lost at an endpoint are kept. Endpoints that crash are
 	// back after some seconds.
 	crashProofTimeout = 10 * clock.Second
 )
 
-// handleCrash handles the proven end of an incarnation of an endpoint, once, before the attempts
-// there are ended.
+// handleCrash handles the end of an incarnation of an endpoint, once, before the attempts there are
+// ended. After ProcessEnded they are left to expire.
 func (l *Leader) handleCrash(ep *endpointState, e CrashEvidence) {
 	if ep.crashed {
 		return
@@ -98,18 +113,21 @@
 // withdrawSuspicion handles an answer of the present incarnation to a request that was issued in the
 // given event. An answer to an earlier one may have been sent before the crash.
 func (l *Leader) withdrawSuspicion(ep *endpointState, request SequenceNumber) {
-	if request < ep.refusedSeq {
+	if request < max(ep.refusedSeq, ep.closedSeq) {
 		return
 	}
-	ep.refusals, ep.lost = 0, nil
-	if ep.suspected {
-		ep.suspected = false
+	ep.refusals, ep.closedSeq, ep.lost = 0, 0, nil
+	if ep.suspected || ep.crashed {
+		ep.suspected, ep.crashed = false, false
 		l.emit(LogDecision{Decision: EndpointReturned, Endpoint: ep.Endpoint, Detail: "answers in the same incarnation"})
 	}
 }
 
-// recordLost keeps an attempt that has expired at an endpoint.
+// recordLost keeps an attempt that has expired at an endpoint, until a crash has named it.
 func (ep *endpointState) recordLost(a CrashedAttempt, now clock.Millis) {
+	if ep.crashed {
+		return
+	}
 	a.Lost, a.lostAt = true, now
 	ep.lost = append(ep.lost, a)
 }
@@ -142,7 +160,7 @@
 	})
 	return &EndpointCrash{
 		Incarnation: ep.Born, Evidence: e, Draining: ep.Draining, Contacted: ep.contacted,
-		Abrupt:      ep.refusals > 0 && ep.refusedAt-ep.lastReportAt <= l.config.Timeouts.AttemptLease,
+		Abrupt:      ep.closedSeq != 0 || ep.refusals > 0 && ep.refusedAt-ep.lastReportAt <= l.config.Timeouts.AttemptLease,
 		SinceReport: l.now - ep.lastReportAt, Attempts: attempts,
 	}
 }
@@ -150,7 +168,7 @@
 // handleRefusedConnection handles a request that was issued in the given event and not sent since
 // the endpoint's address refuses connections.
 func (l *Leader) handleRefusedConnection(ep *endpointState, request SequenceNumber) {
-	if request <= max(ep.answeredSeq, ep.bornSeq) {
+	if request <= max(ep.answeredSeq, ep.bornSeq) || request < ep.closedSeq {
 		return
 	}
 	if ep.refusals == 0 {
@@ -160,9 +178,23 @@
 		ep.refusals++
 		ep.refusedSeq = l.sequence
 	}
-	if ep.refusals >= refusalsForSuspicion && ep.Born != 0 && ep.contacted && !ep.Draining {
-		l.handleSuspectedCrash(ep, ConnectionsRefused{Refusals: ep.refusals, Duration: l.now - ep.refusedAt})
+	if ep.refusals < refusalsForSuspicion || ep.Born == 0 || !ep.contacted || ep.Draining {
+		return
+	}
+	if ep.closedSeq != 0 && l.now-l.list.ReadAt <= maxListAge {
+		l.handleCrash(ep, ProcessEnded{Refusals: ep.refusals, Duration: l.now - ep.refusedAt, SinceClosed: l.now - ep.closedAt})
+		return
+	}
+	l.handleSuspectedCrash(ep, ConnectionsRefused{Refusals: ep.refusals, Duration: l.now - ep.refusedAt})
+}
+
+// handleClosedConnection handles a hold that was issued in the given event and whose connection the
+// endpoint closed without an answer.
+func (l *Leader) handleClosedConnection(ep *endpointState, request SequenceNumber) {
+	if request < max(ep.bornSeq, ep.tokenSeq) || ep.closedSeq != 0 && request < ep.closedSeq {
+		return
 	}
+	ep.closedSeq, ep.closedAt, ep.refusals = l.sequence, l.now, 0
 }
 
 // lossDetail says in the log what is known of the endpoint of a lost attempt.
--- a/internal/control/leader/crash_test.go
+++ b/internal/control/leader/crash_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"testing"
 
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 )
@@ -31,12 +32,14 @@
 // Guards against a crash that is not noticed, is counted twice, or does not name the attempts that
 // ran there, and against an endpoint that drains or that a cut separates and that counts as crashed.
 func TestCrashEvidence(t *testing.T) {
-	const suspected = "suspected, 1 attempts"
+	const suspected, ended = "suspected, 1 attempts", "leader.ProcessEnded abrupt=true draining=false, 1 attempts"
 	for _, tt := range []struct {
 		name string
-		// drains announces the end, crashes ends the incarnation, and refuses lets connections be refused
-		// for a while. Afterwards a later incarnation, or another instance at the address, is there.
-		drains, crashes, refuses  bool
+		// drains announces the end, crashes ends the incarnation, closes ends a hold in flight, refuses
+		// lets connections be refused for a while, and oldList stops the reading of the list before.
+		// Afterwards a later incarnation, or another instance at the address, is there.
+		drains, crashes, closes   bool
+		refuses, oldList          bool
 		duration                  clock.Millis
 		laterIncarnation, another bool
 		want                      []string
@@ -49,6 +52,12 @@
 		{name: "cut that refuses connections", refuses: true, duration: 1500, want: []string{suspected, "returned"}},
 		{name: "short cut that refuses connections", refuses: true, duration: 300, want: []string{suspected, "returned"}},
 		{name: "crash behind a silent cut", crashes: true, duration: 1500, laterIncarnation: true, want: []string{"leader.NewIncarnation abrupt=false draining=false, 1 attempts"}},
+		{name: "process ends, later incarnation", crashes: true, closes: true, refuses: true, duration: 1500, laterIncarnation: true, want: []string{ended}},
+		{name: "process ends, another instance", crashes: true, closes: true, refuses: true, duration: 300, another: true, want: []string{ended}},
+		{name: "process ends, old list", crashes: true, closes: true, refuses: true, oldList: true, duration: 300, want: []string{suspected}},
+		{name: "connection closed, silent cut", closes: true, duration: 1500, want: nil},
+		{name: "connection closed, cut that refuses connections", closes: true, refuses: true, duration: 1500, want: []string{ended, "returned"}},
+		{name: "drained, process ends", drains: true, crashes: true, closes: true, refuses: true, duration: 1500, want: nil},
 		{name: "drained", drains: true, crashes: true, refuses: true, duration: 1500, want: nil},
 		{name: "drained, another instance", drains: true, crashes: true, refuses: true, duration: 300, another: true, want: []string{"leader.InstanceReplaced abrupt=true draining=true, 1 attempts"}},
 	} {
@@ -61,11 +70,18 @@
 			e := c.endpointOf("0000000000000001.0.0.0")
 			e.Draining = tt.drains
 			c.advance(400)
+			if tt.oldList {
+				c.leaders[1].relists = false
+				c.advance(maxListAge)
+			}
 			from := c.now
 			c.fault = func(_ int, id datacentre.EndpointID, _ Action) delivery {
 				return delivery{lost: id == e.ID && c.now-from < tt.duration}
 			}
 			e.down, e.refusing = tt.crashes, tt.refuses
+			if tt.closes {
+				c.deliver(1, HoldEnded{Endpoint: e.ID, Kind: Watch, Sequence: c.leaders[1].leader.sequence, Rejection: HoldClosed})
+			}
 			c.advance(tt.duration)
 			e.refusing, e.replaced = tt.refuses && tt.crashes && !tt.laterIncarnation && !tt.another, tt.another
 			if tt.laterIncarnation {
@@ -119,3 +135,25 @@
 		t.Error("got an endpoint that is still known after its crash, want none")
 	}
 }
+
+// Guards against an endpoint that closes one connection, and later is behind a cut that refuses
+// connections, and whose process counts as ended.
+func TestClosedConnectionIsForgotten(t *testing.T) {
+	for name, between := range map[string]HoldEnded{
+		"answer": {Report: &endpoint.StatusReport{Incarnation: 1, Clock: 1}}, "other failure": {Rejection: HoldUnanswered},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 25, 1)
+			c.addLeader(1, 256)
+			c.advance(50)
+			e := c.sortedEndpoints[0]
+			for _, h := range []HoldEnded{{Rejection: HoldClosed}, between, {Rejection: HoldRefused}, {Rejection: HoldRefused}} {
+				h.Endpoint, h.Kind, h.Sequence = e.ID, Renewal, c.leaders[1].leader.sequence+1
+				c.deliver(1, h)
+			}
+			if got, want := c.crashes(e), []string{"suspected, 0 attempts"}; !slices.Equal(got, want) {
+				t.Errorf("got %q, want %q", got, want)
+			}
+		})
+	}
+}
--- a/internal/control/leader/endpoint_state.go
+++ b/internal/control/leader/endpoint_state.go
@@ -63,6 +63,10 @@
 	refusals   int
 	refusedAt  clock.Millis
 	refusedSeq SequenceNumber
+	// closedSeq is the event in which a hold ended since the present incarnation closed its connection,
+	// or 0 if another one has had an answer or a different failure since.
+	closedSeq SequenceNumber
+	closedAt  clock.Millis
 	// suspected means that the present incarnation seems to have crashed, and crashed that its crash
 	// has been handled.
 	suspected, crashed bool
--- a/internal/control/leader/event.go
+++ b/internal/control/leader/event.go
@@ -93,6 +93,9 @@
 	HoldOtherInstance
 	// HoldRefused means that the endpoint's address refuses connections.
 	HoldRefused
+	// HoldClosed means that the endpoint closed the connection instead of answering, as the end of its
+	// process does. A link that resets connections causes HoldUnanswered.
+	HoldClosed
 )
 
 // EndpointsListed is the platform's list of the endpoints of the shard.
--- a/internal/control/leader/status_report.go
+++ b/internal/control/leader/status_report.go
@@ -77,7 +77,13 @@
 	case HoldRefused:
 		l.handleRefusedConnection(ep, e.Sequence)
 		l.handleUnansweredHold(ep, e)
+	case HoldClosed:
+		l.handleClosedConnection(ep, e.Sequence)
+		l.handleUnansweredHold(ep, e)
 	case HoldUnanswered:
+		if e.Sequence >= ep.closedSeq {
+			ep.closedSeq = 0
+		}
 		l.handleUnansweredHold(ep, e)
 	}
 }
--- a/internal/control/node/model_execute_test.go
+++ b/internal/control/node/model_execute_test.go
@@ -117,11 +117,14 @@
 			respond(func() { end(report, r) })
 		})
 	}), func(f exchangeFailure) {
-		if f == callRefused {
+		switch f {
+		case callRefused:
 			end(nil, leader.HoldRefused)
-			return
+		case callBroken:
+			end(nil, leader.HoldClosed)
+		default:
+			end(nil, leader.HoldUnanswered)
 		}
-		end(nil, leader.HoldUnanswered)
 	})
 	x.beforeSend = func() bool {
 		if v.clock() > h.SendBy {
--- a/internal/process/daemon/decision_fields.go
+++ b/internal/process/daemon/decision_fields.go
@@ -133,6 +133,8 @@
 		fields["evidence"], fields["bornAfter"] = "newIncarnation", e.After
 	case leader.InstanceReplaced:
 		fields["evidence"] = "instanceReplaced"
+	case leader.ProcessEnded:
+		fields["evidence"], fields["refusals"], fields["refusedForMs"], fields["sinceClosedMs"] = "processEnded", e.Refusals, e.Duration, e.SinceClosed
 	case leader.ConnectionsRefused:
 		fields["evidence"], fields["refusals"], fields["refusedForMs"] = "connectionsRefused", e.Refusals, e.Duration
 	}
--- a/internal/process/daemon/decision_fields_test.go
+++ b/internal/process/daemon/decision_fields_test.go
@@ -139,6 +139,7 @@
 	attempts := []leader.CrashedAttempt{{Task: "75aef6597ba279b0.0.0.1", Attempt: 2, Confirmed: true, Age: 310}}
 	for want, e := range map[string]leader.CrashEvidence{
 		"newIncarnation": leader.NewIncarnation{Before: 7, After: 8}, "instanceReplaced": leader.InstanceReplaced{},
+		"processEnded":       leader.ProcessEnded{Refusals: 2, Duration: 10, SinceClosed: 12},
 		"connectionsRefused": leader.ConnectionsRefused{Refusals: 2, Duration: 10},
 	} {
 		line := decisionLine(t, leader.EndpointCrashed, &leader.EndpointCrash{Incarnation: 7, Evidence: e, Contacted: true, SinceReport: 40, Attempts: attempts})
