Do not call a crash before the first contact abrupt

A leader that takes over after an endpoint has crashed finds refused connections and, seconds later, another instance at the address. Only an incarnation that this leader has contacted can crash abruptly.

TestCrashBeforeTheFirstContactIsNotAbrupt got abrupt=true before.

--- a/internal/control/leader/crash.go
+++ b/internal/control/leader/crash.go
@@ -52,8 +52,8 @@
 	Draining bool
 	// Contacted means that the incarnation had answered this leader.
 	Contacted bool
-	// Abrupt means that the address refused connections within a lease of the latest report, so that
-	// the attempts there had not expired before.
+	// Abrupt means that the endpoint closed a connection or refused one within a lease of the latest
+	// report, so that the attempts there had not expired before.
 	Abrupt bool
 	// SinceReport is the age of the latest status report.
 	SinceReport clock.Millis
@@ -160,7 +160,7 @@
 	})
 	return &EndpointCrash{
 		Incarnation: ep.Born, Evidence: e, Draining: ep.Draining, Contacted: ep.contacted,
-		Abrupt:      ep.closedSeq != 0 || ep.refusals > 0 && ep.refusedAt-ep.lastReportAt <= l.config.Timeouts.AttemptLease,
+		Abrupt:      ep.contacted && (ep.closedSeq != 0 || ep.refusals > 0 && ep.refusedAt-ep.lastReportAt <= l.config.Timeouts.AttemptLease),
 		SinceReport: l.now - ep.lastReportAt, Attempts: attempts,
 	}
 }
--- a/internal/control/leader/crash_test.go
+++ b/internal/control/leader/crash_test.go
@@ -157,3 +157,17 @@
 		})
 	}
 }
+
+// Guards against a crash before a leader took over that counts as one with attempts of this leader.
+func TestCrashBeforeTheFirstContactIsNotAbrupt(t *testing.T) {
+	c := newCluster(t, 26, 1)
+	e := c.sortedEndpoints[0]
+	e.down, e.refusing = true, true
+	c.addLeader(1, 256)
+	c.advance(300)
+	e.refusing, e.replaced = false, true
+	c.advance(300)
+	if got, want := c.crashes(e), []string{"leader.InstanceReplaced abrupt=false draining=false, 0 attempts"}; !slices.Equal(got, want) {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
