Check in the model that no endpoint that is up counts as crashed

The model's cuts were silent, so that a refused connection always meant that no process listens. A new kind, resetCut, separates endpoints by links that reset connections while their attempts go on. Each EndpointCrashed is checked against the endpoint: its incarnation must not be up.

--- a/internal/control/node/model_exchange_test.go
+++ b/internal/control/node/model_exchange_test.go
@@ -31,7 +31,7 @@
 	callBroken
 	// callNotSent means that no connection could be opened in time.
 	callNotSent
-	// callRefused means that no process listens at the address.
+	// callRefused means that no process listens at the address, or that the link resets connections.
 	callRefused
 )
 
@@ -49,6 +49,10 @@
 			return
 		}
 		v.later(limit, func() { x.finish(func() { fail(callTimedOut) }) })
+		if v.world.network.resets(v.name, to) {
+			v.later(ms, func() { x.finish(func() { fail(callRefused) }) })
+			return
+		}
 		sentAt, connectedTo := v.world.now, life()
 		sent := v.world.network.send(v.name, to, func() {
 			// A connection that is being opened may reach the next process.
--- a/internal/control/node/model_execute_test.go
+++ b/internal/control/node/model_execute_test.go
@@ -50,6 +50,9 @@
 		if a.Topic == node.LeadershipAcquired {
 			v.world.stats.takeovers++
 		}
+		if a.Topic == node.LeaderDecision && a.Decision.Decision == leader.EndpointCrashed {
+			v.world.crashFound(v, a.Decision)
+		}
 	}
 }
 
--- a/internal/control/node/model_faults_test.go
+++ b/internal/control/node/model_faults_test.go
@@ -43,7 +43,9 @@
 	// faultCallerCut lets the cuts of data centres separate VMs from callers too.
 	faultCallerCut faultKind = "callerCut"
 	// faultThawOrder lets a VM that wakes up from a freeze handle other events before its tick.
-	faultThawOrder     faultKind = "thawOrder"
+	faultThawOrder faultKind = "thawOrder"
+	// faultResetCut cuts endpoints off by links that reset connections.
+	faultResetCut      faultKind = "resetCut"
 	maxCutDuration               = 6 * second
 	maxStoreDuration             = 8 * second
 	maxSlowDuration              = 4 * second
@@ -73,13 +75,14 @@
 	faultAdd:          injectAdd,
 	faultLeave:        injectLeave,
 	faultBurst:        injectBurst,
+	faultResetCut:     injectResetCut,
 }
 
 // allFaults are the kinds in a fixed order.
 var allFaults = []faultKind{
 	faultLoss, faultLate, faultCut, faultZoneCut, faultEndpointCut, faultCoreCut, faultFreeze, faultSlow, faultKill, faultPower, faultRoll,
 	faultStoreDown, faultStoreRefuses, faultStoreSlow, faultRevoke, faultCrash, faultReborn, faultRebornCut, faultAdd, faultLeave, faultBurst,
-	faultStoreLate, faultFailures, faultStall, faultGiveUp, faultDuplicate, faultNextLife, faultCallerCut, faultThawOrder,
+	faultStoreLate, faultFailures, faultStall, faultGiveUp, faultDuplicate, faultNextLife, faultCallerCut, faultThawOrder, faultResetCut,
 }
 
 // injectFaults causes faults of the world's kinds until a point in time.
@@ -214,6 +217,24 @@
 	w.logFault(faultEndpointCut, "%s for %s, from all VMs %v", e.id, formatTime(d), all)
 }
 
+// injectResetCut cuts an endpoint off from all or some VMs, so that connections to it are refused while
+// its attempts go on.
+func injectResetCut(w *world, random *rand.Rand) {
+	e := w.pickEndpoint(random)
+	if e == nil {
+		return
+	}
+	d, all := duration(random, maxCutDuration), random.IntN(2) == 0
+	for _, v := range w.vms {
+		if all || random.IntN(2) == 0 {
+			w.network.cut(v.name, string(e.id), d)
+			w.network.cut(string(e.id), v.name, d)
+			w.network.link(v.name, string(e.id)).resetUntil = w.now + d
+		}
+	}
+	w.logFault(faultResetCut, "%s for %s, from all VMs %v", e.id, formatTime(d), all)
+}
+
 // injectCoreCut cuts VMs or endpoints off from the store.
 func injectCoreCut(w *world, random *rand.Rand) {
 	d := duration(random, maxStoreDuration)
--- a/internal/control/node/model_network_test.go
+++ b/internal/control/node/model_network_test.go
@@ -20,6 +20,8 @@
 type linkState struct {
 	random   *rand.Rand
 	cutUntil micros
+	// resetUntil is until when the link resets connections.
+	resetUntil micros
 }
 
 const (
@@ -53,6 +55,9 @@
 // isCut reports whether messages are lost now.
 func (n *network) isCut(from, to string) bool { return n.world.now < n.link(from, to).cutUntil }
 
+// resets reports whether connections are reset now.
+func (n *network) resets(from, to string) bool { return n.world.now < n.link(from, to).resetUntil }
+
 // latency is the one-way delay between two parties; those of a data centre are close.
 func (n *network) latency(from, to string, random *rand.Rand) micros {
 	delay := 200 + micros(random.Int64N(600))
--- a/internal/control/node/model_stats_test.go
+++ b/internal/control/node/model_stats_test.go
@@ -2,7 +2,7 @@
 
 // modelStats counts what happened in a world.
 type modelStats struct {
-	events, jobs, starts, completed, refused, resent, takeovers int
+	events, jobs, starts, completed, refused, resent, takeovers, crashes int
 }
 
 func (s *modelStats) add(o modelStats) {
@@ -13,4 +13,5 @@
 	s.refused += o.refused
 	s.resent += o.resent
 	s.takeovers += o.takeovers
+	s.crashes += o.crashes
 }
--- a/internal/control/node/model_trace_test.go
+++ b/internal/control/node/model_trace_test.go
@@ -108,6 +108,7 @@
 
 var decisionNames = map[leader.Decision]string{
 	leader.EndpointEjected: "endpoint ejected", leader.EndpointSuspected: "endpoint suspected", leader.EndpointReturned: "endpoint returned",
+	leader.EndpointCrashSuspected: "crash suspected", leader.EndpointCrashed: "endpoint crashed",
 	leader.StartUncertain: "start uncertain", leader.AttemptStalled: "attempt stalled", leader.AttemptLost: "attempt lost",
 	leader.AttemptFailed: "attempt failed", leader.AttemptNotAdopted: "attempt not adopted", leader.JobAccepted: "job accepted",
 	leader.JobRefused: "job refused", leader.JobForwarded: "job forwarded", leader.JobAdopted: "job adopted", leader.JobAbandoned: "job abandoned",
--- a/internal/control/node/model_world_test.go
+++ b/internal/control/node/model_world_test.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"math/rand/v2"
 
+	"github.com/sequoiacart/sequoiacart/internal/control/leader"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
@@ -117,3 +118,12 @@
 	}
 	w.live[a.task] = append(running, a)
 }
+
+// crashFound checks that an incarnation that a leader takes for crashed is not up.
+func (w *world) crashFound(v *modelVM, d *leader.LogDecision) {
+	w.stats.crashes++
+	crash := d.Details.(*leader.EndpointCrash)
+	if e := w.endpoint(d.Endpoint.ID); e != nil && e.up && e.born == crash.Incarnation && w.violation == "" {
+		w.violation = fmt.Sprintf("%s takes %s for crashed, which is up, at %s: %+v", v.name, e.id, formatTime(w.now), crash)
+	}
+}
