Refuse implausible rows of VMs, replica sets and estimates

Other writers may write to the system's own tables. A mean of -1 samples made a leader divide by zero, and a logarithm of 1e308 gave every job of a queue an undefined duration. Replica sets with members that have no incarnation or address, or with more than 256 members, whose tokens overlap, were applied.

The decoders check these fields; implausible means are left out one by one, so that the others are inherited.

--- a/internal/link/store/codec.go
+++ b/internal/link/store/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 
 	"github.com/juju/errors"
 
@@ -36,6 +37,9 @@
 	})
 }
 
+// maxMilliCores bounds the processor share of an entry VM.
+const maxMilliCores = 1 << 30
+
 // DecodeVM reads the row of an entry VM.
 func DecodeVM(r Row) (shard.VM, error) {
 	var w wireVM
@@ -45,6 +49,9 @@
 	if w.Incarnation == "" || w.Address == "" {
 		return shard.VM{}, errors.NotValidf("decode row of VM %s: no incarnation or address: row", r.Key)
 	}
+	if w.MilliCores < 0 || w.MilliCores > maxMilliCores {
+		return shard.VM{}, errors.NotValidf("decode row of VM %s: %d thousandths of a core: row", r.Key, w.MilliCores)
+	}
 	return shard.VM{
 		Member:     shard.Member{Incarnation: vm.Incarnation(w.Incarnation), Address: w.Address},
 		DataCentre: datacentre.ID(w.DataCentre), CPU: w.MilliCores, Revision: int64(r.Revision),
@@ -66,8 +73,14 @@
 	if err := json.Unmarshal(r.Value, &w); err != nil {
 		return shard.ReplicaSet{}, errors.Annotatef(err, "decode replica set of shard %s", r.Key)
 	}
+	if len(w.Members) > shard.MaxMembers {
+		return shard.ReplicaSet{}, errors.NotValidf("decode replica set of shard %s: %d members: row", r.Key, len(w.Members))
+	}
 	s := shard.ReplicaSet{Cell: shard.ID(r.Key), Revision: int64(r.Revision)}
 	for _, m := range w.Members {
+		if m.Incarnation == "" || m.Address == "" {
+			return shard.ReplicaSet{}, errors.NotValidf("decode replica set of shard %s: member without incarnation or address: row", r.Key)
+		}
 		s.Members = append(s.Members, shard.Member{Incarnation: vm.Incarnation(m.Incarnation), Address: m.Address})
 	}
 	return s, nil
@@ -95,7 +108,20 @@
 	return json.Marshal(w)
 }
 
-// DecodeEstimates reads the row of a shard's performance estimates.
+const (
+	// maxLog bounds the logarithm of a speed or of a duration in milliseconds. The exponentials of
+	// larger ones overflow points in time.
+	maxLog = 25
+	// maxSamples bounds the samples of a mean.
+	maxSamples = 1 << 30
+)
+
+// plausible reports whether a mean can be one that a leader has written.
+func (m wireMean) plausible() bool {
+	return math.Abs(m.Log) <= maxLog && m.Samples > 0 && m.Samples <= maxSamples
+}
+
+// DecodeEstimates reads the row of a shard's performance estimates, without implausible ones.
 func DecodeEstimates(r Row) (estimate.Estimates, error) {
 	var w wireEstimates
 	if err := json.Unmarshal(r.Value, &w); err != nil {
@@ -103,10 +129,14 @@
 	}
 	e := estimate.Estimates{Speeds: make(map[datacentre.EndpointID]estimate.Mean), Works: make(map[queue.Name]estimate.Mean)}
 	for id, m := range w.Speeds {
-		e.Speeds[datacentre.EndpointID(id)] = estimate.Mean(m)
+		if m.plausible() {
+			e.Speeds[datacentre.EndpointID(id)] = estimate.Mean(m)
+		}
 	}
 	for n, m := range w.Works {
-		e.Works[queue.Name(n)] = estimate.Mean(m)
+		if m.plausible() {
+			e.Works[queue.Name(n)] = estimate.Mean(m)
+		}
 	}
 	return e, nil
 }
--- a/internal/world/shard/shard.go
+++ b/internal/world/shard/shard.go
@@ -26,8 +26,10 @@
 type Epoch int64
 
 const (
-	// rankBits allow 256 members under each revision of a replica set.
+	// rankBits allow MaxMembers under each revision of a replica set.
 	rankBits = 8
+	// MaxMembers is the highest number of members whose tokens are below those of later replica sets.
+	MaxMembers = 1 << rankBits
 	// epochBits allow 255 restarts of an endpoint under the token of a member.
 	epochBits = 8
 	// MaxEpoch is the highest epoch of a token.
