Start no tasks at an endpoint whose row has become unreadable

A row that another writer overwrites was treated like one that has disappeared: for 2.5 s the endpoint still got tasks, although its row names no endpoint to use.

The follower lists the keys of unreadable rows, and the control state keeps their endpoints without new tasks. Their attempts go on, and the endpoint is used again as soon as its row is readable. TestEndpointsAreDecodedAgainWhenTheyChange now expects the key of the unreadable row in addition to no endpoint.

--- a/internal/control/node/endpoints.go
+++ b/internal/control/node/endpoints.go
@@ -13,7 +13,8 @@
 
 // handleEndpointsLoaded applies a list of endpoints. An endpoint that has disappeared from the list
 // is kept for missingRetention: entries expire while the store is unavailable and return later, and
-// until then an earlier leader may have attempts there.
+// until then an earlier leader may have attempts there. One whose row has become unreadable gets no
+// tasks meanwhile.
 func (n *Control) handleEndpointsLoaded(e EndpointsLoaded) {
 	if e.Version < n.endpointsVersion {
 		return
@@ -23,6 +24,10 @@
 		listed[p.ID] = true
 		delete(n.missingSince, p.ID)
 	}
+	unreadable := make(map[datacentre.EndpointID]bool, len(e.Unreadable))
+	for _, id := range e.Unreadable {
+		unreadable[id] = true
+	}
 	merged := slices.Clone(e.Endpoints)
 	for _, old := range n.endpoints {
 		if listed[old.ID] {
@@ -34,6 +39,7 @@
 			n.missingSince[old.ID], n.lastMissingAt = since, n.now
 		}
 		if n.now-since < missingRetention {
+			old.Draining = old.Draining || unreadable[old.ID]
 			merged = append(merged, old)
 		}
 	}
--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -10,6 +10,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
@@ -102,7 +103,9 @@
 // EndpointsLoaded is the store's list of all endpoints, as of a version of the store.
 type EndpointsLoaded struct {
 	Endpoints []endpoint.Endpoint
-	Version   int64
+	// Unreadable are the keys of rows that describe no endpoint.
+	Unreadable []datacentre.EndpointID
+	Version    int64
 	// ReadAt is when the request was sent to the store, or 0 for a list from a peer.
 	ReadAt clock.Millis
 	// Gap says that endpoints may have left the list since the one before without being in either.
--- a/internal/process/daemon/followers.go
+++ b/internal/process/daemon/followers.go
@@ -15,6 +15,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/platform"
 )
 
@@ -240,6 +241,7 @@
 // needs no lock.
 func (d *Daemon) endpointsRead(t tableRead) {
 	var all []endpoint.Endpoint
+	var unreadable []datacentre.EndpointID
 	maps.DeleteFunc(d.decodedRows, func(key string, _ decodedRow) bool { _, listed := t.rows[key]; return !listed })
 	for _, r := range t.rows {
 		cached, found := d.decodedRows[r.Key]
@@ -253,10 +255,12 @@
 		}
 		if cached.readable {
 			all = append(all, cached.endpoint)
+		} else {
+			unreadable = append(unreadable, datacentre.EndpointID(r.Key))
 		}
 	}
 	slices.SortFunc(all, func(a, b endpoint.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
-	d.loop.Post(node.EndpointsLoaded{Endpoints: all, Version: int64(t.version), ReadAt: t.sentAt, Gap: t.gap})
+	d.loop.Post(node.EndpointsLoaded{Endpoints: all, Unreadable: unreadable, Version: int64(t.version), ReadAt: t.sentAt, Gap: t.gap})
 }
 
 // register writes this VM's row, and retries until the write succeeds.
--- a/internal/process/daemon/followers_test.go
+++ b/internal/process/daemon/followers_test.go
@@ -32,7 +32,7 @@
 		{new(listedRow("ready")), "ready"},
 		{new(listedRow("draining")), "draining"},
 		{new(listedRow("ready")), "ready"},
-		{&store.Row{Value: []byte("{")}, "none"},
+		{&store.Row{Value: []byte("{")}, "unreadable"},
 		{new(listedRow("ready")), "ready"},
 		{nil, "none"},
 		{new(listedRow("draining")), "draining"},
@@ -51,6 +51,9 @@
 		if len(e.Endpoints) == 1 {
 			got = map[bool]string{true: "draining", false: "ready"}[e.Endpoints[0].Draining]
 		}
+		if len(e.Unreadable) == 1 {
+			got = "unreadable"
+		}
 		if got != c.state {
 			t.Errorf("step %d: got %s, want %s", step, got, c.state)
 		}
