Start nothing beside unknown demand at endpoints without a guard

An endpoint whose service does not guard its capacity starts whatever it is told to, so the leader alone keeps it within its capacity (LIMIT). A new leader counts all of the capacity as free, since the demand of the attempts that it finds is unknown until their jobs adopt them, and starts tasks beside them during the adoption window. The same happens after another member of the replica set has led meanwhile, until the endpoint has answered under the raised token.

An endpoint without a guard is usable only once it has answered under the present token and has no attempt that no job has adopted.

TestNoStartsBesideUnadoptedAttemptsWithoutGuard had 6 starts beyond the capacity before in three of four cases, and TestNoStartsBesideAttemptsOfAnInterimLeader 4. TestShrunkCapacityBinds held before: a capacity that shrinks or grows while tasks run or are being stopped counts from the list on that shows it.

--- a/internal/control/leader/cluster_test.go
+++ b/internal/control/leader/cluster_test.go
@@ -43,6 +43,9 @@
 	duration func(job.TaskName) clock.Millis
 	// keepClocks means that the clock of an endpoint goes on when it restarts.
 	keepClocks bool
+	// unguarded means that the endpoints start what exceeds their capacity; overloads counts these starts.
+	unguarded bool
+	overloads int
 	// fault decides how a request is delivered; the default delivers it normally.
 	fault func(leader int, e datacentre.EndpointID, a Action) delivery
 }
@@ -83,12 +86,17 @@
 	slowStartDelay   = clock.Millis(30)
 	startTimeout     = clock.Millis(300)
 	requestTimeout   = clock.Millis(80)
+	// taskCPU is what each task of submission needs.
+	taskCPU = job.MilliCores(14000)
 )
 
-func testState() *queue.State {
-	return queue.NewState(1, []queue.Queue{
+func testState() *queue.State { return stateOf(1, true) }
+
+// stateOf returns a desired state whose endpoints may or may not guard their capacity.
+func stateOf(version queue.Version, guarded bool) *queue.State {
+	return queue.NewState(version, []queue.Queue{
 		{Name: testQueue, Host: "h", Path: "/q/", Service: testService, MaxAttempts: 3, Stretch: 1.6, Allowance: 60},
-	}, map[queue.ServiceName]queue.Service{testService: {Name: testService, GuardsRoom: true}}, queue.Limits{})
+	}, map[queue.ServiceName]queue.Service{testService: {Name: testService, GuardsRoom: guarded}}, queue.Limits{})
 }
 
 // firstEpoch leaves room for the epochs of a token.
@@ -337,7 +345,7 @@
 		Key: job.Key{Entry: entry, Seq: seq},
 		Job: job.Job{
 			ID: job.ID(fmt.Sprintf("%016x", seq)), Queue: testQueue,
-			Steps: []job.Step{{Tasks: n, Demand: job.Resources{CPU: 14000, Memory: 64}, Estimate: 50}},
+			Steps: []job.Step{{Tasks: n, Demand: job.Resources{CPU: taskCPU, Memory: 64}, Estimate: 50}},
 		},
 		Limit: 3 * clock.Second,
 	}
--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -317,6 +317,7 @@
 			e.Born = ep.Born
 		}
 		ep.Endpoint, ep.free, ep.unlisted = e, e.Capacity.Minus(used), false
+		ep.unguarded = !l.desired.Services[e.Service].GuardsRoom
 		if !ep.watching {
 			l.sendHold(ep, Watch)
 		}
--- a/internal/control/leader/endpoint_state.go
+++ b/internal/control/leader/endpoint_state.go
@@ -77,6 +77,8 @@
 	replaced bool
 	// unlisted means that the endpoint is missing from the platform's list.
 	unlisted bool
+	// unguarded means that the endpoint starts whatever it is told to, even beyond its capacity.
+	unguarded bool
 	// usableFrom is when an endpoint that was added to the list may get tasks.
 	usableFrom clock.Millis
 	// blockedUntil is when the endpoint may get tasks again after it rejected one for lack of
@@ -104,5 +106,9 @@
 func (ep *endpointState) usable(now clock.Millis) bool {
 	return ep.clockReading != 0 && ep.contacted && ep.epoch <= shard.MaxEpoch && !ep.replaced && !ep.Draining && !ep.unlisted && ep.unansweredHolds < suspectAfterHolds &&
 		now >= max(ep.usableFrom, ep.blockedUntil, ep.cappedLeaseEnd) && ep.health.usable(now, len(ep.tasks)) &&
-		(ep.activeOrphans == 0 || now < ep.orphanLeaseEnd-orphanLease) && !ep.hasOverdueStop(now)
+		(ep.activeOrphans == 0 || now < ep.orphanLeaseEnd-orphanLease) && !ep.hasOverdueStop(now) && (!ep.unguarded || ep.demandKnown())
 }
+
+// demandKnown reports whether the leader knows the demand of everything that runs here. That of an
+// attempt of another leader is unknown until a job adopts it.
+func (ep *endpointState) demandKnown() bool { return ep.tokenAccepted() && ep.activeOrphans == 0 }
--- a/internal/control/leader/fake_endpoint_test.go
+++ b/internal/control/leader/fake_endpoint_test.go
@@ -75,8 +75,11 @@
 	if e.lastAttempts[a.Task] >= a.Attempt {
 		return endpoint.Rejected{Reason: endpoint.RejectedStale}, at
 	}
-	if len(e.attempts) >= 2 {
-		return endpoint.Rejected{Reason: endpoint.RejectedNoCapacity}, at
+	if job.MilliCores(len(e.attempts)+1)*taskCPU > e.Capacity.CPU {
+		if !c.unguarded {
+			return endpoint.Rejected{Reason: endpoint.RejectedNoCapacity}, at
+		}
+		c.overloads++
 	}
 	e.lastAttempts[a.Task] = a.Attempt
 	attempt := &fakeAttempt{name: a.Task, number: a.Attempt, startedAt: c.now, stalled: e.stalling, stray: !e.contacted}
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -145,6 +145,9 @@
 		l.updateEndpoints(e.Endpoints)
 	case DesiredState:
 		l.desired = e.State
+		for _, ep := range l.sortedEndpoints {
+			ep.unguarded = !l.desired.Services[ep.Service].GuardsRoom
+		}
 	case LoadReported:
 		load := e.Load
 		l.otherLoads[load.Cell] = &load
--- /dev/null
+++ b/internal/control/leader/unguarded_test.go
@@ -0,0 +1,113 @@
+package leader
+
+import (
+	"testing"
+
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/shard"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// newUnguardedCluster returns a cluster whose endpoints do not guard their capacity.
+func newUnguardedCluster(t *testing.T, seed uint64, endpoints int) *cluster {
+	t.Helper()
+	c := newCluster(t, seed, endpoints)
+	c.unguarded = true
+	return c
+}
+
+// addUnguardedLeader adds a leader that knows that the endpoints do not guard their capacity.
+func (c *cluster) addUnguardedLeader(n int, token shard.Token) *fakeLeader {
+	f := c.addLeader(n, token)
+	c.deliver(n, DesiredState{State: stateOf(2, false)})
+	return f
+}
+
+// submitPart submits a job that may wait and that its entry VM keeps waiting for.
+func (c *cluster) submitPart(n int, seq uint64, tasks int) job.Submission {
+	s := submission("a-1", seq, tasks)
+	s.Part, s.Limit = true, 10*clock.Second
+	c.deliver(n, Submitted{Submission: s})
+	c.renewLeases(n, "a-1", seq)
+	return s
+}
+
+func (c *cluster) checkOverloads() {
+	c.t.Helper()
+	if c.overloads != 0 {
+		c.t.Errorf("got %d starts beyond the capacity of an endpoint, want none", c.overloads)
+	}
+}
+
+// Guards against an overloaded endpoint after a takeover: the new leader does not know the demand of
+// attempts that no job has adopted yet, and starts tasks beside them.
+func TestNoStartsBesideUnadoptedAttemptsWithoutGuard(t *testing.T) {
+	for _, adoptAfter := range []clock.Millis{0, 30, 150, 400} {
+		c := newUnguardedCluster(t, 41, 3)
+		c.duration = func(job.TaskName) clock.Millis { return 600 }
+		old := c.addUnguardedLeader(1, 256)
+		c.advance(50)
+		first := c.submitPart(1, 1, 6)
+		c.advance(60)
+		old.stopped = true
+		c.addUnguardedLeader(2, 257)
+		c.deliver(2, Submitted{Submission: submission("b-1", 2, 4)})
+		second := submission("b-1", 3, 4)
+		second.Part = true
+		c.deliver(2, Submitted{Submission: second})
+		c.renewLeases(2, "b-1", 2, 3)
+		c.advance(adoptAfter)
+		first.Adopt = true
+		c.deliver(2, Submitted{Submission: first})
+		c.renewLeases(2, "a-1", 1)
+		c.advance(4000)
+		c.checkOverloads()
+		if got := outcomeName(c.outcomes[second.Key]); got != "job.Completed" {
+			t.Errorf("adopted after %d ms: got %s, want the job of the new leader completed", adoptAfter, got)
+		}
+	}
+}
+
+// Guards against an overloaded endpoint after another member of the replica set has led meanwhile: its
+// attempts are unknown until the endpoint has answered under the raised token.
+func TestNoStartsBesideAttemptsOfAnInterimLeader(t *testing.T) {
+	c := newUnguardedCluster(t, 42, 2)
+	c.duration = func(job.TaskName) clock.Millis { return 600 }
+	first := c.addUnguardedLeader(1, 256)
+	c.advance(50)
+	first.frozenUntil = c.now + 200
+	c.addUnguardedLeader(2, 257)
+	c.advance(20)
+	c.submitPart(2, 1, 4)
+	c.advance(20)
+	c.leaders[2].stopped = true
+	first.frozenUntil = 0
+	first.leader.SetToken(firstEpoch(258))
+	c.submitPart(1, 2, 4)
+	c.advance(3000)
+	c.checkOverloads()
+}
+
+// Guards against an overloaded endpoint while its capacity shrinks and grows: running attempts, and
+// those that are being stopped, may exceed it.
+func TestShrunkCapacityBinds(t *testing.T) {
+	c := newUnguardedCluster(t, 43, 2)
+	c.duration = func(n job.TaskName) clock.Millis { return 100 + 40*clock.Millis(n[len(n)-1]-'0') }
+	c.addUnguardedLeader(1, 256)
+	c.advance(50)
+	c.submitPart(1, 1, 8)
+	c.advance(20)
+	full := c.sortedEndpoints[0].Capacity
+	for _, share := range []job.MilliCores{1, 0, 2} {
+		e := c.sortedEndpoints[0]
+		e.Capacity.CPU = full.CPU * share / 2
+		c.deliver(1, EndpointsListed{Endpoints: c.endpointList(), Complete: true, List: EndpointList{ReadAt: c.now}})
+		c.submitPart(1, uint64(10+share), 4)
+		c.advance(300)
+		c.checkOverloads()
+	}
+	c.advance(1000)
+	if got := len(c.outcomes); got != 4 {
+		t.Errorf("got %d jobs answered, want all 4 once the capacity has grown again", got)
+	}
+}
