--- a/internal/control/leader/unguarded_test.go
+++ b/internal/control/leader/unguarded_test.go
@@ -111,3 +111,29 @@
 		t.Errorf("got %d jobs answered, want all 4 once the capacity has grown again", got)
 	}
 }
+
+// Guards against an overloaded endpoint that has restarted with a smaller capacity: its new
+// incarnation answers before the list shows its row.
+func TestCapacityOfAnEarlierIncarnationDoesNotCount(t *testing.T) {
+	c := newUnguardedCluster(t, 44, 1)
+	c.addUnguardedLeader(1, 256)
+	c.advance(50)
+	e := c.sortedEndpoints[0]
+	listed := c.endpointList()
+	c.leaders[1].relists = false
+	c.crash(e)
+	e.Capacity.CPU = taskCPU
+	c.advance(idleWatchWait + requestTimeout)
+	c.submitPart(1, 1, 4)
+	for range 5 {
+		c.deliver(1, EndpointsListed{Endpoints: listed, Complete: true, List: EndpointList{ReadAt: c.now}})
+		c.advance(500)
+	}
+	c.checkOverloads()
+	c.deliver(1, EndpointsListed{Endpoints: c.endpointList(), Complete: true, List: EndpointList{ReadAt: c.now}})
+	c.advance(400)
+	c.checkOverloads()
+	if len(c.outcomes) != 1 {
+		t.Errorf("got %d jobs answered, want the job completed once the list has the row", len(c.outcomes))
+	}
+}
