Fill endpoints without a guard only with a recent list

A leader that does not reach the store, or a new one that has not followed the list, uses the capacities that it has read last. They may have shrunk since. Where a service does not guard its capacity, its starts then exceed it (LIMIT).

Endpoints without a guard get tasks only while the list was read at most 4 s ago. While the store is down for longer, tasks of such services wait; the others go on. The endpoints of the node tests guard their capacity now, as those of all deployments, since their lists have no time.

--- /dev/null
+++ b/internal/control/leader/capacity.go
@@ -0,0 +1,17 @@
+package leader
+
+import "github.com/sequoiacart/sequoiacart/pkg/clock"
+
+// demandKnown reports whether the leader knows the demand of everything that runs here. That of an
+// attempt of another leader is unknown until a job adopts it.
+func (ep *endpointState) demandKnown() bool { return ep.tokenAccepted() && ep.activeOrphans == 0 }
+
+// capacityKnown reports whether the capacity is a recent one of the present incarnation. A new one may
+// be of another size.
+func (ep *endpointState) capacityKnown(now clock.Millis) bool {
+	return now <= ep.capacityReadAt+maxCapacityAge && (ep.listedBorn == 0 || ep.listedBorn == ep.Born)
+}
+
+// maxCapacityAge is how long ago the capacity of an unguarded endpoint may have been read. One that
+// has shrunk binds 4.5 s after its endpoint has reported it, and a start may take 500 ms to arrive.
+const maxCapacityAge = 4500 - sendDelay - RequestLifetime
--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -313,7 +313,7 @@
 			l.handleRestart(ep, e.Born)
 		}
 		used := ep.Capacity.Minus(ep.free)
-		ep.listedBorn = e.Born
+		ep.listedBorn, ep.capacityReadAt = e.Born, l.list.ReadAt
 		if ep.Born != 0 {
 			e.Born = ep.Born
 		}
--- a/internal/control/leader/endpoint_state.go
+++ b/internal/control/leader/endpoint_state.go
@@ -81,6 +81,8 @@
 	unguarded bool
 	// listedBorn is the incarnation whose row has the capacity, or 0 if the row does not name it.
 	listedBorn endpoint.Incarnation
+	// capacityReadAt is when the list with the capacity was read from the store.
+	capacityReadAt clock.Millis
 	// usableFrom is when an endpoint that was added to the list may get tasks.
 	usableFrom clock.Millis
 	// blockedUntil is when the endpoint may get tasks again after it rejected one for lack of
@@ -108,13 +110,5 @@
 func (ep *endpointState) usable(now clock.Millis) bool {
 	return ep.clockReading != 0 && ep.contacted && ep.epoch <= shard.MaxEpoch && !ep.replaced && !ep.Draining && !ep.unlisted && ep.unansweredHolds < suspectAfterHolds &&
 		now >= max(ep.usableFrom, ep.blockedUntil, ep.cappedLeaseEnd) && ep.health.usable(now, len(ep.tasks)) &&
-		(ep.activeOrphans == 0 || now < ep.orphanLeaseEnd-orphanLease) && !ep.hasOverdueStop(now) && (!ep.unguarded || ep.demandKnown() && ep.capacityKnown())
+		(ep.activeOrphans == 0 || now < ep.orphanLeaseEnd-orphanLease) && !ep.hasOverdueStop(now) && (!ep.unguarded || ep.demandKnown() && ep.capacityKnown(now))
 }
-
-// demandKnown reports whether the leader knows the demand of everything that runs here. That of an
-// attempt of another leader is unknown until a job adopts it.
-func (ep *endpointState) demandKnown() bool { return ep.tokenAccepted() && ep.activeOrphans == 0 }
-
-// capacityKnown reports whether the capacity is that of the present incarnation. A new one may be of
-// another size.
-func (ep *endpointState) capacityKnown() bool { return ep.listedBorn == 0 || ep.listedBorn == ep.Born }
--- a/internal/control/leader/unguarded_test.go
+++ b/internal/control/leader/unguarded_test.go
@@ -137,3 +137,29 @@
 		t.Errorf("got %d jobs answered, want the job completed once the list has the row", len(c.outcomes))
 	}
 }
+
+// Guards against an overloaded endpoint whose capacity has shrunk unseen: the new leader has not
+// followed the list, or the leader does not reach the store.
+func TestOldCapacityDoesNotCount(t *testing.T) {
+	for _, age := range []clock.Millis{10 * clock.Second, 0} {
+		c := newUnguardedCluster(t, 45, 1)
+		f := &fakeLeader{leader: New(Config{Shard: "centro", Token: firstEpoch(256), Timeouts: testTimeouts(), FarFactor: 1.5, Desired: stateOf(2, false), Now: c.now})}
+		c.leaders[1] = f
+		e := c.sortedEndpoints[0]
+		c.deliver(1, EndpointsListed{Endpoints: c.endpointList(), List: EndpointList{ReadAt: c.now - age}})
+		c.tick(1)
+		c.advance(max(maxCapacityAge-age, 0) + 100)
+		e.Capacity.CPU = taskCPU
+		c.submitPart(1, 1, 4)
+		c.advance(1000)
+		if len(e.attempts) > 0 || len(c.outcomes) > 0 {
+			t.Errorf("list %d ms old at the takeover: got attempts with an old list, want none", age)
+		}
+		c.deliver(1, EndpointsListed{Endpoints: c.endpointList(), List: EndpointList{ReadAt: c.now}})
+		c.advance(1000)
+		c.checkOverloads()
+		if len(c.outcomes) != 1 {
+			t.Errorf("list %d ms old at the takeover: got %d jobs answered once the list is read, want 1", age, len(c.outcomes))
+		}
+	}
+}
--- a/internal/control/node/node_test.go
+++ b/internal/control/node/node_test.go
@@ -40,7 +40,7 @@
 		Timeouts: leader.DefaultTimeouts(1000, 50, 1300), FarFactor: 1.5, Successors: 3, Now: h.now,
 	})
 	h.handle(VMsLoaded{VMs: []shard.VM{newVM("centro", "me-1"), newVM("centro", "peer-1"), newVM("norte", "n-1"), newVM("norte", "m-1")}})
-	h.handle(DesiredStateLoaded{State: queue.NewState(1, []queue.Queue{{Name: "q", Service: "s", Stretch: 1.6, Allowance: 60, MaxAttempts: 2}}, nil, queue.Limits{})})
+	h.handle(DesiredStateLoaded{State: queue.NewState(1, []queue.Queue{{Name: "q", Service: "s", Stretch: 1.6, Allowance: 60, MaxAttempts: 2}}, map[queue.ServiceName]queue.Service{"s": {Name: "s", GuardsRoom: true}}, queue.Limits{})})
 	h.handle(EndpointsLoaded{Version: 1, Endpoints: firstList()})
 	return h
 }
