Count no negative capacity of shrunk endpoints

An endpoint whose capacity has shrunk below what runs there has negative free capacity. It was added to the load that other leaders see, and so hid the free capacity of other endpoints, and its expected releases counted in full although most of them only make up for the deficit.

The load takes such an endpoint as full, and the expected releases are reduced by the deficit.

--- a/internal/control/leader/forwarding.go
+++ b/internal/control/leader/forwarding.go
@@ -134,7 +134,7 @@
 		}
 		load.TotalCPU += int64(ep.Capacity.CPU)
 		if ep.usable(now) {
-			load.FreeCPU += int64(ep.free.CPU)
+			load.FreeCPU += int64(max(ep.free.CPU, 0))
 		}
 	}
 	for r := range l.expectedReleases() {
@@ -142,6 +142,7 @@
 			load.SoonCPU += int64(r.cpu)
 		}
 	}
+	load.SoonCPU = max(load.SoonCPU-int64(l.overcommittedCPU()), 0)
 	for _, j := range l.queue {
 		if q := l.desired.Queue(j.queue); q != nil {
 			load.AddWaiting(q.Priority, int64(j.demand()))
--- a/internal/control/leader/projection.go
+++ b/internal/control/leader/projection.go
@@ -50,11 +50,12 @@
 	if shortfall <= 0 {
 		return p
 	}
+	shortfall += l.overcommittedCPU()
 	for _, r := range l.sortedReleases() {
 		shortfall -= r.cpu
 		p.wait = r.at - l.now
 		if r.at <= j.latestStart {
-			p.tasksInTime = placeable()
+			p.tasksInTime = max(p.tasksNow, placeable())
 		}
 		if shortfall <= 0 {
 			return p
@@ -83,7 +84,7 @@
 func (l *Leader) expectedReleases() iter.Seq[expectedRelease] {
 	return func(yield func(expectedRelease) bool) {
 		for _, ep := range l.sortedEndpoints {
-			if ep.Draining || ep.unlisted || ep.unansweredHolds > 0 {
+			if !ep.releases() {
 				continue
 			}
 			for _, t := range ep.tasks {
@@ -95,6 +96,23 @@
 	}
 }
 
+// releases reports whether other tasks can use what is released here.
+func (ep *endpointState) releases() bool {
+	return !ep.Draining && !ep.unlisted && ep.unansweredHolds == 0
+}
+
+// overcommittedCPU is how much of the expected releases no other task can use, since the capacity of
+// its endpoint has shrunk below what runs there.
+func (l *Leader) overcommittedCPU() job.MilliCores {
+	var sum job.MilliCores
+	for _, ep := range l.sortedEndpoints {
+		if ep.releases() {
+			sum += max(-ep.free.CPU, 0)
+		}
+	}
+	return sum
+}
+
 // fitCount is how many tasks of the demand fit the resources.
 func fitCount(free, demand job.Resources) job.MilliCores {
 	n := math.MaxInt32
--- a/internal/control/leader/unguarded_test.go
+++ b/internal/control/leader/unguarded_test.go
@@ -163,3 +163,25 @@
 		}
 	}
 }
+
+// Guards against a load that hides free capacity: an endpoint that runs more than its capacity has no
+// free CPU, and what it releases first makes up for that.
+func TestLoadWithAnOvercommittedEndpoint(t *testing.T) {
+	c := newCluster(t, 46, 2)
+	c.duration = func(job.TaskName) clock.Millis { return 500 }
+	c.addLeader(1, 256)
+	c.advance(50)
+	c.submitPart(1, 1, 4)
+	c.advance(20)
+	e := c.sortedEndpoints[0]
+	e.Capacity.CPU = 0
+	c.sortedEndpoints[1].Capacity.CPU = 2*taskCPU + 5000
+	c.deliver(1, EndpointsListed{Endpoints: c.endpointList(), Complete: true, List: EndpointList{ReadAt: c.now}})
+	load := c.leaders[1].leader.Load(c.now + 400)
+	if got, want := load.FreeCPU, int64(5000); got != want {
+		t.Errorf("got %d free CPU, want %d of the other endpoint", got, want)
+	}
+	if got, want := load.SoonCPU, int64(2*taskCPU); got > want {
+		t.Errorf("got %d CPU soon, want at most the %d of the other endpoint", got, want)
+	}
+}
