Add shrinking capacities and odd rows to the model

Two kinds of faults: the capacity of endpoints, which then do not guard it, shrinks, grows and differs between lives (shrink), and another writer overwrites rows of endpoints for a while or adds rows that are unreadable or name an address where nothing is (oddRows). A start breaks a rule if it brings an endpoint over what it has reported contact_ms and a heartbeat ago, or over the capacity of its life, unless it was meant for an earlier life.

--- a/internal/control/node/model_delivery_test.go
+++ b/internal/control/node/model_delivery_test.go
@@ -11,9 +11,13 @@
 	return nil
 }
 
-// lifeOf returns the life of an endpoint at the time of the call.
+// lifeOf returns the life of an endpoint at the time of the call. Nothing is at the addresses of the
+// rows that other writers add.
 func (v *modelVM) lifeOf(id datacentre.EndpointID) func() int {
 	e := v.world.endpoint(id)
+	if e == nil {
+		return onlyLife
+	}
 	return func() int { return e.life }
 }
 
--- a/internal/control/node/model_endpoint_test.go
+++ b/internal/control/node/model_endpoint_test.go
@@ -29,6 +29,11 @@
 	clockBase micros
 	rate      float64
 	draining  bool
+	// capacity is what it says of itself next, and reported what the store has of this life.
+	capacity job.MilliCores
+	reported []capacityReport
+	// oddUntil is until when another writer overwrites its rows.
+	oddUntil micros
 
 	token shard.Token
 	// leaseEnd is a time on the endpoint's own clock, like all until_ms.
@@ -75,6 +80,7 @@
 	e.token, e.leaseEnd, e.attempts, e.highest = 0, 0, nil, make(map[job.TaskName]job.Attempt)
 	e.ended, e.lastEnd, e.waiting, e.open = nil, 0, nil, make(map[*exchange]bool)
 	e.world.trace.add(record{endpoint: e.id, format: "endpoint starts: life %d, born %d, rate %.3f", args: []any{e.life, e.born, e.rate}})
+	e.chooseCapacity()
 	life := e.life
 	e.world.after(micros(e.random.Int64N(100))*ms, func() { e.heartbeat(life) })
 }
@@ -105,7 +111,7 @@
 func (e *modelEndpoint) row() endpoint.Endpoint {
 	return endpoint.Endpoint{
 		ID: e.id, Born: e.born, Service: modelService, DataCentre: e.dc, Address: string(e.id),
-		Capacity: job.Resources{CPU: modelCapacity, Memory: 1 << 17}, Labels: []string{"a", "r1"}, Rack: "r1", Draining: e.draining,
+		Capacity: job.Resources{CPU: e.capacity, Memory: 1 << 17}, Labels: []string{"a", "r1"}, Rack: "r1", Draining: e.draining,
 	}
 }
 
@@ -211,7 +217,7 @@
 	if e.highest[s.Task] >= s.Attempt {
 		return endpoint.Rejected{Reason: endpoint.RejectedStale}
 	}
-	if job.MilliCores(len(e.attempts)+1)*modelDemand > modelCapacity {
+	if !e.hasCapacityFor(s) {
 		return endpoint.Rejected{Reason: endpoint.RejectedNoCapacity}
 	}
 	e.highest[s.Task] = s.Attempt
--- a/internal/control/node/model_faults_test.go
+++ b/internal/control/node/model_faults_test.go
@@ -43,7 +43,11 @@
 	// faultCallerCut lets the cuts of data centres separate VMs from callers too.
 	faultCallerCut faultKind = "callerCut"
 	// faultThawOrder lets a VM that wakes up from a freeze handle other events before its tick.
-	faultThawOrder     faultKind = "thawOrder"
+	faultThawOrder faultKind = "thawOrder"
+	// faultShrink changes the capacity of endpoints, which do not guard it.
+	faultShrink faultKind = "shrink"
+	// faultOddRows lets another writer overwrite and add rows of endpoints.
+	faultOddRows       faultKind = "oddRows"
 	maxCutDuration               = 6 * second
 	maxStoreDuration             = 8 * second
 	maxSlowDuration              = 4 * second
@@ -73,6 +77,8 @@
 	faultAdd:          injectAdd,
 	faultLeave:        injectLeave,
 	faultBurst:        injectBurst,
+	faultShrink:       injectShrink,
+	faultOddRows:      injectOddRows,
 }
 
 // allFaults are the kinds in a fixed order.
@@ -80,6 +86,7 @@
 	faultLoss, faultLate, faultCut, faultZoneCut, faultEndpointCut, faultCoreCut, faultFreeze, faultSlow, faultKill, faultPower, faultRoll,
 	faultStoreDown, faultStoreRefuses, faultStoreSlow, faultRevoke, faultCrash, faultReborn, faultRebornCut, faultAdd, faultLeave, faultBurst,
 	faultStoreLate, faultFailures, faultStall, faultGiveUp, faultDuplicate, faultNextLife, faultCallerCut, faultThawOrder,
+	faultShrink, faultOddRows,
 }
 
 // injectFaults causes faults of the world's kinds until a point in time.
--- a/internal/control/node/model_follower_test.go
+++ b/internal/control/node/model_follower_test.go
@@ -10,6 +10,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 )
 
 // modelFollower follows the changes of one table for a VM, with the pauses of the daemon's.
@@ -179,9 +180,14 @@
 		f.vm.post(f.vm.life, node.ReplicaSetsLoaded{ReplicaSets: sets})
 	case tableEndpoints:
 		var endpoints []endpoint.Endpoint
+		var unreadable []datacentre.EndpointID
 		for _, r := range all {
-			endpoints = append(endpoints, r.value.(endpoint.Endpoint))
+			if e, ok := r.value.(endpoint.Endpoint); ok {
+				endpoints = append(endpoints, e)
+			} else {
+				unreadable = append(unreadable, datacentre.EndpointID(r.key))
+			}
 		}
-		f.vm.post(f.vm.life, node.EndpointsLoaded{Endpoints: endpoints, Version: version, ReadAt: f.sentAt, Gap: f.gap})
+		f.vm.post(f.vm.life, node.EndpointsLoaded{Endpoints: endpoints, Unreadable: unreadable, Version: version, ReadAt: f.sentAt, Gap: f.gap})
 	}
 }
--- a/internal/control/node/model_store_test.go
+++ b/internal/control/node/model_store_test.go
@@ -122,7 +122,13 @@
 		return
 	}
 	s.heartbeatAt[row.ID] = s.world.now
-	s.put(tableEndpoints, string(row.ID), row, -1)
+	e := s.world.endpoint(row.ID)
+	e.recordReport(row)
+	if s.world.now < e.oddUntil {
+		s.put(tableEndpoints, string(row.ID), unreadableRow{}, -1)
+	} else {
+		s.put(tableEndpoints, string(row.ID), row, -1)
+	}
 	at := s.world.now
 	s.world.after(rowExpiry, func() {
 		if s.heartbeatAt[row.ID] == at {
--- a/internal/control/node/model_world_test.go
+++ b/internal/control/node/model_world_test.go
@@ -51,7 +51,7 @@
 	dataCentres := modelDataCentres[:2+random.IntN(2)]
 	w.store.put(tableOperator, "config", queue.NewState(1, []queue.Queue{
 		{Name: modelQueue, Host: "h", Path: "/q/", Service: modelService, MaxAttempts: 3, Stretch: 3, Allowance: 400},
-	}, map[queue.ServiceName]queue.Service{modelService: {Name: modelService, GuardsRoom: true}}, queue.Limits{}), -1)
+	}, map[queue.ServiceName]queue.Service{modelService: {Name: modelService, GuardsRoom: !o.enabled(faultShrink)}}, queue.Limits{}), -1)
 	for _, dc := range dataCentres {
 		for i := range 2 + random.IntN(2) {
 			w.vms = append(w.vms, newModelVM(w, fmt.Sprintf("%s%d", dc, i), dc, 300+random.IntN(3)*100))
