--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -313,10 +313,12 @@
 			l.handleRestart(ep, e.Born)
 		}
 		used := ep.Capacity.Minus(ep.free)
+		ep.listedBorn, ep.capacityReadAt = e.Born, l.list.ReadAt
 		if ep.Born != 0 {
 			e.Born = ep.Born
 		}
 		ep.Endpoint, ep.free, ep.unlisted = e, e.Capacity.Minus(used), false
+		ep.unguarded = !l.desired.Services[e.Service].GuardsRoom
 		if !ep.watching {
 			l.sendHold(ep, Watch)
 		}
