Ask how old the lists of a job's earlier leaders are

A new leader took its list of endpoints for complete if no entry had vanished for 15 s, since attempts at an endpoint end when their callers time out. A leader that goes on in a longer partition starts other ones: an entry expires 4.5 s into the partition, and 20 s into it an entry VM that reaches another leader submits its jobs there again. That leader started their tasks while they ran at the endpoint.

A leader now says in its answers to heartbeats since when each of its endpoints was in the store's list at the latest reading. An entry VM that submits a job again says how old the oldest of these lists is, of all leaders that had the job. The new leader takes its own list for complete only if no entry has vanished since; otherwise the tasks wait until the earlier attempts have expired. An endpoint with attempts of the job was listed at that time, so it is either in the new leader's list or has vanished since, which the list shows.

TestEarlierLeaderMayUseEndpointsThatVanishedLongAgo failed before with one start instead of none.

--- a/internal/control/failover/monitor.go
+++ b/internal/control/failover/monitor.go
@@ -60,6 +60,8 @@
 	leaderClockAt    clock.Millis
 	// orphansEndBy is the bound of the latest answer of a leader, by this VM's clock.
 	orphansEndBy clock.Millis
+	// listedSince is what the leader said last of its list of endpoints, by this VM's clock.
+	listedSince  clock.Millis
 	heartbeatDue bool
 	// lostRevision is the revision of the replica set under which this VM lost its leadership.
 	lostRevision int64
@@ -202,6 +204,9 @@
 	// OrphansEndIn is how long after the answer the attempts in the shard have to have ended that no job
 	// adopts after this leader, or 0 or less if that is unknown.
 	OrphansEndIn clock.Millis
+	// ListAge is how long ago each endpoint that the leader uses was in the store's list at the earliest,
+	// or 0 if that is unknown.
+	ListAge clock.Millis
 }
 
 // HandleAnswer applies the result of a heartbeat.
@@ -227,6 +232,10 @@
 	m.recordOrphansEnd(a)
 	m.leaderConfirmed, m.leaderAnsweredAt, m.leaderToken = true, now, max(m.leaderToken, a.Token)
 	m.leaderClock, m.leaderClockAt = a.LeaderClock, now
+	m.listedSince = 0
+	if a.ListAge > 0 {
+		m.listedSince = a.SentAt - a.ListAge
+	}
 }
 
 // recordOrphansEnd records the bound of a leader. One that has been outranked does not know the
@@ -242,6 +251,10 @@
 	m.orphansEndBy = end
 }
 
+// ListedSince returns a time from which on each endpoint that the leader uses was in the store's list,
+// by this VM's clock, or 0 if the leader has not said so.
+func (m *Monitor) ListedSince() clock.Millis { return m.listedSince }
+
 // OrphansEndBy returns when the attempts in the shard have to have ended that no job adopts, by this
 // VM's clock, or 0 if no leader has said so.
 func (m *Monitor) OrphansEndBy() clock.Millis { return m.orphansEndBy }
--- a/internal/control/gateway/gateway.go
+++ b/internal/control/gateway/gateway.go
@@ -18,6 +18,9 @@
 	Available(now clock.Millis) []shard.ID
 	// Leader returns the VM that leads the shard.
 	Leader(id shard.ID, now clock.Millis) (vm.Incarnation, bool)
+	// ListedSince returns a time from which on each endpoint that the leader uses was in the store's list,
+	// or 0 if that is unknown.
+	ListedSince(id shard.ID) clock.Millis
 }
 
 // Config holds the dependencies and time limits of a Gateway.
@@ -69,8 +72,11 @@
 	// mayHaveStarted says that an earlier leader may have started attempts of the part.
 	mayHaveStarted bool
 	// startedBy is the VM that may have started them, and severalStarted says that others may too.
-	startedBy       vm.Incarnation
-	severalStarted  bool
+	startedBy      vm.Incarnation
+	severalStarted bool
+	// listedSince is a time from which on each endpoint with such attempts was in the store's list, or 0
+	// if that is unknown.
+	listedSince     clock.Millis
 	leaderlessSince clock.Millis
 }
 
@@ -151,7 +157,10 @@
 		g.send(p, now)
 		return
 	}
-	p.shard = open[0].shard
+	p.shard, p.listedSince = open[0].shard, open[0].listedSince
+	for _, e := range open {
+		p.listedSince = min(p.listedSince, e.listedSince)
+	}
 	if slices.ContainsFunc(open, func(e *part) bool { return e.shard != p.shard }) {
 		// No leader knows all attempts. They have ended when the caller sends the job once more.
 		p.mayHaveStarted = true
@@ -161,8 +170,9 @@
 	leader, ok := g.config.Leaders.Leader(p.shard, now)
 	if ok && !slices.ContainsFunc(open, func(e *part) bool { return e.mayHaveStarted || e.leader != leader }) {
 		// The leader knows the attempts, so none has to be adopted.
+		listedSince := p.listedSince
 		g.sendTo(p, p.shard, now)
-		p.mayHaveStarted = true
+		p.mayHaveStarted, p.listedSince = true, min(p.listedSince, listedSince)
 		return
 	}
 	p.mayHaveStarted = true
@@ -211,16 +221,20 @@
 	if p.mayHaveStarted && !p.severalStarted {
 		s.Earlier = p.startedBy
 	}
-	p.recordLeader(leader)
+	if p.mayHaveStarted && p.listedSince != 0 {
+		s.EarlierListAge = max(now-p.listedSince, 1)
+	}
+	p.recordLeader(leader, g.config.Leaders.ListedSince(id))
 	g.actions = append(g.actions, Submit{To: id, Leader: leader, Submission: s})
 }
 
 // recordLeader records that a leader has the part. One that has refused it has started nothing.
-func (p *part) recordLeader(leader vm.Incarnation) {
+func (p *part) recordLeader(leader vm.Incarnation, listedSince clock.Millis) {
 	if !p.mayHaveStarted {
-		p.startedBy, p.severalStarted = leader, false
+		p.startedBy, p.severalStarted, p.listedSince = leader, false, listedSince
 		return
 	}
+	p.listedSince = min(p.listedSince, listedSince)
 	if p.startedBy != leader {
 		p.severalStarted = true
 	}
--- a/internal/control/gateway/gateway_test.go
+++ b/internal/control/gateway/gateway_test.go
@@ -21,6 +21,8 @@
 type fakeLeaders struct {
 	preference []shard.ID
 	byShard    map[shard.ID]vm.Incarnation
+	// listedSince is the answer of ListedSince for each shard.
+	listedSince map[shard.ID]clock.Millis
 }
 
 func (f *fakeLeaders) Available(clock.Millis) []shard.ID {
@@ -37,6 +39,8 @@
 	return f.byShard[id], f.byShard[id] != ""
 }
 
+func (f *fakeLeaders) ListedSince(id shard.ID) clock.Millis { return f.listedSince[id] }
+
 func newGateway() (*Gateway, *fakeLeaders) {
 	leaders := &fakeLeaders{preference: []shard.ID{"centro", "norte"}, byShard: map[shard.ID]vm.Incarnation{"centro": "c-1", "norte": "n-1"}}
 	return New(Config{Self: "me-1", Leaders: leaders, FailoverTimeout: 700}), leaders
@@ -362,3 +366,41 @@
 		})
 	}
 }
+
+// Guards against a leader that takes its list of endpoints for complete although an earlier leader of
+// the job uses endpoints that have left it: the job says how old the oldest list of its leaders is.
+func TestResubmittedJobSaysHowOldTheListsOfItsLeadersAre(t *testing.T) {
+	g, leaders := newGateway()
+	leaders.listedSince = map[shard.ID]clock.Millis{"centro": 600}
+	k := g.Accept(jobOf(1), 5000, 90, 1000)
+	g.TakeActions()
+	now := clock.Millis(1000)
+	for _, tt := range []struct {
+		leader      vm.Incarnation
+		listedSince clock.Millis
+		want        clock.Millis
+	}{
+		{"c-2", 1100, 500},
+		{"c-3", 400, 600},
+		{"c-4", 1300, 900},
+		{"c-5", 0, 1000},
+		{"c-6", 1500, 0},
+	} {
+		now += 100
+		g.HandleAnswer(k, Responder{Shard: "centro", VM: leaders.byShard["centro"]}, job.Moved{}, now-resendDelay)
+		leaders.byShard["centro"], leaders.listedSince["centro"] = tt.leader, tt.listedSince
+		g.Tick(now)
+		submitted := 0
+		for _, a := range g.TakeActions() {
+			if s, ok := a.(Submit); ok {
+				submitted++
+				if got := s.Submission.EarlierListAge; got != tt.want {
+					t.Errorf("%s: got lists that are %d ms old, want %d ms", tt.leader, got, tt.want)
+				}
+			}
+		}
+		if submitted != 1 {
+			t.Errorf("%s: got %d submissions, want one", tt.leader, submitted)
+		}
+	}
+}
--- a/internal/control/leader/cluster_test.go
+++ b/internal/control/leader/cluster_test.go
@@ -339,7 +339,7 @@
 			ID: job.ID(fmt.Sprintf("%016x", seq)), Queue: testQueue,
 			Steps: []job.Step{{Tasks: n, Demand: job.Resources{CPU: 14000, Memory: 64}, Estimate: 50}},
 		},
-		Limit: 3 * clock.Second,
+		Limit: 3 * clock.Second, EarlierListAge: 400,
 	}
 }
 
--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -151,10 +151,12 @@
 // isListProof reports whether the list has every endpoint at which an earlier leader can have started
 // a task of the job, or can still start one. Such an endpoint was in the store's list newEndpointDelay
 // before the start, and the earlier leader starts nothing once the lease of the job has expired there.
+// None has left it since the earlier leaders knew them all to be listed.
 func (l *Leader) isListProof(j *jobState) bool {
 	timeouts := l.config.Timeouts
 	latestStart := j.receivedAt + timeouts.SubmissionTimeout + timeouts.JobLease
-	return l.listComplete && l.list.ReadAt >= max(l.config.Now, latestStart-newEndpointDelay)
+	listedSince := j.receivedAt - timeouts.SubmissionTimeout - j.EarlierListAge
+	return l.listComplete && j.EarlierListAge > 0 && l.list.LastMissingAt < listedSince && l.list.ReadAt >= max(l.config.Now, latestStart-newEndpointDelay)
 }
 
 func (l *Leader) allTokensAccepted() bool {
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -56,6 +56,9 @@
 	missingSince map[datacentre.EndpointID]clock.Millis
 	// endpointsReadAt is when the list was last read from the store.
 	endpointsReadAt clock.Millis
+	// endpointsListedAt is a time from which on each endpoint of the list was in the store's, or 0 if it
+	// is unknown for some.
+	endpointsListedAt clock.Millis
 	// lastMissingAt is when an endpoint last disappeared from the list, or may have done so unseen.
 	// It is initially the start of the VM, because earlier lists are unknown.
 	lastMissingAt clock.Millis
@@ -444,6 +447,17 @@
 	return all
 }
 
+// ListedSince implements gateway.Leaders.
+func (n *Control) ListedSince(id shard.ID) clock.Millis {
+	switch monitor := n.monitors[id]; {
+	case n.ledShards[id] != nil:
+		return n.endpointsListedAt
+	case monitor != nil:
+		return monitor.ListedSince()
+	}
+	return 0
+}
+
 // Leader implements gateway.Leaders.
 func (n *Control) Leader(id shard.ID, now clock.Millis) (vm.Incarnation, bool) {
 	monitor := n.monitors[id]
--- a/internal/control/node/endpoint_list_test.go
+++ b/internal/control/node/endpoint_list_test.go
@@ -33,7 +33,7 @@
 
 func resubmittedJob() job.Submission {
 	return job.Submission{
-		Key: job.Key{Entry: "peer-2", Seq: 1}, Limit: 5 * clock.Second, Adopt: true,
+		Key: job.Key{Entry: "peer-2", Seq: 1}, Limit: 5 * clock.Second, Adopt: true, EarlierListAge: 400,
 		Job: job.Job{ID: "0000000000000001", Queue: "q", Steps: []job.Step{{Tasks: 1, Demand: job.Resources{CPU: 500}, Estimate: 760}}},
 	}
 }
@@ -112,11 +112,16 @@
 	}
 }
 
-// startsOfResubmittedJob submits a job again and counts its starts within 100 ms. earlier is the only
-// leader that had it, or empty if there were several. All endpoints answer.
+// startsOfResubmittedJob submits a job again. earlier is the only leader that had it, or empty if there
+// were several.
 func (h *harness) startsOfResubmittedJob(earlier vm.Incarnation) int {
 	s := resubmittedJob()
 	s.Earlier = earlier
+	return h.startsOf(s)
+}
+
+// startsOf submits a job and counts its starts within 100 ms. All endpoints answer.
+func (h *harness) startsOf(s job.Submission) int {
 	h.handle(PeerSubmitted{Shard: "centro", Submission: s, Ended: make(chan job.Outcome, 1)})
 	starts := 0
 	for range 5 {
@@ -186,3 +191,65 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice after a long partition: its earlier leader has gone on with
+// endpoints whose entries vanished from the store's list more than listCompleteDelay ago.
+func TestEarlierLeaderMayUseEndpointsThatVanishedLongAgo(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		listAge clock.Millis
+		starts  int
+	}{
+		{"the list of the earlier leader is recent", 400, 1},
+		{"it is from before an endpoint may have vanished", 25 * clock.Second, 0},
+		{"it is unknown", 0, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := takeOver(t)
+			h.advance(20)
+			h.handle(EndpointsLoaded{Version: 2, ReadAt: h.now, Endpoints: firstList()})
+			h.answerHolds(nil)
+			s := resubmittedJob()
+			s.EarlierListAge = tt.listAge
+			if starts := h.startsOf(s); starts != tt.starts {
+				t.Errorf("got %d starts within 100 ms, want %d", starts, tt.starts)
+			}
+		})
+	}
+}
+
+// Guards against a leader that vouches for endpoints that may have vanished from the store's list:
+// those that it still uses although they are missing, and those of a list from a peer.
+func TestLeaderSaysSinceWhenItsEndpointsWereListed(t *testing.T) {
+	h := leaderOfCentro(t)
+	peer := newVM("centro", "peer-1")
+	first := h.now
+	h.handle(EndpointsLoaded{Version: 2, ReadAt: first, Endpoints: firstList()})
+	for _, tt := range []struct {
+		name    string
+		advance clock.Millis
+		load    EndpointsLoaded
+		want    clock.Millis
+	}{
+		{"read again", 400, EndpointsLoaded{Endpoints: firstList()}, 0},
+		{"an endpoint is missing", 400, EndpointsLoaded{Endpoints: firstList()[1:]}, 400},
+		{"still missing, and in use", 400, EndpointsLoaded{Endpoints: firstList()[1:]}, 800},
+		{"dropped", missingRetention, EndpointsLoaded{Endpoints: firstList()[1:]}, 0},
+		{"list of a peer", 400, EndpointsLoaded{Endpoints: firstList(), Gap: true}, -1},
+		{"read again after that", 400, EndpointsLoaded{Endpoints: firstList()}, 0},
+	} {
+		h.advance(tt.advance)
+		tt.load.Version = h.control.endpointsVersion + 1
+		if tt.want >= 0 {
+			tt.load.ReadAt = h.now
+		}
+		h.handle(tt.load)
+		want := max(tt.want, 1)
+		if tt.want < 0 {
+			want = 0
+		}
+		if got := h.sendHeartbeat(peer, "centro").ListAge; got != want {
+			t.Errorf("%s: got a list that is %d ms old, want %d ms", tt.name, got, want)
+		}
+	}
+}
--- a/internal/control/node/endpoints.go
+++ b/internal/control/node/endpoints.go
@@ -48,6 +48,13 @@
 	}
 	n.endpoints, n.endpointsVersion, n.endpointsAt = merged, e.Version, n.now
 	n.endpointsReadAt = max(n.endpointsReadAt, e.ReadAt)
+	switch {
+	case e.ReadAt == 0:
+		// The list of a peer may have endpoints that disappeared from the store's long ago.
+		n.endpointsListedAt = 0
+	case len(n.missingSince) == 0:
+		n.endpointsListedAt = e.ReadAt
+	}
 	for _, id := range n.shards {
 		n.sendEndpoints(id)
 	}
@@ -106,5 +113,7 @@
 
 // listCompleteDelay is how long an endpoint that has disappeared may still have attempts of an
 // earlier leader. Entries expire 4.5 s into a partition, and attempts there end at the latest when
-// their callers time out, which happens within 10 s.
+// their callers time out, which happens within 10 s. A leader that goes on in a longer partition starts
+// others, so each job that is submitted again also says since when the endpoints were listed that its
+// earlier leaders knew.
 const listCompleteDelay = 15 * clock.Second
--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -234,6 +234,9 @@
 	// OrphansEndIn is how long after the answer the attempts in the shard have to have ended that no job
 	// adopts after this leader, or 0 or less if that is unknown.
 	OrphansEndIn clock.Millis
+	// ListAge is how long ago each endpoint that the leader uses was in the store's list at the earliest,
+	// or 0 if that is unknown.
+	ListAge clock.Millis
 	// EndpointsVersion is the store's version of the list of endpoints that the member has.
 	EndpointsVersion int64
 	From             vm.Incarnation
--- a/internal/control/node/heartbeats.go
+++ b/internal/control/node/heartbeats.go
@@ -176,6 +176,9 @@
 		if r.Sent != 0 {
 			n.sendToLeader(r.Cell, leader.JobLeasesRenewed{Entry: r.From.Incarnation, Sent: r.Sent, Waiting: r.Waiting, LastSeq: r.LastSeq})
 		}
+		if n.endpointsListedAt != 0 {
+			reply.ListAge = max(n.now-n.endpointsListedAt, 1)
+		}
 		reply.OrphansEndIn = led.leader.OrphansEndBy(n.now) - n.now
 	}
 	if r.Desired > reply.Desired {
--- a/internal/control/node/leadership.go
+++ b/internal/control/node/leadership.go
@@ -297,7 +297,7 @@
 	for _, o := range e.Endpoints {
 		if !slices.ContainsFunc(merged, func(m endpoint.Endpoint) bool { return m.ID == o.ID }) {
 			merged = append(merged, o)
-			n.missingSince[o.ID], n.lastMissingAt = n.now, n.now
+			n.missingSince[o.ID], n.lastMissingAt, n.endpointsListedAt = n.now, n.now, 0
 		}
 	}
 	n.endpoints = merged
--- a/internal/control/node/model_execute_test.go
+++ b/internal/control/node/model_execute_test.go
@@ -166,7 +166,7 @@
 		}
 		v.post(v.life, node.HeartbeatAnswered{Shard: a.Request.Cell, Reply: reply, Answer: failover.Answer{
 			From: incarnation, OK: ok, ConnectionRefused: refused, Draining: reply.Draining, Leader: reply.Home, Token: reply.Token, LeaderClock: reply.Clock,
-			SentAt: a.SentAt, OrphansEndIn: reply.OrphansEndIn,
+			SentAt: a.SentAt, OrphansEndIn: reply.OrphansEndIn, ListAge: reply.ListAge,
 		}})
 	}
 	v.callPeer(a.To.Address, peerTimeout, func(peer *modelVM, x *exchange) {
--- a/internal/process/daemon/traffic.go
+++ b/internal/process/daemon/traffic.go
@@ -185,7 +185,7 @@
 	}
 	t.loop.Post(node.HeartbeatAnswered{Shard: a.Request.Cell, Reply: reply, Answer: failover.Answer{
 		From: incarnation, OK: err == nil, ConnectionRefused: refused, Draining: reply.Draining, Leader: reply.Home, Token: reply.Token, LeaderClock: reply.Clock,
-		SentAt: a.SentAt, OrphansEndIn: reply.OrphansEndIn,
+		SentAt: a.SentAt, OrphansEndIn: reply.OrphansEndIn, ListAge: reply.ListAge,
 	}})
 }
 
--- a/internal/world/job/job.go
+++ b/internal/world/job/job.go
@@ -114,6 +114,9 @@
 	// Earlier is the only VM that may have started tasks of the key as a leader, or empty if several
 	// may have.
 	Earlier vm.Incarnation
+	// EarlierListAge is how long ago each endpoint was in the store's list at the earliest at which a VM
+	// may have started tasks of the key as a leader, or 0 if that is unknown.
+	EarlierListAge clock.Millis
 	// Expires is the time, by the leader's clock, after which the leader must not accept
 	// the submission: the message was delayed.
 	Expires clock.Millis
