Wait for a restarted endpoint that may have received a start

An endpoint that restarts under its ID while a start to it is in transit may receive the start in its new incarnation, and carry it out seconds later. If no leader could reach it meanwhile, the task started elsewhere 1,540 ms after the start, and then ran twice.

If the list shows that the endpoint has restarted since a start that was not confirmed, the attempt now counts as over only once the new incarnation has accepted the higher token, or 15 s after the start. Only tasks whose start was in transit at the restart wait.

TestUnansweredStartAtARestartedEndpoint failed before with two attempts.

--- a/internal/control/leader/attempts.go
+++ b/internal/control/leader/attempts.go
@@ -13,7 +13,7 @@
 	lastAttempt := l.attemptNumbers.get(t.name)
 	t.attempt = max(t.attempt, lastAttempt) + 1
 	l.attemptNumbers.set(t.name, t.attempt, l.now)
-	t.phase, t.endpoint, t.startedAt, t.confirmedAt, t.confirmedIn = starting, ep, l.now, 0, 0
+	t.phase, t.endpoint, t.startedAt, t.confirmedAt, t.confirmedIn, t.sentTo = starting, ep, l.now, 0, 0, ep.Born
 	t.baseDuration, t.expectedDuration = base, ep.speed.duration(base)
 	t.percent, t.percentAt = 0, l.now
 	t.stopAckedAt, t.stopSentAt, t.uncertainSeq, t.startedSeq = 0, 0, 0, l.sequence
--- a/internal/control/leader/lease.go
+++ b/internal/control/leader/lease.go
@@ -34,6 +34,9 @@
 	// go on; a stop takes 50 ms. The time after which callers resend the jobs may end them earlier (see
 	// OrphansEndBy).
 	orphanLease = clock.Millis(150)
+	// lateOrderLimit is how long after it was sent a request may be carried out. The platform names no
+	// bound but seconds; the description of its faults says up to 12 s.
+	lateOrderLimit = 15 * clock.Second
 	// stopAckTimeout is how long the acknowledgement of a stop may take; a round trip takes 2 ms.
 	stopAckTimeout = clock.Millis(50)
 )
@@ -71,6 +74,11 @@
 		// An incarnation that the leader does not know of may have carried out the start.
 		expiry = max(expiry, t.startedAt+timeouts.cappedLeaseExpiry())
 	}
+	if t.confirmedAt == 0 && t.sentTo != ep.Born && !ep.contacted {
+		// The present incarnation may have received the start, and carries it out late unless it has
+		// accepted a higher token.
+		expiry = max(expiry, t.startedAt+lateOrderLimit)
+	}
 	return l.now >= expiry
 }
 
--- a/internal/control/leader/lease_test.go
+++ b/internal/control/leader/lease_test.go
@@ -283,3 +283,45 @@
 		t.Errorf("got no start of the task once the lease has expired, want one")
 	}
 }
+
+// Guards against a task that runs twice because the next incarnation of an endpoint has received a start
+// and carries it out seconds later, while no leader can reach it: the list shows that it has restarted.
+func TestUnansweredStartAtARestartedEndpoint(t *testing.T) {
+	c, s, first := delayedStart(t, 2000, 3000, 1)
+	name := TaskName(s.Job.ID, 0, 0)
+	late := false
+	for range 400 {
+		c.advance(10)
+		attempts := 0
+		for _, e := range c.sortedEndpoints {
+			if e.attempts[name] != nil {
+				attempts++
+			}
+		}
+		late = late || c.endpoints[first].attempts[name] != nil
+		if attempts > 1 {
+			t.Fatalf("got %d attempts of a task at the same time, want 1", attempts)
+		}
+	}
+	if !late {
+		t.Errorf("got no late attempt at the restarted endpoint, want one")
+	}
+	c.advance(2000)
+	if e := c.endpointOf(name); e == nil {
+		t.Errorf("got no attempt once the endpoint has answered, want one")
+	}
+}
+
+// Guards against tasks that wait forever for a restarted endpoint that never answers.
+func TestUnansweredStartAtAnEndpointThatStaysAway(t *testing.T) {
+	c, s, first := delayedStart(t, 60_000, 60_000, 1)
+	name := TaskName(s.Job.ID, 0, 0)
+	c.advance(lateOrderLimit - 100)
+	if e := c.endpointOf(name); e != nil {
+		t.Errorf("got an attempt at %s, want none while the start may be carried out late", e.ID)
+	}
+	c.advance(200)
+	if e := c.endpointOf(name); e == nil || e.ID == first {
+		t.Errorf("got no attempt at another endpoint after %d ms, want one", lateOrderLimit)
+	}
+}
--- a/internal/control/leader/task.go
+++ b/internal/control/leader/task.go
@@ -24,8 +24,10 @@
 	// and confirmedIn the incarnation that did.
 	startedAt, confirmedAt clock.Millis
 	confirmedIn            endpoint.Incarnation
-	startedSeq             SequenceNumber
-	confirmedSeq           SequenceNumber
+	// sentTo is the incarnation that the leader knew when it sent the start.
+	sentTo       endpoint.Incarnation
+	startedSeq   SequenceNumber
+	confirmedSeq SequenceNumber
 	// baseDuration is how long the attempt is expected to take at speed 1, expectedDuration at its
 	// endpoint.
 	baseDuration, expectedDuration clock.Millis
--- a/internal/control/node/model_endpoint_test.go
+++ b/internal/control/node/model_endpoint_test.go
@@ -43,6 +43,8 @@
 	open map[*exchange]bool
 	// lateUntil is until when it carries out orders late and does not answer them.
 	lateUntil micros
+	// onStart is called once, right after the next start to it was sent; it may be nil.
+	onStart func()
 }
 
 // waitingHold is a hold that is answered once an attempt ends.
