--- a/internal/control/node/model_execute_test.go
+++ b/internal/control/node/model_execute_test.go
@@ -90,7 +90,16 @@
 			end(endpoint.NoAnswer{Cause: "no answer"}, 0)
 		}
 	})
-	x.beforeSend = func() bool { return v.clock() <= s.SendBy }
+	x.beforeSend = func() bool {
+		if v.clock() > s.SendBy {
+			return false
+		}
+		if e := v.world.endpoint(s.Endpoint.ID); e.onStart != nil && e.up {
+			v.world.after(1, e.onStart)
+			e.onStart = nil
+		}
+		return true
+	}
 	v.later(slowStartDelay, func() {
 		if !x.done {
 			v.postToLeader(a, leader.StartSlow{Endpoint: s.Endpoint.ID, Task: s.Task, Attempt: s.Attempt})
@@ -166,7 +175,7 @@
 		}
 		v.post(v.life, node.HeartbeatAnswered{Shard: a.Request.Cell, Reply: reply, Answer: failover.Answer{
 			From: incarnation, OK: ok, ConnectionRefused: refused, Draining: reply.Draining, Leader: reply.Home, Token: reply.Token, LeaderClock: reply.Clock,
-			SentAt: a.SentAt, OrphansEndIn: reply.OrphansEndIn,
+			SentAt: a.SentAt, OrphansEndIn: reply.OrphansEndIn, ListAge: reply.ListAge,
 		}})
 	}
 	v.callPeer(a.To.Address, peerTimeout, func(peer *modelVM, x *exchange) {
