--- a/internal/control/node/model_faults_test.go
+++ b/internal/control/node/model_faults_test.go
@@ -49,7 +49,9 @@
 	// faultShrink changes the capacity of endpoints, which do not guard it.
 	faultShrink faultKind = "shrink"
 	// faultOddRows lets another writer overwrite and add rows of endpoints.
-	faultOddRows       faultKind = "oddRows"
+	faultOddRows faultKind = "oddRows"
+	// faultResetCut cuts endpoints off by links that reset connections.
+	faultResetCut      faultKind = "resetCut"
 	maxCutDuration               = 6 * second
 	maxStoreDuration             = 8 * second
 	maxSlowDuration              = 4 * second
@@ -82,6 +84,7 @@
 	faultBurst:         injectBurst,
 	faultShrink:        injectShrink,
 	faultOddRows:       injectOddRows,
+	faultResetCut:      injectResetCut,
 }
 
 // allFaults are the kinds in a fixed order.
@@ -89,7 +92,7 @@
 	faultLoss, faultLate, faultCut, faultZoneCut, faultEndpointCut, faultCoreCut, faultFreeze, faultSlow, faultKill, faultPower, faultRoll,
 	faultStoreDown, faultStoreRefuses, faultStoreSlow, faultRevoke, faultCrash, faultReborn, faultRebornCut, faultRebornAtStart, faultAdd, faultLeave, faultBurst,
 	faultStoreLate, faultFailures, faultStall, faultGiveUp, faultDuplicate, faultNextLife, faultCallerCut, faultThawOrder,
-	faultShrink, faultOddRows,
+	faultShrink, faultOddRows, faultResetCut,
 }
 
 // injectFaults causes faults of the world's kinds until a point in time.
@@ -224,6 +227,24 @@
 	w.logFault(faultEndpointCut, "%s for %s, from all VMs %v", e.id, formatTime(d), all)
 }
 
+// injectResetCut cuts an endpoint off from all or some VMs, so that connections to it are refused while
+// its attempts go on.
+func injectResetCut(w *world, random *rand.Rand) {
+	e := w.pickEndpoint(random)
+	if e == nil {
+		return
+	}
+	d, all := duration(random, maxCutDuration), random.IntN(2) == 0
+	for _, v := range w.vms {
+		if all || random.IntN(2) == 0 {
+			w.network.cut(v.name, string(e.id), d)
+			w.network.cut(string(e.id), v.name, d)
+			w.network.link(v.name, string(e.id)).resetUntil = w.now + d
+		}
+	}
+	w.logFault(faultResetCut, "%s for %s, from all VMs %v", e.id, formatTime(d), all)
+}
+
 // injectCoreCut cuts VMs or endpoints off from the store.
 func injectCoreCut(w *world, random *rand.Rand) {
 	d := duration(random, maxStoreDuration)
