--- a/internal/control/leader/endpoint_state.go
+++ b/internal/control/leader/endpoint_state.go
@@ -77,6 +77,12 @@
 	replaced bool
 	// unlisted means that the endpoint is missing from the platform's list.
 	unlisted bool
+	// unguarded means that the endpoint starts whatever it is told to, even beyond its capacity.
+	unguarded bool
+	// listedBorn is the incarnation whose row has the capacity, or 0 if the row does not name it.
+	listedBorn endpoint.Incarnation
+	// capacityReadAt is when the list with the capacity was read from the store.
+	capacityReadAt clock.Millis
 	// usableFrom is when an endpoint that was added to the list may get tasks.
 	usableFrom clock.Millis
 	// blockedUntil is when the endpoint may get tasks again after it rejected one for lack of
@@ -104,5 +110,5 @@
 func (ep *endpointState) usable(now clock.Millis) bool {
 	return ep.clockReading != 0 && ep.contacted && ep.epoch <= shard.MaxEpoch && !ep.replaced && !ep.Draining && !ep.unlisted && ep.unansweredHolds < suspectAfterHolds &&
 		now >= max(ep.usableFrom, ep.blockedUntil, ep.cappedLeaseEnd) && ep.health.usable(now, len(ep.tasks)) &&
-		(ep.activeOrphans == 0 || now < ep.orphanLeaseEnd-orphanLease) && !ep.hasOverdueStop(now)
+		(ep.activeOrphans == 0 || now < ep.orphanLeaseEnd-orphanLease) && !ep.hasOverdueStop(now) && (!ep.unguarded || ep.demandKnown() && ep.capacityKnown(now))
 }
--- a/internal/control/node/endpoints.go
+++ b/internal/control/node/endpoints.go
@@ -13,7 +13,8 @@
 
 // handleEndpointsLoaded applies a list of endpoints. An endpoint that has disappeared from the list
 // is kept for missingRetention: entries expire while the store is unavailable and return later, and
-// until then an earlier leader may have attempts there.
+// until then an earlier leader may have attempts there. One whose row has become unreadable gets no
+// tasks meanwhile.
 func (n *Control) handleEndpointsLoaded(e EndpointsLoaded) {
 	if e.Version < n.endpointsVersion {
 		return
@@ -23,6 +24,10 @@
 		listed[p.ID] = true
 		delete(n.missingSince, p.ID)
 	}
+	unreadable := make(map[datacentre.EndpointID]bool, len(e.Unreadable))
+	for _, id := range e.Unreadable {
+		unreadable[id] = true
+	}
 	merged := slices.Clone(e.Endpoints)
 	for _, old := range n.endpoints {
 		if listed[old.ID] {
@@ -34,6 +39,7 @@
 			n.missingSince[old.ID], n.lastMissingAt = since, n.now
 		}
 		if n.now-since < missingRetention {
+			old.Draining = old.Draining || unreadable[old.ID]
 			merged = append(merged, old)
 		}
 	}
@@ -42,6 +48,13 @@
 	}
 	n.endpoints, n.endpointsVersion, n.endpointsAt = merged, e.Version, n.now
 	n.endpointsReadAt = max(n.endpointsReadAt, e.ReadAt)
+	switch {
+	case e.ReadAt == 0:
+		// The list of a peer may have endpoints that disappeared from the store's long ago.
+		n.endpointsListedAt = 0
+	case len(n.missingSince) == 0:
+		n.endpointsListedAt = e.ReadAt
+	}
 	for _, id := range n.shards {
 		n.sendEndpoints(id)
 	}
@@ -100,5 +113,7 @@
 
 // listCompleteDelay is how long an endpoint that has disappeared may still have attempts of an
 // earlier leader. Entries expire 4.5 s into a partition, and attempts there end at the latest when
-// their callers time out, which happens within 10 s.
+// their callers time out, which happens within 10 s. A leader that goes on in a longer partition starts
+// others, so each job that is submitted again also says since when the endpoints were listed that its
+// earlier leaders knew.
 const listCompleteDelay = 15 * clock.Second
--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -10,6 +10,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
@@ -106,7 +107,9 @@
 // EndpointsLoaded is the store's list of all endpoints, as of a version of the store.
 type EndpointsLoaded struct {
 	Endpoints []endpoint.Endpoint
-	Version   int64
+	// Unreadable are the keys of rows that describe no endpoint.
+	Unreadable []datacentre.EndpointID
+	Version    int64
 	// ReadAt is when the request was sent to the store, or 0 for a list from a peer.
 	ReadAt clock.Millis
 	// Gap says that endpoints may have left the list since the one before without being in either.
@@ -231,6 +234,9 @@
 	// OrphansEndIn is how long after the answer the attempts in the shard have to have ended that no job
 	// adopts after this leader, or 0 or less if that is unknown.
 	OrphansEndIn clock.Millis
+	// ListAge is how long ago each endpoint that the leader uses was in the store's list at the earliest,
+	// or 0 if that is unknown.
+	ListAge clock.Millis
 	// EndpointsVersion is the store's version of the list of endpoints that the member has.
 	EndpointsVersion int64
 	From             vm.Incarnation
