Let the capacity of missing endpoints get old

The row of an endpoint may disappear while it runs: it expires, or is revoked. The leader goes on using the endpoint for 2.5 s with the capacity of its last row, and took that as recent because the list was.

The list says which endpoints are missing from it, and their capacities keep the time of the last list that had them. A list from a peer renews no capacity, as it may have entries that are missing there.

--- a/internal/control/leader/capacity.go
+++ b/internal/control/leader/capacity.go
@@ -1,6 +1,9 @@
 package leader
 
-import "github.com/sequoiacart/sequoiacart/pkg/clock"
+import (
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+)
 
 // demandKnown reports whether the leader knows the demand of everything that runs here. That of an
 // attempt of another leader is unknown until a job adopts it.
@@ -15,3 +18,17 @@
 // maxCapacityAge is how long ago the capacity of an unguarded endpoint may have been read. One that
 // has shrunk binds 4.5 s after its endpoint has reported it, and a start may take 500 ms to arrive.
 const maxCapacityAge = 4500 - sendDelay - RequestLifetime
+
+// updateCapacityAges records that a list has been read. The capacity of an endpoint that is missing
+// from it is that of an earlier list.
+func (l *Leader) updateCapacityAges(missing map[datacentre.EndpointID]bool) {
+	if l.list.ReadAt <= l.capacitiesReadAt {
+		return
+	}
+	l.capacitiesReadAt = l.list.ReadAt
+	for _, ep := range l.sortedEndpoints {
+		if !ep.unlisted && !missing[ep.ID] {
+			ep.capacityReadAt = l.list.ReadAt
+		}
+	}
+}
--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -315,7 +315,7 @@
 			l.handleRestart(ep, e.Born)
 		}
 		used := ep.Capacity.Minus(ep.free)
-		ep.listedBorn, ep.capacityReadAt = e.Born, l.list.ReadAt
+		ep.listedBorn = e.Born
 		if ep.Born != 0 {
 			e.Born = ep.Born
 		}
--- a/internal/control/leader/endpoint_state.go
+++ b/internal/control/leader/endpoint_state.go
@@ -81,7 +81,7 @@
 	unguarded bool
 	// listedBorn is the incarnation whose row has the capacity, or 0 if the row does not name it.
 	listedBorn endpoint.Incarnation
-	// capacityReadAt is when the list with the capacity was read from the store.
+	// capacityReadAt is when the latest list with the endpoint was read from the store.
 	capacityReadAt clock.Millis
 	// usableFrom is when an endpoint that was added to the list may get tasks.
 	usableFrom clock.Millis
--- a/internal/control/leader/event.go
+++ b/internal/control/leader/event.go
@@ -101,6 +101,9 @@
 // EndpointsListed is the platform's list of the endpoints of the shard.
 type EndpointsListed struct {
 	Endpoints []endpoint.Endpoint
+	// Missing are those of Endpoints that have disappeared from the store's list and are kept for a
+	// while.
+	Missing map[datacentre.EndpointID]bool
 	// Complete means that no endpoint with attempts of an earlier leader has left the list before
 	// ReadAt: none has left it recently.
 	Complete bool
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -62,7 +62,9 @@
 	list         EndpointList
 	listComplete bool
 	listed       bool
-	now          clock.Millis
+	// capacitiesReadAt is the ReadAt of the latest list whose capacities were read from the store.
+	capacitiesReadAt clock.Millis
+	now              clock.Millis
 	// resuming means that nothing is started after a pause until the endpoints have answered requests
 	// of the event resumedSeq or later.
 	resuming   bool
@@ -143,6 +145,7 @@
 	case EndpointsListed:
 		l.listComplete, l.list = e.Complete, e.List
 		l.updateEndpoints(e.Endpoints)
+		l.updateCapacityAges(e.Missing)
 	case DesiredState:
 		l.desired = e.State
 		for _, ep := range l.sortedEndpoints {
--- a/internal/control/leader/unguarded_test.go
+++ b/internal/control/leader/unguarded_test.go
@@ -3,9 +3,11 @@
 import (
 	"testing"
 
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 )
 
 // newUnguardedCluster returns a cluster whose endpoints do not guard their capacity.
@@ -164,6 +166,36 @@
 	}
 }
 
+// Guards against an overloaded endpoint that has disappeared from the list: its capacity is that of an
+// earlier list, however recent the list is.
+func TestCapacityOfAMissingEndpointGetsOld(t *testing.T) {
+	c := newUnguardedCluster(t, 47, 1)
+	c.addUnguardedLeader(1, 256)
+	c.advance(50)
+	c.leaders[1].relists = false
+	e := c.sortedEndpoints[0]
+	listed := c.endpointList()
+	list := func(all []endpoint.Endpoint, missing map[datacentre.EndpointID]bool) {
+		c.deliver(1, EndpointsListed{Endpoints: all, Missing: missing, Complete: true, List: EndpointList{ReadAt: c.now}})
+		c.advance(500)
+	}
+	for c.now < 1_000_000+maxCapacityAge+500 {
+		list(listed, map[datacentre.EndpointID]bool{e.ID: true})
+	}
+	e.Capacity.CPU = taskCPU
+	c.submitPart(1, 1, 4)
+	c.advance(500)
+	if len(e.attempts) > 0 || len(c.outcomes) > 0 {
+		t.Errorf("got attempts at a missing endpoint, want none")
+	}
+	list(c.endpointList(), nil)
+	c.advance(500)
+	c.checkOverloads()
+	if len(c.outcomes) != 1 {
+		t.Errorf("got %d jobs answered once the endpoint is listed again, want 1", len(c.outcomes))
+	}
+}
+
 // Guards against a load that hides free capacity: an endpoint that runs more than its capacity has no
 // free CPU, and what it releases first makes up for that.
 func TestLoadWithAnOvercommittedEndpoint(t *testing.T) {
--- a/internal/control/node/endpoints.go
+++ b/internal/control/node/endpoints.go
@@ -88,7 +88,11 @@
 		return
 	}
 	list, complete := n.endpointList(n.ledShards[id].handedOverBy)
-	n.sendToLeader(id, leader.EndpointsListed{Endpoints: n.endpointsOf(id), Complete: complete, List: list})
+	missing := make(map[datacentre.EndpointID]bool, len(n.missingSince))
+	for e := range n.missingSince {
+		missing[e] = true
+	}
+	n.sendToLeader(id, leader.EndpointsListed{Endpoints: n.endpointsOf(id), Missing: missing, Complete: complete, List: list})
 }
 
 // endpointsOf returns the endpoints of a shard.
