Bound the log lines about unreadable rows of endpoints

Each unreadable row of the list was logged when it was read first or had changed. Warnings about different rows are not held back, so that 10,000 rows of another writer filled the queue of the log, and the lines of other decisions were dropped.

One read logs at most 3 of them; the metric endpoints.unreadable counts all.

--- a/internal/process/daemon/event_logger.go
+++ b/internal/process/daemon/event_logger.go
@@ -179,9 +179,12 @@
 	})
 }
 
-// endpointUnreadable logs an endpoint row that cannot be decoded.
-func (l *eventLogger) endpointUnreadable(key string, err error) {
+// endpointUnreadable counts an endpoint row that cannot be decoded, and may log it.
+func (l *eventLogger) endpointUnreadable(key string, err error, logged bool) {
 	l.meter.Count("endpoints.unreadable")
+	if !logged {
+		return
+	}
 	l.enqueue(func() {
 		l.log.Warn(event.EndpointUnreadable, "row of endpoint not readable", logrus.Fields{"endpoint": key, "error": err.Error()})
 	})
--- a/internal/process/daemon/followers.go
+++ b/internal/process/daemon/followers.go
@@ -237,18 +237,24 @@
 	readable bool
 }
 
+// maxUnreadableLines bounds the lines about unreadable rows of one read, so that a table full of them
+// does not displace the other lines of the log. The metric counts all.
+const maxUnreadableLines = 3
+
 // endpointsRead decodes the rows that have changed. Only one follower calls it, so decodedRows
 // needs no lock.
 func (d *Daemon) endpointsRead(t tableRead) {
 	var all []endpoint.Endpoint
 	var unreadable []datacentre.EndpointID
+	changed := 0
 	maps.DeleteFunc(d.decodedRows, func(key string, _ decodedRow) bool { _, listed := t.rows[key]; return !listed })
 	for _, r := range t.rows {
 		cached, found := d.decodedRows[r.Key]
 		if !found || !bytes.Equal(cached.value, r.Value) {
 			e, err := platform.DecodeEndpoint(r)
 			if err != nil {
-				d.logger.endpointUnreadable(r.Key, err)
+				changed++
+				d.logger.endpointUnreadable(r.Key, err, changed <= maxUnreadableLines)
 			}
 			cached = decodedRow{value: r.Value, endpoint: e, readable: err == nil}
 			d.decodedRows[r.Key] = cached
--- a/internal/process/daemon/followers_test.go
+++ b/internal/process/daemon/followers_test.go
@@ -1,9 +1,11 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -203,3 +205,29 @@
 		t.Errorf("got nil, want the context's error")
 	}
 }
+
+// Guards against a table full of rows of another writer that floods the log, hides the endpoints, or
+// is decoded again with each read.
+func TestManyUnreadableRows(t *testing.T) {
+	const odd, linesPerSecond = 10_000, 10
+	clocks := clock.NewManual(clock.Hour)
+	d := &Daemon{decodedRows: make(map[string]decodedRow), loop: newLoop(nil, clocks)}
+	d.logger = newEventLogger(event.NewLog(logrus.New()), meter.New(), clocks, linesPerSecond)
+	rows := map[string]store.Row{"e1": listedRow("ready")}
+	for i := range odd {
+		key := fmt.Sprintf("odd-%d", i)
+		rows[key] = store.Row{Key: key, Value: bytes.Repeat([]byte("["), 200+i%2000)}
+	}
+	for read := range 3 {
+		started := time.Now()
+		d.endpointsRead(tableRead{rows: rows, version: store.Revision(read + 1)})
+		t.Logf("read %d of %d rows took %v", read, len(rows), time.Since(started))
+		e, ok := (<-d.loop.mailbox).(node.EndpointsLoaded)
+		if !ok || len(e.Endpoints) != 1 || len(e.Unreadable) != odd {
+			t.Fatalf("read %d: got %d endpoints and %d unreadable rows, want 1 and %d", read, len(e.Endpoints), len(e.Unreadable), odd)
+		}
+	}
+	if got := len(d.logger.lines); got > linesPerSecond {
+		t.Errorf("got %d lines, want at most %d within the same second", got, linesPerSecond)
+	}
+}
