Start a lost attempt at another endpoint

The next attempt of a task whose endpoint was lost could go to the endpoint that had lost it, as soon as that answered again: avoidEndpoint counted only after a failed attempt (failures > 0). An endpoint that a task crashes, or that keeps losing its connections, got the same task twice in a row.

A task now avoids the endpoint at which its attempt was lost (lease expired, restart, another instance) while there is another usable one that it fits.

TestLostAttemptStartsElsewhere failed before: "e00: got the second start there true, want false".

--- a/internal/control/leader/attempts.go
+++ b/internal/control/leader/attempts.go
@@ -135,7 +135,7 @@
 }
 
 func (l *Leader) handleStartRejected(t *task, ep *endpointState, reason endpoint.Rejection) {
-	t.avoidEndpoint = ep
+	t.avoidEndpoint, t.lostThere = ep, false
 	switch reason {
 	case endpoint.RejectedFenced:
 		if t.startedSeq >= ep.tokenSeq {
@@ -193,7 +193,7 @@
 	l.raiseToken(ep)
 	for _, t := range ep.sortedTasks() {
 		l.logAttempt(AttemptLost, t, ep, ep.lossDetail("endpoint restarted"))
-		t.avoidEndpoint = ep
+		t.avoidEndpoint, t.lostThere = ep, true
 		if t.phase != stopping {
 			l.stopAttempt(t)
 			continue
@@ -221,7 +221,7 @@
 			continue
 		}
 		l.logAttempt(AttemptLost, t, ep, ep.lossDetail("instance replaced"))
-		t.avoidEndpoint = ep
+		t.avoidEndpoint, t.lostThere = ep, true
 		l.endAttempt(t, EndReplaced{})
 	}
 	if request >= ep.acceptedSeq {
@@ -264,6 +264,7 @@
 		l.countTaskFailure(t)
 	case endpoint.EndExpired, endpoint.EndBroken, endpoint.EndAlone, endpoint.EndUnknown:
 		l.logAttempt(AttemptLost, t, ep, "ended "+strconv.Itoa(int(e.End)))
+		t.avoidEndpoint, t.lostThere = ep, true
 		l.endAttempt(t, EndListed{End: e.End})
 	case endpoint.EndStopped:
 		l.endAttempt(t, EndListed{End: e.End})
--- a/internal/control/leader/checks.go
+++ b/internal/control/leader/checks.go
@@ -45,6 +45,7 @@
 	case starting:
 		if l.attemptExpired(t, ep) {
 			l.logAttempt(AttemptLost, t, ep, ep.lossDetail("lease expired"))
+			t.avoidEndpoint, t.lostThere = ep, true
 			l.endAttempt(t, EndLeaseExpired{})
 		}
 	case waiting, done, ended:
@@ -59,7 +60,7 @@
 func (l *Leader) checkRunning(t *task, ep *endpointState) {
 	if l.attemptExpired(t, ep) {
 		l.logAttempt(AttemptLost, t, ep, ep.lossDetail("lease expired"))
-		t.avoidEndpoint = ep
+		t.avoidEndpoint, t.lostThere = ep, true
 		l.endAttempt(t, EndLeaseExpired{})
 		return
 	}
--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -189,7 +189,7 @@
 		if ep.Service != q.Service || !ep.free.Fits(step.Demand) || !ep.usable(l.now) {
 			continue
 		}
-		if !ep.HasLabel(step.Requires) || ep == t.avoidEndpoint && t.failures > 0 {
+		if !ep.HasLabel(step.Requires) || l.avoids(t, ep) {
 			allowed = false
 			continue
 		}
@@ -212,6 +212,17 @@
 	return true
 }
 
+// avoids reports whether a task must not start at an endpoint: its last attempt failed there, or was
+// lost there while there is another endpoint for it.
+func (l *Leader) avoids(t *task, ep *endpointState) bool {
+	if ep != t.avoidEndpoint {
+		return false
+	}
+	return t.failures > 0 || t.lostThere && slices.ContainsFunc(l.sortedEndpoints, func(o *endpointState) bool {
+		return o != ep && o.Service == ep.Service && o.HasLabel(t.stepSpec().Requires) && o.Capacity.Fits(t.stepSpec().Demand) && o.usable(l.now)
+	})
+}
+
 // baseDuration is the expected duration of a task at an endpoint of speed 1 in ep's rack.
 func (l *Leader) baseDuration(t *task, ep *endpointState) clock.Millis {
 	step := t.stepSpec()
--- a/internal/control/leader/task.go
+++ b/internal/control/leader/task.go
@@ -42,6 +42,8 @@
 	stopAckedSeq                         SequenceNumber
 	failures                             int
 	avoidEndpoint                        *endpointState
+	// lostThere means that an attempt was lost at avoidEndpoint.
+	lostThere bool
 }
 
 // taskPhase is the phase in the life cycle of a task.
