Give up tasks that crash their endpoints

A task that crashes its endpoint was started again at endpoint after endpoint until its caller gave up: a lost attempt left no mark on the task (`failures` counts ends `failed` alone), and the other tasks there shared its fate each time.

The leader now keeps the crashes of endpoints with the tasks that ran there (internal/world/crash). After the first crash these tasks are suspects: each runs at an endpoint of its own, at an eighth of the endpoints at most. After two it does not start until the crashes are proved or taken back, and once they are proved and it ran alone at one of the endpoints, its job fails, also when it is sent again. The end `done` of a task clears it, and makes the blame of the others more exact. Endpoints that drain, are only silent, or answer again in the same incarnation convict nobody, nor do three crashes in a shard within 150 ms.

The end `failed` does not clear a task: a failing endpoint may reject a deadly task as well as another.

`Abrupt` of a crash compared the first refusal with the latest status report, which is up to a second old at an endpoint that was idle before; the answer to a start counts now too.

--- a/internal/control/leader/action.go
+++ b/internal/control/leader/action.go
@@ -68,6 +68,10 @@
 // down.
 type Fenced struct{}
 
+// DeadlyTaskFound means that a task is proved to crash its endpoints, so that the crashes have to
+// outlast the VMs.
+type DeadlyTaskFound struct{}
+
 // LogDecision writes a decision to the log.
 type LogDecision struct {
 	Decision Decision
@@ -120,11 +124,14 @@
 	JobForwarded
 	JobAdopted
 	JobAbandoned
+	// TaskGivenUp is a task that is proved to crash its endpoints; its job has failed.
+	TaskGivenUp
 )
 
-func (Start) action()       {}
-func (Stop) action()        {}
-func (Hold) action()        {}
-func (Answer) action()      {}
-func (Fenced) action()      {}
-func (LogDecision) action() {}
+func (Start) action()           {}
+func (Stop) action()            {}
+func (Hold) action()            {}
+func (Answer) action()          {}
+func (Fenced) action()          {}
+func (DeadlyTaskFound) action() {}
+func (LogDecision) action()     {}
--- a/internal/control/leader/admission.go
+++ b/internal/control/leader/admission.go
@@ -57,7 +57,8 @@
 	if s.Adopt {
 		l.adoptOrphans(j)
 	}
-	if !j.started && !s.Adopt && !l.hasAttempts(j) {
+	deadly := l.deadlyTask(j)
+	if deadly == nil && !j.started && !s.Adopt && !l.hasAttempts(j) {
 		if o := l.admit(j); o != nil {
 			l.logAdmission(j, o)
 			l.answers.add(&j.Submission, o, l.now)
@@ -73,6 +74,9 @@
 	l.logAdmission(j, nil)
 	l.enqueue(j)
 	l.completeAdopted(j)
+	if deadly != nil {
+		l.giveUp(deadly)
+	}
 }
 
 // hasAttempts reports whether attempts of the job's tasks may be running here, of an earlier
--- a/internal/control/leader/attempts.go
+++ b/internal/control/leader/attempts.go
@@ -51,6 +51,9 @@
 	}
 	t.endpoint.free = t.endpoint.free.Plus(t.stepSpec().Demand)
 	delete(t.endpoint.tasks, t.name)
+	if t.endpoint.suspect == t {
+		l.release(t.endpoint)
+	}
 	if l.activeTasks[t.name] == t {
 		delete(l.activeTasks, t.name)
 	}
@@ -110,7 +113,7 @@
 	}
 	switch r := e.Result.(type) {
 	case endpoint.Started:
-		ep.answeredSeq = l.sequence
+		ep.answeredSeq, ep.answeredAt = l.sequence, l.now
 		if wentBack {
 			l.markUncertain(t, ep, "clock of the endpoint went back")
 			return
@@ -153,6 +156,7 @@
 	case endpoint.RejectedNotSent, endpoint.RejectedRefused:
 		if reason == endpoint.RejectedRefused {
 			l.handleRefusedConnection(ep, t.startedSeq)
+			l.crashes.Remove(ep.crashID(), t.name)
 		}
 		ep.unansweredHolds = max(ep.unansweredHolds, suspectAfterHolds)
 		l.sendHold(ep, Renewal)
@@ -236,6 +240,9 @@
 		return
 	}
 	ep.ackedEnd = e.Number
+	if e.End == endpoint.EndDone {
+		l.crashes.Clear(e.Task)
+	}
 	t := l.taskOfAttempt(ep, e.Task, e.Attempt)
 	if t == nil {
 		l.orphans.remove(e.Task, ep)
--- a/internal/control/leader/checks.go
+++ b/internal/control/leader/checks.go
@@ -27,6 +27,9 @@
 // checkTask ends an attempt whose lease has certainly expired or whose stop has taken effect, and
 // repeats a stop that is not acknowledged.
 func (l *Leader) checkTask(t *task, ep *endpointState) {
+	if l.checkSuspect(t, ep) {
+		return
+	}
 	switch t.phase {
 	case stopping:
 		if t.stopAckedAt != 0 && l.now >= t.stopAckedAt+l.config.Timeouts.StopDuration+leaseMargin {
--- a/internal/control/leader/cluster_test.go
+++ b/internal/control/leader/cluster_test.go
@@ -41,6 +41,11 @@
 	logged       []LogDecision
 	// duration is how long an attempt of a task takes at speed 1.
 	duration func(job.TaskName) clock.Millis
+	// deadly are tasks that crash their endpoints, and after how long. An endpoint is back after
+	// downTime, and crashCounts counts its crashes by the task that caused them.
+	deadly      map[job.TaskName]clock.Millis
+	downTime    clock.Millis
+	crashCounts map[job.TaskName]int
 	// keepClocks means that the clock of an endpoint goes on when it restarts.
 	keepClocks bool
 	// unguarded means that the endpoints start what exceeds their capacity; overloads counts these starts.
@@ -111,6 +116,7 @@
 		endpoints: make(map[datacentre.EndpointID]*fakeEndpoint), leaders: make(map[int]*fakeLeader),
 		outcomes: make(map[job.Key]job.Outcome), endedAt: make(map[job.Key]clock.Millis),
 		starts: make(map[job.TaskName]int), decisions: make(map[Decision]int),
+		deadly: make(map[job.TaskName]clock.Millis), crashCounts: make(map[job.TaskName]int),
 		duration: func(job.TaskName) clock.Millis { return 50 },
 		fault:    func(int, datacentre.EndpointID, Action) delivery { return delivery{} },
 	}
--- a/internal/control/leader/crash.go
+++ b/internal/control/leader/crash.go
@@ -53,7 +53,7 @@
 	// Contacted means that the incarnation had answered this leader.
 	Contacted bool
 	// Abrupt means that the endpoint closed a connection or refused one within a lease of the latest
-	// report, so that the attempts there had not expired before.
+	// answer, so that the attempts there had not expired before.
 	Abrupt bool
 	// SinceReport is the age of the latest status report.
 	SinceReport clock.Millis
@@ -97,7 +97,9 @@
 		return
 	}
 	ep.crashed = true
-	l.emit(LogDecision{Decision: EndpointCrashed, Endpoint: ep.Endpoint, Details: l.endpointCrash(ep, e)})
+	c := l.endpointCrash(ep, e)
+	l.emit(LogDecision{Decision: EndpointCrashed, Endpoint: ep.Endpoint, Details: c})
+	l.proveCrash(ep, c)
 	ep.lost = nil
 }
 
@@ -107,7 +109,9 @@
 		return
 	}
 	ep.suspected = true
-	l.emit(LogDecision{Decision: EndpointCrashSuspected, Endpoint: ep.Endpoint, Details: l.endpointCrash(ep, e)})
+	c := l.endpointCrash(ep, e)
+	l.emit(LogDecision{Decision: EndpointCrashSuspected, Endpoint: ep.Endpoint, Details: c})
+	l.crashes.Suspect(l.crashRecord(ep, c), l.now)
 }
 
 // withdrawSuspicion handles an answer of the present incarnation to a request that was issued in the
@@ -119,8 +123,12 @@
 	ep.refusals, ep.closedSeq, ep.lost = 0, 0, nil
 	if ep.suspected || ep.crashed {
 		ep.suspected, ep.crashed = false, false
+		l.crashes.Withdraw(ep.crashID(), 0, l.now)
 		l.emit(LogDecision{Decision: EndpointReturned, Endpoint: ep.Endpoint, Detail: "answers in the same incarnation"})
+		return
 	}
+	// An earlier leader may have suspected the incarnation.
+	l.crashes.Withdraw(ep.crashID(), RequestLifetime, l.now)
 }
 
 // recordLost keeps an attempt that has expired at an endpoint, until a crash has named it.
@@ -160,7 +168,7 @@
 	})
 	return &EndpointCrash{
 		Incarnation: ep.Born, Evidence: e, Draining: ep.Draining, Contacted: ep.contacted,
-		Abrupt:      ep.contacted && (ep.closedSeq != 0 || ep.refusals > 0 && ep.refusedAt-ep.lastReportAt <= l.config.Timeouts.AttemptLease),
+		Abrupt:      ep.contacted && (ep.closedSeq != 0 || ep.refusals > 0 && ep.refusedAt-ep.answeredAt <= l.config.Timeouts.AttemptLease),
 		SinceReport: l.now - ep.lastReportAt, Attempts: attempts,
 	}
 }
--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 
+	"github.com/sequoiacart/sequoiacart/internal/world/crash"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
@@ -36,6 +37,7 @@
 // with dozens of queued jobs and hardly any free capacity, so it selects the endpoints with
 // capacity once per round.
 func (l *Leader) dispatch() {
+	l.releaseEndpoints()
 	if len(l.queue) == 0 || l.resuming {
 		return
 	}
@@ -67,8 +69,20 @@
 		if t.phase != waiting {
 			continue
 		}
-		if !t.ready() || r.hasNoCapacityFor(t) || !l.mayStart(t) || !l.placeTask(t, r) {
+		switch l.verdict(t) {
+		case crash.Deadly:
+			l.giveUp(t)
+			return false
+		case crash.Pending:
 			tasksLeft = true
+		case crash.Suspected:
+			if !t.ready() || !l.mayStart(t) || !l.placeSuspect(t) {
+				tasksLeft = true
+			}
+		case crash.Unsuspected:
+			if !t.ready() || r.hasNoCapacityFor(t) || !l.mayStart(t) || !l.placeTask(t, r) {
+				tasksLeft = true
+			}
 		}
 	}
 	return tasksLeft
@@ -219,7 +233,7 @@
 		return false
 	}
 	return t.failures > 0 || t.lostThere && slices.ContainsFunc(l.sortedEndpoints, func(o *endpointState) bool {
-		return o != ep && o.Service == ep.Service && o.HasLabel(t.stepSpec().Requires) && o.Capacity.Fits(t.stepSpec().Demand) && o.usable(l.now)
+		return o != ep && o.Service == ep.Service && o.HasLabel(t.stepSpec().Requires) && o.Capacity.Fits(t.stepSpec().Demand) && o.accepts(l.now)
 	})
 }
 
--- a/internal/control/leader/endpoint_state.go
+++ b/internal/control/leader/endpoint_state.go
@@ -56,8 +56,9 @@
 	// unansweredHolds counts consecutive holds without an answer.
 	unansweredHolds int
 	lastReportAt    clock.Millis
-	// answeredSeq is the event in which the endpoint's latest answer was handled.
+	// answeredSeq is the event in which the endpoint's latest answer was handled, at answeredAt.
 	answeredSeq SequenceNumber
+	answeredAt  clock.Millis
 	// refusals counts the separate refused connections since then, from refusedAt on. refusedSeq is the
 	// event in which the latest one was handled.
 	refusals   int
@@ -91,6 +92,8 @@
 
 	speed  speed
 	health health
+	// suspect is the task that the endpoint is held for, because it may crash it, or nil.
+	suspect *task
 }
 
 // droppedEndpoint is what a leader keeps of an endpoint that has left the list. The endpoint may
@@ -106,9 +109,31 @@
 	return &endpointState{Endpoint: e, free: e.Capacity, tasks: make(map[job.TaskName]*task), lastReportAt: now, leaseSentAt: now}
 }
 
-// usable reports whether new tasks may be placed here.
+// usable reports whether new tasks may be placed here that are no suspects.
 func (ep *endpointState) usable(now clock.Millis) bool {
-	return ep.clockReading != 0 && ep.contacted && ep.epoch <= shard.MaxEpoch && !ep.replaced && !ep.Draining && !ep.unlisted && ep.unansweredHolds < suspectAfterHolds &&
+	return !ep.isolated() && ep.accepts(now)
+}
+
+// accepts reports whether the endpoint takes new tasks.
+func (ep *endpointState) accepts(now clock.Millis) bool {
+	return ep.clockReading != 0 && ep.epoch <= shard.MaxEpoch && !ep.Draining && !ep.unlisted && ep.responsive() &&
 		now >= max(ep.usableFrom, ep.blockedUntil, ep.cappedLeaseEnd) && ep.health.usable(now, len(ep.tasks)) &&
 		(ep.activeOrphans == 0 || now < ep.orphanLeaseEnd-orphanLease) && !ep.hasOverdueStop(now) && (!ep.unguarded || ep.demandKnown() && ep.capacityKnown(now))
 }
+
+// responsive reports whether the present incarnation answers.
+func (ep *endpointState) responsive() bool {
+	return ep.contacted && !ep.replaced && ep.unansweredHolds < suspectAfterHolds
+}
+
+// empty reports whether nothing runs here.
+func (ep *endpointState) empty() bool { return len(ep.tasks) == 0 && ep.activeOrphans == 0 }
+
+// expectedFree is when the tasks here are expected to have ended.
+func (ep *endpointState) expectedFree() clock.Millis {
+	var at clock.Millis
+	for _, t := range ep.tasks {
+		at = max(at, t.startedAt+t.expectedDuration)
+	}
+	return at
+}
--- a/internal/control/leader/fake_endpoint_test.go
+++ b/internal/control/leader/fake_endpoint_test.go
@@ -88,6 +88,15 @@
 		attempt.endsAt = c.now + 1
 	}
 	e.attempts[a.Task] = attempt
+	if after, ok := c.deadly[a.Task]; ok {
+		born := e.Born
+		c.schedule(after, func() {
+			if e.Born == born && !e.down && e.attempts[a.Task] == attempt {
+				c.crashCounts[a.Task]++
+				c.crashFor(e, c.downTime)
+			}
+		})
+	}
 	return endpoint.Started{}, at
 }
 
@@ -153,6 +162,15 @@
 	return e.clockStart + endpoint.Clock(float64(now-e.bornAt)*(1-e.drift))
 }
 
+// crashFor crashes an endpoint that refuses connections until it is back after a time.
+func (c *cluster) crashFor(e *fakeEndpoint, d clock.Millis) {
+	e.down, e.refusing = true, true
+	c.schedule(d, func() {
+		c.crash(e)
+		e.down, e.refusing = false, false
+	})
+}
+
 // crash restarts an endpoint at once with a new incarnation, and without any state.
 func (c *cluster) crash(e *fakeEndpoint) {
 	e.Born++
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -8,6 +8,7 @@
 	"maps"
 	"slices"
 
+	"github.com/sequoiacart/sequoiacart/internal/world/crash"
 	"github.com/sequoiacart/sequoiacart/internal/world/estimate"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
@@ -26,6 +27,8 @@
 	FarFactor float64
 	Desired   *queue.State
 	Now       clock.Millis
+	// Crashes are those that the VM knows of, which its leaders share; nil is none.
+	Crashes *crash.History
 	// OrphansEndBy is when the attempts of earlier leaders that no job adopts have to have ended, or 0
 	// if this VM has not heard of it. Their callers may send the jobs again from then on.
 	OrphansEndBy clock.Millis
@@ -54,6 +57,9 @@
 	orphans        orphans
 	otherLoads     map[shard.ID]*shard.Load
 	workEstimates  map[queue.Name]*workEstimate
+	crashes        *crash.History
+	// isolatedEndpoints are held for tasks that may crash them.
+	isolatedEndpoints []*endpointState
 	// inheritedEstimates are the estimates of an earlier leader, for endpoints that are listed
 	// later.
 	inheritedEstimates estimate.Estimates
@@ -89,7 +95,10 @@
 		jobsByID: make(map[job.ID][]*jobState), activeTasks: make(map[job.TaskName]*task),
 		entryVMs: make(map[vm.Incarnation]*entryVM), orphans: make(orphans),
 		otherLoads: make(map[shard.ID]*shard.Load), workEstimates: make(map[queue.Name]*workEstimate),
-		answers: newAnswerCache(), attemptNumbers: newAttemptNumbers(),
+		answers: newAnswerCache(), attemptNumbers: newAttemptNumbers(), crashes: c.Crashes,
+	}
+	if l.crashes == nil {
+		l.crashes = crash.NewHistory()
 	}
 	return l
 }
--- a/internal/control/leader/status_report.go
+++ b/internal/control/leader/status_report.go
@@ -38,7 +38,7 @@
 	}
 	l.withdrawSuspicion(ep, e.Sequence)
 	ep.replaced = false
-	ep.answeredSeq = l.sequence
+	ep.answeredSeq, ep.answeredAt = l.sequence, l.now
 	l.acceptToken(ep, e.Sequence)
 	ep.lastReportAt = l.now
 	ep.unansweredHolds = 0
--- a/internal/control/leader/task.go
+++ b/internal/control/leader/task.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 
+	"github.com/sequoiacart/sequoiacart/internal/world/crash"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -44,6 +45,9 @@
 	avoidEndpoint                        *endpointState
 	// lostThere means that an attempt was lost at avoidEndpoint.
 	lostThere bool
+	// suspected means that the task ran at an endpoint that crashed, as of verdictAt.
+	suspected bool
+	verdictAt crash.Revision
 }
 
 // taskPhase is the phase in the life cycle of a task.
--- a/internal/process/daemon/decision_fields.go
+++ b/internal/process/daemon/decision_fields.go
@@ -39,6 +39,12 @@
 		}
 		fields["endpoints"] = all
 		addList(fields, d.List)
+	case *leader.CrashesUnderTask:
+		all := make([]logrus.Fields, len(d.Crashes))
+		for i, c := range d.Crashes {
+			all[i] = logrus.Fields{"endpoint": c.ID.Endpoint, "born": c.ID.Incarnation, "cell": c.Shard, "tasks": c.Tasks, "ageMs": c.Age}
+		}
+		fields["crashes"] = all
 	case *leader.EndpointRestart:
 		fields["bornBefore"], fields["born"], fields["listed"], fields["tasks"] = d.Before, d.After, d.Listed, d.Tasks
 		fields["readIn"], fields["readingAgeMs"] = d.ReadIn, d.Age
--- a/internal/process/daemon/event_logger.go
+++ b/internal/process/daemon/event_logger.go
@@ -156,7 +156,7 @@
 	leader.AttemptFailed: "runFailed", leader.AttemptNotAdopted: "runUnclaimed", leader.AttemptEnded: "runEnded",
 	leader.AttemptStarted: "runStarted", leader.JobAccepted: "jobTaken",
 	leader.JobRefused: "jobRefused", leader.JobForwarded: "jobPassedOn", leader.JobAdopted: "jobAdopted",
-	leader.JobAbandoned: "jobAbandoned", leader.AttemptsLeft: "runsLeft", leader.EndpointAppeared: "endpointAppeared",
+	leader.JobAbandoned: "jobAbandoned", leader.TaskGivenUp: "taskGivenUp", leader.AttemptsLeft: "runsLeft", leader.EndpointAppeared: "endpointAppeared",
 	leader.EndpointRestarted: "endpointRestarted", leader.EndpointCrashSuspected: "endpointCrashSuspected", leader.EndpointCrashed: "endpointCrashed", leader.EndpointUnlisted: "endpointUnlisted", leader.EndpointDropped: "endpointDropped",
 }
 
--- /dev/null
+++ b/internal/world/crash/history.go
@@ -0,0 +1,326 @@
+package crash
+
+import (
+	"slices"
+
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/shard"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+)
+
+const (
+	// Retention is how long a crash counts against the tasks that ran there. A caller waits for a
+	// minute at most, and sends a job again within seconds after that.
+	Retention = 2 * clock.Minute
+	// CommonCauseWindow is the time within which the crashes of several endpoints of a shard count as one
+	// failure of a rack or of its power supply. The calls by which a leader notices them end within
+	// 150 ms.
+	CommonCauseWindow = clock.Millis(150)
+	// CommonCauseEndpoints is how many endpoints have to crash within CommonCauseWindow.
+	CommonCauseEndpoints = 3
+	// ProofTimeout is how long a suspected crash may lack a proof and still keep a task from starting.
+	// Endpoints that crash are back after some seconds, and the new instance is the proof.
+	ProofTimeout = 6 * clock.Second
+	// provingCrashes is how many endpoints have to crash under a task that is given up, and
+	// provingSilentCrashes the same if some were silent before, as one that is cut off is.
+	provingCrashes       = 2
+	provingSilentCrashes = 3
+	// maxRecords and maxTasks bound the memory of a history, and the messages and rows made from it.
+	maxRecords = 256
+	maxTasks   = 64
+	// maxCommonRecords bounds the records of one common cause. Further ones say nothing more.
+	maxCommonRecords = 16
+)
+
+// Revision counts the changes of a history. Each VM counts its own.
+type Revision uint64
+
+// History holds the recent crashes that a VM knows of. It belongs to the control goroutine.
+type History struct {
+	// entries are in ascending order of their revisions.
+	entries  []*entry
+	byID     map[ID]*entry
+	byTask   map[job.TaskName][]*entry
+	revision Revision
+	// cleared are tasks that have ended by themselves after a crash.
+	cleared map[job.TaskName]bool
+}
+
+// entry is a crash by the clock of this VM.
+type entry struct {
+	record   Record
+	at       clock.Millis
+	revision Revision
+	// removed are tasks whose starts were never sent there.
+	removed []job.TaskName
+	// common means that other endpoints of the shard crashed at about the same time.
+	common bool
+}
+
+// NewHistory returns a history without crashes.
+func NewHistory() *History {
+	return &History{byID: make(map[ID]*entry), byTask: make(map[job.TaskName][]*entry), cleared: make(map[job.TaskName]bool)}
+}
+
+// Add adds a crash, or the tasks that another VM found to have run at the same incarnation.
+func (h *History) Add(r Record, now clock.Millis) {
+	at := now - max(r.Age, 0)
+	if at <= now-Retention {
+		return
+	}
+	e := h.byID[r.ID]
+	if e == nil {
+		if h.countCommon(r.Shard, at) >= maxCommonRecords {
+			return
+		}
+		e = &entry{record: Record{ID: r.ID, Shard: r.Shard}, at: at}
+		h.byID[r.ID] = e
+	} else if !e.adds(r) {
+		return
+	}
+	e.record.Abrupt, e.record.Proved = e.record.Abrupt || r.Abrupt, e.record.Proved || r.Proved
+	// Records that were handed out share the tasks, so these are copied.
+	tasks := slices.Clone(e.record.Tasks)
+	for _, n := range r.Tasks {
+		if !slices.Contains(tasks, n) && !slices.Contains(e.removed, n) && len(tasks) < maxTasks {
+			tasks = append(tasks, n)
+			h.byTask[n] = append(h.byTask[n], e)
+		}
+	}
+	slices.Sort(tasks)
+	e.record.Tasks = tasks
+	e.record.Withdrawn = e.record.Withdrawn || r.Withdrawn
+	h.entries = slices.DeleteFunc(h.entries, func(o *entry) bool { return o == e })
+	h.revision++
+	e.revision = h.revision
+	h.entries = append(h.entries, e)
+	h.markCommonCause(e)
+	if len(h.entries) > maxRecords {
+		h.drop(slices.MinFunc(h.entries, func(a, b *entry) int { return int(a.at - b.at) }))
+	}
+}
+
+// adds reports whether a record of the same crash has news.
+func (e *entry) adds(r Record) bool {
+	return r.Withdrawn && !e.record.Withdrawn || r.Proved && !e.record.Proved || r.Abrupt && !e.record.Abrupt || len(e.record.Tasks) < maxTasks && slices.ContainsFunc(r.Tasks, func(n job.TaskName) bool {
+		return !slices.Contains(e.record.Tasks, n) && !slices.Contains(e.removed, n)
+	})
+}
+
+// Suspect adds a crash that is not proved. An earlier suspicion against the same incarnation that was
+// withdrawn does not count any more.
+func (h *History) Suspect(r Record, now clock.Millis) {
+	if e := h.byID[r.ID]; e != nil && e.record.Withdrawn {
+		h.drop(e)
+	}
+	h.Add(r, now)
+}
+
+// Prove adds the proof of a crash. The tasks of the record count only if the crash was not noticed
+// before.
+func (h *History) Prove(r Record, now clock.Millis) {
+	if e := h.byID[r.ID]; e != nil && !e.record.Withdrawn {
+		r.Tasks = nil
+	}
+	r.Proved = true
+	h.Add(r, now)
+}
+
+// Withdraw takes back the suspicion of a crash, if it has an age: the incarnation has answered since.
+func (h *History) Withdraw(id ID, age, now clock.Millis) {
+	if e := h.byID[id]; e != nil && !e.record.Proved && !e.record.Withdrawn && now >= e.at+age {
+		r := e.recordAt(now)
+		r.Withdrawn = true
+		h.Add(r, now)
+	}
+}
+
+// markCommonCause marks the crashes around one if so many endpoints of the shard crashed together
+// that no task of theirs can have been the cause.
+func (h *History) markCommonCause(last *entry) {
+	for _, first := range h.entries {
+		if first.at < last.at-CommonCauseWindow || first.at > last.at {
+			continue
+		}
+		together := make(map[datacentre.EndpointID]bool)
+		inWindow := func(e *entry) bool {
+			return e.record.Shard == last.record.Shard && e.at >= first.at && e.at <= first.at+CommonCauseWindow
+		}
+		for _, e := range h.entries {
+			if inWindow(e) {
+				together[e.record.ID.Endpoint] = true
+			}
+		}
+		if len(together) < CommonCauseEndpoints {
+			continue
+		}
+		for _, e := range h.entries {
+			if inWindow(e) {
+				e.common = true
+			}
+		}
+	}
+}
+
+// countCommon counts the crashes around a point in time that have a cause in common.
+func (h *History) countCommon(s shard.ID, at clock.Millis) int {
+	n := 0
+	for _, e := range h.entries {
+		if e.common && e.record.Shard == s && e.at >= at-CommonCauseWindow && e.at <= at+CommonCauseWindow {
+			n++
+		}
+	}
+	return n
+}
+
+// Remove removes a task from a crash: its start was never sent to that incarnation.
+func (h *History) Remove(id ID, n job.TaskName) {
+	e := h.byID[id]
+	if e == nil {
+		return
+	}
+	e.removed = append(e.removed, n)
+	e.record.Tasks = slices.DeleteFunc(slices.Clone(e.record.Tasks), func(o job.TaskName) bool { return o == n })
+	h.unlink(e, n)
+}
+
+// Clear ends the suspicion of a task that has ended by itself.
+func (h *History) Clear(n job.TaskName) {
+	if len(h.byTask[n]) > 0 {
+		h.cleared[n] = true
+	}
+}
+
+// Verdict says what the crashes under a task say about it.
+func (h *History) Verdict(n job.TaskName, now clock.Millis) Verdict {
+	if len(h.byTask) == 0 || h.cleared[n] {
+		return Unsuspected
+	}
+	verdict := Unsuspected
+	var proved, expected evidence
+	for _, e := range h.byTask[n] {
+		if !e.counts() {
+			continue
+		}
+		verdict = Suspected
+		alone := !slices.ContainsFunc(e.record.Tasks, func(o job.TaskName) bool { return o != n && !h.cleared[o] })
+		switch {
+		case e.record.Proved && now >= e.at+CommonCauseWindow:
+			proved.add(e.record.Abrupt, alone)
+			expected.add(e.record.Abrupt, alone)
+		case e.record.Proved || e.record.Abrupt && now < e.at+ProofTimeout:
+			expected.add(e.record.Abrupt, alone)
+		}
+	}
+	switch {
+	case proved.suffices():
+		return Deadly
+	case expected.suffices():
+		return Pending
+	}
+	return verdict
+}
+
+// evidence sums up the crashes under a task.
+type evidence struct {
+	abrupt, silent int
+	alone          bool
+}
+
+func (v *evidence) add(abrupt, alone bool) {
+	if abrupt {
+		v.abrupt++
+	} else {
+		v.silent++
+	}
+	v.alone = v.alone || alone
+}
+
+func (v *evidence) suffices() bool {
+	return v.alone && (v.abrupt >= provingCrashes || v.abrupt+v.silent >= provingSilentCrashes)
+}
+
+// Crashes returns the crashes that count against a task.
+func (h *History) Crashes(n job.TaskName, now clock.Millis) []Record {
+	var all []Record
+	for _, e := range h.byTask[n] {
+		if e.counts() {
+			all = append(all, e.recordAt(now))
+		}
+	}
+	return all
+}
+
+// Deadly returns the tasks that are proved to be deadly, in ascending order.
+func (h *History) Deadly(now clock.Millis) []job.TaskName {
+	var all []job.TaskName
+	for n := range h.byTask {
+		if h.Verdict(n, now) == Deadly {
+			all = append(all, n)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+// Revision returns the revision of the latest change.
+func (h *History) Revision() Revision { return h.revision }
+
+// Since returns the crashes that were added after a revision, the oldest first and limit at most,
+// and the revision that the receiver then has.
+func (h *History) Since(r Revision, limit int, now clock.Millis) ([]Record, Revision) {
+	var all []Record
+	for _, e := range h.entries {
+		if e.revision <= r {
+			continue
+		}
+		if len(all) == limit {
+			return all, r
+		}
+		all = append(all, e.recordAt(now))
+		r = e.revision
+	}
+	return all, h.revision
+}
+
+// Latest returns the latest crashes, the oldest first and limit at most.
+func (h *History) Latest(limit int, now clock.Millis) []Record {
+	all, _ := h.Since(0, len(h.entries), now)
+	return all[max(0, len(all)-limit):]
+}
+
+// Expire removes the crashes that are older than Retention.
+func (h *History) Expire(now clock.Millis) {
+	for _, e := range slices.Clone(h.entries) {
+		if e.at <= now-Retention {
+			h.drop(e)
+		}
+	}
+}
+
+func (h *History) drop(e *entry) {
+	h.entries = slices.DeleteFunc(h.entries, func(o *entry) bool { return o == e })
+	delete(h.byID, e.record.ID)
+	for _, n := range e.record.Tasks {
+		h.unlink(e, n)
+	}
+}
+
+func (h *History) unlink(e *entry, n job.TaskName) {
+	rest := slices.DeleteFunc(h.byTask[n], func(o *entry) bool { return o == e })
+	h.byTask[n] = rest
+	if len(rest) == 0 {
+		delete(h.byTask, n)
+		delete(h.cleared, n)
+	}
+}
+
+// counts reports whether a task can have caused the crash.
+func (e *entry) counts() bool { return !e.common && (e.record.Proved || !e.record.Withdrawn) }
+
+func (e *entry) recordAt(now clock.Millis) Record {
+	r := e.record
+	r.Age = now - e.at
+	return r
+}
