Tell all VMs of crashes, and store the proofs

The count of the crashes under a task was lost with its leader, unknown to the leaders of other shards, and gone after a power loss of all VMs: the next leader, or the one that a caller's resend reached, started to count anew.

The leaders of a VM share its history. The first time that a task is given up, its leader writes the known crashes to a row of the table `crashes`; nothing waits for the write. Each VM reads the table when it starts and the row when it becomes leader. An unreadable row is logged and skipped. The new fields of the heartbeats are additive.

--- a/internal/control/node/action.go
+++ b/internal/control/node/action.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/sequoiacart/sequoiacart/internal/control/leader"
+	"github.com/sequoiacart/sequoiacart/internal/world/crash"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/estimate"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
@@ -83,6 +84,15 @@
 	Estimates estimate.Estimates
 }
 
+// LoadCrashes reads the crashes that an earlier leader of a shard has stored.
+type LoadCrashes struct{ Shard shard.ID }
+
+// SaveCrashes stores the crashes that the leader of a shard knows of.
+type SaveCrashes struct {
+	Shard   shard.ID
+	Records []crash.Record
+}
+
 // Probe tests whether any of the endpoints of a shard can be reached.
 type Probe struct {
 	Shard     shard.ID
@@ -145,6 +155,8 @@
 func (WriteReplicaSet) action()   {}
 func (LoadEstimates) action()     {}
 func (SaveEstimates) action()     {}
+func (LoadCrashes) action()       {}
+func (SaveCrashes) action()       {}
 func (Probe) action()             {}
 func (QuerySeed) action()         {}
 func (FetchDesiredState) action() {}
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -9,6 +9,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/control/failover"
 	"github.com/sequoiacart/sequoiacart/internal/control/gateway"
 	"github.com/sequoiacart/sequoiacart/internal/control/leader"
+	"github.com/sequoiacart/sequoiacart/internal/world/crash"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
@@ -67,6 +68,9 @@
 	// heartbeats are the last ones of each VM, or its last answers to one.
 	heartbeats map[vm.Incarnation]heartbeat
 	loads      map[shard.ID]shard.Load
+	// crashes are the recent crashes of endpoints, which the leaders of this VM share.
+	crashes        *crash.History
+	crashExchanges map[vm.Incarnation]crashExchange
 	// probes say whether the endpoints of other data centres can be reached.
 	probes map[shard.ID]probeState
 
@@ -113,6 +117,8 @@
 	handedOverBy vm.Incarnation
 	// savedAt is when the performance estimates were last written to the store.
 	savedAt clock.Millis
+	// savedCrashes is the revision of the crashes that were last written to the store.
+	savedCrashes crash.Revision
 	// yielding says that a successor has been asked to take over.
 	yielding bool
 	// nextYieldAt is when a VM that shuts down next looks for a successor.
@@ -129,6 +135,7 @@
 		config: c, now: c.Now, lastMissingAt: c.Now,
 		monitors: make(map[shard.ID]*failover.Monitor), ledShards: make(map[shard.ID]*ledShard),
 		missingSince: make(map[datacentre.EndpointID]clock.Millis), heartbeats: make(map[vm.Incarnation]heartbeat), loads: make(map[shard.ID]shard.Load), probes: make(map[shard.ID]probeState),
+		crashes: crash.NewHistory(), crashExchanges: make(map[vm.Incarnation]crashExchange),
 		callers: make(map[job.Key]chan<- job.Outcome), peers: make(map[job.Key]chan<- job.Outcome),
 	}
 	for _, dc := range c.DataCentres {
@@ -191,6 +198,8 @@
 		n.handleReplicaSetWritten(e)
 	case EstimatesLoaded:
 		n.sendToLeader(e.Shard, leader.EstimatesLoaded{Estimates: e.Estimates})
+	case CrashesLoaded:
+		n.handleCrashesLoaded(e)
 	case PeerStateRequested:
 		e.Reply <- n.deploymentState()
 	case SeedAnswered:
@@ -368,6 +377,8 @@
 			n.deliverOutcome(id, a)
 		case leader.Fenced:
 			n.stepDown(id)
+		case leader.DeadlyTaskFound:
+			n.saveCrashes(id)
 		case leader.LogDecision:
 			n.emit(LogEvent{Topic: LeaderDecision, Shard: id, Job: a.Job, Decision: &a})
 		}
--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -4,6 +4,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/control/failover"
 	"github.com/sequoiacart/sequoiacart/internal/control/gateway"
 	"github.com/sequoiacart/sequoiacart/internal/control/leader"
+	"github.com/sequoiacart/sequoiacart/internal/world/crash"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/estimate"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
@@ -135,6 +136,9 @@
 	Estimates estimate.Estimates
 }
 
+// CrashesLoaded holds crashes that the store has.
+type CrashesLoaded struct{ Records []crash.Record }
+
 // DeploymentState is the data about a deployment that a VM needs. It is read from the store, or
 // requested from a peer while the store is unavailable.
 type DeploymentState struct {
@@ -186,6 +190,7 @@
 func (ReplicaSetsLoaded) event()  {}
 func (ReplicaSetWritten) event()  {}
 func (EstimatesLoaded) event()    {}
+func (CrashesLoaded) event()      {}
 func (PeerStateRequested) event() {}
 func (SeedAnswered) event()       {}
 func (ProbeEnded) event()         {}
@@ -214,6 +219,8 @@
 	Leaving bool
 	// Loads are the loads of the shards that the sender leads.
 	Loads []shard.Load
+	// Crashes are those that the receiver does not know yet.
+	Crashes CrashUpdate
 }
 
 // HeartbeatReply is the answer of a member of a replica set to a heartbeat. The field names are
@@ -240,4 +247,6 @@
 	// EndpointsVersion is the store's version of the list of endpoints that the member has.
 	EndpointsVersion int64
 	From             vm.Incarnation
+	// Crashes are those that the receiver does not know yet.
+	Crashes CrashUpdate
 }
--- a/internal/control/node/heartbeats.go
+++ b/internal/control/node/heartbeats.go
@@ -48,6 +48,7 @@
 			n.loads[id] = led.leader.Load(n.now)
 		}
 	}
+	n.crashes.Expire(n.now)
 	n.dropMissing()
 	n.querySeeds()
 	n.gateway.Tick(n.now)
@@ -84,7 +85,7 @@
 	}
 	switch s := n.monitors[id].Next(n.now, n.environment(id)).(type) {
 	case failover.Heartbeat:
-		n.emit(SendHeartbeat{To: s.To, Request: n.heartbeatRequest(id, s.First), SentAt: n.now})
+		n.emit(SendHeartbeat{To: s.To, Request: n.heartbeatRequest(id, s), SentAt: n.now})
 	case failover.TakeOver:
 		set := n.monitors[id].ReplicaSet()
 		n.becomeLeader(id, set, s.Rank, "")
@@ -129,16 +130,17 @@
 	return delay
 }
 
-func (n *Control) heartbeatRequest(id shard.ID, first bool) HeartbeatRequest {
+func (n *Control) heartbeatRequest(id shard.ID, h failover.Heartbeat) HeartbeatRequest {
 	waiting, last := n.gateway.Outstanding(id)
 	r := HeartbeatRequest{
 		Cell: id, From: n.config.Self, Waiting: waiting, LastSeq: last,
 		Revision: n.monitors[id].ReplicaSet().Revision, Leaving: n.shutdown, Clock: n.now,
+		Crashes: n.crashUpdate(h.To.Incarnation),
 	}
 	if n.desired != nil {
 		r.Desired = n.desired.Version
 	}
-	if !first {
+	if !h.First {
 		_, _, r.Sent, _ = n.monitors[id].Leader(n.now)
 	}
 	for _, o := range n.shards {
@@ -169,6 +171,8 @@
 	for _, load := range r.Loads {
 		n.recordLoad(load)
 	}
+	n.applyCrashUpdate(r.From.Incarnation, r.Crashes)
+	reply.Crashes = n.crashUpdate(r.From.Incarnation)
 	led := n.ledShards[r.Cell]
 	if led != nil {
 		reply.Home, reply.Token = true, led.leader.Token()
@@ -199,6 +203,9 @@
 }
 
 func (n *Control) handleHeartbeatAnswered(e HeartbeatAnswered) {
+	if e.Answer.OK {
+		n.applyCrashUpdate(e.Answer.From, e.Reply.Crashes)
+	}
 	monitor := n.monitors[e.Shard]
 	if monitor == nil || n.ledShards[e.Shard] != nil {
 		return
--- a/internal/control/node/leadership.go
+++ b/internal/control/node/leadership.go
@@ -40,11 +40,12 @@
 	n.lastLeadership++
 	n.ledShards[id] = &ledShard{id: n.lastLeadership, writtenAt: n.now, acquiredAt: n.now, savedAt: n.now, handedOverBy: handedOverBy, leader: leader.New(leader.Config{
 		Shard: id, Token: token, Timeouts: n.config.Timeouts, FarFactor: n.config.FarFactor,
-		Desired: n.desired, Now: n.now, OrphansEndBy: n.monitors[id].OrphansEndBy(),
+		Desired: n.desired, Crashes: n.crashes, Now: n.now, OrphansEndBy: n.monitors[id].OrphansEndBy(),
 	})}
 	n.monitors[id].BecameLeader(token, n.now)
 	n.emit(ReadEndpoints{})
 	n.emit(LoadEstimates{Shard: id})
+	n.emit(LoadCrashes{Shard: id})
 	list, complete := n.endpointList(handedOverBy)
 	n.emit(LogEvent{
 		Topic: LeadershipAcquired, Shard: id, ReplicaSet: set, Rank: rank, Token: token,
--- a/internal/control/node/model_execute_test.go
+++ b/internal/control/node/model_execute_test.go
@@ -64,7 +64,7 @@
 		v.sendStop(a, request)
 	case leader.Hold:
 		v.sendHold(a, request)
-	case leader.Answer, leader.Fenced, leader.LogDecision:
+	case leader.Answer, leader.Fenced, leader.DeadlyTaskFound, leader.LogDecision:
 	}
 }
 
--- a/internal/link/store/codec.go
+++ b/internal/link/store/codec.go
@@ -6,9 +6,13 @@
 
 	"github.com/juju/errors"
 
+	"github.com/sequoiacart/sequoiacart/internal/world/crash"
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/estimate"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
@@ -140,3 +144,57 @@
 	}
 	return e, nil
 }
+
+type wireCrash struct {
+	Endpoint    string   `json:"endpoint"`
+	Incarnation int64    `json:"incarnation"`
+	Shard       string   `json:"shard"`
+	Tasks       []string `json:"tasks"`
+	AgeMs       int64    `json:"ageMs"`
+	Abrupt      bool     `json:"abrupt"`
+	Proved      bool     `json:"proved"`
+	Withdrawn   bool     `json:"withdrawn"`
+}
+
+type wireCrashes struct {
+	Crashes []wireCrash `json:"crashes"`
+}
+
+// EncodeCrashes returns the row of the crashes that a shard's leader knows of. Their ages are those
+// of now: a reader counts from when it reads the row, since VMs share no clock.
+func EncodeCrashes(all []crash.Record) ([]byte, error) {
+	w := wireCrashes{Crashes: make([]wireCrash, len(all))}
+	for i, r := range all {
+		c := wireCrash{
+			Endpoint: string(r.ID.Endpoint), Incarnation: int64(r.ID.Incarnation), Shard: string(r.Shard), Tasks: make([]string, len(r.Tasks)),
+			AgeMs: int64(r.Age), Abrupt: r.Abrupt, Proved: r.Proved, Withdrawn: r.Withdrawn,
+		}
+		for k, n := range r.Tasks {
+			c.Tasks[k] = string(n)
+		}
+		w.Crashes[i] = c
+	}
+	return json.Marshal(w)
+}
+
+// DecodeCrashes reads the row of a shard's crashes.
+func DecodeCrashes(r Row) ([]crash.Record, error) {
+	var w wireCrashes
+	if err := json.Unmarshal(r.Value, &w); err != nil {
+		return nil, errors.Annotatef(err, "decode crashes of shard %s", r.Key)
+	}
+	all := make([]crash.Record, len(w.Crashes))
+	for i, c := range w.Crashes {
+		if c.Endpoint == "" || c.AgeMs < 0 {
+			return nil, errors.NotValidf("decode crashes of shard %s: no endpoint or a negative age: row", r.Key)
+		}
+		all[i] = crash.Record{
+			ID:    crash.ID{Endpoint: datacentre.EndpointID(c.Endpoint), Incarnation: endpoint.Incarnation(c.Incarnation)},
+			Shard: shard.ID(c.Shard), Age: clock.Millis(c.AgeMs), Abrupt: c.Abrupt, Proved: c.Proved, Withdrawn: c.Withdrawn,
+		}
+		for _, n := range c.Tasks {
+			all[i].Tasks = append(all[i].Tasks, job.TaskName(n))
+		}
+	}
+	return all, nil
+}
--- a/internal/link/store/store.go
+++ b/internal/link/store/store.go
@@ -21,6 +21,8 @@
 	ReplicaSets Table = "lineups"
 	// Estimates has a row with the performance estimates of each shard.
 	Estimates Table = "experiences"
+	// Crashes has a row with the crashes of endpoints that each shard's leader knew of.
+	Crashes Table = "crashes"
 	// Entry has the rows of the entry daemon; keys begin with the purpose of the row.
 	Entry Table = "entry"
 )
--- a/internal/process/daemon/run.go
+++ b/internal/process/daemon/run.go
@@ -64,6 +64,7 @@
 		addActor(f.run)
 	}
 	addActor(d.register)
+	addActor(d.traffic.loadAllCrashes)
 	addActor(d.watchSettings)
 	addActor(d.loop.run)
 	addActor(d.logger.run)
--- a/internal/process/daemon/traffic.go
+++ b/internal/process/daemon/traffic.go
@@ -62,6 +62,10 @@
 		go t.loadEstimates(a)
 	case node.SaveEstimates:
 		go t.saveEstimates(a)
+	case node.LoadCrashes:
+		go t.loadCrashes(a)
+	case node.SaveCrashes:
+		go t.saveCrashes(a)
 	case node.Probe:
 		go t.probe(a)
 	case node.QuerySeed:
@@ -89,7 +93,7 @@
 		go t.stop(a, request)
 	case leader.Hold:
 		go t.hold(a, request)
-	case leader.Answer, leader.Fenced, leader.LogDecision:
+	case leader.Answer, leader.Fenced, leader.DeadlyTaskFound, leader.LogDecision:
 		// The control state handles these itself.
 	}
 }
@@ -237,6 +241,54 @@
 	}
 }
 
+func (t *traffic) loadCrashes(a node.LoadCrashes) {
+	row, err := t.store.Get(t.ctx, store.Crashes, string(a.Shard))
+	if errors.Is(err, store.ErrNotFound) {
+		return
+	}
+	if err != nil {
+		t.logger.callFailed("read crashes", "store", err)
+		return
+	}
+	t.postCrashes(row)
+}
+
+// loadAllCrashes reads the crashes of all shards once, and retries until that succeeds.
+func (t *traffic) loadAllCrashes(ctx context.Context) error {
+	for ctx.Err() == nil {
+		table, err := t.store.Read(ctx, store.Crashes)
+		if err == nil {
+			for _, row := range table.Rows {
+				t.postCrashes(row)
+			}
+			break
+		}
+		t.logger.storeFailed(string(store.Crashes), err)
+		sleep(ctx, retryPause)
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (t *traffic) postCrashes(row store.Row) {
+	all, err := store.DecodeCrashes(row)
+	if err != nil {
+		t.logger.callFailed("decode crashes", "store", err)
+		return
+	}
+	t.loop.Post(node.CrashesLoaded{Records: all})
+}
+
+func (t *traffic) saveCrashes(a node.SaveCrashes) {
+	body, err := store.EncodeCrashes(a.Records)
+	if err == nil {
+		err = t.store.Put(t.ctx, store.Crashes, string(a.Shard), body)
+	}
+	if err != nil {
+		t.logger.callFailed("write crashes", "store", err)
+	}
+}
+
 // probe opens a connection to one endpoint after another until one accepts.
 func (t *traffic) probe(a node.Probe) {
 	ended := node.ProbeEnded{Shard: a.Shard}
