Base the proof against a task on abrupt and confirmed crashes alone

- Crashes within 150 ms counted as one failure of a rack.
A rack that fails breaks its connections at once, and the leader opens the two connections that it counts within 20 ms; the window is now 50 ms.
- Three crashes of endpoints that had been silent before convicted a task, but a cut endpoint that restarts looks the same.
They make suspects only.
- A start that its endpoint had not confirmed may never have arrived.
With such a crash, three are needed instead of two.

--- a/internal/control/leader/suspects.go
+++ b/internal/control/leader/suspects.go
@@ -16,6 +16,9 @@
 	r := crash.Record{ID: ep.crashID(), Shard: l.config.Shard, Abrupt: c.Abrupt}
 	for _, a := range c.Attempts {
 		r.Tasks = append(r.Tasks, a.Task)
+		if !a.Confirmed {
+			r.Unconfirmed = append(r.Unconfirmed, a.Task)
+		}
 	}
 	return r
 }
--- a/internal/link/store/codec.go
+++ b/internal/link/store/codec.go
@@ -150,6 +150,7 @@
 	Incarnation int64    `json:"incarnation"`
 	Shard       string   `json:"shard"`
 	Tasks       []string `json:"tasks"`
+	Unconfirmed []string `json:"unconfirmed"`
 	AgeMs       int64    `json:"ageMs"`
 	Abrupt      bool     `json:"abrupt"`
 	Proved      bool     `json:"proved"`
@@ -165,18 +166,30 @@
 func EncodeCrashes(all []crash.Record) ([]byte, error) {
 	w := wireCrashes{Crashes: make([]wireCrash, len(all))}
 	for i, r := range all {
-		c := wireCrash{
-			Endpoint: string(r.ID.Endpoint), Incarnation: int64(r.ID.Incarnation), Shard: string(r.Shard), Tasks: make([]string, len(r.Tasks)),
+		w.Crashes[i] = wireCrash{
+			Endpoint: string(r.ID.Endpoint), Incarnation: int64(r.ID.Incarnation), Shard: string(r.Shard), Tasks: encodeTasks(r.Tasks), Unconfirmed: encodeTasks(r.Unconfirmed),
 			AgeMs: int64(r.Age), Abrupt: r.Abrupt, Proved: r.Proved, Withdrawn: r.Withdrawn,
 		}
-		for k, n := range r.Tasks {
-			c.Tasks[k] = string(n)
-		}
-		w.Crashes[i] = c
 	}
 	return json.Marshal(w)
 }
 
+func encodeTasks(names []job.TaskName) []string {
+	all := make([]string, len(names))
+	for i, n := range names {
+		all[i] = string(n)
+	}
+	return all
+}
+
+func decodeTasks(names []string) []job.TaskName {
+	var all []job.TaskName
+	for _, n := range names {
+		all = append(all, job.TaskName(n))
+	}
+	return all
+}
+
 // DecodeCrashes reads the row of a shard's crashes.
 func DecodeCrashes(r Row) ([]crash.Record, error) {
 	var w wireCrashes
@@ -190,10 +203,7 @@
 		}
 		all[i] = crash.Record{
 			ID:    crash.ID{Endpoint: datacentre.EndpointID(c.Endpoint), Incarnation: endpoint.Incarnation(c.Incarnation)},
-			Shard: shard.ID(c.Shard), Age: clock.Millis(c.AgeMs), Abrupt: c.Abrupt, Proved: c.Proved, Withdrawn: c.Withdrawn,
-		}
-		for _, n := range c.Tasks {
-			all[i].Tasks = append(all[i].Tasks, job.TaskName(n))
+			Shard: shard.ID(c.Shard), Tasks: decodeTasks(c.Tasks), Unconfirmed: decodeTasks(c.Unconfirmed), Age: clock.Millis(c.AgeMs), Abrupt: c.Abrupt, Proved: c.Proved, Withdrawn: c.Withdrawn,
 		}
 	}
 	return all, nil
--- a/internal/world/crash/history.go
+++ b/internal/world/crash/history.go
@@ -14,18 +14,18 @@
 	// minute at most, and sends a job again within seconds after that.
 	Retention = 2 * clock.Minute
 	// CommonCauseWindow is the time within which the crashes of several endpoints of a shard count as one
-	// failure of a rack or of its power supply. The calls by which a leader notices them end within
-	// 150 ms.
-	CommonCauseWindow = clock.Millis(150)
+	// failure of a rack or of its power supply. Connections break at once, and a leader opens the next two
+	// within 20 ms.
+	CommonCauseWindow = clock.Millis(50)
 	// CommonCauseEndpoints is how many endpoints have to crash within CommonCauseWindow.
 	CommonCauseEndpoints = 3
 	// ProofTimeout is how long a suspected crash may lack a proof and still keep a task from starting.
 	// Endpoints that crash are back after some seconds, and the new instance is the proof.
 	ProofTimeout = 6 * clock.Second
-	// provingCrashes is how many endpoints have to crash under a task that is given up, and
-	// provingSilentCrashes the same if some were silent before, as one that is cut off is.
-	provingCrashes       = 2
-	provingSilentCrashes = 3
+	// provingCrashes is how many endpoints have to crash under a task that is given up.
+	provingCrashes = 2
+	// provingWeakCrashes is the same if some had not confirmed the start of the task.
+	provingWeakCrashes = 3
 	// maxRecords and maxTasks bound the memory of a history, and the messages and rows made from it.
 	maxRecords = 256
 	maxTasks   = 64
@@ -85,6 +85,9 @@
 	for _, n := range r.Tasks {
 		if !slices.Contains(tasks, n) && !slices.Contains(e.removed, n) && len(tasks) < maxTasks {
 			tasks = append(tasks, n)
+			if slices.Contains(r.Unconfirmed, n) {
+				e.record.Unconfirmed = append(slices.Clone(e.record.Unconfirmed), n)
+			}
 			h.byTask[n] = append(h.byTask[n], e)
 		}
 	}
@@ -204,13 +207,17 @@
 			continue
 		}
 		verdict = Suspected
+		if !e.record.Abrupt {
+			continue
+		}
+		strong := !slices.Contains(e.record.Unconfirmed, n)
 		alone := !slices.ContainsFunc(e.record.Tasks, func(o job.TaskName) bool { return o != n && !h.cleared[o] })
 		switch {
 		case e.record.Proved && now >= e.at+CommonCauseWindow:
-			proved.add(e.record.Abrupt, alone)
-			expected.add(e.record.Abrupt, alone)
-		case e.record.Proved || e.record.Abrupt && now < e.at+ProofTimeout:
-			expected.add(e.record.Abrupt, alone)
+			proved.add(strong, alone)
+			expected.add(strong, alone)
+		case e.record.Proved || now < e.at+ProofTimeout:
+			expected.add(strong, alone)
 		}
 	}
 	switch {
@@ -224,21 +231,21 @@
 
 // evidence sums up the crashes under a task.
 type evidence struct {
-	abrupt, silent int
-	alone          bool
+	strong, weak int
+	alone        bool
 }
 
-func (v *evidence) add(abrupt, alone bool) {
-	if abrupt {
-		v.abrupt++
+func (v *evidence) add(strong, alone bool) {
+	if strong {
+		v.strong++
 	} else {
-		v.silent++
+		v.weak++
 	}
 	v.alone = v.alone || alone
 }
 
 func (v *evidence) suffices() bool {
-	return v.alone && (v.abrupt >= provingCrashes || v.abrupt+v.silent >= provingSilentCrashes)
+	return v.alone && (v.strong >= provingCrashes || v.strong+v.weak >= provingWeakCrashes)
 }
 
 // Crashes returns the crashes that count against a task.
--- a/internal/world/crash/history_test.go
+++ b/internal/world/crash/history_test.go
@@ -27,6 +27,11 @@
 	return r
 }
 
+func unconfirmed(r Record) Record {
+	r.Unconfirmed = r.Tasks
+	return r
+}
+
 // Guards against tasks that are given up on too little evidence, and against deadly ones that are not.
 func TestVerdict(t *testing.T) {
 	for _, tt := range []struct {
@@ -45,8 +50,10 @@
 		{"one crash, one suspicion", []Record{crashOf("a", 5000, "t"), suspicionOf("b", 4000, "t")}, Pending},
 		{"suspicions without proof for long", []Record{suspicionOf("a", 9000, "t"), suspicionOf("b", ProofTimeout, "t")}, Suspected},
 		{"two endpoints silent before", []Record{silent(crashOf("a", 9000, "t")), silent(crashOf("b", 5000, "t"))}, Suspected},
-		{"three endpoints silent before", []Record{silent(crashOf("a", 9000, "t")), silent(crashOf("b", 5000, "t")), silent(crashOf("c", 4000, "t"))}, Deadly},
-		{"three endpoints at once", []Record{crashOf("a", 9000, "t"), crashOf("b", 8950, "t"), crashOf("c", 8900, "t")}, Unsuspected},
+		{"three endpoints silent before", []Record{silent(crashOf("a", 9000, "t")), silent(crashOf("b", 5000, "t")), silent(crashOf("c", 4000, "t"))}, Suspected},
+		{"start not confirmed at one", []Record{unconfirmed(crashOf("a", 9000, "t")), crashOf("b", 5000, "t")}, Suspected},
+		{"three crashes, start not confirmed at one", []Record{unconfirmed(crashOf("a", 9000, "t")), crashOf("b", 5000, "t"), crashOf("c", 4000, "t")}, Deadly},
+		{"three endpoints at once", []Record{crashOf("a", 9000, "t"), crashOf("b", 8980, "t"), crashOf("c", 8960, "t")}, Unsuspected},
 		{"a suspicion, then its proof", []Record{suspicionOf("a", 9000, "t"), crashOf("a", 5000), crashOf("b", 4000, "t")}, Deadly},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/world/crash/record.go
+++ b/internal/world/crash/record.go
@@ -21,10 +21,13 @@
 	Shard shard.ID
 	// Tasks are those that ran there, in ascending order.
 	Tasks []job.TaskName
+	// Unconfirmed are those of Tasks whose starts the endpoint had not confirmed. They may never have
+	// arrived.
+	Unconfirmed []job.TaskName
 	// Age is the time since the crash was noticed. VMs do not share a clock.
 	Age clock.Millis
-	// Abrupt means that the endpoint refused connections while its tasks had leases. An endpoint that
-	// was only silent before may have been cut off.
+	// Abrupt means that the endpoint refused connections while its tasks had leases. The others prove
+	// nothing against a task: an endpoint that was silent before may have been cut off.
 	Abrupt bool
 	// Proved means that the incarnation has ended. Until then, a reset of its connections is as likely.
 	Proved bool
