Add deadly tasks to the model of whole VMs

The fault kind `deadly` makes a task of one job in 40 crash each endpoint that starts it, within 40 ms. The endpoint refuses connections and is back after 1 to 4 s: as a new incarnation, or as another instance at its address. The model checks that two endpoints crash under a deadly task at most if there are no other faults, and five with any (the platform's rule counts from the sixth start on; a third crash is possible, for example, if the leader is lost before another VM has heard of a crash, or if a crash happens while the shard has no leader). A job may fail only for a deadly task after two crashes, for a task that failed as often as its queue allows, or for one under which two endpoints crashed of which one at least was not crashed by a deadly task beside it.

--- a/internal/control/node/model_caller_test.go
+++ b/internal/control/node/model_caller_test.go
@@ -79,6 +79,7 @@
 		j.Steps = append(j.Steps, step)
 	}
 	c.work[j.ID] = work
+	c.world.deadly.choose(j)
 	limit := 1500 * ms
 	if c.random.IntN(2) == 0 {
 		limit = 4 * second
@@ -184,6 +185,9 @@
 		if r.ended {
 			return
 		}
+		if failed, ok := o.(job.Failed); ok {
+			r.callers.world.deadly.checkFailed(failed)
+		}
 		switch o := o.(type) {
 		case job.Completed, job.Failed:
 			r.callers.world.stats.completed++
--- a/internal/control/node/model_delivery_test.go
+++ b/internal/control/node/model_delivery_test.go
@@ -30,6 +30,9 @@
 	return func(x *exchange) {
 		e := v.world.endpoint(id)
 		switch {
+		case e != nil && e.successor != nil && e.successor.up:
+			x.answer(func() { x.fail(callOtherInstance) })
+			return
 		case e == nil || e.gone:
 			return
 		case !e.up:
--- a/internal/control/node/model_endpoint_test.go
+++ b/internal/control/node/model_endpoint_test.go
@@ -23,6 +23,8 @@
 	up   bool
 	life int
 	gone bool
+	// successor is the instance at the address of an endpoint that is gone, or nil.
+	successor *modelEndpoint
 	// born is the incarnation that it reports.
 	born      endpoint.Incarnation
 	startedAt micros
@@ -92,7 +94,9 @@
 	if !e.up {
 		return
 	}
+	e.refresh()
 	e.up = false
+	e.world.deadly.endpointCrashed(e)
 	e.world.trace.add(record{endpoint: e.id, format: "endpoint crashes: life %d", args: []any{e.life}})
 	for _, x := range sortedExchanges(e.open) {
 		x.breakFrom(string(e.id))
@@ -142,6 +146,9 @@
 			return false
 		}
 		a.ended = true
+		if a.end == endpoint.EndFailed {
+			e.world.deadly.failures[a.task]++
+		}
 		e.lastEnd++
 		e.ended = append(e.ended, endpoint.EndedAttempt{Number: e.lastEnd, Task: a.task, Attempt: a.number, End: a.end})
 		e.world.trace.add(record{endpoint: e.id, task: a.task, format: "attempt %d ends: %s", args: []any{a.number, endName(a.end)}})
--- a/internal/control/node/model_exchange_test.go
+++ b/internal/control/node/model_exchange_test.go
@@ -33,6 +33,8 @@
 	callNotSent
 	// callRefused means that no process listens at the address, or that the link resets connections.
 	callRefused
+	// callOtherInstance means that another instance listens at the address.
+	callOtherInstance
 )
 
 // dialTimeout bounds the opening of a connection.
--- a/internal/control/node/model_execute_test.go
+++ b/internal/control/node/model_execute_test.go
@@ -35,6 +35,10 @@
 	case node.WriteReplicaSet:
 		v.writeReplicaSet(a)
 	case node.LoadEstimates, node.SaveEstimates:
+	case node.LoadCrashes:
+		v.loadCrashes(a)
+	case node.SaveCrashes:
+		v.saveCrashes(a)
 	case node.Probe:
 		v.probe(a)
 	case node.QuerySeed:
@@ -89,6 +93,8 @@
 			end(endpoint.Rejected{Reason: endpoint.RejectedNotSent}, 0)
 		case callRefused:
 			end(endpoint.Rejected{Reason: endpoint.RejectedRefused}, 0)
+		case callOtherInstance:
+			end(endpoint.Rejected{Reason: endpoint.RejectedOtherInstance}, 0)
 		default:
 			end(endpoint.NoAnswer{Cause: "no answer"}, 0)
 		}
@@ -134,6 +140,8 @@
 			end(nil, leader.HoldRefused)
 		case callBroken:
 			end(nil, leader.HoldClosed)
+		case callOtherInstance:
+			end(nil, leader.HoldOtherInstance)
 		default:
 			end(nil, leader.HoldUnanswered)
 		}
--- a/internal/control/node/model_faults_test.go
+++ b/internal/control/node/model_faults_test.go
@@ -42,6 +42,8 @@
 	faultGiveUp        faultKind = "giveUp"
 	faultDuplicate     faultKind = "duplicate"
 	faultNextLife      faultKind = "nextLife"
+	// faultDeadly lets some tasks crash each endpoint that starts them.
+	faultDeadly faultKind = "deadly"
 	// faultCallerCut lets the cuts of data centres separate VMs from callers too.
 	faultCallerCut faultKind = "callerCut"
 	// faultThawOrder lets a VM that wakes up from a freeze handle other events before its tick.
@@ -92,7 +94,7 @@
 	faultLoss, faultLate, faultCut, faultZoneCut, faultEndpointCut, faultCoreCut, faultFreeze, faultSlow, faultKill, faultPower, faultRoll,
 	faultStoreDown, faultStoreRefuses, faultStoreSlow, faultRevoke, faultCrash, faultReborn, faultRebornCut, faultRebornAtStart, faultAdd, faultLeave, faultBurst,
 	faultStoreLate, faultFailures, faultStall, faultGiveUp, faultDuplicate, faultNextLife, faultCallerCut, faultThawOrder,
-	faultShrink, faultOddRows, faultResetCut,
+	faultShrink, faultOddRows, faultResetCut, faultDeadly,
 }
 
 // injectFaults causes faults of the world's kinds until a point in time.
--- a/internal/control/node/model_stats_test.go
+++ b/internal/control/node/model_stats_test.go
@@ -2,7 +2,9 @@
 
 // modelStats counts what happened in a world.
 type modelStats struct {
-	events, jobs, starts, completed, refused, resent, takeovers, crashes int
+	events, jobs, starts, completed, refused, resent, takeovers, crashes, givenUp int
+	// deadlyCrashes counts the deadly tasks that crashed one endpoint at least, two, and so on.
+	deadlyCrashes [maxCrashesWithFaults + 1]int
 }
 
 func (s *modelStats) add(o modelStats) {
@@ -14,4 +16,8 @@
 	s.resent += o.resent
 	s.takeovers += o.takeovers
 	s.crashes += o.crashes
+	s.givenUp += o.givenUp
+	for i, n := range o.deadlyCrashes {
+		s.deadlyCrashes[i] += n
+	}
 }
--- a/internal/control/node/model_store_test.go
+++ b/internal/control/node/model_store_test.go
@@ -37,6 +37,7 @@
 	tableVMs         storeTable = "vms"
 	tableReplicaSets storeTable = "lineups"
 	tableEndpoints   storeTable = "servers"
+	tableCrashes     storeTable = "crashes"
 )
 
 // storeRow is a row or the record of its removal.
--- a/internal/control/node/model_vm_test.go
+++ b/internal/control/node/model_vm_test.go
@@ -107,6 +107,7 @@
 	v.follow(tableReplicaSets, feedWait, func() micros { return noPause })
 	v.follow(tableEndpoints, endpointsFeedWait, v.endpointsPause)
 	v.register()
+	v.loadAllCrashes()
 	v.tick(v.life)
 }
 
--- a/internal/control/node/model_world_test.go
+++ b/internal/control/node/model_world_test.go
@@ -25,6 +25,7 @@
 	endpoints []*modelEndpoint
 	vms       []*modelVM
 	callers   *modelCallers
+	deadly    *modelDeadly
 	trace     modelTrace
 	// live holds the attempts of each task that have started and are not known to have ended.
 	live map[job.TaskName][]*modelAttempt
@@ -48,10 +49,11 @@
 	w.network = newNetwork(w)
 	w.store = newModelStore(w)
 	w.callers = newModelCallers(w)
+	w.deadly = newModelDeadly(w)
 	random := w.random("layout")
 	dataCentres := modelDataCentres[:2+random.IntN(2)]
 	w.store.put(tableOperator, "config", queue.NewState(1, []queue.Queue{
-		{Name: modelQueue, Host: "h", Path: "/q/", Service: modelService, MaxAttempts: 3, Stretch: 3, Allowance: 400},
+		{Name: modelQueue, Host: "h", Path: "/q/", Service: modelService, MaxAttempts: modelMaxAttempts, Stretch: 3, Allowance: 400},
 	}, map[queue.ServiceName]queue.Service{modelService: {Name: modelService, GuardsRoom: !o.enabled(faultShrink)}}, queue.Limits{}), -1)
 	for _, dc := range dataCentres {
 		for i := range 2 + random.IntN(2) {
@@ -117,6 +119,7 @@
 		w.trace.fail(a, running[0])
 	}
 	w.live[a.task] = append(running, a)
+	w.deadly.attemptStarted(a)
 }
 
 // crashFound checks that an incarnation that a leader takes for crashed is not up.
