Withdraw the proof of a crash like its suspicion

Since ProcessEnded counts as a proof, an endpoint whose crash was proved may answer again in the same incarnation. The history of crashes kept such a proof for good, at this VM and at those that had heard of it, so that two of them would have convicted an innocent task.

A withdrawn record does not count, whether it was proved or not. Records number the withdrawals of an incarnation, so that a later crash of it replaces the withdrawn one at every VM.

TestWithdrawnCrash/proved failed before: the task of the withdrawn crash stayed suspected.

--- a/internal/link/store/codec.go
+++ b/internal/link/store/codec.go
@@ -155,6 +155,7 @@
 	Abrupt      bool     `json:"abrupt"`
 	Proved      bool     `json:"proved"`
 	Withdrawn   bool     `json:"withdrawn"`
+	Withdrawals int      `json:"withdrawals"`
 }
 
 type wireCrashes struct {
@@ -168,7 +169,7 @@
 	for i, r := range all {
 		w.Crashes[i] = wireCrash{
 			Endpoint: string(r.ID.Endpoint), Incarnation: int64(r.ID.Incarnation), Shard: string(r.Shard), Tasks: encodeTasks(r.Tasks), Unconfirmed: encodeTasks(r.Unconfirmed),
-			AgeMs: int64(r.Age), Abrupt: r.Abrupt, Proved: r.Proved, Withdrawn: r.Withdrawn,
+			AgeMs: int64(r.Age), Abrupt: r.Abrupt, Proved: r.Proved, Withdrawn: r.Withdrawn, Withdrawals: r.Withdrawals,
 		}
 	}
 	return json.Marshal(w)
@@ -203,7 +204,7 @@
 		}
 		all[i] = crash.Record{
 			ID:    crash.ID{Endpoint: datacentre.EndpointID(c.Endpoint), Incarnation: endpoint.Incarnation(c.Incarnation)},
-			Shard: shard.ID(c.Shard), Tasks: decodeTasks(c.Tasks), Unconfirmed: decodeTasks(c.Unconfirmed), Age: clock.Millis(c.AgeMs), Abrupt: c.Abrupt, Proved: c.Proved, Withdrawn: c.Withdrawn,
+			Shard: shard.ID(c.Shard), Tasks: decodeTasks(c.Tasks), Unconfirmed: decodeTasks(c.Unconfirmed), Age: clock.Millis(c.AgeMs), Abrupt: c.Abrupt, Proved: c.Proved, Withdrawn: c.Withdrawn, Withdrawals: c.Withdrawals,
 		}
 	}
 	return all, nil
--- a/internal/link/store/crashes_test.go
+++ b/internal/link/store/crashes_test.go
@@ -13,7 +13,7 @@
 func TestCrashesRow(t *testing.T) {
 	want := []crash.Record{
 		{ID: crash.ID{Endpoint: "e1", Incarnation: 1_700_000_000_000}, Shard: "centro", Tasks: []job.TaskName{"a.0.0.0", "b.0.0.1"}, Unconfirmed: []job.TaskName{"b.0.0.1"}, Age: 1234, Abrupt: true, Proved: true},
-		{ID: crash.ID{Endpoint: "e2", Incarnation: 7}, Shard: "norte", Age: 5, Withdrawn: true},
+		{ID: crash.ID{Endpoint: "e2", Incarnation: 7}, Shard: "norte", Age: 5, Withdrawn: true, Withdrawals: 2},
 	}
 	body, err := EncodeCrashes(want)
 	if err != nil {
--- a/internal/world/crash/history.go
+++ b/internal/world/crash/history.go
@@ -70,11 +70,15 @@
 		return
 	}
 	e := h.byID[r.ID]
+	if e != nil && r.Withdrawals > e.record.Withdrawals {
+		h.drop(e)
+		e = nil
+	}
 	if e == nil {
 		if h.countCommon(r.Shard, at) >= maxCommonRecords {
 			return
 		}
-		e = &entry{record: Record{ID: r.ID, Shard: r.Shard}, at: at}
+		e = &entry{record: Record{ID: r.ID, Shard: r.Shard, Withdrawals: r.Withdrawals}, at: at}
 		h.byID[r.ID] = e
 	} else if !e.adds(r) {
 		return
@@ -106,17 +110,17 @@
 
 // adds reports whether a record of the same crash has news.
 func (e *entry) adds(r Record) bool {
+	if r.Withdrawals < e.record.Withdrawals {
+		return false
+	}
 	return r.Withdrawn && !e.record.Withdrawn || r.Proved && !e.record.Proved || r.Abrupt && !e.record.Abrupt || len(e.record.Tasks) < maxTasks && slices.ContainsFunc(r.Tasks, func(n job.TaskName) bool {
 		return !slices.Contains(e.record.Tasks, n) && !slices.Contains(e.removed, n)
 	})
 }
 
-// Suspect adds a crash that is not proved. An earlier suspicion against the same incarnation that was
-// withdrawn does not count any more.
+// Suspect adds a crash that is not proved.
 func (h *History) Suspect(r Record, now clock.Millis) {
-	if e := h.byID[r.ID]; e != nil && e.record.Withdrawn {
-		h.drop(e)
-	}
+	r.Withdrawals = h.withdrawals(r.ID)
 	h.Add(r, now)
 }
 
@@ -126,13 +130,25 @@
 	if e := h.byID[r.ID]; e != nil && !e.record.Withdrawn {
 		r.Tasks = nil
 	}
-	r.Proved = true
+	r.Proved, r.Withdrawals = true, h.withdrawals(r.ID)
 	h.Add(r, now)
 }
 
-// Withdraw takes back the suspicion of a crash, if it has an age: the incarnation has answered since.
+// withdrawals counts the crashes of an incarnation that were withdrawn.
+func (h *History) withdrawals(id ID) int {
+	e := h.byID[id]
+	switch {
+	case e == nil:
+		return 0
+	case e.record.Withdrawn:
+		return e.record.Withdrawals + 1
+	}
+	return e.record.Withdrawals
+}
+
+// Withdraw takes back a crash, if it has an age: the incarnation has answered since.
 func (h *History) Withdraw(id ID, age, now clock.Millis) {
-	if e := h.byID[id]; e != nil && !e.record.Proved && !e.record.Withdrawn && now >= e.at+age {
+	if e := h.byID[id]; e != nil && !e.record.Withdrawn && now >= e.at+age {
 		r := e.recordAt(now)
 		r.Withdrawn = true
 		h.Add(r, now)
@@ -324,7 +340,7 @@
 }
 
 // counts reports whether a task can have caused the crash.
-func (e *entry) counts() bool { return !e.common && (e.record.Proved || !e.record.Withdrawn) }
+func (e *entry) counts() bool { return !e.common && !e.record.Withdrawn }
 
 func (e *entry) recordAt(now clock.Millis) Record {
 	r := e.record
--- a/internal/world/crash/history_test.go
+++ b/internal/world/crash/history_test.go
@@ -89,23 +89,35 @@
 	}
 }
 
-// Guards against suspicions that outlive an answer of the same incarnation, and against a later crash
+// Guards against blame that outlives an answer of the same incarnation, and against a later crash
 // of that incarnation that does not count.
-func TestWithdrawnSuspicion(t *testing.T) {
-	h := NewHistory()
-	s := suspicionOf("a", 0, "t")
-	h.Suspect(s, 1000)
-	h.Withdraw(s.ID, 0, 1500)
-	if got, want := h.Verdict("t", 1500), Unsuspected; got != want {
-		t.Errorf("after the answer: got verdict %v, want %v", got, want)
-	}
-	h.Suspect(suspicionOf("a", 0, "u"), 2000)
-	h.Prove(suspicionOf("a", 0), 5000)
-	if got, want := h.Verdict("u", 6000), Suspected; got != want {
-		t.Errorf("task of the later crash: got verdict %v, want %v", got, want)
-	}
-	if got, want := h.Verdict("t", 6000), Unsuspected; got != want {
-		t.Errorf("task of the earlier suspicion: got verdict %v, want %v", got, want)
+func TestWithdrawnCrash(t *testing.T) {
+	for name, add := range map[string]func(*History, Record, clock.Millis){"suspected": (*History).Suspect, "proved": (*History).Prove} {
+		t.Run(name, func(t *testing.T) {
+			h, other := NewHistory(), NewHistory()
+			exchange := func(now clock.Millis) {
+				records, _ := h.Since(0, maxRecords, now)
+				for _, r := range records {
+					other.Add(r, now)
+				}
+			}
+			s := suspicionOf("a", 0, "t")
+			add(h, s, 1000)
+			exchange(1000)
+			h.Withdraw(s.ID, 0, 1500)
+			exchange(1500)
+			add(h, suspicionOf("a", 0, "u"), 2000)
+			exchange(2000)
+			h.Prove(suspicionOf("a", 0), 5000)
+			for _, h := range []*History{h, other} {
+				if got, want := h.Verdict("u", 6000), Suspected; got != want {
+					t.Errorf("task of the later crash: got verdict %v, want %v", got, want)
+				}
+				if got, want := h.Verdict("t", 6000), Unsuspected; got != want {
+					t.Errorf("task of the withdrawn crash: got verdict %v, want %v", got, want)
+				}
+			}
+		})
 	}
 }
 
--- a/internal/world/crash/record.go
+++ b/internal/world/crash/record.go
@@ -33,6 +33,8 @@
 	Proved bool
 	// Withdrawn means that the incarnation has answered since.
 	Withdrawn bool
+	// Withdrawals counts the earlier crashes of the incarnation that were withdrawn.
+	Withdrawals int
 }
 
 // Verdict is what the crashes under a task say about it.
