Blame tasks only for processes that ended while they ran

An innocent job was shown as failed in the model: a link reset the connections of a cut endpoint, which counted as an abrupt crash of its tasks; their leases expired; then the endpoint crashed for another reason, and its new incarnation was taken for the proof of the earlier suspicion.

Only ProcessEnded shows that the process ended while the task ran there. The other evidence makes suspects, which run alone, and convicts nobody.

The simulated endpoints of the leader's tests close their connections when they crash, as real ones do.

--- a/internal/control/leader/fake_endpoint_test.go
+++ b/internal/control/leader/fake_endpoint_test.go
@@ -162,9 +162,16 @@
 	return e.clockStart + endpoint.Clock(float64(now-e.bornAt)*(1-e.drift))
 }
 
-// crashFor crashes an endpoint that refuses connections until it is back after a time.
+// crashFor crashes an endpoint, which closes its connections and refuses others until it is back after
+// a time.
 func (c *cluster) crashFor(e *fakeEndpoint, d clock.Millis) {
 	e.down, e.refusing = true, true
+	for n, f := range c.leaders {
+		if ep := f.leader.endpoints[e.ID]; ep != nil && ep.watching {
+			closed := HoldEnded{Endpoint: e.ID, Kind: Watch, Sequence: f.leader.sequence, Rejection: HoldClosed}
+			c.schedule(oneWayDelay, func() { c.deliver(n, closed) })
+		}
+	}
 	c.schedule(d, func() {
 		c.crash(e)
 		e.down, e.refusing = false, false
--- a/internal/control/leader/suspects.go
+++ b/internal/control/leader/suspects.go
@@ -13,7 +13,10 @@
 
 // crashRecord describes the crash of the present incarnation of an endpoint, with the tasks there.
 func (l *Leader) crashRecord(ep *endpointState, c *EndpointCrash) crash.Record {
-	r := crash.Record{ID: ep.crashID(), Shard: l.config.Shard, Abrupt: c.Abrupt}
+	// Refused connections alone do not say when the process ended: a cut endpoint may crash after its
+	// attempts have expired.
+	_, ended := c.Evidence.(ProcessEnded)
+	r := crash.Record{ID: ep.crashID(), Shard: l.config.Shard, Abrupt: ended && c.Abrupt}
 	for _, a := range c.Attempts {
 		r.Tasks = append(r.Tasks, a.Task)
 		if !a.Confirmed {
--- a/internal/world/crash/record.go
+++ b/internal/world/crash/record.go
@@ -26,8 +26,8 @@
 	Unconfirmed []job.TaskName
 	// Age is the time since the crash was noticed. VMs do not share a clock.
 	Age clock.Millis
-	// Abrupt means that the endpoint refused connections while its tasks had leases. The others prove
-	// nothing against a task: an endpoint that was silent before may have been cut off.
+	// Abrupt means that the process ended while its tasks had leases. The other crashes prove
+	// nothing against a task: a cut endpoint may crash after its attempts have expired.
 	Abrupt bool
 	// Proved means that the incarnation has ended. Until then, a reset of its connections is as likely.
 	Proved bool
