--- a/internal/control/leader/checks.go
+++ b/internal/control/leader/checks.go
@@ -27,6 +27,9 @@
 // checkTask ends an attempt whose lease has certainly expired or whose stop has taken effect, and
 // repeats a stop that is not acknowledged.
 func (l *Leader) checkTask(t *task, ep *endpointState) {
+	if l.checkSuspect(t, ep) {
+		return
+	}
 	switch t.phase {
 	case stopping:
 		if t.stopAckedAt != 0 && l.now >= t.stopAckedAt+l.config.Timeouts.StopDuration+leaseMargin {
@@ -45,6 +48,7 @@
 	case starting:
 		if l.attemptExpired(t, ep) {
 			l.logAttempt(AttemptLost, t, ep, ep.lossDetail("lease expired"))
+			t.avoidEndpoint, t.lostThere = ep, true
 			l.endAttempt(t, EndLeaseExpired{})
 		}
 	case waiting, done, ended:
@@ -59,7 +63,7 @@
 func (l *Leader) checkRunning(t *task, ep *endpointState) {
 	if l.attemptExpired(t, ep) {
 		l.logAttempt(AttemptLost, t, ep, ep.lossDetail("lease expired"))
-		t.avoidEndpoint = ep
+		t.avoidEndpoint, t.lostThere = ep, true
 		l.endAttempt(t, EndLeaseExpired{})
 		return
 	}
