Take a row that has become unreadable for a gap in the list

Another writer may overwrite the row of an endpoint between two reads of a VM that had not read of the endpoint before. Its list then counted as complete: after a takeover, it could start a task again that an earlier leader, which had read the row, had started at the endpoint (TWICE). The same rows removed between two reads count as a gap already.

A read in which a row has changed and is unreadable is a gap, so that the list proves nothing for 15 s. A row that stays as it is costs this once. TestUnreadableRowIsAGap had no gap before; TestTasksStartOnceTheListIsRead holds for what follows from one.

--- a/internal/control/node/model_follower_test.go
+++ b/internal/control/node/model_follower_test.go
@@ -141,6 +141,9 @@
 				f.gap = true
 				continue
 			}
+			if _, unreadable := r.value.(unreadableRow); unreadable && f.rows[r.key].value != r.value {
+				f.gap = true
+			}
 			f.rows[r.key] = r
 		}
 		if !f.loaded || len(rows) > 0 || f.table == tableEndpoints {
--- a/internal/process/daemon/followers.go
+++ b/internal/process/daemon/followers.go
@@ -266,7 +266,9 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b endpoint.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
-	d.loop.Post(node.EndpointsLoaded{Endpoints: all, Unreadable: unreadable, Version: int64(t.version), ReadAt: t.sentAt, Gap: t.gap})
+	// The row may have been that of an endpoint since the read before.
+	gap := t.gap || changed > 0
+	d.loop.Post(node.EndpointsLoaded{Endpoints: all, Unreadable: unreadable, Version: int64(t.version), ReadAt: t.sentAt, Gap: gap})
 }
 
 // register writes this VM's row, and retries until the write succeeds.
--- a/internal/process/daemon/followers_test.go
+++ b/internal/process/daemon/followers_test.go
@@ -231,3 +231,24 @@
 		t.Errorf("got %d lines, want at most %d within the same second", got, linesPerSecond)
 	}
 }
+
+// Guards against a list that is taken for complete although a row that is unreadable now may have been
+// that of an endpoint with attempts since the read before.
+func TestUnreadableRowIsAGap(t *testing.T) {
+	clocks := clock.NewManual(clock.Hour)
+	d := &Daemon{decodedRows: make(map[string]decodedRow), loop: newLoop(nil, clocks)}
+	d.logger = newEventLogger(event.NewLog(logrus.New()), meter.New(), clocks, 10)
+	rows := map[string]store.Row{"e1": listedRow("ready")}
+	for step, c := range []struct {
+		text string
+		gap  bool
+	}{{"", false}, {"{", true}, {"{", false}, {"[", true}, {"[", false}} {
+		if c.text != "" {
+			rows["e2"] = store.Row{Key: "e2", Value: []byte(c.text)}
+		}
+		d.endpointsRead(tableRead{rows: rows, version: store.Revision(step + 1)})
+		if e, ok := (<-d.loop.mailbox).(node.EndpointsLoaded); !ok || e.Gap != c.gap {
+			t.Errorf("step %d: got gap %v, want %v", step, e.Gap, c.gap)
+		}
+	}
+}
