Keep a leader running when the queue of a suspect is dropped

A desired state that dropped the queue of a waiting suspect, for which an endpoint was held, made the leader panic: suits read the missing queue. Its VM ended with all jobs of its callers. No endpoint suits such a task now, so that the held one is released.

TestQueueOfAWaitingSuspectIsDropped panicked before.

--- a/internal/control/leader/suspects.go
+++ b/internal/control/leader/suspects.go
@@ -68,7 +68,7 @@
 // suits reports whether a task may run at an endpoint once nothing else does.
 func (l *Leader) suits(t *task, ep *endpointState) bool {
 	step, q := t.stepSpec(), l.desired.Queue(t.job.queue)
-	return ep.Service == q.Service && ep.HasLabel(step.Requires) && ep.Capacity.Fits(step.Demand) && ep.accepts(l.now) && !l.avoids(t, ep)
+	return q != nil && ep.Service == q.Service && ep.HasLabel(step.Requires) && ep.Capacity.Fits(step.Demand) && ep.accepts(l.now) && !l.avoids(t, ep)
 }
 
 // emptyEndpoint returns the most suitable endpoint without tasks for a suspect: the one that is held
--- a/internal/control/leader/suspects_test.go
+++ b/internal/control/leader/suspects_test.go
@@ -7,6 +7,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/world/crash"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
@@ -324,3 +325,29 @@
 		t.Errorf("got verdict %v, want %v", got, want)
 	}
 }
+
+// Guards against a leader that panics when the desired state drops the queue of a suspect for which an
+// endpoint is held.
+func TestQueueOfAWaitingSuspectIsDropped(t *testing.T) {
+	c := newCluster(t, 45, 2)
+	c.duration = func(job.TaskName) clock.Millis { return 1000 }
+	c.addLeader(1, 256)
+	c.advance(50)
+	c.renewLeases(1, "a-1", 1, 2)
+	c.submit(1, "a-1", 2, 4)
+	c.advance(50)
+	s := submission("a-1", 1, 1)
+	s.Part, s.Limit = true, 30*clock.Second
+	c.suspect(1, s)
+	c.deliver(1, Submitted{Submission: s})
+	c.advance(20)
+	l := c.leaders[1].leader
+	if got := len(l.isolatedEndpoints); got != 1 {
+		t.Fatalf("got %d endpoints held, want 1", got)
+	}
+	c.deliver(1, DesiredState{State: queue.NewState(2, nil, map[queue.ServiceName]queue.Service{testService: {Name: testService, GuardsRoom: true}}, queue.Limits{})})
+	c.advance(100)
+	if got := len(l.isolatedEndpoints); got != 0 {
+		t.Errorf("got %d endpoints held, want none", got)
+	}
+}
