Let a VM take over before it has a desired state

A successor that had not read its first desired state panicked when it took over: the guards of the endpoints' capacity were read from it. Until it is there the endpoints count as unguarded; nothing starts without a desired state.

TestTakeOverWithoutDesiredState panicked before.

--- a/internal/control/leader/capacity.go
+++ b/internal/control/leader/capacity.go
@@ -1,10 +1,17 @@
 package leader
 
 import (
+	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 )
 
+// isUnguarded reports whether the endpoints of a service start whatever they are told to. A VM that
+// takes over may not have a desired state yet.
+func (l *Leader) isUnguarded(s queue.ServiceName) bool {
+	return l.desired == nil || !l.desired.Services[s].GuardsRoom
+}
+
 // demandKnown reports whether the leader knows the demand of everything that runs here. That of an
 // attempt of another leader is unknown until a job adopts it.
 func (ep *endpointState) demandKnown() bool { return ep.tokenAccepted() && ep.activeOrphans == 0 }
--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -345,7 +345,7 @@
 			e.Born = ep.Born
 		}
 		ep.Endpoint, ep.free, ep.unlisted = e, e.Capacity.Minus(used), false
-		ep.unguarded = !l.desired.Services[e.Service].GuardsRoom
+		ep.unguarded = l.isUnguarded(e.Service)
 		if !ep.watching {
 			l.sendHold(ep, Watch)
 		}
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -158,7 +158,7 @@
 	case DesiredState:
 		l.desired = e.State
 		for _, ep := range l.sortedEndpoints {
-			ep.unguarded = !l.desired.Services[ep.Service].GuardsRoom
+			ep.unguarded = l.isUnguarded(ep.Service)
 		}
 	case LoadReported:
 		load := e.Load
--- a/internal/control/node/leadership_test.go
+++ b/internal/control/node/leadership_test.go
@@ -10,6 +10,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
 // Guards against a request to take over that a partition has held up: another VM leads the shard
@@ -243,3 +244,19 @@
 		}
 	}
 }
+
+// Guards against a VM that panics when it takes over before it has read the first desired state.
+func TestTakeOverWithoutDesiredState(t *testing.T) {
+	h := &harness{t: t, now: 100_000, answers: make(map[vm.Incarnation]HeartbeatReply)}
+	h.control = New(Config{
+		Self: newVM("centro", "me-1"), DataCentres: []datacentre.ID{"centro", "norte"},
+		Timeouts: leader.DefaultTimeouts(1000, 50, 1300), FarFactor: 1.5, Successors: 3, Now: h.now,
+	})
+	h.handle(VMsLoaded{VMs: []shard.VM{newVM("centro", "me-1"), newVM("centro", "peer-1")}})
+	h.handle(EndpointsLoaded{Version: 1, Endpoints: firstList()})
+	h.handle(ReplicaSetsLoaded{ReplicaSets: []shard.ReplicaSet{replicaSet("centro", 5, "peer-1", "me-1")}})
+	h.advance(1000)
+	if h.control.ledShards["centro"] == nil {
+		t.Errorf("got no leadership, want one")
+	}
+}
