Use an endpoint that is listed again as late as an added one

The next leader takes its list for complete because a leader uses an endpoint that is added 1.5 s later. An endpoint that was listed again was used at once if the leader had kept its state, for a task there or for attempts that were lost there in the last 10 s. The next leader could then start its tasks elsewhere.

TestEndpointThatIsListedAgainIsUsedLater failed before: used within 600 ms.

--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -339,6 +339,9 @@
 			l.logRestart(ep, e.Born, true)
 			l.handleRestart(ep, e.Born)
 		}
+		if ep.unlisted && l.listed {
+			ep.usableFrom = l.now + newEndpointDelay
+		}
 		used := ep.Capacity.Minus(ep.free)
 		ep.listedBorn = e.Born
 		if ep.Born != 0 {
--- a/internal/control/leader/takeover_test.go
+++ b/internal/control/leader/takeover_test.go
@@ -288,3 +288,38 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice: an endpoint that is listed again is used before the next
+// leader's list has it, because the leader has kept its state.
+func TestEndpointThatIsListedAgainIsUsedLater(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		c := newCluster(t, 24, 2)
+		c.addLeader(1, 256)
+		c.advance(50)
+		c.longJob(20000)
+		c.advance(100)
+		e := c.endpointOf("0000000000000001.0.0.0")
+		if !lost {
+			e = c.sortedEndpoints[0]
+			if e == c.endpointOf("0000000000000001.0.0.0") {
+				e = c.sortedEndpoints[1]
+			}
+		}
+		e.down, e.refusing = true, true
+		c.advance(1500)
+		i := slices.Index(c.sortedEndpoints, e)
+		c.sortedEndpoints = slices.Delete(c.sortedEndpoints, i, i+1)
+		c.advance(3000)
+		c.sortedEndpoints = append(c.sortedEndpoints, e)
+		c.advance(300)
+		e.down, e.refusing = false, false
+		c.advance(300)
+		ep := c.leaders[1].leader.endpoints[e.ID]
+		if ep == nil || ep.unlisted {
+			t.Fatalf("lost %v: not listed again: %v", lost, ep)
+		}
+		if ep.usable(c.now) {
+			t.Errorf("lost %v: got an endpoint that is used within 600 ms after it was listed again, want a delay of %d ms", lost, newEndpointDelay)
+		}
+	}
+}
