--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -339,13 +339,16 @@
 			l.logRestart(ep, e.Born, true)
 			l.handleRestart(ep, e.Born)
 		}
+		if ep.unlisted && l.listed {
+			ep.usableFrom = l.now + newEndpointDelay
+		}
 		used := ep.Capacity.Minus(ep.free)
 		ep.listedBorn = e.Born
 		if ep.Born != 0 {
 			e.Born = ep.Born
 		}
 		ep.Endpoint, ep.free, ep.unlisted = e, e.Capacity.Minus(used), false
-		ep.unguarded = !l.desired.Services[e.Service].GuardsRoom
+		ep.unguarded = l.isUnguarded(e.Service)
 		if !ep.watching {
 			l.sendHold(ep, Watch)
 		}
