Blame no task for an endpoint that ended after its leases had expired

A leader that was paused reads the end of an endpoint's connection when it wakes up. The crash counted as abrupt however long ago the endpoint had answered, so that tasks were blamed whose attempts may have lapsed long before. The closed connection now has to come within a lease of the latest answer, as a refused one has to. Found by a review.

--- a/internal/control/leader/crash.go
+++ b/internal/control/leader/crash.go
@@ -166,9 +166,16 @@
 	slices.SortFunc(attempts, func(a, b CrashedAttempt) int {
 		return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Attempt, b.Attempt))
 	})
+	noticedAt := l.now
+	switch {
+	case ep.closedSeq != 0:
+		noticedAt = ep.closedAt
+	case ep.refusals > 0:
+		noticedAt = ep.refusedAt
+	}
 	return &EndpointCrash{
 		Incarnation: ep.Born, Evidence: e, Draining: ep.Draining, Contacted: ep.contacted,
-		Abrupt:      ep.contacted && (ep.closedSeq != 0 || ep.refusals > 0 && ep.refusedAt-ep.answeredAt <= l.config.Timeouts.AttemptLease),
+		Abrupt:      ep.contacted && (ep.closedSeq != 0 || ep.refusals > 0) && noticedAt-ep.answeredAt <= l.config.Timeouts.AttemptLease,
 		SinceReport: l.now - ep.lastReportAt, Attempts: attempts,
 	}
 }
--- a/internal/control/leader/crash_test.go
+++ b/internal/control/leader/crash_test.go
@@ -171,3 +171,20 @@
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
+
+// Guards against tasks that are blamed for an endpoint that ended long after their leases had expired,
+// while the leader was paused.
+func TestCrashAfterAPauseOfTheLeaderIsNotAbrupt(t *testing.T) {
+	c := newCluster(t, 26, 2)
+	c.addLeader(1, 256)
+	c.advance(50)
+	c.longJob(20000)
+	c.advance(100)
+	l := c.leaders[1].leader
+	ep := l.endpoints[c.endpointOf("0000000000000001.0.0.0").ID]
+	l.now = c.now + 5*clock.Second
+	ep.closedSeq, ep.closedAt = l.sequence, l.now
+	if got := l.endpointCrash(ep, ProcessEnded{}); got.Abrupt {
+		t.Errorf("got an abrupt crash %d ms after the latest answer, want none after %d ms", l.now-ep.answeredAt, l.config.Timeouts.AttemptLease)
+	}
+}
