Bound the crashes of deadly tasks that start together

Crashes of several endpoints within 50 ms counted as one failure, of a rack for example, and blamed nobody. Crashes that were withdrawn counted as well, so that a cut beside a deadly task excused it.

A task with two such crashes is now a suspect, since a rack that fails does not hit the same task twice, and both count once it has crashed an endpoint alone. The crash of an endpoint that was held for a suspect is no sign of a common cause, nor is a withdrawn one.

TestDeadlyTasksThatStartTogetherAreGivenUp (six tasks of one job; three crashes of each at most) and TestWithdrawnSuspicionsAreNoCommonCause fail without the change. TestMassCrashConvictsNobody expected that tasks which crash together twice run as before; now they run alone after the second time, and it still expects that all of them complete. A case of TestVerdict had one task at four endpoints at the same time, which cannot be; it has four tasks.

--- a/internal/control/leader/suspects_test.go
+++ b/internal/control/leader/suspects_test.go
@@ -125,30 +125,38 @@
 	}
 }
 
-// Guards against tasks that are given up, or run alone, because a whole rack crashed twice.
+// Guards against tasks that run alone because a rack crashed, and against tasks that are given up because
+// that happened to them twice.
 func TestMassCrashConvictsNobody(t *testing.T) {
-	c := newCluster(t, 43, 12)
-	c.duration = func(job.TaskName) clock.Millis { return 3000 }
-	c.addLeader(1, 256)
-	c.advance(50)
-	c.renewLeases(1, "a-1", 1)
-	s := c.submit(1, "a-1", 1, 8)
-	for range 2 {
-		c.advance(100)
-		for _, e := range c.sortedEndpoints {
-			if len(e.attempts) > 0 {
-				c.crashFor(e, 1000)
+	for crashes, limit := range map[int]clock.Millis{1: 6 * clock.Second, 2: 40 * clock.Second} {
+		c := newCluster(t, 43, 12)
+		c.duration = func(job.TaskName) clock.Millis { return 3000 }
+		c.addLeader(1, 256)
+		c.advance(50)
+		c.renewLeases(1, "a-1", 1)
+		s := submission("a-1", 1, 8)
+		s.Limit = clock.Minute
+		c.deliver(1, Submitted{Submission: s})
+		for range crashes {
+			c.advance(100)
+			for _, e := range c.sortedEndpoints {
+				if len(e.attempts) > 0 {
+					c.crashFor(e, 1000)
+				}
 			}
+			c.advance(1900)
+		}
+		if got := len(c.leaders[1].leader.isolatedEndpoints); crashes == 1 && got != 0 {
+			t.Errorf("got %d endpoints held for suspects after one crash, want none", got)
+		}
+		c.advance(limit)
+		c.wantOutcome(s.Key, job.Completed{})
+		if got := c.decisions[TaskGivenUp]; got != 0 {
+			t.Errorf("%d crashes: got %d tasks given up, want none", crashes, got)
+		}
+		if got := len(c.leaders[1].leader.isolatedEndpoints); got != 0 {
+			t.Errorf("%d crashes: got %d endpoints held for suspects, want none", crashes, got)
 		}
-		c.advance(1900)
-	}
-	c.advance(6000)
-	c.wantOutcome(s.Key, job.Completed{})
-	if got := c.decisions[TaskGivenUp]; got != 0 {
-		t.Errorf("got %d tasks given up, want none", got)
-	}
-	if got := len(c.leaders[1].leader.isolatedEndpoints); got != 0 {
-		t.Errorf("got %d endpoints held for suspects, want none", got)
 	}
 }
 
@@ -353,3 +361,29 @@
 		t.Errorf("got %d endpoints held, want none", got)
 	}
 }
+
+// Guards against deadly tasks that start together without end: their crashes come together each time and
+// look like the failure of a rack.
+func TestDeadlyTasksThatStartTogetherAreGivenUp(t *testing.T) {
+	const deadly = 6
+	c := newCluster(t, 41, 24)
+	c.downTime = 3000
+	id := submission("a-1", 1, deadly).Job.ID
+	for k := range deadly {
+		c.deadly[TaskName(id, 0, k)] = 30 + clock.Millis(k)*3
+	}
+	c.addLeader(1, 256)
+	c.advance(50)
+	c.renewLeases(1, "a-1", 1)
+	s := c.submit(1, "a-1", 1, deadly)
+	c.advance(20000)
+	for k := range deadly {
+		// The first two crashes of each may have had a cause in common.
+		if got := c.crashCounts[TaskName(id, 0, k)]; got > 3 {
+			t.Errorf("task %d: got %d crashes, want 3 at most", k, got)
+		}
+	}
+	if _, ok := c.outcomes[s.Key].(job.Failed); !ok {
+		t.Errorf("got outcome %v, want a failed job", c.outcomes[s.Key])
+	}
+}
--- a/internal/world/crash/history.go
+++ b/internal/world/crash/history.go
@@ -56,6 +56,8 @@
 	removed []job.TaskName
 	// common means that other endpoints of the shard crashed at about the same time.
 	common bool
+	// isolated means that the only task there was a suspect already.
+	isolated bool
 }
 
 // NewHistory returns a history without crashes.
@@ -78,7 +80,8 @@
 		if h.countCommon(r.Shard, at) >= maxCommonRecords {
 			return
 		}
-		e = &entry{record: Record{ID: r.ID, Shard: r.Shard, Withdrawals: r.Withdrawals}, at: at}
+		isolated := len(r.Tasks) == 1 && h.Verdict(r.Tasks[0], now) != Unsuspected
+		e = &entry{record: Record{ID: r.ID, Shard: r.Shard, Withdrawals: r.Withdrawals}, at: at, isolated: isolated}
 		h.byID[r.ID] = e
 	} else if !e.adds(r) {
 		return
@@ -102,7 +105,7 @@
 	h.revision++
 	e.revision = h.revision
 	h.entries = append(h.entries, e)
-	h.markCommonCause(e)
+	h.updateCommonCauses(e)
 	if len(h.entries) > maxRecords {
 		h.drop(slices.MinFunc(h.entries, func(a, b *entry) int { return int(a.at - b.at) }))
 	}
@@ -155,31 +158,37 @@
 	}
 }
 
-// markCommonCause marks the crashes around one if so many endpoints of the shard crashed together
-// that no task of theirs can have been the cause.
-func (h *History) markCommonCause(last *entry) {
+// updateCommonCauses decides again which crashes around a point in time have a cause in common.
+func (h *History) updateCommonCauses(around *entry) {
+	for _, e := range h.entries {
+		if e.record.Shard == around.record.Shard && e.at >= around.at-CommonCauseWindow && e.at <= around.at+CommonCauseWindow {
+			e.common = h.hasCommonCause(e)
+		}
+	}
+}
+
+// hasCommonCause reports whether so many endpoints of the shard crashed together with this one that no
+// task of theirs can have been the cause. Withdrawn crashes say nothing, and one of an endpoint that was
+// held for a suspect has its own explanation.
+func (h *History) hasCommonCause(e *entry) bool {
+	if e.record.Withdrawn || e.isolated {
+		return false
+	}
 	for _, first := range h.entries {
-		if first.at < last.at-CommonCauseWindow || first.at > last.at {
+		if first.at < e.at-CommonCauseWindow || first.at > e.at {
 			continue
 		}
 		together := make(map[datacentre.EndpointID]bool)
-		inWindow := func(e *entry) bool {
-			return e.record.Shard == last.record.Shard && e.at >= first.at && e.at <= first.at+CommonCauseWindow
-		}
-		for _, e := range h.entries {
-			if inWindow(e) {
-				together[e.record.ID.Endpoint] = true
+		for _, o := range h.entries {
+			if o.record.Shard == e.record.Shard && !o.record.Withdrawn && !o.isolated && o.at >= first.at && o.at <= first.at+CommonCauseWindow {
+				together[o.record.ID.Endpoint] = true
 			}
 		}
-		if len(together) < CommonCauseEndpoints {
-			continue
-		}
-		for _, e := range h.entries {
-			if inWindow(e) {
-				e.common = true
-			}
+		if len(together) >= CommonCauseEndpoints {
+			return true
 		}
 	}
+	return false
 }
 
 // countCommon counts the crashes around a point in time that have a cause in common.
@@ -218,16 +227,13 @@
 	}
 	verdict := Unsuspected
 	var proved, expected evidence
-	for _, e := range h.byTask[n] {
-		if !e.counts() {
-			continue
-		}
+	for _, e := range h.counted(n) {
 		verdict = Suspected
 		if !e.record.Abrupt {
 			continue
 		}
 		strong := !slices.Contains(e.record.Unconfirmed, n)
-		alone := !slices.ContainsFunc(e.record.Tasks, func(o job.TaskName) bool { return o != n && !h.cleared[o] })
+		alone := !e.common && !slices.ContainsFunc(e.record.Tasks, func(o job.TaskName) bool { return o != n && !h.cleared[o] })
 		switch {
 		case e.record.Proved && now >= e.at+CommonCauseWindow:
 			proved.add(strong, alone)
@@ -245,6 +251,25 @@
 	return verdict
 }
 
+// counted returns the crashes that a task can have caused. One with a common cause counts only if there
+// is another one: a rack that fails does not hit the same task twice.
+func (h *History) counted(n job.TaskName) []*entry {
+	var own, common []*entry
+	for _, e := range h.byTask[n] {
+		switch {
+		case e.record.Withdrawn:
+		case e.common:
+			common = append(common, e)
+		default:
+			own = append(own, e)
+		}
+	}
+	if len(common) < 2 {
+		return own
+	}
+	return append(own, common...)
+}
+
 // evidence sums up the crashes under a task.
 type evidence struct {
 	strong, weak int
@@ -267,10 +292,8 @@
 // Crashes returns the crashes that count against a task.
 func (h *History) Crashes(n job.TaskName, now clock.Millis) []Record {
 	var all []Record
-	for _, e := range h.byTask[n] {
-		if e.counts() {
-			all = append(all, e.recordAt(now))
-		}
+	for _, e := range h.counted(n) {
+		all = append(all, e.recordAt(now))
 	}
 	return all
 }
@@ -339,9 +362,6 @@
 	}
 }
 
-// counts reports whether a task can have caused the crash.
-func (e *entry) counts() bool { return !e.common && !e.record.Withdrawn }
-
 func (e *entry) recordAt(now clock.Millis) Record {
 	r := e.record
 	r.Age = now - e.at
--- a/internal/world/crash/history_test.go
+++ b/internal/world/crash/history_test.go
@@ -54,7 +54,7 @@
 		{"start not confirmed at one", []Record{unconfirmed(crashOf("a", 9000, "t")), crashOf("b", 5000, "t")}, Suspected},
 		{"three crashes, start not confirmed at one", []Record{unconfirmed(crashOf("a", 9000, "t")), crashOf("b", 5000, "t"), crashOf("c", 4000, "t")}, Deadly},
 		{"unrelated crashes at the same time", []Record{crashOf("a", 9000, "t"), crashOf("b", 8980, "u"), crashOf("c", 8960, "v")}, Suspected},
-		{"four endpoints at once", []Record{crashOf("a", 9000, "t"), crashOf("b", 8980, "t"), crashOf("c", 8960, "t"), crashOf("d", 8955, "t")}, Unsuspected},
+		{"four endpoints at once", []Record{crashOf("a", 9000, "t"), crashOf("b", 8980, "u"), crashOf("c", 8960, "v"), crashOf("d", 8955, "w")}, Unsuspected},
 		{"a suspicion, then its proof", []Record{suspicionOf("a", 9000, "t"), crashOf("a", 5000), crashOf("b", 4000, "t")}, Deadly},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -186,3 +186,45 @@
 		t.Errorf("got %d crashes and %d tasks after the retention period, want none", len(h.entries), len(h.byTask))
 	}
 }
+
+// Guards against a deadly task that is excused because other endpoints were cut off at the same time:
+// withdrawn suspicions are no common cause.
+func TestWithdrawnSuspicionsAreNoCommonCause(t *testing.T) {
+	h := NewHistory()
+	h.Add(crashOf("a", 9000, "t"), 100_000)
+	h.Add(crashOf("b", 5000, "t"), 100_000)
+	for _, id := range []datacentre.EndpointID{"x", "y", "z"} {
+		r := suspicionOf(id, 5000)
+		h.Add(r, 100_000)
+		h.Withdraw(r.ID, 0, 100_000)
+	}
+	if got := h.Verdict("t", 100_000); got != Deadly {
+		t.Errorf("got verdict %v, want %v", got, Deadly)
+	}
+}
+
+// Guards against tasks of a failed rack that are blamed, and against a deadly task that is excused each
+// time that its crash comes with others.
+func TestCommonCauses(t *testing.T) {
+	h := NewHistory()
+	crashTogether := func(age clock.Millis, first string, tasks ...job.TaskName) {
+		for i, n := range tasks {
+			h.Add(crashOf(datacentre.EndpointID(first+string(rune('a'+i))), age, n), 100_000)
+		}
+	}
+	crashTogether(9000, "1", "t", "u", "v", "w")
+	if got := h.Verdict("t", 100_000); got != Unsuspected {
+		t.Errorf("after one common cause: got verdict %v, want %v", got, Unsuspected)
+	}
+	crashTogether(6000, "2", "t", "x", "y", "z")
+	if got := h.Verdict("t", 100_000); got != Suspected {
+		t.Errorf("after two common causes: got verdict %v, want %v", got, Suspected)
+	}
+	if got := h.Verdict("u", 100_000); got != Unsuspected {
+		t.Errorf("beside it: got verdict %v, want %v", got, Unsuspected)
+	}
+	h.Add(crashOf("3a", 3000, "t"), 100_000)
+	if got := h.Verdict("t", 100_000); got != Deadly {
+		t.Errorf("after a crash of its own: got verdict %v, want %v", got, Deadly)
+	}
+}
