Bound the stored crashes, and refuse implausible ones

The row of a shard's crashes was bounded by 128 records but not by bytes: with 64 tasks each, the platform refuses it, and no proof outlasts the loss of all VMs. The oldest records now give way. A record of another writer could also hide all later crashes of an endpoint (a huge number of withdrawals), or void the others of the row. Implausible records are named in the log, and the others are used.

--- a/internal/link/store/codec.go
+++ b/internal/link/store/codec.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math"
+	"slices"
 
 	"github.com/juju/errors"
 
@@ -162,8 +163,19 @@
 	Crashes []wireCrash `json:"crashes"`
 }
 
-// EncodeCrashes returns the row of the crashes that a shard's leader knows of. Their ages are those
-// of now: a reader counts from when it reads the row, since VMs share no clock.
+const (
+	// maxRow is the largest row that the platform stores.
+	maxRow = 65536
+	// maxCrashTasks and maxCrashName bound the tasks of a crash and the names in it, and maxWithdrawals
+	// how often an incarnation can have answered after it seemed to have ended.
+	maxCrashTasks  = 64
+	maxCrashName   = 200
+	maxWithdrawals = 1000
+)
+
+// EncodeCrashes returns the row of the crashes that a shard's leader knows of, without the oldest if
+// they exceed a row. Their ages are those of now: a reader counts from when it reads the row, since VMs
+// share no clock.
 func EncodeCrashes(all []crash.Record) ([]byte, error) {
 	w := wireCrashes{Crashes: make([]wireCrash, len(all))}
 	for i, r := range all {
@@ -172,7 +184,13 @@
 			AgeMs: int64(r.Age), Abrupt: r.Abrupt, Proved: r.Proved, Withdrawn: r.Withdrawn, Withdrawals: r.Withdrawals,
 		}
 	}
-	return json.Marshal(w)
+	for {
+		text, err := json.Marshal(w)
+		if err != nil || len(text) <= maxRow {
+			return text, err
+		}
+		w.Crashes = w.Crashes[(len(w.Crashes)+3)/4:]
+	}
 }
 
 func encodeTasks(names []job.TaskName) []string {
@@ -191,21 +209,37 @@
 	return all
 }
 
-// DecodeCrashes reads the row of a shard's crashes.
+// plausible reports whether a record can be one that a leader has written.
+func (c *wireCrash) plausible() bool {
+	return isCrashName(c.Endpoint) && isCrashName(c.Shard) && c.Incarnation > 0 && c.AgeMs >= 0 && c.AgeMs <= int64(crash.Retention) &&
+		c.Withdrawals >= 0 && c.Withdrawals <= maxWithdrawals && areCrashTasks(c.Tasks) && areCrashTasks(c.Unconfirmed)
+}
+
+func isCrashName(s string) bool { return s != "" && len(s) <= maxCrashName }
+
+func areCrashTasks(names []string) bool {
+	return len(names) <= maxCrashTasks && !slices.ContainsFunc(names, func(n string) bool { return !isCrashName(n) })
+}
+
+// DecodeCrashes reads the row of a shard's crashes. The error names implausible ones, and the others
+// are returned with it.
 func DecodeCrashes(r Row) ([]crash.Record, error) {
 	var w wireCrashes
 	if err := json.Unmarshal(r.Value, &w); err != nil {
 		return nil, errors.Annotatef(err, "decode crashes of shard %s", r.Key)
 	}
-	all := make([]crash.Record, len(w.Crashes))
-	for i, c := range w.Crashes {
-		if c.Endpoint == "" || c.AgeMs < 0 {
-			return nil, errors.NotValidf("decode crashes of shard %s: no endpoint or a negative age: row", r.Key)
-		}
-		all[i] = crash.Record{
-			ID:    crash.ID{Endpoint: datacentre.EndpointID(c.Endpoint), Incarnation: endpoint.Incarnation(c.Incarnation)},
-			Shard: shard.ID(c.Shard), Tasks: decodeTasks(c.Tasks), Unconfirmed: decodeTasks(c.Unconfirmed), Age: clock.Millis(c.AgeMs), Abrupt: c.Abrupt, Proved: c.Proved, Withdrawn: c.Withdrawn, Withdrawals: c.Withdrawals,
+	var all []crash.Record
+	for _, c := range w.Crashes {
+		if c.plausible() {
+			all = append(all, crash.Record{
+				ID:    crash.ID{Endpoint: datacentre.EndpointID(c.Endpoint), Incarnation: endpoint.Incarnation(c.Incarnation)},
+				Shard: shard.ID(c.Shard), Tasks: decodeTasks(c.Tasks), Unconfirmed: decodeTasks(c.Unconfirmed), Age: clock.Millis(c.AgeMs),
+				Abrupt: c.Abrupt, Proved: c.Proved, Withdrawn: c.Withdrawn, Withdrawals: c.Withdrawals,
+			})
 		}
 	}
+	if odd := len(w.Crashes) - len(all); odd > 0 {
+		return all, errors.NotValidf("decode crashes of shard %s: %d of %d records", r.Key, odd, len(w.Crashes))
+	}
 	return all, nil
 }
--- a/internal/link/store/fuzz_test.go
+++ b/internal/link/store/fuzz_test.go
@@ -1,10 +1,14 @@
 package store
 
 import (
+	"fmt"
 	"math"
 	"strings"
 	"testing"
 
+	"github.com/sequoiacart/sequoiacart/internal/world/crash"
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 )
 
@@ -75,3 +79,42 @@
 		}
 	})
 }
+
+// Guards against crashes of other writers that convict a task, hide later crashes of an endpoint or take
+// up memory without bound.
+func FuzzDecodeCrashes(f *testing.F) {
+	addSeeds(f)
+	f.Add([]byte(`{"crashes":[{"endpoint":"i-1","incarnation":7,"shard":"centro","tasks":["a.0.0.0"],"ageMs":10,"abrupt":true,"proved":true}]}`))
+	f.Add([]byte(`{"crashes":[{"endpoint":"i-1","incarnation":7,"shard":"centro","withdrawn":true,"withdrawals":9223372036854775807}]}`))
+	f.Add([]byte(`{"crashes":[{"endpoint":"i-1","incarnation":-1,"shard":"centro"},{"incarnation":7,"ageMs":-9223372036854775808}]}`))
+	f.Add([]byte(`{"crashes":[{"endpoint":"i-1","incarnation":7,"shard":"centro","tasks":["` + strings.Repeat(`a","`, maxCrashTasks) + `a"]}]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		all, _ := DecodeCrashes(Row{Key: "centro", Value: text})
+		for _, r := range all {
+			if r.ID.Endpoint == "" || r.ID.Incarnation <= 0 || r.Age < 0 || r.Age > crash.Retention || r.Withdrawals < 0 || r.Withdrawals > maxWithdrawals ||
+				len(r.Tasks) > maxCrashTasks || len(r.Unconfirmed) > maxCrashTasks {
+				t.Errorf("got %+v, want a plausible crash", r)
+			}
+		}
+	})
+}
+
+// Guards against a row of crashes that the platform refuses because it is too large.
+func TestCrashesFitARow(t *testing.T) {
+	var all []crash.Record
+	for i := range 128 {
+		r := crash.Record{ID: crash.ID{Endpoint: "i-1", Incarnation: endpoint.Incarnation(i + 1)}, Shard: "centro"}
+		for k := range maxCrashTasks {
+			r.Tasks = append(r.Tasks, job.TaskName(fmt.Sprintf("%016x.0.0.%d", i, k)))
+		}
+		all = append(all, r)
+	}
+	text, err := EncodeCrashes(all)
+	if err != nil || len(text) > maxRow {
+		t.Fatalf("got %d bytes and error %v, want a row of %d bytes at most", len(text), err, maxRow)
+	}
+	got, err := DecodeCrashes(Row{Key: "centro", Value: text})
+	if err != nil || len(got) == 0 || got[len(got)-1].ID != all[len(all)-1].ID {
+		t.Errorf("got %d crashes and error %v, want the latest", len(got), err)
+	}
+}
--- a/internal/process/daemon/traffic.go
+++ b/internal/process/daemon/traffic.go
@@ -274,9 +274,10 @@
 	all, err := store.DecodeCrashes(row)
 	if err != nil {
 		t.logger.callFailed("decode crashes", "store", err)
-		return
 	}
-	t.loop.Post(node.CrashesLoaded{Records: all})
+	if len(all) > 0 {
+		t.loop.Post(node.CrashesLoaded{Records: all})
+	}
 }
 
 func (t *traffic) saveCrashes(a node.SaveCrashes) {
