--- a/internal/control/node/model_deadly_test.go
+++ b/internal/control/node/model_deadly_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"testing"
 
 	"github.com/sequoiacart/sequoiacart/internal/control/node"
 	"github.com/sequoiacart/sequoiacart/internal/world/crash"
@@ -157,3 +158,12 @@
 		})
 	}, func(exchangeFailure) {})
 }
+
+// Guards against a deadly task that is started without a bound while crashes are noticed late: messages
+// are lost, and other endpoints are cut off or restart.
+func TestDeadlyTaskBesideOtherFaults(t *testing.T) {
+	w := runModel(201, parseKinds("loss,late,cut,coreCut,reborn,rebornCut,add,storeLate,failures,stall,giveUp,shrink,deadly"))
+	if w.violation != "" {
+		t.Errorf("seed 201: got %s, want no violation", w.violation)
+	}
+}
--- a/internal/control/node/model_test.go
+++ b/internal/control/node/model_test.go
@@ -29,7 +29,8 @@
 )
 
 // Guards against two attempts of a task at the same time, and against an endpoint that is cut off and
-// counts as crashed, under any combination of faults of VMs, endpoints, the store and the network. A longer run, other seeds or single kinds of faults:
+// counts as crashed, under any combination of faults of VMs, endpoints, the store and the network. A
+// longer run, other seeds or single kinds of faults:
 //
 //	go test ./internal/control/node -run TestModel -model.seeds 2000 -model.seed 1
 //	go test ./internal/control/node -run TestModel -model.seeds 500 -model.faults reborn,loss
