--- a/internal/control/node/model_test.go
+++ b/internal/control/node/model_test.go
@@ -122,3 +122,12 @@
 	w.run(warmUp + faultPeriod + settlePeriod)
 	return w
 }
+
+// Guards against two attempts of a task when a start is in transit while its endpoint restarts under its
+// ID, and the new incarnation carries it out late.
+func TestLateStartAfterARestartInTransit(t *testing.T) {
+	w := runModel(177, []faultKind{faultRebornAtStart, faultLate})
+	if w.violation != "" {
+		t.Errorf("seed 177: got %s, want no violation", w.violation)
+	}
+}
