--- a/internal/control/leader/crash.go
+++ b/internal/control/leader/crash.go
@@ -9,7 +9,7 @@
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 )
 
-// CrashEvidence is what speaks for the end of an incarnation of an endpoint. It is one of the types
+// CrashEvidence is the evidence that an incarnation of an endpoint has ended. It is one of the types
 // of this file.
 type CrashEvidence interface{ crashEvidence() }
 
--- a/internal/world/crash/record.go
+++ b/internal/world/crash/record.go
@@ -48,7 +48,7 @@
 	// Pending tasks are deadly if the suspected crashes are proved and have no cause in common with
 	// others.
 	Pending
-	// Deadly tasks have crashed two endpoints: both crashed under the task, and it ran alone at one of
+	// Deadly tasks have crashed two endpoints, or three if one had not confirmed the start, and ran alone at one of
 	// them.
 	Deadly
 )
