--- /dev/null
+++ b/internal/control/node/leaders.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"slices"
+
+	"github.com/sequoiacart/sequoiacart/internal/world/shard"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+// Available implements gateway.Leaders. The shard of this VM's data centre comes first, then the
+// others in descending order of free CPU.
+func (n *Control) Available(now clock.Millis) []shard.ID {
+	own := shard.ForDataCentre(n.config.Self.DataCentre)
+	var all []shard.ID
+	for _, id := range n.shards {
+		if _, _, _, ok := n.monitors[id].Leader(now); ok {
+			all = append(all, id)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b shard.ID) int {
+		switch {
+		case a == own:
+			return -1
+		case b == own:
+			return 1
+		}
+		return int(n.loads[b].FreeCPU - n.loads[a].FreeCPU)
+	})
+	return all
+}
+
+// ListedSince implements gateway.Leaders.
+func (n *Control) ListedSince(id shard.ID) clock.Millis {
+	switch monitor := n.monitors[id]; {
+	case n.ledShards[id] != nil:
+		return n.endpointsListedAt
+	case monitor != nil:
+		return monitor.ListedSince()
+	}
+	return 0
+}
+
+// Leader implements gateway.Leaders.
+func (n *Control) Leader(id shard.ID, now clock.Millis) (vm.Incarnation, bool) {
+	monitor := n.monitors[id]
+	if monitor == nil {
+		return "", false
+	}
+	m, _, _, ok := monitor.Leader(now)
+	return m.Incarnation, ok
+}
