Count bytes by kind, send fewer heartbeats, and wait for narrow links

Counted there over 58 s: heartbeats 37 MB, starts 16 MB, holds 13 MB, submissions 11 MB, peers' lists of endpoints 8 MB, and the store's rows of endpoints 30 MB. Answers took longer than the time-outs, each time-out closed a connection and sent more, and successors fetched the list of endpoints from their leader once a second, because its maximum age was below their interval of reading it.

Change: metrics of bytes and messages by kind. A VM that neither waits for jobs at a leader nor may succeed it sends heartbeats every 250 ms instead of 100 ms. Successors fetch the list from a peer only when it is older than their reads. The VM knows the bandwidth of its link from the settings, estimates how long messages wait in front of it, and allows answers that much more time (200 ms at most).

--- a/internal/control/failover/monitor.go
+++ b/internal/control/failover/monitor.go
@@ -13,6 +13,9 @@
 	// HeartbeatInterval is the interval of heartbeats to a leader. Three of them fit into the
 	// 350 ms after which a leader abandons the jobs of an unresponsive entry VM.
 	HeartbeatInterval = clock.Millis(100)
+	// IdleHeartbeatInterval is the interval while the VM has neither jobs at the leader nor a part in its
+	// succession. Two of them fit into the 600 ms after which a VM is no candidate for a replica set.
+	IdleHeartbeatInterval = clock.Millis(250)
 	// HeartbeatTimeout bounds a heartbeat; a round trip takes a few milliseconds, and a VM that
 	// is slowed down by a factor of five still answers in time.
 	HeartbeatTimeout = clock.Millis(120)
@@ -29,8 +32,9 @@
 	ClaimDelay = clock.Millis(60)
 	// claimRetryDelay is the pause after a claim that did not succeed.
 	claimRetryDelay = clock.Millis(300)
-	// leaderAnswerMaxAge is how long after its last answer a leader is still considered reachable.
-	leaderAnswerMaxAge = clock.Millis(400)
+	// leaderAnswerMaxAge is how much longer than a heartbeat interval after its last answer a leader is
+	// still considered reachable.
+	leaderAnswerMaxAge = clock.Millis(300)
 )
 
 // Monitor tracks the leader of a shard at one VM. It belongs to the control goroutine.
@@ -50,6 +54,8 @@
 	claimedAt        clock.Millis
 	heartbeatPending bool
 	heartbeatSentAt  clock.Millis
+	// interval is that of the latest heartbeat to the next one.
+	interval clock.Millis
 
 	// leaderToken is the highest token that a leader has reported, or that of this VM while it
 	// leads.
@@ -69,7 +75,7 @@
 
 // NewMonitor returns a monitor of a shard whose replica set has not been received yet.
 func NewMonitor(self vm.Incarnation, id shard.ID, now clock.Millis) *Monitor {
-	return &Monitor{self: self, replicaSet: shard.ReplicaSet{Cell: id}, unresponsive: true, unresponsiveSince: now}
+	return &Monitor{self: self, replicaSet: shard.ReplicaSet{Cell: id}, unresponsive: true, unresponsiveSince: now, interval: HeartbeatInterval}
 }
 
 // ReplicaSet returns the latest replica set received.
@@ -128,6 +134,8 @@
 	ClaimDelay func() clock.Millis
 	// MayLead reports whether this VM may become leader of the shard now.
 	MayLead func() bool
+	// Idle reports whether the VM neither waits for jobs at the leader of the shard nor may succeed it.
+	Idle func() bool
 	// Replaced reports whether the process behind a member has been replaced by another.
 	Replaced func(m shard.Member) bool
 }
@@ -160,17 +168,28 @@
 			return step
 		}
 	}
-	due := m.heartbeatSentAt + HeartbeatInterval
-	if m.failures > 0 {
-		due = m.heartbeatSentAt + heartbeatRetryDelay
-	}
-	if m.heartbeatPending || now < due && !m.heartbeatDue {
+	if m.heartbeatPending || !m.heartbeatDue && !m.isDue(now, env) {
 		return nil
 	}
+	m.interval = HeartbeatInterval
 	m.heartbeatPending, m.heartbeatSentAt, m.heartbeatDue = true, now, false
 	return Heartbeat{To: m.replicaSet.Members[m.polledRank], First: m.leaderClockAt == 0}
 }
 
+// isDue reports whether the next heartbeat is due.
+func (m *Monitor) isDue(now clock.Millis, env Environment) bool {
+	switch {
+	case m.failures > 0:
+		return now >= m.heartbeatSentAt+heartbeatRetryDelay
+	case now < m.heartbeatSentAt+HeartbeatInterval:
+		return false
+	case now >= m.heartbeatSentAt+IdleHeartbeatInterval || !m.leaderConfirmed || !env.Idle():
+		return true
+	}
+	m.interval = IdleHeartbeatInterval
+	return false
+}
+
 // claim returns a claim once a shard has had no leader for long enough. The delay of each
 // candidate gives the preferred one time to succeed.
 func (m *Monitor) claim(now clock.Millis, env Environment) Step {
@@ -329,7 +348,7 @@
 	if member.Incarnation == m.self {
 		return member, m.leaderToken, now, true
 	}
-	if now-m.leaderAnsweredAt > leaderAnswerMaxAge {
+	if now-m.leaderAnsweredAt > m.interval+leaderAnswerMaxAge {
 		return shard.Member{}, 0, 0, false
 	}
 	return member, m.leaderToken, m.leaderClock + now - m.leaderClockAt, true
--- a/internal/control/failover/monitor_test.go
+++ b/internal/control/failover/monitor_test.go
@@ -25,6 +25,7 @@
 	state      map[vm.Incarnation]string
 	replaced   map[vm.Incarnation]bool
 	mayLead    bool
+	idle       bool
 	claimDelay clock.Millis
 	// pending are answers that have not arrived yet.
 	pending []answer
@@ -39,6 +40,7 @@
 	return Environment{
 		ClaimDelay: func() clock.Millis { return f.claimDelay },
 		MayLead:    func() bool { return f.mayLead },
+		Idle:       func() bool { return f.idle },
 		Replaced:   func(m shard.Member) bool { return f.replaced[m.Incarnation] },
 	}
 }
@@ -185,3 +187,40 @@
 		}
 	}
 }
+
+// Guards against heartbeats that cost more bandwidth than the jobs of a VM that has none at the leader,
+// and against leases of new jobs that are renewed late.
+func TestIdleVMsSendFewerHeartbeats(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		idle bool
+		want int
+	}{{"waits for jobs", false, 10}, {"idle", true, 4}} {
+		m := NewMonitor("me-1", "centro", start)
+		m.Update(replicaSet(5, "a-1"), start)
+		f := fleet{state: states("leader", "", "", ""), claimDelay: -1, idle: tt.idle}
+		f.run(m, start, 500)
+		got := 0
+		for now := start + 500; now < start+1500; now += 10 {
+			if _, ok := m.Next(now, f.environment()).(Heartbeat); ok {
+				got++
+				m.HandleAnswer(Answer{From: "a-1", OK: true, Leader: true, Token: 7, LeaderClock: now}, now)
+			}
+			if _, _, _, ok := m.Leader(now); !ok {
+				t.Fatalf("%s: got no leader after %d ms, want it all the time", tt.name, now-start)
+			}
+		}
+		if got != tt.want {
+			t.Errorf("%s: got %d heartbeats in a second, want %d", tt.name, got, tt.want)
+		}
+	}
+	m := NewMonitor("me-1", "centro", start)
+	m.Update(replicaSet(5, "a-1"), start)
+	f := fleet{state: states("leader", "", "", ""), claimDelay: -1, idle: true}
+	f.run(m, start, 500)
+	last := m.heartbeatSentAt
+	f.idle = false
+	if _, ok := m.Next(last+HeartbeatInterval, f.environment()).(Heartbeat); !ok {
+		t.Errorf("got no heartbeat %d ms after the last one with a new job, want one", HeartbeatInterval)
+	}
+}
--- a/internal/control/node/heartbeats.go
+++ b/internal/control/node/heartbeats.go
@@ -25,9 +25,11 @@
 	// fetchInterval is the minimum interval between requests to peers for data that the store has
 	// not delivered.
 	fetchInterval = clock.Millis(200)
-	// endpointsMaxAge is the age of the list of endpoints at which a newer one is fetched from a
-	// peer. The store is read every 400 ms.
-	endpointsMaxAge = clock.Millis(1200)
+	// endpointsMaxAge is the age of the list of endpoints at which a leader fetches a newer one from a
+	// peer, and successorEndpointsMaxAge that at which a successor does. They read the store every
+	// 0.8 and 1.9 s.
+	endpointsMaxAge          = clock.Millis(1200)
+	successorEndpointsMaxAge = clock.Millis(2500)
 )
 
 // tick runs the periodic work of all shards.
@@ -100,6 +102,7 @@
 	return failover.Environment{
 		ClaimDelay: func() clock.Millis { return n.claimDelay(id) },
 		MayLead:    func() bool { return !n.shutdown && n.canReachEndpoints(id) },
+		Idle:       func() bool { return n.isIdleAt(id) },
 		Replaced: func(m shard.Member) bool {
 			v, ok := n.vmRecords[m.Incarnation.VM()]
 			// A row that is older than the replica set may be that of the previous incarnation.
@@ -108,6 +111,17 @@
 	}
 }
 
+// isIdleAt reports whether this VM needs no frequent heartbeats to the leader of a shard: it neither
+// waits for jobs there, nor may succeed that leader, nor leads a shard that exchanges loads with it.
+func (n *Control) isIdleAt(id shard.ID) bool {
+	set := n.monitors[id].ReplicaSet()
+	if len(n.ledShards) > 0 || set.Rank(n.config.Self.Incarnation) >= 0 {
+		return false
+	}
+	waiting, _ := n.gateway.Outstanding(id)
+	return len(waiting) == 0
+}
+
 // claimDelay is how long this VM waits for better candidates to claim the shard, or -1 if it must
 // not claim it.
 func (n *Control) claimDelay(id shard.ID) clock.Millis {
@@ -228,8 +242,12 @@
 	if n.desired == nil || e.Reply.Desired > n.desired.Version {
 		n.fetchDesiredState(from)
 	}
-	member, _ := n.InReplicaSet()
-	if member && e.Reply.EndpointsVersion > n.endpointsVersion && n.now-n.endpointsAt > endpointsMaxAge && n.now-n.lastFetchAt > fetchInterval && from.Address != "" {
+	member, leads := n.InReplicaSet()
+	maxAge := successorEndpointsMaxAge
+	if leads {
+		maxAge = endpointsMaxAge
+	}
+	if member && e.Reply.EndpointsVersion > n.endpointsVersion && n.now-n.endpointsAt > maxAge && n.now-n.lastFetchAt > fetchInterval && from.Address != "" {
 		n.lastFetchAt = n.now
 		n.emit(FetchEndpoints{From: from})
 	}
--- a/internal/link/caller/server.go
+++ b/internal/link/caller/server.go
@@ -43,8 +43,11 @@
 	Tracer *trace.Tracer
 }
 
-// Counter counts requests by the status of their response.
-type Counter interface{ Count(name string) }
+// Counter counts requests by the status of their response, and the bytes of bodies.
+type Counter interface {
+	Count(name string)
+	Add(name string, n int64)
+}
 
 // Server handles the HTTP requests of callers.
 type Server struct {
@@ -121,6 +124,8 @@
 		c.Response().Header().Set("Connection", "close")
 	}
 	s.config.Counter.Count("requests." + strconv.Itoa(r.Status))
+	s.config.Counter.Add("bytes.caller.received", max(c.Request().ContentLength, 0))
+	s.config.Counter.Add("bytes.caller.sent", int64(len(r.Body)))
 	return c.Blob(r.Status, echo.MIMEApplicationJSON, r.Body)
 }
 
--- a/internal/link/caller/server_test.go
+++ b/internal/link/caller/server_test.go
@@ -50,7 +50,8 @@
 
 type noCounter struct{}
 
-func (noCounter) Count(string) {}
+func (noCounter) Count(string)      {}
+func (noCounter) Add(string, int64) {}
 
 // Guards against callers' traces that end at the VM, and against a shutdown that cuts off a
 // request in flight: the run group ends the process once Serve returns.
--- a/internal/link/peer/client.go
+++ b/internal/link/peer/client.go
@@ -30,8 +30,12 @@
 	Dialer Dialer
 	// Timeout bounds calls that peers answer without waiting.
 	Timeout clock.Millis
+	// Patience is how much longer calls may take at present; nil means no longer.
+	Patience func() clock.Millis
 	// Tracer records a span for each submission; nil records none.
 	Tracer *trace.Tracer
+	// Meter counts bytes and messages; nil counts none.
+	Meter Meter
 }
 
 // Client calls other entry VMs, over one connection to each address.
@@ -147,6 +151,9 @@
 }
 
 func (c *Client) call(to shard.Member, method string, request, reply any, limit clock.Millis) error {
+	if c.config.Patience != nil {
+		limit += c.config.Patience()
+	}
 	timer := time.NewTimer(limit.Duration())
 	defer timer.Stop()
 	p := c.connect(to.Address)
@@ -202,7 +209,7 @@
 			p.err = err
 			return
 		}
-		p.rpc = rpc.NewClient(n)
+		p.rpc = rpc.NewClientWithCodec(newClientCodec(n, c.config.Meter))
 	}()
 	return p
 }
--- a/internal/link/peer/connection_test.go
+++ b/internal/link/peer/connection_test.go
@@ -165,3 +165,52 @@
 		t.Errorf("got %#v, want the answer of the leader", o)
 	}
 }
+
+// countingMeter keeps the counters of a client and a server.
+type countingMeter struct {
+	mu       sync.Mutex
+	counters map[string]int64
+}
+
+func (m *countingMeter) Add(name string, n int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counters[name] += n
+}
+
+// Guards against bytes of peers that no metric names, and against a client and a server that count the
+// same messages differently.
+func TestBytesOfCallsAreCounted(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := &countingMeter{counters: make(map[string]int64)}
+	server, err := NewServer(ServerConfig{Listener: listener, Local: &slowLeader{}, SubmitTimeout: clock.Second, ControlTimeout: clock.Second, Meter: served})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve() }()
+	sent := &countingMeter{counters: make(map[string]int64)}
+	client := NewClient(ClientConfig{Dialer: &net.Dialer{}, Timeout: clock.Second, Meter: sent})
+	for range 3 {
+		if _, _, err := client.SendHeartbeat(shard.Member{Incarnation: "a-1", Address: listener.Addr().String()}, node.HeartbeatRequest{Cell: "centro"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	client.Close()
+	server.Close()
+	for _, m := range []*countingMeter{sent, served} {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+	}
+	for _, direction := range [][2]string{{"sent", "received"}, {"received", "sent"}} {
+		name, other := "peer.beat."+direction[0], "peer.beat."+direction[1]
+		if got, want := sent.counters["messages."+name], int64(3); got != want {
+			t.Errorf("%s: got %d messages at the client, want %d", name, got, want)
+		}
+		if got, want := sent.counters["bytes."+name], served.counters["bytes."+other]; got != want || got == 0 {
+			t.Errorf("%s: got %d bytes at the client and %d at the server, want the same", name, got, want)
+		}
+	}
+}
--- a/internal/link/peer/server.go
+++ b/internal/link/peer/server.go
@@ -39,6 +39,8 @@
 	ControlTimeout clock.Millis
 	// Tracer records a span for each submission; nil records none.
 	Tracer *trace.Tracer
+	// Meter counts bytes and messages; nil counts none.
+	Meter Meter
 }
 
 // Server handles calls of other entry VMs.
@@ -75,7 +77,7 @@
 		s.conns[c] = struct{}{}
 		s.mu.Unlock()
 		go func() {
-			s.rpc.ServeConn(c)
+			s.rpc.ServeCodec(newServerCodec(c, s.config.Meter))
 			s.mu.Lock()
 			delete(s.conns, c)
 			s.mu.Unlock()
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/process/meter"
 	"github.com/sequoiacart/sequoiacart/internal/process/network"
 	"github.com/sequoiacart/sequoiacart/internal/process/settings"
+	"github.com/sequoiacart/sequoiacart/internal/world/link"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/event"
@@ -56,6 +57,7 @@
 	ready   *http.Server
 	metrics *http.Server
 	tracer  *trace.Tracer
+	link    *network.Link
 	// decodedRows caches the decoded endpoint rows by key.
 	decodedRows map[string]decodedRow
 
@@ -126,7 +128,8 @@
 	if d.tracer, err = trace.New(trace.Config{Exporter: s.SpanExporter(), Self: d.self.Incarnation}); err != nil {
 		return nil, errors.Annotate(err, "start VM")
 	}
-	connections := network.Config{DialTimeout: dialTimeout, UnacknowledgedTimeout: unacknowledgedTimeout}
+	d.link = network.NewLink(link.MegabitsPerSecond(s.LinkMbps), c.Clock)
+	connections := network.Config{DialTimeout: dialTimeout, UnacknowledgedTimeout: unacknowledgedTimeout, Link: d.link}
 	transport := func() *http.Transport {
 		return &http.Transport{
 			DialContext: connections.DialContext, MaxIdleConnsPerHost: maxIdlePerEndpoint, MaxIdleConns: int(float64(s.OpenFiles) * idleConnectionShare),
@@ -134,8 +137,8 @@
 			IdleConnTimeout: idleConnectionTimeout.Duration(), DisableCompression: true,
 		}
 	}
-	d.store = platform.NewStore(platform.StoreConfig{Address: s.StoreAddress, Timeout: storeTimeout, Transport: transport()})
-	d.peers = peer.NewClient(peer.ClientConfig{Dialer: connections, Timeout: peerTimeout, Tracer: d.tracer})
+	d.store = platform.NewStore(platform.StoreConfig{Address: s.StoreAddress, Timeout: storeTimeout, Transport: transport(), Meter: d.meter})
+	d.peers = peer.NewClient(peer.ClientConfig{Dialer: connections, Timeout: peerTimeout, Patience: d.link.Patience, Tracer: d.tracer, Meter: d.meter})
 	control := node.New(node.Config{
 		Self: d.self, DataCentres: s.DataCentres, FarFactor: s.FarFactor, Successors: s.Successors, Seeds: s.Seeds, HandOverTimeout: clock.Millis(float64(s.GracePeriod) * handOverShare), Now: c.Clock.Now(),
 		Timeouts: leader.DefaultTimeouts(s.MaxLease, s.StopDuration, s.ResendInterval),
@@ -144,8 +147,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancelTraffic = cancel
 	d.traffic = &traffic{
-		ctx: ctx, loop: d.loop, clock: c.Clock, peers: d.peers, dialer: connections, store: d.store, logger: d.logger, meter: d.meter, tracer: d.tracer, readEndpoints: make(chan struct{}, 1),
-		endpoints: platform.NewEndpointClient(platform.EndpointClientConfig{StartTimeout: startTimeout, Timeout: endpointCallTimeout, Transport: transport()}),
+		ctx: ctx, loop: d.loop, clock: c.Clock, peers: d.peers, dialer: connections, store: d.store, logger: d.logger, meter: d.meter, tracer: d.tracer, link: d.link, readEndpoints: make(chan struct{}, 1),
+		endpoints: platform.NewEndpointClient(platform.EndpointClientConfig{StartTimeout: startTimeout, Timeout: endpointCallTimeout, Patience: d.link.Patience, Transport: transport(), Meter: d.meter}),
 	}
 	d.loop.executor = d.traffic
 	return d, d.listen()
@@ -158,7 +161,7 @@
 		return errors.Annotate(err, "start VM: listen for peers")
 	}
 	d.server, err = peer.NewServer(peer.ServerConfig{
-		Listener: peers, Local: d.loop, SubmitTimeout: maxSubmitTimeout, ControlTimeout: clock.Second, Tracer: d.tracer,
+		Listener: network.Listener{Listener: peers, Link: d.link}, Local: d.loop, SubmitTimeout: maxSubmitTimeout, ControlTimeout: clock.Second, Tracer: d.tracer, Meter: d.meter,
 	})
 	if err != nil {
 		return errors.Trace(err)
@@ -167,7 +170,7 @@
 	if err != nil {
 		return errors.Annotate(err, "start VM: listen for callers")
 	}
-	d.callers = caller.NewServer(caller.Config{Listener: callers, Local: d.loop, Counter: d.meter, Tracer: d.tracer})
+	d.callers = caller.NewServer(caller.Config{Listener: network.Listener{Listener: callers, Link: d.link}, Local: d.loop, Counter: d.meter, Tracer: d.tracer})
 	if d.readyListener, err = net.Listen("tcp", s.ReadyAddress); err != nil {
 		return errors.Annotate(err, "start VM: listen for the load balancer")
 	}
--- a/internal/process/daemon/traffic.go
+++ b/internal/process/daemon/traffic.go
@@ -13,6 +13,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/link/peer"
 	"github.com/sequoiacart/sequoiacart/internal/link/store"
 	"github.com/sequoiacart/sequoiacart/internal/process/meter"
+	"github.com/sequoiacart/sequoiacart/internal/process/network"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/estimate"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -33,6 +34,7 @@
 	logger    *eventLogger
 	meter     *meter.Meter
 	tracer    *trace.Tracer
+	link      *network.Link
 	// readEndpoints wakes the follower of the list of endpoints.
 	readEndpoints chan struct{}
 }
@@ -109,7 +111,7 @@
 	}
 	_, span := t.tracer.Start(trace.WithParent(t.ctx, s.Trace), trace.EndpointHop, s.Task)
 	defer span.End()
-	slow := time.AfterFunc(slowStartDelay.Duration(), func() {
+	slow := time.AfterFunc((slowStartDelay + t.link.Patience()).Duration(), func() {
 		t.loop.Post(a.Result(leader.StartSlow{Endpoint: s.Endpoint.ID, Task: s.Task, Attempt: s.Attempt}))
 	})
 	result, endpointClock := t.endpoints.Start(t.ctx, s)
--- /dev/null
+++ b/internal/process/network/link.go
@@ -0,0 +1,75 @@
+package network
+
+import (
+	"net"
+	"sync"
+
+	"github.com/sequoiacart/sequoiacart/internal/world/link"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// Link counts the data of all connections of the VM. It is safe for concurrent use.
+type Link struct {
+	clock   clock.Clock
+	mu      sync.Mutex
+	backlog link.Backlog
+}
+
+// NewLink returns the link of a VM.
+func NewLink(r link.Rate, c clock.Clock) *Link {
+	return &Link{clock: c, backlog: link.NewBacklog(r)}
+}
+
+// Delay returns how long a message that is sent now waits in front of the link.
+func (l *Link) Delay() clock.Millis {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.backlog.Delay(l.clock.Now())
+}
+
+// maxPatience bounds Patience.
+const maxPatience = clock.Millis(200)
+
+// Patience returns how much longer than usual an answer may take because both messages wait in front of
+// the link.
+func (l *Link) Patience() clock.Millis { return min(2*l.Delay(), maxPatience) }
+
+func (l *Link) add(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.backlog.Add(link.Bytes(n), l.clock.Now())
+}
+
+// linkedConn counts its data at the VM's link.
+type linkedConn struct {
+	net.Conn
+	link *Link
+}
+
+func (c linkedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.link.add(n)
+	}
+	return n, err
+}
+
+func (c linkedConn) Write(b []byte) (int, error) {
+	c.link.add(len(b))
+	return c.Conn.Write(b)
+}
+
+// Listener counts the data of the connections that it accepts.
+type Listener struct {
+	net.Listener
+	Link *Link
+}
+
+// Accept implements net.Listener.
+func (l Listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return linkedConn{Conn: c, link: l.Link}, nil
+}
--- a/internal/process/network/network.go
+++ b/internal/process/network/network.go
@@ -19,16 +19,22 @@
 	// UnacknowledgedTimeout is how long sent bytes may stay without an acknowledgement before the
 	// connection counts as broken.
 	UnacknowledgedTimeout clock.Millis
+	// Link is that of the VM.
+	Link *Link
 }
 
 // Dialer returns a dialer with these timeouts.
 func (c Config) Dialer() *net.Dialer {
-	return &net.Dialer{Timeout: c.DialTimeout.Duration(), KeepAlive: -1, Control: c.control}
+	return &net.Dialer{Timeout: (c.DialTimeout + c.Link.Patience()).Duration(), KeepAlive: -1, Control: c.control}
 }
 
 // DialContext opens a TCP connection.
 func (c Config) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	return c.Dialer().DialContext(ctx, network, address)
+	opened, err := c.Dialer().DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return linkedConn{Conn: opened, link: c.Link}, nil
 }
 
 func (c Config) control(_, _ string, raw syscall.RawConn) error {
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -39,6 +39,8 @@
 	MemoryMB       int
 	// OpenFiles is how many file descriptors the process may have open.
 	OpenFiles int
+	// LinkMbps is the bandwidth of the VM's link in megabits per second.
+	LinkMbps float64
 
 	// MaxLease, StopDuration, ResendInterval and GracePeriod are fixed by the platform: the
 	// longest lease that endpoints grant, the time that a stop takes, the time after which
@@ -84,7 +86,7 @@
 // Default returns settings with their default values.
 func Default() Settings {
 	return Settings{
-		MetricsAddress: "", ProcessorShare: 1, MemoryMB: 256, OpenFiles: 1024, MaxLease: clock.Second, StopDuration: 50,
+		MetricsAddress: "", ProcessorShare: 1, MemoryMB: 256, OpenFiles: 1024, LinkMbps: 1000, MaxLease: clock.Second, StopDuration: 50,
 		ResendInterval: 1300, GracePeriod: 6 * clock.Second, FarFactor: 1, Successors: 3,
 		LogLinesPerSecond: 400, TraceExporter: traceNone,
 	}
@@ -122,6 +124,7 @@
 	flags.Float64Var(&s.ProcessorShare, "machine.processorShare", s.ProcessorShare, "number of processor `cores` of this VM")
 	flags.IntVar(&s.MemoryMB, "machine.memoryMB", s.MemoryMB, "memory of this VM in `megabytes`")
 	flags.IntVar(&s.OpenFiles, "machine.openFiles", s.OpenFiles, "number of file `descriptors` that the process may have open")
+	flags.Float64Var(&s.LinkMbps, "machine.linkMbps", s.LinkMbps, "bandwidth of this VM's link in `megabits` per second")
 	millis := func(target *clock.Millis, name, usage string) {
 		flags.Int64Var((*int64)(target), name, int64(*target), usage)
 	}
@@ -181,6 +184,7 @@
 		{"machine.processorShare", s.ProcessorShare},
 		{"machine.memoryMB", float64(s.MemoryMB)},
 		{"machine.openFiles", float64(s.OpenFiles)},
+		{"machine.linkMbps", s.LinkMbps},
 		{"bounds.longestLeaseMs", float64(s.MaxLease)},
 		{"bounds.stopMs", float64(s.StopDuration)},
 		{"bounds.resendMs", float64(s.ResendInterval)},
