Read the list of endpoints once for all VMs, and send smaller heartbeats

Cause: each leader and successor followed the store's table of endpoints, where every endpoint writes a row every 1.5 s: 30 KB/s for 90 endpoints at each of 18 VMs, in answers of 22 to 50 KB that fill a link of 2 Mbit/s for 90 to 200 ms. Starts and their answers waited behind them.

A read that another VM has made counts from when that VM sent it. Reads are so frequent that an answer fills the link for 20 ms at most. Heartbeats name the sender's address once; of two leaders one sends frequent heartbeats; the answer of a leader may take longer by what it reports of its link.

--- a/internal/control/node/action.go
+++ b/internal/control/node/action.go
@@ -44,6 +44,8 @@
 	Request HeartbeatRequest
 	// SentAt is when the round trip begins, by this VM's clock.
 	SentAt clock.Millis
+	// Patience is how much longer than usual the answer may take.
+	Patience clock.Millis
 }
 
 // SendCancel forwards a cancellation to the leader of a shard.
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -34,7 +34,9 @@
 	Seeds []string
 	// HandOverTimeout is how long after a shutdown request a shard without a successor is kept.
 	HandOverTimeout clock.Millis
-	Now             clock.Millis
+	// LinkDelay returns how long a message waits in front of this VM's link; nil means that none waits.
+	LinkDelay func() clock.Millis
+	Now       clock.Millis
 }
 
 // Control is the control state of a VM. It belongs to one goroutine.
@@ -93,6 +95,8 @@
 	receivedAt clock.Millis
 	// senderClock is the other VM's clock when it sent the message, or 0 if it did not say.
 	senderClock clock.Millis
+	// address is where the other VM listens, or empty if it has not said so.
+	address string
 }
 
 // earliestClock is a lower bound of the other VM's clock now, or 0 if there is none.
--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -203,6 +203,7 @@
 type HeartbeatRequest struct {
 	// Cell is the shard.
 	Cell shard.ID
+	// From has only the incarnation once the receiver has answered a heartbeat with all of it.
 	From shard.VM
 	// Sent is a lower bound of the leader's clock when the message was sent; 0 while the sender
 	// has no reading of that clock.
--- a/internal/control/node/heartbeats.go
+++ b/internal/control/node/heartbeats.go
@@ -30,6 +30,9 @@
 	// 0.8 and 1.9 s.
 	endpointsMaxAge          = clock.Millis(1200)
 	successorEndpointsMaxAge = clock.Millis(2500)
+	// maxLinkPatience bounds how much longer the answer of a leader may take because messages wait in
+	// front of its link.
+	maxLinkPatience = clock.Millis(150)
 )
 
 // tick runs the periodic work of all shards.
@@ -87,7 +90,7 @@
 	}
 	switch s := n.monitors[id].Next(n.now, n.environment(id)).(type) {
 	case failover.Heartbeat:
-		n.emit(SendHeartbeat{To: s.To, Request: n.heartbeatRequest(id, s), SentAt: n.now})
+		n.emit(SendHeartbeat{To: s.To, Request: n.heartbeatRequest(id, s), SentAt: n.now, Patience: min(n.loads[id].LinkDelay, maxLinkPatience)})
 	case failover.TakeOver:
 		set := n.monitors[id].ReplicaSet()
 		n.becomeLeader(id, set, s.Rank, "")
@@ -112,10 +115,15 @@
 }
 
 // isIdleAt reports whether this VM needs no frequent heartbeats to the leader of a shard: it neither
-// waits for jobs there, nor may succeed that leader, nor leads a shard that exchanges loads with it.
+// waits for jobs there, nor may succeed that leader, nor has to exchange loads with it. A heartbeat and
+// its answer carry the loads of both, so one of two leaders sends frequent ones.
 func (n *Control) isIdleAt(id shard.ID) bool {
-	set := n.monitors[id].ReplicaSet()
-	if len(n.ledShards) > 0 || set.Rank(n.config.Self.Incarnation) >= 0 {
+	monitor, self := n.monitors[id], n.config.Self.Incarnation
+	set := monitor.ReplicaSet()
+	if set.Rank(self) >= 0 {
+		return false
+	}
+	if m, _, _, ok := monitor.Leader(n.now); len(n.ledShards) > 0 && (!ok || self < m.Incarnation) {
 		return false
 	}
 	waiting, _ := n.gateway.Outstanding(id)
@@ -156,6 +164,8 @@
 	}
 	if !h.First {
 		_, _, r.Sent, _ = n.monitors[id].Leader(n.now)
+		// The first heartbeat has told the rest.
+		r.From = shard.VM{Member: shard.Member{Incarnation: n.config.Self.Incarnation}}
 	}
 	for _, o := range n.shards {
 		if n.ledShards[o] != nil {
@@ -168,7 +178,7 @@
 // handlePeerHeartbeat answers the heartbeat of another VM.
 func (n *Control) handlePeerHeartbeat(e PeerHeartbeat) {
 	r := e.Request
-	n.heartbeats[r.From.Incarnation] = heartbeat{receivedAt: n.now, senderClock: r.Clock}
+	n.heartbeats[r.From.Incarnation] = heartbeat{receivedAt: n.now, senderClock: r.Clock, address: n.addressOf(r.From)}
 	if r.Leaving {
 		delete(n.heartbeats, r.From.Incarnation)
 	}
@@ -200,11 +210,22 @@
 		reply.OrphansEndIn = led.leader.OrphansEndBy(n.now) - n.now
 	}
 	if r.Desired > reply.Desired {
-		n.fetchDesiredState(r.From.Member)
+		n.fetchDesiredState(shard.Member{Incarnation: r.From.Incarnation, Address: n.addressOf(r.From)})
 	}
 	e.Reply <- reply
 }
 
+// addressOf returns the address of the sender of a heartbeat, or an empty one if it is unknown.
+func (n *Control) addressOf(v shard.VM) string {
+	if v.Address != "" {
+		return v.Address
+	}
+	if known := n.vmRecords[v.Incarnation.VM()]; known.Incarnation == v.Incarnation {
+		return known.Address
+	}
+	return n.heartbeats[v.Incarnation].address
+}
+
 // recordLoad stores the load of a shard and reports it to the other leaders of this VM.
 func (n *Control) recordLoad(load shard.Load) {
 	load.At = n.now
--- a/internal/control/node/leaders.go
+++ b/internal/control/node/leaders.go
@@ -50,3 +50,14 @@
 	m, _, _, ok := monitor.Leader(now)
 	return m.Incarnation, ok
 }
+
+// EndpointsReader returns the VM that reads the list of endpoints from the store for the others: the
+// leader of the first shard that has one. It reports false if that is this VM or there is none.
+func (n *Control) EndpointsReader() (shard.Member, bool) {
+	for _, id := range n.shards {
+		if m, _, _, ok := n.monitors[id].Leader(n.now); ok {
+			return m, m.Incarnation != n.config.Self.Incarnation
+		}
+	}
+	return shard.Member{}, false
+}
--- a/internal/link/peer/client.go
+++ b/internal/link/peer/client.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"github.com/sequoiacart/sequoiacart/internal/control/node"
+	"github.com/sequoiacart/sequoiacart/internal/link/store"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
@@ -62,10 +63,11 @@
 	return &Client{config: c, connections: make(map[string]*connection), detached: make(map[string][]chan struct{})}
 }
 
-// SendHeartbeat sends a heartbeat. refused reports that the peer's address refused the connection.
-func (c *Client) SendHeartbeat(to shard.Member, request node.HeartbeatRequest) (reply node.HeartbeatReply, refused bool, err error) {
+// SendHeartbeat sends a heartbeat. The answer may take longer than usual by the patience. refused reports
+// that the peer's address refused the connection.
+func (c *Client) SendHeartbeat(to shard.Member, request node.HeartbeatRequest, patience clock.Millis) (reply node.HeartbeatReply, refused bool, err error) {
 	received := &node.HeartbeatReply{}
-	if err := c.call(to, "Beat", request, received, c.config.Timeout); err != nil {
+	if err := c.call(to, "Beat", request, received, c.config.Timeout+patience); err != nil {
 		// received isn't returned, since a late reply may still write to it.
 		return node.HeartbeatReply{}, errors.Is(err, syscall.ECONNREFUSED), err
 	}
@@ -133,6 +135,16 @@
 	return reply.Endpoints, reply.Version, nil
 }
 
+// FollowEndpoints returns the changes of the list of endpoints after a version, as another VM has read
+// them, and how long ago it sent its request to the store. known is false if it does not have them all.
+func (c *Client) FollowEndpoints(from shard.Member, after store.Revision) (s store.Snapshot, age clock.Millis, known bool, err error) {
+	reply := &ChangesReply{}
+	if err := c.call(from, "Changes", ChangesRequest{After: after}, reply, c.config.Timeout); err != nil {
+		return store.Snapshot{}, 0, false, err
+	}
+	return reply.Snapshot, reply.Age, reply.Known, nil
+}
+
 // Close closes all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/link/peer/connection_test.go
+++ b/internal/link/peer/connection_test.go
@@ -123,7 +123,7 @@
 func (p *pendingSubmission) heartbeat(t *testing.T) {
 	t.Helper()
 	for range 20 {
-		if _, _, err := p.client.SendHeartbeat(p.to, node.HeartbeatRequest{}); err == nil {
+		if _, _, err := p.client.SendHeartbeat(p.to, node.HeartbeatRequest{}, 0); err == nil {
 			return
 		}
 	}
@@ -152,7 +152,7 @@
 func TestSubmissionToASlowLeaderStaysPending(t *testing.T) {
 	leader := &slowLeader{submitted: make(chan node.PeerSubmitted, 1), beats: make(chan node.PeerHeartbeat, 1)}
 	p := submit(t, leader)
-	if _, _, err := p.client.SendHeartbeat(p.to, node.HeartbeatRequest{}); err == nil {
+	if _, _, err := p.client.SendHeartbeat(p.to, node.HeartbeatRequest{}, 0); err == nil {
 		t.Fatal("got an answer to a heartbeat that the leader keeps, want a time-out")
 	}
 	first := <-leader.beats
@@ -194,7 +194,7 @@
 	sent := &countingMeter{counters: make(map[string]int64)}
 	client := NewClient(ClientConfig{Dialer: &net.Dialer{}, Timeout: clock.Second, Meter: sent})
 	for range 3 {
-		if _, _, err := client.SendHeartbeat(shard.Member{Incarnation: "a-1", Address: listener.Addr().String()}, node.HeartbeatRequest{Cell: "centro"}); err != nil {
+		if _, _, err := client.SendHeartbeat(shard.Member{Incarnation: "a-1", Address: listener.Addr().String()}, node.HeartbeatRequest{Cell: "centro"}, 0); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/link/peer/server.go
+++ b/internal/link/peer/server.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"github.com/sequoiacart/sequoiacart/internal/control/node"
+	"github.com/sequoiacart/sequoiacart/internal/link/store"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
@@ -29,6 +30,13 @@
 	Endpoints() ([]endpoint.Endpoint, int64)
 }
 
+// Changes gives the server access to the changes of the list of endpoints that its own VM has read.
+type Changes interface {
+	// Since returns the changes after a version and the age of the latest read. It reports false if it
+	// does not have all of them.
+	Since(after store.Revision) (s store.Snapshot, age clock.Millis, ok bool)
+}
+
 // ServerConfig holds the dependencies and limits of a server.
 type ServerConfig struct {
 	Listener net.Listener
@@ -37,6 +45,8 @@
 	SubmitTimeout clock.Millis
 	// ControlTimeout bounds the wait for all other replies of the control goroutine.
 	ControlTimeout clock.Millis
+	// Changes has the changes of the list of endpoints.
+	Changes Changes
 	// Tracer records a span for each submission; nil records none.
 	Tracer *trace.Tracer
 	// Meter counts bytes and messages; nil counts none.
@@ -176,6 +186,14 @@
 	return nil
 }
 
+// Changes returns the changes of the list of endpoints after a version.
+func (s *service) Changes(r ChangesRequest, reply *ChangesReply) error {
+	if s.config.Changes != nil {
+		reply.Snapshot, reply.Age, reply.Known = s.config.Changes.Since(r.After)
+	}
+	return nil
+}
+
 func await[T any](ch <-chan T, limit clock.Millis) (T, error) {
 	timer := time.NewTimer(limit.Duration())
 	defer timer.Stop()
--- a/internal/link/peer/wire.go
+++ b/internal/link/peer/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/sequoiacart/sequoiacart/internal/control/node"
+	"github.com/sequoiacart/sequoiacart/internal/link/store"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
@@ -129,6 +130,18 @@
 	Endpoints EndpointsReply
 }
 
+// ChangesRequest asks for the changes of the list of endpoints after a version of the store.
+type ChangesRequest struct{ After store.Revision }
+
+// ChangesReply has the changes up to the version of the VM's latest read of the list.
+type ChangesReply struct {
+	Snapshot store.Snapshot
+	// Age is how long ago the request of that read was sent.
+	Age clock.Millis
+	// Known says that the VM has all these changes.
+	Known bool
+}
+
 func encodeDesired(d *queue.State) DesiredReply {
 	if d == nil {
 		return DesiredReply{}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -60,6 +60,8 @@
 	link    *network.Link
 	// decodedRows caches the decoded endpoint rows by key.
 	decodedRows map[string]decodedRow
+	changeLog   changeLog
+	readPace    readPace
 
 	readyListener, metricsListener net.Listener
 	cancelTraffic                  context.CancelFunc
@@ -114,7 +116,7 @@
 	s := c.Settings
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * megabyte))
-	d := &Daemon{config: c, meter: meter.New(), decodedRows: make(map[string]decodedRow)}
+	d := &Daemon{config: c, meter: meter.New(), decodedRows: make(map[string]decodedRow), changeLog: changeLog{clock: c.Clock}, readPace: newReadPace()}
 	d.logger = newEventLogger(c.Log, d.meter, c.Clock, s.LogLinesPerSecond)
 	nonce := make([]byte, 4)
 	if _, err := crand.Read(nonce); err != nil {
@@ -140,7 +142,7 @@
 	d.store = platform.NewStore(platform.StoreConfig{Address: s.StoreAddress, Timeout: storeTimeout, Transport: transport(), Meter: d.meter})
 	d.peers = peer.NewClient(peer.ClientConfig{Dialer: connections, Timeout: peerTimeout, Patience: d.link.Patience, Tracer: d.tracer, Meter: d.meter})
 	control := node.New(node.Config{
-		Self: d.self, DataCentres: s.DataCentres, FarFactor: s.FarFactor, Successors: s.Successors, Seeds: s.Seeds, HandOverTimeout: clock.Millis(float64(s.GracePeriod) * handOverShare), Now: c.Clock.Now(),
+		Self: d.self, DataCentres: s.DataCentres, FarFactor: s.FarFactor, Successors: s.Successors, Seeds: s.Seeds, HandOverTimeout: clock.Millis(float64(s.GracePeriod) * handOverShare), LinkDelay: d.link.Delay, Now: c.Clock.Now(),
 		Timeouts: leader.DefaultTimeouts(s.MaxLease, s.StopDuration, s.ResendInterval),
 	})
 	d.loop = newLoop(control, c.Clock)
@@ -161,7 +163,7 @@
 		return errors.Annotate(err, "start VM: listen for peers")
 	}
 	d.server, err = peer.NewServer(peer.ServerConfig{
-		Listener: network.Listener{Listener: peers, Link: d.link}, Local: d.loop, SubmitTimeout: maxSubmitTimeout, ControlTimeout: clock.Second, Tracer: d.tracer, Meter: d.meter,
+		Listener: network.Listener{Listener: peers, Link: d.link}, Local: d.loop, SubmitTimeout: maxSubmitTimeout, ControlTimeout: clock.Second, Changes: &d.changeLog, Tracer: d.tracer, Meter: d.meter,
 	})
 	if err != nil {
 		return errors.Trace(err)
--- a/internal/process/daemon/followers.go
+++ b/internal/process/daemon/followers.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"maps"
+	"reflect"
 	"slices"
 	"time"
 
@@ -42,6 +43,15 @@
 	retryPause = clock.Millis(150)
 )
 
+// changeSource has the changes of a table that another VM has read.
+type changeSource interface {
+	// follow returns the changes after a version, and when the request for them was sent to the store, by
+	// this VM's clock. It reports false if this VM has to read the store itself.
+	follow(after store.Revision) (s store.Snapshot, sentAt clock.Millis, ok bool)
+	// pause is the pause before the next request.
+	pause() clock.Millis
+}
+
 // follower follows the changes of one table.
 type follower struct {
 	store store.Store
@@ -51,8 +61,10 @@
 	// pause returns the pause before the next read; a negative one means that this VM does not
 	// need the table now.
 	pause func() clock.Millis
-	// wake makes the next read due at once; it may be nil.
-	wake   <-chan struct{}
+	// wake makes the next read due at once; it may be nil. That read goes to the store.
+	wake <-chan struct{}
+	// relay takes the place of the store while it can; it may be nil.
+	relay  changeSource
 	clock  clock.Clock
 	logger *eventLogger
 	// changed receives the table after each read that found changes.
@@ -65,6 +77,12 @@
 type tableRead struct {
 	rows    map[string]store.Row
 	version store.Revision
+	// changes are the rows that differ from the read before, in the order of their revisions. If whole is
+	// true, the table was read as a whole instead.
+	changes []store.Row
+	whole   bool
+	// relayed means that another VM has read the table.
+	relayed bool
 	// sentAt is when the request was sent, or 0 if more changes may have been pending by then.
 	sentAt clock.Millis
 	// gap says that rows were removed, or may have been added and removed unseen, since the read
@@ -86,13 +104,20 @@
 			woken = f.sleep(ctx, retryPause)
 			continue
 		}
-		woken = false
 		var snapshot store.Snapshot
 		var err error
-		read := tableRead{rows: rows, sentAt: f.clock.Now(), gap: !loaded}
-		if loaded {
+		read := tableRead{rows: rows, sentAt: f.clock.Now(), gap: !loaded, whole: !loaded}
+		if loaded && !woken && f.relay != nil {
+			snapshot, read.sentAt, read.relayed = f.relay.follow(version)
+		}
+		woken = false
+		switch {
+		case read.relayed:
+			pause = f.relay.pause()
+		case loaded:
+			read.sentAt = f.clock.Now()
 			snapshot, err = f.store.Follow(ctx, f.table, version, f.wait)
-		} else {
+		default:
 			snapshot, err = f.store.Read(ctx, f.table)
 		}
 		if err != nil {
@@ -105,7 +130,9 @@
 			woken = f.sleep(ctx, retryPause)
 			continue
 		}
-		f.logger.storeAnswered(string(f.table))
+		if !read.relayed {
+			f.logger.storeAnswered(string(f.table))
+		}
 		if !loaded {
 			clear(rows)
 		}
@@ -117,8 +144,8 @@
 			}
 			rows[r.Key] = r
 		}
-		read.version = snapshot.Version
-		if loaded && len(snapshot.Rows) >= catchUpThreshold {
+		read.version, read.changes = snapshot.Version, snapshot.Rows
+		if loaded && !read.relayed && len(snapshot.Rows) >= catchUpThreshold {
 			read.sentAt = 0
 		}
 		switch {
@@ -168,7 +195,7 @@
 		{store: d.store, clock: c, table: store.VMs, wait: feedWait, pause: constantPause(0), logger: d.logger, changed: d.vmsChanged},
 		{store: d.store, clock: c, table: store.ReplicaSets, wait: feedWait, pause: constantPause(0), logger: d.logger, changed: d.replicaSetsChanged},
 		{
-			store: d.store, clock: c, table: platform.Endpoints, wait: endpointsFeedWait, pause: d.endpointsPause, wake: d.traffic.readEndpoints, logger: d.logger,
+			store: d.store, clock: c, table: platform.Endpoints, wait: endpointsFeedWait, pause: d.endpointsPause, wake: d.traffic.readEndpoints, relay: &relay{daemon: d}, logger: d.logger,
 			changed: d.endpointsRead, unchanged: d.endpointsRead,
 		},
 	}
@@ -181,9 +208,9 @@
 	}
 	switch d.loop.role.Load() {
 	case roleLeader:
-		return leaderEndpointsPause
+		return min(leaderEndpointsPause, d.readPace.pause)
 	case roleSuccessor:
-		return successorEndpointsPause
+		return min(successorEndpointsPause, d.readPace.pause)
 	}
 	return -1
 }
@@ -247,6 +274,7 @@
 	var all []endpoint.Endpoint
 	var unreadable []datacentre.EndpointID
 	changed := 0
+	relevant := make(map[string]bool)
 	maps.DeleteFunc(d.decodedRows, func(key string, _ decodedRow) bool { _, listed := t.rows[key]; return !listed })
 	for _, r := range t.rows {
 		cached, found := d.decodedRows[r.Key]
@@ -256,6 +284,9 @@
 				changed++
 				d.logger.endpointUnreadable(r.Key, err, changed <= maxUnreadableLines)
 			}
+			if !found || !cached.readable || err != nil || !reflect.DeepEqual(cached.endpoint, e) {
+				relevant[r.Key] = true
+			}
 			cached = decodedRow{value: r.Value, endpoint: e, readable: err == nil}
 			d.decodedRows[r.Key] = cached
 		}
@@ -266,6 +297,10 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b endpoint.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	if !t.relayed && !t.whole {
+		d.readPace.adapt(d.link.Rate().TransferTime(bytesOf(t.changes)))
+	}
+	d.changeLog.record(t, slices.DeleteFunc(slices.Clone(t.changes), func(r store.Row) bool { return !r.Removed && !relevant[r.Key] }))
 	// The row may have been that of an endpoint since the read before.
 	gap := t.gap || changed > 0
 	d.loop.Post(node.EndpointsLoaded{Endpoints: all, Unreadable: unreadable, Version: int64(t.version), ReadAt: t.sentAt, Gap: gap})
--- a/internal/process/daemon/loop.go
+++ b/internal/process/daemon/loop.go
@@ -8,6 +8,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/control/node"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
+	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 )
 
@@ -49,6 +50,9 @@
 	lastEventAt, pausedAt, resumedAt atomic.Int64
 	// role is one of the roles below.
 	role atomic.Int32
+	// endpointsReader is the VM that reads the list of endpoints for all, or nil if it is this one or
+	// unknown.
+	endpointsReader atomic.Pointer[shard.Member]
 }
 
 // endpointList is a list of endpoints at a version of the store.
@@ -193,4 +197,9 @@
 		role = roleLeader
 	}
 	l.role.Store(role)
+	if reader, ok := l.control.EndpointsReader(); ok {
+		l.endpointsReader.Store(&reader)
+	} else {
+		l.endpointsReader.Store(nil)
+	}
 }
--- a/internal/process/daemon/traffic.go
+++ b/internal/process/daemon/traffic.go
@@ -176,7 +176,7 @@
 }
 
 func (t *traffic) sendHeartbeat(a node.SendHeartbeat) {
-	reply, refused, err := t.peers.SendHeartbeat(a.To, a.Request)
+	reply, refused, err := t.peers.SendHeartbeat(a.To, a.Request, a.Patience)
 	if err != nil {
 		t.meter.Count("beats.failed")
 		t.logger.callFailed("beat", string(a.To.Incarnation), err)
--- a/internal/process/network/link.go
+++ b/internal/process/network/link.go
@@ -10,34 +10,44 @@
 
 // Link counts the data of all connections of the VM. It is safe for concurrent use.
 type Link struct {
-	clock   clock.Clock
-	mu      sync.Mutex
-	backlog link.Backlog
+	clock clock.Clock
+	rate  link.Rate
+
+	mu             sync.Mutex
+	sent, received link.Backlog
 }
 
 // NewLink returns the link of a VM.
 func NewLink(r link.Rate, c clock.Clock) *Link {
-	return &Link{clock: c, backlog: link.NewBacklog(r)}
+	return &Link{clock: c, rate: r, sent: link.NewBacklog(r), received: link.NewBacklog(r)}
 }
 
+// Rate returns the bandwidth.
+func (l *Link) Rate() link.Rate { return l.rate }
+
 // Delay returns how long a message that is sent now waits in front of the link.
 func (l *Link) Delay() clock.Millis {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.backlog.Delay(l.clock.Now())
+	return l.sent.Delay(l.clock.Now())
 }
 
 // maxPatience bounds Patience.
 const maxPatience = clock.Millis(200)
 
-// Patience returns how much longer than usual an answer may take because both messages wait in front of
-// the link.
-func (l *Link) Patience() clock.Millis { return min(2*l.Delay(), maxPatience) }
+// Patience returns how much longer than usual an answer may take because messages wait in front of the
+// link, in both directions.
+func (l *Link) Patience() clock.Millis {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	return min(2*(l.sent.Delay(now)+l.received.Delay(now)), maxPatience)
+}
 
-func (l *Link) add(n int) {
+func (l *Link) add(b *link.Backlog, n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.backlog.Add(link.Bytes(n), l.clock.Now())
+	b.Add(link.Bytes(n), l.clock.Now())
 }
 
 // linkedConn counts its data at the VM's link.
@@ -49,13 +59,13 @@
 func (c linkedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.link.add(n)
+		c.link.add(&c.link.received, n)
 	}
 	return n, err
 }
 
 func (c linkedConn) Write(b []byte) (int, error) {
-	c.link.add(len(b))
+	c.link.add(&c.link.sent, len(b))
 	return c.Conn.Write(b)
 }
 
--- a/internal/world/link/backlog.go
+++ b/internal/world/link/backlog.go
@@ -12,6 +12,14 @@
 // MegabitsPerSecond converts the usual unit of links.
 func MegabitsPerSecond(v float64) Rate { return Rate(v * 1e6 / 8 / 1000) }
 
+// TransferTime returns how long a link of the rate takes to carry an amount of data.
+func (r Rate) TransferTime(n Bytes) clock.Millis {
+	if r <= 0 {
+		return 0
+	}
+	return clock.Millis(float64(n) / float64(r))
+}
+
 // Backlog estimates how long the data that a VM has exchanged lately still occupies its link. Data that
 // is sent faster than the link carries it waits in front of it, in the order of sending.
 type Backlog struct {
--- a/internal/world/shard/shard.go
+++ b/internal/world/shard/shard.go
@@ -89,6 +89,8 @@
 	SoonCPU int64
 	// Waiting is the capacity that queued tasks ask for, by the priority of their queues.
 	Waiting []Waiting
+	// LinkDelay is how long a start waits in front of the leader's link.
+	LinkDelay clock.Millis
 	// At is when the figures were received, by the clock of the VM that has them.
 	At clock.Millis
 }
