Send the starts of the longest tasks first

Cause: a link of 2 Mbit/s carries a start of 1 KB in 4 ms, so the starts of a job of eight tasks arrive over 32 ms. The task at the fastest endpoint was placed and sent first, that at the slowest one last, and the job ended with it.

Change: the starts of one event are sent in descending order of their expected durations.

--- a/internal/control/leader/action.go
+++ b/internal/control/leader/action.go
@@ -23,6 +23,8 @@
 	// restarted, and LeaseUntil may be far in the future by its new clock.
 	SendBy clock.Millis
 	Token  shard.Token
+	// Expected is how long the attempt is expected to take.
+	Expected clock.Millis
 	// Trace is the span of the job at this leader.
 	Trace contract.TraceParent
 }
--- a/internal/control/leader/attempts.go
+++ b/internal/control/leader/attempts.go
@@ -26,7 +26,7 @@
 	l.logStart(t, lastAttempt)
 	l.emit(Start{
 		Endpoint: ep.Endpoint, Task: t.name, Attempt: t.attempt, Payload: t.job.Job.Payload,
-		LeaseUntil: until, SendBy: l.now + sendDelay, Token: l.tokenFor(ep), Trace: t.job.Job.Trace,
+		LeaseUntil: until, SendBy: l.now + sendDelay, Token: l.tokenFor(ep), Expected: t.expectedDuration, Trace: t.job.Job.Trace,
 	})
 	if !ep.watching {
 		l.sendHold(ep, Watch)
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -29,6 +29,9 @@
 	Now       clock.Millis
 	// Crashes are those that the VM knows of, which its leaders share; nil is none.
 	Crashes *crash.History
+	// LinkDelay returns how long a request to an endpoint waits in front of the VM's link; nil means that
+	// none waits.
+	LinkDelay func() clock.Millis
 	// OrphansEndBy is when the attempts of earlier leaders that no job adopts have to have ended, or 0
 	// if this VM has not heard of it. Their callers may send the jobs again from then on.
 	OrphansEndBy clock.Millis
@@ -173,6 +176,7 @@
 		l.handleTick()
 	}
 	l.dispatch()
+	sortStarts(l.actions)
 	return l.actions
 }
 
