Send jobs to leaders with shorter queues in front of their links

Starts that can only be late were sent all the same, and made the jobs behind them late.

Change: leaders report how long a start waits in front of their link. A job goes to a shard with capacity whose leader's queue is shorter by 20 ms; if its starts would leave too late and no shard has a shorter queue, it is refused at once.

--- a/internal/control/leader/admission.go
+++ b/internal/control/leader/admission.go
@@ -205,12 +205,12 @@
 	}
 	p := l.project(j)
 	if p.wait == 0 {
-		return nil
+		return l.relieveLink(j)
 	}
 	if o := l.forward(j, p.tasksNow); o != nil {
 		return o
 	}
-	if l.now+p.wait <= j.latestStart {
+	if l.now+max(p.wait, l.linkDelay()) <= j.latestStart {
 		return nil
 	}
 	if o := l.divideByForecast(j, p.tasksInTime); o != nil {
--- a/internal/control/leader/forwarding.go
+++ b/internal/control/leader/forwarding.go
@@ -127,7 +127,7 @@
 
 // Load returns the load of this shard, for the leaders of other shards.
 func (l *Leader) Load(now clock.Millis) shard.Load {
-	load := shard.Load{Cell: l.config.Shard, At: now}
+	load := shard.Load{Cell: l.config.Shard, LinkDelay: l.linkDelay(), At: now}
 	for _, ep := range l.sortedEndpoints {
 		if ep.Draining || ep.unlisted {
 			continue
