Let a large desired state arrive on narrow links

Cause: with 1,728 more routes the row of the desired state has 463 KB, which a link of 2 Mbit/s carries in 1.9 s.

A later desired state is requested from a peer only if the store has not delivered it within a second, with a second to arrive, on a connection of its own, as all large answers. Answers may take longer while data arrives at 70 % of the bandwidth.

--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -81,6 +81,10 @@
 	peers   map[job.Key]chan<- job.Outcome
 
 	lastFetchAt clock.Millis
+	// newerDesired is the latest version of the desired state that peers have named, since
+	// newerDesiredSince. One was last requested from a peer at desiredFetchAt.
+	newerDesired                      queue.Version
+	newerDesiredSince, desiredFetchAt clock.Millis
 	// seeds are queried in rotation; the next query is due at nextSeedQueryAt.
 	seeds           []string
 	nextSeedQueryAt clock.Millis
--- a/internal/control/node/heartbeats.go
+++ b/internal/control/node/heartbeats.go
@@ -5,6 +5,7 @@
 
 	"github.com/sequoiacart/sequoiacart/internal/control/failover"
 	"github.com/sequoiacart/sequoiacart/internal/control/leader"
+	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 )
@@ -25,6 +26,9 @@
 	// fetchInterval is the minimum interval between requests to peers for data that the store has
 	// not delivered.
 	fetchInterval = clock.Millis(200)
+	// desiredFetchDelay is how long a later desired state may take to arrive from the store before it is
+	// requested from a peer, and how long the request may take.
+	desiredFetchDelay = clock.Second
 	// endpointsMaxAge is the age of the list of endpoints at which a leader fetches a newer one from a
 	// peer, and successorEndpointsMaxAge that at which a successor does. They read the store every
 	// 0.8 and 1.9 s.
@@ -210,7 +214,7 @@
 		reply.OrphansEndIn = led.leader.OrphansEndBy(n.now) - n.now
 	}
 	if r.Desired > reply.Desired {
-		n.fetchDesiredState(shard.Member{Incarnation: r.From.Incarnation, Address: n.addressOf(r.From)})
+		n.fetchDesiredState(shard.Member{Incarnation: r.From.Incarnation, Address: n.addressOf(r.From)}, r.Desired)
 	}
 	e.Reply <- reply
 }
@@ -261,7 +265,7 @@
 	}
 	from := n.memberOf(e.Shard, e.Answer)
 	if n.desired == nil || e.Reply.Desired > n.desired.Version {
-		n.fetchDesiredState(from)
+		n.fetchDesiredState(from, e.Reply.Desired)
 	}
 	member, leads := n.InReplicaSet()
 	maxAge := successorEndpointsMaxAge
@@ -282,10 +286,15 @@
 	return shard.Member{}
 }
 
-func (n *Control) fetchDesiredState(from shard.Member) {
-	if from.Address == "" || n.now-n.lastFetchAt < fetchInterval && n.desired != nil {
+// fetchDesiredState requests a later desired state from a peer, unless the store may still deliver it: a
+// large one would fill the links of the VMs that have it.
+func (n *Control) fetchDesiredState(from shard.Member, version queue.Version) {
+	if version > n.newerDesired {
+		n.newerDesired, n.newerDesiredSince = version, n.now
+	}
+	if from.Address == "" || n.desired != nil && n.now < max(n.newerDesiredSince, n.desiredFetchAt)+desiredFetchDelay {
 		return
 	}
-	n.lastFetchAt = n.now
+	n.desiredFetchAt = n.now
 	n.emit(FetchDesiredState{From: from})
 }
--- a/internal/control/node/node_test.go
+++ b/internal/control/node/node_test.go
@@ -315,12 +315,23 @@
 			t.Errorf("after version %d: got %d in force, want %d", v, got, want)
 		}
 	}
-	reply := make(chan HeartbeatReply, 1)
 	h.actions = nil
-	h.advance(300)
-	h.handle(PeerHeartbeat{Request: HeartbeatRequest{Cell: "centro", From: newVM("centro", "peer-1"), Desired: 9}, Reply: reply})
-	if fetches := takeActions[FetchDesiredState](h); len(fetches) != 1 || fetches[0].From.Incarnation != "peer-1" {
-		t.Errorf("got %+v, want the later state fetched from the VM that has it", fetches)
+	for _, tt := range []struct {
+		name string
+		wait clock.Millis
+		want int
+	}{
+		{"the store may still deliver it", 300, 0},
+		{"the store has not delivered it", desiredFetchDelay, 1},
+		{"the peer may still deliver it", 300, 0},
+		{"the peer has not delivered it either", desiredFetchDelay, 1},
+	} {
+		h.advance(tt.wait)
+		h.handle(PeerHeartbeat{Request: HeartbeatRequest{Cell: "centro", From: newVM("centro", "peer-1"), Desired: 9}, Reply: make(chan HeartbeatReply, 1)})
+		fetches := takeActions[FetchDesiredState](h)
+		if len(fetches) != tt.want || tt.want > 0 && fetches[0].From.Incarnation != "peer-1" {
+			t.Errorf("%s: got %+v, want %d requests to the VM that has the later state", tt.name, fetches, tt.want)
+		}
 	}
 }
 
--- a/internal/link/peer/client.go
+++ b/internal/link/peer/client.go
@@ -39,17 +39,27 @@
 	Meter Meter
 }
 
-// Client calls other entry VMs, over one connection to each address.
+// Client calls other entry VMs, over one connection to each address and another for large answers.
 type Client struct {
 	config ClientConfig
 
 	mu          sync.Mutex
-	connections map[string]*connection
-	// detached has a channel for each earlier connection, by address, that is closed when a later one
-	// has been answered.
-	detached map[string][]chan struct{}
+	connections map[route]*connection
+	// detached has a channel for each earlier connection that is closed when a later one has been
+	// answered.
+	detached map[route][]chan struct{}
 }
 
+// route is one of the connections to an address. Large answers have one of their own, since the others
+// would wait behind them.
+type route struct {
+	address string
+	bulk    bool
+}
+
+// bulkTimeout bounds calls with large answers, which take long on a narrow link.
+const bulkTimeout = clock.Second
+
 // connection is a connection to a peer. ready is closed when the dial has ended; rpc or err is
 // set by then.
 type connection struct {
@@ -60,7 +70,7 @@
 
 // NewClient returns a client without connections.
 func NewClient(c ClientConfig) *Client {
-	return &Client{config: c, connections: make(map[string]*connection), detached: make(map[string][]chan struct{})}
+	return &Client{config: c, connections: make(map[route]*connection), detached: make(map[route][]chan struct{})}
 }
 
 // SendHeartbeat sends a heartbeat. The answer may take longer than usual by the patience. refused reports
@@ -107,7 +117,7 @@
 // FetchDesiredState returns a peer's desired state, or nil if it has none.
 func (c *Client) FetchDesiredState(from shard.Member) (*queue.State, error) {
 	reply := &DesiredReply{}
-	if err := c.call(from, "Desired", Empty{}, reply, c.config.Timeout); err != nil {
+	if err := c.callBulk(from, "Desired", reply); err != nil {
 		return nil, err
 	}
 	return decodeDesired(reply), nil
@@ -117,7 +127,7 @@
 // address, since the incarnation of a seed is unknown.
 func (c *Client) FetchDeploymentState(address string) (node.DeploymentState, error) {
 	reply := &DeploymentStateReply{}
-	if err := c.call(shard.Member{Incarnation: vm.Incarnation(address), Address: address}, "Introduce", Empty{}, reply, c.config.Timeout); err != nil {
+	if err := c.callBulk(shard.Member{Incarnation: vm.Incarnation(address), Address: address}, "Introduce", reply); err != nil {
 		return node.DeploymentState{}, err
 	}
 	return node.DeploymentState{
@@ -129,7 +139,7 @@
 // FetchEndpoints returns a peer's list of endpoints and the version of the store it was read at.
 func (c *Client) FetchEndpoints(from shard.Member) ([]endpoint.Endpoint, int64, error) {
 	reply := &EndpointsReply{}
-	if err := c.call(from, "Endpoints", Empty{}, reply, c.config.Timeout); err != nil {
+	if err := c.callBulk(from, "Endpoints", reply); err != nil {
 		return nil, 0, err
 	}
 	return reply.Endpoints, reply.Version, nil
@@ -149,8 +159,8 @@
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for address, p := range c.connections {
-		delete(c.connections, address)
+	for on, p := range c.connections {
+		delete(c.connections, on)
 		go p.close()
 	}
 }
@@ -162,38 +172,47 @@
 	}
 }
 
+// callBulk makes a call whose answer may be large.
+func (c *Client) callBulk(to shard.Member, method string, reply any) error {
+	return c.callOn(route{address: to.Address, bulk: true}, to, method, Empty{}, reply, bulkTimeout)
+}
+
 func (c *Client) call(to shard.Member, method string, request, reply any, limit clock.Millis) error {
+	return c.callOn(route{address: to.Address}, to, method, request, reply, limit)
+}
+
+func (c *Client) callOn(on route, to shard.Member, method string, request, reply any, limit clock.Millis) error {
 	if c.config.Patience != nil {
 		limit += c.config.Patience()
 	}
 	timer := time.NewTimer(limit.Duration())
 	defer timer.Stop()
-	p := c.connect(to.Address)
+	p := c.connect(on)
 	select {
 	case <-p.ready:
 	case <-timer.C:
-		c.closeFailed(to.Address, p)
+		c.closeFailed(on, p)
 		return errors.Timeoutf("%s at %s: connect", method, to.Incarnation)
 	}
 	if p.err != nil {
-		c.closeFailed(to.Address, p)
+		c.closeFailed(on, p)
 		return errors.Annotatef(p.err, "%s at %s", method, to.Incarnation)
 	}
 	done := p.rpc.Go(serviceName+"."+method, request, reply, make(chan *rpc.Call, 1))
 	select {
 	case call := <-done.Done:
 		if call.Error != nil && !isPeerError(call.Error) {
-			c.closeFailed(to.Address, p)
+			c.closeFailed(on, p)
 		}
 		if call.Error == nil {
-			c.notifyDetached(to.Address, p)
+			c.notifyDetached(on, p)
 		}
 		return errors.Annotatef(call.Error, "%s at %s", method, to.Incarnation)
 	case <-timer.C:
 		if method == "Beat" {
 			// A connection without answers may never recover, so the next call opens
 			// another. Pending calls on this one may still be answered.
-			c.detach(to.Address, p, done.Done)
+			c.detach(on, p, done.Done)
 		}
 		return errors.Timeoutf("%s at %s", method, to.Incarnation)
 	}
@@ -205,18 +224,18 @@
 	return errors.As(err, &s)
 }
 
-// connect returns the connection to an address, or starts to open one.
-func (c *Client) connect(address string) *connection {
+// connect returns the connection of a route, or starts to open one.
+func (c *Client) connect(on route) *connection {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if p := c.connections[address]; p != nil {
+	if p := c.connections[on]; p != nil {
 		return p
 	}
 	p := &connection{ready: make(chan struct{})}
-	c.connections[address] = p
+	c.connections[on] = p
 	go func() {
 		defer close(p.ready)
-		n, err := c.config.Dialer.DialContext(context.Background(), "tcp", address)
+		n, err := c.config.Dialer.DialContext(context.Background(), "tcp", on.address)
 		if err != nil {
 			p.err = err
 			return
@@ -227,11 +246,11 @@
 }
 
 // closeFailed closes a connection that has failed.
-func (c *Client) closeFailed(address string, p *connection) {
+func (c *Client) closeFailed(on route, p *connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.connections[address] == p {
-		delete(c.connections, address)
+	if c.connections[on] == p {
+		delete(c.connections, on)
 	}
 	go p.close()
 }
@@ -241,15 +260,15 @@
 
 // detach makes the next call open a new connection, since a heartbeat on this one has timed out.
 // late receives the answer to the heartbeat if there is one after all.
-func (c *Client) detach(address string, p *connection, late <-chan *rpc.Call) {
+func (c *Client) detach(on route, p *connection, late <-chan *rpc.Call) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.connections[address] != p {
+	if c.connections[on] != p {
 		return
 	}
-	delete(c.connections, address)
+	delete(c.connections, on)
 	replaced := make(chan struct{})
-	c.detached[address] = append(c.detached[address], replaced)
+	c.detached[on] = append(c.detached[on], replaced)
 	go func() {
 		p.awaitSilence(late, replaced, c.config.Timeout)
 		p.close()
@@ -279,16 +298,16 @@
 	<-lifetime.C
 }
 
-// notifyDetached tells the detached connections to an address that the peer has answered on the
+// notifyDetached tells the detached connections of a route that the peer has answered on the
 // present one.
-func (c *Client) notifyDetached(address string, present *connection) {
+func (c *Client) notifyDetached(on route, present *connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.connections[address] != present {
+	if c.connections[on] != present {
 		return
 	}
-	for _, replaced := range c.detached[address] {
+	for _, replaced := range c.detached[on] {
 		close(replaced)
 	}
-	delete(c.detached, address)
+	delete(c.detached, on)
 }
--- a/internal/process/network/link.go
+++ b/internal/process/network/link.go
@@ -19,9 +19,13 @@
 
 // NewLink returns the link of a VM.
 func NewLink(r link.Rate, c clock.Clock) *Link {
-	return &Link{clock: c, rate: r, sent: link.NewBacklog(r), received: link.NewBacklog(r)}
+	return &Link{clock: c, rate: r, sent: link.NewBacklog(r), received: link.NewBacklog(busyShare * r)}
 }
 
+// busyShare is the part of the bandwidth from which on messages are expected to queue on the other side of
+// the link, where this VM does not see them.
+const busyShare = 0.7
+
 // Rate returns the bandwidth.
 func (l *Link) Rate() link.Rate { return l.rate }
 
