Derive the lease of attempts from all bounds of the platform

Cause: the lease of attempts (600 ms) and the time for a submission in transit (250 ms) followed from callers that send a job again after 1,300 ms. Where they do so after 700 ms, attempts of the first submission could go on for 1,121 ms, beside those of the second. The delay before a new endpoint is used (1,500 ms) and the pause after which a leader distrusts its state (300 ms) had the same basis.

Change: these follow from the bounds in the settings; those that leave a lease of less than 100 ms end the start with an error that names the keys.

--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -170,7 +170,7 @@
 	timeouts := l.config.Timeouts
 	latestStart := j.receivedAt + timeouts.SubmissionTimeout + timeouts.JobLease
 	listedSince := j.receivedAt - timeouts.SubmissionTimeout - j.EarlierListAge
-	return l.listComplete && j.EarlierListAge > 0 && l.list.LastMissingAt < listedSince && l.list.ReadAt >= max(l.config.Now, latestStart-newEndpointDelay)
+	return l.listComplete && j.EarlierListAge > 0 && l.list.LastMissingAt < listedSince && l.list.ReadAt >= max(l.config.Now, latestStart-timeouts.newEndpointDelay())
 }
 
 func (l *Leader) allTokensAccepted() bool {
@@ -325,7 +325,7 @@
 				delete(l.dropped, e.ID)
 			}
 			if l.listed {
-				ep.usableFrom = l.now + newEndpointDelay
+				ep.usableFrom = l.now + l.config.Timeouts.newEndpointDelay()
 			}
 			if m, ok := l.inheritedEstimates.Speeds[e.ID]; ok {
 				ep.speed = speed{logMean: m.Log, samples: min(m.Samples, speedWindow)}
@@ -340,7 +340,7 @@
 			l.handleRestart(ep, e.Born)
 		}
 		if ep.unlisted && l.listed {
-			ep.usableFrom = l.now + newEndpointDelay
+			ep.usableFrom = l.now + l.config.Timeouts.newEndpointDelay()
 		}
 		used := ep.Capacity.Minus(ep.free)
 		ep.listedBorn = e.Born
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -130,7 +130,7 @@
 
 // Handle processes an event and returns the resulting actions.
 func (l *Leader) Handle(now clock.Millis, e Event) []Action {
-	paused := now-l.now > maxPause
+	paused := now-l.now > min(maxPause, l.config.Timeouts.AttemptLease/2)
 	l.now = now
 	l.sequence++
 	l.actions = nil
--- a/internal/control/leader/leader_test.go
+++ b/internal/control/leader/leader_test.go
@@ -280,10 +280,22 @@
 
 // Guards against timeouts that add up to more than the time after which callers resend a job.
 func TestAttemptsEndBeforeJobsAreResent(t *testing.T) {
-	for _, resendAfter := range []clock.Millis{1300, 2000} {
-		timeouts := DefaultTimeouts(1000, 50, resendAfter)
-		if got, want := timeouts.AttemptsExpireAfter(), resendAfter-100; got > want {
-			t.Errorf("resend after %d ms: got attempts for %d ms, want at most %d ms", resendAfter, got, want)
+	for _, tt := range []struct {
+		lease, stop, resend clock.Millis
+		usable              bool
+	}{{1000, 50, 1300, true}, {1000, 50, 2000, true}, {1000, 50, 700, true}, {400, 200, 1300, true}, {5000, 20, 4000, true}, {1000, 300, 700, false}, {100, 50, 1300, false}} {
+		timeouts := DefaultTimeouts(tt.lease, tt.stop, tt.resend)
+		if got, want := timeouts.AttemptsExpireAfter(), tt.resend-100; got > want && tt.usable {
+			t.Errorf("%+v: got attempts for %d ms, want at most %d ms", tt, got, want)
+		}
+		if got, want := timeouts.EarlierAttemptsExpireAfter(), tt.resend; got > want && tt.usable {
+			t.Errorf("%+v: got attempts of earlier leaders for %d ms, want at most %d ms", tt, got, want)
+		}
+		if timeouts.AttemptLease > tt.lease {
+			t.Errorf("%+v: got a lease of %d ms, want no longer one than endpoints grant", tt, timeouts.AttemptLease)
+		}
+		if got := timeouts.Validate() == nil; got != tt.usable {
+			t.Errorf("%+v: got bounds accepted %v, want %v", tt, got, tt.usable)
 		}
 	}
 }
--- a/internal/control/leader/takeover_test.go
+++ b/internal/control/leader/takeover_test.go
@@ -110,7 +110,7 @@
 	for _, tt := range []struct {
 		after clock.Millis
 		want  int
-	}{{400 + newEndpointDelay - 50, 0}, {100, 2}} {
+	}{{400 + testTimeouts().newEndpointDelay() - 50, 0}, {100, 2}} {
 		c.advance(tt.after)
 		if got := len(added.attempts); got != tt.want {
 			t.Errorf("got %d attempts at the added endpoint, want %d", got, tt.want)
@@ -319,7 +319,7 @@
 			t.Fatalf("lost %v: not listed again: %v", lost, ep)
 		}
 		if ep.usable(c.now) {
-			t.Errorf("lost %v: got an endpoint that is used within 600 ms after it was listed again, want a delay of %d ms", lost, newEndpointDelay)
+			t.Errorf("lost %v: got an endpoint that is used within 600 ms after it was listed again, want a delay of %d ms", lost, testTimeouts().newEndpointDelay())
 		}
 	}
 }
--- a/internal/control/leader/timeouts.go
+++ b/internal/control/leader/timeouts.go
@@ -1,6 +1,10 @@
 package leader
 
-import "github.com/sequoiacart/sequoiacart/pkg/clock"
+import (
+	"github.com/juju/errors"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
 
 // Timeouts bound how long a leader waits. DefaultTimeouts derives them from the bounds of the
 // platform.
@@ -20,20 +24,22 @@
 }
 
 const (
-	// maxAttemptLease keeps JobLease, AttemptLease and the margins below the 1,300 ms after which
-	// callers of both deployments resend a job: 250 + 350 + 1.02 * 600 + 70 < 1,300.
+	// maxAttemptLease bounds the lease of attempts, so that the tasks of an endpoint that is cut off start
+	// elsewhere soon.
 	maxAttemptLease = clock.Millis(600)
-	// jobLeaseShare is the part of the resend time that JobLease takes; the rest is for the lease
-	// of the attempts (see Timeouts.AttemptsExpireAfter).
-	jobLeaseShare = 0.27
-	// submissionTimeout is how long a submission may be in transit. A round trip takes a few
-	// milliseconds. The sum with the job lease and the attempt lease stays below the time after
-	// which callers resend a job.
-	submissionTimeout = clock.Millis(250)
-	// newEndpointDelay is how long a leader waits before it uses an endpoint that was added to the
-	// list, so that the next leader has read of it too if it fails. It exceeds the time for which a
-	// leader runs a job without a renewal by two reads of the list.
-	newEndpointDelay = clock.Millis(1500)
+	// minAttemptLease allows a renewal each 25 ms.
+	minAttemptLease = clock.Millis(100)
+	// jobLeaseShare and submissionShare are the parts of the resend time that JobLease and
+	// SubmissionTimeout take; the rest is for the lease of the attempts (see
+	// Timeouts.EarlierAttemptsExpireAfter).
+	jobLeaseShare, submissionShare = 0.27, 0.193
+	// maxSubmissionTimeout is how long a submission may be in transit at most. A round trip takes a few
+	// milliseconds.
+	maxSubmissionTimeout = clock.Millis(250)
+	// minNewEndpointDelay bounds Timeouts.newEndpointDelay, and listReads is how long two reads of the list
+	// of endpoints take.
+	minNewEndpointDelay = clock.Millis(1500)
+	listReads           = clock.Millis(1150)
 	// renewalsPerLease allows three renewals to be lost before a lease expires.
 	renewalsPerLease = 4
 	// adoptionWindow is how long a new leader keeps the attempts that it finds, so that jobs that
@@ -65,14 +71,25 @@
 )
 
 // DefaultTimeouts derives the timeouts from the longest lease that endpoints grant, the time that a
-// stop takes and the time after which callers resend a job.
+// stop takes and the time after which callers resend a job: by then, every attempt of the job before has
+// to have ended.
 func DefaultTimeouts(longestLease, stopDuration, resendAfter clock.Millis) Timeouts {
-	return Timeouts{
-		AttemptLease:      min(maxAttemptLease, longestLease*6/10),
-		LongestLease:      longestLease,
+	t := Timeouts{
+		LongestLease: longestLease, StopDuration: stopDuration, ResendAfter: resendAfter,
 		JobLease:          clock.Millis(float64(resendAfter) * jobLeaseShare),
-		SubmissionTimeout: submissionTimeout, StopDuration: stopDuration, ResendAfter: resendAfter,
+		SubmissionTimeout: min(maxSubmissionTimeout, clock.Millis(float64(resendAfter)*submissionShare)),
+	}
+	left := resendAfter - t.SubmissionTimeout - t.JobLease - stopDuration - leaseMargin
+	t.AttemptLease = min(maxAttemptLease, longestLease*6/10, clock.Millis(float64(left)/(1+clockDrift)))
+	return t
+}
+
+// Validate returns an error if the bounds leave no time for the lease of an attempt.
+func (t Timeouts) Validate() error {
+	if t.AttemptLease < minAttemptLease {
+		return errors.NotValidf("a longest lease of %d ms, a stop of %d ms and a resend after %d ms leave a lease of %d ms, less than %d ms: bounds", t.LongestLease, t.StopDuration, t.ResendAfter, t.AttemptLease, minAttemptLease)
 	}
+	return nil
 }
 
 // AttemptsExpireAfter is how long after the last renewal from an entry VM the last attempt of its
@@ -89,6 +106,13 @@
 	return t.SubmissionTimeout + t.AttemptsExpireAfter()
 }
 
+// newEndpointDelay is how long a leader waits before it uses an endpoint that was added to the list, so
+// that the next leader has read of it too if it fails. It exceeds the time for which a leader runs a job
+// without a renewal by two reads of the list.
+func (t Timeouts) newEndpointDelay() clock.Millis {
+	return max(minNewEndpointDelay, t.JobLease+listReads)
+}
+
 // attemptLeaseExpiry is how long after a request was sent the lease that it granted has certainly
 // expired.
 func (t Timeouts) attemptLeaseExpiry() clock.Millis {
--- a/internal/control/node/model_caller_test.go
+++ b/internal/control/node/model_caller_test.go
@@ -226,7 +226,7 @@
 	c.world.trace.add(record{job: r.job.ID, vm: r.vm.name, format: "caller of %s at %s got %s", args: []any{r.job.ID, r.vm.name, answer}})
 	if again && r.sends+1 < maxSends {
 		c.world.stats.resent++
-		c.world.after(fromMillis(modelResend), func() { c.send(r.job, r.sends+1, r.limit) })
+		c.world.after(fromMillis(c.world.options.shape.resend), func() { c.send(r.job, r.sends+1, r.limit) })
 	}
 }
 
--- a/internal/control/node/model_endpoint_test.go
+++ b/internal/control/node/model_endpoint_test.go
@@ -58,9 +58,7 @@
 type waitingHold struct{ answer func() }
 
 const (
-	modelCapacity  = job.MilliCores(8000)
-	modelHoldMax   = endpoint.Clock(1000)
-	modelStopLimit = 50 * ms
+	modelCapacity = job.MilliCores(8000)
 	// modelHeartbeat is the interval at which endpoints write their rows.
 	modelHeartbeat = 1500 * ms
 	// stallPeriod is how much longer an attempt that makes no progress takes.
@@ -191,7 +189,7 @@
 }
 
 func (e *modelEndpoint) extend(until endpoint.Clock) {
-	e.leaseEnd = max(e.leaseEnd, min(until, e.clock()+modelHoldMax))
+	e.leaseEnd = max(e.leaseEnd, min(until, e.clock()+endpoint.Clock(e.world.options.shape.longestLease)))
 }
 
 func (e *modelEndpoint) startAttempt(s leader.Start, from string) endpoint.StartResult {
@@ -255,7 +253,7 @@
 		if a.task != s.Task || a.number > s.Attempt {
 			continue
 		}
-		if stopped := e.world.now + 1 + micros(e.random.Int64N(int64(modelStopLimit))); stopped < a.endsAt {
+		if stopped := e.world.now + 1 + micros(e.random.Int64N(int64(fromMillis(e.world.options.shape.stop)))); stopped < a.endsAt {
 			a.endsAt, a.end = stopped, endpoint.EndStopped
 		}
 	}
--- a/internal/control/node/model_options_test.go
+++ b/internal/control/node/model_options_test.go
@@ -3,10 +3,28 @@
 import (
 	"math/rand/v2"
 	"slices"
+
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
 )
 
-// modelOptions are the fault kinds of a world.
-type modelOptions struct{ kinds []faultKind }
+// modelOptions are the fault kinds of a world and the shape of its deployment.
+type modelOptions struct {
+	kinds []faultKind
+	shape modelShape
+}
+
+// modelShape is the shape of a deployment: its bounds, and the VMs and endpoints of each data centre.
+type modelShape struct {
+	// longestLease, stop and resend are the bounds of the platform.
+	longestLease, stop, resend clock.Millis
+	// vms and endpoints are the fewest of a data centre, and how many more it may have.
+	vms, moreVMs, endpoints, moreEndpoints int
+}
+
+// usualShape has the bounds of the users' deployments.
+func usualShape() modelShape {
+	return modelShape{longestLease: 1000, stop: 50, resend: 1300, vms: 2, moreVMs: 2, endpoints: 3, moreEndpoints: 3}
+}
 
 func (o modelOptions) enabled(k faultKind) bool { return slices.Contains(o.kinds, k) }
 
--- a/internal/control/node/model_test.go
+++ b/internal/control/node/model_test.go
@@ -112,7 +112,12 @@
 
 // runModel runs a world from its start to the end of its faults.
 func runModel(seed uint64, kinds []faultKind) *world {
-	w := newWorld(seed, modelOptions{kinds: kinds})
+	return runModelOf(usualShape(), seed, kinds)
+}
+
+// runModelOf runs a world of the given shape.
+func runModelOf(shape modelShape, seed uint64, kinds []faultKind) *world {
+	w := newWorld(seed, modelOptions{kinds: kinds, shape: shape})
 	warmUp := longWarmUp
 	if seed%longWarmUpOdd == 0 {
 		warmUp = shortWarmUp
@@ -131,3 +136,24 @@
 		t.Errorf("seed 177: got %s, want no violation", w.violation)
 	}
 }
+
+// Guards against timeouts that hold only for the bounds and sizes of the users' deployments.
+func TestModelOfOtherShapes(t *testing.T) {
+	seeds := max(*modelSeeds, 2)
+	for name, shape := range map[string]modelShape{
+		"callers resend soon":       {longestLease: 1000, stop: 50, resend: 700, vms: 2, moreVMs: 2, endpoints: 3, moreEndpoints: 3},
+		"short leases, slow stops":  {longestLease: 400, stop: 200, resend: 1300, vms: 2, moreVMs: 2, endpoints: 3, moreEndpoints: 3},
+		"long leases, late resends": {longestLease: 5000, stop: 20, resend: 4000, vms: 2, moreVMs: 2, endpoints: 3, moreEndpoints: 3},
+		"one VM in a data centre":   {longestLease: 1000, stop: 50, resend: 1300, vms: 1, moreVMs: 2, endpoints: 4, moreEndpoints: 20},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for i := range seeds {
+				seed := *modelSeed + uint64(i)
+				w := runModelOf(shape, seed, modelKinds(seed))
+				if w.violation != "" {
+					t.Errorf("seed %d, faults %v: %s", seed, w.options.kinds, w.violation)
+				}
+			}
+		})
+	}
+}
--- a/internal/control/node/model_vm_test.go
+++ b/internal/control/node/model_vm_test.go
@@ -63,9 +63,6 @@
 	modelGrace     = 6 * second
 	acceptShare    = 0.5
 	finishShare    = 0.9
-	modelStop      = clock.Millis(50)
-	modelResend    = clock.Millis(1300)
-	modelLease     = clock.Millis(1000)
 	modelHandOver  = clock.Millis(4200)
 	modelSuccessor = 3
 )
@@ -88,9 +85,9 @@
 		Member:     shard.Member{Incarnation: vm.NewIncarnation(vm.ID(v.name), fmt.Sprintf("%04d", v.life)), Address: v.name},
 		DataCentre: v.dc, CPU: v.cpu,
 	}
-	dcs := make(map[datacentre.ID]bool)
+	dcs, shape := make(map[datacentre.ID]bool), v.world.options.shape
 	config := node.Config{
-		Self: v.self, Timeouts: leader.DefaultTimeouts(modelLease, modelStop, modelResend), FarFactor: 1.5,
+		Self: v.self, Timeouts: leader.DefaultTimeouts(shape.longestLease, shape.stop, shape.resend), FarFactor: 1.5,
 		Successors: modelSuccessor, HandOverTimeout: modelHandOver, Now: v.clock(),
 	}
 	for _, o := range v.world.vms {
--- a/internal/control/node/model_world_test.go
+++ b/internal/control/node/model_world_test.go
@@ -56,10 +56,10 @@
 		{Name: modelQueue, Host: "h", Path: "/q/", Service: modelService, MaxAttempts: modelMaxAttempts, Stretch: 3, Allowance: 400},
 	}, map[queue.ServiceName]queue.Service{modelService: {Name: modelService, GuardsRoom: !o.enabled(faultShrink)}}, queue.Limits{}), -1)
 	for _, dc := range dataCentres {
-		for i := range 2 + random.IntN(2) {
+		for i := range o.shape.vms + random.IntN(o.shape.moreVMs) {
 			w.vms = append(w.vms, newModelVM(w, fmt.Sprintf("%s%d", dc, i), dc, 300+random.IntN(3)*100))
 		}
-		for range 3 + random.IntN(3) {
+		for range o.shape.endpoints + random.IntN(o.shape.moreEndpoints) {
 			w.addEndpoint(dc)
 		}
 	}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -141,9 +141,13 @@
 	}
 	d.store = platform.NewStore(platform.StoreConfig{Address: s.StoreAddress, Timeout: storeTimeout, Transport: transport(), Meter: d.meter})
 	d.peers = peer.NewClient(peer.ClientConfig{Dialer: connections, Timeout: peerTimeout, Patience: d.link.Patience, Tracer: d.tracer, Meter: d.meter})
+	timeouts := leader.DefaultTimeouts(s.MaxLease, s.StopDuration, s.ResendInterval)
+	if err := timeouts.Validate(); err != nil {
+		return nil, errors.Annotate(err, "start VM: check settings: keys bounds.longestLeaseMs, bounds.stopMs and bounds.resendMs")
+	}
 	control := node.New(node.Config{
 		Self: d.self, DataCentres: s.DataCentres, FarFactor: s.FarFactor, Successors: s.Successors, Seeds: s.Seeds, HandOverTimeout: clock.Millis(float64(s.GracePeriod) * handOverShare), LinkDelay: d.link.Delay, Now: c.Clock.Now(),
-		Timeouts: leader.DefaultTimeouts(s.MaxLease, s.StopDuration, s.ResendInterval),
+		Timeouts: timeouts,
 	})
 	d.loop = newLoop(control, c.Clock)
 	ctx, cancel := context.WithCancel(context.Background())
