Reset connections to endpoints when they are closed

Cause: a start that a partition held up was delivered up to a second after it was sent, although the leader counts on 300 ms (RequestLifetime, after which it closes the connection). What a closed connection has not delivered is still sent; what a reset one has not is lost.

Change: connections to endpoints are closed with a reset.

--- a/internal/control/node/model_test.go
+++ b/internal/control/node/model_test.go
@@ -157,3 +157,12 @@
 		})
 	}
 }
+
+// Guards against a start that a cut holds up and delivers to the next incarnation of its endpoint after
+// its sender has ended, beside the attempt that the caller's next submission has started.
+func TestStartHeldUpByACut(t *testing.T) {
+	w := runModel(27, parseKinds("endpointCut,slow,kill,power,rebornAtStart,failures,callerCut,thawOrder"))
+	if w.violation != "" {
+		t.Errorf("seed 27: got %s, want no violation", w.violation)
+	}
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -132,14 +132,17 @@
 	}
 	d.link = network.NewLink(link.MegabitsPerSecond(s.LinkMbps), c.Clock)
 	connections := network.Config{DialTimeout: dialTimeout, UnacknowledgedTimeout: unacknowledgedTimeout, Link: d.link}
-	transport := func() *http.Transport {
+	transport := func(connections network.Config) *http.Transport {
 		return &http.Transport{
 			DialContext: connections.DialContext, MaxIdleConnsPerHost: maxIdlePerEndpoint, MaxIdleConns: int(float64(s.OpenFiles) * idleConnectionShare),
 			ReadBufferSize: connectionBufferBytes, WriteBufferSize: connectionBufferBytes,
 			IdleConnTimeout: idleConnectionTimeout.Duration(), DisableCompression: true,
 		}
 	}
-	d.store = platform.NewStore(platform.StoreConfig{Address: s.StoreAddress, Timeout: storeTimeout, Transport: transport(), Meter: d.meter})
+	// A request to an endpoint must not take effect after leader.RequestLifetime.
+	toEndpoints := connections
+	toEndpoints.ResetOnClose = true
+	d.store = platform.NewStore(platform.StoreConfig{Address: s.StoreAddress, Timeout: storeTimeout, Transport: transport(connections), Meter: d.meter})
 	d.peers = peer.NewClient(peer.ClientConfig{Dialer: connections, Timeout: peerTimeout, Patience: d.link.Patience, Tracer: d.tracer, Meter: d.meter})
 	timeouts := leader.DefaultTimeouts(s.MaxLease, s.StopDuration, s.ResendInterval)
 	if err := timeouts.Validate(); err != nil {
@@ -154,7 +157,7 @@
 	d.cancelTraffic = cancel
 	d.traffic = &traffic{
 		ctx: ctx, loop: d.loop, clock: c.Clock, peers: d.peers, dialer: connections, store: d.store, logger: d.logger, meter: d.meter, tracer: d.tracer, link: d.link, readEndpoints: make(chan struct{}, 1),
-		endpoints: platform.NewEndpointClient(platform.EndpointClientConfig{StartTimeout: startTimeout, Timeout: endpointCallTimeout, Patience: d.link.Patience, Transport: transport(), Meter: d.meter}),
+		endpoints: platform.NewEndpointClient(platform.EndpointClientConfig{StartTimeout: startTimeout, Timeout: endpointCallTimeout, Patience: d.link.Patience, Transport: transport(toEndpoints), Meter: d.meter}),
 	}
 	d.loop.executor = d.traffic
 	return d, d.listen()
--- a/internal/process/network/network.go
+++ b/internal/process/network/network.go
@@ -21,6 +21,9 @@
 	UnacknowledgedTimeout clock.Millis
 	// Link is that of the VM.
 	Link *Link
+	// ResetOnClose discards what has not been delivered when a connection is closed, or its process ends,
+	// instead of delivering it when a partition has ended.
+	ResetOnClose bool
 }
 
 // Dialer returns a dialer with these timeouts.
@@ -41,6 +44,9 @@
 	var failure error
 	err := raw.Control(func(fd uintptr) {
 		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(c.UnacknowledgedTimeout))
+		if failure == nil && c.ResetOnClose {
+			failure = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+		}
 	})
 	if err != nil {
 		return err
