Refuse malformed submissions of other VMs

Cause: the control goroutine takes the first task of a submission, the steps that others come after, and memory for each task without a check, since the server for callers has checked the job. A submission that another VM, of another version for example, sends without steps ended the process with an index out of range.

Change: the server for peers refuses a submission that is not valid (job.Submission.Validate) with the reason malformedMessage, which is true: nothing has run here.

--- a/internal/link/peer/server.go
+++ b/internal/link/peer/server.go
@@ -128,6 +128,10 @@
 	if p := trace.ParentOf(ctx); p != "" {
 		r.Submission.Job.Trace = p
 	}
+	if err := r.Submission.Validate(); err != nil {
+		*reply = encodeOutcome(job.Refused{Reason: job.Malformed})
+		return nil
+	}
 	ended := make(chan job.Outcome, 1)
 	if !s.config.Local.Post(node.PeerSubmitted{Shard: r.Cell, Submission: r.Submission, Ended: ended}) {
 		return errShuttingDown
--- a/internal/world/job/outcome.go
+++ b/internal/world/job/outcome.go
@@ -66,6 +66,7 @@
 	LateMessage        Reason = "messageHeldUp"
 	NotLeader          Reason = "notHome"
 	Unsupported        Reason = "unsupportedJob"
+	Malformed          Reason = "malformedMessage"
 	Draining           Reason = "draining"
 	CallerDisconnected Reason = "callerGone"
 	TimeLimit          Reason = "timeLimit"
