--- a/review/harness/config.go
+++ b/review/harness/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -46,7 +47,8 @@
 	routes[0].Service = "new"
 	moved := d.platform.putDesired(version, routes, "old", "new")
 	go func() {
-		for n := 0; time.Since(moved) < storms*storm; n++ {
+		// TROUBLE=one is a control: no other change follows.
+		for n := 0; time.Since(moved) < storms*storm && os.Getenv("TROUBLE") != "one"; n++ {
 			time.Sleep(gap)
 			version += 2
 			d.platform.putDesired(version, append(routes[:1:1], route{fmt.Sprintf("idle%d", n), fmt.Sprintf("/idle%d/", n), "new"}), "old", "new")
--- a/review/harness/kind.go
+++ b/review/harness/kind.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"os"
 	"time"
 )
 
@@ -43,8 +44,11 @@
 		fail("a job for kind b is answered with %d before the disruption", a.status)
 	}
 	if trouble {
-		d.record.log("the store is down")
-		d.platform.down.Store(true)
+		// TROUBLE=crash is a control: the same crash while the store is up.
+		if os.Getenv("TROUBLE") != "crash" {
+			d.record.log("the store is down")
+			d.platform.down.Store(true)
+		}
 		time.Sleep(300 * time.Millisecond)
 		special.crash()
 		time.Sleep(500 * time.Millisecond)
@@ -56,8 +60,7 @@
 	for end := time.Now().Add(3700 * time.Millisecond); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		post()
 	}
-	if trouble {
-		d.platform.down.Store(false)
+	if d.platform.down.Swap(false) {
 		d.record.log("the store is up again")
 		for _, m := range d.platform.minions {
 			m.register()
--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -50,6 +50,9 @@
 	return p, nil
 }
 
+// storeDelay is how long the store takes for an answer.
+const storeDelay = 4 * time.Millisecond
+
 // historyTime is how long the store keeps its history.
 const historyTime = 20 * time.Second
 
@@ -89,6 +92,7 @@
 	}
 	s := &storeListener{address: l.Addr().String()}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(storeDelay)
 		if s.turnAway.Load() || p.down.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
