--- a/review/harness/cancel.go
+++ b/review/harness/cancel.go
@@ -15,7 +15,6 @@
 	cancelTime  = 3 * time.Second
 	stopTime    = 50 * time.Millisecond
 	configTime  = 2 * time.Second
-	skewTime    = 5 * time.Second
 )
 
 // cancelCase cancels jobs of ten steps right after the process that leads their shard was killed. The
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -24,7 +24,7 @@
 
 func run() (code int) {
 	cases := map[string]func(d *deployment, trouble bool) []broken{
-		"cancel": cancelCase, "kind": kindCase, "config": configCase, "drain": drainCase, "recover": recoverCase,
+		"cancel": cancelCase, "kind": kindCase, "config": configCase, "drain": drainCase, "recover": recoverCase, "silent": silentCase,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER")
--- a/review/harness/node.go
+++ b/review/harness/node.go
@@ -21,7 +21,7 @@
 	callers, ready, peers, store string
 	settings, log                string
 	record                       *record
-	turnAway                     *storeListener
+	relay                        *relay
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -72,12 +72,9 @@
 // addNode adds an entry VM with the settings that deploy/settings.toml.tmpl gives it in the users' small
 // deployment.
 func (d *deployment) addNode(name, zone string) *node {
-	s, err := d.platform.listenStore()
-	if err != nil {
-		fail("listen for node: %v", err)
-	}
+	r := newRelay(d.platform.direct)
 	n := &node{
-		name: name, zone: zone, callers: freeAddress(), ready: freeAddress(), peers: freeAddress(), store: s.address, turnAway: s,
+		name: name, zone: zone, callers: freeAddress(), ready: freeAddress(), peers: freeAddress(), store: r.address, relay: r,
 		settings: filepath.Join(d.dir, name+".toml"), log: filepath.Join(d.dir, name+".log"), record: d.record,
 	}
 	var seeds []string
--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -17,13 +17,6 @@
 	"github.com/sequoiacart/sequoiacart/platform/standin"
 )
 
-// storeListener is an address of the store for one caller. While it turns the caller away, it answers
-// each call with 503 and has done nothing.
-type storeListener struct {
-	address  string
-	turnAway atomic.Bool
-}
-
 // platform has the store and the minions.
 type platform struct {
 	record *record
@@ -35,17 +28,14 @@
 	// down means that the store turns everybody away, the minions included.
 	down atomic.Bool
 	// floor is the version up to which the history has been dropped.
-	floor   atomic.Int64
-	servers []*http.Server
+	floor atomic.Int64
 }
 
 func newPlatform(r *record) (*platform, error) {
 	p := &platform{record: r, store: standin.NewStore()}
-	l, err := p.listenStore()
-	if err != nil {
+	if err := p.serveStore(); err != nil {
 		return nil, err
 	}
-	p.direct = l.address
 	go p.dropHistory()
 	return p, nil
 }
@@ -84,16 +74,15 @@
 	return page.Version
 }
 
-// listenStore opens another address of the store.
-func (p *platform) listenStore() (*storeListener, error) {
+func (p *platform) serveStore() error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return err
 	}
-	s := &storeListener{address: l.Addr().String()}
+	p.direct = l.Addr().String()
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(storeDelay)
-		if s.turnAway.Load() || p.down.Load() {
+		if p.down.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -103,9 +92,8 @@
 		}
 		p.store.ServeHTTP(w, r)
 	})}
-	p.servers = append(p.servers, server)
 	go func() { _ = server.Serve(l) }()
-	return s, nil
+	return nil
 }
 
 // leader returns the name of the VM that the replica set of a shard names first.
