review: case 4, a new leader starts tasks on a draining minion

Tried: all members of a shard's replica set are killed 2.2 s after a minion has reported that it drains.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # disruption out. Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-harness ] && [ -x target/sequoiacart ] || exit 2
-exec target/review-harness config review/4
+exec target/review-harness drain review/4
