--- a/review/harness/drain.go
+++ b/review/harness/drain.go
@@ -61,13 +61,13 @@
 	}
 	c := newClient(d.record)
 	var wait sync.WaitGroup
-	for n := range 75 {
+	for n := range 115 {
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
 			c.post(calm, "/swap/", fmt.Sprintf("000000000000%04x", n), 170, []step{{Count: 2, CPU: 14000, Memory: 64, Estimate: 170}}, 2*time.Second)
 		}()
-		time.Sleep(16 * time.Millisecond)
+		time.Sleep(10500 * time.Microsecond)
 	}
 	wait.Wait()
 	for _, s := range d.platform.allStarts() {
