Start no task by a list of endpoints that is too old

Cause: a leader used its list of endpoints without regard to when it was read. A VM in no replica set does not follow the list, so that its list is as old as its process when it claims a shard. The endpoints answer within a millisecond; the read that a take-over requests failed at first, since the store had dropped that part of its history, and was made again after a pause of 150 ms.

Ruled out: the report was not lost in decoding, since later jobs went elsewhere; the store answered in 4 ms.

Change: a leader holds starts while its list was read longer ago than bounds.drainMs less the 500 ms that a start may take to arrive. It asks for a read and goes on once the list is current, or at once if the store is known not to answer. This covers the related ways to an old list: successors between two reads, hand-overs, lists of seeds, pauses. A read that is due is not kept waiting by a truncated history, by a request to another VM or by a wait for changes. startsHeld and startsResumed say so in the log. The bound comes from the platform's drain_ms.

The fixtures of earlier tests say that the store is lost, so that the age of their lists changes nothing in them.

--- a/internal/control/leader/action.go
+++ b/internal/control/leader/action.go
@@ -70,6 +70,9 @@
 // down.
 type Fenced struct{}
 
+// RefreshList requests the list of endpoints from the store at once.
+type RefreshList struct{}
+
 // DeadlyTaskFound means that a task is proved to crash its endpoints, so that the crashes have to
 // outlast the VMs.
 type DeadlyTaskFound struct{}
@@ -119,6 +122,9 @@
 	EndpointCrashSuspected
 	EndpointCrashed
 	EndpointUnlisted
+	// StartsHeld and StartsResumed are the beginning and the end of a wait for a current list of endpoints.
+	StartsHeld
+	StartsResumed
 	// EndpointDropped is an unlisted endpoint without tasks, whose state the leader has removed.
 	EndpointDropped
 	JobAccepted
@@ -135,5 +141,6 @@
 func (Hold) action()            {}
 func (Answer) action()          {}
 func (Fenced) action()          {}
+func (RefreshList) action()     {}
 func (DeadlyTaskFound) action() {}
 func (LogDecision) action()     {}
--- a/internal/control/leader/cluster_test.go
+++ b/internal/control/leader/cluster_test.go
@@ -107,7 +107,7 @@
 // firstEpoch leaves room for the epochs of a token.
 func firstEpoch(t shard.Token) shard.Token { return t * shard.Token(shard.MaxEpoch+1) }
 
-func testTimeouts() Timeouts { return DefaultTimeouts(longestLease, testStopDuration, 1300) }
+func testTimeouts() Timeouts { return DefaultTimeouts(longestLease, testStopDuration, 1300, 2000) }
 
 func newCluster(t testing.TB, seed uint64, endpoints int) *cluster {
 	t.Helper()
@@ -138,7 +138,7 @@
 // addLeader adds a leader with the token, in its first epoch, that reads the list of endpoints every 400 ms.
 // It has heard the bound of the leader with the number before.
 func (c *cluster) addLeader(n int, token shard.Token) *fakeLeader {
-	config := Config{Shard: "centro", Token: firstEpoch(token), Timeouts: testTimeouts(), FarFactor: 1.5, Desired: testState(), Now: c.now}
+	config := Config{Shard: "centro", Token: firstEpoch(token), Timeouts: testTimeouts(), StoreLost: true, FarFactor: 1.5, Desired: testState(), Now: c.now}
 	if earlier := c.leaders[n-1]; earlier != nil {
 		config.OrphansEndBy = earlier.orphansEndBy
 	}
--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -38,7 +38,11 @@
 // capacity once per round.
 func (l *Leader) dispatch() {
 	l.releaseEndpoints()
-	if len(l.queue) == 0 || l.resuming {
+	if len(l.queue) == 0 {
+		l.heldSince = 0
+		return
+	}
+	if held := l.holdsStarts(); held || l.resuming {
 		return
 	}
 	r := l.newRound()
--- a/internal/control/leader/event.go
+++ b/internal/control/leader/event.go
@@ -110,6 +110,9 @@
 	List     EndpointList
 }
 
+// StoreReported says whether the store, which has the list of endpoints, answers this VM.
+type StoreReported struct{ Lost bool }
+
 // DesiredState is a newer desired state.
 type DesiredState struct{ State *queue.State }
 
@@ -132,6 +135,7 @@
 func (StopEnded) event()        {}
 func (HoldEnded) event()        {}
 func (EndpointsListed) event()  {}
+func (StoreReported) event()    {}
 func (DesiredState) event()     {}
 func (LoadReported) event()     {}
 func (Cancelled) event()        {}
--- a/internal/control/leader/freeze_test.go
+++ b/internal/control/leader/freeze_test.go
@@ -72,7 +72,7 @@
 	renewed.Sent = old.frozenUntil
 	c.deliver(1, renewed)
 	c.advance(500)
-	c.leaders[2] = &fakeLeader{leader: New(Config{Shard: "centro", Token: firstEpoch(257), Timeouts: testTimeouts(), FarFactor: 1.5, Desired: testState(), Now: c.now})}
+	c.leaders[2] = &fakeLeader{leader: New(Config{Shard: "centro", Token: firstEpoch(257), Timeouts: testTimeouts(), StoreLost: true, FarFactor: 1.5, Desired: testState(), Now: c.now})}
 	c.deliver(2, EndpointsListed{Endpoints: []endpoint.Endpoint{c.endpoints["e01"].Endpoint}})
 	c.tick(2)
 	c.advance(1000)
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -32,6 +32,8 @@
 	// LinkDelay returns how long a request to an endpoint waits in front of the VM's link; nil means that
 	// none waits.
 	LinkDelay func() clock.Millis
+	// StoreLost means that the store does not answer this VM.
+	StoreLost bool
 	// OrphansEndBy is when the attempts of earlier leaders that no job adopts have to have ended, or 0
 	// if this VM has not heard of it. Their callers may send the jobs again from then on.
 	OrphansEndBy clock.Millis
@@ -73,7 +75,11 @@
 	listed       bool
 	// capacitiesReadAt is the ReadAt of the latest list whose capacities were read from the store.
 	capacitiesReadAt clock.Millis
-	now              clock.Millis
+	// storeLost means that the store does not answer this VM.
+	storeLost bool
+	// heldSince is since when starts wait for a current list, or 0 if none do.
+	heldSince clock.Millis
+	now       clock.Millis
 	// resuming means that nothing is started after a pause until the endpoints have answered requests
 	// of the event resumedSeq or later.
 	resuming   bool
@@ -93,7 +99,7 @@
 // New returns a leader that has just taken over the shard.
 func New(c Config) *Leader {
 	l := &Leader{
-		config: c, desired: c.Desired, now: c.Now,
+		config: c, desired: c.Desired, now: c.Now, storeLost: c.StoreLost,
 		endpoints: make(map[datacentre.EndpointID]*endpointState), dropped: make(map[datacentre.EndpointID]droppedEndpoint), jobs: make(map[job.Key]*jobState),
 		jobsByID: make(map[job.ID][]*jobState), activeTasks: make(map[job.TaskName]*task),
 		entryVMs: make(map[vm.Incarnation]*entryVM), orphans: make(orphans),
@@ -158,6 +164,8 @@
 		l.listComplete, l.list = e.Complete, e.List
 		l.updateEndpoints(e.Endpoints)
 		l.updateCapacityAges(e.Missing)
+	case StoreReported:
+		l.storeLost = e.Lost
 	case DesiredState:
 		l.desired = e.State
 		for _, ep := range l.sortedEndpoints {
--- a/internal/control/leader/leader_test.go
+++ b/internal/control/leader/leader_test.go
@@ -284,7 +284,7 @@
 		lease, stop, resend clock.Millis
 		usable              bool
 	}{{1000, 50, 1300, true}, {1000, 50, 2000, true}, {1000, 50, 700, true}, {400, 200, 1300, true}, {5000, 20, 4000, true}, {1000, 300, 700, false}, {100, 50, 1300, false}} {
-		timeouts := DefaultTimeouts(tt.lease, tt.stop, tt.resend)
+		timeouts := DefaultTimeouts(tt.lease, tt.stop, tt.resend, 2000)
 		if got, want := timeouts.AttemptsExpireAfter(), tt.resend-100; got > want && tt.usable {
 			t.Errorf("%+v: got attempts for %d ms, want at most %d ms", tt, got, want)
 		}
--- a/internal/control/leader/takeover_test.go
+++ b/internal/control/leader/takeover_test.go
@@ -78,7 +78,7 @@
 	c.advance(60)
 	c.addLeader(2, 257)
 	listed := slices.DeleteFunc(c.endpointList(), func(e endpoint.Endpoint) bool { return e.ID == "e01" })
-	c.leaders[2] = &fakeLeader{leader: New(Config{Shard: "centro", Token: firstEpoch(258), Timeouts: testTimeouts(), FarFactor: 1.5, Desired: testState(), Now: c.now})}
+	c.leaders[2] = &fakeLeader{leader: New(Config{Shard: "centro", Token: firstEpoch(258), Timeouts: testTimeouts(), StoreLost: true, FarFactor: 1.5, Desired: testState(), Now: c.now})}
 	c.deliver(2, EndpointsListed{Endpoints: listed})
 	s.Adopt = true
 	c.advance(10)
--- a/internal/control/leader/timeouts.go
+++ b/internal/control/leader/timeouts.go
@@ -21,6 +21,9 @@
 	StopDuration clock.Millis
 	// ResendAfter is how long after its connection broke the caller of a job sends it again.
 	ResendAfter clock.Millis
+	// DrainNotice is how long after the store has accepted that it is leaving an endpoint may be sent
+	// tasks.
+	DrainNotice clock.Millis
 }
 
 const (
@@ -68,14 +71,16 @@
 	endReportTimeout = clock.Millis(50)
 	// progressInterval is how often an endpoint with overdue attempts is asked for a report.
 	progressInterval = clock.Millis(80)
+	// minListAge allows a leader to read the list of endpoints each 100 ms.
+	minListAge = clock.Millis(300)
 )
 
 // DefaultTimeouts derives the timeouts from the longest lease that endpoints grant, the time that a
-// stop takes and the time after which callers resend a job: by then, every attempt of the job before has
-// to have ended.
-func DefaultTimeouts(longestLease, stopDuration, resendAfter clock.Millis) Timeouts {
+// stop takes, the time for which an endpoint that is leaving takes tasks, and the time after which callers
+// resend a job: by then, every attempt of the job before has to have ended.
+func DefaultTimeouts(longestLease, stopDuration, resendAfter, drainNotice clock.Millis) Timeouts {
 	t := Timeouts{
-		LongestLease: longestLease, StopDuration: stopDuration, ResendAfter: resendAfter,
+		LongestLease: longestLease, StopDuration: stopDuration, ResendAfter: resendAfter, DrainNotice: drainNotice,
 		JobLease:          clock.Millis(float64(resendAfter) * jobLeaseShare),
 		SubmissionTimeout: min(maxSubmissionTimeout, clock.Millis(float64(resendAfter)*submissionShare)),
 	}
@@ -89,9 +94,18 @@
 	if t.AttemptLease < minAttemptLease {
 		return errors.NotValidf("a longest lease of %d ms, a stop of %d ms and a resend after %d ms leave a lease of %d ms, less than %d ms: bounds", t.LongestLease, t.StopDuration, t.ResendAfter, t.AttemptLease, minAttemptLease)
 	}
+	if t.MaxListAge() < minListAge {
+		return errors.NotValidf("a notice of %d ms before an endpoint leaves allows a list of endpoints that is %d ms old, less than %d ms: bounds", t.DrainNotice, t.MaxListAge(), minListAge)
+	}
 	return nil
 }
 
+// MaxListAge is how long ago the list of endpoints may have been read that decides where a task starts. An
+// endpoint that has reported since that it is leaving has to receive the start in time.
+func (t Timeouts) MaxListAge() clock.Millis {
+	return t.DrainNotice - sendDelay - RequestLifetime
+}
+
 // AttemptsExpireAfter is how long after the last renewal from an entry VM the last attempt of its
 // jobs has ended, even if the leader froze at the same time: the job lease expires first, then the
 // lease of the attempt.
--- a/internal/control/leader/unguarded_test.go
+++ b/internal/control/leader/unguarded_test.go
@@ -145,7 +145,7 @@
 func TestOldCapacityDoesNotCount(t *testing.T) {
 	for _, age := range []clock.Millis{10 * clock.Second, 0} {
 		c := newUnguardedCluster(t, 45, 1)
-		f := &fakeLeader{leader: New(Config{Shard: "centro", Token: firstEpoch(256), Timeouts: testTimeouts(), FarFactor: 1.5, Desired: stateOf(2, false), Now: c.now})}
+		f := &fakeLeader{leader: New(Config{Shard: "centro", Token: firstEpoch(256), Timeouts: testTimeouts(), StoreLost: true, FarFactor: 1.5, Desired: stateOf(2, false), Now: c.now})}
 		c.leaders[1] = f
 		e := c.sortedEndpoints[0]
 		c.deliver(1, EndpointsListed{Endpoints: c.endpointList(), List: EndpointList{ReadAt: c.now - age}})
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -65,8 +65,11 @@
 	// lastMissingAt is when an endpoint last disappeared from the list, or may have done so unseen.
 	// It is initially the start of the VM, because earlier lists are unknown.
 	lastMissingAt clock.Millis
-	vms           []shard.VM
-	vmRecords     map[vm.ID]shard.VM
+	// endpointsLost means that the latest read of the list of endpoints has failed or is overdue, and
+	// storeLost that of another table.
+	endpointsLost, storeLost bool
+	vms                      []shard.VM
+	vmRecords                map[vm.ID]shard.VM
 	// heartbeats are the last ones of each VM, or its last answers to one.
 	heartbeats map[vm.Incarnation]heartbeat
 	loads      map[shard.ID]shard.Load
@@ -196,6 +199,8 @@
 		n.handleDesiredStateLoaded(e.State)
 	case EndpointsLoaded:
 		n.handleEndpointsLoaded(e)
+	case StoreReported:
+		n.handleStoreReported(e)
 	case VMsLoaded:
 		n.handleVMsLoaded(e.VMs)
 	case ReplicaSetsLoaded:
@@ -385,6 +390,8 @@
 			n.deliverOutcome(id, a)
 		case leader.Fenced:
 			n.stepDown(id)
+		case leader.RefreshList:
+			n.emit(ReadEndpoints{})
 		case leader.DeadlyTaskFound:
 			n.saveCrashes(id)
 		case leader.LogDecision:
--- a/internal/control/node/endpoints.go
+++ b/internal/control/node/endpoints.go
@@ -60,6 +60,27 @@
 	}
 }
 
+// handleStoreReported tells the leaders of this VM when the list of endpoints can no longer be read, or
+// can again.
+func (n *Control) handleStoreReported(e StoreReported) {
+	before := n.isStoreLost()
+	if e.OfEndpoints {
+		n.endpointsLost = e.Lost
+	} else {
+		n.storeLost = e.Lost
+	}
+	if n.isStoreLost() == before {
+		return
+	}
+	for _, id := range n.shards {
+		n.sendToLeader(id, leader.StoreReported{Lost: !before})
+	}
+}
+
+// isStoreLost reports whether a read of the list of endpoints is expected to fail. A VM that has not read
+// it recently knows that from other tables.
+func (n *Control) isStoreLost() bool { return n.endpointsLost || n.storeLost }
+
 // missingRetention is how long an endpoint that has disappeared from the list is still used if it
 // answers. Expired entries return within two seconds after the store is available again.
 const missingRetention = clock.Millis(2500)
--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -117,6 +117,14 @@
 	Gap bool
 }
 
+// StoreReported says whether the store answers this VM: a read has been answered, or has failed or is
+// overdue.
+type StoreReported struct {
+	// OfEndpoints means that it was a read of the list of endpoints.
+	OfEndpoints bool
+	Lost        bool
+}
+
 // VMsLoaded is the store's list of entry VMs.
 type VMsLoaded struct{ VMs []shard.VM }
 
@@ -186,6 +194,7 @@
 func (LeaderEvent) event()        {}
 func (DesiredStateLoaded) event() {}
 func (EndpointsLoaded) event()    {}
+func (StoreReported) event()      {}
 func (VMsLoaded) event()          {}
 func (ReplicaSetsLoaded) event()  {}
 func (ReplicaSetWritten) event()  {}
--- a/internal/control/node/leadership_test.go
+++ b/internal/control/node/leadership_test.go
@@ -250,7 +250,7 @@
 	h := &harness{t: t, now: 100_000, answers: make(map[vm.Incarnation]HeartbeatReply)}
 	h.control = New(Config{
 		Self: newVM("centro", "me-1"), DataCentres: []datacentre.ID{"centro", "norte"},
-		Timeouts: leader.DefaultTimeouts(1000, 50, 1300), FarFactor: 1.5, Successors: 3, Now: h.now,
+		Timeouts: leader.DefaultTimeouts(1000, 50, 1300, 2000), FarFactor: 1.5, Successors: 3, Now: h.now,
 	})
 	h.handle(VMsLoaded{VMs: []shard.VM{newVM("centro", "me-1"), newVM("centro", "peer-1")}})
 	h.handle(EndpointsLoaded{Version: 1, Endpoints: firstList()})
--- /dev/null
+++ b/internal/control/node/list_age_test.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"testing"
+
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/shard"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+)
+
+// claimCentro makes this VM, which is in no replica set, the leader of centro 20 s after the list of endpoints
+// was read.
+func claimCentro(t *testing.T) *harness {
+	t.Helper()
+	h := newHarness(t)
+	h.handle(StoreReported{OfEndpoints: true})
+	h.handle(EndpointsLoaded{Version: 2, Endpoints: firstList(), ReadAt: h.now})
+	h.answers["peer-1"] = HeartbeatReply{Home: true, Token: 5 << 16, From: "peer-1"}
+	h.handle(ReplicaSetsLoaded{ReplicaSets: []shard.ReplicaSet{replicaSet("centro", 5, "peer-1")}})
+	h.advance(20 * clock.Second)
+	delete(h.answers, "peer-1")
+	for range 400 {
+		for _, w := range takeActions[WriteReplicaSet](h) {
+			w.ReplicaSet.Revision = 9
+			h.handle(ReplicaSetWritten{ReplicaSet: w.ReplicaSet, Written: true})
+			return h
+		}
+		h.advance(10)
+	}
+	t.Fatalf("got no claim of centro, want one by this VM")
+	return nil
+}
+
+// Guards against a VM outside of the replica set that becomes leader and starts tasks by a list of endpoints
+// as old as its process, at an endpoint that reported since that it is leaving; and against one that serves
+// nothing because the store is lost, before the take-over or meanwhile.
+func TestTakeOverWithAnOldListOfEndpoints(t *testing.T) {
+	draining := firstList()
+	for i := range draining {
+		draining[i].Draining = draining[i].ID == "e1"
+	}
+	for _, tt := range []struct {
+		name          string
+		before, after Event
+		want          map[datacentre.EndpointID]int
+	}{
+		{name: "list not read again"},
+		{name: "list read again", after: EndpointsLoaded{Version: 3, Endpoints: draining}, want: map[datacentre.EndpointID]int{"e2": 1}},
+		{name: "list of a peer", after: EndpointsLoaded{Version: 3, Endpoints: draining, Gap: true}},
+		{name: "store lost before", before: StoreReported{Lost: true}, want: map[datacentre.EndpointID]int{"e1": 1}},
+		{name: "read of the list fails", after: StoreReported{OfEndpoints: true, Lost: true}, want: map[datacentre.EndpointID]int{"e1": 1}},
+		{name: "another table is read", after: StoreReported{}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := claimCentro(t)
+			if reads := countActions[ReadEndpoints](h); reads != 1 {
+				t.Errorf("got %d requests to read the list of endpoints, want 1", reads)
+			}
+			if tt.before != nil {
+				h.handle(tt.before)
+			}
+			h.answerHolds(nil)
+			s := resubmittedJob()
+			s.Adopt, s.Part = false, true
+			h.handle(PeerSubmitted{Shard: "centro", Submission: s, Ended: make(chan job.Outcome, 1)})
+			starts := startedTasks(h)
+			if got, want := len(starts) > 0, tt.before != nil; got != want {
+				t.Errorf("got starts at once %v, want %v", got, want)
+			}
+			h.advance(10)
+			// The list of a peer has no time of a read.
+			if e, ok := tt.after.(EndpointsLoaded); ok && !e.Gap {
+				e.ReadAt = h.now
+				tt.after = e
+			}
+			if tt.after != nil {
+				h.handle(tt.after)
+			}
+			h.advance(10)
+			starts = append(starts, startedTasks(h)...)
+			got := make(map[datacentre.EndpointID]int)
+			for _, start := range starts {
+				got[start.Endpoint.ID]++
+			}
+			if len(got) != len(tt.want) || got["e1"] != tt.want["e1"] || got["e2"] != tt.want["e2"] {
+				t.Errorf("got starts %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against answers of other tables that close the gate again while the list of endpoints cannot be read.
+func TestStoreIsLostForTheListOfEndpoints(t *testing.T) {
+	h := newHarness(t)
+	for _, tt := range []struct {
+		report StoreReported
+		want   bool
+	}{
+		{StoreReported{OfEndpoints: true}, false},
+		{StoreReported{Lost: true}, true},
+		{StoreReported{}, false},
+		{StoreReported{OfEndpoints: true, Lost: true}, true},
+		{StoreReported{}, true},
+		{StoreReported{OfEndpoints: true}, false},
+	} {
+		h.handle(tt.report)
+		if got := h.control.isStoreLost(); got != tt.want {
+			t.Errorf("%+v: got lost %v, want %v", tt.report, got, tt.want)
+		}
+	}
+}
--- a/internal/control/node/model_execute_test.go
+++ b/internal/control/node/model_execute_test.go
@@ -68,7 +68,7 @@
 		v.sendStop(a, request)
 	case leader.Hold:
 		v.sendHold(a, request)
-	case leader.Answer, leader.Fenced, leader.DeadlyTaskFound, leader.LogDecision:
+	case leader.Answer, leader.Fenced, leader.RefreshList, leader.DeadlyTaskFound, leader.LogDecision:
 	}
 }
 
--- a/internal/control/node/model_follower_test.go
+++ b/internal/control/node/model_follower_test.go
@@ -35,7 +35,8 @@
 const (
 	desiredFeedWait             = second
 	feedWait                    = 2500 * ms
-	endpointsFeedWait           = 400 * ms
+	endpointsFeedWait           = noPause
+	storePatience               = 150 * ms
 	leaderEndpointsPause        = 400 * ms
 	successorEndpoints          = 1500 * ms
 	storeRetryPause             = 150 * ms
@@ -100,7 +101,7 @@
 		limit += f.wait
 	}
 	store := f.vm.world.store
-	f.vm.newExchange(storeName, limit, onlyLife, func(x *exchange) {
+	x := f.vm.newExchange(storeName, limit, onlyLife, func(x *exchange) {
 		store.serve(x, func() {
 			if !f.loaded {
 				f.respond(x, store.all(f.table), pause)
@@ -108,7 +109,22 @@
 			}
 			f.await(x, pause)
 		})
-	}, func(exchangeFailure) { f.pauseFor(storeRetryPause) })
+	}, func(exchangeFailure) {
+		f.report(false)
+		f.pauseFor(storeRetryPause)
+	})
+	if f.table == tableEndpoints {
+		f.vm.later(f.wait+storePatience, func() {
+			if !x.done {
+				f.report(false)
+			}
+		})
+	}
+}
+
+// report passes on whether the store has answered.
+func (f *modelFollower) report(answered bool) {
+	f.vm.post(f.vm.life, node.StoreReported{OfEndpoints: f.table == tableEndpoints, Lost: !answered})
 }
 
 // await answers once there are changes, or after the wait.
@@ -149,6 +165,7 @@
 		if !f.loaded || len(rows) > 0 || f.table == tableEndpoints {
 			f.changed(version)
 		}
+		f.report(true)
 		f.loaded, f.version = true, version
 		if f.woken {
 			pause = noPause
--- a/internal/control/node/model_vm_test.go
+++ b/internal/control/node/model_vm_test.go
@@ -87,7 +87,7 @@
 	}
 	dcs, shape := make(map[datacentre.ID]bool), v.world.options.shape
 	config := node.Config{
-		Self: v.self, Timeouts: leader.DefaultTimeouts(shape.longestLease, shape.stop, shape.resend), FarFactor: 1.5,
+		Self: v.self, Timeouts: leader.DefaultTimeouts(shape.longestLease, shape.stop, shape.resend, shape.drainNotice), FarFactor: 1.5,
 		Successors: modelSuccessor, HandOverTimeout: modelHandOver, Now: v.clock(),
 	}
 	for _, o := range v.world.vms {
--- a/internal/control/node/node_test.go
+++ b/internal/control/node/node_test.go
@@ -37,11 +37,13 @@
 	h := &harness{t: t, now: 100_000, answers: make(map[vm.Incarnation]HeartbeatReply)}
 	h.control = New(Config{
 		Self: newVM("centro", "me-1"), DataCentres: []datacentre.ID{"centro", "norte"},
-		Timeouts: leader.DefaultTimeouts(1000, 50, 1300), FarFactor: 1.5, Successors: 3, Now: h.now,
+		Timeouts: leader.DefaultTimeouts(1000, 50, 1300, 2000), FarFactor: 1.5, Successors: 3, Now: h.now,
 	})
 	h.handle(VMsLoaded{VMs: []shard.VM{newVM("centro", "me-1"), newVM("centro", "peer-1"), newVM("norte", "n-1"), newVM("norte", "m-1")}})
 	h.handle(DesiredStateLoaded{State: queue.NewState(1, []queue.Queue{{Name: "q", Service: "s", Stretch: 1.6, Allowance: 60, MaxAttempts: 2}}, map[queue.ServiceName]queue.Service{"s": {Name: "s", GuardsRoom: true}}, queue.Limits{})})
 	h.handle(EndpointsLoaded{Version: 1, Endpoints: firstList()})
+	// The age of the list holds up no start, so that other causes are seen.
+	h.handle(StoreReported{OfEndpoints: true, Lost: true})
 	return h
 }
 
--- a/internal/control/node/seeds_test.go
+++ b/internal/control/node/seeds_test.go
@@ -18,7 +18,7 @@
 	h := &harness{t: t, now: 100_000, answers: make(map[vm.Incarnation]HeartbeatReply)}
 	h.control = New(Config{
 		Self: newVM("centro", "me-1"), DataCentres: []datacentre.ID{"centro", "norte"},
-		Timeouts: leader.DefaultTimeouts(1000, 50, 1300), FarFactor: 1.5, Successors: 3, Now: h.now,
+		Timeouts: leader.DefaultTimeouts(1000, 50, 1300, 2000), FarFactor: 1.5, Successors: 3, Now: h.now,
 		Seeds: []string{"me-1:1", "gone-1:1", "peer-1:1"},
 	})
 	return h
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -62,6 +62,8 @@
 	decodedRows map[string]decodedRow
 	changeLog   changeLog
 	readPace    readPace
+	// maxListAge is how long ago the list of endpoints may have been read that decides where a task starts.
+	maxListAge clock.Millis
 
 	readyListener, metricsListener net.Listener
 	cancelTraffic                  context.CancelFunc
@@ -144,10 +146,11 @@
 	toEndpoints.ResetOnClose = true
 	d.store = platform.NewStore(platform.StoreConfig{Address: s.StoreAddress, Timeout: storeTimeout, Transport: transport(connections), Meter: d.meter})
 	d.peers = peer.NewClient(peer.ClientConfig{Dialer: connections, Timeout: peerTimeout, Patience: d.link.Patience, Tracer: d.tracer, Meter: d.meter})
-	timeouts := leader.DefaultTimeouts(s.MaxLease, s.StopDuration, s.ResendInterval)
+	timeouts := leader.DefaultTimeouts(s.MaxLease, s.StopDuration, s.ResendInterval, s.DrainNotice)
 	if err := timeouts.Validate(); err != nil {
-		return nil, errors.Annotate(err, "start VM: check settings: keys bounds.longestLeaseMs, bounds.stopMs and bounds.resendMs")
+		return nil, errors.Annotate(err, "start VM: check settings: keys bounds.longestLeaseMs, bounds.stopMs, bounds.resendMs and bounds.drainMs")
 	}
+	d.maxListAge = timeouts.MaxListAge()
 	control := node.New(node.Config{
 		Self: d.self, DataCentres: s.DataCentres, FarFactor: s.FarFactor, Successors: s.Successors, Seeds: s.Seeds, HandOverTimeout: clock.Millis(float64(s.GracePeriod) * handOverShare), LinkDelay: d.link.Delay, Now: c.Clock.Now(),
 		Timeouts: timeouts,
--- a/internal/process/daemon/decision_fields.go
+++ b/internal/process/daemon/decision_fields.go
@@ -48,6 +48,9 @@
 	case *leader.EndpointRestart:
 		fields["bornBefore"], fields["born"], fields["listed"], fields["tasks"] = d.Before, d.After, d.Listed, d.Tasks
 		fields["readIn"], fields["readingAgeMs"] = d.ReadIn, d.Age
+	case *leader.HeldStarts:
+		fields["waitedMs"], fields["storeLost"] = d.Waited, d.StoreLost
+		addList(fields, d.List)
 	case *leader.EndpointCrash:
 		addCrash(fields, d)
 	}
--- a/internal/process/daemon/followers.go
+++ b/internal/process/daemon/followers.go
@@ -14,6 +14,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/control/node"
 	"github.com/sequoiacart/sequoiacart/internal/link/store"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/internal/world/link"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
@@ -26,13 +27,15 @@
 	desiredFeedWait = clock.Millis(1000)
 	// feedWait is the same for VMs and replica sets. It may be longer, since peers send them too.
 	feedWait = clock.Millis(2500)
-	// endpointsFeedWait is the same for the list of endpoints. A leader needs one that was read
-	// recently, also if nothing changes.
-	endpointsFeedWait = clock.Millis(400)
+	// endpointsFeedWait is zero, so that a read of the list of endpoints is never under way for longer than
+	// the store takes to answer, and a leader that needs a current list can tell that the store is lost.
+	endpointsFeedWait = clock.Millis(0)
 	// leaderEndpointsPause and successorEndpointsPause are the pauses of leaders and successors
-	// between reads of changes to the list of endpoints. No task may start at an endpoint later
-	// than 2 s after it has reported that it is leaving.
+	// between reads of changes to the list of endpoints. Where endpoints leave sooner after they have
+	// reported it than on the users' platform, leaders pause for maxPauseShare of the oldest list that
+	// still decides where a task starts.
 	leaderEndpointsPause    = clock.Millis(400)
+	maxPauseShare           = 0.3
 	successorEndpointsPause = clock.Millis(1500)
 	// catchUpThreshold is the number of changes in an answer from which the next read follows
 	// without a pause: the store's answers end at 500 rows or 1 MB, so more changes may be pending.
@@ -41,6 +44,10 @@
 	catchUpThreshold = 250
 	// retryPause is the pause after a read that failed.
 	retryPause = clock.Millis(150)
+	// storePatience is how long an answer to a read of the list of endpoints may take, besides its
+	// transfer, before the store counts as lost. The store answers within 4 ms; starts may wait for the
+	// answer.
+	storePatience = clock.Millis(150)
 )
 
 // changeSource has the changes of a table that another VM has read.
@@ -64,9 +71,13 @@
 	// wake makes the next read due at once; it may be nil. That read goes to the store.
 	wake <-chan struct{}
 	// relay takes the place of the store while it can; it may be nil.
-	relay  changeSource
-	clock  clock.Clock
-	logger *eventLogger
+	relay changeSource
+	// patience returns how long after its wait an answer is overdue; nil means that none is.
+	patience func(rows map[string]store.Row) clock.Millis
+	// storeReported receives whether the store has answered, or has failed to or is overdue.
+	storeReported func(answered bool)
+	clock         clock.Clock
+	logger        *eventLogger
 	// changed receives the table after each read that found changes.
 	changed func(tableRead)
 	// unchanged is called after each read that found none; it may be nil.
@@ -95,42 +106,38 @@
 func (f *follower) run(ctx context.Context) error {
 	rows := make(map[string]store.Row)
 	var version store.Revision
-	loaded, woken := false, false
+	loaded := false
+	// due means that the next read has to go to the store at once.
+	due := false
 	for ctx.Err() == nil {
 		pause := f.pause()
-		if pause < 0 && !woken {
-			// The store's history is long enough to continue from the same version once this
-			// VM needs the table again.
-			woken = f.sleep(ctx, retryPause)
+		if pause < 0 && !due {
+			due = f.sleep(ctx, retryPause)
 			continue
 		}
 		var snapshot store.Snapshot
-		var err error
-		read := tableRead{rows: rows, sentAt: f.clock.Now(), gap: !loaded, whole: !loaded}
-		if loaded && !woken && f.relay != nil {
-			snapshot, read.sentAt, read.relayed = f.relay.follow(version)
+		read := tableRead{rows: rows, gap: !loaded, whole: !loaded}
+		if loaded && !due && f.relay != nil {
+			snapshot, read.sentAt, read.relayed, due = f.followRelay(ctx, version)
 		}
-		woken = false
-		switch {
-		case read.relayed:
+		if read.relayed {
 			pause = f.relay.pause()
-		case loaded:
+		} else {
+			var err error
 			read.sentAt = f.clock.Now()
-			snapshot, err = f.store.Follow(ctx, f.table, version, f.wait)
-		default:
-			snapshot, err = f.store.Read(ctx, f.table)
-		}
-		if err != nil {
-			if errors.Is(err, store.ErrHistoryTruncated) {
+			snapshot, err = f.readStore(ctx, rows, version, loaded)
+			if loaded && errors.Is(err, store.ErrHistoryTruncated) {
 				loaded = false
+				continue
 			}
-			if ctx.Err() == nil {
-				f.logger.storeFailed(string(f.table), err)
+			if err != nil {
+				if ctx.Err() == nil {
+					f.logger.storeFailed(string(f.table), err)
+				}
+				due = f.sleep(ctx, retryPause) || due
+				continue
 			}
-			woken = f.sleep(ctx, retryPause)
-			continue
-		}
-		if !read.relayed {
+			due = false
 			f.logger.storeAnswered(string(f.table))
 		}
 		if !loaded {
@@ -154,14 +161,85 @@
 		case f.unchanged != nil:
 			f.unchanged(read)
 		}
+		if !read.relayed {
+			f.report(true)
+		}
 		loaded, version = true, snapshot.Version
 		if pause > 0 && len(snapshot.Rows) < catchUpThreshold {
-			woken = f.sleep(ctx, pause)
+			due = f.sleep(ctx, pause)
 		}
 	}
 	return ctx.Err()
 }
 
+// readStore reads the table or its changes since a version from the store, and reports a failure. A success
+// is reported once what was read has been passed on.
+func (f *follower) readStore(ctx context.Context, rows map[string]store.Row, version store.Revision, loaded bool) (s store.Snapshot, err error) {
+	answered := f.watchOverdue(rows)
+	if loaded {
+		s, err = f.store.Follow(ctx, f.table, version, f.wait)
+	} else {
+		s, err = f.store.Read(ctx, f.table)
+	}
+	answered()
+	if err != nil && ctx.Err() == nil && !errors.Is(err, store.ErrHistoryTruncated) {
+		f.report(false)
+	}
+	return s, err
+}
+
+// report passes on whether the store has answered.
+func (f *follower) report(answered bool) {
+	if f.storeReported != nil {
+		f.storeReported(answered)
+	}
+}
+
+// watchOverdue reports the store as lost once an answer is overdue, until the returned function is called.
+func (f *follower) watchOverdue(rows map[string]store.Row) (answered func()) {
+	if f.patience == nil {
+		return func() {}
+	}
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	overdue := f.clock.After(f.wait + f.patience(rows))
+	go func() {
+		defer close(stopped)
+		select {
+		case <-overdue:
+			f.report(false)
+		case <-stop:
+		}
+	}()
+	return func() {
+		close(stop)
+		<-stopped
+	}
+}
+
+// followRelay asks the relay for the changes after a version. It returns early if the follower is woken:
+// the call may take as long as its timeout if that VM has just failed.
+func (f *follower) followRelay(ctx context.Context, version store.Revision) (s store.Snapshot, sentAt clock.Millis, ok, woken bool) {
+	type answer struct {
+		snapshot store.Snapshot
+		sentAt   clock.Millis
+		ok       bool
+	}
+	answers := make(chan answer, 1)
+	go func() {
+		var a answer
+		a.snapshot, a.sentAt, a.ok = f.relay.follow(version)
+		answers <- a
+	}()
+	select {
+	case a := <-answers:
+		return a.snapshot, a.sentAt, a.ok, false
+	case <-f.wake:
+		return store.Snapshot{}, 0, false, true
+	case <-ctx.Done():
+		return store.Snapshot{}, 0, false, false
+	}
+}
+
 // sleep waits for the delay, and reports whether the follower was woken meanwhile.
 func (f *follower) sleep(ctx context.Context, delay clock.Millis) bool {
 	timer := time.NewTimer(delay.Duration())
@@ -191,16 +269,32 @@
 func (d *Daemon) followers() []*follower {
 	c := d.config.Clock
 	return []*follower{
-		{store: d.store, clock: c, table: platform.Operator, wait: desiredFeedWait, pause: constantPause(0), logger: d.logger, changed: d.desiredChanged},
-		{store: d.store, clock: c, table: store.VMs, wait: feedWait, pause: constantPause(0), logger: d.logger, changed: d.vmsChanged},
-		{store: d.store, clock: c, table: store.ReplicaSets, wait: feedWait, pause: constantPause(0), logger: d.logger, changed: d.replicaSetsChanged},
+		{store: d.store, clock: c, table: platform.Operator, wait: desiredFeedWait, pause: constantPause(0), logger: d.logger, storeReported: d.storeReported, changed: d.desiredChanged},
+		{store: d.store, clock: c, table: store.VMs, wait: feedWait, pause: constantPause(0), logger: d.logger, storeReported: d.storeReported, changed: d.vmsChanged},
+		{store: d.store, clock: c, table: store.ReplicaSets, wait: feedWait, pause: constantPause(0), logger: d.logger, storeReported: d.storeReported, changed: d.replicaSetsChanged},
 		{
 			store: d.store, clock: c, table: platform.Endpoints, wait: endpointsFeedWait, pause: d.endpointsPause, wake: d.traffic.readEndpoints, relay: &relay{daemon: d}, logger: d.logger,
-			changed: d.endpointsRead, unchanged: d.endpointsRead,
+			patience: d.storePatience, storeReported: d.endpointsReported, changed: d.endpointsRead, unchanged: d.endpointsRead,
 		},
 	}
 }
 
+// storeReported and endpointsReported pass on whether the store answers.
+func (d *Daemon) storeReported(answered bool) { d.loop.Post(node.StoreReported{Lost: !answered}) }
+
+func (d *Daemon) endpointsReported(answered bool) {
+	d.loop.Post(node.StoreReported{OfEndpoints: true, Lost: !answered})
+}
+
+// storePatience is how long the answer to a read of the list of endpoints may take.
+func (d *Daemon) storePatience(rows map[string]store.Row) clock.Millis {
+	bytes := link.Bytes(0)
+	for _, r := range rows {
+		bytes += rowBytes(r)
+	}
+	return storePatience + d.link.Patience() + d.link.Rate().TransferTime(bytes)
+}
+
 func (d *Daemon) endpointsPause() clock.Millis {
 	if d.loop.endpoints.Load().version == 0 {
 		// A VM that has just started may become leader within 100 ms.
@@ -208,13 +302,18 @@
 	}
 	switch d.loop.role.Load() {
 	case roleLeader:
-		return min(leaderEndpointsPause, d.readPace.pause)
+		return min(d.leaderPause(leaderEndpointsPause), d.readPace.pause)
 	case roleSuccessor:
 		return min(successorEndpointsPause, d.readPace.pause)
 	}
 	return -1
 }
 
+// leaderPause shortens a pause between reads of the list of endpoints where a leader needs newer ones.
+func (d *Daemon) leaderPause(pause clock.Millis) clock.Millis {
+	return min(pause, clock.Millis(float64(d.maxListAge)*maxPauseShare))
+}
+
 func (d *Daemon) desiredChanged(t tableRead) {
 	r, ok := t.rows[platform.DesiredKey]
 	if !ok {
--- a/internal/process/daemon/read_pace.go
+++ b/internal/process/daemon/read_pace.go
@@ -34,9 +34,11 @@
 }
 
 func bytesOf(rows []store.Row) link.Bytes {
-	n := 0
+	n := link.Bytes(0)
 	for _, r := range rows {
-		n += len(r.Value)*4/3 + rowOverhead
+		n += rowBytes(r)
 	}
-	return link.Bytes(n)
+	return n
 }
+
+func rowBytes(r store.Row) link.Bytes { return link.Bytes(len(r.Value)*4/3 + rowOverhead) }
--- a/internal/process/daemon/traffic.go
+++ b/internal/process/daemon/traffic.go
@@ -95,7 +95,7 @@
 		go t.stop(a, request)
 	case leader.Hold:
 		go t.hold(a, request)
-	case leader.Answer, leader.Fenced, leader.DeadlyTaskFound, leader.LogDecision:
+	case leader.Answer, leader.Fenced, leader.RefreshList, leader.DeadlyTaskFound, leader.LogDecision:
 		// The control state handles these itself.
 	}
 }
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -42,10 +42,11 @@
 	// LinkMbps is the bandwidth of the VM's link in megabits per second.
 	LinkMbps float64
 
-	// MaxLease, StopDuration, ResendInterval and GracePeriod are fixed by the platform: the
+	// MaxLease, StopDuration, ResendInterval, GracePeriod and DrainNotice are fixed by the platform: the
 	// longest lease that endpoints grant, the time that a stop takes, the time after which
-	// callers send a job again, and the time between SIGTERM and SIGKILL.
-	MaxLease, StopDuration, ResendInterval, GracePeriod clock.Millis
+	// callers send a job again, the time between SIGTERM and SIGKILL, and the time for which an endpoint
+	// that has reported that it is leaving may be sent tasks.
+	MaxLease, StopDuration, ResendInterval, GracePeriod, DrainNotice clock.Millis
 	// FarFactor is how many times longer a task runs outside the rack of its data.
 	FarFactor float64
 	// Successors is how many VMs of the data centre form the replica set of a shard.
@@ -87,7 +88,7 @@
 func Default() Settings {
 	return Settings{
 		MetricsAddress: "", ProcessorShare: 1, MemoryMB: 256, OpenFiles: 1024, LinkMbps: 1000, MaxLease: clock.Second, StopDuration: 50,
-		ResendInterval: 1300, GracePeriod: 6 * clock.Second, FarFactor: 1, Successors: 3,
+		ResendInterval: 1300, GracePeriod: 6 * clock.Second, DrainNotice: 2 * clock.Second, FarFactor: 1, Successors: 3,
 		LogLinesPerSecond: 400, TraceExporter: traceNone,
 	}
 }
@@ -132,6 +133,7 @@
 	millis(&s.StopDuration, "bounds.stopMs", "time that a stop takes at an endpoint, in `milliseconds`")
 	millis(&s.ResendInterval, "bounds.resendMs", "time after which callers send a job again, in `milliseconds`")
 	millis(&s.GracePeriod, "bounds.graceMs", "time between SIGTERM and SIGKILL, in `milliseconds`")
+	millis(&s.DrainNotice, "bounds.drainMs", "time for which an endpoint that is leaving may be sent tasks, in `milliseconds`")
 	flags.Float64Var(&s.FarFactor, "bounds.farFactor", s.FarFactor, "`factor` by which tasks take longer outside the rack of their data")
 	flags.IntVar(&s.Successors, "successors", s.Successors, "`number` of VMs of the data centre in the replica set of its shard")
 	text(&s.TraceExporter, "trace.exporter", "`exporter` of spans: none, stdout or otlphttp")
@@ -189,6 +191,7 @@
 		{"bounds.stopMs", float64(s.StopDuration)},
 		{"bounds.resendMs", float64(s.ResendInterval)},
 		{"bounds.graceMs", float64(s.GracePeriod)},
+		{"bounds.drainMs", float64(s.DrainNotice)},
 		{"successors", float64(s.Successors)},
 		{"log.linesPerSecond", float64(s.LogLinesPerSecond)},
 	}
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -121,7 +121,7 @@
 		"{{listen_addrs.front}}", "10.0.0.1:1", "{{listen_addrs.ready}}", "10.0.0.1:2", "{{listen_addrs.control}}", "10.0.0.1:3",
 		"{{platform.address}}", "10.0.0.9:4", "{{limits.cpu_share}}", "0.4", "{{limits.memory_mb}}", "284", "{{limits.max_fds}}", "4100", "{{limits.link_mbps}}", "1000.0",
 		"{{bounds.hold_max_ms}}", "1000", "{{bounds.stop_ms}}", "50", "{{bounds.retransmit_ms}}", "1300",
-		"{{bounds.grace_s}}", "6", "{{bounds.far_x}}", "1.5",
+		"{{bounds.grace_s}}", "6", "{{bounds.drain_ms}}", "2000", "{{bounds.far_x}}", "1.5",
 	).Replace(string(text))
 	s, err := parse(t, filled)
 	if err != nil {
