Let the model check that no task starts at a draining endpoint

TestModel now reports a start at an endpoint whose row has said for drainNotice that it is leaving, by a VM that was undisturbed for 3 s, in all its random worlds. Its store drops changes that are older than 15 s.

--- a/internal/control/node/model_endpoint_test.go
+++ b/internal/control/node/model_endpoint_test.go
@@ -31,6 +31,8 @@
 	clockBase micros
 	rate      float64
 	draining  bool
+	// drainingSince is when the store accepted that this life drains, or 0.
+	drainingSince micros
 	// capacity is what it says of itself next, and reported what the store has of this life.
 	capacity job.MilliCores
 	reported []capacityReport
@@ -72,7 +74,7 @@
 // start begins a new life with nothing of the one before. age is how long its clock has been running.
 func (e *modelEndpoint) start(age micros) {
 	e.life++
-	e.up, e.draining = true, false
+	e.up, e.draining, e.drainingSince = true, false, 0
 	e.startedAt, e.clockBase = e.world.now, age+ms
 	e.born = endpoint.Incarnation(1_700_000_000_000 + int64(e.world.now/ms) + int64(e.life))
 	e.rate = 1 - 0.02*e.random.Float64()
--- a/internal/control/node/model_execute_test.go
+++ b/internal/control/node/model_execute_test.go
@@ -77,6 +77,7 @@
 }
 
 func (v *modelVM) sendStart(a node.LeaderAction, s leader.Start) {
+	v.checkDrain(s)
 	v.world.trace.add(record{
 		vm: v.name, endpoint: s.Endpoint.ID, task: s.Task, format: "%s sends start of attempt %d token %s until %d",
 		args: []any{v.name, s.Attempt, formatToken(s.Token), s.LeaseUntil},
--- a/internal/control/node/model_follower_test.go
+++ b/internal/control/node/model_follower_test.go
@@ -103,11 +103,17 @@
 	store := f.vm.world.store
 	x := f.vm.newExchange(storeName, limit, onlyLife, func(x *exchange) {
 		store.serve(x, func() {
-			if !f.loaded {
+			switch {
+			case !f.loaded:
 				f.respond(x, store.all(f.table), pause)
-				return
+			case store.isTruncated(f.table, f.version):
+				x.answer(func() {
+					f.loaded, f.woken = false, true
+					f.read()
+				})
+			default:
+				f.await(x, pause)
 			}
-			f.await(x, pause)
 		})
 	}, func(exchangeFailure) {
 		f.report(false)
@@ -174,6 +180,12 @@
 	})
 }
 
+func replicaSetOf(r storeRow) shard.ReplicaSet {
+	set := r.value.(shard.ReplicaSet)
+	set.Revision = r.version
+	return set
+}
+
 // changed posts the contents of the table to the control state.
 func (f *modelFollower) changed(version int64) {
 	all := slices.SortedFunc(maps.Values(f.rows), func(a, b storeRow) int { return cmp.Compare(a.key, b.key) })
@@ -193,9 +205,7 @@
 	case tableReplicaSets:
 		var sets []shard.ReplicaSet
 		for _, r := range all {
-			set := r.value.(shard.ReplicaSet)
-			set.Revision = r.version
-			sets = append(sets, set)
+			sets = append(sets, replicaSetOf(r))
 		}
 		f.vm.post(f.vm.life, node.ReplicaSetsLoaded{ReplicaSets: sets})
 	case tableEndpoints:
--- a/internal/control/node/model_store_test.go
+++ b/internal/control/node/model_store_test.go
@@ -46,8 +46,12 @@
 	value   any
 	version int64
 	removed bool
+	at      micros
 }
 
+// modelHistory is how long the store keeps changes.
+const modelHistory = 15 * second
+
 // rowExpiry is how long an endpoint may be silent before its row is removed.
 const rowExpiry = 3 * modelHeartbeat
 
@@ -83,6 +87,7 @@
 }
 
 func (s *modelStore) changed(t storeTable, r storeRow) {
+	r.at = s.world.now
 	s.log[t] = append(s.log[t], r)
 	waiting := s.waiting[t]
 	s.waiting[t] = nil
@@ -103,6 +108,12 @@
 	return log[first:]
 }
 
+// isTruncated reports whether the store has dropped a change of a table after a version.
+func (s *modelStore) isTruncated(t storeTable, version int64) bool {
+	rows := s.since(t, version)
+	return len(rows) > 0 && rows[0].at < s.world.now-modelHistory
+}
+
 // serve answers a request of a VM unless the store is unavailable.
 func (s *modelStore) serve(x *exchange, request func()) {
 	switch {
@@ -125,6 +136,9 @@
 	s.heartbeatAt[row.ID] = s.world.now
 	e := s.world.endpoint(row.ID)
 	e.recordReport(row)
+	if row.Born == e.born && e.drainingSince == 0 && row.Draining {
+		e.drainingSince = s.world.now
+	}
 	if s.world.now < e.oddUntil {
 		s.put(tableEndpoints, string(row.ID), unreadableRow{}, -1)
 	} else {
--- a/internal/control/node/model_vm_test.go
+++ b/internal/control/node/model_vm_test.go
@@ -40,6 +40,8 @@
 	// freezeAtStart freezes the VM right after the next event that starts an attempt.
 	freezeAtStart micros
 	slowUntil     micros
+	// startedAt is when the process started, and terminatedAt when it was last told to end.
+	startedAt, terminatedAt micros
 
 	// What the traffic goroutines read, as of the last publication.
 	publishedEndpoints                                []endpoint.Endpoint
@@ -77,7 +79,7 @@
 		return
 	}
 	v.life++
-	v.up, v.silent, v.frozenUntil, v.freezeAtStart = true, false, 0, 0
+	v.up, v.silent, v.frozenUntil, v.freezeAtStart, v.startedAt = true, false, 0, 0, v.world.now
 	v.clockOffset = second * micros(1000+v.random.IntN(100_000))
 	v.publishedEndpoints, v.publishedVersion, v.publishedMember, v.publishedLeading, v.publishedReady = nil, 0, false, false, false
 	v.tracedList, v.waiters, v.open, v.callers = nil, nil, make(map[*exchange]bool), make(map[*callerRequest]bool)
@@ -132,6 +134,7 @@
 func (v *modelVM) shutDown() {
 	v.world.trace.add(record{vm: v.name, format: "VM shuts down"})
 	life := v.life
+	v.terminatedAt = v.world.now
 	v.post(life, node.ShutdownRequested{})
 	v.later(micros(float64(modelGrace)*acceptShare), func() { v.awaitIdle(life) })
 	v.later(micros(float64(modelGrace)*finishShare), func() { v.exit(life) })
