Confirm a cancellation at the leaders before it is acknowledged

Cause: the answer was sent as soon as the event was posted. One message went to the VM that counted as leader, which had just been killed, and none if there was no leader. The gateway with the submission knew of nothing and submitted the job again to the next leader.

Change: 200 once the present leader of each shard has confirmed the cancellation, else 503 with Retry-After after 2 s or the caller's limit. VMs keep it for a minute, 10,000 at most, and accept no submission of the job. Members of the replica sets hear of it at once, VMs that become leader later too. A cancellation names its queue. The POST ends with 200 "cancelled" at once, where 504 and 503 made callers send it again.

--- a/internal/control/gateway/gateway.go
+++ b/internal/control/gateway/gateway.go
@@ -285,7 +285,7 @@
 			p.submitted = false
 			g.actions = append(g.actions, ReleaseLease{Shard: p.shard})
 		}
-	case job.Failed, job.Stopped:
+	case job.Failed, job.Stopped, job.Cancelled:
 		g.reply(p.request, p.shard, o, now)
 	case job.Refused:
 		g.handleRefusal(p, o, now)
@@ -310,7 +310,7 @@
 // change it.
 func isEnd(o job.Outcome) bool {
 	switch o.(type) {
-	case job.Completed, job.Failed:
+	case job.Completed, job.Failed, job.Cancelled:
 		return true
 	}
 	return false
@@ -378,6 +378,13 @@
 	}
 }
 
+// Cancel ends a job that its caller has cancelled.
+func (g *Gateway) Cancel(c job.Cancellation, now clock.Millis) {
+	if r := g.requests[c.Job]; r != nil && c.Covers(&r.job) {
+		g.reply(r, r.parts[0].shard, job.Cancelled{}, now)
+	}
+}
+
 // EndAll ends all jobs because the VM has to exit. The reply asks callers to send them again.
 func (g *Gateway) EndAll(reason job.Reason, now clock.Millis) {
 	for _, r := range g.sorted() {
--- a/internal/control/leader/decision_log_test.go
+++ b/internal/control/leader/decision_log_test.go
@@ -77,7 +77,7 @@
 		}, EndAbsentAfterStop{}, false, false},
 		{"still listed after the stop", func(t *testing.T) *cluster {
 			c := runOneTask(t, nil)
-			c.deliver(1, Cancelled{Job: submission("a-1", 1, 1).Job.ID})
+			c.deliver(1, Cancelled{Cancellation: job.Cancellation{Job: submission("a-1", 1, 1).Job.ID, Queue: testQueue}})
 			c.advance(3)
 			for _, a := range c.endpoints["e00"].attempts {
 				a.endsAt = c.now + 300
@@ -303,7 +303,9 @@
 				c.execute(1, a)
 			}
 		},
-		"job abandoned": func(c *cluster) { c.deliver(1, Cancelled{Job: submission("a-1", 1, 1).Job.ID}) },
+		"job abandoned": func(c *cluster) {
+			c.deliver(1, Cancelled{Cancellation: job.Cancellation{Job: submission("a-1", 1, 1).Job.ID, Queue: testQueue}})
+		},
 	}
 	for name, end := range ends {
 		t.Run(name, func(t *testing.T) {
--- a/internal/control/leader/event.go
+++ b/internal/control/leader/event.go
@@ -120,7 +120,7 @@
 type LoadReported struct{ Load shard.Load }
 
 // Cancelled means that the caller of a job has cancelled it.
-type Cancelled struct{ Job job.ID }
+type Cancelled struct{ Cancellation job.Cancellation }
 
 // EstimatesLoaded holds the performance estimates of an earlier leader of the shard.
 type EstimatesLoaded struct{ Estimates estimate.Estimates }
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -175,8 +175,10 @@
 		load := e.Load
 		l.otherLoads[load.Cell] = &load
 	case Cancelled:
-		for _, j := range slices.Clone(l.jobsByID[e.Job]) {
-			l.abandon(j, job.CallerDisconnected)
+		for _, j := range slices.Clone(l.jobsByID[e.Cancellation.Job]) {
+			if e.Cancellation.Covers(&j.Job) {
+				l.cancel(j)
+			}
 		}
 	case EstimatesLoaded:
 		l.inheritEstimates(e.Estimates)
@@ -292,6 +294,16 @@
 	l.answer(j, outcome)
 }
 
+// cancel stops all attempts of a job that its caller has cancelled.
+func (l *Leader) cancel(j *jobState) {
+	if j.answered {
+		return
+	}
+	l.emit(LogDecision{Decision: JobAbandoned, Job: j.Job.ID, Detail: "cancelled", Details: activeAttempts(j.tasks)})
+	l.endTasks(j)
+	l.answer(j, job.Cancelled{})
+}
+
 // endTasks ends the waiting tasks of a job and stops its attempts.
 func (l *Leader) endTasks(j *jobState) {
 	for _, t := range j.tasks {
--- a/internal/control/node/action.go
+++ b/internal/control/node/action.go
@@ -48,10 +48,10 @@
 	Patience clock.Millis
 }
 
-// SendCancel forwards a cancellation to the leader of a shard.
+// SendCancel forwards a cancellation to a member of a replica set.
 type SendCancel struct {
-	To  shard.Member
-	Job job.ID
+	To           shard.Member
+	Cancellation job.Cancellation
 }
 
 // SendYield asks a successor to take over.
--- /dev/null
+++ b/internal/control/node/cancellations.go
@@ -0,0 +1,172 @@
+package node
+
+import (
+	"slices"
+
+	"github.com/sequoiacart/sequoiacart/internal/control/leader"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/shard"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/vm"
+)
+
+const (
+	// cancelRetention is how long a cancellation is kept. Callers that have no answer send a job again
+	// within seconds.
+	cancelRetention = clock.Minute
+	// maxCancellations bounds those that are kept; one takes some 300 bytes. More are not confirmed.
+	maxCancellations = 10_000
+	// cancelRetryInterval is the interval between messages to a leader that has not confirmed one, and between
+	// searches for new leaders.
+	cancelRetryInterval = clock.Millis(100)
+)
+
+// cancellation is a job that its caller has cancelled. No shard of this VM accepts it any more.
+type cancellation struct {
+	job.Cancellation
+	at clock.Millis
+	// received means that the caller has sent it to this VM, which has to tell the leaders.
+	received bool
+	// confirmedBy is the leader of each shard that has confirmed it, and sentAt when the present leader was
+	// last told.
+	confirmedBy map[shard.ID]vm.Incarnation
+	sentAt      map[shard.ID]clock.Millis
+	waiters     []cancelWaiter
+}
+
+// cancelWaiter is a request of a caller that waits for all leaders until a time limit.
+type cancelWaiter struct {
+	until clock.Millis
+	done  chan<- bool
+}
+
+// isCancelled reports whether the caller of a job has cancelled it.
+func (n *Control) isCancelled(j *job.Job) bool {
+	return n.cancellations[job.Cancellation{Job: j.ID, Queue: j.Queue}] != nil
+}
+
+// recordCancellation ends a job at this VM and in the shards that it leads. It returns nil if this VM has
+// too many cancellations.
+func (n *Control) recordCancellation(j job.Cancellation) *cancellation {
+	c := n.cancellations[j]
+	if c == nil {
+		if len(n.cancellations) >= maxCancellations {
+			return nil
+		}
+		c = &cancellation{Cancellation: j, at: n.now, confirmedBy: make(map[shard.ID]vm.Incarnation), sentAt: make(map[shard.ID]clock.Millis)}
+		n.cancellations[j], n.cancelOrder = c, append(n.cancelOrder, c)
+	}
+	n.gateway.Cancel(j, n.now)
+	for _, id := range n.shards {
+		n.sendToLeader(id, leader.Cancelled{Cancellation: j})
+	}
+	return c
+}
+
+// handleCancelRequested tells the leaders of all shards, and the members of their replica sets, any of which
+// may be the next leader.
+func (n *Control) handleCancelRequested(e CancelRequested) {
+	c := n.recordCancellation(e.Cancellation)
+	if c == nil {
+		e.Done <- false
+		return
+	}
+	c.at, c.received = n.now, true
+	c.waiters = append(c.waiters, cancelWaiter{until: n.now + e.Limit, done: e.Done})
+	told := map[vm.Incarnation]bool{n.config.Self.Incarnation: true}
+	for _, id := range n.shards {
+		for _, m := range n.monitors[id].ReplicaSet().Members {
+			if !told[m.Incarnation] {
+				told[m.Incarnation] = true
+				n.emit(SendCancel{To: m, Cancellation: c.Cancellation})
+			}
+		}
+		if m, _, _, ok := n.monitors[id].Leader(n.now); ok && told[m.Incarnation] {
+			c.sentAt[id] = n.now
+		}
+	}
+	n.confirm(c)
+}
+
+// handlePeerCancelled records a cancellation that another VM has received.
+func (n *Control) handlePeerCancelled(e PeerCancelled) {
+	var led []shard.ID
+	if n.recordCancellation(e.Cancellation) != nil {
+		for _, id := range n.shards {
+			if n.ledShards[id] != nil {
+				led = append(led, id)
+			}
+		}
+	}
+	e.Led <- led
+}
+
+func (n *Control) handleCancelAnswered(e CancelAnswered) {
+	c := n.cancellations[e.Cancellation]
+	if c == nil {
+		return
+	}
+	for _, id := range e.Led {
+		c.confirmedBy[id] = e.From
+	}
+	n.confirm(c)
+}
+
+// confirmCancellations repeats what leaders have not confirmed, tells those that have become leader since, and
+// forgets old cancellations.
+func (n *Control) confirmCancellations() {
+	if n.now < n.cancelsConfirmedAt+cancelRetryInterval {
+		return
+	}
+	n.cancelsConfirmedAt = n.now
+	n.cancelOrder = slices.DeleteFunc(n.cancelOrder, func(c *cancellation) bool {
+		if n.now >= c.at+cancelRetention {
+			n.endWaiters(c, false)
+			delete(n.cancellations, c.Cancellation)
+			return true
+		}
+		if c.received {
+			n.confirm(c)
+		}
+		return false
+	})
+}
+
+// confirm answers the callers once the present leader of each shard has confirmed the cancellation, and tells
+// leaders that have not.
+func (n *Control) confirm(c *cancellation) {
+	confirmed := true
+	for _, id := range n.shards {
+		if n.ledShards[id] != nil {
+			c.confirmedBy[id] = n.config.Self.Incarnation
+			continue
+		}
+		m, _, _, ok := n.monitors[id].Leader(n.now)
+		if ok && c.confirmedBy[id] == m.Incarnation {
+			continue
+		}
+		confirmed = false
+		if ok && n.now >= c.sentAt[id]+cancelRetryInterval {
+			c.sentAt[id] = n.now
+			n.emit(SendCancel{To: m, Cancellation: c.Cancellation})
+		}
+	}
+	if confirmed {
+		n.endWaiters(c, true)
+		return
+	}
+	c.waiters = slices.DeleteFunc(c.waiters, func(w cancelWaiter) bool {
+		if n.now < w.until {
+			return false
+		}
+		w.done <- false
+		return true
+	})
+}
+
+func (n *Control) endWaiters(c *cancellation, confirmed bool) {
+	for _, w := range c.waiters {
+		w.done <- confirmed
+	}
+	c.waiters = nil
+}
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -79,6 +79,12 @@
 	// probes say whether the endpoints of other data centres can be reached.
 	probes map[shard.ID]probeState
 
+	// cancellations are those of the last cancelRetention.
+	cancellations map[job.Cancellation]*cancellation
+	// cancelOrder has them in the order in which they arrived; cancelsConfirmedAt is when they were last
+	// looked at.
+	cancelOrder        []*cancellation
+	cancelsConfirmedAt clock.Millis
 	// callers and peers receive the outcomes of jobs of this VM's callers and of other VMs.
 	callers map[job.Key]chan<- job.Outcome
 	peers   map[job.Key]chan<- job.Outcome
@@ -147,7 +153,8 @@
 		monitors: make(map[shard.ID]*failover.Monitor), ledShards: make(map[shard.ID]*ledShard),
 		missingSince: make(map[datacentre.EndpointID]clock.Millis), heartbeats: make(map[vm.Incarnation]heartbeat), loads: make(map[shard.ID]shard.Load), probes: make(map[shard.ID]probeState),
 		crashes: crash.NewHistory(), crashExchanges: make(map[vm.Incarnation]crashExchange),
-		callers: make(map[job.Key]chan<- job.Outcome), peers: make(map[job.Key]chan<- job.Outcome),
+		cancellations: make(map[job.Cancellation]*cancellation),
+		callers:       make(map[job.Key]chan<- job.Outcome), peers: make(map[job.Key]chan<- job.Outcome),
 	}
 	for _, dc := range c.DataCentres {
 		id := shard.ForDataCentre(dc)
@@ -174,7 +181,9 @@
 	case CallerDisconnected:
 		n.gateway.CallerDisconnected(e.Key, now)
 	case CancelRequested:
-		n.cancel(e.Job)
+		n.handleCancelRequested(e)
+	case CancelAnswered:
+		n.handleCancelAnswered(e)
 	case SubmitAnswered:
 		n.gateway.HandleAnswer(e.Key, e.From, e.Outcome, now)
 	case PeerSubmitted:
@@ -184,7 +193,7 @@
 	case HeartbeatAnswered:
 		n.handleHeartbeatAnswered(e)
 	case PeerCancelled:
-		n.cancelLocally(e.Job)
+		n.handlePeerCancelled(e)
 	case PeerYielded:
 		n.handlePeerYielded(e)
 	case YieldEnded:
@@ -338,6 +347,11 @@
 
 func (n *Control) handleJobArrived(e JobArrived) {
 	limit := e.Limit - (n.now - e.WaitsSince)
+	if n.isCancelled(&e.Job) {
+		e.Ended <- job.Cancelled{}
+		close(e.Accepted)
+		return
+	}
 	if limit <= 0 {
 		// The caller may have sent the job to another VM.
 		e.Ended <- job.Stopped{Reason: job.TimeLimit}
@@ -365,6 +379,10 @@
 		e.Ended <- job.Refused{Reason: job.NotLeader, RetryAfter: clock.Second}
 		return
 	}
+	if n.isCancelled(&e.Submission.Job) {
+		e.Ended <- job.Cancelled{}
+		return
+	}
 	n.peers[e.Submission.Key] = e.Ended
 	n.sendToLeader(e.Shard, leader.Submitted{Submission: e.Submission})
 }
@@ -412,24 +430,6 @@
 	}
 }
 
-func (n *Control) cancel(j job.ID) {
-	for _, id := range n.shards {
-		if n.ledShards[id] != nil {
-			continue
-		}
-		if m, _, _, ok := n.monitors[id].Leader(n.now); ok {
-			n.emit(SendCancel{To: m, Job: j})
-		}
-	}
-	n.cancelLocally(j)
-}
-
-func (n *Control) cancelLocally(j job.ID) {
-	for _, id := range n.shards {
-		n.sendToLeader(id, leader.Cancelled{Job: j})
-	}
-}
-
 func (n *Control) handleVMsLoaded(vms []shard.VM) {
 	n.vms, n.vmRecords = vms, make(map[vm.ID]shard.VM, len(vms))
 	for _, v := range vms {
--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -35,7 +35,21 @@
 type CallerDisconnected struct{ Key job.Key }
 
 // CancelRequested asks for a job to be cancelled wherever it runs.
-type CancelRequested struct{ Job job.ID }
+type CancelRequested struct {
+	Cancellation job.Cancellation
+	// Limit is how long the leaders of all shards may take to confirm it.
+	Limit clock.Millis
+	// Done receives whether they have. It must have a buffer of one.
+	Done chan<- bool
+}
+
+// CancelAnswered is a peer's answer to a cancellation.
+type CancelAnswered struct {
+	Cancellation job.Cancellation
+	From         vm.Incarnation
+	// Led are the shards that the peer leads.
+	Led []shard.ID
+}
 
 // SubmitAnswered is the outcome of a submission: the leader's answer or a failed call.
 type SubmitAnswered struct {
@@ -68,7 +82,11 @@
 }
 
 // PeerCancelled is a cancellation forwarded by another VM.
-type PeerCancelled struct{ Job job.ID }
+type PeerCancelled struct {
+	Cancellation job.Cancellation
+	// Led receives the shards that this VM leads. It must have a buffer of one.
+	Led chan<- []shard.ID
+}
 
 // PeerYielded is the request of a shard's leader that this VM take over, because the leader shuts
 // down or this VM is a better one.
@@ -184,6 +202,7 @@
 func (JobArrived) event()         {}
 func (CallerDisconnected) event() {}
 func (CancelRequested) event()    {}
+func (CancelAnswered) event()     {}
 func (SubmitAnswered) event()     {}
 func (PeerSubmitted) event()      {}
 func (PeerHeartbeat) event()      {}
--- a/internal/control/node/heartbeats.go
+++ b/internal/control/node/heartbeats.go
@@ -60,6 +60,7 @@
 	n.crashes.Expire(n.now)
 	n.dropMissing()
 	n.querySeeds()
+	n.confirmCancellations()
 	n.gateway.Tick(n.now)
 	n.distributeLoads()
 }
--- a/internal/control/node/model_execute_test.go
+++ b/internal/control/node/model_execute_test.go
@@ -9,6 +9,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/control/node"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 )
 
 const (
@@ -29,7 +30,7 @@
 	case node.SendHeartbeat:
 		v.sendHeartbeat(a)
 	case node.SendCancel:
-		v.callPeer(a.To.Address, peerTimeout, func(peer *modelVM, _ *exchange) { peer.handle(node.PeerCancelled{Job: a.Job}) }, func(exchangeFailure) {})
+		v.cancel(a)
 	case node.SendYield:
 		v.yield(a)
 	case node.WriteReplicaSet:
@@ -200,6 +201,16 @@
 	}, func(f exchangeFailure) { end(node.HeartbeatReply{}, false, f == callRefused) })
 }
 
+func (v *modelVM) cancel(a node.SendCancel) {
+	v.callPeer(a.To.Address, peerTimeout, func(peer *modelVM, x *exchange) {
+		led := make(chan []shard.ID, 1)
+		await(peer, x, led, func(all []shard.ID) {
+			v.post(v.life, node.CancelAnswered{Cancellation: a.Cancellation, From: a.To.Incarnation, Led: all})
+		})
+		peer.handle(node.PeerCancelled{Cancellation: a.Cancellation, Led: led})
+	}, func(exchangeFailure) {})
+}
+
 func (v *modelVM) yield(a node.SendYield) {
 	end := func(accepted bool) {
 		v.post(v.life, node.YieldEnded{Shard: a.ReplicaSet.Cell, Leadership: a.Leadership, Accepted: accepted})
--- a/internal/link/caller/server.go
+++ b/internal/link/caller/server.go
@@ -71,6 +71,9 @@
 	// desiredStateTimeout is how long a request waits for the first desired state. Reading it takes
 	// some 10 ms; urgent jobs are late after 140 ms.
 	desiredStateTimeout = clock.Millis(120)
+	// cancelTimeout is how long a cancellation may take to be confirmed by the leaders of all shards. One
+	// that has failed is replaced within a second.
+	cancelTimeout = 2 * clock.Second
 	// defaultWaitLimit is the wait limit of callers that send no deadline.
 	defaultWaitLimit = 30 * clock.Second
 )
@@ -224,12 +227,24 @@
 }
 
 func (s *Server) cancel(c echo.Context) error {
-	_, _, id, response := s.match(c)
+	_, q, id, response := s.match(c)
 	if response != nil {
 		return s.writeResponse(c, *response)
 	}
-	if !s.config.Local.Post(node.CancelRequested{Job: job.ID(id)}) {
+	if !platform.ValidJobID(id) {
+		return s.writeResponse(c, platform.UnknownJob())
+	}
+	done := make(chan bool, 1)
+	e := node.CancelRequested{Cancellation: job.Cancellation{Job: job.ID(id), Queue: q.Name}, Limit: min(waitLimit(c.Request()), cancelTimeout), Done: done}
+	if !s.config.Local.Post(e) {
 		return s.writeResponse(c, platform.Refusal(string(job.Draining), clock.Second))
 	}
-	return s.writeResponse(c, platform.Cancelled())
+	select {
+	case confirmed := <-done:
+		if confirmed {
+			return s.writeResponse(c, platform.Cancelled())
+		}
+	case <-c.Request().Context().Done():
+	}
+	return s.writeResponse(c, platform.Refusal(string(job.NoLeader), clock.Second))
 }
--- a/internal/link/caller/server_test.go
+++ b/internal/link/caller/server_test.go
@@ -21,9 +21,14 @@
 	jobs chan node.JobArrived
 	// settling receives the requests that wait until their caller has gone; nil lets none wait.
 	settling chan struct{}
+	// cancelled decides whether a cancellation is confirmed.
+	cancelled func(node.CancelRequested) bool
 }
 
 func (l *local) Post(e node.Event) bool {
+	if c, ok := e.(node.CancelRequested); ok {
+		c.Done <- l.cancelled(c)
+	}
 	if a, ok := e.(node.JobArrived); ok {
 		a.Accepted <- job.Key{Entry: "me-1", Seq: 1}
 		l.jobs <- a
@@ -160,3 +165,47 @@
 		t.Errorf("got %v from Serve, want nil", err)
 	}
 }
+
+// Guards against a cancellation that is acknowledged although no leader has confirmed it, against one without its
+// queue, and against one that waits for longer than its caller.
+func TestCancellationIsAcknowledgedOnceConfirmed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var requested []node.CancelRequested
+	l := &local{cancelled: func(c node.CancelRequested) bool {
+		requested = append(requested, c)
+		return c.Cancellation.Job == "0123456789abcdef"
+	}}
+	s := NewServer(Config{Listener: listener, Local: l, Counter: noCounter{}})
+	served := make(chan error, 1)
+	go func() { served <- s.Serve() }()
+	for _, tt := range []struct {
+		id     string
+		status int
+		retry  string
+	}{{"0123456789abcdef", http.StatusOK, ""}, {"fedcba9876543210", http.StatusServiceUnavailable, "1"}, {"x", http.StatusGone, ""}} {
+		request, err := http.NewRequest(http.MethodDelete, "http://"+listener.Addr().String()+"/q/"+tt.id, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Host = "h"
+		request.Header.Set("Sequoiacart-Deadline-Ms", "700")
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		if got := response.Header.Get("Retry-After"); response.StatusCode != tt.status || got != tt.retry {
+			t.Errorf("%s: got %d and a retry after %q s, want %d and %q", tt.id, response.StatusCode, got, tt.status, tt.retry)
+		}
+	}
+	s.Close()
+	if err := <-served; err != nil {
+		t.Errorf("got %v from Serve, want nil", err)
+	}
+	if len(requested) != 2 || requested[0].Cancellation.Queue != "q" || requested[0].Limit != 700 {
+		t.Errorf("got %+v, want two cancellations in queue q with a limit of 700 ms", requested)
+	}
+}
--- a/internal/link/peer/client.go
+++ b/internal/link/peer/client.go
@@ -99,9 +99,13 @@
 	return decodeOutcome(*reply)
 }
 
-// Cancel forwards the cancellation of a job.
-func (c *Client) Cancel(to shard.Member, id job.ID) error {
-	return c.call(to, "Cancel", CancelRequest{Job: id}, &Empty{}, c.config.Timeout)
+// Cancel forwards the cancellation of a job, and returns the shards that the peer leads.
+func (c *Client) Cancel(to shard.Member, j job.Cancellation) ([]shard.ID, error) {
+	reply := &CancelReply{}
+	if err := c.call(to, "Cancel", CancelRequest{Job: j.Job, Queue: j.Queue}, reply, c.config.Timeout); err != nil {
+		return nil, err
+	}
+	return reply.Led, nil
 }
 
 // Yield asks a successor to take over a shard, and reports whether it has.
--- a/internal/link/peer/server.go
+++ b/internal/link/peer/server.go
@@ -16,6 +16,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
+	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/trace"
 )
@@ -63,6 +64,9 @@
 	closed atomic.Bool
 }
 
+// maxNameBytes bounds the names in a cancellation, which is kept for a while.
+const maxNameBytes = 256
+
 // serviceName is the name of the service on the wire.
 const serviceName = "Fleet"
 
@@ -143,12 +147,18 @@
 	return err
 }
 
-// Cancel cancels a job in the shards that this VM leads.
-func (s *service) Cancel(r CancelRequest, _ *Empty) error {
-	if !s.config.Local.Post(node.PeerCancelled{Job: r.Job}) {
+// Cancel cancels a job at this VM and in the shards that it leads.
+func (s *service) Cancel(r CancelRequest, reply *CancelReply) error {
+	if len(r.Job) > maxNameBytes || len(r.Queue) > maxNameBytes {
+		return errors.NotValidf("cancellation of a job with a name of more than %d bytes", maxNameBytes)
+	}
+	led := make(chan []shard.ID, 1)
+	if !s.config.Local.Post(node.PeerCancelled{Cancellation: job.Cancellation{Job: r.Job, Queue: r.Queue}, Led: led}) {
 		return errShuttingDown
 	}
-	return nil
+	all, err := await(led, s.config.ControlTimeout)
+	reply.Led = all
+	return err
 }
 
 // Yield takes over a shard from a leader that is shutting down.
--- a/internal/link/peer/wire.go
+++ b/internal/link/peer/wire.go
@@ -41,6 +41,7 @@
 	kindStopped
 	kindUnanswered
 	kindDivided
+	kindCancelled
 )
 
 func encodeOutcome(o job.Outcome) SubmitReply {
@@ -57,6 +58,8 @@
 		return SubmitReply{Kind: kindDivided, Shares: o.Shares}
 	case job.Moved:
 		return SubmitReply{Kind: kindMoved}
+	case job.Cancelled:
+		return SubmitReply{Kind: kindCancelled}
 	case job.Stopped:
 		return SubmitReply{Kind: kindStopped, Reason: o.Reason}
 	case job.Unanswered:
@@ -79,6 +82,8 @@
 		return job.Divided{Shares: r.Shares}
 	case kindMoved:
 		return job.Moved{}
+	case kindCancelled:
+		return job.Cancelled{}
 	case kindStopped:
 		return job.Stopped{Reason: r.Reason}
 	}
@@ -86,7 +91,13 @@
 }
 
 // CancelRequest cancels a job.
-type CancelRequest struct{ Job job.ID }
+type CancelRequest struct {
+	Job   job.ID
+	Queue queue.Name
+}
+
+// CancelReply names the shards that the VM leads. None of them starts a task of the job any more.
+type CancelReply struct{ Led []shard.ID }
 
 // YieldRequest asks a successor to take over a shard.
 type YieldRequest struct {
--- a/internal/process/daemon/event_logger.go
+++ b/internal/process/daemon/event_logger.go
@@ -136,6 +136,8 @@
 		return "completed", ""
 	case job.Failed:
 		return "failed", ""
+	case job.Cancelled:
+		return "cancelled", ""
 	case job.Refused:
 		return "refused", string(o.Reason)
 	case job.Stopped:
--- a/internal/process/daemon/traffic.go
+++ b/internal/process/daemon/traffic.go
@@ -51,11 +51,7 @@
 	case node.SendHeartbeat:
 		go t.sendHeartbeat(a)
 	case node.SendCancel:
-		go func() {
-			if err := t.peers.Cancel(a.To, a.Job); err != nil {
-				t.logger.callFailed("cancel", string(a.To.Incarnation), err)
-			}
-		}()
+		go t.cancel(a)
 	case node.SendYield:
 		go t.yield(a)
 	case node.WriteReplicaSet:
@@ -195,6 +191,15 @@
 	}})
 }
 
+func (t *traffic) cancel(a node.SendCancel) {
+	led, err := t.peers.Cancel(a.To, a.Cancellation)
+	if err != nil {
+		t.logger.callFailed("cancel", string(a.To.Incarnation), err)
+		return
+	}
+	t.loop.Post(node.CancelAnswered{Cancellation: a.Cancellation, From: a.To.Incarnation, Led: led})
+}
+
 func (t *traffic) yield(a node.SendYield) {
 	accepted, err := t.peers.Yield(a)
 	if err != nil {
--- a/internal/world/job/outcome.go
+++ b/internal/world/job/outcome.go
@@ -14,6 +14,10 @@
 // Failed means that a task failed as often as its queue allows.
 type Failed struct{ Task TaskName }
 
+// Cancelled means that the caller has cancelled the job. Attempts that were running are stopped, and no task
+// starts any more.
+type Cancelled struct{}
+
 // Refused means that no task of the key has run or will run.
 type Refused struct {
 	Reason     Reason
@@ -46,6 +50,7 @@
 
 func (Completed) outcome()  {}
 func (Failed) outcome()     {}
+func (Cancelled) outcome()  {}
 func (Refused) outcome()    {}
 func (Redirected) outcome() {}
 func (Divided) outcome()    {}
