Keep seed 819 of the model as a case of the known fault of deadly tasks

1,000 worlds of TestModel (seeds 1 to 1000) on: seed 819 breaks the bound of crashes under a deadly task, six in place of five, and nothing else fails. The trace is of the class in KNOWN-RED.txt: the caller sends the job three times, and the crashes are only suspected while VMs and endpoints are cut off.

--- a/internal/control/node/model_deadly_test.go
+++ b/internal/control/node/model_deadly_test.go
@@ -162,8 +162,12 @@
 // Guards against a deadly task that is started without a bound while crashes are noticed late: messages
 // are lost, and other endpoints are cut off or restart.
 func TestDeadlyTaskBesideOtherFaults(t *testing.T) {
-	w := runModel(201, parseKinds("loss,late,cut,coreCut,reborn,rebornCut,add,storeLate,failures,stall,giveUp,shrink,deadly"))
-	if w.violation != "" {
-		t.Errorf("seed 201: got %s, want no violation", w.violation)
+	for seed, kinds := range map[uint64]string{
+		201: "loss,late,cut,coreCut,reborn,rebornCut,add,storeLate,failures,stall,giveUp,shrink,deadly",
+		819: "loss,late,cut,zoneCut,endpointCut,coreCut,freeze,slow,kill,storeDown,storeSlow,reborn,rebornCut,add,leave,storeLate,giveUp,callerCut,thawOrder,deadly",
+	} {
+		if w := runModel(seed, parseKinds(kinds)); w.violation != "" {
+			t.Errorf("seed %d: got %s, want no violation", seed, w.violation)
+		}
 	}
 }
