Use the entry of an endpoint for its own incarnation alone

Cause: a leader learns of a new incarnation from a status report, but went on with the labels, rack, service, capacity and draining of the entry in the list, which is that of the former one until the new one is listed. Only services that do not guard their capacity were checked.

Change: an endpoint takes no tasks while its entry names another incarnation than the one that answers, and a former draining counts no more when a crash is judged.

TestRestartWithAnEarlierTimeOfDay expected a job to run by the entry of the former incarnation. It now checks that none starts by it and that the job runs once the present entry is listed; what it guards against, the former entry counting as another restart, is checked as before.

--- a/internal/control/leader/capacity.go
+++ b/internal/control/leader/capacity.go
@@ -19,7 +19,7 @@
 // capacityKnown reports whether the capacity is a recent one of the present incarnation. A new one may
 // be of another size.
 func (ep *endpointState) capacityKnown(now clock.Millis) bool {
-	return now <= ep.capacityReadAt+maxCapacityAge && (ep.listedBorn == 0 || ep.listedBorn == ep.Born)
+	return now <= ep.capacityReadAt+maxCapacityAge && ep.hasPresentEntry()
 }
 
 // maxCapacityAge is how long ago the capacity of an unguarded endpoint may have been read. One that
--- a/internal/control/leader/crash.go
+++ b/internal/control/leader/crash.go
@@ -174,7 +174,7 @@
 		noticedAt = ep.refusedAt
 	}
 	return &EndpointCrash{
-		Incarnation: ep.Born, Evidence: e, Draining: ep.Draining, Contacted: ep.contacted,
+		Incarnation: ep.Born, Evidence: e, Draining: ep.isDraining(), Contacted: ep.contacted,
 		Abrupt:      ep.contacted && (ep.closedSeq != 0 || ep.refusals > 0) && noticedAt-ep.answeredAt <= l.config.Timeouts.AttemptLease,
 		SinceReport: l.now - ep.lastReportAt, Attempts: attempts,
 	}
@@ -194,7 +194,7 @@
 		ep.refusals++
 		ep.refusedSeq = l.sequence
 	}
-	if ep.refusals < refusalsForSuspicion || ep.Born == 0 || !ep.contacted || ep.Draining {
+	if ep.refusals < refusalsForSuspicion || ep.Born == 0 || !ep.contacted || ep.isDraining() {
 		return
 	}
 	if ep.closedSeq != 0 && l.now-l.list.ReadAt <= maxListAge {
@@ -216,7 +216,7 @@
 // lossDetail says in the log what is known of the endpoint of a lost attempt.
 func (ep *endpointState) lossDetail(detail string) string {
 	switch {
-	case ep.Draining:
+	case ep.isDraining():
 		return detail + ", endpoint draining"
 	case ep.crashed:
 		return detail + ", endpoint crashed"
--- a/internal/control/leader/endpoint_state.go
+++ b/internal/control/leader/endpoint_state.go
@@ -117,11 +117,20 @@
 
 // accepts reports whether the endpoint takes new tasks.
 func (ep *endpointState) accepts(now clock.Millis) bool {
-	return ep.clockReading != 0 && ep.epoch <= shard.MaxEpoch && !ep.Draining && !ep.unlisted && ep.responsive() &&
+	return ep.clockReading != 0 && ep.epoch <= shard.MaxEpoch && ep.hasPresentEntry() && !ep.Draining && !ep.unlisted && ep.responsive() &&
 		now >= max(ep.usableFrom, ep.blockedUntil, ep.cappedLeaseEnd) && ep.health.usable(now, len(ep.tasks)) &&
 		(ep.activeOrphans == 0 || now < ep.orphanLeaseEnd-orphanLease) && !ep.hasOverdueStop(now) && (!ep.unguarded || ep.demandKnown() && ep.capacityKnown(now))
 }
 
+// hasPresentEntry reports whether the endpoint's entry in the list is that of the present incarnation, as far as
+// it names one. That of a former one says nothing: the present one may be of another kind, service or size.
+func (ep *endpointState) hasPresentEntry() bool {
+	return ep.listedBorn == 0 || ep.listedBorn == ep.Born
+}
+
+// isDraining reports whether the present incarnation has said that it is leaving.
+func (ep *endpointState) isDraining() bool { return ep.Draining && ep.hasPresentEntry() }
+
 // responsive reports whether the present incarnation answers.
 func (ep *endpointState) responsive() bool {
 	return ep.contacted && !ep.replaced && ep.unansweredHolds < suspectAfterHolds
--- /dev/null
+++ b/internal/control/leader/former_entry_test.go
@@ -0,0 +1,68 @@
+package leader
+
+import (
+	"testing"
+
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// Guards against tasks that start at an endpoint which has restarted under its ID as one of another kind or
+// service, or is not draining any more, by what the list says of its former incarnation; and against one that
+// stays out of use once its own entry is listed.
+func TestEntryOfAFormerIncarnationDecidesNothing(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		requires string
+		// change is what the restart changes; wantListed is whether the job runs once that is listed.
+		change     func(e *fakeEndpoint)
+		wantListed bool
+	}{
+		{"the label of before", "b", func(e *fakeEndpoint) { e.Labels = []string{"c"} }, false},
+		{"another label", "c", func(e *fakeEndpoint) { e.Labels = []string{"c"} }, true},
+		{"no label", "", func(e *fakeEndpoint) { e.Labels = []string{"c"} }, true},
+		{"another service", "", func(e *fakeEndpoint) { e.Service = "other" }, false},
+		{"less capacity", "", func(e *fakeEndpoint) { e.Capacity.CPU = taskCPU / 2 }, false},
+		{"draining no more", "", func(e *fakeEndpoint) { e.Draining = false }, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCluster(t, 34, 1)
+			e := c.endpoints["e00"]
+			e.Labels, e.Draining = []string{"b"}, tt.name == "draining no more"
+			f := c.addLeader(1, 256)
+			c.advance(50)
+			f.relists = false
+			c.crash(e)
+			tt.change(e)
+			c.advance(testTimeouts().cappedLeaseExpiry() + 1100)
+			s := submission("a-1", 1, 1)
+			s.Part, s.Limit = true, 20*clock.Second
+			s.Job.Steps[0].Requires = tt.requires
+			c.renewLeases(1, "a-1", 1)
+			c.deliver(1, Submitted{Submission: s})
+			c.advance(200)
+			if got := c.starts[TaskName(s.Job.ID, 0, 0)]; got != 0 {
+				t.Errorf("got %d starts by the entry of the former incarnation, want none", got)
+			}
+			f.relists = true
+			c.list(1)
+			c.advance(300)
+			if _, completed := c.outcomes[s.Key].(job.Completed); completed != tt.wantListed {
+				t.Errorf("got a completed job %v after its entry was listed, want %v", completed, tt.wantListed)
+			}
+		})
+	}
+}
+
+// Guards against a crash that blames no task since the former incarnation was draining.
+func TestFormerIncarnationsDrainIsNotThePresentOnes(t *testing.T) {
+	ep := &endpointState{listedBorn: 1}
+	ep.Born, ep.Draining = 1, true
+	if !ep.isDraining() {
+		t.Errorf("got the endpoint not draining, want it draining as its entry says")
+	}
+	ep.Born = 2
+	if ep.isDraining() {
+		t.Errorf("got the endpoint draining by the entry of its former incarnation, want it not")
+	}
+}
--- a/internal/control/leader/order_test.go
+++ b/internal/control/leader/order_test.go
@@ -264,6 +264,11 @@
 	if got, want := l.endpoints["e00"].Born, endpoint.Incarnation(900); got != want {
 		t.Errorf("got incarnation %d, want %d", got, want)
 	}
+	if got := c.starts[TaskName(s.Job.ID, 0, 0)]; got != 0 {
+		t.Errorf("got %d starts by the entry of the former incarnation, want none", got)
+	}
+	c.deliver(1, EndpointsListed{Endpoints: c.endpointList(), Complete: true})
+	c.advance(500)
 	if got, want := outcomeName(c.outcomes[s.Key]), "job.Completed"; got != want {
 		t.Errorf("got %s, want %s", got, want)
 	}
