Claim a shard after a bounded wait for better candidates

Cause: a VM leaves 60 ms to each better candidate before it claims a shard without a leader. Candidates are the rows of vms, and nothing removes those of VMs that are gone.

Change: from the tenth candidate on the wait is 600 to 780 ms, spread by rank; the conditional write decides between claims at the same time. The order of the candidates is computed when the table changes.

--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -70,6 +70,8 @@
 	endpointsLost, storeLost bool
 	vms                      []shard.VM
 	vmRecords                map[vm.ID]shard.VM
+	// candidates are the VMs in the order in which they claim a shard.
+	candidates map[shard.ID][]shard.VM
 	// heartbeats are the last ones of each VM, or its last answers to one.
 	heartbeats map[vm.Incarnation]heartbeat
 	loads      map[shard.ID]shard.Load
@@ -153,6 +155,7 @@
 		monitors: make(map[shard.ID]*failover.Monitor), ledShards: make(map[shard.ID]*ledShard),
 		missingSince: make(map[datacentre.EndpointID]clock.Millis), heartbeats: make(map[vm.Incarnation]heartbeat), loads: make(map[shard.ID]shard.Load), probes: make(map[shard.ID]probeState),
 		crashes: crash.NewHistory(), crashExchanges: make(map[vm.Incarnation]crashExchange),
+		candidates:    make(map[shard.ID][]shard.VM),
 		cancellations: make(map[job.Cancellation]*cancellation),
 		callers:       make(map[job.Key]chan<- job.Outcome), peers: make(map[job.Key]chan<- job.Outcome),
 	}
@@ -432,6 +435,7 @@
 
 func (n *Control) handleVMsLoaded(vms []shard.VM) {
 	n.vms, n.vmRecords = vms, make(map[vm.ID]shard.VM, len(vms))
+	clear(n.candidates)
 	for _, v := range vms {
 		n.vmRecords[v.Incarnation.VM()] = v
 	}
--- a/internal/control/node/heartbeats.go
+++ b/internal/control/node/heartbeats.go
@@ -141,13 +141,13 @@
 	if n.shutdown || n.desired == nil {
 		return -1
 	}
-	rank := slices.IndexFunc(shard.Candidates(id, n.vms), func(v shard.VM) bool {
+	rank := slices.IndexFunc(n.candidatesFor(id), func(v shard.VM) bool {
 		return v.Incarnation == n.config.Self.Incarnation
 	})
 	if rank < 0 {
 		return -1
 	}
-	delay := clock.Millis(rank) * failover.ClaimDelay
+	delay := claimDelayOf(rank)
 	if n.monitors[id].ReplicaSet().Revision == 0 {
 		delay += initialClaimDelay
 	}
@@ -157,6 +157,30 @@
 	return delay
 }
 
+const (
+	// maxClaimRank bounds the better candidates that are waited for. Most rows may be those of VMs that are
+	// gone, and only one of several claims at the same time succeeds.
+	maxClaimRank = 10
+	// lateClaimSpread spreads the claims of the candidates beyond that rank.
+	lateClaimSpread = clock.Millis(20)
+)
+
+// claimDelayOf is how long a candidate waits for better ones.
+func claimDelayOf(rank int) clock.Millis {
+	if rank <= maxClaimRank {
+		return clock.Millis(rank) * failover.ClaimDelay
+	}
+	return maxClaimRank*failover.ClaimDelay + clock.Millis(rank%maxClaimRank)*lateClaimSpread
+}
+
+// candidatesFor orders the VMs by preference as leader of a shard.
+func (n *Control) candidatesFor(id shard.ID) []shard.VM {
+	if n.candidates[id] == nil {
+		n.candidates[id] = shard.Candidates(id, n.vms)
+	}
+	return n.candidates[id]
+}
+
 func (n *Control) heartbeatRequest(id shard.ID, h failover.Heartbeat) HeartbeatRequest {
 	waiting, last := n.gateway.Outstanding(id)
 	r := HeartbeatRequest{
--- a/internal/control/node/leadership.go
+++ b/internal/control/node/leadership.go
@@ -91,7 +91,7 @@
 func (n *Control) proposedMembers(id shard.ID) []shard.Member {
 	members := []shard.Member{n.config.Self.Member}
 	var remote []shard.Member
-	for _, v := range shard.Candidates(id, n.vms) {
+	for _, v := range n.candidatesFor(id) {
 		if v.Incarnation == n.config.Self.Incarnation || n.heartbeatAge(v) > heartbeatMaxAge {
 			continue
 		}
@@ -169,7 +169,7 @@
 		return
 	}
 	set := n.monitors[id].ReplicaSet()
-	for _, v := range shard.Candidates(id, n.vms) {
+	for _, v := range n.candidatesFor(id) {
 		if n.isBetterLeader(id, v) && n.heartbeatAge(v) <= heartbeatMaxAge && set.Rank(v.Incarnation) > set.Rank(n.config.Self.Incarnation) {
 			n.askToTakeOver(id, led, v.Member)
 			return
