Close idle connections to the store after a time-out

Cause: a read that timed out closed its own connection alone, and the next one went out on another idle one, which was silent too. The client of the endpoints closes the others in that case; that of the store did not.

Evidence: TestReadAfterATimeoutUsesANewConnection on the code before: with four idle connections, read 5 is the first to be answered.

--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -49,11 +49,10 @@
 // Client is the entry daemon's client for the platform. It adds retries and a rate limit to the
 // client of the platform's store. It implements VMList, and provides Table and Objects.
 type Client struct {
-	config    ClientConfig
-	transport *http.Transport
-	store     *wire.Store
-	backoff   backoff
-	limiter   *rateLimiter
+	config  ClientConfig
+	store   *wire.Store
+	backoff backoff
+	limiter *rateLimiter
 
 	// mu guards the copy of the list of endpoints as of listedVersion.
 	mu            sync.Mutex
@@ -77,7 +76,7 @@
 	// The default transport would share connections with the rest of the process.
 	transport := &http.Transport{MaxConnsPerHost: maxConnections, IdleConnTimeout: idleTimeout.Duration()}
 	return &Client{
-		config: c, transport: transport,
+		config: c,
 		store: wire.NewStore(wire.StoreConfig{
 			Address: c.Address, Timeout: c.AttemptTimeout, Transport: transport, MaxAnswerBytes: c.MaxAnswerBytes,
 		}),
@@ -93,7 +92,7 @@
 )
 
 // Close closes idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+func (c *Client) Close() { c.store.CloseIdleConnections() }
 
 // Table returns the client's view of the table service.
 func (c *Client) Table() Table { return tableClient{c} }
