Close a connection for large answers that has timed out

What callers saw: nothing yet. A VM that the store does not reach gets desired states and lists of endpoints from its peers, and could not get any from a peer whose connection for large answers had gone silent.

Heartbeats replace the connection of small calls when they time out; the one for large answers has no heartbeats, and a call that timed out left it in use.

Test that failed before: TestBulkCallAfterATimeoutUsesANewConnection, no answer to any of 4 calls. Now the second one is answered.

--- a/internal/link/peer/client.go
+++ b/internal/link/peer/client.go
@@ -213,9 +213,12 @@
 		}
 		return errors.Annotatef(call.Error, "%s at %s", method, to.Incarnation)
 	case <-timer.C:
-		if method == "Beat" {
-			// A connection without answers may never recover, so the next call opens
-			// another. Pending calls on this one may still be answered.
+		// A connection without answers may never recover, so the next call opens another.
+		switch {
+		case on.bulk:
+			c.closeFailed(on, p)
+		case method == "Beat":
+			// Pending calls on this one may still be answered.
 			c.detach(on, p, done.Done)
 		}
 		return errors.Timeoutf("%s at %s", method, to.Incarnation)
--- a/internal/link/peer/connection_test.go
+++ b/internal/link/peer/connection_test.go
@@ -247,3 +247,23 @@
 		t.Errorf("got %d malformed submissions at the control goroutine, want none", n)
 	}
 }
+
+// Guards against a desired state or a list of endpoints that can never be fetched again from a peer: the
+// connection for large answers has gone silent, and no heartbeat uses it.
+func TestBulkCallAfterATimeoutUsesANewConnection(t *testing.T) {
+	p := submit(t, &slowLeader{submitted: make(chan node.PeerSubmitted, 1)})
+	if _, _, err := p.client.FetchEndpoints(p.to); err != nil {
+		t.Fatal(err)
+	}
+	p.dialer.silence()
+	attempts := 1
+	for attempts < 4 {
+		if _, _, err := p.client.FetchEndpoints(p.to); err == nil {
+			break
+		}
+		attempts++
+	}
+	if got, want := attempts, 2; got > want {
+		t.Errorf("got an answer to call %d, want one to call %d at the latest", got, want)
+	}
+}
