Fetch the desired state from a peer though it changes often

Cause: a VM waits a second from the latest version that it has heard of before it asks a peer, so that the wait began anew with each version.

Test that failed before: TestDesiredStateIsFetchedWhileItChangesOften, no request in 3 s with a version each 300 ms.

Change: the wait counts from the first later version that the VM has heard of since its own last changed.

--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -92,8 +92,8 @@
 	peers   map[job.Key]chan<- job.Outcome
 
 	lastFetchAt clock.Millis
-	// newerDesired is the latest version of the desired state that peers have named, since
-	// newerDesiredSince. One was last requested from a peer at desiredFetchAt.
+	// newerDesired is the latest version of the desired state that peers have named. They have named later
+	// versions than this VM's, which has not changed, since newerDesiredSince. One was last requested from a peer at desiredFetchAt.
 	newerDesired                      queue.Version
 	newerDesiredSince, desiredFetchAt clock.Millis
 	// seeds are queried in rotation; the next query is due at nextSeedQueryAt.
@@ -448,7 +448,7 @@
 	if n.desired != nil && s.Version <= n.desired.Version {
 		return
 	}
-	n.desired = s
+	n.desired, n.newerDesiredSince = s, n.now
 	n.emit(LogEvent{Topic: DesiredStateApplied, Version: s.Version})
 	for _, id := range n.shards {
 		n.sendToLeader(id, leader.DesiredState{State: s})
--- a/internal/control/node/heartbeats.go
+++ b/internal/control/node/heartbeats.go
@@ -314,9 +314,10 @@
 // fetchDesiredState requests a later desired state from a peer, unless the store may still deliver it: a
 // large one would fill the links of the VMs that have it.
 func (n *Control) fetchDesiredState(from shard.Member, version queue.Version) {
-	if version > n.newerDesired {
-		n.newerDesired, n.newerDesiredSince = version, n.now
+	if n.desired == nil || n.newerDesired <= n.desired.Version {
+		n.newerDesiredSince = n.now
 	}
+	n.newerDesired = max(n.newerDesired, version)
 	if from.Address == "" || n.desired != nil && n.now < max(n.newerDesiredSince, n.desiredFetchAt)+desiredFetchDelay {
 		return
 	}
--- a/internal/control/node/node_test.go
+++ b/internal/control/node/node_test.go
@@ -337,6 +337,35 @@
 	}
 }
 
+// Guards against a VM that the store does not reach and that never asks a peer for the desired state, since a
+// later version comes before it has waited long enough for the one before; and against a request for each of
+// them.
+func TestDesiredStateIsFetchedWhileItChangesOften(t *testing.T) {
+	h := leaderOfCentro(t)
+	h.handle(DesiredStateLoaded{State: queue.NewState(3, nil, nil, queue.Limits{})})
+	h.actions = nil
+	fetched := 0
+	const interval, changes = clock.Millis(300), 10
+	for i := range queue.Version(changes) {
+		h.handle(PeerHeartbeat{Request: HeartbeatRequest{Cell: "centro", From: newVM("centro", "peer-1"), Desired: 4 + i}, Reply: make(chan HeartbeatReply, 1)})
+		for range takeActions[FetchDesiredState](h) {
+			fetched++
+			h.handle(DesiredStateLoaded{State: queue.NewState(4+i, nil, nil, queue.Limits{})})
+		}
+		h.advance(interval)
+	}
+	if got, want := fetched, int(interval*(changes-1)/(desiredFetchDelay+interval)); got < want || got > want+1 {
+		t.Errorf("got %d requests in %d ms, want %d or %d", got, interval*changes, want, want+1)
+	}
+	// Once this VM is up to date, the store has time to deliver the next version.
+	h.advance(5 * clock.Second)
+	h.handle(DesiredStateLoaded{State: queue.NewState(50, nil, nil, queue.Limits{})})
+	h.handle(PeerHeartbeat{Request: HeartbeatRequest{Cell: "centro", From: newVM("centro", "peer-1"), Desired: 51}, Reply: make(chan HeartbeatReply, 1)})
+	if got := countActions[FetchDesiredState](h); got != 0 {
+		t.Errorf("got %d requests for a version that has just appeared, want none", got)
+	}
+}
+
 // Guards against two VMs that use the same fencing token after any sequence of takeovers.
 func TestTokensAreUnique(t *testing.T) {
 	seen := make(map[shard.Token]string)
