Serve peers on after an error of Accept

Cause: peer.Server.Serve returned on any error, which ends the run group.

Change: it reports the error, pauses for 20 ms and accepts again until the listener is closed. The servers of callers, readiness and metrics are http.Server, which does so itself.

--- a/internal/link/peer/server.go
+++ b/internal/link/peer/server.go
@@ -52,6 +52,8 @@
 	Tracer *trace.Tracer
 	// Meter counts bytes and messages; nil counts none.
 	Meter Meter
+	// AcceptFailed receives the errors after which the server goes on; it may be nil.
+	AcceptFailed func(error)
 }
 
 // Server handles calls of other entry VMs.
@@ -77,6 +79,9 @@
 	return s, errors.Annotate(err, "register peer service")
 }
 
+// acceptPause is the pause after a connection could not be accepted.
+const acceptPause = clock.Millis(20)
+
 // Serve accepts connections until Close.
 func (s *Server) Serve() error {
 	for {
@@ -85,7 +90,15 @@
 			if s.closed.Load() {
 				return nil
 			}
-			return errors.Annotate(err, "accept peer connections")
+			if errors.Is(err, net.ErrClosed) {
+				return errors.Annotate(err, "accept peer connections")
+			}
+			// The process may be short of file descriptors until other connections have ended.
+			if s.config.AcceptFailed != nil {
+				s.config.AcceptFailed(err)
+			}
+			time.Sleep(acceptPause.Duration())
+			continue
 		}
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -174,6 +174,7 @@
 	}
 	d.server, err = peer.NewServer(peer.ServerConfig{
 		Listener: network.Listener{Listener: peers, Link: d.link}, Local: d.loop, SubmitTimeout: maxSubmitTimeout, ControlTimeout: clock.Second, Changes: &d.changeLog, Tracer: d.tracer, Meter: d.meter,
+		AcceptFailed: func(err error) { d.logger.callFailed("accept connection", "peers", err) },
 	})
 	if err != nil {
 		return errors.Trace(err)
