Let a late copy of a submission take no outcome

What callers saw: 504 at their time limit although the job had ended, by the review's reading of the code: a copy of a submission that a link has held up took the place of the present call, and the outcome went to a connection that was closed.

Cause: handlePeerSubmitted recorded the latest call of a key before the leader had checked whether the submission had expired.

Test that failed before: TestLateCopyOfASubmissionTakesNoOutcome, no answer to the copy and none to the present submission.

Change: an expired submission is refused before its call is recorded.

--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -386,6 +386,11 @@
 		e.Ended <- job.Cancelled{}
 		return
 	}
+	if e.Submission.Expires != 0 && n.now > e.Submission.Expires {
+		// A link has held the message up. A later one may be waiting for the outcome.
+		e.Ended <- job.Refused{Reason: job.LateMessage, RetryAfter: clock.Second}
+		return
+	}
 	n.peers[e.Submission.Key] = e.Ended
 	n.sendToLeader(e.Shard, leader.Submitted{Submission: e.Submission})
 }
--- a/internal/control/node/node_test.go
+++ b/internal/control/node/node_test.go
@@ -470,3 +470,33 @@
 		t.Errorf("handed over: got %+v, %d endpoints, complete %v, want version 4 with 2 endpoints, handed over, and not complete by itself", e.List, e.Endpoints, e.ListComplete)
 	}
 }
+
+// Guards against a caller that gets no answer: a copy of its job's submission that a link has held up arrives
+// after the present one, and the outcome goes to the connection of the copy.
+func TestLateCopyOfASubmissionTakesNoOutcome(t *testing.T) {
+	h := leaderOfCentro(t)
+	s := resubmittedJob()
+	s.Adopt, s.Part = false, true
+	s.Expires = h.now + 100
+	present, late := make(chan job.Outcome, 1), make(chan job.Outcome, 1)
+	h.handle(PeerSubmitted{Shard: "centro", Submission: s, Ended: present})
+	s.Expires = h.now - 1
+	h.handle(PeerSubmitted{Shard: "centro", Submission: s, Ended: late})
+	select {
+	case o := <-late:
+		if refused, ok := o.(job.Refused); !ok || refused.Reason != job.LateMessage {
+			t.Errorf("got %#v for the copy, want it refused as late", o)
+		}
+	default:
+		t.Errorf("got no answer to the copy, want it refused as late")
+	}
+	h.handle(PeerCancelled{Cancellation: job.Cancellation{Job: s.Job.ID, Queue: s.Job.Queue}, Led: make(chan []shard.ID, 1)})
+	select {
+	case o := <-present:
+		if o != job.Outcome(job.Cancelled{}) {
+			t.Errorf("got %#v, want the outcome of the job", o)
+		}
+	default:
+		t.Errorf("got no outcome for the present submission, want one")
+	}
+}
--- a/internal/link/peer/accept_test.go
+++ b/internal/link/peer/accept_test.go
@@ -37,7 +37,6 @@
 	server, err := NewServer(ServerConfig{
 		Listener: exhausted, Local: &slowLeader{submitted: make(chan node.PeerSubmitted, 1)}, SubmitTimeout: clock.Second, ControlTimeout: clock.Second,
 		AcceptFailed: func(error) { reported.Add(1) },
-
 	})
 	if err != nil {
 		t.Fatal(err)
