--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -93,7 +93,8 @@
 
 	lastFetchAt clock.Millis
 	// newerDesired is the latest version of the desired state that peers have named. They have named later
-	// versions than this VM's, which has not changed, since newerDesiredSince. One was last requested from a peer at desiredFetchAt.
+	// versions than this VM's, which has not changed since, from newerDesiredSince on. One was last requested
+	// from a peer at desiredFetchAt.
 	newerDesired                      queue.Version
 	newerDesiredSince, desiredFetchAt clock.Millis
 	// seeds are queried in rotation; the next query is due at nextSeedQueryAt.
