Take the store for lost by reads of the list of endpoints alone

Cause: starts are not held while the store is lost, and a failed read of any table counted as that.

Change: only reads of the list of endpoints count, and only for 2 s. A VM that claims a shard has just had an answer of the store, so what it knew before does not count. A store that answers late counts as lost until it answers in time, and has 300 ms in place of 150: it is 60 times slower than 4 ms while it is overloaded.

--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -65,11 +65,12 @@
 	// lastMissingAt is when an endpoint last disappeared from the list, or may have done so unseen.
 	// It is initially the start of the VM, because earlier lists are unknown.
 	lastMissingAt clock.Millis
-	// endpointsLost means that the latest read of the list of endpoints has failed or is overdue, and
-	// storeLost that of another table.
-	endpointsLost, storeLost bool
-	vms                      []shard.VM
-	vmRecords                map[vm.ID]shard.VM
+	// storeLost means that the latest read of the list of endpoints has failed or is overdue, as reported at
+	// storeReportedAt.
+	storeLost       bool
+	storeReportedAt clock.Millis
+	vms             []shard.VM
+	vmRecords       map[vm.ID]shard.VM
 	// candidates are the VMs in the order in which they claim a shard.
 	candidates map[shard.ID][]shard.VM
 	// heartbeats are the last ones of each VM, or its last answers to one.
--- a/internal/control/node/endpoints.go
+++ b/internal/control/node/endpoints.go
@@ -60,26 +60,23 @@
 	}
 }
 
-// handleStoreReported tells the leaders of this VM when the list of endpoints can no longer be read, or
-// can again.
+// handleStoreReported tells the leaders of this VM whether the list of endpoints can be read.
 func (n *Control) handleStoreReported(e StoreReported) {
-	before := n.isStoreLost()
-	if e.OfEndpoints {
-		n.endpointsLost = e.Lost
-	} else {
-		n.storeLost = e.Lost
-	}
-	if n.isStoreLost() == before {
-		return
-	}
+	n.storeLost, n.storeReportedAt = e.Lost, n.now
 	for _, id := range n.shards {
-		n.sendToLeader(id, leader.StoreReported{Lost: !before})
+		n.sendToLeader(id, leader.StoreReported{Lost: e.Lost})
 	}
 }
 
-// isStoreLost reports whether a read of the list of endpoints is expected to fail. A VM that has not read
-// it recently knows that from other tables.
-func (n *Control) isStoreLost() bool { return n.endpointsLost || n.storeLost }
+// isStoreLost reports whether the store has just not answered. A VM that does not read the list at present
+// finds out when it becomes leader.
+func (n *Control) isStoreLost() bool {
+	return n.storeLost && n.now <= n.storeReportedAt+storeReportRetention
+}
+
+// storeReportRetention is how long a report counts. While reads fail, members of replica sets report that each
+// second or more often.
+const storeReportRetention = 2 * clock.Second
 
 // missingRetention is how long an endpoint that has disappeared from the list is still used if it
 // answers. Expired entries return within two seconds after the store is available again.
--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -135,13 +135,8 @@
 	Gap bool
 }
 
-// StoreReported says whether the store answers this VM: a read has been answered, or has failed or is
-// overdue.
-type StoreReported struct {
-	// OfEndpoints means that it was a read of the list of endpoints.
-	OfEndpoints bool
-	Lost        bool
-}
+// StoreReported says whether the store has answered a read of the list of endpoints in time.
+type StoreReported struct{ Lost bool }
 
 // VMsLoaded is the store's list of entry VMs.
 type VMsLoaded struct{ VMs []shard.VM }
--- a/internal/control/node/leadership.go
+++ b/internal/control/node/leadership.go
@@ -206,6 +206,8 @@
 		return
 	}
 	wasLeader := n.ledShards[id] != nil
+	// The store answers.
+	n.storeLost = false
 	n.applyReplicaSet(e.ReplicaSet)
 	if !wasLeader && n.monitors[id].ReplicaSet().Revision == e.ReplicaSet.Revision {
 		n.becomeLeader(id, e.ReplicaSet, 0, "")
--- a/internal/process/daemon/followers.go
+++ b/internal/process/daemon/followers.go
@@ -45,9 +45,9 @@
 	// retryPause is the pause after a read that failed.
 	retryPause = clock.Millis(150)
 	// storePatience is how long an answer to a read of the list of endpoints may take, besides its
-	// transfer, before the store counts as lost. The store answers within 4 ms; starts may wait for the
-	// answer.
-	storePatience = clock.Millis(150)
+	// transfer, before the store counts as lost. The store answers within 4 ms, or 60 times slower while it
+	// is overloaded; starts may wait for the answer.
+	storePatience = clock.Millis(300)
 )
 
 // changeSource has the changes of a table that another VM has read.
@@ -72,9 +72,9 @@
 	wake <-chan struct{}
 	// relay takes the place of the store while it can; it may be nil.
 	relay changeSource
-	// patience returns how long after its wait an answer is overdue; nil means that none is.
-	patience func(rows map[string]store.Row) clock.Millis
-	// storeReported receives whether the store has answered, or has failed to or is overdue.
+	// patience returns how long after its wait an answer is overdue, and storeReported receives whether the
+	// store has answered in time. Both are nil if nobody needs to know.
+	patience      func(rows map[string]store.Row) clock.Millis
 	storeReported func(answered bool)
 	clock         clock.Clock
 	logger        *eventLogger
@@ -116,6 +116,7 @@
 			continue
 		}
 		var snapshot store.Snapshot
+		inTime := false
 		read := tableRead{rows: rows, gap: !loaded, whole: !loaded}
 		if loaded && !due && f.relay != nil {
 			snapshot, read.sentAt, read.relayed, due = f.followRelay(ctx, version)
@@ -125,7 +126,7 @@
 		} else {
 			var err error
 			read.sentAt = f.clock.Now()
-			snapshot, err = f.readStore(ctx, rows, version, loaded)
+			snapshot, inTime, err = f.readStore(ctx, rows, version, loaded)
 			if loaded && errors.Is(err, store.ErrHistoryTruncated) {
 				loaded = false
 				continue
@@ -161,7 +162,7 @@
 		case f.unchanged != nil:
 			f.unchanged(read)
 		}
-		if !read.relayed {
+		if inTime {
 			f.report(true)
 		}
 		loaded, version = true, snapshot.Version
@@ -172,20 +173,20 @@
 	return ctx.Err()
 }
 
-// readStore reads the table or its changes since a version from the store, and reports a failure. A success
-// is reported once what was read has been passed on.
-func (f *follower) readStore(ctx context.Context, rows map[string]store.Row, version store.Revision, loaded bool) (s store.Snapshot, err error) {
+// readStore reads the table or its changes since a version from the store, and reports a failure. An answer
+// in time is reported once what was read has been passed on.
+func (f *follower) readStore(ctx context.Context, rows map[string]store.Row, version store.Revision, loaded bool) (s store.Snapshot, inTime bool, err error) {
 	answered := f.watchOverdue(rows)
 	if loaded {
 		s, err = f.store.Follow(ctx, f.table, version, f.wait)
 	} else {
 		s, err = f.store.Read(ctx, f.table)
 	}
-	answered()
+	inTime = answered()
 	if err != nil && ctx.Err() == nil && !errors.Is(err, store.ErrHistoryTruncated) {
 		f.report(false)
 	}
-	return s, err
+	return s, inTime, err
 }
 
 // report passes on whether the store has answered.
@@ -195,24 +196,28 @@
 	}
 }
 
-// watchOverdue reports the store as lost once an answer is overdue, until the returned function is called.
-func (f *follower) watchOverdue(rows map[string]store.Row) (answered func()) {
+// watchOverdue reports the store as lost once an answer is overdue. The returned function ends that when there
+// is an answer, and tells whether it came in time.
+func (f *follower) watchOverdue(rows map[string]store.Row) (answered func() (inTime bool)) {
 	if f.patience == nil {
-		return func() {}
+		return func() bool { return true }
 	}
+	late := false
 	stop, stopped := make(chan struct{}), make(chan struct{})
 	overdue := f.clock.After(f.wait + f.patience(rows))
 	go func() {
 		defer close(stopped)
 		select {
 		case <-overdue:
+			late = true
 			f.report(false)
 		case <-stop:
 		}
 	}()
-	return func() {
+	return func() bool {
 		close(stop)
 		<-stopped
+		return !late
 	}
 }
 
@@ -269,23 +274,19 @@
 func (d *Daemon) followers() []*follower {
 	c := d.config.Clock
 	return []*follower{
-		{store: d.store, clock: c, table: platform.Operator, wait: desiredFeedWait, pause: constantPause(0), logger: d.logger, storeReported: d.storeReported, changed: d.desiredChanged},
-		{store: d.store, clock: c, table: store.VMs, wait: feedWait, pause: constantPause(0), logger: d.logger, storeReported: d.storeReported, changed: d.vmsChanged},
-		{store: d.store, clock: c, table: store.ReplicaSets, wait: feedWait, pause: constantPause(0), logger: d.logger, storeReported: d.storeReported, changed: d.replicaSetsChanged},
+		{store: d.store, clock: c, table: platform.Operator, wait: desiredFeedWait, pause: constantPause(0), logger: d.logger, changed: d.desiredChanged},
+		{store: d.store, clock: c, table: store.VMs, wait: feedWait, pause: constantPause(0), logger: d.logger, changed: d.vmsChanged},
+		{store: d.store, clock: c, table: store.ReplicaSets, wait: feedWait, pause: constantPause(0), logger: d.logger, changed: d.replicaSetsChanged},
 		{
 			store: d.store, clock: c, table: platform.Endpoints, wait: endpointsFeedWait, pause: d.endpointsPause, wake: d.traffic.readEndpoints, relay: &relay{daemon: d}, logger: d.logger,
-			patience: d.storePatience, storeReported: d.endpointsReported, changed: d.endpointsRead, unchanged: d.endpointsRead,
+			patience: d.storePatience, storeReported: d.storeReported, changed: d.endpointsRead, unchanged: d.endpointsRead,
 		},
 	}
 }
 
-// storeReported and endpointsReported pass on whether the store answers.
+// storeReported passes on whether the store has answered a read of the list of endpoints in time.
 func (d *Daemon) storeReported(answered bool) { d.loop.Post(node.StoreReported{Lost: !answered}) }
 
-func (d *Daemon) endpointsReported(answered bool) {
-	d.loop.Post(node.StoreReported{OfEndpoints: true, Lost: !answered})
-}
-
 // storePatience is how long the answer to a read of the list of endpoints may take.
 func (d *Daemon) storePatience(rows map[string]store.Row) clock.Millis {
 	bytes := link.Bytes(0)
