--- a/review/standins-2/deployment.go
+++ b/review/standins-2/deployment.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -27,6 +28,7 @@
 	// resendAfter is when a caller sends a job again that got no answer.
 	resendAfter = 1300 * time.Millisecond
 	dataCentre  = "amba-centro"
+	otherCentre = "amba-norte"
 )
 
 // deployment is a small deployment: nodes as processes, the store, endpoints and callers.
@@ -85,18 +87,20 @@
 
 // node is a process of the node command.
 type node struct {
-	name, callers, ready, peers, settings string
-	process                               *exec.Cmd
-	exited                                chan struct{}
-	log                                   *os.File
+	name, dataCentre, callers, ready, peers, settings string
+	process                                           *exec.Cmd
+	exited                                            chan struct{}
+	log                                               *os.File
 }
 
-// addNodes starts nodes with settings like those that deploy/settings.toml.tmpl renders for a small
-// deployment.
-func (d *deployment) addNodes(count int) {
-	for i := range count {
+// addNodes starts nodes in each data centre with settings like those that deploy/settings.toml.tmpl renders
+// for a small deployment.
+func (d *deployment) addNodes(count int, dataCentres ...string) {
+	quoted := `"` + strings.Join(dataCentres, `", "`) + `"`
+	for i := range count * len(dataCentres) {
 		addresses := freeAddresses(4)
-		n := &node{name: fmt.Sprintf("frontend-%s-%d", dataCentre, i+1), callers: addresses[0], ready: addresses[1], peers: addresses[2]}
+		dc := dataCentres[i%len(dataCentres)]
+		n := &node{name: fmt.Sprintf("frontend-%s-%d", dc, i/len(dataCentres)+1), dataCentre: dc, callers: addresses[0], ready: addresses[1], peers: addresses[2]}
 		n.settings = filepath.Join(d.dir, n.name+".toml")
 		seed := n.peers
 		if i > 0 {
@@ -104,7 +108,7 @@
 		}
 		text := fmt.Sprintf(`vm = %q
 dataCentre = %q
-dataCentres = [%q]
+dataCentres = [%s]
 seeds = [%q]
 
 [listen]
@@ -129,7 +133,7 @@
 graceMs = 6000
 drainMs = 2000
 farFactor = 1.5
-`, n.name, dataCentre, dataCentre, seed, n.callers, n.ready, n.peers, addresses[3], d.storeAddress)
+`, n.name, dc, quoted, seed, n.callers, n.ready, n.peers, addresses[3], d.storeAddress)
 		if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 			panic(err)
 		}
@@ -179,8 +183,9 @@
 	}
 }
 
-// leader returns the node that last wrote the shard's replica set to the store, its first member.
-func (d *deployment) leader() *node {
+// leader returns the node that last wrote the replica set of a data centre's shard to the store, its first
+// member.
+func (d *deployment) leader(dataCentre string) *node {
 	response, err := http.Get("http://" + d.storeAddress + "/-/rows-get?table=lineups&part=")
 	if err != nil {
 		panic(err)
@@ -188,19 +193,25 @@
 	defer func() { _ = response.Body.Close() }()
 	var page struct {
 		Rows []struct {
+			Key   string `json:"key"`
 			Value []byte `json:"value"`
 		} `json:"rows"`
 	}
-	if err := json.NewDecoder(response.Body).Decode(&page); err != nil || len(page.Rows) == 0 {
-		panic(fmt.Sprint("no replica set: ", err))
+	if err := json.NewDecoder(response.Body).Decode(&page); err != nil {
+		panic(err)
 	}
 	var first *node
 	at := -1
-	for _, n := range d.nodes {
-		if i := strings.Index(string(page.Rows[0].Value), n.name+"-"); i >= 0 && (at < 0 || i < at) {
-			first, at = n, i
+	for _, r := range page.Rows {
+		for _, n := range d.nodes {
+			if i := strings.Index(string(r.Value), n.name+"-"); r.Key == dataCentre && i >= 0 && (at < 0 || i < at) {
+				first, at = n, i
+			}
 		}
 	}
+	if first == nil {
+		panic("no replica set of " + dataCentre)
+	}
 	return first
 }
 
@@ -216,12 +227,12 @@
 	listed    bool
 }
 
-// addEndpoints adds endpoints of 32 cores, whose heartbeats are spread over the interval.
-func (d *deployment) addEndpoints(count int) {
+// addEndpoints adds endpoints of 32 cores to a data centre, whose heartbeats are spread over the interval.
+func (d *deployment) addEndpoints(dataCentre string, count int) {
 	for i := range count {
-		id := fmt.Sprintf("i-%02d", i)
+		id := fmt.Sprintf("i-%02d", len(d.endpoints))
 		e := &endpoint{id: id, standIn: standin.NewEndpoint(standin.EndpointConfig{
-			ID: id, Service: "playout", DataCentre: dataCentre, MilliCores: 32000, Seed: uint64(i), Observer: observer{d.attempts, id},
+			ID: id, Service: "playout", DataCentre: dataCentre, MilliCores: 32000, Seed: uint64(len(d.endpoints)), Observer: observer{d.attempts, id},
 		})}
 		e.address = serve(e.standIn)
 		d.endpoints = append(d.endpoints, e)
@@ -309,20 +320,21 @@
 	return response.StatusCode
 }
 
+// lowestPort and portCount define a range below the kernel's ephemeral ports: an outgoing connection could
+// take one of those between its choice and the start of the process that listens on it.
+const lowestPort, portCount = 20000, 12000
+
 // freeAddresses returns loopback addresses without a listener.
 func freeAddresses(count int) []string {
 	var all []string
-	var open []net.Listener
-	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for len(all) < count {
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(portCount))
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			panic(err)
+			continue
 		}
-		open = append(open, l)
-		all = append(all, l.Addr().String())
-	}
-	for _, l := range open {
 		_ = l.Close()
+		all = append(all, address)
 	}
 	return all
 }
--- a/review/standins-2/dropped_route.go
+++ b/review/standins-2/dropped_route.go
@@ -38,8 +38,8 @@
 // start. It reports whether the job runs longer than it may.
 func cancelAfterChange(d *deployment, desired string, cancelAfter time.Duration) bool {
 	const id, task = "000000000000b001", "000000000000b001.0.0.0"
-	d.addEndpoints(6)
-	d.addNodes(3)
+	d.addEndpoints(dataCentre, 6)
+	d.addNodes(3, dataCentre)
 	d.awaitReady()
 	time.Sleep(3 * time.Second)
 	go func() {
--- a/review/standins-2/returned_entries.go
+++ b/review/standins-2/returned_entries.go
@@ -25,8 +25,8 @@
 // removed and back within one read of the list. Much later the shard's leader is killed while its jobs run.
 func returnedEntries(d *deployment) bool {
 	trouble := os.Getenv("TROUBLE")
-	d.addEndpoints(entriesEndpoints)
-	d.addNodes(3)
+	d.addEndpoints(dataCentre, entriesEndpoints)
+	d.addNodes(3, dataCentre)
 	d.awaitReady()
 	time.Sleep(2 * time.Second)
 	for round := range rounds {
@@ -54,7 +54,7 @@
 	time.Sleep(killAfter - loadBefore + time.Duration(rand.Int64N(int64(heartbeatInterval))))
 	go d.load(round, loadBefore+3*time.Second)
 	time.Sleep(loadBefore)
-	leader := d.leader()
+	leader := d.leader(dataCentre)
 	if trouble != "0" {
 		d.record.write("leader %s is killed", leader.name)
 		leader.kill()
