--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -23,7 +23,7 @@
 		os.Exit(2)
 	}
 	cases := map[string]func(*deployment) (broken bool){
-		"returned-entries": returnedEntries, "dropped-route": droppedRoute, "replaced-route": replacedRoute, "resent-part": resentPart,
+		"returned-entries": returnedEntries, "dropped-route": droppedRoute, "replaced-route": replacedRoute, "resent-part": resentPart, "forgotten-cancellation": forgottenCancellation,
 	}
 	play := cases[os.Args[1]]
 	if play == nil {
