--- a/internal/world/job/resources.go
+++ b/internal/world/job/resources.go
@@ -1,5 +1,7 @@
 package job
 
+import "math"
+
 // MilliCores is processor capacity in thousandths of a core.
 type MilliCores int64
 
@@ -30,3 +32,18 @@
 func (r Resources) Minus(o Resources) Resources {
 	return Resources{CPU: r.CPU - o.CPU, Memory: r.Memory - o.Memory, Accelerators: r.Accelerators - o.Accelerators}
 }
+
+// Count returns how many times the resources cover the demand.
+func (r Resources) Count(demand Resources) int {
+	n := math.MaxInt32
+	if demand.CPU > 0 {
+		n = min(n, int(max(r.CPU, 0)/demand.CPU))
+	}
+	if demand.Memory > 0 {
+		n = min(n, int(max(r.Memory, 0)/demand.Memory))
+	}
+	if demand.Accelerators > 0 {
+		n = min(n, int(max(r.Accelerators, 0)/demand.Accelerators))
+	}
+	return n
+}
