control/admission: choose what to serve when not all fits

Jobs are ordered by what their refusal costs callers for the capacity that they still need, with floors for queues, callers' data centres and large jobs. Not used yet.

--- /dev/null
+++ b/internal/control/admission/planner.go
@@ -0,0 +1,138 @@
+package admission
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/sequoiacart/sequoiacart/internal/control/forecast"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/queue"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// Config holds the weights of a Planner.
+type Config struct {
+	// PriorityRatio is how many times as much a refusal costs as that of a job with the same work and
+	// the next lower priority.
+	PriorityRatio float64
+	// CallShare is the part of the cost of a refusal that does not depend on the work: the call has
+	// failed and its caller has to act. The rest grows with the work that the caller does not get.
+	CallShare float64
+	// Floor is how often a group of jobs is served, compared with all of them, below which it comes
+	// first.
+	Floor float64
+	// DensityOffset is how much earlier a job starts than another one with the same latest start whose
+	// density is lower by a factor of e.
+	DensityOffset clock.Millis
+}
+
+// DefaultConfig returns the weights that docs/design/admission.md explains.
+func DefaultConfig() Config {
+	return Config{PriorityRatio: 1.5, CallShare: 0.3, Floor: 0.7, DensityOffset: 100}
+}
+
+func (c Config) weight(priority int) float64 {
+	return math.Pow(c.PriorityRatio, -float64(priority))
+}
+
+// Planner decides on the jobs of a shard.
+type Planner struct {
+	config Config
+	means  map[queue.Name]*meanWork
+	floors floors
+	order  []*Job
+	// fastest is the highest speed of an endpoint in the latest plan.
+	fastest float64
+}
+
+// New returns a planner that has seen no job.
+func New(c Config) *Planner {
+	return &Planner{config: c, means: make(map[queue.Name]*meanWork), floors: newFloors(), fastest: math.Inf(1)}
+}
+
+// Register classifies a job that arrives, and ranks it.
+func (p *Planner) Register(now clock.Millis, j *Job) {
+	p.recordMean(j.Queue, j.Work)
+	p.floors.classify(j)
+	p.rank(now, j)
+}
+
+// Served records that all tasks of a job have started.
+func (p *Planner) Served(now clock.Millis, j *Job) { p.floors.record(now, j, true) }
+
+// Refused records that a job was refused.
+func (p *Planner) Refused(now clock.Millis, j *Job) { p.floors.record(now, j, false) }
+
+// rank sets the place of a job in the order.
+func (p *Planner) rank(now clock.Millis, j *Job) {
+	j.Tasks.Margin = forecast.Probable
+	j.Tasks.Late = j.Started && j.Tasks.Objective.MinSpeed(now, j.Tasks.Margin) > p.fastest
+	j.rank = p.density(j)
+	if j.Tasks.Late {
+		j.rank *= lateShare
+	}
+	if j.Started && !j.Tasks.Late || !j.Started && p.floors.starved(j, p.config.Floor) {
+		j.rank *= precedence
+	}
+	start := j.Tasks.Objective.LatestStart(1, j.Tasks.Margin)
+	if j.Tasks.Late {
+		start = max(start, now)
+	}
+	j.startOrder = start - clock.Millis(float64(p.config.DensityOffset)*math.Log(j.rank))
+}
+
+// precedence puts jobs before the others that are neither late nor more than a hundred times as dense:
+// those that have started, since what they hold is lost if the rest does not start in time, and those of
+// a group below its floor.
+const precedence = 100
+
+// Arrive decides on a job that has arrived, beside those that wait. The room is that of the endpoints
+// of its service, and is used up.
+func (p *Planner) Arrive(now clock.Millis, j *Job, waiting []*Job, room *forecast.Room) Decision {
+	late := p.place(now, append(append(p.order[:0], waiting...), j), room)
+	if slices.Contains(late, j) {
+		return Refuse{Now: j.place.Now, InTime: j.place.InTime, Backlog: p.backlog(j, waiting)}
+	}
+	if j.place.Now == j.Tasks.Count && len(late) == 0 {
+		return Start{}
+	}
+	return Wait{Now: j.place.Now, Displaced: late}
+}
+
+// Review returns the jobs that wait and cannot all start in time any more.
+func (p *Planner) Review(now clock.Millis, waiting []*Job, room *forecast.Room) []*Job {
+	return p.place(now, append(p.order[:0], waiting...), room)
+}
+
+// place places the jobs in the order of their rank, and returns those that do not fit in time and have
+// not started. A job that is in time only if its estimate is right gets what would be idle.
+func (p *Planner) place(now clock.Millis, jobs []*Job, room *forecast.Room) []*Job {
+	p.order, p.fastest = jobs, room.Fastest()
+	for _, j := range jobs {
+		p.rank(now, j)
+	}
+	slices.SortStableFunc(jobs, func(a, b *Job) int { return cmp.Compare(b.rank, a.rank) })
+	var late []*Job
+	for _, j := range jobs {
+		j.place = room.Place(&j.Tasks)
+		if j.place.InTime < j.Tasks.Count && !j.Started {
+			late = append(late, j)
+		}
+	}
+	return slices.DeleteFunc(late, func(j *Job) bool {
+		j.Tasks.Margin = forecast.Possible
+		j.place = room.Place(&j.Tasks)
+		return j.place.InTime == j.Tasks.Count && (len(jobs) == 1 || j.place.Now == j.Tasks.Count)
+	})
+}
+
+func (p *Planner) backlog(j *Job, waiting []*Job) job.CoreMillis {
+	var sum job.CoreMillis
+	for _, o := range waiting {
+		if o.rank >= j.rank {
+			sum += o.Left
+		}
+	}
+	return sum
+}
