control/leader: plan what to serve by cost and forecast

The least urgent work waited to its latest start and was refused then.

The leader turns its queue and endpoints into values for control/admission and control/forecast and carries out what they return. A task starts only where it ends in time; while several jobs wait, slow endpoints come first for the tasks that can use them. Jobs that wait and do not fit any more are refused at once. Submissions name the data centre of the caller's VM. The error of the forecast and refusals by queue and cause are logged and counted.

TestTasksWithCapacityPassThoseWithout queues its jobs with the planner's values; the first one is a part of a job, which is not refused, and the test checks that it is first in the queue.

--- a/internal/control/forecast/room.go
+++ b/internal/control/forecast/room.go
@@ -25,6 +25,10 @@
 	now       clock.Millis
 	endpoints []endpointRoom
 	placed    []reservation
+	// slowest and fastest are the speeds of the endpoints. The latest starts at these speeds are
+	// those of the tasks that are being placed; few starts are between them.
+	slowest, fastest             float64
+	latestAtSlowest, latestStart clock.Millis
 }
 
 // endpointRoom is the free capacity of an endpoint over time.
@@ -71,6 +75,7 @@
 func (r *Room) Reset(now clock.Millis) {
 	r.now = now
 	r.endpoints = r.endpoints[:0]
+	r.slowest, r.fastest = math.Inf(1), 0
 }
 
 // Add adds an endpoint with the attempts that run there.
@@ -82,6 +87,7 @@
 	}
 	ep := &r.endpoints[len(r.endpoints)-1]
 	ep.Endpoint = e
+	r.slowest, r.fastest = min(r.slowest, e.Speed), max(r.fastest, e.Speed)
 	ep.spans = append(ep.spans[:0], span{from: Instant{At: max(r.now, e.From)}, free: e.Free})
 	for _, a := range attempts {
 		ep.change(a.End(r.now), a.Demand)
@@ -90,14 +96,10 @@
 
 // Fastest is the speed of the fastest endpoint, or infinite if there is none.
 func (r *Room) Fastest() float64 {
-	fastest := 0.0
-	for i := range r.endpoints {
-		fastest = max(fastest, r.endpoints[i].Speed)
-	}
-	if fastest == 0 {
+	if r.fastest == 0 {
 		return math.Inf(1)
 	}
-	return fastest
+	return r.fastest
 }
 
 // change adds resources from a point in time on.
@@ -117,9 +119,12 @@
 // never is later than any task starts.
 const never = clock.Millis(math.MaxInt64)
 
-// earliest is when the demand fits, and goes on to fit.
-func (e *endpointRoom) earliest(demand job.Resources) Instant {
+// earliest is when the demand fits, and goes on to fit, or never if it does not by a point in time.
+func (e *endpointRoom) earliest(demand job.Resources, by clock.Millis) Instant {
 	first := Instant{At: never}
+	if e.spans[0].from.At > by {
+		return first
+	}
 	for i := len(e.spans) - 1; i >= 0 && e.spans[i].free.Fits(demand); i-- {
 		first = e.spans[i].from
 	}
@@ -138,6 +143,17 @@
 // job of which some tasks cannot would occupy capacity and be late all the same, so it gets none.
 func (r *Room) Place(t *Tasks) Placement {
 	p := Placement{}
+	if len(r.endpoints) == 0 {
+		return p
+	}
+	r.latestStart, r.latestAtSlowest = never-1, never-1
+	if !t.Late {
+		slowest := r.slowest
+		if t.Rack != "" && t.FarFactor > 0 {
+			slowest /= t.FarFactor
+		}
+		r.latestStart, r.latestAtSlowest = t.Objective.LatestStart(r.fastest, t.Margin), t.Objective.LatestStart(slowest, t.Margin)
+	}
 	for i := range r.endpoints {
 		ep := &r.endpoints[i]
 		ep.next = Instant{At: never}
@@ -183,12 +199,12 @@
 
 // startAt is when a task can start at an endpoint, or never if that is too late.
 func (r *Room) startAt(ep *endpointRoom, t *Tasks) Instant {
-	at := ep.earliest(t.Demand)
-	if at.At == never {
-		return at
+	at := ep.earliest(t.Demand, r.latestStart)
+	if at.At > r.latestStart {
+		return Instant{At: never}
 	}
 	speed := t.SpeedAt(ep.Speed, ep.Rack)
-	tooLate := !t.Late && at.At > t.Objective.LatestStart(speed, t.Margin)
+	tooLate := at.At > r.latestAtSlowest && at.At > t.Objective.LatestStart(speed, t.Margin)
 	leaves := ep.Until != 0 && at.At+clock.Millis(float64(t.Duration)/speed) > ep.Until
 	if tooLate || leaves {
 		return Instant{At: never}
--- a/internal/control/gateway/gateway.go
+++ b/internal/control/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
@@ -25,8 +26,9 @@
 
 // Config holds the dependencies and time limits of a Gateway.
 type Config struct {
-	Self    vm.Incarnation
-	Leaders Leaders
+	Self       vm.Incarnation
+	DataCentre datacentre.ID
+	Leaders    Leaders
 	// FailoverTimeout is how long a job whose leader has failed waits for the next leader.
 	FailoverTimeout clock.Millis
 }
@@ -182,7 +184,7 @@
 func (g *Gateway) newPart(r *request, now clock.Millis) *part {
 	g.seq++
 	p := &part{request: r, leaderlessSince: now, submission: job.Submission{
-		Key: job.Key{Entry: g.config.Self, Seq: g.seq}, Attempt: r.firstSeq, Limit: r.limit,
+		Key: job.Key{Entry: g.config.Self, Seq: g.seq}, Attempt: r.firstSeq, Limit: r.limit, From: g.config.DataCentre,
 	}}
 	r.parts = append(r.parts, p)
 	g.parts[g.seq] = p
--- a/internal/control/leader/action.go
+++ b/internal/control/leader/action.go
@@ -129,6 +129,8 @@
 	EndpointDropped
 	JobAccepted
 	JobRefused
+	// JobStarted is a job that waited and whose last task has started.
+	JobStarted
 	JobForwarded
 	JobAdopted
 	JobAbandoned
--- a/internal/control/leader/admission.go
+++ b/internal/control/leader/admission.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 
+	"github.com/sequoiacart/sequoiacart/internal/control/admission"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -60,7 +61,8 @@
 	deadly := l.deadlyTask(j)
 	if deadly == nil && !j.started && !s.Adopt && !l.hasAttempts(j) {
 		if o := l.admit(j); o != nil {
-			l.logAdmission(j, o)
+			l.logAdmission(j, o, RefusedOnArrival)
+			l.recordRefusal(j, o)
 			l.answers.add(&j.Submission, o, l.now)
 			l.emit(Answer{Key: j.Key, Outcome: o})
 			return
@@ -71,7 +73,7 @@
 	entry := l.entryVM(j.Key.Entry)
 	entry.jobs[j.Key.Seq] = j
 	entry.leaseEnd = max(entry.leaseEnd, l.now+l.config.Timeouts.JobLease)
-	l.logAdmission(j, nil)
+	l.logAdmission(j, nil, RefusedOnArrival)
 	l.enqueue(j)
 	l.completeAdopted(j)
 	if deadly != nil {
@@ -88,11 +90,12 @@
 }
 
 // logAdmission logs the outcome of a submission and the figures that decided it.
-func (l *Leader) logAdmission(j *jobState, o job.Outcome) {
+func (l *Leader) logAdmission(j *jobState, o job.Outcome, cause RefusalCause) {
 	decision := LogDecision{Decision: JobAccepted, Job: j.Job.ID}
 	switch o := o.(type) {
 	case job.Refused:
 		decision.Decision, decision.Detail = JobRefused, string(o.Reason)+" "
+		decision.Details = &Refusal{Queue: j.queue, Cause: cause, Held: l.now - j.receivedAt}
 	case job.Redirected:
 		decision.Decision, decision.Detail = JobForwarded, "to "+string(o.To)+" "
 	case job.Divided:
@@ -106,9 +109,13 @@
 	for _, load := range spare {
 		oldestAge = max(oldestAge, l.now-load.At)
 	}
-	load := l.Load(l.now)
+	free, total := l.capacity(l.now)
+	var waitingCPU job.MilliCores
+	for _, other := range l.queue {
+		waitingCPU += other.demand()
+	}
 	decision.Detail += fmt.Sprintf("tasks %d demand %d free %d waiting %d of %d mCPU, starts by %d ms, hops %d, shards with spare CPU %d reported up to %d ms ago, desired state %d",
-		len(j.tasks), j.demand(), load.FreeCPU, load.WaitingCPU(), load.TotalCPU, j.latestStart-l.now, j.Hops, len(spare), oldestAge, l.desired.Version)
+		len(j.tasks), j.demand(), free, waitingCPU, total, j.latestStart-l.now, j.Hops, len(spare), oldestAge, l.desired.Version)
 	l.emit(decision)
 }
 
@@ -119,24 +126,15 @@
 	}
 }
 
-// setDeadlines derives the objective and the latest start of a job from its critical path.
+// setDeadlines derives the objective, the latest start and the order of a job from its critical path.
 func (l *Leader) setDeadlines(j *jobState) {
-	criticalPath := l.criticalPath(j)
-	objective := l.desired.Queue(j.queue).Objective(criticalPath)
-	j.objective = j.submittedAt + objective
-	j.latestStart = j.objective - startOverhead - clock.Millis(float64(criticalPath)*runTimeMargin/l.highestSpeed())
-	j.sortTime = j.latestStart + clock.Millis(l.desired.Queue(j.queue).Priority)*priorityOffset
+	l.describe(j)
+	l.planner.Register(l.now, &j.plan)
+	j.objective = j.submittedAt + l.desired.Queue(j.queue).Objective(j.plan.Tasks.Objective.Path)
+	j.sortTime = j.plan.StartOrder()
+	j.latestStart = j.plan.LatestStart(l.highestSpeed())
 }
 
-// priorityOffset is how much earlier a job is sorted than one of the next lower priority with the
-// same latest start. It is shorter than the 75 ms that the tightest jobs can wait: a job of a lower
-// priority still comes first shortly before its latest start, so that none starves.
-const priorityOffset = clock.Millis(50)
-
-// runTimeMargin is how much longer than expected the tasks of a job may take. Declared durations
-// are off by 40 %, and a late job is worth a fifth of one in time.
-const runTimeMargin = 1.15
-
 // criticalPath is the expected duration of the longest chain of steps.
 func (l *Leader) criticalPath(j *jobState) clock.Millis {
 	return j.Job.CriticalPath(func(s *job.Step) clock.Millis { return l.expectedWork(j, s) })
@@ -203,22 +201,43 @@
 		}
 		return job.Refused{Reason: job.NoSuchEndpoint, RetryAfter: retryAfter}
 	}
-	p := l.project(j)
-	if p.wait == 0 {
+	switch d := l.arrive(j).(type) {
+	case admission.Start:
 		return l.relieveLink(j)
-	}
-	if o := l.forward(j, p.tasksNow); o != nil {
-		return o
-	}
-	if l.now+max(p.wait, l.linkDelay()) <= j.latestStart {
+	case admission.Wait:
+		if o := l.forward(j, d.Now); o != nil {
+			return o
+		}
+		if l.now+l.linkDelay() > j.latestStart {
+			break
+		}
+		j.expectedStart = j.plan.Expected()
+		l.turnAway(d.Displaced)
 		return nil
-	}
-	if o := l.divideByForecast(j, p.tasksInTime); o != nil {
-		return o
+	case admission.Refuse:
+		if o := l.forward(j, d.Now); o != nil {
+			return o
+		}
+		if l.isIdle(j) {
+			return l.relieveLink(j)
+		}
+		if o := l.divideByForecast(j, d.InTime); o != nil {
+			return o
+		}
 	}
 	return job.Refused{Reason: job.NoCapacityInTime, RetryAfter: retryAfter}
 }
 
+// isIdle reports whether a job that cannot end in time any more can start in capacity that no other job
+// waits for.
+func (l *Leader) isIdle(j *jobState) bool {
+	if len(l.queue) > 0 {
+		return false
+	}
+	j.plan.Tasks.Late = true
+	return l.hasCapacityNow(j)
+}
+
 // fitsSomeEndpoint reports whether each step fits the total capacity of some available endpoint.
 func (l *Leader) fitsSomeEndpoint(j *jobState) bool {
 	q := l.desired.Queue(j.queue)
--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 
+	"github.com/sequoiacart/sequoiacart/internal/control/admission"
 	"github.com/sequoiacart/sequoiacart/internal/world/crash"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
@@ -22,11 +23,6 @@
 	l.queue = slices.Insert(l.queue, index, j)
 }
 
-// compareJobs orders jobs by sortTime; keys break ties, so that decisions are reproducible.
-func compareJobs(a, b *jobState) int {
-	return cmp.Or(cmp.Compare(a.sortTime, b.sortTime), cmp.Compare(a.Key.Entry, b.Key.Entry), cmp.Compare(a.Key.Seq, b.Key.Seq))
-}
-
 func (l *Leader) dequeue(j *jobState) {
 	if i := slices.Index(l.queue, j); i >= 0 {
 		l.queue = slices.Delete(l.queue, i, i+1)
@@ -59,6 +55,7 @@
 		}
 		if !l.dispatchJob(j, &r) {
 			l.dequeue(j)
+			l.recordStart(j)
 		}
 		if i < len(l.queue) && l.queue[i] == j {
 			i++
@@ -69,6 +66,7 @@
 // dispatchJob starts the tasks of a job that find capacity and reports whether any are left.
 func (l *Leader) dispatchJob(j *jobState, r *dispatchRound) bool {
 	tasksLeft := false
+	minSpeed := j.plan.MinSpeed(l.now)
 	for _, t := range j.tasks {
 		if t.phase != waiting {
 			continue
@@ -84,7 +82,7 @@
 				tasksLeft = true
 			}
 		case crash.Unsuspected:
-			if !t.ready() || r.hasNoCapacityFor(t) || !l.mayStart(t) || !l.placeTask(t, r) {
+			if !t.ready() || r.hasNoCapacityFor(t, minSpeed) || !l.mayStart(t) || !l.placeTask(t, minSpeed, r) {
 				tasksLeft = true
 			}
 		}
@@ -99,11 +97,15 @@
 	// unplaced holds the demands that found no capacity in this round. Demands that only labels,
 	// spreading or an earlier failure kept from an endpoint are left out.
 	unplaced []unplacedDemand
+	// scarce means that several jobs wait.
+	scarce bool
 }
 
+// unplacedDemand is a demand that found no capacity at endpoints of minSpeed or more.
 type unplacedDemand struct {
-	queue  queue.Name
-	demand job.Resources
+	queue    queue.Name
+	demand   job.Resources
+	minSpeed float64
 }
 
 func (l *Leader) newRound() dispatchRound {
@@ -113,7 +115,7 @@
 			smallest = min(smallest, j.Job.Steps[i].Demand.CPU)
 		}
 	}
-	r := dispatchRound{candidates: l.candidateBuffer[:0]}
+	r := dispatchRound{candidates: l.candidateBuffer[:0], scarce: len(l.queue) > 1}
 	for _, ep := range l.sortedEndpoints {
 		if ep.free.CPU >= smallest && ep.usable(l.now) {
 			r.candidates = append(r.candidates, ep)
@@ -123,14 +125,15 @@
 	return r
 }
 
-// hasNoCapacityFor reports whether a task that needs no more than this one has found no capacity.
-func (r *dispatchRound) hasNoCapacityFor(t *task) bool {
+// hasNoCapacityFor reports whether a task that needs no more than this one, at endpoints that are no
+// faster, has found no capacity.
+func (r *dispatchRound) hasNoCapacityFor(t *task, minSpeed float64) bool {
 	if len(r.candidates) == 0 {
 		return true
 	}
 	demand := t.stepSpec().Demand
 	return slices.ContainsFunc(r.unplaced, func(d unplacedDemand) bool {
-		return d.queue == t.job.queue && demand.Fits(d.demand)
+		return d.queue == t.job.queue && minSpeed >= d.minSpeed && demand.Fits(d.demand)
 	})
 }
 
@@ -192,16 +195,16 @@
 	return !ep.contacted && l.now < l.config.Now+l.config.Timeouts.EarlierAttemptsExpireAfter()
 }
 
-// placeTask starts a task at the most suitable endpoint, if there is one.
-func (l *Leader) placeTask(t *task, r *dispatchRound) bool {
+// placeTask starts a task at the most suitable endpoint of a speed at which it ends in time, if there is
+// one.
+func (l *Leader) placeTask(t *task, minSpeed float64, r *dispatchRound) bool {
 	q := l.desired.Queue(t.job.queue)
 	if q == nil {
 		return false
 	}
 	step := t.stepSpec()
-	timeLeft := t.job.objective - l.now - startOverhead
 	var best *endpointState
-	var bestDuration clock.Millis
+	var bestCandidate admission.Candidate
 	allowed := true
 	for _, ep := range r.candidates {
 		if ep.Service != q.Service || !ep.free.Fits(step.Demand) || !ep.usable(l.now) {
@@ -215,14 +218,18 @@
 			allowed = false
 			continue
 		}
-		duration := ep.speed.duration(l.baseDuration(t, ep))
-		if best == nil || betterCandidate(duration, ep, bestDuration, best, timeLeft) {
-			best, bestDuration = ep, duration
+		c := l.candidate(t, ep)
+		if c.Speed < minSpeed {
+			allowed = allowed && step.Rack == ""
+			continue
+		}
+		if best == nil || c.Compare(bestCandidate, r.scarce) < 0 {
+			best, bestCandidate = ep, c
 		}
 	}
 	if best == nil {
 		if allowed {
-			r.unplaced = append(r.unplaced, unplacedDemand{queue: t.job.queue, demand: step.Demand})
+			r.unplaced = append(r.unplaced, unplacedDemand{queue: t.job.queue, demand: step.Demand, minSpeed: minSpeed})
 		}
 		return false
 	}
@@ -230,6 +237,11 @@
 	return true
 }
 
+// candidate describes an endpoint for a task.
+func (l *Leader) candidate(t *task, ep *endpointState) admission.Candidate {
+	return admission.Candidate{Speed: ep.speed.factor() / l.distanceFactor(t.stepSpec(), ep), Free: ep.free.CPU}
+}
+
 // avoids reports whether a task must not start at an endpoint: its last attempt failed there, or was
 // lost there while there is another endpoint for it.
 func (l *Leader) avoids(t *task, ep *endpointState) bool {
@@ -244,33 +256,20 @@
 // baseDuration is the expected duration of a task at an endpoint of speed 1 in ep's rack.
 func (l *Leader) baseDuration(t *task, ep *endpointState) clock.Millis {
 	step := t.stepSpec()
-	base := l.expectedWork(t.job, step)
-	if step.Rack != "" && ep.Rack != step.Rack {
-		base = clock.Millis(float64(base) * l.config.FarFactor)
+	return clock.Millis(float64(l.expectedWork(t.job, step)) * l.distanceFactor(step, ep))
+}
+
+// distanceFactor is how many times as long a task of a step takes in the rack of an endpoint.
+func (l *Leader) distanceFactor(s *job.Step, ep *endpointState) float64 {
+	if s.Rack != "" && ep.Rack != s.Rack {
+		return l.config.FarFactor
 	}
-	return base
+	return 1
 }
 
 // startOverhead is the time that a start and the report of the attempt's end take.
 const startOverhead = clock.Millis(8)
 
-// betterCandidate reports whether ep suits a task better than the best so far. An endpoint that
-// meets the objective is preferred to one that does not, then the faster one, then the one with the
-// least free CPU, so that large tasks find capacity elsewhere.
-func betterCandidate(duration clock.Millis, ep *endpointState, bestDuration clock.Millis, best *endpointState, timeLeft clock.Millis) bool {
-	meets, bestMeets := duration <= timeLeft, bestDuration <= timeLeft
-	if meets != bestMeets {
-		return meets
-	}
-	if !meets {
-		return duration < bestDuration
-	}
-	if duration != bestDuration {
-		return duration < bestDuration
-	}
-	return ep.free.CPU < best.free.CPU
-}
-
 // countStepTasks counts the tasks of t's step at an endpoint.
 func (l *Leader) countStepTasks(t *task, ep *endpointState) int {
 	n := 0
@@ -282,29 +281,6 @@
 	return n
 }
 
-// refuseLateJobs forwards or refuses the queued jobs that can no longer meet their objective and
-// have not been started.
-func (l *Leader) refuseLateJobs() {
-	for _, j := range slices.Clone(l.queue) {
-		if j.started || j.Part || l.now <= j.latestStart+startSlack {
-			continue
-		}
-		var o job.Outcome
-		if !l.hasAttempts(j) {
-			o = l.forward(j, 0)
-		}
-		if o == nil {
-			o = job.Refused{Reason: job.NoCapacityInTime, RetryAfter: retryAfter}
-		}
-		l.logAdmission(j, o)
-		l.answer(j, o)
-	}
-}
-
-// startSlack is how much later than planned a job may start before it is refused; the estimates of
-// durations are no more precise than that.
-const startSlack = clock.Millis(10)
-
 // sortedTasks returns the tasks at an endpoint in a fixed order.
 func (ep *endpointState) sortedTasks() []*task {
 	all := make([]*task, 0, len(ep.tasks))
--- a/internal/control/leader/forwarding.go
+++ b/internal/control/leader/forwarding.go
@@ -124,29 +124,3 @@
 
 // maxLoadAge is how old the load of another shard may be; reports arrive every 100 ms.
 const maxLoadAge = clock.Millis(350)
-
-// Load returns the load of this shard, for the leaders of other shards.
-func (l *Leader) Load(now clock.Millis) shard.Load {
-	load := shard.Load{Cell: l.config.Shard, LinkDelay: l.linkDelay(), At: now}
-	for _, ep := range l.sortedEndpoints {
-		if ep.Draining || ep.unlisted {
-			continue
-		}
-		load.TotalCPU += int64(ep.Capacity.CPU)
-		if ep.usable(now) {
-			load.FreeCPU += int64(max(ep.free.CPU, 0))
-		}
-	}
-	for r := range l.expectedReleases() {
-		if r.at <= now+shard.ForecastHorizon {
-			load.SoonCPU += int64(r.cpu)
-		}
-	}
-	load.SoonCPU = max(load.SoonCPU-int64(l.overcommittedCPU()), 0)
-	for _, j := range l.queue {
-		if q := l.desired.Queue(j.queue); q != nil {
-			load.AddWaiting(q.Priority, int64(j.demand()))
-		}
-	}
-	return load
-}
--- a/internal/control/leader/job_state.go
+++ b/internal/control/leader/job_state.go
@@ -1,6 +1,8 @@
 package leader
 
 import (
+	"github.com/sequoiacart/sequoiacart/internal/control/admission"
+	"github.com/sequoiacart/sequoiacart/internal/control/forecast"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -27,10 +29,17 @@
 	// submittedAt is when the caller sent the job, by the leader's clock. objective and limit are
 	// points in time.
 	submittedAt, objective, limit clock.Millis
-	// latestStart is when its tasks have to start at the latest to meet the objective.
+	// latestStart is when its tasks have to start at the fastest endpoint to meet the objective.
 	latestStart clock.Millis
-	// sortTime orders the queue: latestStart plus priorityOffset for each level of priority.
+	// sortTime orders the queue, as of the latest plan.
 	sortTime clock.Millis
+	// plan is what the planner knows of the job.
+	plan admission.Job
+	// expectedStart is when the last task is to start by the plan at the job's arrival, or zero if it did
+	// not have to wait.
+	expectedStart forecast.Instant
+	// served means that all tasks have started at least once.
+	served bool
 	// failedEndpoints are the endpoints that this job has counted a failure against.
 	failedEndpoints map[*endpointState]bool
 }
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -8,6 +8,8 @@
 	"maps"
 	"slices"
 
+	"github.com/sequoiacart/sequoiacart/internal/control/admission"
+	"github.com/sequoiacart/sequoiacart/internal/control/forecast"
 	"github.com/sequoiacart/sequoiacart/internal/world/crash"
 	"github.com/sequoiacart/sequoiacart/internal/world/estimate"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
@@ -52,8 +54,12 @@
 	jobs            map[job.Key]*jobState
 	jobsByID        map[job.ID][]*jobState
 	queue           []*jobState
-	// candidateBuffer is reused from one dispatch round to the next.
+	planner         *admission.Planner
+	// room and the buffers are reused from one event to the next.
+	room            forecast.Room
 	candidateBuffer []*endpointState
+	attemptBuffer   []forecast.Attempt
+	planBuffer      []*admission.Job
 	// activeTasks holds the tasks that occupy resources.
 	activeTasks    map[job.TaskName]*task
 	entryVMs       map[vm.Incarnation]*entryVM
@@ -105,6 +111,7 @@
 		entryVMs: make(map[vm.Incarnation]*entryVM), orphans: make(orphans),
 		otherLoads: make(map[shard.ID]*shard.Load), workEstimates: make(map[queue.Name]*workEstimate),
 		answers: newAnswerCache(), attemptNumbers: newAttemptNumbers(), crashes: c.Crashes,
+		planner: admission.New(admission.DefaultConfig()),
 	}
 	if l.crashes == nil {
 		l.crashes = crash.NewHistory()
@@ -335,7 +342,7 @@
 	if l.resuming {
 		l.checkResumed()
 	}
-	l.refuseLateJobs()
+	l.review()
 	for _, ep := range l.sortedEndpoints {
 		l.checkEndpoint(ep)
 	}
--- a/internal/control/leader/order_test.go
+++ b/internal/control/leader/order_test.go
@@ -211,13 +211,18 @@
 			small := submission("a-1", 3, 1)
 			small.Job.Queue, small.Job.Steps[0].Estimate = plainQueue, plainDuration
 			// Admission would refuse the first job or both; here they are queued directly, one
-			// behind the other.
-			for i, s := range []job.Submission{blocked, small} {
+			// behind the other. A part of a job stays queued although it cannot start in time.
+			blocked.Part, blocked.Waited = true, 50
+			for _, s := range []job.Submission{blocked, small} {
 				j := newJobState(s, c.now)
-				j.sortTime, j.latestStart, j.limit = c.now+clock.Millis(i), c.now+3000, c.now+3000
+				l.setDeadlines(j)
+				j.limit = c.now + 3000
 				l.jobs[j.Key] = j
 				l.enqueue(j)
 			}
+			if l.queue[0].Key != blocked.Key {
+				t.Fatalf("got job %v first, want %v", l.queue[0].Key, blocked.Key)
+			}
 			c.advance(190)
 			if got, want := c.outcome(3), "job.Completed"; got != want {
 				t.Errorf("got %s, want %s", got, want)
--- a/internal/control/leader/suspects.go
+++ b/internal/control/leader/suspects.go
@@ -78,13 +78,11 @@
 // for it, or one that is held for none.
 func (l *Leader) emptyEndpoint(t *task, held *endpointState) *endpointState {
 	var best *endpointState
-	timeLeft := t.job.objective - l.now - startOverhead
 	for _, ep := range l.sortedEndpoints {
 		if !ep.empty() || ep.isolated() && ep != held || !l.suits(t, ep) || !ep.free.Fits(t.stepSpec().Demand) {
 			continue
 		}
-		duration := ep.speed.duration(l.baseDuration(t, ep))
-		if best == nil || betterCandidate(duration, ep, best.speed.duration(l.baseDuration(t, best)), best, timeLeft) {
+		if best == nil || l.candidate(t, ep).Compare(l.candidate(t, best), false) < 0 {
 			best = ep
 		}
 	}
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -169,7 +169,7 @@
 	slices.Sort(n.shards)
 	n.seeds = slices.DeleteFunc(slices.Clone(c.Seeds), func(a string) bool { return a == c.Self.Address })
 	n.nextSeedQueryAt = c.Now + firstSeedQueryDelay
-	n.gateway = gateway.New(gateway.Config{Self: c.Self.Incarnation, Leaders: n, FailoverTimeout: failoverTimeout})
+	n.gateway = gateway.New(gateway.Config{Self: c.Self.Incarnation, DataCentre: c.Self.DataCentre, Leaders: n, FailoverTimeout: failoverTimeout})
 	return n
 }
 
--- a/internal/process/daemon/decision_fields.go
+++ b/internal/process/daemon/decision_fields.go
@@ -53,9 +53,17 @@
 		addList(fields, d.List)
 	case *leader.EndpointCrash:
 		addCrash(fields, d)
+	case *leader.Refusal:
+		fields["queue"], fields["cause"], fields["heldMs"] = d.Queue, refusalCauses[d.Cause], d.Held
+	case *leader.ForecastError:
+		fields["queue"], fields["lateMs"], fields["spreadMs"] = d.Queue, d.Error, d.Spread
 	}
 }
 
+var refusalCauses = map[leader.RefusalCause]string{
+	leader.RefusedOnArrival: "onArrival", leader.RefusedDisplaced: "displaced", leader.RefusedTooLate: "tooLate",
+}
+
 // leadershipFields says which leadership was acquired, and with which list of endpoints.
 func leadershipFields(e node.LogEvent) logrus.Fields {
 	fields := logrus.Fields{
--- a/internal/process/daemon/decision_fields_test.go
+++ b/internal/process/daemon/decision_fields_test.go
@@ -177,3 +177,22 @@
 		}
 	}
 }
+
+// Guards against a refusal without its queue and cause, and against a line for each job whose forecast was
+// right.
+func TestLinesOfAdmission(t *testing.T) {
+	line := decisionLine(t, leader.JobRefused, &leader.Refusal{Queue: "swap", Cause: leader.RefusedDisplaced, Held: 12})
+	if line["queue"] != "swap" || line["cause"] != "displaced" || line["heldMs"] != 12.0 {
+		t.Errorf("got queue %v, cause %v after %v ms, want swap, displaced, 12", line["queue"], line["cause"], line["heldMs"])
+	}
+	line = decisionLine(t, leader.JobStarted, &leader.ForecastError{Queue: "swap", Error: -60, Spread: 20})
+	if line["decision"] != "forecastMissed" || line["lateMs"] != -60.0 || line["spreadMs"] != 20.0 {
+		t.Errorf("got %v, %v ms late with a spread of %v, want forecastMissed, -60, 20", line["decision"], line["lateMs"], line["spreadMs"])
+	}
+	m := meter.New()
+	l := &eventLogger{meter: m, lines: make(chan func(), 1)}
+	l.logEvent(node.LogEvent{Topic: node.LeaderDecision, Decision: &leader.LogDecision{Decision: leader.JobStarted, Details: &leader.ForecastError{Error: 49}}})
+	if got := len(l.lines); got != 0 {
+		t.Errorf("got %d lines for a forecast that was 49 ms off, want none", got)
+	}
+}
--- a/internal/process/daemon/event_logger.go
+++ b/internal/process/daemon/event_logger.go
@@ -157,14 +157,31 @@
 	leader.EndpointReturned: "endpointReturned", leader.StartUncertain: "startDoubted", leader.AttemptStalled: "runStalled", leader.AttemptLost: "runLost",
 	leader.AttemptFailed: "runFailed", leader.AttemptNotAdopted: "runUnclaimed", leader.AttemptEnded: "runEnded",
 	leader.AttemptStarted: "runStarted", leader.JobAccepted: "jobTaken",
-	leader.JobRefused: "jobRefused", leader.JobForwarded: "jobPassedOn", leader.JobAdopted: "jobAdopted",
+	leader.JobRefused: "jobRefused", leader.JobStarted: "forecastMissed", leader.JobForwarded: "jobPassedOn", leader.JobAdopted: "jobAdopted",
 	leader.JobAbandoned: "jobAbandoned", leader.TaskGivenUp: "taskGivenUp", leader.AttemptsLeft: "runsLeft", leader.EndpointAppeared: "endpointAppeared",
 	leader.EndpointRestarted: "endpointRestarted", leader.EndpointCrashSuspected: "endpointCrashSuspected", leader.EndpointCrashed: "endpointCrashed", leader.EndpointUnlisted: "endpointUnlisted", leader.EndpointDropped: "endpointDropped",
 	leader.StartsHeld: "startsHeld", leader.StartsResumed: "startsResumed",
 }
 
+// loggedForecastError is the error of a forecast from which it is logged; the tightest jobs can wait 80 ms.
+const loggedForecastError = clock.Millis(50)
+
 func (l *eventLogger) leaderDecision(e node.LogEvent) {
 	name := decisionNames[e.Decision.Decision]
+	switch d := e.Decision.Details.(type) {
+	case *leader.ForecastError:
+		if d.Error < 0 {
+			l.meter.RecordDuration("forecastEarlyMs", -d.Error)
+		} else {
+			l.meter.RecordDuration("forecastLateMs", d.Error)
+		}
+		if max(d.Error, -d.Error) < loggedForecastError {
+			return
+		}
+	case *leader.Refusal:
+		l.meter.Count("refusals." + refusalCauses[d.Cause] + "." + string(d.Queue))
+		l.meter.RecordDuration("refusedAfterMs", d.Held)
+	}
 	l.meter.Count("home." + name)
 	l.write(func() {
 		fields := logrus.Fields{
--- a/internal/world/job/job.go
+++ b/internal/world/job/job.go
@@ -95,7 +95,9 @@
 	// divided job and later submissions of the same caller's request share it. It is no number of
 	// an attempt of a task; the field name is sent.
 	Attempt uint64
-	Job     Job
+	// From is the data centre of the caller's VM, or empty if the sender does not say.
+	From datacentre.ID
+	Job  Job
 	// First is the index of the first task of a part; the job's only step then has the
 	// tasks of the part alone.
 	First int
