--- a/internal/control/leader/refusal.go
+++ b/internal/control/leader/admission_log.go
@@ -1,6 +1,8 @@
 package leader
 
 import (
+	"fmt"
+
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -58,3 +60,33 @@
 		}})
 	}
 }
+
+// logAdmission logs the outcome of a submission and the figures that decided it.
+func (l *Leader) logAdmission(j *jobState, o job.Outcome, cause RefusalCause) {
+	decision := LogDecision{Decision: JobAccepted, Job: j.Job.ID}
+	switch o := o.(type) {
+	case job.Refused:
+		decision.Decision, decision.Detail = JobRefused, string(o.Reason)+" "
+		decision.Details = &Refusal{Queue: j.queue, Cause: cause, Held: l.now - j.receivedAt}
+	case job.Redirected:
+		decision.Decision, decision.Detail = JobForwarded, "to "+string(o.To)+" "
+	case job.Divided:
+		decision.Decision, decision.Detail = JobForwarded, fmt.Sprintf("divided %v ", o.Shares)
+	default:
+		if j.Adopt {
+			decision.Decision = JobAdopted
+		}
+	}
+	oldestAge, spare := clock.Millis(0), l.loadsWithSpareCPU()
+	for _, load := range spare {
+		oldestAge = max(oldestAge, l.now-load.At)
+	}
+	free, total := l.capacity(l.now)
+	var waitingCPU job.MilliCores
+	for _, other := range l.queue {
+		waitingCPU += other.demand()
+	}
+	decision.Detail += fmt.Sprintf("tasks %d demand %d free %d waiting %d of %d mCPU, starts by %d ms, hops %d, shards with spare CPU %d reported up to %d ms ago, desired state %d",
+		len(j.tasks), j.demand(), free, waitingCPU, total, j.latestStart-l.now, j.Hops, len(spare), oldestAge, l.desired.Version)
+	l.emit(decision)
+}
