control/admission: keep what waits and what is urgent before large jobs

A priority now weighs twice the next one, floors of sizes act inside their queue, a job that waits weighs half as much again, and started jobs that are late go first in the end.

--- a/internal/control/admission/floors.go
+++ b/internal/control/admission/floors.go
@@ -144,18 +144,21 @@
 	}
 }
 
-// starved reports whether a group of the job was served less often than its floor: a queue or the callers
-// of a data centre compared with all jobs, a size with its queue.
-func (f *floors) starved(j *Job, floor float64) bool {
+// isGroupStarved reports whether the queue or the callers of a job were served less often than their
+// floor, compared with all jobs.
+func (f *floors) isGroupStarved(j *Job, floor float64) bool {
 	groups := j.groups()
-	for _, g := range groups {
-		whole := &f.total
-		if g.kind == sizeGroup {
-			whole = f.shares[groups[queueGroup]]
-		}
-		if s := f.shares[g]; s != nil && s.ratio() < floor*whole.ratio() {
-			return true
-		}
-	}
-	return false
+	return f.isBelow(groups[queueGroup], &f.total, floor) || f.isBelow(groups[callerGroup], &f.total, floor)
+}
+
+// isSizeStarved reports whether jobs of the size were served less often than their floor, compared with
+// their queue.
+func (f *floors) isSizeStarved(j *Job, floor float64) bool {
+	groups := j.groups()
+	return f.isBelow(groups[sizeGroup], f.shares[groups[queueGroup]], floor)
+}
+
+func (f *floors) isBelow(g group, whole *share, floor float64) bool {
+	s := f.shares[g]
+	return s != nil && s.ratio() < floor*whole.ratio()
 }
--- a/internal/control/admission/job.go
+++ b/internal/control/admission/job.go
@@ -26,7 +26,9 @@
 	Started bool
 
 	size sizeBand
-	rank float64
+	// accepted means that the job had a place when it arrived, and waits.
+	accepted bool
+	rank     float64
 	// startOrder is by when the job is to start; that of the smallest one starts first.
 	startOrder clock.Millis
 	// place is when its tasks are expected to start by the latest plan.
--- a/internal/control/admission/planner.go
+++ b/internal/control/admission/planner.go
@@ -29,7 +29,7 @@
 
 // DefaultConfig returns the weights that docs/design/admission.md explains.
 func DefaultConfig() Config {
-	return Config{PriorityRatio: 1.5, CallShare: 0.3, Floor: 0.7, DensityOffset: 100}
+	return Config{PriorityRatio: 2, CallShare: 0.3, Floor: 0.7, DensityOffset: 100}
 }
 
 func (c Config) weight(priority int) float64 {
@@ -72,20 +72,30 @@
 	if j.Tasks.Late {
 		j.rank *= lateShare
 	}
-	if j.Started && !j.Tasks.Late || !j.Started && p.floors.starved(j, p.config.Floor) {
-		j.rank *= precedence
+	if j.accepted {
+		j.rank *= acceptedWeight
 	}
-	start := j.Tasks.Objective.LatestStart(1, j.Tasks.Margin)
-	if j.Tasks.Late {
-		start = max(start, now)
+	switch {
+	case j.Started && !j.Tasks.Late, !j.Started && p.floors.isGroupStarved(j, p.config.Floor):
+		j.rank *= precedence
+	case !j.Started && p.floors.isSizeStarved(j, p.config.Floor):
+		j.rank *= sizePrecedence
 	}
-	j.startOrder = start - clock.Millis(float64(p.config.DensityOffset)*math.Log(j.rank))
+	j.startOrder = j.Tasks.Objective.LatestStart(1, j.Tasks.Margin) - clock.Millis(float64(p.config.DensityOffset)*math.Log(j.rank))
 }
 
-// precedence puts jobs before the others that are neither late nor more than a hundred times as dense:
-// those that have started, since what they hold is lost if the rest does not start in time, and those of
-// a group below its floor.
-const precedence = 100
+const (
+	// precedence puts jobs before all others that are not late: those that have started, since what they
+	// hold is lost if the rest does not start in time, and those of a queue or of callers below their
+	// floor.
+	precedence = 100
+	// sizePrecedence puts the large jobs of a queue that are below their floor before its small ones, but
+	// not before the jobs of higher priorities.
+	sizePrecedence = 2.5
+	// acceptedWeight is how much more the refusal of a job costs that has waited: its caller has lost the
+	// time in which it could have gone elsewhere.
+	acceptedWeight = 1.5
+)
 
 // Arrive decides on a job that has arrived, beside those that wait. The room is that of the endpoints
 // of its service, and is used up.
@@ -97,6 +107,7 @@
 	if j.place.Now == j.Tasks.Count && len(late) == 0 {
 		return Start{}
 	}
+	j.accepted = true
 	return Wait{Now: j.place.Now, Displaced: late}
 }
 
