control/admission: refuse at once what would be displaced

The planner now keeps the density at which jobs are displaced, and refuses an arriving job below it that would have to wait.

--- a/internal/control/admission/job.go
+++ b/internal/control/admission/job.go
@@ -29,6 +29,8 @@
 	// accepted means that the job had a place when it arrived, and waits.
 	accepted bool
 	rank     float64
+	// arrivalRank is the rank that it had then.
+	arrivalRank float64
 	// startOrder is by when the job is to start; that of the smallest one starts first.
 	startOrder clock.Millis
 	// place is when its tasks are expected to start by the latest plan.
--- a/internal/control/admission/planner.go
+++ b/internal/control/admission/planner.go
@@ -41,6 +41,7 @@
 	config Config
 	means  map[queue.Name]*meanWork
 	floors floors
+	price  price
 	order  []*Job
 	// fastest is the highest speed of an endpoint in the latest plan.
 	fastest float64
@@ -62,7 +63,12 @@
 func (p *Planner) Served(now clock.Millis, j *Job) { p.floors.record(now, j, true) }
 
 // Refused records that a job was refused.
-func (p *Planner) Refused(now clock.Millis, j *Job) { p.floors.record(now, j, false) }
+func (p *Planner) Refused(now clock.Millis, j *Job) {
+	p.floors.record(now, j, false)
+	if j.accepted {
+		p.price.recordDisplaced(now, j.arrivalRank)
+	}
+}
 
 // rank sets the place of a job in the order.
 func (p *Planner) rank(now clock.Millis, j *Job) {
@@ -107,7 +113,10 @@
 	if j.place.Now == j.Tasks.Count && len(late) == 0 {
 		return Start{}
 	}
-	j.accepted = true
+	if p.price.exceeds(now, j.rank) {
+		return Refuse{Now: j.place.Now, InTime: j.place.Now, Backlog: p.backlog(j, waiting)}
+	}
+	j.accepted, j.arrivalRank = true, j.rank
 	return Wait{Now: j.place.Now, Displaced: late}
 }
 
