control: hold capacity for tasks that need most of an endpoint

A job that is priced out is refused without a plan, and one that may have attempts of an earlier submission is not displaced.

--- a/internal/control/admission/floors.go
+++ b/internal/control/admission/floors.go
@@ -17,7 +17,7 @@
 	quantileStep = 0.05
 )
 
-// sizeBand is a class of jobs of a queue by their work.
+// sizeBand is a class of jobs of a queue by their work, or by the CPU that each task needs.
 type sizeBand int
 
 const (
@@ -26,15 +26,15 @@
 	topSize
 )
 
-// sizes estimates the quantiles of the work of a queue's jobs, as logarithms.
+// sizes estimates the quantiles of a size of the jobs of a queue, as logarithms.
 type sizes struct {
 	large, top float64
 	samples    int
 }
 
-// band classifies a job by its work and updates the quantiles.
-func (s *sizes) band(work float64) sizeBand {
-	w := math.Log(math.Max(work, 1))
+// band classifies a job by its size and updates the quantiles.
+func (s *sizes) band(size float64) sizeBand {
+	w := math.Log(math.Max(size, 1))
 	if s.samples == 0 {
 		s.large, s.top = w, w
 	}
@@ -73,13 +73,15 @@
 	queueGroup groupKind = iota
 	callerGroup
 	sizeGroup
+	demandGroup
 )
 
-func (j *Job) groups() [3]group {
-	return [3]group{
+func (j *Job) groups() [4]group {
+	return [4]group{
 		{kind: queueGroup, name: string(j.Queue)},
 		{kind: callerGroup, name: string(j.From)},
 		{kind: sizeGroup, name: string(j.Queue), size: j.size},
+		{kind: demandGroup, name: string(j.Queue), size: j.demand},
 	}
 }
 
@@ -107,20 +109,27 @@
 type floors struct {
 	shares map[group]*share
 	total  share
-	sizes  map[queue.Name]*sizes
+	// works and demands are the sizes of the jobs of a queue by their work, and by the CPU of a task. One
+	// with large tasks fits few endpoints, however little work it is.
+	works, demands map[queue.Name]*sizes
 }
 
 func newFloors() floors {
-	return floors{shares: make(map[group]*share), sizes: make(map[queue.Name]*sizes)}
+	return floors{shares: make(map[group]*share), works: make(map[queue.Name]*sizes), demands: make(map[queue.Name]*sizes)}
 }
 
 func (f *floors) classify(j *Job) {
-	s := f.sizes[j.Queue]
+	j.size = sizesOf(f.works, j.Queue).band(float64(j.Work))
+	j.demand = sizesOf(f.demands, j.Queue).band(float64(j.Tasks.Demand.CPU))
+}
+
+func sizesOf(m map[queue.Name]*sizes, q queue.Name) *sizes {
+	s := m[q]
 	if s == nil {
 		s = &sizes{}
-		f.sizes[j.Queue] = s
+		m[q] = s
 	}
-	j.size = s.band(float64(j.Work))
+	return s
 }
 
 // record counts a job that was served or refused.
@@ -155,7 +164,8 @@
 // their queue.
 func (f *floors) isSizeStarved(j *Job, floor float64) bool {
 	groups := j.groups()
-	return f.isBelow(groups[sizeGroup], f.shares[groups[queueGroup]], floor)
+	whole := f.shares[groups[queueGroup]]
+	return f.isBelow(groups[sizeGroup], whole, floor) || f.isBelow(groups[demandGroup], whole, floor)
 }
 
 func (f *floors) isBelow(g group, whole *share, floor float64) bool {
--- a/internal/control/admission/job.go
+++ b/internal/control/admission/job.go
@@ -25,7 +25,7 @@
 	// Started means that tasks have started, so that the job cannot be refused any more.
 	Started bool
 
-	size sizeBand
+	size, demand sizeBand
 	// accepted means that the job had a place when it arrived, and waits.
 	accepted bool
 	rank     float64
--- a/internal/control/admission/planner.go
+++ b/internal/control/admission/planner.go
@@ -6,7 +6,6 @@
 	"slices"
 
 	"github.com/sequoiacart/sequoiacart/internal/control/forecast"
-	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 )
@@ -43,6 +42,7 @@
 	floors floors
 	price  price
 	order  []*Job
+	holds  []Hold
 	// fastest is the highest speed of an endpoint in the latest plan.
 	fastest float64
 }
@@ -108,18 +108,53 @@
 func (p *Planner) Arrive(now clock.Millis, j *Job, waiting []*Job, room *forecast.Room) Decision {
 	late := p.place(now, append(append(p.order[:0], waiting...), j), room)
 	if slices.Contains(late, j) {
-		return Refuse{Now: j.place.Now, InTime: j.place.InTime, Backlog: p.backlog(j, waiting)}
+		return p.refuse(j, j.place.InTime, waiting)
 	}
 	if j.place.Now == j.Tasks.Count && len(late) == 0 {
 		return Start{}
 	}
-	if p.price.exceeds(now, j.rank) {
-		return Refuse{Now: j.place.Now, InTime: j.place.Now, Backlog: p.backlog(j, waiting)}
+	if p.IsPricedOut(now, j) {
+		return p.refuse(j, j.place.Now, waiting)
 	}
 	j.accepted, j.arrivalRank = true, j.rank
 	return Wait{Now: j.place.Now, Displaced: late}
 }
 
+// IsPricedOut reports whether a job that arrives would be displaced if it had to wait.
+func (p *Planner) IsPricedOut(now clock.Millis, j *Job) bool { return p.price.exceeds(now, j.rank) }
+
+// RefusePricedOut refuses a job that is priced out and cannot start at once, without a plan.
+func (p *Planner) RefusePricedOut(j *Job, waiting []*Job) Refuse {
+	j.place = forecast.Placement{}
+	return p.refuse(j, 0, waiting)
+}
+
+func (p *Planner) refuse(j *Job, inTime int, waiting []*Job) Refuse {
+	r := Refuse{Now: j.place.Now, InTime: inTime}
+	for _, o := range waiting {
+		if o.rank >= j.rank {
+			r.Backlog += o.Left
+		}
+	}
+	return r
+}
+
+// Hold is capacity that is kept free for a job.
+type Hold struct {
+	forecast.Hold
+	For *Job
+}
+
+// Allows reports whether a task of a job may start although capacity is held. Jobs that rank higher need
+// not respect it.
+func (h *Hold) Allows(j *Job, until clock.Millis) bool {
+	return h.For == j || h.For.rank <= j.rank || h.Hold.Allows(j.Tasks.Demand, until)
+}
+
+// Holds returns the holds of the latest plan, those of the jobs that rank higher first. They are valid
+// until the next one.
+func (p *Planner) Holds() []Hold { return p.holds }
+
 // Review returns the jobs that wait and cannot all start in time any more.
 func (p *Planner) Review(now clock.Millis, waiting []*Job, room *forecast.Room) []*Job {
 	return p.place(now, append(p.order[:0], waiting...), room)
@@ -134,8 +169,12 @@
 	}
 	slices.SortStableFunc(jobs, func(a, b *Job) int { return cmp.Compare(b.rank, a.rank) })
 	var late []*Job
+	p.holds = p.holds[:0]
 	for _, j := range jobs {
 		j.place = room.Place(&j.Tasks)
+		for _, h := range room.Holds() {
+			p.holds = append(p.holds, Hold{Hold: h, For: j})
+		}
 		if j.place.InTime < j.Tasks.Count && !j.Started {
 			late = append(late, j)
 		}
@@ -146,13 +185,3 @@
 		return j.place.InTime == j.Tasks.Count && (len(jobs) == 1 || j.place.Now == j.Tasks.Count)
 	})
 }
-
-func (p *Planner) backlog(j *Job, waiting []*Job) job.CoreMillis {
-	var sum job.CoreMillis
-	for _, o := range waiting {
-		if o.rank >= j.rank {
-			sum += o.Left
-		}
-	}
-	return sum
-}
--- a/internal/control/forecast/objective.go
+++ b/internal/control/forecast/objective.go
@@ -27,7 +27,7 @@
 const (
 	// Probable leaves a margin for most errors: declared durations are off by 40 %, and the objective
 	// depends on the longest of several tasks.
-	Probable Margin = 1.3
+	Probable Margin = 1.15
 	// Possible is met if the estimate is right.
 	Possible Margin = 1
 )
--- a/internal/control/forecast/room.go
+++ b/internal/control/forecast/room.go
@@ -25,6 +25,7 @@
 	now       clock.Millis
 	endpoints []endpointRoom
 	placed    []reservation
+	holds     []Hold
 	// slowest and fastest are the speeds of the endpoints. The latest starts at these speeds are
 	// those of the tasks that are being placed; few starts are between them.
 	slowest, fastest             float64
@@ -34,6 +35,7 @@
 // endpointRoom is the free capacity of an endpoint over time.
 type endpointRoom struct {
 	Endpoint
+	number int
 	// spans are in order of time, each until the next one.
 	spans []span
 	// next is when the task that is being placed could start here.
@@ -63,6 +65,21 @@
 	Late   bool
 }
 
+// Hold keeps capacity of an endpoint free for a task that is to start there once more has been released.
+type Hold struct {
+	// Endpoint is the number of the endpoint, in the order in which they were added.
+	Endpoint int
+	// From is when the task is to start. Until then, others may use the endpoint if they end before; later
+	// only what Spare covers.
+	From  clock.Millis
+	Spare job.Resources
+}
+
+// Allows reports whether a task that takes until a point in time leaves the capacity that is held.
+func (h *Hold) Allows(demand job.Resources, until clock.Millis) bool {
+	return until <= h.From || h.Spare.Fits(demand)
+}
+
 // Placement says when the tasks of a job can start.
 type Placement struct {
 	// Now and InTime are how many of the tasks can start at once, and in time.
@@ -75,6 +92,7 @@
 func (r *Room) Reset(now clock.Millis) {
 	r.now = now
 	r.endpoints = r.endpoints[:0]
+	r.holds = r.holds[:0]
 	r.slowest, r.fastest = math.Inf(1), 0
 }
 
@@ -86,7 +104,7 @@
 		r.endpoints = append(r.endpoints, endpointRoom{})
 	}
 	ep := &r.endpoints[len(r.endpoints)-1]
-	ep.Endpoint = e
+	ep.Endpoint, ep.number = e, len(r.endpoints)-1
 	r.slowest, r.fastest = min(r.slowest, e.Speed), max(r.fastest, e.Speed)
 	ep.spans = append(ep.spans[:0], span{from: Instant{At: max(r.now, e.From)}, free: e.Free})
 	for _, a := range attempts {
@@ -143,6 +161,7 @@
 // job of which some tasks cannot would occupy capacity and be late all the same, so it gets none.
 func (r *Room) Place(t *Tasks) Placement {
 	p := Placement{}
+	r.placed = r.placed[:0]
 	if len(r.endpoints) == 0 {
 		return p
 	}
@@ -161,7 +180,6 @@
 			ep.next = r.startAt(ep, t)
 		}
 	}
-	r.placed = r.placed[:0]
 	for range t.Count {
 		ep := r.first()
 		if ep == nil {
@@ -186,15 +204,39 @@
 			s.endpoint.change(s.from, t.Demand)
 			s.endpoint.change(s.until, negative(t.Demand))
 		}
+		r.placed = r.placed[:0]
 	}
 	return p
 }
 
+// Holds returns what has to be kept free for the tasks that were placed last, where a part of the
+// capacity that they wait for is free already. It is valid until the next call.
+func (r *Room) Holds() []Hold {
+	r.holds = r.holds[:0]
+	for _, s := range r.placed {
+		if s.from.At > r.now && s.endpoint.Free.CPU > 0 {
+			r.holds = append(r.holds, Hold{Endpoint: s.endpoint.number, From: s.from.At, Spare: s.endpoint.least(s.from.At, s.until.At)})
+		}
+	}
+	return r.holds
+}
+
 type reservation struct {
 	endpoint    *endpointRoom
 	from, until Instant
 }
 
+// least is the least free capacity between two points in time.
+func (e *endpointRoom) least(from, until clock.Millis) job.Resources {
+	least := job.Resources{CPU: math.MaxInt64, Memory: math.MaxInt64, Accelerators: math.MaxInt32}
+	for _, s := range e.spans {
+		if s.from.At >= from && s.from.At < until {
+			least = job.Resources{CPU: min(least.CPU, s.free.CPU), Memory: min(least.Memory, s.free.Memory), Accelerators: min(least.Accelerators, s.free.Accelerators)}
+		}
+	}
+	return least
+}
+
 func negative(r job.Resources) job.Resources { return job.Resources{}.Minus(r) }
 
 // startAt is when a task can start at an endpoint, or never if that is too late.
--- a/internal/control/forecast/room_test.go
+++ b/internal/control/forecast/room_test.go
@@ -84,3 +84,38 @@
 		t.Errorf("a short task: got a start after %d ms, want %d ms", got-testNow, want-testNow)
 	}
 }
+
+// Guards against a task that needs the whole of an endpoint and never finds it free, since smaller ones take
+// each part as it is released.
+func TestHolds(t *testing.T) {
+	var r Room
+	r.Reset(testNow)
+	r.Add(Endpoint{Free: cpu(8000), Speed: 1}, []Attempt{{Demand: cpu(8000), StartedAt: testNow, Expected: 60}})
+	if p := r.Place(tasksOf(1, 12000, 200)); p.InTime != 1 {
+		t.Fatalf("got %d tasks in time, want 1", p.InTime)
+	}
+	holds := r.Holds()
+	if len(holds) != 1 || holds[0].From != testNow+60 {
+		t.Fatalf("got holds %+v, want one from 60 ms on", holds)
+	}
+	tests := []struct {
+		name   string
+		demand job.MilliCores
+		until  clock.Millis
+		want   bool
+	}{
+		{"ends before", 8000, testNow + 50, true},
+		{"goes on and leaves enough", 4000, testNow + 200, true},
+		{"goes on and takes a part", 8000, testNow + 200, false},
+	}
+	for _, tt := range tests {
+		if got := holds[0].Allows(cpu(tt.demand), tt.until); got != tt.want {
+			t.Errorf("%s: got %t, want %t", tt.name, got, tt.want)
+		}
+	}
+	r.Reset(testNow)
+	r.Place(tasksOf(1, 12000, 200))
+	if got := r.Holds(); len(got) != 0 {
+		t.Errorf("got holds %+v without endpoints, want none", got)
+	}
+}
--- a/internal/control/leader/attempts.go
+++ b/internal/control/leader/attempts.go
@@ -19,6 +19,7 @@
 	t.stopAckedAt, t.stopSentAt, t.uncertainSeq, t.startedSeq = 0, 0, 0, l.sequence
 	t.job.started = true
 	l.reserve(t, ep)
+	ep.useHeld(t)
 	ep.leaseSentAt = l.now
 	until, _ := l.leaseUntil(ep)
 	t.startGrant = ep.leaseGrant(until, l.now)
--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -26,6 +26,7 @@
 func (l *Leader) dequeue(j *jobState) {
 	if i := slices.Index(l.queue, j); i >= 0 {
 		l.queue = slices.Delete(l.queue, i, i+1)
+		l.releaseHolds(j)
 	}
 }
 
@@ -223,6 +224,10 @@
 			allowed = allowed && step.Rack == ""
 			continue
 		}
+		if !ep.allows(t, l.now+ep.speed.duration(l.baseDuration(t, ep))) {
+			allowed = false
+			continue
+		}
 		if best == nil || c.Compare(bestCandidate, r.scarce) < 0 {
 			best, bestCandidate = ep, c
 		}
--- a/internal/control/leader/endpoint_state.go
+++ b/internal/control/leader/endpoint_state.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"github.com/sequoiacart/sequoiacart/internal/control/admission"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
@@ -93,6 +94,8 @@
 
 	speed  speed
 	health health
+	// hold is what the latest plan keeps free here for a job.
+	hold admission.Hold
 	// suspect is the task that the endpoint is held for, because it may crash it, or nil.
 	suspect *task
 }
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -57,6 +57,7 @@
 	planner         *admission.Planner
 	// room and the buffers are reused from one event to the next.
 	room            forecast.Room
+	roomEndpoints   []*endpointState
 	candidateBuffer []*endpointState
 	attemptBuffer   []forecast.Attempt
 	planBuffer      []*admission.Job
--- a/internal/control/leader/plan.go
+++ b/internal/control/leader/plan.go
@@ -18,7 +18,11 @@
 	j.plan = admission.Job{Queue: j.queue, From: j.From, Priority: q.Priority}
 	j.plan.Tasks.FarFactor = l.config.FarFactor
 	j.plan.Tasks.Objective = forecast.Objective{
-		Submitted: j.submittedAt, Limit: j.Limit, Stretch: q.Stretch, Allowance: q.Allowance, Path: path, Left: path, Overhead: startOverhead,
+		Submitted: j.submittedAt, Stretch: q.Stretch, Allowance: q.Allowance, Path: path, Left: path, Overhead: startOverhead,
+	}
+	if !j.Adopt {
+		// Attempts of an earlier leader may have started long ago.
+		j.plan.Tasks.Objective.Limit = j.Limit
 	}
 	for i := range j.Job.Steps {
 		s := &j.Job.Steps[i]
@@ -86,7 +90,11 @@
 		return admission.Start{}
 	}
 	service := l.desired.Queue(j.queue).Service
+	if l.planner.IsPricedOut(l.now, &j.plan) && !l.hasCapacityNow(j) {
+		return l.planner.RefusePricedOut(&j.plan, l.waitingJobs(service))
+	}
 	d := l.planner.Arrive(l.now, &j.plan, l.waitingJobs(service), l.fillRoom(service))
+	l.applyHolds()
 	l.sortQueue()
 	return d
 }
@@ -99,7 +107,9 @@
 		return
 	}
 	for _, s := range l.queuedServices() {
-		l.turnAway(l.planner.Review(l.now, l.waitingJobs(s), l.fillRoom(s)))
+		late := l.planner.Review(l.now, l.waitingJobs(s), l.fillRoom(s))
+		l.applyHolds()
+		l.turnAway(late)
 	}
 	l.sortQueue()
 }
@@ -124,13 +134,14 @@
 	}
 }
 
-// turnAway refuses or forwards jobs that the planner has found no place for.
+// turnAway refuses or forwards jobs that the planner has found no place for. One that may have attempts
+// of an earlier submission waits until its latest start has passed.
 func (l *Leader) turnAway(late []*admission.Job) {
 	if len(late) == 0 {
 		return
 	}
 	for _, j := range slices.Clone(l.queue) {
-		if slices.Contains(late, &j.plan) {
+		if slices.Contains(late, &j.plan) && !l.hasAttempts(j) {
 			l.turnAwayJob(j, RefusedDisplaced)
 		}
 	}
--- a/internal/control/leader/room.go
+++ b/internal/control/leader/room.go
@@ -11,11 +11,13 @@
 // fillRoom returns the forecast of the capacity for the tasks of a service.
 func (l *Leader) fillRoom(s queue.ServiceName) *forecast.Room {
 	l.room.Reset(l.now)
+	l.roomEndpoints = l.roomEndpoints[:0]
 	for _, ep := range l.sortedEndpoints {
 		from, ok := ep.takesTasksFrom(l.now)
 		if !ok || ep.Service != s {
 			continue
 		}
+		l.roomEndpoints = append(l.roomEndpoints, ep)
 		l.attemptBuffer = l.attemptBuffer[:0]
 		for _, t := range ep.tasks {
 			l.attemptBuffer = append(l.attemptBuffer, l.forecastAttempt(t))
--- a/internal/control/leader/scarce_test.go
+++ b/internal/control/leader/scarce_test.go
@@ -141,3 +141,27 @@
 		t.Errorf("got %s while another job waits, want %s", got, want)
 	}
 }
+
+// Guards against a task that needs most of an endpoint and starves, since tasks of lower priority take
+// each part that is released.
+func TestCapacityIsHeldForALargeTask(t *testing.T) {
+	c := newPrioritizedCluster(t, 2)
+	c.submitPlain(1, 1)
+	c.advance(40)
+	c.submitPlain(2, 1)
+	c.advance(30)
+	c.submitPlain(3, 2)
+	c.advance(30)
+	// The tasks at the first endpoint end in 70 and 110 ms, those at the other one in 140 ms.
+	large := submission("a-1", firstUrgent, 1)
+	large.Job.Queue, large.Job.Steps[0].Estimate, large.Job.Steps[0].Demand.CPU = urgentQueue, plainDuration, 28_000
+	c.deliver(1, Submitted{Submission: large})
+	c.advance(50)
+	c.submitPlain(4, 1)
+	c.advance(400)
+	for _, seq := range []uint64{firstUrgent, 4} {
+		if got, want := c.outcome(seq), "job.Completed"; got != want {
+			t.Errorf("got %s for job %d, want %s", got, seq, want)
+		}
+	}
+}
