--- a/internal/control/admission/planner.go
+++ b/internal/control/admission/planner.go
@@ -28,7 +28,7 @@
 
 // DefaultConfig returns the weights that docs/design/admission.md explains.
 func DefaultConfig() Config {
-	return Config{PriorityRatio: 2, CallShare: 0.3, Floor: 0.7, DensityOffset: 100}
+	return Config{PriorityRatio: 3, CallShare: 0.3, Floor: 0.7, DensityOffset: 100}
 }
 
 func (c Config) weight(priority int) float64 {
@@ -75,14 +75,11 @@
 	j.Tasks.Margin = forecast.Probable
 	j.Tasks.Late = j.Started && j.Tasks.Objective.MinSpeed(now, j.Tasks.Margin) > p.fastest
 	j.rank = p.density(j)
-	if j.Tasks.Late {
-		j.rank *= lateShare
-	}
 	if j.accepted {
 		j.rank *= acceptedWeight
 	}
 	switch {
-	case j.Started && !j.Tasks.Late, !j.Started && p.floors.isGroupStarved(j, p.config.Floor):
+	case j.Started, !j.Started && p.floors.isGroupStarved(j, p.config.Floor):
 		j.rank *= precedence
 	case !j.Started && p.floors.isSizeStarved(j, p.config.Floor):
 		j.rank *= sizePrecedence
@@ -91,9 +88,8 @@
 }
 
 const (
-	// precedence puts jobs before all others that are not late: those that have started, since what they
-	// hold is lost if the rest does not start in time, and those of a queue or of callers below their
-	// floor.
+	// precedence puts jobs before all others: those that have started, since what they hold is lost if the
+	// rest does not start, and those of a queue or of callers below their floor.
 	precedence = 100
 	// sizePrecedence puts the large jobs of a queue that are below their floor before its small ones, but
 	// not before the jobs of higher priorities.
--- a/internal/control/admission/value.go
+++ b/internal/control/admission/value.go
@@ -7,12 +7,8 @@
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 )
 
-const (
-	// lateShare is the part of its use that an answer keeps after its objective.
-	lateShare = 0.2
-	// meanWindow is how many jobs the mean work of a queue covers.
-	meanWindow = 256
-)
+// meanWindow is how many jobs the mean work of a queue covers.
+const meanWindow = 256
 
 // meanWork is the mean work of the jobs of a queue.
 type meanWork struct {
