leader: an evacuated data centre starts no task after its notice

Cause: the leader knew of no evacuation, so that its endpoints got starts until the end. It now asks the VM for what is known: starts are held while it is too old and the store answers, and end for good when the notice is over. Jobs leave to where there is capacity, and are refused at once where there is none.

--- a/internal/control/leader/action.go
+++ b/internal/control/leader/action.go
@@ -73,6 +73,9 @@
 // RefreshList requests the list of endpoints from the store at once.
 type RefreshList struct{}
 
+// RefreshEvacuations requests the evacuations from the store at once.
+type RefreshEvacuations struct{}
+
 // DeadlyTaskFound means that a task is proved to crash its endpoints, so that the crashes have to
 // outlast the VMs.
 type DeadlyTaskFound struct{}
@@ -122,7 +125,8 @@
 	EndpointCrashSuspected
 	EndpointCrashed
 	EndpointUnlisted
-	// StartsHeld and StartsResumed are the beginning and the end of a wait for a current list of endpoints.
+	// StartsHeld and StartsResumed are the beginning and the end of a wait for a current list of endpoints or
+	// the current evacuations.
 	StartsHeld
 	StartsResumed
 	// EndpointDropped is an unlisted endpoint without tasks, whose state the leader has removed.
@@ -132,15 +136,18 @@
 	JobForwarded
 	JobAdopted
 	JobAbandoned
+	// ShardEmptied means that no task is left in an evacuated data centre.
+	ShardEmptied
 	// TaskGivenUp is a task that is proved to crash its endpoints; its job has failed.
 	TaskGivenUp
 )
 
-func (Start) action()           {}
-func (Stop) action()            {}
-func (Hold) action()            {}
-func (Answer) action()          {}
-func (Fenced) action()          {}
-func (RefreshList) action()     {}
-func (DeadlyTaskFound) action() {}
-func (LogDecision) action()     {}
+func (Start) action()              {}
+func (Stop) action()               {}
+func (Hold) action()               {}
+func (Answer) action()             {}
+func (Fenced) action()             {}
+func (RefreshList) action()        {}
+func (RefreshEvacuations) action() {}
+func (DeadlyTaskFound) action()    {}
+func (LogDecision) action()        {}
--- a/internal/control/leader/admission.go
+++ b/internal/control/leader/admission.go
@@ -194,6 +194,9 @@
 
 // admit returns nil for a job that is to run here, or else its outcome.
 func (l *Leader) admit(j *jobState) job.Outcome {
+	if l.isEvacuated() {
+		return l.admitEvacuated(j)
+	}
 	if j.Part || l.startingUp() {
 		return nil
 	}
--- a/internal/control/leader/event.go
+++ b/internal/control/leader/event.go
@@ -122,22 +122,27 @@
 // Cancelled means that the caller of a job has cancelled it.
 type Cancelled struct{ Cancellation job.Cancellation }
 
+// EvacuationChanged means that Config.Evacuation has changed, or that the loads of other shards have because of
+// their evacuations.
+type EvacuationChanged struct{}
+
 // EstimatesLoaded holds the performance estimates of an earlier leader of the shard.
 type EstimatesLoaded struct{ Estimates estimate.Estimates }
 
 // Tick is sent at regular intervals for everything that depends on time alone.
 type Tick struct{}
 
-func (Submitted) event()        {}
-func (JobLeasesRenewed) event() {}
-func (StartEnded) event()       {}
-func (StartSlow) event()        {}
-func (StopEnded) event()        {}
-func (HoldEnded) event()        {}
-func (EndpointsListed) event()  {}
-func (StoreReported) event()    {}
-func (DesiredState) event()     {}
-func (LoadReported) event()     {}
-func (Cancelled) event()        {}
-func (EstimatesLoaded) event()  {}
-func (Tick) event()             {}
+func (Submitted) event()         {}
+func (JobLeasesRenewed) event()  {}
+func (StartEnded) event()        {}
+func (StartSlow) event()         {}
+func (StopEnded) event()         {}
+func (HoldEnded) event()         {}
+func (EndpointsListed) event()   {}
+func (StoreReported) event()     {}
+func (DesiredState) event()      {}
+func (LoadReported) event()      {}
+func (Cancelled) event()         {}
+func (EvacuationChanged) event() {}
+func (EstimatesLoaded) event()   {}
+func (Tick) event()              {}
--- a/internal/control/leader/forwarding.go
+++ b/internal/control/leader/forwarding.go
@@ -106,7 +106,7 @@
 func (l *Leader) freshLoads() []shardLoad {
 	var loads []shardLoad
 	for _, load := range l.otherLoads {
-		if l.now-load.At <= maxLoadAge {
+		if l.now-load.At <= maxLoadAge && !load.Evacuated {
 			loads = append(loads, shardLoad{load})
 		}
 	}
@@ -127,7 +127,7 @@
 
 // Load returns the load of this shard, for the leaders of other shards.
 func (l *Leader) Load(now clock.Millis) shard.Load {
-	load := shard.Load{Cell: l.config.Shard, LinkDelay: l.linkDelay(), At: now}
+	load := shard.Load{Cell: l.config.Shard, LinkDelay: l.linkDelay(), Evacuated: l.isEvacuated(), At: now}
 	for _, ep := range l.sortedEndpoints {
 		if ep.Draining || ep.unlisted {
 			continue
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -10,6 +10,7 @@
 
 	"github.com/sequoiacart/sequoiacart/internal/world/crash"
 	"github.com/sequoiacart/sequoiacart/internal/world/estimate"
+	"github.com/sequoiacart/sequoiacart/internal/world/evacuation"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
@@ -34,6 +35,9 @@
 	LinkDelay func() clock.Millis
 	// StoreLost means that the store does not answer this VM.
 	StoreLost bool
+	// Evacuation returns what this VM knows of the evacuation of the shard's data centre; nil means that it
+	// is never evacuated.
+	Evacuation func() evacuation.Status
 	// OrphansEndBy is when the attempts of earlier leaders that no job adopts have to have ended, or 0
 	// if this VM has not heard of it. Their callers may send the jobs again from then on.
 	OrphansEndBy clock.Millis
@@ -80,6 +84,10 @@
 	// heldSince is since when starts wait for a current list, or 0 if none do.
 	heldSince clock.Millis
 	now       clock.Millis
+	// evacuatedSince is when the leader first knew that its data centre is evacuated, or 0 if it is not.
+	// emptied means that no task has been left since.
+	evacuatedSince clock.Millis
+	emptied        bool
 	// resuming means that nothing is started after a pause until the endpoints have answered requests
 	// of the event resumedSeq or later.
 	resuming   bool
@@ -180,6 +188,8 @@
 				l.cancel(j)
 			}
 		}
+	case EvacuationChanged:
+		l.evacuate()
 	case EstimatesLoaded:
 		l.inheritEstimates(e.Estimates)
 	case Tick:
@@ -336,6 +346,7 @@
 		l.checkResumed()
 	}
 	l.refuseLateJobs()
+	l.evacuate()
 	for _, ep := range l.sortedEndpoints {
 		l.checkEndpoint(ep)
 	}
--- a/internal/control/leader/timeouts.go
+++ b/internal/control/leader/timeouts.go
@@ -24,6 +24,9 @@
 	// DrainNotice is how long after the store has accepted that it is leaving an endpoint may be sent
 	// tasks.
 	DrainNotice clock.Millis
+	// EvacuationNotice is how long after the store has accepted the operator's request to evacuate a data
+	// centre tasks may start there. 0 means that the deployment has no evacuations.
+	EvacuationNotice clock.Millis
 }
 
 const (
@@ -73,6 +76,8 @@
 	progressInterval = clock.Millis(80)
 	// minListAge allows a leader to read the list of endpoints each 100 ms.
 	minListAge = clock.Millis(300)
+	// minEvacuationAge allows a VM to read the evacuations each 100 ms.
+	minEvacuationAge = clock.Millis(300)
 )
 
 // DefaultTimeouts derives the timeouts from the longest lease that endpoints grant, the time that a
@@ -97,9 +102,18 @@
 	if t.MaxListAge() < minListAge {
 		return errors.NotValidf("a notice of %d ms before an endpoint leaves allows a list of endpoints that is %d ms old, less than %d ms: bounds", t.DrainNotice, t.MaxListAge(), minListAge)
 	}
+	if t.EvacuationNotice != 0 && t.MaxEvacuationAge() < minEvacuationAge {
+		return errors.NotValidf("a notice of %d ms before an evacuation takes effect allows %d ms to learn of it, less than %d ms: bounds", t.EvacuationNotice, t.MaxEvacuationAge(), minEvacuationAge)
+	}
 	return nil
 }
 
+// MaxEvacuationAge is how long after its data centre was known to be clear a leader may start a task: the
+// operator may have asked right then for it to be empty, and the start has to take effect in time.
+func (t Timeouts) MaxEvacuationAge() clock.Millis {
+	return t.EvacuationNotice - sendDelay - RequestLifetime
+}
+
 // MaxListAge is how long ago the list of endpoints may have been read that decides where a task starts. An
 // endpoint that has reported since that it is leaving has to receive the start in time.
 func (t Timeouts) MaxListAge() clock.Millis {
--- a/internal/world/job/outcome.go
+++ b/internal/world/job/outcome.go
@@ -78,4 +78,6 @@
 	LeaseExpired       Reason = "interestLapsed"
 	Superseded         Reason = "superseded"
 	ShardLost          Reason = "cellLost"
+	// Evacuated means that no task may start in the data centre, and that no other one can take the job.
+	Evacuated Reason = "dataCentreEvacuated"
 )
--- a/internal/world/shard/shard.go
+++ b/internal/world/shard/shard.go
@@ -91,6 +91,8 @@
 	Waiting []Waiting
 	// LinkDelay is how long a start waits in front of the leader's link.
 	LinkDelay clock.Millis
+	// Evacuated says that the data centre of the shard is to be empty, so that no job may be sent there.
+	Evacuated bool
 	// At is when the figures were received, by the clock of the VM that has them.
 	At clock.Millis
 }
