node: VMs tell each other of evacuations, and send jobs to open data centres

Cause: an evacuation would reach only the VMs that the store reaches, and jobs would go to the data centre of their VM whatever the operator asks. Heartbeats and their answers now carry the state and its age, VMs that learn of a change send them at once, and jobs of an evacuated data centre go to the others in proportion to their free CPU. Test: TestLeaderLearnsOfEvacuationsFromPeers, TestEvacuationsArePassedOn, TestDestinationsOfJobsFromAnEvacuatedDataCentre, TestDeploymentWithoutEvacuations.

--- a/internal/control/gateway/gateway.go
+++ b/internal/control/gateway/gateway.go
@@ -16,6 +16,8 @@
 type Leaders interface {
 	// Available lists the shards with a responsive leader in order of preference.
 	Available(now clock.Millis) []shard.ID
+	// Destination returns the shard that a job which has run nowhere is sent to, unless there is none now.
+	Destination(j job.ID, now clock.Millis) (shard.ID, bool)
 	// Leader returns the VM that leads the shard.
 	Leader(id shard.ID, now clock.Millis) (vm.Incarnation, bool)
 	// ListedSince returns a time from which on each endpoint that the leader uses was in the store's list,
@@ -192,21 +194,21 @@
 // send submits a part to the preferred shard, or refuses the job if no leader has been available
 // within the job's wait limit.
 func (g *Gateway) send(p *part, now clock.Millis) {
-	available := g.config.Leaders.Available(now)
 	if p.mayHaveStarted {
 		// Only a leader of the same shard can adopt the attempts that may exist.
-		if slices.Contains(available, p.shard) {
+		if slices.Contains(g.config.Leaders.Available(now), p.shard) {
 			g.sendTo(p, p.shard, now)
 		}
 		return
 	}
-	if len(available) == 0 {
+	to, ok := g.config.Leaders.Destination(p.request.job.ID, now)
+	if !ok {
 		if now >= p.request.arrived+p.request.leaderWaitLimit {
 			g.reply(p.request, p.shard, job.Refused{Reason: job.NoLeader, RetryAfter: clock.Second}, now)
 		}
 		return
 	}
-	g.sendTo(p, available[0], now)
+	g.sendTo(p, to, now)
 }
 
 func (g *Gateway) sendTo(p *part, id shard.ID, now clock.Millis) {
--- a/internal/control/gateway/gateway_test.go
+++ b/internal/control/gateway/gateway_test.go
@@ -35,6 +35,13 @@
 	return all
 }
 
+func (f *fakeLeaders) Destination(_ job.ID, now clock.Millis) (shard.ID, bool) {
+	if all := f.Available(now); len(all) > 0 {
+		return all[0], true
+	}
+	return "", false
+}
+
 func (f *fakeLeaders) Leader(id shard.ID, _ clock.Millis) (vm.Incarnation, bool) {
 	return f.byShard[id], f.byShard[id] != ""
 }
--- a/internal/control/node/action.go
+++ b/internal/control/node/action.go
@@ -9,6 +9,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
@@ -131,6 +132,11 @@
 	Outcome job.Outcome
 	Waited  clock.Millis
 	Parts   int
+	// DataCentre is set for EvacuationRequested and EvacuationWithdrawn. SinceClear is how long ago it was known
+	// not to be evacuated, or 0 if it never was, and Evacuations the number of evacuated data centres.
+	DataCentre  datacentre.ID
+	SinceClear  clock.Millis
+	Evacuations int
 	// Version is that of the desired state, for JobEnded and DesiredStateApplied.
 	Version queue.Version
 }
@@ -147,6 +153,8 @@
 	LeadershipYielded
 	ReplicaSetUpdated
 	DesiredStateApplied
+	EvacuationRequested
+	EvacuationWithdrawn
 )
 
 func (LeaderAction) action()      {}
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -11,6 +11,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/control/leader"
 	"github.com/sequoiacart/sequoiacart/internal/world/crash"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/internal/world/evacuation"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
@@ -74,8 +75,9 @@
 	// candidates are the VMs in the order in which they claim a shard.
 	candidates map[shard.ID][]shard.VM
 	// heartbeats are the last ones of each VM, or its last answers to one.
-	heartbeats map[vm.Incarnation]heartbeat
-	loads      map[shard.ID]shard.Load
+	heartbeats  map[vm.Incarnation]heartbeat
+	loads       map[shard.ID]shard.Load
+	evacuations evacuation.View
 	// crashes are the recent crashes of endpoints, which the leaders of this VM share.
 	crashes        *crash.History
 	crashExchanges map[vm.Incarnation]crashExchange
@@ -215,6 +217,10 @@
 		n.handleEndpointsLoaded(e)
 	case StoreReported:
 		n.handleStoreReported(e)
+	case EvacuationsLoaded:
+		if n.hasEvacuations() {
+			n.updateEvacuations(e.State, e.ReadAt)
+		}
 	case VMsLoaded:
 		n.handleVMsLoaded(e.VMs)
 	case ReplicaSetsLoaded:
@@ -420,6 +426,8 @@
 			n.stepDown(id)
 		case leader.RefreshList:
 			n.emit(ReadEndpoints{})
+		case leader.RefreshEvacuations:
+			n.emit(ReadEvacuations{})
 		case leader.DeadlyTaskFound:
 			n.saveCrashes(id)
 		case leader.LogDecision:
--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -168,6 +168,7 @@
 	ReplicaSets      []shard.ReplicaSet
 	Endpoints        []endpoint.Endpoint
 	EndpointsVersion int64
+	Evacuations      *EvacuationReport
 }
 
 // PeerStateRequested is a peer's request for the state of the deployment.
@@ -245,6 +246,8 @@
 	Loads []shard.Load
 	// Crashes are those that the receiver does not know yet.
 	Crashes CrashUpdate
+	// Evacuations are those that the sender knows of, or nil.
+	Evacuations *EvacuationReport
 }
 
 // HeartbeatReply is the answer of a member of a replica set to a heartbeat. The field names are
@@ -273,4 +276,6 @@
 	From             vm.Incarnation
 	// Crashes are those that the receiver does not know yet.
 	Crashes CrashUpdate
+	// Evacuations are those that the sender knows of, or nil.
+	Evacuations *EvacuationReport
 }
--- a/internal/control/node/heartbeats.go
+++ b/internal/control/node/heartbeats.go
@@ -186,7 +186,7 @@
 	r := HeartbeatRequest{
 		Cell: id, From: n.config.Self, Waiting: waiting, LastSeq: last,
 		Revision: n.monitors[id].ReplicaSet().Revision, Leaving: n.shutdown, Clock: n.now,
-		Crashes: n.crashUpdate(h.To.Incarnation),
+		Crashes: n.crashUpdate(h.To.Incarnation), Evacuations: n.evacuationReport(),
 	}
 	if n.desired != nil {
 		r.Desired = n.desired.Version
@@ -227,6 +227,13 @@
 	n.applyCrashUpdate(r.From.Incarnation, r.Crashes)
 	reply.Crashes = n.crashUpdate(r.From.Incarnation)
 	led := n.ledShards[r.Cell]
+	if led != nil {
+		n.applyEvacuationReport(r.Evacuations, r.Sent)
+	} else {
+		// The clock in the message may be that of another VM.
+		n.applyEvacuationReport(r.Evacuations, 0)
+	}
+	reply.Evacuations = n.evacuationReport()
 	if led != nil {
 		reply.Home, reply.Token = true, led.leader.Token()
 		reply.Load = n.loads[r.Cell]
@@ -258,7 +265,13 @@
 // recordLoad stores the load of a shard and reports it to the other leaders of this VM.
 func (n *Control) recordLoad(load shard.Load) {
 	load.At = n.now
+	load.Evacuated = load.Evacuated || n.isEvacuated(load.Cell)
 	n.loads[load.Cell] = load
+	n.reportLoad(load)
+}
+
+// reportLoad reports the load of a shard to the other leaders of this VM.
+func (n *Control) reportLoad(load shard.Load) {
 	for _, id := range n.shards {
 		if n.ledShards[id] != nil && id != load.Cell {
 			n.sendToLeader(id, leader.LoadReported{Load: load})
@@ -269,6 +282,7 @@
 func (n *Control) handleHeartbeatAnswered(e HeartbeatAnswered) {
 	if e.Answer.OK {
 		n.applyCrashUpdate(e.Answer.From, e.Reply.Crashes)
+		n.applyEvacuationReport(e.Reply.Evacuations, e.Answer.SentAt)
 	}
 	monitor := n.monitors[e.Shard]
 	if monitor == nil || n.ledShards[e.Shard] != nil {
--- a/internal/control/node/leaders.go
+++ b/internal/control/node/leaders.go
@@ -9,24 +9,15 @@
 )
 
 // Available implements gateway.Leaders. The shard of this VM's data centre comes first, then the
-// others in descending order of free CPU.
+// others in descending order of free CPU, and those of evacuated data centres last.
 func (n *Control) Available(now clock.Millis) []shard.ID {
-	own := shard.ForDataCentre(n.config.Self.DataCentre)
 	var all []shard.ID
 	for _, id := range n.shards {
 		if _, _, _, ok := n.monitors[id].Leader(now); ok {
 			all = append(all, id)
 		}
 	}
-	slices.SortStableFunc(all, func(a, b shard.ID) int {
-		switch {
-		case a == own:
-			return -1
-		case b == own:
-			return 1
-		}
-		return int(n.loads[b].FreeCPU - n.loads[a].FreeCPU)
-	})
+	slices.SortStableFunc(all, n.compareShards)
 	return all
 }
 
--- a/internal/control/node/leadership.go
+++ b/internal/control/node/leadership.go
@@ -40,7 +40,7 @@
 	n.lastLeadership++
 	n.ledShards[id] = &ledShard{id: n.lastLeadership, writtenAt: n.now, acquiredAt: n.now, savedAt: n.now, handedOverBy: handedOverBy, leader: leader.New(leader.Config{
 		Shard: id, Token: token, Timeouts: n.config.Timeouts, FarFactor: n.config.FarFactor,
-		Desired: n.desired, Crashes: n.crashes, LinkDelay: n.config.LinkDelay, Now: n.now, StoreLost: n.isStoreLost(), OrphansEndBy: n.monitors[id].OrphansEndBy(),
+		Desired: n.desired, Crashes: n.crashes, LinkDelay: n.config.LinkDelay, Now: n.now, StoreLost: n.isStoreLost(), Evacuation: n.evacuationOf(id), OrphansEndBy: n.monitors[id].OrphansEndBy(),
 	})}
 	n.monitors[id].BecameLeader(token, n.now)
 	n.emit(ReadEndpoints{})
--- a/internal/control/node/seeds.go
+++ b/internal/control/node/seeds.go
@@ -38,7 +38,7 @@
 
 // deploymentState returns the state of the deployment as this VM has it.
 func (n *Control) deploymentState() DeploymentState {
-	s := DeploymentState{Desired: n.desired, VMs: n.vms, Endpoints: n.endpoints, EndpointsVersion: n.endpointsVersion}
+	s := DeploymentState{Desired: n.desired, VMs: n.vms, Endpoints: n.endpoints, EndpointsVersion: n.endpointsVersion, Evacuations: n.evacuationReport()}
 	for _, id := range n.shards {
 		if set := n.monitors[id].ReplicaSet(); set.Revision > 0 {
 			s.ReplicaSets = append(s.ReplicaSets, set)
@@ -59,6 +59,8 @@
 	if s.EndpointsVersion > n.endpointsVersion {
 		n.handleEndpointsLoaded(EndpointsLoaded{Endpoints: s.Endpoints, Version: s.EndpointsVersion, Gap: true})
 	}
+	// The answer does not say when it was sent.
+	n.applyEvacuationReport(s.Evacuations, 0)
 	for _, set := range s.ReplicaSets {
 		n.applyReplicaSet(set)
 	}
