daemon: nodes read the operator's evacuations

Cause: the follower of the operator's table used only the desired state; rows of evacuations passed by. Each read now says which data centres are evacuated, also one that finds no change, and a leader that needs it has a waiting read replaced by one that is answered at once. The settings have the bound; without it the table is read as before. A desired state is decoded once for each row.

--- a/internal/link/peer/client.go
+++ b/internal/link/peer/client.go
@@ -136,7 +136,7 @@
 	}
 	return node.DeploymentState{
 		Desired: decodeDesired(&reply.Desired), VMs: reply.VMs, ReplicaSets: reply.Lineups,
-		Endpoints: reply.Endpoints.Endpoints, EndpointsVersion: reply.Endpoints.Version,
+		Endpoints: reply.Endpoints.Endpoints, EndpointsVersion: reply.Endpoints.Version, Evacuations: reply.Evacuations,
 	}, nil
 }
 
--- a/internal/link/peer/server.go
+++ b/internal/link/peer/server.go
@@ -202,7 +202,7 @@
 	state, err := await(answer, s.config.ControlTimeout)
 	*reply = DeploymentStateReply{
 		Desired: encodeDesired(state.Desired), VMs: state.VMs, Lineups: state.ReplicaSets,
-		Endpoints: EndpointsReply{Endpoints: state.Endpoints, Version: state.EndpointsVersion},
+		Endpoints: EndpointsReply{Endpoints: state.Endpoints, Version: state.EndpointsVersion}, Evacuations: state.Evacuations,
 	}
 	return err
 }
--- a/internal/link/peer/wire.go
+++ b/internal/link/peer/wire.go
@@ -139,6 +139,8 @@
 	// Lineups are the replica sets of the shards. The name is sent.
 	Lineups   []shard.ReplicaSet
 	Endpoints EndpointsReply
+	// Evacuations is nil in a deployment without any.
+	Evacuations *node.EvacuationReport
 }
 
 // ChangesRequest asks for the changes of the list of endpoints after a version of the store.
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -64,6 +64,11 @@
 	readPace    readPace
 	// maxListAge is how long ago the list of endpoints may have been read that decides where a task starts.
 	maxListAge clock.Millis
+	// maxEvacuationAge is how long ago the evacuations may have been read that decide whether a task starts, or 0 if
+	// the deployment has none.
+	maxEvacuationAge clock.Millis
+	// desiredRevision is that of the latest row of the desired state.
+	desiredRevision store.Revision
 
 	readyListener, metricsListener net.Listener
 	cancelTraffic                  context.CancelFunc
@@ -147,10 +152,14 @@
 	d.store = platform.NewStore(platform.StoreConfig{Address: s.StoreAddress, Timeout: storeTimeout, Transport: transport(connections), Meter: d.meter})
 	d.peers = peer.NewClient(peer.ClientConfig{Dialer: connections, Timeout: peerTimeout, Patience: d.link.Patience, Tracer: d.tracer, Meter: d.meter})
 	timeouts := leader.DefaultTimeouts(s.MaxLease, s.StopDuration, s.ResendInterval, s.DrainNotice)
+	timeouts.EvacuationNotice = s.EvacuationNotice
 	if err := timeouts.Validate(); err != nil {
-		return nil, errors.Annotate(err, "start VM: check settings: keys bounds.longestLeaseMs, bounds.stopMs, bounds.resendMs and bounds.drainMs")
+		return nil, errors.Annotate(err, "start VM: check settings: keys bounds.longestLeaseMs, bounds.stopMs, bounds.resendMs, bounds.drainMs and bounds.evacuateMs")
 	}
 	d.maxListAge = timeouts.MaxListAge()
+	if s.EvacuationNotice > 0 {
+		d.maxEvacuationAge = timeouts.MaxEvacuationAge()
+	}
 	control := node.New(node.Config{
 		Self: d.self, DataCentres: s.DataCentres, FarFactor: s.FarFactor, Successors: s.Successors, Seeds: s.Seeds, HandOverTimeout: clock.Millis(float64(s.GracePeriod) * handOverShare), LinkDelay: d.link.Delay, Now: c.Clock.Now(),
 		Timeouts: timeouts,
@@ -159,7 +168,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancelTraffic = cancel
 	d.traffic = &traffic{
-		ctx: ctx, loop: d.loop, clock: c.Clock, peers: d.peers, dialer: connections, store: d.store, logger: d.logger, meter: d.meter, tracer: d.tracer, link: d.link, readEndpoints: make(chan struct{}, 1),
+		ctx: ctx, loop: d.loop, clock: c.Clock, peers: d.peers, dialer: connections, store: d.store, logger: d.logger, meter: d.meter, tracer: d.tracer, link: d.link, readEndpoints: make(chan struct{}, 1), readOperator: make(chan struct{}, 1),
 		endpoints: platform.NewEndpointClient(platform.EndpointClientConfig{StartTimeout: startTimeout, Timeout: endpointCallTimeout, Patience: d.link.Patience, Transport: transport(toEndpoints), Meter: d.meter}),
 	}
 	d.loop.executor = d.traffic
--- a/internal/process/daemon/decision_fields.go
+++ b/internal/process/daemon/decision_fields.go
@@ -50,6 +50,9 @@
 		fields["readIn"], fields["readingAgeMs"] = d.ReadIn, d.Age
 	case *leader.HeldStarts:
 		fields["waitedMs"], fields["storeLost"] = d.Waited, d.StoreLost
+		if d.EvacuationsAge != 0 {
+			fields["evacuationsAgeMs"] = d.EvacuationsAge
+		}
 		addList(fields, d.List)
 	case *leader.EndpointCrash:
 		addCrash(fields, d)
--- a/internal/process/daemon/event_logger.go
+++ b/internal/process/daemon/event_logger.go
@@ -110,6 +110,16 @@
 			}
 			l.log.Info(event.ReplicaSetUpdated, "replica set of shard updated", logrus.Fields{"cell": e.Shard, "lineup": e.ReplicaSet.Revision, "members": members})
 		})
+	case node.EvacuationRequested:
+		l.meter.Gauge("evacuations", int64(e.Evacuations))
+		l.write(func() {
+			l.log.Info(event.EvacuationRequested, "evacuation of data centre requested", logrus.Fields{"dataCentre": e.DataCentre, "sinceClearMs": e.SinceClear})
+		})
+	case node.EvacuationWithdrawn:
+		l.meter.Gauge("evacuations", int64(e.Evacuations))
+		l.write(func() {
+			l.log.Info(event.EvacuationWithdrawn, "evacuation of data centre withdrawn", logrus.Fields{"dataCentre": e.DataCentre})
+		})
 	case node.DesiredStateApplied:
 		l.meter.Gauge("desiredVersion", int64(e.Version))
 		l.write(func() {
@@ -160,7 +170,7 @@
 	leader.JobRefused: "jobRefused", leader.JobForwarded: "jobPassedOn", leader.JobAdopted: "jobAdopted",
 	leader.JobAbandoned: "jobAbandoned", leader.TaskGivenUp: "taskGivenUp", leader.AttemptsLeft: "runsLeft", leader.EndpointAppeared: "endpointAppeared",
 	leader.EndpointRestarted: "endpointRestarted", leader.EndpointCrashSuspected: "endpointCrashSuspected", leader.EndpointCrashed: "endpointCrashed", leader.EndpointUnlisted: "endpointUnlisted", leader.EndpointDropped: "endpointDropped",
-	leader.StartsHeld: "startsHeld", leader.StartsResumed: "startsResumed",
+	leader.StartsHeld: "startsHeld", leader.StartsResumed: "startsResumed", leader.ShardEmptied: "shardEmptied",
 }
 
 func (l *eventLogger) leaderDecision(e node.LogEvent) {
--- a/internal/process/daemon/followers.go
+++ b/internal/process/daemon/followers.go
@@ -70,6 +70,8 @@
 	pause func() clock.Millis
 	// wake makes the next read due at once; it may be nil. That read goes to the store.
 	wake <-chan struct{}
+	// interrupts means that wake also ends a read that waits for changes. The next one does not wait.
+	interrupts bool
 	// relay takes the place of the store while it can; it may be nil.
 	relay changeSource
 	// patience returns how long after its wait an answer is overdue, and storeReported receives whether the
@@ -126,7 +128,12 @@
 		} else {
 			var err error
 			read.sentAt = f.clock.Now()
-			snapshot, inTime, err = f.readStore(ctx, rows, version, loaded)
+			var woken bool
+			snapshot, inTime, woken, err = f.readStore(ctx, rows, version, loaded, due)
+			if woken && err != nil {
+				due = true
+				continue
+			}
 			if loaded && errors.Is(err, store.ErrHistoryTruncated) {
 				loaded = false
 				continue
@@ -138,7 +145,7 @@
 				due = f.sleep(ctx, retryPause) || due
 				continue
 			}
-			due = false
+			due = woken
 			f.logger.storeAnswered(string(f.table))
 		}
 		if !loaded {
@@ -174,19 +181,53 @@
 }
 
 // readStore reads the table or its changes since a version from the store, and reports a failure. An answer
-// in time is reported once what was read has been passed on.
-func (f *follower) readStore(ctx context.Context, rows map[string]store.Row, version store.Revision, loaded bool) (s store.Snapshot, inTime bool, err error) {
+// in time is reported once what was read has been passed on. A read that is due does not wait for changes. woken
+// means that the follower was woken meanwhile.
+func (f *follower) readStore(ctx context.Context, rows map[string]store.Row, version store.Revision, loaded, due bool) (s store.Snapshot, inTime, woken bool, err error) {
 	answered := f.watchOverdue(rows)
-	if loaded {
-		s, err = f.store.Follow(ctx, f.table, version, f.wait)
-	} else {
-		s, err = f.store.Read(ctx, f.table)
+	reading, stop := f.interruptible(ctx)
+	switch {
+	case !loaded:
+		s, err = f.store.Read(reading, f.table)
+	case due:
+		s, err = f.store.Follow(reading, f.table, version, 0)
+	default:
+		s, err = f.store.Follow(reading, f.table, version, f.wait)
+	}
+	inTime, woken = answered(), stop()
+	if woken && err != nil {
+		return s, inTime, woken, err
 	}
-	inTime = answered()
 	if err != nil && ctx.Err() == nil && !errors.Is(err, store.ErrHistoryTruncated) {
 		f.report(false)
 	}
-	return s, inTime, err
+	return s, inTime, woken, err
+}
+
+// interruptible returns a context that ends when the follower is woken, if that interrupts a read. The returned
+// function ends that and tells whether it was woken.
+func (f *follower) interruptible(ctx context.Context) (reading context.Context, stop func() (woken bool)) {
+	if !f.interrupts {
+		return ctx, func() bool { return false }
+	}
+	reading, cancel := context.WithCancel(ctx)
+	read, watched := make(chan struct{}), make(chan struct{})
+	woken := false
+	go func() {
+		defer close(watched)
+		select {
+		case <-f.wake:
+			woken = true
+			cancel()
+		case <-read:
+		}
+	}()
+	return reading, func() bool {
+		close(read)
+		<-watched
+		cancel()
+		return woken
+	}
 }
 
 // report passes on whether the store has answered.
@@ -274,7 +315,7 @@
 func (d *Daemon) followers() []*follower {
 	c := d.config.Clock
 	return []*follower{
-		{store: d.store, clock: c, table: platform.Operator, wait: desiredFeedWait, pause: constantPause(0), logger: d.logger, changed: d.desiredChanged},
+		d.operatorFollower(),
 		{store: d.store, clock: c, table: store.VMs, wait: feedWait, pause: constantPause(0), logger: d.logger, changed: d.vmsChanged},
 		{store: d.store, clock: c, table: store.ReplicaSets, wait: feedWait, pause: constantPause(0), logger: d.logger, changed: d.replicaSetsChanged},
 		{
@@ -315,11 +356,33 @@
 	return min(pause, clock.Millis(float64(d.maxListAge)*maxPauseShare))
 }
 
+// operatorFollower follows the operator's table. Where data centres may be evacuated, each read tells that the
+// evacuations are current.
+func (d *Daemon) operatorFollower() *follower {
+	f := &follower{store: d.store, clock: d.config.Clock, table: platform.Operator, wait: desiredFeedWait, pause: constantPause(0), logger: d.logger, changed: d.desiredChanged}
+	if d.maxEvacuationAge > 0 {
+		f.wait = min(f.wait, clock.Millis(float64(d.maxEvacuationAge)*maxPauseShare))
+		f.wake, f.interrupts = d.traffic.readOperator, true
+		f.changed = func(t tableRead) {
+			// The evacuations come first, so that a new desired state lets nothing start in spite of them.
+			d.evacuationsRead(t)
+			d.desiredChanged(t)
+		}
+		f.unchanged = d.evacuationsRead
+	}
+	return f
+}
+
+func (d *Daemon) evacuationsRead(t tableRead) {
+	d.loop.Post(node.EvacuationsLoaded{State: platform.DecodeEvacuations(t.rows, t.version), ReadAt: t.sentAt})
+}
+
 func (d *Daemon) desiredChanged(t tableRead) {
 	r, ok := t.rows[platform.DesiredKey]
-	if !ok {
+	if !ok || r.Revision == d.desiredRevision {
 		return
 	}
+	d.desiredRevision = r.Revision
 	s, err := platform.DecodeDesired(r.Value)
 	if err != nil {
 		d.logger.callFailed("decode desired state", "store", err)
--- a/internal/process/daemon/traffic.go
+++ b/internal/process/daemon/traffic.go
@@ -37,6 +37,8 @@
 	link      *network.Link
 	// readEndpoints wakes the follower of the list of endpoints.
 	readEndpoints chan struct{}
+	// readOperator wakes the follower of the operator's table.
+	readOperator chan struct{}
 }
 
 // submitMargin is how much longer a submission to a leader waits than the caller of the job.
@@ -73,16 +75,23 @@
 	case node.FetchEndpoints:
 		go t.fetchEndpoints(a)
 	case node.ReadEndpoints:
-		select {
-		case t.readEndpoints <- struct{}{}:
-		default:
-			// A read is due already.
-		}
+		wake(t.readEndpoints)
+	case node.ReadEvacuations:
+		wake(t.readOperator)
 	case node.LogEvent:
 		t.logger.logEvent(a)
 	}
 }
 
+// wake makes the next read of a follower due at once.
+func wake(follower chan<- struct{}) {
+	select {
+	case follower <- struct{}{}:
+	default:
+		// A read is due already.
+	}
+}
+
 func (t *traffic) executeLeaderAction(a node.LeaderAction) {
 	switch request := a.Action.(type) {
 	case leader.Start:
@@ -91,7 +100,7 @@
 		go t.stop(a, request)
 	case leader.Hold:
 		go t.hold(a, request)
-	case leader.Answer, leader.Fenced, leader.RefreshList, leader.DeadlyTaskFound, leader.LogDecision:
+	case leader.Answer, leader.Fenced, leader.RefreshList, leader.RefreshEvacuations, leader.DeadlyTaskFound, leader.LogDecision:
 		// The control state handles these itself.
 	}
 }
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -47,6 +47,9 @@
 	// callers send a job again, the time between SIGTERM and SIGKILL, and the time for which an endpoint
 	// that has reported that it is leaving may be sent tasks.
 	MaxLease, StopDuration, ResendInterval, GracePeriod, DrainNotice clock.Millis
+	// EvacuationNotice is how long after the operator's request to evacuate a data centre tasks may start there.
+	// 0 means that the operator evacuates none.
+	EvacuationNotice clock.Millis
 	// FarFactor is how many times longer a task runs outside the rack of its data.
 	FarFactor float64
 	// Successors is how many VMs of the data centre form the replica set of a shard.
@@ -134,6 +137,7 @@
 	millis(&s.ResendInterval, "bounds.resendMs", "time after which callers send a job again, in `milliseconds`")
 	millis(&s.GracePeriod, "bounds.graceMs", "time between SIGTERM and SIGKILL, in `milliseconds`")
 	millis(&s.DrainNotice, "bounds.drainMs", "time for which an endpoint that is leaving may be sent tasks, in `milliseconds`")
+	millis(&s.EvacuationNotice, "bounds.evacuateMs", "time for which tasks may start in a data centre after the request to evacuate it, in `milliseconds`; 0 ignores such requests")
 	flags.Float64Var(&s.FarFactor, "bounds.farFactor", s.FarFactor, "`factor` by which tasks take longer outside the rack of their data")
 	flags.IntVar(&s.Successors, "successors", s.Successors, "`number` of VMs of the data centre in the replica set of its shard")
 	text(&s.TraceExporter, "trace.exporter", "`exporter` of spans: none, stdout or otlphttp")
@@ -209,6 +213,9 @@
 	default:
 		return errors.NotValidf("check settings: key trace.exporter: %q is not none, stdout or otlphttp: value", s.TraceExporter)
 	}
+	if s.EvacuationNotice < 0 {
+		return errors.NotValidf("check settings: key bounds.evacuateMs: %v is below 0: value", s.EvacuationNotice)
+	}
 	if s.FarFactor < 1 {
 		return errors.NotValidf("check settings: key bounds.farFactor: %v is below 1: value", s.FarFactor)
 	}
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -80,6 +80,7 @@
 		"no memory":            {"memoryMB = 284", "memoryMB = 0", "machine.memoryMB"},
 		"text for a number":    {"memoryMB = 284", `memoryMB = "much"`, "machine.memoryMB"},
 		"far factor below 1":   {"farFactor = 1.5", "farFactor = 0.5", "bounds.farFactor"},
+		"evacuated before":     {"[bounds]", "[bounds]\nevacuateMs = -1", "bounds.evacuateMs"},
 		"unknown exporter":     {"[machine]", "[trace]\nexporter = \"paper\"\n[machine]", "trace.exporter"},
 		"no collector":         {"[machine]", "[trace]\nexporter = \"otlphttp\"\n[machine]", "trace.address"},
 		"not TOML":             {`vm = "front-1"`, `vm = `, "not TOML"},
@@ -121,13 +122,27 @@
 		"{{listen_addrs.front}}", "10.0.0.1:1", "{{listen_addrs.ready}}", "10.0.0.1:2", "{{listen_addrs.control}}", "10.0.0.1:3",
 		"{{platform.address}}", "10.0.0.9:4", "{{limits.cpu_share}}", "0.4", "{{limits.memory_mb}}", "284", "{{limits.max_fds}}", "4100", "{{limits.link_mbps}}", "1000.0",
 		"{{bounds.hold_max_ms}}", "1000", "{{bounds.stop_ms}}", "50", "{{bounds.retransmit_ms}}", "1300",
-		"{{bounds.grace_s}}", "6", "{{bounds.drain_ms}}", "2000", "{{bounds.far_x}}", "1.5",
+		"{{bounds.grace_s}}", "6", "{{bounds.drain_ms}}", "2000", "{{bounds.far_x}}", "1.5", "{{bounds.evacuate_ms}}", "5000",
 	).Replace(string(text))
-	s, err := parse(t, filled)
-	if err != nil {
-		t.Fatal(err)
+	// Deployments without evacuations lack their bound.
+	before, section, opened := strings.Cut(filled, "{{#bounds.evacuate_ms}}")
+	section, after, closed := strings.Cut(section, "{{/bounds.evacuate_ms}}")
+	if !opened || !closed {
+		t.Fatalf("got a template without a section for evacuations, want one")
 	}
-	if got, want := s.GracePeriod, 6*clock.Second; got != want {
-		t.Errorf("got a grace period of %d ms, want %d ms", got, want)
+	for _, c := range []struct {
+		filled           string
+		evacuationNotice clock.Millis
+	}{{before + section + after, 5000}, {before + after, 0}} {
+		s, err := parse(t, c.filled)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, want := s.GracePeriod, 6*clock.Second; got != want {
+			t.Errorf("got a grace period of %d ms, want %d ms", got, want)
+		}
+		if got, want := s.EvacuationNotice, c.evacuationNotice; got != want {
+			t.Errorf("got a notice of evacuations of %d ms, want %d ms", got, want)
+		}
 	}
 }
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -41,6 +41,8 @@
 	LeadershipLost      Number = "SQ-7011"
 	LeadershipYielded   Number = "SQ-7012"
 	ReplicaSetUpdated   Number = "SQ-7013"
+	EvacuationRequested Number = "SQ-7014"
+	EvacuationWithdrawn Number = "SQ-7015"
 	JobEnded            Number = "SQ-7020"
 	LeaderDecision      Number = "SQ-7021"
 	CallFailed          Number = "SQ-7030"
