model: evacuations, and the rule that nothing starts after the notice

The model of whole VMs evacuates data centres under all other faults, with requests that overlap or are taken back and asked again, and checks each start that takes effect: by VMs in touch, by those that the store turns away while they hear from one in touch, and by those that the store answers.

--- a/internal/control/node/model_execute_test.go
+++ b/internal/control/node/model_execute_test.go
@@ -50,6 +50,8 @@
 		v.fetchEndpoints(a)
 	case node.ReadEndpoints:
 		v.endpointsFollower.wake()
+	case node.ReadEvacuations:
+		v.operatorFollower.wake()
 	case node.LogEvent:
 		v.world.trace.log(v, a)
 		if a.Topic == node.LeadershipAcquired {
@@ -69,7 +71,7 @@
 		v.sendStop(a, request)
 	case leader.Hold:
 		v.sendHold(a, request)
-	case leader.Answer, leader.Fenced, leader.RefreshList, leader.DeadlyTaskFound, leader.LogDecision:
+	case leader.Answer, leader.Fenced, leader.RefreshList, leader.RefreshEvacuations, leader.DeadlyTaskFound, leader.LogDecision:
 	}
 }
 
@@ -86,8 +88,10 @@
 	end := func(r endpoint.StartResult, at endpoint.Clock) {
 		v.postToLeader(a, leader.StartEnded{Endpoint: s.Endpoint.ID, Task: s.Task, Attempt: s.Attempt, SentTo: s.Endpoint.Born, Result: r, Clock: at})
 	}
+	var sentAt micros
 	x := v.newExchange(string(s.Endpoint.ID), startTimeout, v.lifeOf(s.Endpoint.ID), v.atEndpoint(s.Endpoint.ID, func(e *modelEndpoint, respond func(func())) {
 		result, at := e.startAttempt(s, v.name), e.clock()
+		v.checkEvacuation(e, s, result, sentAt)
 		respond(func() { end(result, at) })
 	}), func(f exchangeFailure) {
 		switch f {
@@ -106,6 +110,7 @@
 		if v.clock() > s.SendBy {
 			return false
 		}
+		sentAt = v.world.now
 		if e := v.world.endpoint(s.Endpoint.ID); e.onStart != nil && e.up {
 			v.world.after(1, e.onStart)
 			e.onStart = nil
--- a/internal/control/node/model_faults_test.go
+++ b/internal/control/node/model_faults_test.go
@@ -53,7 +53,9 @@
 	// faultOddRows lets another writer overwrite and add rows of endpoints.
 	faultOddRows faultKind = "oddRows"
 	// faultResetCut cuts endpoints off by links that reset connections.
-	faultResetCut      faultKind = "resetCut"
+	faultResetCut faultKind = "resetCut"
+	// faultEvacuate lets the operator evacuate data centres and take that back.
+	faultEvacuate      faultKind = "evacuate"
 	maxCutDuration               = 6 * second
 	maxStoreDuration             = 8 * second
 	maxSlowDuration              = 4 * second
@@ -87,6 +89,7 @@
 	faultShrink:        injectShrink,
 	faultOddRows:       injectOddRows,
 	faultResetCut:      injectResetCut,
+	faultEvacuate:      injectEvacuate,
 }
 
 // allFaults are the kinds in a fixed order.
@@ -94,7 +97,7 @@
 	faultLoss, faultLate, faultCut, faultZoneCut, faultEndpointCut, faultCoreCut, faultFreeze, faultSlow, faultKill, faultPower, faultRoll,
 	faultStoreDown, faultStoreRefuses, faultStoreSlow, faultRevoke, faultCrash, faultReborn, faultRebornCut, faultRebornAtStart, faultAdd, faultLeave, faultBurst,
 	faultStoreLate, faultFailures, faultStall, faultGiveUp, faultDuplicate, faultNextLife, faultCallerCut, faultThawOrder,
-	faultShrink, faultOddRows, faultResetCut, faultDeadly,
+	faultShrink, faultOddRows, faultResetCut, faultDeadly, faultEvacuate,
 }
 
 // injectFaults causes faults of the world's kinds until a point in time.
--- a/internal/control/node/model_follower_test.go
+++ b/internal/control/node/model_follower_test.go
@@ -26,6 +26,8 @@
 	pauses int
 	paused bool
 	woken  bool
+	// waiting is the read that the store holds until there are changes, or nil.
+	waiting *exchange
 	// sentAt is when the latest read was sent; gap says that rows may have come and gone since the
 	// one before.
 	sentAt clock.Millis
@@ -49,8 +51,12 @@
 
 func (v *modelVM) follow(t storeTable, wait micros, pause func() micros) {
 	f := &modelFollower{vm: v, table: t, wait: wait, pause: pause, rows: make(map[string]storeRow)}
-	if t == tableEndpoints {
+	switch t {
+	case tableEndpoints:
 		v.endpointsFollower = f
+	case tableOperator:
+		v.operatorFollower = f
+	default:
 	}
 	f.pauseFor(noPause)
 }
@@ -67,9 +73,13 @@
 	})
 }
 
-// wake makes the next read due at once.
+// wake makes the next read due at once. One of the operator's table takes the place of one that waits.
 func (f *modelFollower) wake() {
 	f.woken = true
+	if f.table == tableOperator && f.waiting != nil && !f.waiting.done {
+		f.waiting.done = true
+		f.pauseFor(noPause)
+	}
 	if f.paused {
 		f.pauseFor(noPause)
 	}
@@ -97,10 +107,14 @@
 		return
 	}
 	pause = max(pause, noPause)
+	wait := f.wait
+	if f.woken {
+		wait = noPause
+	}
 	f.woken, f.sentAt, f.gap = false, f.vm.clock(), !f.loaded
 	limit := storeTimeout
 	if f.loaded {
-		limit += f.wait
+		limit += wait
 	}
 	store := f.vm.world.store
 	x := f.vm.newExchange(storeName, limit, onlyLife, func(x *exchange) {
@@ -114,13 +128,17 @@
 					f.read()
 				})
 			default:
-				f.await(x, pause)
+				f.await(x, pause, wait)
 			}
 		})
 	}, func(exchangeFailure) {
 		f.report(false)
 		f.pauseFor(storeRetryPause)
 	})
+	f.waiting = nil
+	if wait > 0 {
+		f.waiting = x
+	}
 	if f.table == tableEndpoints {
 		f.overdue = false
 		f.vm.later(f.wait+storePatience, func() {
@@ -135,12 +153,16 @@
 // report passes on whether the store has answered a read of the list of endpoints.
 func (f *modelFollower) report(answered bool) {
 	if f.table == tableEndpoints {
+		if answered && f.vm.storeLost {
+			f.vm.storeFoundAt = f.vm.world.now
+		}
+		f.vm.storeLost = !answered
 		f.vm.post(f.vm.life, node.StoreReported{Lost: !answered})
 	}
 }
 
 // await answers once there are changes, or after the wait.
-func (f *modelFollower) await(x *exchange, pause micros) {
+func (f *modelFollower) await(x *exchange, pause, wait micros) {
 	store := f.vm.world.store
 	answered := false
 	answer := func() {
@@ -154,7 +176,7 @@
 		return
 	}
 	store.waiting[f.table] = append(store.waiting[f.table], answer)
-	store.world.after(f.wait, answer)
+	store.world.after(wait, answer)
 }
 
 func (f *modelFollower) respond(x *exchange, rows []storeRow, pause micros) {
@@ -174,6 +196,9 @@
 			}
 			f.rows[r.key] = r
 		}
+		if f.table == tableOperator && f.vm.world.options.enabled(faultEvacuate) {
+			f.evacuationsRead(version)
+		}
 		if !f.loaded || len(rows) > 0 || f.table == tableEndpoints {
 			f.changed(version)
 		}
@@ -200,7 +225,9 @@
 	switch f.table {
 	case tableOperator:
 		for _, r := range all {
-			f.vm.post(f.vm.life, node.DesiredStateLoaded{State: r.value.(*queue.State)})
+			if s, ok := r.value.(*queue.State); ok {
+				f.vm.post(f.vm.life, node.DesiredStateLoaded{State: s})
+			}
 		}
 	case tableVMs:
 		var vms []shard.VM
--- a/internal/control/node/model_options_test.go
+++ b/internal/control/node/model_options_test.go
@@ -16,14 +16,14 @@
 // modelShape is the shape of a deployment: its bounds, and the VMs and endpoints of each data centre.
 type modelShape struct {
 	// longestLease, stop and resend are the bounds of the platform.
-	longestLease, stop, resend, drainNotice clock.Millis
+	longestLease, stop, resend, drainNotice, evacuationNotice clock.Millis
 	// vms and endpoints are the fewest of a data centre, and how many more it may have.
 	vms, moreVMs, endpoints, moreEndpoints int
 }
 
 // usualShape has the bounds of the users' deployments.
 func usualShape() modelShape {
-	return modelShape{longestLease: 1000, stop: 50, resend: 1300, drainNotice: 2000, vms: 2, moreVMs: 2, endpoints: 3, moreEndpoints: 3}
+	return modelShape{longestLease: 1000, stop: 50, resend: 1300, drainNotice: 2000, evacuationNotice: 5000, vms: 2, moreVMs: 2, endpoints: 3, moreEndpoints: 3}
 }
 
 func (o modelOptions) enabled(k faultKind) bool { return slices.Contains(o.kinds, k) }
--- a/internal/control/node/model_store_test.go
+++ b/internal/control/node/model_store_test.go
@@ -23,6 +23,9 @@
 	// heartbeatAt is when each endpoint last wrote its row.
 	heartbeatAt map[datacentre.EndpointID]micros
 
+	// evacuatedSince is when the store accepted the request to evacuate each data centre that is to be empty.
+	evacuatedSince map[datacentre.ID]micros
+
 	downUntil micros
 	// refusedUntil is until when the store turns a VM away.
 	refusedUntil map[string]micros
@@ -59,6 +62,7 @@
 	return &modelStore{
 		world: w, random: w.random("store"), rows: make(map[storeTable]map[string]storeRow), log: make(map[storeTable][]storeRow),
 		waiting: make(map[storeTable][]func()), heartbeatAt: make(map[datacentre.EndpointID]micros), refusedUntil: make(map[string]micros),
+		evacuatedSince: make(map[datacentre.ID]micros),
 	}
 }
 
--- a/internal/control/node/model_vm_test.go
+++ b/internal/control/node/model_vm_test.go
@@ -23,8 +23,8 @@
 	dc     datacentre.ID
 	cpu    int
 	random *rand.Rand
-	// endpointsFollower follows the list of endpoints.
-	endpointsFollower *modelFollower
+	// endpointsFollower follows the list of endpoints, and operatorFollower the operator's table.
+	endpointsFollower, operatorFollower *modelFollower
 
 	up bool
 	// silent means that a VM that is down does not refuse connections either.
@@ -40,6 +40,9 @@
 	// freezeAtStart freezes the VM right after the next event that starts an attempt.
 	freezeAtStart micros
 	slowUntil     micros
+	// storeLost is the latest report on the store, and storeFoundAt when it last became false.
+	storeLost    bool
+	storeFoundAt micros
 	// startedAt is when the process started, and terminatedAt when it was last told to end.
 	startedAt, terminatedAt micros
 
@@ -82,6 +85,7 @@
 	v.up, v.silent, v.frozenUntil, v.freezeAtStart, v.startedAt = true, false, 0, 0, v.world.now
 	v.clockOffset = second * micros(1000+v.random.IntN(100_000))
 	v.publishedEndpoints, v.publishedVersion, v.publishedMember, v.publishedLeading, v.publishedReady = nil, 0, false, false, false
+	v.storeLost, v.storeFoundAt = false, v.world.now
 	v.tracedList, v.waiters, v.open, v.callers = nil, nil, make(map[*exchange]bool), make(map[*callerRequest]bool)
 	v.self = shard.VM{
 		Member:     shard.Member{Incarnation: vm.NewIncarnation(vm.ID(v.name), fmt.Sprintf("%04d", v.life)), Address: v.name},
@@ -99,9 +103,12 @@
 			config.Seeds = append(config.Seeds, o.name)
 		}
 	}
+	if v.world.options.enabled(faultEvacuate) {
+		config.Timeouts.EvacuationNotice = shape.evacuationNotice
+	}
 	v.control = node.New(config)
 	v.world.trace.add(record{vm: v.name, format: "VM starts: %s", args: []any{v.self.Incarnation}})
-	v.follow(tableOperator, desiredFeedWait, func() micros { return noPause })
+	v.follow(tableOperator, v.operatorFeedWait(config.Timeouts), func() micros { return noPause })
 	v.follow(tableVMs, feedWait, func() micros { return noPause })
 	v.follow(tableReplicaSets, feedWait, func() micros { return noPause })
 	v.follow(tableEndpoints, endpointsFeedWait, v.endpointsPause)
