soak: evacuations beside the other faults, and the rule in calm

The soak evacuates data centres at random times of its own generator, so that the other faults of a seed stay as they are, and checks after the recovery that an evacuated data centre gets no start after the notice while every VM serves jobs, and gets starts again.

--- a/internal/soak/fleet/attempt_checker_test.go
+++ b/internal/soak/fleet/attempt_checker_test.go
@@ -29,6 +29,9 @@
 	attempts      int
 	// ends counts ended attempts by outcome.
 	ends map[string]int
+	// closedFrom is from when on no task may start in a data centre, and startsIn counts the starts in each.
+	closedFrom map[string]time.Time
+	startsIn   map[string]int
 }
 
 // suspect is an attempt of a task, and event is what it must have ended before.
@@ -42,18 +45,18 @@
 func newAttemptChecker() *attemptChecker {
 	return &attemptChecker{
 		running: make(map[string]string), suspected: make(map[suspect][]event), history: make(map[string][]string), done: make(map[string]bool), started: make(map[string]bool),
-		answers: make(map[string]string), ends: make(map[string]int),
+		answers: make(map[string]string), ends: make(map[string]int), closedFrom: make(map[string]time.Time), startsIn: make(map[string]int),
 	}
 }
 
 // endpointObserver records the attempts of one endpoint in the checker.
 type endpointObserver struct {
-	checker  *attemptChecker
-	endpoint string
+	checker      *attemptChecker
+	endpoint, dc string
 }
 
-func (c *attemptChecker) observer(endpoint string) endpointObserver {
-	return endpointObserver{c, endpoint}
+func (c *attemptChecker) observer(endpoint, dc string) endpointObserver {
+	return endpointObserver{c, endpoint, dc}
 }
 
 func (c *attemptChecker) addProblem(format string, args ...any) {
@@ -74,6 +77,10 @@
 	if c.answers[id] == "refused" {
 		c.addProblem("%s started at %s after its job had been refused", task, location)
 	}
+	if closed, ok := c.closedFrom[o.dc]; ok && at.After(closed) {
+		c.addProblem("%s started at %s %v after the notice of its data centre's evacuation", task, location, at.Sub(closed))
+	}
+	c.startsIn[o.dc]++
 	c.running[task], c.started[id] = location, true
 	c.attempts++
 }
--- a/internal/soak/fleet/fleet_test.go
+++ b/internal/soak/fleet/fleet_test.go
@@ -135,7 +135,7 @@
 	id := fmt.Sprintf("i-%s-%d", dc, f.endpointsAdded)
 	e := &endpoint{id: id, dc: dc, standIn: standin.NewEndpoint(standin.EndpointConfig{
 		ID: id, Service: "playout", DataCentre: dc, MilliCores: endpointMilliCores,
-		ClockRate: 1 - 0.02*float64(f.endpointsAdded%2), Seed: f.seed + uint64(f.endpointsAdded), Observer: f.checker.observer(id),
+		ClockRate: 1 - 0.02*float64(f.endpointsAdded%2), Seed: f.seed + uint64(f.endpointsAdded), Observer: f.checker.observer(id, dc),
 	})}
 	e.server = httptest.NewServer(e.standIn)
 	f.t.Cleanup(e.server.Close)
@@ -278,7 +278,9 @@
 advertisedPeers = %q
 [store]
 address = %q
-`, name, dc, seed, n.callerAddress, n.readyAddress, n.peerAddress, n.peerRelay.address(), n.storeRelay.address())
+[bounds]
+evacuateMs = %d
+`, name, dc, seed, n.callerAddress, n.readyAddress, n.peerAddress, n.peerRelay.address(), n.storeRelay.address(), evacuationNotice.Milliseconds())
 	if err := os.WriteFile(n.settingsPath, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/soak/fleet/soak_test.go
+++ b/internal/soak/fleet/soak_test.go
@@ -75,6 +75,7 @@
 	if f.isSteady() {
 		time.Sleep(steadyAfter)
 	}
+	all.Go(func() { f.evacuateAtTimes(stop) })
 	end := time.Now().Add(*seedDuration)
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(100+f.random.IntN(600)) * time.Millisecond)
@@ -84,6 +85,7 @@
 	close(stop)
 	all.Wait()
 	f.checkRecovery()
+	f.checkEvacuation()
 	f.checker.mu.Lock()
 	defer f.checker.mu.Unlock()
 	f.checker.reportRemaining()
