leader: cold endpoints are loaded in steps

Cause: nobody read how much longer an endpoint is cold, so one that was new or back from an evacuation got its full load at its normal speed, and its slow attempts were taken for the speed of the endpoint and the work of the queue. Test: TestColdEndpointsAreLoadedInSteps, TestDurationsAtColdEndpointsAreLearned, TestTightJobsAvoidColdEndpoints, TestWarmUpFollowsTheEntries, TestDecodeColdEndpoint.

--- a/internal/control/leader/action.go
+++ b/internal/control/leader/action.go
@@ -120,6 +120,8 @@
 	// EndpointAppeared is an endpoint that was not in the leader's list before.
 	EndpointAppeared
 	EndpointRestarted
+	// EndpointCold is an endpoint at which tasks take longer for a while.
+	EndpointCold
 	// EndpointCrashSuspected is an endpoint whose address refuses connections, and EndpointCrashed one
 	// whose incarnation has ended. Both have the evidence and the tasks there.
 	EndpointCrashSuspected
--- a/internal/control/leader/admission.go
+++ b/internal/control/leader/admission.go
@@ -147,7 +147,7 @@
 	best := 0.0
 	for _, ep := range l.sortedEndpoints {
 		if ep.usable(l.now) {
-			best = max(best, ep.speed.factor())
+			best = max(best, l.speedOf(ep))
 		}
 	}
 	if best == 0 {
@@ -180,7 +180,7 @@
 		t.confirmedIn = 0
 		t.startedAt = o.foundAt
 		t.baseDuration = l.baseDuration(t, o.endpoint)
-		t.expectedDuration = o.endpoint.speed.duration(t.baseDuration)
+		t.expectedDuration, t.startedCold = l.durationAt(o.endpoint, t.baseDuration), o.endpoint.isCold(l.now)
 		t.percent, t.percentAt = o.percent, l.now
 		l.reserve(t, o.endpoint)
 	}
@@ -206,6 +206,9 @@
 		}
 		return job.Refused{Reason: job.NoSuchEndpoint, RetryAfter: retryAfter}
 	}
+	if o := l.avoidCold(j); o != nil {
+		return o
+	}
 	p := l.project(j)
 	if p.wait == 0 {
 		return l.relieveLink(j)
--- a/internal/control/leader/attempts.go
+++ b/internal/control/leader/attempts.go
@@ -14,7 +14,8 @@
 	t.attempt = max(t.attempt, lastAttempt) + 1
 	l.attemptNumbers.set(t.name, t.attempt, l.now)
 	t.phase, t.endpoint, t.startedAt, t.confirmedAt, t.confirmedIn, t.sentTo = starting, ep, l.now, 0, 0, ep.Born
-	t.baseDuration, t.expectedDuration = base, ep.speed.duration(base)
+	t.baseDuration, t.expectedDuration = base, l.durationAt(ep, base)
+	t.startedCold = ep.isCold(l.now)
 	t.percent, t.percentAt = 0, l.now
 	t.stopAckedAt, t.stopSentAt, t.uncertainSeq, t.startedSeq = 0, 0, 0, l.sequence
 	t.job.started = true
@@ -253,7 +254,7 @@
 	}
 	if t.job.answered {
 		if e.End == endpoint.EndDone {
-			ep.speed.record(t.baseDuration, l.now-t.startedAt)
+			l.recordSpeed(t, ep, l.now-t.startedAt)
 		}
 		l.endAttempt(t, EndListed{End: e.End})
 		return
@@ -281,9 +282,11 @@
 func (l *Leader) handleTaskDone(t *task, ep *endpointState) {
 	measured := l.now - t.startedAt
 	if t.phase != stopping {
-		ep.speed.record(t.baseDuration, measured)
+		l.recordSpeed(t, ep, measured)
+	}
+	if !t.startedCold {
+		l.recordWork(t, ep, measured)
 	}
-	l.recordWork(t, ep, measured)
 	if ep.health.onProbation {
 		l.logAttempt(EndpointReturned, t, ep, "completed a task on probation")
 	}
--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -204,7 +204,7 @@
 	var bestDuration clock.Millis
 	allowed := true
 	for _, ep := range r.candidates {
-		if ep.Service != q.Service || !ep.free.Fits(step.Demand) || !ep.usable(l.now) {
+		if ep.Service != q.Service || !ep.takes(step.Demand, l.now) || !ep.usable(l.now) {
 			continue
 		}
 		if !ep.HasLabel(step.Requires) || l.avoids(t, ep) {
@@ -215,7 +215,7 @@
 			allowed = false
 			continue
 		}
-		duration := ep.speed.duration(l.baseDuration(t, ep))
+		duration := l.durationAt(ep, l.baseDuration(t, ep))
 		if best == nil || betterCandidate(duration, ep, bestDuration, best, timeLeft) {
 			best, bestDuration = ep, duration
 		}
@@ -318,7 +318,7 @@
 // updateEndpoints applies the platform's list of endpoints.
 func (l *Leader) updateEndpoints(all []endpoint.Endpoint) {
 	listed := make(map[datacentre.EndpointID]bool, len(all))
-	var appeared, unlisted, dropped []EndpointChange
+	var appeared, cold, unlisted, dropped []EndpointChange
 	for _, e := range all {
 		listed[e.ID] = true
 		ep := l.endpoints[e.ID]
@@ -348,6 +348,9 @@
 		}
 		used := ep.Capacity.Minus(ep.free)
 		ep.listedBorn = e.Born
+		if ep.warmUp.update(e.ColdFor, e.Born, l.now) {
+			cold = append(cold, ep.change())
+		}
 		if ep.Born != 0 {
 			e.Born = ep.Born
 		}
@@ -377,6 +380,7 @@
 		l.logEndpointChanges(EndpointAppeared, appeared)
 	}
 	l.listed = true
+	l.logEndpointChanges(EndpointCold, cold)
 	l.logEndpointChanges(EndpointUnlisted, unlisted)
 	l.logEndpointChanges(EndpointDropped, dropped)
 }
--- a/internal/control/leader/endpoint_state.go
+++ b/internal/control/leader/endpoint_state.go
@@ -92,6 +92,7 @@
 	blockedUntil clock.Millis
 
 	speed  speed
+	warmUp warmUp
 	health health
 	// suspect is the task that the endpoint is held for, because it may crash it, or nil.
 	suspect *task
--- a/internal/control/leader/forwarding.go
+++ b/internal/control/leader/forwarding.go
@@ -134,7 +134,7 @@
 		}
 		load.TotalCPU += int64(ep.Capacity.CPU)
 		if ep.usable(now) {
-			load.FreeCPU += int64(max(ep.free.CPU, 0))
+			load.FreeCPU += int64(max(ep.usableCPU(now), 0))
 		}
 	}
 	for r := range l.expectedReleases() {
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -66,7 +66,9 @@
 	orphans        orphans
 	otherLoads     map[shard.ID]*shard.Load
 	workEstimates  map[queue.Name]*workEstimate
-	crashes        *crash.History
+	// coldSpeed is the speed of cold endpoints, as a factor of their speed when they are warm.
+	coldSpeed speed
+	crashes   *crash.History
 	// isolatedEndpoints are held for tasks that may crash them.
 	isolatedEndpoints []*endpointState
 	// inheritedEstimates are the estimates of an earlier leader, for endpoints that are listed
@@ -112,7 +114,7 @@
 		jobsByID: make(map[job.ID][]*jobState), activeTasks: make(map[job.TaskName]*task),
 		entryVMs: make(map[vm.Incarnation]*entryVM), orphans: make(orphans),
 		otherLoads: make(map[shard.ID]*shard.Load), workEstimates: make(map[queue.Name]*workEstimate),
-		answers: newAnswerCache(), attemptNumbers: newAttemptNumbers(), crashes: c.Crashes,
+		answers: newAnswerCache(), attemptNumbers: newAttemptNumbers(), crashes: c.Crashes, coldSpeed: newColdSpeed(),
 	}
 	if l.crashes == nil {
 		l.crashes = crash.NewHistory()
--- a/internal/control/leader/projection.go
+++ b/internal/control/leader/projection.go
@@ -36,7 +36,7 @@
 	}
 	for _, ep := range l.sortedEndpoints {
 		if ep.usable(l.now) {
-			shortfall -= taskDemand.CPU * fitCount(ep.free, taskDemand)
+			shortfall -= taskDemand.CPU * ep.tasksThatFit(taskDemand, l.now)
 		}
 	}
 	placeable := func() int {
--- a/internal/control/leader/suspects.go
+++ b/internal/control/leader/suspects.go
@@ -83,8 +83,8 @@
 		if !ep.empty() || ep.isolated() && ep != held || !l.suits(t, ep) || !ep.free.Fits(t.stepSpec().Demand) {
 			continue
 		}
-		duration := ep.speed.duration(l.baseDuration(t, ep))
-		if best == nil || betterCandidate(duration, ep, best.speed.duration(l.baseDuration(t, best)), best, timeLeft) {
+		duration := l.durationAt(ep, l.baseDuration(t, ep))
+		if best == nil || betterCandidate(duration, ep, l.durationAt(best, l.baseDuration(t, best)), best, timeLeft) {
 			best = ep
 		}
 	}
--- a/internal/control/leader/task.go
+++ b/internal/control/leader/task.go
@@ -32,6 +32,8 @@
 	// baseDuration is how long the attempt is expected to take at speed 1, expectedDuration at its
 	// endpoint.
 	baseDuration, expectedDuration clock.Millis
+	// startedCold means that the endpoint was cold when the attempt started.
+	startedCold bool
 	// uncertainSeq is the event in which the start was found to be unanswered, or 0.
 	uncertainSeq SequenceNumber
 	// percent was first reported at percentAt.
--- a/internal/process/daemon/event_logger.go
+++ b/internal/process/daemon/event_logger.go
@@ -170,7 +170,7 @@
 	leader.JobRefused: "jobRefused", leader.JobForwarded: "jobPassedOn", leader.JobAdopted: "jobAdopted",
 	leader.JobAbandoned: "jobAbandoned", leader.TaskGivenUp: "taskGivenUp", leader.AttemptsLeft: "runsLeft", leader.EndpointAppeared: "endpointAppeared",
 	leader.EndpointRestarted: "endpointRestarted", leader.EndpointCrashSuspected: "endpointCrashSuspected", leader.EndpointCrashed: "endpointCrashed", leader.EndpointUnlisted: "endpointUnlisted", leader.EndpointDropped: "endpointDropped",
-	leader.StartsHeld: "startsHeld", leader.StartsResumed: "startsResumed", leader.ShardEmptied: "shardEmptied",
+	leader.StartsHeld: "startsHeld", leader.StartsResumed: "startsResumed", leader.ShardEmptied: "shardEmptied", leader.EndpointCold: "endpointCold",
 }
 
 func (l *eventLogger) leaderDecision(e node.LogEvent) {
--- a/internal/world/endpoint/endpoint.go
+++ b/internal/world/endpoint/endpoint.go
@@ -6,6 +6,7 @@
 
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 )
 
@@ -32,6 +33,8 @@
 	Labels     []string
 	Capacity   job.Resources
 	Draining   bool
+	// ColdFor is how much longer tasks take longer here, as of when the endpoint wrote it.
+	ColdFor clock.Millis
 }
 
 // HasLabel reports whether the endpoint has the label; every endpoint has the empty label.
