--- a/internal/control/node/evacuations.go
+++ b/internal/control/node/evacuations.go
@@ -118,11 +118,10 @@
 // every data centre is evacuated, a leader answers.
 func (n *Control) Destination(j job.ID, now clock.Millis) (shard.ID, bool) {
 	available := n.Available(now)
-	own := shard.ForDataCentre(n.config.Self.DataCentre)
 	if len(available) == 0 {
 		return "", false
 	}
-	if !n.isEvacuated(own) && !n.isEvacuated(available[0]) || !slices.ContainsFunc(n.shards, func(id shard.ID) bool { return !n.isEvacuated(id) }) {
+	if !n.evacuations.Covers(n.config.Self.DataCentre) && !n.isEvacuated(available[0]) || !slices.ContainsFunc(n.shards, func(id shard.ID) bool { return !n.isEvacuated(id) }) {
 		return available[0], true
 	}
 	open := slices.DeleteFunc(available, n.isEvacuated)
@@ -162,12 +161,11 @@
 // compareShards orders shards by preference for a job of this VM's callers: the own one first, evacuated ones last,
 // and the others in descending order of free CPU.
 func (n *Control) compareShards(a, b shard.ID) int {
-	own := shard.ForDataCentre(n.config.Self.DataCentre)
 	rank := func(id shard.ID) int {
 		switch {
 		case n.isEvacuated(id):
 			return 2
-		case id == own:
+		case id.DataCentre() == n.config.Self.DataCentre:
 			return 0
 		}
 		return 1
