--- a/internal/control/node/model_evacuation_test.go
+++ b/internal/control/node/model_evacuation_test.go
@@ -143,3 +143,13 @@
 		t.Errorf("got %+v, want evacuations and jobs that run nevertheless", total)
 	}
 }
+
+// Guards against a leader that starts tasks by what it knew of the evacuations long ago, in a world in which that is
+// wrong.
+func TestOldEvacuationsStartNothing(t *testing.T) {
+	shape := modelShape{longestLease: 400, stop: 200, resend: 1300, drainNotice: 3000, evacuationNotice: 3000, vms: 2, moreVMs: 2, endpoints: 3, moreEndpoints: 3}
+	w := runModelOf(shape, 9034, parseKinds("evacuate,storeRefuses,coreCut,freeze,slow,kill,zoneCut,cut,loss,roll"))
+	if w.violation != "" {
+		t.Errorf("seed 9034: got %s, want no violation", w.violation)
+	}
+}
