--- a/internal/control/leader/event.go
+++ b/internal/control/leader/event.go
@@ -122,8 +122,7 @@
 // Cancelled means that the caller of a job has cancelled it.
 type Cancelled struct{ Cancellation job.Cancellation }
 
-// EvacuationChanged means that Config.Evacuation has changed, or that the loads of other shards have because of
-// their evacuations.
+// EvacuationChanged means that a data centre, this one or another, has been evacuated or taken back.
 type EvacuationChanged struct{}
 
 // EstimatesLoaded holds the performance estimates of an earlier leader of the shard.
