daemon: entries that come and go between two reads are passed on

The VM that reads the list of endpoints for all compared each row with its list of the read before. A row that was removed and written again in between does not differ, so that followers got the removal alone, and a successor took its list for complete 15 s later.

Each change is now compared with the change before it, so the log is complete from any version on, also for a follower that has read the store itself in between. A log that begins with a list of several pages serves no version below its newest row, and changes that are older than a row of later pages do not replace it.

--- a/internal/process/daemon/change_log.go
+++ b/internal/process/daemon/change_log.go
@@ -30,6 +30,10 @@
 	defer c.mu.Unlock()
 	if t.whole {
 		c.rows, c.from = nil, t.version
+		for _, r := range t.rows {
+			// A page that was read later may have changes after the version.
+			c.from = max(c.from, r.Revision)
+		}
 	} else {
 		c.rows = append(c.rows, changed...)
 	}
--- a/internal/process/daemon/change_log_test.go
+++ b/internal/process/daemon/change_log_test.go
@@ -97,6 +97,64 @@
 	}
 }
 
+// Guards against entries that VMs lose which follow the list through another one: an entry is removed and
+// back, or has been otherwise for a moment, between two reads of that VM, and the follower may have read the
+// list itself in between.
+func TestListThroughAnotherVMIsTheStores(t *testing.T) {
+	clocks := clock.NewManual(clock.Hour)
+	put := func(r store.Revision, state string) store.Row {
+		row := listedRow(state)
+		row.Key, row.Revision = "e1", r
+		return row
+	}
+	removed := store.Row{Key: "e1", Revision: 2, Removed: true}
+	for _, tt := range []struct {
+		name    string
+		changes []store.Row
+		// ownRead is the version at which the follower has read the store itself.
+		ownRead store.Revision
+	}{
+		{"removed and back", []store.Row{removed, put(3, "ready")}, 1},
+		{"removed and back, read in between", []store.Row{removed, put(3, "ready")}, 2},
+		{"leaving and back", []store.Row{put(2, "draining"), put(3, "ready")}, 2},
+		{"unreadable and back", []store.Row{{Key: "e1", Revision: 2, Value: []byte("{")}, put(3, "ready")}, 2},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			d := &Daemon{decodedRows: make(map[string]decodedRow), loop: newLoop(nil, clocks), link: network.NewLink(link.MegabitsPerSecond(1000), clocks), changeLog: changeLog{clock: clocks}}
+			d.logger = newEventLogger(event.NewLog(logrus.New()), meter.New(), clocks, 10)
+			rows, followed := make(map[string]store.Row), make(map[string]store.Row)
+			first := applyChanges(rows, []store.Row{put(1, "ready")})
+			applyChanges(followed, first)
+			d.endpointsRead(tableRead{rows: rows, version: 1, changes: first, whole: true, sentAt: clocks.Now()})
+			d.endpointsRead(tableRead{rows: rows, version: 3, changes: applyChanges(rows, tt.changes), sentAt: clocks.Now()})
+			for _, r := range tt.changes {
+				if r.Revision <= tt.ownRead {
+					applyChanges(followed, []store.Row{r})
+				}
+			}
+			s, _, ok := d.changeLog.Since(tt.ownRead)
+			applyChanges(followed, s.Rows)
+			if got, want := string(followed["e1"].Value), string(rows["e1"].Value); !ok || got != want {
+				t.Errorf("got the entry %q, known %v, want %q", got, ok, want)
+			}
+		})
+	}
+}
+
+// Guards against changes that a VM misses whose version is between those of the pages in which another VM has
+// read the list.
+func TestChangesBetweenPagesAreNotPassedOn(t *testing.T) {
+	c := changeLog{clock: clock.NewManual(clock.Hour)}
+	c.record(tableRead{whole: true, version: 10, rows: map[string]store.Row{"a": {Revision: 9}, "b": {Revision: 13}}, sentAt: 1}, nil)
+	c.record(tableRead{version: 14, sentAt: 1}, nil)
+	if s, _, ok := c.Since(11); ok {
+		t.Errorf("got %+v after version 11, want none: row b may have changed since", s)
+	}
+	if _, _, ok := c.Since(13); !ok {
+		t.Errorf("got no answer after version 13, want one")
+	}
+}
+
 // relayedChanges is a changeSource with the given answers; nil is none.
 type relayedChanges struct {
 	answers chan *store.Snapshot
--- a/internal/process/daemon/followers.go
+++ b/internal/process/daemon/followers.go
@@ -144,15 +144,8 @@
 		if !loaded {
 			clear(rows)
 		}
-		for _, r := range snapshot.Rows {
-			if r.Removed {
-				delete(rows, r.Key)
-				read.gap = true
-				continue
-			}
-			rows[r.Key] = r
-		}
-		read.version, read.changes = snapshot.Version, snapshot.Rows
+		read.version, read.changes = snapshot.Version, applyChanges(rows, snapshot.Rows)
+		read.gap = read.gap || slices.ContainsFunc(read.changes, func(r store.Row) bool { return r.Removed })
 		if loaded && !read.relayed && len(snapshot.Rows) >= catchUpThreshold {
 			read.sentAt = 0
 		}
@@ -173,6 +166,23 @@
 	return ctx.Err()
 }
 
+// applyChanges applies changes to the rows of a table, and returns those that are newer than the rows. The
+// changes after a read of several pages begin at the version of the first page.
+func applyChanges(rows map[string]store.Row, changes []store.Row) (applied []store.Row) {
+	for _, r := range changes {
+		if r.Revision < rows[r.Key].Revision {
+			continue
+		}
+		if r.Removed {
+			delete(rows, r.Key)
+		} else {
+			rows[r.Key] = r
+		}
+		applied = append(applied, r)
+	}
+	return applied
+}
+
 // readStore reads the table or its changes since a version from the store, and reports a failure. An answer
 // in time is reported once what was read has been passed on.
 func (f *follower) readStore(ctx context.Context, rows map[string]store.Row, version store.Revision, loaded bool) (s store.Snapshot, inTime bool, err error) {
@@ -373,25 +383,28 @@
 func (d *Daemon) endpointsRead(t tableRead) {
 	var all []endpoint.Endpoint
 	var unreadable []datacentre.EndpointID
-	changed := 0
-	relevant := make(map[string]bool)
+	unreadableChanges := 0
+	decode := func(r store.Row) (isRelevant bool) {
+		isRelevant, err := d.decodeRow(r)
+		if err != nil {
+			unreadableChanges++
+			d.logger.endpointUnreadable(r.Key, err, unreadableChanges <= maxUnreadableLines)
+		}
+		return isRelevant
+	}
+	// A VM that has read the list between two reads of this one gets its changes from here too, so each
+	// change is compared with the one before it, not with the list that this VM had.
+	var relevant []store.Row
+	for _, r := range t.changes {
+		if decode(r) {
+			relevant = append(relevant, r)
+		}
+	}
 	maps.DeleteFunc(d.decodedRows, func(key string, _ decodedRow) bool { _, listed := t.rows[key]; return !listed })
 	for _, r := range t.rows {
-		cached, found := d.decodedRows[r.Key]
-		if !found || !bytes.Equal(cached.value, r.Value) {
-			e, err := platform.DecodeEndpoint(r)
-			if err != nil {
-				changed++
-				d.logger.endpointUnreadable(r.Key, err, changed <= maxUnreadableLines)
-			}
-			if !found || !cached.readable || err != nil || !reflect.DeepEqual(cached.endpoint, e) {
-				relevant[r.Key] = true
-			}
-			cached = decodedRow{value: r.Value, endpoint: e, readable: err == nil}
-			d.decodedRows[r.Key] = cached
-		}
-		if cached.readable {
-			all = append(all, cached.endpoint)
+		decode(r)
+		if row := d.decodedRows[r.Key]; row.readable {
+			all = append(all, row.endpoint)
 		} else {
 			unreadable = append(unreadable, datacentre.EndpointID(r.Key))
 		}
@@ -400,12 +413,28 @@
 	if !t.relayed && !t.whole {
 		d.readPace.adapt(d.link.Rate().TransferTime(bytesOf(t.changes)))
 	}
-	d.changeLog.record(t, slices.DeleteFunc(slices.Clone(t.changes), func(r store.Row) bool { return !r.Removed && !relevant[r.Key] }))
+	d.changeLog.record(t, relevant)
 	// The row may have been that of an endpoint since the read before.
-	gap := t.gap || changed > 0
+	gap := t.gap || unreadableChanges > 0
 	d.loop.Post(node.EndpointsLoaded{Endpoints: all, Unreadable: unreadable, Version: int64(t.version), ReadAt: t.sentAt, Gap: gap})
 }
 
+// decodeRow applies a change of a row to decodedRows. It reports whether the change matters to any VM, and
+// the error if the row has become unreadable.
+func (d *Daemon) decodeRow(r store.Row) (isRelevant bool, err error) {
+	if r.Removed {
+		delete(d.decodedRows, r.Key)
+		return true, nil
+	}
+	before, found := d.decodedRows[r.Key]
+	if found && bytes.Equal(before.value, r.Value) {
+		return false, nil
+	}
+	e, err := platform.DecodeEndpoint(r)
+	d.decodedRows[r.Key] = decodedRow{value: r.Value, endpoint: e, readable: err == nil}
+	return !found || !before.readable || err != nil || !reflect.DeepEqual(before.endpoint, e), err
+}
+
 // register writes this VM's row, and retries until the write succeeds.
 func (d *Daemon) register(ctx context.Context) error {
 	body, err := store.EncodeVM(d.self)
