leader: endpoints in use that have left the list count

ListedSince says since when each endpoint that a leader uses has been in the store's list. It went on while a task ran at an endpoint that had left the list more than 2.5 s before, so that the next leader could take a list without that endpoint for complete, and start the task again. Tasks of more than 15 s are needed for that. The time now stands still until the leader has dropped the endpoint.

TestListHasBeenCompleteBeforeAnEndpointInUseLeft fails on the code before.

--- a/internal/control/leader/endpoint_change.go
+++ b/internal/control/leader/endpoint_change.go
@@ -1,6 +1,8 @@
 package leader
 
 import (
+	"slices"
+
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
@@ -56,3 +58,8 @@
 		Before: ep.Born, After: after, Listed: listed, Tasks: len(ep.tasks), ReadIn: ep.clockReadIn, Age: l.now - ep.clockReadAt,
 	}})
 }
+
+// HasUnlistedEndpoints reports whether this leader may have attempts at endpoints that have left the list.
+func (l *Leader) HasUnlistedEndpoints() bool {
+	return slices.ContainsFunc(l.sortedEndpoints, func(ep *endpointState) bool { return ep.unlisted })
+}
--- a/internal/control/node/endpoint_list_test.go
+++ b/internal/control/node/endpoint_list_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/sequoiacart/sequoiacart/internal/control/leader"
@@ -253,3 +254,39 @@
 		}
 	}
 }
+
+// Guards against a next leader that takes its list for complete while its predecessor has a task at an endpoint
+// that left the list long ago.
+func TestListHasBeenCompleteBeforeAnEndpointInUseLeft(t *testing.T) {
+	h := takeOver(t)
+	h.handle(EndpointsLoaded{Version: 2, Endpoints: firstList(), ReadAt: h.now})
+	h.answerHolds(nil)
+	s := resubmittedJob()
+	s.Adopt, s.Limit = false, clock.Minute
+	h.handle(PeerSubmitted{Shard: "centro", Submission: s, Ended: make(chan job.Outcome, 1)})
+	starts := h.answerHolds(nil)
+	if len(starts) != 1 {
+		t.Fatalf("got %d starts, want 1", len(starts))
+	}
+	used, left := starts[0].Endpoint.ID, h.now
+	running := map[datacentre.EndpointID][]endpoint.ActiveAttempt{used: {{Task: starts[0].Task, Attempt: starts[0].Attempt}}}
+	listed := slices.DeleteFunc(firstList(), func(e endpoint.Endpoint) bool { return e.ID == used })
+	for version := int64(3); h.now < left+20*clock.Second; version++ {
+		h.handle(PeerHeartbeat{Request: HeartbeatRequest{Cell: "centro", From: newVM("centro", "peer-2"), Sent: h.now, Waiting: []uint64{1}, LastSeq: 1}, Reply: make(chan HeartbeatReply, 1)})
+		h.handle(EndpointsLoaded{Version: version, Endpoints: listed, ReadAt: h.now})
+		h.answerHolds(running)
+		h.advance(100)
+	}
+	if got := h.control.ListedSince("centro"); got == 0 || got > left {
+		t.Errorf("got all endpoints listed since %d, want %d or earlier: %s has a task", got, left, used)
+	}
+	ended := h.now
+	for version := int64(1000); h.now < ended+3*clock.Second; version++ {
+		h.handle(EndpointsLoaded{Version: version, Endpoints: listed, ReadAt: h.now})
+		h.answerHolds(nil)
+		h.advance(100)
+	}
+	if got := h.control.ListedSince("centro"); got < ended {
+		t.Errorf("got all endpoints listed since %d, want %d or later: the task has ended", got, ended)
+	}
+}
--- a/internal/control/node/endpoints.go
+++ b/internal/control/node/endpoints.go
@@ -52,7 +52,7 @@
 	case e.ReadAt == 0:
 		// The list of a peer may have endpoints that disappeared from the store's long ago.
 		n.endpointsListedAt = 0
-	case len(n.missingSince) == 0:
+	case len(n.missingSince) == 0 && !n.usesUnlistedEndpoints():
 		n.endpointsListedAt = e.ReadAt
 	}
 	for _, id := range n.shards {
@@ -60,6 +60,17 @@
 	}
 }
 
+// usesUnlistedEndpoints reports whether leaders of this VM have endpoints that are in use although they left
+// the list long ago.
+func (n *Control) usesUnlistedEndpoints() bool {
+	for _, led := range n.ledShards {
+		if led.leader.HasUnlistedEndpoints() {
+			return true
+		}
+	}
+	return false
+}
+
 // handleStoreReported tells the leaders of this VM whether the list of endpoints can be read.
 func (n *Control) handleStoreReported(e StoreReported) {
 	n.storeLost, n.storeReportedAt = e.Lost, n.now
