gateway, leader: parts of a job keep apart at endpoints

A part now goes to its own shard again, or to one without another part of the job if its shard has no leader, and waits for a failover if there is none. A leader counts the tasks of all submissions of the job and the attempts of earlier leaders.

TestRefusedPartStaysApartFromTheOthers and TestPartsShareTheBoundOfTasksAtAnEndpoint fail on the code before.

--- a/internal/control/gateway/gateway.go
+++ b/internal/control/gateway/gateway.go
@@ -200,7 +200,12 @@
 		}
 		return
 	}
+	available = p.permitted(available)
 	if len(available) == 0 {
+		if p.submission.Part {
+			g.checkFailover(p, now)
+			return
+		}
 		if now >= p.request.arrived+p.request.leaderWaitLimit {
 			g.reply(p.request, p.shard, job.Refused{Reason: job.NoLeader, RetryAfter: clock.Second}, now)
 		}
@@ -209,6 +214,21 @@
 	g.sendTo(p, available[0], now)
 }
 
+// permitted returns the shards to which a part may be sent that has not started: its own if it is available,
+// or else those without another part of the job. The parts of a job run at different endpoints, since a leader
+// bounds the tasks of a step at an endpoint for the submissions that it knows.
+func (p *part) permitted(available []shard.ID) []shard.ID {
+	if !p.submission.Part {
+		return available
+	}
+	if slices.Contains(available, p.shard) {
+		return []shard.ID{p.shard}
+	}
+	return slices.DeleteFunc(available, func(id shard.ID) bool {
+		return slices.ContainsFunc(p.request.parts, func(o *part) bool { return o != p && o.shard == id })
+	})
+}
+
 func (g *Gateway) sendTo(p *part, id shard.ID, now clock.Millis) {
 	leader, ok := g.config.Leaders.Leader(id, now)
 	if !ok {
@@ -340,15 +360,15 @@
 		np.submission.Job = r.job
 		np.submission.Job.Steps = slices.Clone(r.job.Steps)
 		np.submission.Job.Steps[0].Tasks = s.Tasks
-		np.submission.First, np.submission.Part = first, true
+		np.submission.First, np.submission.Part, np.shard = first, true, s.Cell
 		first += s.Tasks
 		g.sendTo(np, s.Cell, now)
 	}
 }
 
 // handleRefusal returns a refusal to the caller. A refusal because the VM does not lead the shard
-// or because a message was late does not depend on capacity: the part is then sent to another
-// shard, or resent by Tick if its tasks may have started or the job has been divided.
+// or because a message was late does not depend on capacity: a job is then sent to another shard,
+// and Tick resends a part of a divided job and one whose tasks may have started.
 func (g *Gateway) handleRefusal(p *part, o job.Refused, now clock.Millis) {
 	switch o.Reason {
 	case job.NotLeader, job.LateMessage, job.ShardLost:
@@ -420,14 +440,23 @@
 		if leader, ok := g.config.Leaders.Leader(p.shard, now); !ok || leader != p.leader {
 			p.submitted, p.mayHaveStarted, p.leaderlessSince = false, true, now
 		}
-	case p.mayHaveStarted && now >= p.leaderlessSince+g.config.FailoverTimeout:
-		g.reply(p.request, p.shard, job.Stopped{Reason: job.ShardLost}, now)
-	case p.mayHaveStarted && now < p.leaderlessSince+resendDelay:
+	case p.mayHaveStarted && g.checkFailover(p, now):
+	case (p.mayHaveStarted || p.submission.Part) && now < p.leaderlessSince+resendDelay:
 	default:
 		g.send(p, now)
 	}
 }
 
+// checkFailover ends the job of a part that has waited too long for the next leader of its shard. It reports
+// whether it did.
+func (g *Gateway) checkFailover(p *part, now clock.Millis) bool {
+	if now < p.leaderlessSince+g.config.FailoverTimeout {
+		return false
+	}
+	g.reply(p.request, p.shard, job.Stopped{Reason: job.ShardLost}, now)
+	return true
+}
+
 // sorted returns the requests in the order of their arrival.
 func (g *Gateway) sorted() []*request {
 	all := make([]*request, 0, len(g.jobs))
--- a/internal/control/gateway/gateway_test.go
+++ b/internal/control/gateway/gateway_test.go
@@ -181,6 +181,49 @@
 	}
 }
 
+// Guards against two parts of a job in one shard, whose leader would let each of them have as many tasks at an
+// endpoint as the step allows: a VM that has just handed over the shard refuses the part.
+func TestRefusedPartStaysApartFromTheOthers(t *testing.T) {
+	for name, tt := range map[string]struct {
+		next vm.Incarnation
+		wait clock.Millis
+		want string
+	}{
+		"the shard has its next leader": {"n-2", 30, "submit 5 tasks from 3 to norte"},
+		"still the VM that refused":     {"n-1", 30, "submit 5 tasks from 3 to norte"},
+		"at once":                       {"n-2", 10, ""},
+		"no leader":                     {"", 30, "submit 5 tasks from 3 to sur"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, leaders := newGateway()
+			leaders.preference, leaders.byShard["sur"] = append(leaders.preference, "sur"), "s-1"
+			k := g.Accept(jobOf(8), 3000, 90, 1_000)
+			g.HandleAnswer(k, centro, divided(3, 5), 1_010)
+			g.HandleAnswer(job.Key{Entry: "me-1", Seq: k.Seq + 2}, norte, job.Refused{Reason: job.NotLeader}, 1_020)
+			g.TakeActions()
+			leaders.byShard["norte"] = tt.next
+			g.Tick(1_020 + tt.wait)
+			if got := describeActions(g); got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+		})
+	}
+	g, leaders := newGateway()
+	k := g.Accept(jobOf(8), 3000, 90, 1_000)
+	g.HandleAnswer(k, centro, divided(3, 5), 1_010)
+	g.HandleAnswer(job.Key{Entry: "me-1", Seq: k.Seq + 2}, norte, job.Refused{Reason: job.NotLeader}, 1_020)
+	g.TakeActions()
+	delete(leaders.byShard, "norte")
+	g.Tick(1_710)
+	if got := describeActions(g); got != "" {
+		t.Errorf("got %q while a failover may be under way, want nothing", got)
+	}
+	g.Tick(1_720)
+	if got, want := describeActions(g), "release lease at centro; Stopped cellLost"; got != want {
+		t.Errorf("got %q after the failover, want %q", got, want)
+	}
+}
+
 func divided(centro, norte int) job.Divided {
 	return job.Divided{Shares: []job.Share{{Cell: "centro", Tasks: centro}, {Cell: "norte", Tasks: norte}}}
 }
--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -271,14 +271,18 @@
 	return ep.free.CPU < best.free.CPU
 }
 
-// countStepTasks counts the tasks of t's step at an endpoint.
+// countStepTasks counts the tasks of t's step at an endpoint, of all submissions and parts of the job and of
+// earlier leaders.
 func (l *Leader) countStepTasks(t *task, ep *endpointState) int {
 	n := 0
 	for _, other := range ep.tasks {
-		if other.job == t.job && other.stepIndex == t.stepIndex {
+		if other.job.Job.ID == t.job.Job.ID && other.stepIndex == t.stepIndex {
 			n++
 		}
 	}
+	if ep.activeOrphans > 0 {
+		n += l.orphans.countActive(stepPrefix(t.job.Job.ID, t.stepIndex), ep)
+	}
 	return n
 }
 
--- a/internal/control/leader/orphans.go
+++ b/internal/control/leader/orphans.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
@@ -56,6 +57,18 @@
 	return slices.ContainsFunc(o[name], func(a orphan) bool { return !a.ended })
 }
 
+// countActive counts the attempts at an endpoint that may still be running, of tasks whose names begin with
+// the prefix.
+func (o orphans) countActive(prefix string, ep *endpointState) int {
+	n := 0
+	for name := range o {
+		if a, ok := o.get(name, ep); ok && !a.ended && strings.HasPrefix(string(name), prefix) {
+			n++
+		}
+	}
+	return n
+}
+
 // adoptable returns the attempt that a job can adopt: one that is done, or else the latest that is
 // active and has not been sent a stop.
 func (o orphans) adoptable(name job.TaskName) (orphan, bool) {
--- a/internal/control/leader/resent_test.go
+++ b/internal/control/leader/resent_test.go
@@ -87,3 +87,46 @@
 		t.Errorf("got %s for the submission that the caller waits for, want %s", got, want)
 	}
 }
+
+// Guards against more tasks of a step at an endpoint than the step allows, when a leader has two parts of a
+// divided job, or one part and attempts that an earlier leader has started for the other.
+func TestPartsShareTheBoundOfTasksAtAnEndpoint(t *testing.T) {
+	for name, takeover := range map[string]bool{"two parts": false, "a part and attempts of an earlier leader": true} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 31, 3)
+			c.duration = func(job.TaskName) clock.Millis { return 400 }
+			current := 1
+			c.addLeader(current, 256)
+			c.advance(50)
+			c.renewLeases(current, "a-1", 1, 2)
+			first := submission("a-1", 1, 1)
+			first.Attempt, first.Part, first.Job.Steps[0].PerEndpoint = 1, true, 1
+			second := submission("a-1", 2, 2)
+			second.Job = first.Job
+			second.Job.Steps = []job.Step{first.Job.Steps[0]}
+			second.Job.Steps[0].Tasks = 2
+			second.Attempt, second.Part, second.First = 1, true, 1
+			c.deliver(current, Submitted{Submission: first})
+			c.advance(20)
+			if takeover {
+				c.leaders[1].stopped = true
+				current = 2
+				c.addLeader(current, 257)
+				c.advance(20)
+			}
+			c.renewLeases(current, "a-1", 1, 2)
+			c.deliver(current, Submitted{Submission: second})
+			c.advance(50)
+			running := 0
+			for id, e := range c.endpoints {
+				running += len(e.attempts)
+				if len(e.attempts) > 1 {
+					t.Errorf("got %d tasks of the step at %s, want 1", len(e.attempts), id)
+				}
+			}
+			if running != 3 {
+				t.Errorf("got %d tasks running, want 3", running)
+			}
+		})
+	}
+}
--- a/internal/control/leader/task.go
+++ b/internal/control/leader/task.go
@@ -87,5 +87,8 @@
 
 // TaskName builds the unique name of a task from its job, occurrence, step and index.
 func TaskName(id job.ID, step, index int) job.TaskName {
-	return job.TaskName(string(id) + ".0." + strconv.Itoa(step) + "." + strconv.Itoa(index))
+	return job.TaskName(stepPrefix(id, step) + strconv.Itoa(index))
 }
+
+// stepPrefix is what the names of the tasks of a step have in common.
+func stepPrefix(id job.ID, step int) string { return string(id) + ".0." + strconv.Itoa(step) + "." }
