node, caller: a cancellation names what its caller sent

A cancellation named the queue that the path belongs to at the time of the DELETE, and leaders compared that with the queue that had accepted the job.

A job now has the host and path prefix that it was sent to, and a cancellation names these. DELETE asks all leaders also without a route, and gets 410 if no VM had the job. Two jobs of the same ID from different paths no longer replace each other: the later one is refused while the other is there, since their tasks have the same names.

TestCancelledJobEnds, TestCancellationIsAcknowledgedOnceConfirmed and both TestJobsOfOneIDFromTwoOrigins guard this; the code before has no origin to compare.

--- a/internal/control/gateway/gateway.go
+++ b/internal/control/gateway/gateway.go
@@ -132,14 +132,20 @@
 
 // Accept adds a job and returns its key. The caller waits for limit at most. The job is refused if
 // no leader is available within leaderWaitLimit. It replaces an earlier request of the same job, whose
-// caller has sent it again on another connection.
+// caller has sent it again on another connection. It is refused while there is another job of its ID,
+// since tasks are known by the ID alone.
 func (g *Gateway) Accept(j job.Job, limit, leaderWaitLimit, now clock.Millis) job.Key {
 	r := &request{job: j, arrived: now, limit: limit, leaderWaitLimit: leaderWaitLimit}
 	p := g.newPart(r, now)
 	r.firstSeq = p.submission.Key.Seq
 	p.submission.Attempt, p.submission.Job = r.firstSeq, j
 	earlier := g.requests[j.ID]
-	g.jobs[r.firstSeq], g.requests[j.ID] = r, r
+	g.jobs[r.firstSeq] = r
+	if earlier != nil && earlier.job.Origin != j.Origin {
+		g.reply(r, "", job.Refused{Reason: job.IDInUse, RetryAfter: clock.Second}, now)
+		return p.submission.Key
+	}
+	g.requests[j.ID] = r
 	if earlier != nil {
 		g.replace(earlier, p, now)
 		return p.submission.Key
@@ -398,11 +404,14 @@
 	}
 }
 
-// Cancel ends a job that its caller has cancelled.
-func (g *Gateway) Cancel(c job.Cancellation, now clock.Millis) {
-	if r := g.requests[c.Job]; r != nil && c.Covers(&r.job) {
-		g.reply(r, r.parts[0].shard, job.Cancelled{}, now)
+// Cancel ends a job that its caller has cancelled, and reports whether it was here.
+func (g *Gateway) Cancel(c job.Cancellation, now clock.Millis) bool {
+	r := g.requests[c.Job]
+	if r == nil || !c.Covers(&r.job) {
+		return false
 	}
+	g.reply(r, r.parts[0].shard, job.Cancelled{}, now)
+	return true
 }
 
 // EndAll ends all jobs because the VM has to exit. The reply asks callers to send them again.
--- a/internal/control/gateway/gateway_test.go
+++ b/internal/control/gateway/gateway_test.go
@@ -224,6 +224,30 @@
 	}
 }
 
+// Guards against a job that takes the place of another one of its ID, whose caller then gets an error.
+func TestJobsOfOneIDFromTwoOrigins(t *testing.T) {
+	g, _ := newGateway()
+	first, second := jobOf(8), jobOf(8)
+	first.Origin, second.Origin = "h/a/", "h/b/"
+	k := g.Accept(first, 3000, 90, 1_000)
+	g.TakeActions()
+	g.Accept(second, 3000, 90, 1_010)
+	if got, want := describeActions(g), "Refused idInUse"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	if g.Cancel(job.Cancellation{Job: second.ID, Origin: second.Origin}, 1_020) {
+		t.Errorf("got the refused job cancelled, want nothing to cancel")
+	}
+	g.HandleAnswer(k, centro, job.Completed{}, 1_050)
+	if got, want := describeActions(g), "Completed"; got != want {
+		t.Errorf("got %q for the first job, want %q", got, want)
+	}
+	g.Accept(second, 3000, 90, 1_060)
+	if got, want := describeActions(g), "submit 8 tasks from 0 to centro"; got != want {
+		t.Errorf("got %q once the first job has ended, want %q", got, want)
+	}
+}
+
 func divided(centro, norte int) job.Divided {
 	return job.Divided{Shares: []job.Share{{Cell: "centro", Tasks: centro}, {Cell: "norte", Tasks: norte}}}
 }
--- a/internal/control/leader/admission.go
+++ b/internal/control/leader/admission.go
@@ -39,6 +39,13 @@
 		l.emit(Answer{Key: s.Key, Outcome: job.Refused{Reason: job.NoDesiredState, RetryAfter: retryAfter}})
 		return
 	}
+	for _, other := range l.jobsByID[s.Job.ID] {
+		if other.Job.Origin != s.Job.Origin {
+			// Its tasks have the same names.
+			l.emit(Answer{Key: s.Key, Outcome: job.Refused{Reason: job.IDInUse, RetryAfter: retryAfter}})
+			return
+		}
+	}
 	for _, later := range l.jobsByID[s.Job.ID] {
 		if later.Key.Entry == s.Key.Entry && later.Attempt > s.Attempt {
 			l.emit(Answer{Key: s.Key, Outcome: job.Refused{Reason: job.LateMessage, RetryAfter: retryAfter}})
--- a/internal/control/leader/decision_log_test.go
+++ b/internal/control/leader/decision_log_test.go
@@ -77,7 +77,7 @@
 		}, EndAbsentAfterStop{}, false, false},
 		{"still listed after the stop", func(t *testing.T) *cluster {
 			c := runOneTask(t, nil)
-			c.deliver(1, Cancelled{Cancellation: job.Cancellation{Job: submission("a-1", 1, 1).Job.ID, Queue: testQueue}})
+			c.deliver(1, Cancelled{Cancellation: job.Cancellation{Job: submission("a-1", 1, 1).Job.ID}})
 			c.advance(3)
 			for _, a := range c.endpoints["e00"].attempts {
 				a.endsAt = c.now + 300
@@ -304,7 +304,7 @@
 			}
 		},
 		"job abandoned": func(c *cluster) {
-			c.deliver(1, Cancelled{Cancellation: job.Cancellation{Job: submission("a-1", 1, 1).Job.ID, Queue: testQueue}})
+			c.deliver(1, Cancelled{Cancellation: job.Cancellation{Job: submission("a-1", 1, 1).Job.ID}})
 		},
 	}
 	for name, end := range ends {
--- a/internal/control/leader/late_start_test.go
+++ b/internal/control/leader/late_start_test.go
@@ -35,7 +35,7 @@
 	c.renewLeases(1, "a-1", 1)
 	c.deliver(1, Submitted{Submission: s})
 	c.advance(200)
-	c.deliver(1, Cancelled{Cancellation: job.Cancellation{Job: s.Job.ID, Queue: testQueue}})
+	c.deliver(1, Cancelled{Cancellation: job.Cancellation{Job: s.Job.ID}})
 	c.advance(1300)
 
 	again := submission("b-1", 2, 1)
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -294,6 +294,11 @@
 	l.answer(j, outcome)
 }
 
+// Has reports whether the leader has a job that a cancellation names.
+func (l *Leader) Has(c job.Cancellation) bool {
+	return slices.ContainsFunc(l.jobsByID[c.Job], func(j *jobState) bool { return !j.answered && c.Covers(&j.Job) })
+}
+
 // cancel stops all attempts of a job that its caller has cancelled.
 func (l *Leader) cancel(j *jobState) {
 	if j.answered {
--- a/internal/control/leader/resent_test.go
+++ b/internal/control/leader/resent_test.go
@@ -130,3 +130,31 @@
 		})
 	}
 }
+
+// Guards against a job that ends another one of its ID from elsewhere, or runs tasks of the same names beside it.
+func TestJobsOfOneIDFromTwoOrigins(t *testing.T) {
+	c := newCluster(t, 29, 2)
+	c.duration = func(job.TaskName) clock.Millis { return 300 }
+	c.addLeader(1, 256)
+	c.advance(50)
+	c.renewLeases(1, "a-1", 1)
+	c.renewLeases(1, "b-1", 1, 2)
+	first, second := submission("a-1", 1, 1), submission("b-1", 1, 1)
+	second.Job.ID, second.Job.Origin = first.Job.ID, "h/other/"
+	c.deliver(1, Submitted{Submission: first})
+	c.advance(20)
+	c.deliver(1, Submitted{Submission: second})
+	if got, ok := c.outcomes[second.Key].(job.Refused); !ok || got.Reason != job.IDInUse {
+		t.Errorf("got %v, want a refusal", c.outcomes[second.Key])
+	}
+	c.advance(500)
+	if got, want := outcomeName(c.outcomes[first.Key]), "job.Completed"; got != want {
+		t.Errorf("got %s for the first job, want %s", got, want)
+	}
+	second.Key.Seq = 2
+	c.deliver(1, Submitted{Submission: second})
+	c.advance(500)
+	if got, want := outcomeName(c.outcomes[second.Key]), "job.Completed"; got != want {
+		t.Errorf("got %s once the first job has ended, want %s", got, want)
+	}
+}
--- a/internal/control/node/cancellations.go
+++ b/internal/control/node/cancellations.go
@@ -27,6 +27,8 @@
 	at clock.Millis
 	// received means that the caller has sent it to this VM, which has to tell the leaders.
 	received bool
+	// found means that a VM had the job.
+	found bool
 	// confirmedBy is the leader of each shard that has confirmed it, and sentAt when the present leader was
 	// last told.
 	confirmedBy map[shard.ID]vm.Incarnation
@@ -37,12 +39,12 @@
 // cancelWaiter is a request of a caller that waits for all leaders until a time limit.
 type cancelWaiter struct {
 	until clock.Millis
-	done  chan<- bool
+	done  chan<- CancelOutcome
 }
 
 // isCancelled reports whether the caller of a job has cancelled it.
 func (n *Control) isCancelled(j *job.Job) bool {
-	return n.cancellations[job.Cancellation{Job: j.ID, Queue: j.Queue}] != nil
+	return n.cancellations[job.Cancellation{Job: j.ID, Origin: j.Origin}] != nil
 }
 
 // recordCancellation ends a job at this VM and in the shards that it leads. It returns nil if this VM has
@@ -56,9 +58,12 @@
 		c = &cancellation{Cancellation: j, at: n.now, confirmedBy: make(map[shard.ID]vm.Incarnation), sentAt: make(map[shard.ID]clock.Millis)}
 		n.cancellations[j], n.cancelOrder = c, append(n.cancelOrder, c)
 	}
-	n.gateway.Cancel(j, n.now)
+	c.found = n.gateway.Cancel(j, n.now) || c.found
 	for _, id := range n.shards {
-		n.sendToLeader(id, leader.Cancelled{Cancellation: j})
+		if led := n.ledShards[id]; led != nil {
+			c.found = led.leader.Has(j) || c.found
+			n.sendToLeader(id, leader.Cancelled{Cancellation: j})
+		}
 	}
 	return c
 }
@@ -68,7 +73,7 @@
 func (n *Control) handleCancelRequested(e CancelRequested) {
 	c := n.recordCancellation(e.Cancellation)
 	if c == nil {
-		e.Done <- false
+		e.Done <- CancelUnconfirmed{}
 		return
 	}
 	c.at, c.received = n.now, true
@@ -90,15 +95,16 @@
 
 // handlePeerCancelled records a cancellation that another VM has received.
 func (n *Control) handlePeerCancelled(e PeerCancelled) {
-	var led []shard.ID
-	if n.recordCancellation(e.Cancellation) != nil {
+	var answer CancelAnswer
+	if c := n.recordCancellation(e.Cancellation); c != nil {
+		answer.Found = c.found
 		for _, id := range n.shards {
 			if n.ledShards[id] != nil {
-				led = append(led, id)
+				answer.Led = append(answer.Led, id)
 			}
 		}
 	}
-	e.Led <- led
+	e.Reply <- answer
 }
 
 func (n *Control) handleCancelAnswered(e CancelAnswered) {
@@ -106,7 +112,8 @@
 	if c == nil {
 		return
 	}
-	for _, id := range e.Led {
+	c.found = c.found || e.Answer.Found
+	for _, id := range e.Answer.Led {
 		c.confirmedBy[id] = e.From
 	}
 	n.confirm(c)
@@ -121,7 +128,7 @@
 	n.cancelsConfirmedAt = n.now
 	n.cancelOrder = slices.DeleteFunc(n.cancelOrder, func(c *cancellation) bool {
 		if n.now >= c.at+cancelRetention {
-			n.endWaiters(c, false)
+			n.endWaiters(c, CancelUnconfirmed{})
 			delete(n.cancellations, c.Cancellation)
 			return true
 		}
@@ -152,21 +159,21 @@
 		}
 	}
 	if confirmed {
-		n.endWaiters(c, true)
+		n.endWaiters(c, CancelConfirmed{Found: c.found})
 		return
 	}
 	c.waiters = slices.DeleteFunc(c.waiters, func(w cancelWaiter) bool {
 		if n.now < w.until {
 			return false
 		}
-		w.done <- false
+		w.done <- CancelUnconfirmed{}
 		return true
 	})
 }
 
-func (n *Control) endWaiters(c *cancellation, confirmed bool) {
+func (n *Control) endWaiters(c *cancellation, o CancelOutcome) {
 	for _, w := range c.waiters {
-		w.done <- confirmed
+		w.done <- o
 	}
 	c.waiters = nil
 }
--- a/internal/control/node/cancellations_test.go
+++ b/internal/control/node/cancellations_test.go
@@ -11,7 +11,7 @@
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
-var cancelledJob = job.Cancellation{Job: "0000000000000001", Queue: "q"}
+var cancelledJob = job.Cancellation{Job: "0000000000000001", Origin: "h/q/"}
 
 // withLeaders is a harness in which peer-1 leads centro and n-1 norte; peer-2 and n-2 are their successors.
 func withLeaders(t *testing.T) *harness {
@@ -25,14 +25,14 @@
 	return h
 }
 
-func (h *harness) cancel(limit clock.Millis) <-chan bool {
-	done := make(chan bool, 1)
+func (h *harness) cancel(limit clock.Millis) <-chan CancelOutcome {
+	done := make(chan CancelOutcome, 1)
 	h.handle(CancelRequested{Cancellation: cancelledJob, Limit: limit, Done: done})
 	return done
 }
 
 func (h *harness) confirmCancel(from vm.Incarnation, led ...shard.ID) {
-	h.handle(CancelAnswered{Cancellation: cancelledJob, From: from, Led: led})
+	h.handle(CancelAnswered{Cancellation: cancelledJob, From: from, Answer: CancelAnswer{Led: led}})
 }
 
 // told returns the VMs that were told of a cancellation since the last call.
@@ -44,9 +44,10 @@
 	return all
 }
 
-func state(done <-chan bool) string {
+func state(done <-chan CancelOutcome) string {
 	select {
-	case confirmed := <-done:
+	case o := <-done:
+		_, confirmed := o.(CancelConfirmed)
 		return map[bool]string{true: "confirmed", false: "not confirmed"}[confirmed]
 	default:
 		return "pending"
@@ -126,12 +127,9 @@
 }
 
 // Guards against a cancelled job that goes on: at the VM that has its caller, when the caller sends it again, and
-// when its submission arrives at a leader after the cancellation. A job of the same ID in another queue goes on.
+// when its submission arrives at a leader after the cancellation. It belongs to the host and path that it was sent
+// to, whatever queue they belong to by now. A job of the same ID from elsewhere goes on.
 func TestCancelledJobEnds(t *testing.T) {
-	other := func(j job.Job) job.Job {
-		j.Queue = "r"
-		return j
-	}
 	for _, tt := range []struct {
 		name string
 		play func(h *harness, j job.Job) <-chan job.Outcome
@@ -143,7 +141,7 @@
 		}},
 		{"its caller waits here, cancelled at another VM", func(h *harness, j job.Job) <-chan job.Outcome {
 			ended := h.arrive(j)
-			h.handle(PeerCancelled{Cancellation: cancelledJob, Led: make(chan []shard.ID, 1)})
+			h.handle(PeerCancelled{Cancellation: cancelledJob, Reply: make(chan CancelAnswer, 1)})
 			return ended
 		}},
 		{"sent after the cancellation", func(h *harness, j job.Job) <-chan job.Outcome {
@@ -151,9 +149,9 @@
 			return h.arrive(j)
 		}},
 		{"submitted after the cancellation", func(h *harness, j job.Job) <-chan job.Outcome {
-			led := make(chan []shard.ID, 1)
-			h.handle(PeerCancelled{Cancellation: cancelledJob, Led: led})
-			if got := <-led; len(got) != 1 || got[0] != "centro" {
+			answers := make(chan CancelAnswer, 1)
+			h.handle(PeerCancelled{Cancellation: cancelledJob, Reply: answers})
+			if got := (<-answers).Led; len(got) != 1 || got[0] != "centro" {
 				t.Errorf("got the shards %v, want centro", got)
 			}
 			ended := make(chan job.Outcome, 1)
@@ -167,27 +165,26 @@
 			s := resubmittedJob()
 			s.Job, s.Adopt, s.Part = j, false, true
 			h.handle(PeerSubmitted{Shard: "centro", Submission: s, Ended: ended})
-			h.handle(PeerCancelled{Cancellation: cancelledJob, Led: make(chan []shard.ID, 1)})
+			h.handle(PeerCancelled{Cancellation: cancelledJob, Reply: make(chan CancelAnswer, 1)})
 			return ended
 		}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			for _, same := range []bool{true, false} {
+			for _, origin := range []job.Origin{cancelledJob.Origin, "h/r/"} {
+				same := origin == cancelledJob.Origin
 				h := leaderOfCentro(t)
 				h.handle(DesiredStateLoaded{State: queue.NewState(2, []queue.Queue{
 					{Name: "q", Service: "s", Stretch: 1.6, Allowance: 60, MaxAttempts: 2}, {Name: "r", Service: "s", Stretch: 1.6, Allowance: 60, MaxAttempts: 2},
 				}, map[queue.ServiceName]queue.Service{"s": {Name: "s", GuardsRoom: true}}, queue.Limits{})})
 				j := resubmittedJob().Job
-				if !same {
-					j = other(j)
-				}
+				j.Origin, j.Queue = origin, "r"
 				var got job.Outcome
 				select {
 				case got = <-tt.play(h, j):
 				default:
 				}
 				if cancelled := got == job.Outcome(job.Cancelled{}); cancelled != same {
-					t.Errorf("queue of the cancellation %v: got %v, want a cancelled job %v", same, got, same)
+					t.Errorf("origin of the cancellation %v: got %v, want a cancelled job %v", same, got, same)
 				}
 			}
 		})
@@ -206,14 +203,14 @@
 func TestCancellationsAreBounded(t *testing.T) {
 	h := withLeaders(t)
 	for i := range maxCancellations {
-		h.handle(PeerCancelled{Cancellation: job.Cancellation{Job: job.ID(fmt.Sprintf("%016x", i+2)), Queue: "q"}, Led: make(chan []shard.ID, 1)})
+		h.handle(PeerCancelled{Cancellation: job.Cancellation{Job: job.ID(fmt.Sprintf("%016x", i+2)), Origin: "h/q/"}, Reply: make(chan CancelAnswer, 1)})
 	}
 	if got := state(h.cancel(clock.Second)); got != "not confirmed" {
 		t.Errorf("got %s, want not confirmed", got)
 	}
-	led := make(chan []shard.ID, 1)
-	h.handle(PeerCancelled{Cancellation: cancelledJob, Led: led})
-	if got := <-led; len(got) != 0 {
+	answers := make(chan CancelAnswer, 1)
+	h.handle(PeerCancelled{Cancellation: cancelledJob, Reply: answers})
+	if got := (<-answers).Led; len(got) != 0 {
 		t.Errorf("got the shards %v confirmed, want none", got)
 	}
 	if got := len(h.control.cancellations); got != maxCancellations {
--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -39,16 +39,35 @@
 	Cancellation job.Cancellation
 	// Limit is how long the leaders of all shards may take to confirm it.
 	Limit clock.Millis
-	// Done receives whether they have. It must have a buffer of one.
-	Done chan<- bool
+	// Done receives the outcome. It must have a buffer of one.
+	Done chan<- CancelOutcome
 }
 
+// CancelOutcome is how the request to cancel a job ends. It is one of the types below.
+type CancelOutcome interface{ cancelOutcome() }
+
+// CancelConfirmed means that no task of the job starts any more. Found says that a VM had the job.
+type CancelConfirmed struct{ Found bool }
+
+// CancelUnconfirmed means that the job may go on.
+type CancelUnconfirmed struct{}
+
+func (CancelConfirmed) cancelOutcome()   {}
+func (CancelUnconfirmed) cancelOutcome() {}
+
 // CancelAnswered is a peer's answer to a cancellation.
 type CancelAnswered struct {
 	Cancellation job.Cancellation
 	From         vm.Incarnation
-	// Led are the shards that the peer leads.
+	Answer       CancelAnswer
+}
+
+// CancelAnswer is what a VM has done about a cancellation.
+type CancelAnswer struct {
+	// Led are the shards that it leads. None of them starts a task of the job any more.
 	Led []shard.ID
+	// Found says that it had the job.
+	Found bool
 }
 
 // SubmitAnswered is the outcome of a submission: the leader's answer or a failed call.
@@ -84,8 +103,8 @@
 // PeerCancelled is a cancellation forwarded by another VM.
 type PeerCancelled struct {
 	Cancellation job.Cancellation
-	// Led receives the shards that this VM leads. It must have a buffer of one.
-	Led chan<- []shard.ID
+	// Reply must have a buffer of one.
+	Reply chan<- CancelAnswer
 }
 
 // PeerYielded is the request of a shard's leader that this VM take over, because the leader shuts
--- a/internal/control/node/model_execute_test.go
+++ b/internal/control/node/model_execute_test.go
@@ -9,7 +9,6 @@
 	"github.com/sequoiacart/sequoiacart/internal/control/node"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
-	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 )
 
 const (
@@ -203,11 +202,11 @@
 
 func (v *modelVM) cancel(a node.SendCancel) {
 	v.callPeer(a.To.Address, peerTimeout, func(peer *modelVM, x *exchange) {
-		led := make(chan []shard.ID, 1)
-		await(peer, x, led, func(all []shard.ID) {
-			v.post(v.life, node.CancelAnswered{Cancellation: a.Cancellation, From: a.To.Incarnation, Led: all})
+		answers := make(chan node.CancelAnswer, 1)
+		await(peer, x, answers, func(answer node.CancelAnswer) {
+			v.post(v.life, node.CancelAnswered{Cancellation: a.Cancellation, From: a.To.Incarnation, Answer: answer})
 		})
-		peer.handle(node.PeerCancelled{Cancellation: a.Cancellation, Led: led})
+		peer.handle(node.PeerCancelled{Cancellation: a.Cancellation, Reply: answers})
 	}, func(exchangeFailure) {})
 }
 
--- a/internal/control/node/node_test.go
+++ b/internal/control/node/node_test.go
@@ -499,7 +499,7 @@
 	default:
 		t.Errorf("got no answer to the copy, want it refused as late")
 	}
-	h.handle(PeerCancelled{Cancellation: job.Cancellation{Job: s.Job.ID, Queue: s.Job.Queue}, Led: make(chan []shard.ID, 1)})
+	h.handle(PeerCancelled{Cancellation: job.Cancellation{Job: s.Job.ID, Origin: s.Job.Origin}, Reply: make(chan CancelAnswer, 1)})
 	select {
 	case o := <-present:
 		if o != job.Outcome(job.Cancelled{}) {
--- a/internal/link/caller/server.go
+++ b/internal/link/caller/server.go
@@ -226,25 +226,37 @@
 	return s.writeResponse(c, platform.UnknownJob())
 }
 
+// cancel cancels a job. Its route may be gone, or another one may have taken its place, while the job goes on, so
+// that the desired state does not decide what is cancelled.
 func (s *Server) cancel(c echo.Context) error {
-	_, q, id, response := s.match(c)
-	if response != nil {
+	desired, q, _, response := s.match(c)
+	prefix, id, ok := platform.SplitJobPath(c.Request().URL.Path)
+	switch {
+	case desired == nil, !ok && response != nil:
 		return s.writeResponse(c, *response)
-	}
-	if !platform.ValidJobID(id) {
+	case !ok:
 		return s.writeResponse(c, platform.UnknownJob())
 	}
-	done := make(chan bool, 1)
-	e := node.CancelRequested{Cancellation: job.Cancellation{Job: job.ID(id), Queue: q.Name}, Limit: min(waitLimit(c.Request()), cancelTimeout), Done: done}
-	if !s.config.Local.Post(e) {
+	cancelled := job.Cancellation{Job: job.ID(id), Origin: job.NewOrigin(c.Request().Host, prefix)}
+	if cancelled.Validate() != nil {
+		return s.writeResponse(c, platform.Refusal(string(job.Malformed), 0))
+	}
+	done := make(chan node.CancelOutcome, 1)
+	if !s.config.Local.Post(node.CancelRequested{Cancellation: cancelled, Limit: min(waitLimit(c.Request()), cancelTimeout), Done: done}) {
 		return s.writeResponse(c, platform.Refusal(string(job.Draining), clock.Second))
 	}
+	var outcome node.CancelOutcome = node.CancelUnconfirmed{}
 	select {
-	case confirmed := <-done:
-		if confirmed {
-			return s.writeResponse(c, platform.Cancelled())
-		}
+	case outcome = <-done:
 	case <-c.Request().Context().Done():
 	}
+	switch o := outcome.(type) {
+	case node.CancelConfirmed:
+		if !o.Found && (q == nil || q.Path != prefix) {
+			return s.writeResponse(c, platform.UnknownJob())
+		}
+		return s.writeResponse(c, platform.Cancelled())
+	case node.CancelUnconfirmed:
+	}
 	return s.writeResponse(c, platform.Refusal(string(job.NoLeader), clock.Second))
 }
--- a/internal/link/caller/server_test.go
+++ b/internal/link/caller/server_test.go
@@ -22,7 +22,7 @@
 	// settling receives the requests that wait until their caller has gone; nil lets none wait.
 	settling chan struct{}
 	// cancelled decides whether a cancellation is confirmed.
-	cancelled func(node.CancelRequested) bool
+	cancelled func(node.CancelRequested) node.CancelOutcome
 }
 
 func (l *local) Post(e node.Event) bool {
@@ -166,31 +166,42 @@
 	}
 }
 
-// Guards against a cancellation that is acknowledged although no leader has confirmed it, against one without its
-// queue, and against one that waits for longer than its caller.
+// Guards against a cancellation that is acknowledged although no leader has confirmed it, against one that depends
+// on the routes of the moment, and against one that waits for longer than its caller.
 func TestCancellationIsAcknowledgedOnceConfirmed(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	var requested []node.CancelRequested
-	l := &local{cancelled: func(c node.CancelRequested) bool {
+	l := &local{cancelled: func(c node.CancelRequested) node.CancelOutcome {
 		requested = append(requested, c)
-		return c.Cancellation.Job == "0123456789abcdef"
+		if c.Cancellation.Job == "fedcba9876543210" {
+			return node.CancelUnconfirmed{}
+		}
+		return node.CancelConfirmed{Found: c.Cancellation.Job == "00000000000000ff"}
 	}}
 	s := NewServer(Config{Listener: listener, Local: l, Counter: noCounter{}})
 	served := make(chan error, 1)
 	go func() { served <- s.Serve() }()
 	for _, tt := range []struct {
-		id     string
+		path   string
 		status int
 		retry  string
-	}{{"0123456789abcdef", http.StatusOK, ""}, {"fedcba9876543210", http.StatusServiceUnavailable, "1"}, {"x", http.StatusGone, ""}} {
-		request, err := http.NewRequest(http.MethodDelete, "http://"+listener.Addr().String()+"/q/"+tt.id, nil)
+	}{
+		{"/q/0123456789abcdef", http.StatusOK, ""},
+		{"/q/fedcba9876543210", http.StatusServiceUnavailable, "1"},
+		{"/former/00000000000000ff", http.StatusOK, ""},
+		{"/former/0123456789abcdef", http.StatusGone, ""},
+		{"/q/former/00000000000000ff", http.StatusOK, ""},
+		{"/q/x", http.StatusGone, ""},
+		{"/former/x", http.StatusNotFound, ""},
+	} {
+		request, err := http.NewRequest(http.MethodDelete, "http://"+listener.Addr().String()+tt.path, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
-		request.Host = "h"
+		request.Host = "H:80"
 		request.Header.Set("Sequoiacart-Deadline-Ms", "700")
 		response, err := http.DefaultClient.Do(request)
 		if err != nil {
@@ -198,14 +209,14 @@
 		}
 		_ = response.Body.Close()
 		if got := response.Header.Get("Retry-After"); response.StatusCode != tt.status || got != tt.retry {
-			t.Errorf("%s: got %d and a retry after %q s, want %d and %q", tt.id, response.StatusCode, got, tt.status, tt.retry)
+			t.Errorf("%s: got %d and a retry after %q s, want %d and %q", tt.path, response.StatusCode, got, tt.status, tt.retry)
 		}
 	}
 	s.Close()
 	if err := <-served; err != nil {
 		t.Errorf("got %v from Serve, want nil", err)
 	}
-	if len(requested) != 2 || requested[0].Cancellation.Queue != "q" || requested[0].Limit != 700 {
-		t.Errorf("got %+v, want two cancellations in queue q with a limit of 700 ms", requested)
+	if len(requested) != 5 || requested[0].Cancellation.Origin != "h/q/" || requested[2].Cancellation.Origin != "h/former/" || requested[0].Limit != 700 {
+		t.Errorf("got %+v, want five cancellations of jobs that were sent to h with a limit of 700 ms", requested)
 	}
 }
--- a/internal/link/peer/client.go
+++ b/internal/link/peer/client.go
@@ -99,13 +99,11 @@
 	return decodeOutcome(*reply)
 }
 
-// Cancel forwards the cancellation of a job, and returns the shards that the peer leads.
-func (c *Client) Cancel(to shard.Member, j job.Cancellation) ([]shard.ID, error) {
+// Cancel forwards the cancellation of a job.
+func (c *Client) Cancel(to shard.Member, j job.Cancellation) (node.CancelAnswer, error) {
 	reply := &CancelReply{}
-	if err := c.call(to, "Cancel", CancelRequest{Job: j.Job, Queue: j.Queue}, reply, c.config.Timeout); err != nil {
-		return nil, err
-	}
-	return reply.Led, nil
+	err := c.call(to, "Cancel", CancelRequest{Job: j.Job, Origin: j.Origin}, reply, c.config.Timeout)
+	return node.CancelAnswer{Led: reply.Led, Found: reply.Found}, err
 }
 
 // Yield asks a successor to take over a shard, and reports whether it has.
--- a/internal/link/peer/server.go
+++ b/internal/link/peer/server.go
@@ -16,7 +16,6 @@
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
-	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/trace"
 )
@@ -66,9 +65,6 @@
 	closed atomic.Bool
 }
 
-// maxNameBytes bounds the names in a cancellation, which is kept for a while.
-const maxNameBytes = 256
-
 // serviceName is the name of the service on the wire.
 const serviceName = "Fleet"
 
@@ -162,15 +158,16 @@
 
 // Cancel cancels a job at this VM and in the shards that it leads.
 func (s *service) Cancel(r CancelRequest, reply *CancelReply) error {
-	if len(r.Job) > maxNameBytes || len(r.Queue) > maxNameBytes {
-		return errors.NotValidf("cancellation of a job with a name of more than %d bytes", maxNameBytes)
+	cancelled := job.Cancellation{Job: r.Job, Origin: r.Origin}
+	if err := cancelled.Validate(); err != nil {
+		return err
 	}
-	led := make(chan []shard.ID, 1)
-	if !s.config.Local.Post(node.PeerCancelled{Cancellation: job.Cancellation{Job: r.Job, Queue: r.Queue}, Led: led}) {
+	answers := make(chan node.CancelAnswer, 1)
+	if !s.config.Local.Post(node.PeerCancelled{Cancellation: cancelled, Reply: answers}) {
 		return errShuttingDown
 	}
-	all, err := await(led, s.config.ControlTimeout)
-	reply.Led = all
+	answer, err := await(answers, s.config.ControlTimeout)
+	reply.Led, reply.Found = answer.Led, answer.Found
 	return err
 }
 
--- a/internal/link/peer/wire.go
+++ b/internal/link/peer/wire.go
@@ -92,12 +92,15 @@
 
 // CancelRequest cancels a job.
 type CancelRequest struct {
-	Job   job.ID
-	Queue queue.Name
+	Job    job.ID
+	Origin job.Origin
 }
 
 // CancelReply names the shards that the VM leads. None of them starts a task of the job any more.
-type CancelReply struct{ Led []shard.ID }
+type CancelReply struct {
+	Led   []shard.ID
+	Found bool
+}
 
 // YieldRequest asks a successor to take over a shard.
 type YieldRequest struct {
--- a/internal/process/daemon/traffic.go
+++ b/internal/process/daemon/traffic.go
@@ -192,12 +192,12 @@
 }
 
 func (t *traffic) cancel(a node.SendCancel) {
-	led, err := t.peers.Cancel(a.To, a.Cancellation)
+	answer, err := t.peers.Cancel(a.To, a.Cancellation)
 	if err != nil {
 		t.logger.callFailed("cancel", string(a.To.Incarnation), err)
 		return
 	}
-	t.loop.Post(node.CancelAnswered{Cancellation: a.Cancellation, From: a.To.Incarnation, Led: led})
+	t.loop.Post(node.CancelAnswered{Cancellation: a.Cancellation, From: a.To.Incarnation, Answer: answer})
 }
 
 func (t *traffic) yield(a node.SendYield) {
--- a/internal/world/job/job.go
+++ b/internal/world/job/job.go
@@ -48,7 +48,9 @@
 
 // Job is what a caller submits.
 type Job struct {
-	ID      ID
+	ID ID
+	// Origin is where the caller sent the job, and Queue the queue that accepted it there.
+	Origin  Origin
 	Queue   queue.Name
 	Payload Payload
 	Steps   []Step
--- a/internal/world/job/outcome.go
+++ b/internal/world/job/outcome.go
@@ -77,5 +77,6 @@
 	TimeLimit          Reason = "timeLimit"
 	LeaseExpired       Reason = "interestLapsed"
 	Superseded         Reason = "superseded"
+	IDInUse            Reason = "idInUse"
 	ShardLost          Reason = "cellLost"
 )
