leader: a job goes on by the queue that accepted it

Callers whose job had tasks left when its route went from the desired state got 504 at their time limit: the leader looked the queue up by its name and neither started nor refused what was left. It now keeps the queue as of the latest desired state that had it. TestJobGoesOnWithoutItsQueue fails on the code before.

--- a/internal/control/leader/admission.go
+++ b/internal/control/leader/admission.go
@@ -34,8 +34,7 @@
 		l.emit(Answer{Key: s.Key, Outcome: job.Refused{Reason: job.LateMessage, RetryAfter: retryAfter}})
 		return
 	}
-	q := l.desired.Queue(s.Job.Queue)
-	if q == nil {
+	if l.desired.Queue(s.Job.Queue) == nil {
 		l.emit(Answer{Key: s.Key, Outcome: job.Refused{Reason: job.NoDesiredState, RetryAfter: retryAfter}})
 		return
 	}
@@ -129,10 +128,10 @@
 // setDeadlines derives the objective and the latest start of a job from its critical path.
 func (l *Leader) setDeadlines(j *jobState) {
 	criticalPath := l.criticalPath(j)
-	objective := l.desired.Queue(j.queue).Objective(criticalPath)
+	objective := l.queueOf(j).Objective(criticalPath)
 	j.objective = j.submittedAt + objective
 	j.latestStart = j.objective - startOverhead - clock.Millis(float64(criticalPath)*runTimeMargin/l.highestSpeed())
-	j.sortTime = j.latestStart + clock.Millis(l.desired.Queue(j.queue).Priority)*priorityOffset
+	j.sortTime = j.latestStart + clock.Millis(l.queueOf(j).Priority)*priorityOffset
 }
 
 // priorityOffset is how much earlier a job is sorted than one of the next lower priority with the
@@ -228,7 +227,7 @@
 
 // fitsSomeEndpoint reports whether each step fits the total capacity of some available endpoint.
 func (l *Leader) fitsSomeEndpoint(j *jobState) bool {
-	q := l.desired.Queue(j.queue)
+	q := l.queueOf(j)
 	for i := range j.Job.Steps {
 		s := &j.Job.Steps[i]
 		if !slices.ContainsFunc(l.sortedEndpoints, func(ep *endpointState) bool {
--- a/internal/control/leader/attempts.go
+++ b/internal/control/leader/attempts.go
@@ -305,11 +305,7 @@
 // countTaskFailure counts a failed attempt of a task and fails the job at the limit of its queue.
 func (l *Leader) countTaskFailure(t *task) {
 	t.failures++
-	limit := 1
-	if q := l.desired.Queue(t.job.queue); q != nil {
-		limit = max(q.MaxAttempts, 1)
-	}
-	if t.failures < limit || t.job.answered {
+	if t.failures < max(l.queueOf(t.job).MaxAttempts, 1) || t.job.answered {
 		return
 	}
 	l.endTasks(t.job)
--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -194,11 +194,7 @@
 
 // placeTask starts a task at the most suitable endpoint, if there is one.
 func (l *Leader) placeTask(t *task, r *dispatchRound) bool {
-	q := l.desired.Queue(t.job.queue)
-	if q == nil {
-		return false
-	}
-	step := t.stepSpec()
+	q, step := l.queueOf(t.job), t.stepSpec()
 	timeLeft := t.job.objective - l.now - startOverhead
 	var best *endpointState
 	var bestDuration clock.Millis
--- a/internal/control/leader/forwarding.go
+++ b/internal/control/leader/forwarding.go
@@ -37,7 +37,7 @@
 	if j.Hops >= maxForwardHops || j.started || len(j.Job.Steps) != 1 || j.latestStart-l.now < shard.ForecastHorizon+forwardingDelay {
 		return nil
 	}
-	priority := l.desired.Queue(j.queue).Priority
+	priority := l.queueOf(j).Priority
 	forecast := func(load shardLoad) int64 { return load.forecastCPU(priority) }
 	loads := l.freshLoads()
 	slices.SortFunc(loads, func(a, b shardLoad) int {
@@ -144,9 +144,7 @@
 	}
 	load.SoonCPU = max(load.SoonCPU-int64(l.overcommittedCPU()), 0)
 	for _, j := range l.queue {
-		if q := l.desired.Queue(j.queue); q != nil {
-			load.AddWaiting(q.Priority, int64(j.demand()))
-		}
+		load.AddWaiting(l.queueOf(j).Priority, int64(j.demand()))
 	}
 	return load
 }
--- a/internal/control/leader/job_state.go
+++ b/internal/control/leader/job_state.go
@@ -10,7 +10,9 @@
 type jobState struct {
 	job.Submission
 	queue queue.Name
-	tasks []*task
+	// acceptedBy is the queue as of the latest desired state that had it.
+	acceptedBy *queue.Queue
+	tasks      []*task
 	// openByStep counts the tasks of each step that are not done.
 	openByStep []int
 	openTasks  int
@@ -47,3 +49,12 @@
 	}
 	return j
 }
+
+// queueOf returns the queue of a job. A job belongs to the queue that accepted it, also once the desired state no
+// longer has it.
+func (l *Leader) queueOf(j *jobState) *queue.Queue {
+	if q := l.desired.Queue(j.queue); q != nil {
+		j.acceptedBy = q
+	}
+	return j.acceptedBy
+}
--- a/internal/control/leader/resent_test.go
+++ b/internal/control/leader/resent_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
@@ -158,3 +159,22 @@
 		t.Errorf("got %s once the first job has ended, want %s", got, want)
 	}
 }
+
+// Guards against a job whose tasks are neither started nor refused once its queue has gone from the desired state.
+func TestJobGoesOnWithoutItsQueue(t *testing.T) {
+	c := newCluster(t, 37, 2)
+	c.duration = func(job.TaskName) clock.Millis { return 100 }
+	c.addLeader(1, 256)
+	c.advance(50)
+	c.renewLeases(1, "a-1", 1)
+	s := submission("a-1", 1, 1)
+	s.Job.Steps = append(s.Job.Steps, s.Job.Steps[0])
+	s.Job.Steps[1].After = []int{0}
+	c.deliver(1, Submitted{Submission: s})
+	c.advance(20)
+	c.deliver(1, DesiredState{State: queue.NewState(2, nil, testState().Services, queue.Limits{})})
+	c.advance(400)
+	if got, want := outcomeName(c.outcomes[s.Key]), "job.Completed"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
--- a/internal/control/leader/suspects.go
+++ b/internal/control/leader/suspects.go
@@ -45,10 +45,6 @@
 // placeSuspect starts a task that may crash its endpoint at one without other tasks. While there is
 // none, the endpoint that is expected to be free first is held for it.
 func (l *Leader) placeSuspect(t *task) bool {
-	q := l.desired.Queue(t.job.queue)
-	if q == nil {
-		return false
-	}
 	l.releaseEndpoints()
 	held := l.endpointHeldFor(t)
 	if held == nil && len(l.isolatedEndpoints) >= l.maxSuspects() {
@@ -70,8 +66,8 @@
 
 // suits reports whether a task may run at an endpoint once nothing else does.
 func (l *Leader) suits(t *task, ep *endpointState) bool {
-	step, q := t.stepSpec(), l.desired.Queue(t.job.queue)
-	return q != nil && ep.Service == q.Service && ep.HasLabel(step.Requires) && ep.Capacity.Fits(step.Demand) && ep.accepts(l.now) && !l.avoids(t, ep)
+	step, q := t.stepSpec(), l.queueOf(t.job)
+	return ep.Service == q.Service && ep.HasLabel(step.Requires) && ep.Capacity.Fits(step.Demand) && ep.accepts(l.now) && !l.avoids(t, ep)
 }
 
 // emptyEndpoint returns the most suitable endpoint without tasks for a suspect: the one that is held
