node: cancellations that were acknowledged outlive the VMs

Cancellations were kept in the memory of the VMs alone.

A DELETE is now answered with 200 once its cancellation is stored. A VM reads the rows when it starts and leads a shard only after that; a new leader reads them again before it starts anything. While the store is down, callers get 503 with Retry-After.

--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -42,7 +42,7 @@
 		l.heldSince = 0
 		return
 	}
-	if held := l.holdsStarts(); held || l.resuming {
+	if held := l.holdsStarts(); held || l.resuming || l.awaitsCancellations {
 		return
 	}
 	r := l.newRound()
--- a/internal/control/leader/event.go
+++ b/internal/control/leader/event.go
@@ -122,22 +122,26 @@
 // Cancelled means that the caller of a job has cancelled it.
 type Cancelled struct{ Cancellation job.Cancellation }
 
+// CancellationsKnown means that the leader has been told of all cancellations that were stored before it took over.
+type CancellationsKnown struct{}
+
 // EstimatesLoaded holds the performance estimates of an earlier leader of the shard.
 type EstimatesLoaded struct{ Estimates estimate.Estimates }
 
 // Tick is sent at regular intervals for everything that depends on time alone.
 type Tick struct{}
 
-func (Submitted) event()        {}
-func (JobLeasesRenewed) event() {}
-func (StartEnded) event()       {}
-func (StartSlow) event()        {}
-func (StopEnded) event()        {}
-func (HoldEnded) event()        {}
-func (EndpointsListed) event()  {}
-func (StoreReported) event()    {}
-func (DesiredState) event()     {}
-func (LoadReported) event()     {}
-func (Cancelled) event()        {}
-func (EstimatesLoaded) event()  {}
-func (Tick) event()             {}
+func (Submitted) event()          {}
+func (JobLeasesRenewed) event()   {}
+func (StartEnded) event()         {}
+func (StartSlow) event()          {}
+func (StopEnded) event()          {}
+func (HoldEnded) event()          {}
+func (EndpointsListed) event()    {}
+func (StoreReported) event()      {}
+func (DesiredState) event()       {}
+func (LoadReported) event()       {}
+func (Cancelled) event()          {}
+func (CancellationsKnown) event() {}
+func (EstimatesLoaded) event()    {}
+func (Tick) event()               {}
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -34,6 +34,8 @@
 	LinkDelay func() clock.Millis
 	// StoreLost means that the store does not answer this VM.
 	StoreLost bool
+	// AwaitsCancellations means that nothing is started before CancellationsKnown.
+	AwaitsCancellations bool
 	// OrphansEndBy is when the attempts of earlier leaders that no job adopts have to have ended, or 0
 	// if this VM has not heard of it. Their callers may send the jobs again from then on.
 	OrphansEndBy clock.Millis
@@ -77,6 +79,8 @@
 	capacitiesReadAt clock.Millis
 	// storeLost means that the store does not answer this VM.
 	storeLost bool
+	// awaitsCancellations means that a task may belong to a job that was cancelled before the take-over.
+	awaitsCancellations bool
 	// heldSince is since when starts wait for a current list, or 0 if none do.
 	heldSince clock.Millis
 	now       clock.Millis
@@ -99,7 +103,7 @@
 // New returns a leader that has just taken over the shard.
 func New(c Config) *Leader {
 	l := &Leader{
-		config: c, desired: c.Desired, now: c.Now, storeLost: c.StoreLost,
+		config: c, desired: c.Desired, now: c.Now, storeLost: c.StoreLost, awaitsCancellations: c.AwaitsCancellations,
 		endpoints: make(map[datacentre.EndpointID]*endpointState), dropped: make(map[datacentre.EndpointID]droppedEndpoint), jobs: make(map[job.Key]*jobState),
 		jobsByID: make(map[job.ID][]*jobState), activeTasks: make(map[job.TaskName]*task),
 		entryVMs: make(map[vm.Incarnation]*entryVM), orphans: make(orphans),
@@ -180,6 +184,8 @@
 				l.cancel(j)
 			}
 		}
+	case CancellationsKnown:
+		l.awaitsCancellations = false
 	case EstimatesLoaded:
 		l.inheritEstimates(e.Estimates)
 	case Tick:
--- a/internal/control/node/action.go
+++ b/internal/control/node/action.go
@@ -54,6 +54,24 @@
 	Cancellation job.Cancellation
 }
 
+// CancellationRow is the key of a row with cancellations in the store.
+type CancellationRow string
+
+// CancellationLoad numbers the reads of the stored cancellations by this VM, from 1.
+type CancellationLoad uint64
+
+// SaveCancellations stores cancellations in a row of their own.
+type SaveCancellations struct {
+	Row CancellationRow
+	All []job.Cancellation
+}
+
+// LoadCancellations reads all stored cancellations.
+type LoadCancellations struct{ Load CancellationLoad }
+
+// RemoveCancellations removes rows from the store.
+type RemoveCancellations struct{ Rows []CancellationRow }
+
 // SendYield asks a successor to take over.
 type SendYield struct {
 	To         shard.Member
@@ -149,19 +167,22 @@
 	DesiredStateApplied
 )
 
-func (LeaderAction) action()      {}
-func (SendSubmission) action()    {}
-func (SendHeartbeat) action()     {}
-func (SendCancel) action()        {}
-func (SendYield) action()         {}
-func (WriteReplicaSet) action()   {}
-func (LoadEstimates) action()     {}
-func (SaveEstimates) action()     {}
-func (LoadCrashes) action()       {}
-func (SaveCrashes) action()       {}
-func (Probe) action()             {}
-func (QuerySeed) action()         {}
-func (FetchDesiredState) action() {}
-func (FetchEndpoints) action()    {}
-func (ReadEndpoints) action()     {}
-func (LogEvent) action()          {}
+func (LeaderAction) action()        {}
+func (SendSubmission) action()      {}
+func (SendHeartbeat) action()       {}
+func (SendCancel) action()          {}
+func (SaveCancellations) action()   {}
+func (LoadCancellations) action()   {}
+func (RemoveCancellations) action() {}
+func (SendYield) action()           {}
+func (WriteReplicaSet) action()     {}
+func (LoadEstimates) action()       {}
+func (SaveEstimates) action()       {}
+func (LoadCrashes) action()         {}
+func (SaveCrashes) action()         {}
+func (Probe) action()               {}
+func (QuerySeed) action()           {}
+func (FetchDesiredState) action()   {}
+func (FetchEndpoints) action()      {}
+func (ReadEndpoints) action()       {}
+func (LogEvent) action()            {}
--- a/internal/control/node/cancellations.go
+++ b/internal/control/node/cancellations.go
@@ -27,6 +27,9 @@
 	at clock.Millis
 	// received means that the caller has sent it to this VM, which has to tell the leaders.
 	received bool
+	// storedAt is when its row was stored, or 0. storing means that it waits for a write.
+	storedAt clock.Millis
+	storing  bool
 	// found means that a VM had the job.
 	found bool
 	// confirmedBy is the leader of each shard that has confirmed it, and sentAt when the present leader was
@@ -47,12 +50,12 @@
 	return n.cancellations[job.Cancellation{Job: j.ID, Origin: j.Origin}] != nil
 }
 
-// recordCancellation ends a job at this VM and in the shards that it leads. It returns nil if this VM has
-// too many cancellations.
-func (n *Control) recordCancellation(j job.Cancellation) *cancellation {
+// recordCancellation ends a job at this VM and in the shards that it leads. It returns nil if this VM has the
+// limit of cancellations.
+func (n *Control) recordCancellation(j job.Cancellation, limit int) *cancellation {
 	c := n.cancellations[j]
 	if c == nil {
-		if len(n.cancellations) >= maxCancellations {
+		if len(n.cancellations) >= limit {
 			return nil
 		}
 		c = &cancellation{Cancellation: j, at: n.now, confirmedBy: make(map[shard.ID]vm.Incarnation), sentAt: make(map[shard.ID]clock.Millis)}
@@ -68,12 +71,12 @@
 	return c
 }
 
-// handleCancelRequested tells the leaders of all shards, and the members of their replica sets, any of which
+// handleCancelRequested stores a cancellation and tells the leaders of all shards, and the members of their replica sets, any of which
 // may be the next leader.
 func (n *Control) handleCancelRequested(e CancelRequested) {
-	c := n.recordCancellation(e.Cancellation)
+	c := n.recordCancellation(e.Cancellation, maxCancellations)
 	if c == nil {
-		e.Done <- CancelUnconfirmed{}
+		e.Done <- CancelUnconfirmed{Reason: job.NotStored}
 		return
 	}
 	c.at, c.received = n.now, true
@@ -90,13 +93,14 @@
 			c.sentAt[id] = n.now
 		}
 	}
+	n.storeCancellation(c)
 	n.confirm(c)
 }
 
 // handlePeerCancelled records a cancellation that another VM has received.
 func (n *Control) handlePeerCancelled(e PeerCancelled) {
 	var answer CancelAnswer
-	if c := n.recordCancellation(e.Cancellation); c != nil {
+	if c := n.recordCancellation(e.Cancellation, maxCancellations); c != nil {
 		answer.Found = c.found
 		for _, id := range n.shards {
 			if n.ledShards[id] != nil {
@@ -128,7 +132,7 @@
 	n.cancelsConfirmedAt = n.now
 	n.cancelOrder = slices.DeleteFunc(n.cancelOrder, func(c *cancellation) bool {
 		if n.now >= c.at+cancelRetention {
-			n.endWaiters(c, CancelUnconfirmed{})
+			n.endWaiters(c, c.unconfirmed())
 			delete(n.cancellations, c.Cancellation)
 			return true
 		}
@@ -139,10 +143,10 @@
 	})
 }
 
-// confirm answers the callers once the present leader of each shard has confirmed the cancellation, and tells
-// leaders that have not.
+// confirm answers the callers once the cancellation is stored and the present leader of each shard has confirmed
+// it, and tells leaders that have not.
 func (n *Control) confirm(c *cancellation) {
-	confirmed := true
+	confirmed := c.storedAt != 0
 	for _, id := range n.shards {
 		if n.ledShards[id] != nil {
 			c.confirmedBy[id] = n.config.Self.Incarnation
@@ -166,11 +170,19 @@
 		if n.now < w.until {
 			return false
 		}
-		w.done <- CancelUnconfirmed{}
+		w.done <- c.unconfirmed()
 		return true
 	})
 }
 
+// unconfirmed says why a cancellation has not been confirmed.
+func (c *cancellation) unconfirmed() CancelUnconfirmed {
+	if c.storedAt == 0 {
+		return CancelUnconfirmed{Reason: job.NotStored}
+	}
+	return CancelUnconfirmed{Reason: job.NoLeader}
+}
+
 func (n *Control) endWaiters(c *cancellation, o CancelOutcome) {
 	for _, w := range c.waiters {
 		w.done <- o
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -86,8 +86,9 @@
 	cancellations map[job.Cancellation]*cancellation
 	// cancelOrder has them in the order in which they arrived; cancelsConfirmedAt is when they were last
 	// looked at.
-	cancelOrder        []*cancellation
-	cancelsConfirmedAt clock.Millis
+	cancelOrder         []*cancellation
+	cancelsConfirmedAt  clock.Millis
+	storedCancellations storedCancellations
 	// callers and peers receive the outcomes of jobs of this VM's callers and of other VMs.
 	callers map[job.Key]chan<- job.Outcome
 	peers   map[job.Key]chan<- job.Outcome
@@ -140,6 +141,8 @@
 	savedAt clock.Millis
 	// savedCrashes is the revision of the crashes that were last written to the store.
 	savedCrashes crash.Revision
+	// cancellations is the read of the stored cancellations that this leadership waits for, or 0.
+	cancellations CancellationLoad
 	// yielding says that a successor has been asked to take over.
 	yielding bool
 	// nextYieldAt is when a VM that shuts down next looks for a successor.
@@ -180,6 +183,9 @@
 // Handle processes an event and returns the actions that result from it.
 func (n *Control) Handle(now clock.Millis, e Event) []Action {
 	n.now, n.actions = now, nil
+	if n.storedCancellations.requested == 0 {
+		n.loadCancellations()
+	}
 	switch e := e.(type) {
 	case JobArrived:
 		n.handleJobArrived(e)
@@ -187,6 +193,12 @@
 		n.gateway.CallerDisconnected(e.Key, now)
 	case CancelRequested:
 		n.handleCancelRequested(e)
+	case CancellationsSaved:
+		n.handleCancellationsSaved(e)
+	case CancellationsLoaded:
+		n.handleCancellationsLoaded(e)
+	case CancellationsRemoved:
+		n.storedCancellations.handleRemoved(e, now)
 	case CancelAnswered:
 		n.handleCancelAnswered(e)
 	case SubmitAnswered:
--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -50,11 +50,30 @@
 type CancelConfirmed struct{ Found bool }
 
 // CancelUnconfirmed means that the job may go on.
-type CancelUnconfirmed struct{}
+type CancelUnconfirmed struct{ Reason job.Reason }
 
 func (CancelConfirmed) cancelOutcome()   {}
 func (CancelUnconfirmed) cancelOutcome() {}
 
+// CancellationsSaved says whether a row of cancellations has been stored.
+type CancellationsSaved struct {
+	Row CancellationRow
+	OK  bool
+}
+
+// CancellationsLoaded is the answer to LoadCancellations: the stored cancellations by their rows, or OK false.
+type CancellationsLoaded struct {
+	Load CancellationLoad
+	Rows map[CancellationRow][]job.Cancellation
+	OK   bool
+}
+
+// CancellationsRemoved says whether rows have been removed from the store.
+type CancellationsRemoved struct {
+	Rows []CancellationRow
+	OK   bool
+}
+
 // CancelAnswered is a peer's answer to a cancellation.
 type CancelAnswered struct {
 	Cancellation job.Cancellation
@@ -213,32 +232,35 @@
 // Tick triggers periodic work.
 type Tick struct{}
 
-func (JobArrived) event()         {}
-func (CallerDisconnected) event() {}
-func (CancelRequested) event()    {}
-func (CancelAnswered) event()     {}
-func (SubmitAnswered) event()     {}
-func (PeerSubmitted) event()      {}
-func (PeerHeartbeat) event()      {}
-func (HeartbeatAnswered) event()  {}
-func (PeerCancelled) event()      {}
-func (PeerYielded) event()        {}
-func (YieldEnded) event()         {}
-func (LeaderEvent) event()        {}
-func (DesiredStateLoaded) event() {}
-func (EndpointsLoaded) event()    {}
-func (StoreReported) event()      {}
-func (VMsLoaded) event()          {}
-func (ReplicaSetsLoaded) event()  {}
-func (ReplicaSetWritten) event()  {}
-func (EstimatesLoaded) event()    {}
-func (CrashesLoaded) event()      {}
-func (PeerStateRequested) event() {}
-func (SeedAnswered) event()       {}
-func (ProbeEnded) event()         {}
-func (ShutdownRequested) event()  {}
-func (ShutdownOverdue) event()    {}
-func (Tick) event()               {}
+func (JobArrived) event()           {}
+func (CallerDisconnected) event()   {}
+func (CancelRequested) event()      {}
+func (CancelAnswered) event()       {}
+func (CancellationsSaved) event()   {}
+func (CancellationsLoaded) event()  {}
+func (CancellationsRemoved) event() {}
+func (SubmitAnswered) event()       {}
+func (PeerSubmitted) event()        {}
+func (PeerHeartbeat) event()        {}
+func (HeartbeatAnswered) event()    {}
+func (PeerCancelled) event()        {}
+func (PeerYielded) event()          {}
+func (YieldEnded) event()           {}
+func (LeaderEvent) event()          {}
+func (DesiredStateLoaded) event()   {}
+func (EndpointsLoaded) event()      {}
+func (StoreReported) event()        {}
+func (VMsLoaded) event()            {}
+func (ReplicaSetsLoaded) event()    {}
+func (ReplicaSetWritten) event()    {}
+func (EstimatesLoaded) event()      {}
+func (CrashesLoaded) event()        {}
+func (PeerStateRequested) event()   {}
+func (SeedAnswered) event()         {}
+func (ProbeEnded) event()           {}
+func (ShutdownRequested) event()    {}
+func (ShutdownOverdue) event()      {}
+func (Tick) event()                 {}
 
 // HeartbeatRequest is the message of an entry VM to the leader of a shard. It renews the leases of
 // the VM's jobs there. The field names are sent.
--- a/internal/control/node/heartbeats.go
+++ b/internal/control/node/heartbeats.go
@@ -61,6 +61,7 @@
 	n.dropMissing()
 	n.querySeeds()
 	n.confirmCancellations()
+	n.maintainStoredCancellations()
 	n.gateway.Tick(n.now)
 	n.distributeLoads()
 }
@@ -109,7 +110,7 @@
 	revision := n.monitors[id].ReplicaSet().Revision
 	return failover.Environment{
 		ClaimDelay: func() clock.Millis { return n.claimDelay(id) },
-		MayLead:    func() bool { return !n.shutdown && n.canReachEndpoints(id) },
+		MayLead:    func() bool { return !n.shutdown && n.mayLead(id) },
 		Idle:       func() bool { return n.isIdleAt(id) },
 		Replaced: func(m shard.Member) bool {
 			v, ok := n.vmRecords[m.Incarnation.VM()]
--- a/internal/control/node/leadership.go
+++ b/internal/control/node/leadership.go
@@ -33,7 +33,7 @@
 // becomeLeader makes this VM the leader of a shard under its rank in the replica set. handedOverBy
 // is the leader before, if it has listed all endpoints with attempts of its jobs.
 func (n *Control) becomeLeader(id shard.ID, set shard.ReplicaSet, rank int, handedOverBy vm.Incarnation) {
-	if n.shutdown || n.ledShards[id] != nil || !n.canReachEndpoints(id) {
+	if n.shutdown || n.ledShards[id] != nil || !n.mayLead(id) {
 		return
 	}
 	token := set.Token(rank)
@@ -41,7 +41,9 @@
 	n.ledShards[id] = &ledShard{id: n.lastLeadership, writtenAt: n.now, acquiredAt: n.now, savedAt: n.now, handedOverBy: handedOverBy, leader: leader.New(leader.Config{
 		Shard: id, Token: token, Timeouts: n.config.Timeouts, FarFactor: n.config.FarFactor,
 		Desired: n.desired, Crashes: n.crashes, LinkDelay: n.config.LinkDelay, Now: n.now, StoreLost: n.isStoreLost(), OrphansEndBy: n.monitors[id].OrphansEndBy(),
+		AwaitsCancellations: true,
 	})}
+	n.ledShards[id].cancellations = n.loadCancellations()
 	n.monitors[id].BecameLeader(token, n.now)
 	n.emit(ReadEndpoints{})
 	n.emit(LoadEstimates{Shard: id})
@@ -57,6 +59,13 @@
 		}
 	}
 	n.sendEndpoints(id)
+	n.releaseStarts(id)
+}
+
+// mayLead reports whether this VM may become the leader of a shard: it knows the cancellations that were stored
+// before it started, and reaches the endpoints.
+func (n *Control) mayLead(id shard.ID) bool {
+	return n.storedCancellations.loaded > 0 && n.canReachEndpoints(id)
 }
 
 // leads reports whether a leadership of a shard has not ended.
@@ -79,7 +88,7 @@
 
 // claim tries to become the leader of a shard without one by writing a replica set.
 func (n *Control) claim(id shard.ID) {
-	if !n.canReachEndpoints(id) {
+	if !n.mayLead(id) {
 		return
 	}
 	set := n.monitors[id].ReplicaSet()
--- a/internal/control/node/model_execute_test.go
+++ b/internal/control/node/model_execute_test.go
@@ -30,6 +30,9 @@
 		v.sendHeartbeat(a)
 	case node.SendCancel:
 		v.cancel(a)
+	case node.LoadCancellations:
+		v.loadCancellations(a)
+	case node.SaveCancellations, node.RemoveCancellations:
 	case node.SendYield:
 		v.yield(a)
 	case node.WriteReplicaSet:
@@ -210,6 +213,14 @@
 	}, func(exchangeFailure) {})
 }
 
+// loadCancellations reads the stored cancellations. The model's callers cancel nothing.
+func (v *modelVM) loadCancellations(a node.LoadCancellations) {
+	end := func(ok bool) { v.post(v.life, node.CancellationsLoaded{Load: a.Load, OK: ok}) }
+	v.newExchange(storeName, storeTimeout, onlyLife, func(x *exchange) {
+		v.world.store.serve(x, func() { x.answer(func() { end(true) }) })
+	}, func(exchangeFailure) { end(false) })
+}
+
 func (v *modelVM) yield(a node.SendYield) {
 	end := func(accepted bool) {
 		v.post(v.life, node.YieldEnded{Shard: a.ReplicaSet.Cell, Leadership: a.Leadership, Accepted: accepted})
--- a/internal/control/node/node_test.go
+++ b/internal/control/node/node_test.go
@@ -27,7 +27,10 @@
 	answers map[vm.Incarnation]HeartbeatReply
 	// storeLost says that reads of the list of endpoints keep failing, so that its age holds up no start.
 	storeLost bool
-	actions   []Action
+	// stored are the cancellations in the store, and storedLost says that reads of them fail.
+	stored     map[CancellationRow][]job.Cancellation
+	storedLost bool
+	actions    []Action
 }
 
 func newVM(dc datacentre.ID, name string) shard.VM {
@@ -36,7 +39,7 @@
 
 func newHarness(t *testing.T) *harness {
 	t.Helper()
-	h := &harness{t: t, now: 100_000, answers: make(map[vm.Incarnation]HeartbeatReply), storeLost: true}
+	h := &harness{t: t, now: 100_000, answers: make(map[vm.Incarnation]HeartbeatReply), stored: make(map[CancellationRow][]job.Cancellation), storeLost: true}
 	h.control = New(Config{
 		Self: newVM("centro", "me-1"), DataCentres: []datacentre.ID{"centro", "norte"},
 		Timeouts: leader.DefaultTimeouts(1000, 50, 1300, 2000), FarFactor: 1.5, Successors: 3, Now: h.now,
@@ -73,6 +76,18 @@
 		switch a := a.(type) {
 		case Probe:
 			h.handle(ProbeEnded{Shard: a.Shard, Reachable: h.reachable})
+		case LoadCancellations:
+			h.handle(CancellationsLoaded{Load: a.Load, Rows: h.stored, OK: !h.storedLost})
+		case SaveCancellations:
+			if !h.storedLost {
+				h.stored[a.Row] = a.All
+			}
+			h.handle(CancellationsSaved{Row: a.Row, OK: !h.storedLost})
+		case RemoveCancellations:
+			for _, row := range a.Rows {
+				delete(h.stored, row)
+			}
+			h.handle(CancellationsRemoved{Rows: a.Rows, OK: true})
 		case SendHeartbeat:
 			reply, ok := h.answers[a.To.Incarnation]
 			h.handle(HeartbeatAnswered{Shard: a.Request.Cell, Reply: reply, Answer: failover.Answer{
--- a/internal/link/caller/server.go
+++ b/internal/link/caller/server.go
@@ -245,7 +245,7 @@
 	if !s.config.Local.Post(node.CancelRequested{Cancellation: cancelled, Limit: min(waitLimit(c.Request()), cancelTimeout), Done: done}) {
 		return s.writeResponse(c, platform.Refusal(string(job.Draining), clock.Second))
 	}
-	var outcome node.CancelOutcome = node.CancelUnconfirmed{}
+	var outcome node.CancelOutcome = node.CancelUnconfirmed{Reason: job.CallerDisconnected}
 	select {
 	case outcome = <-done:
 	case <-c.Request().Context().Done():
@@ -257,6 +257,7 @@
 		}
 		return s.writeResponse(c, platform.Cancelled())
 	case node.CancelUnconfirmed:
+		return s.writeResponse(c, platform.Refusal(string(o.Reason), clock.Second))
 	}
-	return s.writeResponse(c, platform.Refusal(string(job.NoLeader), clock.Second))
+	return s.writeResponse(c, platform.Refusal("unknown outcome", clock.Second))
 }
--- a/internal/link/store/codec.go
+++ b/internal/link/store/codec.go
@@ -243,3 +243,47 @@
 	}
 	return all, nil
 }
+
+type wireCancellations struct {
+	Cancelled []wireCancellation `json:"cancelled"`
+}
+
+type wireCancellation struct {
+	Job    string `json:"job"`
+	Origin string `json:"origin"`
+}
+
+// maxStoredCancellations bounds the cancellations in a row; VMs write fewer.
+const maxStoredCancellations = 1000
+
+// EncodeCancellations returns a row of cancellations.
+func EncodeCancellations(all []job.Cancellation) ([]byte, error) {
+	var w wireCancellations
+	for _, c := range all {
+		w.Cancelled = append(w.Cancelled, wireCancellation{Job: string(c.Job), Origin: string(c.Origin)})
+	}
+	return json.Marshal(w)
+}
+
+// DecodeCancellations reads a row of cancellations. The error names implausible ones, and the others are returned
+// with it.
+func DecodeCancellations(r Row) ([]job.Cancellation, error) {
+	var w wireCancellations
+	if err := json.Unmarshal(r.Value, &w); err != nil {
+		return nil, errors.Annotatef(err, "decode cancellations %s", r.Key)
+	}
+	var all []job.Cancellation
+	odd := max(len(w.Cancelled)-maxStoredCancellations, 0)
+	for _, c := range w.Cancelled[odd:] {
+		cancelled := job.Cancellation{Job: job.ID(c.Job), Origin: job.Origin(c.Origin)}
+		if cancelled.Validate() != nil {
+			odd++
+			continue
+		}
+		all = append(all, cancelled)
+	}
+	if odd > 0 {
+		return all, errors.NotValidf("decode cancellations %s: %d of %d cancellations", r.Key, odd, len(w.Cancelled))
+	}
+	return all, nil
+}
--- a/internal/link/store/fuzz_test.go
+++ b/internal/link/store/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 	"testing"
 
@@ -99,6 +100,33 @@
 	})
 }
 
+// Guards against cancellations of other writers that take up memory without bound.
+func FuzzDecodeCancellations(f *testing.F) {
+	addSeeds(f)
+	f.Add([]byte(`{"cancelled":[{"job":"5c0e7a21d94b36f8","origin":"h.example/q/"}]}`))
+	f.Add([]byte(`{"cancelled":[{"job":"","origin":"h"},{"job":"` + strings.Repeat("a", 1000) + `"},7]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		all, _ := DecodeCancellations(Row{Key: "vm-1#0.1", Value: text})
+		for _, c := range all {
+			if c.Validate() != nil || len(all) > maxStoredCancellations {
+				t.Errorf("got %d cancellations with %+v, want plausible ones", len(all), c)
+			}
+		}
+	})
+}
+
+// Guards against cancellations that are other ones when they are read again.
+func TestCancellationsAreReadAsWritten(t *testing.T) {
+	want := []job.Cancellation{{Job: "5c0e7a21d94b36f8", Origin: "h.example/q/"}, {Job: "0000000000000001", Origin: "h/<é\"&/"}}
+	text, err := EncodeCancellations(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := DecodeCancellations(Row{Value: text}); err != nil || !slices.Equal(got, want) {
+		t.Errorf("got %v, %v, want %v", got, err, want)
+	}
+}
+
 // Guards against a row of crashes that the platform refuses because it is too large.
 func TestCrashesFitARow(t *testing.T) {
 	var all []crash.Record
--- a/internal/link/store/store.go
+++ b/internal/link/store/store.go
@@ -23,6 +23,8 @@
 	Estimates Table = "experiences"
 	// Crashes has a row with the crashes of endpoints that each shard's leader knew of.
 	Crashes Table = "crashes"
+	// Cancellations has rows of cancelled jobs; a key begins with the VM that wrote the row.
+	Cancellations Table = "cancellations"
 	// Entry has the rows of the entry daemon; keys begin with the purpose of the row.
 	Entry Table = "entry"
 )
@@ -73,4 +75,6 @@
 	Write(ctx context.Context, t Table, key string, value []byte, expected Revision) (Revision, error)
 	// Put writes a row unconditionally.
 	Put(ctx context.Context, t Table, key string, value []byte) error
+	// RemoveAll removes up to 100 rows unconditionally.
+	RemoveAll(ctx context.Context, t Table, keys []string) error
 }
--- a/internal/process/daemon/traffic.go
+++ b/internal/process/daemon/traffic.go
@@ -16,6 +16,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/process/network"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/estimate"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/trace"
 	"github.com/sequoiacart/sequoiacart/platform"
@@ -52,6 +53,12 @@
 		go t.sendHeartbeat(a)
 	case node.SendCancel:
 		go t.cancel(a)
+	case node.SaveCancellations:
+		go t.saveCancellations(a)
+	case node.LoadCancellations:
+		go t.loadCancellations(a)
+	case node.RemoveCancellations:
+		go t.removeCancellations(a)
 	case node.SendYield:
 		go t.yield(a)
 	case node.WriteReplicaSet:
@@ -200,6 +207,47 @@
 	t.loop.Post(node.CancelAnswered{Cancellation: a.Cancellation, From: a.To.Incarnation, Answer: answer})
 }
 
+func (t *traffic) saveCancellations(a node.SaveCancellations) {
+	body, err := store.EncodeCancellations(a.All)
+	if err == nil {
+		err = t.store.Put(t.ctx, store.Cancellations, string(a.Row), body)
+	}
+	if err != nil {
+		t.logger.callFailed("write cancellations", "store", err)
+	}
+	t.meter.Count("cancellations.writes")
+	t.loop.Post(node.CancellationsSaved{Row: a.Row, OK: err == nil})
+}
+
+func (t *traffic) loadCancellations(a node.LoadCancellations) {
+	loaded := node.CancellationsLoaded{Load: a.Load, Rows: make(map[node.CancellationRow][]job.Cancellation)}
+	table, err := t.store.Read(t.ctx, store.Cancellations)
+	if err != nil {
+		t.logger.callFailed("read cancellations", "store", err)
+	}
+	loaded.OK = err == nil
+	for _, row := range table.Rows {
+		all, err := store.DecodeCancellations(row)
+		if err != nil {
+			t.logger.callFailed("decode cancellations", "store", err)
+		}
+		loaded.Rows[node.CancellationRow(row.Key)] = all
+	}
+	t.loop.Post(loaded)
+}
+
+func (t *traffic) removeCancellations(a node.RemoveCancellations) {
+	keys := make([]string, len(a.Rows))
+	for i, row := range a.Rows {
+		keys[i] = string(row)
+	}
+	err := t.store.RemoveAll(t.ctx, store.Cancellations, keys)
+	if err != nil {
+		t.logger.callFailed("remove cancellations", "store", err)
+	}
+	t.loop.Post(node.CancellationsRemoved{Rows: a.Rows, OK: err == nil})
+}
+
 func (t *traffic) yield(a node.SendYield) {
 	accepted, err := t.peers.Yield(a)
 	if err != nil {
--- a/internal/world/job/outcome.go
+++ b/internal/world/job/outcome.go
@@ -78,5 +78,6 @@
 	LeaseExpired       Reason = "interestLapsed"
 	Superseded         Reason = "superseded"
 	IDInUse            Reason = "idInUse"
+	NotStored          Reason = "notStored"
 	ShardLost          Reason = "cellLost"
 )
