node: an overdue read of the cancellations is sent again

Starts at a shard that has just been taken over wait for the read. When only its answer was lost they waited for the timeout of 800 ms. A second read is sent after 300 ms.

--- a/internal/control/node/stored_cancellations.go
+++ b/internal/control/node/stored_cancellations.go
@@ -23,6 +23,10 @@
 	saveIntervalPerVM = clock.Millis(10)
 	// cancelLoadRetry is the pause after a read of the stored cancellations that failed.
 	cancelLoadRetry = clock.Millis(150)
+	// cancelLoadPatience is how long an answer may take before the read is sent a second time: the store answers
+	// within 4 ms, or 60 times slower while it is overloaded. A read that has no answer ends after 800 ms.
+	cancelLoadPatience = clock.Millis(300)
+	maxCancelLoads     = 2
 	// foreignRowRetention is how long rows of other VMs are left to them.
 	foreignRowRetention = 2 * cancelRetention
 	// removalInterval is the interval between removals of rows, maxRowsPerRemoval the number of entries that
@@ -42,8 +46,10 @@
 	nextSaveAt clock.Millis
 	// requested is the latest read, loaded the latest one that was answered, or 0. A read that failed is repeated
 	// at retryAt, which is 0 if none has.
-	requested, loaded CancellationLoad
-	retryAt           clock.Millis
+	requested, loaded    CancellationLoad
+	requestedAt, retryAt clock.Millis
+	// unanswered counts the reads that are under way.
+	unanswered int
 	// rows are to be removed, in no order.
 	rows          map[CancellationRow]rowRemoval
 	nextRemovalAt clock.Millis
@@ -114,7 +120,8 @@
 func (n *Control) loadCancellations() CancellationLoad {
 	s := &n.storedCancellations
 	s.requested++
-	s.retryAt = 0
+	s.unanswered++
+	s.requestedAt, s.retryAt = n.now, 0
 	n.emit(LoadCancellations{Load: s.requested})
 	return s.requested
 }
@@ -123,6 +130,7 @@
 // them. They were acknowledged, so there is no limit to those that are kept.
 func (n *Control) handleCancellationsLoaded(e CancellationsLoaded) {
 	s := &n.storedCancellations
+	s.unanswered--
 	if !e.OK {
 		if e.Load == s.requested {
 			s.retryAt = n.now + cancelLoadRetry
@@ -154,10 +162,24 @@
 	n.sendToLeader(id, leader.CancellationsKnown{})
 }
 
+// awaitsCancellations reports whether this VM or one of its leaders waits for a read.
+func (n *Control) awaitsCancellations() bool {
+	if n.storedCancellations.loaded == 0 {
+		return true
+	}
+	for _, led := range n.ledShards {
+		if led.cancellations != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // maintainStoredCancellations writes, reads and removes what is due.
 func (n *Control) maintainStoredCancellations() {
 	s := &n.storedCancellations
-	if s.retryAt != 0 && n.now >= s.retryAt {
+	overdue := n.awaitsCancellations() && n.now >= s.requestedAt+cancelLoadPatience && s.unanswered < maxCancelLoads
+	if overdue || s.retryAt != 0 && n.now >= s.retryAt {
 		n.loadCancellations()
 	}
 	for _, id := range n.shards {
--- a/internal/control/node/stored_cancellations_test.go
+++ b/internal/control/node/stored_cancellations_test.go
@@ -108,6 +108,22 @@
 	}
 }
 
+// Guards against a leader that waits for a read whose answer is lost until that times out.
+func TestOverdueReadOfCancellationsIsRepeated(t *testing.T) {
+	h := leaderOfCentro(t)
+	h.storeLost = false
+	h.handle(StoreReported{})
+	first := h.control.loadCancellations()
+	h.control.ledShards["centro"].cancellations = first
+	h.advance(cancelLoadPatience + 20)
+	if got := takeActions[LoadCancellations](h); len(got) != 1 || got[0].Load <= first {
+		t.Errorf("got the reads %v, want one more", got)
+	}
+	if h.control.ledShards["centro"].cancellations != 0 {
+		t.Errorf("got a leader that waits for the first read, want the second to do")
+	}
+}
+
 // Guards against a burst of cancellations that takes the rate of the store, and against rows that stay.
 func TestRowsOfCancellations(t *testing.T) {
 	h := withLeaders(t)
