platform: a start reaches only the incarnation that it is meant for

Callers could see a task run twice at the same time: a start was in transit while its endpoint restarted under its ID, and the new incarnation, which has seen neither a stop nor a token, carried it out.

A start that meets another incarnation counts as not sent.

--- a/internal/control/leader/cluster_test.go
+++ b/internal/control/leader/cluster_test.go
@@ -46,6 +46,9 @@
 	deadly      map[job.TaskName]clock.Millis
 	downTime    clock.Millis
 	crashCounts map[job.TaskName]int
+	// boundConnections means that a start reaches only the incarnation that it is meant for, as the client of
+	// the endpoints sees to. Without it, leaders are tested against starts that reach a later one.
+	boundConnections bool
 	// keepClocks means that the clock of an endpoint goes on when it restarts.
 	keepClocks bool
 	// unguarded means that the endpoints start what exceeds their capacity; overloads counts these starts.
--- a/internal/control/leader/fake_endpoint_test.go
+++ b/internal/control/leader/fake_endpoint_test.go
@@ -61,6 +61,9 @@
 
 func (c *cluster) start(e *fakeEndpoint, a Start) (endpoint.StartResult, endpoint.Clock) {
 	at := e.clock(c.now)
+	if c.boundConnections && a.Endpoint.Born != e.Born {
+		return endpoint.Rejected{Reason: endpoint.RejectedNotSent}, 0
+	}
 	if a.Token < e.token {
 		return endpoint.Rejected{Reason: endpoint.RejectedFenced}, at
 	}
