leader: a test wants a job without its queue to go on

TestQueueOfAWaitingSuspectIsDropped wanted the endpoint that was held for a suspect to be released once the queue was dropped, as the job could not start any more. A job now goes on by the queue that accepted it, so the test wants it completed, and nothing held after that.

--- a/internal/control/leader/suspects_test.go
+++ b/internal/control/leader/suspects_test.go
@@ -337,7 +337,7 @@
 }
 
 // Guards against a leader that panics when the desired state drops the queue of a suspect for which an
-// endpoint is held.
+// endpoint is held, and against one that holds it for a job that neither starts nor ends.
 func TestQueueOfAWaitingSuspectIsDropped(t *testing.T) {
 	c := newCluster(t, 45, 2)
 	c.duration = func(job.TaskName) clock.Millis { return 1000 }
@@ -356,7 +356,11 @@
 		t.Fatalf("got %d endpoints held, want 1", got)
 	}
 	c.deliver(1, DesiredState{State: queue.NewState(2, nil, map[queue.ServiceName]queue.Service{testService: {Name: testService, GuardsRoom: true}}, queue.Limits{})})
-	c.advance(100)
+	for range 30 {
+		c.renewLeases(1, "a-1", 1, 2)
+		c.advance(100)
+	}
+	c.wantOutcome(s.Key, job.Completed{})
 	if got := len(l.isolatedEndpoints); got != 0 {
 		t.Errorf("got %d endpoints held, want none", got)
 	}
