daemon: a test's endpoint is the incarnation that starts are meant for

The endpoint of TestOverdueRequestsGrantNoLease answered as the incarnation after the one that the start names, which now gets no start at all. The test is of starts that are sent too late, also to the same incarnation.

--- a/internal/process/daemon/traffic_test.go
+++ b/internal/process/daemon/traffic_test.go
@@ -28,7 +28,7 @@
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		bodies <- string(body)
-		_, _ = w.Write([]byte(`{"clock_ms":7,"born":2}`))
+		_, _ = w.Write([]byte(`{"clock_ms":7,"born":1}`))
 	}))
 	defer server.Close()
 	clocks := clock.NewManual(clock.Hour)
