--- a/internal/control/node/model_deadly_test.go
+++ b/internal/control/node/model_deadly_test.go
@@ -164,6 +164,7 @@
 func TestDeadlyTaskBesideOtherFaults(t *testing.T) {
 	for seed, kinds := range map[uint64]string{
 		201: "loss,late,cut,coreCut,reborn,rebornCut,add,storeLate,failures,stall,giveUp,shrink,deadly",
+		550: "loss,late,zoneCut,coreCut,slow,roll,storeDown,storeSlow,add,leave,failures,duplicate,callerCut,oddRows,resetCut,deadly",
 		819: "loss,late,cut,zoneCut,endpointCut,coreCut,freeze,slow,kill,storeDown,storeSlow,reborn,rebornCut,add,leave,storeLate,giveUp,callerCut,thawOrder,deadly",
 	} {
 		if w := runModel(seed, parseKinds(kinds)); w.violation != "" {
