--- a/internal/control/node/model_caller_test.go
+++ b/internal/control/node/model_caller_test.go
@@ -84,6 +84,7 @@
 	if c.random.IntN(2) == 0 {
 		limit = 4 * second
 	}
+	c.world.cancellations.choose(j, limit)
 	c.send(j, 0, limit)
 }
 
@@ -193,6 +194,8 @@
 			r.callers.world.stats.completed++
 			r.end("200", false)
 			r.sendDuplicate()
+		case job.Cancelled:
+			r.end("200 cancelled", false)
 		case job.Refused:
 			r.callers.world.stats.refused++
 			r.end("503 "+string(o.Reason), false)
--- a/internal/control/node/model_execute_test.go
+++ b/internal/control/node/model_execute_test.go
@@ -32,7 +32,10 @@
 		v.cancel(a)
 	case node.LoadCancellations:
 		v.loadCancellations(a)
-	case node.SaveCancellations, node.RemoveCancellations:
+	case node.SaveCancellations:
+		v.saveCancellations(a)
+	case node.RemoveCancellations:
+		v.removeCancellations(a)
 	case node.SendYield:
 		v.yield(a)
 	case node.WriteReplicaSet:
@@ -81,6 +84,7 @@
 
 func (v *modelVM) sendStart(a node.LeaderAction, s leader.Start) {
 	v.checkDrain(s)
+	v.world.cancellations.checkStart(v, s)
 	v.world.trace.add(record{
 		vm: v.name, endpoint: s.Endpoint.ID, task: s.Task, format: "%s sends start of attempt %d token %s until %d",
 		args: []any{v.name, s.Attempt, formatToken(s.Token), s.LeaseUntil},
@@ -221,14 +225,6 @@
 	}, func(exchangeFailure) {})
 }
 
-// loadCancellations reads the stored cancellations. The model's callers cancel nothing.
-func (v *modelVM) loadCancellations(a node.LoadCancellations) {
-	end := func(ok bool) { v.post(v.life, node.CancellationsLoaded{Load: a.Load, OK: ok}) }
-	v.newExchange(storeName, storeTimeout, onlyLife, func(x *exchange) {
-		v.world.store.serve(x, func() { x.answer(func() { end(true) }) })
-	}, func(exchangeFailure) { end(false) })
-}
-
 func (v *modelVM) yield(a node.SendYield) {
 	end := func(accepted bool) {
 		v.post(v.life, node.YieldEnded{Shard: a.ReplicaSet.Cell, Leadership: a.Leadership, Accepted: accepted})
--- a/internal/control/node/model_faults_test.go
+++ b/internal/control/node/model_faults_test.go
@@ -94,7 +94,7 @@
 	faultLoss, faultLate, faultCut, faultZoneCut, faultEndpointCut, faultCoreCut, faultFreeze, faultSlow, faultKill, faultPower, faultRoll,
 	faultStoreDown, faultStoreRefuses, faultStoreSlow, faultRevoke, faultCrash, faultReborn, faultRebornCut, faultRebornAtStart, faultAdd, faultLeave, faultBurst,
 	faultStoreLate, faultFailures, faultStall, faultGiveUp, faultDuplicate, faultNextLife, faultCallerCut, faultThawOrder,
-	faultShrink, faultOddRows, faultResetCut, faultDeadly,
+	faultShrink, faultOddRows, faultResetCut, faultDeadly, faultCancel,
 }
 
 // injectFaults causes faults of the world's kinds until a point in time.
--- a/internal/control/node/model_stats_test.go
+++ b/internal/control/node/model_stats_test.go
@@ -2,7 +2,7 @@
 
 // modelStats counts what happened in a world.
 type modelStats struct {
-	events, jobs, starts, completed, refused, resent, takeovers, crashes, givenUp int
+	events, jobs, starts, completed, refused, resent, takeovers, crashes, givenUp, cancelled int
 	// deadlyCrashes counts the deadly tasks that crashed one endpoint at least, two, and so on.
 	deadlyCrashes [maxCrashesWithFaults + 1]int
 }
@@ -17,6 +17,7 @@
 	s.takeovers += o.takeovers
 	s.crashes += o.crashes
 	s.givenUp += o.givenUp
+	s.cancelled += o.cancelled
 	for i, n := range o.deadlyCrashes {
 		s.deadlyCrashes[i] += n
 	}
--- a/internal/control/node/model_store_test.go
+++ b/internal/control/node/model_store_test.go
@@ -38,6 +38,8 @@
 	tableReplicaSets storeTable = "lineups"
 	tableEndpoints   storeTable = "servers"
 	tableCrashes     storeTable = "crashes"
+
+	tableCancellations storeTable = "cancellations"
 )
 
 // storeRow is a row or the record of its removal.
--- a/internal/control/node/model_world_test.go
+++ b/internal/control/node/model_world_test.go
@@ -26,7 +26,9 @@
 	vms       []*modelVM
 	callers   *modelCallers
 	deadly    *modelDeadly
-	trace     modelTrace
+
+	cancellations *modelCancellations
+	trace         modelTrace
 	// live holds the attempts of each task that have started and are not known to have ended.
 	live map[job.TaskName][]*modelAttempt
 	// violation describes the first broken rule.
@@ -50,6 +52,7 @@
 	w.store = newModelStore(w)
 	w.callers = newModelCallers(w)
 	w.deadly = newModelDeadly(w)
+	w.cancellations = newModelCancellations(w)
 	random := w.random("layout")
 	dataCentres := modelDataCentres[:2+random.IntN(2)]
 	w.store.put(tableOperator, "config", queue.NewState(1, []queue.Queue{
