--- a/internal/control/gateway/gateway.go
+++ b/internal/control/gateway/gateway.go
@@ -134,14 +134,20 @@
 
 // Accept adds a job and returns its key. The caller waits for limit at most. The job is refused if
 // no leader is available within leaderWaitLimit. It replaces an earlier request of the same job, whose
-// caller has sent it again on another connection.
+// caller has sent it again on another connection. It is refused while there is another job of its ID,
+// since tasks are known by the ID alone.
 func (g *Gateway) Accept(j job.Job, limit, leaderWaitLimit, now clock.Millis) job.Key {
 	r := &request{job: j, arrived: now, limit: limit, leaderWaitLimit: leaderWaitLimit}
 	p := g.newPart(r, now)
 	r.firstSeq = p.submission.Key.Seq
 	p.submission.Attempt, p.submission.Job = r.firstSeq, j
 	earlier := g.requests[j.ID]
-	g.jobs[r.firstSeq], g.requests[j.ID] = r, r
+	g.jobs[r.firstSeq] = r
+	if earlier != nil && earlier.job.Origin != j.Origin {
+		g.reply(r, "", job.Refused{Reason: job.IDInUse, RetryAfter: clock.Second}, now)
+		return p.submission.Key
+	}
+	g.requests[j.ID] = r
 	if earlier != nil {
 		g.replace(earlier, p, now)
 		return p.submission.Key
@@ -201,6 +207,14 @@
 		}
 		return
 	}
+	if p.submission.Part {
+		if permitted := p.permitted(g.config.Leaders.Available(now)); len(permitted) > 0 {
+			g.sendTo(p, permitted[0], now)
+			return
+		}
+		g.checkFailover(p, now)
+		return
+	}
 	to, ok := g.config.Leaders.Destination(p.request.job.ID, now)
 	if !ok {
 		if now >= p.request.arrived+p.request.leaderWaitLimit {
@@ -211,6 +225,18 @@
 	g.sendTo(p, to, now)
 }
 
+// permitted returns the shards to which a part of a divided job may be sent that has not started: its own if it is
+// available, or else those without another part of the job. The parts of a job run at different endpoints, since a
+// leader bounds the tasks of a step at an endpoint for the submissions that it knows.
+func (p *part) permitted(available []shard.ID) []shard.ID {
+	if slices.Contains(available, p.shard) {
+		return []shard.ID{p.shard}
+	}
+	return slices.DeleteFunc(available, func(id shard.ID) bool {
+		return slices.ContainsFunc(p.request.parts, func(o *part) bool { return o != p && o.shard == id })
+	})
+}
+
 func (g *Gateway) sendTo(p *part, id shard.ID, now clock.Millis) {
 	leader, ok := g.config.Leaders.Leader(id, now)
 	if !ok {
@@ -342,15 +368,15 @@
 		np.submission.Job = r.job
 		np.submission.Job.Steps = slices.Clone(r.job.Steps)
 		np.submission.Job.Steps[0].Tasks = s.Tasks
-		np.submission.First, np.submission.Part = first, true
+		np.submission.First, np.submission.Part, np.shard = first, true, s.Cell
 		first += s.Tasks
 		g.sendTo(np, s.Cell, now)
 	}
 }
 
 // handleRefusal returns a refusal to the caller. A refusal because the VM does not lead the shard
-// or because a message was late does not depend on capacity: the part is then sent to another
-// shard, or resent by Tick if its tasks may have started or the job has been divided.
+// or because a message was late does not depend on capacity: a job is then sent to another shard,
+// and Tick resends a part of a divided job and one whose tasks may have started.
 func (g *Gateway) handleRefusal(p *part, o job.Refused, now clock.Millis) {
 	switch o.Reason {
 	case job.NotLeader, job.LateMessage, job.ShardLost:
@@ -380,11 +406,14 @@
 	}
 }
 
-// Cancel ends a job that its caller has cancelled.
-func (g *Gateway) Cancel(c job.Cancellation, now clock.Millis) {
-	if r := g.requests[c.Job]; r != nil && c.Covers(&r.job) {
-		g.reply(r, r.parts[0].shard, job.Cancelled{}, now)
+// Cancel ends a job that its caller has cancelled, and reports whether it was here.
+func (g *Gateway) Cancel(c job.Cancellation, now clock.Millis) bool {
+	r := g.requests[c.Job]
+	if r == nil || !c.Covers(&r.job) {
+		return false
 	}
+	g.reply(r, r.parts[0].shard, job.Cancelled{}, now)
+	return true
 }
 
 // EndAll ends all jobs because the VM has to exit. The reply asks callers to send them again.
@@ -422,14 +451,23 @@
 		if leader, ok := g.config.Leaders.Leader(p.shard, now); !ok || leader != p.leader {
 			p.submitted, p.mayHaveStarted, p.leaderlessSince = false, true, now
 		}
-	case p.mayHaveStarted && now >= p.leaderlessSince+g.config.FailoverTimeout:
-		g.reply(p.request, p.shard, job.Stopped{Reason: job.ShardLost}, now)
-	case p.mayHaveStarted && now < p.leaderlessSince+resendDelay:
+	case p.mayHaveStarted && g.checkFailover(p, now):
+	case (p.mayHaveStarted || p.submission.Part) && now < p.leaderlessSince+resendDelay:
 	default:
 		g.send(p, now)
 	}
 }
 
+// checkFailover ends the job of a part that has waited too long for the next leader of its shard. It reports
+// whether it did.
+func (g *Gateway) checkFailover(p *part, now clock.Millis) bool {
+	if now < p.leaderlessSince+g.config.FailoverTimeout {
+		return false
+	}
+	g.reply(p.request, p.shard, job.Stopped{Reason: job.ShardLost}, now)
+	return true
+}
+
 // sorted returns the requests in the order of their arrival.
 func (g *Gateway) sorted() []*request {
 	all := make([]*request, 0, len(g.jobs))
--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -42,7 +42,7 @@
 		l.heldSince = 0
 		return
 	}
-	if held := l.holdsStarts(); held || l.resuming || l.isClosed() {
+	if held := l.holdsStarts(); held || l.resuming || l.awaitsCancellations || l.isClosed() {
 		return
 	}
 	r := l.newRound()
@@ -194,11 +194,7 @@
 
 // placeTask starts a task at the most suitable endpoint, if there is one.
 func (l *Leader) placeTask(t *task, r *dispatchRound) bool {
-	q := l.desired.Queue(t.job.queue)
-	if q == nil {
-		return false
-	}
-	step := t.stepSpec()
+	q, step := l.queueOf(t.job), t.stepSpec()
 	timeLeft := t.job.objective - l.now - startOverhead
 	var best *endpointState
 	var bestDuration clock.Millis
@@ -271,14 +267,18 @@
 	return ep.free.CPU < best.free.CPU
 }
 
-// countStepTasks counts the tasks of t's step at an endpoint.
+// countStepTasks counts the tasks of t's step at an endpoint, of all submissions and parts of the job and of
+// earlier leaders.
 func (l *Leader) countStepTasks(t *task, ep *endpointState) int {
 	n := 0
 	for _, other := range ep.tasks {
-		if other.job == t.job && other.stepIndex == t.stepIndex {
+		if other.job.Job.ID == t.job.Job.ID && other.stepIndex == t.stepIndex {
 			n++
 		}
 	}
+	if ep.activeOrphans > 0 {
+		n += l.orphans.countActive(stepPrefix(t.job.Job.ID, t.stepIndex), ep)
+	}
 	return n
 }
 
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -38,6 +38,8 @@
 	// Evacuation returns what this VM knows of the evacuation of the shard's data centre; nil means that it
 	// is never evacuated.
 	Evacuation func() evacuation.Status
+	// AwaitsCancellations means that nothing is started before CancellationsKnown.
+	AwaitsCancellations bool
 	// OrphansEndBy is when the attempts of earlier leaders that no job adopts have to have ended, or 0
 	// if this VM has not heard of it. Their callers may send the jobs again from then on.
 	OrphansEndBy clock.Millis
@@ -83,6 +85,8 @@
 	capacitiesReadAt clock.Millis
 	// storeLost means that the store does not answer this VM.
 	storeLost bool
+	// awaitsCancellations means that a task may belong to a job that was cancelled before the take-over.
+	awaitsCancellations bool
 	// heldSince is since when starts wait for a current list, or 0 if none do.
 	heldSince clock.Millis
 	now       clock.Millis
@@ -109,7 +113,7 @@
 // New returns a leader that has just taken over the shard.
 func New(c Config) *Leader {
 	l := &Leader{
-		config: c, desired: c.Desired, now: c.Now, storeLost: c.StoreLost,
+		config: c, desired: c.Desired, now: c.Now, storeLost: c.StoreLost, awaitsCancellations: c.AwaitsCancellations,
 		endpoints: make(map[datacentre.EndpointID]*endpointState), dropped: make(map[datacentre.EndpointID]droppedEndpoint), jobs: make(map[job.Key]*jobState),
 		jobsByID: make(map[job.ID][]*jobState), activeTasks: make(map[job.TaskName]*task),
 		entryVMs: make(map[vm.Incarnation]*entryVM), orphans: make(orphans),
@@ -192,6 +196,8 @@
 		}
 	case EvacuationChanged:
 		l.evacuate()
+	case CancellationsKnown:
+		l.awaitsCancellations = false
 	case EstimatesLoaded:
 		l.inheritEstimates(e.Estimates)
 	case Tick:
@@ -306,6 +312,11 @@
 	l.answer(j, outcome)
 }
 
+// Has reports whether the leader has a job that a cancellation names.
+func (l *Leader) Has(c job.Cancellation) bool {
+	return slices.ContainsFunc(l.jobsByID[c.Job], func(j *jobState) bool { return !j.answered && c.Covers(&j.Job) })
+}
+
 // cancel stops all attempts of a job that its caller has cancelled.
 func (l *Leader) cancel(j *jobState) {
 	if j.answered {
--- a/internal/control/node/cancellations.go
+++ b/internal/control/node/cancellations.go
@@ -27,6 +27,11 @@
 	at clock.Millis
 	// received means that the caller has sent it to this VM, which has to tell the leaders.
 	received bool
+	// storedAt is when its row was stored, or 0. storing means that it waits for a write.
+	storedAt clock.Millis
+	storing  bool
+	// found means that a VM had the job.
+	found bool
 	// confirmedBy is the leader of each shard that has confirmed it, and sentAt when the present leader was
 	// last told.
 	confirmedBy map[shard.ID]vm.Incarnation
@@ -37,38 +42,41 @@
 // cancelWaiter is a request of a caller that waits for all leaders until a time limit.
 type cancelWaiter struct {
 	until clock.Millis
-	done  chan<- bool
+	done  chan<- CancelOutcome
 }
 
 // isCancelled reports whether the caller of a job has cancelled it.
 func (n *Control) isCancelled(j *job.Job) bool {
-	return n.cancellations[job.Cancellation{Job: j.ID, Queue: j.Queue}] != nil
+	return n.cancellations[job.Cancellation{Job: j.ID, Origin: j.Origin}] != nil
 }
 
-// recordCancellation ends a job at this VM and in the shards that it leads. It returns nil if this VM has
-// too many cancellations.
-func (n *Control) recordCancellation(j job.Cancellation) *cancellation {
+// recordCancellation ends a job at this VM and in the shards that it leads. It returns nil if this VM has the
+// limit of cancellations.
+func (n *Control) recordCancellation(j job.Cancellation, limit int) *cancellation {
 	c := n.cancellations[j]
 	if c == nil {
-		if len(n.cancellations) >= maxCancellations {
+		if len(n.cancellations) >= limit {
 			return nil
 		}
 		c = &cancellation{Cancellation: j, at: n.now, confirmedBy: make(map[shard.ID]vm.Incarnation), sentAt: make(map[shard.ID]clock.Millis)}
 		n.cancellations[j], n.cancelOrder = c, append(n.cancelOrder, c)
 	}
-	n.gateway.Cancel(j, n.now)
+	c.found = n.gateway.Cancel(j, n.now) || c.found
 	for _, id := range n.shards {
-		n.sendToLeader(id, leader.Cancelled{Cancellation: j})
+		if led := n.ledShards[id]; led != nil {
+			c.found = led.leader.Has(j) || c.found
+			n.sendToLeader(id, leader.Cancelled{Cancellation: j})
+		}
 	}
 	return c
 }
 
-// handleCancelRequested tells the leaders of all shards, and the members of their replica sets, any of which
+// handleCancelRequested stores a cancellation and tells the leaders of all shards, and the members of their replica sets, any of which
 // may be the next leader.
 func (n *Control) handleCancelRequested(e CancelRequested) {
-	c := n.recordCancellation(e.Cancellation)
+	c := n.recordCancellation(e.Cancellation, maxCancellations)
 	if c == nil {
-		e.Done <- false
+		e.Done <- CancelUnconfirmed{Reason: job.NotStored}
 		return
 	}
 	c.at, c.received = n.now, true
@@ -85,20 +93,22 @@
 			c.sentAt[id] = n.now
 		}
 	}
+	n.storeCancellation(c)
 	n.confirm(c)
 }
 
 // handlePeerCancelled records a cancellation that another VM has received.
 func (n *Control) handlePeerCancelled(e PeerCancelled) {
-	var led []shard.ID
-	if n.recordCancellation(e.Cancellation) != nil {
+	var answer CancelAnswer
+	if c := n.recordCancellation(e.Cancellation, maxCancellations); c != nil {
+		answer.Found = c.found
 		for _, id := range n.shards {
 			if n.ledShards[id] != nil {
-				led = append(led, id)
+				answer.Led = append(answer.Led, id)
 			}
 		}
 	}
-	e.Led <- led
+	e.Reply <- answer
 }
 
 func (n *Control) handleCancelAnswered(e CancelAnswered) {
@@ -106,7 +116,8 @@
 	if c == nil {
 		return
 	}
-	for _, id := range e.Led {
+	c.found = c.found || e.Answer.Found
+	for _, id := range e.Answer.Led {
 		c.confirmedBy[id] = e.From
 	}
 	n.confirm(c)
@@ -121,7 +132,7 @@
 	n.cancelsConfirmedAt = n.now
 	n.cancelOrder = slices.DeleteFunc(n.cancelOrder, func(c *cancellation) bool {
 		if n.now >= c.at+cancelRetention {
-			n.endWaiters(c, false)
+			n.endWaiters(c, c.unconfirmed())
 			delete(n.cancellations, c.Cancellation)
 			return true
 		}
@@ -132,10 +143,10 @@
 	})
 }
 
-// confirm answers the callers once the present leader of each shard has confirmed the cancellation, and tells
-// leaders that have not.
+// confirm answers the callers once the cancellation is stored and the present leader of each shard has confirmed
+// it, and tells leaders that have not.
 func (n *Control) confirm(c *cancellation) {
-	confirmed := true
+	confirmed := c.storedAt != 0
 	for _, id := range n.shards {
 		if n.ledShards[id] != nil {
 			c.confirmedBy[id] = n.config.Self.Incarnation
@@ -152,21 +163,29 @@
 		}
 	}
 	if confirmed {
-		n.endWaiters(c, true)
+		n.endWaiters(c, CancelConfirmed{Found: c.found})
 		return
 	}
 	c.waiters = slices.DeleteFunc(c.waiters, func(w cancelWaiter) bool {
 		if n.now < w.until {
 			return false
 		}
-		w.done <- false
+		w.done <- c.unconfirmed()
 		return true
 	})
 }
 
-func (n *Control) endWaiters(c *cancellation, confirmed bool) {
+// unconfirmed says why a cancellation has not been confirmed.
+func (c *cancellation) unconfirmed() CancelUnconfirmed {
+	if c.storedAt == 0 {
+		return CancelUnconfirmed{Reason: job.NotStored}
+	}
+	return CancelUnconfirmed{Reason: job.NoLeader}
+}
+
+func (n *Control) endWaiters(c *cancellation, o CancelOutcome) {
 	for _, w := range c.waiters {
-		w.done <- confirmed
+		w.done <- o
 	}
 	c.waiters = nil
 }
--- a/internal/world/job/outcome.go
+++ b/internal/world/job/outcome.go
@@ -77,6 +77,8 @@
 	TimeLimit          Reason = "timeLimit"
 	LeaseExpired       Reason = "interestLapsed"
 	Superseded         Reason = "superseded"
+	IDInUse            Reason = "idInUse"
+	NotStored          Reason = "notStored"
 	ShardLost          Reason = "cellLost"
 	// Evacuated means that no task may start in the data centre, and that no other one can take the job.
 	Evacuated Reason = "dataCentreEvacuated"
