--- a/internal/control/leader/admission.go
+++ b/internal/control/leader/admission.go
@@ -34,11 +34,17 @@
 		l.emit(Answer{Key: s.Key, Outcome: job.Refused{Reason: job.LateMessage, RetryAfter: retryAfter}})
 		return
 	}
-	q := l.desired.Queue(s.Job.Queue)
-	if q == nil {
+	if l.desired.Queue(s.Job.Queue) == nil {
 		l.emit(Answer{Key: s.Key, Outcome: job.Refused{Reason: job.NoDesiredState, RetryAfter: retryAfter}})
 		return
 	}
+	for _, other := range l.jobsByID[s.Job.ID] {
+		if other.Job.Origin != s.Job.Origin {
+			// Its tasks have the same names.
+			l.emit(Answer{Key: s.Key, Outcome: job.Refused{Reason: job.IDInUse, RetryAfter: retryAfter}})
+			return
+		}
+	}
 	for _, later := range l.jobsByID[s.Job.ID] {
 		if later.Key.Entry == s.Key.Entry && later.Attempt > s.Attempt {
 			l.emit(Answer{Key: s.Key, Outcome: job.Refused{Reason: job.LateMessage, RetryAfter: retryAfter}})
@@ -99,7 +105,7 @@
 func (l *Leader) setDeadlines(j *jobState) {
 	l.describe(j)
 	l.planner.Register(l.now, &j.plan)
-	j.objective = j.submittedAt + l.desired.Queue(j.queue).Objective(j.plan.Tasks.Objective.Path)
+	j.objective = j.submittedAt + l.queueOf(j).Objective(j.plan.Tasks.Objective.Path)
 	j.sortTime = j.plan.StartOrder()
 	j.latestStart = j.plan.LatestStart(l.highestSpeed())
 }
@@ -114,7 +120,7 @@
 	best := 0.0
 	for _, ep := range l.sortedEndpoints {
 		if ep.usable(l.now) {
-			best = max(best, ep.speed.factor())
+			best = max(best, l.speedOf(ep))
 		}
 	}
 	if best == 0 {
@@ -147,7 +153,7 @@
 		t.confirmedIn = 0
 		t.startedAt = o.foundAt
 		t.baseDuration = l.baseDuration(t, o.endpoint)
-		t.expectedDuration = o.endpoint.speed.duration(t.baseDuration)
+		t.expectedDuration, t.startedCold = l.durationAt(o.endpoint, t.baseDuration), o.endpoint.isCold(l.now)
 		t.percent, t.percentAt = o.percent, l.now
 		l.reserve(t, o.endpoint)
 	}
@@ -161,6 +167,9 @@
 
 // admit returns nil for a job that is to run here, or else its outcome.
 func (l *Leader) admit(j *jobState) job.Outcome {
+	if l.isEvacuated() {
+		return l.admitEvacuated(j)
+	}
 	if j.Part || l.startingUp() {
 		return nil
 	}
@@ -170,6 +179,9 @@
 		}
 		return job.Refused{Reason: job.NoSuchEndpoint, RetryAfter: retryAfter}
 	}
+	if o := l.avoidCold(j); o != nil {
+		return o
+	}
 	switch d := l.arrive(j).(type) {
 	case admission.Start:
 		return l.relieveLink(j)
@@ -209,7 +221,7 @@
 
 // fitsSomeEndpoint reports whether each step fits the total capacity of some available endpoint.
 func (l *Leader) fitsSomeEndpoint(j *jobState) bool {
-	q := l.desired.Queue(j.queue)
+	q := l.queueOf(j)
 	for i := range j.Job.Steps {
 		s := &j.Job.Steps[i]
 		if !slices.ContainsFunc(l.sortedEndpoints, func(ep *endpointState) bool {
--- a/internal/control/leader/admission_log.go
+++ b/internal/control/leader/admission_log.go
@@ -18,6 +18,8 @@
 	RefusedDisplaced
 	// RefusedTooLate is a job whose latest start has passed.
 	RefusedTooLate
+	// RefusedEvacuated is a job that waited in a data centre which the operator has asked to be empty.
+	RefusedEvacuated
 )
 
 // Refusal is a job that is refused.
--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -39,7 +39,7 @@
 		l.heldSince = 0
 		return
 	}
-	if held := l.holdsStarts(); held || l.resuming {
+	if held := l.holdsStarts(); held || l.resuming || l.awaitsCancellations || l.isClosed() {
 		return
 	}
 	r := l.newRound()
@@ -199,16 +199,12 @@
 // placeTask starts a task at the most suitable endpoint of a speed at which it ends in time, if there is
 // one.
 func (l *Leader) placeTask(t *task, minSpeed float64, r *dispatchRound) bool {
-	q := l.desired.Queue(t.job.queue)
-	if q == nil {
-		return false
-	}
-	step := t.stepSpec()
+	q, step := l.queueOf(t.job), t.stepSpec()
 	var best *endpointState
 	var bestCandidate admission.Candidate
 	allowed := true
 	for _, ep := range r.candidates {
-		if ep.Service != q.Service || !ep.free.Fits(step.Demand) || !ep.usable(l.now) {
+		if ep.Service != q.Service || !ep.takes(step.Demand, l.now) || !ep.usable(l.now) {
 			continue
 		}
 		if !ep.HasLabel(step.Requires) || l.avoids(t, ep) {
@@ -224,7 +220,7 @@
 			allowed = allowed && step.Rack == ""
 			continue
 		}
-		if !ep.allows(t, l.now+ep.speed.duration(l.baseDuration(t, ep))) {
+		if !ep.allows(t, l.now+l.durationAt(ep, l.baseDuration(t, ep))) {
 			allowed = false
 			continue
 		}
@@ -244,7 +240,7 @@
 
 // candidate describes an endpoint for a task.
 func (l *Leader) candidate(t *task, ep *endpointState) admission.Candidate {
-	return admission.Candidate{Speed: ep.speed.factor() / l.distanceFactor(t.stepSpec(), ep), Free: ep.free.CPU}
+	return admission.Candidate{Speed: l.speedOf(ep) / l.distanceFactor(t.stepSpec(), ep), Free: ep.free.CPU}
 }
 
 // avoids reports whether a task must not start at an endpoint: its last attempt failed there, or was
@@ -275,14 +271,18 @@
 // startOverhead is the time that a start and the report of the attempt's end take.
 const startOverhead = clock.Millis(8)
 
-// countStepTasks counts the tasks of t's step at an endpoint.
+// countStepTasks counts the tasks of t's step at an endpoint, of all submissions and parts of the job and of
+// earlier leaders.
 func (l *Leader) countStepTasks(t *task, ep *endpointState) int {
 	n := 0
 	for _, other := range ep.tasks {
-		if other.job == t.job && other.stepIndex == t.stepIndex {
+		if other.job.Job.ID == t.job.Job.ID && other.stepIndex == t.stepIndex {
 			n++
 		}
 	}
+	if ep.activeOrphans > 0 {
+		n += l.orphans.countActive(stepPrefix(t.job.Job.ID, t.stepIndex), ep)
+	}
 	return n
 }
 
@@ -299,7 +299,7 @@
 // updateEndpoints applies the platform's list of endpoints.
 func (l *Leader) updateEndpoints(all []endpoint.Endpoint) {
 	listed := make(map[datacentre.EndpointID]bool, len(all))
-	var appeared, unlisted, dropped []EndpointChange
+	var appeared, cold, unlisted, dropped []EndpointChange
 	for _, e := range all {
 		listed[e.ID] = true
 		ep := l.endpoints[e.ID]
@@ -329,6 +329,9 @@
 		}
 		used := ep.Capacity.Minus(ep.free)
 		ep.listedBorn = e.Born
+		if ep.warmUp.update(e.ColdFor, e.Born, l.now) {
+			cold = append(cold, ep.change())
+		}
 		if ep.Born != 0 {
 			e.Born = ep.Born
 		}
@@ -358,6 +361,7 @@
 		l.logEndpointChanges(EndpointAppeared, appeared)
 	}
 	l.listed = true
+	l.logEndpointChanges(EndpointCold, cold)
 	l.logEndpointChanges(EndpointUnlisted, unlisted)
 	l.logEndpointChanges(EndpointDropped, dropped)
 }
--- a/internal/control/leader/endpoint_state.go
+++ b/internal/control/leader/endpoint_state.go
@@ -93,6 +93,7 @@
 	blockedUntil clock.Millis
 
 	speed  speed
+	warmUp warmUp
 	health health
 	// hold is what the latest plan keeps free here for a job.
 	hold admission.Hold
--- a/internal/control/leader/forwarding.go
+++ b/internal/control/leader/forwarding.go
@@ -37,7 +37,7 @@
 	if j.Hops >= maxForwardHops || j.started || len(j.Job.Steps) != 1 || j.latestStart-l.now < shard.ForecastHorizon+forwardingDelay {
 		return nil
 	}
-	priority := l.desired.Queue(j.queue).Priority
+	priority := l.queueOf(j).Priority
 	forecast := func(load shardLoad) int64 { return load.forecastCPU(priority) }
 	loads := l.freshLoads()
 	slices.SortFunc(loads, func(a, b shardLoad) int {
@@ -106,7 +106,7 @@
 func (l *Leader) freshLoads() []shardLoad {
 	var loads []shardLoad
 	for _, load := range l.otherLoads {
-		if l.now-load.At <= maxLoadAge {
+		if l.now-load.At <= maxLoadAge && !load.Evacuated {
 			loads = append(loads, shardLoad{load})
 		}
 	}
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -12,6 +12,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/control/forecast"
 	"github.com/sequoiacart/sequoiacart/internal/world/crash"
 	"github.com/sequoiacart/sequoiacart/internal/world/estimate"
+	"github.com/sequoiacart/sequoiacart/internal/world/evacuation"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
@@ -36,6 +37,11 @@
 	LinkDelay func() clock.Millis
 	// StoreLost means that the store does not answer this VM.
 	StoreLost bool
+	// Evacuation returns what this VM knows of the evacuation of the shard's data centre; nil means that it
+	// is never evacuated.
+	Evacuation func() evacuation.Status
+	// AwaitsCancellations means that nothing is started before CancellationsKnown.
+	AwaitsCancellations bool
 	// OrphansEndBy is when the attempts of earlier leaders that no job adopts have to have ended, or 0
 	// if this VM has not heard of it. Their callers may send the jobs again from then on.
 	OrphansEndBy clock.Millis
@@ -69,7 +75,9 @@
 	orphans        orphans
 	otherLoads     map[shard.ID]*shard.Load
 	workEstimates  map[queue.Name]*workEstimate
-	crashes        *crash.History
+	// coldSpeed is the speed of cold endpoints, as a factor of their speed when they are warm.
+	coldSpeed speed
+	crashes   *crash.History
 	// isolatedEndpoints are held for tasks that may crash them.
 	isolatedEndpoints []*endpointState
 	// inheritedEstimates are the estimates of an earlier leader, for endpoints that are listed
@@ -84,9 +92,15 @@
 	capacitiesReadAt clock.Millis
 	// storeLost means that the store does not answer this VM.
 	storeLost bool
+	// awaitsCancellations means that a task may belong to a job that was cancelled before the take-over.
+	awaitsCancellations bool
 	// heldSince is since when starts wait for a current list, or 0 if none do.
 	heldSince clock.Millis
 	now       clock.Millis
+	// evacuatedSince is when the leader first knew that its data centre is evacuated, or 0 if it is not.
+	// emptied means that no task has been left since.
+	evacuatedSince clock.Millis
+	emptied        bool
 	// resuming means that nothing is started after a pause until the endpoints have answered requests
 	// of the event resumedSeq or later.
 	resuming   bool
@@ -106,12 +120,12 @@
 // New returns a leader that has just taken over the shard.
 func New(c Config) *Leader {
 	l := &Leader{
-		config: c, desired: c.Desired, now: c.Now, storeLost: c.StoreLost,
+		config: c, desired: c.Desired, now: c.Now, storeLost: c.StoreLost, awaitsCancellations: c.AwaitsCancellations,
 		endpoints: make(map[datacentre.EndpointID]*endpointState), dropped: make(map[datacentre.EndpointID]droppedEndpoint), jobs: make(map[job.Key]*jobState),
 		jobsByID: make(map[job.ID][]*jobState), activeTasks: make(map[job.TaskName]*task),
 		entryVMs: make(map[vm.Incarnation]*entryVM), orphans: make(orphans),
 		otherLoads: make(map[shard.ID]*shard.Load), workEstimates: make(map[queue.Name]*workEstimate),
-		answers: newAnswerCache(), attemptNumbers: newAttemptNumbers(), crashes: c.Crashes,
+		answers: newAnswerCache(), attemptNumbers: newAttemptNumbers(), crashes: c.Crashes, coldSpeed: newColdSpeed(),
 		planner: admission.New(admission.DefaultConfig()),
 	}
 	if l.crashes == nil {
@@ -188,6 +202,10 @@
 				l.cancel(j)
 			}
 		}
+	case EvacuationChanged:
+		l.evacuate()
+	case CancellationsKnown:
+		l.awaitsCancellations = false
 	case EstimatesLoaded:
 		l.inheritEstimates(e.Estimates)
 	case Tick:
@@ -302,6 +320,11 @@
 	l.answer(j, outcome)
 }
 
+// Has reports whether the leader has a job that a cancellation names.
+func (l *Leader) Has(c job.Cancellation) bool {
+	return slices.ContainsFunc(l.jobsByID[c.Job], func(j *jobState) bool { return !j.answered && c.Covers(&j.Job) })
+}
+
 // cancel stops all attempts of a job that its caller has cancelled.
 func (l *Leader) cancel(j *jobState) {
 	if j.answered {
@@ -344,6 +367,7 @@
 		l.checkResumed()
 	}
 	l.review()
+	l.evacuate()
 	for _, ep := range l.sortedEndpoints {
 		l.checkEndpoint(ep)
 	}
--- a/internal/control/leader/plan.go
+++ b/internal/control/leader/plan.go
@@ -13,7 +13,7 @@
 
 // describe fills in what the planner has to know of a job.
 func (l *Leader) describe(j *jobState) {
-	q := l.desired.Queue(j.queue)
+	q := l.queueOf(j)
 	path := l.criticalPath(j)
 	j.plan = admission.Job{Queue: j.queue, From: j.From, Priority: q.Priority}
 	j.plan.Tasks.FarFactor = l.config.FarFactor
@@ -76,7 +76,7 @@
 func (l *Leader) waitingJobs(s queue.ServiceName) []*admission.Job {
 	l.planBuffer = l.planBuffer[:0]
 	for _, j := range l.queue {
-		if q := l.desired.Queue(j.queue); q != nil && q.Service == s {
+		if l.queueOf(j).Service == s {
 			l.updatePlan(j)
 			l.planBuffer = append(l.planBuffer, &j.plan)
 		}
@@ -89,7 +89,7 @@
 	if len(l.queue) == 0 && l.hasCapacityNow(j) {
 		return admission.Start{}
 	}
-	service := l.desired.Queue(j.queue).Service
+	service := l.queueOf(j).Service
 	if l.planner.IsPricedOut(l.now, &j.plan) && !l.hasCapacityNow(j) {
 		return l.planner.RefusePricedOut(&j.plan, l.waitingJobs(service))
 	}
@@ -118,8 +118,8 @@
 func (l *Leader) queuedServices() []queue.ServiceName {
 	var all []queue.ServiceName
 	for _, j := range l.queue {
-		if q := l.desired.Queue(j.queue); q != nil && !slices.Contains(all, q.Service) {
-			all = append(all, q.Service)
+		if s := l.queueOf(j).Service; !slices.Contains(all, s) {
+			all = append(all, s)
 		}
 	}
 	return all
--- a/internal/control/leader/resent_test.go
+++ b/internal/control/leader/resent_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
@@ -87,3 +88,93 @@
 		t.Errorf("got %s for the submission that the caller waits for, want %s", got, want)
 	}
 }
+
+// Guards against more tasks of a step at an endpoint than the step allows, when a leader has two parts of a
+// divided job, or one part and attempts that an earlier leader has started for the other.
+func TestPartsShareTheBoundOfTasksAtAnEndpoint(t *testing.T) {
+	for name, takeover := range map[string]bool{"two parts": false, "a part and attempts of an earlier leader": true} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 31, 3)
+			c.duration = func(job.TaskName) clock.Millis { return 400 }
+			current := 1
+			c.addLeader(current, 256)
+			c.advance(50)
+			c.renewLeases(current, "a-1", 1, 2)
+			first := submission("a-1", 1, 1)
+			first.Attempt, first.Part, first.Job.Steps[0].PerEndpoint = 1, true, 1
+			second := submission("a-1", 2, 2)
+			second.Job = first.Job
+			second.Job.Steps = []job.Step{first.Job.Steps[0]}
+			second.Job.Steps[0].Tasks = 2
+			second.Attempt, second.Part, second.First = 1, true, 1
+			c.deliver(current, Submitted{Submission: first})
+			c.advance(20)
+			if takeover {
+				c.leaders[1].stopped = true
+				current = 2
+				c.addLeader(current, 257)
+				c.advance(20)
+			}
+			c.renewLeases(current, "a-1", 1, 2)
+			c.deliver(current, Submitted{Submission: second})
+			c.advance(50)
+			running := 0
+			for id, e := range c.endpoints {
+				running += len(e.attempts)
+				if len(e.attempts) > 1 {
+					t.Errorf("got %d tasks of the step at %s, want 1", len(e.attempts), id)
+				}
+			}
+			if running != 3 {
+				t.Errorf("got %d tasks running, want 3", running)
+			}
+		})
+	}
+}
+
+// Guards against a job that ends another one of its ID from elsewhere, or runs tasks of the same names beside it.
+func TestJobsOfOneIDFromTwoOrigins(t *testing.T) {
+	c := newCluster(t, 29, 2)
+	c.duration = func(job.TaskName) clock.Millis { return 300 }
+	c.addLeader(1, 256)
+	c.advance(50)
+	c.renewLeases(1, "a-1", 1)
+	c.renewLeases(1, "b-1", 1, 2)
+	first, second := submission("a-1", 1, 1), submission("b-1", 1, 1)
+	second.Job.ID, second.Job.Origin = first.Job.ID, "h/other/"
+	c.deliver(1, Submitted{Submission: first})
+	c.advance(20)
+	c.deliver(1, Submitted{Submission: second})
+	if got, ok := c.outcomes[second.Key].(job.Refused); !ok || got.Reason != job.IDInUse {
+		t.Errorf("got %v, want a refusal", c.outcomes[second.Key])
+	}
+	c.advance(500)
+	if got, want := outcomeName(c.outcomes[first.Key]), "job.Completed"; got != want {
+		t.Errorf("got %s for the first job, want %s", got, want)
+	}
+	second.Key.Seq = 2
+	c.deliver(1, Submitted{Submission: second})
+	c.advance(500)
+	if got, want := outcomeName(c.outcomes[second.Key]), "job.Completed"; got != want {
+		t.Errorf("got %s once the first job has ended, want %s", got, want)
+	}
+}
+
+// Guards against a job whose tasks are neither started nor refused once its queue has gone from the desired state.
+func TestJobGoesOnWithoutItsQueue(t *testing.T) {
+	c := newCluster(t, 37, 2)
+	c.duration = func(job.TaskName) clock.Millis { return 100 }
+	c.addLeader(1, 256)
+	c.advance(50)
+	c.renewLeases(1, "a-1", 1)
+	s := submission("a-1", 1, 1)
+	s.Job.Steps = append(s.Job.Steps, s.Job.Steps[0])
+	s.Job.Steps[1].After = []int{0}
+	c.deliver(1, Submitted{Submission: s})
+	c.advance(20)
+	c.deliver(1, DesiredState{State: queue.NewState(2, nil, testState().Services, queue.Limits{})})
+	c.advance(400)
+	if got, want := outcomeName(c.outcomes[s.Key]), "job.Completed"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
--- a/internal/control/leader/room.go
+++ b/internal/control/leader/room.go
@@ -22,7 +22,7 @@
 		for _, t := range ep.tasks {
 			l.attemptBuffer = append(l.attemptBuffer, l.forecastAttempt(t))
 		}
-		l.room.Add(forecast.Endpoint{Free: ep.free, Speed: ep.speed.factor(), From: from, Rack: ep.Rack, Labels: ep.Labels}, l.attemptBuffer)
+		l.room.Add(forecast.Endpoint{Free: ep.offers(l.now), Speed: l.speedOf(ep), From: from, Rack: ep.Rack, Labels: ep.Labels}, l.attemptBuffer)
 	}
 	return &l.room
 }
@@ -52,15 +52,15 @@
 // hasCapacityNow reports whether all waiting tasks of a job can start at once and end in time.
 func (l *Leader) hasCapacityNow(j *jobState) bool {
 	tasks := &j.plan.Tasks
-	minSpeed, service, n := j.plan.MinSpeed(l.now), l.desired.Queue(j.queue).Service, 0
+	minSpeed, service, n := j.plan.MinSpeed(l.now), l.queueOf(j).Service, 0
 	for _, ep := range l.sortedEndpoints {
-		if ep.Service != service || !ep.free.Fits(tasks.Demand) || !ep.usable(l.now) || !ep.HasLabel(tasks.Requires) {
+		if ep.Service != service || !ep.takes(tasks.Demand, l.now) || !ep.usable(l.now) || !ep.HasLabel(tasks.Requires) {
 			continue
 		}
-		if speed := tasks.SpeedAt(ep.speed.factor(), ep.Rack); speed < minSpeed {
+		if speed := tasks.SpeedAt(l.speedOf(ep), ep.Rack); speed < minSpeed {
 			continue
 		}
-		if n += ep.free.Count(tasks.Demand); n >= tasks.Count {
+		if n += ep.tasksThatFit(tasks.Demand, l.now); n >= tasks.Count {
 			return true
 		}
 	}
@@ -70,16 +70,14 @@
 // Load returns the load of this shard, for the leaders of other shards.
 func (l *Leader) Load(now clock.Millis) shard.Load {
 	free, total := l.capacity(now)
-	load := shard.Load{Cell: l.config.Shard, LinkDelay: l.linkDelay(), At: now, FreeCPU: int64(free), TotalCPU: int64(total)}
+	load := shard.Load{Cell: l.config.Shard, LinkDelay: l.linkDelay(), Evacuated: l.isEvacuated(), At: now, FreeCPU: int64(free), TotalCPU: int64(total)}
 	for _, ep := range l.sortedEndpoints {
 		if ep.releases() {
 			load.SoonCPU += int64(l.releasedSoon(ep, now))
 		}
 	}
 	for _, j := range l.queue {
-		if q := l.desired.Queue(j.queue); q != nil {
-			load.AddWaiting(q.Priority, int64(j.demand()))
-		}
+		load.AddWaiting(l.queueOf(j).Priority, int64(j.demand()))
 	}
 	return load
 }
@@ -91,8 +89,8 @@
 			continue
 		}
 		total += ep.Capacity.CPU
-		if ep.free.CPU > 0 && ep.usable(now) {
-			free += ep.free.CPU
+		if ep.usable(now) {
+			free += max(ep.usableCPU(now), 0)
 		}
 	}
 	return free, total
--- a/internal/control/leader/task.go
+++ b/internal/control/leader/task.go
@@ -32,6 +32,8 @@
 	// baseDuration is how long the attempt is expected to take at speed 1, expectedDuration at its
 	// endpoint.
 	baseDuration, expectedDuration clock.Millis
+	// startedCold means that the endpoint was cold when the attempt started.
+	startedCold bool
 	// uncertainSeq is the event in which the start was found to be unanswered, or 0.
 	uncertainSeq SequenceNumber
 	// percent was first reported at percentAt.
@@ -87,5 +89,8 @@
 
 // TaskName builds the unique name of a task from its job, occurrence, step and index.
 func TaskName(id job.ID, step, index int) job.TaskName {
-	return job.TaskName(string(id) + ".0." + strconv.Itoa(step) + "." + strconv.Itoa(index))
+	return job.TaskName(stepPrefix(id, step) + strconv.Itoa(index))
 }
+
+// stepPrefix is what the names of the tasks of a step have in common.
+func stepPrefix(id job.ID, step int) string { return string(id) + ".0." + strconv.Itoa(step) + "." }
--- a/internal/control/node/action.go
+++ b/internal/control/node/action.go
@@ -9,6 +9,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
 )
 
@@ -54,6 +55,24 @@
 	Cancellation job.Cancellation
 }
 
+// CancellationRow is the key of a row with cancellations in the store.
+type CancellationRow string
+
+// CancellationLoad numbers the reads of the stored cancellations by this VM, from 1.
+type CancellationLoad uint64
+
+// SaveCancellations stores cancellations in a row of their own.
+type SaveCancellations struct {
+	Row CancellationRow
+	All []job.Cancellation
+}
+
+// LoadCancellations reads all stored cancellations.
+type LoadCancellations struct{ Load CancellationLoad }
+
+// RemoveCancellations removes rows from the store.
+type RemoveCancellations struct{ Rows []CancellationRow }
+
 // SendYield asks a successor to take over.
 type SendYield struct {
 	To         shard.Member
@@ -131,6 +150,11 @@
 	Outcome job.Outcome
 	Waited  clock.Millis
 	Parts   int
+	// DataCentre is set for EvacuationRequested and EvacuationWithdrawn. SinceClear is how long ago it was known
+	// not to be evacuated, or 0 if it never was, and Evacuations the number of evacuated data centres.
+	DataCentre  datacentre.ID
+	SinceClear  clock.Millis
+	Evacuations int
 	// Version is that of the desired state, for JobEnded and DesiredStateApplied.
 	Version queue.Version
 }
@@ -147,21 +171,26 @@
 	LeadershipYielded
 	ReplicaSetUpdated
 	DesiredStateApplied
+	EvacuationRequested
+	EvacuationWithdrawn
 )
 
-func (LeaderAction) action()      {}
-func (SendSubmission) action()    {}
-func (SendHeartbeat) action()     {}
-func (SendCancel) action()        {}
-func (SendYield) action()         {}
-func (WriteReplicaSet) action()   {}
-func (LoadEstimates) action()     {}
-func (SaveEstimates) action()     {}
-func (LoadCrashes) action()       {}
-func (SaveCrashes) action()       {}
-func (Probe) action()             {}
-func (QuerySeed) action()         {}
-func (FetchDesiredState) action() {}
-func (FetchEndpoints) action()    {}
-func (ReadEndpoints) action()     {}
-func (LogEvent) action()          {}
+func (LeaderAction) action()        {}
+func (SendSubmission) action()      {}
+func (SendHeartbeat) action()       {}
+func (SendCancel) action()          {}
+func (SaveCancellations) action()   {}
+func (LoadCancellations) action()   {}
+func (RemoveCancellations) action() {}
+func (SendYield) action()           {}
+func (WriteReplicaSet) action()     {}
+func (LoadEstimates) action()       {}
+func (SaveEstimates) action()       {}
+func (LoadCrashes) action()         {}
+func (SaveCrashes) action()         {}
+func (Probe) action()               {}
+func (QuerySeed) action()           {}
+func (FetchDesiredState) action()   {}
+func (FetchEndpoints) action()      {}
+func (ReadEndpoints) action()       {}
+func (LogEvent) action()            {}
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -11,6 +11,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/control/leader"
 	"github.com/sequoiacart/sequoiacart/internal/world/crash"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
+	"github.com/sequoiacart/sequoiacart/internal/world/evacuation"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
@@ -74,8 +75,9 @@
 	// candidates are the VMs in the order in which they claim a shard.
 	candidates map[shard.ID][]shard.VM
 	// heartbeats are the last ones of each VM, or its last answers to one.
-	heartbeats map[vm.Incarnation]heartbeat
-	loads      map[shard.ID]shard.Load
+	heartbeats  map[vm.Incarnation]heartbeat
+	loads       map[shard.ID]shard.Load
+	evacuations evacuation.View
 	// crashes are the recent crashes of endpoints, which the leaders of this VM share.
 	crashes        *crash.History
 	crashExchanges map[vm.Incarnation]crashExchange
@@ -86,8 +88,9 @@
 	cancellations map[job.Cancellation]*cancellation
 	// cancelOrder has them in the order in which they arrived; cancelsConfirmedAt is when they were last
 	// looked at.
-	cancelOrder        []*cancellation
-	cancelsConfirmedAt clock.Millis
+	cancelOrder         []*cancellation
+	cancelsConfirmedAt  clock.Millis
+	storedCancellations storedCancellations
 	// callers and peers receive the outcomes of jobs of this VM's callers and of other VMs.
 	callers map[job.Key]chan<- job.Outcome
 	peers   map[job.Key]chan<- job.Outcome
@@ -140,6 +143,8 @@
 	savedAt clock.Millis
 	// savedCrashes is the revision of the crashes that were last written to the store.
 	savedCrashes crash.Revision
+	// cancellations is the read of the stored cancellations that this leadership waits for, or 0.
+	cancellations CancellationLoad
 	// yielding says that a successor has been asked to take over.
 	yielding bool
 	// nextYieldAt is when a VM that shuts down next looks for a successor.
@@ -180,6 +185,9 @@
 // Handle processes an event and returns the actions that result from it.
 func (n *Control) Handle(now clock.Millis, e Event) []Action {
 	n.now, n.actions = now, nil
+	if n.storedCancellations.requested == 0 {
+		n.loadCancellations()
+	}
 	switch e := e.(type) {
 	case JobArrived:
 		n.handleJobArrived(e)
@@ -187,6 +195,12 @@
 		n.gateway.CallerDisconnected(e.Key, now)
 	case CancelRequested:
 		n.handleCancelRequested(e)
+	case CancellationsSaved:
+		n.handleCancellationsSaved(e)
+	case CancellationsLoaded:
+		n.handleCancellationsLoaded(e)
+	case CancellationsRemoved:
+		n.storedCancellations.handleRemoved(e, now)
 	case CancelAnswered:
 		n.handleCancelAnswered(e)
 	case SubmitAnswered:
@@ -215,6 +229,10 @@
 		n.handleEndpointsLoaded(e)
 	case StoreReported:
 		n.handleStoreReported(e)
+	case EvacuationsLoaded:
+		if n.hasEvacuations() {
+			n.updateEvacuations(e.State, e.ReadAt)
+		}
 	case VMsLoaded:
 		n.handleVMsLoaded(e.VMs)
 	case ReplicaSetsLoaded:
@@ -420,6 +438,8 @@
 			n.stepDown(id)
 		case leader.RefreshList:
 			n.emit(ReadEndpoints{})
+		case leader.RefreshEvacuations:
+			n.emit(ReadEvacuations{})
 		case leader.DeadlyTaskFound:
 			n.saveCrashes(id)
 		case leader.LogDecision:
--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -39,16 +39,54 @@
 	Cancellation job.Cancellation
 	// Limit is how long the leaders of all shards may take to confirm it.
 	Limit clock.Millis
-	// Done receives whether they have. It must have a buffer of one.
-	Done chan<- bool
+	// Done receives the outcome. It must have a buffer of one.
+	Done chan<- CancelOutcome
+}
+
+// CancelOutcome is how the request to cancel a job ends. It is one of the types below.
+type CancelOutcome interface{ cancelOutcome() }
+
+// CancelConfirmed means that no task of the job starts any more. Found says that a VM had the job.
+type CancelConfirmed struct{ Found bool }
+
+// CancelUnconfirmed means that the job may go on.
+type CancelUnconfirmed struct{ Reason job.Reason }
+
+func (CancelConfirmed) cancelOutcome()   {}
+func (CancelUnconfirmed) cancelOutcome() {}
+
+// CancellationsSaved says whether a row of cancellations has been stored.
+type CancellationsSaved struct {
+	Row CancellationRow
+	OK  bool
+}
+
+// CancellationsLoaded is the answer to LoadCancellations: the stored cancellations by their rows, or OK false.
+type CancellationsLoaded struct {
+	Load CancellationLoad
+	Rows map[CancellationRow][]job.Cancellation
+	OK   bool
+}
+
+// CancellationsRemoved says whether rows have been removed from the store.
+type CancellationsRemoved struct {
+	Rows []CancellationRow
+	OK   bool
 }
 
 // CancelAnswered is a peer's answer to a cancellation.
 type CancelAnswered struct {
 	Cancellation job.Cancellation
 	From         vm.Incarnation
-	// Led are the shards that the peer leads.
+	Answer       CancelAnswer
+}
+
+// CancelAnswer is what a VM has done about a cancellation.
+type CancelAnswer struct {
+	// Led are the shards that it leads. None of them starts a task of the job any more.
 	Led []shard.ID
+	// Found says that it had the job.
+	Found bool
 }
 
 // SubmitAnswered is the outcome of a submission: the leader's answer or a failed call.
@@ -84,8 +122,8 @@
 // PeerCancelled is a cancellation forwarded by another VM.
 type PeerCancelled struct {
 	Cancellation job.Cancellation
-	// Led receives the shards that this VM leads. It must have a buffer of one.
-	Led chan<- []shard.ID
+	// Reply must have a buffer of one.
+	Reply chan<- CancelAnswer
 }
 
 // PeerYielded is the request of a shard's leader that this VM take over, because the leader shuts
@@ -168,6 +206,7 @@
 	ReplicaSets      []shard.ReplicaSet
 	Endpoints        []endpoint.Endpoint
 	EndpointsVersion int64
+	Evacuations      *EvacuationReport
 }
 
 // PeerStateRequested is a peer's request for the state of the deployment.
@@ -194,32 +233,35 @@
 // Tick triggers periodic work.
 type Tick struct{}
 
-func (JobArrived) event()         {}
-func (CallerDisconnected) event() {}
-func (CancelRequested) event()    {}
-func (CancelAnswered) event()     {}
-func (SubmitAnswered) event()     {}
-func (PeerSubmitted) event()      {}
-func (PeerHeartbeat) event()      {}
-func (HeartbeatAnswered) event()  {}
-func (PeerCancelled) event()      {}
-func (PeerYielded) event()        {}
-func (YieldEnded) event()         {}
-func (LeaderEvent) event()        {}
-func (DesiredStateLoaded) event() {}
-func (EndpointsLoaded) event()    {}
-func (StoreReported) event()      {}
-func (VMsLoaded) event()          {}
-func (ReplicaSetsLoaded) event()  {}
-func (ReplicaSetWritten) event()  {}
-func (EstimatesLoaded) event()    {}
-func (CrashesLoaded) event()      {}
-func (PeerStateRequested) event() {}
-func (SeedAnswered) event()       {}
-func (ProbeEnded) event()         {}
-func (ShutdownRequested) event()  {}
-func (ShutdownOverdue) event()    {}
-func (Tick) event()               {}
+func (JobArrived) event()           {}
+func (CallerDisconnected) event()   {}
+func (CancelRequested) event()      {}
+func (CancelAnswered) event()       {}
+func (CancellationsSaved) event()   {}
+func (CancellationsLoaded) event()  {}
+func (CancellationsRemoved) event() {}
+func (SubmitAnswered) event()       {}
+func (PeerSubmitted) event()        {}
+func (PeerHeartbeat) event()        {}
+func (HeartbeatAnswered) event()    {}
+func (PeerCancelled) event()        {}
+func (PeerYielded) event()          {}
+func (YieldEnded) event()           {}
+func (LeaderEvent) event()          {}
+func (DesiredStateLoaded) event()   {}
+func (EndpointsLoaded) event()      {}
+func (StoreReported) event()        {}
+func (VMsLoaded) event()            {}
+func (ReplicaSetsLoaded) event()    {}
+func (ReplicaSetWritten) event()    {}
+func (EstimatesLoaded) event()      {}
+func (CrashesLoaded) event()        {}
+func (PeerStateRequested) event()   {}
+func (SeedAnswered) event()         {}
+func (ProbeEnded) event()           {}
+func (ShutdownRequested) event()    {}
+func (ShutdownOverdue) event()      {}
+func (Tick) event()                 {}
 
 // HeartbeatRequest is the message of an entry VM to the leader of a shard. It renews the leases of
 // the VM's jobs there. The field names are sent.
@@ -245,6 +287,8 @@
 	Loads []shard.Load
 	// Crashes are those that the receiver does not know yet.
 	Crashes CrashUpdate
+	// Evacuations are those that the sender knows of, or nil.
+	Evacuations *EvacuationReport
 }
 
 // HeartbeatReply is the answer of a member of a replica set to a heartbeat. The field names are
@@ -273,4 +317,6 @@
 	From             vm.Incarnation
 	// Crashes are those that the receiver does not know yet.
 	Crashes CrashUpdate
+	// Evacuations are those that the sender knows of, or nil.
+	Evacuations *EvacuationReport
 }
--- a/internal/control/node/model_execute_test.go
+++ b/internal/control/node/model_execute_test.go
@@ -9,7 +9,6 @@
 	"github.com/sequoiacart/sequoiacart/internal/control/node"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
-	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 )
 
 const (
@@ -31,6 +30,12 @@
 		v.sendHeartbeat(a)
 	case node.SendCancel:
 		v.cancel(a)
+	case node.LoadCancellations:
+		v.loadCancellations(a)
+	case node.SaveCancellations:
+		v.saveCancellations(a)
+	case node.RemoveCancellations:
+		v.removeCancellations(a)
 	case node.SendYield:
 		v.yield(a)
 	case node.WriteReplicaSet:
@@ -50,6 +55,8 @@
 		v.fetchEndpoints(a)
 	case node.ReadEndpoints:
 		v.endpointsFollower.wake()
+	case node.ReadEvacuations:
+		v.operatorFollower.wake()
 	case node.LogEvent:
 		v.world.trace.log(v, a)
 		if a.Topic == node.LeadershipAcquired {
@@ -69,7 +76,7 @@
 		v.sendStop(a, request)
 	case leader.Hold:
 		v.sendHold(a, request)
-	case leader.Answer, leader.Fenced, leader.RefreshList, leader.DeadlyTaskFound, leader.LogDecision:
+	case leader.Answer, leader.Fenced, leader.RefreshList, leader.RefreshEvacuations, leader.DeadlyTaskFound, leader.LogDecision:
 	}
 }
 
@@ -79,6 +86,7 @@
 
 func (v *modelVM) sendStart(a node.LeaderAction, s leader.Start) {
 	v.checkDrain(s)
+	v.world.cancellations.checkStart(v, s)
 	v.world.trace.add(record{
 		vm: v.name, endpoint: s.Endpoint.ID, task: s.Task, format: "%s sends start of attempt %d token %s until %d",
 		args: []any{v.name, s.Attempt, formatToken(s.Token), s.LeaseUntil},
@@ -86,10 +94,20 @@
 	end := func(r endpoint.StartResult, at endpoint.Clock) {
 		v.postToLeader(a, leader.StartEnded{Endpoint: s.Endpoint.ID, Task: s.Task, Attempt: s.Attempt, SentTo: s.Endpoint.Born, Result: r, Clock: at})
 	}
-	x := v.newExchange(string(s.Endpoint.ID), startTimeout, v.lifeOf(s.Endpoint.ID), v.atEndpoint(s.Endpoint.ID, func(e *modelEndpoint, respond func(func())) {
+	var sentAt micros
+	arrive := v.atEndpoint(s.Endpoint.ID, func(e *modelEndpoint, respond func(func())) {
 		result, at := e.startAttempt(s, v.name), e.clock()
+		v.checkEvacuation(e, s, result, sentAt)
 		respond(func() { end(result, at) })
-	}), func(f exchangeFailure) {
+	})
+	x := v.newExchange(string(s.Endpoint.ID), startTimeout, v.lifeOf(s.Endpoint.ID), func(x *exchange) {
+		// A start is sent on a connection that leads to the incarnation that it is meant for.
+		if e := v.world.endpoint(s.Endpoint.ID); e != nil && e.up && e.born != s.Endpoint.Born && s.Endpoint.Born != 0 {
+			x.answer(func() { x.fail(callNotSent) })
+			return
+		}
+		arrive(x)
+	}, func(f exchangeFailure) {
 		switch f {
 		case callNotSent:
 			end(endpoint.Rejected{Reason: endpoint.RejectedNotSent}, 0)
@@ -106,6 +124,7 @@
 		if v.clock() > s.SendBy {
 			return false
 		}
+		sentAt = v.world.now
 		if e := v.world.endpoint(s.Endpoint.ID); e.onStart != nil && e.up {
 			v.world.after(1, e.onStart)
 			e.onStart = nil
@@ -203,11 +222,11 @@
 
 func (v *modelVM) cancel(a node.SendCancel) {
 	v.callPeer(a.To.Address, peerTimeout, func(peer *modelVM, x *exchange) {
-		led := make(chan []shard.ID, 1)
-		await(peer, x, led, func(all []shard.ID) {
-			v.post(v.life, node.CancelAnswered{Cancellation: a.Cancellation, From: a.To.Incarnation, Led: all})
+		answers := make(chan node.CancelAnswer, 1)
+		await(peer, x, answers, func(answer node.CancelAnswer) {
+			v.post(v.life, node.CancelAnswered{Cancellation: a.Cancellation, From: a.To.Incarnation, Answer: answer})
 		})
-		peer.handle(node.PeerCancelled{Cancellation: a.Cancellation, Led: led})
+		peer.handle(node.PeerCancelled{Cancellation: a.Cancellation, Reply: answers})
 	}, func(exchangeFailure) {})
 }
 
--- a/internal/control/node/model_store_test.go
+++ b/internal/control/node/model_store_test.go
@@ -23,6 +23,9 @@
 	// heartbeatAt is when each endpoint last wrote its row.
 	heartbeatAt map[datacentre.EndpointID]micros
 
+	// evacuatedSince is when the store accepted the request to evacuate each data centre that is to be empty.
+	evacuatedSince map[datacentre.ID]micros
+
 	downUntil micros
 	// refusedUntil is until when the store turns a VM away.
 	refusedUntil map[string]micros
@@ -38,6 +41,8 @@
 	tableReplicaSets storeTable = "lineups"
 	tableEndpoints   storeTable = "servers"
 	tableCrashes     storeTable = "crashes"
+
+	tableCancellations storeTable = "cancellations"
 )
 
 // storeRow is a row or the record of its removal.
@@ -59,6 +64,7 @@
 	return &modelStore{
 		world: w, random: w.random("store"), rows: make(map[storeTable]map[string]storeRow), log: make(map[storeTable][]storeRow),
 		waiting: make(map[storeTable][]func()), heartbeatAt: make(map[datacentre.EndpointID]micros), refusedUntil: make(map[string]micros),
+		evacuatedSince: make(map[datacentre.ID]micros),
 	}
 }
 
--- a/internal/process/daemon/decision_fields.go
+++ b/internal/process/daemon/decision_fields.go
@@ -50,6 +50,9 @@
 		fields["readIn"], fields["readingAgeMs"] = d.ReadIn, d.Age
 	case *leader.HeldStarts:
 		fields["waitedMs"], fields["storeLost"] = d.Waited, d.StoreLost
+		if d.EvacuationsAge != 0 {
+			fields["evacuationsAgeMs"] = d.EvacuationsAge
+		}
 		addList(fields, d.List)
 	case *leader.EndpointCrash:
 		addCrash(fields, d)
@@ -61,7 +64,7 @@
 }
 
 var refusalCauses = map[leader.RefusalCause]string{
-	leader.RefusedOnArrival: "onArrival", leader.RefusedDisplaced: "displaced", leader.RefusedTooLate: "tooLate",
+	leader.RefusedOnArrival: "onArrival", leader.RefusedDisplaced: "displaced", leader.RefusedTooLate: "tooLate", leader.RefusedEvacuated: "evacuated",
 }
 
 // leadershipFields says which leadership was acquired, and with which list of endpoints.
