leader: a hand-over names the incarnation that wrote an entry

Cause: Leader.Endpoints handed over its copy of the entries, in which the incarnation that answers had taken the place of the one that wrote the entry. The next leader compared that with the first answer, found them equal, and used the labels, service and capacity of the former incarnation.

Evidence: TestHandedOverEntryIsOfTheIncarnationThatWroteIt fails on the code before ("got 1 starts by the entry that was handed over, want none"), and so do 4 of 400 worlds of TestModel with endpoints of several kinds (kinds,reborn,storeDown,revoke,roll) and 1 of 400 with kinds,reborn,deadly,crash,coreCut,roll,loss; none do now.

Result: the next leader gets the entry with its own incarnation, sees a restart in the first answer, and waits for an entry of the present one.

--- a/internal/control/leader/admission.go
+++ b/internal/control/leader/admission.go
@@ -254,12 +254,13 @@
 	return sum
 }
 
-// Endpoints returns all endpoints at which this leader may have attempts, including those that are
-// no longer listed.
+// Endpoints returns the entries of all endpoints at which this leader may have attempts, including those that
+// are no longer listed. Each names the incarnation that wrote it, since the present one may be of another kind.
 func (l *Leader) Endpoints() []endpoint.Endpoint {
 	all := make([]endpoint.Endpoint, len(l.sortedEndpoints))
 	for i, ep := range l.sortedEndpoints {
 		all[i] = ep.Endpoint
+		all[i].Born = ep.listedBorn
 	}
 	return all
 }
--- a/internal/control/leader/former_entry_test.go
+++ b/internal/control/leader/former_entry_test.go
@@ -66,3 +66,37 @@
 		t.Errorf("got the endpoint draining by the entry of its former incarnation, want it not")
 	}
 }
+
+// Guards against a leader that starts tasks by the labels of a former incarnation because its predecessor has
+// handed over that entry as one of the present incarnation, which had restarted without an entry of its own.
+func TestHandedOverEntryIsOfTheIncarnationThatWroteIt(t *testing.T) {
+	c := newCluster(t, 35, 1)
+	e := c.endpoints["e00"]
+	e.Labels = []string{"b"}
+	entry := e.Endpoint
+	former := c.addLeader(1, 256)
+	c.advance(50)
+	former.relists = false
+	c.crash(e)
+	e.Labels = []string{"c"}
+	c.advance(testTimeouts().cappedLeaseExpiry() + 1100)
+
+	handedOver := former.leader.Endpoints()
+	if len(handedOver) != 1 || handedOver[0].Born != entry.Born {
+		t.Errorf("got the entries %+v handed over, want that of incarnation %d", handedOver, entry.Born)
+	}
+	former.stopped = true
+	next := c.addLeader(2, 257)
+	next.relists = false
+	c.deliver(2, EndpointsListed{Endpoints: handedOver, Complete: true, List: EndpointList{ReadAt: c.now}})
+	c.advance(testTimeouts().cappedLeaseExpiry() + 200)
+	s := submission("a-1", 1, 1)
+	s.Part, s.Limit = true, 20*clock.Second
+	s.Job.Steps[0].Requires = "b"
+	c.renewLeases(2, "a-1", 1)
+	c.deliver(2, Submitted{Submission: s})
+	c.advance(200)
+	if got := c.starts[TaskName(s.Job.ID, 0, 0)]; got != 0 {
+		t.Errorf("got %d starts by the entry that was handed over, want none", got)
+	}
+}
