node: the model restarts endpoints as other kinds

TestModel did not know that an endpoint may restart as one of another kind or for another service, nor that the time of day which names its incarnation may be set meanwhile. The kinds `kinds` and `clockStep` add both, and each start is checked against the requirement of its task and the service of its queue (ROUTE).

--- a/internal/control/node/model_caller_test.go
+++ b/internal/control/node/model_caller_test.go
@@ -80,6 +80,7 @@
 	}
 	c.work[j.ID] = work
 	c.world.deadly.choose(j)
+	c.world.requirements.choose(j)
 	limit := 1500 * ms
 	if c.random.IntN(2) == 0 {
 		limit = 4 * second
--- a/internal/control/node/model_endpoint_test.go
+++ b/internal/control/node/model_endpoint_test.go
@@ -8,6 +8,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/control/leader"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 )
@@ -33,6 +34,9 @@
 	draining  bool
 	// drainingSince is when the store accepted that this life drains, or 0.
 	drainingSince micros
+	// kind and service are those of this life.
+	kind    string
+	service queue.ServiceName
 	// capacity is what it says of itself next, and reported what the store has of this life.
 	capacity job.MilliCores
 	reported []capacityReport
@@ -76,7 +80,7 @@
 	e.life++
 	e.up, e.draining, e.drainingSince = true, false, 0
 	e.startedAt, e.clockBase = e.world.now, age+ms
-	e.born = endpoint.Incarnation(1_700_000_000_000 + int64(e.world.now/ms) + int64(e.life))
+	e.born = e.bornAt()
 	e.rate = 1 - 0.02*e.random.Float64()
 	if e.random.IntN(3) == 0 {
 		e.rate = 0.98
@@ -85,6 +89,7 @@
 	e.ended, e.lastEnd, e.waiting, e.open = nil, 0, nil, make(map[*exchange]bool)
 	e.world.trace.add(record{endpoint: e.id, format: "endpoint starts: life %d, born %d, rate %.3f", args: []any{e.life, e.born, e.rate}})
 	e.chooseCapacity()
+	e.chooseKind()
 	life := e.life
 	e.world.after(micros(e.random.Int64N(100))*ms, func() { e.heartbeat(life) })
 }
@@ -116,8 +121,8 @@
 
 func (e *modelEndpoint) row() endpoint.Endpoint {
 	return endpoint.Endpoint{
-		ID: e.id, Born: e.born, Service: modelService, DataCentre: e.dc, Address: string(e.id),
-		Capacity: job.Resources{CPU: e.capacity, Memory: 1 << 17}, Labels: []string{"a", "r1"}, Rack: "r1", Draining: e.draining,
+		ID: e.id, Born: e.born, Service: e.service, DataCentre: e.dc, Address: string(e.id),
+		Capacity: job.Resources{CPU: e.capacity, Memory: 1 << 17}, Labels: []string{e.kind, "r1"}, Rack: "r1", Draining: e.draining,
 	}
 }
 
@@ -229,6 +234,7 @@
 	if !e.hasCapacityFor(s) {
 		return endpoint.Rejected{Reason: endpoint.RejectedNoCapacity}
 	}
+	e.checkKind(s)
 	e.highest[s.Task] = s.Attempt
 	a := &modelAttempt{endpoint: e, life: e.life, task: s.Task, number: s.Attempt, token: s.Token, startedAt: e.world.now, end: endpoint.EndDone}
 	a.endsAt = e.world.now + micros(float64(e.world.callers.workOf(s.Task))*(0.7+0.6*e.random.Float64()))
--- a/internal/control/node/model_world_test.go
+++ b/internal/control/node/model_world_test.go
@@ -15,17 +15,18 @@
 // world is a simulated deployment: entry VMs, endpoints, a store, callers and the network between
 // them. It has a clock of its own and is deterministic for a seed.
 type world struct {
-	options   modelOptions
-	seed      uint64
-	now       micros
-	order     int
-	pending   eventHeap
-	network   *network
-	store     *modelStore
-	endpoints []*modelEndpoint
-	vms       []*modelVM
-	callers   *modelCallers
-	deadly    *modelDeadly
+	options      modelOptions
+	seed         uint64
+	now          micros
+	order        int
+	pending      eventHeap
+	network      *network
+	store        *modelStore
+	endpoints    []*modelEndpoint
+	vms          []*modelVM
+	callers      *modelCallers
+	deadly       *modelDeadly
+	requirements *modelRequirements
 
 	cancellations *modelCancellations
 	trace         modelTrace
@@ -52,6 +53,7 @@
 	w.store = newModelStore(w)
 	w.callers = newModelCallers(w)
 	w.deadly = newModelDeadly(w)
+	w.requirements = newModelRequirements(w)
 	w.cancellations = newModelCancellations(w)
 	random := w.random("layout")
 	dataCentres := modelDataCentres[:2+random.IntN(2)]
