daemon: lists through other VMs hold where the feed has each row once

The page of the protocol promises the changed rows in order, and a feed with each changed row once keeps to that.

Cause: the VM that reads the list for all passes on the rows that differ from what it had. A row that was removed and is back between two of its reads does not; a VM that has read the store in between has it as removed.

--- a/internal/process/daemon/change_log_test.go
+++ b/internal/process/daemon/change_log_test.go
@@ -20,9 +20,9 @@
 	c := changeLog{clock: clocks}
 	row := func(r store.Revision) store.Row { return store.Row{Key: "e", Revision: r} }
 	readAt := clocks.Now()
-	c.record(tableRead{whole: true, version: 10, sentAt: readAt}, nil)
-	c.record(tableRead{version: 12, sentAt: readAt}, []store.Row{row(11), row(12)})
-	c.record(tableRead{version: 15, sentAt: readAt}, nil)
+	c.record(tableRead{whole: true, version: 10, sentAt: readAt}, nil, nil)
+	c.record(tableRead{version: 12, sentAt: readAt}, []store.Row{row(11), row(12)}, nil)
+	c.record(tableRead{version: 15, sentAt: readAt}, nil, nil)
 	clocks.Advance(70)
 	for _, tt := range []struct {
 		name    string
@@ -45,12 +45,12 @@
 			t.Errorf("%s: got an age of %d ms, want %d ms", tt.name, age, want)
 		}
 	}
-	c.record(tableRead{version: 16}, nil)
+	c.record(tableRead{version: 16}, nil, nil)
 	if _, _, ok := c.Since(15); ok {
 		t.Errorf("got the changes of a read that may not have all, want none")
 	}
 	for r := store.Revision(17); r < 17+maxLoggedChanges; r++ {
-		c.record(tableRead{version: r, sentAt: readAt}, []store.Row{row(r)})
+		c.record(tableRead{version: r, sentAt: readAt}, []store.Row{row(r)}, nil)
 	}
 	if _, _, ok := c.Since(11); ok {
 		t.Errorf("got changes of which the log has dropped some, want none")
@@ -145,8 +145,8 @@
 // read the list.
 func TestChangesBetweenPagesAreNotPassedOn(t *testing.T) {
 	c := changeLog{clock: clock.NewManual(clock.Hour)}
-	c.record(tableRead{whole: true, version: 10, rows: map[string]store.Row{"a": {Revision: 9}, "b": {Revision: 13}}, sentAt: 1}, nil)
-	c.record(tableRead{version: 14, sentAt: 1}, nil)
+	c.record(tableRead{whole: true, version: 10, rows: map[string]store.Row{"a": {Revision: 9}, "b": {Revision: 13}}, sentAt: 1}, nil, nil)
+	c.record(tableRead{version: 14, sentAt: 1}, nil, nil)
 	if s, _, ok := c.Since(11); ok {
 		t.Errorf("got %+v after version 11, want none: row b may have changed since", s)
 	}
--- a/internal/process/daemon/followers.go
+++ b/internal/process/daemon/followers.go
@@ -457,10 +457,12 @@
 	}
 	// A VM that has read the list between two reads of this one gets its changes from here too, so each
 	// change is compared with the one before it, not with the list that this VM had.
-	var relevant []store.Row
+	var relevant, renewed []store.Row
 	for _, r := range t.changes {
 		if decode(r) {
 			relevant = append(relevant, r)
+		} else {
+			renewed = append(renewed, r)
 		}
 	}
 	maps.DeleteFunc(d.decodedRows, func(key string, _ decodedRow) bool { _, listed := t.rows[key]; return !listed })
@@ -476,7 +478,7 @@
 	if !t.relayed && !t.whole {
 		d.readPace.adapt(d.link.Rate().TransferTime(bytesOf(t.changes)))
 	}
-	d.changeLog.record(t, relevant)
+	d.changeLog.record(t, relevant, renewed)
 	// The row may have been that of an endpoint since the read before.
 	gap := t.gap || unreadableChanges > 0
 	d.loop.Post(node.EndpointsLoaded{Endpoints: all, Unreadable: unreadable, Version: int64(t.version), ReadAt: t.sentAt, Gap: gap})
--- a/internal/process/daemon/followers_test.go
+++ b/internal/process/daemon/followers_test.go
@@ -26,7 +26,7 @@
 // decoded rows: an endpoint that drains, returns, becomes unreadable or is removed.
 func TestEndpointsAreDecodedAgainWhenTheyChange(t *testing.T) {
 	clocks := clock.NewManual(clock.Hour)
-	d := &Daemon{decodedRows: make(map[string]decodedRow), loop: newLoop(nil, clocks), link: network.NewLink(link.MegabitsPerSecond(1000), clocks)}
+	d := &Daemon{decodedRows: make(map[string]decodedRow), loop: newLoop(nil, clocks), link: network.NewLink(link.MegabitsPerSecond(1000), clocks), changeLog: changeLog{clock: clocks}}
 	d.logger = newEventLogger(event.NewLog(logrus.New()), meter.New(), clocks, 10)
 	rows := map[string]store.Row{}
 	for step, c := range []struct {
@@ -213,7 +213,7 @@
 func TestManyUnreadableRows(t *testing.T) {
 	const odd, linesPerSecond = 10_000, 10
 	clocks := clock.NewManual(clock.Hour)
-	d := &Daemon{decodedRows: make(map[string]decodedRow), loop: newLoop(nil, clocks), link: network.NewLink(link.MegabitsPerSecond(1000), clocks)}
+	d := &Daemon{decodedRows: make(map[string]decodedRow), loop: newLoop(nil, clocks), link: network.NewLink(link.MegabitsPerSecond(1000), clocks), changeLog: changeLog{clock: clocks}}
 	d.logger = newEventLogger(event.NewLog(logrus.New()), meter.New(), clocks, linesPerSecond)
 	rows := map[string]store.Row{"e1": listedRow("ready")}
 	for i := range odd {
@@ -238,7 +238,7 @@
 // that of an endpoint with attempts since the read before.
 func TestUnreadableRowIsAGap(t *testing.T) {
 	clocks := clock.NewManual(clock.Hour)
-	d := &Daemon{decodedRows: make(map[string]decodedRow), loop: newLoop(nil, clocks), link: network.NewLink(link.MegabitsPerSecond(1000), clocks)}
+	d := &Daemon{decodedRows: make(map[string]decodedRow), loop: newLoop(nil, clocks), link: network.NewLink(link.MegabitsPerSecond(1000), clocks), changeLog: changeLog{clock: clocks}}
 	d.logger = newEventLogger(event.NewLog(logrus.New()), meter.New(), clocks, 10)
 	rows := map[string]store.Row{"e1": listedRow("ready")}
 	for step, c := range []struct {
