leader: an entry that names no incarnation starts nothing

An entry without `born` counted as one of the present incarnation, whatever that was.

Evidence: TestEntryWithoutIncarnationDecidesNothing fails on the code before ("got 1 starts by an entry of no known incarnation, want none").

Result: tasks start at an endpoint only while its entry and its answers name the same incarnation.

Tests: newEndpoint of the node tests and TestDrainingEndpointConvictsNobody had endpoints that name their incarnation in answers and not in entries, which the platform does not have. Theirs name it in both now.

--- a/internal/control/leader/endpoint_state.go
+++ b/internal/control/leader/endpoint_state.go
@@ -128,10 +128,10 @@
 		(ep.activeOrphans == 0 || now < ep.orphanLeaseEnd-orphanLease) && !ep.hasOverdueStop(now) && (!ep.unguarded || ep.demandKnown() && ep.capacityKnown(now))
 }
 
-// hasPresentEntry reports whether the endpoint's entry in the list is that of the present incarnation, as far as
-// it names one. That of a former one says nothing: the present one may be of another kind, service or size.
+// hasPresentEntry reports whether the endpoint's entry in the list is that of the present incarnation. One of another
+// or that names none says nothing: the present one may be of another kind, service or size.
 func (ep *endpointState) hasPresentEntry() bool {
-	return ep.listedBorn == 0 || ep.listedBorn == ep.Born
+	return ep.listedBorn == ep.Born
 }
 
 // isDraining reports whether the present incarnation has said that it is leaving.
--- a/internal/control/leader/former_entry_test.go
+++ b/internal/control/leader/former_entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 )
@@ -100,3 +101,26 @@
 		t.Errorf("got %d starts by the entry that was handed over, want none", got)
 	}
 }
+
+// Guards against tasks that start by an entry that names no incarnation, although the endpoint does. Another writer
+// has written it, perhaps for one before.
+func TestEntryWithoutIncarnationDecidesNothing(t *testing.T) {
+	c := newCluster(t, 37, 1)
+	e := c.endpoints["e00"]
+	e.Labels = []string{"c"}
+	f := c.addLeader(1, 256)
+	c.advance(50)
+	f.relists = false
+	entry := e.Endpoint
+	entry.Born, entry.Labels = 0, []string{"b"}
+	c.deliver(1, EndpointsListed{Endpoints: []endpoint.Endpoint{entry}, Complete: true, List: EndpointList{ReadAt: c.now}})
+	s := submission("a-1", 1, 1)
+	s.Part, s.Limit = true, 20*clock.Second
+	s.Job.Steps[0].Requires = "b"
+	c.renewLeases(1, "a-1", 1)
+	c.deliver(1, Submitted{Submission: s})
+	c.advance(200)
+	if got := c.starts[TaskName(s.Job.ID, 0, 0)]; got != 0 {
+		t.Errorf("got %d starts by an entry of no known incarnation, want none", got)
+	}
+}
--- a/internal/control/leader/suspects_test.go
+++ b/internal/control/leader/suspects_test.go
@@ -328,6 +328,7 @@
 // Guards against blame for the end of an endpoint that drains: it exits by plan, whatever runs there.
 func TestDrainingEndpointConvictsNobody(t *testing.T) {
 	ep := newEndpointState(endpoint.Endpoint{ID: "e00", Born: 1, Draining: true}, 0)
+	ep.listedBorn = 1
 	l := New(Config{Shard: "centro", Timeouts: testTimeouts(), StoreLost: true, Desired: testState()})
 	ep.tasks["t"] = &task{name: "t"}
 	l.handleCrash(ep, InstanceReplaced{})
--- a/internal/control/node/node_test.go
+++ b/internal/control/node/node_test.go
@@ -57,7 +57,7 @@
 }
 
 func newEndpoint(dc datacentre.ID, id datacentre.EndpointID) endpoint.Endpoint {
-	return endpoint.Endpoint{ID: id, DataCentre: dc, Service: "s", Capacity: job.Resources{CPU: 1000, Memory: 100}}
+	return endpoint.Endpoint{ID: id, Born: 1, DataCentre: dc, Service: "s", Capacity: job.Resources{CPU: 1000, Memory: 100}}
 }
 
 func replicaSet(id shard.ID, revision int64, members ...string) shard.ReplicaSet {
