leader: incarnations of the same name are told apart by their clocks

Cause: a leader told incarnations apart by `born` alone, which is a time of day. The clock in an answer to a hold was not compared.

Evidence: TestIncarnationsOfTheSameNameAreTwo fails on the code before (a start by the entry of the former incarnation).

Result: an answer to a hold that was sent after a later reading of the endpoint's clock is of another incarnation.

Tests: TestClosedConnectionIsForgotten let an endpoint answer with a clock before that of its last answer; it answers with a later one now.

--- a/internal/control/leader/admission.go
+++ b/internal/control/leader/admission.go
@@ -261,6 +261,9 @@
 	for i, ep := range l.sortedEndpoints {
 		all[i] = ep.Endpoint
 		all[i].Born = ep.listedBorn
+		if ep.entryDoubtedAt != 0 {
+			all[i].Born = 0
+		}
 	}
 	return all
 }
--- a/internal/control/leader/attempts.go
+++ b/internal/control/leader/attempts.go
@@ -107,7 +107,7 @@
 	}
 	wentBack := ep.clockWentBack(e.Clock)
 	if e.SentTo == ep.Born && !wentBack {
-		ep.setClock(e.Clock, 0, l.now)
+		ep.setClock(e.Clock, 0, l.now, l.sequence)
 	}
 	t := l.taskOfAttempt(ep, e.Task, e.Attempt)
 	if t == nil || t.phase != starting {
@@ -208,6 +208,10 @@
 		l.sendStop(t)
 	}
 	l.removeOrphans(ep, EndRestarted{})
+	ep.entryDoubtedAt = 0
+	if incarnation == ep.Born {
+		ep.entryDoubtedAt = l.now
+	}
 	ep.formerBorn, ep.ackedEnd = ep.Born, 0
 	ep.Born, ep.bornSeq = incarnation, l.sequence
 	ep.suspected, ep.crashed, ep.refusals, ep.closedSeq, ep.lost = false, false, 0, 0, nil
--- a/internal/control/leader/crash_test.go
+++ b/internal/control/leader/crash_test.go
@@ -140,7 +140,7 @@
 // connections, and whose process counts as ended.
 func TestClosedConnectionIsForgotten(t *testing.T) {
 	for name, between := range map[string]HoldEnded{
-		"answer": {Report: &endpoint.StatusReport{Incarnation: 1, Clock: 1}}, "other failure": {Rejection: HoldUnanswered},
+		"answer": {Report: &endpoint.StatusReport{Incarnation: 1, Clock: 200_000}}, "other failure": {Rejection: HoldUnanswered},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newCluster(t, 25, 1)
--- a/internal/control/leader/endpoint_state.go
+++ b/internal/control/leader/endpoint_state.go
@@ -39,8 +39,10 @@
 	// clockReading is a lower bound of the endpoint's clock at clockReadAt.
 	clockReading endpoint.Clock
 	clockReadAt  clock.Millis
-	// clockReadIn is the incarnation that reported clockReading, or 0 if the answer did not name it.
-	clockReadIn endpoint.Incarnation
+	// clockReadIn is the incarnation that reported clockReading, or 0 if the answer did not name it. clockReadSeq is
+	// the event in which it was read.
+	clockReadIn  endpoint.Incarnation
+	clockReadSeq SequenceNumber
 	// leaseSentAt is when the latest request that extends leases was sent.
 	leaseSentAt clock.Millis
 	// cappedLeaseEnd is when the leases have expired that requests to an earlier incarnation may
@@ -86,6 +88,9 @@
 	// named it since listedSeq. refutedBorn is one that another has outlived, as a later request has shown.
 	listedBorn, refutedBorn endpoint.Incarnation
 	listedSeq               SequenceNumber
+	// entryDoubtedAt is when the present incarnation was found to have the name of the one before, so that the entry
+	// may be of either, or when the store was lost since; 0 if the entry is not doubted.
+	entryDoubtedAt clock.Millis
 	// capacityReadAt is when the latest list with the endpoint was read from the store.
 	capacityReadAt clock.Millis
 	// usableFrom is when an endpoint that was added to the list may get tasks.
@@ -131,7 +136,7 @@
 // hasPresentEntry reports whether the endpoint's entry in the list is that of the present incarnation. One of another
 // or that names none says nothing: the present one may be of another kind, service or size.
 func (ep *endpointState) hasPresentEntry() bool {
-	return ep.listedBorn == ep.Born
+	return ep.listedBorn == ep.Born && ep.entryDoubtedAt == 0
 }
 
 // isDraining reports whether the present incarnation has said that it is leaving.
--- a/internal/control/leader/former_entry_test.go
+++ b/internal/control/leader/former_entry_test.go
@@ -124,3 +124,52 @@
 		t.Errorf("got %d starts by an entry of no known incarnation, want none", got)
 	}
 }
+
+// Guards against tasks that start by the entry of a former incarnation since the present one has the same name: the
+// time of day was set back, so that both begin in the same millisecond. The clock of the endpoint, which begins anew,
+// tells them apart; an entry, only that the former one's has expired.
+func TestIncarnationsOfTheSameNameAreTwo(t *testing.T) {
+	c := newCluster(t, 38, 1)
+	c.duration = func(job.TaskName) clock.Millis { return 30 }
+	e := c.endpoints["e00"]
+	e.Labels = []string{"b"}
+	entry := e.Endpoint
+	f := c.addLeader(1, 256)
+	c.advance(3000)
+	f.relists = false
+	c.crash(e)
+	e.Born = entry.Born
+	e.Labels = []string{"c"}
+	list := func() {
+		c.deliver(1, EndpointsListed{Endpoints: []endpoint.Endpoint{entry}, Complete: true, List: EndpointList{ReadAt: c.now}})
+	}
+	run := func(seq uint64, requires string) (starts int) {
+		s := submission("a-1", seq, 1)
+		s.Part, s.Limit = true, 400
+		s.Job.Steps[0].Requires = requires
+		c.renewLeases(1, "a-1", seq)
+		c.deliver(1, Submitted{Submission: s})
+		c.advance(300)
+		return c.starts[TaskName(s.Job.ID, 0, 0)]
+	}
+	c.advance(testTimeouts().cappedLeaseExpiry() + 1100)
+	list()
+	if got := run(1, "b"); got != 0 {
+		t.Errorf("got %d starts by the entry of the former incarnation, want none", got)
+	}
+	// While the store is lost, the entry of the former incarnation may stay.
+	c.advance(entryLifetime - 2000)
+	c.deliver(1, StoreReported{Lost: true})
+	c.advance(2000)
+	c.deliver(1, StoreReported{})
+	list()
+	if got := run(2, "b"); got != 0 {
+		t.Errorf("got %d starts by an entry that may be the former incarnation's, want none", got)
+	}
+	entry.Labels = e.Labels
+	c.advance(entryLifetime)
+	list()
+	if got := run(3, "c"); got != 1 {
+		t.Errorf("got %d starts by the entry of the present incarnation, want 1", got)
+	}
+}
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -186,8 +186,12 @@
 		l.listComplete, l.list = e.Complete, e.List
 		l.updateEndpoints(e.Endpoints)
 		l.updateCapacityAges(e.Missing)
+		l.trustEntries(e.Missing)
 	case StoreReported:
 		l.storeLost = e.Lost
+		if l.storeLost {
+			l.extendDoubts()
+		}
 	case DesiredState:
 		l.desired = e.State
 		for _, ep := range l.sortedEndpoints {
--- a/internal/control/leader/lease.go
+++ b/internal/control/leader/lease.go
@@ -14,13 +14,19 @@
 
 // setClock records a reading of the clock of an endpoint's incarnation; 0 is no reading, or an
 // unknown incarnation.
-func (ep *endpointState) setClock(c endpoint.Clock, incarnation endpoint.Incarnation, now clock.Millis) {
+func (ep *endpointState) setClock(c endpoint.Clock, incarnation endpoint.Incarnation, now clock.Millis, event SequenceNumber) {
 	if c == 0 {
 		return
 	}
 	// A reading is stale by the time its answer took. The latest one always replaces the one
 	// before, since the drift of the endpoint's clock makes an older reading unsafe.
-	ep.clockReading, ep.clockReadAt, ep.clockReadIn = c, now, incarnation
+	ep.clockReading, ep.clockReadAt, ep.clockReadIn, ep.clockReadSeq = c, now, incarnation, event
+}
+
+// clockBegan reports whether the clock in the answer to a hold has begun anew: the hold was sent after a later
+// reading. Two incarnations may have the same name, which is a time of day.
+func (ep *endpointState) clockBegan(e HoldEnded) bool {
+	return e.Report.Clock != 0 && e.Sequence >= ep.clockReadSeq && e.Report.Clock < ep.clockReading
 }
 
 // clockWentBack reports whether a reading is of a later incarnation than the one that the leader
--- a/internal/control/leader/lease_test.go
+++ b/internal/control/leader/lease_test.go
@@ -35,7 +35,7 @@
 	const reading, lease = 500_000, 600
 	for _, age := range []clock.Millis{0, 150, 1080} {
 		ep := newEndpointState(endpoint.Endpoint{ID: "e00"}, 0)
-		ep.setClock(reading, 1, 1000)
+		ep.setClock(reading, 1, 1000, 1)
 		until := ep.earliestClock(1000+age) + lease
 		present := reading + endpoint.Clock(float64(age)*(1-clockDrift))
 		if got, want := until-present, endpoint.Clock(lease); got > want {
--- a/internal/control/leader/status_report.go
+++ b/internal/control/leader/status_report.go
@@ -24,12 +24,12 @@
 		l.handleHoldFailed(ep, e)
 		return
 	}
-	if e.Report.Incarnation != ep.Born && e.Sequence < ep.bornSeq {
+	if e.Sequence < ep.bornSeq && (e.Report.Incarnation != ep.Born || ep.formerBorn == ep.Born) {
 		// This report is of an earlier incarnation, or of a later one that the next report will show.
 		// Incarnations are times of day, which can go back, so the order of requests decides.
 		return
 	}
-	if ep.Born != 0 && e.Report.Incarnation != ep.Born {
+	if ep.Born != 0 && (e.Report.Incarnation != ep.Born || ep.clockBegan(e)) {
 		l.logRestart(ep, e.Report.Incarnation)
 		l.handleRestart(ep, e.Report.Incarnation)
 	}
@@ -43,7 +43,7 @@
 	l.acceptToken(ep, e.Sequence)
 	ep.lastReportAt = l.now
 	ep.unansweredHolds = 0
-	ep.setClock(e.Report.Clock, e.Report.Incarnation, l.now)
+	ep.setClock(e.Report.Clock, e.Report.Incarnation, l.now, l.sequence)
 	for _, end := range e.Report.Ended {
 		l.handleAttemptEnded(ep, end)
 	}
