node: the model's VMs follow the list through each other

With the kind `relay` VMs ask the one that reads the list for all, with the pauses and bounds of the daemon, and read the store when it does not know.

--- a/internal/control/node/model_faults_test.go
+++ b/internal/control/node/model_faults_test.go
@@ -98,7 +98,7 @@
 	faultStoreDown, faultStoreRefuses, faultStoreSlow, faultRevoke, faultCrash, faultReborn, faultRebornCut, faultRebornAtStart, faultAdd, faultLeave, faultBurst,
 	faultStoreLate, faultFailures, faultStall, faultGiveUp, faultDuplicate, faultNextLife, faultCallerCut, faultThawOrder,
 	faultShrink, faultOddRows, faultResetCut, faultDeadly, faultEvacuate, faultCancel,
-	faultKinds, faultClockStep,
+	faultKinds, faultClockStep, faultRelay,
 }
 
 // injectFaults causes faults of the world's kinds until a point in time.
--- a/internal/control/node/model_follower_test.go
+++ b/internal/control/node/model_follower_test.go
@@ -34,6 +34,11 @@
 	gap    bool
 	// overdue means that the latest read was not answered in time.
 	overdue bool
+	// log has the changes for other VMs. relaying means that another one is being asked, which may be asked again
+	// at relayRetryAt after a failure.
+	log          modelChangeLog
+	relaying     bool
+	relayRetryAt clock.Millis
 }
 
 const (
@@ -63,7 +68,7 @@
 func (f *modelFollower) pauseFor(pause micros) {
 	f.pauses++
 	n := f.pauses
-	f.paused = true
+	f.paused, f.relaying = true, false
 	f.vm.later(pause, func() {
 		if n == f.pauses {
 			f.read()
@@ -78,7 +83,7 @@
 		f.waiting.done = true
 		f.pauseFor(noPause)
 	}
-	if f.paused {
+	if f.paused || f.relaying {
 		f.pauseFor(noPause)
 	}
 }
@@ -105,6 +110,9 @@
 		return
 	}
 	pause = max(pause, noPause)
+	if f.readThroughReader() {
+		return
+	}
 	wait := f.wait
 	if f.woken {
 		wait = noPause
@@ -180,35 +188,42 @@
 func (f *modelFollower) respond(x *exchange, rows []storeRow, pause micros) {
 	rows, version := slices.Clone(rows), f.vm.world.store.version
 	x.answer(func() {
-		if !f.loaded {
-			clear(f.rows)
-		}
-		for _, r := range rows {
-			if r.removed {
-				delete(f.rows, r.key)
-				f.gap = true
-				continue
-			}
-			if _, unreadable := r.value.(unreadableRow); unreadable && f.rows[r.key].value != r.value {
-				f.gap = true
-			}
-			f.rows[r.key] = r
-		}
-		if f.table == tableOperator && f.vm.world.options.enabled(faultEvacuate) {
-			f.evacuationsRead(version)
-		}
-		if !f.loaded || len(rows) > 0 || f.table == tableEndpoints {
-			f.changed(version)
-		}
-		if !f.overdue {
-			f.report(true)
+		f.apply(rows, version, pause, !f.overdue)
+	})
+}
+
+// apply processes an answer: the rows that have changed, or all of them after the first read. inTime means that the
+// store has answered in time.
+func (f *modelFollower) apply(rows []storeRow, version int64, pause micros, inTime bool) {
+	if !f.loaded {
+		clear(f.rows)
+	}
+	f.log.record(rows, version, f.sentAt, !f.loaded)
+	for _, r := range rows {
+		if r.removed {
+			delete(f.rows, r.key)
+			f.gap = true
+			continue
 		}
-		f.loaded, f.version = true, version
-		if f.woken {
-			pause = noPause
+		if _, unreadable := r.value.(unreadableRow); unreadable && f.rows[r.key].value != r.value {
+			f.gap = true
 		}
-		f.pauseFor(pause)
-	})
+		f.rows[r.key] = r
+	}
+	if f.table == tableOperator && f.vm.world.options.enabled(faultEvacuate) {
+		f.evacuationsRead(version)
+	}
+	if !f.loaded || len(rows) > 0 || f.table == tableEndpoints {
+		f.changed(version)
+	}
+	if inTime {
+		f.report(true)
+	}
+	f.loaded, f.version = true, version
+	if f.woken {
+		pause = noPause
+	}
+	f.pauseFor(pause)
 }
 
 func replicaSetOf(r storeRow) shard.ReplicaSet {
--- a/internal/control/node/model_stats_test.go
+++ b/internal/control/node/model_stats_test.go
@@ -5,6 +5,8 @@
 	events, jobs, starts, completed, refused, resent, takeovers, crashes, givenUp, cancelled int
 	// evacuatedStarts counts the starts in evacuated data centres.
 	evacuatedStarts int
+	// relayed counts the reads of the list through another VM.
+	relayed int
 	// deadlyCrashes counts the deadly tasks that crashed one endpoint at least, two, and so on.
 	deadlyCrashes [maxCrashesWithFaults + 1]int
 }
@@ -21,6 +23,7 @@
 	s.givenUp += o.givenUp
 	s.evacuatedStarts += o.evacuatedStarts
 	s.cancelled += o.cancelled
+	s.relayed += o.relayed
 	for i, n := range o.deadlyCrashes {
 		s.deadlyCrashes[i] += n
 	}
