link/intake: bound what callers take before their requests are jobs

Cause: each body was read as a whole, up to the limit of one, with no bound on all together and no time limit, and connections were bounded by the descriptors alone.

Change: internal/link/intake decides, without I/O, which connections stay open and which bodies have room; internal/link/caller applies that. The buffer of a body grows with it. When there is no room, bodies below 16 KB/s give way, the slowest first, and connections that have been without a request for longest.

--- /dev/null
+++ b/internal/link/caller/connections.go
@@ -0,0 +1,184 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sequoiacart/sequoiacart/internal/link/intake"
+	"github.com/sequoiacart/sequoiacart/internal/world/link"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// connections applies the decisions of an intake to the connections of callers. It is a listener, and safe for
+// concurrent use.
+type connections struct {
+	net.Listener
+	clock   clock.Clock
+	counter Counter
+	turned  func(TurnedAway)
+
+	mu     sync.Mutex
+	intake *intake.Intake
+	byID   map[*intake.Connection]*connection
+}
+
+// connection is the connection of a caller.
+type connection struct {
+	net.Conn
+	all   *connections
+	state *intake.Connection
+}
+
+// TurnedAway says what a VM has just given up for want of room.
+type TurnedAway struct {
+	// Reason is one of the names of the counters below.
+	Reason      string
+	Connections int
+	BodyBytes   link.Bytes
+}
+
+// Counters of what is turned away.
+const (
+	connectionRefused = "callers.connectionsRefused"
+	connectionCut     = "callers.connectionsCut"
+	bodyRefused       = "callers.bodiesRefused"
+	bodyCut           = "callers.bodiesCut"
+)
+
+func newConnections(l net.Listener, i *intake.Intake, c Config) *connections {
+	return &connections{Listener: l, clock: c.Clock, counter: c.Counter, turned: c.TurnedAway, intake: i, byID: make(map[*intake.Connection]*connection)}
+}
+
+// Accept implements net.Listener. It returns a connection once there is room for it.
+func (c *connections) Accept() (net.Conn, error) {
+	for {
+		accepted, err := c.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if n := c.open(accepted); n != nil {
+			return n, nil
+		}
+		_ = accepted.Close()
+	}
+}
+
+func (c *connections) open(accepted net.Conn) *connection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	state, given := c.intake.Open(c.clock.Now())
+	if given != nil {
+		c.cut(given, connectionCut)
+	}
+	if state == nil {
+		c.report(connectionRefused)
+		return nil
+	}
+	n := &connection{Conn: accepted, all: c, state: state}
+	c.byID[state] = n
+	return n
+}
+
+// cut ends the wait of a connection that was given up. One whose body is being read gets an answer.
+func (c *connections) cut(given *intake.Connection, reason string) {
+	n := c.byID[given]
+	delete(c.byID, given)
+	c.report(reason)
+	if n == nil {
+		return
+	}
+	if reason == bodyCut {
+		// An error means that the connection is closed already.
+		_ = n.SetReadDeadline(time.Unix(1, 0))
+		return
+	}
+	_ = n.Conn.Close()
+}
+
+func (c *connections) report(reason string) {
+	c.counter.Count(reason)
+	if c.turned != nil {
+		c.turned(TurnedAway{Reason: reason, Connections: c.intake.Connections(), BodyBytes: c.intake.Buffered()})
+	}
+}
+
+// Close implements net.Conn.
+func (n *connection) Close() error {
+	n.all.mu.Lock()
+	n.all.intake.Close(n.state)
+	delete(n.all.byID, n.state)
+	n.all.mu.Unlock()
+	return n.Conn.Close()
+}
+
+// grow makes room for the buffer of a body.
+func (n *connection) grow(size int) bool {
+	c := n.all
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	given, ok := c.intake.Grow(n.state, link.Bytes(size), c.clock.Now())
+	for _, g := range given {
+		c.cut(g, bodyCut)
+	}
+	if !ok {
+		c.report(bodyRefused)
+	}
+	return ok
+}
+
+// update calls a method of the intake for the connection.
+func (n *connection) update(do func(i *intake.Intake, s *intake.Connection, now clock.Millis) bool) bool {
+	n.all.mu.Lock()
+	defer n.all.mu.Unlock()
+	return do(n.all.intake, n.state, n.all.clock.Now())
+}
+
+// extend sets the time until which the next bytes of a body have to arrive. It reports false if the connection was cut.
+func (n *connection) extend(deadline time.Time) bool {
+	return n.update(func(i *intake.Intake, s *intake.Connection, _ clock.Millis) bool {
+		return i.IsReading(s) && n.SetReadDeadline(deadline) == nil
+	})
+}
+
+// endBody records that a body is not read any more, and lifts its time limit.
+func (n *connection) endBody() (kept bool) {
+	return n.update(func(i *intake.Intake, s *intake.Connection, _ clock.Millis) bool {
+		if !i.EndBody(s) {
+			return false
+		}
+		// The server waits on the connection for the caller to disconnect.
+		return n.SetReadDeadline(time.Time{}) == nil
+	})
+}
+
+type connectionKey struct{}
+
+// connContext lets handlers find the connection of a request.
+func connContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, c)
+}
+
+func connectionOf(r *http.Request) *connection {
+	n, _ := r.Context().Value(connectionKey{}).(*connection)
+	return n
+}
+
+// trackRequests records when the requests of a connection begin and end.
+func trackRequests(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n := connectionOf(r)
+		if n != nil {
+			if !n.update(func(i *intake.Intake, s *intake.Connection, _ clock.Millis) bool { return i.Begin(s) }) {
+				panic(http.ErrAbortHandler)
+			}
+			defer n.update(func(i *intake.Intake, s *intake.Connection, now clock.Millis) bool {
+				i.End(s, now)
+				return true
+			})
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- a/internal/link/caller/server.go
+++ b/internal/link/caller/server.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,6 +14,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/sequoiacart/sequoiacart/internal/control/node"
+	"github.com/sequoiacart/sequoiacart/internal/link/intake"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -39,6 +39,11 @@
 	Listener net.Listener
 	Local    Local
 	Counter  Counter
+	Clock    clock.Clock
+	// Intake holds the bounds of connections and bodies.
+	Intake intake.Config
+	// TurnedAway is called for what is given up for want of room; it may be nil. It must not block.
+	TurnedAway func(TurnedAway)
 	// Tracer records a span for each job; nil records none.
 	Tracer *trace.Tracer
 }
@@ -53,6 +58,7 @@
 type Server struct {
 	config    Config
 	http      *http.Server
+	listener  *connections
 	draining  atomic.Bool
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -86,8 +92,9 @@
 	e.POST("/*", s.submit)
 	e.GET("/*", s.query)
 	e.DELETE("/*", s.cancel)
+	s.listener = newConnections(c.Listener, intake.New(c.Intake), c)
 	s.http = &http.Server{
-		Handler: e, MaxHeaderBytes: maxHeaderBytes,
+		Handler: trackRequests(e), ConnContext: connContext, MaxHeaderBytes: maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
 	}
 	return s
@@ -96,7 +103,7 @@
 // Serve accepts connections and answers requests. It returns after Close, not after Shutdown,
 // which closes the listener at once while requests are still in flight.
 func (s *Server) Serve() error {
-	err := s.http.Serve(s.config.Listener)
+	err := s.http.Serve(s.listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		<-s.closed
 		return nil
@@ -161,12 +168,9 @@
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxBytes+1))
-	if err != nil {
-		return s.writeResponse(c, platform.Invalid(http.StatusBadRequest, "the body ended early"))
-	}
-	if int64(len(body)) > maxBytes {
-		return s.writeResponse(c, platform.Invalid(http.StatusRequestEntityTooLarge, "the body is longer than "+strconv.FormatInt(maxBytes, 10)+" bytes"))
+	body, response := s.readBody(c, maxBytes)
+	if response != nil {
+		return s.writeResponse(c, *response)
 	}
 	j, err := platform.DecodeJob(id, q, body)
 	switch {
--- a/internal/link/caller/server_test.go
+++ b/internal/link/caller/server_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sequoiacart/sequoiacart/internal/control/node"
+	"github.com/sequoiacart/sequoiacart/internal/link/intake"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -66,7 +67,7 @@
 		t.Fatal(err)
 	}
 	l := &local{jobs: make(chan node.JobArrived, 1)}
-	s := NewServer(Config{Listener: listener, Local: l, Counter: noCounter{}})
+	s := NewServer(Config{Listener: listener, Local: l, Counter: noCounter{}, Clock: clock.NewManual(clock.Hour), Intake: intake.Config{MaxConnections: 100, MaxBodyBytes: 1 << 20, MinBodyRate: 16}})
 	served := make(chan error, 1)
 	go func() { served <- s.Serve() }()
 	type reply struct {
@@ -137,7 +138,7 @@
 		t.Fatal(err)
 	}
 	l := &local{jobs: make(chan node.JobArrived, 1), settling: make(chan struct{}, 1)}
-	s := NewServer(Config{Listener: listener, Local: l, Counter: noCounter{}})
+	s := NewServer(Config{Listener: listener, Local: l, Counter: noCounter{}, Clock: clock.NewManual(clock.Hour), Intake: intake.Config{MaxConnections: 100, MaxBodyBytes: 1 << 20, MinBodyRate: 16}})
 	served := make(chan error, 1)
 	go func() { served <- s.Serve() }()
 	c, err := net.Dial("tcp", listener.Addr().String())
@@ -181,7 +182,7 @@
 		}
 		return node.CancelConfirmed{Found: c.Cancellation.Job == "00000000000000ff"}
 	}}
-	s := NewServer(Config{Listener: listener, Local: l, Counter: noCounter{}})
+	s := NewServer(Config{Listener: listener, Local: l, Counter: noCounter{}, Clock: clock.NewManual(clock.Hour), Intake: intake.Config{MaxConnections: 100, MaxBodyBytes: 1 << 20, MinBodyRate: 16}})
 	served := make(chan error, 1)
 	go func() { served <- s.Serve() }()
 	for _, tt := range []struct {
--- a/internal/process/daemon/event_logger.go
+++ b/internal/process/daemon/event_logger.go
@@ -8,6 +8,7 @@
 
 	"github.com/sequoiacart/sequoiacart/internal/control/leader"
 	"github.com/sequoiacart/sequoiacart/internal/control/node"
+	"github.com/sequoiacart/sequoiacart/internal/link/caller"
 	"github.com/sequoiacart/sequoiacart/internal/process/meter"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -209,6 +210,13 @@
 	})
 }
 
+// callerTurnedAway logs that there is no room for a connection or a body.
+func (l *eventLogger) callerTurnedAway(t caller.TurnedAway) {
+	l.enqueue(func() {
+		l.log.Warn(event.CallersTurnedAway, "callers turned away", logrus.Fields{"peer": "callers", "reason": t.Reason, "connections": t.Connections, "bodyBytes": t.BodyBytes})
+	})
+}
+
 // endpointUnreadable counts an endpoint row that cannot be decoded, and may log it.
 func (l *eventLogger) endpointUnreadable(key string, err error, logged bool) {
 	l.meter.Count("endpoints.unreadable")
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -14,6 +14,8 @@
 	"github.com/pelletier/go-toml/v2"
 	"github.com/peterbourgon/ff/v3"
 
+	"github.com/sequoiacart/sequoiacart/internal/link/intake"
+	"github.com/sequoiacart/sequoiacart/internal/world/link"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 	"github.com/sequoiacart/sequoiacart/pkg/trace"
@@ -42,6 +44,12 @@
 	// LinkMbps is the bandwidth of the VM's link in megabits per second.
 	LinkMbps float64
 
+	// MaxCallerConnections bounds the open connections of callers, and MaxCallerBodyMB the bodies that are being read,
+	// in megabytes; 0 means a part of the limits of the VM. MinCallerBodyKBps is the rate in kilobytes per second below
+	// which a body gives way to another one when there is no room.
+	MaxCallerConnections               int
+	MaxCallerBodyMB, MinCallerBodyKBps float64
+
 	// MaxLease, StopDuration, ResendInterval, GracePeriod and DrainNotice are fixed by the platform: the
 	// longest lease that endpoints grant, the time that a stop takes, the time after which
 	// callers send a job again, the time between SIGTERM and SIGKILL, and the time for which an endpoint
@@ -81,6 +89,33 @@
 	return trace.None{}
 }
 
+const (
+	// callerDescriptorShare is the part of the descriptors that callers' connections may take by default, and
+	// callerMemoryShare that of the memory, at callerConnectionBytes each.
+	callerDescriptorShare = 0.4
+	callerMemoryShare     = 0.2
+	callerConnectionBytes = 24 << 10
+	// bodyMemoryShare is the part of the memory that bodies may take by default while they are read.
+	bodyMemoryShare = 0.1
+	megabyte        = 1 << 20
+	kilobyte        = 1 << 10
+)
+
+// Intake returns the bounds of callers' connections and bodies.
+func (s *Settings) Intake() intake.Config {
+	connections, bodyMB := s.MaxCallerConnections, s.MaxCallerBodyMB
+	if connections == 0 {
+		connections = int(min(float64(s.OpenFiles)*callerDescriptorShare, float64(s.MemoryMB)*callerMemoryShare*megabyte/callerConnectionBytes))
+	}
+	if bodyMB == 0 {
+		bodyMB = float64(s.MemoryMB) * bodyMemoryShare
+	}
+	return intake.Config{
+		MaxConnections: max(connections, 1), MaxBodyBytes: link.Bytes(bodyMB * megabyte),
+		MinBodyRate: link.Rate(s.MinCallerBodyKBps * kilobyte / float64(clock.Second)),
+	}
+}
+
 // EnvPrefix is the prefix of environment variables that set flags.
 const EnvPrefix = "SEQUOIACART"
 
@@ -92,7 +127,7 @@
 	return Settings{
 		MetricsAddress: "", ProcessorShare: 1, MemoryMB: 256, OpenFiles: 1024, LinkMbps: 1000, MaxLease: clock.Second, StopDuration: 50,
 		ResendInterval: 1300, GracePeriod: 6 * clock.Second, DrainNotice: 2 * clock.Second, FarFactor: 1, Successors: 3,
-		LogLinesPerSecond: 400, TraceExporter: traceNone,
+		MinCallerBodyKBps: 16, LogLinesPerSecond: 400, TraceExporter: traceNone,
 	}
 }
 
@@ -129,6 +164,9 @@
 	flags.IntVar(&s.MemoryMB, "machine.memoryMB", s.MemoryMB, "memory of this VM in `megabytes`")
 	flags.IntVar(&s.OpenFiles, "machine.openFiles", s.OpenFiles, "number of file `descriptors` that the process may have open")
 	flags.Float64Var(&s.LinkMbps, "machine.linkMbps", s.LinkMbps, "bandwidth of this VM's link in `megabits` per second")
+	flags.IntVar(&s.MaxCallerConnections, "callers.maxConnections", s.MaxCallerConnections, "`number` of callers' connections that may be open; 0 is a part of the descriptors and the memory")
+	flags.Float64Var(&s.MaxCallerBodyMB, "callers.maxBodyMB", s.MaxCallerBodyMB, "`megabytes` that all bodies which are being read may take; 0 is a tenth of the memory")
+	flags.Float64Var(&s.MinCallerBodyKBps, "callers.minBodyKBps", s.MinCallerBodyKBps, "`kilobytes` per second below which a body gives way to another one when there is no room")
 	millis := func(target *clock.Millis, name, usage string) {
 		flags.Int64Var((*int64)(target), name, int64(*target), usage)
 	}
@@ -197,6 +235,7 @@
 		{"bounds.graceMs", float64(s.GracePeriod)},
 		{"bounds.drainMs", float64(s.DrainNotice)},
 		{"successors", float64(s.Successors)},
+		{"callers.minBodyKBps", s.MinCallerBodyKBps},
 		{"log.linesPerSecond", float64(s.LogLinesPerSecond)},
 	}
 	for _, p := range positive {
@@ -216,6 +255,12 @@
 	if s.EvacuationNotice < 0 {
 		return errors.NotValidf("check settings: key bounds.evacuateMs: %v is below 0: value", s.EvacuationNotice)
 	}
+	if s.MaxCallerConnections < 0 {
+		return errors.NotValidf("check settings: key callers.maxConnections: %v is below 0: value", s.MaxCallerConnections)
+	}
+	if s.MaxCallerBodyMB < 0 {
+		return errors.NotValidf("check settings: key callers.maxBodyMB: %v is below 0: value", s.MaxCallerBodyMB)
+	}
 	if s.FarFactor < 1 {
 		return errors.NotValidf("check settings: key bounds.farFactor: %v is below 1: value", s.FarFactor)
 	}
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -47,6 +47,7 @@
 	LeaderDecision      Number = "SQ-7021"
 	CallFailed          Number = "SQ-7030"
 	EndpointUnreadable  Number = "SQ-7031"
+	CallersTurnedAway   Number = "SQ-7032"
 )
 
 // Config configures a Log.
