node: an endpoint that was leaving when its entry went gets no tasks

Callers saw: tasks that started at an endpoint which was about to leave, and were lost with it (DRAIN).

Cause: an endpoint that has disappeared from the list is used for 2.5 s more by the entry that was listed last. What it reported between that read and its removal was dropped. The next leader, and VMs that get the list of another one, took such an entry for listed just then.

Result: a read names the endpoints whose last row said that they leave, and they get no tasks.

--- a/internal/control/leader/capacity.go
+++ b/internal/control/leader/capacity.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
-	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 )
 
 // isUnguarded reports whether the endpoints of a service start whatever they are told to. A VM that
@@ -19,23 +18,9 @@
 // capacityKnown reports whether the capacity is a recent one of the present incarnation. A new one may
 // be of another size.
 func (ep *endpointState) capacityKnown(now clock.Millis) bool {
-	return now <= ep.capacityReadAt+maxCapacityAge && ep.hasPresentEntry()
+	return now <= ep.entryReadAt+maxCapacityAge && ep.hasPresentEntry()
 }
 
 // maxCapacityAge is how long ago the capacity of an unguarded endpoint may have been read. One that
 // has shrunk binds 4.5 s after its endpoint has reported it, and a start may take 500 ms to arrive.
 const maxCapacityAge = 4500 - sendDelay - RequestLifetime
-
-// updateCapacityAges records that a list has been read. The capacity of an endpoint that is missing
-// from it is that of an earlier list.
-func (l *Leader) updateCapacityAges(missing map[datacentre.EndpointID]bool) {
-	if l.list.ReadAt <= l.capacitiesReadAt {
-		return
-	}
-	l.capacitiesReadAt = l.list.ReadAt
-	for _, ep := range l.sortedEndpoints {
-		if !ep.unlisted && !missing[ep.ID] {
-			ep.capacityReadAt = l.list.ReadAt
-		}
-	}
-}
--- a/internal/control/leader/endpoint_state.go
+++ b/internal/control/leader/endpoint_state.go
@@ -91,8 +91,10 @@
 	// entryDoubtedAt is when the present incarnation was found to have the name of the one before, so that the entry
 	// may be of either, or when the store was lost since; 0 if the entry is not doubted.
 	entryDoubtedAt clock.Millis
-	// capacityReadAt is when the latest list with the endpoint was read from the store.
-	capacityReadAt clock.Millis
+	// entryReadAt is when the latest list with the endpoint was read from the store.
+	entryReadAt clock.Millis
+	// entryValidUntil is until when tasks may start by the entry, or 0 if it is not bounded.
+	entryValidUntil clock.Millis
 	// usableFrom is when an endpoint that was added to the list may get tasks.
 	usableFrom clock.Millis
 	// blockedUntil is when the endpoint may get tasks again after it rejected one for lack of
@@ -128,7 +130,7 @@
 
 // accepts reports whether the endpoint takes new tasks.
 func (ep *endpointState) accepts(now clock.Millis) bool {
-	return ep.clockReading != 0 && ep.epoch <= shard.MaxEpoch && ep.hasPresentEntry() && !ep.Draining && !ep.unlisted && ep.responsive() &&
+	return ep.clockReading != 0 && ep.epoch <= shard.MaxEpoch && ep.hasPresentEntry() && (ep.entryValidUntil == 0 || now <= ep.entryValidUntil) && !ep.Draining && !ep.unlisted && ep.responsive() &&
 		now >= max(ep.usableFrom, ep.blockedUntil, ep.cappedLeaseEnd) && ep.health.usable(now, len(ep.tasks)) &&
 		(ep.activeOrphans == 0 || now < ep.orphanLeaseEnd-orphanLease) && !ep.hasOverdueStop(now) && (!ep.unguarded || ep.demandKnown() && ep.capacityKnown(now))
 }
--- a/internal/control/leader/event.go
+++ b/internal/control/leader/event.go
@@ -101,6 +101,8 @@
 // EndpointsListed is the platform's list of the endpoints of the shard.
 type EndpointsListed struct {
 	Endpoints []endpoint.Endpoint
+	// Unproven are those of Endpoints of which it is not known what they have told the store last.
+	Unproven map[datacentre.EndpointID]bool
 	// Missing are those of Endpoints that have disappeared from the store's list and are kept for a
 	// while.
 	Missing map[datacentre.EndpointID]bool
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -88,10 +88,11 @@
 	list         EndpointList
 	listComplete bool
 	listed       bool
-	// capacitiesReadAt is the ReadAt of the latest list whose capacities were read from the store.
-	capacitiesReadAt clock.Millis
-	// storeLost means that the store does not answer this VM.
-	storeLost bool
+	// entriesReadAt is the ReadAt of the latest list whose entries were read from the store.
+	entriesReadAt clock.Millis
+	// storeLost means that the store does not answer this VM, as was last reported at storeLostAt.
+	storeLost   bool
+	storeLostAt clock.Millis
 	// awaitsCancellations means that a task may belong to a job that was cancelled before the take-over.
 	awaitsCancellations bool
 	// heldSince is since when starts wait for a current list, or 0 if none do.
@@ -185,13 +186,10 @@
 	case EndpointsListed:
 		l.listComplete, l.list = e.Complete, e.List
 		l.updateEndpoints(e.Endpoints)
-		l.updateCapacityAges(e.Missing)
+		l.updateEntryAges(e)
 		l.trustEntries(e.Missing)
 	case StoreReported:
-		l.storeLost = e.Lost
-		if l.storeLost {
-			l.extendDoubts()
-		}
+		l.handleStoreReported(e.Lost)
 	case DesiredState:
 		l.desired = e.State
 		for _, ep := range l.sortedEndpoints {
--- a/internal/control/leader/list_age_test.go
+++ b/internal/control/leader/list_age_test.go
@@ -93,3 +93,55 @@
 		t.Errorf("got %d requests while starts are held, want 1", requests)
 	}
 }
+
+// Guards against starts at an endpoint whose entry is missing from the list, for longer than an old list may decide,
+// although it is not known whether it said before it went that the endpoint is leaving. After an outage of the store
+// most entries may be missing, and callers are served by them.
+func TestUnprovenEntryDecidesNoLongerThanAnOldList(t *testing.T) {
+	maxAge := testTimeouts().MaxListAge()
+	for _, tt := range []struct {
+		name string
+		// lostAgo is how long before the list without the entry the store was lost, or 0; after is how long after the
+		// latest list with the entry the job arrives.
+		lostAgo, after clock.Millis
+		want           int
+	}{
+		{"soon", 0, maxAge - 100, 1},
+		{"late", 0, maxAge + 1, 0},
+		{"late, after an outage", storeSettleTime - 1500, maxAge + 1, 1},
+		{"late, long after an outage", storeSettleTime, maxAge + 1, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCluster(t, 33, 1)
+			c.addLeader(1, 256).relists = false
+			c.deliver(1, StoreReported{})
+			c.advance(2000)
+			if tt.lostAgo > 0 {
+				c.deliver(1, StoreReported{Lost: true})
+				c.advance(10)
+				c.deliver(1, StoreReported{})
+				c.advance(tt.lostAgo - 410)
+			}
+			c.deliver(1, EndpointsListed{Endpoints: c.endpointList(), Complete: true, List: EndpointList{ReadAt: c.now}})
+			readAt := c.now
+			list := func() {
+				c.deliver(1, EndpointsListed{Endpoints: c.endpointList(), Missing: map[datacentre.EndpointID]bool{"e00": true}, Unproven: map[datacentre.EndpointID]bool{"e00": true}, Complete: true, List: EndpointList{ReadAt: c.now}})
+			}
+			c.advance(400)
+			list()
+			c.advance(tt.after - 400)
+			if c.now-readAt != tt.after {
+				t.Fatalf("got a job after %d ms, want %d", c.now-readAt, tt.after)
+			}
+			list()
+			s := submission("a-1", 1, 1)
+			s.Part = true
+			c.renewLeases(1, "a-1", 1)
+			c.deliver(1, Submitted{Submission: s})
+			c.advance(20)
+			if got := c.starts[TaskName(s.Job.ID, 0, 0)]; got != tt.want {
+				t.Errorf("got %d starts, want %d", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -58,6 +58,9 @@
 	endpointsAt      clock.Millis
 	// missingSince is when each endpoint that is still in use disappeared from the store's list.
 	missingSince map[datacentre.EndpointID]clock.Millis
+	// unproven are the endpoints of which this VM does not know what they have told the store last: only the list of
+	// another VM has them, or they have disappeared from a list that was read as a whole.
+	unproven map[datacentre.EndpointID]bool
 	// endpointsReadAt is when the list was last read from the store.
 	endpointsReadAt clock.Millis
 	// endpointsListedAt is a time from which on each endpoint of the list was in the store's, or 0 if it
@@ -160,7 +163,7 @@
 	n := &Control{
 		config: c, now: c.Now, lastMissingAt: c.Now,
 		monitors: make(map[shard.ID]*failover.Monitor), ledShards: make(map[shard.ID]*ledShard),
-		missingSince: make(map[datacentre.EndpointID]clock.Millis), heartbeats: make(map[vm.Incarnation]heartbeat), loads: make(map[shard.ID]shard.Load), probes: make(map[shard.ID]probeState),
+		missingSince: make(map[datacentre.EndpointID]clock.Millis), unproven: make(map[datacentre.EndpointID]bool), heartbeats: make(map[vm.Incarnation]heartbeat), loads: make(map[shard.ID]shard.Load), probes: make(map[shard.ID]probeState),
 		crashes: crash.NewHistory(), crashExchanges: make(map[vm.Incarnation]crashExchange),
 		candidates:    make(map[shard.ID][]shard.VM),
 		cancellations: make(map[job.Cancellation]*cancellation),
--- a/internal/control/node/endpoints.go
+++ b/internal/control/node/endpoints.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/sequoiacart/sequoiacart/internal/control/leader"
@@ -19,14 +20,16 @@
 	if e.Version < n.endpointsVersion {
 		return
 	}
+	n.updateUnproven(e)
 	listed := make(map[datacentre.EndpointID]bool, len(e.Endpoints))
 	for _, p := range e.Endpoints {
 		listed[p.ID] = true
 		delete(n.missingSince, p.ID)
 	}
-	unreadable := make(map[datacentre.EndpointID]bool, len(e.Unreadable))
-	for _, id := range e.Unreadable {
-		unreadable[id] = true
+	// No task starts at these, although they are kept.
+	closed := make(map[datacentre.EndpointID]bool, len(e.Unreadable)+len(e.Leaving))
+	for _, id := range slices.Concat(e.Unreadable, e.Leaving) {
+		closed[id] = true
 	}
 	merged := slices.Clone(e.Endpoints)
 	for _, old := range n.endpoints {
@@ -37,9 +40,12 @@
 		if !missing {
 			since = n.now
 			n.missingSince[old.ID], n.lastMissingAt = since, n.now
+			if e.Whole {
+				n.unproven[old.ID] = true
+			}
 		}
 		if n.now-since < missingRetention {
-			old.Draining = old.Draining || unreadable[old.ID]
+			old.Draining = old.Draining || closed[old.ID]
 			merged = append(merged, old)
 		}
 	}
@@ -60,6 +66,28 @@
 	}
 }
 
+// updateUnproven records of which endpoints this VM does not know what they have told the store last. The list of
+// another VM may have entries that were removed seconds ago.
+func (n *Control) updateUnproven(e EndpointsLoaded) {
+	if e.ReadAt != 0 {
+		for _, p := range e.Endpoints {
+			delete(n.unproven, p.ID)
+		}
+		return
+	}
+	seen := make(map[datacentre.EndpointID]bool, len(n.endpoints))
+	for _, p := range n.endpoints {
+		_, missing := n.missingSince[p.ID]
+		seen[p.ID] = !missing && !n.unproven[p.ID]
+	}
+	clear(n.unproven)
+	for _, p := range e.Endpoints {
+		if !seen[p.ID] {
+			n.unproven[p.ID] = true
+		}
+	}
+}
+
 // usesUnlistedEndpoints reports whether leaders of this VM have endpoints that are in use although they left
 // the list long ago.
 func (n *Control) usesUnlistedEndpoints() bool {
@@ -99,6 +127,7 @@
 	for id, since := range n.missingSince {
 		if n.now-since >= missingRetention {
 			delete(n.missingSince, id)
+			delete(n.unproven, id)
 			n.endpoints = slices.DeleteFunc(slices.Clone(n.endpoints), func(e endpoint.Endpoint) bool { return e.ID == id })
 			removed = true
 		}
@@ -121,7 +150,7 @@
 	for e := range n.missingSince {
 		missing[e] = true
 	}
-	n.sendToLeader(id, leader.EndpointsListed{Endpoints: n.endpointsOf(id), Missing: missing, Complete: complete, List: list})
+	n.sendToLeader(id, leader.EndpointsListed{Endpoints: n.endpointsOf(id), Missing: missing, Unproven: maps.Clone(n.unproven), Complete: complete, List: list})
 }
 
 // endpointsOf returns the endpoints of a shard.
--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -171,6 +171,10 @@
 	ReadAt clock.Millis
 	// Gap says that endpoints may have left the list since the one before without being in either.
 	Gap bool
+	// Leaving are those that said so just before their rows were removed. Whole means that the list was read as a
+	// whole, so that it does not tell what those that have disappeared said last.
+	Leaving []datacentre.EndpointID
+	Whole   bool
 }
 
 // StoreReported says whether the store has answered a read of the list of endpoints in time.
--- a/internal/control/node/leadership.go
+++ b/internal/control/node/leadership.go
@@ -310,6 +310,7 @@
 		if !slices.ContainsFunc(merged, func(m endpoint.Endpoint) bool { return m.ID == o.ID }) {
 			merged = append(merged, o)
 			n.missingSince[o.ID], n.lastMissingAt, n.endpointsListedAt = n.now, n.now, 0
+			n.unproven[o.ID] = true
 		}
 	}
 	n.endpoints = merged
--- a/internal/control/node/list_age_test.go
+++ b/internal/control/node/list_age_test.go
@@ -122,3 +122,72 @@
 		}
 	}
 }
+
+// Guards against tasks that start at an endpoint whose entry only the former leader has: its list has entries for some
+// seconds after they were removed, and such an endpoint may have said before that it is leaving.
+func TestEntriesOfAnotherVMDecideOnceTheStoreListsThem(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		events func(h *harness) []Event
+		want   bool
+	}{
+		{"not read since", func(*harness) []Event { return nil }, false},
+		{"listed by a third VM", func(*harness) []Event {
+			return []Event{EndpointsLoaded{Version: 4, Endpoints: firstList(), Gap: true}}
+		}, false},
+		{"listed by the store", func(h *harness) []Event {
+			return []Event{EndpointsLoaded{Version: 4, Endpoints: firstList(), ReadAt: h.now}}
+		}, true},
+		{"store lost", func(*harness) []Event { return []Event{StoreReported{Lost: true}} }, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.storeLost = false
+			h.handle(StoreReported{})
+			h.handle(EndpointsLoaded{Version: 2, Endpoints: firstList()[:1], ReadAt: h.now})
+			h.handle(PeerYielded{
+				ReplicaSet: replicaSet("centro", 5, "peer-1", "me-1"), From: "peer-1", Endpoints: firstList(), EndpointsVersion: 3, Done: make(chan bool, 1),
+			})
+			h.answerHolds(nil)
+			for _, e := range tt.events(h) {
+				h.handle(e)
+			}
+			h.answerHolds(nil)
+			// Two of the tasks fit at the endpoint that this VM has listed.
+			s := resubmittedJob()
+			s.Adopt, s.Part, s.Job.Steps[0].Tasks = false, true, 3
+			h.handle(PeerSubmitted{Shard: "centro", Submission: s, Ended: make(chan job.Outcome, 1)})
+			got := make(map[datacentre.EndpointID]int)
+			for _, start := range startedTasks(h) {
+				got[start.Endpoint.ID]++
+			}
+			if got["e2"] > 0 != tt.want || got["e1"] == 0 {
+				t.Errorf("got starts at %v, want one at that of the former leader %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against tasks that start at an endpoint whose row is missing and that has said just before that it is leaving,
+// and against one that is out of use because its row has only expired.
+func TestMissingEndpointThatWasLeavingGetsNoTasks(t *testing.T) {
+	for _, leaving := range []bool{false, true} {
+		h := newHarness(t)
+		h.storeLost = false
+		h.handle(StoreReported{})
+		h.handle(EndpointsLoaded{Version: 2, Endpoints: firstList()[:1], ReadAt: h.now})
+		h.handle(ReplicaSetWritten{ReplicaSet: replicaSet("centro", 9, "me-1"), Written: true})
+		h.answerHolds(nil)
+		missing := EndpointsLoaded{Version: 3, ReadAt: h.now}
+		if leaving {
+			missing.Leaving = []datacentre.EndpointID{"e1"}
+		}
+		h.handle(missing)
+		s := resubmittedJob()
+		s.Adopt, s.Part = false, true
+		h.handle(PeerSubmitted{Shard: "centro", Submission: s, Ended: make(chan job.Outcome, 1)})
+		if got := len(startedTasks(h)); (got == 0) != leaving {
+			t.Errorf("leaving %v: got %d starts, want one unless it was", leaving, got)
+		}
+	}
+}
--- a/internal/control/node/model_drain_test.go
+++ b/internal/control/node/model_drain_test.go
@@ -29,7 +29,8 @@
 	}
 	if late := v.world.now - e.drainingSince; late > fromMillis(v.world.options.shape.drainNotice) {
 		v.world.violation = fmt.Sprintf("%s starts %s at %s, which has been draining for %s", v.name, s.Task, e.id, formatTime(late))
-		v.world.trace.text = v.world.violation
+		a := &modelAttempt{endpoint: e, life: e.life, task: s.Task, number: s.Attempt, token: s.Token, startedAt: v.world.now}
+		v.world.trace.fail(a, a)
 	}
 }
 
--- a/internal/control/node/model_follower_test.go
+++ b/internal/control/node/model_follower_test.go
@@ -32,6 +32,10 @@
 	// one before.
 	sentAt clock.Millis
 	gap    bool
+	// leaving are the endpoints that said so just before their rows were removed, and whole means that the table
+	// was read as a whole.
+	leaving []datacentre.EndpointID
+	whole   bool
 	// overdue means that the latest read was not answered in time.
 	overdue bool
 	// log has the changes for other VMs. relaying means that another one is being asked, which may be asked again
@@ -199,8 +203,12 @@
 		clear(f.rows)
 	}
 	f.log.record(rows, version, f.sentAt, !f.loaded)
+	f.leaving, f.whole = nil, !f.loaded
 	for _, r := range rows {
 		if r.removed {
+			if e, ok := f.rows[r.key].value.(endpoint.Endpoint); ok && e.Draining {
+				f.leaving = append(f.leaving, e.ID)
+			}
 			delete(f.rows, r.key)
 			f.gap = true
 			continue
@@ -266,6 +274,6 @@
 				unreadable = append(unreadable, datacentre.EndpointID(r.key))
 			}
 		}
-		f.vm.post(f.vm.life, node.EndpointsLoaded{Endpoints: endpoints, Unreadable: unreadable, Version: version, ReadAt: f.sentAt, Gap: f.gap})
+		f.vm.post(f.vm.life, node.EndpointsLoaded{Endpoints: endpoints, Unreadable: unreadable, Leaving: f.leaving, Whole: f.whole, Version: version, ReadAt: f.sentAt, Gap: f.gap})
 	}
 }
--- a/internal/process/daemon/followers.go
+++ b/internal/process/daemon/followers.go
@@ -458,7 +458,11 @@
 	// A VM that has read the list between two reads of this one gets its changes from here too, so each
 	// change is compared with the one before it, not with the list that this VM had.
 	var relevant, renewed []store.Row
+	var leaving []datacentre.EndpointID
 	for _, r := range t.changes {
+		if r.Removed && d.decodedRows[r.Key].endpoint.Draining {
+			leaving = append(leaving, datacentre.EndpointID(r.Key))
+		}
 		if decode(r) {
 			relevant = append(relevant, r)
 		} else {
@@ -481,7 +485,7 @@
 	d.changeLog.record(t, relevant, renewed)
 	// The row may have been that of an endpoint since the read before.
 	gap := t.gap || unreadableChanges > 0
-	d.loop.Post(node.EndpointsLoaded{Endpoints: all, Unreadable: unreadable, Version: int64(t.version), ReadAt: t.sentAt, Gap: gap})
+	d.loop.Post(node.EndpointsLoaded{Endpoints: all, Unreadable: unreadable, Leaving: leaving, Whole: t.whole, Version: int64(t.version), ReadAt: t.sentAt, Gap: gap})
 }
 
 // decodeRow applies a change of a row to decodedRows. It reports whether the change matters to any VM, and
--- a/internal/process/daemon/followers_test.go
+++ b/internal/process/daemon/followers_test.go
@@ -254,3 +254,27 @@
 		}
 	}
 }
+
+// Guards against an endpoint that counts as in use since it has said between two reads that it is leaving, and its row
+// is gone in the second one.
+func TestEndpointThatLeavesBetweenTwoReadsIsNamed(t *testing.T) {
+	clocks := clock.NewManual(clock.Hour)
+	d := &Daemon{decodedRows: make(map[string]decodedRow), loop: newLoop(nil, clocks), link: network.NewLink(link.MegabitsPerSecond(1000), clocks), changeLog: changeLog{clock: clocks}}
+	d.logger = newEventLogger(event.NewLog(logrus.New()), meter.New(), clocks, 10)
+	rows := make(map[string]store.Row)
+	read := func(changes ...store.Row) node.EndpointsLoaded {
+		for i := range changes {
+			changes[i].Key, changes[i].Revision = "e1", store.Revision(len(changes)+i)
+		}
+		d.endpointsRead(tableRead{rows: rows, changes: applyChanges(rows, changes), version: 9, sentAt: clocks.Now()})
+		return (<-d.loop.mailbox).(node.EndpointsLoaded)
+	}
+	read(listedRow("ready"))
+	if got := read(store.Row{Removed: true}).Leaving; len(got) != 0 {
+		t.Errorf("got %v leaving, want none: its row is gone, as after a silence", got)
+	}
+	read(listedRow("ready"))
+	if got := read(listedRow("draining"), store.Row{Removed: true}).Leaving; len(got) != 1 || got[0] != "e1" {
+		t.Errorf("got %v leaving, want e1", got)
+	}
+}
