soak: endpoints restart as other kinds, also while the store is down

The soak with processes did not know that an endpoint may restart as one of another kind, and its stand-ins wrote their rows while the store was down, so that no list had the entry of a former incarnation for long. Now a third of the jobs requires each of two labels, each restart draws one, rows are not written during an outage, and at times endpoints restart in one. At the end no endpoint may have started a task without the label that it requires (ROUTE).

--- a/internal/soak/fleet/fleet_test.go
+++ b/internal/soak/fleet/fleet_test.go
@@ -53,9 +53,9 @@
 	desiredVersion int64
 
 	mu sync.Mutex
-	// endpoints are those that have not been removed, and endpointsAdded counts all.
-	endpoints      []*endpoint
-	endpointsAdded int
+	// endpoints are those that have not been removed, everyEndpoint all of them, and endpointsAdded counts these.
+	endpoints, everyEndpoint []*endpoint
+	endpointsAdded           int
 }
 
 // node is a VM: a process that runs the node command. Other VMs reach it over peerRelay, and it
@@ -81,7 +81,9 @@
 	relay   *relay
 	server  *httptest.Server
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// kinds draws the kinds of its incarnations.
+	kinds    *rand.Rand
 	draining bool
 	// absent means that the row is missing from the store.
 	absent bool
@@ -133,8 +135,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	id := fmt.Sprintf("i-%s-%d", dc, f.endpointsAdded)
-	e := &endpoint{id: id, dc: dc, standIn: standin.NewEndpoint(standin.EndpointConfig{
-		ID: id, Service: "playout", DataCentre: dc, MilliCores: endpointMilliCores,
+	e := &endpoint{id: id, dc: dc, kinds: rand.New(rand.NewPCG(f.seed, uint64(200+f.endpointsAdded))), standIn: standin.NewEndpoint(standin.EndpointConfig{
+		ID: id, Service: "playout", DataCentre: dc, MilliCores: endpointMilliCores, Kind: endpointKinds[f.endpointsAdded%len(endpointKinds)],
 		ClockRate: 1 - 0.02*float64(f.endpointsAdded%2), Seed: f.seed + uint64(f.endpointsAdded), Observer: f.checker.observer(id, dc),
 	})}
 	e.server = httptest.NewServer(e.standIn)
@@ -145,6 +147,7 @@
 	}
 	e.relay.target.Store(target)
 	f.endpoints = append(f.endpoints, e)
+	f.everyEndpoint = append(f.everyEndpoint, e)
 	f.endpointsAdded++
 	f.refreshRow(e)
 }
@@ -167,10 +170,16 @@
 	})
 }
 
-// restart starts an endpoint again under its ID. Its row shows the new incarnation at the next
+// endpointKinds are the labels of endpoints, of which jobs may require one.
+var endpointKinds = []string{"a", "b"}
+
+// restart starts an endpoint again under its ID, as one of any kind. Its row shows the new incarnation at the next
 // refresh. Answers of the earlier incarnation that are on their way are lost or still arrive.
 func (e *endpoint) restart(lose bool) {
-	e.standIn.Restart()
+	e.mu.Lock()
+	kind := endpointKinds[e.kinds.IntN(len(endpointKinds))]
+	e.mu.Unlock()
+	e.standIn.RestartAs(kind)
 	if lose {
 		e.relay.reset()
 	}
@@ -215,7 +224,7 @@
 	}
 }
 
-// refreshRow writes or removes the row of an endpoint.
+// refreshRow writes the row of an endpoint unless the store is down, or removes it.
 func (f *fleet) refreshRow(e *endpoint) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -223,7 +232,10 @@
 		f.store.RemoveEndpoint(e.standIn)
 		return
 	}
-	f.store.PutEndpoint(e.standIn, e.relay.address(), e.draining)
+	// The row of the incarnation before stays while the store is down.
+	if !f.store.IsDown() {
+		f.store.PutEndpoint(e.standIn, e.relay.address(), e.draining)
+	}
 }
 
 // setRow changes the state of an endpoint's row and writes the row at once.
--- a/internal/soak/fleet/soak_test.go
+++ b/internal/soak/fleet/soak_test.go
@@ -76,18 +76,20 @@
 		time.Sleep(steadyAfter)
 	}
 	// Draws of their own leave the other faults of a seed as they are.
-	evacuations := rand.New(rand.NewPCG(seed, 13))
+	evacuations, restarts := rand.New(rand.NewPCG(seed, 13)), rand.New(rand.NewPCG(seed, 17))
 	end := time.Now().Add(*seedDuration)
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(100+f.random.IntN(600)) * time.Millisecond)
 		f.injectFault()
 		f.injectEvacuation(evacuations)
+		f.injectUnseenRestarts(restarts)
 	}
 	f.heal()
 	close(stop)
 	all.Wait()
 	f.checkRecovery()
 	f.checkEvacuation()
+	f.checkLabels()
 	f.checker.mu.Lock()
 	defer f.checker.mu.Unlock()
 	f.checker.reportRemaining()
@@ -120,11 +122,26 @@
 			longest = 900
 		}
 		f.sendJob(caller, random, standin.Job{ID: id, Tasks: 1 + random.IntN(5), Payload: standin.Payload{
-			RunMs: 10 + int64(random.IntN(longest)), MilliCores: taskMilliCores, Fail: random.IntN(200) == 0,
+			RunMs: 10 + int64(random.IntN(longest)), MilliCores: taskMilliCores, Fail: random.IntN(200) == 0, Requires: requirement(n),
 		}})
 	}
 }
 
+// requirement is the label that the tasks of a caller's nth job require: every third one of each, and none.
+func requirement(n int) string { return append(endpointKinds, "")[n%(len(endpointKinds)+1)] }
+
+// checkLabels checks that no task has started at an endpoint without the label that it requires.
+func (f *fleet) checkLabels() {
+	f.t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.everyEndpoint {
+		if got := e.standIn.Misplaced(); len(got) > 0 {
+			f.t.Errorf("%s: got starts of %v, which require another label, want none", e.id, got)
+		}
+	}
+}
+
 // steadyAfter is how long VMs run and no endpoint is missing until leaders take their lists for
 // complete; it is 15 s, and processes take a second to start.
 const steadyAfter = 17 * time.Second
@@ -210,6 +227,26 @@
 	}
 }
 
+// unseenRestartSteps is how many steps there are for each outage in which endpoints restart.
+const unseenRestartSteps = 8
+
+// injectUnseenRestarts restarts endpoints while the store is down, at times for longer than leaders wait after a
+// restart, so that the list has the entries of the incarnations before.
+func (f *fleet) injectUnseenRestarts(random *rand.Rand) {
+	if random.IntN(unseenRestartSteps) > 0 {
+		return
+	}
+	outage := time.Duration(1500+random.IntN(2500)) * time.Millisecond
+	f.store.SetFaults(standin.StoreFaults{Down: true})
+	for _, e := range f.listEndpoints() {
+		if random.IntN(2) == 0 {
+			time.AfterFunc(time.Duration(random.IntN(500))*time.Millisecond, func() { e.restart(true) })
+		}
+	}
+	time.AfterFunc(outage, func() { f.store.SetFaults(standin.StoreFaults{}) })
+	f.t.Logf("%s store down for %s, endpoints restart", time.Now().Format(timeFormat), outage)
+}
+
 // addEndpointUnseen adds an endpoint while one VM of its data centre does not reach the store, and
 // freezes the other, which may be the leader, once it has had time to use the endpoint.
 func (f *fleet) addEndpointUnseen(dc string) {
