leader: a leader that begins in an outage of the store knows when it was

A leader that took over while the store was lost bounded unproven entries as soon as the store was back, since it had no time of the outage before the next report. It counts from the take-over now. The bound of an entry has a name of its own in endpointState.accepts.

The soaks share the choice of free addresses (standin.FreeAddress). No behaviour of theirs changes.

--- a/internal/control/leader/endpoint_state.go
+++ b/internal/control/leader/endpoint_state.go
@@ -130,7 +130,7 @@
 
 // accepts reports whether the endpoint takes new tasks.
 func (ep *endpointState) accepts(now clock.Millis) bool {
-	return ep.clockReading != 0 && ep.epoch <= shard.MaxEpoch && ep.hasPresentEntry() && (ep.entryValidUntil == 0 || now <= ep.entryValidUntil) && !ep.Draining && !ep.unlisted && ep.responsive() &&
+	return ep.clockReading != 0 && ep.epoch <= shard.MaxEpoch && ep.hasPresentEntry() && !ep.entryExpired(now) && !ep.Draining && !ep.unlisted && ep.responsive() &&
 		now >= max(ep.usableFrom, ep.blockedUntil, ep.cappedLeaseEnd) && ep.health.usable(now, len(ep.tasks)) &&
 		(ep.activeOrphans == 0 || now < ep.orphanLeaseEnd-orphanLease) && !ep.hasOverdueStop(now) && (!ep.unguarded || ep.demandKnown() && ep.capacityKnown(now))
 }
@@ -141,6 +141,11 @@
 	return ep.listedBorn == ep.Born && ep.entryDoubtedAt == 0
 }
 
+// entryExpired reports whether the entry is not proven to be current and too old to decide where tasks start.
+func (ep *endpointState) entryExpired(now clock.Millis) bool {
+	return ep.entryValidUntil != 0 && now > ep.entryValidUntil
+}
+
 // isDraining reports whether the present incarnation has said that it is leaving.
 func (ep *endpointState) isDraining() bool { return ep.Draining && ep.hasPresentEntry() }
 
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -129,6 +129,9 @@
 		answers: newAnswerCache(), attemptNumbers: newAttemptNumbers(), crashes: c.Crashes, coldSpeed: newColdSpeed(),
 		planner: admission.New(admission.DefaultConfig()),
 	}
+	if l.storeLost {
+		l.storeLostAt = c.Now
+	}
 	if l.crashes == nil {
 		l.crashes = crash.NewHistory()
 	}
--- a/internal/soak/crowd/deployment_test.go
+++ b/internal/soak/crowd/deployment_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -101,24 +100,14 @@
 	}
 }
 
-// lowestPort and portCount define a range below the kernel's ephemeral ports.
-const lowestPort, portCount = 20000, 12000
-
-var nextPort = os.Getpid() * 97
-
 // freeAddress returns an address without a listener.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	for range portCount {
-		nextPort++
-		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+nextPort%portCount)
-		if l, err := net.Listen("tcp", address); err == nil {
-			_ = l.Close()
-			return address
-		}
+	address, err := standin.FreeAddress()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("got no free port, want one")
-	return ""
+	return address
 }
 
 // hasExited reports whether the process has ended.
--- a/internal/soak/fleet/fleet_test.go
+++ b/internal/soak/fleet/fleet_test.go
@@ -6,7 +6,6 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -246,29 +245,14 @@
 	f.refreshRow(e)
 }
 
-// lowestPort and portCount define a range below the kernel's ephemeral ports, which it uses for
-// listeners on port 0 and for outgoing connections: a relay could get an ephemeral port after it
-// was chosen for a process and before that process listens on it. Each process of the soak test
-// starts at a different port of the range, and uses each port once.
-const lowestPort, portCount, portStride = 20000, 12000, 97
-
-var nextPort = os.Getpid() * portStride
-
 // freeAddress returns an address without a listener.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	for range portCount {
-		nextPort++
-		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+nextPort%portCount)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		return address
+	address, err := standin.FreeAddress()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("got no free port, want one")
-	return ""
+	return address
 }
 
 func (f *fleet) addVM(name, dc, store string) {
