--- /dev/null
+++ b/internal/link/caller/body_time_test.go
@@ -0,0 +1,108 @@
+package caller
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sequoiacart/sequoiacart/internal/control/node"
+	"github.com/sequoiacart/sequoiacart/internal/link/intake"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// pipeListener accepts the server ends of pipes, whose deadlines follow the time of a synctest bubble.
+type pipeListener struct {
+	accepted  chan net.Conn
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accepted:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// Guards against bodies that hold their buffer while they stand still, or without end, where no other body needs the
+// room, and against a bound that refuses a body which pauses for less.
+func TestBodiesEndInTime(t *testing.T) {
+	for _, tt := range []struct {
+		name       string
+		pause      time.Duration
+		parts      int
+		wantStatus int
+		wantAfter  time.Duration
+	}{
+		{"short pauses", 9 * time.Second, 4, http.StatusOK, 27 * time.Second},
+		{"a long pause", 11 * time.Second, 2, http.StatusServiceUnavailable, 10 * time.Second},
+		{"pauses without end", 9 * time.Second, 100, http.StatusServiceUnavailable, 60 * time.Second},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := &local{jobs: make(chan node.JobArrived, 1)}
+				listener := &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
+				s := NewServer(Config{
+					Listener: listener, Local: l, Counter: &counts{byName: make(map[string]int)}, Clock: clock.NewManual(clock.Hour),
+					Intake: intake.Config{MaxConnections: 1, MaxBodyBytes: 20_000, MinBodyRate: 16},
+				})
+				go func() {
+					for j := range l.jobs {
+						j.Ended <- job.Completed{}
+					}
+				}()
+				go func() { _ = s.Serve() }()
+				conn, accepted := net.Pipe()
+				listener.accepted <- accepted
+				sent := make(chan struct{})
+				go func() {
+					sendInParts(conn, testJob(), tt.parts, tt.pause)
+					close(sent)
+				}()
+
+				begin := time.Now()
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if got := time.Since(begin); response.StatusCode != tt.wantStatus || got != tt.wantAfter {
+					t.Errorf("got %d after %s, want %d after %s", response.StatusCode, got, tt.wantStatus, tt.wantAfter)
+				}
+				_ = conn.Close()
+				<-sent
+				s.Close()
+				close(l.jobs)
+			})
+		})
+	}
+}
+
+// sendInParts sends a job in parts of the same length, until the server closes the connection.
+func sendInParts(conn net.Conn, body string, parts int, pause time.Duration) {
+	if _, err := fmt.Fprintf(conn, "POST /q/0000000000000001 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", len(body)); err != nil {
+		return
+	}
+	for n := range parts {
+		if n > 0 {
+			time.Sleep(pause)
+		}
+		if _, err := conn.Write([]byte(body[n*len(body)/parts : (n+1)*len(body)/parts])); err != nil {
+			return
+		}
+	}
+}
