soak/crowd: crowds of complete, small requests take a VM over its memory

What callers see: clients whose requests are complete and inside the limit of 256 KB take a VM over its memory, over its descriptors, or keep it from answering ordinary callers. Nothing bounds what a request may take once it is a job.

They check that the process lives, its peak of memory and the descriptors that were open at any time, an answer beside the crowd and an ordinary job afterwards.

--- a/internal/soak/crowd/crowd_test.go
+++ b/internal/soak/crowd/crowd_test.go
@@ -127,36 +127,45 @@
 		{"headers without an end", onlyHeaders},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			d := newDeployment(t, program)
-			atRest := d.peakMemory(t)
-			open := gather(t, d.callers, tt.send)
-			if d.hasExited() {
-				t.Fatal("got a process that has ended, want it to serve")
-			}
-			if got, want := d.descriptors(t), openFiles; got > want {
-				t.Errorf("got %d descriptors, want %d at most", got, want)
-			}
-			if status := ordinaryRequest(d.callers); status != http.StatusOK {
+			vm := newDeployment(t, program, 1).vms[0]
+			atRest := vm.peakMemory(t)
+			open := gather(t, vm.callers, tt.send)
+			vm.checkAlive(t)
+			if status := ordinaryRequest(vm.callers, isOK); status != http.StatusOK {
 				t.Errorf("got status %d of an ordinary request beside the crowd, want 200", status)
 			}
 			for _, c := range open {
 				_ = c.Close()
 			}
-			if status := ordinaryRequest(d.callers); status != http.StatusOK {
-				t.Errorf("got status %d of an ordinary request after the crowd, want 200", status)
-			}
-			if d.hasExited() {
-				t.Fatal("got a process that has ended, want it to serve")
-			}
-			got, want := d.peakMemory(t), int64(memoryMB<<20)
-			if got > want {
-				t.Errorf("got a peak of %d MB, want %d at most", got>>20, want>>20)
-			}
-			t.Logf("peak %d MB, %d MB before", got>>20, atRest>>20)
+			vm.checkServes(t)
+			t.Logf("peak %d MB, %d MB before, %d descriptors", vm.peakMemory(t)>>20, atRest>>20, vm.mostDescriptors.Load())
 		})
 	}
 }
 
+// checkAlive checks that the process lives within its bounds.
+func (n *node) checkAlive(t *testing.T) {
+	t.Helper()
+	if n.hasExited() {
+		t.Fatal("got a process that has ended, want it to serve")
+	}
+	if got, want := n.mostDescriptors.Load(), int64(openFiles); got > want {
+		t.Errorf("got %d descriptors, want %d at most", got, want)
+	}
+	if got, want := n.peakMemory(t), int64(memoryMB<<20); got > want {
+		t.Errorf("got a peak of %d MB, want %d at most", got>>20, want>>20)
+	}
+}
+
+// checkServes checks that the VM serves an ordinary caller once a crowd has left, and has stayed within its bounds.
+func (n *node) checkServes(t *testing.T) {
+	t.Helper()
+	if status := ordinaryRequest(n.callers, isOK); status != http.StatusOK {
+		t.Errorf("got status %d of an ordinary request after the crowd, want 200", status)
+	}
+	n.checkAlive(t)
+}
+
 // gather lets a crowd of clients send at once, and returns their connections, which stay open.
 func gather(t *testing.T, address string, send func(*client, []byte)) []net.Conn {
 	t.Helper()
@@ -182,8 +191,11 @@
 	return open
 }
 
-// ordinaryRequest sends an ordinary job, again after a refusal, and returns the last status, or 0 without an answer.
-func ordinaryRequest(address string) (status int) {
+func isOK(status int) bool { return status == http.StatusOK }
+
+// ordinaryRequest sends an ordinary job until the status of the answer is enough, and returns the last status, or 0
+// without an answer.
+func ordinaryRequest(address string, isEnough func(status int) bool) (status int) {
 	payload := `{"task_spec":"{\"runMs\":10,\"milliCores\":1000}","best_effort":true,"steps":[{"count":1,"cpu":1000,"mem_mb":64,"estimate_ms":10}]}`
 	for try := range ordinaryTries {
 		if try > 0 {
@@ -199,13 +211,14 @@
 		r.Header.Set("Sequoiacart-Deadline-Ms", "4000")
 		client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 		response, err := client.Do(r)
+		status = 0
 		if err == nil {
 			status = response.StatusCode
 			_, _ = io.Copy(io.Discard, response.Body)
 			_ = response.Body.Close()
 		}
 		cancel()
-		if status == http.StatusOK {
+		if isEnough(status) {
 			break
 		}
 	}
--- a/internal/soak/crowd/deployment_test.go
+++ b/internal/soak/crowd/deployment_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -16,12 +17,21 @@
 	"github.com/sequoiacart/sequoiacart/platform/standin"
 )
 
-// deployment is a VM, as a process of the real program, with stand-ins of the store and of two endpoints.
+// deployment is a number of VMs of one data centre, with stand-ins of the store and of two endpoints.
 type deployment struct {
-	callers string
-	process *exec.Cmd
-	exited  chan struct{}
-	log     string
+	store        *standin.Store
+	storeAddress string
+	program      string
+	vms          []*node
+}
+
+// node is a VM: a process of the real program.
+type node struct {
+	callers, ready string
+	process        *exec.Cmd
+	exited         chan struct{}
+	// mostDescriptors is the highest number of open descriptors that was seen.
+	mostDescriptors atomic.Int64
 }
 
 const (
@@ -31,6 +41,8 @@
 
 	startTimeout = 20 * time.Second
 	heartbeat    = time.Second
+	// sampleInterval is the interval between the counts of a VM's descriptors.
+	sampleInterval = 20 * time.Millisecond
 )
 
 // noObserver observes nothing.
@@ -49,7 +61,7 @@
 	return program
 }
 
-func newDeployment(t *testing.T, program string) *deployment {
+func newDeployment(t *testing.T, program string, vms int) *deployment {
 	t.Helper()
 	store := standin.NewStore()
 	store.PutDesiredState(1)
@@ -63,31 +75,57 @@
 		t.Cleanup(endpointServer.Close)
 		go refreshRow(ctx, store, e, strings.TrimPrefix(endpointServer.URL, "http://"))
 	}
-	d := &deployment{callers: freeAddress(t), exited: make(chan struct{}), log: filepath.Join(t.TempDir(), "vm.log")}
-	ready := freeAddress(t)
-	settings := filepath.Join(t.TempDir(), "vm.toml")
-	text := fmt.Sprintf("vm = \"vm0\"\ndataCentre = \"dc0\"\ndataCentres = [\"dc0\"]\n[listen]\ncallers = %q\nready = %q\npeers = %q\n[store]\naddress = %q\n[machine]\nprocessorShare = 0.4\nmemoryMB = %d\nopenFiles = %d\n",
-		d.callers, ready, freeAddress(t), strings.TrimPrefix(server.URL, "http://"), memoryMB, openFiles)
+	d := &deployment{store: store, storeAddress: strings.TrimPrefix(server.URL, "http://"), program: program}
+	for i := range vms {
+		d.vms = append(d.vms, d.start(t, fmt.Sprintf("vm%d", i)))
+	}
+	for _, n := range d.vms {
+		n.awaitReady(t)
+	}
+	return d
+}
+
+// start starts a VM.
+func (d *deployment) start(t *testing.T, name string) *node {
+	t.Helper()
+	n := &node{callers: freeAddress(t), ready: freeAddress(t), exited: make(chan struct{})}
+	directory := t.TempDir()
+	settings := filepath.Join(directory, "vm.toml")
+	text := fmt.Sprintf("vm = %q\ndataCentre = \"dc0\"\ndataCentres = [\"dc0\"]\n[listen]\ncallers = %q\nready = %q\npeers = %q\n[store]\naddress = %q\n[machine]\nprocessorShare = 0.4\nmemoryMB = %d\nopenFiles = %d\n",
+		name, n.callers, n.ready, freeAddress(t), d.storeAddress, memoryMB, openFiles)
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	log, err := os.Create(d.log)
+	log, err := os.Create(filepath.Join(directory, "vm.log"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	d.process = exec.Command(program, "node", "--boot", settings)
-	d.process.Stdout, d.process.Stderr = log, log
-	if err := d.process.Start(); err != nil {
+	n.process = exec.Command(d.program, "node", "--boot", settings)
+	n.process.Stdout, n.process.Stderr = log, log
+	if err := n.process.Start(); err != nil {
 		t.Fatal(err)
 	}
-	go func() { _ = d.process.Wait(); _ = log.Close(); close(d.exited) }()
-	t.Cleanup(func() { _ = d.process.Process.Signal(syscall.SIGKILL); <-d.exited })
-	for limit := time.Now().Add(startTimeout); !standin.IsReady(ready); time.Sleep(50 * time.Millisecond) {
+	go func() { _ = n.process.Wait(); _ = log.Close(); close(n.exited) }()
+	go n.sampleDescriptors()
+	t.Cleanup(func() { _ = n.process.Process.Signal(syscall.SIGKILL); <-n.exited })
+	return n
+}
+
+func (n *node) awaitReady(t *testing.T) {
+	t.Helper()
+	for limit := time.Now().Add(startTimeout); !standin.IsReady(n.ready); time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(limit) {
 			t.Fatalf("the VM is not ready %s after its start", startTimeout)
 		}
 	}
-	return d
+}
+
+// sampleDescriptors counts the descriptors until the process ends.
+func (n *node) sampleDescriptors() {
+	for !n.hasExited() {
+		n.mostDescriptors.Store(max(n.mostDescriptors.Load(), int64(n.descriptors())))
+		time.Sleep(sampleInterval)
+	}
 }
 
 func refreshRow(ctx context.Context, store *standin.Store, e *standin.Endpoint, address string) {
@@ -111,9 +149,9 @@
 }
 
 // hasExited reports whether the process has ended.
-func (d *deployment) hasExited() bool {
+func (n *node) hasExited() bool {
 	select {
-	case <-d.exited:
+	case <-n.exited:
 		return true
 	default:
 		return false
@@ -121,9 +159,9 @@
 }
 
 // peakMemory returns the highest resident memory of the process so far, in bytes.
-func (d *deployment) peakMemory(t *testing.T) int64 {
+func (n *node) peakMemory(t *testing.T) int64 {
 	t.Helper()
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.process.Process.Pid))
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.process.Process.Pid))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -140,12 +178,11 @@
 	return 0
 }
 
-// descriptors returns the number of open descriptors of the process.
-func (d *deployment) descriptors(t *testing.T) int {
-	t.Helper()
-	all, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", d.process.Process.Pid))
+// descriptors returns the number of open descriptors of the process, or 0 once it has ended.
+func (n *node) descriptors() int {
+	all, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", n.process.Process.Pid))
 	if err != nil {
-		t.Fatal(err)
+		return 0
 	}
 	return len(all)
 }
