link/caller, platform: bound a single job before it is decoded and held

What callers saw: 480 clients with bodies inside the limit of 256 KB took a VM of 96 MB to 215 MB (jobs of many steps), 1496 MB (steps that are no steps), 346 MB (steps with many dependencies) and 231 MB and 695 descriptors (long task specifications).

Cause: a step takes two bytes of a body and about 150 bytes decoded, a body gave its room back before it was decoded, and as many bodies were decoded at a time as clients sent. A payload of any length was stored with the job, copied into each start and sent on to the leader.

Now the steps are counted before they are decoded, a body keeps its room until it has been decoded, one body above 16 KB is decoded at a time, and jobs with more than 1,000 steps, 10,000 dependencies or the 4,000 bytes of payload that the platform states are refused with 503. The services of the users have jobs of one step.

TestDecodeJobWithinLimits fails without the checks, and FuzzDecodeJob holds the limits over 20 s.

--- a/internal/link/caller/body.go
+++ b/internal/link/caller/body.go
@@ -29,14 +29,14 @@
 	bodyTooSlow = "requestBodyTooSlow"
 )
 
-// readBody reads the body of a request, or returns the response to send instead. The connection is closed after
-// that, since the rest of the body is not read.
-func (s *Server) readBody(c echo.Context, maxBytes int64) ([]byte, *platform.Response) {
+// readBody reads the body of a request and passes it on while its room is taken, or returns the response to send
+// instead. The connection is closed after that, since the rest of the body is not read.
+func (s *Server) readBody(c echo.Context, maxBytes int64, use func(body []byte)) *platform.Response {
 	n, r := connectionOf(c.Request()), c.Request()
 	tooLong := platform.Invalid(http.StatusRequestEntityTooLarge, "the body is longer than "+strconv.FormatInt(maxBytes, 10)+" bytes")
-	reject := func(response platform.Response) ([]byte, *platform.Response) {
+	reject := func(response platform.Response) *platform.Response {
 		c.Response().Header().Set("Connection", "close")
-		return nil, &response
+		return &response
 	}
 	if r.ContentLength > maxBytes {
 		return reject(tooLong)
@@ -47,15 +47,19 @@
 		return reject(platform.Refusal(bodyTooSlow, clock.Second))
 	}
 	body, response := s.fill(n, r, maxBytes)
+	isWhole := response == nil && int64(len(body)) <= maxBytes
+	if isWhole && n.update(func(i *intake.Intake, state *intake.Connection, _ clock.Millis) bool { return i.IsReading(state) }) {
+		use(body)
+	}
 	switch kept := n.endBody(); {
 	case !kept:
 		return reject(platform.Refusal(bodyTooSlow, clock.Second))
 	case response != nil:
 		return reject(*response)
-	case int64(len(body)) > maxBytes:
+	case !isWhole:
 		return reject(tooLong)
 	}
-	return body, nil
+	return nil
 }
 
 // fill reads a body into a buffer that grows with it.
--- a/internal/link/caller/body_test.go
+++ b/internal/link/caller/body_test.go
@@ -54,7 +54,7 @@
 	}
 	l := &local{jobs: make(chan node.JobArrived, 1)}
 	c := &crowdedServer{t: t, address: listener.Addr().String(), clock: clock.NewManual(clock.Hour), counts: &counts{byName: make(map[string]int)}}
-	s := NewServer(Config{Listener: listener, Local: l, Counter: c.counts, Clock: c.clock, Intake: intake.Config{MaxConnections: maxConnections, MaxBodyBytes: 20_000, MinBodyRate: 16}})
+	s := NewServer(Config{Listener: listener, Local: l, Counter: c.counts, Clock: c.clock, Intake: intake.Config{MaxConnections: maxConnections, MaxBodyBytes: 20_000, MinBodyRate: 16}, Limits: testLimits})
 	served := make(chan error, 1)
 	go func() { served <- s.Serve() }()
 	go func() {
--- a/internal/link/caller/body_time_test.go
+++ b/internal/link/caller/body_time_test.go
@@ -59,7 +59,7 @@
 				listener := &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
 				s := NewServer(Config{
 					Listener: listener, Local: l, Counter: &counts{byName: make(map[string]int)}, Clock: clock.NewManual(clock.Hour),
-					Intake: intake.Config{MaxConnections: 1, MaxBodyBytes: 20_000, MinBodyRate: 16},
+					Intake: intake.Config{MaxConnections: 1, MaxBodyBytes: 20_000, MinBodyRate: 16}, Limits: testLimits,
 				})
 				go func() {
 					for j := range l.jobs {
--- a/internal/link/caller/connections.go
+++ b/internal/link/caller/connections.go
@@ -46,6 +46,7 @@
 	connectionCut     = "callers.connectionsCut"
 	bodyRefused       = "callers.bodiesRefused"
 	bodyCut           = "callers.bodiesCut"
+	jobOverLimit      = "callers.jobsOverLimit"
 )
 
 func newConnections(l net.Listener, i *intake.Intake, c Config) *connections {
--- a/internal/link/caller/server.go
+++ b/internal/link/caller/server.go
@@ -40,8 +40,9 @@
 	Local    Local
 	Counter  Counter
 	Clock    clock.Clock
-	// Intake holds the bounds of connections and bodies.
+	// Intake holds the bounds of connections and bodies, and Limits those of a job.
 	Intake intake.Config
+	Limits job.Limits
 	// TurnedAway is called for what is given up for want of room; it may be nil. It must not block.
 	TurnedAway func(TurnedAway)
 	// Tracer records a span for each job; nil records none.
@@ -63,6 +64,8 @@
 	closed    chan struct{}
 	closeOnce sync.Once
 	inFlight  atomic.Int64
+	// decoding is held while a large body is decoded, which takes several times its length.
+	decoding sync.Mutex
 }
 
 const (
@@ -74,6 +77,8 @@
 	idleTimeout   = 60 * clock.Second
 	// defaultMaxBodyBytes bounds the body of a job if the desired state sets no limit.
 	defaultMaxBodyBytes = 256 << 10
+	// maxConcurrentBytes is the length of the bodies that are decoded several at a time.
+	maxConcurrentBytes = 16 << 10
 	// desiredStateTimeout is how long a request waits for the first desired state. Reading it takes
 	// some 10 ms; urgent jobs are late after 140 ms.
 	desiredStateTimeout = clock.Millis(120)
@@ -168,12 +173,15 @@
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxBodyBytes
 	}
-	body, response := s.readBody(c, maxBytes)
-	if response != nil {
+	var j job.Job
+	var err error
+	if response = s.readBody(c, maxBytes, func(body []byte) { j, err = s.decode(id, q, body) }); response != nil {
 		return s.writeResponse(c, *response)
 	}
-	j, err := platform.DecodeJob(id, q, body)
 	switch {
+	case errors.Is(err, job.ErrOverLimit):
+		s.config.Counter.Count(jobOverLimit)
+		return s.writeResponse(c, platform.Refusal(err.Error(), 0))
 	case errors.Is(err, platform.ErrUnsupported):
 		return s.writeResponse(c, platform.Refusal(err.Error(), 0))
 	case err != nil:
@@ -185,6 +193,14 @@
 	return s.writeResponse(c, s.run(ctx, j, waitLimit(c.Request())))
 }
 
+func (s *Server) decode(id string, q *queue.Queue, body []byte) (job.Job, error) {
+	if len(body) > maxConcurrentBytes {
+		s.decoding.Lock()
+		defer s.decoding.Unlock()
+	}
+	return platform.DecodeJob(id, q, body, s.config.Limits)
+}
+
 // waitLimit returns how long the caller waits. The timeout of the queue isn't used: it bounds
 // requests that a single endpoint answers, while callers of jobs send a longer limit that fits
 // the work of the job.
--- a/internal/link/caller/server_test.go
+++ b/internal/link/caller/server_test.go
@@ -52,6 +52,9 @@
 // waitsSince is since when the callers of the fake VM wait.
 const waitsSince = clock.Millis(700)
 
+// testLimits are those of jobs in the tests; the payload may fill a body.
+var testLimits = job.Limits{Payload: testBodyBytes, Steps: 10, Dependencies: 10}
+
 const callerSpan = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
 
 type noCounter struct{}
@@ -67,7 +70,7 @@
 		t.Fatal(err)
 	}
 	l := &local{jobs: make(chan node.JobArrived, 1)}
-	s := NewServer(Config{Listener: listener, Local: l, Counter: noCounter{}, Clock: clock.NewManual(clock.Hour), Intake: intake.Config{MaxConnections: 100, MaxBodyBytes: 1 << 20, MinBodyRate: 16}})
+	s := NewServer(Config{Listener: listener, Local: l, Counter: noCounter{}, Clock: clock.NewManual(clock.Hour), Intake: intake.Config{MaxConnections: 100, MaxBodyBytes: 1 << 20, MinBodyRate: 16}, Limits: testLimits})
 	served := make(chan error, 1)
 	go func() { served <- s.Serve() }()
 	type reply struct {
@@ -138,7 +141,7 @@
 		t.Fatal(err)
 	}
 	l := &local{jobs: make(chan node.JobArrived, 1), settling: make(chan struct{}, 1)}
-	s := NewServer(Config{Listener: listener, Local: l, Counter: noCounter{}, Clock: clock.NewManual(clock.Hour), Intake: intake.Config{MaxConnections: 100, MaxBodyBytes: 1 << 20, MinBodyRate: 16}})
+	s := NewServer(Config{Listener: listener, Local: l, Counter: noCounter{}, Clock: clock.NewManual(clock.Hour), Intake: intake.Config{MaxConnections: 100, MaxBodyBytes: 1 << 20, MinBodyRate: 16}, Limits: testLimits})
 	served := make(chan error, 1)
 	go func() { served <- s.Serve() }()
 	c, err := net.Dial("tcp", listener.Addr().String())
@@ -182,7 +185,7 @@
 		}
 		return node.CancelConfirmed{Found: c.Cancellation.Job == "00000000000000ff"}
 	}}
-	s := NewServer(Config{Listener: listener, Local: l, Counter: noCounter{}, Clock: clock.NewManual(clock.Hour), Intake: intake.Config{MaxConnections: 100, MaxBodyBytes: 1 << 20, MinBodyRate: 16}})
+	s := NewServer(Config{Listener: listener, Local: l, Counter: noCounter{}, Clock: clock.NewManual(clock.Hour), Intake: intake.Config{MaxConnections: 100, MaxBodyBytes: 1 << 20, MinBodyRate: 16}, Limits: testLimits})
 	served := make(chan error, 1)
 	go func() { served <- s.Serve() }()
 	for _, tt := range []struct {
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -15,6 +15,7 @@
 	"github.com/peterbourgon/ff/v3"
 
 	"github.com/sequoiacart/sequoiacart/internal/link/intake"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/link"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
@@ -50,6 +51,10 @@
 	MaxCallerConnections               int
 	MaxCallerBodyMB, MinCallerBodyKBps float64
 
+	// MaxPayloadBytes, MaxSteps and MaxDependencies bound a job: its payload, its steps, and what all of them come
+	// after.
+	MaxPayloadBytes, MaxSteps, MaxDependencies int
+
 	// MaxLease, StopDuration, ResendInterval, GracePeriod and DrainNotice are fixed by the platform: the
 	// longest lease that endpoints grant, the time that a stop takes, the time after which
 	// callers send a job again, the time between SIGTERM and SIGKILL, and the time for which an endpoint
@@ -116,6 +121,11 @@
 	}
 }
 
+// JobLimits returns the limits of a job.
+func (s *Settings) JobLimits() job.Limits {
+	return job.Limits{Payload: link.Bytes(s.MaxPayloadBytes), Steps: s.MaxSteps, Dependencies: s.MaxDependencies}
+}
+
 // EnvPrefix is the prefix of environment variables that set flags.
 const EnvPrefix = "SEQUOIACART"
 
@@ -127,7 +137,7 @@
 	return Settings{
 		MetricsAddress: "", ProcessorShare: 1, MemoryMB: 256, OpenFiles: 1024, LinkMbps: 1000, MaxLease: clock.Second, StopDuration: 50,
 		ResendInterval: 1300, GracePeriod: 6 * clock.Second, DrainNotice: 2 * clock.Second, FarFactor: 1, Successors: 3,
-		MinCallerBodyKBps: 16, LogLinesPerSecond: 400, TraceExporter: traceNone,
+		MinCallerBodyKBps: 16, MaxPayloadBytes: 4000, MaxSteps: 1000, MaxDependencies: 10_000, LogLinesPerSecond: 400, TraceExporter: traceNone,
 	}
 }
 
@@ -167,6 +177,9 @@
 	flags.IntVar(&s.MaxCallerConnections, "callers.maxConnections", s.MaxCallerConnections, "`number` of callers' connections that may be open; 0 is a part of the descriptors and the memory")
 	flags.Float64Var(&s.MaxCallerBodyMB, "callers.maxBodyMB", s.MaxCallerBodyMB, "`megabytes` that all bodies which are being read may take; 0 is a tenth of the memory")
 	flags.Float64Var(&s.MinCallerBodyKBps, "callers.minBodyKBps", s.MinCallerBodyKBps, "`kilobytes` per second below which a body gives way to another one when there is no room")
+	flags.IntVar(&s.MaxPayloadBytes, "jobs.maxPayloadBytes", s.MaxPayloadBytes, "`bytes` that the payload of a job may have")
+	flags.IntVar(&s.MaxSteps, "jobs.maxSteps", s.MaxSteps, "`number` of steps that a job may have")
+	flags.IntVar(&s.MaxDependencies, "jobs.maxDependencies", s.MaxDependencies, "`number` of steps that all steps of a job together may come after")
 	millis := func(target *clock.Millis, name, usage string) {
 		flags.Int64Var((*int64)(target), name, int64(*target), usage)
 	}
@@ -236,6 +249,9 @@
 		{"bounds.drainMs", float64(s.DrainNotice)},
 		{"successors", float64(s.Successors)},
 		{"callers.minBodyKBps", s.MinCallerBodyKBps},
+		{"jobs.maxPayloadBytes", float64(s.MaxPayloadBytes)},
+		{"jobs.maxSteps", float64(s.MaxSteps)},
+		{"jobs.maxDependencies", float64(s.MaxDependencies)},
 		{"log.linesPerSecond", float64(s.LogLinesPerSecond)},
 	}
 	for _, p := range positive {
