gateway: bound the jobs that callers of a VM wait for

What callers saw: 480 clients with small jobs that run for a minute kept ordinary callers of a VM from getting any answer, for as long as they stayed.

Cause: a connection whose request is a job does not give way to a new one, and jobs took every connection that a VM accepts. Nor did anything bound the memory of the jobs behind these connections: the texts of one may be as long as a body.

Now a VM takes as many jobs as 75 % of its connections and 15 % of its memory hold, and refuses others with 503 and Retry-After. A connection whose job was refused waits for its next request and gives way. A job that is sent again takes the room of its earlier request.

TestJobsWithoutRoom shows the bounds and that the last job gives all memory back.

--- a/internal/control/gateway/gateway.go
+++ b/internal/control/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/link"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
@@ -33,6 +34,10 @@
 	Leaders    Leaders
 	// FailoverTimeout is how long a job whose leader has failed waits for the next leader.
 	FailoverTimeout clock.Millis
+	// MaxJobs bounds the jobs that callers wait for; 0 means no bound. Room is the memory for them; nil means as
+	// much as they take.
+	MaxJobs int
+	Room    *job.Room
 }
 
 // Gateway holds the jobs that callers of this VM wait for. It belongs to the control goroutine.
@@ -62,6 +67,8 @@
 	// divided says that the job has been divided among shards. Some of its tasks may have run, so
 	// it can no longer be refused.
 	divided bool
+	// memory is what it has taken of the room for jobs.
+	memory link.Bytes
 }
 
 // part is the share of a job's tasks that one shard runs.
@@ -121,6 +128,9 @@
 
 // New returns a gateway without jobs.
 func New(c Config) *Gateway {
+	if c.Room == nil {
+		c.Room = job.NewRoom(0)
+	}
 	return &Gateway{config: c, jobs: make(map[uint64]*request), parts: make(map[uint64]*part), requests: make(map[job.ID]*request)}
 }
 
@@ -137,7 +147,7 @@
 // Accept adds a job and returns its key. The caller waits for limit at most. The job is refused if
 // no leader is available within leaderWaitLimit. It replaces an earlier request of the same job, whose
 // caller has sent it again on another connection. It is refused while there is another job of its ID,
-// since tasks are known by the ID alone.
+// since tasks are known by the ID alone, and if there are too many jobs.
 func (g *Gateway) Accept(j job.Job, limit, leaderWaitLimit, now clock.Millis) job.Key {
 	r := &request{job: j, arrived: now, limit: limit, leaderWaitLimit: leaderWaitLimit}
 	p := g.newPart(r, now)
@@ -149,6 +159,10 @@
 		g.reply(r, "", job.Refused{Reason: job.IDInUse, RetryAfter: clock.Second}, now)
 		return p.submission.Key
 	}
+	if earlier == nil && !g.takeRoom(r) {
+		g.reply(r, "", job.Refused{Reason: job.TooManyJobs, RetryAfter: clock.Second}, now)
+		return p.submission.Key
+	}
 	g.requests[j.ID] = r
 	if earlier != nil {
 		g.replace(earlier, p, now)
@@ -158,11 +172,29 @@
 	return p.submission.Key
 }
 
+// takeRoom reports whether there is room for another job, and takes it.
+func (g *Gateway) takeRoom(r *request) bool {
+	// The new one is among the jobs already.
+	if g.config.MaxJobs > 0 && len(g.jobs) > g.config.MaxJobs {
+		return false
+	}
+	memory := r.job.Footprint()
+	if !g.config.Room.Take(memory) {
+		return false
+	}
+	r.memory = memory
+	return true
+}
+
 // replace ends an earlier request of a job, and submits the job again where attempts of the earlier
 // submission may be running: only the leader of that shard knows when they have ended.
 func (g *Gateway) replace(earlier *request, p *part, now clock.Millis) {
 	open := slices.DeleteFunc(slices.Clone(earlier.parts), func(e *part) bool { return e.done || !e.submitted && !e.mayHaveStarted })
 	g.reply(earlier, earlier.parts[0].shard, job.Stopped{Reason: job.Superseded}, now)
+	if !g.takeRoom(p.request) {
+		g.reply(p.request, earlier.parts[0].shard, job.Stopped{Reason: job.TooManyJobs}, now)
+		return
+	}
 	if len(open) == 0 {
 		g.send(p, now)
 		return
@@ -277,6 +309,7 @@
 		o = job.Stopped{Reason: refused.Reason}
 	}
 	delete(g.jobs, r.firstSeq)
+	g.config.Room.Release(r.memory)
 	if g.requests[r.job.ID] == r {
 		delete(g.requests, r.job.ID)
 	}
--- a/internal/control/gateway/gateway_test.go
+++ b/internal/control/gateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/link"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/vm"
@@ -478,3 +479,43 @@
 		}
 	}
 }
+
+// Guards against callers whose jobs take the memory of a VM, or every connection for as long as they run, and against
+// a refusal of a job that was sent again.
+func TestJobsWithoutRoom(t *testing.T) {
+	leaders := &fakeLeaders{preference: []shard.ID{"centro"}, byShard: map[shard.ID]vm.Incarnation{"centro": "c-1"}}
+	withID := func(id job.ID, payload int) job.Job {
+		j := jobOf(1)
+		j.ID, j.Payload = id, job.Payload(strings.Repeat("x", payload))
+		return j
+	}
+	for _, tt := range []struct {
+		name    string
+		maxJobs int
+		memory  link.Bytes
+		payload int
+	}{
+		{"as many jobs as there may be", 2, 0, 0},
+		{"no memory for another one", 0, 50 << 10, 16 << 10},
+		{"no memory for another large one", 0, 200 << 10, 64 << 10},
+	} {
+		room := job.NewRoom(tt.memory)
+		g := New(Config{Self: "me-1", Leaders: leaders, FailoverTimeout: 700, MaxJobs: tt.maxJobs, Room: room})
+		var keys []job.Key
+		for i, id := range []job.ID{"a", "b", "c", "b"} {
+			keys = append(keys, g.Accept(withID(id, tt.payload), clock.Minute, 0, clock.Millis(i)))
+		}
+		got := describeActions(g)
+		want := "submit 1 tasks from 0 to centro; submit 1 tasks from 0 to centro; Refused tooManyJobs; " +
+			"release lease at centro; Stopped superseded; submit 1 tasks from 0 to centro"
+		if got != want {
+			t.Errorf("%s: got %q, want %q", tt.name, got, want)
+		}
+		for _, k := range keys {
+			g.CallerDisconnected(k, clock.Second)
+		}
+		if got := room.Taken(); got != 0 {
+			t.Errorf("%s: got %d bytes taken after the last job, want 0", tt.name, got)
+		}
+	}
+}
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -13,6 +13,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/evacuation"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/link"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -37,6 +38,9 @@
 	HandOverTimeout clock.Millis
 	// LinkDelay returns how long a message waits in front of this VM's link; nil means that none waits.
 	LinkDelay func() clock.Millis
+	// MaxJobs bounds the jobs that callers of this VM wait for, and JobMemory the memory for them; 0 means no bound.
+	MaxJobs   int
+	JobMemory link.Bytes
 	Now       clock.Millis
 }
 
@@ -177,7 +181,7 @@
 	slices.Sort(n.shards)
 	n.seeds = slices.DeleteFunc(slices.Clone(c.Seeds), func(a string) bool { return a == c.Self.Address })
 	n.nextSeedQueryAt = c.Now + firstSeedQueryDelay
-	n.gateway = gateway.New(gateway.Config{Self: c.Self.Incarnation, DataCentre: c.Self.DataCentre, Leaders: n, FailoverTimeout: failoverTimeout})
+	n.gateway = gateway.New(gateway.Config{Self: c.Self.Incarnation, DataCentre: c.Self.DataCentre, Leaders: n, FailoverTimeout: failoverTimeout, MaxJobs: c.MaxJobs, Room: job.NewRoom(c.JobMemory)})
 	return n
 }
 
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -160,9 +160,10 @@
 	if s.EvacuationNotice > 0 {
 		d.maxEvacuationAge = timeouts.MaxEvacuationAge()
 	}
+	maxJobs, jobMemory := s.JobBounds()
 	control := node.New(node.Config{
 		Self: d.self, DataCentres: s.DataCentres, FarFactor: s.FarFactor, Successors: s.Successors, Seeds: s.Seeds, HandOverTimeout: clock.Millis(float64(s.GracePeriod) * handOverShare), LinkDelay: d.link.Delay, Now: c.Clock.Now(),
-		Timeouts: timeouts,
+		Timeouts: timeouts, MaxJobs: maxJobs, JobMemory: jobMemory,
 	})
 	d.loop = newLoop(control, c.Clock)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -54,6 +54,10 @@
 	// MaxPayloadBytes, MaxSteps and MaxDependencies bound a job: its payload, its steps, and what all of them come
 	// after.
 	MaxPayloadBytes, MaxSteps, MaxDependencies int
+	// MaxJobs bounds the jobs that callers of this VM wait for, and MaxJobMemoryMB the memory that they take, in
+	// megabytes; 0 means a part of MaxCallerConnections and of the memory.
+	MaxJobs        int
+	MaxJobMemoryMB float64
 
 	// MaxLease, StopDuration, ResendInterval, GracePeriod and DrainNotice are fixed by the platform: the
 	// longest lease that endpoints grant, the time that a stop takes, the time after which
@@ -102,8 +106,13 @@
 	callerConnectionBytes = 24 << 10
 	// bodyMemoryShare is the part of the memory that bodies may take by default while they are read.
 	bodyMemoryShare = 0.1
-	megabyte        = 1 << 20
-	kilobyte        = 1 << 10
+	// jobConnectionShare is the part of the connections of callers on which jobs may wait by default. The rest is for
+	// refusals, queries and cancellations.
+	jobConnectionShare = 0.75
+	// jobMemoryShare is the part of the memory that jobs may take by default.
+	jobMemoryShare = 0.15
+	megabyte       = 1 << 20
+	kilobyte       = 1 << 10
 )
 
 // Intake returns the bounds of callers' connections and bodies.
@@ -126,6 +135,18 @@
 	return job.Limits{Payload: link.Bytes(s.MaxPayloadBytes), Steps: s.MaxSteps, Dependencies: s.MaxDependencies}
 }
 
+// JobBounds returns how many jobs the callers of this VM may wait for, and how much memory jobs may take.
+func (s *Settings) JobBounds() (jobs int, memory link.Bytes) {
+	jobs, memoryMB := s.MaxJobs, s.MaxJobMemoryMB
+	if jobs == 0 {
+		jobs = max(int(float64(s.Intake().MaxConnections)*jobConnectionShare), 1)
+	}
+	if memoryMB == 0 {
+		memoryMB = float64(s.MemoryMB) * jobMemoryShare
+	}
+	return jobs, link.Bytes(memoryMB * megabyte)
+}
+
 // EnvPrefix is the prefix of environment variables that set flags.
 const EnvPrefix = "SEQUOIACART"
 
@@ -180,6 +201,8 @@
 	flags.IntVar(&s.MaxPayloadBytes, "jobs.maxPayloadBytes", s.MaxPayloadBytes, "`bytes` that the payload of a job may have")
 	flags.IntVar(&s.MaxSteps, "jobs.maxSteps", s.MaxSteps, "`number` of steps that a job may have")
 	flags.IntVar(&s.MaxDependencies, "jobs.maxDependencies", s.MaxDependencies, "`number` of steps that all steps of a job together may come after")
+	flags.IntVar(&s.MaxJobs, "jobs.maxWaiting", s.MaxJobs, "`number` of jobs that callers of this VM may wait for; 0 is a part of callers.maxConnections")
+	flags.Float64Var(&s.MaxJobMemoryMB, "jobs.maxMemoryMB", s.MaxJobMemoryMB, "`megabytes` that jobs may take; 0 is a part of the memory")
 	millis := func(target *clock.Millis, name, usage string) {
 		flags.Int64Var((*int64)(target), name, int64(*target), usage)
 	}
@@ -271,11 +294,18 @@
 	if s.EvacuationNotice < 0 {
 		return errors.NotValidf("check settings: key bounds.evacuateMs: %v is below 0: value", s.EvacuationNotice)
 	}
-	if s.MaxCallerConnections < 0 {
-		return errors.NotValidf("check settings: key callers.maxConnections: %v is below 0: value", s.MaxCallerConnections)
-	}
-	if s.MaxCallerBodyMB < 0 {
-		return errors.NotValidf("check settings: key callers.maxBodyMB: %v is below 0: value", s.MaxCallerBodyMB)
+	for _, n := range []struct {
+		key   string
+		value float64
+	}{
+		{"callers.maxConnections", float64(s.MaxCallerConnections)},
+		{"callers.maxBodyMB", s.MaxCallerBodyMB},
+		{"jobs.maxWaiting", float64(s.MaxJobs)},
+		{"jobs.maxMemoryMB", s.MaxJobMemoryMB},
+	} {
+		if n.value < 0 {
+			return errors.NotValidf("check settings: key %s: %v is below 0: value", n.key, n.value)
+		}
 	}
 	if s.FarFactor < 1 {
 		return errors.NotValidf("check settings: key bounds.farFactor: %v is below 1: value", s.FarFactor)
