control/forecast: place tasks that start at the same time together

What callers saw: nothing yet by itself; it is a part of what kept a VM from answering while jobs of 10,000 tasks waited. A plan placed the tasks of a job one by one, for each job that waits, at each arrival and each tick.

Tasks with the same start at an endpoint now take one reservation. The plan is the same: placing a task leaves the endpoint the best one until its next start moves, which it does after as many tasks as the least free capacity until their end covers.

--- a/internal/control/forecast/room.go
+++ b/internal/control/forecast/room.go
@@ -120,10 +120,12 @@
 	return r.fastest
 }
 
+func compareStart(s span, at clock.Millis) int { return cmp.Compare(s.from.At, at) }
+
 // change adds resources from a point in time on.
 func (e *endpointRoom) change(from Instant, by job.Resources) {
 	from.At = max(from.At, e.spans[0].from.At)
-	i, _ := slices.BinarySearchFunc(e.spans, from.At, func(s span, at clock.Millis) int { return cmp.Compare(s.from.At, at) })
+	i, _ := slices.BinarySearchFunc(e.spans, from.At, compareStart)
 	if i == len(e.spans) || e.spans[i].from.At != from.At {
 		e.spans = slices.Insert(e.spans, i, span{from: from, free: e.spans[i-1].free})
 	} else {
@@ -180,29 +182,32 @@
 			ep.next = r.startAt(ep, t)
 		}
 	}
-	for range t.Count {
+	for p.InTime < t.Count {
 		ep := r.first()
 		if ep == nil {
 			break
 		}
+		end := ep.next
+		end.At += clock.Millis(float64(t.Duration) / t.SpeedAt(ep.Speed, ep.Rack))
+		// Tasks that start at the same time are placed together, since a job may have thousands.
+		count := min(ep.least(ep.next.At, end.At).Count(t.Demand), t.Count-p.InTime)
 		if ep.next.At <= r.now {
-			p.Now++
+			p.Now += count
 		}
-		p.InTime++
+		p.InTime += count
 		if ep.next.At >= p.Last.At {
 			p.Last = ep.next
 		}
-		end := ep.next
-		end.At += clock.Millis(float64(t.Duration) / t.SpeedAt(ep.Speed, ep.Rack))
-		r.placed = append(r.placed, reservation{endpoint: ep, from: ep.next, until: end})
-		ep.change(ep.next, negative(t.Demand))
-		ep.change(end, t.Demand)
+		demand := t.Demand.Times(count)
+		r.placed = append(r.placed, reservation{endpoint: ep, from: ep.next, until: end, demand: demand})
+		ep.change(ep.next, negative(demand))
+		ep.change(end, demand)
 		ep.next = r.startAt(ep, t)
 	}
 	if p.InTime < t.Count {
 		for _, s := range r.placed {
-			s.endpoint.change(s.from, t.Demand)
-			s.endpoint.change(s.until, negative(t.Demand))
+			s.endpoint.change(s.from, s.demand)
+			s.endpoint.change(s.until, negative(s.demand))
 		}
 		r.placed = r.placed[:0]
 	}
@@ -221,18 +226,22 @@
 	return r.holds
 }
 
+// reservation is capacity for tasks that start at the same time.
 type reservation struct {
 	endpoint    *endpointRoom
 	from, until Instant
+	demand      job.Resources
 }
 
 // least is the least free capacity between two points in time.
 func (e *endpointRoom) least(from, until clock.Millis) job.Resources {
 	least := job.Resources{CPU: math.MaxInt64, Memory: math.MaxInt64, Accelerators: math.MaxInt32}
-	for _, s := range e.spans {
-		if s.from.At >= from && s.from.At < until {
-			least = job.Resources{CPU: min(least.CPU, s.free.CPU), Memory: min(least.Memory, s.free.Memory), Accelerators: min(least.Accelerators, s.free.Accelerators)}
+	first, _ := slices.BinarySearchFunc(e.spans, from, compareStart)
+	for _, s := range e.spans[first:] {
+		if s.from.At >= until {
+			break
 		}
+		least = job.Resources{CPU: min(least.CPU, s.free.CPU), Memory: min(least.Memory, s.free.Memory), Accelerators: min(least.Accelerators, s.free.Accelerators)}
 	}
 	return least
 }
--- a/internal/world/job/resources.go
+++ b/internal/world/job/resources.go
@@ -33,6 +33,11 @@
 	return Resources{CPU: r.CPU - o.CPU, Memory: r.Memory - o.Memory, Accelerators: r.Accelerators - o.Accelerators}
 }
 
+// Times returns the resources of n times as much.
+func (r Resources) Times(n int) Resources {
+	return Resources{CPU: r.CPU * MilliCores(n), Memory: r.Memory * Megabytes(n), Accelerators: r.Accelerators * Accelerators(n)}
+}
+
 // Count returns how many times the resources cover the demand.
 func (r Resources) Count(demand Resources) int {
 	n := math.MaxInt32
