control/leader: look at the tasks of a job only as far as they can start

What callers saw: beside jobs of 10,000 tasks, which fit a body of 150 bytes, a VM did not answer ordinary requests within 5 s.

Cause: the leader made the tasks of each job that arrived, three allocations for each, before it decided to refuse the job; and after each event it looked at every task of every job that waits, also to describe them to the planner and to see whether an answered job has ended.

Now a job that is refused at once has no tasks made, the counts by step are kept as the tasks change phase, and the tasks of a step are looked at from the first one that waits until one finds no capacity. The following tasks of the step differ in nothing that matters but the endpoint that one avoids, which makes it harder to place, or that it may crash its endpoint; all tasks are looked at when the known crashes have changed, or while one of the job is a suspect.

--- a/internal/control/leader/admission.go
+++ b/internal/control/leader/admission.go
@@ -60,6 +60,9 @@
 			l.abandon(earlier, job.Superseded)
 		}
 	}
+	if s.Adopt || len(l.jobsByID[s.Job.ID]) > 0 || l.orphans.hasJob(s.Job.ID) || l.crashes.HasTask(func(n job.TaskName) bool { return belongsTo(n, s.Job.ID) }) {
+		j.makeTasks()
+	}
 	if s.Adopt {
 		l.adoptOrphans(j)
 	}
@@ -73,6 +76,7 @@
 			return
 		}
 	}
+	j.makeTasks()
 	l.jobs[j.Key] = j
 	l.jobsByID[j.Job.ID] = append(l.jobsByID[j.Job.ID], j)
 	entry := l.entryVM(j.Key.Entry)
@@ -160,7 +164,7 @@
 }
 
 func (l *Leader) markAdoptedDone(t *task) {
-	t.phase = done
+	t.enter(done)
 	t.job.openTasks--
 	t.job.openByStep[t.stepIndex]--
 }
@@ -246,9 +250,9 @@
 // demand is the CPU demand of the waiting tasks in the first steps of the job.
 func (j *jobState) demand() job.MilliCores {
 	var sum job.MilliCores
-	for _, t := range j.tasks {
-		if t.phase == waiting && len(t.stepSpec().After) == 0 {
-			sum += t.stepSpec().Demand.CPU
+	for i, n := range j.waitingByStep {
+		if s := &j.Job.Steps[i]; len(s.After) == 0 {
+			sum += s.Demand.CPU * job.MilliCores(n)
 		}
 	}
 	return sum
--- a/internal/control/leader/admission_log.go
+++ b/internal/control/leader/admission_log.go
@@ -89,6 +89,6 @@
 		waitingCPU += other.demand()
 	}
 	decision.Detail += fmt.Sprintf("tasks %d demand %d free %d waiting %d of %d mCPU, starts by %d ms, hops %d, shards with spare CPU %d reported up to %d ms ago, desired state %d",
-		len(j.tasks), j.demand(), free, waitingCPU, total, j.latestStart-l.now, j.Hops, len(spare), oldestAge, l.desired.Version)
+		j.Job.Tasks(), j.demand(), free, waitingCPU, total, j.latestStart-l.now, j.Hops, len(spare), oldestAge, l.desired.Version)
 	l.emit(decision)
 }
--- a/internal/control/leader/attempts.go
+++ b/internal/control/leader/attempts.go
@@ -13,7 +13,8 @@
 	lastAttempt := l.attemptNumbers.get(t.name)
 	t.attempt = max(t.attempt, lastAttempt) + 1
 	l.attemptNumbers.set(t.name, t.attempt, l.now)
-	t.phase, t.endpoint, t.startedAt, t.confirmedAt, t.confirmedIn, t.sentTo = starting, ep, l.now, 0, 0, ep.Born
+	t.enter(starting)
+	t.endpoint, t.startedAt, t.confirmedAt, t.confirmedIn, t.sentTo = ep, l.now, 0, 0, ep.Born
 	t.baseDuration, t.expectedDuration = base, l.durationAt(ep, base)
 	t.startedCold = ep.isCold(l.now)
 	t.percent, t.percentAt = 0, l.now
@@ -37,7 +38,8 @@
 
 // confirmRunning records that the endpoint runs the attempt.
 func (l *Leader) confirmRunning(t *task) {
-	t.phase, t.confirmedAt, t.confirmedSeq, t.confirmedIn = running, l.now, l.sequence, t.endpoint.Born
+	t.enter(running)
+	t.confirmedAt, t.confirmedSeq, t.confirmedIn = l.now, l.sequence, t.endpoint.Born
 }
 
 func (l *Leader) reserve(t *task, ep *endpointState) {
@@ -71,9 +73,9 @@
 	}
 	l.logEnd(t, t.lastEnd)
 	l.freeResources(t)
-	t.phase = waiting
+	t.enter(waiting)
 	if t.job.answered {
-		t.phase = ended
+		t.enter(ended)
 		l.removeIfFinished(t.job)
 		return
 	}
@@ -82,7 +84,8 @@
 
 // stopAttempt makes sure that an attempt has ended before anything else is done with its task.
 func (l *Leader) stopAttempt(t *task) {
-	t.phase, t.stopAckedAt, t.stopBegunAt = stopping, 0, l.now
+	t.enter(stopping)
+	t.stopAckedAt, t.stopBegunAt = 0, l.now
 	l.sendStop(t)
 }
 
@@ -301,7 +304,7 @@
 }
 
 func (l *Leader) markDone(t *task) {
-	t.phase = done
+	t.enter(done)
 	j := t.job
 	j.openTasks--
 	j.openByStep[t.stepIndex]--
--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -64,31 +64,74 @@
 	}
 }
 
-// dispatchJob starts the tasks of a job that find capacity and reports whether any are left.
+// dispatchJob starts the tasks of a job that find capacity and reports whether any are left. The tasks of a step are
+// looked at until one finds no capacity, unless one of the job may crash its endpoint.
 func (l *Leader) dispatchJob(j *jobState, r *dispatchRound) bool {
-	tasksLeft := false
 	minSpeed := j.plan.MinSpeed(l.now)
-	for _, t := range j.tasks {
-		if t.phase != waiting {
+	mayHaveSuspects, hasSuspects := j.unsuspectedAt != l.crashes.Revision(), false
+	for i := range j.Job.Steps {
+		isReady := j.isStepReady(i)
+		if j.waitingByStep[i] == 0 || !isReady && !mayHaveSuspects {
 			continue
 		}
-		switch l.verdict(t) {
-		case crash.Deadly:
-			l.giveUp(t)
-			return false
-		case crash.Pending:
-			tasksLeft = true
-		case crash.Suspected:
-			if !t.ready() || !l.mayStart(t) || !l.placeSuspect(t) {
-				tasksLeft = true
+		r.beginStep()
+		for _, t := range j.waitingTasks(i) {
+			if r.stepIsFull && !mayHaveSuspects {
+				break
+			}
+			if t.phase != waiting {
+				continue
 			}
-		case crash.Unsuspected:
-			if !t.ready() || r.hasNoCapacityFor(t, minSpeed) || !l.mayStart(t) || !l.placeTask(t, minSpeed, r) {
-				tasksLeft = true
+			verdict := crash.Unsuspected
+			if mayHaveSuspects {
+				verdict = l.verdict(t)
+			}
+			switch verdict {
+			case crash.Deadly:
+				l.giveUp(t)
+				return false
+			case crash.Pending:
+				hasSuspects = true
+			case crash.Suspected:
+				hasSuspects = true
+				if isReady && l.mayStart(t) {
+					l.placeSuspect(t)
+				}
+			case crash.Unsuspected:
+				if isReady {
+					l.placeUnsuspected(t, minSpeed, r)
+				}
 			}
 		}
 	}
-	return tasksLeft
+	if !hasSuspects {
+		j.unsuspectedAt = l.crashes.Revision()
+	}
+	return j.waits()
+}
+
+// placeUnsuspected starts a task if it finds capacity.
+func (l *Leader) placeUnsuspected(t *task, minSpeed float64, r *dispatchRound) {
+	if r.stepIsFull = r.stepIsFull || r.hasNoCapacityFor(t, minSpeed); r.stepIsFull || slices.Contains(r.unplacedAvoiders, avoiderOf(t)) || !l.mayStart(t) {
+		return
+	}
+	switch {
+	case l.placeTask(t, minSpeed, r):
+	case t.avoidEndpoint == nil:
+		r.stepIsFull = true
+	default:
+		r.unplacedAvoiders = append(r.unplacedAvoiders, avoiderOf(t))
+	}
+}
+
+// avoider is what the tasks of a step may differ in that are to be placed.
+type avoider struct {
+	endpoint          *endpointState
+	failed, lostThere bool
+}
+
+func avoiderOf(t *task) avoider {
+	return avoider{endpoint: t.avoidEndpoint, failed: t.failures > 0, lostThere: t.lostThere}
 }
 
 // dispatchRound is one pass over the queue.
@@ -100,8 +143,14 @@
 	unplaced []unplacedDemand
 	// scarce means that several jobs wait.
 	scarce bool
+	// stepIsFull means that no task of the present step finds capacity, except one that may crash its endpoint.
+	// unplacedAvoiders are those that have found none.
+	stepIsFull       bool
+	unplacedAvoiders []avoider
 }
 
+func (r *dispatchRound) beginStep() { r.stepIsFull, r.unplacedAvoiders = false, r.unplacedAvoiders[:0] }
+
 // unplacedDemand is a demand that found no capacity at endpoints of minSpeed or more.
 type unplacedDemand struct {
 	queue    queue.Name
--- a/internal/control/leader/evacuation.go
+++ b/internal/control/leader/evacuation.go
@@ -115,10 +115,9 @@
 }
 
 func (l *Leader) departure(j *jobState, closed bool) departure {
-	waits := slices.ContainsFunc(j.tasks, func(t *task) bool { return t.phase == waiting })
 	untouched := !j.started && !j.Adopt && !l.hasAttempts(j)
 	switch {
-	case !waits:
+	case !j.waits():
 		return staysQueued{}
 	case closed && untouched:
 		return leaves{l.lastResort(j)}
--- a/internal/control/leader/forwarding.go
+++ b/internal/control/leader/forwarding.go
@@ -16,7 +16,7 @@
 		return nil
 	}
 	loads := l.loadsWithSpareCPU()
-	taskCPU := j.tasks[0].stepSpec().Demand.CPU
+	taskCPU := j.Job.Steps[0].Demand.CPU
 	if len(loads) == 0 || taskCPU <= 0 {
 		return nil
 	}
@@ -53,7 +53,7 @@
 // divide assigns the tasks that have no capacity here to other shards, in the given order. It
 // returns nil unless there is capacity for all of them.
 func (l *Leader) divide(j *jobState, localTasks int, loads []shardLoad, capacity func(shardLoad) int64) job.Outcome {
-	taskCPU := j.tasks[0].stepSpec().Demand.CPU
+	taskCPU := j.Job.Steps[0].Demand.CPU
 	if taskCPU <= 0 {
 		return nil
 	}
@@ -61,7 +61,7 @@
 	if localTasks > 0 {
 		shares = append(shares, job.Share{Cell: l.config.Shard, Tasks: localTasks})
 	}
-	remaining := len(j.tasks) - localTasks
+	remaining := j.Job.Tasks() - localTasks
 	for _, load := range loads {
 		n := min(remaining, int(float64(capacity(load))*usableShare/float64(taskCPU)))
 		if n <= 0 {
--- a/internal/control/leader/job_state.go
+++ b/internal/control/leader/job_state.go
@@ -1,8 +1,11 @@
 package leader
 
 import (
+	"slices"
+
 	"github.com/sequoiacart/sequoiacart/internal/control/admission"
 	"github.com/sequoiacart/sequoiacart/internal/control/forecast"
+	"github.com/sequoiacart/sequoiacart/internal/world/crash"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -14,10 +17,16 @@
 	queue queue.Name
 	// acceptedBy is the queue as of the latest desired state that had it.
 	acceptedBy *queue.Queue
-	tasks      []*task
-	// openByStep counts the tasks of each step that are not done.
-	openByStep []int
-	openTasks  int
+	// tasks are nil until they are needed.
+	tasks []*task
+	// openByStep counts the tasks of each step that are not done, waitingByStep those without an attempt. No task of
+	// a step before the number firstWaiting waits. holding counts those that occupy resources.
+	openByStep, waitingByStep, firstWaiting []int
+	openTasks, holding                      int
+	// startOfStep is the number of the first task of each step.
+	startOfStep []int
+	// unsuspectedAt is the revision of the crashes by which no waiting task may crash its endpoint.
+	unsuspectedAt crash.Revision
 	// started means that a start was sent for a task, or that an orphan was adopted; from then on
 	// the job cannot be refused.
 	started bool
@@ -46,17 +55,71 @@
 	failedEndpoints map[*endpointState]bool
 }
 
+// newJobState returns a job whose tasks have not been made.
 func newJobState(s job.Submission, now clock.Millis) *jobState {
-	j := &jobState{Submission: s, queue: s.Job.Queue, receivedAt: now, submittedAt: now - s.Waited, openByStep: make([]int, len(s.Job.Steps))}
+	j := &jobState{
+		Submission: s, queue: s.Job.Queue, receivedAt: now, submittedAt: now - s.Waited,
+		openByStep: make([]int, len(s.Job.Steps)), waitingByStep: make([]int, len(s.Job.Steps)), firstWaiting: make([]int, len(s.Job.Steps)),
+		startOfStep: make([]int, len(s.Job.Steps)),
+	}
 	j.limit = j.submittedAt + s.Limit
 	for i, step := range s.Job.Steps {
-		j.openByStep[i] = step.Tasks
+		j.firstWaiting[i], j.startOfStep[i] = j.openTasks, j.openTasks
+		j.openByStep[i], j.waitingByStep[i] = step.Tasks, step.Tasks
 		j.openTasks += step.Tasks
+	}
+	return j
+}
+
+// makeTasks makes the tasks of a job, unless that was done. A job that is refused at once needs none, and may have
+// thousands.
+func (j *jobState) makeTasks() {
+	if j.tasks != nil {
+		return
+	}
+	all := make([]task, j.Job.Tasks())
+	j.tasks = make([]*task, len(all))
+	number := 0
+	for i, step := range j.Job.Steps {
 		for k := range step.Tasks {
-			j.tasks = append(j.tasks, &task{job: j, name: TaskName(s.Job.ID, i, s.First+k), stepIndex: i, attempt: 0})
+			t := &all[number]
+			t.job, t.name, t.stepIndex, t.number = j, TaskName(j.Job.ID, i, j.First+k), i, number
+			j.tasks[number] = t
+			number++
 		}
 	}
-	return j
+}
+
+// isStepReady reports whether the tasks of a step may start: the steps before it are done.
+func (j *jobState) isStepReady(step int) bool {
+	if j.answered {
+		return false
+	}
+	for _, s := range j.Job.Steps[step].After {
+		if j.openByStep[s] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// waitingTasks returns the tasks of a step from the first one that waits.
+func (j *jobState) waitingTasks(step int) []*task {
+	end := len(j.tasks)
+	if step+1 < len(j.startOfStep) {
+		end = j.startOfStep[step+1]
+	}
+	first := j.firstWaiting[step]
+	for first < end && j.tasks[first].phase != waiting {
+		first++
+	}
+	j.firstWaiting[step] = first
+	return j.tasks[first:end]
+}
+
+// waits reports whether a task has no attempt.
+func (j *jobState) waits() bool {
+	return slices.ContainsFunc(j.waitingByStep, func(n int) bool { return n > 0 })
 }
 
 // queueOf returns the queue of a job. A job belongs to the queue that accepted it, also once the desired state no
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -292,14 +292,9 @@
 
 // removeIfFinished removes a job once it has been answered and has no attempts left.
 func (l *Leader) removeIfFinished(j *jobState) {
-	if !j.answered {
+	if !j.answered || j.holding > 0 {
 		return
 	}
-	for _, t := range j.tasks {
-		if t.holdsResources() {
-			return
-		}
-	}
 	delete(l.jobs, j.Key)
 	rest := slices.DeleteFunc(l.jobsByID[j.Job.ID], func(other *jobState) bool { return other == j })
 	l.jobsByID[j.Job.ID] = rest
@@ -345,7 +340,7 @@
 	for _, t := range j.tasks {
 		switch t.phase {
 		case waiting:
-			t.phase = ended
+			t.enter(ended)
 		case starting, running:
 			l.stopAttempt(t)
 		case stopping, done, ended:
--- a/internal/control/leader/order_test.go
+++ b/internal/control/leader/order_test.go
@@ -215,6 +215,7 @@
 			blocked.Part, blocked.Waited = true, 50
 			for _, s := range []job.Submission{blocked, small} {
 				j := newJobState(s, c.now)
+				j.makeTasks()
 				l.setDeadlines(j)
 				j.limit = c.now + 3000
 				l.jobs[j.Key] = j
--- a/internal/control/leader/orphans.go
+++ b/internal/control/leader/orphans.go
@@ -57,6 +57,16 @@
 	return slices.ContainsFunc(o[name], func(a orphan) bool { return !a.ended })
 }
 
+// hasJob reports whether an attempt of a task of the job is known.
+func (o orphans) hasJob(id job.ID) bool {
+	for name := range o {
+		if belongsTo(name, id) {
+			return true
+		}
+	}
+	return false
+}
+
 // countActive counts the attempts at an endpoint that may still be running, of tasks whose names begin with
 // the prefix.
 func (o orphans) countActive(prefix string, ep *endpointState) int {
--- a/internal/control/leader/plan.go
+++ b/internal/control/leader/plan.go
@@ -38,17 +38,15 @@
 	p.Started = j.started || j.Part || j.Adopt
 	p.Left, p.Tasks.Count = 0, 0
 	step := -1
-	for _, t := range j.tasks {
-		if t.phase != waiting {
+	for i, n := range j.waitingByStep {
+		if n == 0 {
 			continue
 		}
-		if step < 0 && t.ready() {
-			step = t.stepIndex
+		if step < 0 && j.isStepReady(i) {
+			step, p.Tasks.Count = i, n
 		}
-		if t.stepIndex == step {
-			p.Tasks.Count++
-		}
-		p.Left += job.WorkOf(t.stepSpec().Demand.CPU, l.expectedWork(j, t.stepSpec()))
+		s := &j.Job.Steps[i]
+		p.Left += job.WorkOf(s.Demand.CPU, l.expectedWork(j, s)) * job.CoreMillis(n)
 	}
 	if step < 0 {
 		return
--- a/internal/control/leader/task.go
+++ b/internal/control/leader/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/sequoiacart/sequoiacart/internal/world/crash"
 	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
@@ -14,9 +15,12 @@
 	job       *jobState
 	name      job.TaskName
 	stepIndex int
-	phase     taskPhase
-	endpoint  *endpointState
-	attempt   job.Attempt
+	// number is the position among the tasks of the job.
+	number int
+	// phase is changed by enter alone.
+	phase    taskPhase
+	endpoint *endpointState
+	attempt  job.Attempt
 	// startGrant is the lease of the start of the current attempt, and lastEnd the attempt before,
 	// for the log.
 	startGrant LeaseGrant
@@ -74,17 +78,23 @@
 	return t.phase == starting || t.phase == running || t.phase == stopping
 }
 
-// ready reports whether the job allows the task to start now: the steps before it are done.
-func (t *task) ready() bool {
-	if t.phase != waiting || t.job.answered {
-		return false
+// enter changes the phase, and what the job counts by it.
+func (t *task) enter(p taskPhase) {
+	j := t.job
+	if t.phase == waiting {
+		j.waitingByStep[t.stepIndex]--
 	}
-	for _, s := range t.stepSpec().After {
-		if t.job.openByStep[s] > 0 {
-			return false
-		}
+	if t.holdsResources() {
+		j.holding--
+	}
+	t.phase = p
+	if t.phase == waiting {
+		j.waitingByStep[t.stepIndex]++
+		j.firstWaiting[t.stepIndex] = min(j.firstWaiting[t.stepIndex], t.number)
+	}
+	if t.holdsResources() {
+		j.holding++
 	}
-	return true
 }
 
 // TaskName builds the unique name of a task from its job, occurrence, step and index.
@@ -92,5 +102,8 @@
 	return job.TaskName(stepPrefix(id, step) + strconv.Itoa(index))
 }
 
+// belongsTo reports whether a name is that of a task of the job.
+func belongsTo(n job.TaskName, id job.ID) bool { return strings.HasPrefix(string(n), string(id)+".") }
+
 // stepPrefix is what the names of the tasks of a step have in common.
 func stepPrefix(id job.ID, step int) string { return string(id) + ".0." + strconv.Itoa(step) + "." }
--- a/internal/world/crash/history.go
+++ b/internal/world/crash/history.go
@@ -121,6 +121,16 @@
 	})
 }
 
+// HasTask reports whether a task ran at a crash whose name matches.
+func (h *History) HasTask(matches func(job.TaskName) bool) bool {
+	for n := range h.byTask {
+		if matches(n) {
+			return true
+		}
+	}
+	return false
+}
+
 // Suspect adds a crash that is not proved.
 func (h *History) Suspect(r Record, now clock.Millis) {
 	r.Withdrawals = h.withdrawals(r.ID)
