control/leader: bound the requests to endpoints and the tasks at one

What callers saw: clients with jobs of 10,000 tasks that need next to nothing took a VM of 96 MB and 400 descriptors to 862 MB and 1,237 descriptors, and kept it from answering; 1,676 descriptors were still open 2 s after all of them had left.

Cause: a leader sent all starts for which there was capacity at once, and all stops when the caller of a job left, each on a goroutine and mostly a connection of its own. Tasks without demands always find capacity, so that an endpoint got thousands, and each of its reports listed them all.

Now a leader has a bounded number of starts without an answer, and of stops; others are sent as answers arrive, and stops of attempts that no job adopts with the ticks. A task occupies a slot of its endpoint beside what it needs, which the forecast counts like any other resource. The lines of the log list 64 attempts of a job at most.

Without the bounds TestCallsToEndpointsAreBounded, TestStopsOfOrphansAreBounded and TestTasksAtAnEndpointAreBounded fail with 40 calls instead of 3 and 40 tasks instead of 4.

--- a/internal/control/forecast/room.go
+++ b/internal/control/forecast/room.go
@@ -235,13 +235,13 @@
 
 // least is the least free capacity between two points in time.
 func (e *endpointRoom) least(from, until clock.Millis) job.Resources {
-	least := job.Resources{CPU: math.MaxInt64, Memory: math.MaxInt64, Accelerators: math.MaxInt32}
+	least := job.Resources{CPU: math.MaxInt64, Memory: math.MaxInt64, Accelerators: math.MaxInt32, Slots: math.MaxInt32}
 	first, _ := slices.BinarySearchFunc(e.spans, from, compareStart)
 	for _, s := range e.spans[first:] {
 		if s.from.At >= until {
 			break
 		}
-		least = job.Resources{CPU: min(least.CPU, s.free.CPU), Memory: min(least.Memory, s.free.Memory), Accelerators: min(least.Accelerators, s.free.Accelerators)}
+		least = job.Resources{CPU: min(least.CPU, s.free.CPU), Memory: min(least.Memory, s.free.Memory), Accelerators: min(least.Accelerators, s.free.Accelerators), Slots: min(least.Slots, s.free.Slots)}
 	}
 	return least
 }
--- a/internal/control/leader/action.go
+++ b/internal/control/leader/action.go
@@ -142,6 +142,8 @@
 	JobAbandoned
 	// ShardEmptied means that no task is left in an evacuated data centre.
 	ShardEmptied
+	// CallsFull is a kind of requests that has reached its limit, so that others wait.
+	CallsFull
 	// TaskGivenUp is a task that is proved to crash its endpoints; its job has failed.
 	TaskGivenUp
 )
--- a/internal/control/leader/attempt_end.go
+++ b/internal/control/leader/attempt_end.go
@@ -119,8 +119,15 @@
 	}
 }
 
-// ActiveAttempts are attempts that may be running when their job or their leader ends.
-type ActiveAttempts struct{ Attempts []ActiveAttempt }
+// ActiveAttempts are attempts that may be running when their job or their leader ends. More counts those that are
+// not listed.
+type ActiveAttempts struct {
+	Attempts []ActiveAttempt
+	More     int
+}
+
+// maxLoggedAttempts bounds the attempts in a line of the log.
+const maxLoggedAttempts = 64
 
 // ActiveAttempt is an attempt that may be running.
 type ActiveAttempt struct {
@@ -138,7 +145,11 @@
 func activeAttempts(tasks []*task) *ActiveAttempts {
 	active := &ActiveAttempts{}
 	for _, t := range tasks {
-		if t.holdsResources() {
+		switch {
+		case !t.holdsResources():
+		case len(active.Attempts) == maxLoggedAttempts:
+			active.More++
+		default:
 			active.Attempts = append(active.Attempts, ActiveAttempt{Task: t.name, Attempt: t.attempt, Endpoint: t.endpoint.Endpoint, Start: t.startGrant, Confirmed: t.confirmedAt != 0})
 		}
 	}
--- a/internal/control/leader/attempts.go
+++ b/internal/control/leader/attempts.go
@@ -26,6 +26,7 @@
 	until, _ := l.leaseUntil(ep)
 	t.startGrant = ep.leaseGrant(until, l.now)
 	ep.lastGrant = t.startGrant
+	l.beginCall(&l.starts)
 	l.logStart(t, lastAttempt)
 	l.emit(Start{
 		Endpoint: ep.Endpoint, Task: t.name, Attempt: t.attempt, Payload: t.job.Job.Payload,
@@ -89,11 +90,30 @@
 	l.sendStop(t)
 }
 
+// sendStop sends a stop, once there are few enough without an answer.
 func (l *Leader) sendStop(t *task) {
+	if l.stops.isFull() {
+		if !t.stopPending {
+			t.stopPending, l.pendingStops = true, append(l.pendingStops, t)
+		}
+		return
+	}
+	l.beginCall(&l.stops)
 	t.stopSentAt = l.now
 	l.emit(Stop{Endpoint: t.endpoint.Endpoint, Task: t.name, Attempt: t.attempt, Token: l.tokenFor(t.endpoint), Sequence: l.sequence})
 }
 
+// sendPendingStops sends the stops that wait and are still needed.
+func (l *Leader) sendPendingStops() {
+	for len(l.pendingStops) > 0 && !l.stops.isFull() {
+		t := l.pendingStops[0]
+		t.stopPending, l.pendingStops = false, l.pendingStops[1:]
+		if t.phase == stopping && t.stopAckedAt == 0 {
+			l.sendStop(t)
+		}
+	}
+}
+
 // taskOfAttempt returns the task whose current attempt at the endpoint is this one, or nil.
 func (l *Leader) taskOfAttempt(ep *endpointState, name job.TaskName, attempt job.Attempt) *task {
 	t := ep.tasks[name]
--- /dev/null
+++ b/internal/control/leader/bounds_test.go
@@ -0,0 +1,115 @@
+package leader
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
+)
+
+// Guards against a job that takes every descriptor of its VM for starts, or for stops once its caller has left, and
+// against starts and stops that are forgotten while others have no answer.
+func TestCallsToEndpointsAreBounded(t *testing.T) {
+	const tasks, limit = 40, 3
+	for _, tt := range []struct {
+		name string
+		lost float64
+	}{{"answered", 0}, {"a third of the answers lost", 0.33}} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCluster(t, 41, tasks/2)
+			c.bounds = Bounds{Calls: limit}
+			l := c.addLeader(1, 256).leader
+			c.duration = func(job.TaskName) clock.Millis { return clock.Minute }
+			c.fault = func(_ int, _ datacentre.EndpointID, a Action) delivery {
+				if got := max(l.starts.open, l.stops.open); got > limit {
+					t.Fatalf("got %d calls without an answer, want %d at most", got, limit)
+				}
+				_, isHold := a.(Hold)
+				return delivery{answerLost: !isHold && c.random.Float64() < tt.lost}
+			}
+			c.advance(200)
+			c.renewLeases(1, "a-1", 1)
+			s := submission("a-1", 1, tasks)
+			s.Job.Steps[0].Estimate = clock.Second
+			c.deliver(1, Submitted{Submission: s})
+			c.advance(2 * clock.Second)
+			if got := len(l.activeTasks); got != tasks {
+				t.Errorf("got %d tasks at work, want %d", got, tasks)
+			}
+			c.deliver(1, Cancelled{Cancellation: job.Cancellation{Job: s.Job.ID, Origin: s.Job.Origin}})
+			c.advance(2 * clock.Second)
+			if got := len(l.activeTasks); got != 0 {
+				t.Errorf("got %d tasks at work after the job was cancelled, want none", got)
+			}
+			if c.maxConcurrentAttempts > 1 {
+				t.Errorf("got %d attempts of a task at a time, want 1", c.maxConcurrentAttempts)
+			}
+		})
+	}
+}
+
+// Guards against a take-over that stops thousands of attempts of jobs that no caller waits for at once.
+func TestStopsOfOrphansAreBounded(t *testing.T) {
+	const tasks, limit = 40, 3
+	c := newCluster(t, 42, tasks/2)
+	c.duration = func(job.TaskName) clock.Millis { return clock.Minute }
+	c.addLeader(1, 256)
+	c.advance(200)
+	s := submission("a-1", 1, tasks)
+	s.Job.Steps[0].Estimate = clock.Second
+	c.deliver(1, Submitted{Submission: s})
+	c.advance(100)
+	c.leaders[1].stopped = true
+	c.bounds = Bounds{Calls: limit}
+	l := c.addLeader(2, 257).leader
+	c.fault = func(n int, _ datacentre.EndpointID, _ Action) delivery {
+		if got := l.stops.open; got > limit {
+			t.Fatalf("got %d stops without an answer, want %d at most", got, limit)
+		}
+		return delivery{}
+	}
+	c.advance(3 * clock.Second)
+	if got := len(l.orphans); got != 0 {
+		t.Errorf("got %d attempts of the earlier leader left, want none", got)
+	}
+}
+
+// Guards against endpoints that get thousands of tasks which need next to nothing.
+func TestTasksAtAnEndpointAreBounded(t *testing.T) {
+	const limit = 4
+	for _, cpu := range []job.MilliCores{0, 1} {
+		t.Run(fmt.Sprintf("%d mCPU", cpu), func(t *testing.T) {
+			c := newCluster(t, 43, 3)
+			c.bounds = Bounds{TasksPerEndpoint: limit}
+			for _, e := range c.sortedEndpoints {
+				e.Capacity.CPU = 100 * taskCPU
+			}
+			l := c.addLeader(1, 256).leader
+			c.advance(200)
+			c.renewLeases(1, "a-1", 1, 2)
+			for seq := uint64(1); seq <= 2; seq++ {
+				s := submission("a-1", seq, 20)
+				s.Job.Steps[0].Demand, s.Part, s.Limit = job.Resources{CPU: cpu}, true, clock.Minute
+				c.deliver(1, Submitted{Submission: s})
+			}
+			for range 1000 {
+				c.advance(1)
+				for _, e := range c.sortedEndpoints {
+					if got := len(e.attempts); got > limit {
+						t.Fatalf("got %d tasks at an endpoint, want %d at most", got, limit)
+					}
+				}
+			}
+			if got, want := c.outcome(1)+" "+c.outcome(2), "job.Completed job.Completed"; got != want {
+				t.Errorf("got %s, want %s", got, want)
+			}
+			for _, ep := range l.sortedEndpoints {
+				if got := ep.free.Slots; got != limit {
+					t.Errorf("got %d free slots after the jobs, want %d", got, limit)
+				}
+			}
+		})
+	}
+}
--- a/internal/control/leader/cluster_test.go
+++ b/internal/control/leader/cluster_test.go
@@ -54,6 +54,8 @@
 	// unguarded means that the endpoints start what exceeds their capacity; overloads counts these starts.
 	unguarded bool
 	overloads int
+	// bounds are those of the leaders that are added.
+	bounds Bounds
 	// fault decides how a request is delivered; the default delivers it normally.
 	fault func(leader int, e datacentre.EndpointID, a Action) delivery
 }
@@ -141,7 +143,7 @@
 // addLeader adds a leader with the token, in its first epoch, that reads the list of endpoints every 400 ms.
 // It has heard the bound of the leader with the number before.
 func (c *cluster) addLeader(n int, token shard.Token) *fakeLeader {
-	config := Config{Shard: "centro", Token: firstEpoch(token), Timeouts: testTimeouts(), StoreLost: true, FarFactor: 1.5, Desired: testState(), Now: c.now}
+	config := Config{Shard: "centro", Token: firstEpoch(token), Timeouts: testTimeouts(), StoreLost: true, FarFactor: 1.5, Desired: testState(), Now: c.now, Bounds: c.bounds}
 	if earlier := c.leaders[n-1]; earlier != nil {
 		config.OrphansEndBy = earlier.orphansEndBy
 	}
--- a/internal/control/leader/dispatch.go
+++ b/internal/control/leader/dispatch.go
@@ -76,6 +76,9 @@
 		}
 		r.beginStep()
 		for _, t := range j.waitingTasks(i) {
+			if l.starts.isFull() {
+				return true
+			}
 			if r.stepIsFull && !mayHaveSuspects {
 				break
 			}
@@ -350,6 +353,7 @@
 	listed := make(map[datacentre.EndpointID]bool, len(all))
 	var appeared, cold, unlisted, dropped []EndpointChange
 	for _, e := range all {
+		e = l.withSlots(e)
 		listed[e.ID] = true
 		ep := l.endpoints[e.ID]
 		if ep == nil {
--- a/internal/control/leader/job_state.go
+++ b/internal/control/leader/job_state.go
@@ -63,10 +63,13 @@
 		startOfStep: make([]int, len(s.Job.Steps)),
 	}
 	j.limit = j.submittedAt + s.Limit
+	// The steps may belong to the gateway of this VM too.
+	j.Job.Steps = slices.Clone(s.Job.Steps)
 	for i, step := range s.Job.Steps {
 		j.firstWaiting[i], j.startOfStep[i] = j.openTasks, j.openTasks
 		j.openByStep[i], j.waitingByStep[i] = step.Tasks, step.Tasks
 		j.openTasks += step.Tasks
+		j.Job.Steps[i].Demand.Slots = 1
 	}
 	return j
 }
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -45,6 +45,8 @@
 	// OrphansEndBy is when the attempts of earlier leaders that no job adopts have to have ended, or 0
 	// if this VM has not heard of it. Their callers may send the jobs again from then on.
 	OrphansEndBy clock.Millis
+	// Bounds are what the leader may take.
+	Bounds Bounds
 }
 
 // Leader is the state of the leader of one shard. It belongs to the control goroutine.
@@ -108,6 +110,9 @@
 	resumedSeq SequenceNumber
 	sequence   SequenceNumber
 	actions    []Action
+	// starts and stops are those without an answer. pendingStops wait to be sent.
+	starts, stops calls
+	pendingStops  []*task
 }
 
 // entryVM is an entry VM with jobs at this leader.
@@ -132,6 +137,7 @@
 	if l.storeLost {
 		l.storeLostAt = c.Now
 	}
+	l.starts.limit, l.stops.limit = c.Bounds.Calls, c.Bounds.Calls
 	if l.crashes == nil {
 		l.crashes = crash.NewHistory()
 	}
@@ -175,6 +181,7 @@
 	case JobLeasesRenewed:
 		l.renewJobLeases(e)
 	case StartEnded:
+		l.starts.end()
 		l.handleStartEnded(e)
 	case StartSlow:
 		if ep := l.endpoints[e.Endpoint]; ep != nil {
@@ -183,7 +190,9 @@
 			}
 		}
 	case StopEnded:
+		l.stops.end()
 		l.handleStopEnded(e)
+		l.sendPendingStops()
 	case HoldEnded:
 		l.handleHoldEnded(e)
 	case EndpointsListed:
--- a/internal/control/leader/status_report.go
+++ b/internal/control/leader/status_report.go
@@ -160,11 +160,15 @@
 	if o.ended || o.stopSentAt != 0 && l.now < o.stopSentAt+stopRetryInterval {
 		return
 	}
+	if l.stops.isFull() {
+		return
+	}
 	if o.stopSentAt == 0 {
 		l.emit(LogDecision{Decision: AttemptNotAdopted, Task: name, Endpoint: o.endpoint.Endpoint, Detail: "attempt " + strconv.FormatInt(int64(o.attempt), 10)})
 	}
 	o.stopSentAt = l.now
 	l.orphans.put(name, o)
+	l.beginCall(&l.stops)
 	l.emit(Stop{Endpoint: o.endpoint.Endpoint, Task: name, Attempt: o.attempt, Token: l.tokenFor(o.endpoint), Sequence: l.sequence})
 }
 
--- a/internal/control/leader/task.go
+++ b/internal/control/leader/task.go
@@ -47,8 +47,10 @@
 	// when one was acknowledged.
 	stopBegunAt, stopSentAt, stopAckedAt clock.Millis
 	stopAckedSeq                         SequenceNumber
-	failures                             int
-	avoidEndpoint                        *endpointState
+	// stopPending means that a stop waits to be sent.
+	stopPending   bool
+	failures      int
+	avoidEndpoint *endpointState
 	// lostThere means that an attempt was lost at avoidEndpoint.
 	lostThere bool
 	// suspected means that the task ran at an endpoint that crashed, as of verdictAt.
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -41,7 +41,11 @@
 	// MaxJobs bounds the jobs that callers of this VM wait for, and JobMemory the memory for them; 0 means no bound.
 	MaxJobs   int
 	JobMemory link.Bytes
-	Now       clock.Millis
+	// TasksPerEndpoint bounds the tasks at an endpoint, and MaxCalls the starts that a leader has no answer to, and
+	// the stops; 0 means no bound.
+	TasksPerEndpoint job.Slots
+	MaxCalls         int
+	Now              clock.Millis
 }
 
 // Control is the control state of a VM. It belongs to one goroutine.
@@ -55,6 +59,7 @@
 	// lastLeadership is the latest leadership of this VM.
 	lastLeadership LeadershipID
 	shards         []shard.ID
+	leaderBounds   leader.Bounds
 
 	desired          *queue.State
 	endpoints        []endpoint.Endpoint
@@ -166,7 +171,8 @@
 func New(c Config) *Control {
 	n := &Control{
 		config: c, now: c.Now, lastMissingAt: c.Now,
-		monitors: make(map[shard.ID]*failover.Monitor), ledShards: make(map[shard.ID]*ledShard),
+		leaderBounds: leader.Bounds{TasksPerEndpoint: c.TasksPerEndpoint, Calls: c.MaxCalls},
+		monitors:     make(map[shard.ID]*failover.Monitor), ledShards: make(map[shard.ID]*ledShard),
 		missingSince: make(map[datacentre.EndpointID]clock.Millis), unproven: make(map[datacentre.EndpointID]bool), heartbeats: make(map[vm.Incarnation]heartbeat), loads: make(map[shard.ID]shard.Load), probes: make(map[shard.ID]probeState),
 		crashes: crash.NewHistory(), crashExchanges: make(map[vm.Incarnation]crashExchange),
 		candidates:    make(map[shard.ID][]shard.VM),
--- a/internal/control/node/leadership.go
+++ b/internal/control/node/leadership.go
@@ -39,7 +39,8 @@
 	token := set.Token(rank)
 	n.lastLeadership++
 	n.ledShards[id] = &ledShard{id: n.lastLeadership, writtenAt: n.now, acquiredAt: n.now, savedAt: n.now, handedOverBy: handedOverBy, leader: leader.New(leader.Config{
-		Shard: id, Token: token, Timeouts: n.config.Timeouts, FarFactor: n.config.FarFactor,
+		Bounds: n.leaderBounds,
+		Shard:  id, Token: token, Timeouts: n.config.Timeouts, FarFactor: n.config.FarFactor,
 		Desired: n.desired, Crashes: n.crashes, LinkDelay: n.config.LinkDelay, Now: n.now, StoreLost: n.isStoreLost(), Evacuation: n.evacuationOf(id), OrphansEndBy: n.monitors[id].OrphansEndBy(),
 		AwaitsCancellations: true,
 	})}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/process/meter"
 	"github.com/sequoiacart/sequoiacart/internal/process/network"
 	"github.com/sequoiacart/sequoiacart/internal/process/settings"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/link"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -163,7 +164,7 @@
 	maxJobs, jobMemory := s.JobBounds()
 	control := node.New(node.Config{
 		Self: d.self, DataCentres: s.DataCentres, FarFactor: s.FarFactor, Successors: s.Successors, Seeds: s.Seeds, HandOverTimeout: clock.Millis(float64(s.GracePeriod) * handOverShare), LinkDelay: d.link.Delay, Now: c.Clock.Now(),
-		Timeouts: timeouts, MaxJobs: maxJobs, JobMemory: jobMemory,
+		Timeouts: timeouts, MaxJobs: maxJobs, JobMemory: jobMemory, TasksPerEndpoint: job.Slots(s.MaxTasksPerEndpoint), MaxCalls: s.EndpointCalls(),
 	})
 	d.loop = newLoop(control, c.Clock)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/process/daemon/decision_fields.go
+++ b/internal/process/daemon/decision_fields.go
@@ -32,6 +32,9 @@
 			}
 		}
 		fields["runs"] = runs
+		if d.More > 0 {
+			fields["moreRuns"] = d.More
+		}
 	case *leader.EndpointChanges:
 		all := make([]logrus.Fields, len(d.Endpoints))
 		for i, c := range d.Endpoints {
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -58,6 +58,9 @@
 	// megabytes; 0 means a part of MaxCallerConnections and of the memory.
 	MaxJobs        int
 	MaxJobMemoryMB float64
+	// MaxTasksPerEndpoint bounds the tasks at an endpoint, and MaxEndpointCalls the starts that a leader has no answer
+	// to, and the stops; 0 calls mean a part of the limits of the VM.
+	MaxTasksPerEndpoint, MaxEndpointCalls int
 
 	// MaxLease, StopDuration, ResendInterval, GracePeriod and DrainNotice are fixed by the platform: the
 	// longest lease that endpoints grant, the time that a stop takes, the time after which
@@ -111,8 +114,13 @@
 	jobConnectionShare = 0.75
 	// jobMemoryShare is the part of the memory that jobs may take by default.
 	jobMemoryShare = 0.15
-	megabyte       = 1 << 20
-	kilobyte       = 1 << 10
+	// callDescriptorShare is the part of the descriptors that the starts of a leader may take by default, and its
+	// stops, and callMemoryShare that of the memory, at callBytes each.
+	callDescriptorShare = 0.1
+	callMemoryShare     = 0.1
+	callBytes           = 32 << 10
+	megabyte            = 1 << 20
+	kilobyte            = 1 << 10
 )
 
 // Intake returns the bounds of callers' connections and bodies.
@@ -147,6 +155,14 @@
 	return jobs, link.Bytes(memoryMB * megabyte)
 }
 
+// EndpointCalls returns how many starts a leader may have no answer to, and how many stops.
+func (s *Settings) EndpointCalls() int {
+	if s.MaxEndpointCalls > 0 {
+		return s.MaxEndpointCalls
+	}
+	return max(int(min(float64(s.OpenFiles)*callDescriptorShare, float64(s.MemoryMB)*callMemoryShare*megabyte/callBytes)), 1)
+}
+
 // EnvPrefix is the prefix of environment variables that set flags.
 const EnvPrefix = "SEQUOIACART"
 
@@ -158,7 +174,7 @@
 	return Settings{
 		MetricsAddress: "", ProcessorShare: 1, MemoryMB: 256, OpenFiles: 1024, LinkMbps: 1000, MaxLease: clock.Second, StopDuration: 50,
 		ResendInterval: 1300, GracePeriod: 6 * clock.Second, DrainNotice: 2 * clock.Second, FarFactor: 1, Successors: 3,
-		MinCallerBodyKBps: 16, MaxPayloadBytes: 4000, MaxSteps: 1000, MaxDependencies: 10_000, LogLinesPerSecond: 400, TraceExporter: traceNone,
+		MinCallerBodyKBps: 16, MaxPayloadBytes: 4000, MaxSteps: 1000, MaxDependencies: 10_000, MaxTasksPerEndpoint: 128, LogLinesPerSecond: 400, TraceExporter: traceNone,
 	}
 }
 
@@ -203,6 +219,8 @@
 	flags.IntVar(&s.MaxDependencies, "jobs.maxDependencies", s.MaxDependencies, "`number` of steps that all steps of a job together may come after")
 	flags.IntVar(&s.MaxJobs, "jobs.maxWaiting", s.MaxJobs, "`number` of jobs that callers of this VM may wait for; 0 is a part of callers.maxConnections")
 	flags.Float64Var(&s.MaxJobMemoryMB, "jobs.maxMemoryMB", s.MaxJobMemoryMB, "`megabytes` that jobs may take; 0 is a part of the memory")
+	flags.IntVar(&s.MaxTasksPerEndpoint, "endpoints.maxTasks", s.MaxTasksPerEndpoint, "`number` of tasks at an endpoint, whatever they need")
+	flags.IntVar(&s.MaxEndpointCalls, "endpoints.maxCalls", s.MaxEndpointCalls, "`number` of starts that a leader may have no answer to, and of stops; 0 is a part of the descriptors and the memory")
 	millis := func(target *clock.Millis, name, usage string) {
 		flags.Int64Var((*int64)(target), name, int64(*target), usage)
 	}
@@ -275,6 +293,7 @@
 		{"jobs.maxPayloadBytes", float64(s.MaxPayloadBytes)},
 		{"jobs.maxSteps", float64(s.MaxSteps)},
 		{"jobs.maxDependencies", float64(s.MaxDependencies)},
+		{"endpoints.maxTasks", float64(s.MaxTasksPerEndpoint)},
 		{"log.linesPerSecond", float64(s.LogLinesPerSecond)},
 	}
 	for _, p := range positive {
@@ -302,6 +321,7 @@
 		{"callers.maxBodyMB", s.MaxCallerBodyMB},
 		{"jobs.maxWaiting", float64(s.MaxJobs)},
 		{"jobs.maxMemoryMB", s.MaxJobMemoryMB},
+		{"endpoints.maxCalls", float64(s.MaxEndpointCalls)},
 	} {
 		if n.value < 0 {
 			return errors.NotValidf("check settings: key %s: %v is below 0: value", n.key, n.value)
