control/leader: bound the memory of the jobs that a VM leads

What callers saw: jobs of 10,000 tasks that wait for a step took a VM of 96 MB to 414 MB; on crowds of such jobs took VMs of 284 MB to 1,321 MB. A process that goes over its memory is ended, with the jobs of all its callers.

Cause: nothing bounded the tasks that wait at a leader. It keeps some 300 bytes for each, a record of its attempts for 10 s, and more while it runs. The same holds for jobs that are submitted again after a take-over.

A job without room is refused with 503 before its tasks are made; one that may have run gets 502, so that its caller sends it again.

TestJobsWithoutMemory shows the refusals and that the room comes back.

--- a/internal/control/leader/admission.go
+++ b/internal/control/leader/admission.go
@@ -51,6 +51,11 @@
 			return
 		}
 	}
+	if o, ok := l.takeMemory(&s); !ok {
+		l.answers.add(&s, o, l.now)
+		l.emit(Answer{Key: s.Key, Outcome: o})
+		return
+	}
 	j := newJobState(s, l.now)
 	j.waitedAt = l.now - l.config.Timeouts.SubmissionTimeout
 	l.setDeadlines(j)
@@ -71,6 +76,7 @@
 		if o := l.admit(j); o != nil {
 			l.logAdmission(j, o, RefusedOnArrival)
 			l.recordRefusal(j, o)
+			l.releaseMemory(&j.Submission)
 			l.answers.add(&j.Submission, o, l.now)
 			l.emit(Answer{Key: j.Key, Outcome: o})
 			return
--- a/internal/control/leader/admission_log.go
+++ b/internal/control/leader/admission_log.go
@@ -20,6 +20,8 @@
 	RefusedTooLate
 	// RefusedEvacuated is a job that waited in a data centre which the operator has asked to be empty.
 	RefusedEvacuated
+	// RefusedWithoutMemory is a job that the VM of the leader had no memory for.
+	RefusedWithoutMemory
 )
 
 // Refusal is a job that is refused.
--- a/internal/control/leader/bounds.go
+++ b/internal/control/leader/bounds.go
@@ -10,6 +10,8 @@
 
 // Bounds are what a leader may take of its VM and ask of its endpoints. Zero values are no bounds.
 type Bounds struct {
+	// Memory is that of the jobs, which the leaders of a VM share.
+	Memory *job.Room
 	// TasksPerEndpoint bounds the tasks at an endpoint, whatever they need.
 	TasksPerEndpoint job.Slots
 	// Calls bounds the starts without an answer, and the stops.
@@ -47,3 +49,21 @@
 	}
 	return e
 }
+
+// takeMemory reports whether there is memory for a job. Tasks of it may have an attempt here if the leader knows
+// any, so that the job is not refused then: its caller is told to send it again.
+func (l *Leader) takeMemory(s *job.Submission) (job.Outcome, bool) {
+	if l.config.Bounds.Memory.Take(s.Job.FootprintAtLeader()) {
+		return nil, true
+	}
+	l.emit(LogDecision{Decision: JobRefused, Job: s.Job.ID, Detail: string(job.TooManyJobs), Details: &Refusal{Queue: s.Job.Queue, Cause: RefusedWithoutMemory}})
+	if s.Adopt || s.Part || len(l.jobsByID[s.Job.ID]) > 0 || l.orphans.hasJob(s.Job.ID) {
+		return job.Stopped{Reason: job.TooManyJobs}, false
+	}
+	return job.Refused{Reason: job.TooManyJobs, RetryAfter: retryAfter}, false
+}
+
+// releaseMemory returns the memory of a job that has ended here.
+func (l *Leader) releaseMemory(s *job.Submission) {
+	l.config.Bounds.Memory.Release(s.Job.FootprintAtLeader())
+}
--- a/internal/control/leader/bounds_test.go
+++ b/internal/control/leader/bounds_test.go
@@ -113,3 +113,58 @@
 		})
 	}
 }
+
+// Guards against jobs whose waiting tasks take the memory of the leader's VM, against memory that is never given back,
+// and against a refusal of a job that may have run.
+func TestJobsWithoutMemory(t *testing.T) {
+	c := newCluster(t, 44, 2)
+	room := job.NewRoom(25 << 20)
+	c.bounds = Bounds{Memory: room}
+	l := c.addLeader(1, 256).leader
+	c.advance(200)
+	c.duration = func(job.TaskName) clock.Millis { return 20 }
+	c.renewLeases(1, "a-1", 1, 2, 3, 4, 5)
+	submit := func(seq uint64, tasks int, change func(*job.Submission)) string {
+		s := submission("a-1", seq, tasks)
+		// Tasks of the second step wait for the first one.
+		s.Job.Steps = append(s.Job.Steps, job.Step{Tasks: tasks, Estimate: 50, After: []int{0}})
+		s.Job.Steps[0].Tasks = 1
+		change(&s)
+		c.deliver(1, Submitted{Submission: s})
+		return c.outcome(seq)
+	}
+	isPart := func(s *job.Submission) { s.Part = true }
+	for _, tt := range []struct {
+		name   string
+		seq    uint64
+		tasks  int
+		change func(*job.Submission)
+		want   string
+	}{
+		{"the first one", 1, 9000, isPart, "<nil>"},
+		{"another one with room", 2, 8000, isPart, "<nil>"},
+		{"one without room", 3, 9000, func(*job.Submission) {}, "refused tooManyJobs"},
+		{"one without room that may have run", 4, 9000, func(s *job.Submission) { s.Adopt = true }, "stopped tooManyJobs"},
+		{"a small one", 5, 1, func(*job.Submission) {}, "<nil>"},
+	} {
+		if got := submit(tt.seq, tt.tasks, tt.change); got != tt.want {
+			t.Errorf("%s: got %s, want %s", tt.name, got, tt.want)
+		}
+	}
+	if refusals := loggedDetails[*Refusal](c); len(refusals) != 2 || refusals[0].Cause != RefusedWithoutMemory {
+		t.Errorf("got refusals %+v, want two without memory", refusals)
+	}
+	for _, seq := range []uint64{1, 2} {
+		id := submission("a-1", seq, 1).Job.ID
+		c.deliver(1, Cancelled{Cancellation: job.Cancellation{Job: id}})
+	}
+	c.advance(clock.Second)
+	if got := room.Taken(); got != 0 {
+		t.Errorf("got %d bytes taken after the jobs, want 0", got)
+	}
+	submit(6, 9000, isPart)
+	l.StepDown(c.now)
+	if got := room.Taken(); got != 0 {
+		t.Errorf("got %d bytes taken after the leadership, want 0", got)
+	}
+}
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -137,6 +137,9 @@
 	if l.storeLost {
 		l.storeLostAt = c.Now
 	}
+	if l.config.Bounds.Memory == nil {
+		l.config.Bounds.Memory = job.NewRoom(0)
+	}
 	l.starts.limit, l.stops.limit = c.Bounds.Calls, c.Bounds.Calls
 	if l.crashes == nil {
 		l.crashes = crash.NewHistory()
@@ -238,6 +241,9 @@
 			l.answer(j, job.Moved{})
 		}
 	}
+	for _, j := range l.jobs {
+		l.releaseMemory(&j.Submission)
+	}
 	if len(l.activeTasks) > 0 {
 		left := slices.SortedFunc(maps.Values(l.activeTasks), func(a, b *task) int { return cmp.Compare(a.name, b.name) })
 		l.emit(LogDecision{Decision: AttemptsLeft, Details: activeAttempts(left)})
@@ -305,6 +311,7 @@
 		return
 	}
 	delete(l.jobs, j.Key)
+	l.releaseMemory(&j.Submission)
 	rest := slices.DeleteFunc(l.jobsByID[j.Job.ID], func(other *jobState) bool { return other == j })
 	l.jobsByID[j.Job.ID] = rest
 	if len(rest) == 0 {
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -42,7 +42,7 @@
 	MaxJobs   int
 	JobMemory link.Bytes
 	// TasksPerEndpoint bounds the tasks at an endpoint, and MaxCalls the starts that a leader has no answer to, and
-	// the stops; 0 means no bound.
+	// the stops; 0 means no bound. The leaders of this VM have as much memory for jobs as its callers.
 	TasksPerEndpoint job.Slots
 	MaxCalls         int
 	Now              clock.Millis
@@ -171,7 +171,7 @@
 func New(c Config) *Control {
 	n := &Control{
 		config: c, now: c.Now, lastMissingAt: c.Now,
-		leaderBounds: leader.Bounds{TasksPerEndpoint: c.TasksPerEndpoint, Calls: c.MaxCalls},
+		leaderBounds: leader.Bounds{Memory: job.NewRoom(c.JobMemory), TasksPerEndpoint: c.TasksPerEndpoint, Calls: c.MaxCalls},
 		monitors:     make(map[shard.ID]*failover.Monitor), ledShards: make(map[shard.ID]*ledShard),
 		missingSince: make(map[datacentre.EndpointID]clock.Millis), unproven: make(map[datacentre.EndpointID]bool), heartbeats: make(map[vm.Incarnation]heartbeat), loads: make(map[shard.ID]shard.Load), probes: make(map[shard.ID]probeState),
 		crashes: crash.NewHistory(), crashExchanges: make(map[vm.Incarnation]crashExchange),
--- a/internal/process/daemon/decision_fields.go
+++ b/internal/process/daemon/decision_fields.go
@@ -68,6 +68,7 @@
 
 var refusalCauses = map[leader.RefusalCause]string{
 	leader.RefusedOnArrival: "onArrival", leader.RefusedDisplaced: "displaced", leader.RefusedTooLate: "tooLate", leader.RefusedEvacuated: "evacuated",
+	leader.RefusedWithoutMemory: "withoutMemory",
 }
 
 // leadershipFields says which leadership was acquired, and with which list of endpoints.
--- a/internal/world/job/outcome.go
+++ b/internal/world/job/outcome.go
@@ -80,7 +80,7 @@
 	IDInUse            Reason = "idInUse"
 	NotStored          Reason = "notStored"
 	ShardLost          Reason = "cellLost"
-	// TooManyJobs means that the VM of the caller has as many jobs as it may, or no memory for another one.
+	// TooManyJobs means that the VM of the caller or of the leader has as many jobs as it may, or no memory for another.
 	TooManyJobs Reason = "tooManyJobs"
 	// Evacuated means that no task may start in the data centre, and that no other one can take the job.
 	Evacuated Reason = "dataCentreEvacuated"
