node: bound the cancellations that wait for a confirmation

What callers saw: while the store did not answer, 480 clients that send cancellations kept ordinary callers of a VM from getting any answer.

Cause: a cancellation waits for the store and the leaders for up to 2 s, and a connection with a request does not give way to another one.

Now 15 % of the connections may wait for confirmations; further requests get 503 and Retry-After at once, which is what those get that nobody confirms in time.

Evidence: TestCrowdOfCancellationsWithoutStore got no answer in five of five tries before, and passes. TestWaitingCancellationsAreBounded shows that the places are free again.

--- a/internal/control/node/cancellations.go
+++ b/internal/control/node/cancellations.go
@@ -74,6 +74,10 @@
 // handleCancelRequested stores a cancellation and tells the leaders of all shards, and the members of their replica sets, any of which
 // may be the next leader.
 func (n *Control) handleCancelRequested(e CancelRequested) {
+	if n.config.MaxCancelWaiters > 0 && n.cancelWaiters >= n.config.MaxCancelWaiters {
+		e.Done <- CancelUnconfirmed{Reason: job.TooManyCancellations}
+		return
+	}
 	c := n.recordCancellation(e.Cancellation, maxCancellations)
 	if c == nil {
 		e.Done <- CancelUnconfirmed{Reason: job.NotStored}
@@ -81,6 +85,7 @@
 	}
 	c.at, c.received = n.now, true
 	c.waiters = append(c.waiters, cancelWaiter{until: n.now + e.Limit, done: e.Done})
+	n.cancelWaiters++
 	told := map[vm.Incarnation]bool{n.config.Self.Incarnation: true}
 	for _, id := range n.shards {
 		for _, m := range n.monitors[id].ReplicaSet().Members {
@@ -170,6 +175,7 @@
 		if n.now < w.until {
 			return false
 		}
+		n.cancelWaiters--
 		w.done <- c.unconfirmed()
 		return true
 	})
@@ -187,5 +193,6 @@
 	for _, w := range c.waiters {
 		w.done <- o
 	}
+	n.cancelWaiters -= len(c.waiters)
 	c.waiters = nil
 }
--- a/internal/control/node/cancellations_test.go
+++ b/internal/control/node/cancellations_test.go
@@ -217,3 +217,25 @@
 		t.Errorf("got %d cancellations, want %d", got, maxCancellations)
 	}
 }
+
+// Guards against cancellations that nobody confirms and that keep the connections of callers, and against places that
+// are not free again once they have been answered.
+func TestWaitingCancellationsAreBounded(t *testing.T) {
+	h := withLeaders(t)
+	h.control.config.MaxCancelWaiters = 2
+	for round := range 3 {
+		var waiting []<-chan CancelOutcome
+		for range 2 {
+			waiting = append(waiting, h.cancel(clock.Second))
+		}
+		if got, want := <-h.cancel(clock.Second), (CancelUnconfirmed{Reason: job.TooManyCancellations}); got != want {
+			t.Errorf("round %d: got %v beside two that wait, want %v", round, got, want)
+		}
+		h.advance(1200)
+		for _, w := range waiting {
+			if got, want := state(w), "not confirmed"; got != want {
+				t.Errorf("round %d: got a cancellation that is %s, want %s", round, got, want)
+			}
+		}
+	}
+}
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -41,6 +41,8 @@
 	// MaxJobs bounds the jobs that callers of this VM wait for, and JobMemory the memory for them; 0 means no bound.
 	MaxJobs   int
 	JobMemory link.Bytes
+	// MaxCancelWaiters bounds the requests to cancel a job that wait for a confirmation; 0 means no bound.
+	MaxCancelWaiters int
 	// TasksPerEndpoint bounds the tasks at an endpoint, and MaxCalls the starts that a leader has no answer to, and
 	// the stops; 0 means no bound. The leaders of this VM have as much memory for jobs as its callers.
 	TasksPerEndpoint job.Slots
@@ -100,7 +102,9 @@
 	cancellations map[job.Cancellation]*cancellation
 	// cancelOrder has them in the order in which they arrived; cancelsConfirmedAt is when they were last
 	// looked at.
-	cancelOrder         []*cancellation
+	cancelOrder []*cancellation
+	// cancelWaiters counts the requests that wait for a confirmation.
+	cancelWaiters       int
 	cancelsConfirmedAt  clock.Millis
 	storedCancellations storedCancellations
 	// callers and peers receive the outcomes of jobs of this VM's callers and of other VMs.
--- a/internal/link/caller/server.go
+++ b/internal/link/caller/server.go
@@ -277,6 +277,7 @@
 		}
 		return s.writeResponse(c, platform.Cancelled())
 	case node.CancelUnconfirmed:
+		s.config.Counter.Count("cancellations.unconfirmed." + string(o.Reason))
 		return s.writeResponse(c, platform.Refusal(string(o.Reason), clock.Second))
 	}
 	return s.writeResponse(c, platform.Refusal("unknown outcome", clock.Second))
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -164,7 +164,7 @@
 	maxJobs, jobMemory := s.JobBounds()
 	control := node.New(node.Config{
 		Self: d.self, DataCentres: s.DataCentres, FarFactor: s.FarFactor, Successors: s.Successors, Seeds: s.Seeds, HandOverTimeout: clock.Millis(float64(s.GracePeriod) * handOverShare), LinkDelay: d.link.Delay, Now: c.Clock.Now(),
-		Timeouts: timeouts, MaxJobs: maxJobs, JobMemory: jobMemory, TasksPerEndpoint: job.Slots(s.MaxTasksPerEndpoint), MaxCalls: s.EndpointCalls(),
+		Timeouts: timeouts, MaxJobs: maxJobs, JobMemory: jobMemory, MaxCancelWaiters: s.CancelWaiters(), TasksPerEndpoint: job.Slots(s.MaxTasksPerEndpoint), MaxCalls: s.EndpointCalls(),
 	})
 	d.loop = newLoop(control, c.Clock)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -58,6 +58,8 @@
 	// megabytes; 0 means a part of MaxCallerConnections and of the memory.
 	MaxJobs        int
 	MaxJobMemoryMB float64
+	// MaxCancelWaiters bounds the requests to cancel a job that wait; 0 means a part of MaxCallerConnections.
+	MaxCancelWaiters int
 	// MaxTasksPerEndpoint bounds the tasks at an endpoint, and MaxEndpointCalls the starts that a leader has no answer
 	// to, and the stops; 0 calls mean a part of the limits of the VM.
 	MaxTasksPerEndpoint, MaxEndpointCalls int
@@ -112,6 +114,9 @@
 	// jobConnectionShare is the part of the connections of callers on which jobs may wait by default. The rest is for
 	// refusals, queries and cancellations.
 	jobConnectionShare = 0.75
+	// cancelConnectionShare is the part of the connections of callers on which requests to cancel a job may wait by
+	// default.
+	cancelConnectionShare = 0.15
 	// jobMemoryShare is the part of the memory that jobs may take by default.
 	jobMemoryShare = 0.15
 	// callDescriptorShare is the part of the descriptors that the starts of a leader may take by default, and its
@@ -155,6 +160,14 @@
 	return jobs, link.Bytes(memoryMB * megabyte)
 }
 
+// CancelWaiters returns how many requests to cancel a job may wait.
+func (s *Settings) CancelWaiters() int {
+	if s.MaxCancelWaiters > 0 {
+		return s.MaxCancelWaiters
+	}
+	return max(int(float64(s.Intake().MaxConnections)*cancelConnectionShare), 1)
+}
+
 // EndpointCalls returns how many starts a leader may have no answer to, and how many stops.
 func (s *Settings) EndpointCalls() int {
 	if s.MaxEndpointCalls > 0 {
@@ -221,6 +234,7 @@
 	flags.Float64Var(&s.MaxJobMemoryMB, "jobs.maxMemoryMB", s.MaxJobMemoryMB, "`megabytes` that jobs may take; 0 is a part of the memory")
 	flags.IntVar(&s.MaxTasksPerEndpoint, "endpoints.maxTasks", s.MaxTasksPerEndpoint, "`number` of tasks at an endpoint, whatever they need")
 	flags.IntVar(&s.MaxEndpointCalls, "endpoints.maxCalls", s.MaxEndpointCalls, "`number` of starts that a leader may have no answer to, and of stops; 0 is a part of the descriptors and the memory")
+	flags.IntVar(&s.MaxCancelWaiters, "jobs.maxCancelling", s.MaxCancelWaiters, "`number` of requests to cancel a job that may wait; 0 is a part of callers.maxConnections")
 	millis := func(target *clock.Millis, name, usage string) {
 		flags.Int64Var((*int64)(target), name, int64(*target), usage)
 	}
@@ -321,6 +335,7 @@
 		{"callers.maxBodyMB", s.MaxCallerBodyMB},
 		{"jobs.maxWaiting", float64(s.MaxJobs)},
 		{"jobs.maxMemoryMB", s.MaxJobMemoryMB},
+		{"jobs.maxCancelling", float64(s.MaxCancelWaiters)},
 		{"endpoints.maxCalls", float64(s.MaxEndpointCalls)},
 	} {
 		if n.value < 0 {
--- a/internal/soak/crowd/jobs_test.go
+++ b/internal/soak/crowd/jobs_test.go
@@ -184,6 +184,21 @@
 	}
 }
 
+// Guards against cancellations that nobody can confirm and that keep all connections for as long as they wait.
+func TestCrowdOfCancellationsWithoutStore(t *testing.T) {
+	d := newDeployment(t, build(t), 1)
+	vm := d.vms[0]
+	d.store.SetFaults(standin.StoreFaults{Down: true})
+	open := gather(t, vm.callers, unread(http.MethodDelete))
+	for range 5 {
+		vm.checkAnswers(t)
+	}
+	d.store.SetFaults(standin.StoreFaults{})
+	closeAll(open)
+	vm.checkServes(t)
+	t.Logf("peak %d MB, %d descriptors", vm.peakMemory(t)>>20, vm.mostDescriptors.Load())
+}
+
 // checkAnswers checks that an ordinary caller gets an answer, which may be a refusal.
 func (n *node) checkAnswers(t *testing.T) {
 	t.Helper()
--- a/internal/world/job/outcome.go
+++ b/internal/world/job/outcome.go
@@ -82,6 +82,8 @@
 	ShardLost          Reason = "cellLost"
 	// TooManyJobs means that the VM of the caller or of the leader has as many jobs as it may, or no memory for another.
 	TooManyJobs Reason = "tooManyJobs"
+	// TooManyCancellations means that as many requests to cancel a job wait at the VM as may.
+	TooManyCancellations Reason = "tooManyCancellations"
 	// Evacuated means that no task may start in the data centre, and that no other one can take the job.
 	Evacuated Reason = "dataCentreEvacuated"
 )
