leader: a task that waits again may be a suspect since it had its attempt

Now the record is void when a task of the job waits again. TestSuspectThatHadAnAttemptRunsAlone fails without the line.

--- a/internal/control/leader/job_state.go
+++ b/internal/control/leader/job_state.go
@@ -25,7 +25,8 @@
 	openTasks, holding                      int
 	// startOfStep is the number of the first task of each step.
 	startOfStep []int
-	// unsuspectedAt is the revision of the crashes by which no waiting task may crash its endpoint.
+	// unsuspectedAt is the revision of the crashes by which no waiting task may crash its endpoint, or 0 if that is
+	// unknown. At revision 0 there are no crashes.
 	unsuspectedAt crash.Revision
 	// started means that a start was sent for a task, or that an orphan was adopted; from then on
 	// the job cannot be refused.
--- a/internal/control/leader/suspects_test.go
+++ b/internal/control/leader/suspects_test.go
@@ -392,3 +392,37 @@
 		t.Errorf("got outcome %v, want a failed job", c.outcomes[s.Key])
 	}
 }
+
+// Guards against a suspect that starts beside other tasks since its crash became known while it had an attempt, and
+// the waiting tasks of its job had been found to be none.
+func TestSuspectThatHadAnAttemptRunsAlone(t *testing.T) {
+	c := newCluster(t, 47, 2)
+	l := c.addLeader(1, 256).leader
+	c.advance(50)
+	c.duration = func(n job.TaskName) clock.Millis {
+		if n[len(n)-len("0.0.0")-2] == '2' {
+			return 300
+		}
+		return clock.Minute
+	}
+	c.renewLeases(1, "a-1", 1, 2)
+	for seq := uint64(1); seq <= 2; seq++ {
+		s := submission("a-1", seq, 2)
+		s.Job.Steps[0].PerEndpoint = 1
+		// The job stays queued, since this step waits.
+		s.Job.Steps = append(s.Job.Steps, job.Step{Tasks: 1, Demand: s.Job.Steps[0].Demand, After: []int{0}})
+		s.Part, s.Limit = true, clock.Minute
+		c.deliver(1, Submitted{Submission: s})
+	}
+	c.advance(50)
+	suspect := l.jobs[submission("a-1", 1, 1).Key].tasks[0]
+	l.crashes.Add(crash.Record{ID: crash.ID{Endpoint: "x0", Incarnation: 1}, Shard: "centro", Tasks: []job.TaskName{suspect.name}, Abrupt: true, Proved: true}, c.now)
+	// The tasks of the second job end, so that each endpoint has room beside a task of the first one.
+	c.advance(400)
+	suspect.job.Job.Steps[0].PerEndpoint = 0
+	l.endAttempt(suspect, EndStopDuration{})
+	l.dispatch()
+	if ep := suspect.endpoint; ep == nil || ep.suspect != suspect || len(ep.tasks) != 1 {
+		t.Errorf("got the suspect at endpoint %+v, want it alone at one that is held for it", ep)
+	}
+}
--- a/internal/control/leader/task.go
+++ b/internal/control/leader/task.go
@@ -93,6 +93,8 @@
 	if t.phase == waiting {
 		j.waitingByStep[t.stepIndex]++
 		j.firstWaiting[t.stepIndex] = min(j.firstWaiting[t.stepIndex], t.number)
+		// Crashes may have become known while the task had an attempt.
+		j.unsuspectedAt = 0
 	}
 	if t.holdsResources() {
 		j.holding++
