link/caller: close connections whose answers are not read

What callers saw: nothing yet. A caller that reads no answer keeps its connection and the goroutine that writes to it for as long as it likes, unless another connection needs the room.

Cause: the server has no time limit for writing. Crowds that do not read held so far, since the buffers of the kernel took the answers.

Now an answer has 10 s to be read (callers.answerMs). net/http lifts the limit once the answer has been written, so that it does not count while a connection waits for its next request. Answers have some 100 bytes, which take 1 ms on the slowest link of the users.

Evidence: TestAnswersThatAreNotRead, on a pipe, which has no buffer, failed before.

--- a/internal/link/caller/body_time_test.go
+++ b/internal/link/caller/body_time_test.go
@@ -106,3 +106,59 @@
 		}
 	}
 }
+
+// Guards against callers that read no answers and keep their connections, whatever the buffers of the kernel hold: a
+// pipe has none. Guards also against a limit that counts while a connection waits for its next request.
+func TestAnswersThatAreNotRead(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		pause time.Duration
+		want  bool
+	}{
+		{"read in time", 9 * time.Second, true},
+		{"read too late", 11 * time.Second, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				listener := &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
+				s := NewServer(Config{
+					Listener: listener, Local: &local{}, Counter: &counts{byName: make(map[string]int)}, Clock: clock.NewManual(clock.Hour),
+					Intake: intake.Config{MaxConnections: 1, MaxBodyBytes: 20_000, MinBodyRate: 16}, Limits: testLimits, AnswerTimeout: 10 * clock.Second,
+				})
+				go func() { _ = s.Serve() }()
+				conn, accepted := net.Pipe()
+				listener.accepted <- accepted
+				reader := bufio.NewReader(conn)
+				// The second request comes long after the first answer.
+				for i := range 2 {
+					if _, err := fmt.Fprint(conn, "GET /q/0000000000000001 HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+						t.Fatal(err)
+					}
+					if i == 1 {
+						time.Sleep(tt.pause)
+					}
+					response, err := http.ReadResponse(reader, nil)
+					if got, want := err == nil, i == 0 || tt.want; got != want {
+						t.Errorf("got error %v for answer %d, want an answer: %v", err, i, want)
+					}
+					if err == nil {
+						_ = response.Body.Close()
+					}
+					time.Sleep(20 * time.Second)
+				}
+				if tt.want {
+					// The server answers this by itself.
+					if _, err := fmt.Fprint(conn, "GET\r\n\r\n"); err != nil {
+						t.Fatal(err)
+					}
+					if response, err := http.ReadResponse(reader, nil); err != nil || response.StatusCode != http.StatusBadRequest {
+						t.Errorf("got error %v for a malformed request, want status 400", err)
+					}
+				}
+				_ = conn.Close()
+				s.Close()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/internal/link/caller/connections.go
+++ b/internal/link/caller/connections.go
@@ -19,6 +19,8 @@
 	clock   clock.Clock
 	counter Counter
 	turned  func(TurnedAway)
+	// answerTimeout is how long a caller may take to read an answer; 0 means any time.
+	answerTimeout clock.Millis
 
 	mu     sync.Mutex
 	intake *intake.Intake
@@ -50,7 +52,7 @@
 )
 
 func newConnections(l net.Listener, i *intake.Intake, c Config) *connections {
-	return &connections{Listener: l, clock: c.Clock, counter: c.Counter, turned: c.TurnedAway, intake: i, byID: make(map[*intake.Connection]*connection)}
+	return &connections{Listener: l, clock: c.Clock, counter: c.Counter, turned: c.TurnedAway, answerTimeout: c.AnswerTimeout, intake: i, byID: make(map[*intake.Connection]*connection)}
 }
 
 // Accept implements net.Listener. It returns a connection once there is room for it.
@@ -175,11 +177,21 @@
 			if !n.update(func(i *intake.Intake, s *intake.Connection, _ clock.Millis) bool { return i.Begin(s) }) {
 				panic(http.ErrAbortHandler)
 			}
-			defer n.update(func(i *intake.Intake, s *intake.Connection, now clock.Millis) bool {
-				i.End(s, now)
-				return true
-			})
+			defer n.endRequest()
 		}
 		next.ServeHTTP(w, r)
 	})
 }
+
+// endRequest records that a request has been answered. The server writes the answer after that, and then lifts the
+// time limit.
+func (n *connection) endRequest() {
+	if n.all.answerTimeout > 0 {
+		// An error means that the connection is closed already.
+		_ = n.SetWriteDeadline(time.Now().Add(n.all.answerTimeout.Duration()))
+	}
+	n.update(func(i *intake.Intake, s *intake.Connection, now clock.Millis) bool {
+		i.End(s, now)
+		return true
+	})
+}
--- a/internal/link/caller/server.go
+++ b/internal/link/caller/server.go
@@ -43,6 +43,8 @@
 	// Intake holds the bounds of connections and bodies, and Limits those of a job.
 	Intake intake.Config
 	Limits job.Limits
+	// AnswerTimeout is how long a caller may take to read an answer; 0 means any time.
+	AnswerTimeout clock.Millis
 	// TurnedAway is called for what is given up for want of room; it may be nil. It must not block.
 	TurnedAway func(TurnedAway)
 	// Tracer records a span for each job; nil records none.
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -51,6 +51,8 @@
 	MaxCallerConnections               int
 	MaxCallerBodyMB, MinCallerBodyKBps float64
 
+	// AnswerTimeout is how long a caller may take to read an answer.
+	AnswerTimeout clock.Millis
 	// MaxPayloadBytes, MaxSteps and MaxDependencies bound a job: its payload, its steps, and what all of them come
 	// after.
 	MaxPayloadBytes, MaxSteps, MaxDependencies int
@@ -187,7 +189,7 @@
 	return Settings{
 		MetricsAddress: "", ProcessorShare: 1, MemoryMB: 256, OpenFiles: 1024, LinkMbps: 1000, MaxLease: clock.Second, StopDuration: 50,
 		ResendInterval: 1300, GracePeriod: 6 * clock.Second, DrainNotice: 2 * clock.Second, FarFactor: 1, Successors: 3,
-		MinCallerBodyKBps: 16, MaxPayloadBytes: 4000, MaxSteps: 1000, MaxDependencies: 10_000, MaxTasksPerEndpoint: 128, LogLinesPerSecond: 400, TraceExporter: traceNone,
+		MinCallerBodyKBps: 16, AnswerTimeout: 10 * clock.Second, MaxPayloadBytes: 4000, MaxSteps: 1000, MaxDependencies: 10_000, MaxTasksPerEndpoint: 128, LogLinesPerSecond: 400, TraceExporter: traceNone,
 	}
 }
 
@@ -238,6 +240,7 @@
 	millis := func(target *clock.Millis, name, usage string) {
 		flags.Int64Var((*int64)(target), name, int64(*target), usage)
 	}
+	millis(&s.AnswerTimeout, "callers.answerMs", "time that a caller may take to read an answer, in `milliseconds`")
 	millis(&s.MaxLease, "bounds.longestLeaseMs", "longest lease that endpoints grant, in `milliseconds`")
 	millis(&s.StopDuration, "bounds.stopMs", "time that a stop takes at an endpoint, in `milliseconds`")
 	millis(&s.ResendInterval, "bounds.resendMs", "time after which callers send a job again, in `milliseconds`")
@@ -304,6 +307,7 @@
 		{"bounds.drainMs", float64(s.DrainNotice)},
 		{"successors", float64(s.Successors)},
 		{"callers.minBodyKBps", s.MinCallerBodyKBps},
+		{"callers.answerMs", float64(s.AnswerTimeout)},
 		{"jobs.maxPayloadBytes", float64(s.MaxPayloadBytes)},
 		{"jobs.maxSteps", float64(s.MaxSteps)},
 		{"jobs.maxDependencies", float64(s.MaxDependencies)},
