leader: leave the slots out of the entries that are handed over

The slots of an endpoint are a bound of the leader that uses it, not a part of the entry in the store, and each leader sets its own. No caller saw a difference.

--- a/internal/control/leader/admission.go
+++ b/internal/control/leader/admission.go
@@ -270,6 +270,8 @@
 	all := make([]endpoint.Endpoint, len(l.sortedEndpoints))
 	for i, ep := range l.sortedEndpoints {
 		all[i] = ep.Endpoint
+		// The slots are not of the entry.
+		all[i].Capacity.Slots = 0
 		all[i].Born = ep.listedBorn
 		if ep.entryDoubtedAt != 0 {
 			all[i].Born = 0
