node: the model has VMs whose bounds ordinary callers meet

A shape of TestModelOfOtherShapes gives its VMs bounds of six jobs, 50 KB, two cancellations, two tasks at an endpoint and two calls, so that the checks of the model hold where the bounds decide.

--- a/internal/control/node/model_options_test.go
+++ b/internal/control/node/model_options_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"github.com/sequoiacart/sequoiacart/internal/control/node"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 )
 
@@ -19,6 +20,15 @@
 	longestLease, stop, resend, drainNotice, evacuationNotice clock.Millis
 	// vms and endpoints are the fewest of a data centre, and how many more it may have.
 	vms, moreVMs, endpoints, moreEndpoints int
+	// narrow gives the VMs bounds that ordinary callers meet.
+	narrow bool
+}
+
+// applyBounds sets the bounds of a VM.
+func (s modelShape) applyBounds(c *node.Config) {
+	if s.narrow {
+		c.MaxJobs, c.JobMemory, c.MaxCancelWaiters, c.TasksPerEndpoint, c.MaxCalls = 6, 50<<10, 2, 2, 2
+	}
 }
 
 // usualShape has the bounds of the users' deployments.
@@ -26,6 +36,13 @@
 	return modelShape{longestLease: 1000, stop: 50, resend: 1300, drainNotice: 2000, evacuationNotice: 5000, vms: 2, moreVMs: 2, endpoints: 3, moreEndpoints: 3}
 }
 
+// narrowShape is the usual shape with bounds that ordinary callers meet.
+func narrowShape() modelShape {
+	s := usualShape()
+	s.narrow = true
+	return s
+}
+
 func (o modelOptions) enabled(k faultKind) bool { return slices.Contains(o.kinds, k) }
 
 // chooseKinds selects some of the kinds, so that each seed combines others.
--- a/internal/control/node/model_test.go
+++ b/internal/control/node/model_test.go
@@ -140,6 +140,7 @@
 		"callers resend soon":       {longestLease: 1000, stop: 50, resend: 700, drainNotice: 1000, evacuationNotice: 1500, vms: 2, moreVMs: 2, endpoints: 3, moreEndpoints: 3},
 		"short leases, slow stops":  {longestLease: 400, stop: 200, resend: 1300, drainNotice: 3000, evacuationNotice: 3000, vms: 2, moreVMs: 2, endpoints: 3, moreEndpoints: 3},
 		"long leases, late resends": {longestLease: 5000, stop: 20, resend: 4000, drainNotice: 4000, evacuationNotice: 2000, vms: 2, moreVMs: 2, endpoints: 3, moreEndpoints: 3},
+		"bounds that callers meet":  narrowShape(),
 		"one VM in a data centre":   {longestLease: 1000, stop: 50, resend: 1300, drainNotice: 2000, evacuationNotice: 3000, vms: 1, moreVMs: 2, endpoints: 4, moreEndpoints: 20},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/control/node/model_vm_test.go
+++ b/internal/control/node/model_vm_test.go
@@ -108,6 +108,7 @@
 		config.Timeouts.EvacuationNotice = shape.evacuationNotice
 		operatorFeedWait = min(operatorFeedWait, fromMillis(config.Timeouts.MaxEvacuationAge())*3/10)
 	}
+	v.world.options.shape.applyBounds(&config)
 	v.control = node.New(config)
 	v.world.trace.add(record{vm: v.name, format: "VM starts: %s", args: []any{v.self.Incarnation}})
 	v.follow(tableOperator, operatorFeedWait, func() micros { return noPause })
