network: bound the bytes of callers that nobody has read

What callers saw: nothing yet. The platform counts bytes that have been received and not read as memory of the VM. A client can send more while its job runs, on as many connections as there are.

Cause: a connection held what the kernel takes by default, of which the bounds of the bodies know nothing: 175,589 bytes of a client on loopback. 1,230 connections with jobs, as a VM of 284 MB may have, would hold 216 MB.

Now the listener for callers announces 8 KB (callers.maxUnreadKB), before its first connection.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -190,7 +190,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	callers, err := net.Listen("tcp", s.CallerAddress)
+	callers, err := network.Listen(context.Background(), s.CallerAddress, s.UnreadBytes())
 	if err != nil {
 		return errors.Annotate(err, "start VM: listen for callers")
 	}
--- a/internal/process/network/network.go
+++ b/internal/process/network/network.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/sequoiacart/sequoiacart/internal/world/link"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 )
 
@@ -40,6 +41,22 @@
 	return linkedConn{Conn: opened, link: c.Link}, nil
 }
 
+// Listen opens a listener whose connections hold about so many received bytes each that nobody has read. The limit is
+// set before the first connection, since a connection announces it as it opens.
+func Listen(ctx context.Context, address string, unread link.Bytes) (net.Listener, error) {
+	c := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var failure error
+		err := raw.Control(func(fd uintptr) {
+			failure = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, int(unread))
+		})
+		if err != nil {
+			return err
+		}
+		return failure
+	}}
+	return c.Listen(ctx, "tcp", address)
+}
+
 func (c Config) control(_, _ string, raw syscall.RawConn) error {
 	var failure error
 	err := raw.Control(func(fd uintptr) {
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -51,6 +51,8 @@
 	MaxCallerConnections               int
 	MaxCallerBodyMB, MinCallerBodyKBps float64
 
+	// MaxUnreadKB bounds what a connection of a caller holds that has not been read, in kilobytes.
+	MaxUnreadKB int
 	// AnswerTimeout is how long a caller may take to read an answer.
 	AnswerTimeout clock.Millis
 	// MaxPayloadBytes, MaxSteps and MaxDependencies bound a job: its payload, its steps, and what all of them come
@@ -145,6 +147,9 @@
 	}
 }
 
+// UnreadBytes returns what a connection of a caller may hold that has not been read.
+func (s *Settings) UnreadBytes() link.Bytes { return link.Bytes(s.MaxUnreadKB) * kilobyte }
+
 // JobLimits returns the limits of a job.
 func (s *Settings) JobLimits() job.Limits {
 	return job.Limits{Payload: link.Bytes(s.MaxPayloadBytes), Steps: s.MaxSteps, Dependencies: s.MaxDependencies}
@@ -189,7 +194,7 @@
 	return Settings{
 		MetricsAddress: "", ProcessorShare: 1, MemoryMB: 256, OpenFiles: 1024, LinkMbps: 1000, MaxLease: clock.Second, StopDuration: 50,
 		ResendInterval: 1300, GracePeriod: 6 * clock.Second, DrainNotice: 2 * clock.Second, FarFactor: 1, Successors: 3,
-		MinCallerBodyKBps: 16, AnswerTimeout: 10 * clock.Second, MaxPayloadBytes: 4000, MaxSteps: 1000, MaxDependencies: 10_000, MaxTasksPerEndpoint: 128, LogLinesPerSecond: 400, TraceExporter: traceNone,
+		MinCallerBodyKBps: 16, MaxUnreadKB: 8, AnswerTimeout: 10 * clock.Second, MaxPayloadBytes: 4000, MaxSteps: 1000, MaxDependencies: 10_000, MaxTasksPerEndpoint: 128, LogLinesPerSecond: 400, TraceExporter: traceNone,
 	}
 }
 
@@ -240,6 +245,7 @@
 	millis := func(target *clock.Millis, name, usage string) {
 		flags.Int64Var((*int64)(target), name, int64(*target), usage)
 	}
+	flags.IntVar(&s.MaxUnreadKB, "callers.maxUnreadKB", s.MaxUnreadKB, "`kilobytes` that a connection of a caller holds which have not been read")
 	millis(&s.AnswerTimeout, "callers.answerMs", "time that a caller may take to read an answer, in `milliseconds`")
 	millis(&s.MaxLease, "bounds.longestLeaseMs", "longest lease that endpoints grant, in `milliseconds`")
 	millis(&s.StopDuration, "bounds.stopMs", "time that a stop takes at an endpoint, in `milliseconds`")
@@ -307,6 +313,7 @@
 		{"bounds.drainMs", float64(s.DrainNotice)},
 		{"successors", float64(s.Successors)},
 		{"callers.minBodyKBps", s.MinCallerBodyKBps},
+		{"callers.maxUnreadKB", float64(s.MaxUnreadKB)},
 		{"callers.answerMs", float64(s.AnswerTimeout)},
 		{"jobs.maxPayloadBytes", float64(s.MaxPayloadBytes)},
 		{"jobs.maxSteps", float64(s.MaxSteps)},
