--- a/internal/control/leader/bounds_test.go
+++ b/internal/control/leader/bounds_test.go
@@ -64,7 +64,7 @@
 	c.leaders[1].stopped = true
 	c.bounds = Bounds{Calls: limit}
 	l := c.addLeader(2, 257).leader
-	c.fault = func(n int, _ datacentre.EndpointID, _ Action) delivery {
+	c.fault = func(_ int, _ datacentre.EndpointID, _ Action) delivery {
 		if got := l.stops.open; got > limit {
 			t.Fatalf("got %d stops without an answer, want %d at most", got, limit)
 		}
--- a/internal/link/caller/body_time_test.go
+++ b/internal/link/caller/body_time_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,31 +13,9 @@
 	"github.com/sequoiacart/sequoiacart/internal/link/intake"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/platform/standin"
 )
 
-// pipeListener accepts the server ends of pipes, whose deadlines follow the time of a synctest bubble.
-type pipeListener struct {
-	accepted  chan net.Conn
-	closed    chan struct{}
-	closeOnce sync.Once
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.accepted:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.closeOnce.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // Guards against bodies that hold their buffer while they stand still, or without end, where no other body needs the
 // room, and against a bound that refuses a body which pauses for less.
 func TestBodiesEndInTime(t *testing.T) {
@@ -56,7 +33,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				l := &local{jobs: make(chan node.JobArrived, 1)}
-				listener := &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
+				listener := standin.NewPipeListener()
 				s := NewServer(Config{
 					Listener: listener, Local: l, Counter: &counts{byName: make(map[string]int)}, Clock: clock.NewManual(clock.Hour),
 					Intake: intake.Config{MaxConnections: 1, MaxBodyBytes: 20_000, MinBodyRate: 16}, Limits: testLimits,
@@ -67,8 +44,10 @@
 					}
 				}()
 				go func() { _ = s.Serve() }()
-				conn, accepted := net.Pipe()
-				listener.accepted <- accepted
+				conn, err := listener.DialContext(t.Context(), "", "")
+				if err != nil {
+					t.Fatal(err)
+				}
 				sent := make(chan struct{})
 				go func() {
 					sendInParts(conn, testJob(), tt.parts, tt.pause)
@@ -120,14 +99,16 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				listener := &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
+				listener := standin.NewPipeListener()
 				s := NewServer(Config{
 					Listener: listener, Local: &local{}, Counter: &counts{byName: make(map[string]int)}, Clock: clock.NewManual(clock.Hour),
 					Intake: intake.Config{MaxConnections: 1, MaxBodyBytes: 20_000, MinBodyRate: 16}, Limits: testLimits, AnswerTimeout: 10 * clock.Second,
 				})
 				go func() { _ = s.Serve() }()
-				conn, accepted := net.Pipe()
-				listener.accepted <- accepted
+				conn, err := listener.DialContext(t.Context(), "", "")
+				if err != nil {
+					t.Fatal(err)
+				}
 				reader := bufio.NewReader(conn)
 				// The second request comes long after the first answer.
 				for i := range 2 {
