settings: defaults of the bounds of jobs that no client can meet

Now the defaults are 10,000 steps, since each has a task and a job has 10,000 tasks at most; 131,072 dependencies, which is what a body of 256 KB holds; and 2,048 tasks at an endpoint. A dependency counts 64 bytes of the room for jobs instead of 8, as each plan follows it.

--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -194,7 +194,7 @@
 	return Settings{
 		MetricsAddress: "", ProcessorShare: 1, MemoryMB: 256, OpenFiles: 1024, LinkMbps: 1000, MaxLease: clock.Second, StopDuration: 50,
 		ResendInterval: 1300, GracePeriod: 6 * clock.Second, DrainNotice: 2 * clock.Second, FarFactor: 1, Successors: 3,
-		MinCallerBodyKBps: 16, MaxUnreadKB: 8, AnswerTimeout: 10 * clock.Second, MaxPayloadBytes: 4000, MaxSteps: 1000, MaxDependencies: 10_000, MaxTasksPerEndpoint: 128, LogLinesPerSecond: 400, TraceExporter: traceNone,
+		MinCallerBodyKBps: 16, MaxUnreadKB: 8, AnswerTimeout: 10 * clock.Second, MaxPayloadBytes: 4000, MaxSteps: job.MaxTasks, MaxDependencies: 1 << 17, MaxTasksPerEndpoint: 2048, LogLinesPerSecond: 400, TraceExporter: traceNone,
 	}
 }
 
--- a/internal/soak/crowd/jobs_test.go
+++ b/internal/soak/crowd/jobs_test.go
@@ -71,6 +71,8 @@
 	manySteps       = stepsOf(1, fill(`{"count":1}`))
 	emptySteps      = stepsOf(1, fill(`1`))
 	dependencies    = stepsOf(1000, fmt.Sprintf(`{"count":1,"cpu":1,"estimate_ms":1000},{"count":%d,"cpu":1,"estimate_ms":1,"after":[%s]}`, mostTasks-1, fill("0")))
+	mostSteps       = stepsOf(1000, strings.TrimSuffix(strings.Repeat(`{"count":1,"cpu":1},`, mostTasks), ","))
+	mostFollowing   = stepsOf(1000, fmt.Sprintf(`{"count":1,"cpu":1,"estimate_ms":1000},{"count":1,"cpu":1,"estimate_ms":1000,"after":[%s]}`, fill("0")))
 	longPayload     = fmt.Sprintf(`{"task_spec":%q,"best_effort":true,"steps":[{"count":8,"cpu":1,"estimate_ms":30000}]}`, `{"runMs":30000,"milliCores":1}`+strings.Repeat(" ", bodyBytes-256))
 	smallAndLasting = stepsOf(60_000, `{"count":1,"estimate_ms":60000}`)
 )
@@ -91,6 +93,8 @@
 		{"jobs of many steps", job(manySteps)},
 		{"steps that are no steps", job(emptySteps)},
 		{"steps with many dependencies", job(dependencies)},
+		{"jobs of as many steps as there may be", job(mostSteps)},
+		{"steps with as many dependencies as a body holds", job(mostFollowing)},
 		{"long task specifications", job(longPayload)},
 		{"small jobs that run for long", job(smallAndLasting)},
 		{"queries whose answers are not read", unread(http.MethodGet)},
--- a/internal/world/job/room.go
+++ b/internal/world/job/room.go
@@ -12,9 +12,10 @@
 	// goroutines that wait for the outcome, and the records of attempts that have ended.
 	jobBytes  = link.Bytes(8 << 10)
 	taskBytes = link.Bytes(1 << 10)
-	// stepBytes is what a step takes beside its texts, and dependencyBytes what an entry of its After does.
+	// stepBytes is what a step takes beside its texts, and dependencyBytes what an entry of its After does. An entry is
+	// small, but each plan follows it, so that few jobs may have many.
 	stepBytes       = link.Bytes(256)
-	dependencyBytes = link.Bytes(8)
+	dependencyBytes = link.Bytes(64)
 	// smallBytes is the size up to which jobs may use all of the room, and largeShare the part that larger ones may
 	// use: most jobs have a few tasks, and a crowd of large ones must not keep them out.
 	smallBytes = link.Bytes(64 << 10)
