world/job: the memory that jobs may take is a budget

job.Room had the name of what package forecast calls the capacity of endpoints over time. It is job.MemoryBudget now, and the fields that hold one are named Memory. Nothing else changes.

--- a/internal/control/gateway/gateway.go
+++ b/internal/control/gateway/gateway.go
@@ -34,10 +34,10 @@
 	Leaders    Leaders
 	// FailoverTimeout is how long a job whose leader has failed waits for the next leader.
 	FailoverTimeout clock.Millis
-	// MaxJobs bounds the jobs that callers wait for; 0 means no bound. Room is the memory for them; nil means as
+	// MaxJobs bounds the jobs that callers wait for; 0 means no bound. Memory is what they may take; nil means as
 	// much as they take.
 	MaxJobs int
-	Room    *job.Room
+	Memory  *job.MemoryBudget
 }
 
 // Gateway holds the jobs that callers of this VM wait for. It belongs to the control goroutine.
@@ -67,7 +67,7 @@
 	// divided says that the job has been divided among shards. Some of its tasks may have run, so
 	// it can no longer be refused.
 	divided bool
-	// memory is what it has taken of the room for jobs.
+	// memory is what it has taken of the budget.
 	memory link.Bytes
 }
 
@@ -128,8 +128,8 @@
 
 // New returns a gateway without jobs.
 func New(c Config) *Gateway {
-	if c.Room == nil {
-		c.Room = job.NewRoom(0)
+	if c.Memory == nil {
+		c.Memory = job.NewMemoryBudget(0)
 	}
 	return &Gateway{config: c, jobs: make(map[uint64]*request), parts: make(map[uint64]*part), requests: make(map[job.ID]*request)}
 }
@@ -159,7 +159,7 @@
 		g.reply(r, "", job.Refused{Reason: job.IDInUse, RetryAfter: clock.Second}, now)
 		return p.submission.Key
 	}
-	if earlier == nil && !g.takeRoom(r) {
+	if earlier == nil && !g.takeMemory(r) {
 		g.reply(r, "", job.Refused{Reason: job.TooManyJobs, RetryAfter: clock.Second}, now)
 		return p.submission.Key
 	}
@@ -172,14 +172,14 @@
 	return p.submission.Key
 }
 
-// takeRoom reports whether there is room for another job, and takes it.
-func (g *Gateway) takeRoom(r *request) bool {
+// takeMemory reports whether there may be another job, and takes the memory for it.
+func (g *Gateway) takeMemory(r *request) bool {
 	// The new one is among the jobs already.
 	if g.config.MaxJobs > 0 && len(g.jobs) > g.config.MaxJobs {
 		return false
 	}
 	memory := r.job.Footprint()
-	if !g.config.Room.Take(memory) {
+	if !g.config.Memory.Take(memory) {
 		return false
 	}
 	r.memory = memory
@@ -191,7 +191,7 @@
 func (g *Gateway) replace(earlier *request, p *part, now clock.Millis) {
 	open := slices.DeleteFunc(slices.Clone(earlier.parts), func(e *part) bool { return e.done || !e.submitted && !e.mayHaveStarted })
 	g.reply(earlier, earlier.parts[0].shard, job.Stopped{Reason: job.Superseded}, now)
-	if !g.takeRoom(p.request) {
+	if !g.takeMemory(p.request) {
 		g.reply(p.request, earlier.parts[0].shard, job.Stopped{Reason: job.TooManyJobs}, now)
 		return
 	}
@@ -309,7 +309,7 @@
 		o = job.Stopped{Reason: refused.Reason}
 	}
 	delete(g.jobs, r.firstSeq)
-	g.config.Room.Release(r.memory)
+	g.config.Memory.Release(r.memory)
 	if g.requests[r.job.ID] == r {
 		delete(g.requests, r.job.ID)
 	}
--- a/internal/control/gateway/gateway_test.go
+++ b/internal/control/gateway/gateway_test.go
@@ -499,8 +499,8 @@
 		{"no memory for another one", 0, 50 << 10, 16 << 10},
 		{"no memory for another large one", 0, 200 << 10, 64 << 10},
 	} {
-		room := job.NewRoom(tt.memory)
-		g := New(Config{Self: "me-1", Leaders: leaders, FailoverTimeout: 700, MaxJobs: tt.maxJobs, Room: room})
+		budget := job.NewMemoryBudget(tt.memory)
+		g := New(Config{Self: "me-1", Leaders: leaders, FailoverTimeout: 700, MaxJobs: tt.maxJobs, Memory: budget})
 		var keys []job.Key
 		for i, id := range []job.ID{"a", "b", "c", "b"} {
 			keys = append(keys, g.Accept(withID(id, tt.payload), clock.Minute, 0, clock.Millis(i)))
@@ -514,7 +514,7 @@
 		for _, k := range keys {
 			g.CallerDisconnected(k, clock.Second)
 		}
-		if got := room.Taken(); got != 0 {
+		if got := budget.Taken(); got != 0 {
 			t.Errorf("%s: got %d bytes taken after the last job, want 0", tt.name, got)
 		}
 	}
--- a/internal/control/leader/bounds.go
+++ b/internal/control/leader/bounds.go
@@ -11,7 +11,7 @@
 // Bounds are what a leader may take of its VM and ask of its endpoints. Zero values are no bounds.
 type Bounds struct {
 	// Memory is that of the jobs, which the leaders of a VM share.
-	Memory *job.Room
+	Memory *job.MemoryBudget
 	// TasksPerEndpoint bounds the tasks at an endpoint, whatever they need.
 	TasksPerEndpoint job.Slots
 	// Calls bounds the starts without an answer, and the stops.
--- a/internal/control/leader/bounds_test.go
+++ b/internal/control/leader/bounds_test.go
@@ -118,8 +118,8 @@
 // and against a refusal of a job that may have run.
 func TestJobsWithoutMemory(t *testing.T) {
 	c := newCluster(t, 44, 2)
-	room := job.NewRoom(25 << 20)
-	c.bounds = Bounds{Memory: room}
+	budget := job.NewMemoryBudget(25 << 20)
+	c.bounds = Bounds{Memory: budget}
 	l := c.addLeader(1, 256).leader
 	c.advance(200)
 	c.duration = func(job.TaskName) clock.Millis { return 20 }
@@ -159,12 +159,12 @@
 		c.deliver(1, Cancelled{Cancellation: job.Cancellation{Job: id}})
 	}
 	c.advance(clock.Second)
-	if got := room.Taken(); got != 0 {
+	if got := budget.Taken(); got != 0 {
 		t.Errorf("got %d bytes taken after the jobs, want 0", got)
 	}
 	submit(6, 9000, isPart)
 	l.StepDown(c.now)
-	if got := room.Taken(); got != 0 {
+	if got := budget.Taken(); got != 0 {
 		t.Errorf("got %d bytes taken after the leadership, want 0", got)
 	}
 }
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -138,7 +138,7 @@
 		l.storeLostAt = c.Now
 	}
 	if l.config.Bounds.Memory == nil {
-		l.config.Bounds.Memory = job.NewRoom(0)
+		l.config.Bounds.Memory = job.NewMemoryBudget(0)
 	}
 	l.starts.limit, l.stops.limit = c.Bounds.Calls, c.Bounds.Calls
 	if l.crashes == nil {
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -175,7 +175,7 @@
 func New(c Config) *Control {
 	n := &Control{
 		config: c, now: c.Now, lastMissingAt: c.Now,
-		leaderBounds: leader.Bounds{Memory: job.NewRoom(c.JobMemory), TasksPerEndpoint: c.TasksPerEndpoint, Calls: c.MaxCalls},
+		leaderBounds: leader.Bounds{Memory: job.NewMemoryBudget(c.JobMemory), TasksPerEndpoint: c.TasksPerEndpoint, Calls: c.MaxCalls},
 		monitors:     make(map[shard.ID]*failover.Monitor), ledShards: make(map[shard.ID]*ledShard),
 		missingSince: make(map[datacentre.EndpointID]clock.Millis), unproven: make(map[datacentre.EndpointID]bool), heartbeats: make(map[vm.Incarnation]heartbeat), loads: make(map[shard.ID]shard.Load), probes: make(map[shard.ID]probeState),
 		crashes: crash.NewHistory(), crashExchanges: make(map[vm.Incarnation]crashExchange),
@@ -191,7 +191,7 @@
 	slices.Sort(n.shards)
 	n.seeds = slices.DeleteFunc(slices.Clone(c.Seeds), func(a string) bool { return a == c.Self.Address })
 	n.nextSeedQueryAt = c.Now + firstSeedQueryDelay
-	n.gateway = gateway.New(gateway.Config{Self: c.Self.Incarnation, DataCentre: c.Self.DataCentre, Leaders: n, FailoverTimeout: failoverTimeout, MaxJobs: c.MaxJobs, Room: job.NewRoom(c.JobMemory)})
+	n.gateway = gateway.New(gateway.Config{Self: c.Self.Incarnation, DataCentre: c.Self.DataCentre, Leaders: n, FailoverTimeout: failoverTimeout, MaxJobs: c.MaxJobs, Memory: job.NewMemoryBudget(c.JobMemory)})
 	return n
 }
 
--- a/internal/world/job/room.go
+++ b/internal/world/job/memory_budget.go
@@ -2,8 +2,8 @@
 
 import "github.com/sequoiacart/sequoiacart/internal/world/link"
 
-// Room is the memory that jobs may take in a VM. It belongs to the control goroutine.
-type Room struct {
+// MemoryBudget is the memory that jobs may take in a VM. It belongs to the control goroutine.
+type MemoryBudget struct {
 	limit, taken link.Bytes
 }
 
@@ -16,33 +16,33 @@
 	// small, but each plan follows it, so that few jobs may have many.
 	stepBytes       = link.Bytes(256)
 	dependencyBytes = link.Bytes(64)
-	// smallBytes is the size up to which jobs may use all of the room, and largeShare the part that larger ones may
+	// smallBytes is the size up to which jobs may use all of the budget, and largeShare the part that larger ones may
 	// use: most jobs have a few tasks, and a crowd of large ones must not keep them out.
 	smallBytes = link.Bytes(64 << 10)
 	largeShare = 0.75
 )
 
-// NewRoom returns a room without jobs; 0 means no limit.
-func NewRoom(limit link.Bytes) *Room { return &Room{limit: limit} }
+// NewMemoryBudget returns a budget of which nothing is taken; 0 means no limit.
+func NewMemoryBudget(limit link.Bytes) *MemoryBudget { return &MemoryBudget{limit: limit} }
 
-// Take takes memory for a job. It reports false if there is too little left. A job that is alone always has room.
-func (r *Room) Take(n link.Bytes) bool {
-	limit := r.limit
+// Take takes memory for a job. It reports false if there is too little left. A job that is alone always gets it.
+func (b *MemoryBudget) Take(n link.Bytes) bool {
+	limit := b.limit
 	if n > smallBytes {
 		limit = link.Bytes(float64(limit) * largeShare)
 	}
-	if r.limit > 0 && r.taken > 0 && r.taken+n > limit {
+	if b.limit > 0 && b.taken > 0 && b.taken+n > limit {
 		return false
 	}
-	r.taken += n
+	b.taken += n
 	return true
 }
 
 // Release returns the memory of a job.
-func (r *Room) Release(n link.Bytes) { r.taken -= n }
+func (b *MemoryBudget) Release(n link.Bytes) { b.taken -= n }
 
 // Taken returns the memory that jobs have taken.
-func (r *Room) Taken() link.Bytes { return r.taken }
+func (b *MemoryBudget) Taken() link.Bytes { return b.taken }
 
 // Footprint is the memory that a job takes in a VM, without its tasks.
 func (j *Job) Footprint() link.Bytes {
