link/intake: a connection counts until it is closed, after its body was cut too

What callers saw: nothing. A VM could have more connections of callers open than callers.maxConnections.

Cause: a connection whose body had to give way to another one left the count at once, and stayed open until its handler had run and its answer was written: up to callers.answerMs if its caller does not read.

It is now a phase of its own, which counts until the connection is closed, and gives way to a new connection when neither a slow body nor a waiting connection does, so that a crowd of such callers keeps nobody out.

TestConnectionsOfCutBodiesCount (a pipe, no real time): 6 open connections before, 4 at most now, with a bound of 4.

--- a/internal/link/caller/body_time_test.go
+++ b/internal/link/caller/body_time_test.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -143,3 +146,70 @@
 		})
 	}
 }
+
+// countingListener counts the accepted connections that are open.
+type countingListener struct {
+	net.Listener
+	open atomic.Int64
+}
+
+type countedConn struct {
+	net.Conn
+	close func()
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.open.Add(1)
+	return &countedConn{Conn: c, close: sync.OnceFunc(func() { l.open.Add(-1) })}, nil
+}
+
+func (c *countedConn) Close() error {
+	c.close()
+	return c.Conn.Close()
+}
+
+// Guards against connections beyond the bound: one whose body had to give way stays open until its caller has been
+// told so, which a caller delays that does not read, and another one is accepted meanwhile.
+func TestConnectionsOfCutBodiesCount(t *testing.T) {
+	const maxConnections, bodyBytes = 4, 12_000
+	synctest.Test(t, func(t *testing.T) {
+		pipe := standin.NewPipeListener()
+		listener, now, counted := &countingListener{Listener: pipe}, clock.NewManual(clock.Hour), &counts{byName: make(map[string]int)}
+		s := NewServer(Config{
+			Listener: listener, Local: &local{}, Counter: counted, Clock: now,
+			Intake: intake.Config{MaxConnections: maxConnections, MaxBodyBytes: bodyBytes + 1, MinBodyRate: 16}, Limits: testLimits,
+		})
+		go func() { _ = s.Serve() }()
+		// send opens a connection and sends so many bytes of a body.
+		send := func(n int) {
+			conn, err := pipe.DialContext(t.Context(), "", "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() {
+				_, _ = fmt.Fprintf(conn, "POST /q/0000000000000001 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", bodyBytes, strings.Repeat("x", n))
+			}()
+			synctest.Wait()
+			if got := listener.open.Load(); got > maxConnections {
+				t.Errorf("got %d open connections, want %d at most", got, maxConnections)
+			}
+		}
+		// Two bodies that stop give way to one that needs all the room.
+		send(1)
+		send(1)
+		now.Advance(2 * clock.Second)
+		send(bodyBytes - 1)
+		if got := counted.of(bodyCut); got != 2 {
+			t.Errorf("got %d bodies cut, want 2", got)
+		}
+		for range maxConnections {
+			send(0)
+		}
+		s.Close()
+		synctest.Wait()
+	})
+}
--- a/internal/link/caller/connections.go
+++ b/internal/link/caller/connections.go
@@ -88,7 +88,6 @@
 // cut ends the wait of a connection that was given up. One whose body is being read gets an answer.
 func (c *connections) cut(given *intake.Connection, reason string) {
 	n := c.byID[given]
-	delete(c.byID, given)
 	c.report(reason)
 	if n == nil {
 		return
@@ -98,6 +97,7 @@
 		_ = n.SetReadDeadline(time.Unix(1, 0))
 		return
 	}
+	delete(c.byID, given)
 	_ = n.Conn.Close()
 }
 
--- a/internal/link/intake/intake.go
+++ b/internal/link/intake/intake.go
@@ -54,28 +54,38 @@
 // running means that a request is being answered.
 type running struct{}
 
-// cut means that the connection was given up for another.
+// leaving means that a body was given up for another since then. The connection is open until its caller has been
+// told so.
+type leaving struct{ since clock.Millis }
+
+// cut means that the connection was given up for another, and is being closed.
 type cut struct{}
 
 func (waiting) phase()  {}
 func (*reading) phase() {}
 func (running) phase()  {}
+func (leaving) phase()  {}
 func (cut) phase()      {}
 
 // New returns an intake without connections.
 func New(c Config) *Intake { return &Intake{config: c} }
 
-// Open adds a connection. If there are too many, another one is cut that has waited longest, or whose body is slow.
-// Both are nil if there is none, and the new connection has to be closed.
+// Open adds a connection. If there are too many, another one is cut that has waited longest, whose body is slow, or
+// that is leaving. Both are nil if there is none, and the new connection has to be closed.
 func (i *Intake) Open(now clock.Millis) (opened, given *Connection) {
 	if len(i.connections) >= i.config.MaxConnections {
 		if given = i.slowest(nil, now); given == nil {
-			given = i.longestWaiting()
+			given = longest[waiting](i)
+		}
+		if given == nil {
+			given = longest[leaving](i)
 		}
 		if given == nil {
 			return nil, nil
 		}
-		i.cut(given)
+		// It counts no longer, since its descriptor and its buffer are about to be free.
+		i.Close(given)
+		given.phase = cut{}
 	}
 	opened = &Connection{phase: waiting{since: now}}
 	i.connections = append(i.connections, opened)
@@ -108,7 +118,7 @@
 // the connection was cut before.
 func (i *Intake) EndBody(c *Connection) bool { return i.enter(c, running{}) }
 
-// Grow makes room for a buffer of the given size. If there is too little, bodies that are slow are cut, the slowest
+// Grow makes room for a buffer of the given size. If there is too little, bodies that are slow are given up, the slowest
 // first. It reports false if that does not help, or if the connection was cut.
 func (i *Intake) Grow(c *Connection, size link.Bytes, now clock.Millis) (given []*Connection, ok bool) {
 	body, isReading := c.phase.(*reading)
@@ -124,7 +134,7 @@
 		if slow == nil {
 			return given, false
 		}
-		i.cut(slow)
+		i.enter(slow, leaving{since: now})
 		given = append(given, slow)
 	}
 	i.buffered += size - body.buffer
@@ -151,9 +161,10 @@
 // Buffered returns the size of the buffers of all bodies that are being read.
 func (i *Intake) Buffered() link.Bytes { return i.buffered }
 
-// enter changes the phase of a connection unless it was cut.
+// enter changes the phase of a connection unless it was given up.
 func (i *Intake) enter(c *Connection, p phase) bool {
-	if _, isCut := c.phase.(cut); isCut {
+	switch c.phase.(type) {
+	case leaving, cut:
 		return false
 	}
 	i.release(c)
@@ -161,12 +172,6 @@
 	return true
 }
 
-// cut gives up a connection. It counts no longer, since its descriptor and its buffer are about to be free.
-func (i *Intake) cut(c *Connection) {
-	i.Close(c)
-	c.phase = cut{}
-}
-
 func (i *Intake) release(c *Connection) {
 	if body, ok := c.phase.(*reading); ok {
 		i.buffered -= body.buffer
@@ -186,13 +191,22 @@
 	return found
 }
 
-// longestWaiting returns the connection that has waited for a request longest, or nil.
-func (i *Intake) longestWaiting() *Connection {
+// lasting is a phase that began at a known time.
+type lasting interface {
+	phase
+	begun() clock.Millis
+}
+
+func (w waiting) begun() clock.Millis { return w.since }
+func (l leaving) begun() clock.Millis { return l.since }
+
+// longest returns the connection that has been in a phase for longest, or nil.
+func longest[P lasting](i *Intake) *Connection {
 	var found *Connection
 	var since clock.Millis
 	for _, c := range i.connections {
-		if w, ok := c.phase.(waiting); ok && (found == nil || w.since < since) {
-			found, since = c, w.since
+		if p, ok := c.phase.(P); ok && (found == nil || p.begun() < since) {
+			found, since = c, p.begun()
 		}
 	}
 	return found
