link/caller, leader: counters of answers that are not read and of full endpoints

What operators saw: nothing. callers.answerMs and endpoints.maxTasks were the bounds without a counter, beside callers.maxUnreadKB, where the kernel makes the caller wait and the program has nothing to count.

callers.answersUnread counts connections that were closed since their caller took longer than callers.answerMs; it is logged as the other refusals of callers. home.endpointFull counts endpoints that reached endpoints.maxTasks, with the event endpointFull; one is reported again once half of its slots were free, so that a crowd does not fill the log.

TestAnswersThatAreNotRead and TestTasksAtAnEndpointAreBounded check the counts.

--- a/internal/control/leader/action.go
+++ b/internal/control/leader/action.go
@@ -144,6 +144,8 @@
 	ShardEmptied
 	// CallsFull is a kind of requests that has reached its limit, so that others wait.
 	CallsFull
+	// EndpointFull is an endpoint that has as many tasks as it may, so that others wait.
+	EndpointFull
 	// TaskGivenUp is a task that is proved to crash its endpoints; its job has failed.
 	TaskGivenUp
 )
--- a/internal/control/leader/attempts.go
+++ b/internal/control/leader/attempts.go
@@ -47,6 +47,7 @@
 	ep.free = ep.free.Minus(t.stepSpec().Demand)
 	ep.tasks[t.name] = t
 	l.activeTasks[t.name] = t
+	l.reportFull(ep)
 }
 
 // freeResources returns the resources of an attempt that has certainly ended.
@@ -55,6 +56,7 @@
 		return
 	}
 	t.endpoint.free = t.endpoint.free.Plus(t.stepSpec().Demand)
+	t.endpoint.fullReported = t.endpoint.fullReported && t.endpoint.free.Slots < t.endpoint.Capacity.Slots/2
 	delete(t.endpoint.tasks, t.name)
 	if t.endpoint.suspect == t {
 		l.release(t.endpoint)
--- a/internal/control/leader/bounds.go
+++ b/internal/control/leader/bounds.go
@@ -50,6 +50,14 @@
 	return e
 }
 
+// reportFull reports that an endpoint has as many tasks as it may.
+func (l *Leader) reportFull(ep *endpointState) {
+	if ep.free.Slots <= 0 && !ep.fullReported {
+		ep.fullReported = true
+		l.emit(LogDecision{Decision: EndpointFull, Endpoint: ep.Endpoint, Detail: strconv.Itoa(len(ep.tasks)) + " tasks"})
+	}
+}
+
 // takeMemory reports whether there is memory for a job. Tasks of it may have an attempt here if the leader knows
 // any, so that the job is not refused then: its caller is told to send it again.
 func (l *Leader) takeMemory(s *job.Submission) (job.Outcome, bool) {
--- a/internal/control/leader/bounds_test.go
+++ b/internal/control/leader/bounds_test.go
@@ -78,7 +78,7 @@
 
 // Guards against endpoints that get thousands of tasks which need next to nothing.
 func TestTasksAtAnEndpointAreBounded(t *testing.T) {
-	const limit = 4
+	const limit, tasks = 4, 20
 	for _, cpu := range []job.MilliCores{0, 1} {
 		t.Run(fmt.Sprintf("%d mCPU", cpu), func(t *testing.T) {
 			c := newCluster(t, 43, 3)
@@ -90,7 +90,7 @@
 			c.advance(200)
 			c.renewLeases(1, "a-1", 1, 2)
 			for seq := uint64(1); seq <= 2; seq++ {
-				s := submission("a-1", seq, 20)
+				s := submission("a-1", seq, tasks)
 				s.Job.Steps[0].Demand, s.Part, s.Limit = job.Resources{CPU: cpu}, true, clock.Minute
 				c.deliver(1, Submitted{Submission: s})
 			}
@@ -105,6 +105,10 @@
 			if got, want := c.outcome(1)+" "+c.outcome(2), "job.Completed job.Completed"; got != want {
 				t.Errorf("got %s, want %s", got, want)
 			}
+			// An endpoint is reported again once half of its slots have been free.
+			if got, least, most := c.decisions[EndpointFull], len(l.sortedEndpoints), 2*tasks/(limit/2); got < least || got > most {
+				t.Errorf("got %d reports of full endpoints, want %d to %d", got, least, most)
+			}
 			for _, ep := range l.sortedEndpoints {
 				if got := ep.free.Slots; got != limit {
 					t.Errorf("got %d free slots after the jobs, want %d", got, limit)
--- a/internal/control/leader/endpoint_state.go
+++ b/internal/control/leader/endpoint_state.go
@@ -106,6 +106,8 @@
 	health health
 	// hold is what the latest plan keeps free here for a job.
 	hold admission.Hold
+	// fullReported means that the endpoint had no free slot, and that more than half of them have been in use since.
+	fullReported bool
 	// suspect is the task that the endpoint is held for, because it may crash it, or nil.
 	suspect *task
 }
--- a/internal/link/caller/body_time_test.go
+++ b/internal/link/caller/body_time_test.go
@@ -102,9 +102,9 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				listener := standin.NewPipeListener()
+				listener, counted := standin.NewPipeListener(), &counts{byName: make(map[string]int)}
 				s := NewServer(Config{
-					Listener: listener, Local: &local{}, Counter: &counts{byName: make(map[string]int)}, Clock: clock.NewManual(clock.Hour),
+					Listener: listener, Local: &local{}, Counter: counted, Clock: clock.NewManual(clock.Hour),
 					Intake: intake.Config{MaxConnections: 1, MaxBodyBytes: 20_000, MinBodyRate: 16}, Limits: testLimits, AnswerTimeout: 10 * clock.Second,
 				})
 				go func() { _ = s.Serve() }()
@@ -142,6 +142,9 @@
 				_ = conn.Close()
 				s.Close()
 				synctest.Wait()
+				if got, want := counted.of(answerUnread), map[bool]int{true: 0, false: 1}[tt.want]; got != want {
+					t.Errorf("got %d answers counted as not read, want %d", got, want)
+				}
 			})
 		})
 	}
--- a/internal/link/caller/connections.go
+++ b/internal/link/caller/connections.go
@@ -4,9 +4,12 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/sequoiacart/sequoiacart/internal/link/intake"
 	"github.com/sequoiacart/sequoiacart/internal/world/link"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -46,6 +49,7 @@
 const (
 	connectionRefused = "callers.connectionsRefused"
 	connectionCut     = "callers.connectionsCut"
+	answerUnread      = "callers.answersUnread"
 	bodyRefused       = "callers.bodiesRefused"
 	bodyCut           = "callers.bodiesCut"
 	jobOverLimit      = "callers.jobsOverLimit"
@@ -117,6 +121,17 @@
 	return n.Conn.Close()
 }
 
+// Write implements net.Conn.
+func (n *connection) Write(b []byte) (int, error) {
+	count, err := n.Conn.Write(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		n.all.mu.Lock()
+		defer n.all.mu.Unlock()
+		n.all.report(answerUnread)
+	}
+	return count, err
+}
+
 // grow makes room for the buffer of a body.
 func (n *connection) grow(size int) bool {
 	c := n.all
--- a/internal/process/daemon/event_logger.go
+++ b/internal/process/daemon/event_logger.go
@@ -171,7 +171,7 @@
 	leader.JobRefused: "jobRefused", leader.JobStarted: "forecastMissed", leader.JobForwarded: "jobPassedOn", leader.JobAdopted: "jobAdopted",
 	leader.JobAbandoned: "jobAbandoned", leader.TaskGivenUp: "taskGivenUp", leader.AttemptsLeft: "runsLeft", leader.EndpointAppeared: "endpointAppeared",
 	leader.EndpointRestarted: "endpointRestarted", leader.EndpointCrashSuspected: "endpointCrashSuspected", leader.EndpointCrashed: "endpointCrashed", leader.EndpointUnlisted: "endpointUnlisted", leader.EndpointDropped: "endpointDropped",
-	leader.StartsHeld: "startsHeld", leader.StartsResumed: "startsResumed", leader.ShardEmptied: "shardEmptied", leader.EndpointCold: "endpointCold", leader.CallsFull: "callsFull",
+	leader.StartsHeld: "startsHeld", leader.StartsResumed: "startsResumed", leader.ShardEmptied: "shardEmptied", leader.EndpointCold: "endpointCold", leader.CallsFull: "callsFull", leader.EndpointFull: "endpointFull",
 }
 
 // loggedForecastError is the error of a forecast from which it is logged; the tightest jobs can wait 80 ms.
