platform: idle connections to endpoints give way before descriptors run out

What callers saw: a VM took more descriptors than it has, so that connections of callers, peers and the store would be refused.

Cause: callers' connections take up to 40 % of the descriptors, idle connections to endpoints another 40 %, and holds, starts and stops theirs beside that; nothing bounded the sum. With two endpoints, as in the crowds so far, eight idle connections each do not matter.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -171,7 +171,7 @@
 	d.cancelTraffic = cancel
 	d.traffic = &traffic{
 		ctx: ctx, loop: d.loop, clock: c.Clock, peers: d.peers, dialer: connections, store: d.store, logger: d.logger, meter: d.meter, tracer: d.tracer, link: d.link, readEndpoints: make(chan struct{}, 1), readOperator: make(chan struct{}, 1),
-		endpoints: platform.NewEndpointClient(platform.EndpointClientConfig{StartTimeout: startTimeout, Timeout: endpointCallTimeout, Patience: d.link.Patience, Transport: transport(toEndpoints), Meter: d.meter}),
+		endpoints: platform.NewEndpointClient(platform.EndpointClientConfig{StartTimeout: startTimeout, Timeout: endpointCallTimeout, Patience: d.link.Patience, Transport: transport(toEndpoints), MaxConnections: s.EndpointConnections(), Meter: d.meter}),
 	}
 	d.loop.executor = d.traffic
 	return d, d.listen()
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -67,6 +67,9 @@
 	// MaxTasksPerEndpoint bounds the tasks at an endpoint, and MaxEndpointCalls the starts that a leader has no answer
 	// to, and the stops; 0 calls mean a part of the limits of the VM.
 	MaxTasksPerEndpoint, MaxEndpointCalls int
+	// MaxEndpointConnections bounds the connections to endpoints as long as there are idle ones to close; 0 means a part
+	// of the descriptors.
+	MaxEndpointConnections int
 
 	// MaxLease, StopDuration, ResendInterval, GracePeriod and DrainNotice are fixed by the platform: the
 	// longest lease that endpoints grant, the time that a stop takes, the time after which
@@ -128,8 +131,10 @@
 	callDescriptorShare = 0.1
 	callMemoryShare     = 0.1
 	callBytes           = 32 << 10
-	megabyte            = 1 << 20
-	kilobyte            = 1 << 10
+	// endpointDescriptorShare is the part of the descriptors that connections to endpoints may take by default.
+	endpointDescriptorShare = 0.45
+	megabyte                = 1 << 20
+	kilobyte                = 1 << 10
 )
 
 // Intake returns the bounds of callers' connections and bodies.
@@ -183,6 +188,14 @@
 	return max(int(min(float64(s.OpenFiles)*callDescriptorShare, float64(s.MemoryMB)*callMemoryShare*megabyte/callBytes)), 1)
 }
 
+// EndpointConnections returns how many connections to endpoints may be open before idle ones are closed.
+func (s *Settings) EndpointConnections() int {
+	if s.MaxEndpointConnections > 0 {
+		return s.MaxEndpointConnections
+	}
+	return max(int(float64(s.OpenFiles)*endpointDescriptorShare), 1)
+}
+
 // EnvPrefix is the prefix of environment variables that set flags.
 const EnvPrefix = "SEQUOIACART"
 
@@ -241,6 +254,7 @@
 	flags.Float64Var(&s.MaxJobMemoryMB, "jobs.maxMemoryMB", s.MaxJobMemoryMB, "`megabytes` that jobs may take; 0 is a part of the memory")
 	flags.IntVar(&s.MaxTasksPerEndpoint, "endpoints.maxTasks", s.MaxTasksPerEndpoint, "`number` of tasks at an endpoint, whatever they need")
 	flags.IntVar(&s.MaxEndpointCalls, "endpoints.maxCalls", s.MaxEndpointCalls, "`number` of starts that a leader may have no answer to, and of stops; 0 is a part of the descriptors and the memory")
+	flags.IntVar(&s.MaxEndpointConnections, "endpoints.maxConnections", s.MaxEndpointConnections, "`number` of connections to endpoints that may be open before idle ones are closed; 0 is a part of the descriptors")
 	flags.IntVar(&s.MaxCancelWaiters, "jobs.maxCancelling", s.MaxCancelWaiters, "`number` of requests to cancel a job that may wait; 0 is a part of callers.maxConnections")
 	millis := func(target *clock.Millis, name, usage string) {
 		flags.Int64Var((*int64)(target), name, int64(*target), usage)
@@ -348,6 +362,7 @@
 		{"jobs.maxMemoryMB", s.MaxJobMemoryMB},
 		{"jobs.maxCancelling", float64(s.MaxCancelWaiters)},
 		{"endpoints.maxCalls", float64(s.MaxEndpointCalls)},
+		{"endpoints.maxConnections", float64(s.MaxEndpointConnections)},
 	} {
 		if n.value < 0 {
 			return errors.NotValidf("check settings: key %s: %v is below 0: value", n.key, n.value)
--- a/internal/soak/crowd/deployment_test.go
+++ b/internal/soak/crowd/deployment_test.go
@@ -39,8 +39,9 @@
 	memoryMB  = 96
 	openFiles = 400
 
-	// fewEndpoints is how many the deployments under a crowd have.
-	fewEndpoints = 2
+	// fewEndpoints is how many most deployments under a crowd have, and manyEndpoints those whose endpoints may keep
+	// more connections than the VM has descriptors.
+	fewEndpoints, manyEndpoints = 2, 40
 
 	startTimeout = 20 * time.Second
 	heartbeat    = time.Second
--- a/internal/soak/crowd/jobs_test.go
+++ b/internal/soak/crowd/jobs_test.go
@@ -114,6 +114,30 @@
 	}
 }
 
+// Guards against crowds whose tasks run at many endpoints, whose connections take the descriptors of the VM.
+func TestCrowdsBesideManyEndpoints(t *testing.T) {
+	program := build(t)
+	for _, tt := range []struct {
+		name string
+		send func(*client, []byte)
+	}{
+		{"jobs of many tasks", job(manyTasks)},
+		{"jobs of many short tasks", job(shortTasks)},
+		{"all kinds", mixed},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			vm := newDeployment(t, program, 1, manyEndpoints).vms[0]
+			open := gather(t, vm.callers, tt.send)
+			time.Sleep(leaveAfter)
+			vm.checkAlive(t)
+			vm.checkAnswers(t)
+			closeAll(open)
+			vm.checkServes(t)
+			t.Logf("peak %d MB, %d descriptors", vm.peakMemory(t)>>20, vm.mostDescriptors.Load())
+		})
+	}
+}
+
 // Guards against crowds that each leave something behind in the VM, and against jobs whose callers leave while their
 // tasks run.
 func TestCrowdsInTurn(t *testing.T) {
