node: an older entry of another VM does not replace a later one

What callers saw: tasks sent to an endpoint beyond the capacity that it had reported seconds before, or that had said that it is leaving; where endpoints do not guard their capacity, more runs there than fits.

Cause: a leader whose list is old fetches that of another VM and took it over as a whole if its version is higher. That VM keeps entries that have disappeared, so it may have an earlier one of an endpoint than this VM has read, which then counted as read when the later one was.

Entries now have the revision of their row. Of another VM's list, hand-over or seed, only entries of a higher revision take the place of own ones.

TestListOfAnotherVMKeepsLaterEntries fails without the comparison (two tasks at an endpoint that is leaving, two where one fits).

--- a/internal/control/node/endpoints.go
+++ b/internal/control/node/endpoints.go
@@ -21,6 +21,9 @@
 		return
 	}
 	n.updateUnproven(e)
+	if e.ReadAt == 0 {
+		e.Endpoints = n.withLaterEntries(e.Endpoints)
+	}
 	listed := make(map[datacentre.EndpointID]bool, len(e.Endpoints))
 	for _, p := range e.Endpoints {
 		listed[p.ID] = true
@@ -66,6 +69,22 @@
 	}
 }
 
+// withLaterEntries returns the list of another VM with the entries of this VM in place of earlier ones. The other VM
+// keeps entries that have disappeared, and may not have read since what their endpoints said next.
+func (n *Control) withLaterEntries(all []endpoint.Endpoint) []endpoint.Endpoint {
+	own := make(map[datacentre.EndpointID]endpoint.Endpoint, len(n.endpoints))
+	for _, e := range n.endpoints {
+		own[e.ID] = e
+	}
+	merged := slices.Clone(all)
+	for i, e := range merged {
+		if o, ok := own[e.ID]; ok && o.Revision != 0 && o.Revision >= e.Revision {
+			merged[i] = o
+		}
+	}
+	return merged
+}
+
 // updateUnproven records of which endpoints this VM does not know what they have told the store last. The list of
 // another VM may have entries that were removed seconds ago.
 func (n *Control) updateUnproven(e EndpointsLoaded) {
--- a/internal/control/node/list_age_test.go
+++ b/internal/control/node/list_age_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -168,6 +169,49 @@
 	}
 }
 
+// Guards against an older entry that another VM has kept and that takes the place of the one that this VM has read: the
+// endpoint has said in between that it is leaving, or that it has less capacity.
+func TestListOfAnotherVMKeepsLaterEntries(t *testing.T) {
+	for _, tt := range []struct {
+		name       string
+		own, other endpoint.Revision
+		change     func(*endpoint.Endpoint)
+		want       int
+	}{
+		{name: "leaving", own: 7, other: 5, change: func(e *endpoint.Endpoint) { e.Draining = true }, want: 0},
+		{name: "shrunk", own: 7, other: 5, change: func(e *endpoint.Endpoint) { e.Capacity.CPU = 500 }, want: 1},
+		{name: "sent without a revision", own: 7, change: func(e *endpoint.Endpoint) { e.Draining = true }, want: 0},
+		{name: "the other one is later", own: 7, other: 9, change: func(e *endpoint.Endpoint) { e.Draining = true }, want: 2},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.storeLost = false
+			h.handle(StoreReported{})
+			read := firstList()[:1]
+			read[0].Revision = tt.own
+			tt.change(&read[0])
+			h.handle(EndpointsLoaded{Version: 2, Endpoints: read, ReadAt: h.now})
+			h.handle(PeerYielded{ReplicaSet: replicaSet("centro", 5, "peer-1", "me-1"), From: "peer-1", Done: make(chan bool, 1)})
+			fetched := firstList()[:1]
+			fetched[0].Revision = tt.other
+			h.handle(EndpointsLoaded{Version: 4, Endpoints: fetched, Gap: true})
+			h.answerHolds(nil)
+			s := resubmittedJob()
+			s.Adopt, s.Part, s.Job.Steps[0].Tasks = false, true, 4
+			h.handle(PeerSubmitted{Shard: "centro", Submission: s, Ended: make(chan job.Outcome, 1)})
+			got := 0
+			for _, start := range startedTasks(h) {
+				if start.Endpoint.ID == read[0].ID {
+					got++
+				}
+			}
+			if got != tt.want {
+				t.Errorf("got %d tasks started at the endpoint, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
 // Guards against tasks that start at an endpoint whose row is missing and that has said just before that it is leaving,
 // and against one that is out of use because its row has only expired.
 func TestMissingEndpointThatWasLeavingGetsNoTasks(t *testing.T) {
--- a/internal/control/node/model_follower_test.go
+++ b/internal/control/node/model_follower_test.go
@@ -269,6 +269,7 @@
 		var unreadable []datacentre.EndpointID
 		for _, r := range all {
 			if e, ok := r.value.(endpoint.Endpoint); ok {
+				e.Revision = endpoint.Revision(r.version)
 				endpoints = append(endpoints, e)
 			} else {
 				unreadable = append(unreadable, datacentre.EndpointID(r.key))
--- a/internal/process/daemon/followers.go
+++ b/internal/process/daemon/followers.go
@@ -496,11 +496,17 @@
 		return true, nil
 	}
 	before, found := d.decodedRows[r.Key]
+	revision := endpoint.Revision(r.Revision)
 	if found && bytes.Equal(before.value, r.Value) {
+		if before.endpoint.Revision != revision {
+			before.endpoint.Revision = revision
+			d.decodedRows[r.Key] = before
+		}
 		return false, nil
 	}
 	e, err := platform.DecodeEndpoint(r)
 	d.decodedRows[r.Key] = decodedRow{value: r.Value, endpoint: e, readable: err == nil}
+	before.endpoint.Revision = revision
 	return !found || !before.readable || err != nil || !reflect.DeepEqual(before.endpoint, e), err
 }
 
--- a/internal/process/daemon/followers_test.go
+++ b/internal/process/daemon/followers_test.go
@@ -13,6 +13,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/link/store"
 	"github.com/sequoiacart/sequoiacart/internal/process/meter"
 	"github.com/sequoiacart/sequoiacart/internal/process/network"
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/link"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/event"
@@ -23,7 +24,7 @@
 }
 
 // Guards against changes to the list of endpoints that are missed because of the cache of
-// decoded rows: an endpoint that drains, returns, becomes unreadable or is removed.
+// decoded rows: an endpoint that drains, returns, becomes unreadable, is removed or writes the same again.
 func TestEndpointsAreDecodedAgainWhenTheyChange(t *testing.T) {
 	clocks := clock.NewManual(clock.Hour)
 	d := &Daemon{decodedRows: make(map[string]decodedRow), loop: newLoop(nil, clocks), link: network.NewLink(link.MegabitsPerSecond(1000), clocks), changeLog: changeLog{clock: clocks}}
@@ -38,12 +39,13 @@
 		{new(listedRow("ready")), "ready"},
 		{&store.Row{Value: []byte("{")}, "unreadable"},
 		{new(listedRow("ready")), "ready"},
+		{new(listedRow("ready")), "ready"},
 		{nil, "none"},
 		{new(listedRow("draining")), "draining"},
 	} {
 		delete(rows, "e1")
 		if c.row != nil {
-			c.row.Key = "e1"
+			c.row.Key, c.row.Revision = "e1", store.Revision(step+1)
 			rows["e1"] = *c.row
 		}
 		d.endpointsRead(tableRead{rows: rows, version: store.Revision(step + 1)})
@@ -54,6 +56,9 @@
 		got := "none"
 		if len(e.Endpoints) == 1 {
 			got = map[bool]string{true: "draining", false: "ready"}[e.Endpoints[0].Draining]
+			if got, want := e.Endpoints[0].Revision, endpoint.Revision(step+1); got != want {
+				t.Errorf("step %d: got revision %d, want %d", step, got, want)
+			}
 		}
 		if len(e.Unreadable) == 1 {
 			got = "unreadable"
--- a/internal/world/endpoint/endpoint.go
+++ b/internal/world/endpoint/endpoint.go
@@ -18,6 +18,9 @@
 // slow.
 type Clock int64
 
+// Revision orders the entries of an endpoint: one that was written later has a higher revision.
+type Revision int64
+
 // EndNumber numbers the ended attempts that an endpoint lists, from 1 in each incarnation.
 type EndNumber int64
 
@@ -35,6 +38,8 @@
 	Draining   bool
 	// ColdFor is how much longer tasks take longer here, as of when the endpoint wrote it.
 	ColdFor clock.Millis
+	// Revision is that of the entry in the store, or 0 if a VM has passed it on without. The field name is sent.
+	Revision Revision
 }
 
 // HasLabel reports whether the endpoint has the label; every endpoint has the empty label.
