link/caller: a body that was cut is not counted as refused too

Callers saw the right answer.

Cause: the handler of a body that had to give way may ask for a larger buffer before it sees that it was cut. There is none, and that counted as a refusal.

Only a body that is still being read counts as refused. TestCutBodyIsCountedOnce (no network): 1 refused and 1 cut before, 0 and 1 now.

--- a/internal/link/caller/body_test.go
+++ b/internal/link/caller/body_test.go
@@ -175,3 +175,31 @@
 		t.Errorf("got %d connections cut, want one", got)
 	}
 }
+
+// Guards against a body that had to give way and is counted as refused too, once its handler asks for a larger buffer.
+func TestCutBodyIsCountedOnce(t *testing.T) {
+	now, counted := clock.NewManual(clock.Hour), &counts{byName: make(map[string]int)}
+	all := newConnections(nil, intake.New(intake.Config{MaxConnections: 2, MaxBodyBytes: firstBodyBytes, MinBodyRate: 16}), Config{Clock: now, Counter: counted})
+	read := func() *connection {
+		accepted, _ := net.Pipe()
+		n := all.open(accepted)
+		n.update(func(i *intake.Intake, s *intake.Connection, now clock.Millis) bool {
+			return i.Begin(s) && i.BeginBody(s, now)
+		})
+		return n
+	}
+	stopped, other := read(), read()
+	if !stopped.grow(firstBodyBytes) {
+		t.Error("got no room for a body, want it")
+	}
+	now.Advance(2 * clock.Second)
+	if !other.grow(firstBodyBytes) {
+		t.Error("got no room beside a body that has stopped, want it")
+	}
+	if stopped.grow(firstBodyBytes) {
+		t.Error("got room for the body that had to give way, want none")
+	}
+	if refused, cut := counted.of(bodyRefused), counted.of(bodyCut); refused != 0 || cut != 1 {
+		t.Errorf("got %d bodies refused and %d cut, want 0 and 1", refused, cut)
+	}
+}
--- a/internal/link/caller/connections.go
+++ b/internal/link/caller/connections.go
@@ -141,7 +141,7 @@
 	for _, g := range given {
 		c.cut(g, bodyCut)
 	}
-	if !ok {
+	if !ok && c.intake.IsReading(n.state) {
 		c.report(bodyRefused)
 	}
 	return ok
