--- /dev/null
+++ b/review/standins-3/soak.go
@@ -0,0 +1,216 @@
+//go:build review
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sequoiacart/sequoiacart/platform/standin"
+)
+
+// soak plays random jobs of all shapes under random disruptions.
+func soak(o options) *world {
+	w := newWorld(o.record, o.binary, o.seed%2 == 0, 3, []int{4, 4}, o.seed)
+	w.awaitReady()
+	ends := time.Now().Add(o.length)
+	var clients sync.WaitGroup
+	random := rand.New(rand.NewPCG(o.seed, 2))
+	if o.trouble {
+		go w.disturb(rand.New(rand.NewPCG(o.seed, 3)), ends.Add(-4*time.Second), os.Getenv("FAULTS"))
+	}
+	for i := 0; time.Now().Before(ends); i++ {
+		r := rand.New(rand.NewPCG(o.seed, uint64(1000+i)))
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			w.client(r, fmt.Sprintf("%016x", o.seed<<32+uint64(i)))
+		}()
+		time.Sleep(time.Duration(random.IntN(40)) * time.Millisecond)
+	}
+	clients.Wait()
+	return w
+}
+
+func (w *world) client(r *rand.Rand, id string) {
+	var steps []jobStep
+	var ms []int64
+	n := 1
+	if r.IntN(2) == 0 {
+		n = 1 + r.IntN(4)
+	}
+	for i := range n {
+		s := jobStep{Count: 1 + r.IntN(4), CPU: int64(2000 + r.IntN(12000)), Mem: int64(64 + r.IntN(1024))}
+		for b := range i {
+			if r.IntN(2) == 0 {
+				s.After = append(s.After, b)
+			}
+		}
+		if r.IntN(4) == 0 {
+			s.Requirements = string("ab"[r.IntN(2)])
+		}
+		if r.IntN(4) == 0 {
+			s.Anti = 1 + r.IntN(2)
+		}
+		if r.IntN(4) == 0 {
+			s.Affinity = fmt.Sprintf("r%d", r.IntN(2))
+		}
+		d := int64(5 + r.IntN(300))
+		if r.IntN(20) == 0 {
+			d = int64(1000 + r.IntN(1500))
+		}
+		s.Estimate = max(d/2, 1)
+		steps, ms = append(steps, s), append(ms, d)
+	}
+	j := w.newJob(id, steps, ms)
+	if r.IntN(6) == 0 {
+		after := time.Duration(r.IntN(800)) * time.Millisecond
+		seed := r.Uint64()
+		go func() {
+			time.Sleep(after)
+			random := rand.New(rand.NewPCG(seed, 1))
+			for range 4 {
+				if s := w.cancel(w.nodes[random.IntN(len(w.nodes))], j); s/100 == 2 || s == 410 {
+					// A copy of the submission may come seconds later.
+					if random.IntN(2) == 0 {
+						time.Sleep(3100*time.Millisecond + time.Duration(random.IntN(3000))*time.Millisecond)
+						ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+						w.send(ctx, w.nodes[random.IntN(len(w.nodes))], j, 3*time.Second)
+						stop()
+					}
+					return
+				}
+				time.Sleep(300 * time.Millisecond)
+			}
+		}()
+	}
+	deadline := time.Duration(1500+r.IntN(4000)) * time.Millisecond
+	for range 3 {
+		limit := deadline
+		if r.IntN(5) == 0 {
+			limit = time.Duration(r.IntN(700)) * time.Millisecond
+		}
+		ctx, stop := context.WithTimeout(context.Background(), limit)
+		status, _ := w.send(ctx, w.nodes[r.IntN(len(w.nodes))], j, deadline)
+		stop()
+		if status != 0 && status != 502 && status != 504 {
+			return
+		}
+		time.Sleep(resendMs * time.Millisecond)
+	}
+}
+
+func (w *world) disturb(r *rand.Rand, until time.Time, which string) {
+	kinds := strings.Fields("kill term stop peer peerreset store storereset storedown latewrites loseanswers cut cutlong restart late drain config herd lead2")
+	if which != "" {
+		kinds = strings.Fields(which)
+	}
+	ms := func(from, to int) time.Duration { return time.Duration(from+r.IntN(to-from)) * time.Millisecond }
+	for time.Now().Before(until) {
+		time.Sleep(ms(100, 1500))
+		n := w.nodes[r.IntN(len(w.nodes))]
+		all := w.alive()
+		m := all[r.IntN(len(all))]
+		kind := kinds[r.IntN(len(kinds))]
+		w.check.log("fault %s node %s minion %s", kind, n.name, m.id)
+		switch kind {
+		case "kill":
+			go func(d time.Duration) { w.restartNode(n, syscall.SIGKILL, d) }(ms(50, 1500))
+		case "term":
+			go func(d time.Duration) { w.restartNode(n, syscall.SIGTERM, d) }(ms(50, 1500))
+		case "herd":
+			d := ms(50, 1000)
+			for _, n := range w.nodes {
+				go w.restartNode(n, syscall.SIGKILL, d)
+			}
+			time.Sleep(2 * time.Second)
+		case "stop":
+			go func(d time.Duration) {
+				n.signal(syscall.SIGSTOP)
+				time.Sleep(d)
+				n.signal(syscall.SIGCONT)
+			}(ms(100, 3000))
+		case "peer":
+			go func(d time.Duration) { n.toPeer.setHeld(true); time.Sleep(d); n.toPeer.setHeld(false) }(ms(100, 3000))
+		case "peerreset":
+			n.toPeer.reset()
+		case "store":
+			go func(d time.Duration) { n.toStore.setHeld(true); time.Sleep(d); n.toStore.setHeld(false) }(ms(100, 4000))
+		case "storereset":
+			n.toStore.reset()
+		case "storedown", "latewrites", "loseanswers":
+			f := standin.StoreFaults{Down: kind == "storedown", LoseAnswers: kind == "loseanswers"}
+			if kind == "latewrites" {
+				f.LateWrites = ms(1000, 4000)
+			}
+			w.store.SetFaults(f)
+			time.Sleep(ms(300, 3000))
+			w.store.SetFaults(standin.StoreFaults{})
+		case "cut":
+			go func(d time.Duration) { m.setCut(true); time.Sleep(d); m.setCut(false) }(ms(50, 900))
+		case "cutlong":
+			go func(d time.Duration) { m.setCut(true); time.Sleep(d); m.setCut(false) }(ms(900, 4000))
+		case "restart":
+			m.restart(string("ab"[r.IntN(2)]))
+		case "late":
+			go func(d time.Duration, x float64) { m.setLate(x); time.Sleep(d); m.setLate(0) }(ms(500, 5000), r.Float64()/2)
+		case "drain":
+			m.mu.Lock()
+			was := m.draining
+			m.draining = true
+			m.mu.Unlock()
+			if was {
+				continue
+			}
+			w.store.Put("servers", m.id, m.row())
+			w.check.mu.Lock()
+			w.check.drained[m.id] = time.Now()
+			w.check.mu.Unlock()
+			time.AfterFunc(drainMs*time.Millisecond+ms(10, 1500), func() {
+				w.mu.Lock()
+				for i, other := range w.minions {
+					if other == m {
+						w.minions = append(w.minions[:i:i], w.minions[i+1:]...)
+						break
+					}
+				}
+				w.mu.Unlock()
+				m.leave()
+				w.store.Remove("servers", m.id)
+			})
+			w.addMinion(m.dc)
+		case "config":
+			w.version += 3
+			w.putDesired()
+		}
+	}
+}
+
+// restartNode ends a process and starts it again after a pause.
+func (w *world) restartNode(n *node, s syscall.Signal, pause time.Duration) {
+	n.mu.Lock()
+	exited := n.exited
+	busy := n.expectExit
+	n.mu.Unlock()
+	if busy {
+		return
+	}
+	n.signal(s)
+	if s == syscall.SIGTERM {
+		select {
+		case <-exited:
+		case <-time.After(6 * time.Second):
+			w.check.log("node  %s did not end in its grace period", n.name)
+			n.signal(syscall.SIGKILL)
+		}
+	}
+	<-exited
+	time.Sleep(pause)
+	n.start()
+}
