--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -317,15 +317,15 @@
 	r.Host = "swap.example"
 	t := &http.Transport{DisableKeepAlives: true}
 	response, err := (&http.Client{Transport: t}).Do(r)
-	status := 0
+	status, text := 0, ""
 	if err == nil {
-		_, _ = io.Copy(io.Discard, response.Body)
+		b, _ := io.ReadAll(response.Body)
 		_ = response.Body.Close()
-		status = response.StatusCode
+		status, text = response.StatusCode, string(b)
 	}
 	w.check.mu.Lock()
 	defer w.check.mu.Unlock()
-	w.check.write(time.Now(), fmt.Sprintf("job   %s DELETE answered by %s: %d", j.id, n.name, status))
+	w.check.write(time.Now(), fmt.Sprintf("job   %s DELETE answered by %s: %d %s", j.id, n.name, status, text))
 	w.check.counts[fmt.Sprintf("cancel %d", status)]++
 	if (status/100 == 2 || status == 410) && j.cancelAckedAt.IsZero() {
 		j.cancelAckedAt = time.Now()
--- a/review/standins-3/minion.go
+++ b/review/standins-3/minion.go
@@ -125,11 +125,11 @@
 	m.changed, m.life = make(chan struct{}), make(chan struct{})
 }
 
-// restart begins another life under the same id, of another kind.
-func (m *minion) restart(kind string) {
+// restart begins another life under the same id, of another kind and size.
+func (m *minion) restart(kind string, cpu int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.kind = kind
+	m.kind, m.cpu = kind, cpu
 	m.begin()
 	for n := range m.conns {
 		_ = n.Close()
--- a/review/standins-3/soak.go
+++ b/review/standins-3/soak.go
@@ -157,7 +157,7 @@
 		case "cutlong":
 			go func(d time.Duration) { m.setCut(true); time.Sleep(d); m.setCut(false) }(ms(900, 4000))
 		case "restart":
-			m.restart(string("ab"[r.IntN(2)]))
+			m.restart(string("ab"[r.IntN(2)]), int64(16000+16000*r.IntN(3)))
 		case "late":
 			go func(d time.Duration, x float64) { m.setLate(x); time.Sleep(d); m.setLate(0) }(ms(500, 5000), r.Float64()/2)
 		case "drain":
