--- a/review/standins-3/checker.go
+++ b/review/standins-3/checker.go
@@ -28,6 +28,8 @@
 	sent      int
 	rejected  int
 	completed bool
+	// firstSent and lastSent are when a client sent it.
+	firstSent, lastSent time.Time
 	// cancelAckedAt is when the first DELETE was answered with 2xx or 410.
 	cancelAckedAt time.Time
 }
@@ -42,6 +44,13 @@
 	breaks  []string
 	counts  map[string]int
 	drained map[string]time.Time
+	configs []configRecord
+}
+
+// configRecord is a desired state that the store has acknowledged.
+type configRecord struct {
+	at      time.Time
+	backend string
 }
 
 func newChecker(record string) *checker {
@@ -110,6 +119,19 @@
 			}
 		}
 	}
+	// The latest version that was acknowledged config_ms before the request was sent, and all later ones, allow a service.
+	allowed, first := false, 0
+	for i, v := range c.configs {
+		if v.at.Add(configMs * time.Millisecond).Before(j.firstSent) {
+			first = i
+		}
+	}
+	for _, v := range c.configs[first:] {
+		allowed = allowed || v.backend == m.service
+	}
+	if !allowed {
+		c.breakLocked("CONFIG", "task "+o.Task+" begins at "+m.id+" of service "+m.service)
+	}
 	if s.Requirements != "" && s.Requirements != m.kind {
 		c.breakLocked("ROUTE", "task "+o.Task+" begins at "+m.id+" without label "+s.Requirements)
 	}
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -65,7 +65,11 @@
 	minions []*minion
 	added   int
 	version int64
+	// backend is the service of the route.
+	backend string
 	stopped bool
+	// services is how many services the minions belong to.
+	services int
 }
 
 // node is a VM: a process that runs the command of the deploy file.
@@ -87,12 +91,17 @@
 }
 
 func newWorld(record, binary string, guards bool, nodesPerDC int, minions []int, seed uint64) *world {
+	return newWorldWith(record, binary, guards, nodesPerDC, minions, seed, func(w *world) http.Handler { return w.store })
+}
+
+// newWorldWith is newWorld with a handler in front of the store.
+func newWorldWith(record, binary string, guards bool, nodesPerDC int, minions []int, seed uint64, front func(*world) http.Handler) *world {
 	dir, err := os.MkdirTemp("", "review")
 	must(err)
-	w := &world{check: newChecker(record), store: standin.NewStore(), dir: dir, binary: binary, guards: guards, random: rand.New(rand.NewPCG(seed, 1)), version: 1}
+	w := &world{check: newChecker(record), store: standin.NewStore(), dir: dir, binary: binary, guards: guards, random: rand.New(rand.NewPCG(seed, 1)), version: 1, backend: serviceTag, services: servicesWanted}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
-	w.front = &http.Server{Handler: w.store}
+	w.front = &http.Server{Handler: front(w)}
 	go func() { _ = w.front.Serve(l) }()
 	w.putDesired()
 	dcs := len(minions)
@@ -146,9 +155,13 @@
 }
 
 func (w *world) putDesired() {
-	text := fmt.Sprintf(`{"version":%d,"routes":[{"name":"r1","hostname":"swap.example","path_prefix":"/swap/","route_type":"non_idempotent","timeout_ms":%d,"slo_ms":60,"priority":0,"backend":%q,"max_attempts":3,"stretch":20}],"services":[{"name":%q,"max_connections":64,"rejects_overload":%v}],"limits":{"max_body_bytes":262144}}`,
-		w.version, 5000+w.version, serviceTag, serviceTag, w.guards)
+	text := fmt.Sprintf(`{"version":%d,"routes":[{"name":"r1","hostname":"swap.example","path_prefix":"/swap/","route_type":"non_idempotent","timeout_ms":%d,"slo_ms":60,"priority":0,"backend":%q,"max_attempts":3,"stretch":20}],"services":[{"name":%q,"max_connections":64,"rejects_overload":%v},{"name":%q,"max_connections":64,"rejects_overload":%v}],"limits":{"max_body_bytes":262144}}`,
+		w.version, 5000+w.version, w.backend, serviceTag, w.guards, otherService, w.guards)
 	w.store.Put("op", "config", []byte(text))
+	w.check.mu.Lock()
+	defer w.check.mu.Unlock()
+	w.check.configs = append(w.check.configs, configRecord{at: time.Now(), backend: w.backend})
+	w.check.write(time.Now(), fmt.Sprintf("config version %d acknowledged, backend %s", w.version, w.backend))
 }
 
 func (w *world) addMinion(dc string) *minion {
@@ -156,6 +169,9 @@
 	defer w.mu.Unlock()
 	kind := string("ab"[w.added%2])
 	m := newMinion(w.check, fmt.Sprintf("i-%s-%d", dc, w.added), dc, fmt.Sprintf("r%d", w.added%2), kind, 32000, 1<<17, w.guards, uint64(w.added))
+	if w.services > 1 && w.added%4 >= 2 {
+		m.service = otherService
+	}
 	w.added++
 	w.minions = append(w.minions, m)
 	w.store.Put("servers", m.id, m.row())
@@ -282,6 +298,10 @@
 	r.Header.Set("Sequoiacart-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	w.check.mu.Lock()
 	j.sent++
+	j.lastSent = time.Now()
+	if j.firstSent.IsZero() {
+		j.firstSent = j.lastSent
+	}
 	w.check.write(time.Now(), "job   "+j.id+" sent to "+n.name)
 	w.check.mu.Unlock()
 	t := &http.Transport{DisableKeepAlives: true}
@@ -379,6 +399,9 @@
 	fmt.Println("kept", w.check.counts)
 }
 
+// servicesWanted is how many services the minions of a world belong to.
+var servicesWanted = 1
+
 // options are those of a play.
 type options struct {
 	record, binary string
--- a/review/standins-3/minion.go
+++ b/review/standins-3/minion.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -17,13 +18,18 @@
 
 // Bounds of the pages, in milliseconds.
 const (
-	holdMax    = 1000
-	stopMax    = 50
-	drainMs    = 2000
-	cancelMs   = 3000
-	resendMs   = 1300
-	heartbeat  = 1500
-	serviceTag = "playout"
+	holdMax   = 1000
+	stopMax   = 50
+	drainMs   = 2000
+	cancelMs  = 3000
+	resendMs  = 1300
+	heartbeat = 1500
+	// maxChannels is how many channels a minion takes at a time.
+	maxChannels = 64
+	serviceTag  = "playout"
+	// otherService is a second service.
+	otherService = "other"
+	configMs     = 2000
 )
 
 // spec is the task_spec of a job. Step i of the job takes Steps[i].
@@ -60,6 +66,7 @@
 // minion is a server of the platform as PROTOCOL.md describes it.
 type minion struct {
 	id, dc, rack, kind string
+	service            string
 	cpu, mem           int64
 	guards             bool
 	rate               float64
@@ -82,28 +89,40 @@
 	changed  chan struct{}
 	life     chan struct{}
 	conns    map[net.Conn]bool
+	silent   map[net.Conn]bool
 	// cut is closed when the present cut ends, or nil.
 	cut chan struct{}
 	// late is the share of orders that get no answer and are carried out seconds later.
 	late float64
 	// hangs makes it answer nothing and do nothing, although its connections stay open.
 	draining, gone bool
+	// turned counts the channels above maxChannels.
+	turned int
 }
 
 func newMinion(c *checker, id, dc, rack, kind string, cpu, mem int64, guards bool, seed uint64) *minion {
-	m := &minion{id: id, dc: dc, rack: rack, kind: kind, cpu: cpu, mem: mem, guards: guards, rate: 1 - 0.02*float64(seed%2), check: c, random: rand.New(rand.NewPCG(seed, 5)), conns: map[net.Conn]bool{}}
+	m := &minion{id: id, dc: dc, rack: rack, kind: kind, service: serviceTag, cpu: cpu, mem: mem, guards: guards, rate: 1 - 0.02*float64(seed%2), check: c, random: rand.New(rand.NewPCG(seed, 5)), conns: map[net.Conn]bool{}, silent: map[net.Conn]bool{}}
 	m.begin()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
 	m.listener, m.address = l, l.Addr().String()
-	m.server = &http.Server{Handler: m, ConnState: func(n net.Conn, s http.ConnState) {
+	m.server = &http.Server{Handler: m, ConnContext: func(ctx context.Context, n net.Conn) context.Context { return context.WithValue(ctx, connKey{}, n) }, ConnState: func(n net.Conn, s http.ConnState) {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		switch s {
 		case http.StateNew:
+			if len(m.conns) >= maxChannels {
+				if t, ok := n.(*net.TCPConn); ok {
+					_ = t.SetLinger(0)
+				}
+				_ = n.Close()
+				m.turned++
+				return
+			}
 			m.conns[n] = true
 		case http.StateClosed, http.StateHijacked:
 			delete(m.conns, n)
+			delete(m.silent, n)
 		}
 	}}
 	go func() { _ = m.server.Serve(l) }()
@@ -157,6 +176,17 @@
 	}
 }
 
+type connKey struct{}
+
+// silence makes the present connections go silent for good, without a reset.
+func (m *minion) silence() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for n := range m.conns {
+		m.silent[n] = true
+	}
+}
+
 func (m *minion) setLate(x float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -171,7 +201,7 @@
 		state = "draining"
 	}
 	text, err := json.Marshal(map[string]any{
-		"backend": serviceTag, "address": m.address, "zone": m.dc, "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0,
+		"backend": m.service, "address": m.address, "zone": m.dc, "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0,
 		"sequence": time.Now().UnixMilli(), "labels": []string{m.kind, m.rack}, "capacity": map[string]int64{"cpu": m.cpu, "mem_mb": m.mem, "gpu": 0}, "born": m.born,
 	})
 	must(err)
@@ -196,9 +226,13 @@
 
 // passCut waits until messages pass, and reports false if the sender has gone before.
 func (m *minion) passCut(r *http.Request) bool {
+	n, _ := r.Context().Value(connKey{}).(net.Conn)
 	for {
 		m.mu.Lock()
 		cut := m.cut
+		if m.silent[n] {
+			cut = make(chan struct{})
+		}
 		m.mu.Unlock()
 		if cut == nil {
 			return r.Context().Err() == nil
--- a/review/standins-3/relay.go
+++ b/review/standins-3/relay.go
@@ -16,12 +16,14 @@
 	mu    sync.Mutex
 	held  chan struct{}
 	conns map[net.Conn]bool
+	// silent are connections that deliver nothing any more.
+	silent map[net.Conn]bool
 }
 
 func newRelay(target string) *relay {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
-	r := &relay{target: target, listener: l, conns: map[net.Conn]bool{}}
+	r := &relay{target: target, listener: l, conns: map[net.Conn]bool{}, silent: map[net.Conn]bool{}}
 	go func() {
 		for {
 			n, err := l.Accept()
@@ -59,6 +61,21 @@
 	}
 }
 
+// silence makes the present connections go silent for good, without a reset.
+func (r *relay) silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for n := range r.conns {
+		r.silent[n] = true
+	}
+}
+
+func (r *relay) isSilent(n net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.silent[n]
+}
+
 func (r *relay) pass() {
 	for {
 		r.mu.Lock()
@@ -78,6 +95,7 @@
 		r.conns[n] = true
 	} else {
 		delete(r.conns, n)
+		delete(r.silent, n)
 	}
 }
 
@@ -102,7 +120,7 @@
 		for {
 			n, err := from.Read(buffer)
 			r.pass()
-			if n > 0 {
+			if n > 0 && !r.isSilent(from) {
 				if _, err := to.Write(buffer[:n]); err != nil {
 					break
 				}
--- a/review/standins-3/soak.go
+++ b/review/standins-3/soak.go
@@ -17,7 +17,10 @@
 
 // soak plays random jobs of all shapes under random disruptions.
 func soak(o options) *world {
-	w := newWorld(o.record, o.binary, o.seed%2 == 0, 3, []int{4, 4}, o.seed)
+	if o.seed%4 >= 2 {
+		servicesWanted = 2
+	}
+	w := newWorld(o.record, o.binary, o.seed%2 == 0, 3, []int{4 * servicesWanted, 4 * servicesWanted}, o.seed)
 	w.awaitReady()
 	ends := time.Now().Add(o.length)
 	var clients sync.WaitGroup
@@ -35,9 +38,34 @@
 		time.Sleep(time.Duration(random.IntN(40)) * time.Millisecond)
 	}
 	clients.Wait()
+	w.checkHealth()
 	return w
 }
 
+// checkHealth checks that each node serves jobs and cancels, some seconds after the last disruption.
+func (w *world) checkHealth() {
+	time.Sleep(6 * time.Second)
+	for i, n := range w.nodes {
+		j := w.newJob(fmt.Sprintf("%016x", 0xfff00000+2*i), []jobStep{{Count: 2, CPU: 2000, Mem: 64, Estimate: 100}}, []int64{100})
+		ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+		status, text := w.send(ctx, n, j, 4*time.Second)
+		stop()
+		if status != 200 {
+			w.check.broken("HEALTH", fmt.Sprintf("%s answers a job with %d %s in calm", n.name, status, text))
+		}
+		c := w.newJob(fmt.Sprintf("%016x", 0xfff00001+2*i), []jobStep{{Count: 1, CPU: 2000, Mem: 64, Estimate: 3000}}, []int64{3000})
+		go func() {
+			ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+			defer stop()
+			w.send(ctx, n, c, 4*time.Second)
+		}()
+		time.Sleep(200 * time.Millisecond)
+		if status := w.cancel(n, c); status/100 != 2 && status != 410 {
+			w.check.broken("HEALTH", fmt.Sprintf("%s answers a DELETE with %d in calm", n.name, status))
+		}
+	}
+}
+
 func (w *world) client(r *rand.Rand, id string) {
 	var steps []jobStep
 	var ms []int64
@@ -69,7 +97,7 @@
 		steps, ms = append(steps, s), append(ms, d)
 	}
 	j := w.newJob(id, steps, ms)
-	if r.IntN(6) == 0 {
+	if r.IntN(cancelOdds) == 0 {
 		after := time.Duration(r.IntN(800)) * time.Millisecond
 		seed := r.Uint64()
 		go func() {
@@ -107,7 +135,7 @@
 }
 
 func (w *world) disturb(r *rand.Rand, until time.Time, which string) {
-	kinds := strings.Fields("kill term stop peer peerreset store storereset storedown latewrites loseanswers cut cutlong restart late drain config herd lead2")
+	kinds := strings.Fields("kill term stop peer peerreset store storereset storedown latewrites loseanswers cut cutlong restart late drain config herd silence silencepeer silencestore hup slow")
 	if which != "" {
 		kinds = strings.Fields(which)
 	}
@@ -185,8 +213,32 @@
 				w.store.Remove("servers", m.id)
 			})
 			w.addMinion(m.dc)
+		case "silence":
+			for _, m := range all {
+				if r.IntN(2) == 0 {
+					m.silence()
+				}
+			}
+		case "silencepeer":
+			n.toPeer.silence()
+		case "silencestore":
+			n.toStore.silence()
+		case "hup":
+			n.signal(syscall.SIGHUP)
+		case "slow":
+			go func(d time.Duration) {
+				for end := time.Now().Add(d); time.Now().Before(end); {
+					n.signal(syscall.SIGSTOP)
+					time.Sleep(40 * time.Millisecond)
+					n.signal(syscall.SIGCONT)
+					time.Sleep(10 * time.Millisecond)
+				}
+			}(ms(500, 5000))
 		case "config":
 			w.version += 3
+			if w.services > 1 && r.IntN(2) == 0 {
+				w.backend = map[string]string{serviceTag: otherService, otherService: serviceTag}[w.backend]
+			}
 			w.putDesired()
 		}
 	}
@@ -214,3 +266,12 @@
 	time.Sleep(pause)
 	n.start()
 }
+
+// cancelOdds is that of how many jobs one is cancelled.
+var cancelOdds = 6
+
+func init() {
+	if os.Getenv("CANCELS") != "" {
+		cancelOdds = 2
+	}
+}
