--- a/review/standins-3/lost_zone.go
+++ b/review/standins-3/lost_zone.go
@@ -38,8 +38,7 @@
 	}
 	// The rows of the minions go after three heartbeat intervals, and contact_ms follows.
 	time.Sleep((3*heartbeat + 3000 + 2000) * time.Millisecond)
-	w.check.log("the cancels begin")
-	w.cancelJobs()
+	w.cancelJobs("after the loss")
 	return w
 }
 
@@ -68,8 +67,7 @@
 		}
 	}
 	time.Sleep((3*heartbeat + 3000 + 2000) * time.Millisecond)
-	w.check.log("the cancels begin")
-	w.cancelJobs()
+	w.cancelJobs("after the removal")
 	if o.trouble {
 		for _, n := range w.nodes {
 			if n.dc != "dc2" {
@@ -79,14 +77,14 @@
 		}
 	}
 	time.Sleep(6 * time.Second)
-	w.check.log("the cancels after the roll begin")
-	w.cancelJobs()
+	w.cancelJobs("after the roll")
 	return w
 }
 
 // cancelJobs lets clients of the first two zones submit jobs and cancel them, and checks that the cancels are
 // acknowledged.
-func (w *world) cancelJobs() {
+func (w *world) cancelJobs(when string) {
+	w.check.log("the cancels %s begin", when)
 	var clients sync.WaitGroup
 	var mu sync.Mutex
 	acked, unacked := 0, 0
@@ -128,7 +126,7 @@
 		time.Sleep(400 * time.Millisecond)
 	}
 	clients.Wait()
-	w.check.log("cancels of accepted jobs: %d acknowledged within ack_ms, %d not", acked, unacked)
+	w.check.log("cancels of accepted jobs %s: %d acknowledged within ack_ms, %d not", when, acked, unacked)
 	if unacked >= 3 && unacked*10 > acked+unacked {
 		w.check.broken("Acks", fmt.Sprintf("%d of %d cancels of accepted jobs have no 2xx or 410 after ack_ms", unacked, acked+unacked))
 	}
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command standins-3 plays the scripts of the case review/11: it starts nodes as processes, and is their
+// Command standins-3 plays the scripts of the cases review/11 and review/12: it starts nodes as processes, and is their
 // platform, their minions and their clients.
 package main
 
@@ -81,12 +81,17 @@
 }
 
 func newWorld(record, binary string, nodesPerDC int, minions []int, seed uint64) *world {
+	return newWorldBehind(record, binary, nodesPerDC, minions, seed, func(w *world) http.Handler { return w.store })
+}
+
+// newWorldBehind is newWorld with a handler in front of the store.
+func newWorldBehind(record, binary string, nodesPerDC int, minions []int, seed uint64, front func(*world) http.Handler) *world {
 	dir, err := os.MkdirTemp("", "review")
 	must(err)
 	w := &world{check: newChecker(record), store: standin.NewStore(), dir: dir, binary: binary, random: rand.New(rand.NewPCG(seed, 1))}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
-	w.front = &http.Server{Handler: w.store}
+	w.front = &http.Server{Handler: front(w)}
 	go func() { _ = w.front.Serve(l) }()
 	w.putDesired()
 	dcs := len(minions)
