link/caller: requests whose connection the VM closes without an answer

Callers saw connections that ended without an answer during a shutdown, and neither logs nor metrics had anything of it. Each connection now knows how far its request has come.

Requests that are answered, or whose caller has gone, are not counted.

--- a/internal/link/caller/connections.go
+++ b/internal/link/caller/connections.go
@@ -22,6 +22,8 @@
 	clock   clock.Clock
 	counter Counter
 	turned  func(TurnedAway)
+	// unanswered is called for each request without an answer; it may be nil.
+	unanswered func(Unanswered)
 	// answerTimeout is how long a caller may take to read an answer; 0 means any time.
 	answerTimeout clock.Millis
 
@@ -35,6 +37,10 @@
 	net.Conn
 	all   *connections
 	state *intake.Connection
+	// exchange and the fields below belong to the lock of all connections. callerGone means that the caller has
+	// disconnected, or has not sent the rest of its headers in time, and closed that this VM has closed the connection.
+	exchange           exchange
+	callerGone, closed bool
 }
 
 // TurnedAway says what a VM has just given up for want of room.
@@ -56,7 +62,7 @@
 )
 
 func newConnections(l net.Listener, i *intake.Intake, c Config) *connections {
-	return &connections{Listener: l, clock: c.Clock, counter: c.Counter, turned: c.TurnedAway, answerTimeout: c.AnswerTimeout, intake: i, byID: make(map[*intake.Connection]*connection)}
+	return &connections{Listener: l, clock: c.Clock, counter: c.Counter, turned: c.TurnedAway, unanswered: c.Unanswered, answerTimeout: c.AnswerTimeout, intake: i, byID: make(map[*intake.Connection]*connection)}
 }
 
 // Accept implements net.Listener. It returns a connection once there is room for it.
@@ -84,7 +90,7 @@
 		c.report(connectionRefused)
 		return nil
 	}
-	n := &connection{Conn: accepted, all: c, state: state}
+	n := &connection{Conn: accepted, all: c, state: state, exchange: awaiting{}}
 	c.byID[state] = n
 	return n
 }
@@ -105,6 +111,13 @@
 	_ = n.Conn.Close()
 }
 
+func (c *connections) reportUnanswered(u Unanswered) {
+	c.counter.Count(unanswered + string(u))
+	if c.unanswered != nil {
+		c.unanswered(u)
+	}
+}
+
 func (c *connections) report(reason string) {
 	c.counter.Count(reason)
 	if c.turned != nil {
@@ -112,24 +125,75 @@
 	}
 }
 
+// Read implements net.Conn.
+func (n *connection) Read(b []byte) (int, error) {
+	count, err := n.Conn.Read(b)
+	n.all.mu.Lock()
+	defer n.all.mu.Unlock()
+	if _, ok := n.exchange.(awaiting); ok && count > 0 {
+		n.exchange = arriving{}
+	}
+	if err != nil && !n.closed {
+		_, isArriving := n.exchange.(arriving)
+		n.callerGone = n.callerGone || isArriving || !errors.Is(err, os.ErrDeadlineExceeded)
+	}
+	return count, err
+}
+
+// Write implements net.Conn.
+func (n *connection) Write(b []byte) (int, error) {
+	n.all.mu.Lock()
+	if _, ok := n.exchange.(arriving); ok {
+		// The server answers itself what it cannot read.
+		n.exchange = answering{}
+	}
+	n.all.mu.Unlock()
+	count, err := n.Conn.Write(b)
+	if err == nil {
+		return count, nil
+	}
+	n.all.mu.Lock()
+	defer n.all.mu.Unlock()
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		n.all.report(answerUnread)
+	case n.closed && !n.callerGone:
+		n.all.reportUnanswered(UnansweredAnswering)
+	}
+	return count, err
+}
+
 // Close implements net.Conn.
 func (n *connection) Close() error {
 	n.all.mu.Lock()
 	n.all.intake.Close(n.state)
 	delete(n.all.byID, n.state)
+	if !n.closed && !n.callerGone {
+		switch n.exchange.(type) {
+		case arriving:
+			n.all.reportUnanswered(UnansweredArriving)
+		case handling:
+			n.all.reportUnanswered(UnansweredHandling)
+		case awaiting, answering:
+		}
+	}
+	n.closed = true
 	n.all.mu.Unlock()
 	return n.Conn.Close()
 }
 
-// Write implements net.Conn.
-func (n *connection) Write(b []byte) (int, error) {
-	count, err := n.Conn.Write(b)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		n.all.mu.Lock()
-		defer n.all.mu.Unlock()
-		n.all.report(answerUnread)
+// enter records what the connection does from now on.
+func (n *connection) enter(e exchange) {
+	n.all.mu.Lock()
+	defer n.all.mu.Unlock()
+	n.exchange = e
+}
+
+// trackAnswers records when the server has written an answer and waits for the next request.
+func trackAnswers(c net.Conn, state http.ConnState) {
+	if n, ok := c.(*connection); ok && state == http.StateIdle {
+		n.enter(awaiting{})
 	}
-	return count, err
 }
 
 // grow makes room for the buffer of a body.
@@ -192,6 +256,7 @@
 			if !n.update(func(i *intake.Intake, s *intake.Connection, _ clock.Millis) bool { return i.Begin(s) }) {
 				panic(http.ErrAbortHandler)
 			}
+			n.enter(handling{})
 			defer n.endRequest()
 		}
 		next.ServeHTTP(w, r)
@@ -201,6 +266,7 @@
 // endRequest records that a request has been answered. The server writes the answer after that, and then lifts the
 // time limit.
 func (n *connection) endRequest() {
+	n.enter(answering{})
 	if n.all.answerTimeout > 0 {
 		// An error means that the connection is closed already.
 		_ = n.SetWriteDeadline(time.Now().Add(n.all.answerTimeout.Duration()))
--- a/internal/link/caller/server.go
+++ b/internal/link/caller/server.go
@@ -47,6 +47,9 @@
 	AnswerTimeout clock.Millis
 	// TurnedAway is called for what is given up for want of room; it may be nil. It must not block.
 	TurnedAway func(TurnedAway)
+	// Unanswered is called when this VM closes the connection of a caller whose request it has begun to read, without
+	// a whole answer; it may be nil. It must not block.
+	Unanswered func(Unanswered)
 	// Tracer records a span for each job; nil records none.
 	Tracer *trace.Tracer
 }
@@ -101,7 +104,7 @@
 	e.DELETE("/*", s.cancel)
 	s.listener = newConnections(c.Listener, intake.New(c.Intake), c)
 	s.http = &http.Server{
-		Handler: trackRequests(e), ConnContext: connContext, MaxHeaderBytes: maxHeaderBytes,
+		Handler: trackRequests(e), ConnContext: connContext, ConnState: trackAnswers, MaxHeaderBytes: maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
 	}
 	return s
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -194,7 +194,7 @@
 	if err != nil {
 		return errors.Annotate(err, "start VM: listen for callers")
 	}
-	d.callers = caller.NewServer(caller.Config{Listener: network.Listener{Listener: callers, Link: d.link}, Local: d.loop, Counter: d.meter, Clock: d.config.Clock, Intake: s.Intake(), Limits: s.JobLimits(), AnswerTimeout: s.AnswerTimeout, TurnedAway: d.logger.callerTurnedAway, Tracer: d.tracer})
+	d.callers = caller.NewServer(caller.Config{Listener: network.Listener{Listener: callers, Link: d.link}, Local: d.loop, Counter: d.meter, Clock: d.config.Clock, Intake: s.Intake(), Limits: s.JobLimits(), AnswerTimeout: s.AnswerTimeout, TurnedAway: d.logger.callerTurnedAway, Unanswered: d.logger.callerUnanswered, Tracer: d.tracer})
 	if d.readyListener, err = net.Listen("tcp", s.ReadyAddress); err != nil {
 		return errors.Annotate(err, "start VM: listen for the load balancer")
 	}
--- a/internal/process/daemon/event_logger.go
+++ b/internal/process/daemon/event_logger.go
@@ -217,6 +217,13 @@
 	})
 }
 
+// callerUnanswered logs that the VM has closed a connection with a request in it.
+func (l *eventLogger) callerUnanswered(u caller.Unanswered) {
+	l.enqueue(func() {
+		l.log.Warn(event.CallerUnanswered, "request without an answer", logrus.Fields{"peer": "callers", "reason": u})
+	})
+}
+
 // endpointUnreadable counts an endpoint row that cannot be decoded, and may log it.
 func (l *eventLogger) endpointUnreadable(key string, err error, logged bool) {
 	l.meter.Count("endpoints.unreadable")
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -48,6 +48,7 @@
 	CallFailed          Number = "SQ-7030"
 	EndpointUnreadable  Number = "SQ-7031"
 	CallersTurnedAway   Number = "SQ-7032"
+	CallerUnanswered    Number = "SQ-7033"
 )
 
 // Config configures a Log.
