link/caller: requests that are read during a shutdown are answered

Callers saw LOST: a VM with little processor read a request more than 200 ms after it was sent, long after SIGTERM, and closed the connection without an answer.

Cause: after half of the grace period the VM called http.Server.Shutdown. From then on net/http still reads what arrives on open connections, and closes them without calling the handler. What was accepted before had no relation to the time left, and after the last answers the control loop took jobs as before, which nobody ended.

Why this works: connections are closed by this VM only when no byte of a request has been read on them, after a last read, so that whatever was read reaches a handler. A handler always answers: the control loop takes a job only if its limit, or three times its objective, ends before the last answers, and refuses everything after them; bodies that are still arriving then are given up with a refusal. All times of the shutdown count from SIGTERM: a pause of 0.6 s had moved the last answers to 5.9 s and the end to 6.1 s of 6.

--- a/internal/control/node/cancellations.go
+++ b/internal/control/node/cancellations.go
@@ -74,6 +74,10 @@
 // handleCancelRequested stores a cancellation and tells the leaders of all shards, and the members of their replica sets, any of which
 // may be the next leader.
 func (n *Control) handleCancelRequested(e CancelRequested) {
+	if _, ok := n.stage.(overdue); ok {
+		e.Done <- CancelUnconfirmed{Reason: job.Draining}
+		return
+	}
 	if n.config.MaxCancelWaiters > 0 && n.cancelWaiters >= n.config.MaxCancelWaiters {
 		e.Done <- CancelUnconfirmed{Reason: job.TooManyCancellations}
 		return
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -120,10 +120,8 @@
 	// seeds are queried in rotation; the next query is due at nextSeedQueryAt.
 	seeds           []string
 	nextSeedQueryAt clock.Millis
-	// shutdown says that the VM hands over its shards and accepts no new ones, since shutdownAt.
-	shutdown   bool
-	shutdownAt clock.Millis
-	actions    []Action
+	stage           stage
+	actions         []Action
 }
 
 // heartbeat is a heartbeat of another VM, or its answer to one.
@@ -174,7 +172,7 @@
 // New returns the control state of a VM that has not received any data yet.
 func New(c Config) *Control {
 	n := &Control{
-		config: c, now: c.Now, lastMissingAt: c.Now,
+		config: c, now: c.Now, lastMissingAt: c.Now, stage: serving{},
 		leaderBounds: leader.Bounds{Memory: job.NewMemoryBudget(c.JobMemory), TasksPerEndpoint: c.TasksPerEndpoint, Calls: c.MaxCalls},
 		monitors:     make(map[shard.ID]*failover.Monitor), ledShards: make(map[shard.ID]*ledShard),
 		missingSince: make(map[datacentre.EndpointID]clock.Millis), unproven: make(map[datacentre.EndpointID]bool), heartbeats: make(map[vm.Incarnation]heartbeat), loads: make(map[shard.ID]shard.Load), probes: make(map[shard.ID]probeState),
@@ -269,12 +267,9 @@
 	case ProbeEnded:
 		n.handleProbeEnded(e)
 	case ShutdownRequested:
-		n.beginShutdown()
+		n.beginShutdown(e.FinishBy)
 	case ShutdownOverdue:
-		n.gateway.EndAll(job.Draining, now)
-		for _, id := range n.shards {
-			n.stepDown(id)
-		}
+		n.endShutdown()
 	case Tick:
 		n.tick()
 	}
@@ -297,12 +292,12 @@
 
 // Ready reports whether callers should be sent here.
 func (n *Control) Ready() bool {
-	return !n.shutdown && n.desired != nil && len(n.Available(n.now)) > 0
+	return !n.isLeaving() && n.desired != nil && len(n.Available(n.now)) > 0
 }
 
 // Idle reports whether no caller waits for this VM and it leads no shard.
 func (n *Control) Idle() bool {
-	return n.gateway.Len() == 0 && len(n.ledShards) == 0
+	return n.gateway.Len() == 0 && n.cancelWaiters == 0 && len(n.ledShards) == 0
 }
 
 // Desired returns the desired state in force, or nil.
@@ -398,6 +393,13 @@
 		close(e.Accepted)
 		return
 	}
+	if !n.takes(&e.Job, limit) {
+		refused := job.Refused{Reason: job.Draining, RetryAfter: clock.Second}
+		e.Ended <- refused
+		close(e.Accepted)
+		n.emit(LogEvent{Topic: JobEnded, Job: e.Job.ID, Outcome: refused, Version: n.desired.Version})
+		return
+	}
 	k := n.gateway.Accept(e.Job, limit, n.leaderWaitLimit(&e.Job), n.now)
 	n.callers[k] = e.Ended
 	e.Accepted <- k
--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -228,10 +228,10 @@
 	Reachable bool
 }
 
-// ShutdownRequested makes the VM hand over the shards that it leads.
-type ShutdownRequested struct{}
+// ShutdownRequested makes the VM hand over the shards that it leads, and refuse the jobs that may last beyond FinishBy.
+type ShutdownRequested struct{ FinishBy clock.Millis }
 
-// ShutdownOverdue ends all jobs and leaderships that remain when the process has to exit.
+// ShutdownOverdue ends all jobs and leaderships that remain when the process has to exit. Nothing is taken after it.
 type ShutdownOverdue struct{}
 
 // Tick triggers periodic work.
--- a/internal/control/node/heartbeats.go
+++ b/internal/control/node/heartbeats.go
@@ -110,7 +110,7 @@
 	revision := n.monitors[id].ReplicaSet().Revision
 	return failover.Environment{
 		ClaimDelay: func() clock.Millis { return n.claimDelay(id) },
-		MayLead:    func() bool { return !n.shutdown && n.mayLead(id) },
+		MayLead:    func() bool { return !n.isLeaving() && n.mayLead(id) },
 		Idle:       func() bool { return n.isIdleAt(id) },
 		Replaced: func(m shard.Member) bool {
 			v, ok := n.vmRecords[m.Incarnation.VM()]
@@ -139,7 +139,7 @@
 // claimDelay is how long this VM waits for better candidates to claim the shard, or -1 if it must
 // not claim it.
 func (n *Control) claimDelay(id shard.ID) clock.Millis {
-	if n.shutdown || n.desired == nil {
+	if n.isLeaving() || n.desired == nil {
 		return -1
 	}
 	rank := slices.IndexFunc(n.candidatesFor(id), func(v shard.VM) bool {
@@ -186,7 +186,7 @@
 	waiting, last := n.gateway.Outstanding(id)
 	r := HeartbeatRequest{
 		Cell: id, From: n.config.Self, Waiting: waiting, LastSeq: last,
-		Revision: n.monitors[id].ReplicaSet().Revision, Leaving: n.shutdown, Clock: n.now,
+		Revision: n.monitors[id].ReplicaSet().Revision, Leaving: n.isLeaving(), Clock: n.now,
 		Crashes: n.crashUpdate(h.To.Incarnation), Evacuations: n.evacuationReport(),
 	}
 	if n.desired != nil {
@@ -213,7 +213,7 @@
 		delete(n.heartbeats, r.From.Incarnation)
 	}
 	monitor := n.monitors[r.Cell]
-	reply := HeartbeatReply{From: n.config.Self.Incarnation, Clock: n.now, EndpointsVersion: n.endpointsVersion, Draining: n.shutdown}
+	reply := HeartbeatReply{From: n.config.Self.Incarnation, Clock: n.now, EndpointsVersion: n.endpointsVersion, Draining: n.isLeaving()}
 	if n.desired != nil {
 		reply.Desired = n.desired.Version
 	}
--- a/internal/control/node/leadership.go
+++ b/internal/control/node/leadership.go
@@ -33,7 +33,7 @@
 // becomeLeader makes this VM the leader of a shard under its rank in the replica set. handedOverBy
 // is the leader before, if it has listed all endpoints with attempts of its jobs.
 func (n *Control) becomeLeader(id shard.ID, set shard.ReplicaSet, rank int, handedOverBy vm.Incarnation) {
-	if n.shutdown || n.ledShards[id] != nil || !n.mayLead(id) {
+	if n.isLeaving() || n.ledShards[id] != nil || !n.mayLead(id) {
 		return
 	}
 	token := set.Token(rank)
@@ -141,7 +141,7 @@
 	if led.leader.Token() != set.Token(0) || len(set.Members) == 1 {
 		interval = firstWriteDelay
 	}
-	if n.shutdown {
+	if n.isLeaving() {
 		// The shard can only be handed over once the replica set names a VM that is running.
 		interval = firstWriteDelay
 	}
@@ -160,7 +160,7 @@
 // saveEstimates writes the performance estimates of a shard to the store, for the leader after a
 // restart.
 func (n *Control) saveEstimates(id shard.ID, led *ledShard) {
-	if n.now-led.savedAt < estimatesSaveInterval || n.shutdown {
+	if n.now-led.savedAt < estimatesSaveInterval || n.isLeaving() {
 		return
 	}
 	led.savedAt = n.now
@@ -175,7 +175,7 @@
 // this one is outside, or one with far more processor capacity. Otherwise a small VM that started
 // first would lead the shard at peak load.
 func (n *Control) moveToBetterSuccessor(id shard.ID, led *ledShard) {
-	if led.yielding || n.shutdown || led.writing || n.now-led.acquiredAt < minLeadershipTime {
+	if led.yielding || n.isLeaving() || led.writing || n.now-led.acquiredAt < minLeadershipTime {
 		return
 	}
 	set := n.monitors[id].ReplicaSet()
@@ -224,16 +224,6 @@
 	}
 }
 
-// beginShutdown starts to hand every shard of this VM to a successor.
-func (n *Control) beginShutdown() {
-	n.shutdown, n.shutdownAt = true, n.now
-	for _, id := range n.shards {
-		if n.ledShards[id] != nil {
-			n.yield(id)
-		}
-	}
-}
-
 // yield asks the next running successor to take over a shard.
 func (n *Control) yield(id shard.ID) {
 	led := n.ledShards[id]
@@ -248,7 +238,7 @@
 			return
 		}
 	}
-	if n.now < n.shutdownAt+n.config.HandOverTimeout {
+	if l, ok := n.stage.(leaving); ok && n.now < l.since+n.config.HandOverTimeout {
 		// During a partition, all members of the replica set may have been replaced while the store
 		// is unavailable for writing a new one. The shard is served until there is a successor.
 		led.lastAskedRank, led.nextYieldAt = 0, n.now+yieldRetryInterval
@@ -282,7 +272,7 @@
 
 // retryYield searches again for a successor of a shard that could not be handed over.
 func (n *Control) retryYield(id shard.ID, led *ledShard) {
-	if n.shutdown && !led.yielding && n.now >= led.nextYieldAt {
+	if n.isLeaving() && !led.yielding && n.now >= led.nextYieldAt {
 		n.yield(id)
 	}
 }
@@ -327,7 +317,7 @@
 		e.Done <- n.ledShards[id].leader.Token() > e.Token
 		return
 	}
-	if n.shutdown || n.desired == nil || !n.isCurrent(e) {
+	if n.isLeaving() || n.desired == nil || !n.isCurrent(e) {
 		e.Done <- false
 		return
 	}
@@ -367,7 +357,7 @@
 	case e.Accepted:
 		n.emit(LogEvent{Topic: LeadershipYielded, Shard: e.Shard, ReplicaSet: n.monitors[e.Shard].ReplicaSet()})
 		n.stepDown(e.Shard)
-	case n.shutdown:
+	case n.isLeaving():
 		n.yield(e.Shard)
 	default:
 		led.acquiredAt = n.now
--- a/internal/control/node/model_vm_test.go
+++ b/internal/control/node/model_vm_test.go
@@ -145,7 +145,7 @@
 	v.world.trace.add(record{vm: v.name, format: "VM shuts down"})
 	life := v.life
 	v.terminatedAt = v.world.now
-	v.post(life, node.ShutdownRequested{})
+	v.post(life, node.ShutdownRequested{FinishBy: v.clock() + clock.Millis(micros(float64(modelGrace)*finishShare)/ms)})
 	v.later(micros(float64(modelGrace)*acceptShare), func() { v.awaitIdle(life) })
 	v.later(micros(float64(modelGrace)*finishShare), func() { v.exit(life) })
 }
--- /dev/null
+++ b/internal/control/node/shutdown.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/pkg/clock"
+)
+
+// stage is how far the process of a VM has come. It is one of the types below.
+type stage interface{ stage() }
+
+// serving means that the VM takes jobs and may lead shards.
+type serving struct{}
+
+// leaving means that the VM hands over its shards since then, and that its process ends. What has no answer at
+// finishBy is given up.
+type leaving struct{ since, finishBy clock.Millis }
+
+// overdue means that the VM has given up all that it had. It takes nothing any more.
+type overdue struct{}
+
+func (serving) stage() {}
+func (leaving) stage() {}
+func (overdue) stage() {}
+
+// usefulObjectives is how many times its objective a job may take until the platform gives nothing for its answer.
+const usefulObjectives = 3
+
+// isLeaving reports whether the process of this VM is going to end, so that it takes over no shard.
+func (n *Control) isLeaving() bool {
+	_, isServing := n.stage.(serving)
+	return !isServing
+}
+
+// takes reports whether this VM takes a job that may last for limit: it must not be given up while its answer is
+// worth something.
+func (n *Control) takes(j *job.Job, limit clock.Millis) bool {
+	switch s := n.stage.(type) {
+	case leaving:
+		return n.now+min(limit, n.usefulTime(j)) <= s.finishBy
+	case overdue:
+		return false
+	case serving:
+	}
+	return true
+}
+
+// usefulTime is how long the answer to a job is worth something. A job of an unknown queue is refused anyway.
+func (n *Control) usefulTime(j *job.Job) clock.Millis {
+	q := n.desired.Queue(j.Queue)
+	if q == nil {
+		return 0
+	}
+	return usefulObjectives * q.Objective(j.CriticalPath(func(s *job.Step) clock.Millis { return s.Estimate }))
+}
+
+// beginShutdown starts to hand every shard of this VM to a successor.
+func (n *Control) beginShutdown(finishBy clock.Millis) {
+	n.stage = leaving{since: n.now, finishBy: finishBy}
+	for _, id := range n.shards {
+		if n.ledShards[id] != nil {
+			n.yield(id)
+		}
+	}
+}
+
+// endShutdown gives up all that this VM has. Each caller gets an answer.
+func (n *Control) endShutdown() {
+	n.stage = overdue{}
+	n.gateway.EndAll(job.Draining, n.now)
+	for _, c := range n.cancelOrder {
+		n.endWaiters(c, CancelUnconfirmed{Reason: job.Draining})
+	}
+	for _, id := range n.shards {
+		n.stepDown(id)
+	}
+}
--- a/internal/link/caller/body.go
+++ b/internal/link/caller/body.go
@@ -9,6 +9,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/sequoiacart/sequoiacart/internal/link/intake"
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/link"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/platform"
@@ -44,7 +45,7 @@
 	if !n.update(func(i *intake.Intake, state *intake.Connection, now clock.Millis) bool {
 		return i.BeginBody(state, now)
 	}) {
-		return reject(platform.Refusal(bodyTooSlow, clock.Second))
+		return reject(s.bodyGivenUp())
 	}
 	body, response := s.fill(n, r, maxBytes)
 	isWhole := response == nil && int64(len(body)) <= maxBytes
@@ -53,7 +54,7 @@
 	}
 	switch kept := n.endBody(); {
 	case !kept:
-		return reject(platform.Refusal(bodyTooSlow, clock.Second))
+		return reject(s.bodyGivenUp())
 	case response != nil:
 		return reject(*response)
 	case !isWhole:
@@ -62,6 +63,14 @@
 	return nil
 }
 
+// bodyGivenUp is the response to a request whose body was given up for others, or since the process ends.
+func (s *Server) bodyGivenUp() platform.Response {
+	if !s.listener.isStaying() {
+		return platform.Refusal(string(job.Draining), clock.Second)
+	}
+	return platform.Refusal(bodyTooSlow, clock.Second)
+}
+
 // fill reads a body into a buffer that grows with it.
 func (s *Server) fill(n *connection, r *http.Request, maxBytes int64) ([]byte, *platform.Response) {
 	length := maxBytes
--- a/internal/link/caller/connections.go
+++ b/internal/link/caller/connections.go
@@ -27,9 +27,14 @@
 	// answerTimeout is how long a caller may take to read an answer; 0 means any time.
 	answerTimeout clock.Millis
 
-	mu     sync.Mutex
-	intake *intake.Intake
-	byID   map[*intake.Connection]*connection
+	// empty is closed once the last connection is closed while the process ends.
+	empty chan struct{}
+
+	mu        sync.Mutex
+	intake    *intake.Intake
+	byID      map[*intake.Connection]*connection
+	departure departure
+	isEmpty   bool
 }
 
 // connection is the connection of a caller.
@@ -62,7 +67,7 @@
 )
 
 func newConnections(l net.Listener, i *intake.Intake, c Config) *connections {
-	return &connections{Listener: l, clock: c.Clock, counter: c.Counter, turned: c.TurnedAway, unanswered: c.Unanswered, answerTimeout: c.AnswerTimeout, intake: i, byID: make(map[*intake.Connection]*connection)}
+	return &connections{Listener: l, clock: c.Clock, counter: c.Counter, turned: c.TurnedAway, unanswered: c.Unanswered, answerTimeout: c.AnswerTimeout, intake: i, byID: make(map[*intake.Connection]*connection), empty: make(chan struct{}), departure: staying{}}
 }
 
 // Accept implements net.Listener. It returns a connection once there is room for it.
@@ -82,6 +87,9 @@
 func (c *connections) open(accepted net.Conn) *connection {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.isEmpty {
+		return nil
+	}
 	state, given := c.intake.Open(c.clock.Now())
 	if given != nil {
 		c.cut(given, connectionCut)
@@ -108,6 +116,7 @@
 		return
 	}
 	delete(c.byID, given)
+	c.checkEmpty()
 	_ = n.Conn.Close()
 }
 
@@ -125,21 +134,6 @@
 	}
 }
 
-// Read implements net.Conn.
-func (n *connection) Read(b []byte) (int, error) {
-	count, err := n.Conn.Read(b)
-	n.all.mu.Lock()
-	defer n.all.mu.Unlock()
-	if _, ok := n.exchange.(awaiting); ok && count > 0 {
-		n.exchange = arriving{}
-	}
-	if err != nil && !n.closed {
-		_, isArriving := n.exchange.(arriving)
-		n.callerGone = n.callerGone || isArriving || !errors.Is(err, os.ErrDeadlineExceeded)
-	}
-	return count, err
-}
-
 // Write implements net.Conn.
 func (n *connection) Write(b []byte) (int, error) {
 	n.all.mu.Lock()
@@ -168,6 +162,7 @@
 	n.all.mu.Lock()
 	n.all.intake.Close(n.state)
 	delete(n.all.byID, n.state)
+	n.all.checkEmpty()
 	if !n.closed && !n.callerGone {
 		switch n.exchange.(type) {
 		case arriving:
--- a/internal/link/caller/server.go
+++ b/internal/link/caller/server.go
@@ -68,7 +68,6 @@
 	draining  atomic.Bool
 	closed    chan struct{}
 	closeOnce sync.Once
-	inFlight  atomic.Int64
 	// decoding is held while a large body is decoded, which takes several times its length.
 	decoding sync.Mutex
 }
@@ -110,11 +109,11 @@
 	return s
 }
 
-// Serve accepts connections and answers requests. It returns after Close, not after Shutdown,
-// which closes the listener at once while requests are still in flight.
+// Serve accepts connections and answers requests. It returns after Close, not after Leave, which closes the listener
+// while requests are still in flight.
 func (s *Server) Serve() error {
 	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || !s.listener.isStaying() {
 		<-s.closed
 		return nil
 	}
@@ -124,12 +123,6 @@
 // Drain closes each connection after its next response, so that callers connect to other VMs.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// InFlight returns the number of submissions that have no response yet.
-func (s *Server) InFlight() int64 { return s.inFlight.Load() }
-
-// Shutdown closes the listener and idle connections, and waits for the requests in flight.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
-
 // Close closes all connections.
 func (s *Server) Close() {
 	_ = s.http.Close()
@@ -165,8 +158,6 @@
 }
 
 func (s *Server) submit(c echo.Context) error {
-	s.inFlight.Add(1)
-	defer s.inFlight.Add(-1)
 	desired, q, id, response := s.match(c)
 	if response != nil {
 		return s.writeResponse(c, *response)
--- a/internal/link/caller/server_test.go
+++ b/internal/link/caller/server_test.go
@@ -105,9 +105,10 @@
 		t.Errorf("got trace %q, want the caller's %q", got, want)
 	}
 	s.Drain()
+	s.Leave()
 	shut := make(chan error, 1)
-	go func() { shut <- s.Shutdown(t.Context()) }()
-	// Shutdown closes the listener first; from then on a plain http.Server.Serve returns.
+	go func() { shut <- s.AwaitClosed(t.Context()) }()
+	// The listener is closed; from then on a plain http.Server.Serve returns.
 	for {
 		c, err := net.DialTimeout("tcp", listener.Addr().String(), time.Second)
 		if err != nil {
@@ -158,7 +159,8 @@
 		t.Fatalf("got a job before it is known that its caller still waits")
 	}
 	_ = c.Close()
-	if err := s.Shutdown(t.Context()); err != nil {
+	s.Leave()
+	if err := s.AwaitClosed(t.Context()); err != nil {
 		t.Errorf("got %v from the shutdown, want nil", err)
 	}
 	if len(l.jobs) != 0 {
--- a/internal/link/intake/intake.go
+++ b/internal/link/intake/intake.go
@@ -33,6 +33,8 @@
 	connections []*Connection
 	// buffered is the size of the buffers of all bodies.
 	buffered link.Bytes
+	// sealed means that no body is read any more.
+	sealed bool
 }
 
 // Connection is an open connection of a caller.
@@ -54,7 +56,7 @@
 // running means that a request is being answered.
 type running struct{}
 
-// leaving means that a body was given up for another since then. The connection is open until its caller has been
+// leaving means that a body was given up since then, for another or with all. The connection is open until its caller has been
 // told so.
 type leaving struct{ since clock.Millis }
 
@@ -111,9 +113,23 @@
 
 // BeginBody records that the body of a request is going to be read.
 func (i *Intake) BeginBody(c *Connection, now clock.Millis) bool {
+	if i.sealed {
+		i.enter(c, leaving{since: now})
+		return false
+	}
 	return i.enter(c, &reading{paidUntil: now + rateWindow})
 }
 
+// Seal gives up all bodies that are being read, and those that would be read later.
+func (i *Intake) Seal(now clock.Millis) {
+	i.sealed = true
+	for _, c := range i.connections {
+		if i.IsReading(c) {
+			i.enter(c, leaving{since: now})
+		}
+	}
+}
+
 // EndBody records that a body has been read and decoded, or given up, and that its buffer is free. It reports false if
 // the connection was cut before.
 func (i *Intake) EndBody(c *Connection) bool { return i.enter(c, running{}) }
--- a/internal/process/daemon/run.go
+++ b/internal/process/daemon/run.go
@@ -14,19 +14,22 @@
 )
 
 const (
-	// acceptShare is the part of the grace period during which jobs are still accepted after
-	// SIGTERM. The load balancer stops sending callers after 2.3 s of 6; then idle connections
-	// are closed, so that their callers connect to other VMs.
+	// acceptShare is the part of the grace period during which connections are accepted after
+	// SIGTERM. The load balancer stops sending callers after 2.3 s of 6; then connections without
+	// a request are closed, so that their callers connect to other VMs.
 	acceptShare = 0.5
 	// finishShare is the part of the grace period after which the remaining requests in flight
 	// are answered as stopped, since the platform kills the process at the end of the period.
 	finishShare = 0.9
-	// finalAnswerTimeout is how long writing the last answers may take.
-	finalAnswerTimeout = clock.Millis(200)
+	// answerShare is the part of the grace period by which the last answers have to be written. A
+	// VM with a tenth of a core needs some milliseconds for each.
+	answerShare = 0.97
+	// flushTimeout is how long sending pending spans may take.
+	flushTimeout = clock.Millis(100)
 	// handOverShare is the part of the grace period for finding a successor for a shard. In the
 	// rest of it the jobs of the shard can still be moved to another leader.
 	handOverShare = 0.7
-	// drainPollInterval is how often the shutdown checks whether the last request has ended.
+	// drainPollInterval is how often the shutdown checks whether the last shard has been handed over.
 	drainPollInterval = clock.Millis(25)
 )
 
@@ -79,9 +82,9 @@
 	return err
 }
 
-// flushSpans sends pending spans. It takes finalAnswerTimeout at most.
+// flushSpans sends pending spans. It takes flushTimeout at most.
 func (d *Daemon) flushSpans() {
-	ctx, cancel := context.WithTimeout(context.Background(), finalAnswerTimeout.Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout.Duration())
 	defer cancel()
 	if err := d.tracer.Shutdown(ctx); err != nil {
 		d.logger.callFailed("send spans", "collector", err)
@@ -89,24 +92,30 @@
 }
 
 // drain makes the VM not ready for the load balancer, hands over its shards, and waits for the
-// requests in flight.
+// requests in flight. All its times are counted from its beginning, so that a late processor does
+// not move the end beyond the grace period.
 func (d *Daemon) drain() {
-	d.loop.Post(node.ShutdownRequested{})
+	began := d.config.Clock.Now()
+	at := func(share float64) clock.Millis {
+		return began + clock.Millis(float64(d.config.Settings.GracePeriod)*share)
+	}
+	left := func(share float64) clock.Millis { return at(share) - d.config.Clock.Now() }
+	d.loop.Post(node.ShutdownRequested{FinishBy: at(finishShare)})
 	d.callers.Drain()
-	grace := float64(d.config.Settings.GracePeriod)
-	background := context.Background()
-	sleep(background, clock.Millis(grace*acceptShare))
-	closed := make(chan error, 1)
-	ctx, cancel := context.WithTimeout(background, (clock.Millis(grace*(finishShare-acceptShare)) + finalAnswerTimeout).Duration())
-	defer cancel()
-	go func() { closed <- d.callers.Shutdown(ctx) }()
-	finish, done := context.WithTimeout(background, clock.Millis(grace*(finishShare-acceptShare)).Duration())
+	sleep(context.Background(), left(acceptShare))
+	d.callers.Leave()
+	finish, done := context.WithTimeout(context.Background(), left(finishShare).Duration())
 	defer done()
-	for finish.Err() == nil && (d.callers.InFlight() > 0 || !d.loop.idle.Load()) {
+	// An error means that the time is over.
+	_ = d.callers.AwaitClosed(finish)
+	for finish.Err() == nil && !d.loop.idle.Load() {
 		sleep(finish, drainPollInterval)
 	}
 	d.loop.Post(node.ShutdownOverdue{})
-	if err := <-closed; err != nil {
+	d.callers.Finish()
+	answer, cancel := context.WithTimeout(context.Background(), left(answerShare).Duration())
+	defer cancel()
+	if err := d.callers.AwaitClosed(answer); err != nil {
 		d.logger.callFailed("finish requests", "callers", err)
 	}
 }
