link/caller: bodies that stand still are refused with the last answers

Callers that had sent all but the end of a body saw their connection close without an answer 5.8 s after SIGTERM, and held the process until 97 % of the grace period.

Cause: the bodies were given up before the connections were chosen whose read has to end, and a connection whose body is given up passed for one that has its whole request.

Found by the review of the incident.

Why this works: the connections are chosen before the bodies are given up.

--- a/internal/link/caller/leave.go
+++ b/internal/link/caller/leave.go
@@ -69,12 +69,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.departure = departed{}
-	c.intake.Seal(c.clock.Now())
 	for _, n := range c.byID {
 		if !n.isServed() {
 			n.expireRead(0)
 		}
 	}
+	c.intake.Seal(c.clock.Now())
 }
 
 func (c *connections) isStaying() bool {
--- a/internal/link/caller/leave_test.go
+++ b/internal/link/caller/leave_test.go
@@ -148,6 +148,7 @@
 
 		s.Drain()
 		s.Leave()
+		finished := time.Now()
 		s.Finish()
 		response, err := http.ReadResponse(bufio.NewReader(body), nil)
 		if err != nil {
@@ -159,6 +160,9 @@
 		if got, _ := statusOf(headers); got != 0 {
 			t.Errorf("got %d for headers that are not whole, want the end of the connection", got)
 		}
+		if got := time.Since(finished); got != 0 {
+			t.Errorf("got the requests that stand still given up after %s, want it at once", got)
+		}
 		j.Ended <- job.Stopped{Reason: job.Draining}
 		if got, _ := statusOf(running); got != http.StatusBadGateway {
 			t.Errorf("got %d for a job that was stopped, want 502", got)
--- a/internal/soak/fleet/shutdown_test.go
+++ b/internal/soak/fleet/shutdown_test.go
@@ -81,6 +81,7 @@
 		{"headers arrive too late for the work", 2500 * ms, []part{{2800 * ms, 1}, {5000 * ms, allBytes}}, long, []int{http.StatusServiceUnavailable}},
 		{"body ends in time", 900 * ms, []part{{2500 * ms, butLastByte}, {3800 * ms, allBytes}}, short, []int{http.StatusOK}},
 		{"body ends too late for the work", 900 * ms, []part{{2500 * ms, butLastByte}, {5000 * ms, allBytes}}, long, []int{http.StatusServiceUnavailable}},
+		{"body stands still", 900 * ms, []part{{2500 * ms, butLastByte}}, short, []int{http.StatusServiceUnavailable}},
 		{"body ends after the last answers", 900 * ms, []part{{2500 * ms, butLastByte}, {5450 * ms, allBytes}}, short, []int{http.StatusServiceUnavailable}},
 	}
 	f := newFleet(t, 1)
