daemon: a shutdown is counted from SIGTERM also after a pause

Callers of a VM that had no processor time around SIGTERM got their last answers 6.1 s after it, when the process may have been killed.

Cause: the shutdown counted from the moment at which the process handled the signal.

Evidence: TestShutdownEndsInTimeAfterAPause, with the process stopped from 50 ms before SIGTERM to 700 ms after it, got the refusal after 6.10 s of 6 before.

Why this works: the loop knows when the VM was last seen running, which is before the signal if the VM was paused when it came. A long pause counts for half of the grace period at most, as it may have ended before the signal.

--- a/internal/process/daemon/run.go
+++ b/internal/process/daemon/run.go
@@ -92,10 +92,10 @@
 }
 
 // drain makes the VM not ready for the load balancer, hands over its shards, and waits for the
-// requests in flight. All its times are counted from its beginning, so that a late processor does
-// not move the end beyond the grace period.
+// requests in flight. All its times are counted from SIGTERM, so that a late processor does not move
+// the end beyond the grace period.
 func (d *Daemon) drain() {
-	began := d.config.Clock.Now()
+	began := d.signalledAt()
 	at := func(share float64) clock.Millis {
 		return began + clock.Millis(float64(d.config.Settings.GracePeriod)*share)
 	}
@@ -120,6 +120,13 @@
 	}
 }
 
+// signalledAt returns the earliest time at which SIGTERM may have been sent: the beginning of a pause that
+// the VM has just had. No more than acceptShare counts, since the pause may also have ended before.
+func (d *Daemon) signalledAt() clock.Millis {
+	now := d.config.Clock.Now()
+	return max(d.loop.waitsSince(now), now-clock.Millis(float64(d.config.Settings.GracePeriod)*acceptShare))
+}
+
 // watchSettings reads the settings again after SIGHUP. Only the rate limit of the log is
 // applied; all other settings, such as addresses, need a restart.
 func (d *Daemon) watchSettings(ctx context.Context) error {
--- a/internal/soak/fleet/shutdown_test.go
+++ b/internal/soak/fleet/shutdown_test.go
@@ -125,3 +125,36 @@
 		t.Log(n.tail(20))
 	}
 }
+
+// Guards against a shutdown that is counted from the end of a pause in which SIGTERM was sent, and that goes on until
+// the process is killed.
+func TestShutdownEndsInTimeAfterAPause(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	const ms, gracePeriod = time.Millisecond, 6 * time.Second
+	f := newFleet(t, 1)
+	f.awaitReady()
+	n := f.vms[len(f.vms)-1]
+	stands := shutdownRequest{openAt: -500 * ms, sendAt: []part{{-400 * ms, butLastByte}}}
+	signalled := time.Now().Add(700 * ms)
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		got, err := stands.answer(n.callerAddress, 1, signalled)
+		if took := time.Since(signalled); got != http.StatusServiceUnavailable || took > gracePeriod {
+			t.Errorf("got answer %d (%v) after %s, want %d within %s", got, err, took, http.StatusServiceUnavailable, gracePeriod)
+		}
+	}()
+	time.Sleep(time.Until(signalled.Add(-50 * ms)))
+	n.signal(syscall.SIGSTOP)
+	time.Sleep(time.Until(signalled))
+	n.signal(syscall.SIGTERM)
+	time.Sleep(700 * ms)
+	n.signal(syscall.SIGCONT)
+	<-answered
+	<-n.exited
+	if got := time.Since(signalled); got > gracePeriod {
+		t.Errorf("got the end of the process after %s, want it within %s", got, gracePeriod)
+	}
+}
