node: a job that is sent again in a shutdown is not said to have run nowhere

Callers that sent a job again to a VM that was shutting down got 503, which says that nothing has run, while the VM still held their earlier request.

Cause: the VM decided whether it takes a job before it looked whether it has it.

Evidence: TestJobSentAgainInAShutdownMayHaveRun got a refusal before.

Why this works: the gateway knows the jobs whose requests wait; such a job is answered as stopped (502), as anywhere else.

--- a/internal/control/gateway/gateway.go
+++ b/internal/control/gateway/gateway.go
@@ -441,6 +441,9 @@
 	}
 }
 
+// Has reports whether a job has a request that waits for its end.
+func (g *Gateway) Has(j job.ID) bool { return g.requests[j] != nil }
+
 // Cancel ends a job that its caller has cancelled, and reports whether it was here.
 func (g *Gateway) Cancel(c job.Cancellation, now clock.Millis) bool {
 	r := g.requests[c.Job]
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -394,10 +394,10 @@
 		return
 	}
 	if !n.takes(&e.Job, limit) {
-		refused := job.Refused{Reason: job.Draining, RetryAfter: clock.Second}
-		e.Ended <- refused
+		outcome := n.draining(&e.Job)
+		e.Ended <- outcome
 		close(e.Accepted)
-		n.emit(LogEvent{Topic: JobEnded, Job: e.Job.ID, Outcome: refused, Version: n.desired.Version})
+		n.emit(LogEvent{Topic: JobEnded, Job: e.Job.ID, Outcome: outcome, Version: n.desired.Version})
 		return
 	}
 	k := n.gateway.Accept(e.Job, limit, n.leaderWaitLimit(&e.Job), n.now)
--- a/internal/control/node/shutdown.go
+++ b/internal/control/node/shutdown.go
@@ -44,6 +44,15 @@
 	return true
 }
 
+// draining is the outcome of a job that this VM does not take. One that is sent again may be running for its earlier
+// request.
+func (n *Control) draining(j *job.Job) job.Outcome {
+	if n.gateway.Has(j.ID) {
+		return job.Stopped{Reason: job.Draining}
+	}
+	return job.Refused{Reason: job.Draining, RetryAfter: clock.Second}
+}
+
 // usefulTime is how long the answer to a job is worth something. A job of an unknown queue is refused anyway.
 func (n *Control) usefulTime(j *job.Job) clock.Millis {
 	q := n.desired.Queue(j.Queue)
--- a/internal/control/node/shutdown_test.go
+++ b/internal/control/node/shutdown_test.go
@@ -62,6 +62,21 @@
 	}
 }
 
+// Guards against a refusal that says of a job which is sent again that it has not run, while its earlier request is
+// still held.
+func TestJobSentAgainInAShutdownMayHaveRun(t *testing.T) {
+	const id, estimate, limit = "0000000000000001", 1000, 30_000
+	h := withLeaders(t)
+	if o := h.offer(id, estimate, limit); o != nil {
+		t.Fatalf("got %v, want the job taken", o)
+	}
+	h.handle(ShutdownRequested{FinishBy: h.now + 5400})
+	h.advance(4 * clock.Second)
+	if o, ok := h.offer(id, estimate, limit).(job.Stopped); !ok || o.Reason != job.Draining {
+		t.Errorf("got %v, want the job stopped, as it may run", o)
+	}
+}
+
 // Guards against jobs and cancellations that arrive after the last answers of a shutdown, and wait for one until the
 // process is killed.
 func TestNothingIsTakenAfterTheLastAnswers(t *testing.T) {
