node: work that ends well before the process is taken in a shutdown

Callers of jobs of more than 1.1 s got 503 from the first moment of a shutdown on, although work of 1.1 s ends before the last answers if it arrives in the first seconds, while the load balancer still sends callers.

Cause: a job had to end within three times its objective, after which its answer is worth nothing. Admission lets no job in that misses its objective by its estimate.

Evidence: the row "work of a second in the first seconds" of TestJobsThatOutlastTheProcessAreRefused failed before. The bounds of the two rows beside it follow from the new factor.

--- a/internal/control/node/shutdown.go
+++ b/internal/control/node/shutdown.go
@@ -22,8 +22,9 @@
 func (leaving) stage() {}
 func (overdue) stage() {}
 
-// usefulObjectives is how many times its objective a job may take until the platform gives nothing for its answer.
-const usefulObjectives = 3
+// longestObjectives is how many times its objective a job is expected to take at most. It is admitted only if it meets
+// its objective by its estimate, which its work exceeds by up to 40 %.
+const longestObjectives = 2
 
 // isLeaving reports whether the process of this VM is going to end, so that it takes over no shard.
 func (n *Control) isLeaving() bool {
@@ -31,12 +32,12 @@
 	return !isServing
 }
 
-// takes reports whether this VM takes a job that may last for limit: it must not be given up while its answer is
-// worth something.
+// takes reports whether this VM takes a job that may last for limit: it must not be given up by the end of
+// the process.
 func (n *Control) takes(j *job.Job, limit clock.Millis) bool {
 	switch s := n.stage.(type) {
 	case leaving:
-		return n.now+min(limit, n.usefulTime(j)) <= s.finishBy
+		return n.now+min(limit, n.longestTime(j)) <= s.finishBy
 	case overdue:
 		return false
 	case serving:
@@ -53,13 +54,13 @@
 	return job.Refused{Reason: job.Draining, RetryAfter: clock.Second}
 }
 
-// usefulTime is how long the answer to a job is worth something. A job of an unknown queue is refused anyway.
-func (n *Control) usefulTime(j *job.Job) clock.Millis {
+// longestTime is how long a job is expected to take at most. A job of an unknown queue is refused anyway.
+func (n *Control) longestTime(j *job.Job) clock.Millis {
 	q := n.desired.Queue(j.Queue)
 	if q == nil {
 		return 0
 	}
-	return usefulObjectives * q.Objective(j.CriticalPath(func(s *job.Step) clock.Millis { return s.Estimate }))
+	return longestObjectives * q.Objective(j.CriticalPath(func(s *job.Step) clock.Millis { return s.Estimate }))
 }
 
 // beginShutdown starts to hand every shard of this VM to a successor.
