connection: a package for connections that end without dropping a request

The product's own front has the same fault as the VM's, so what both need moves from internal/link/caller to pkg/connection: what a connection does for its caller, and how it is closed while the process ends. A handler now says when it reads a body, in place of a look at the intake, which also knows bodies that were given up. The intake and its counters stay where they are. No change of behaviour.

--- a/internal/link/caller/body.go
+++ b/internal/link/caller/body.go
@@ -47,7 +47,9 @@
 	}) {
 		return reject(s.bodyGivenUp())
 	}
+	n.Receive()
 	body, response := s.fill(n, r, maxBytes)
+	n.Received()
 	isWhole := response == nil && int64(len(body)) <= maxBytes
 	if isWhole && n.update(func(i *intake.Intake, state *intake.Connection, _ clock.Millis) bool { return i.IsReading(state) }) {
 		use(body)
@@ -65,14 +67,14 @@
 
 // bodyGivenUp is the response to a request whose body was given up for others, or since the process ends.
 func (s *Server) bodyGivenUp() platform.Response {
-	if !s.listener.isStaying() {
+	if !s.listener.IsStaying() {
 		return platform.Refusal(string(job.Draining), clock.Second)
 	}
 	return platform.Refusal(bodyTooSlow, clock.Second)
 }
 
 // fill reads a body into a buffer that grows with it.
-func (s *Server) fill(n *connection, r *http.Request, maxBytes int64) ([]byte, *platform.Response) {
+func (s *Server) fill(n *callerConn, r *http.Request, maxBytes int64) ([]byte, *platform.Response) {
 	length := maxBytes
 	if r.ContentLength >= 0 {
 		length = r.ContentLength
--- a/internal/link/caller/body_test.go
+++ b/internal/link/caller/body_test.go
@@ -13,6 +13,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/link/intake"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/platform/standin"
 )
 
 // counts is a Counter that tells of each count.
@@ -179,9 +180,14 @@
 // Guards against a body that had to give way and is counted as refused too, once its handler asks for a larger buffer.
 func TestCutBodyIsCountedOnce(t *testing.T) {
 	now, counted := clock.NewManual(clock.Hour), &counts{byName: make(map[string]int)}
-	all := newConnections(nil, intake.New(intake.Config{MaxConnections: 2, MaxBodyBytes: firstBodyBytes, MinBodyRate: 16}), Config{Clock: now, Counter: counted})
-	read := func() *connection {
-		accepted, _ := net.Pipe()
+	listener := standin.NewPipeListener()
+	all := newConnections(intake.New(intake.Config{MaxConnections: 2, MaxBodyBytes: firstBodyBytes, MinBodyRate: 16}), Config{Listener: listener, Clock: now, Counter: counted})
+	read := func() *callerConn {
+		go func() { _, _ = listener.DialContext(t.Context(), "", "") }()
+		accepted, err := all.AcceptConn()
+		if err != nil {
+			t.Fatal(err)
+		}
 		n := all.open(accepted)
 		n.update(func(i *intake.Intake, s *intake.Connection, now clock.Millis) bool {
 			return i.Begin(s) && i.BeginBody(s, now)
--- a/internal/link/caller/leave_test.go
+++ b/internal/link/caller/leave_test.go
@@ -15,6 +15,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/link/intake"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/connection"
 	"github.com/sequoiacart/sequoiacart/platform/standin"
 )
 
@@ -58,7 +59,7 @@
 	if err := <-s.served; err != nil {
 		t.Errorf("got %v from Serve, want nil", err)
 	}
-	for _, u := range []Unanswered{UnansweredArriving, UnansweredHandling, UnansweredAnswering} {
+	for _, u := range []connection.Unanswered{connection.UnansweredArriving, connection.UnansweredHandling, connection.UnansweredAnswering} {
 		if got := s.counts.of(unanswered + string(u)); got != 0 {
 			t.Errorf("got %d requests without an answer, %s, want none", got, u)
 		}
@@ -111,7 +112,7 @@
 		s.Drain()
 		s.Leave()
 		// On its way when the listener was closed.
-		time.Sleep((lastReadWait / 2).Duration())
+		time.Sleep((connection.LastReadWait / 2).Duration())
 		send(t, late, request())
 		if got, closes := statusOf(late); got != http.StatusOK || !closes {
 			t.Errorf("got %d, closed %v, want 200 and the end of the connection for a request on its way", got, closes)
@@ -122,7 +123,7 @@
 				t.Errorf("%s: got %d bytes, %v, want the end of the connection", name, n, err)
 			}
 		}
-		if got, want := time.Since(begin), 2*lastReadWait.Duration(); got > want {
+		if got, want := time.Since(begin), 2*connection.LastReadWait.Duration(); got > want {
 			t.Errorf("got connections closed after %s, want within %s", got, want)
 		}
 		time.Sleep(time.Second)
--- a/internal/link/caller/server.go
+++ b/internal/link/caller/server.go
@@ -18,6 +18,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/queue"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/connection"
 	"github.com/sequoiacart/sequoiacart/pkg/trace"
 	"github.com/sequoiacart/sequoiacart/platform"
 )
@@ -49,7 +50,7 @@
 	TurnedAway func(TurnedAway)
 	// Unanswered is called when this VM closes the connection of a caller whose request it has begun to read, without
 	// a whole answer; it may be nil. It must not block.
-	Unanswered func(Unanswered)
+	Unanswered func(connection.Unanswered)
 	// Tracer records a span for each job; nil records none.
 	Tracer *trace.Tracer
 }
@@ -101,7 +102,7 @@
 	e.POST("/*", s.submit)
 	e.GET("/*", s.query)
 	e.DELETE("/*", s.cancel)
-	s.listener = newConnections(c.Listener, intake.New(c.Intake), c)
+	s.listener = newConnections(intake.New(c.Intake), c)
 	s.http = &http.Server{
 		Handler: trackRequests(e), ConnContext: connContext, ConnState: trackAnswers, MaxHeaderBytes: maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
@@ -113,7 +114,7 @@
 // while requests are still in flight.
 func (s *Server) Serve() error {
 	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) || !s.listener.isStaying() {
+	if errors.Is(err, http.ErrServerClosed) || !s.listener.IsStaying() {
 		<-s.closed
 		return nil
 	}
@@ -123,6 +124,15 @@
 // Drain closes each connection after its next response, so that callers connect to other VMs.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// Leave closes the listener, and each connection as soon as no request is on it.
+func (s *Server) Leave() { s.listener.Leave() }
+
+// Finish gives up the requests that have not arrived whole. Those whose headers have are refused.
+func (s *Server) Finish() { s.listener.Finish() }
+
+// AwaitClosed waits until all connections are closed. Leave has to be called before.
+func (s *Server) AwaitClosed(ctx context.Context) error { return s.listener.AwaitClosed(ctx) }
+
 // Close closes all connections.
 func (s *Server) Close() {
 	_ = s.http.Close()
--- a/internal/process/daemon/event_logger.go
+++ b/internal/process/daemon/event_logger.go
@@ -12,6 +12,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/process/meter"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/connection"
 	"github.com/sequoiacart/sequoiacart/pkg/event"
 )
 
@@ -218,7 +219,7 @@
 }
 
 // callerUnanswered logs that the VM has closed a connection with a request in it.
-func (l *eventLogger) callerUnanswered(u caller.Unanswered) {
+func (l *eventLogger) callerUnanswered(u connection.Unanswered) {
 	l.enqueue(func() {
 		l.log.Warn(event.CallerUnanswered, "request without an answer", logrus.Fields{"peer": "callers", "reason": u})
 	})
--- a/internal/link/caller/exchange.go
+++ b/pkg/connection/exchange.go
@@ -1,4 +1,4 @@
-package caller
+package connection
 
 // exchange is what a connection is doing for its caller. It is one of the types below.
 type exchange interface{ exchange() }
@@ -9,7 +9,10 @@
 // arriving means that bytes of a request have been read, and that no handler has it yet.
 type arriving struct{}
 
-// handling means that a handler has a request.
+// receiving means that a handler reads the body of a request.
+type receiving struct{}
+
+// handling means that a handler has a request, and all of it that it needs.
 type handling struct{}
 
 // answering means that a handler has ended, or that the server answers a request which no handler gets.
@@ -17,18 +20,16 @@
 
 func (awaiting) exchange()  {}
 func (arriving) exchange()  {}
+func (receiving) exchange() {}
 func (handling) exchange()  {}
 func (answering) exchange() {}
 
-// Unanswered is how far a request had come whose connection the VM has closed without a whole answer.
+// Unanswered is how far a request had come whose connection this process has closed without a whole answer.
 type Unanswered string
 
-// Values of Unanswered. They are the last part of a counter's name.
+// Values of Unanswered.
 const (
 	UnansweredArriving  Unanswered = "arriving"
 	UnansweredHandling  Unanswered = "handling"
 	UnansweredAnswering Unanswered = "answering"
 )
-
-// unanswered is the prefix of the counters of requests without an answer.
-const unanswered = "callers.unanswered."
