connection: connections in the backlog are accepted before a listener is closed

Callers whose connection waited in the backlog of a VM that had no processor time got a reset when it closed its listener, with their request in the socket.

Cause: the listener was closed at a time, whatever waited in it.

Why this works: the listener is closed once Accept finds nothing for a millisecond, twice if the process had no processor time meanwhile. What connects later is refused, so that its caller knows that nothing has run.

--- a/internal/process/network/link.go
+++ b/internal/process/network/link.go
@@ -3,6 +3,9 @@
 import (
 	"net"
 	"sync"
+	"time"
+
+	"github.com/juju/errors"
 
 	"github.com/sequoiacart/sequoiacart/internal/world/link"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -87,3 +90,11 @@
 	}
 	return linkedConn{Conn: c, link: l.Link}, nil
 }
+
+// SetDeadline ends an Accept at a point in time.
+func (l Listener) SetDeadline(t time.Time) error {
+	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+		return d.SetDeadline(t)
+	}
+	return errors.NotSupportedf("deadline of a %T", l.Listener)
+}
--- a/internal/soak/fleet/shutdown_test.go
+++ b/internal/soak/fleet/shutdown_test.go
@@ -77,6 +77,7 @@
 	// The listener is closed after 3 s of 6, and the last answers are written after 5.4 s.
 	requests := []shutdownRequest{
 		{"waits in the socket", 2800 * ms, []part{{2950 * ms, allBytes}}, short, []int{http.StatusOK}},
+		{"waits in the backlog", 2950 * ms, []part{{2960 * ms, allBytes}}, short, []int{http.StatusOK}},
 		{"headers arrive", 2000 * ms, []part{{2800 * ms, 1}, {3700 * ms, allBytes}}, short, []int{http.StatusOK}},
 		{"headers arrive too late for the work", 2500 * ms, []part{{2800 * ms, 1}, {5000 * ms, allBytes}}, long, []int{http.StatusServiceUnavailable}},
 		{"body ends in time", 900 * ms, []part{{2500 * ms, butLastByte}, {3800 * ms, allBytes}}, short, []int{http.StatusOK}},
--- a/pkg/connection/listener.go
+++ b/pkg/connection/listener.go
@@ -7,14 +7,18 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"sync"
+	"time"
 
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 )
 
 // Config configures a Listener.
 type Config struct {
+	// Listener is closed once no connection waits in its backlog if it has a method SetDeadline, else by Leave.
 	Listener net.Listener
 	// HeaderTimeout is how long the headers of a request may take that begins while the process ends.
 	HeaderTimeout clock.Millis
@@ -36,6 +40,14 @@
 	isClosed, isEmpty bool
 }
 
+// deadlined is a listener whose Accept can be given a time limit.
+type deadlined interface{ SetDeadline(t time.Time) error }
+
+// lastAcceptWait is how long a process that ends waits for another connection. Only those that wait in the backlog
+// are accepted: the system resets them when the listener is closed, while a later one is refused, so that its caller
+// knows that nothing has run.
+const lastAcceptWait = clock.Millis(1)
+
 // departure is how far the connections have come towards the end of the process. It is one of the types below.
 type departure interface{ departure() }
 
@@ -69,7 +81,7 @@
 // AcceptConn waits for the next connection.
 func (l *Listener) AcceptConn() (*Conn, error) {
 	for {
-		accepted, err := l.Listener.Accept()
+		accepted, err := l.accept()
 		if err != nil {
 			return nil, err
 		}
@@ -80,6 +92,36 @@
 	}
 }
 
+// accept waits for the next connection, and closes the listener once none waits while the process ends.
+func (l *Listener) accept() (net.Conn, error) {
+	// The deadline of the first try may have passed while the process had no processor time.
+	const tries = 2
+	for range tries {
+		l.limitAccept()
+		accepted, err := l.Listener.Accept()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return accepted, err
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopAccepting()
+	return nil, net.ErrClosed
+}
+
+// limitAccept lets Accept return soon while the process ends.
+func (l *Listener) limitAccept() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stays() {
+		return
+	}
+	d, ok := l.Listener.(deadlined)
+	if !ok || d.SetDeadline(time.Now().Add(lastAcceptWait.Duration())) != nil {
+		l.stopAccepting()
+	}
+}
+
 func (l *Listener) stopAccepting() {
 	l.isClosed = true
 	// The process that ends has no use for the error.
@@ -99,17 +141,18 @@
 	return c
 }
 
-// Leave closes the listener, and each connection as soon as no request is on it.
+// Leave closes the listener once the connections that wait are accepted, and each connection as soon as no request is on
+// it. Accept returns an error then.
 func (l *Listener) Leave() {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.departure = departing{}
 	for c := range l.open {
 		if c.isEnding() {
 			c.expireRead(LastReadWait)
 		}
 	}
-	l.stopAccepting()
+	l.mu.Unlock()
+	l.limitAccept()
 }
 
 // Finish gives up the requests that have not arrived whole. Handlers that read a body get an error.
