caller: requests that arrive during a shutdown are answered

Callers of the entry daemon lost the answer to a request that arrived on an open connection after the listener had closed: its server reads it and closes the connection. They could only ask again by its id.

Why this works: the connections are closed by pkg/connection, as those of internal/link/caller.

--- a/pkg/caller/connections_test.go
+++ b/pkg/caller/connections_test.go
@@ -1,7 +1,10 @@
 package caller
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -116,3 +119,48 @@
 	}
 	wg.Wait()
 }
+
+// Guards against requests that the server reads after it has closed its listener and drops without an answer, and
+// against connections without a request that keep it from ending.
+func TestShutdownAnswersRequestsThatArrive(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	limits := testLimits
+	limits.Connections, limits.IdleTimeout = 2, clock.Minute
+	s := NewServer(Config{Listener: listener, Service: &fakeService{answer: contract.Running{}}, Authenticator: fakeVM{}, Readiness: fakeVM{}, Limits: limits})
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return conn
+	}
+	arrives, unused := dial(), dial()
+	const firstLine, rest = "GET /v1/jobs/%s HTTP/1.1\r\n", "Host: h\r\nAuthorization: Bearer right\r\n\r\n"
+	if _, err := fmt.Fprintf(arrives, firstLine, testID); err != nil {
+		t.Fatal(err)
+	}
+	// Both connections wait in the backlog when the server leaves, and nothing of them has been read.
+	served, stopped := make(chan error, 1), make(chan error, 1)
+	go func() { stopped <- s.Shutdown(t.Context()) }()
+	go func() { served <- s.Serve() }()
+	<-served
+	if n, err := unused.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+		t.Errorf("got %d bytes, %v on a connection without a request, want its end", n, err)
+	}
+	if _, err := io.WriteString(arrives, rest); err != nil {
+		t.Errorf("got %v, want the connection open", err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(arrives), nil)
+	if err != nil {
+		t.Fatalf("got %v, want an answer", err)
+	}
+	if got, want := response.StatusCode, http.StatusAccepted; got != want || !response.Close {
+		t.Errorf("got status %d, closed %v, want %d and the end of the connection", got, response.Close, want)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("got %v, want a clean shutdown", err)
+	}
+}
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -11,11 +11,11 @@
 
 	"github.com/labstack/echo/v4"
 	gometrics "github.com/rcrowley/go-metrics"
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/semaphore"
 
 	"github.com/sequoiacart/sequoiacart/pkg/accounting"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
+	"github.com/sequoiacart/sequoiacart/pkg/connection"
 	"github.com/sequoiacart/sequoiacart/pkg/contract"
 	"github.com/sequoiacart/sequoiacart/pkg/event"
 	"github.com/sequoiacart/sequoiacart/pkg/metrics"
@@ -84,6 +84,8 @@
 type Server struct {
 	config Config
 	echo   *echo.Echo
+	// connections is nil without a listener.
+	connections *connection.Listener
 	// bodies bounds the total size of the bodies that are being read.
 	bodies *semaphore.Weighted
 }
@@ -97,7 +99,10 @@
 	s.echo.HideBanner, s.echo.HidePort = true, true
 	s.echo.HTTPErrorHandler = writeRoutingError
 	if c.Listener != nil {
-		s.echo.Listener = netutil.LimitListener(c.Listener, c.Limits.Connections)
+		s.connections = connection.NewListener(connection.Config{Listener: newBoundedListener(c.Listener, c.Limits.Connections), HeaderTimeout: c.Limits.IdleTimeout})
+		s.echo.Listener = s.connections
+		s.echo.Server.ConnContext, s.echo.Server.ConnState = connContext, trackAnswers
+		s.echo.Pre(s.trackRequests)
 	}
 	s.echo.Server.ReadHeaderTimeout = c.Limits.IdleTimeout.Duration()
 	s.echo.Server.ReadTimeout = c.Limits.IdleTimeout.Duration()
@@ -121,12 +126,18 @@
 
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve() error {
-	return s.echo.Start("")
+	err := s.echo.Start("")
+	if !s.connections.IsStaying() {
+		return http.ErrServerClosed
+	}
+	return err
 }
 
-// Shutdown stops accepting and waits for the requests in flight.
+// Shutdown stops accepting, and waits until all requests on open connections have been answered.
 func (s *Server) Shutdown(ctx context.Context) error {
-	return s.echo.Shutdown(ctx)
+	defer s.Close()
+	s.connections.Leave()
+	return s.connections.AwaitClosed(ctx)
 }
 
 // Close closes all connections at once.
