link/caller: a connection does not give way while its answer is written

Cause: the request counted as ended with its handler, before its answer was written.

Evidence: TestConnectionsStayUntilTheirAnswerIsWritten got no answer before.

Why this works: the request counts as ended when the server has written the answer and waits for the next request, or closes the connection.

--- a/internal/link/caller/connections.go
+++ b/internal/link/caller/connections.go
@@ -155,6 +155,10 @@
 func trackAnswers(c net.Conn, state http.ConnState) {
 	if n, ok := c.(*callerConn); ok && state == http.StateIdle {
 		n.Answered()
+		n.update(func(i *intake.Intake, s *intake.Connection, now clock.Millis) bool {
+			i.End(s, now)
+			return true
+		})
 	}
 }
 
@@ -233,8 +237,4 @@
 		// An error means that the connection is closed already.
 		_ = n.SetWriteDeadline(time.Now().Add(n.all.answerTimeout.Duration()))
 	}
-	n.update(func(i *intake.Intake, s *intake.Connection, now clock.Millis) bool {
-		i.End(s, now)
-		return true
-	})
 }
--- a/internal/link/caller/leave_test.go
+++ b/internal/link/caller/leave_test.go
@@ -28,11 +28,11 @@
 	served   chan error
 }
 
-func newLeavingServer() *leavingServer {
+func newLeavingServer(maxConnections int) *leavingServer {
 	s := &leavingServer{listener: standin.NewPipeListener(), counts: &counts{byName: make(map[string]int)}, jobs: make(chan node.JobArrived, 10), served: make(chan error, 1)}
 	s.Server = NewServer(Config{
 		Listener: s.listener, Local: &local{jobs: s.jobs}, Counter: s.counts, Clock: clock.NewManual(clock.Hour),
-		Intake: intake.Config{MaxConnections: 10, MaxBodyBytes: 1 << 20, MinBodyRate: 16}, Limits: testLimits,
+		Intake: intake.Config{MaxConnections: maxConnections, MaxBodyBytes: 1 << 20, MinBodyRate: 16}, Limits: testLimits,
 	})
 	go func() { s.served <- s.Serve() }()
 	return s
@@ -95,7 +95,7 @@
 // one: whatever has reached the server when its listener closes is answered, and the rest is closed.
 func TestRequestsOnOpenConnectionsAreAnsweredAfterLeave(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newLeavingServer()
+		s := newLeavingServer(10)
 		unused, kept, arrives, late := s.dial(t), s.dial(t), s.dial(t), s.dial(t)
 		go func() {
 			for j := range s.jobs {
@@ -139,7 +139,7 @@
 // the last answers are given, and headers that are not whole end with their connection.
 func TestBodiesAreRefusedAfterFinish(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newLeavingServer()
+		s := newLeavingServer(10)
 		body, headers, running := s.dial(t), s.dial(t), s.dial(t)
 		send(t, running, request())
 		j := <-s.jobs
@@ -174,3 +174,26 @@
 		}
 	})
 }
+
+// Guards against a connection that gives way to another one while its caller reads the answer.
+func TestConnectionsStayUntilTheirAnswerIsWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newLeavingServer(1)
+		first := s.dial(t)
+		send(t, first, request())
+		j := <-s.jobs
+		j.Ended <- job.Completed{}
+		// The server waits until the answer is read.
+		synctest.Wait()
+		second := s.dial(t)
+		synctest.Wait()
+		if got, closes := statusOf(first); got != http.StatusOK || closes {
+			t.Errorf("got %d, closed %v, want 200 and an open connection", got, closes)
+		}
+		if n, err := second.Read(make([]byte, 1)); n != 0 || err == nil {
+			t.Errorf("got %d bytes, %v on a connection beyond the bound, want its end", n, err)
+		}
+		s.Leave()
+		s.checkEnd(t, time.Second)
+	})
+}
