control/node: a successor probes until it may take over

What callers saw: after the loss of all VMs of a data centre, silent ones (power, or machines that were removed), the shard of that data centre could stay without a leader for good: its endpoints were unused, and a DELETE was answered with 503.

Cause: a VM of another data centre has to have reached the endpoints for 900 ms, by probes that are valid for 800 ms. It asked for a probe only when its own turn in the replica set came. With a second successor that is up, each answer of that one begins the poll again at the first member, with three heartbeats for each member that is silent. With two silent members a round takes 1.1 s, so each probe began a new series and none ever lasted 900 ms. The smallest case has no fault before the loss: two VMs in each of two data centres, of which one is lost.

Change: a successor probes all the time while the shard has no leader. What it takes to lead is as before.

Ruled out: the faults before the loss, since worlds without faults failed as well.

--- a/internal/control/node/heartbeats.go
+++ b/internal/control/node/heartbeats.go
@@ -94,6 +94,7 @@
 	if n.ledShards[id] != nil {
 		return
 	}
+	n.probeAsSuccessor(id)
 	switch s := n.monitors[id].Next(n.now, n.environment(id)).(type) {
 	case failover.Heartbeat:
 		n.emit(SendHeartbeat{To: s.To, Request: n.heartbeatRequest(id, s), SentAt: n.now, Patience: min(n.loads[id].LinkDelay, maxLinkPatience)})
@@ -106,6 +107,15 @@
 	}
 }
 
+// probeAsSuccessor keeps probing the endpoints of a shard without a leader that this VM may succeed. While another
+// successor answers, the silent members before are polled for longer than the result of a probe is valid.
+func (n *Control) probeAsSuccessor(id shard.ID) {
+	set := n.monitors[id].ReplicaSet()
+	if _, _, _, ok := n.monitors[id].Leader(n.now); !ok && set.Rank(n.config.Self.Incarnation) > 0 {
+		n.canReachEndpoints(id)
+	}
+}
+
 func (n *Control) environment(id shard.ID) failover.Environment {
 	revision := n.monitors[id].ReplicaSet().Revision
 	return failover.Environment{
