control/node: a VM keeps its row in the store its own

In one order of events the processes that were left lost their own shards too, and a VM was not ready 15 s after its start.

Cause: a process wrote its row in vms once, without a condition, and never looked at it again. A write of a former process that the store carries out late took its place. By that row a VM finds itself no candidate and claims no shard, leaders leave the others out of their replica sets, and a live leader counts as replaced by another process.

Change: the control state decides, by the events VMsLoaded and VMWritten and the action WriteVM. The first write follows the first read of the table, and each write is made on the condition that the row is the one that was read, so that a late write has no effect. Each read is compared with the VM's own row, which is written again if it is missing, unreadable or of an earlier generation: 150 ms after a failure and 1 s after a success at the earliest. The parts that distinguish processes of a VM are random and say nothing of their order, and clocks may step, so the row gets a generation, one more than that of the row that it replaces. A process that finds a later one stays replaced, so that two live processes never take turns. Rows of versions without a generation count as earlier ones.

Why not the condition alone: processes of earlier versions and other writers set none, and a row may be removed.

--- a/internal/control/node/action.go
+++ b/internal/control/node/action.go
@@ -89,6 +89,12 @@
 	EndpointsVersion int64
 }
 
+// WriteVM writes this VM's row if the one in the store still has the expected revision; 0 means that there is none.
+type WriteVM struct {
+	VM       shard.VM
+	Expected int64
+}
+
 // WriteReplicaSet writes a replica set if the one in the store still has the expected revision; 0
 // means that there is none.
 type WriteReplicaSet struct {
@@ -155,6 +161,9 @@
 	DataCentre  datacentre.ID
 	SinceClear  clock.Millis
 	Evacuations int
+	// VM is the row that was in the place of this VM's, for RowOverwritten and VMReplaced. It is empty if that row was
+	// missing or unreadable.
+	VM shard.VM
 	// Version is that of the desired state, for JobEnded and DesiredStateApplied.
 	Version queue.Version
 }
@@ -173,6 +182,8 @@
 	DesiredStateApplied
 	EvacuationRequested
 	EvacuationWithdrawn
+	RowOverwritten
+	VMReplaced
 )
 
 func (LeaderAction) action()        {}
@@ -183,6 +194,7 @@
 func (LoadCancellations) action()   {}
 func (RemoveCancellations) action() {}
 func (SendYield) action()           {}
+func (WriteVM) action()             {}
 func (WriteReplicaSet) action()     {}
 func (LoadEstimates) action()       {}
 func (SaveEstimates) action()       {}
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -86,6 +86,7 @@
 	storeReportedAt clock.Millis
 	vms             []shard.VM
 	vmRecords       map[vm.ID]shard.VM
+	registration    registration
 	// candidates are the VMs in the order in which they claim a shard.
 	candidates map[shard.ID][]shard.VM
 	// heartbeats are the last ones of each VM, or its last answers to one.
@@ -250,6 +251,9 @@
 		}
 	case VMsLoaded:
 		n.handleVMsLoaded(e.VMs)
+		n.checkRegistration(e)
+	case VMWritten:
+		n.handleVMWritten(e)
 	case ReplicaSetsLoaded:
 		for _, set := range e.ReplicaSets {
 			n.applyReplicaSet(set)
--- a/internal/control/node/event.go
+++ b/internal/control/node/event.go
@@ -180,8 +180,21 @@
 // StoreReported says whether the store has answered a read of the list of endpoints in time.
 type StoreReported struct{ Lost bool }
 
-// VMsLoaded is the store's list of entry VMs.
-type VMsLoaded struct{ VMs []shard.VM }
+// VMsLoaded is the store's list of entry VMs, as of a version of the store.
+type VMsLoaded struct {
+	VMs []shard.VM
+	// Version is 0 if nothing was ever written to the store.
+	Version int64
+	// OwnRevision is the revision of the row under this VM's name, readable or not, or 0 if there is none.
+	OwnRevision int64
+}
+
+// VMWritten is the result of writing this VM's row.
+type VMWritten struct {
+	// Revision is that of the row if Written says that the write succeeded.
+	Revision int64
+	Written  bool
+}
 
 // ReplicaSetsLoaded holds replica sets from the store.
 type ReplicaSetsLoaded struct{ ReplicaSets []shard.ReplicaSet }
@@ -256,6 +269,7 @@
 func (EndpointsLoaded) event()      {}
 func (StoreReported) event()        {}
 func (VMsLoaded) event()            {}
+func (VMWritten) event()            {}
 func (ReplicaSetsLoaded) event()    {}
 func (ReplicaSetWritten) event()    {}
 func (EstimatesLoaded) event()      {}
--- a/internal/control/node/heartbeats.go
+++ b/internal/control/node/heartbeats.go
@@ -60,6 +60,7 @@
 	n.crashes.Expire(n.now)
 	n.dropMissing()
 	n.querySeeds()
+	n.register()
 	n.confirmCancellations()
 	n.maintainStoredCancellations()
 	n.gateway.Tick(n.now)
--- a/internal/control/node/model_execute_test.go
+++ b/internal/control/node/model_execute_test.go
@@ -38,6 +38,8 @@
 		v.removeCancellations(a)
 	case node.SendYield:
 		v.yield(a)
+	case node.WriteVM:
+		v.writeVM(a)
 	case node.WriteReplicaSet:
 		v.writeReplicaSet(a)
 	case node.LoadEstimates, node.SaveEstimates:
@@ -243,16 +245,26 @@
 	}, func(exchangeFailure) { end(false) })
 }
 
+func (v *modelVM) writeVM(a node.WriteVM) {
+	v.writeRow(func() (int64, bool) { return v.world.store.put(tableVMs, v.name, a.VM, a.Expected) }, func(revision int64, written bool) {
+		v.post(v.life, node.VMWritten{Revision: revision, Written: written})
+	})
+}
+
 func (v *modelVM) writeReplicaSet(a node.WriteReplicaSet) {
-	end := func(revision int64, written bool) {
+	write := func() (int64, bool) {
+		return v.world.store.put(tableReplicaSets, string(a.ReplicaSet.Cell), a.ReplicaSet, a.Expected)
+	}
+	v.writeRow(write, func(revision int64, written bool) {
 		e := node.ReplicaSetWritten{ReplicaSet: a.ReplicaSet, Written: written}
 		e.ReplicaSet.Revision = revision
 		v.post(v.life, e)
-	}
+	})
+}
+
+// writeRow carries a write out at the store. Its answer may be lost, and it may be carried out late.
+func (v *modelVM) writeRow(write func() (int64, bool), end func(revision int64, written bool)) {
 	store := v.world.store
-	write := func() (int64, bool) {
-		return store.put(tableReplicaSets, string(a.ReplicaSet.Cell), a.ReplicaSet, a.Expected)
-	}
 	v.newExchange(storeName, storeTimeout, onlyLife, func(x *exchange) {
 		store.serve(x, func() {
 			if v.world.options.enabled(faultStoreLate) && store.random.IntN(6) == 0 {
--- a/internal/control/node/model_faults_test.go
+++ b/internal/control/node/model_faults_test.go
@@ -64,6 +64,7 @@
 
 // faultInjectors cause one fault each.
 var faultInjectors = map[faultKind]func(*world, *rand.Rand){
+	faultVMRows:        injectVMRows,
 	faultLoss:          injectLoss,
 	faultLate:          injectLate,
 	faultCut:           injectCut,
@@ -98,7 +99,7 @@
 	faultStoreDown, faultStoreRefuses, faultStoreSlow, faultRevoke, faultCrash, faultReborn, faultRebornCut, faultRebornAtStart, faultAdd, faultLeave, faultBurst,
 	faultStoreLate, faultFailures, faultStall, faultGiveUp, faultDuplicate, faultNextLife, faultCallerCut, faultThawOrder,
 	faultShrink, faultOddRows, faultResetCut, faultDeadly, faultEvacuate, faultCancel,
-	faultKinds, faultClockStep, faultRelay,
+	faultKinds, faultClockStep, faultRelay, faultVMRows,
 }
 
 // injectFaults causes faults of the world's kinds until a point in time.
--- a/internal/control/node/model_follower_test.go
+++ b/internal/control/node/model_follower_test.go
@@ -253,11 +253,12 @@
 	case tableVMs:
 		var vms []shard.VM
 		for _, r := range all {
-			vm := r.value.(shard.VM)
-			vm.Revision = r.version
-			vms = append(vms, vm)
+			if vm, ok := r.value.(shard.VM); ok {
+				vm.Revision = r.version
+				vms = append(vms, vm)
+			}
 		}
-		f.vm.post(f.vm.life, node.VMsLoaded{VMs: vms})
+		f.vm.post(f.vm.life, node.VMsLoaded{VMs: vms, Version: version, OwnRevision: f.rows[f.vm.name].version})
 	case tableReplicaSets:
 		var sets []shard.ReplicaSet
 		for _, r := range all {
--- a/internal/control/node/model_loss_test.go
+++ b/internal/control/node/model_loss_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -29,9 +30,9 @@
 // connections or are silent, and whatever the faults before.
 func TestModelLossOfADataCentreAfterFaults(t *testing.T) {
 	const calm, failover = 12 * second, 8 * second
-	kinds := []faultKind{faultKill, faultPower, faultStoreDown}
 	for seed := range uint64(max(*modelSeeds/10, 12)) {
-		w := runModel(*modelSeed+seed, kinds)
+		kinds := chooseKinds([]faultKind{faultKill, faultPower, faultStoreDown, faultStoreLate}, rand.New(rand.NewPCG(*modelSeed+seed, 0)))
+		w := runModel(*modelSeed+seed, append(kinds, faultVMRows))
 		w.run(w.now + calm)
 		lost := pick(w.random("lost"), w.vms).dc
 		for _, v := range w.vms {
--- a/internal/control/node/model_vm_test.go
+++ b/internal/control/node/model_vm_test.go
@@ -115,7 +115,6 @@
 	v.follow(tableVMs, feedWait, func() micros { return noPause })
 	v.follow(tableReplicaSets, feedWait, func() micros { return noPause })
 	v.follow(tableEndpoints, endpointsFeedWait, v.endpointsPause)
-	v.register()
 	v.loadAllCrashes()
 	v.tick(v.life)
 }
@@ -341,14 +340,3 @@
 		}
 	})
 }
-
-// register writes the VM's row, and retries until that succeeds.
-func (v *modelVM) register() {
-	store := v.world.store
-	v.newExchange(storeName, storeTimeout, onlyLife, func(x *exchange) {
-		store.serve(x, func() {
-			store.put(tableVMs, v.name, x.vm.self, -1)
-			x.answer(func() {})
-		})
-	}, func(exchangeFailure) { v.later(storeRetryPause, v.register) })
-}
--- a/internal/link/store/codec.go
+++ b/internal/link/store/codec.go
@@ -23,6 +23,7 @@
 	Address     string `json:"address"`
 	DataCentre  string `json:"dataCentre"`
 	MilliCores  int    `json:"milliCores"`
+	Generation  int64  `json:"generation"`
 }
 
 type wireMember struct {
@@ -38,12 +39,16 @@
 func EncodeVM(v shard.VM) ([]byte, error) {
 	return json.Marshal(wireVM{
 		Incarnation: string(v.Incarnation), Address: v.Address,
-		DataCentre: string(v.DataCentre), MilliCores: v.CPU,
+		DataCentre: string(v.DataCentre), MilliCores: v.CPU, Generation: int64(v.Generation),
 	})
 }
 
-// maxMilliCores bounds the processor share of an entry VM.
-const maxMilliCores = 1 << 30
+const (
+	// maxMilliCores bounds the processor share of an entry VM.
+	maxMilliCores = 1 << 30
+	// maxGeneration bounds the generation of an entry VM, so that there are always later ones.
+	maxGeneration = 1 << 40
+)
 
 // DecodeVM reads the row of an entry VM.
 func DecodeVM(r Row) (shard.VM, error) {
@@ -57,9 +62,12 @@
 	if w.MilliCores < 0 || w.MilliCores > maxMilliCores {
 		return shard.VM{}, errors.NotValidf("decode row of VM %s: %d thousandths of a core: row", r.Key, w.MilliCores)
 	}
+	if w.Generation < 0 || w.Generation > maxGeneration {
+		return shard.VM{}, errors.NotValidf("decode row of VM %s: generation %d: row", r.Key, w.Generation)
+	}
 	return shard.VM{
 		Member:     shard.Member{Incarnation: vm.Incarnation(w.Incarnation), Address: w.Address},
-		DataCentre: datacentre.ID(w.DataCentre), CPU: w.MilliCores, Revision: int64(r.Revision),
+		DataCentre: datacentre.ID(w.DataCentre), CPU: w.MilliCores, Generation: shard.Generation(w.Generation), Revision: int64(r.Revision),
 	}, nil
 }
 
--- a/internal/link/store/fuzz_test.go
+++ b/internal/link/store/fuzz_test.go
@@ -28,10 +28,11 @@
 	f.Add([]byte(`{"incarnation":"a-1","address":"10.0.0.1:1","dataCentre":"centro","milliCores":400}`))
 	f.Add([]byte(`{"incarnation":"a-1","address":"10.0.0.1:1","milliCores":-9223372036854775808}`))
 	f.Add([]byte(`{"incarnation":"a-1","milliCores":1e300}`))
+	f.Add([]byte(`{"incarnation":"a-1","address":"10.0.0.1:1","generation":9223372036854775807}`))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		v, err := DecodeVM(Row{Key: "a", Revision: 5, Value: text})
-		if err == nil && (v.Incarnation == "" || v.Address == "" || v.CPU < 0 || v.CPU > maxMilliCores || v.Revision != 5) {
-			t.Errorf("got %+v, want an incarnation, an address, a processor share and the revision", v)
+		if err == nil && (v.Incarnation == "" || v.Address == "" || v.CPU < 0 || v.CPU > maxMilliCores || v.Generation < 0 || v.Generation > maxGeneration || v.Revision != 5) {
+			t.Errorf("got %+v, want an incarnation, an address, a processor share, a generation and the revision", v)
 		}
 	})
 }
--- a/internal/process/daemon/event_logger.go
+++ b/internal/process/daemon/event_logger.go
@@ -11,6 +11,7 @@
 	"github.com/sequoiacart/sequoiacart/internal/link/caller"
 	"github.com/sequoiacart/sequoiacart/internal/process/meter"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
+	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 	"github.com/sequoiacart/sequoiacart/pkg/connection"
 	"github.com/sequoiacart/sequoiacart/pkg/event"
@@ -122,6 +123,16 @@
 		l.write(func() {
 			l.log.Info(event.EvacuationWithdrawn, "evacuation of data centre withdrawn", logrus.Fields{"dataCentre": e.DataCentre})
 		})
+	case node.RowOverwritten:
+		l.meter.Count("vmRows.overwritten")
+		l.write(func() {
+			l.log.Info(event.RowOverwritten, "row of VM overwritten", foundFields(e.VM))
+		})
+	case node.VMReplaced:
+		l.meter.Count("vmRows.replaced")
+		l.write(func() {
+			l.log.Info(event.VMReplaced, "VM replaced by a later process", foundFields(e.VM))
+		})
 	case node.DesiredStateApplied:
 		l.meter.Gauge("desiredVersion", int64(e.Version))
 		l.write(func() {
@@ -130,6 +141,11 @@
 	}
 }
 
+// foundFields describe the row that was in the place of this VM's.
+func foundFields(v shard.VM) logrus.Fields {
+	return logrus.Fields{"found": v.Incarnation, "address": v.Address, "generation": v.Generation, "revision": v.Revision}
+}
+
 func (l *eventLogger) jobEnded(e node.LogEvent) {
 	outcome, reason := outcomeName(e.Outcome)
 	l.meter.Count("jobs." + outcome)
--- a/internal/process/daemon/followers.go
+++ b/internal/process/daemon/followers.go
@@ -412,7 +412,7 @@
 		all = append(all, v)
 	}
 	slices.SortFunc(all, func(a, b shard.VM) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
-	d.loop.Post(node.VMsLoaded{VMs: all})
+	d.loop.Post(node.VMsLoaded{VMs: all, Version: int64(t.version), OwnRevision: int64(t.rows[string(d.self.Incarnation.VM())].Revision)})
 }
 
 func (d *Daemon) replicaSetsChanged(t tableRead) {
@@ -509,21 +509,3 @@
 	before.endpoint.Revision = revision
 	return !found || !before.readable || err != nil || !reflect.DeepEqual(before.endpoint, e), err
 }
-
-// register writes this VM's row, and retries until the write succeeds.
-func (d *Daemon) register(ctx context.Context) error {
-	body, err := store.EncodeVM(d.self)
-	if err != nil {
-		return errors.Annotate(err, "encode row of this VM")
-	}
-	for ctx.Err() == nil {
-		err := d.store.Put(ctx, store.VMs, string(d.self.Incarnation.VM()), body)
-		if err == nil {
-			break
-		}
-		d.logger.storeFailed(string(store.VMs), err)
-		sleep(ctx, retryPause)
-	}
-	<-ctx.Done()
-	return ctx.Err()
-}
--- a/internal/process/daemon/run.go
+++ b/internal/process/daemon/run.go
@@ -66,7 +66,6 @@
 	for _, f := range d.followers() {
 		addActor(f.run)
 	}
-	addActor(d.register)
 	addActor(d.traffic.loadAllCrashes)
 	addActor(d.watchSettings)
 	addActor(d.loop.run)
--- a/internal/process/daemon/traffic.go
+++ b/internal/process/daemon/traffic.go
@@ -63,6 +63,8 @@
 		go t.removeCancellations(a)
 	case node.SendYield:
 		go t.yield(a)
+	case node.WriteVM:
+		go t.writeVM(a)
 	case node.WriteReplicaSet:
 		go t.writeReplicaSet(a)
 	case node.LoadEstimates:
@@ -265,6 +267,21 @@
 	t.loop.Post(node.YieldEnded{Shard: a.ReplicaSet.Cell, Leadership: a.Leadership, Accepted: accepted})
 }
 
+func (t *traffic) writeVM(a node.WriteVM) {
+	var written node.VMWritten
+	body, err := store.EncodeVM(a.VM)
+	if err == nil {
+		var revision store.Revision
+		revision, err = t.store.Write(t.ctx, store.VMs, string(a.VM.Incarnation.VM()), body, store.Revision(a.Expected))
+		written.Revision, written.Written = int64(revision), err == nil
+	}
+	if err != nil {
+		t.logger.callFailed("write row of VM", "store", err)
+	}
+	t.meter.Count("vmRows.writes")
+	t.loop.Post(written)
+}
+
 func (t *traffic) writeReplicaSet(a node.WriteReplicaSet) {
 	written := node.ReplicaSetWritten{ReplicaSet: a.ReplicaSet}
 	body, err := store.EncodeReplicaSet(a.ReplicaSet)
--- a/internal/world/shard/vm.go
+++ b/internal/world/shard/vm.go
@@ -7,12 +7,18 @@
 	"github.com/sequoiacart/sequoiacart/pkg/datacentre"
 )
 
+// Generation orders the processes of a VM by their rows in the platform's store: that of a process is higher than those
+// of the processes whose rows it has replaced.
+type Generation int64
+
 // VM is an entry VM that can lead a shard.
 type VM struct {
 	Member
 	DataCentre datacentre.ID
 	// CPU is its processor share in thousandths of a core.
 	CPU int
+	// Generation is that of the VM's row, or 0 if its version of the program does not write one.
+	Generation Generation
 	// Revision is the version of the VM's row in the platform's store.
 	Revision int64
 }
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -43,6 +43,8 @@
 	ReplicaSetUpdated   Number = "SQ-7013"
 	EvacuationRequested Number = "SQ-7014"
 	EvacuationWithdrawn Number = "SQ-7015"
+	RowOverwritten      Number = "SQ-7016"
+	VMReplaced          Number = "SQ-7017"
 	JobEnded            Number = "SQ-7020"
 	LeaderDecision      Number = "SQ-7021"
 	CallFailed          Number = "SQ-7030"
