node: the model shuts VMs down soon after each other

The cause of the requests that were dropped in a shutdown is of a class: a decision to end something that is not tied to the state it ends. The model of whole VMs had no check for it, and sent little to a VM that shuts down.

The new kind shutdowns sends SIGTERM to some or all VMs, up to 700 ms apart, with freezes in between. Callers send jobs of one to three steps, with limits of 0.3 to 10 s, and cancellations to each VM until its process is gone; the next one starts within 20 ms. The model now checks in all worlds that nothing is without an answer after the last answers (jobs, cancellations, submissions of other VMs), that a job which was taken during the shutdown is given up only after its limit or three objectives, and that a VM takes over no shard while it shuts down. A freeze is no exception, since what the VM gives up late has passed its limit by then. A call is passed over whose sender does not wait any more, or whose submission a later call has repeated.

As in the daemon, SIGTERM counts once, SIGKILL comes at the end of the grace period, and a process does not end before its last answers.

--- a/internal/control/node/model_caller_test.go
+++ b/internal/control/node/model_caller_test.go
@@ -19,6 +19,8 @@
 	random *rand.Rand
 	// work is how long the tasks of each job take.
 	work map[job.ID]micros
+	// drainJobs counts the jobs that are sent to VMs because they shut down.
+	drainJobs int
 	// burstUntil is until when jobs arrive at a multiple of the usual rate.
 	burstUntil micros
 }
@@ -43,6 +45,10 @@
 	gone, settled bool
 	// waitsSince is the earliest time at which it may have been sent, as far as the VM knows.
 	waitsSince clock.Millis
+	// inDrain means that the VM was shutting down when it processed the request, and usefulUntil is until when, by
+	// the VM's clock, the answer was worth something.
+	inDrain     bool
+	usefulUntil clock.Millis
 }
 
 const (
@@ -50,6 +56,8 @@
 	jobInterval       = 90 * ms
 	maxSends          = 3
 	duplicateInterval = 4 * second
+	// callerAnswered is the record of what a caller got.
+	callerAnswered = "caller of %s at %s got %s"
 )
 
 func newModelCallers(w *world) *modelCallers {
@@ -102,8 +110,14 @@
 	if len(ready) == 0 || c.random.IntN(6) == 0 {
 		ready = w.vms
 	}
+	c.sendTo(ready[c.random.IntN(len(ready))], j, sends, limit)
+}
+
+// sendTo submits a job to a VM.
+func (c *modelCallers) sendTo(v *modelVM, j job.Job, sends int, limit micros) {
+	w := c.world
 	w.order++
-	r := &callerRequest{id: w.order, callers: c, job: j, sends: sends, limit: limit, vm: ready[c.random.IntN(len(ready))]}
+	r := &callerRequest{id: w.order, callers: c, job: j, sends: sends, limit: limit, vm: v}
 	w.trace.add(record{job: j.ID, vm: r.vm.name, format: "caller sends job %s to %s, send %d, limit %s", args: []any{j.ID, r.vm.name, sends + 1, formatTime(limit)}})
 	w.network.send(callerName, r.vm.name, r.arrive)
 	patience := limit
@@ -160,7 +174,8 @@
 		return
 	}
 	accepted, ended := make(chan job.Key, 1), make(chan job.Outcome, 1)
-	v.awaitOutcome(ended, r.reply)
+	awaitOutcome(v, r.job.ID, "job", ended, r.reply)
+	r.enterDrain()
 	v.handle(node.JobArrived{Job: r.job, Limit: clock.Millis(r.limit / ms), WaitsSince: r.waitsSince, Accepted: accepted, Ended: ended})
 	key, ok := <-accepted
 	if !ok {
@@ -183,6 +198,7 @@
 // reply sends the outcome to the caller.
 func (r *callerRequest) reply(o job.Outcome) {
 	delete(r.vm.callers, r)
+	r.checkGivenUp(o)
 	r.callers.world.network.send(r.vm.name, callerName, func() {
 		if r.ended {
 			return
@@ -227,7 +243,7 @@
 func (r *callerRequest) end(answer string, again bool) {
 	r.ended = true
 	c := r.callers
-	c.world.trace.add(record{job: r.job.ID, vm: r.vm.name, format: "caller of %s at %s got %s", args: []any{r.job.ID, r.vm.name, answer}})
+	c.world.trace.add(record{job: r.job.ID, vm: r.vm.name, format: callerAnswered, args: []any{r.job.ID, r.vm.name, answer}})
 	if again && r.sends+1 < maxSends {
 		c.world.stats.resent++
 		c.world.after(fromMillis(c.world.options.shape.resend), func() { c.send(r.job, r.sends+1, r.limit) })
--- a/internal/control/node/model_cancel_test.go
+++ b/internal/control/node/model_cancel_test.go
@@ -54,29 +54,26 @@
 	w := c.world
 	v := w.vms[c.random.IntN(len(w.vms))]
 	w.trace.add(record{job: j.ID, vm: v.name, format: "caller cancels job %s at %s, send %d", args: []any{j.ID, v.name, sends}})
-	w.network.send(callerName, v.name, func() {
+	v.cancelJob(j, func(o node.CancelOutcome) { c.handleOutcome(v, j, limit, o) })
+	w.after(cancelLimit+cancelResend, func() {
+		if _, confirmed := c.confirmedAt[j.ID]; !confirmed && sends < maxCancels {
+			c.send(j, limit, sends+1)
+		}
+	})
+}
+
+// cancelJob sends a cancellation to a VM.
+func (v *modelVM) cancelJob(j job.Job, do func(node.CancelOutcome)) {
+	v.world.network.send(callerName, v.name, func() {
 		if !v.up {
 			return
 		}
 		v.whenRunning(v.life, func() {
 			done := make(chan node.CancelOutcome, 1)
-			v.waiters = append(v.waiters, func() bool {
-				select {
-				case o := <-done:
-					c.handleOutcome(v, j, limit, o)
-					return true
-				default:
-					return false
-				}
-			})
+			awaitOutcome(v, j.ID, "cancellation", done, do)
 			v.handle(node.CancelRequested{Cancellation: job.Cancellation{Job: j.ID, Origin: j.Origin}, Limit: clock.Millis(cancelLimit / ms), Done: done})
 		})
 	})
-	w.after(cancelLimit+cancelResend, func() {
-		if _, confirmed := c.confirmedAt[j.ID]; !confirmed && sends < maxCancels {
-			c.send(j, limit, sends+1)
-		}
-	})
 }
 
 func (c *modelCancellations) handleOutcome(v *modelVM, j job.Job, limit micros, o node.CancelOutcome) {
--- a/internal/control/node/model_exchange_test.go
+++ b/internal/control/node/model_exchange_test.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"maps"
 	"slices"
+
+	"github.com/sequoiacart/sequoiacart/internal/world/job"
 )
 
 // exchange is a call of a VM to an endpoint, a peer or the store. Exactly one result reaches the VM:
@@ -17,6 +19,10 @@
 	done bool
 	// resets means that the connection is reset when the call ends.
 	resets bool
+	// submission is that which the call passes on, or empty; replaced means that a later call has passed it on again and
+	// waits for its outcome.
+	submission job.Submission
+	replaced   bool
 	// beforeSend is called when the request is due, and reports whether it may still be sent; it may
 	// be nil.
 	beforeSend func() bool
--- a/internal/control/node/model_execute_test.go
+++ b/internal/control/node/model_execute_test.go
@@ -63,6 +63,9 @@
 		v.world.trace.log(v, a)
 		if a.Topic == node.LeadershipAcquired {
 			v.world.stats.takeovers++
+			if v.drain.begun {
+				v.failDrain("", "%s takes over the shard %s during its shutdown", v.name, a.Shard)
+			}
 		}
 		if a.Topic == node.LeaderDecision && a.Decision.Decision == leader.EndpointCrashed {
 			v.world.crashFound(v, a.Decision)
@@ -199,8 +202,10 @@
 	}
 	v.callPeer(a.To.Address, limit, func(peer *modelVM, x *exchange) {
 		ended := make(chan job.Outcome, 1)
+		x.submission = a.Submission
 		await(peer, x, ended, end)
 		peer.handle(node.PeerSubmitted{Shard: a.Shard, Submission: a.Submission, Ended: ended})
+		peer.replaceCalls(x)
 	}, func(exchangeFailure) { end(job.Unanswered{Cause: "no answer"}) })
 }
 
--- a/internal/control/node/model_faults_test.go
+++ b/internal/control/node/model_faults_test.go
@@ -91,6 +91,7 @@
 	faultOddRows:       injectOddRows,
 	faultResetCut:      injectResetCut,
 	faultEvacuate:      injectEvacuate,
+	faultShutdowns:     injectShutdowns,
 }
 
 // allFaults are the kinds in a fixed order.
@@ -99,7 +100,7 @@
 	faultStoreDown, faultStoreRefuses, faultStoreSlow, faultRevoke, faultCrash, faultReborn, faultRebornCut, faultRebornAtStart, faultAdd, faultLeave, faultBurst,
 	faultStoreLate, faultFailures, faultStall, faultGiveUp, faultDuplicate, faultNextLife, faultCallerCut, faultThawOrder,
 	faultShrink, faultOddRows, faultResetCut, faultDeadly, faultEvacuate, faultCancel,
-	faultKinds, faultClockStep, faultRelay, faultVMRows,
+	faultKinds, faultClockStep, faultRelay, faultVMRows, faultShutdowns,
 }
 
 // injectFaults causes faults of the world's kinds until a point in time.
--- a/internal/control/node/model_stats_test.go
+++ b/internal/control/node/model_stats_test.go
@@ -7,6 +7,9 @@
 	evacuatedStarts int
 	// relayed counts the reads of the list through another VM.
 	relayed int
+	// takenInDrain, refusedInDrain and cancelledInDrain count the jobs that VMs took and refused during their
+	// shutdowns, and the cancellations that they answered.
+	takenInDrain, refusedInDrain, cancelledInDrain int
 	// deadlyCrashes counts the deadly tasks that crashed one endpoint at least, two, and so on.
 	deadlyCrashes [maxCrashesWithFaults + 1]int
 }
@@ -24,6 +27,9 @@
 	s.evacuatedStarts += o.evacuatedStarts
 	s.cancelled += o.cancelled
 	s.relayed += o.relayed
+	s.takenInDrain += o.takenInDrain
+	s.refusedInDrain += o.refusedInDrain
+	s.cancelledInDrain += o.cancelledInDrain
 	for i, n := range o.deadlyCrashes {
 		s.deadlyCrashes[i] += n
 	}
--- a/internal/control/node/model_vm_test.go
+++ b/internal/control/node/model_vm_test.go
@@ -45,6 +45,7 @@
 	storeFoundAt micros
 	// startedAt is when the process started, and terminatedAt when it was last told to end.
 	startedAt, terminatedAt micros
+	drain                   modelDrain
 
 	// What the traffic goroutines read, as of the last publication.
 	publishedEndpoints                                []endpoint.Endpoint
@@ -54,8 +55,8 @@
 	// tracedList is the list of endpoints as of the last record of its changes.
 	tracedList []endpoint.Endpoint
 
-	// waiters poll the channels that the control state answers on.
-	waiters []func() bool
+	// waiters are the requests that the control state has received and not answered.
+	waiters []modelWaiter
 	// open are the peers' calls that this VM has received and not answered.
 	open map[*exchange]bool
 	// callers are the requests of callers that are connected.
@@ -86,6 +87,7 @@
 	v.clockOffset = second * micros(1000+v.random.IntN(100_000))
 	v.publishedEndpoints, v.publishedVersion, v.publishedMember, v.publishedLeading, v.publishedReady = nil, 0, false, false, false
 	v.storeLost, v.storeFoundAt = false, v.world.now
+	v.drain = modelDrain{}
 	v.tracedList, v.waiters, v.open, v.callers = nil, nil, make(map[*exchange]bool), make(map[*callerRequest]bool)
 	v.self = shard.VM{
 		Member:     shard.Member{Incarnation: vm.NewIncarnation(vm.ID(v.name), fmt.Sprintf("%04d", v.life)), Address: v.name},
@@ -139,11 +141,15 @@
 	}
 }
 
-// shutDown ends the process within the grace period.
+// shutDown ends the process within the grace period. It is told so once.
 func (v *modelVM) shutDown() {
+	if v.drain.terminated {
+		return
+	}
 	v.world.trace.add(record{vm: v.name, format: "VM shuts down"})
 	life := v.life
-	v.terminatedAt = v.world.now
+	v.terminatedAt, v.drain.terminated = v.world.now, true
+	v.world.after(modelGrace, func() { v.end(life) })
 	v.post(life, node.ShutdownRequested{FinishBy: v.clock() + clock.Millis(micros(float64(modelGrace)*finishShare)/ms)})
 	v.later(micros(float64(modelGrace)*acceptShare), func() { v.awaitIdle(life) })
 	v.later(micros(float64(modelGrace)*finishShare), func() { v.exit(life) })
@@ -158,8 +164,21 @@
 }
 
 func (v *modelVM) exit(life int) {
-	v.post(life, node.ShutdownOverdue{})
-	v.later(50*ms, func() { v.kill(false) })
+	v.whenRunning(life, func() {
+		v.handle(node.ShutdownOverdue{})
+		v.later(50*ms, func() { v.end(life) })
+	})
+}
+
+// end ends a process that has been told to end.
+func (v *modelVM) end(life int) {
+	if v.life != life {
+		return
+	}
+	v.kill(false)
+	if next := v.drain.next; next != nil {
+		next()
+	}
 }
 
 func (v *modelVM) clock() clock.Millis { return clock.Millis((v.world.now + v.clockOffset) / ms) }
@@ -209,7 +228,9 @@
 	for _, a := range actions {
 		v.execute(a)
 	}
-	v.waiters = slices.DeleteFunc(v.waiters, func(answered func() bool) bool { return answered() })
+	v.waiters = slices.DeleteFunc(v.waiters, func(w modelWaiter) bool { return w.answered() })
+	v.drain.record(e)
+	v.checkAnswered()
 	switch e.(type) {
 	case node.Tick:
 		v.publish()
@@ -316,27 +337,26 @@
 // await answers a peer's call once the control state has replied.
 func await[T any](v *modelVM, x *exchange, replies <-chan T, result func(T)) {
 	v.open[x] = true
-	v.waiters = append(v.waiters, func() bool {
-		select {
-		case reply := <-replies:
-			delete(v.open, x)
-			x.answer(func() { result(reply) })
-			return true
-		default:
-			return false
-		}
-	})
+	v.waiters = append(v.waiters, modelWaiter{call: x, answered: poll(replies, func(reply T) {
+		delete(v.open, x)
+		x.answer(func() { result(reply) })
+	})})
 }
 
-// awaitOutcome passes on the outcome of a job once the control state has it.
-func (v *modelVM) awaitOutcome(ended <-chan job.Outcome, do func(job.Outcome)) {
-	v.waiters = append(v.waiters, func() bool {
+// awaitOutcome passes on the outcome of a caller's request once the control state has it.
+func awaitOutcome[T any](v *modelVM, id job.ID, request string, outcomes <-chan T, do func(T)) {
+	v.waiters = append(v.waiters, modelWaiter{request: request, job: id, answered: poll(outcomes, do)})
+}
+
+// poll returns a function that passes on the answer of a channel and reports whether there was one.
+func poll[T any](answers <-chan T, do func(T)) func() bool {
+	return func() bool {
 		select {
-		case o := <-ended:
-			do(o)
+		case a := <-answers:
+			do(a)
 			return true
 		default:
 			return false
 		}
-	})
+	}
 }
