node: leaders read cancellations again after they were cut off

What callers saw: nothing yet.

Cause: a leader reads the stored cancellations once, when it takes over. One that keeps the shard knows later ones only from the VM that received them, and that VM may be lost after its answer.

Now a leader reads the table again in two cases. Its shard has endpoints again after it had none: a new endpoint gets no task for 1.5 s or more (newEndpointDelay), so the read comes first. Or its list of endpoints was not read for longer than MaxListAge: it was cut off from the store or stood still, and counts as in touch contact_ms after the end of that at the earliest. One that reads its list all the while reads nothing again.

Evidence: of TestLeaderReadsCancellationsAgain, "no endpoints" and "list not read" failed before; the other two cases have no read again before and after.

--- a/internal/control/node/endpoints.go
+++ b/internal/control/node/endpoints.go
@@ -55,7 +55,12 @@
 	if e.Gap {
 		n.lastMissingAt = n.now
 	}
-	n.endpoints, n.endpointsVersion, n.endpointsAt = merged, e.Version, n.now
+	n.setEndpoints(merged)
+	n.endpointsVersion, n.endpointsAt = e.Version, n.now
+	if e.ReadAt > n.endpointsReadAt+n.config.Timeouts.MaxListAge() && len(n.ledShards) > 0 {
+		// Cancellations may have been confirmed without the leaders of this VM, which was cut off.
+		n.loadCancellations()
+	}
 	n.endpointsReadAt = max(n.endpointsReadAt, e.ReadAt)
 	switch {
 	case e.ReadAt == 0:
@@ -69,6 +74,20 @@
 	}
 }
 
+// setEndpoints replaces the list of endpoints. Cancellations may have been confirmed without the leader of a shard that
+// had none, so they are read again before tasks may start at those that are new.
+func (n *Control) setEndpoints(all []endpoint.Endpoint) {
+	empty := slices.DeleteFunc(slices.Clone(n.shards), func(id shard.ID) bool { return n.ledShards[id] == nil || n.hasEndpoints(id) })
+	n.endpoints = all
+	if slices.ContainsFunc(empty, n.hasEndpoints) {
+		n.loadCancellations()
+	}
+}
+
+func (n *Control) hasEndpoints(id shard.ID) bool {
+	return slices.ContainsFunc(n.endpoints, func(e endpoint.Endpoint) bool { return e.DataCentre == id.DataCentre() })
+}
+
 // withLaterEntries returns the list of another VM with the entries of this VM in place of earlier ones. The other VM
 // keeps entries that have disappeared, and may not have read since what their endpoints said next.
 func (n *Control) withLaterEntries(all []endpoint.Endpoint) []endpoint.Endpoint {
--- a/internal/control/node/leadership.go
+++ b/internal/control/node/leadership.go
@@ -304,7 +304,7 @@
 			n.unproven[o.ID] = true
 		}
 	}
-	n.endpoints = merged
+	n.setEndpoints(merged)
 }
 
 // handlePeerYielded takes over a shard at the request of its leader, if this VM is a successor and
--- a/internal/control/node/stored_cancellations_test.go
+++ b/internal/control/node/stored_cancellations_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/sequoiacart/sequoiacart/internal/control/leader"
+	"github.com/sequoiacart/sequoiacart/internal/world/endpoint"
 	"github.com/sequoiacart/sequoiacart/internal/world/job"
 	"github.com/sequoiacart/sequoiacart/internal/world/shard"
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
@@ -158,3 +159,42 @@
 		t.Errorf("got %d rows at the end, want none", got)
 	}
 }
+
+// Guards against a leader that starts a job whose cancellation was confirmed without it: while its shard had no
+// endpoints, or while it was cut off from the store. One that has read the list all the while reads nothing again.
+func TestLeaderReadsCancellationsAgain(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// lists are those before the last one, a second apart, and silence is how long none was read after them.
+		lists   [][]endpoint.Endpoint
+		silence clock.Millis
+		want    bool
+	}{
+		{"list read all the while", [][]endpoint.Endpoint{firstList(), firstList(), firstList(), firstList()}, clock.Second, false},
+		{"no endpoints", [][]endpoint.Endpoint{nil, nil, nil, nil}, clock.Second, true},
+		{"endpoints missing for a moment", [][]endpoint.Endpoint{nil, nil}, clock.Second, false},
+		{"list not read", nil, 4 * clock.Second, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := leaderOfCentro(t)
+			read := func(all []endpoint.Endpoint) {
+				h.handle(EndpointsLoaded{Version: h.control.endpointsVersion + 1, Endpoints: all, ReadAt: h.now})
+			}
+			read(firstList())
+			for _, all := range tt.lists {
+				h.advance(clock.Second)
+				read(all)
+			}
+			h.advance(tt.silence)
+			h.stored["peer-1.1"] = []job.Cancellation{cancelledJob}
+			read(firstList())
+			s := resubmittedJob()
+			s.Adopt, s.Job.Origin = false, cancelledJob.Origin
+			ended := make(chan job.Outcome, 1)
+			h.handle(PeerSubmitted{Shard: "centro", Submission: s, Ended: ended})
+			if got := len(ended) == 1 && <-ended == job.Outcome(job.Cancelled{}); got != tt.want {
+				t.Errorf("got the job cancelled %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
