node: cancellations are confirmed without the leader of an empty shard

Cause: Control.confirm waits for the present leader of every shard. A VM outside of a data centre leads its shard only if it reaches endpoints there, and there are none left, so that the shard never gets a leader again.

Ruled out: a leader outside for a shard without endpoints. Rows of endpoints expire during a cut of some seconds too, and the leader inside, with its jobs, would be fenced out when the cut ends. Also a confirmation once no member of the replica set answers: a data centre that is cut off looks the same from outside, and may reach the store.

Now a shard is passed over that has had no leader for 1.5 s and no endpoint in the store's list for missingRetention + MaxListAge + 0.5 s (4.5 s), in reads 3 s apart at most, the last of them requested after the row of the cancellation was stored. VMs outside of the replica sets read the list every 2 s while a shard has lost its leader, so that they know this when a DELETE arrives.

Why no VM in touch with the store starts a task of the job there afterwards: one that becomes leader later reads the cancellations first. One that leads the shard already and reads its list in time has dropped the endpoints by then, and reads the cancellations again before it uses new ones. One that has not read its list was cut off from the store or stood still, reads them again with the next list, and drops what has disappeared from it 2.5 s after that, before it is in touch.

A cut of a data centre: while its endpoints reach the store, nothing changes. If they do not, their rows expire after 4.5 s, so a cut of 9 s or more has cancellations confirmed without the leader inside. It is not in touch and may go on with its jobs. When the cut ends it reads the cancellations with its first list, and the VM that received them tells it as well. Shorter cuts end as before: 503 until the leader inside answers.

--- a/internal/control/node/cancellations.go
+++ b/internal/control/node/cancellations.go
@@ -153,7 +153,7 @@
 }
 
 // confirm answers the callers once the cancellation is stored and the present leader of each shard has confirmed
-// it, and tells leaders that have not.
+// it, and tells leaders that have not. A shard without a leader and endpoints can start nothing.
 func (n *Control) confirm(c *cancellation) {
 	confirmed := c.storedAt != 0
 	for _, id := range n.shards {
@@ -165,7 +165,13 @@
 		if ok && c.confirmedBy[id] == m.Incarnation {
 			continue
 		}
+		if !ok && n.isEmptySince(id, c.storedAt) {
+			continue
+		}
 		confirmed = false
+		if !ok && c.storedAt != 0 && len(c.waiters) > 0 {
+			n.requestListOf(id, c.storedAt)
+		}
 		if ok && n.now >= c.sentAt[id]+cancelRetryInterval {
 			c.sentAt[id] = n.now
 			n.emit(SendCancel{To: m, Cancellation: c.Cancellation})
--- a/internal/control/node/control.go
+++ b/internal/control/node/control.go
@@ -80,6 +80,11 @@
 	// lastMissingAt is when an endpoint last disappeared from the list, or may have done so unseen.
 	// It is initially the start of the VM, because earlier lists are unknown.
 	lastMissingAt clock.Millis
+	// emptyPeriods are the shards that have no endpoints in the store's list. leaderKnownAt is when a shard last had a
+	// leader as far as this VM knows, and listRequestedAt when the list was last requested because one had none.
+	emptyPeriods    map[shard.ID]emptyPeriod
+	leaderKnownAt   map[shard.ID]clock.Millis
+	listRequestedAt clock.Millis
 	// storeLost means that the latest read of the list of endpoints has failed or is overdue, as reported at
 	// storeReportedAt.
 	storeLost       bool
@@ -180,12 +185,13 @@
 		crashes: crash.NewHistory(), crashExchanges: make(map[vm.Incarnation]crashExchange),
 		candidates:    make(map[shard.ID][]shard.VM),
 		cancellations: make(map[job.Cancellation]*cancellation),
-		callers:       make(map[job.Key]chan<- job.Outcome), peers: make(map[job.Key]chan<- job.Outcome),
+		emptyPeriods:  make(map[shard.ID]emptyPeriod), leaderKnownAt: make(map[shard.ID]clock.Millis),
+		callers: make(map[job.Key]chan<- job.Outcome), peers: make(map[job.Key]chan<- job.Outcome),
 	}
 	for _, dc := range c.DataCentres {
 		id := shard.ForDataCentre(dc)
 		n.shards = append(n.shards, id)
-		n.monitors[id] = failover.NewMonitor(c.Self.Incarnation, id, c.Now)
+		n.monitors[id], n.leaderKnownAt[id] = failover.NewMonitor(c.Self.Incarnation, id, c.Now), c.Now
 	}
 	slices.Sort(n.shards)
 	n.seeds = slices.DeleteFunc(slices.Clone(c.Seeds), func(a string) bool { return a == c.Self.Address })
--- a/internal/control/node/endpoints.go
+++ b/internal/control/node/endpoints.go
@@ -20,6 +20,7 @@
 	if e.Version < n.endpointsVersion {
 		return
 	}
+	n.updateEmptyPeriods(e)
 	n.updateUnproven(e)
 	if e.ReadAt == 0 {
 		e.Endpoints = n.withLaterEntries(e.Endpoints)
@@ -72,6 +73,7 @@
 	for _, id := range n.shards {
 		n.sendEndpoints(id)
 	}
+	n.confirmWaiting()
 }
 
 // setEndpoints replaces the list of endpoints. Cancellations may have been confirmed without the leader of a shard that
--- a/internal/control/node/heartbeats.go
+++ b/internal/control/node/heartbeats.go
@@ -61,6 +61,7 @@
 	n.dropMissing()
 	n.querySeeds()
 	n.register()
+	n.watchEmptyShards()
 	n.confirmCancellations()
 	n.maintainStoredCancellations()
 	n.gateway.Tick(n.now)
