node: the model loses a data centre for good

The kind zoneLoss takes away a data centre with its VMs and endpoints, once in a world at most. No disturbance of the model did that: kills end with a start, and endpoints crash one by one.

TestCancellationsAfterTheLossOfADataCentre: of the cancellations that callers send from 9.5 s after the loss on to the VMs that are left, each is confirmed within 4 s.

TestCancellationsDuringALongCut: during a cut of 13 s cancellations are confirmed without the leader inside; the VMs outside are killed at its end, so that nobody tells it. No VM starts a task of such a job 3 s or more after the confirmation, in touch or not.

--- a/internal/control/node/model_cancel_test.go
+++ b/internal/control/node/model_cancel_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 
 	"github.com/sequoiacart/sequoiacart/internal/control/leader"
@@ -33,12 +34,12 @@
 type modelCancellations struct {
 	world  *world
 	random *rand.Rand
-	// confirmedAt is when a VM confirmed the cancellation of a job.
-	confirmedAt map[job.ID]micros
+	// requestedAt is when a caller first cancelled a job, and confirmedAt when a VM confirmed that.
+	requestedAt, confirmedAt map[job.ID]micros
 }
 
 func newModelCancellations(w *world) *modelCancellations {
-	return &modelCancellations{world: w, random: w.random("cancel"), confirmedAt: make(map[job.ID]micros)}
+	return &modelCancellations{world: w, random: w.random("cancel"), requestedAt: make(map[job.ID]micros), confirmedAt: make(map[job.ID]micros)}
 }
 
 // choose has some jobs cancelled.
@@ -52,7 +53,11 @@
 // send sends a cancellation to a VM, again if it is not confirmed, and copies of the submission if it is.
 func (c *modelCancellations) send(j job.Job, limit micros, sends int) {
 	w := c.world
-	v := w.vms[c.random.IntN(len(w.vms))]
+	left := slices.DeleteFunc(slices.Clone(w.vms), func(v *modelVM) bool { return v.gone })
+	v := left[c.random.IntN(len(left))]
+	if sends == 1 {
+		c.requestedAt[j.ID] = w.now
+	}
 	w.trace.add(record{job: j.ID, vm: v.name, format: "caller cancels job %s at %s, send %d", args: []any{j.ID, v.name, sends}})
 	v.cancelJob(j, func(o node.CancelOutcome) { c.handleOutcome(v, j, limit, o) })
 	w.after(cancelLimit+cancelResend, func() {
--- a/internal/control/node/model_faults_test.go
+++ b/internal/control/node/model_faults_test.go
@@ -92,6 +92,7 @@
 	faultResetCut:      injectResetCut,
 	faultEvacuate:      injectEvacuate,
 	faultShutdowns:     injectShutdowns,
+	faultZoneLoss:      injectZoneLoss,
 }
 
 // allFaults are the kinds in a fixed order.
@@ -100,7 +101,7 @@
 	faultStoreDown, faultStoreRefuses, faultStoreSlow, faultRevoke, faultCrash, faultReborn, faultRebornCut, faultRebornAtStart, faultAdd, faultLeave, faultBurst,
 	faultStoreLate, faultFailures, faultStall, faultGiveUp, faultDuplicate, faultNextLife, faultCallerCut, faultThawOrder,
 	faultShrink, faultOddRows, faultResetCut, faultDeadly, faultEvacuate, faultCancel,
-	faultKinds, faultClockStep, faultRelay, faultVMRows, faultShutdowns,
+	faultKinds, faultClockStep, faultRelay, faultVMRows, faultShutdowns, faultZoneLoss,
 }
 
 // injectFaults causes faults of the world's kinds until a point in time.
@@ -185,7 +186,21 @@
 func injectZoneCut(w *world, random *rand.Rand) {
 	dc, d := pick(random, w.vms).dc, duration(random, maxCutDuration)
 	withStore, withCallers := random.IntN(3) > 0, random.IntN(3) == 0 && w.options.enabled(faultCallerCut)
-	var inside, outside []string
+	var others []string
+	if withStore {
+		others = append(others, storeName)
+	}
+	if withCallers {
+		others = append(others, callerName)
+	}
+	w.cutDataCentre(dc, d, others...)
+	w.logFault(faultZoneCut, "%s for %s, store %v, callers %v", dc, formatTime(d), withStore, withCallers)
+}
+
+// cutDataCentre cuts the VMs and endpoints of a data centre off from those outside and from others.
+func (w *world) cutDataCentre(dc datacentre.ID, d micros, others ...string) {
+	var inside []string
+	outside := others
 	for _, v := range w.vms {
 		if v.dc == dc {
 			inside = append(inside, v.name)
@@ -200,19 +215,12 @@
 			outside = append(outside, string(e.id))
 		}
 	}
-	if withStore {
-		outside = append(outside, storeName)
-	}
-	if withCallers {
-		outside = append(outside, callerName)
-	}
 	for _, i := range inside {
 		for _, o := range outside {
 			w.network.cut(i, o, d)
 			w.network.cut(o, i, d)
 		}
 	}
-	w.logFault(faultZoneCut, "%s for %s, store %v, callers %v", dc, formatTime(d), withStore, withCallers)
 }
 
 // injectEndpointCut cuts an endpoint off from all or some VMs, and at times from the store.
--- a/internal/control/node/model_vm_test.go
+++ b/internal/control/node/model_vm_test.go
@@ -27,6 +27,8 @@
 	endpointsFollower, operatorFollower *modelFollower
 
 	up bool
+	// gone means that the VM does not start any more.
+	gone bool
 	// silent means that a VM that is down does not refuse connections either.
 	silent bool
 	life   int
@@ -79,7 +81,7 @@
 
 // start starts a process with a new incarnation and no state.
 func (v *modelVM) start() {
-	if v.up {
+	if v.up || v.gone {
 		return
 	}
 	v.life++
