soak: shutdowns in series, and callers that stay on open connections

The fault soak could not see a request that is read in a shutdown and never answered: its callers retry and drop idle connections, signals came one at a time, and no VM was without processor time in its shutdown.

New kind: up to three VMs shut down one after the other, with SIGTERM again, SIGHUP and freezes in between, and start again at once. Callers without retries open connections before and during it and use them until they are closed: unused for long, headers and bodies that end late, several requests in turn, cancellations. Odd seeds have series beside the other faults, even ones one at the end. The draws have a source of their own.

New checks: each of these requests gets a whole answer if its job was passed on, or if its connection was closed over 200 ms after its last byte, unless the process was killed, was frozen later than 5 s after SIGTERM, or was frozen and has not read it. A valid request gets no 400 within the header timeout, and completed and refused are held against the attempts. TestLostRequests holds what is excused.

A SIGHUP that ends a process which has just begun starts it again.

--- a/internal/soak/fleet/fleet_test.go
+++ b/internal/soak/fleet/fleet_test.go
@@ -55,6 +55,13 @@
 	// endpoints are those that have not been removed, everyEndpoint all of them, and endpointsAdded counts these.
 	endpoints, everyEndpoint []*endpoint
 	endpointsAdded           int
+	// answered counts the answers on connections of series by status, unanswered are the requests without one.
+	answered   map[int]int
+	unanswered []unanswered
+
+	// series are the callers and signals of series of shutdowns, requestsDrawn counts the requests of these.
+	series        sync.WaitGroup
+	requestsDrawn int
 }
 
 // node is a VM: a process that runs the node command. Other VMs reach it over peerRelay, and it
@@ -65,9 +72,9 @@
 	settingsPath                             string
 	peerRelay, storeRelay                    *relay
 
-	mu      sync.Mutex
-	process *exec.Cmd
-	exited  chan struct{}
+	mu sync.Mutex
+	// incarnations has the processes so far; the last one is the present one.
+	incarnations []*incarnation
 	// removed means that the process is not started again.
 	removed bool
 	log     *os.File
@@ -103,7 +110,7 @@
 
 func newFleet(t *testing.T, seed uint64) *fleet {
 	t.Helper()
-	f := &fleet{t: t, random: rand.New(rand.NewPCG(seed, 7)), seed: seed, store: standin.NewStore(), checker: newAttemptChecker(), dir: t.TempDir()}
+	f := &fleet{t: t, random: rand.New(rand.NewPCG(seed, 7)), seed: seed, store: standin.NewStore(), checker: newAttemptChecker(), dir: t.TempDir(), answered: make(map[int]int)}
 	server := httptest.NewServer(f.store)
 	t.Cleanup(server.Close)
 	storeAddress := strings.TrimPrefix(server.URL, "http://")
@@ -298,15 +305,13 @@
 
 // restart starts a VM again after its present process has exited.
 func (f *fleet) restart(n *node) {
-	n.mu.Lock()
-	exited := n.exited
-	n.mu.Unlock()
+	p := n.current()
 	go func() {
-		<-exited
+		<-p.exited
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		// Another fault may have started the VM already.
-		if n.exited == exited && !n.removed {
+		if n.last() == p && !n.removed {
 			f.startProcess(n)
 		}
 	}()
@@ -316,12 +321,21 @@
 func (n *node) remove() {
 	n.mu.Lock()
 	n.removed = true
-	_ = n.process.Process.Signal(syscall.SIGKILL)
-	exited := n.exited
+	p := n.last()
+	_ = p.command.Process.Signal(syscall.SIGKILL)
 	n.mu.Unlock()
-	<-exited
+	<-p.exited
 }
 
+// current is the present process of a VM.
+func (n *node) current() *incarnation {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.last()
+}
+
+func (n *node) last() *incarnation { return n.incarnations[len(n.incarnations)-1] }
+
 func (f *fleet) startProcess(n *node) {
 	c := exec.Command(os.Args[0])
 	c.Env = append(os.Environ(), nodeEnv+"=1", "SEQUOIACART_BOOT="+n.settingsPath, "GOMAXPROCS=1")
@@ -330,16 +344,31 @@
 		f.t.Error(err)
 		return
 	}
-	exited := make(chan struct{})
-	n.process, n.exited = c, exited
-	go func() { _ = c.Wait(); close(exited) }()
+	p := &incarnation{command: c, exited: make(chan struct{}), logStart: n.logSize()}
+	n.incarnations = append(n.incarnations, p)
+	go func() {
+		_ = c.Wait()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		p.ended, p.logEnd = time.Now(), n.logSize()
+		close(p.exited)
+	}()
+}
+
+func (n *node) logSize() int64 {
+	info, err := n.log.Stat()
+	if err != nil {
+		return 0
+	}
+	return info.Size()
 }
 
 // signal sends a signal to the process of this VM only.
 func (n *node) signal(s syscall.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	_ = n.process.Process.Signal(s)
+	n.last().record(s, time.Now())
+	_ = n.last().command.Process.Signal(s)
 }
 
 func (f *fleet) awaitReady() {
--- a/internal/soak/fleet/shutdown_test.go
+++ b/internal/soak/fleet/shutdown_test.go
@@ -133,7 +133,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	const ms, gracePeriod = time.Millisecond, 6 * time.Second
+	const ms = time.Millisecond
 	f := newFleet(t, 1)
 	f.awaitReady()
 	n := f.vms[len(f.vms)-1]
@@ -154,7 +154,7 @@
 	time.Sleep(700 * ms)
 	n.signal(syscall.SIGCONT)
 	<-answered
-	<-n.exited
+	<-n.current().exited
 	if got := time.Since(signalled); got > gracePeriod {
 		t.Errorf("got the end of the process after %s, want it within %s", got, gracePeriod)
 	}
--- a/internal/soak/fleet/soak_test.go
+++ b/internal/soak/fleet/soak_test.go
@@ -47,7 +47,7 @@
 	f.store.SetFaults(standin.StoreFaults{Down: true})
 	n := f.vms[len(f.vms)-1]
 	n.signal(syscall.SIGKILL)
-	<-n.exited
+	<-n.current().exited
 	f.start(n)
 	f.awaitReady()
 	j := standin.Job{ID: "00000000000000aa", Tasks: 2, Payload: standin.Payload{RunMs: 20, MilliCores: taskMilliCores}}
@@ -63,33 +63,36 @@
 func soak(t *testing.T, seed uint64) {
 	f := newFleet(t, seed)
 	f.awaitReady()
-	var all sync.WaitGroup
-	stop := make(chan struct{})
-	for c := range callerCount {
-		all.Add(1)
-		go func() {
-			defer all.Done()
-			f.sendJobs(seed, c, stop)
-		}()
-	}
+	stopCallers := f.startCallers(0)
 	if f.isSteady() {
 		time.Sleep(steadyAfter)
 	}
 	// Draws of their own leave the other faults of a seed as they are.
-	evacuations, restarts := rand.New(rand.NewPCG(seed, 13)), rand.New(rand.NewPCG(seed, 17))
+	evacuations, restarts, shutdowns := rand.New(rand.NewPCG(seed, 13)), rand.New(rand.NewPCG(seed, 17)), rand.New(rand.NewPCG(seed, 19))
 	end := time.Now().Add(*seedDuration)
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(100+f.random.IntN(600)) * time.Millisecond)
 		f.injectFault()
 		f.injectEvacuation(evacuations)
 		f.injectUnseenRestarts(restarts)
+		if !f.isSteady() {
+			f.injectSeries(shutdowns)
+		}
 	}
+	f.series.Wait()
 	f.heal()
-	close(stop)
-	all.Wait()
+	stopCallers()
 	f.checkRecovery()
 	f.checkEvacuation()
 	f.checkLabels()
+	if f.isSteady() {
+		stopCallers = f.startCallers(callerCount)
+		f.beginSeries(shutdowns, 2)
+		f.series.Wait()
+		stopCallers()
+	}
+	f.checkShutdowns()
+	f.checkUnanswered()
 	f.checker.mu.Lock()
 	defer f.checker.mu.Unlock()
 	f.checker.reportRemaining()
@@ -105,6 +108,16 @@
 	}
 }
 
+// startCallers starts callers, of which the first has the given number, and returns a function that stops them.
+func (f *fleet) startCallers(first int) (stop func()) {
+	var all sync.WaitGroup
+	stopped := make(chan struct{})
+	for c := range callerCount {
+		all.Go(func() { f.sendJobs(f.seed, first+c, stopped) })
+	}
+	return func() { close(stopped); all.Wait() }
+}
+
 // sendJobs sends jobs until stop is closed. Connections are reused from job to job.
 func (f *fleet) sendJobs(seed uint64, c int, stop <-chan struct{}) {
 	random := rand.New(rand.NewPCG(seed, uint64(100+c)))
@@ -199,6 +212,8 @@
 		f.publishDesiredState()
 	case 12:
 		n.signal(syscall.SIGHUP)
+		// It ends a process that has just begun.
+		f.restart(n)
 	case 13, 14:
 		e.standIn.SetFaults(standin.EndpointFaults{Late: 0.3})
 		time.AfterFunc(duration, func() { e.standIn.SetFaults(standin.EndpointFaults{}) })
