--- a/internal/control/node/model_cancel_test.go
+++ b/internal/control/node/model_cancel_test.go
@@ -34,8 +34,8 @@
 type modelCancellations struct {
 	// inTouchOnly leaves out the starts by VMs that are not in touch, which the rule allows.
 	inTouchOnly bool
-	world  *world
-	random *rand.Rand
+	world       *world
+	random      *rand.Rand
 	// requestedAt is when a caller first cancelled a job, and confirmedAt when a VM confirmed that.
 	requestedAt, confirmedAt map[job.ID]micros
 }
