soak: the end of a process is read from its own log

The soak itself had stood still: it sent no signal between 38.134 and 39.878 s although the steps of its faults are 0.7 s apart at most, and then a SIGSTOP and its SIGCONT 2 ms apart, which are drawn 100 ms apart or more. When the process really ended is not known.

A process that has not logged it is judged by what the soak sees, as before.

--- a/internal/soak/fleet/incarnation_test.go
+++ b/internal/soak/fleet/incarnation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
@@ -108,6 +109,20 @@
 	}
 }
 
+// endedAt is when the process ended by its own log, or else when the soak noticed that, which may be late.
+func (p *incarnation) endedAt(log []byte) time.Time {
+	for line := range bytes.Lines(log) {
+		var entry struct {
+			Event events.Number
+			Time  time.Time
+		}
+		if json.Unmarshal(line, &entry) == nil && entry.Event == events.VMStopping {
+			return entry.Time
+		}
+	}
+	return p.ended
+}
+
 func (n *node) isLeaving(p *incarnation) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -132,14 +147,16 @@
 	if p.ended.IsZero() {
 		return append(problems, fmt.Sprintf("got no end since SIGTERM of %s, want one", p.shutdownBegan().Format(timeFormat)))
 	}
-	if took := p.ended.Sub(p.shutdownBegan()); took > gracePeriod {
-		problems = append(problems, fmt.Sprintf("got end at %s, %s after SIGTERM of %s, want %s at most", p.ended.Format(timeFormat), took, p.shutdownBegan().Format(timeFormat), gracePeriod))
-	}
 	text, err := os.ReadFile(n.log.Name())
 	if err != nil {
 		return append(problems, err.Error())
 	}
-	for line := range bytes.Lines(text[p.logStart:p.logEnd]) {
+	text = text[p.logStart:p.logEnd]
+	ended := p.endedAt(text)
+	if took := ended.Sub(p.shutdownBegan()); took > gracePeriod {
+		problems = append(problems, fmt.Sprintf("got end at %s, %s after SIGTERM of %s, want %s at most", ended.Format(timeFormat), took, p.shutdownBegan().Format(timeFormat), gracePeriod))
+	}
+	for line := range bytes.Lines(text) {
 		if bytes.Contains(line, []byte(events.CallerUnanswered)) && !bytes.Contains(line, []byte(`"answering"`)) {
 			problems = append(problems, fmt.Sprintf("got %s, want all requests answered", bytes.TrimSpace(line)))
 		}
--- a/internal/soak/fleet/unanswered_test.go
+++ b/internal/soak/fleet/unanswered_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"syscall"
 	"testing"
 	"time"
+
+	events "github.com/sequoiacart/sequoiacart/pkg/event"
 )
 
 // unanswered is a request whose connection has ended without a whole answer.
@@ -107,3 +110,17 @@
 		t.Error("got lost a request whose connection had ended before its last byte, want not")
 	}
 }
+
+// Guards against a soak that takes its own pauses for a late end of a process, or misses one that ends late.
+func TestEndOfAProcess(t *testing.T) {
+	began := time.Now().Truncate(time.Millisecond)
+	stopped := began.Add(5800 * time.Millisecond)
+	log := fmt.Appendf(nil, "{\"event\":\"SQ-7001\",\"time\":%q}\n{\"event\":%q,\"time\":%q}\n", began.Format(time.RFC3339Nano), events.VMStopping, stopped.Format(time.RFC3339Nano))
+	p := incarnation{ended: began.Add(7 * time.Second)}
+	if got := p.endedAt(log); !got.Equal(stopped) {
+		t.Errorf("got an end at %s, want that of the log, %s", got, stopped)
+	}
+	if got := p.endedAt(nil); got != p.ended {
+		t.Errorf("got an end at %s of a process that has not logged it, want %s", got, p.ended)
+	}
+}
