connection: headers that have arrived in time are read after their time limit

Callers whose headers had arrived lost their connection, or got 400 for a valid request and then a reset, when the VM had no processor time while the time limit of the headers passed.

The time limit ends the read, whatever has arrived by then; and net/http takes a line that a time-out cuts for a malformed one.

TestLateHeaders and the row "headers arrive in time and are read late" of TestRequestsDuringAShutdownAreAnswered failed before.

What the server answers to headers that were given up is not written.

--- a/internal/soak/fleet/shutdown_test.go
+++ b/internal/soak/fleet/shutdown_test.go
@@ -78,6 +78,7 @@
 	requests := []shutdownRequest{
 		{"waits in the socket", 2800 * ms, []part{{2950 * ms, allBytes}}, short, []int{http.StatusOK}},
 		{"waits in the backlog", 2950 * ms, []part{{2960 * ms, allBytes}}, short, []int{http.StatusOK}},
+		{"headers arrive in time and are read late", 400 * ms, []part{{450 * ms, 1}, {2950 * ms, allBytes}}, short, []int{http.StatusOK}},
 		{"headers arrive", 2000 * ms, []part{{2800 * ms, 1}, {3700 * ms, allBytes}}, short, []int{http.StatusOK}},
 		{"headers arrive too late for the work", 2500 * ms, []part{{2800 * ms, 1}, {5000 * ms, allBytes}}, long, []int{http.StatusServiceUnavailable}},
 		{"body ends in time", 900 * ms, []part{{2500 * ms, butLastByte}, {3800 * ms, allBytes}}, short, []int{http.StatusOK}},
--- a/pkg/connection/conn.go
+++ b/pkg/connection/conn.go
@@ -23,6 +23,8 @@
 	// not sent the rest of its headers in time, and closed that this process has closed the connection.
 	exchange           exchange
 	callerGone, closed bool
+	// isLate means that the time limit of the headers has passed.
+	isLate bool
 }
 
 // Begin records that a handler has a request.
@@ -43,7 +45,7 @@
 func (c *Conn) enter(e exchange) {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	c.exchange = e
+	c.exchange, c.isLate = e, false
 }
 
 // Cut closes the connection while a request may be on it. Its caller counts as gone.
@@ -58,19 +60,15 @@
 // Read implements net.Conn. While the process ends, a connection without a request ends as if its caller had closed
 // it, once all that has arrived is read.
 func (c *Conn) Read(b []byte) (int, error) {
-	// Where the processor is late, the deadline may have passed before a request is read that arrived earlier.
-	const tries = 2
-	for range tries {
+	for {
 		if !c.beginRead() {
-			// The server answers the end of a connection within headers with 400, and a time-out with nothing.
 			return 0, os.ErrDeadlineExceeded
 		}
 		count, err := c.Conn.Read(b)
-		if ends := c.endRead(count, err); !ends {
+		if again, err := c.endRead(count, err); !again {
 			return count, err
 		}
 	}
-	return 0, io.EOF
 }
 
 // beginRead reports whether the connection is still read.
@@ -78,38 +76,67 @@
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	if _, ok := c.listener.departure.(departed); ok && !c.isServed() {
+		c.giveUpHeaders()
 		return false
 	}
-	if c.isEnding() {
+	if c.isEnding() && !c.isLate {
 		c.expireRead(LastReadWait)
 	}
 	return true
 }
 
-// endRead records the end of a read. It reports whether the read has found nothing on a connection that is to be closed.
-func (c *Conn) endRead(count int, err error) (ends bool) {
+// endRead records the end of a read. It reports whether to read again, or else the error to return.
+func (c *Conn) endRead(count int, err error) (again bool, _ error) {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	isLate := errors.Is(err, os.ErrDeadlineExceeded)
-	if count == 0 && isLate && c.isEnding() {
-		return true
+	hasTimedOut := count == 0 && errors.Is(err, os.ErrDeadlineExceeded)
+	if hasTimedOut && c.awaitsHeaders() && !c.isLate {
+		// Without processor time, the deadline may have passed before a read of what had arrived in time.
+		c.isLate = true
+		c.expireRead(LastReadWait)
+		return true, nil
+	}
+	if hasTimedOut {
+		c.giveUpHeaders()
+		if c.isEnding() {
+			return false, io.EOF
+		}
+		return false, err
 	}
 	if _, ok := c.exchange.(awaiting); ok && count > 0 {
 		if c.isEnding() {
 			c.expireRead(c.listener.config.HeaderTimeout)
 		}
-		c.exchange = arriving{}
+		c.exchange, c.isLate = arriving{}, false
 	}
 	if err != nil && !c.closed {
-		_, isArriving := c.exchange.(arriving)
-		c.callerGone = c.callerGone || isArriving || !isLate
+		c.callerGone = true
+	}
+	return false, err
+}
+
+// awaitsHeaders reports whether no handler has a request.
+func (c *Conn) awaitsHeaders() bool {
+	switch c.exchange.(type) {
+	case awaiting, arriving:
+		return true
+	case receiving, handling, answering:
 	}
 	return false
 }
 
+// giveUpHeaders records that a request whose headers are not whole is not read any more.
+func (c *Conn) giveUpHeaders() {
+	if _, ok := c.exchange.(arriving); ok && !c.closed {
+		c.callerGone, c.isLate = true, true
+	}
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
-	c.beginWrite()
+	if !c.beginWrite() {
+		return len(b), nil
+	}
 	count, err := c.Conn.Write(b)
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.failWrite()
@@ -117,13 +144,19 @@
 	return count, err
 }
 
-func (c *Conn) beginWrite() {
+// beginWrite reports whether something may be written. The server answers itself what it cannot read, and takes headers
+// of which the last ones were late for invalid ones.
+func (c *Conn) beginWrite() bool {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	if _, ok := c.exchange.(arriving); ok {
-		// The server answers itself what it cannot read.
-		c.exchange = answering{}
+	if _, ok := c.exchange.(arriving); !ok {
+		return true
+	}
+	if c.isLate && c.callerGone {
+		return false
 	}
+	c.exchange = answering{}
+	return true
 }
 
 func (c *Conn) failWrite() {
--- a/pkg/connection/conn_test.go
+++ b/pkg/connection/conn_test.go
@@ -12,11 +12,12 @@
 	"github.com/sequoiacart/sequoiacart/pkg/clock"
 )
 
-// scriptedConn returns the given results of its reads, and records the last time limit of a read.
+// scriptedConn returns the given results of its reads, and records the last time limit of a read and what is written.
 type scriptedConn struct {
 	net.Conn
 	results []error
 	limit   time.Duration
+	written int
 }
 
 func (c *scriptedConn) Read([]byte) (int, error) {
@@ -33,6 +34,11 @@
 	return nil
 }
 
+func (c *scriptedConn) Write(b []byte) (int, error) {
+	c.written += len(b)
+	return len(b), nil
+}
+
 func (c *scriptedConn) Close() error { return nil }
 
 // scriptedListener accepts one connection.
@@ -48,7 +54,7 @@
 // the last answers, and against time limits that a request does not get or keeps.
 func TestReadsWhileTheProcessEnds(t *testing.T) {
 	late := os.ErrDeadlineExceeded
-	leave, finish := (*Listener).Leave, func(l *Listener) { l.Leave(); l.Finish() }
+	stay, leave, finish := func(*Listener) {}, (*Listener).Leave, func(l *Listener) { l.Leave(); l.Finish() }
 	for name, tt := range map[string]struct {
 		end     func(*Listener)
 		begin   func(*Conn)
@@ -60,6 +66,8 @@
 		"a request has arrived":                 {leave, nil, []error{nil}, 1, nil, headerTimeout.Duration()},
 		"found by a read after the time limit":  {leave, nil, []error{late, nil}, 1, nil, headerTimeout.Duration()},
 		"nothing has arrived":                   {leave, nil, []error{late, late}, 0, io.EOF, LastReadWait.Duration()},
+		"found while the process stays":         {stay, nil, []error{late, nil}, 1, nil, LastReadWait.Duration()},
+		"idle while the process stays":          {stay, nil, []error{late, late}, 0, late, LastReadWait.Duration()},
 		"the rest of a body":                    {leave, (*Conn).Receive, []error{nil}, 1, nil, 0},
 		"nothing is read after the last answer": {finish, nil, []error{nil}, 0, late, 0},
 		"nor the rest of a body":                {finish, (*Conn).Receive, []error{nil}, 0, late, 0},
@@ -87,6 +95,31 @@
 	}
 }
 
+// Guards against headers that are given up although they had arrived when the process had processor time again, and
+// against the server's answer 400 to those that had not, which calls a valid request malformed.
+func TestLateHeaders(t *testing.T) {
+	late := os.ErrDeadlineExceeded
+	raw := &scriptedConn{results: []error{nil, late, nil, late}}
+	l := NewListener(Config{Listener: &scriptedListener{accepts: raw}, Unanswered: func(u Unanswered) { t.Errorf("got %s without an answer, want none", u) }})
+	c, err := l.AcceptConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []error{nil, nil, late} {
+		if _, err := c.Read(make([]byte, 1)); err != want {
+			t.Errorf("got %v, want %v", err, want)
+		}
+	}
+	const answer = "HTTP/1.1 400 Bad Request"
+	if n, err := c.Write([]byte(answer)); n != len(answer) || err != nil || raw.written != 0 {
+		t.Errorf("got %d bytes, %v and %d written, want none of %d written", n, err, raw.written, len(answer))
+	}
+	_ = c.Close()
+	if len(raw.results) != 0 {
+		t.Errorf("got %d reads not made, want one try more once the limit has passed", len(raw.results))
+	}
+}
+
 // Guards against a process that ends while a connection is open, or waits for one that was closed by Cut.
 func TestAwaitClosed(t *testing.T) {
 	l := NewListener(Config{Listener: &scriptedListener{accepts: &scriptedConn{}}})
