daemon: the last answers of a late shutdown have time to be written

Callers of a VM that had no processor time until 97 % of its grace period had passed lost their connections without an answer, although it had processor time again before it would be killed.

The time for the last answers ended at a time, also if they had not begun.

Why this works: the answers have 50 ms at least after they are given.

--- a/internal/process/daemon/run.go
+++ b/internal/process/daemon/run.go
@@ -24,6 +24,9 @@
 	// answerShare is the part of the grace period by which the last answers have to be written. A
 	// VM with a tenth of a core needs some milliseconds for each.
 	answerShare = 0.97
+	// minAnswerTime is how long writing the last answers may take at least, where the processor is so
+	// late that answerShare has passed.
+	minAnswerTime = clock.Millis(50)
 	// flushTimeout is how long sending pending spans may take.
 	flushTimeout = clock.Millis(100)
 	// handOverShare is the part of the grace period for finding a successor for a shard. In the
@@ -112,7 +115,7 @@
 	}
 	d.loop.Post(node.ShutdownOverdue{})
 	d.callers.Finish()
-	answer, cancel := context.WithTimeout(context.Background(), left(answerShare).Duration())
+	answer, cancel := context.WithTimeout(context.Background(), max(left(answerShare), minAnswerTime).Duration())
 	defer cancel()
 	if err := d.callers.AwaitClosed(answer); err != nil {
 		d.logger.callFailed("finish requests", "callers", err)
--- a/internal/soak/fleet/shutdown_test.go
+++ b/internal/soak/fleet/shutdown_test.go
@@ -129,6 +129,32 @@
 	}
 }
 
+// Guards against requests that a VM closes without an answer, although it has processor time again before it is killed.
+func TestLateShutdownAnswersRequests(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	const ms = time.Millisecond
+	f := newFleet(t, 1)
+	f.awaitReady()
+	n := f.vms[len(f.vms)-1]
+	n.signal(syscall.SIGTERM)
+	signalled := time.Now()
+	stands := shutdownRequest{openAt: 500 * ms, sendAt: []part{{1000 * ms, butLastByte}}}
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		if got, err := stands.answer(n.callerAddress, 1, signalled); got != http.StatusServiceUnavailable {
+			t.Errorf("got answer %d (%v), want %d", got, err, http.StatusServiceUnavailable)
+		}
+	}()
+	time.Sleep(time.Until(signalled.Add(5000 * ms)))
+	n.signal(syscall.SIGSTOP)
+	time.Sleep(time.Until(signalled.Add(5900 * ms)))
+	n.signal(syscall.SIGCONT)
+	<-answered
+}
+
 // Guards against a shutdown that is counted from the end of a pause in which SIGTERM was sent, and that goes on until
 // the process is killed.
 func TestShutdownEndsInTimeAfterAPause(t *testing.T) {
